--- /dev/null
+++ b/control/api.go
@@ -0,0 +1,180 @@
+package control
+
+// Effect tells what a repeat of a GET may do.
+type Effect int
+
+// The kinds of effect. The zero value is the strictest.
+const (
+	NonIdempotent Effect = iota // must never run twice
+	Tokened                     // carries a mark by which a group of hosts drops repeats
+	Idempotent                  // may run again
+)
+
+// Scope is the group of hosts that drops the repeats of a tokened GET.
+type Scope int
+
+// The scopes. The zero value is the narrowest.
+const (
+	SameCell Scope = iota
+	SameZone
+	AllHosts
+)
+
+// Detail tells how much the answers say about fills.
+type Detail int
+
+// The levels of detail.
+const (
+	Silent  Detail = iota // nothing
+	HitOnly               // whether it was a hit
+	Full                  // and why a fill failed
+)
+
+// Phase is what the list of hosts says of one.
+type Phase int
+
+// The phases of a host.
+const (
+	Gone Phase = iota
+	Ready
+	Draining
+)
+
+// Outcome is how a forward ended.
+type Outcome int
+
+// The outcomes of a forward. Those from NotTaken on prove that it never ran.
+const (
+	Returned Outcome = iota
+	HostError
+	Expired
+	Dropped
+	Revoked
+	NotTaken
+	Unreached
+	Unused
+	Empty
+)
+
+// Note says what an answer tells of a hit or a fill.
+type Note int
+
+// The notes.
+const (
+	NoNote Note = iota
+	Hit
+	Filled
+	FilledByOrigin
+	Joined
+	Aged
+	SourceRefused
+	SourceFailed
+	SourceLacks
+	NoFillPlace
+	OriginFailed
+)
+
+// DeliveryService is a kind of traffic with its own terms. Times are in seconds.
+type DeliveryService struct {
+	Objective, Stretch float64 // the latency objective, and its growth by a GET's own sending time
+	ViewerTimeout      float64
+	Revenue            float64
+	Effect             Effect
+	Scope              Scope
+	RepeatWindow       float64 // how long repeats of a tokened GET are known
+	FreshFor           float64 // the fresh time of a copy, 0 for no limit
+	UsableAfter        float64 // how much older a copy may be when asked for
+	AgedShare          float64 // share of the revenue that an answer from such a copy earns
+	Write              bool    // runs at the origin and leaves no copy
+}
+
+// Settings is what a dispatcher is told at its start. Times are in seconds.
+type Settings struct {
+	Index, Dispatchers int
+	Seed               uint64
+	Zone               int
+	Seats              []int // dispatchers by zone
+	Services           []DeliveryService
+
+	ParentKind, OriginKind int
+	FlowKB                 float64 // KB a second of one transfer at full pace
+	WeightsTold            bool    // weights count the transfers that a host's link carries
+	ReportNames            []string
+
+	Straight, Joins, Siblings bool
+	Detail                    Detail
+	OnRequest                 bool // the list of hosts must be asked for
+
+	MaxForwards   int
+	MayCancel     bool
+	SecondCopies  bool
+	TellRetry     bool // a shed reply may name a time to come back
+	MaxRetryAfter float64
+
+	ColdFrom, RampTime, TipMultiple, Fall float64
+	ParentColdFrom, ParentRamp, ParentTip float64
+	OldCopies                             float64 // after this long no copy older than a purge is left
+}
+
+// HostEntry is one host of a list.
+type HostEntry struct {
+	ID                uint32
+	Zone, Kind, Cell  int
+	Phase             Phase
+	Weight            float64
+	OnlineSince       float64 // on the dispatcher's clock
+	OnlineSinceIsTold bool
+}
+
+// ListForm tells what a list of hosts is.
+type ListForm int
+
+// The forms of a list.
+const (
+	Changes ListForm = iota
+	Complete
+	Cached
+	FailedCall
+)
+
+// GET is one GET as a client sends it.
+type GET struct {
+	ID            uint32
+	Service       int
+	Object        string
+	Group, Part   int
+	ViewerTimeout float64 // when the client leaves, on the dispatcher's clock
+	SizeKB        float64 // 0 where it is not told
+}
+
+// Answer is how one forward ended.
+type Answer struct {
+	GET     uint32
+	Forward int
+	Outcome Outcome
+	Elapsed float64
+	Last    bool // the GET is finished
+	Note    Note
+	Report  []float64 // in the order of Settings.ReportNames, or nil
+}
+
+// Forward is what a host is asked to do with a GET.
+type Forward struct {
+	GET          uint32
+	Host, Source uint32
+	Rank         int     // 0: the copy is not kept
+	MaxAge       float64 // 0: what the delivery service allows
+	Join, Renew  bool
+	HeldOnly     bool // the source gives only what it holds
+}
+
+// Wire carries a dispatcher's answers out.
+type Wire interface {
+	Forward(f Forward)
+	Cancel(get uint32, forward int)
+	Shed(get uint32, comeBack float64)
+	Error(get uint32)
+	Schedule(delay float64, cookie string)
+	Subscribe()
+	Log(text string)
+}
