--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 	faulty       = 0.5     // share; a host that faults more often than not is left
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 2       // forwards overdue at a host that has said nothing since: one may be a large object
+	silentCount  = 4       // forwards overdue at a host that has said nothing since: one may be a large object
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
@@ -505,10 +505,7 @@
 	n := min(d.copies(g, len(ready)), len(usable))
 	objective := d.objective(g)
 	best := usable[0]
-	for i, h := range usable {
-		if i >= n && d.span(best) <= objective {
-			break
-		}
+	for _, h := range usable[:n] {
 		if d.span(h) < d.span(best) {
 			best = h
 		}
@@ -583,7 +580,7 @@
 	if !d.WeightsTold || d.FlowKB <= 0 {
 		span = math.Min(span, float64(h.out)*d.serving(h))
 	}
-	return math.Max(span, d.now-h.heard)
+	return span
 }
 
 // serving is the time that one GET adds to a makespan; unheard caches count as average.
