--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,6 @@
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
-	spareUnder   = 0.5     // share of the latency objective under which a cache has room for objects not its own
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 )
 
@@ -506,19 +505,14 @@
 	n := min(d.copies(g, len(ready)), len(usable))
 	objective := d.objective(g)
 	best := usable[0]
-	for _, h := range usable[:n] {
+	for i, h := range usable {
+		if i >= n && d.span(best) <= objective {
+			break
+		}
 		if d.span(h) < d.span(best) {
 			best = h
 		}
 	}
-	if d.span(best) > objective {
-		for _, h := range usable[n:] {
-			if d.span(h) < spareUnder*objective {
-				best = h
-				break
-			}
-		}
-	}
 	if d.span(best) > shedBeyond*objective {
 		return d.giveUp(g)
 	}
@@ -585,7 +579,11 @@
 	if h.out == 0 {
 		return 0
 	}
-	return math.Max(h.makespan-(d.now-h.updated), float64(h.out)*d.serving(h))
+	span := math.Max(0, h.makespan-(d.now-h.updated))
+	if !d.WeightsTold || d.FlowKB <= 0 {
+		span = math.Min(span, float64(h.out)*d.serving(h))
+	}
+	return span
 }
 
 // serving is the time that one GET adds to a makespan; unheard caches count as average.
