--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,7 @@
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
+	fullFor      = 0.2     // s; a host that turned a GET away is spared so long: some answers' time
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 )
 
@@ -117,6 +118,7 @@
 	makespan    float64 // s; the design's estimate, as of updated
 	updated     float64
 	serving     learned // s; what one GET adds to the makespan where no bandwidth is told
+	full        float64 // turns GETs away until then, as far as known
 	heard       float64 // when it last answered, or had nothing out
 	fault       float64 // share of late outcomes that were faults
 	left        bool    // left until a trial
@@ -495,10 +497,13 @@
 	ready := d.order(g)
 	var usable []*host
 	for _, h := range ready {
-		if !contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.work(g), d.Fall) {
+		if !contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.work(g), d.Fall) && d.now >= h.full {
 			usable = append(usable, h)
 		}
 	}
+	if len(usable) == 0 && len(ready) > 0 {
+		return d.giveUp(g)
+	}
 	if len(usable) == 0 {
 		return d.straight(g)
 	}
@@ -626,6 +631,9 @@
 	case NotTaken, Empty:
 		if !d.sourceFault(a.Note) {
 			g.badHosts = append(g.badHosts, h)
+			if a.Outcome == NotTaken {
+				h.full = d.now + fullFor
+			}
 		}
 	}
 	return pass
