Limit the fills under way by how they come in, and only look past the limit

Cause: in every overload fills, not caches, were full: fill places taken, sources refusing, the way in crowded; further forwards made it worse. Past a learned limit a GET only looks, and what is missing is shed at once.

--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,10 @@
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
-	fullFor      = 0.2     // s; a host that turned a GET away is spared so long: some answers' time
+	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
+	fillCut      = 0.8     // share; what a fill that came late or not at all leaves of the limit of fills under way
+	fillStep     = 0.5     // s; sending time that the limit gains when a whole limit's worth came in time
+	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 )
 
@@ -62,7 +65,9 @@
 	group         int
 	counts        counter
 	place         *list.Element
-	again         bool // asked for before
+	again         bool    // asked for before
+	holder        *host   // the cache that returned it last
+	held          float64 // and when
 }
 
 // counter sums what happened in the last buckets.
@@ -118,7 +123,6 @@
 	makespan    float64 // s; the design's estimate, as of updated
 	updated     float64
 	serving     learned // s; what one GET adds to the makespan where no bandwidth is told
-	full        float64 // turns GETs away until then, as far as known
 	heard       float64 // when it last answered, or had nothing out
 	fault       float64 // share of late outcomes that were faults
 	left        bool    // left until a trial
@@ -140,6 +144,7 @@
 	limit        *due.Entry[func()]
 	answer       Answer
 	back, moot   bool // answered; given up on
+	miss, look   bool // counts as a fill under way; only looks
 	ran          bool // may have run
 }
 
@@ -157,6 +162,8 @@
 	badHosts    []*host
 	badSources  []*host
 	waitingLine bool
+	miss        bool // the host likely lacks the object
+	looked      bool // and it does: it was asked
 }
 
 // Dispatcher decides for one instance.
@@ -176,13 +183,16 @@
 	due      due.Queue[func()]
 	further  []*get
 	chances  uint64
+	fillOut  float64 // s; sending time of the fills under way, as far as known
+	fillMax  float64 // s; their limit
+	fillCutA float64 // when it was cut last
 	usual    float64 // s/s; what a warm cache of ours returned, for when none is warm
 }
 
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: map[string]*item{}, byUse: list.New(), purges: map[string]float64{}}
+		items: map[string]*item{}, byUse: list.New(), purges: map[string]float64{}, fillMax: math.Inf(1)}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -497,13 +507,10 @@
 	ready := d.order(g)
 	var usable []*host
 	for _, h := range ready {
-		if !contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.work(g), d.Fall) && d.now >= h.full {
+		if !contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.work(g), d.Fall) {
 			usable = append(usable, h)
 		}
 	}
-	if len(usable) == 0 && len(ready) > 0 {
-		return d.giveUp(g)
-	}
 	if len(usable) == 0 {
 		return d.straight(g)
 	}
@@ -631,9 +638,6 @@
 	case NotTaken, Empty:
 		if !d.sourceFault(a.Note) {
 			g.badHosts = append(g.badHosts, h)
-			if a.Outcome == NotTaken {
-				h.full = d.now + fullFor
-			}
 		}
 	}
 	return pass
@@ -751,18 +755,36 @@
 	}
 }
 
-// fill names the source of a miss: the object's parent, the next one, or the origin.
+// fill names the source of a miss: the object's parent, the next one, or the origin. While the fills under way
+// are at their limit a GET only looks whether the cache holds the object.
 func (d *Dispatcher) fill(g *get) verdict {
-	g.source = g.host
+	g.source, g.miss = g.host, false
 	if g.host.Kind == d.OriginKind {
 		return pass
 	}
+	g.miss = g.item.holder != g.host || d.now-g.item.held > buckets*bucketSpan || g.looked
+	if d.fillOut+d.weigh(g) > d.fillMax*d.favour(g) {
+		if g.looked {
+			return d.giveUp(g)
+		}
+		return pass
+	}
 	if source := d.parent(g); source != nil {
 		g.source = source
 	}
 	return pass
 }
 
+// favour lets delivery services that earn more for their sending time use more of the limit.
+func (d *Dispatcher) favour(g *get) float64 {
+	for _, ds := range d.services {
+		if ds.Revenue*d.weigh(g) < g.ds.Revenue*ds.sending.mean {
+			return favoured
+		}
+	}
+	return 1
+}
+
 // parent is the first usable one in the object's order over all listed parents, or else the origin.
 func (d *Dispatcher) parent(g *get) *host {
 	var parents []*host
@@ -786,13 +808,27 @@
 	return origin
 }
 
-// judgeSource learns from an answer how sound the source of its fill is.
+// judgeSource learns from an answer how sound the source of its fill is, and how many fills the way in bears.
 func (d *Dispatcher) judgeSource(g *get, f *forward) verdict {
+	a, n := f.answer, f.answer.Note
+	if f.miss {
+		d.fillOut -= f.work
+	}
+	if a.Outcome == Returned {
+		g.item.holder, g.item.held = f.host, d.now
+	}
 	if f.source == f.host {
+		if a.Outcome == Empty && !g.over {
+			g.looked = true
+			return d.again(g)
+		}
 		return pass
 	}
-	switch n := f.answer.Note; {
-	case f.answer.Outcome == Returned && n != Hit && n != Joined && n != Aged:
+	if d.Detail == Silent && f.miss || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked {
+		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f.work)
+	}
+	switch {
+	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
 		f.source.taken.add(d.now, d.weigh(g))
 		if d.Detail == Full {
 			d.sound(f.source)
@@ -806,12 +842,26 @@
 	return pass
 }
 
+// learnFills moves the limit of the fills under way: up while they come in time, down when they do not.
+func (d *Dispatcher) learnFills(inTime bool, work float64) {
+	switch {
+	case inTime && d.fillOut > d.fillMax/2:
+		d.fillMax += fillStep * work / d.fillMax
+	case !inTime && d.now > d.fillCutA+overdueLeast:
+		d.fillMax = math.Max(fillLeast, fillCut*math.Min(d.fillMax, math.Max(d.fillOut, fillLeast)))
+		d.fillCutA = d.now
+	}
+}
+
 // send hands the GET to its host and counts it there.
 func (d *Dispatcher) send(g *get) verdict {
 	h, s, work := g.host, g.source, d.weigh(g)
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: work, crowd: h.out}
 	g.forwards = append(g.forwards, f)
 	g.out++
+	if f.miss = g.miss && s != h; f.miss {
+		d.fillOut += work
+	}
 	if h.out == 0 {
 		h.heard = d.now
 	}
