--- a/control/control.go
+++ b/control/control.go
@@ -37,8 +37,8 @@
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
-	fillCut      = 0.8     // share; what a fill that came late or not at all leaves of the limit of fills under way
-	fillStep     = 0.5     // s; sending time that the limit gains when a whole limit's worth came in time
+	fillsLate    = 0.25    // share of late or failed fills at which the limit of fills under way rests
+	fillGain     = 0.5     // multiple of a fill's sending time by which the limit moves: a third of it in one turn
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 )
@@ -185,7 +185,6 @@
 	chances  uint64
 	fillOut  float64 // s; sending time of the fills under way, as far as known
 	fillMax  float64 // s; their limit
-	fillCutA float64 // when it was cut last
 	usual    float64 // s/s; what a warm cache of ours returned, for when none is warm
 }
 
@@ -824,7 +823,7 @@
 		}
 		return pass
 	}
-	if d.Detail == Silent && f.miss || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked {
+	if d.Detail == Silent && f.miss || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss {
 		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f.work)
 	}
 	switch {
@@ -846,10 +845,9 @@
 func (d *Dispatcher) learnFills(inTime bool, work float64) {
 	switch {
 	case inTime && d.fillOut > d.fillMax/2:
-		d.fillMax += fillStep * work / d.fillMax
-	case !inTime && d.now > d.fillCutA+overdueLeast:
-		d.fillMax = math.Max(fillLeast, fillCut*math.Min(d.fillMax, math.Max(d.fillOut, fillLeast)))
-		d.fillCutA = d.now
+		d.fillMax += fillGain * fillsLate * work
+	case !inTime:
+		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, d.fillOut+work)-fillGain*(1-fillsLate)*work)
 	}
 }
 
