--- a/control/control.go
+++ b/control/control.go
@@ -847,7 +847,7 @@
 	case inTime && d.fillOut > d.fillMax/2:
 		d.fillMax += fillGain * fillsLate * work
 	case !inTime:
-		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, d.fillOut+work)-fillGain*(1-fillsLate)*work)
+		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, 2*(d.fillOut+work))-fillGain*(1-fillsLate)*work)
 	}
 }
 
