--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
-	fillsLate    = 0.25    // share of late or failed fills at which the limit of fills under way rests
+	fillsLate    = 0.15    // share of late or failed fills at which the limit of fills under way rests
 	fillGain     = 0.5     // multiple of a fill's sending time by which the limit moves: a third of it in one turn
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
