--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
+	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary widely, so hundreds count
 	learnFault   = 0.25    // share; weight of one outcome in a fault rate: three faults in a row pass half
 	faulty       = 0.5     // share; a host that faults more often than not is left
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
@@ -112,9 +113,9 @@
 	n    int
 }
 
-func (l *learned) add(x float64) {
+func (l *learned) add(x, share float64) {
 	l.n++
-	l.mean += (x - l.mean) * math.Max(learn, 1/float64(l.n))
+	l.mean += (x - l.mean) * math.Max(share, 1/float64(l.n))
 }
 
 type host struct {
@@ -454,6 +455,8 @@
 	size := g.SizeKB
 	if size <= 0 {
 		size = 1
+	} else if d.FlowKB > 0 {
+		g.ds.sending.add(size/d.FlowKB, learnSize)
 	}
 	it.counts.add(d.now, size)
 	d.total.add(d.now, size)
@@ -621,12 +624,10 @@
 	case Returned:
 		work := d.weigh(g)
 		h.taken.add(d.now, work)
-		h.serving.add(a.Elapsed / math.Max(1, float64(f.crowd+h.out+1)/2))
-		g.ds.usual.add(a.Elapsed)
-		if g.SizeKB > 0 && d.FlowKB > 0 {
-			g.ds.sending.add(g.SizeKB / d.FlowKB)
-		} else if a.Note == Hit || d.Detail == Silent {
-			g.ds.sending.add(a.Elapsed)
+		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learn)
+		g.ds.usual.add(a.Elapsed, learn)
+		if (g.SizeKB <= 0 || d.FlowKB <= 0) && (a.Note == Hit || d.Detail == Silent) {
+			g.ds.sending.add(a.Elapsed, learnSize)
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
