--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,7 @@
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
+	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
 	fillsLate    = 0.15    // share of late or failed fills at which the limit of fills under way rests
 	fillGain     = 0.5     // multiple of a fill's sending time by which the limit moves: a third of it in one turn
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
@@ -163,6 +164,7 @@
 	badHosts    []*host
 	badSources  []*host
 	waitingLine bool
+	turned      int  // times it was turned away
 	miss        bool // the host likely lacks the object
 	looked      bool // and it does: it was asked
 }
@@ -639,6 +641,9 @@
 		if !d.sourceFault(a.Note) {
 			g.badHosts = append(g.badHosts, h)
 		}
+		if g.turned++; g.turned > turnedMost && !g.over && g.out == 0 {
+			return d.giveUp(g)
+		}
 	}
 	return pass
 }
@@ -824,7 +829,7 @@
 		}
 		return pass
 	}
-	if d.Detail == Silent && f.miss || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss {
+	if d.Detail == Silent && (f.miss || a.Outcome == NotTaken) || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss {
 		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f.work)
 	}
 	switch {
