--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,7 @@
 // Package control decides, for each GET of one dispatcher, which cache host answers it and where a miss is
 // filled from. It is pure: no I/O, clock, goroutine or global. Make a Dispatcher with New, then call Hosts,
-// GET, Answer, Left, Purged and Timer as things happen, and Settle once after all that came together. Its
-// answers go out through Wire; that interface and all data handed in are in api.go.
+// GET, Answer, Streaming, Left, Purged and Timer as things happen, and Settle once after all that came together.
+// Its answers go out through Wire; that interface and all data handed in are in api.go.
 //
 // The design (docs/design.md) decides the ordinary path; what departs from it says so where it stands.
 package control
@@ -12,6 +12,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"sort"
 
 	"elderwall/internal/due"
@@ -30,21 +31,22 @@
 	faulty       = 0.5     // share; a host that faults more often than not is left
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 4       // forwards overdue at a host that has said nothing since: one may be a large object
+	silentCount  = 4       // forwards out at a host that has said nothing since: fewer may be large objects
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
-	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
+	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
 	fillsLate    = 0.15    // share of late or failed fills at which the limit of fills under way rests
 	fillGain     = 0.5     // multiple of a fill's sending time by which the limit moves: a third of it in one turn
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
-	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
+	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
 )
 
+// verdict is what a stage does with a GET: it passes it on, keeps it or ends it.
 type verdict int
 
 const (
@@ -59,56 +61,41 @@
 	back func(g *get, f *forward) verdict
 }
 
-// item is a cacheable object in the count table; caches keep each part by itself, so a part is an item.
+// item is a cacheable object in the count table; caches keep each part by itself, so each part is an item.
 type item struct {
-	name          string
-	hash, keyHash uint64
-	object        string
-	group         int
-	counts        counter
-	place         *list.Element
-	again         bool    // asked for before
-	holder        *host   // the cache that returned it last
-	held          float64 // and when
-}
-
-// counter sums what happened in the last buckets.
+	name, object string
+	hash         uint64 // of object and part, for the order of caches
+	objectHash   uint64 // for the order of parents
+	demand       counter
+	place        *list.Element
+	again        bool    // asked for before
+	holder       *host   // the cache that returned it last
+	held         float64 // and when
+}
+
+// counter sums what happened in the design's window.
 type counter struct {
 	sums  [buckets]float64
-	epoch int64
+	epoch int
 }
 
-func (c *counter) age(now float64) {
-	epoch := int64(math.Floor(now / bucketSpan))
-	if epoch-c.epoch >= buckets {
-		c.sums = [buckets]float64{}
-	} else {
-		for e := c.epoch + 1; e <= epoch; e++ {
-			c.sums[(e%buckets+buckets)%buckets] = 0
+func (c *counter) add(now, x float64) float64 {
+	epoch := int(now / bucketSpan)
+	for ; c.epoch < epoch; c.epoch++ {
+		if epoch-c.epoch > buckets {
+			c.epoch = epoch - buckets
 		}
+		c.sums[(c.epoch+1)%buckets] = 0
 	}
-	c.epoch = epoch
-}
-
-func (c *counter) add(now, x float64) {
-	c.age(now)
-	c.sums[(c.epoch%buckets+buckets)%buckets] += x
-}
-
-func (c *counter) sum(now float64) (total float64) {
-	c.age(now)
-	for _, x := range c.sums {
-		total += x
+	c.sums[epoch%buckets] += x
+	total := 0.0
+	for _, s := range c.sums {
+		total += s
 	}
 	return total
 }
 
-type service struct {
-	DeliveryService
-	sending learned // s; sending time of one GET
-	usual   learned // s; time from forward to answer
-}
-
+// learned is a mean that forgets.
 type learned struct {
 	mean float64
 	n    int
@@ -119,6 +106,11 @@
 	l.mean += (x - l.mean) * math.Max(share, 1/float64(l.n))
 }
 
+type service struct {
+	DeliveryService
+	sending, usual learned // s; sending time of a GET, and time from forward to answer
+}
+
 type host struct {
 	HostEntry
 	out, fills  int     // forwards out to it, and forwards out that name it as source
@@ -130,10 +122,9 @@
 	left        bool    // left until a trial
 	until, wait float64
 	streak      int
-	coldSince   float64 // when it last started, as far as known
 	cold        bool
 	taken       counter // s; sending time returned by it or filled from it
-	recent      []sent  // what went to it within the last window of the cold budget
+	recent      []sent  // what went to it within the last window of its cold budget
 }
 
 type sent struct{ at, work float64 }
@@ -145,28 +136,24 @@
 	crowd        int // forwards out at the host when this one went
 	limit        *due.Entry[func()]
 	answer       Answer
-	back, moot   bool // answered; given up on
-	miss, look   bool // counts as a fill under way; only looks
+	back         bool // answered
+	moot         bool // given up on
 	ran          bool // may have run
+	miss         bool // counts as a fill under way
 }
 
 type get struct {
 	GET
-	ds          *service
-	item        *item
-	forwards    []*forward
-	out         int
-	over        bool
-	counted     bool
-	timeout     *due.Entry[func()]
-	host        *host
-	source      *host
-	badHosts    []*host
-	badSources  []*host
-	waitingLine bool
-	turned      int  // times it was turned away
-	miss        bool // the host likely lacks the object
-	looked      bool // and it does: it was asked
+	ds           *service
+	item         *item
+	forwards     []*forward
+	out, turned  int // forwards out, and times it was turned away
+	over, lined  bool
+	timeout      *due.Entry[func()]
+	host, source *host
+	badHosts     []*host
+	badSources   []*host
+	looked       bool // the host was asked and lacks the object
 }
 
 // Dispatcher decides for one instance.
@@ -178,7 +165,9 @@
 	services []*service
 	gets     map[uint32]*get
 	hosts    map[uint32]*host
-	listed   []*host // ordered by id
+	caches   []*host // of the own zone, by id
+	parents  []*host // all listed, by id
+	origin   *host
 	items    map[string]*item
 	byUse    *list.List
 	total    counter
@@ -186,9 +175,9 @@
 	due      due.Queue[func()]
 	further  []*get
 	chances  uint64
+	warm     float64 // s/s; what a warm cache returned to us, for when none is warm
 	fillOut  float64 // s; sending time of the fills under way, as far as known
 	fillMax  float64 // s; their limit
-	usual    float64 // s/s; what a warm cache of ours returned, for when none is warm
 }
 
 // New makes a dispatcher that knows its settings alone.
@@ -198,8 +187,8 @@
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
-	d.chain = []stage{{d.meet, d.finish}, {d.count, nil}, {d.restrict, d.effects}, {d.choose, d.judgeHost},
-		{d.fill, d.judgeSource}, {d.send, d.release}}
+	d.chain = []stage{{d.meet, d.finish}, {d.restrict, d.effects}, {d.choose, d.judgeHost},
+		{d.fill, d.judgeFill}, {d.send, d.release}}
 	if s.OnRequest {
 		w.Subscribe()
 	}
@@ -217,44 +206,47 @@
 		return
 	}
 	if form != Changes {
-		named := map[uint32]bool{}
-		for _, e := range entries {
-			named[e.ID] = true
-		}
-		for _, h := range d.listed {
-			if !named[h.ID] {
-				h.Phase = Gone
-			}
+		for _, h := range d.hosts {
+			h.Phase = Gone
 		}
 	}
 	for _, e := range entries {
 		d.list(e)
 	}
-	d.listed = d.listed[:0]
+	d.caches, d.parents, d.origin = nil, nil, nil
 	for _, h := range d.hosts {
-		if h.Phase != Gone {
-			d.listed = append(d.listed, h)
+		switch {
+		case h.Phase == Gone:
+		case h.Kind == d.OriginKind:
+			d.origin = h
+		case h.Kind == d.ParentKind:
+			d.parents = append(d.parents, h)
+		case h.Zone == d.Zone:
+			d.caches = append(d.caches, h)
 		}
 	}
-	sort.Slice(d.listed, func(i, j int) bool { return d.listed[i].ID < d.listed[j].ID })
+	for _, hosts := range [][]*host{d.caches, d.parents} {
+		sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	}
 }
 
 func (d *Dispatcher) list(e HostEntry) {
 	h := d.hosts[e.ID]
 	if h == nil {
-		h = &host{HostEntry: e, heard: d.now, updated: d.now, coldSince: math.Inf(-1)}
+		h = &host{HostEntry: HostEntry{ID: e.ID, OnlineSince: math.Inf(-1)}, heard: d.now}
 		d.hosts[e.ID] = h
 	}
 	if e.Phase == Gone {
 		h.Phase = Gone
 		return
 	}
-	restarted := e.OnlineSinceIsTold && e.OnlineSince > h.coldSince
+	since := h.OnlineSince
 	h.HostEntry = e
-	if restarted {
-		h.coldSince, h.cold = e.OnlineSince, true
-		h.left, h.fault, h.streak, h.wait, h.makespan = false, 0, 0, 0, 0
+	if !e.OnlineSinceIsTold || e.OnlineSince <= since {
+		h.OnlineSince = since
+		return
 	}
+	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan = true, false, 0, 0, 0, 0
 }
 
 // GET takes a client's GET; it is answered through the wire, now or later, exactly once.
@@ -262,6 +254,8 @@
 	d.now = now
 	g := &get{GET: in, ds: d.services[in.Service]}
 	d.gets[in.ID] = g
+	g.timeout = d.due.Add(g.ViewerTimeout-lastMoment, func() { d.giveUp(g) })
+	d.count(g)
 	d.run(g)
 }
 
@@ -282,10 +276,7 @@
 	}
 	f := g.forwards[a.Forward]
 	f.answer, f.back = a, true
-	for i := len(d.chain) - 1; i >= 0; i-- {
-		if back := d.chain[i].back; back != nil && back(g, f) != pass {
-			break
-		}
+	for i := len(d.chain) - 1; i >= 0 && d.chain[i].back(g, f) == pass; i-- {
 	}
 	return true
 }
@@ -294,7 +285,7 @@
 func (d *Dispatcher) Streaming(now float64, id uint32, number int) {
 	d.now = now
 	if g := d.gets[id]; g != nil && number >= 0 && number < len(g.forwards) {
-		d.due.Remove(g.forwards[number].limit)
+		g.forwards[number].moot = true
 		d.end(g)
 	}
 }
@@ -303,7 +294,7 @@
 func (d *Dispatcher) Left(now float64, id uint32) {
 	d.now = now
 	if g := d.gets[id]; g != nil && !g.over {
-		d.cancel(g, nil)
+		d.cancel(g)
 		d.end(g)
 	}
 }
@@ -311,12 +302,12 @@
 // Purged takes word of a purge of an object, or of a whole group where object is empty.
 func (d *Dispatcher) Purged(now float64, object string, group int, age float64) {
 	d.now = now
-	name := purgeName(object, group)
-	if at, known := d.purges[name]; !known || now-age > at {
-		d.purges[name] = now - age
+	name, at := purgeName(object, group), now-age
+	if old, known := d.purges[name]; !known || at > old {
+		d.purges[name] = at
 	}
-	d.due.Add(now-age+d.OldCopies+tick, func() {
-		if d.purges[name]+d.OldCopies <= d.now {
+	d.due.Add(at+d.OldCopies+tick, func() {
+		if d.purges[name] <= at {
 			delete(d.purges, name)
 		}
 	})
@@ -336,7 +327,9 @@
 	for act, ok := d.due.Pop(now); ok; act, ok = d.due.Pop(now) {
 		act()
 	}
-	d.learnUsual()
+	if rate := d.warmRate(d.caches); rate > 0 {
+		d.warm = rate
+	}
 }
 
 // Settle serves the line of further forwards, after all first ones of the moment.
@@ -345,7 +338,7 @@
 	line := d.further
 	d.further = nil
 	for _, g := range line {
-		if g.waitingLine = false; !g.over {
+		if g.lined = false; !g.over {
 			d.run(g)
 		}
 	}
@@ -353,18 +346,55 @@
 
 // again puts a GET into the line of further forwards.
 func (d *Dispatcher) again(g *get) verdict {
-	if !g.over && !g.waitingLine {
-		g.waitingLine = true
+	if !g.over && !g.lined {
+		g.lined = true
 		d.further = append(d.further, g)
 	}
 	return kept
 }
 
+// count bumps the object's count in the bounded, aged table.
+func (d *Dispatcher) count(g *get) {
+	name := fmt.Sprint(g.Object, " ", g.Part)
+	it := d.items[name]
+	if it == nil {
+		it = &item{name: name, object: g.Object, hash: hash(name), objectHash: hash(g.Object)}
+		it.place = d.byUse.PushFront(it)
+		d.items[name] = it
+		if d.byUse.Len() > tableSize {
+			delete(d.items, d.byUse.Remove(d.byUse.Back()).(*item).name)
+		}
+	} else {
+		it.again = true
+		d.byUse.MoveToFront(it.place)
+	}
+	g.item = it
+	if g.SizeKB > 0 && d.FlowKB > 0 {
+		g.ds.sending.add(g.SizeKB/d.FlowKB, learnSize)
+	}
+	it.demand.add(d.now, g.size())
+	d.total.add(d.now, g.size())
+}
+
+// size is what one GET adds to a byte rate: count alone where no size is told.
+func (g *get) size() float64 {
+	if g.SizeKB > 0 {
+		return g.SizeKB
+	}
+	return 1
+}
+
+// copies is the number of caches that the object's byte rate gives it: one more for each multiple of an even share.
+func (d *Dispatcher) copies(g *get, ready int) int {
+	rate := g.item.demand.add(d.now, 0)
+	if rate < fewestCounts*g.size() {
+		return 1
+	}
+	return 1 + int(rate*float64(ready)/d.total.add(d.now, 0))
+}
+
 // meet guards the viewer timeout and the number of forwards.
 func (d *Dispatcher) meet(g *get) verdict {
-	if g.timeout == nil {
-		g.timeout = d.due.Add(g.ViewerTimeout-lastMoment, func() { d.giveUp(g) })
-	}
 	if len(g.forwards) >= d.MaxForwards || d.now >= g.ViewerTimeout-lastMoment {
 		return d.giveUp(g)
 	}
@@ -374,7 +404,7 @@
 // finish ends a GET that was answered, and sends on one that was not.
 func (d *Dispatcher) finish(g *get, f *forward) verdict {
 	if f.answer.Last || f.answer.Outcome == Returned {
-		d.cancel(g, f)
+		d.cancel(g)
 		return d.end(g)
 	}
 	if g.over || g.out > 0 {
@@ -388,8 +418,9 @@
 	if g.over {
 		return ended
 	}
-	d.cancel(g, nil)
-	if d.mayShed(g) {
+	ran := g.firstRan()
+	d.cancel(g)
+	if g.ds.Effect == Idempotent || ran == nil || g.ds.Effect == Tokened && g.ds.Scope == AllHosts {
 		comeBack := 0.0
 		if d.TellRetry {
 			comeBack = math.Min(d.MaxRetryAfter, g.ds.Objective)
@@ -401,27 +432,13 @@
 	return d.end(g)
 }
 
-func (d *Dispatcher) mayShed(g *get) bool {
-	return g.ds.Effect == Idempotent || g.firstRan() == nil || g.ds.Effect == Tokened && g.ds.Scope == AllHosts
-}
-
-// firstRan is the first forward that may have run or is still out.
-func (g *get) firstRan() *forward {
+// cancel ends the wait for all forwards that are still out.
+func (d *Dispatcher) cancel(g *get) {
 	for _, f := range g.forwards {
-		if !f.back || f.ran {
-			return f
-		}
-	}
-	return nil
-}
-
-// cancel ends the wait for all forwards of a GET but one.
-func (d *Dispatcher) cancel(g *get, but *forward) {
-	for _, f := range g.forwards {
-		if !f.back && f != but && !f.moot && d.MayCancel {
+		if !f.back && !f.moot && d.MayCancel {
 			d.wire.Cancel(g.ID, f.number)
 		}
-		f.moot = f.moot || !f.back
+		f.moot = true
 	}
 }
 
@@ -434,61 +451,24 @@
 	return ended
 }
 
-// count bumps the object's count in the bounded, aged table.
-func (d *Dispatcher) count(g *get) verdict {
-	if g.counted {
-		return pass
-	}
-	g.counted = true
-	name := fmt.Sprint(g.Object, " ", g.Part)
-	it := d.items[name]
-	if it == nil {
-		it = &item{name: name, hash: hash(name), keyHash: hash(g.Object), object: g.Object, group: g.Group}
-		it.place = d.byUse.PushFront(it)
-		d.items[name] = it
-		if d.byUse.Len() > tableSize {
-			last := d.byUse.Remove(d.byUse.Back()).(*item)
-			delete(d.items, last.name)
+// firstRan is the first forward that may have run or is still out.
+func (g *get) firstRan() *forward {
+	for _, f := range g.forwards {
+		if !f.back || f.ran {
+			return f
 		}
-	} else {
-		it.again = true
-		d.byUse.MoveToFront(it.place)
-	}
-	size := g.SizeKB
-	if size <= 0 {
-		size = 1
-	} else if d.FlowKB > 0 {
-		g.ds.sending.add(size/d.FlowKB, learnSize)
 	}
-	it.counts.add(d.now, size)
-	d.total.add(d.now, size)
-	g.item = it
-	return pass
-}
-
-// copies is the number of caches that the object's byte rate gives it among n ready ones.
-func (d *Dispatcher) copies(g *get, n int) int {
-	size := math.Max(g.SizeKB, 0)
-	if size == 0 {
-		size = 1
-	}
-	rate, total := g.item.counts.sum(d.now), d.total.sum(d.now)
-	if rate < fewestCounts*size || total <= 0 {
-		return 1
-	}
-	return 1 + int(rate*float64(n)/total)
+	return nil
 }
 
 // restrict keeps a GET that may have run from a further forward that could run it twice.
 func (d *Dispatcher) restrict(g *get) verdict {
 	ran := g.firstRan()
-	if ran == nil || g.ds.Effect == Idempotent {
+	if ran == nil || g.ds.Effect == Idempotent ||
+		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick {
 		return pass
 	}
-	if g.ds.Effect == NonIdempotent || d.now >= ran.at+g.ds.RepeatWindow-tick {
-		return d.giveUp(g)
-	}
-	return pass
+	return d.giveUp(g)
 }
 
 // effects marks a forward that may have run.
@@ -506,21 +486,24 @@
 	return h.Zone == ran.host.Zone && (g.ds.Scope == SameZone || h.Cell == ran.host.Cell)
 }
 
-// choose takes the least makespan among the object's caches.
+// choose takes the least makespan among the object's caches: as many as its demand gives it, along the order
+// that all routers share. It goes further along it only while all those are over the latency objective.
 func (d *Dispatcher) choose(g *get) verdict {
-	ready := d.order(g)
+	ready := 0
 	var usable []*host
-	for _, h := range ready {
-		if !contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.work(g), d.Fall) {
-			usable = append(usable, h)
+	for _, h := range byWeight(d.caches, g.item.hash) {
+		if h.Phase == Ready {
+			ready++
+			if !slices.Contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.weigh(g)) {
+				usable = append(usable, h)
+			}
 		}
 	}
 	if len(usable) == 0 {
 		return d.straight(g)
 	}
-	n := min(d.copies(g, len(ready)), len(usable))
 	objective := d.objective(g)
-	best := usable[0]
+	n, best := d.copies(g, ready), usable[0]
 	for i, h := range usable {
 		if i >= n && d.span(best) <= objective {
 			break
@@ -538,32 +521,21 @@
 
 // straight passes the caches by when none can be used.
 func (d *Dispatcher) straight(g *get) verdict {
-	g.host = nil
-	if d.Straight {
-		g.host = d.parent(g)
-	}
-	if g.host == nil || contains(g.badHosts, g.host) || !g.grouped(g.host) {
+	if g.host = d.parent(g); !d.Straight || g.host == nil || !g.grouped(g.host) {
 		return d.giveUp(g)
 	}
 	return pass
 }
 
 func (d *Dispatcher) objective(g *get) float64 {
-	return math.Min(g.ds.Objective+g.ds.Stretch*d.work(g), g.ds.ViewerTimeout)
-}
-
-// work is the GET's sending time, by its size or else as learned of its delivery service.
-func (d *Dispatcher) work(g *get) float64 {
+	work := d.weigh(g)
 	if g.SizeKB > 0 && d.FlowKB > 0 {
-		return g.SizeKB / d.FlowKB
-	}
-	if g.ds.sending.n == 0 {
-		return g.ds.Objective
+		work = g.SizeKB / d.FlowKB
 	}
-	return g.ds.sending.mean
+	return math.Min(g.ds.Objective+g.ds.Stretch*work, g.ds.ViewerTimeout)
 }
 
-// weigh is what a GET counts for in the budget of a cold host: its delivery service's mean sending time.
+// weigh is what a GET counts for in a budget: its delivery service's mean sending time.
 func (d *Dispatcher) weigh(g *get) float64 {
 	if g.ds.sending.n == 0 {
 		return g.ds.Objective
@@ -571,52 +543,39 @@
 	return g.ds.sending.mean
 }
 
-// order is the shared order of the object's caches: all ready ones of the zone, by highest random weight.
-func (d *Dispatcher) order(g *get) []*host {
-	var ready []*host
-	for _, h := range d.listed {
-		if h.Phase == Ready && h.Zone == d.Zone && h.Kind != d.ParentKind && h.Kind != d.OriginKind {
-			ready = append(ready, h)
-		}
-	}
-	byWeight(ready, g.item.hash)
-	return ready
-}
-
-func byWeight(hosts []*host, hash uint64) {
-	sort.Slice(hosts, func(i, j int) bool {
-		return mix(hash^mix(uint64(hosts[i].ID))) > mix(hash^mix(uint64(hosts[j].ID)))
+// byWeight orders hosts by highest random weight.
+func byWeight(hosts []*host, hash uint64) []*host {
+	ordered := slices.Clone(hosts)
+	sort.Slice(ordered, func(i, j int) bool {
+		return mix(hash^mix(uint64(ordered[i].ID))) > mix(hash^mix(uint64(ordered[j].ID)))
 	})
+	return ordered
 }
 
-// span is the design's makespan: drained by the clock. It departs in two points: what is answered is no longer
-// waited for, and a host that owes answers and is silent does not look idle.
+// span is the design's makespan: drained by the clock. It departs in one point: what is answered is no longer
+// waited for.
 func (d *Dispatcher) span(h *host) float64 {
-	if h.out == 0 {
-		return 0
-	}
 	span := math.Max(0, h.makespan-(d.now-h.updated))
-	if !d.WeightsTold || d.FlowKB <= 0 {
+	if !d.bandwidthTold(h) {
 		span = math.Min(span, float64(h.out)*d.serving(h))
 	}
 	return span
 }
 
-// serving is the time that one GET adds to a makespan; unheard caches count as average.
+func (d *Dispatcher) bandwidthTold(h *host) bool { return d.WeightsTold && d.FlowKB > 0 && h.Weight > 0 }
+
+// serving is the learned time that one GET adds to a makespan; unheard caches count as average.
 func (d *Dispatcher) serving(h *host) float64 {
-	if h.serving.n > 0 {
-		return h.serving.mean
-	}
-	sum, n := 0.0, 0.0
-	for _, o := range d.listed {
-		if o.serving.n > 0 && o.Kind != d.ParentKind && o.Kind != d.OriginKind {
-			sum, n = sum+o.serving.mean, n+1
+	var all learned
+	for _, o := range d.caches {
+		if o.serving.n > 0 {
+			all.add(o.serving.mean, 0)
 		}
 	}
-	if n == 0 {
-		return 0
+	if h.serving.n > 0 {
+		return h.serving.mean
 	}
-	return sum / n
+	return all.mean
 }
 
 // judgeHost learns from an answer how fast and how sound its host is.
@@ -624,21 +583,21 @@
 	h, a := f.host, f.answer
 	switch a.Outcome {
 	case Returned:
-		work := d.weigh(g)
-		h.taken.add(d.now, work)
+		h.taken.add(d.now, f.work)
 		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learn)
 		g.ds.usual.add(a.Elapsed, learn)
 		if (g.SizeKB <= 0 || d.FlowKB <= 0) && (a.Note == Hit || d.Detail == Silent) {
 			g.ds.sending.add(a.Elapsed, learnSize)
 		}
+		g.item.holder, g.item.held = h, d.now
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
-		if !d.sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
+		if !sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
 			d.fault(h, a.Outcome != HostError)
 		}
 		g.badHosts = append(g.badHosts, h)
 	case NotTaken, Empty:
-		if !d.sourceFault(a.Note) {
+		if !sourceFault(a.Note) {
 			g.badHosts = append(g.badHosts, h)
 		}
 		if g.turned++; g.turned > turnedMost && !g.over && g.out == 0 {
@@ -648,8 +607,8 @@
 	return pass
 }
 
-// sourceFault tells whether a note lays a failure on the source of a fill rather than on the host that told of it.
-func (d *Dispatcher) sourceFault(n Note) bool {
+// sourceFault tells whether a note lays a failure on the source of a fill, not on the host that tells of it.
+func sourceFault(n Note) bool {
 	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
 }
 
@@ -663,7 +622,7 @@
 	}
 }
 
-// fault counts a failure against a host; one that mostly fails, or fails on trial, is left for a while.
+// fault counts a failure against a host, twice where nothing came from it; one that mostly fails is left.
 func (d *Dispatcher) fault(h *host, lost bool) {
 	h.fault += (1 - h.fault) * learnFault
 	if lost {
@@ -674,6 +633,7 @@
 	}
 }
 
+// leave stays away from a host, and tries it again with single GETs after a while that grows.
 func (d *Dispatcher) leave(h *host) {
 	if h.left && d.now < h.until {
 		return
@@ -690,84 +650,64 @@
 func (d *Dispatcher) chance(h *host) float64 {
 	d.chances++
 	sum := fnv.New64a()
-	for _, x := range []uint64{d.Seed, uint64(d.Index), uint64(h.ID), d.chances} {
-		_ = binary.Write(sum, binary.LittleEndian, x)
-	}
+	_ = binary.Write(sum, binary.LittleEndian, []uint64{d.Seed, uint64(d.Index), uint64(h.ID), d.chances})
 	return float64(mix(sum.Sum64())>>11) / (1 << 53)
 }
 
 // open tells whether a host may be sent work now, as a cache or as a source.
-func (d *Dispatcher) open(h *host, work, window float64) bool {
+func (d *Dispatcher) open(h *host, work float64) bool {
 	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0) {
 		return false
 	}
-	budget, limited := d.budget(h)
-	if !limited || len(h.recent) == 0 {
-		return true
-	}
-	used := 0.0
+	budget, used := d.budget(h), 0.0
 	for _, s := range h.recent {
-		if s.at > d.now-window {
+		if s.at > d.now-d.Fall {
 			used += s.work
 		}
 	}
 	return used == 0 || used+work <= budget
 }
 
-// budget is the sending time that a cold host may be sent by this dispatcher in one window.
-func (d *Dispatcher) budget(h *host) (budget float64, limited bool) {
-	from, ramp, tip, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.Dispatchers
+// budget is the sending time that a host may be sent by this dispatcher in one window; a warm one has no limit.
+func (d *Dispatcher) budget(h *host) float64 {
+	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.Dispatchers
 	if h.Kind == d.ParentKind {
-		from, ramp, tip = d.ParentColdFrom, d.ParentRamp, d.ParentTip
-	} else if h.Kind == d.OriginKind {
-		return 0, false
-	} else if h.Zone < len(d.Seats) && d.Seats[h.Zone] > 0 {
+		from, ramp, tip, alike = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.parents
+	} else if h.Zone < len(d.Seats) {
 		sharers = d.Seats[h.Zone]
 	}
-	age := d.now - h.coldSince
-	if !h.cold || age >= ramp || ramp <= 0 {
+	age := math.Max(0, d.now-h.OnlineSince)
+	if !h.cold || age >= ramp || h.Kind == d.OriginKind {
 		h.cold, h.recent = false, nil
-		return 0, false
+		return math.Inf(1)
 	}
-	share := from + (1-from)*math.Max(0, age)/ramp
-	rate := d.usual
+	rate := d.warmRate(alike)
 	if d.WeightsTold {
 		rate = h.Weight / float64(max(1, sharers))
-	} else if h.Kind == d.ParentKind {
-		rate = d.warmRate(h.Kind)
+	} else if rate == 0 {
+		rate = d.warm
 	}
-	return share * rate * tip * coldPart * d.Fall, true
+	return (from + (1-from)*age/ramp) * rate * tip * coldPart * d.Fall
 }
 
-// warmRate is the mean sending time a second that warm hosts like this one return to this dispatcher.
-func (d *Dispatcher) warmRate(kind int) float64 {
-	sum, n := 0.0, 0.0
-	for _, h := range d.listed {
-		alike := h.Kind == kind || kind != d.ParentKind && h.Kind != d.ParentKind && h.Kind != d.OriginKind && h.Zone == d.Zone
-		if alike && h.Phase == Ready && !h.cold && !h.left {
-			sum, n = sum+h.taken.sum(d.now), n+1
+// warmRate is the mean sending time a second that warm hosts among these return to this dispatcher.
+func (d *Dispatcher) warmRate(hosts []*host) float64 {
+	var all learned
+	for _, h := range hosts {
+		if h.Phase == Ready && !h.cold && !h.left {
+			all.add(h.taken.add(d.now, 0), 0)
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / n / math.Max(bucketSpan, math.Min(d.now, buckets*bucketSpan))
-}
-
-func (d *Dispatcher) learnUsual() {
-	if rate := d.warmRate(-1); rate > 0 {
-		d.usual = rate
-	}
+	return all.mean / math.Max(bucketSpan, math.Min(d.now, buckets*bucketSpan))
 }
 
 // fill names the source of a miss: the object's parent, the next one, or the origin. While the fills under way
-// are at their limit a GET only looks whether the cache holds the object.
+// are at their limit a GET only looks whether the cache holds the object, and is shed if it does not.
 func (d *Dispatcher) fill(g *get) verdict {
-	g.source, g.miss = g.host, false
-	if g.host.Kind == d.OriginKind {
+	g.source = g.host
+	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
-	g.miss = g.item.holder != g.host || d.now-g.item.held > buckets*bucketSpan || g.looked
 	if d.fillOut+d.weigh(g) > d.fillMax*d.favour(g) {
 		if g.looked {
 			return d.giveUp(g)
@@ -792,36 +732,28 @@
 
 // parent is the first usable one in the object's order over all listed parents, or else the origin.
 func (d *Dispatcher) parent(g *get) *host {
-	var parents []*host
-	var origin *host
 	held := 0
-	for _, h := range d.listed {
-		if h.Kind == d.ParentKind {
-			parents = append(parents, h)
-			held += h.fills
-		} else if h.Kind == d.OriginKind && h.Phase == Ready {
-			origin = h
-		}
+	for _, h := range d.parents {
+		held += h.fills
 	}
-	byWeight(parents, g.item.keyHash)
-	many := math.Max(manyLeast, manyTimes*float64(held)/math.Max(1, float64(len(parents))))
-	for _, h := range parents {
-		if float64(h.fills) < many && !contains(g.badSources, h) && d.open(h, d.weigh(g), d.Fall) {
+	many := math.Max(manyLeast, manyTimes*float64(held)/float64(max(1, len(d.parents))))
+	for _, h := range byWeight(d.parents, g.item.objectHash) {
+		if float64(h.fills) < many && !slices.Contains(g.badSources, h) && d.open(h, d.weigh(g)) {
 			return h
 		}
 	}
-	return origin
+	if d.origin != nil && d.origin.Phase == Ready {
+		return d.origin
+	}
+	return nil
 }
 
-// judgeSource learns from an answer how sound the source of its fill is, and how many fills the way in bears.
-func (d *Dispatcher) judgeSource(g *get, f *forward) verdict {
+// judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears.
+func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
 	if f.miss {
 		d.fillOut -= f.work
 	}
-	if a.Outcome == Returned {
-		g.item.holder, g.item.held = f.host, d.now
-	}
 	if f.source == f.host {
 		if a.Outcome == Empty && !g.over {
 			g.looked = true
@@ -829,16 +761,17 @@
 		}
 		return pass
 	}
-	if d.Detail == Silent && (f.miss || a.Outcome == NotTaken) || n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss {
+	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
+		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
 		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f.work)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
-		f.source.taken.add(d.now, d.weigh(g))
+		f.source.taken.add(d.now, f.work)
 		if d.Detail == Full {
 			d.sound(f.source)
 		}
-	case d.sourceFault(n):
+	case sourceFault(n):
 		g.badSources = append(g.badSources, f.source)
 		if n == SourceFailed {
 			d.fault(f.source, false)
@@ -847,7 +780,9 @@
 	return pass
 }
 
-// learnFills moves the limit of the fills under way: up while they come in time, down when they do not.
+// learnFills moves the limit of the fills under way: up while they come in time, down when they do not. It guards
+// the way in against collapse, whatever crowds it: the link, the parents, the origin, or sudden new objects.
+// It could shed needlessly where fills are late for a cause that fewer of them do not mend.
 func (d *Dispatcher) learnFills(inTime bool, work float64) {
 	switch {
 	case inTime && d.fillOut > d.fillMax/2:
@@ -859,26 +794,27 @@
 
 // send hands the GET to its host and counts it there.
 func (d *Dispatcher) send(g *get) verdict {
-	h, s, work := g.host, g.source, d.weigh(g)
-	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: work, crowd: h.out}
+	h, s := g.host, g.source
+	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out}
+	f.miss = s != h && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
+	if f.miss {
+		d.fillOut += f.work
+	}
 	g.forwards = append(g.forwards, f)
 	g.out++
-	if f.miss = g.miss && s != h; f.miss {
-		d.fillOut += work
-	}
 	if h.out == 0 {
 		h.heard = d.now
 	}
 	added := d.serving(h)
-	if d.WeightsTold && d.FlowKB > 0 && h.Weight > 0 {
-		added = d.work(g) / h.Weight
+	if d.bandwidthTold(h) {
+		added = g.SizeKB / (d.FlowKB * h.Weight)
 	}
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
-	d.spend(h, work)
+	d.spend(h, f.work)
 	if s != h {
 		s.fills++
-		d.spend(s, work)
+		d.spend(s, f.work)
 	}
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 	rank := 1
@@ -893,14 +829,12 @@
 	return kept
 }
 
+// spend books work against the budget of a cold host.
 func (d *Dispatcher) spend(h *host, work float64) {
-	if !h.cold {
-		return
-	}
-	for len(h.recent) > 0 && h.recent[0].at <= d.now-d.Fall {
-		h.recent = h.recent[1:]
+	if h.cold {
+		h.recent = slices.DeleteFunc(h.recent, func(s sent) bool { return s.at <= d.now-d.Fall })
+		h.recent = append(h.recent, sent{d.now, work})
 	}
-	h.recent = append(h.recent, sent{d.now, work})
 }
 
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
@@ -934,15 +868,11 @@
 	if h.heard <= f.at && (h.left || h.out >= silentCount) {
 		d.leave(h)
 	}
-	if !h.left || g.ds.Effect == NonIdempotent {
+	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
 		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 		return
 	}
-	if d.MayCancel {
-		d.wire.Cancel(g.ID, f.number)
-	} else if !d.SecondCopies {
-		return
-	}
+	d.wire.Cancel(g.ID, f.number)
 	f.moot = true
 	g.badHosts = append(g.badHosts, h)
 	if d.SecondCopies {
@@ -955,7 +885,7 @@
 	d.due.Remove(f.limit)
 	g.out--
 	f.host.out--
-	if f.answer.Outcome != Revoked && f.answer.Outcome != Unused && f.answer.Outcome != Expired {
+	if o := f.answer.Outcome; o != Revoked && o != Unused && o != Expired {
 		f.host.heard = d.now
 	}
 	if f.source != f.host {
@@ -967,15 +897,6 @@
 	return pass
 }
 
-func contains(hosts []*host, h *host) bool {
-	for _, o := range hosts {
-		if o == h {
-			return true
-		}
-	}
-	return false
-}
-
 func hash(s string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(s))
