--- a/control/control.go
+++ b/control/control.go
@@ -14,8 +14,6 @@
 	"math"
 	"slices"
 	"sort"
-
-	"elderwall/internal/due"
 )
 
 const (
@@ -46,140 +44,6 @@
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
 )
 
-// verdict is what a stage does with a GET: it passes it on, keeps it or ends it.
-type verdict int
-
-const (
-	pass verdict = iota
-	kept
-	ended
-)
-
-// stage is one link of the chain that each GET passes; what comes back runs the chain the other way.
-type stage struct {
-	out  func(g *get) verdict
-	back func(g *get, f *forward) verdict
-}
-
-// item is a cacheable object in the count table; caches keep each part by itself, so each part is an item.
-type item struct {
-	name, object string
-	hash         uint64 // of object and part, for the order of caches
-	objectHash   uint64 // for the order of parents
-	demand       counter
-	place        *list.Element
-	again        bool    // asked for before
-	holder       *host   // the cache that returned it last
-	held         float64 // and when
-}
-
-// counter sums what happened in the design's window.
-type counter struct {
-	sums  [buckets]float64
-	epoch int
-}
-
-func (c *counter) add(now, x float64) float64 {
-	epoch := int(now / bucketSpan)
-	for ; c.epoch < epoch; c.epoch++ {
-		if epoch-c.epoch > buckets {
-			c.epoch = epoch - buckets
-		}
-		c.sums[(c.epoch+1)%buckets] = 0
-	}
-	c.sums[epoch%buckets] += x
-	total := 0.0
-	for _, s := range c.sums {
-		total += s
-	}
-	return total
-}
-
-// learned is a mean that forgets.
-type learned struct {
-	mean float64
-	n    int
-}
-
-func (l *learned) add(x, share float64) {
-	l.n++
-	l.mean += (x - l.mean) * math.Max(share, 1/float64(l.n))
-}
-
-type service struct {
-	DeliveryService
-	sending, usual learned // s; sending time of a GET, and time from forward to answer
-}
-
-type host struct {
-	HostEntry
-	out, fills  int     // forwards out to it, and forwards out that name it as source
-	makespan    float64 // s; the design's estimate, as of updated
-	updated     float64
-	serving     learned // s; what one GET adds to the makespan where no bandwidth is told
-	heard       float64 // when it last answered, or had nothing out
-	fault       float64 // share of late outcomes that were faults
-	left        bool    // left until a trial
-	until, wait float64
-	streak      int
-	cold        bool
-	taken       counter // s; sending time returned by it or filled from it
-	recent      []sent  // what went to it within the last window of its cold budget
-}
-
-type sent struct{ at, work float64 }
-
-type forward struct {
-	number       int
-	host, source *host
-	at, work     float64
-	crowd        int // forwards out at the host when this one went
-	limit        *due.Entry[func()]
-	answer       Answer
-	back         bool // answered
-	moot         bool // given up on
-	ran          bool // may have run
-	miss         bool // counts as a fill under way
-}
-
-type get struct {
-	GET
-	ds           *service
-	item         *item
-	forwards     []*forward
-	out, turned  int // forwards out, and times it was turned away
-	over, lined  bool
-	timeout      *due.Entry[func()]
-	host, source *host
-	badHosts     []*host
-	badSources   []*host
-	looked       bool // the host was asked and lacks the object
-}
-
-// Dispatcher decides for one instance.
-type Dispatcher struct {
-	Settings
-	wire     Wire
-	now      float64
-	chain    []stage
-	services []*service
-	gets     map[uint32]*get
-	hosts    map[uint32]*host
-	caches   []*host // of the own zone, by id
-	parents  []*host // all listed, by id
-	origin   *host
-	items    map[string]*item
-	byUse    *list.List
-	total    counter
-	purges   map[string]float64
-	due      due.Queue[func()]
-	further  []*get
-	chances  uint64
-	warm     float64 // s/s; what a warm cache returned to us, for when none is warm
-	fillOut  float64 // s; sending time of the fills under way, as far as known
-	fillMax  float64 // s; their limit
-}
-
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
@@ -376,14 +240,6 @@
 	d.total.add(d.now, g.size())
 }
 
-// size is what one GET adds to a byte rate: count alone where no size is told.
-func (g *get) size() float64 {
-	if g.SizeKB > 0 {
-		return g.SizeKB
-	}
-	return 1
-}
-
 // copies is the number of caches that the object's byte rate gives it: one more for each multiple of an even share.
 func (d *Dispatcher) copies(g *get, ready int) int {
 	rate := g.item.demand.add(d.now, 0)
@@ -451,16 +307,6 @@
 	return ended
 }
 
-// firstRan is the first forward that may have run or is still out.
-func (g *get) firstRan() *forward {
-	for _, f := range g.forwards {
-		if !f.back || f.ran {
-			return f
-		}
-	}
-	return nil
-}
-
 // restrict keeps a GET that may have run from a further forward that could run it twice.
 func (d *Dispatcher) restrict(g *get) verdict {
 	ran := g.firstRan()
@@ -543,15 +389,6 @@
 	return g.ds.sending.mean
 }
 
-// byWeight orders hosts by highest random weight.
-func byWeight(hosts []*host, hash uint64) []*host {
-	ordered := slices.Clone(hosts)
-	sort.Slice(ordered, func(i, j int) bool {
-		return mix(hash^mix(uint64(ordered[i].ID))) > mix(hash^mix(uint64(ordered[j].ID)))
-	})
-	return ordered
-}
-
 // span is the design's makespan: drained by the clock. It departs in one point: what is answered is no longer
 // waited for.
 func (d *Dispatcher) span(h *host) float64 {
@@ -562,7 +399,9 @@
 	return span
 }
 
-func (d *Dispatcher) bandwidthTold(h *host) bool { return d.WeightsTold && d.FlowKB > 0 && h.Weight > 0 }
+func (d *Dispatcher) bandwidthTold(h *host) bool {
+	return d.WeightsTold && d.FlowKB > 0 && h.Weight > 0
+}
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
 func (d *Dispatcher) serving(h *host) float64 {
@@ -896,16 +735,3 @@
 	}
 	return pass
 }
-
-func hash(s string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(s))
-	return mix(sum.Sum64())
-}
-
-// mix spreads a hash over all its bits, which FNV alone leaves uneven for short names.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
