--- a/control/control.go
+++ b/control/control.go
@@ -38,8 +38,9 @@
 	manyLeast    = 24      // GETs; no parent holds many below this
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
-	fillsLate    = 0.15    // share of late or failed fills at which the limit of fills under way rests
-	fillGain     = 0.5     // multiple of a fill's sending time by which the limit moves: a third of it in one turn
+	fillsLate    = 0.2     // share of a turn's fills that came late or not at all above which their limit falls
+	fillCut      = 0.5     // share of the limit that falls when all of a turn's fills are late; less in proportion
+	fillGrow     = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
 )
@@ -602,7 +603,7 @@
 	}
 	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
 		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f.work)
+		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -622,13 +623,23 @@
 // learnFills moves the limit of the fills under way: up while they come in time, down when they do not. It guards
 // the way in against collapse, whatever crowds it: the link, the parents, the origin, or sudden new objects.
 // It could shed needlessly where fills are late for a cause that fewer of them do not mend.
-func (d *Dispatcher) learnFills(inTime bool, work float64) {
-	switch {
-	case inTime && d.fillOut > d.fillMax/2:
-		d.fillMax += fillGain * fillsLate * work
-	case !inTime:
-		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, 2*(d.fillOut+work))-fillGain*(1-fillsLate)*work)
+func (d *Dispatcher) learnFills(inTime bool, f *forward) {
+	if f.at < d.fillTurn {
+		return
+	}
+	if d.fillSeen += f.work; !inTime {
+		d.fillLate += f.work
+	}
+	if d.fillSeen < math.Max(fillLeast, math.Min(d.fillMax, d.fillOut)) {
+		return
+	}
+	switch late := d.fillLate / d.fillSeen; {
+	case late > fillsLate:
+		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, 2*(d.fillOut+f.work))*(1-fillCut*late))
+	case d.fillOut > d.fillMax/2:
+		d.fillMax *= fillGrow
 	}
+	d.fillTurn, d.fillSeen, d.fillLate = d.now, 0, 0
 }
 
 // send hands the GET to its host and counts it there.
--- a/control/state.go
+++ b/control/state.go
@@ -142,6 +142,9 @@
 	warm     float64 // s/s; what a warm cache returned to us, for when none is warm
 	fillOut  float64 // s; sending time of the fills under way, as far as known
 	fillMax  float64 // s; their limit
+	fillTurn float64 // start of the turn of fills that the limit is judged by
+	fillSeen float64 // s; fills of this turn that ended
+	fillLate float64 // s; those of them that came late or not at all
 }
 
 // firstRan is the first forward that may have run or is still out.
