--- a/control/control.go
+++ b/control/control.go
@@ -38,8 +38,8 @@
 	manyLeast    = 24      // GETs; no parent holds many below this
 	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
-	fillsLate    = 0.2     // share of a turn's fills that came late or not at all above which their limit falls
-	fillCut      = 0.5     // share of the limit that falls when all of a turn's fills are late; less in proportion
+	fillsLate    = 0.1     // share of a turn's fills that came late or not at all above which their limit falls
+	fillCut      = 0.7     // share of the limit that falls when all of a turn's fills are late; less in proportion
 	fillGrow     = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
@@ -624,9 +624,10 @@
 // the way in against collapse, whatever crowds it: the link, the parents, the origin, or sudden new objects.
 // It could shed needlessly where fills are late for a cause that fewer of them do not mend.
 func (d *Dispatcher) learnFills(inTime bool, f *forward) {
-	if f.at < d.fillTurn {
+	if f.at < d.fillTurn || f.judged {
 		return
 	}
+	f.judged = true
 	if d.fillSeen += f.work; !inTime {
 		d.fillLate += f.work
 	}
@@ -649,6 +650,11 @@
 	f.miss = s != h && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
 	if f.miss {
 		d.fillOut += f.work
+		d.due.Add(d.now+d.objective(g), func() {
+			if !f.back {
+				d.learnFills(false, f)
+			}
+		})
 	}
 	g.forwards = append(g.forwards, f)
 	g.out++
--- a/control/state.go
+++ b/control/state.go
@@ -104,6 +104,7 @@
 	moot         bool // given up on
 	ran          bool // may have run
 	miss         bool // counts as a fill under way
+	judged       bool // told the limit of fills under way whether it came in time
 }
 
 type get struct {
