Give each cache a learned limit too, in place of shedding by makespan

Hits were late in overload and at slow caches. One kind of limit, judged in turns by the late share, now guards each cache and the fills.

--- a/control/control.go
+++ b/control/control.go
@@ -36,19 +36,17 @@
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
-	shedBeyond   = 2.0     // multiple of the latency objective that the least makespan may reach
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
-	fillsLate    = 0.1     // share of a turn's fills that came late or not at all above which their limit falls
-	fillCut      = 0.7     // share of the limit that falls when all of a turn's fills are late; less in proportion
-	fillGrow     = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
-	fillLeast    = 0.5     // s; the limit never falls below some small fills, or nothing would be learned
+	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
+	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
+	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
 )
 
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: map[string]*item{}, byUse: list.New(), purges: map[string]float64{}, fillMax: math.Inf(1)}
+		items: map[string]*item{}, byUse: list.New(), purges: map[string]float64{}, fills: allowance{most: math.Inf(1)}}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -98,7 +96,8 @@
 func (d *Dispatcher) list(e HostEntry) {
 	h := d.hosts[e.ID]
 	if h == nil {
-		h = &host{HostEntry: HostEntry{ID: e.ID, OnlineSince: math.Inf(-1)}, heard: d.now}
+		h = &host{HostEntry: HostEntry{ID: e.ID, OnlineSince: math.Inf(-1)}, heard: d.now,
+			under: allowance{most: math.Inf(1)}}
 		d.hosts[e.ID] = h
 	}
 	if e.Phase == Gone {
@@ -336,16 +335,22 @@
 // choose takes the least makespan among the object's caches: as many as its demand gives it, along the order
 // that all routers share. It goes further along it only while all those are over the latency objective.
 func (d *Dispatcher) choose(g *get) verdict {
-	ready := 0
+	ready, full := 0, false
 	var usable []*host
 	for _, h := range byWeight(d.caches, g.item.hash) {
 		if h.Phase == Ready {
 			ready++
-			if !slices.Contains(g.badHosts, h) && g.grouped(h) && d.open(h, d.weigh(g)) {
+			if slices.Contains(g.badHosts, h) || !g.grouped(h) || !d.open(h, d.weigh(g)) {
+				continue
+			}
+			if full = !h.under.room(d.weigh(g) / d.favour(g)); !full {
 				usable = append(usable, h)
 			}
 		}
 	}
+	if len(usable) == 0 && full {
+		return d.giveUp(g)
+	}
 	if len(usable) == 0 {
 		return d.straight(g)
 	}
@@ -359,9 +364,6 @@
 			best = h
 		}
 	}
-	if d.span(best) > shedBeyond*objective {
-		return d.giveUp(g)
-	}
 	g.host = best
 	return pass
 }
@@ -430,6 +432,9 @@
 			g.ds.sending.add(a.Elapsed, learnSize)
 		}
 		g.item.holder, g.item.held = h, d.now
+		if a.Note == Hit || d.Detail == Silent && !f.miss {
+			d.judge(&h.under, f, a.Elapsed > f.objective)
+		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
 		if !sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
@@ -548,7 +553,7 @@
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
-	if d.fillOut+d.weigh(g) > d.fillMax*d.favour(g) {
+	if !d.fills.room(d.weigh(g) / d.favour(g)) {
 		if g.looked {
 			return d.giveUp(g)
 		}
@@ -592,7 +597,7 @@
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
 	if f.miss {
-		d.fillOut -= f.work
+		d.fills.out -= f.work
 	}
 	if f.source == f.host {
 		if a.Outcome == Empty && !g.over {
@@ -603,7 +608,7 @@
 	}
 	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
 		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.learnFills(a.Outcome == Returned && a.Elapsed <= d.objective(g), f)
+		d.judge(&d.fills, f, a.Outcome != Returned || a.Elapsed > f.objective)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -620,42 +625,46 @@
 	return pass
 }
 
-// learnFills moves the limit of the fills under way: up while they come in time, down when they do not. It guards
-// the way in against collapse, whatever crowds it: the link, the parents, the origin, or sudden new objects.
-// It could shed needlessly where fills are late for a cause that fewer of them do not mend.
-func (d *Dispatcher) learnFills(inTime bool, f *forward) {
-	if f.at < d.fillTurn || f.judged {
+// judge moves the limit of what may be under way to a cache, or through fills, by how it comes back: up while it
+// comes in time, down when it does not. It guards against collapse whatever the cause: a crowded or slow cache,
+// link, parent or origin, sudden new objects. It could shed needlessly where fewer GETs do not make them faster.
+func (d *Dispatcher) judge(l *allowance, f *forward, late bool) {
+	if f.at < l.turn || f.judged {
 		return
 	}
 	f.judged = true
-	if d.fillSeen += f.work; !inTime {
-		d.fillLate += f.work
+	if l.seen += f.work; late {
+		l.late += f.work
 	}
-	if d.fillSeen < math.Max(fillLeast, math.Min(d.fillMax, d.fillOut)) {
+	if l.seen < math.Min(l.most, l.out) {
 		return
 	}
-	switch late := d.fillLate / d.fillSeen; {
-	case late > fillsLate:
-		d.fillMax = math.Max(fillLeast, math.Min(d.fillMax, 2*(d.fillOut+f.work))*(1-fillCut*late))
-	case d.fillOut > d.fillMax/2:
-		d.fillMax *= fillGrow
+	switch share := l.late / l.seen; {
+	case share > lateShare:
+		l.most = math.Max(f.work, math.Min(l.most, 2*(l.out+f.work))*(1-lateCut*share))
+	case l.out > l.most/2:
+		l.most *= growth
 	}
-	d.fillTurn, d.fillSeen, d.fillLate = d.now, 0, 0
+	l.turn, l.seen, l.late = d.now, 0, 0
 }
 
 // send hands the GET to its host and counts it there.
 func (d *Dispatcher) send(g *get) verdict {
 	h, s := g.host, g.source
-	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out}
+	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
+		objective: d.objective(g)}
 	f.miss = s != h && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
+	judged := &h.under
 	if f.miss {
-		d.fillOut += f.work
-		d.due.Add(d.now+d.objective(g), func() {
-			if !f.back {
-				d.learnFills(false, f)
-			}
-		})
+		judged = &d.fills
+		d.fills.out += f.work
 	}
+	h.under.out += f.work
+	d.due.Add(d.now+f.objective, func() {
+		if !f.back {
+			d.judge(judged, f, true)
+		}
+	})
 	g.forwards = append(g.forwards, f)
 	g.out++
 	if h.out == 0 {
@@ -741,6 +750,7 @@
 	d.due.Remove(f.limit)
 	g.out--
 	f.host.out--
+	f.host.under.out -= f.work
 	if o := f.answer.Outcome; o != Revoked && o != Unused && o != Expired {
 		f.host.heard = d.now
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -88,15 +88,27 @@
 	streak      int
 	cold        bool
 	taken       counter // s; sending time returned by it or filled from it
-	recent      []sent  // what went to it within the last window of its cold budget
+	under       allowance
+	recent      []sent // what went to it within the last window of its cold budget
 }
 
+// allowance limits the sending time of what is under way, judged turn by turn.
+type allowance struct {
+	out, most  float64 // s
+	turn       float64 // start of the turn
+	seen, late float64 // s; what of this turn has ended, and what came late or not at all
+}
+
+// room tells whether more may go; where nothing is under way something always may, or nothing would be learned.
+func (l *allowance) room(work float64) bool { return l.out <= 0 || l.out+work <= l.most }
+
 type sent struct{ at, work float64 }
 
 type forward struct {
 	number       int
 	host, source *host
 	at, work     float64
+	objective    float64
 	crowd        int // forwards out at the host when this one went
 	limit        *due.Entry[func()]
 	answer       Answer
@@ -104,7 +116,7 @@
 	moot         bool // given up on
 	ran          bool // may have run
 	miss         bool // counts as a fill under way
-	judged       bool // told the limit of fills under way whether it came in time
+	judged       bool // counted by an allowance
 }
 
 type get struct {
@@ -140,12 +152,8 @@
 	due      due.Queue[func()]
 	further  []*get
 	chances  uint64
-	warm     float64 // s/s; what a warm cache returned to us, for when none is warm
-	fillOut  float64 // s; sending time of the fills under way, as far as known
-	fillMax  float64 // s; their limit
-	fillTurn float64 // start of the turn of fills that the limit is judged by
-	fillSeen float64 // s; fills of this turn that ended
-	fillLate float64 // s; those of them that came late or not at all
+	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
+	fills    allowance // of the fills under way, as far as known
 }
 
 // firstRan is the first forward that may have run or is still out.
