--- a/control/control.go
+++ b/control/control.go
@@ -641,11 +641,11 @@
 	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
-		l.most = math.Max(f.work, math.Min(l.most, 2*(l.out+f.work))*(1-lateCut*share))
+		l.most = math.Max(f.work, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most/2:
 		l.most *= growth
 	}
-	l.turn, l.seen, l.late = d.now, 0, 0
+	l.turn, l.seen, l.late, l.peak = d.now, 0, 0, l.out
 }
 
 // send hands the GET to its host and counts it there.
@@ -657,9 +657,9 @@
 	judged := &h.under
 	if f.miss {
 		judged = &d.fills
-		d.fills.out += f.work
+		d.fills.add(f.work)
 	}
-	h.under.out += f.work
+	h.under.add(f.work)
 	d.due.Add(d.now+f.objective, func() {
 		if !f.back {
 			d.judge(judged, f, true)
--- a/control/state.go
+++ b/control/state.go
@@ -96,12 +96,18 @@
 type allowance struct {
 	out, most  float64 // s
 	turn       float64 // start of the turn
+	peak       float64 // s; most that was under way in it
 	seen, late float64 // s; what of this turn has ended, and what came late or not at all
 }
 
 // room tells whether more may go; where nothing is under way something always may, or nothing would be learned.
 func (l *allowance) room(work float64) bool { return l.out <= 0 || l.out+work <= l.most }
 
+func (l *allowance) add(work float64) {
+	l.out += work
+	l.peak = math.Max(l.peak, l.out)
+}
+
 type sent struct{ at, work float64 }
 
 type forward struct {
