Learn sending times only from answers of uncrowded caches

Cause: where sizes are not told the mean sending time was learned from answers that crowding had slowed, so the latency objective grew with the crowd and nothing looked late.

--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary widely, so hundreds count
+	uncrowded    = 1       // forwards out beside one whose time still tells of its size
 	learnFault   = 0.25    // share; weight of one outcome in a fault rate: three faults in a row pass half
 	faulty       = 0.5     // share; a host that faults more often than not is left
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
@@ -387,7 +388,7 @@
 // weigh is what a GET counts for in a budget: its delivery service's mean sending time.
 func (d *Dispatcher) weigh(g *get) float64 {
 	if g.ds.sending.n == 0 {
-		return g.ds.Objective
+		return g.ds.Objective / 2
 	}
 	return g.ds.sending.mean
 }
@@ -428,8 +429,9 @@
 		h.taken.add(d.now, f.work)
 		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learn)
 		g.ds.usual.add(a.Elapsed, learn)
-		if (g.SizeKB <= 0 || d.FlowKB <= 0) && (a.Note == Hit || d.Detail == Silent) {
-			g.ds.sending.add(a.Elapsed, learnSize)
+		if (g.SizeKB <= 0 || d.FlowKB <= 0) && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
+			// Crowding must not pass for size: the objective would grow with it, and nothing look late.
+			g.ds.sending.add(math.Min(a.Elapsed, g.ds.Objective), learnSize)
 		}
 		g.item.holder, g.item.held = h, d.now
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
