--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,8 @@
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
-	favoured     = 1.5     // multiple of the limit open to delivery services that earn more for their sending time
+	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
+	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
 
 // New makes a dispatcher that knows its settings alone.
@@ -567,14 +568,19 @@
 	return pass
 }
 
-// favour lets delivery services that earn more for their sending time use more of the limit.
+// favour is the multiple of a limit that a GET may fill: more for delivery services that earn more for their
+// sending time, less for objects not asked for before, whose copy may never be asked for again.
 func (d *Dispatcher) favour(g *get) float64 {
+	share := 1.0
 	for _, ds := range d.services {
 		if ds.Revenue*d.weigh(g) < g.ds.Revenue*ds.sending.mean {
-			return favoured
+			share = favoured
 		}
 	}
-	return 1
+	if !g.item.again {
+		share *= newcomer
+	}
+	return share
 }
 
 // parent is the first usable one in the object's order over all listed parents, or else the origin.
