--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,8 @@
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
+	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
+	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
@@ -436,7 +438,7 @@
 		}
 		g.item.holder, g.item.held = h, d.now
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
-			d.judge(&h.under, f, a.Elapsed > f.objective)
+			d.judge(&h.under, f, a.Elapsed > f.objective*(1+h.under.slack))
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
@@ -616,7 +618,7 @@
 	}
 	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
 		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.judge(&d.fills, f, a.Outcome != Returned || a.Elapsed > f.objective)
+		d.judge(&d.fills, f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack))
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -647,11 +649,19 @@
 	if l.seen < math.Min(l.most, l.out) {
 		return
 	}
+	least := 0.0
+	for _, ds := range d.services {
+		least = math.Max(least, leastUnder*ds.sending.mean)
+	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
-		l.most = math.Max(f.work, math.Min(l.most, l.peak)*(1-lateCut*share))
+		if l.most <= least {
+			l.slack += slackStep
+		}
+		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most/2:
 		l.most *= growth
+		l.slack = math.Max(0, l.slack-slackStep)
 	}
 	l.turn, l.seen, l.late, l.peak = d.now, 0, 0, l.out
 }
@@ -668,7 +678,7 @@
 		d.fills.add(f.work)
 	}
 	h.under.add(f.work)
-	d.due.Add(d.now+f.objective, func() {
+	d.due.Add(d.now+f.objective*(1+judged.slack), func() {
 		if !f.back {
 			d.judge(judged, f, true)
 		}
