--- a/control/control.go
+++ b/control/control.go
@@ -655,7 +655,7 @@
 	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
-		if l.most <= least {
+		if l.most <= least || share >= l.share {
 			l.slack += slackStep
 		}
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
@@ -663,7 +663,7 @@
 		l.most *= growth
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
-	l.turn, l.seen, l.late, l.peak = d.now, 0, 0, l.out
+	l.turn, l.share, l.seen, l.late, l.peak = d.now, l.late/l.seen, 0, 0, l.out
 }
 
 // send hands the GET to its host and counts it there.
