--- a/control/control.go
+++ b/control/control.go
@@ -447,7 +447,7 @@
 		}
 		g.badHosts = append(g.badHosts, h)
 	case NotTaken, Empty:
-		if !sourceFault(a.Note) {
+		if !sourceFault(a.Note) && !(a.Outcome == Empty && f.source != h) {
 			g.badHosts = append(g.badHosts, h)
 		}
 		if g.turned++; g.turned > turnedMost && !g.over && g.out == 0 {
@@ -558,6 +558,11 @@
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
+	if h := g.item.holder; d.Siblings && h != nil && h != g.host && d.now-g.item.held < buckets*bucketSpan &&
+		h.Zone == d.Zone && !slices.Contains(g.badSources, h) && d.open(h, d.weigh(g)) && h.under.room(d.weigh(g)) {
+		g.source = h
+		return pass
+	}
 	if !d.fills.room(d.weigh(g) / d.favour(g)) {
 		if g.looked {
 			return d.giveUp(g)
@@ -609,6 +614,10 @@
 	if f.miss {
 		d.fills.out -= f.work
 	}
+	if f.source != f.host && f.source.Zone == d.Zone && a.Outcome != Returned {
+		g.badSources, g.item.holder = append(g.badSources, f.source), nil
+		return pass
+	}
 	if f.source == f.host {
 		if a.Outcome == Empty && !g.over {
 			g.looked = true
@@ -655,7 +664,7 @@
 	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
-		if l.most <= least || share >= l.share {
+		if l.most <= least {
 			l.slack += slackStep
 		}
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
@@ -663,7 +672,7 @@
 		l.most *= growth
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
-	l.turn, l.share, l.seen, l.late, l.peak = d.now, l.late/l.seen, 0, 0, l.out
+	l.turn, l.seen, l.late, l.peak = d.now, 0, 0, l.out
 }
 
 // send hands the GET to its host and counts it there.
@@ -671,7 +680,7 @@
 	h, s := g.host, g.source
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
-	f.miss = s != h && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
+	f.miss = s != h && s.Zone != d.Zone && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
 	judged := &h.under
 	if f.miss {
 		judged = &d.fills
--- a/control/state.go
+++ b/control/state.go
@@ -97,7 +97,6 @@
 	out, most  float64 // s
 	slack      float64 // share by which the latency objective may be passed
 	turn       float64 // start of the turn
-	share      float64 // late share of the turn before
 	peak       float64 // s; most that was under way in it
 	seen, late float64 // s; what of this turn has ended, and what came late or not at all
 }
