--- a/control/control.go
+++ b/control/control.go
@@ -558,13 +558,8 @@
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
-	if h := g.item.holder; d.Siblings && h != nil && h != g.host && d.now-g.item.held < buckets*bucketSpan &&
-		h.Zone == d.Zone && !slices.Contains(g.badSources, h) && d.open(h, d.weigh(g)) && h.under.room(d.weigh(g)) {
-		g.source = h
-		return pass
-	}
 	if !d.fills.room(d.weigh(g) / d.favour(g)) {
-		if g.looked {
+		if g.source = d.neighbour(g); g.source == g.host && g.looked {
 			return d.giveUp(g)
 		}
 		return pass
@@ -575,6 +570,16 @@
 	return pass
 }
 
+// neighbour is the cache of the zone that returned the object last, where it may supply a fill; else the host.
+func (d *Dispatcher) neighbour(g *get) *host {
+	h := g.item.holder
+	if !d.Siblings || h == nil || d.now-g.item.held > buckets*bucketSpan || slices.Contains(g.badSources, h) ||
+		!d.open(h, d.weigh(g)) || !h.under.room(d.weigh(g)) {
+		return g.host
+	}
+	return h
+}
+
 // favour is the multiple of a limit that a GET may fill: more for delivery services that earn more for their
 // sending time, less for objects not asked for before, whose copy may never be asked for again.
 func (d *Dispatcher) favour(g *get) float64 {
