--- a/control/control.go
+++ b/control/control.go
@@ -1,19 +1,16 @@
 // Package control decides, for each GET of one dispatcher, which cache host answers it and where a miss is
 // filled from. It is pure: no I/O, clock, goroutine or global. Make a Dispatcher with New, then call Hosts,
-// GET, Answer, Streaming, Left, Purged and Timer as things happen, and Settle once after all that came together.
-// Its answers go out through Wire; that interface and all data handed in are in api.go.
+// GET, Answer, Streaming, Left, Purged and Timer as things happen, and Settle after all of one moment.
+// Its answers go out through Wire; that interface and all data handed in are in api.go, types in state.go.
 //
 // The design (docs/design.md) decides the ordinary path; what departs from it says so where it stands.
 package control
 
 import (
 	"container/list"
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
-	"sort"
 )
 
 const (
@@ -24,7 +21,7 @@
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
-	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary widely, so hundreds count
+	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
 	uncrowded    = 1       // forwards out beside one whose time still tells of its size
 	learnFault   = 0.25    // share; weight of one outcome in a fault rate: three faults in a row pass half
 	faulty       = 0.5     // share; a host that faults more often than not is left
@@ -37,7 +34,7 @@
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
 	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
 	manyLeast    = 24      // GETs; no parent holds many below this
-	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and trying on fills them more
+	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
@@ -50,12 +47,12 @@
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: map[string]*item{}, byUse: list.New(), purges: map[string]float64{}, fills: allowance{most: math.Inf(1)}}
+		items: table{byName: map[string]*item{}, byUse: list.New()}, purges: map[string]float64{},
+		fills: allowance{most: math.Inf(1)}}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
-	d.chain = []stage{{d.meet, d.finish}, {d.restrict, d.effects}, {d.choose, d.judgeHost},
-		{d.fill, d.judgeFill}, {d.send, d.release}}
+	d.chain = []stage{{d.admit, d.finish}, {d.choose, d.judgeHost}, {d.fill, d.judgeFill}, {d.send, d.release}}
 	if s.OnRequest {
 		w.Subscribe()
 	}
@@ -80,21 +77,7 @@
 	for _, e := range entries {
 		d.list(e)
 	}
-	d.caches, d.parents, d.origin = nil, nil, nil
-	for _, h := range d.hosts {
-		switch {
-		case h.Phase == Gone:
-		case h.Kind == d.OriginKind:
-			d.origin = h
-		case h.Kind == d.ParentKind:
-			d.parents = append(d.parents, h)
-		case h.Zone == d.Zone:
-			d.caches = append(d.caches, h)
-		}
-	}
-	for _, hosts := range [][]*host{d.caches, d.parents} {
-		sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
-	}
+	d.regroup()
 }
 
 func (d *Dispatcher) list(e HostEntry) {
@@ -223,28 +206,15 @@
 
 // count bumps the object's count in the bounded, aged table.
 func (d *Dispatcher) count(g *get) {
-	name := fmt.Sprint(g.Object, " ", g.Part)
-	it := d.items[name]
-	if it == nil {
-		it = &item{name: name, object: g.Object, hash: hash(name), objectHash: hash(g.Object)}
-		it.place = d.byUse.PushFront(it)
-		d.items[name] = it
-		if d.byUse.Len() > tableSize {
-			delete(d.items, d.byUse.Remove(d.byUse.Back()).(*item).name)
-		}
-	} else {
-		it.again = true
-		d.byUse.MoveToFront(it.place)
-	}
-	g.item = it
+	g.item = d.items.touch(g.Object, g.Part)
 	if g.SizeKB > 0 && d.FlowKB > 0 {
 		g.ds.sending.add(g.SizeKB/d.FlowKB, learnSize)
 	}
-	it.demand.add(d.now, g.size())
+	g.item.demand.add(d.now, g.size())
 	d.total.add(d.now, g.size())
 }
 
-// copies is the number of caches that the object's byte rate gives it: one more for each multiple of an even share.
+// copies is the number of caches that the object's byte rate gives it: one more by each even share.
 func (d *Dispatcher) copies(g *get, ready int) int {
 	rate := g.item.demand.add(d.now, 0)
 	if rate < fewestCounts*g.size() {
@@ -253,9 +223,12 @@
 	return 1 + int(rate*float64(ready)/d.total.add(d.now, 0))
 }
 
-// meet guards the viewer timeout and the number of forwards.
-func (d *Dispatcher) meet(g *get) verdict {
-	if len(g.forwards) >= d.MaxForwards || d.now >= g.ViewerTimeout-lastMoment {
+// admit ends a GET that has no time or forward left, or that may have run and must not run again.
+func (d *Dispatcher) admit(g *get) verdict {
+	ran := g.firstRan()
+	repeatable := ran == nil || g.ds.Effect == Idempotent ||
+		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick
+	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.ViewerTimeout-lastMoment {
 		return d.giveUp(g)
 	}
 	return pass
@@ -302,31 +275,6 @@
 	}
 }
 
-func (d *Dispatcher) end(g *get) verdict {
-	g.over = true
-	d.due.Remove(g.timeout)
-	if g.out == 0 {
-		delete(d.gets, g.ID)
-	}
-	return ended
-}
-
-// restrict keeps a GET that may have run from a further forward that could run it twice.
-func (d *Dispatcher) restrict(g *get) verdict {
-	ran := g.firstRan()
-	if ran == nil || g.ds.Effect == Idempotent ||
-		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick {
-		return pass
-	}
-	return d.giveUp(g)
-}
-
-// effects marks a forward that may have run.
-func (d *Dispatcher) effects(g *get, f *forward) verdict {
-	f.ran = f.answer.Outcome < NotTaken
-	return pass
-}
-
 // grouped tells whether a host drops repeats of what may have run already.
 func (g *get) grouped(h *host) bool {
 	ran := g.firstRan()
@@ -342,21 +290,21 @@
 	ready, full := 0, false
 	var usable []*host
 	for _, h := range byWeight(d.caches, g.item.hash) {
-		if h.Phase == Ready {
-			ready++
-			if slices.Contains(g.badHosts, h) || !g.grouped(h) || !d.open(h, d.weigh(g)) {
-				continue
-			}
-			if full = !h.under.room(d.weigh(g) / d.favour(g)); !full {
-				usable = append(usable, h)
-			}
+		if h.Phase != Ready {
+			continue
+		}
+		ready++
+		if slices.Contains(g.badHosts, h) || !g.grouped(h) || !d.open(h, d.weigh(g)) {
+			continue
+		}
+		if h.under.room(d.weigh(g) / d.favour(g)) {
+			usable = append(usable, h)
+		} else {
+			full = true
 		}
-	}
-	if len(usable) == 0 && full {
-		return d.giveUp(g)
 	}
 	if len(usable) == 0 {
-		return d.straight(g)
+		return d.straight(g, full)
 	}
 	objective := d.objective(g)
 	n, best := d.copies(g, ready), usable[0]
@@ -372,9 +320,9 @@
 	return pass
 }
 
-// straight passes the caches by when none can be used.
-func (d *Dispatcher) straight(g *get) verdict {
-	if g.host = d.parent(g); !d.Straight || g.host == nil || !g.grouped(g.host) {
+// straight passes the caches by when none can be used, unless one is just full.
+func (d *Dispatcher) straight(g *get, full bool) verdict {
+	if g.host = d.parent(g); !d.Straight || full || g.host == nil || !g.grouped(g.host) {
 		return d.giveUp(g)
 	}
 	return pass
@@ -400,16 +348,12 @@
 // waited for.
 func (d *Dispatcher) span(h *host) float64 {
 	span := math.Max(0, h.makespan-(d.now-h.updated))
-	if !d.bandwidthTold(h) {
+	if h.bandwidth(d) <= 0 {
 		span = math.Min(span, float64(h.out)*d.serving(h))
 	}
 	return span
 }
 
-func (d *Dispatcher) bandwidthTold(h *host) bool {
-	return d.WeightsTold && d.FlowKB > 0 && h.Weight > 0
-}
-
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
 func (d *Dispatcher) serving(h *host) float64 {
 	var all learned
@@ -496,29 +440,16 @@
 	h.until = d.now + h.wait*(0.75+0.5*d.chance(h))
 }
 
-// chance draws a number from 0 to 1.
-func (d *Dispatcher) chance(h *host) float64 {
-	d.chances++
-	sum := fnv.New64a()
-	_ = binary.Write(sum, binary.LittleEndian, []uint64{d.Seed, uint64(d.Index), uint64(h.ID), d.chances})
-	return float64(mix(sum.Sum64())>>11) / (1 << 53)
-}
-
 // open tells whether a host may be sent work now, as a cache or as a source.
 func (d *Dispatcher) open(h *host, work float64) bool {
 	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0) {
 		return false
 	}
-	budget, used := d.budget(h), 0.0
-	for _, s := range h.recent {
-		if s.at > d.now-d.Fall {
-			used += s.work
-		}
-	}
+	budget, used := d.budget(h), h.spent(d.now-d.Fall)
 	return used == 0 || used+work <= budget
 }
 
-// budget is the sending time that a host may be sent by this dispatcher in one window; a warm one has no limit.
+// budget is the sending time that this dispatcher may send a host in one window; a warm one has no limit.
 func (d *Dispatcher) budget(h *host) float64 {
 	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.Dispatchers
 	if h.Kind == d.ParentKind {
@@ -528,7 +459,7 @@
 	}
 	age := math.Max(0, d.now-h.OnlineSince)
 	if !h.cold || age >= ramp || h.Kind == d.OriginKind {
-		h.cold, h.recent = false, nil
+		h.cold = false
 		return math.Inf(1)
 	}
 	rate := d.warmRate(alike)
@@ -551,8 +482,8 @@
 	return all.mean / math.Max(bucketSpan, math.Min(d.now, buckets*bucketSpan))
 }
 
-// fill names the source of a miss: the object's parent, the next one, or the origin. While the fills under way
-// are at their limit a GET only looks whether the cache holds the object, and is shed if it does not.
+// fill names the source of a miss: the object's parent, the next one, or the origin. While fills are at their
+// limit a neighbour is the source, or else a GET only looks whether the cache holds it, and is shed if not.
 func (d *Dispatcher) fill(g *get) verdict {
 	g.source = g.host
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
@@ -570,7 +501,7 @@
 	return pass
 }
 
-// neighbour is the cache of the zone that returned the object last, where it may supply a fill; else the host.
+// neighbour is the cache that returned the object last, where it may supply a fill; else the host itself.
 func (d *Dispatcher) neighbour(g *get) *host {
 	h := g.item.holder
 	if !d.Siblings || h == nil || d.now-g.item.held > buckets*bucketSpan || slices.Contains(g.badSources, h) ||
@@ -649,9 +580,9 @@
 	return pass
 }
 
-// judge moves the limit of what may be under way to a cache, or through fills, by how it comes back: up while it
-// comes in time, down when it does not. It guards against collapse whatever the cause: a crowded or slow cache,
-// link, parent or origin, sudden new objects. It could shed needlessly where fewer GETs do not make them faster.
+// judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
+// time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
+// or origin, sudden new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
 func (d *Dispatcher) judge(l *allowance, f *forward, late bool) {
 	if f.at < l.turn || f.judged {
 		return
@@ -685,7 +616,8 @@
 	h, s := g.host, g.source
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
-	f.miss = s != h && s.Zone != d.Zone && (g.item.holder != h || d.now-g.item.held > buckets*bucketSpan || g.looked)
+	held := g.item.holder == h && d.now-g.item.held < buckets*bucketSpan && !g.looked
+	f.miss = s != h && s.Zone != d.Zone && !held
 	judged := &h.under
 	if f.miss {
 		judged = &d.fills
@@ -703,15 +635,15 @@
 		h.heard = d.now
 	}
 	added := d.serving(h)
-	if d.bandwidthTold(h) {
-		added = g.SizeKB / (d.FlowKB * h.Weight)
+	if h.bandwidth(d) > 0 {
+		added = g.SizeKB / h.bandwidth(d)
 	}
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
-	d.spend(h, f.work)
+	h.spend(d.now, f.work)
 	if s != h {
 		s.fills++
-		d.spend(s, f.work)
+		s.spend(d.now, f.work)
 	}
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 	rank := 1
@@ -726,14 +658,6 @@
 	return kept
 }
 
-// spend books work against the budget of a cold host.
-func (d *Dispatcher) spend(h *host, work float64) {
-	if h.cold {
-		h.recent = slices.DeleteFunc(h.recent, func(s sent) bool { return s.at <= d.now-d.Fall })
-		h.recent = append(h.recent, sent{d.now, work})
-	}
-}
-
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
 	age := math.Inf(1)
@@ -780,6 +704,7 @@
 // release takes a forward that came back off what its host and source hold.
 func (d *Dispatcher) release(g *get, f *forward) verdict {
 	d.due.Remove(f.limit)
+	f.ran = f.answer.Outcome < NotTaken
 	g.out--
 	f.host.out--
 	f.host.under.out -= f.work
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -27,14 +29,36 @@
 
 // item is a cacheable object in the count table; caches keep each part by itself, so each part is an item.
 type item struct {
-	name, object string
-	hash         uint64 // of object and part, for the order of caches
-	objectHash   uint64 // for the order of parents
-	demand       counter
-	place        *list.Element
-	again        bool    // asked for before
-	holder       *host   // the cache that returned it last
-	held         float64 // and when
+	name       string
+	hash       uint64 // of object and part, for the order of caches
+	objectHash uint64 // for the order of parents
+	demand     counter
+	place      *list.Element
+	again      bool    // asked for before
+	holder     *host   // the cache that returned it last
+	held       float64 // and when
+}
+
+// table finds the items by name, and drops the least lately used beyond its size.
+type table struct {
+	byName map[string]*item
+	byUse  *list.List
+}
+
+func (t *table) touch(object string, part int) *item {
+	name := fmt.Sprint(object, " ", part)
+	if it := t.byName[name]; it != nil {
+		it.again = true
+		t.byUse.MoveToFront(it.place)
+		return it
+	}
+	it := &item{name: name, hash: hash(name), objectHash: hash(object)}
+	it.place = t.byUse.PushFront(it)
+	t.byName[name] = it
+	if t.byUse.Len() > tableSize {
+		delete(t.byName, t.byUse.Remove(t.byUse.Back()).(*item).name)
+	}
+	return it
 }
 
 // counter sums what happened in the design's window.
@@ -152,8 +176,7 @@
 	caches   []*host // of the own zone, by id
 	parents  []*host // all listed, by id
 	origin   *host
-	items    map[string]*item
-	byUse    *list.List
+	items    table
 	total    counter
 	purges   map[string]float64
 	due      due.Queue[func()]
@@ -203,3 +226,64 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// regroup sorts the listed hosts into the own zone's caches, the parents and the origin.
+func (d *Dispatcher) regroup() {
+	d.caches, d.parents, d.origin = nil, nil, nil
+	for _, h := range d.hosts {
+		switch {
+		case h.Phase == Gone:
+		case h.Kind == d.OriginKind:
+			d.origin = h
+		case h.Kind == d.ParentKind:
+			d.parents = append(d.parents, h)
+		case h.Zone == d.Zone:
+			d.caches = append(d.caches, h)
+		}
+	}
+	for _, hosts := range [][]*host{d.caches, d.parents} {
+		sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	}
+}
+
+// chance draws a number from 0 to 1.
+func (d *Dispatcher) chance(h *host) float64 {
+	d.chances++
+	sum := fnv.New64a()
+	_ = binary.Write(sum, binary.LittleEndian, []uint64{d.Seed, uint64(d.Index), uint64(h.ID), d.chances})
+	return float64(mix(sum.Sum64())>>11) / (1 << 53)
+}
+
+// spent sums what went to the host after an instant, and forgets what went before.
+func (h *host) spent(after float64) (total float64) {
+	h.recent = slices.DeleteFunc(h.recent, func(s sent) bool { return s.at <= after })
+	for _, s := range h.recent {
+		total += s.work
+	}
+	return total
+}
+
+// spend books work against the budget of a cold host.
+func (h *host) spend(now, work float64) {
+	if h.cold {
+		h.recent = append(h.recent, sent{now, work})
+	}
+}
+
+// end closes a GET's books; it is forgotten when its last forward is back.
+func (d *Dispatcher) end(g *get) verdict {
+	g.over = true
+	d.due.Remove(g.timeout)
+	if g.out == 0 {
+		delete(d.gets, g.ID)
+	}
+	return ended
+}
+
+// bandwidth is the KB a second that the host's link is told to carry, 0 where that is not told.
+func (h *host) bandwidth(d *Dispatcher) float64 {
+	if !d.WeightsTold {
+		return 0
+	}
+	return d.FlowKB * h.Weight
+}
