Table tests of the module; tell neighbours from parents by kind, not zone

A parent listed in a dispatcher's own zone was taken for a neighbour, and its failed fills moved no limit.

--- a/control/control.go
+++ b/control/control.go
@@ -550,7 +550,7 @@
 	if f.miss {
 		d.fills.out -= f.work
 	}
-	if f.source != f.host && f.source.Zone == d.Zone && a.Outcome != Returned {
+	if f.sideways && a.Outcome != Returned {
 		g.badSources, g.item.holder = append(g.badSources, f.source), nil
 		return pass
 	}
@@ -582,7 +582,7 @@
 
 // judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
 // time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
-// or origin, sudden new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
+// or origin, new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
 func (d *Dispatcher) judge(l *allowance, f *forward, late bool) {
 	if f.at < l.turn || f.judged {
 		return
@@ -617,7 +617,8 @@
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
 	held := g.item.holder == h && d.now-g.item.held < buckets*bucketSpan && !g.looked
-	f.miss = s != h && s.Zone != d.Zone && !held
+	f.sideways = s != h && slices.Contains(d.caches, s)
+	f.miss = s != h && !f.sideways && !held
 	judged := &h.under
 	if f.miss {
 		judged = &d.fills
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,464 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	cacheA, cacheB, cacheC, parentA, parentB, origin = 11, 12, 13, 21, 22, 31
+)
+
+// recorder is a Wire that keeps what went out.
+type recorder struct {
+	forwards         []Forward
+	shed, errored    []uint32
+	comeBack         float64
+	cancelled, calls []string
+}
+
+func (r *recorder) Forward(f Forward) { r.forwards = append(r.forwards, f) }
+func (r *recorder) Cancel(get uint32, forward int) {
+	r.cancelled = append(r.cancelled, fmt.Sprint(get, "/", forward))
+}
+func (r *recorder) Shed(get uint32, comeBack float64) {
+	r.shed, r.comeBack = append(r.shed, get), comeBack
+}
+func (r *recorder) Error(get uint32)         { r.errored = append(r.errored, get) }
+func (r *recorder) Schedule(float64, string) {}
+func (r *recorder) Subscribe()               { r.calls = append(r.calls, "subscribe") }
+func (r *recorder) Log(text string)          { r.calls = append(r.calls, text) }
+
+func (r *recorder) last() Forward { return r.forwards[len(r.forwards)-1] }
+
+func settings() Settings {
+	return Settings{Dispatchers: 2, Seats: []int{1}, ParentKind: 1, OriginKind: 2, Detail: Full,
+		Services: []DeliveryService{{Objective: 0.5, Stretch: 1, ViewerTimeout: 5, Revenue: 1,
+			Effect: Idempotent, Scope: AllHosts, RepeatWindow: 2}},
+		MaxForwards: 6, MayCancel: true, SecondCopies: true, OldCopies: 6,
+		ColdFrom: 0.2, RampTime: 10, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.1, ParentRamp: 20, ParentTip: 2}
+}
+
+func entry(id uint32, kind int, phase Phase) HostEntry {
+	return HostEntry{ID: id, Kind: kind, Cell: int(id), Phase: phase, Weight: 1}
+}
+
+// fleet starts a dispatcher that knows three caches, two parents and the origin.
+func fleet(change func(*Settings)) (*Dispatcher, *recorder) {
+	s := settings()
+	if change != nil {
+		change(&s)
+	}
+	r := &recorder{}
+	d := New(s, 0, r)
+	d.Hosts(0, Cached, []HostEntry{entry(cacheA, 0, Ready), entry(cacheB, 0, Ready), entry(cacheC, 0, Ready),
+		entry(parentA, 1, Ready), entry(parentB, 1, Ready), entry(origin, 2, Ready)})
+	return d, r
+}
+
+// ask hands in a GET and settles the moment.
+func ask(d *Dispatcher, now float64, id uint32, object string) {
+	d.GET(now, GET{ID: id, Object: object, ViewerTimeout: now + 5})
+	d.Settle(now)
+}
+
+func answer(d *Dispatcher, now float64, id uint32, forward int, outcome Outcome, note Note) {
+	d.Answer(now, Answer{GET: id, Forward: forward, Outcome: outcome, Note: note, Elapsed: 0.1, Last: outcome == Returned})
+	d.Settle(now)
+}
+
+// tickTo plays the periodic timer from one instant to another.
+func tickTo(d *Dispatcher, from, to float64) {
+	for now := from; now <= to; now += 0.01 {
+		d.Timer(now)
+		d.Settle(now)
+	}
+}
+
+func TestAfterAFailedForward(t *testing.T) {
+	tests := []struct {
+		name    string
+		effect  Effect
+		scope   Scope
+		outcome Outcome
+		after   float64
+		want    string
+	}{
+		{"idempotent is sent on", Idempotent, AllHosts, HostError, 0.1, "forward"},
+		{"non-idempotent that may have run is errored", NonIdempotent, AllHosts, HostError, 0.1, "error"},
+		{"non-idempotent that was not taken is sent on", NonIdempotent, AllHosts, Unreached, 0.1, "forward"},
+		{"tokened is sent on within its window", Tokened, AllHosts, Dropped, 0.1, "forward"},
+		{"tokened past its window may be shed where all drop repeats", Tokened, AllHosts, Dropped, 2.5, "shed"},
+		{"tokened past its window is errored in a zone", Tokened, SameZone, Dropped, 2.5, "error"},
+		{"tokened stays in its zone", Tokened, SameZone, Dropped, 0.1, "forward"},
+		{"tokened alone in its cell is errored", Tokened, SameCell, Dropped, 0.1, "error"},
+		{"tokened that was not taken is free of its cell", Tokened, SameCell, Unreached, 0.1, "forward"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.Services[0].Effect, s.Services[0].Scope = tt.effect, tt.scope })
+			ask(d, 1, 7, "a")
+			require.Len(t, r.forwards, 1)
+			answer(d, 1+tt.after, 7, 0, tt.outcome, NoNote)
+			got := map[string]int{"forward": len(r.forwards) - 1, "error": len(r.errored), "shed": len(r.shed)}
+			want := map[string]int{"forward": 0, "error": 0, "shed": 0}
+			want[tt.want] = 1
+			assert.Equal(t, want, got)
+			if tt.want == "forward" {
+				assert.NotEqual(t, r.forwards[0].Host, r.forwards[1].Host)
+			}
+		})
+	}
+}
+
+func TestOneFinalAnswer(t *testing.T) {
+	tests := []struct {
+		name          string
+		effect        Effect
+		shed, errored int
+	}{
+		{"idempotent is shed at its viewer timeout", Idempotent, 1, 0},
+		{"non-idempotent still out is errored at it", NonIdempotent, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.Services[0].Effect = tt.effect })
+			ask(d, 1, 7, "a")
+			tickTo(d, 1, 5.97)
+			assert.Empty(t, r.shed)
+			assert.Empty(t, r.errored)
+			tickTo(d, 5.98, 6)
+			assert.Len(t, r.shed, tt.shed)
+			assert.Len(t, r.errored, tt.errored)
+			forwards := len(r.forwards)
+			answer(d, 6.1, 7, 0, Revoked, NoNote)
+			tickTo(d, 6.1, 8)
+			assert.Len(t, r.forwards, forwards, "nothing is sent after the final answer")
+			assert.Equal(t, 1, len(r.shed)+len(r.errored))
+			assert.Empty(t, d.gets)
+			assert.False(t, d.Answer(8, Answer{GET: 7}), "the GET is forgotten")
+		})
+	}
+}
+
+func TestGivesUpAtOnceAndNamesATime(t *testing.T) {
+	d, r := fleet(func(s *Settings) { s.TellRetry, s.MaxRetryAfter = true, 0.3 })
+	d.Hosts(1, Changes, []HostEntry{entry(cacheA, 0, Gone), entry(cacheB, 0, Draining), entry(cacheC, 0, Gone)})
+	ask(d, 1, 7, "a")
+	assert.Equal(t, []uint32{7}, r.shed)
+	assert.Equal(t, 0.3, r.comeBack)
+	assert.Empty(t, r.forwards)
+}
+
+func TestDrainsAreKept(t *testing.T) {
+	tests := []struct {
+		name    string
+		form    ListForm
+		entries []HostEntry
+		gone    []uint32
+	}{
+		{"draining cache", Changes, []HostEntry{entry(cacheA, 0, Draining)}, []uint32{cacheA}},
+		{"parent that is gone", Changes, []HostEntry{entry(parentA, 1, Gone)}, []uint32{parentA}},
+		{"draining parents leave the origin", Changes, []HostEntry{entry(parentA, 1, Draining), entry(parentB, 1, Draining)},
+			[]uint32{parentA, parentB}},
+		{"absent from a complete list", Complete, []HostEntry{entry(cacheB, 0, Ready), entry(parentB, 1, Ready)},
+			[]uint32{cacheA, cacheC, parentA, origin}},
+		{"a failed call changes nothing", FailedCall, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(nil)
+			d.Hosts(1, tt.form, tt.entries)
+			used := map[uint32]bool{}
+			for i := range uint32(40) {
+				ask(d, 1, i, fmt.Sprint("object", i))
+			}
+			for _, f := range r.forwards {
+				used[f.Host], used[f.Source] = true, true
+			}
+			require.Len(t, r.forwards, 40)
+			for _, id := range tt.gone {
+				assert.False(t, used[id], "host %d is used", id)
+			}
+			if tt.gone == nil {
+				assert.Len(t, used, 5, "all caches and parents")
+			}
+		})
+	}
+}
+
+func TestColdHostsGetTheirShare(t *testing.T) {
+	tests := []struct {
+		name      string
+		kind      int
+		id        uint32
+		told      bool
+		since     float64
+		most, min int
+	}{
+		{"cold cache of told weight", 0, cacheA, true, 20, 8, 1},
+		{"cold cache of unknown weight", 0, cacheA, false, 20, 12, 1},
+		{"cold parent", 1, parentA, true, 20, 4, 1},
+		{"cache that is warm by now", 0, cacheA, true, 5, 200, 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.WeightsTold = tt.told })
+			for i := range uint32(200) { // the warm rate: ten GETs a second over three caches
+				ask(d, float64(i)/10, i, fmt.Sprint("o", i))
+				answer(d, float64(i)/10+0.05, i, 0, Returned, Hit)
+			}
+			cold := entry(tt.id, tt.kind, Ready)
+			cold.Weight, cold.OnlineSince, cold.OnlineSinceIsTold = 4, tt.since, true
+			d.Hosts(20, Changes, []HostEntry{cold})
+			before, sent := len(r.forwards), 0
+			for i := range uint32(200) {
+				ask(d, 20.1, 1000+i, fmt.Sprint("o", i))
+			}
+			for _, f := range r.forwards[before:] {
+				if f.Host == tt.id || f.Source == tt.id {
+					sent++
+				}
+			}
+			assert.LessOrEqual(t, sent, tt.most)
+			assert.GreaterOrEqual(t, sent, tt.min)
+		})
+	}
+}
+
+func TestPurges(t *testing.T) {
+	tests := []struct {
+		name   string
+		object string
+		group  int
+		at     float64
+		want   float64
+	}{
+		{"of the object", "a", 0, 3, 1.5},
+		{"of its group", "", 4, 3, 1.5},
+		{"of another object", "b", 4, 3, 0},
+		{"of another group", "", 5, 3, 0},
+		{"long ago: no old copy is left", "a", 0, 9, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(nil)
+			d.Purged(2, tt.object, tt.group, 0.5)
+			tickTo(d, 2, tt.at)
+			d.GET(tt.at, GET{ID: 7, Object: "a", Group: 4, ViewerTimeout: 20})
+			assert.InDelta(t, tt.want, r.last().MaxAge, 1e-9)
+		})
+	}
+}
+
+func TestAnOlderPurgeToldLaterDoesNotLoosen(t *testing.T) {
+	d, r := fleet(nil)
+	d.Purged(2, "a", 0, 0.1)
+	d.Purged(2.1, "a", 0, 1)
+	tickTo(d, 2.1, 7.5)
+	ask(d, 7.5, 7, "a")
+	assert.InDelta(t, 5.6, r.last().MaxAge, 1e-9)
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	d, r := fleet(nil)
+	other, s := fleet(func(s *Settings) { s.Seed, s.Index = 9, 1 })
+	hosts, sources := map[uint32]int{}, map[uint32]int{}
+	for i := range uint32(300) {
+		now := float64(i) / 10
+		for _, x := range []*Dispatcher{d, other} {
+			ask(x, now, i, fmt.Sprint("o", i))
+			answer(x, now+0.05, i, 0, Returned, Hit)
+		}
+		hosts[r.last().Host]++
+		sources[r.last().Source]++
+	}
+	assert.Equal(t, r.forwards, s.forwards, "all routers share the orders")
+	for id, n := range map[uint32]int{cacheA: hosts[cacheA], cacheB: hosts[cacheB], cacheC: hosts[cacheC]} {
+		assert.InDelta(t, 100, n, 40, "cache %d", id)
+	}
+	assert.InDelta(t, 150, sources[parentA], 40)
+	assert.InDelta(t, 150, sources[parentB], 40)
+}
+
+func TestCopiesFollowDemand(t *testing.T) {
+	tests := []struct {
+		name  string
+		hot   int // of ten GETs, how many are for the one object
+		after float64
+		want  int
+	}{
+		{"a fifth of the bytes: one cache of three", 2, 0, 1},
+		{"half of them: two", 5, 0, 2},
+		{"nine tenths: three", 9, 0, 3},
+		{"and one again once the window has passed", 9, 12, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, _ := fleet(nil)
+			for i := range uint32(100) {
+				object := fmt.Sprint("o", i)
+				if int(i%10) < tt.hot {
+					object = "hot"
+				}
+				ask(d, float64(i)/20, i, object)
+				answer(d, float64(i)/20+0.01, i, 0, Returned, Hit)
+			}
+			ask(d, 5+tt.after, 1000, "hot")
+			assert.Equal(t, tt.want, d.copies(d.gets[1000], 3))
+		})
+	}
+}
+
+func TestSources(t *testing.T) {
+	tests := []struct {
+		name string
+		note Note
+		kind int
+		want string
+	}{
+		{"a source that refused is passed over", SourceRefused, 1, "next"},
+		{"a source that failed is passed over", SourceFailed, 1, "next"},
+		{"a full cache is no fault of the source", NoFillPlace, 1, "same"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(nil)
+			ask(d, 1, 7, "a")
+			answer(d, 1.1, 7, 0, NotTaken, tt.note)
+			require.Len(t, r.forwards, 2)
+			same := r.forwards[0].Source == r.forwards[1].Source
+			assert.Equal(t, tt.want == "same", same)
+			assert.Equal(t, tt.want == "next", r.forwards[0].Host == r.forwards[1].Host)
+		})
+	}
+}
+
+func TestASilentCacheIsLeftAndItsGETsMoveOn(t *testing.T) {
+	d, r := fleet(nil)
+	for i := range uint32(60) {
+		ask(d, float64(i)/10, i, fmt.Sprint("o", i))
+		answer(d, float64(i)/10+0.05, i, 0, Returned, Hit)
+	}
+	start := len(r.forwards)
+	for i := range uint32(60) { // cache A takes GETs and answers none
+		now := 6 + float64(i)/20
+		ask(d, now, 100+i, fmt.Sprint("o", i))
+		if r.last().Host != cacheA {
+			answer(d, now+0.01, 100+i, 0, Returned, Hit)
+		}
+		tickTo(d, now, now+0.04)
+	}
+	toA := 0
+	for _, f := range r.forwards[start+20:] {
+		if f.Host == cacheA {
+			toA++
+		}
+	}
+	assert.LessOrEqual(t, toA, 3, "only trials go there")
+	assert.NotEmpty(t, r.cancelled)
+	assert.Contains(t, r.calls, fmt.Sprintf("host %d left: it fails or is silent", cacheA))
+}
+
+func TestAFaultyCacheIsLeftAndTrustedAgain(t *testing.T) {
+	d, r := fleet(nil)
+	bad := true
+	var id uint32
+	for now := 1.0; now < 30; now += 0.1 {
+		if bad = now < 5; now > 5 && r.calls == nil {
+			break
+		}
+		id++
+		ask(d, now, id, fmt.Sprint("o", id%20))
+		if f := r.last(); f.Host == cacheA && bad {
+			answer(d, now+0.01, id, 0, HostError, NoNote)
+			answer(d, now+0.02, id, 1, Returned, Hit)
+		} else {
+			answer(d, now+0.01, id, 0, Returned, Hit)
+		}
+		tickTo(d, now+0.03, now+0.08)
+	}
+	assert.Equal(t, []string{fmt.Sprintf("host %d left: it fails or is silent", cacheA),
+		fmt.Sprintf("host %d trusted again", cacheA)}, r.calls)
+}
+
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name    string
+		elapsed float64
+		outcome Outcome
+		note    Note
+		looks   bool
+	}{
+		{"fills in time keep their limit open", 0.1, Returned, Filled, false},
+		{"late fills close it", 2, Returned, Filled, true},
+		{"refused fills close it", 0.1, NotTaken, NoFillPlace, true},
+		{"late hits do not", 2, Returned, Hit, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(nil)
+			var id uint32
+			for turn := range 8 {
+				now := float64(turn) * 3
+				first := id
+				for range 10 {
+					id++
+					ask(d, now, id, fmt.Sprint("o", id))
+				}
+				for g := first + 1; g <= id; g++ {
+					if held := d.gets[g]; held != nil && held.out > 0 {
+						d.Answer(now+tt.elapsed, Answer{GET: g, Forward: len(held.forwards) - 1, Outcome: tt.outcome, Note: tt.note,
+							Elapsed: tt.elapsed, Last: tt.outcome == Returned})
+					}
+				}
+				d.Settle(now + tt.elapsed)
+				tickTo(d, now+tt.elapsed, now+2.9)
+			}
+			looked := false
+			for _, f := range r.forwards {
+				looked = looked || f.Source == f.Host
+			}
+			assert.Equal(t, tt.looks, looked)
+		})
+	}
+}
+
+func TestALookThatFindsNothingIsShedAtOnce(t *testing.T) {
+	d, r := fleet(nil)
+	d.fills.most, d.fills.out = 0.1, 0.1
+	ask(d, 1, 7, "a")
+	require.Equal(t, r.last().Host, r.last().Source)
+	answer(d, 1.01, 7, 0, Empty, NoNote)
+	assert.Equal(t, []uint32{7}, r.shed)
+}
+
+func TestCrowdingDoesNotPassForSize(t *testing.T) {
+	d, _ := fleet(nil)
+	for i := range uint32(50) {
+		ask(d, 1, i, "hot")
+	}
+	for i := range uint32(50) {
+		d.Answer(5, Answer{GET: i, Outcome: Returned, Note: Hit, Elapsed: 4, Last: true})
+	}
+	d.GET(5, GET{ID: 99, Object: "hot", ViewerTimeout: 10})
+	assert.LessOrEqual(t, d.objective(d.gets[99]), 1.0)
+}
+
+func TestSecondCopiesOnlyWhereAllowed(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		t.Run(fmt.Sprint(allowed), func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.SecondCopies = allowed })
+			ask(d, 1, 7, "a")
+			d.leave(d.hosts[r.last().Host])
+			tickTo(d, 1, 3)
+			assert.Len(t, r.cancelled, 1)
+			assert.Equal(t, allowed, len(r.forwards) > 1)
+			answer(d, 3.1, 7, 0, Revoked, NoNote)
+			assert.Len(t, r.forwards, 2, "once the first is back the GET goes on in any case")
+		})
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -147,6 +147,7 @@
 	moot         bool // given up on
 	ran          bool // may have run
 	miss         bool // counts as a fill under way
+	sideways     bool // its source is a neighbour
 	judged       bool // counted by an allowance
 }
 
