--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -41,9 +41,6 @@
 	return heap.Pop(&q.entries).(*Entry[T]).item, true
 }
 
-// Len tells how many items wait.
-func (q *Queue[T]) Len() int { return len(q.entries) }
-
 type entries[T any] []*Entry[T]
 
 func (s entries[T]) Len() int { return len(s) }
