--- a/control/control.go
+++ b/control/control.go
@@ -655,7 +655,7 @@
 		rank = 0
 	}
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, Rank: rank, MaxAge: d.maxAge(g),
-		Renew: g.ds.FreshFor > 0})
+		Renew: g.ds.FreshFor > 0, Join: d.Joins})
 	return kept
 }
 
