Pass to the next parent by a learned limit for each parent

It replaces the count beyond which a parent held many. Also answers a hung parent or one on a crowded far link.

--- a/control/control.go
+++ b/control/control.go
@@ -32,8 +32,6 @@
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
-	manyTimes    = 3.0     // multiple of the mean held by all parents beyond which one holds many
-	manyLeast    = 24      // GETs; no parent holds many below this
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
@@ -382,7 +380,7 @@
 		}
 		g.item.holder, g.item.held = h, d.now
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
-			d.judge(&h.under, f, a.Elapsed > f.objective*(1+h.under.slack))
+			d.judge(f, a.Elapsed > f.objective*(1+h.under.slack), &h.under)
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
@@ -526,17 +524,23 @@
 	return share
 }
 
-// parent is the first usable one in the object's order over all listed parents, or else the origin.
+// parent is the first usable one in the object's order over all listed parents: the next when it fails or holds
+// more than its learned limit, the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
-	held := 0
-	for _, h := range d.parents {
-		held += h.fills
-	}
-	many := math.Max(manyLeast, manyTimes*float64(held)/float64(max(1, len(d.parents))))
+	var first *host
 	for _, h := range byWeight(d.parents, g.item.objectHash) {
-		if float64(h.fills) < many && !slices.Contains(g.badSources, h) && d.open(h, d.weigh(g)) {
+		if slices.Contains(g.badSources, h) || !d.open(h, d.weigh(g)) {
+			continue
+		}
+		if h.under.room(d.weigh(g)) {
 			return h
 		}
+		if first == nil {
+			first = h
+		}
+	}
+	if first != nil {
+		return first
 	}
 	if d.origin != nil && d.origin.Phase == Ready {
 		return d.origin
@@ -547,9 +551,6 @@
 // judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears.
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
-	if f.miss {
-		d.fills.out -= f.work
-	}
 	if f.sideways && a.Outcome != Returned {
 		g.badSources, g.item.holder = append(g.badSources, f.source), nil
 		return pass
@@ -563,7 +564,7 @@
 	}
 	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
 		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.judge(&d.fills, f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack))
+		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack), &d.fills, &f.source.under)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -583,13 +584,22 @@
 // judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
 // time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
 // or origin, new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
-func (d *Dispatcher) judge(l *allowance, f *forward, late bool) {
-	if f.at < l.turn || f.judged {
+func (d *Dispatcher) judge(f *forward, late bool, limits ...*allowance) {
+	if f.judged {
 		return
 	}
 	f.judged = true
-	if l.seen += f.work; late {
-		l.late += f.work
+	for _, l := range limits {
+		if f.at >= l.turn {
+			d.move(l, f.work, late)
+		}
+	}
+}
+
+// move counts one end of a forward into a limit, and at the end of a turn moves it.
+func (d *Dispatcher) move(l *allowance, work float64, late bool) {
+	if l.seen += work; late {
+		l.late += work
 	}
 	if l.seen < math.Min(l.most, l.out) {
 		return
@@ -619,15 +629,23 @@
 	held := g.item.holder == h && d.now-g.item.held < buckets*bucketSpan && !g.looked
 	f.sideways = s != h && slices.Contains(d.caches, s)
 	f.miss = s != h && !f.sideways && !held
-	judged := &h.under
+	judged := []*allowance{&h.under}
+	if f.miss {
+		judged = []*allowance{&d.fills, &s.under}
+	}
+	f.under = []*allowance{&h.under}
 	if f.miss {
-		judged = &d.fills
-		d.fills.add(f.work)
+		f.under = append(f.under, &d.fills)
 	}
-	h.under.add(f.work)
-	d.due.Add(d.now+f.objective*(1+judged.slack), func() {
+	if s != h {
+		f.under = append(f.under, &s.under)
+	}
+	for _, l := range f.under {
+		l.add(f.work)
+	}
+	d.due.Add(d.now+f.objective*(1+judged[0].slack), func() {
 		if !f.back {
-			d.judge(judged, f, true)
+			d.judge(f, true, judged...)
 		}
 	})
 	g.forwards = append(g.forwards, f)
@@ -708,7 +726,9 @@
 	f.ran = f.answer.Outcome < NotTaken
 	g.out--
 	f.host.out--
-	f.host.under.out -= f.work
+	for _, l := range f.under {
+		l.out -= f.work
+	}
 	if o := f.answer.Outcome; o != Revoked && o != Unused && o != Expired {
 		f.host.heard = d.now
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -143,12 +143,13 @@
 	crowd        int // forwards out at the host when this one went
 	limit        *due.Entry[func()]
 	answer       Answer
-	back         bool // answered
-	moot         bool // given up on
-	ran          bool // may have run
-	miss         bool // counts as a fill under way
-	sideways     bool // its source is a neighbour
-	judged       bool // counted by an allowance
+	back         bool         // answered
+	moot         bool         // given up on
+	ran          bool         // may have run
+	miss         bool         // counts as a fill under way
+	sideways     bool         // its source is a neighbour
+	under        []*allowance // that it counts in
+	judged       bool         // counted by an allowance
 }
 
 type get struct {
