--- a/control/control.go
+++ b/control/control.go
@@ -380,7 +380,7 @@
 		}
 		g.item.holder, g.item.held = h, d.now
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
-			d.judge(f, a.Elapsed > f.objective*(1+h.under.slack), &h.under)
+			d.judge(f, a.Elapsed > f.objective*(1+h.under.slack), f.under[:1])
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
@@ -564,7 +564,7 @@
 	}
 	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
 		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack), &d.fills, &f.source.under)
+		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack), f.fill)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -584,7 +584,7 @@
 // judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
 // time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
 // or origin, new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
-func (d *Dispatcher) judge(f *forward, late bool, limits ...*allowance) {
+func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
 	if f.judged {
 		return
 	}
@@ -629,23 +629,23 @@
 	held := g.item.holder == h && d.now-g.item.held < buckets*bucketSpan && !g.looked
 	f.sideways = s != h && slices.Contains(d.caches, s)
 	f.miss = s != h && !f.sideways && !held
-	judged := []*allowance{&h.under}
-	if f.miss {
-		judged = []*allowance{&d.fills, &s.under}
-	}
-	f.under = []*allowance{&h.under}
-	if f.miss {
-		f.under = append(f.under, &d.fills)
+	f.under, f.fill = []*allowance{&h.under}, []*allowance{&s.under, &d.fills}
+	if f.sideways {
+		f.fill = []*allowance{&s.under}
 	}
 	if s != h {
 		f.under = append(f.under, &s.under)
 	}
+	judged := f.under[:1]
+	if f.miss {
+		f.under, judged = append(f.under, &d.fills), f.fill
+	}
 	for _, l := range f.under {
 		l.add(f.work)
 	}
-	d.due.Add(d.now+f.objective*(1+judged[0].slack), func() {
+	d.due.Add(d.now+f.objective*(1+judged[len(judged)-1].slack), func() {
 		if !f.back {
-			d.judge(f, true, judged...)
+			d.judge(f, true, judged)
 		}
 	})
 	g.forwards = append(g.forwards, f)
--- a/control/state.go
+++ b/control/state.go
@@ -148,7 +148,7 @@
 	ran          bool         // may have run
 	miss         bool         // counts as a fill under way
 	sideways     bool         // its source is a neighbour
-	under        []*allowance // that it counts in
+	under, fill  []*allowance // that it counts in, its host's first; that judge it as a fill
 	judged       bool         // counted by an allowance
 }
 
