--- a/control/control.go
+++ b/control/control.go
@@ -601,13 +601,13 @@
 	if l.seen += work; late {
 		l.late += work
 	}
-	if l.seen < math.Min(l.most, l.out) {
-		return
-	}
 	least := 0.0
 	for _, ds := range d.services {
 		least = math.Max(least, leastUnder*ds.sending.mean)
 	}
+	if l.seen < math.Max(2*least, math.Min(l.most, l.start)) {
+		return
+	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
 		if l.most <= least {
@@ -618,7 +618,7 @@
 		l.most *= growth
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
-	l.turn, l.seen, l.late, l.peak = d.now, 0, 0, l.out
+	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
 }
 
 // send hands the GET to its host and counts it there.
