--- a/control/control.go
+++ b/control/control.go
@@ -46,7 +46,7 @@
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
 		items: table{byName: map[string]*item{}, byUse: list.New()}, purges: map[string]float64{},
-		fills: allowance{most: math.Inf(1)}}
+		fills: allowance{most: math.Inf(1)}, origins: allowance{most: math.Inf(1)}}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -483,7 +483,7 @@
 // fill names the source of a miss: the object's parent, the next one, or the origin. While fills are at their
 // limit a neighbour is the source, or else a GET only looks whether the cache holds it, and is shed if not.
 func (d *Dispatcher) fill(g *get) verdict {
-	g.source = g.host
+	g.source, g.heldOnly = g.host, false
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
@@ -496,6 +496,9 @@
 	if source := d.parent(g); source != nil {
 		g.source = source
 	}
+	if g.heldOnly = g.source.Kind == d.ParentKind && !d.origins.room(d.weigh(g)/d.favour(g)); g.heldOnly && g.lacked {
+		return d.giveUp(g)
+	}
 	return pass
 }
 
@@ -562,9 +565,14 @@
 		}
 		return pass
 	}
-	if n == Filled || n == FilledByOrigin || n >= SourceRefused || a.Outcome == Revoked && f.miss ||
-		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) {
-		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+d.fills.slack), f.fill)
+	g.lacked = f.heldOnly && a.Outcome == Empty
+	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
+		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) || n == FilledByOrigin {
+		limits := f.fill
+		if n == FilledByOrigin || n == OriginFailed {
+			limits = []*allowance{&d.origins}
+		}
+		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+limits[len(limits)-1].slack), limits)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -585,10 +593,10 @@
 // time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
 // or origin, new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
 func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
-	if f.judged {
+	if f.judged == limits[0] {
 		return
 	}
-	f.judged = true
+	f.judged = limits[0]
 	for _, l := range limits {
 		if f.at >= l.turn {
 			d.move(l, f.work, late)
@@ -631,7 +639,7 @@
 	f.miss = s != h && !f.sideways && !held
 	f.under, f.fill = []*allowance{&h.under}, []*allowance{&s.under, &d.fills}
 	if f.sideways {
-		f.fill = []*allowance{&s.under}
+		f.fill = f.fill[:1]
 	}
 	if s != h {
 		f.under = append(f.under, &s.under)
@@ -640,6 +648,9 @@
 	if f.miss {
 		f.under, judged = append(f.under, &d.fills), f.fill
 	}
+	if f.heldOnly = g.heldOnly; f.miss && d.Detail == Full && !f.heldOnly {
+		f.under, judged = append(f.under, &d.origins), []*allowance{&d.origins}
+	}
 	for _, l := range f.under {
 		l.add(f.work)
 	}
@@ -673,7 +684,7 @@
 		rank = 0
 	}
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, Rank: rank, MaxAge: d.maxAge(g),
-		Renew: g.ds.FreshFor > 0, Join: d.Joins})
+		Renew: g.ds.FreshFor > 0, Join: d.Joins, HeldOnly: f.heldOnly})
 	return kept
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -150,7 +150,8 @@
 	miss         bool         // counts as a fill under way
 	sideways     bool         // its source is a neighbour
 	under, fill  []*allowance // that it counts in, its host's first; that judge it as a fill
-	judged       bool         // counted by an allowance
+	judged       *allowance   // that counted its end
+	heldOnly     bool         // the source was to give only what it holds
 }
 
 type get struct {
@@ -164,6 +165,8 @@
 	host, source *host
 	badHosts     []*host
 	badSources   []*host
+	heldOnly     bool // the source is to give only what it holds
+	lacked       bool // and it did not
 	looked       bool // the host was asked and lacks the object
 }
 
@@ -187,6 +190,7 @@
 	chances  uint64
 	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
 	fills    allowance // of the fills under way, as far as known
+	origins  allowance // of those that may need the origin
 }
 
 // firstRan is the first forward that may have run or is still out.
