--- a/control/control.go
+++ b/control/control.go
@@ -23,20 +23,25 @@
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
 	uncrowded    = 1       // forwards out beside one whose time still tells of its size
+	unknownSend  = 0.5     // share of the latency objective taken for a sending time before any is known
 	learnFault   = 0.25    // share; weight of one outcome in a fault rate: three faults in a row pass half
 	faulty       = 0.5     // share; a host that faults more often than not is left
+	leastAge     = 1e-6    // s; the least age that can be asked for: none would mean any
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 4       // forwards out at a host that has said nothing since: fewer may be large objects
+	silentCount  = 4       // forwards out times overdue, of a host that said nothing since: fewer may be large
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
+	leaveSpread  = 0.5     // share of the stay by which chance spreads it: dispatchers should not try at once
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
+	clearlyMore  = 2.0     // multiple of the limit of an object's own parent that makes the next one the better
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
+	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
@@ -162,13 +167,6 @@
 	})
 }
 
-func purgeName(object string, group int) string {
-	if object != "" {
-		return object
-	}
-	return fmt.Sprint(" ", group)
-}
-
 // Timer takes the periodic timer.
 func (d *Dispatcher) Timer(now float64) {
 	d.now = now
@@ -285,27 +283,16 @@
 // choose takes the least makespan among the object's caches: as many as its demand gives it, along the order
 // that all routers share. It goes further along it only while all those are over the latency objective.
 func (d *Dispatcher) choose(g *get) verdict {
-	ready, full := 0, false
-	var usable []*host
-	for _, h := range byWeight(d.caches, g.item.hash) {
-		if h.Phase != Ready {
-			continue
-		}
-		ready++
-		if slices.Contains(g.badHosts, h) || !g.grouped(h) || !d.open(h, d.weigh(g)) {
-			continue
-		}
-		if h.under.room(d.weigh(g) / d.favour(g)) {
-			usable = append(usable, h)
-		} else {
-			full = true
-		}
-	}
+	ready := without(byWeight(d.caches, g.item.hash), func(h *host) bool { return h.Phase != Ready })
+	open := without(ready, func(h *host) bool {
+		return slices.Contains(g.bad, h) || !g.grouped(h) || !d.open(h, d.weigh(g))
+	})
+	usable := without(open, func(h *host) bool { return !h.under.room(d.weigh(g) / d.favour(g)) })
 	if len(usable) == 0 {
-		return d.straight(g, full)
+		return d.straight(g, len(open) > 0)
 	}
 	objective := d.objective(g)
-	n, best := d.copies(g, ready), usable[0]
+	n, best := d.copies(g, len(ready)), usable[0]
 	for i, h := range usable {
 		if i >= n && d.span(best) <= objective {
 			break
@@ -337,13 +324,12 @@
 // weigh is what a GET counts for in a budget: its delivery service's mean sending time.
 func (d *Dispatcher) weigh(g *get) float64 {
 	if g.ds.sending.n == 0 {
-		return g.ds.Objective / 2
+		return g.ds.Objective * unknownSend
 	}
 	return g.ds.sending.mean
 }
 
-// span is the design's makespan: drained by the clock. It departs in one point: what is answered is no longer
-// waited for.
+// span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for.
 func (d *Dispatcher) span(h *host) float64 {
 	span := math.Max(0, h.makespan-(d.now-h.updated))
 	if h.bandwidth(d) <= 0 {
@@ -354,15 +340,15 @@
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
 func (d *Dispatcher) serving(h *host) float64 {
+	if h.serving.n > 0 {
+		return h.serving.mean
+	}
 	var all learned
 	for _, o := range d.caches {
 		if o.serving.n > 0 {
 			all.add(o.serving.mean, 0)
 		}
 	}
-	if h.serving.n > 0 {
-		return h.serving.mean
-	}
 	return all.mean
 }
 
@@ -387,10 +373,10 @@
 		if !sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
 			d.fault(h, a.Outcome != HostError)
 		}
-		g.badHosts = append(g.badHosts, h)
+		g.bad = append(g.bad, h)
 	case NotTaken, Empty:
 		if !sourceFault(a.Note) && !(a.Outcome == Empty && f.source != h) {
-			g.badHosts = append(g.badHosts, h)
+			g.bad = append(g.bad, h)
 		}
 		if g.turned++; g.turned > turnedMost && !g.over && g.out == 0 {
 			return d.giveUp(g)
@@ -435,7 +421,7 @@
 	}
 	h.left, h.streak = true, 0
 	h.wait = math.Min(leaveMost, math.Max(leaveFor, 2*h.wait))
-	h.until = d.now + h.wait*(0.75+0.5*d.chance(h))
+	h.until = d.now + h.wait*(1+leaveSpread*(d.chance(h)-0.5))
 }
 
 // open tells whether a host may be sent work now, as a cache or as a source.
@@ -496,7 +482,8 @@
 	if source := d.parent(g); source != nil {
 		g.source = source
 	}
-	if g.heldOnly = g.source.Kind == d.ParentKind && !d.origins.room(d.weigh(g)/d.favour(g)); g.heldOnly && g.lacked {
+	g.heldOnly = g.source.Kind == d.ParentKind && !d.origins.room(d.weigh(g)/d.favour(g))
+	if g.heldOnly && g.lacked {
 		return d.giveUp(g)
 	}
 	return pass
@@ -505,7 +492,7 @@
 // neighbour is the cache that returned the object last, where it may supply a fill; else the host itself.
 func (d *Dispatcher) neighbour(g *get) *host {
 	h := g.item.holder
-	if !d.Siblings || h == nil || d.now-g.item.held > buckets*bucketSpan || slices.Contains(g.badSources, h) ||
+	if !d.Siblings || h == nil || d.now-g.item.held > buckets*bucketSpan || slices.Contains(g.bad, h) ||
 		!d.open(h, d.weigh(g)) || !h.under.room(d.weigh(g)) {
 		return g.host
 	}
@@ -527,35 +514,27 @@
 	return share
 }
 
-// parent is the first usable one in the object's order over all listed parents: the next when it fails or holds
-// more than its learned limit, the origin when none is up.
+// parent is the first usable one in the object's order over all listed parents, the next when it fails, or holds
+// its learned limit while the next bears clearly more, and the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
-	var first *host
-	for _, h := range byWeight(d.parents, g.item.objectHash) {
-		if slices.Contains(g.badSources, h) || !d.open(h, d.weigh(g)) {
-			continue
-		}
-		if h.under.room(d.weigh(g)) {
+	usable := without(byWeight(d.parents, g.item.objectHash), func(h *host) bool {
+		return slices.Contains(g.bad, h) || !d.open(h, d.weigh(g))
+	})
+	usable = append(usable, d.origin)
+	for _, h := range usable[:len(usable)-1] {
+		home := &usable[0].under
+		if !home.room(d.weigh(g)) && h.under.room(d.weigh(g)) && h.under.most > clearlyMore*home.most {
 			return h
 		}
-		if first == nil {
-			first = h
-		}
 	}
-	if first != nil {
-		return first
-	}
-	if d.origin != nil && d.origin.Phase == Ready {
-		return d.origin
-	}
-	return nil
+	return usable[0]
 }
 
 // judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears.
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
 	if f.sideways && a.Outcome != Returned {
-		g.badSources, g.item.holder = append(g.badSources, f.source), nil
+		g.bad, g.item.holder = append(g.bad, f.source), nil
 		return pass
 	}
 	if f.source == f.host {
@@ -581,7 +560,7 @@
 			d.sound(f.source)
 		}
 	case sourceFault(n):
-		g.badSources = append(g.badSources, f.source)
+		g.bad = append(g.bad, f.source)
 		if n == SourceFailed {
 			d.fault(f.source, false)
 		}
@@ -613,7 +592,7 @@
 	for _, ds := range d.services {
 		least = math.Max(least, leastUnder*ds.sending.mean)
 	}
-	if l.seen < math.Max(2*least, math.Min(l.most, l.start)) {
+	if l.seen < math.Max(leastTurn*least, math.Min(l.most, l.start)) {
 		return
 	}
 	switch share := l.late / l.seen; {
@@ -643,6 +622,8 @@
 	}
 	if s != h {
 		f.under = append(f.under, &s.under)
+		s.fills++
+		s.spend(d.now, f.work)
 	}
 	judged := f.under[:1]
 	if f.miss {
@@ -671,11 +652,7 @@
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
 	h.spend(d.now, f.work)
-	if s != h {
-		s.fills++
-		s.spend(d.now, f.work)
-	}
-	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
+	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f, 1) })
 	rank := 1
 	if g.item.again {
 		rank = 2
@@ -690,42 +667,39 @@
 
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
-	age := math.Inf(1)
+	age := 0.0
 	for _, name := range []string{purgeName(g.Object, g.Group), purgeName("", g.Group)} {
-		if at, purged := d.purges[name]; purged {
-			age = math.Min(age, d.now-at)
+		if at, purged := d.purges[name]; purged && (age == 0 || d.now-at < age) {
+			age = math.Max(leastAge, d.now-at)
 		}
 	}
-	if math.IsInf(age, 1) {
-		return 0
-	}
-	return math.Max(age, 1e-6)
+	return age
 }
 
 // overdue is the time after which a forward without an answer raises suspicion.
 func (d *Dispatcher) overdue(g *get) float64 {
 	if g.ds.usual.n == 0 {
-		return math.Max(overdueLeast, d.objective(g))
+		return d.objective(g)
 	}
 	return math.Max(overdueLeast, overdueTimes*g.ds.usual.mean)
 }
 
 // late looks at a forward that is overdue: a host that has been silent since is left, and its GETs move on.
-func (d *Dispatcher) late(g *get, f *forward) {
+func (d *Dispatcher) late(g *get, f *forward, times int) {
 	if f.back || f.moot || g.over {
 		return
 	}
 	h := f.host
-	if h.heard <= f.at && (h.left || h.out >= silentCount) {
+	if h.heard <= f.at && (h.left || h.out*times >= silentCount) {
 		d.leave(h)
 	}
 	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
-		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
+		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f, times+1) })
 		return
 	}
 	d.wire.Cancel(g.ID, f.number)
 	f.moot = true
-	g.badHosts = append(g.badHosts, h)
+	g.bad = append(g.bad, h)
 	if d.SecondCopies {
 		d.again(g)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -134,7 +134,9 @@
 			assert.Len(t, r.shed, tt.shed)
 			assert.Len(t, r.errored, tt.errored)
 			forwards := len(r.forwards)
-			answer(d, 6.1, 7, 0, Revoked, NoNote)
+			for i := range r.forwards {
+				answer(d, 6.1, 7, i, Revoked, NoNote)
+			}
 			tickTo(d, 6.1, 8)
 			assert.Len(t, r.forwards, forwards, "nothing is sent after the final answer")
 			assert.Equal(t, 1, len(r.shed)+len(r.errored))
--- a/control/state.go
+++ b/control/state.go
@@ -163,11 +163,10 @@
 	over, lined  bool
 	timeout      *due.Entry[func()]
 	host, source *host
-	badHosts     []*host
-	badSources   []*host
-	heldOnly     bool // the source is to give only what it holds
-	lacked       bool // and it did not
-	looked       bool // the host was asked and lacks the object
+	bad          []*host // that failed it, as host or as source
+	heldOnly     bool    // the source is to give only what it holds
+	lacked       bool    // and it did not
+	looked       bool    // the host was asked and lacks the object
 }
 
 // Dispatcher decides for one instance.
@@ -240,6 +239,7 @@
 	for _, h := range d.hosts {
 		switch {
 		case h.Phase == Gone:
+		case h.Kind == d.OriginKind && h.Phase != Ready:
 		case h.Kind == d.OriginKind:
 			d.origin = h
 		case h.Kind == d.ParentKind:
@@ -294,3 +294,16 @@
 	}
 	return d.FlowKB * h.Weight
 }
+
+// without is the hosts, in their order, less those of a kind.
+func without(hosts []*host, drop func(*host) bool) []*host {
+	return slices.DeleteFunc(slices.Clone(hosts), drop)
+}
+
+// purgeName is the key of a purge: the object, or the group of all, which no object can be named like.
+func purgeName(object string, group int) string {
+	if object != "" {
+		return object
+	}
+	return fmt.Sprint(" ", group)
+}
