Where bandwidth is told a makespan is no less than learned

Also guards against wrong weights and caches slowed for any cause; could harm by passing objects on early.

--- a/control/control.go
+++ b/control/control.go
@@ -331,11 +331,11 @@
 
 // span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for.
 func (d *Dispatcher) span(h *host) float64 {
-	span := math.Max(0, h.makespan-(d.now-h.updated))
-	if h.bandwidth(d) <= 0 {
-		span = math.Min(span, float64(h.out)*d.serving(h))
+	span, seen := math.Max(0, h.makespan-(d.now-h.updated)), float64(h.out)*d.serving(h)
+	if h.bandwidth(d) > 0 {
+		return math.Max(span, seen)
 	}
-	return span
+	return math.Min(span, seen)
 }
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
