--- a/control/control.go
+++ b/control/control.go
@@ -335,7 +335,7 @@
 	if h.bandwidth(d) > 0 {
 		return math.Max(span, seen)
 	}
-	return seen
+	return math.Min(span, seen)
 }
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
