--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	leaveSpread  = 0.5     // share of the stay by which chance spreads it: dispatchers should not try at once
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
-	coldPart     = 0.5     // share of the budget that a cold host is sent: the rest is for chance and error
+	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
 	clearlyMore  = 2.0     // multiple of the limit of an object's own parent that makes the next one the better
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
