--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,7 @@
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
-	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
+	leastTurn    = 1.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
