--- a/control/control.go
+++ b/control/control.go
@@ -39,9 +39,9 @@
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
-	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
+	growth       = 0.25    // share of what ends in time that a limit in use gains: doubled in about three turns
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
-	leastTurn    = 1.0     // multiple of that which a turn must see end, or chance would move the limit
+	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
@@ -587,6 +587,8 @@
 func (d *Dispatcher) move(l *allowance, work float64, late bool) {
 	if l.seen += work; late {
 		l.late += work
+	} else if l.out > l.most/2 {
+		l.most += growth * work
 	}
 	least := 0.0
 	for _, ds := range d.services {
@@ -602,7 +604,6 @@
 		}
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most/2:
-		l.most *= growth
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
 	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
