Leave a parent that owes fills and is silent

Cause: a hung parent showed as fills that failed after seconds, and its late fills closed the limit of the origin. Told from a hung cache by other answers of that cache. Also guards against a cut between caches and a parent; could leave a parent whose objects are all large.

--- a/control/api.go
+++ b/control/api.go
@@ -108,8 +108,7 @@
 	MaxForwards   int
 	MayCancel     bool
 	SecondCopies  bool
-	TellRetry     bool // a shed reply may name a time to come back
-	MaxRetryAfter float64
+	MaxRetryAfter float64 // longest stay away that a shed reply may name, 0 for none
 
 	ColdFrom, RampTime, TipMultiple, Fall float64
 	ParentColdFrom, ParentRamp, ParentTip float64
--- a/control/control.go
+++ b/control/control.go
@@ -39,7 +39,7 @@
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
-	growth       = 0.25    // share of what ends in time that a limit in use gains: doubled in about three turns
+	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
@@ -250,11 +250,7 @@
 	ran := g.firstRan()
 	d.cancel(g)
 	if g.ds.Effect == Idempotent || ran == nil || g.ds.Effect == Tokened && g.ds.Scope == AllHosts {
-		comeBack := 0.0
-		if d.TellRetry {
-			comeBack = math.Min(d.MaxRetryAfter, g.ds.Objective)
-		}
-		d.wire.Shed(g.ID, comeBack)
+		d.wire.Shed(g.ID, math.Min(d.MaxRetryAfter, g.ds.Objective))
 	} else {
 		d.wire.Error(g.ID)
 	}
@@ -385,11 +381,6 @@
 	return pass
 }
 
-// sourceFault tells whether a note lays a failure on the source of a fill, not on the host that tells of it.
-func sourceFault(n Note) bool {
-	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
-}
-
 func (d *Dispatcher) sound(h *host) {
 	h.fault *= 1 - learnFault
 	if h.left {
@@ -556,14 +547,14 @@
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
 		f.source.taken.add(d.now, f.work)
-		if d.Detail == Full {
+		if f.source.heard = d.now; d.Detail == Full {
 			d.sound(f.source)
 		}
-	case sourceFault(n):
+	case n == SourceFailed:
 		g.bad = append(g.bad, f.source)
-		if n == SourceFailed {
-			d.fault(f.source, false)
-		}
+		d.fault(f.source, false)
+	case sourceFault(n):
+		g.bad, f.source.heard = append(g.bad, f.source), d.now
 	}
 	return pass
 }
@@ -587,8 +578,6 @@
 func (d *Dispatcher) move(l *allowance, work float64, late bool) {
 	if l.seen += work; late {
 		l.late += work
-	} else if l.out > l.most/2 {
-		l.most += growth * work
 	}
 	least := 0.0
 	for _, ds := range d.services {
@@ -604,6 +593,7 @@
 		}
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most/2:
+		l.most *= growth
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
 	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
@@ -637,6 +627,9 @@
 		l.add(f.work)
 	}
 	d.due.Add(d.now+f.objective*(1+judged[len(judged)-1].slack), func() {
+		if f.miss && s.heard <= f.at {
+			judged = f.fill[:1]
+		}
 		if !f.back {
 			d.judge(f, true, judged)
 		}
@@ -691,7 +684,10 @@
 		return
 	}
 	h := f.host
-	if h.heard <= f.at && (h.left || h.out*times >= silentCount) {
+	if h.heard > f.at && f.miss && f.source.Kind == d.ParentKind {
+		h = f.source // the cache speaks, so it may wait for a silent parent
+	}
+	if h.heard <= f.at && (h.left || (h.out+h.fills)*times >= silentCount) {
 		d.leave(h)
 	}
 	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
--- a/control/state.go
+++ b/control/state.go
@@ -307,3 +307,8 @@
 	}
 	return fmt.Sprint(" ", group)
 }
+
+// sourceFault tells whether a note lays a failure on the source of a fill, not on the host that tells of it.
+func sourceFault(n Note) bool {
+	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
+}
