--- a/control/control.go
+++ b/control/control.go
@@ -367,7 +367,7 @@
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
 		if !sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
-			d.fault(h, a.Outcome == Unreached || a.Outcome == Dropped)
+			d.fault(h, a.Outcome != HostError)
 		}
 		g.bad = append(g.bad, h)
 	case NotTaken, Empty:
@@ -386,9 +386,6 @@
 	if h.left {
 		if h.streak++; h.streak >= trialsPassed {
 			h.left, h.wait, h.fault = false, 0, 0
-			if h.lost { // it may have restarted, cold, before the list tells
-				h.cold, h.lost, h.OnlineSince = true, false, d.now
-			}
 			d.wire.Log(fmt.Sprintf("host %d trusted again", h.ID))
 		}
 	}
@@ -398,7 +395,6 @@
 func (d *Dispatcher) fault(h *host, lost bool) {
 	h.fault += (1 - h.fault) * learnFault
 	if lost {
-		h.lost = true
 		h.fault += (1 - h.fault) * learnFault
 	}
 	if h.left || h.fault >= faulty {
--- a/control/state.go
+++ b/control/state.go
@@ -110,7 +110,6 @@
 	left        bool    // left until a trial
 	until, wait float64
 	streak      int
-	lost        bool // it could not be reached, or dropped a forward
 	cold        bool
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
