--- a/benchwire/decode.go
+++ b/benchwire/decode.go
@@ -132,8 +132,8 @@
 	return g, err
 }
 
-// Answer reads how a forward ended; names gives the order of the values of a load report.
-func (m Message) Answer(names []string) (control.Answer, error) {
+// Answer reads how a forward ended, and from a load report how crowded the way in is.
+func (m Message) Answer() (control.Answer, error) {
 	var a control.Answer
 	var host, waited json.RawMessage
 	var how string
@@ -148,12 +148,7 @@
 		return a, fmt.Errorf("%s: unknown outcome %q", m.Name, how)
 	}
 	a.Outcome, a.Elapsed = outcome, seconds(elapsed)
-	if report != nil {
-		a.Report = make([]float64, len(names))
-		for i, name := range names {
-			a.Report[i] = report[name]
-		}
-	}
+	a.Crowding = report["x1"]
 	return a, nil
 }
 
--- a/benchwire/settings.go
+++ b/benchwire/settings.go
@@ -33,11 +33,7 @@
 			MayCancel, RetryAfter, SecondCopies bool
 		}
 		MembershipMode, Weights string
-		Report                  struct {
-			How   string
-			Names []string
-		}
-		Rules struct {
+		Rules                   struct {
 			ColdFrom, TipMultiple float64
 			Fall, RampTime        int64
 		}
@@ -60,9 +56,6 @@
 	if o.Limits.RetryAfter {
 		s.MaxRetryAfter = seconds(o.Limits.MaxRetryAfter)
 	}
-	if o.Report.How == "piggyback" {
-		s.ReportNames = o.Report.Names
-	}
 	for _, seats := range x.SeatsByZone {
 		s.Seats = append(s.Seats, int(seats))
 	}
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -13,7 +13,6 @@
 type instance struct {
 	*control.Dispatcher
 	clock   benchwire.Clock
-	names   []string
 	service int // how many delivery services it knows
 }
 
@@ -103,7 +102,7 @@
 	}
 	clock := benchwire.Clock{Base: moment}
 	wire := benchwire.Wire{Reply: &l.reply, Clock: clock, Who: m.Who}
-	l.instances[m.Who] = &instance{control.New(s, 0, wire), clock, s.ReportNames, len(s.Services)}
+	l.instances[m.Who] = &instance{control.New(s, 0, wire), clock, len(s.Services)}
 	return nil
 }
 
@@ -119,7 +118,7 @@
 	case "demand":
 		return in.get(now, m)
 	case "answer":
-		a, err := m.Answer(in.names)
+		a, err := m.Answer()
 		if err == nil && !in.Answer(now, a) {
 			err = fmt.Errorf("answer: no forward %d of GET %d is out", a.Forward, a.GET)
 		}
--- a/control/api.go
+++ b/control/api.go
@@ -99,7 +99,6 @@
 	ParentKind, OriginKind int
 	FlowKB                 float64 // KB a second of one transfer at full pace
 	WeightsTold            bool    // weights count the transfers that a host's link carries
-	ReportNames            []string
 
 	Straight, Joins, Siblings bool
 	Detail                    Detail
@@ -148,13 +147,13 @@
 
 // Answer is how one forward ended.
 type Answer struct {
-	GET     uint32
-	Forward int
-	Outcome Outcome
-	Elapsed float64
-	Last    bool // the GET is finished
-	Note    Note
-	Report  []float64 // in the order of Settings.ReportNames, or nil
+	GET      uint32
+	Forward  int
+	Outcome  Outcome
+	Elapsed  float64
+	Last     bool // the GET is finished
+	Note     Note
+	Crowding float64 // reported: transfers on the way into the host's zone over those that fit at full pace, 0 for none
 }
 
 // Forward is what a host is asked to do with a GET.
--- a/control/control.go
+++ b/control/control.go
@@ -43,6 +43,7 @@
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
+	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
@@ -505,7 +506,7 @@
 	return share
 }
 
-// parent is the first usable one in the object's order over all listed parents, the next when it fails, or holds
+// parent is the first usable one in the object's order over all listed parents, the next if it fails or holds
 // its learned limit while the next bears clearly more, and the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
 	usable := without(byWeight(d.parents, g.item.objectHash), func(h *host) bool {
@@ -542,7 +543,8 @@
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
 		}
-		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective*(1+limits[len(limits)-1].slack), limits)
+		late := a.Elapsed > f.objective*(1+limits[len(limits)-1].slack) || a.Crowding > crowded
+		d.judge(f, a.Outcome != Returned || late, limits)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
