--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
-	crowded      = 1.3     // transfers on the way in over those that fit at full pace: fills halve theirs
+	crowded      = 1.5     // transfers on the way in over those that fit at full pace: fills lose a third of it
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
