--- a/control/control.go
+++ b/control/control.go
@@ -465,17 +465,15 @@
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
-	if !d.fills.room(d.weigh(g) / d.favour(g)) {
+	work := d.weigh(g) / d.favour(g)
+	source, spare := d.parent(g), d.origins.room(work)
+	if !d.fills.room(work) || source == nil || source == d.origin && !spare {
 		if g.source = d.neighbour(g); g.source == g.host && g.looked {
 			return d.giveUp(g)
 		}
 		return pass
 	}
-	if source := d.parent(g); source != nil {
-		g.source = source
-	}
-	g.heldOnly = g.source.Kind == d.ParentKind && !d.origins.room(d.weigh(g)/d.favour(g))
-	if g.heldOnly && g.lacked {
+	if g.source, g.heldOnly = source, source != d.origin && !spare; g.heldOnly && g.lacked {
 		return d.giveUp(g)
 	}
 	return pass
@@ -554,7 +552,9 @@
 		}
 	case n == SourceFailed:
 		g.bad = append(g.bad, f.source)
-		d.fault(f.source, false)
+		if f.source.heard <= f.at || a.Elapsed < d.overdue(g) { // else it waited for the origin in vain
+			d.fault(f.source, false)
+		}
 	case sourceFault(n):
 		g.bad, f.source.heard = append(g.bad, f.source), d.now
 	}
