--- a/control/control.go
+++ b/control/control.go
@@ -251,7 +251,7 @@
 	ran := g.firstRan()
 	d.cancel(g)
 	if g.ds.Effect == Idempotent || ran == nil || g.ds.Effect == Tokened && g.ds.Scope == AllHosts {
-		d.wire.Shed(g.ID, math.Min(d.MaxRetryAfter, g.ds.Objective))
+		d.wire.Shed(g.ID, math.Min(d.MaxRetryAfter, g.ds.Objective/2))
 	} else {
 		d.wire.Error(g.ID)
 	}
