Name a quarter of the latency objective to come back

A shed GET that comes back soon can still be in time, and most limits have room again by then. Could harm where clients do not stop asking.

--- a/control/control.go
+++ b/control/control.go
@@ -2,7 +2,6 @@
 // filled from. It is pure: no I/O, clock, goroutine or global. Make a Dispatcher with New, then call Hosts,
 // GET, Answer, Streaming, Left, Purged and Timer as things happen, and Settle after all of one moment.
 // Its answers go out through Wire; that interface and all data handed in are in api.go, types in state.go.
-//
 // The design (docs/design.md) decides the ordinary path; what departs from it says so where it stands.
 package control
 
@@ -36,6 +35,7 @@
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
 	clearlyMore  = 2.0     // multiple of the limit of an object's own parent that makes the next one the better
+	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
@@ -251,7 +251,7 @@
 	ran := g.firstRan()
 	d.cancel(g)
 	if g.ds.Effect == Idempotent || ran == nil || g.ds.Effect == Tokened && g.ds.Scope == AllHosts {
-		d.wire.Shed(g.ID, math.Min(d.MaxRetryAfter, g.ds.Objective/2))
+		d.wire.Shed(g.ID, math.Min(d.MaxRetryAfter, g.ds.Objective*comeBack))
 	} else {
 		d.wire.Error(g.ID)
 	}
