--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
-	clearlyMore  = 2.0     // multiple of the limit of an object's own parent that makes the next one the better
+	clearlyMore  = 4.0     // multiple of the limit of an object's own parent that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
@@ -43,7 +43,7 @@
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
-	crowded      = 1.5     // transfers on the way in over those that fit at full pace: fills lose a third of it
+	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
