--- a/control/control.go
+++ b/control/control.go
@@ -655,17 +655,13 @@
 		rank = 0
 	}
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, Rank: rank, MaxAge: d.maxAge(g),
-		Renew: g.ds.FreshFor > 0 && s != h, Join: d.Joins, HeldOnly: f.heldOnly})
+		Renew: g.ds.FreshFor > 0, Join: d.Joins, HeldOnly: f.heldOnly})
 	return kept
 }
 
-// maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one. A GET
-// that only looks takes an ageing copy where one earns something: it would be shed otherwise.
+// maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
 	age := 0.0
-	if g.source == g.host && g.ds.FreshFor > 0 && g.ds.AgedShare > 0 {
-		age = g.ds.FreshFor + g.ds.UsableAfter
-	}
 	for _, name := range []string{purgeName(g.Object, g.Group), purgeName("", g.Group)} {
 		if at, purged := d.purges[name]; purged && (age == 0 || d.now-at < age) {
 			age = math.Max(leastAge, d.now-at)
