Trust a left parent again by likely fills where answers carry no notes

Without notes nothing ever cleared a parent that was left, and it got single GETs for good; a table case shows it. Sites that tell hits only are judged like silent ones for what was not taken.

--- a/control/control.go
+++ b/control/control.go
@@ -534,7 +534,7 @@
 	}
 	g.lacked = f.heldOnly && a.Outcome == Empty
 	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
-		d.Detail == Silent && (f.miss || a.Outcome == NotTaken) || n == FilledByOrigin {
+		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin {
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
@@ -545,7 +545,7 @@
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
 		f.source.taken.add(d.now, f.work)
-		if f.source.heard = d.now; d.Detail == Full {
+		if f.source.heard = d.now; d.Detail == Full || f.miss {
 			d.sound(f.source)
 		}
 	case n == SourceFailed:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -482,3 +482,17 @@
 		assert.NotContains(t, r.calls, fmt.Sprintf("host %d left: it fails or is silent", id))
 	}
 }
+
+func TestALeftParentIsTrustedAgain(t *testing.T) {
+	for _, detail := range []Detail{Silent, HitOnly, Full} {
+		d, r := fleet(func(s *Settings) { s.Detail = detail })
+		d.leave(d.hosts[parentA])
+		note := map[Detail]Note{HitOnly: Filled, Full: Filled}[detail]
+		for i := range uint32(60) {
+			now := 1 + float64(i)/20
+			ask(d, now, i, fmt.Sprint("o", i))
+			answer(d, now+0.01, i, 0, Returned, note)
+		}
+		assert.False(t, d.hosts[parentA].left, "detail %d: %v", detail, r.calls)
+	}
+}
