--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,7 @@
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
 	clearlyMore  = 4.0     // multiple of the limit of an object's own parent that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
-	spareUnder   = 0.25    // share of the least makespan under which a cache not the object's is worth a miss
+	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -496,3 +496,39 @@
 		assert.False(t, d.hosts[parentA].left, "detail %d: %v", detail, r.calls)
 	}
 }
+
+func TestPassesOnOnlyToAMuchIdlerCache(t *testing.T) {
+	tests := []struct {
+		name       string
+		own, other float64
+		moves      bool
+	}{
+		{"own cache within the objective", 0.4, 0, false},
+		{"own cache over it, others hardly less", 2, 1.5, false},
+		{"own cache over it, others at a fraction", 2, 0.5, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.WeightsTold, s.FlowKB = true, 100 })
+			ask(d, 1, 7, "a")
+			own := r.last().Host
+			for _, h := range d.caches {
+				h.makespan, h.updated = tt.other, 1
+				if h.ID == own {
+					h.makespan = tt.own
+				}
+			}
+			ask(d, 1, 8, "a")
+			assert.Equal(t, tt.moves, r.last().Host != own)
+		})
+	}
+}
+
+func TestTheOriginHasALimitOfItsOwn(t *testing.T) {
+	d, r := fleet(nil)
+	d.origins.most, d.origins.out = 0.1, 0.1
+	ask(d, 1, 7, "a")
+	require.True(t, r.last().HeldOnly, "the parent gives what it holds")
+	answer(d, 1.1, 7, 0, Empty, SourceLacks)
+	assert.Equal(t, []uint32{7}, r.shed)
+}
