Let a limit grow back fast to half of what it bore before its cuts; full score

Cause: troubles pass, and the limits took long to find out. Could harm where a trouble comes back in turns.

--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
+	regrowth     = 2.0     // the same up to what was borne before late cuts, less by this: troubles pass
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
@@ -289,8 +290,7 @@
 	if len(usable) == 0 {
 		return d.straight(g, len(open) > 0)
 	}
-	objective := d.objective(g)
-	n, best := d.copies(g, len(ready)), usable[0]
+	n, best, objective := d.copies(g, len(ready)), usable[0], d.objective(g)
 	for i, h := range usable {
 		if i >= n && d.span(best) <= objective {
 			break
@@ -592,9 +592,10 @@
 		if l.most <= least {
 			l.slack += slackStep
 		}
+		l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most/2:
-		l.most *= growth
+		l.most = math.Max(l.most*growth, math.Min(regrowth*l.most, l.known))
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
 	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -532,3 +532,19 @@
 	answer(d, 1.1, 7, 0, Empty, SourceLacks)
 	assert.Equal(t, []uint32{7}, r.shed)
 }
+
+func TestALimitGrowsBackFastToWhatWasBorne(t *testing.T) {
+	d, _ := fleet(nil)
+	l := &allowance{most: 8, peak: 8, out: 8}
+	for range 4 {
+		d.move(l, 8, true)
+	}
+	low := l.most
+	require.Less(t, low, 1.0)
+	l.out = 8
+	d.move(l, 8, false)
+	assert.InDelta(t, 2*low, l.most, 1e-9, "doubled below what was borne")
+	l.most, l.known = 6, 2
+	d.move(l, 8, false)
+	assert.InDelta(t, 6*growth, l.most, 1e-9, "grown with care above it")
+}
--- a/control/state.go
+++ b/control/state.go
@@ -120,6 +120,7 @@
 type allowance struct {
 	out, most  float64 // s
 	slack      float64 // share by which the latency objective may be passed
+	known      float64 // s; half of what it was before late cuts, to which it grows back fast
 	turn       float64 // start of the turn
 	start      float64 // s; what was under way at its start: a turn's worth
 	peak       float64 // s; most that was under way in it
