--- a/control/control.go
+++ b/control/control.go
@@ -539,6 +539,8 @@
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
+		} else if n == SourceRefused || n == SourceFailed {
+			limits = f.fill[:1] // tells of the source alone
 		}
 		late := a.Elapsed > f.objective*(1+limits[len(limits)-1].slack) || a.Crowding > crowded
 		d.judge(f, a.Outcome != Returned || late, limits)
