--- a/control/control.go
+++ b/control/control.go
@@ -534,6 +534,9 @@
 		return pass
 	}
 	g.lacked = f.heldOnly && a.Outcome == Empty
+	if n == SourceFailed && f.source.heard > f.at && a.Elapsed >= d.overdue(g) {
+		n = OriginFailed // a source that speaks waited for it in vain
+	}
 	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
 		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin {
 		limits := f.fill
@@ -553,9 +556,7 @@
 		}
 	case n == SourceFailed:
 		g.bad = append(g.bad, f.source)
-		if f.source.heard <= f.at || a.Elapsed < d.overdue(g) { // else it waited for the origin in vain
-			d.fault(f.source, false)
-		}
+		d.fault(f.source, false)
 	case sourceFault(n):
 		g.bad, f.source.heard = append(g.bad, f.source), d.now
 	}
