--- a/control/control.go
+++ b/control/control.go
@@ -420,8 +420,8 @@
 	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0) {
 		return false
 	}
-	budget, used := d.budget(h), h.spent(d.now-d.Fall)
-	return used == 0 || used+work <= budget
+	used := h.spent(d.now - d.Fall)
+	return used == 0 || used+work <= d.budget(h)
 }
 
 // budget is the sending time that this dispatcher may send a host in one window; a warm one has no limit.
@@ -534,15 +534,12 @@
 		return pass
 	}
 	g.lacked = f.heldOnly && a.Outcome == Empty
-	if n == SourceFailed && f.source.heard > f.at && a.Elapsed >= d.overdue(g) {
-		n = OriginFailed // a source that speaks waited for it in vain
-	}
 	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
 		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin {
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
-		} else if n == SourceRefused || n == SourceFailed {
+		} else if n == SourceFailed {
 			limits = f.fill[:1] // tells of the source alone
 		}
 		late := a.Elapsed > f.objective*(1+limits[len(limits)-1].slack) || a.Crowding > crowded
@@ -556,7 +553,9 @@
 		}
 	case n == SourceFailed:
 		g.bad = append(g.bad, f.source)
-		d.fault(f.source, false)
+		if f.source.heard <= f.at || a.Elapsed < d.overdue(g) { // else it waited for the origin in vain
+			d.fault(f.source, false)
+		}
 	case sourceFault(n):
 		g.bad, f.source.heard = append(g.bad, f.source), d.now
 	}
