--- a/control/control.go
+++ b/control/control.go
@@ -70,9 +70,7 @@
 func (d *Dispatcher) Hosts(now float64, form ListForm, entries []HostEntry) {
 	d.now = now
 	if form == FailedCall {
-		if d.OnRequest {
-			d.due.Add(now+leaveFor, d.wire.Subscribe)
-		}
+		d.due.Add(now+leaveFor, d.wire.Subscribe) // only who asks for lists is told of this
 		return
 	}
 	if form != Changes {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -318,26 +318,13 @@
 }
 
 func TestSources(t *testing.T) {
-	tests := []struct {
-		name string
-		note Note
-		kind int
-		want string
-	}{
-		{"a source that refused is passed over", SourceRefused, 1, "next"},
-		{"a source that failed is passed over", SourceFailed, 1, "next"},
-		{"a full cache is no fault of the source", NoFillPlace, 1, "same"},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			d, r := fleet(nil)
-			ask(d, 1, 7, "a")
-			answer(d, 1.1, 7, 0, NotTaken, tt.note)
-			require.Len(t, r.forwards, 2)
-			same := r.forwards[0].Source == r.forwards[1].Source
-			assert.Equal(t, tt.want == "same", same)
-			assert.Equal(t, tt.want == "next", r.forwards[0].Host == r.forwards[1].Host)
-		})
+	for note, next := range map[Note]bool{SourceRefused: true, SourceFailed: true, NoFillPlace: false} {
+		d, r := fleet(nil)
+		ask(d, 1, 7, "a")
+		answer(d, 1.1, 7, 0, NotTaken, note)
+		require.Len(t, r.forwards, 2)
+		assert.Equal(t, next, r.forwards[0].Source != r.forwards[1].Source, "a source at fault is passed over")
+		assert.Equal(t, next, r.forwards[0].Host == r.forwards[1].Host, "a cache at fault is passed over")
 	}
 }
 
@@ -369,15 +356,11 @@
 
 func TestAFaultyCacheIsLeftAndTrustedAgain(t *testing.T) {
 	d, r := fleet(nil)
-	bad := true
 	var id uint32
 	for now := 1.0; now < 30; now += 0.1 {
-		if bad = now < 5; now > 5 && r.calls == nil {
-			break
-		}
 		id++
 		ask(d, now, id, fmt.Sprint("o", id%20))
-		if f := r.last(); f.Host == cacheA && bad {
+		if r.last().Host == cacheA && now < 5 {
 			answer(d, now+0.01, id, 0, HostError, NoNote)
 			answer(d, now+0.02, id, 1, Returned, Hit)
 		} else {
@@ -548,3 +531,18 @@
 	d.move(l, 8, false)
 	assert.InDelta(t, 6*growth, l.most, 1e-9, "grown with care above it")
 }
+
+func TestAFailingParentDoesNotCloseTheWayIn(t *testing.T) {
+	d, r := fleet(nil)
+	for i := range uint32(80) {
+		now := 1 + float64(i)/20
+		ask(d, now, i, fmt.Sprint("o", i))
+		for n := len(r.forwards); r.last().Source == parentA; n = len(r.forwards) {
+			answer(d, now+0.01, i, len(d.gets[i].forwards)-1, HostError, SourceFailed)
+			require.Greater(t, len(r.forwards), n, "the GET goes on")
+		}
+		answer(d, now+0.02, i, len(d.gets[i].forwards)-1, Returned, Filled)
+	}
+	assert.Empty(t, r.shed)
+	assert.True(t, d.fills.room(1))
+}
