--- a/control/control_test.go
+++ b/control/control_test.go
@@ -437,16 +437,14 @@
 
 func TestSecondCopiesOnlyWhereAllowed(t *testing.T) {
 	for _, allowed := range []bool{true, false} {
-		t.Run(fmt.Sprint(allowed), func(t *testing.T) {
-			d, r := fleet(func(s *Settings) { s.SecondCopies = allowed })
-			ask(d, 1, 7, "a")
-			d.leave(d.hosts[r.last().Host])
-			tickTo(d, 1, 3)
-			assert.Len(t, r.cancelled, 1)
-			assert.Equal(t, allowed, len(r.forwards) > 1)
-			answer(d, 3.1, 7, 0, Revoked, NoNote)
-			assert.Len(t, r.forwards, 2, "once the first is back the GET goes on in any case")
-		})
+		d, r := fleet(func(s *Settings) { s.SecondCopies = allowed })
+		ask(d, 1, 7, "a")
+		d.leave(d.hosts[r.last().Host])
+		tickTo(d, 1, 3)
+		assert.Len(t, r.cancelled, 1)
+		assert.Equal(t, allowed, len(r.forwards) > 1)
+		answer(d, 3.1, 7, 0, Revoked, NoNote)
+		assert.Len(t, r.forwards, 2, "once the first is back the GET goes on in any case")
 	}
 }
 
