--- a/benchwire/settings.go
+++ b/benchwire/settings.go
@@ -21,7 +21,7 @@
 			ClassWrite                                 []bool
 			FlowKbPerS, ParentBreaksAt, ParentColdFrom float64
 			GoneEverywhere, ParentCold                 int64
-			GoodFor, UsableAfter                       []int64
+			GoodFor                                    []int64
 			NoteLevel, Sideways                        string
 			SharesFills, Straight                      bool
 			ShieldKind                                 *int
@@ -63,7 +63,7 @@
 		s.Services = append(s.Services, control.DeliveryService{
 			Objective: seconds(c.Aim), Stretch: c.AimStretch, ViewerTimeout: seconds(c.Deadline), Revenue: c.Worth,
 			Effect: effects[c.Effect], Scope: scopes[c.DedupScope], RepeatWindow: seconds(c.RepeatWindow),
-			FreshFor: seconds(at(x.GoodFor, i)), UsableAfter: seconds(at(x.UsableAfter, i)), Write: at(x.ClassWrite, i),
+			FreshFor: seconds(at(x.GoodFor, i)), Write: at(x.ClassWrite, i),
 		})
 	}
 	return s, nil
--- a/control/api.go
+++ b/control/api.go
@@ -83,7 +83,6 @@
 	Scope              Scope
 	RepeatWindow       float64 // how long repeats of a tokened GET are known
 	FreshFor           float64 // the fresh time of a copy, 0 for no limit
-	UsableAfter        float64 // how much older a copy may be when asked for
 	Write              bool    // runs at the origin and leaves no copy
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -466,10 +466,7 @@
 	source, spare := d.parent(g), d.origins.room(work)
 	if !d.fills.room(work) || source == nil || source == d.origin && !spare {
 		if g.source = d.neighbour(g); g.source == g.host && g.looked {
-			if g.aged || g.ds.UsableAfter == 0 {
-				return d.giveUp(g)
-			}
-			g.aged = true // an ageing copy earns more than none
+			return d.giveUp(g)
 		}
 		return pass
 	}
@@ -667,9 +664,6 @@
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
 	age := 0.0
-	if g.aged {
-		age = g.ds.FreshFor + g.ds.UsableAfter
-	}
 	for _, name := range []string{purgeName(g.Object, g.Group), purgeName("", g.Group)} {
 		if at, purged := d.purges[name]; purged && (age == 0 || d.now-at < age) {
 			age = math.Max(leastAge, d.now-at)
--- a/control/state.go
+++ b/control/state.go
@@ -168,7 +168,6 @@
 	heldOnly     bool    // the source is to give only what it holds
 	lacked       bool    // and it did not
 	looked       bool    // the host was asked and lacks the object
-	aged         bool    // an ageing copy will do
 }
 
 // Dispatcher decides for one instance.
