Fold twin checks, name a number, and take no parent for a neighbour

A GET's told sending time and the time a cache is thought to hold an object stood in three and two places, now in one each (an object is now held to the end of its window by one comparison, not two that differed at the exact end). The half of a limit that must be in use has its constant. A parent that had returned an object straight could be taken for a neighbour and fill past the limit; the table case fails without the check. A setting that nothing read is gone.

--- a/benchwire/settings.go
+++ b/benchwire/settings.go
@@ -12,9 +12,9 @@
 	var o struct {
 		Balancers, Index, Zone int
 		Classes                []struct {
-			Aim, Deadline, RepeatWindow  int64
-			AimStretch, LateWorth, Worth float64
-			DedupScope, Effect           string
+			Aim, Deadline, RepeatWindow int64
+			AimStretch, Worth           float64
+			DedupScope, Effect          string
 		}
 		Extra struct {
 			SeatsByZone                                []float64
--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 	bucketSpan   = 2.0     // s; the design's: one bucket of the count table
 	buckets      = 5       // count; the design's: 5 buckets of 2 s are its window of 10 s
 	tableSize    = 1 << 15 // objects; bounds the count table to a few MB
-	fewestCounts = 6       // GETs; below so many a count says nothing of demand, and the object keeps one cache
+	fewestCounts = 6       // GETs; below so many a count says nothing, and the object keeps one cache
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
@@ -28,23 +28,24 @@
 	leastAge     = 1e-6    // s; the least age that can be asked for: none would mean any
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 4       // forwards out times overdue, of a host that said nothing since: fewer may be large
+	silentCount  = 4       // forwards out times overdue at a silent host: fewer may be large objects
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
 	leaveSpread  = 0.5     // share of the stay by which chance spreads it: dispatchers should not try at once
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
-	clearlyMore  = 4.0     // multiple of the limit of an object's own parent that makes the next one the better
+	clearlyMore  = 4.0     // multiple of the own parent's limit that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
-	turnedMost   = 1       // times; a GET turned away more often finds all ways full, and fills them more
+	turnedMost   = 1       // times; a GET turned away more often finds all ways full
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
+	inUse        = 0.5     // share of a limit that must be under way for a turn in time to say it is too low
 	regrowth     = 2.0     // the same up to what was borne before late cuts, less by this: troubles pass
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
-	slackStep    = 0.25    // share of the latency objective by which more is borne when fewer did not help
+	slackStep    = 0.25    // share of the objective by which more is borne when fewer did not help
 	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
@@ -204,8 +205,8 @@
 // count bumps the object's count in the bounded, aged table.
 func (d *Dispatcher) count(g *get) {
 	g.item = d.items.touch(g.Object, g.Part)
-	if g.SizeKB > 0 && d.FlowKB > 0 {
-		g.ds.sending.add(g.SizeKB/d.FlowKB, learnSize)
+	if told := d.sending(g); told > 0 {
+		g.ds.sending.add(told, learnSize)
 	}
 	g.item.demand.add(d.now, g.size())
 	d.total.add(d.now, g.size())
@@ -311,8 +312,8 @@
 
 func (d *Dispatcher) objective(g *get) float64 {
 	work := d.weigh(g)
-	if g.SizeKB > 0 && d.FlowKB > 0 {
-		work = g.SizeKB / d.FlowKB
+	if told := d.sending(g); told > 0 {
+		work = told
 	}
 	return math.Min(g.ds.Objective+g.ds.Stretch*work, g.ds.ViewerTimeout)
 }
@@ -356,11 +357,11 @@
 		h.taken.add(d.now, f.work)
 		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learn)
 		g.ds.usual.add(a.Elapsed, learn)
-		if (g.SizeKB <= 0 || d.FlowKB <= 0) && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
+		if d.sending(g) == 0 && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
 			// Crowding must not pass for size: the objective would grow with it, and nothing look late.
 			g.ds.sending.add(math.Min(a.Elapsed, g.ds.Objective), learnSize)
 		}
-		g.item.holder, g.item.held = h, d.now
+		g.item.holder, g.item.heldTo = h, d.now+buckets*bucketSpan
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
 			d.judge(f, a.Elapsed > f.objective*(1+h.under.slack), f.under[:1])
 		}
@@ -479,15 +480,14 @@
 // neighbour is the cache that returned the object last, where it may supply a fill; else the host itself.
 func (d *Dispatcher) neighbour(g *get) *host {
 	h := g.item.holder
-	if !d.Siblings || h == nil || d.now-g.item.held > buckets*bucketSpan || slices.Contains(g.bad, h) ||
+	if !d.Siblings || !slices.Contains(d.caches, h) || d.now > g.item.heldTo || slices.Contains(g.bad, h) ||
 		!d.open(h, d.weigh(g)) || !h.under.room(d.weigh(g)) {
 		return g.host
 	}
 	return h
 }
 
-// favour is the multiple of a limit that a GET may fill: more for delivery services that earn more for their
-// sending time, less for objects not asked for before, whose copy may never be asked for again.
+// favour is the multiple of a limit open to a GET: by its revenue for its sending time, and if known before.
 func (d *Dispatcher) favour(g *get) float64 {
 	share := 1.0
 	for _, ds := range d.services {
@@ -594,7 +594,7 @@
 		}
 		l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
-	case l.out > l.most/2:
+	case l.out > l.most*inUse:
 		l.most = math.Max(l.most*growth, math.Min(regrowth*l.most, l.known))
 		l.slack = math.Max(0, l.slack-slackStep)
 	}
@@ -606,7 +606,7 @@
 	h, s := g.host, g.source
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
-	held := g.item.holder == h && d.now-g.item.held < buckets*bucketSpan && !g.looked
+	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
 	f.sideways = s != h && slices.Contains(d.caches, s)
 	f.miss = s != h && !f.sideways && !held
 	f.under, f.fill = []*allowance{&h.under}, []*allowance{&s.under, &d.fills}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -8,9 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const (
-	cacheA, cacheB, cacheC, parentA, parentB, origin = 11, 12, 13, 21, 22, 31
-)
+const cacheA, cacheB, cacheC, parentA, parentB, origin = 11, 12, 13, 21, 22, 31
 
 // recorder is a Wire that keeps what went out.
 type recorder struct {
@@ -415,8 +413,10 @@
 }
 
 func TestALookThatFindsNothingIsShedAtOnce(t *testing.T) {
-	d, r := fleet(nil)
+	d, r := fleet(func(s *Settings) { s.Siblings = true })
 	d.fills.most, d.fills.out = 0.1, 0.1
+	known := d.items.touch("a", 0)
+	known.holder, known.heldTo = d.parents[0], 9 // a parent that returned it straight is no neighbour
 	ask(d, 1, 7, "a")
 	require.Equal(t, r.last().Host, r.last().Source)
 	answer(d, 1.01, 7, 0, Empty, NoNote)
--- a/control/state.go
+++ b/control/state.go
@@ -36,7 +36,7 @@
 	place      *list.Element
 	again      bool    // asked for before
 	holder     *host   // the cache that returned it last
-	held       float64 // and when
+	heldTo     float64 // and until when it is thought to hold it
 }
 
 // table finds the items by name, and drops the least lately used beyond its size.
@@ -313,3 +313,11 @@
 func sourceFault(n Note) bool {
 	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
 }
+
+// sending is the GET's sending time by its size, 0 where that is not told.
+func (d *Dispatcher) sending(g *get) float64 {
+	if g.SizeKB <= 0 || d.FlowKB <= 0 {
+		return 0
+	}
+	return g.SizeKB / d.FlowKB
+}
