Let cold hosts earn credit, so that many dispatchers spread their single GETs

Each now spends what its share of the host earns and starts from a chance part of the first GET. Could keep a host idle that few dispatchers need.

--- a/benchwire/settings.go
+++ b/benchwire/settings.go
@@ -22,7 +22,7 @@
 			FlowKbPerS, ParentBreaksAt, ParentColdFrom float64
 			GoneEverywhere, ParentCold                 int64
 			GoodFor                                    []int64
-			NoteLevel, Sideways                        string
+			NoteLevel                                  string
 			SharesFills, Straight                      bool
 			ShieldKind                                 *int
 			SourceKind                                 *int
@@ -46,7 +46,7 @@
 		Index: o.Index, Dispatchers: o.Balancers, Zone: o.Zone,
 		ParentKind: kind(x.ShieldKind), OriginKind: kind(x.SourceKind),
 		FlowKB: x.FlowKbPerS, WeightsTold: o.Weights == "nominal" || o.Weights == "rough",
-		Straight: x.Straight, Joins: x.SharesFills, Siblings: x.Sideways == "location" || x.Sideways == "any",
+		Straight: x.Straight, Joins: x.SharesFills,
 		Detail: details[x.NoteLevel], OnRequest: o.MembershipMode == "on_request",
 		MaxForwards: o.Limits.MaxAttempts, MayCancel: o.Limits.MayCancel, SecondCopies: o.Limits.SecondCopies,
 		ColdFrom: o.Rules.ColdFrom, RampTime: seconds(o.Rules.RampTime), TipMultiple: o.Rules.TipMultiple,
--- a/control/api.go
+++ b/control/api.go
@@ -98,9 +98,9 @@
 	FlowKB                 float64 // KB a second of one transfer at full pace
 	WeightsTold            bool    // weights count the transfers that a host's link carries
 
-	Straight, Joins, Siblings bool
-	Detail                    Detail
-	OnRequest                 bool // the list of hosts must be asked for
+	Straight, Joins bool
+	Detail          Detail
+	OnRequest       bool // the list of hosts must be asked for
 
 	MaxForwards   int
 	MayCancel     bool
--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,7 @@
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
+	saved        = 0.25    // share of a window's budget of a cold host that may be saved up, one GET at least
 	clearlyMore  = 4.0     // multiple of the own parent's limit that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
@@ -102,7 +103,7 @@
 		h.OnlineSince = since
 		return
 	}
-	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan = true, false, 0, 0, 0, 0
+	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credited = true, false, 0, 0, 0, 0, 0
 }
 
 // GET takes a client's GET; it is answered through the wire, now or later, exactly once.
@@ -419,12 +420,22 @@
 	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0) {
 		return false
 	}
-	used := h.spent(d.now - d.Fall)
-	return used == 0 || used+work <= d.budget(h)
+	pace := d.pace(h, work)
+	if !h.cold {
+		return true
+	}
+	if h.credited == 0 {
+		h.credited, h.credit = d.now, d.chance(h)*work
+	}
+	h.credit = math.Min(h.credit+pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved))
+	h.credited = d.now
+	return h.credit >= work
 }
 
-// budget is the sending time that this dispatcher may send a host in one window; a warm one has no limit.
-func (d *Dispatcher) budget(h *host) float64 {
+// pace is the sending time a second that this dispatcher may send a cold host. What it earns may be less than a
+// GET in a window: it then saves for one, from a chance part of it on. Guards against many dispatchers that are
+// told of a start together and each send one GET at once; could keep a host idle that only few of them need.
+func (d *Dispatcher) pace(h *host, work float64) float64 {
 	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.Dispatchers
 	if h.Kind == d.ParentKind {
 		from, ramp, tip, alike = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.parents
@@ -432,17 +443,17 @@
 		sharers = d.Seats[h.Zone]
 	}
 	age := math.Max(0, d.now-h.OnlineSince)
-	if !h.cold || age >= ramp || h.Kind == d.OriginKind {
-		h.cold = false
-		return math.Inf(1)
+	h.cold = h.cold && age < ramp && h.Kind != d.OriginKind
+	if !h.cold {
+		return 0
 	}
 	rate := d.warmRate(alike)
 	if d.WeightsTold {
 		rate = h.Weight / float64(max(1, sharers))
 	} else if rate == 0 {
-		rate = d.warm
+		rate = math.Max(d.warm, work/d.Fall/float64(max(1, sharers))) // it can do one GET in a window at least
 	}
-	return (from + (1-from)*age/ramp) * rate * tip * coldPart * d.Fall
+	return (from + (1-from)*age/ramp) * rate * tip * coldPart
 }
 
 // warmRate is the mean sending time a second that warm hosts among these return to this dispatcher.
@@ -457,7 +468,7 @@
 }
 
 // fill names the source of a miss: the object's parent, the next one, or the origin. While fills are at their
-// limit a neighbour is the source, or else a GET only looks whether the cache holds it, and is shed if not.
+// limit a GET only looks whether the cache holds the object, and is shed if not.
 func (d *Dispatcher) fill(g *get) verdict {
 	g.source, g.heldOnly = g.host, false
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
@@ -466,7 +477,7 @@
 	work := d.weigh(g) / d.favour(g)
 	source, spare := d.parent(g), d.origins.room(work)
 	if !d.fills.room(work) || source == nil || source == d.origin && !spare {
-		if g.source = d.neighbour(g); g.source == g.host && g.looked {
+		if g.looked {
 			return d.giveUp(g)
 		}
 		return pass
@@ -477,16 +488,6 @@
 	return pass
 }
 
-// neighbour is the cache that returned the object last, where it may supply a fill; else the host itself.
-func (d *Dispatcher) neighbour(g *get) *host {
-	h := g.item.holder
-	if !d.Siblings || !slices.Contains(d.caches, h) || d.now > g.item.heldTo || slices.Contains(g.bad, h) ||
-		!d.open(h, d.weigh(g)) || !h.under.room(d.weigh(g)) {
-		return g.host
-	}
-	return h
-}
-
 // favour is the multiple of a limit open to a GET: by its revenue for its sending time, and if known before.
 func (d *Dispatcher) favour(g *get) float64 {
 	share := 1.0
@@ -520,10 +521,6 @@
 // judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears.
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
-	if f.sideways && a.Outcome != Returned {
-		g.bad, g.item.holder = append(g.bad, f.source), nil
-		return pass
-	}
 	if f.source == f.host {
 		if a.Outcome == Empty && !g.over {
 			g.looked = true
@@ -607,16 +604,12 @@
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
-	f.sideways = s != h && slices.Contains(d.caches, s)
-	f.miss = s != h && !f.sideways && !held
+	f.miss = s != h && !held
 	f.under, f.fill = []*allowance{&h.under}, []*allowance{&s.under, &d.fills}
-	if f.sideways {
-		f.fill = f.fill[:1]
-	}
 	if s != h {
 		f.under = append(f.under, &s.under)
 		s.fills++
-		s.spend(d.now, f.work)
+		s.credit -= f.work
 	}
 	judged := f.under[:1]
 	if f.miss {
@@ -647,7 +640,7 @@
 	}
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
-	h.spend(d.now, f.work)
+	h.credit -= f.work
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f, 1) })
 	rank := 1
 	if g.item.again {
--- a/control/state.go
+++ b/control/state.go
@@ -113,7 +113,8 @@
 	cold        bool
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
-	recent      []sent // what went to it within the last window of its cold budget
+	credit      float64 // s; what may be sent to it while it is cold, as of credited
+	credited    float64 // 0 before the first look
 }
 
 // allowance limits the sending time of what is under way, judged turn by turn.
@@ -135,8 +136,6 @@
 	l.peak = math.Max(l.peak, l.out)
 }
 
-type sent struct{ at, work float64 }
-
 type forward struct {
 	number       int
 	host, source *host
@@ -149,7 +148,6 @@
 	moot         bool         // given up on
 	ran          bool         // may have run
 	miss         bool         // counts as a fill under way
-	sideways     bool         // its source is a neighbour
 	under, fill  []*allowance // that it counts in, its host's first; that judge it as a fill
 	judged       *allowance   // that counted its end
 	heldOnly     bool         // the source was to give only what it holds
@@ -262,22 +260,6 @@
 	return float64(mix(sum.Sum64())>>11) / (1 << 53)
 }
 
-// spent sums what went to the host after an instant, and forgets what went before.
-func (h *host) spent(after float64) (total float64) {
-	h.recent = slices.DeleteFunc(h.recent, func(s sent) bool { return s.at <= after })
-	for _, s := range h.recent {
-		total += s.work
-	}
-	return total
-}
-
-// spend books work against the budget of a cold host.
-func (h *host) spend(now, work float64) {
-	if h.cold {
-		h.recent = append(h.recent, sent{now, work})
-	}
-}
-
 // end closes a GET's books; it is forgotten when its last forward is back.
 func (d *Dispatcher) end(g *get) verdict {
 	g.over = true
