Take a host for silent by three overdue forwards, not by one counted four times

Cause: at full size a dispatcher has one forward out at a cache for most of the time; one large object was counted again at each overdue time, its cache left, its objects sent on as misses, and trust came back only after three single GETs.

--- a/control/control.go
+++ b/control/control.go
@@ -28,7 +28,7 @@
 	leastAge     = 1e-6    // s; the least age that can be asked for: none would mean any
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 4       // forwards out times overdue at a silent host: fewer may be large objects
+	silentCount  = 3       // overdue forwards at a silent host, two of them apart: fewer may be large objects
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
 	leaveSpread  = 0.5     // share of the stay by which chance spreads it: dispatchers should not try at once
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
@@ -543,7 +543,7 @@
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
 		f.source.taken.add(d.now, f.work)
-		if f.source.heard = d.now; d.Detail == Full || f.miss {
+		if f.source.hear(d.now); d.Detail == Full || f.miss {
 			d.sound(f.source)
 		}
 	case n == SourceFailed:
@@ -552,7 +552,8 @@
 			d.fault(f.source, false)
 		}
 	case sourceFault(n):
-		g.bad, f.source.heard = append(g.bad, f.source), d.now
+		g.bad = append(g.bad, f.source)
+		f.source.hear(d.now)
 	}
 	return pass
 }
@@ -632,7 +633,7 @@
 	g.forwards = append(g.forwards, f)
 	g.out++
 	if h.out == 0 {
-		h.heard = d.now
+		h.hear(d.now)
 	}
 	added := d.serving(h)
 	if h.bandwidth(d) > 0 {
@@ -641,7 +642,7 @@
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
 	h.credit -= f.work
-	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f, 1) })
+	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 	rank := 1
 	if g.item.again {
 		rank = 2
@@ -674,7 +675,7 @@
 }
 
 // late looks at a forward that is overdue: a host that has been silent since is left, and its GETs move on.
-func (d *Dispatcher) late(g *get, f *forward, times int) {
+func (d *Dispatcher) late(g *get, f *forward) {
 	if f.back || f.moot || g.over {
 		return
 	}
@@ -682,11 +683,13 @@
 	if h.heard > f.at && f.miss && f.source.Kind == d.ParentKind {
 		h = f.source // the cache speaks, so it may wait for a silent parent
 	}
-	if h.heard <= f.at && (h.left || (h.out+h.fills)*times >= silentCount) {
-		d.leave(h)
+	if h.heard <= f.at {
+		if h.silent++; h.left || h.silent >= silentCount && h.out+h.fills > 1 {
+			d.leave(h)
+		}
 	}
 	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
-		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f, times+1) })
+		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 		return
 	}
 	d.wire.Cancel(g.ID, f.number)
@@ -707,7 +710,7 @@
 		l.out -= f.work
 	}
 	if o := f.answer.Outcome; o != Revoked && o != Unused && o != Expired {
-		f.host.heard = d.now
+		f.host.hear(d.now)
 	}
 	if f.source != f.host {
 		f.source.fills--
--- a/control/state.go
+++ b/control/state.go
@@ -106,6 +106,7 @@
 	updated     float64
 	serving     learned // s; what one GET adds to the makespan where no bandwidth is told
 	heard       float64 // when it last answered, or had nothing out
+	silent      int     // forwards found overdue since
 	fault       float64 // share of late outcomes that were faults
 	left        bool    // left until a trial
 	until, wait float64
@@ -260,6 +261,9 @@
 	return float64(mix(sum.Sum64())>>11) / (1 << 53)
 }
 
+// hear books a sign of life.
+func (h *host) hear(now float64) { h.heard, h.silent = now, 0 }
+
 // end closes a GET's books; it is forgotten when its last forward is back.
 func (d *Dispatcher) end(g *get) verdict {
 	g.over = true
