Let a makespan be one learned time at least, and weigh silence by what else is out

Silence: a lone forward never makes a host silent; where notes tell of failed fills only overdue forwards count, elsewhere all that are out.

--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
+	learnServing = 0.2     // share; the same for a host's serving time, of which a dispatcher sees few
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
 	uncrowded    = 1       // forwards out beside one whose time still tells of its size
 	unknownSend  = 0.5     // share of the latency objective taken for a sending time before any is known
@@ -28,7 +29,7 @@
 	leastAge     = 1e-6    // s; the least age that can be asked for: none would mean any
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
 	overdueLeast = 0.25    // s; below this jitter and handshakes look like silence
-	silentCount  = 3       // overdue forwards at a silent host, two of them apart: fewer may be large objects
+	silentCount  = 3       // overdue forwards at a silent host, not alone there: fewer may be large objects
 	leaveFor     = 1.0     // s; first stay away from a host that was left, doubled each time a trial fails
 	leaveSpread  = 0.5     // share of the stay by which chance spreads it: dispatchers should not try at once
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
@@ -142,8 +143,7 @@
 func (d *Dispatcher) Streaming(now float64, id uint32, number int) {
 	d.now = now
 	if g := d.gets[id]; g != nil && number >= 0 && number < len(g.forwards) {
-		g.forwards[number].moot = true
-		d.end(g)
+		g.forwards[number].moot = d.end(g) == ended
 	}
 }
 
@@ -327,13 +327,14 @@
 	return g.ds.sending.mean
 }
 
-// span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for.
+// span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for,
+// and it is one learned time at least: a host that others crowd is slow with nothing of ours out at it.
 func (d *Dispatcher) span(h *host) float64 {
-	span, seen := math.Max(0, h.makespan-(d.now-h.updated)), float64(h.out)*d.serving(h)
+	span, one := math.Max(0, h.makespan-(d.now-h.updated)), d.serving(h)
 	if h.bandwidth(d) > 0 {
-		return math.Max(span, seen)
+		return math.Max(span, float64(h.out)*one)
 	}
-	return math.Min(span, seen)
+	return math.Max(math.Min(span, float64(h.out)*one), one)
 }
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
@@ -356,7 +357,7 @@
 	switch a.Outcome {
 	case Returned:
 		h.taken.add(d.now, f.work)
-		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learn)
+		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
 		g.ds.usual.add(a.Elapsed, learn)
 		if d.sending(g) == 0 && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
 			// Crowding must not pass for size: the objective would grow with it, and nothing look late.
@@ -432,9 +433,9 @@
 	return h.credit >= work
 }
 
-// pace is the sending time a second that this dispatcher may send a cold host. What it earns may be less than a
-// GET in a window: it then saves for one, from a chance part of it on. Guards against many dispatchers that are
-// told of a start together and each send one GET at once; could keep a host idle that only few of them need.
+// pace is the sending time a second that this dispatcher may send a cold host. Too little for a GET is
+// saved up, from a chance part of one on. Guards against many dispatchers that send one GET each right after
+// a start; could keep a host idle that only few of them need.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
 	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.Dispatchers
 	if h.Kind == d.ParentKind {
@@ -643,10 +644,7 @@
 	h.out++
 	h.credit -= f.work
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
-	rank := 1
-	if g.item.again {
-		rank = 2
-	}
+	rank := map[bool]int{false: 1, true: 2}[g.item.again]
 	if g.ds.Write {
 		rank = 0
 	}
@@ -683,8 +681,12 @@
 	if h.heard > f.at && f.miss && f.source.Kind == d.ParentKind {
 		h = f.source // the cache speaks, so it may wait for a silent parent
 	}
+	others := h.out + h.fills - 1 // one forward alone may be of a large object
+	if d.Detail == Full {
+		others = min(others, 1) // they may wait for a parent or the origin; a note will tell
+	}
 	if h.heard <= f.at {
-		if h.silent++; h.left || h.silent >= silentCount && h.out+h.fills > 1 {
+		if h.silent += others; h.left || h.silent >= silentCount {
 			d.leave(h)
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -455,6 +455,46 @@
 	}
 }
 
+func TestSilenceNeedsMoreThanOneLargeObject(t *testing.T) {
+	tests := []struct {
+		name     string
+		detail   Detail
+		forwards int
+		left     bool
+	}{
+		{"one forward alone is no silence", Silent, 1, false},
+		{"nor where notes tell", Full, 1, false},
+		{"two that stay out are", Full, 2, true},
+		{"many are", Silent, 4, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.Detail = tt.detail })
+			for i := range uint32(tt.forwards) {
+				ask(d, 1+float64(i)/10, i, "a")
+			}
+			tickTo(d, 1, 4.5)
+			assert.Equal(t, tt.left, len(r.calls) > 0)
+		})
+	}
+}
+
+func TestACacheSlowedByOthersIsPassedOver(t *testing.T) {
+	d, r := fleet(nil)
+	ask(d, 1, 0, "a")
+	own := d.hosts[r.last().Host]
+	answer(d, 1.1, 0, 0, Returned, Hit)
+	for _, h := range d.caches {
+		h.serving.add(0.1, 1)
+	}
+	ask(d, 1.2, 1, "a")
+	assert.Equal(t, own.ID, r.last().Host)
+	answer(d, 1.3, 1, 0, Returned, Hit)
+	own.serving.add(3, 1) // nothing of ours is out at it
+	ask(d, 1.4, 2, "a")
+	assert.NotEqual(t, own.ID, r.last().Host)
+}
+
 func TestASilentParentIsLeft(t *testing.T) {
 	d, r := fleet(nil)
 	for i := range uint32(80) { // parent A never answers; hits and the other parent's fills come back
