Open the limit on fills with this dispatcher's share of its zone instead of without limit

Told from a wrong limit by the caches' fill places, full in the first ten seconds only. The first limit is now a number of GETs for each cache of its share (caches over dispatchers of the zone); it doubles until the first cut.

--- a/benchwire/settings.go
+++ b/benchwire/settings.go
@@ -18,7 +18,6 @@
 		}
 		Extra struct {
 			SeatsByZone                                []float64
-			ClassWrite                                 []bool
 			FlowKbPerS, ParentBreaksAt, ParentColdFrom float64
 			GoneEverywhere, ParentCold                 int64
 			GoodFor                                    []int64
@@ -63,7 +62,7 @@
 		s.Services = append(s.Services, control.DeliveryService{
 			Objective: seconds(c.Aim), Stretch: c.AimStretch, ViewerTimeout: seconds(c.Deadline), Revenue: c.Worth,
 			Effect: effects[c.Effect], Scope: scopes[c.DedupScope], RepeatWindow: seconds(c.RepeatWindow),
-			FreshFor: seconds(at(x.GoodFor, i)), Write: at(x.ClassWrite, i),
+			FreshFor: seconds(at(x.GoodFor, i)),
 		})
 	}
 	return s, nil
--- a/control/api.go
+++ b/control/api.go
@@ -83,7 +83,6 @@
 	Scope              Scope
 	RepeatWindow       float64 // how long repeats of a tokened GET are known
 	FreshFor           float64 // the fresh time of a copy, 0 for no limit
-	Write              bool    // runs at the origin and leaves no copy
 }
 
 // Settings is what a dispatcher is told at its start. Times are in seconds.
--- a/control/control.go
+++ b/control/control.go
@@ -6,6 +6,7 @@
 package control
 
 import (
+	"cmp"
 	"container/list"
 	"fmt"
 	"math"
@@ -42,12 +43,12 @@
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
+	opening      = 16.0    // GETs; fills under way at first for each cache of its share of the zone
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	inUse        = 0.5     // share of a limit that must be under way for a turn in time to say it is too low
 	regrowth     = 2.0     // the same up to what was borne before late cuts, less by this: troubles pass
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
-	slackStep    = 0.25    // share of the objective by which more is borne when fewer did not help
 	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
@@ -85,6 +86,18 @@
 		d.list(e)
 	}
 	d.regroup()
+	if math.IsInf(d.fills.most, 1) && len(d.caches) > 0 {
+		// Guards against a first second with no limit, which few answers a dispatcher would close late.
+		d.fills.most = opening * float64(len(d.caches)) / d.sharers(d.Zone) * d.services[0].Objective * unknownSend
+	}
+}
+
+// sharers is the number of dispatchers that send into a zone.
+func (d *Dispatcher) sharers(zone int) float64 {
+	if zone < len(d.Seats) && d.Seats[zone] > 0 {
+		return float64(d.Seats[zone])
+	}
+	return math.Max(1, float64(d.Dispatchers))
 }
 
 func (d *Dispatcher) list(e HostEntry) {
@@ -99,8 +112,7 @@
 		return
 	}
 	since := h.OnlineSince
-	h.HostEntry = e
-	if !e.OnlineSinceIsTold || e.OnlineSince <= since {
+	if h.HostEntry = e; !e.OnlineSinceIsTold || e.OnlineSince <= since {
 		h.OnlineSince = since
 		return
 	}
@@ -177,9 +189,7 @@
 	for act, ok := d.due.Pop(now); ok; act, ok = d.due.Pop(now) {
 		act()
 	}
-	if rate := d.warmRate(d.caches); rate > 0 {
-		d.warm = rate
-	}
+	d.warm = cmp.Or(d.warmRate(d.caches), d.warm)
 }
 
 // Settle serves the line of further forwards, after all first ones of the moment.
@@ -365,7 +375,7 @@
 		}
 		g.item.holder, g.item.heldTo = h, d.now+buckets*bucketSpan
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
-			d.judge(f, a.Elapsed > f.objective*(1+h.under.slack), f.under[:1])
+			d.judge(f, a.Elapsed > f.objective, f.under[:1])
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
@@ -437,11 +447,10 @@
 // saved up, from a chance part of one on. Guards against many dispatchers that send one GET each right after
 // a start; could keep a host idle that only few of them need.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
-	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.Dispatchers
+	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.sharers(h.Zone)
 	if h.Kind == d.ParentKind {
 		from, ramp, tip, alike = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.parents
-	} else if h.Zone < len(d.Seats) {
-		sharers = d.Seats[h.Zone]
+		sharers = float64(d.Dispatchers)
 	}
 	age := math.Max(0, d.now-h.OnlineSince)
 	h.cold = h.cold && age < ramp && h.Kind != d.OriginKind
@@ -450,9 +459,9 @@
 	}
 	rate := d.warmRate(alike)
 	if d.WeightsTold {
-		rate = h.Weight / float64(max(1, sharers))
+		rate = h.Weight / sharers
 	} else if rate == 0 {
-		rate = math.Max(d.warm, work/d.Fall/float64(max(1, sharers))) // it can do one GET in a window at least
+		rate = math.Max(d.warm, work/d.Fall/sharers) // it can do one GET in a window at least
 	}
 	return (from + (1-from)*age/ramp) * rate * tip * coldPart
 }
@@ -477,13 +486,11 @@
 	}
 	work := d.weigh(g) / d.favour(g)
 	source, spare := d.parent(g), d.origins.room(work)
-	if !d.fills.room(work) || source == nil || source == d.origin && !spare {
-		if g.looked {
-			return d.giveUp(g)
-		}
-		return pass
+	look := !d.fills.room(work) || source == nil || source == d.origin && !spare
+	if !look {
+		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
-	if g.source, g.heldOnly = source, source != d.origin && !spare; g.heldOnly && g.lacked {
+	if look && g.looked || g.heldOnly && g.lacked {
 		return d.giveUp(g)
 	}
 	return pass
@@ -538,7 +545,7 @@
 		} else if n == SourceFailed {
 			limits = f.fill[:1] // tells of the source alone
 		}
-		late := a.Elapsed > f.objective*(1+limits[len(limits)-1].slack) || a.Crowding > crowded
+		late := a.Elapsed > f.objective || a.Crowding > crowded
 		d.judge(f, a.Outcome != Returned || late, limits)
 	}
 	switch {
@@ -561,7 +568,7 @@
 
 // judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
 // time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
-// or origin, new objects. It could shed needlessly where fewer GETs are not faster; slack answers that.
+// or origin, new objects. It could shed needlessly where fewer GETs are not faster.
 func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
 	if f.judged == limits[0] {
 		return
@@ -588,14 +595,12 @@
 	}
 	switch share := l.late / l.seen; {
 	case share > lateShare:
-		if l.most <= least {
-			l.slack += slackStep
-		}
 		l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most*inUse:
-		l.most = math.Max(l.most*growth, math.Min(regrowth*l.most, l.known))
-		l.slack = math.Max(0, l.slack-slackStep)
+		if l.most *= growth; l.known == 0 || l.most < l.known { // never cut, or borne before
+			l.most *= regrowth / growth
+		}
 	}
 	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
 }
@@ -623,7 +628,7 @@
 	for _, l := range f.under {
 		l.add(f.work)
 	}
-	d.due.Add(d.now+f.objective*(1+judged[len(judged)-1].slack), func() {
+	d.due.Add(d.now+f.objective, func() {
 		if f.miss && s.heard <= f.at {
 			judged = f.fill[:1]
 		}
@@ -645,9 +650,6 @@
 	h.credit -= f.work
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
 	rank := map[bool]int{false: 1, true: 2}[g.item.again]
-	if g.ds.Write {
-		rank = 0
-	}
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, Rank: rank, MaxAge: d.maxAge(g),
 		Renew: g.ds.FreshFor > 0, Join: d.Joins, HeldOnly: f.heldOnly})
 	return kept
@@ -666,10 +668,7 @@
 
 // overdue is the time after which a forward without an answer raises suspicion.
 func (d *Dispatcher) overdue(g *get) float64 {
-	if g.ds.usual.n == 0 {
-		return d.objective(g)
-	}
-	return math.Max(overdueLeast, overdueTimes*g.ds.usual.mean)
+	return math.Max(overdueLeast, overdueTimes*cmp.Or(g.ds.usual.mean, d.objective(g)/overdueTimes))
 }
 
 // late looks at a forward that is overdue: a host that has been silent since is left, and its GETs move on.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -215,7 +215,8 @@
 			sent := 0
 			for index := range tt.alike {
 				d, r := fleet(func(s *Settings) {
-					s.WeightsTold, s.Index, s.Seats, s.Dispatchers = tt.told, index, []int{tt.alike}, tt.alike
+					s.WeightsTold, s.Index, s.Dispatchers = tt.told, index, tt.alike
+					s.Seats = []int{max(1, tt.alike*(1-tt.kind))}
 				})
 				for i := range uint32(200) { // the warm rate: ten GETs a second over three caches
 					ask(d, float64(i)/10, i, fmt.Sprint("o", i))
@@ -455,6 +456,23 @@
 	}
 }
 
+func TestTheWayInOpensWithItsShareOfTheZone(t *testing.T) {
+	for _, alike := range []int{1, 12} {
+		d, r := fleet(func(s *Settings) { s.Seats = []int{alike} })
+		for i := range uint32(200) { // nothing has come back yet
+			ask(d, 1, i, fmt.Sprint("o", i))
+		}
+		fills := 0
+		for _, f := range r.forwards {
+			if f.Source != f.Host {
+				fills++
+			}
+		}
+		assert.LessOrEqual(t, fills, 200/alike)
+		assert.Greater(t, fills, 1)
+	}
+}
+
 func TestSilenceNeedsMoreThanOneLargeObject(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/control/state.go
+++ b/control/state.go
@@ -121,7 +121,6 @@
 // allowance limits the sending time of what is under way, judged turn by turn.
 type allowance struct {
 	out, most  float64 // s
-	slack      float64 // share by which the latency objective may be passed
 	known      float64 // s; half of what it was before late cuts, to which it grows back fast
 	turn       float64 // start of the turn
 	start      float64 // s; what was under way at its start: a turn's worth
