--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,7 @@
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full
-	lateShare    = 0.2     // share of a turn's GETs that came late or not at all above which their limit falls
+	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	opening      = 16.0    // GETs; fills under way at first for each cache of its share of the zone
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
