--- a/control/control.go
+++ b/control/control.go
@@ -50,7 +50,6 @@
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
-	roomy        = 1.0     // the same, up to which the way in makes no fill late
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
@@ -147,9 +146,6 @@
 	}
 	f := g.forwards[a.Forward]
 	f.answer, f.back = a, true
-	if a.Outcome == Returned && slices.Contains(d.caches, f.host) {
-		d.way, d.reported = a.Crowding, d.reported || a.Crowding > 0
-	}
 	for i := len(d.chain) - 1; i >= 0 && d.chain[i].back(g, f) == pass; i-- {
 	}
 	return true
@@ -579,9 +575,6 @@
 	}
 	f.judged = limits[0]
 	for _, l := range limits {
-		if late && l == &d.fills && d.reported && d.way <= roomy {
-			l = &f.host.under // the way in has room, so its cache is what is slow
-		}
 		if f.at >= l.turn {
 			d.move(l, f.work, late)
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -186,8 +186,6 @@
 	due      due.Queue[func()]
 	further  []*get
 	chances  uint64
-	way      float64   // last reported crowding of the way in
-	reported bool      // answers tell of it
 	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
 	fills    allowance // of the fills under way, as far as known
 	origins  allowance // of those that may need the origin
