--- a/benchwire/decode.go
+++ b/benchwire/decode.go
@@ -148,7 +148,7 @@
 		return a, fmt.Errorf("%s: unknown outcome %q", m.Name, how)
 	}
 	a.Outcome, a.Elapsed = outcome, seconds(elapsed)
-	a.Crowding, a.Busy = report["x1"], report["utilization"]
+	a.Crowding = report["x1"]
 	return a, nil
 }
 
--- a/control/api.go
+++ b/control/api.go
@@ -150,7 +150,6 @@
 	Elapsed  float64
 	Last     bool // the GET is finished
 	Note     Note
-	Busy     float64 // reported: share of the host's work that is taken, 0 for none
 	Crowding float64 // reported: transfers on the way into the host's zone over those that fit at full pace, 0 for none
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -50,7 +50,6 @@
 	leastUnder   = 2.0     // GETs of the largest delivery service that a limit always leaves room for
 	leastTurn    = 2.0     // multiple of that which a turn must see end, or chance would move the limit
 	crowded      = 2.0     // transfers on the way in over those that fit at full pace: fills halve theirs
-	leastIdle    = 0.1     // share
 	favoured     = 3.0     // multiple of a limit open to delivery services that earn more for their sending time
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
@@ -341,7 +340,7 @@
 // span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for,
 // and it is one learned time at least: a host that others crowd is slow with nothing of ours out at it.
 func (d *Dispatcher) span(h *host) float64 {
-	span, one := math.Max(0, h.makespan-(d.now-h.updated)), d.serving(h)/math.Max(leastIdle, 1-h.busy)
+	span, one := math.Max(0, h.makespan-(d.now-h.updated)), d.serving(h)
 	if h.bandwidth(d) > 0 {
 		return math.Max(span, float64(h.out)*one)
 	}
@@ -368,7 +367,6 @@
 	switch a.Outcome {
 	case Returned:
 		h.taken.add(d.now, f.work)
-		h.busy = a.Busy
 		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
 		g.ds.usual.add(a.Elapsed, learn)
 		if d.sending(g) == 0 && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
--- a/control/state.go
+++ b/control/state.go
@@ -105,7 +105,6 @@
 	makespan    float64 // s; the design's estimate, as of updated
 	updated     float64
 	serving     learned // s; what one GET adds to the makespan where no bandwidth is told
-	busy        float64 // reported last
 	heard       float64 // when it last answered, or had nothing out
 	silent      int     // forwards found overdue since
 	fault       float64 // share of late outcomes that were faults
