Leave an origin that fails behind its parents like any host

Told from failing parents by the notes and by what they still held. Now such failures count as faults of the origin; it is left, tried by one GET at a time and trusted after three answers. A GET whose fill failed is not looked up again. Could leave an origin for up to 8 s after it is back; single trials bound that.

--- a/control/control.go
+++ b/control/control.go
@@ -107,8 +107,7 @@
 			under: allowance{most: math.Inf(1)}}
 		d.hosts[e.ID] = h
 	}
-	if e.Phase == Gone {
-		h.Phase = Gone
+	if h.Phase = e.Phase; e.Phase == Gone {
 		return
 	}
 	since := h.OnlineSince
@@ -322,19 +321,12 @@
 }
 
 func (d *Dispatcher) objective(g *get) float64 {
-	work := d.weigh(g)
-	if told := d.sending(g); told > 0 {
-		work = told
-	}
-	return math.Min(g.ds.Objective+g.ds.Stretch*work, g.ds.ViewerTimeout)
+	return math.Min(g.ds.Objective+g.ds.Stretch*cmp.Or(d.sending(g), d.weigh(g)), g.ds.ViewerTimeout)
 }
 
 // weigh is what a GET counts for in a budget: its delivery service's mean sending time.
 func (d *Dispatcher) weigh(g *get) float64 {
-	if g.ds.sending.n == 0 {
-		return g.ds.Objective * unknownSend
-	}
-	return g.ds.sending.mean
+	return cmp.Or(g.ds.sending.mean, g.ds.Objective*unknownSend)
 }
 
 // span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for,
@@ -486,6 +478,9 @@
 	}
 	work := d.weigh(g) / d.favour(g)
 	source, spare := d.parent(g), d.origins.room(work)
+	if o := d.origin; o != nil && o.left { // it is tried by one GET at a time, itself or behind a parent
+		spare = d.now >= o.until && d.origins.held == 0
+	}
 	look := !d.fills.room(work) || source == nil || source == d.origin && !spare
 	if !look {
 		g.source, g.heldOnly = source, source != d.origin && !spare
@@ -526,7 +521,9 @@
 	return usable[0]
 }
 
-// judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears.
+// judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears. An
+// origin that fails behind parents is left like any host. Guards against many dispatchers that keep it down by
+// fast failures, which no limit on what is under way bounds.
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
 	if f.source == f.host {
@@ -536,7 +533,7 @@
 		}
 		return pass
 	}
-	g.lacked = f.heldOnly && a.Outcome == Empty
+	g.lacked, g.looked = f.heldOnly && a.Outcome == Empty, g.looked || sourceFault(n)
 	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
 		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin {
 		limits := f.fill
@@ -561,7 +558,12 @@
 		}
 	case sourceFault(n):
 		g.bad = append(g.bad, f.source)
-		f.source.hear(d.now)
+		if f.source.hear(d.now); n == OriginFailed && d.origin != nil {
+			d.fault(d.origin, false)
+		}
+	}
+	if n == FilledByOrigin && a.Outcome == Returned && d.origin != nil && f.source != d.origin {
+		d.sound(d.origin)
 	}
 	return pass
 }
@@ -708,7 +710,7 @@
 	g.out--
 	f.host.out--
 	for _, l := range f.under {
-		l.out -= f.work
+		l.drop(f.work)
 	}
 	if o := f.answer.Outcome; o != Revoked && o != Unused && o != Expired {
 		f.host.hear(d.now)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -424,7 +424,7 @@
 
 func TestALookThatFindsNothingIsShedAtOnce(t *testing.T) {
 	d, r := fleet(nil)
-	d.fills.most, d.fills.out = 0.1, 0.1
+	d.fills.most, d.fills.held = 0.1, 1
 	ask(d, 1, 7, "a")
 	require.Equal(t, r.last().Host, r.last().Source)
 	answer(d, 1.01, 7, 0, Empty, NoNote)
@@ -572,13 +572,37 @@
 
 func TestTheOriginHasALimitOfItsOwn(t *testing.T) {
 	d, r := fleet(nil)
-	d.origins.most, d.origins.out = 0.1, 0.1
+	d.origins.most, d.origins.held = 0.1, 1
 	ask(d, 1, 7, "a")
 	require.True(t, r.last().HeldOnly, "the parent gives what it holds")
 	answer(d, 1.1, 7, 0, Empty, SourceLacks)
 	assert.Equal(t, []uint32{7}, r.shed)
 }
 
+func TestAFailingOriginIsLeftBehindItsParents(t *testing.T) {
+	d, r := fleet(nil)
+	for i := range uint32(4) { // parents speak, the origin behind them fails fast
+		ask(d, 1, i, fmt.Sprint("o", i))
+		for f := 0; len(r.shed) <= int(i) && f < 6; f++ {
+			answer(d, 1.01, i, f, HostError, OriginFailed)
+		}
+	}
+	require.True(t, d.origin.left)
+	for _, parent := range d.parents {
+		assert.False(t, parent.left)
+	}
+	ask(d, 1.2, 10, "p")
+	assert.True(t, r.last().HeldOnly, "parents give what they hold")
+	for i := range uint32(3) {
+		ask(d, 10+float64(i), 20+i, fmt.Sprint("q", i))
+		assert.False(t, r.last().HeldOnly, "a trial")
+		ask(d, 10+float64(i), 30+i, fmt.Sprint("r", i))
+		assert.True(t, r.last().HeldOnly, "one at a time")
+		answer(d, 10.1+float64(i), 20+i, 0, Returned, FilledByOrigin)
+	}
+	assert.False(t, d.origin.left)
+}
+
 func TestALimitGrowsBackFastToWhatWasBorne(t *testing.T) {
 	d, _ := fleet(nil)
 	l := &allowance{most: 8, peak: 8, out: 8}
--- a/control/state.go
+++ b/control/state.go
@@ -121,6 +121,7 @@
 // allowance limits the sending time of what is under way, judged turn by turn.
 type allowance struct {
 	out, most  float64 // s
+	held       int     // forwards that out sums
 	known      float64 // s; half of what it was before late cuts, to which it grows back fast
 	turn       float64 // start of the turn
 	start      float64 // s; what was under way at its start: a turn's worth
@@ -129,13 +130,19 @@
 }
 
 // room tells whether more may go; where nothing is under way something always may, or nothing would be learned.
-func (l *allowance) room(work float64) bool { return l.out <= 0 || l.out+work <= l.most }
+func (l *allowance) room(work float64) bool { return l.held == 0 || l.out+work <= l.most }
 
 func (l *allowance) add(work float64) {
+	l.held++
 	l.out += work
 	l.peak = math.Max(l.peak, l.out)
 }
 
+func (l *allowance) drop(work float64) {
+	l.held--
+	l.out -= work
+}
+
 type forward struct {
 	number       int
 	host, source *host
