--- a/control/control.go
+++ b/control/control.go
@@ -388,9 +388,6 @@
 
 func (d *Dispatcher) sound(h *host) {
 	h.fault *= 1 - learnFault
-	if h.lost {
-		h.lost, h.cold, h.OnlineSince, h.credited = false, true, d.now, 0
-	}
 	if h.streak++; h.left && h.streak >= trialsPassed {
 		h.left, h.wait, h.fault = false, 0, 0
 		d.wire.Log(fmt.Sprintf("host %d trusted again", h.ID))
@@ -402,7 +399,6 @@
 	h.fault += (1 - h.fault) * learnFault
 	if lost {
 		h.fault += (1 - h.fault) * learnFault
-		h.lost = h.left || h.fault >= faulty
 	}
 	if h.left || h.fault >= faulty {
 		d.leave(h)
--- a/control/state.go
+++ b/control/state.go
@@ -112,7 +112,6 @@
 	until, wait float64
 	streak      int
 	cold        bool
-	lost        bool    // nothing came from it, so it may have started anew
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
 	credit      float64 // s; what may be sent to it while it is cold, as of credited
