--- a/control/control.go
+++ b/control/control.go
@@ -359,7 +359,7 @@
 	switch a.Outcome {
 	case Returned:
 		h.taken.add(d.now, f.work)
-		h.serving.add(math.Min(a.Elapsed, 2*f.objective)/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
+		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
 		g.ds.usual.add(a.Elapsed, learn)
 		if d.sending(g) == 0 && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
 			// Crowding must not pass for size: the objective would grow with it, and nothing look late.
