--- a/control/control.go
+++ b/control/control.go
@@ -486,7 +486,12 @@
 		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
 	if look && g.looked || g.heldOnly && g.lacked {
-		return d.giveUp(g)
+		if g.waited {
+			return d.giveUp(g)
+		}
+		g.waited = true
+		d.due.Add(d.now+comeBack*g.ds.Objective, func() { d.again(g) })
+		return kept
 	}
 	return pass
 }
