--- a/control/control.go
+++ b/control/control.go
@@ -486,12 +486,7 @@
 		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
 	if look && g.looked || g.heldOnly && g.lacked {
-		if g.waited {
-			return d.giveUp(g)
-		}
-		g.waited = true
-		d.due.Add(d.now+comeBack*g.ds.Objective, func() { d.again(g) })
-		return kept
+		return d.giveUp(g)
 	}
 	return pass
 }
--- a/control/state.go
+++ b/control/state.go
@@ -172,7 +172,6 @@
 	bad          []*host // that failed it, as host or as source
 	heldOnly     bool    // the source is to give only what it holds
 	lacked       bool    // and it did not
-	waited       bool
 	looked       bool    // the host was asked and lacks the object
 }
 
