--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
+	oneCrowded   = 0.15    // share; so many more must be late for the limit on all caches, as one may be crowded
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	opening      = 16.0    // GETs; fills under way at first for each cache of its share of the zone
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
@@ -58,7 +59,8 @@
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
 		items: table{byName: map[string]*item{}, byUse: list.New()}, purges: map[string]float64{},
-		fills: allowance{most: math.Inf(1)}, origins: allowance{most: math.Inf(1)}}
+		fills: allowance{most: math.Inf(1)}, origins: allowance{most: math.Inf(1)},
+		all: allowance{most: math.Inf(1), bears: oneCrowded}}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -296,7 +298,7 @@
 		return slices.Contains(g.bad, h) || !g.grouped(h) || !d.open(h, d.weigh(g))
 	})
 	usable := without(open, func(h *host) bool { return !h.under.room(d.weigh(g) / d.favour(g)) })
-	if len(usable) == 0 {
+	if len(usable) == 0 || !d.all.room(d.weigh(g)/d.favour(g)) {
 		return d.straight(g, len(open) > 0)
 	}
 	n, best, objective := d.copies(g, len(ready)), usable[0], d.objective(g)
@@ -367,7 +369,7 @@
 		}
 		g.item.holder, g.item.heldTo = h, d.now+buckets*bucketSpan
 		if a.Note == Hit || d.Detail == Silent && !f.miss {
-			d.judge(f, a.Elapsed > f.objective, f.under[:1])
+			d.judge(f, a.Elapsed > f.objective, f.under[:2])
 		}
 		d.sound(h)
 	case HostError, Dropped, Unreached, Expired:
@@ -521,9 +523,8 @@
 	return usable[0]
 }
 
-// judgeFill learns from an answer how sound the source of its fill is, and how many fills the way in bears. An
-// origin that fails behind parents is left like any host. Guards against many dispatchers that keep it down by
-// fast failures, which no limit on what is under way bounds.
+// judgeFill learns how sound the source of a fill is, and what the way in bears. An origin that fails behind
+// parents is left like any host: many dispatchers' fast failures, which no limit bounds, would keep it down.
 func (d *Dispatcher) judgeFill(g *get, f *forward) verdict {
 	a, n := f.answer, f.answer.Note
 	if f.source == f.host {
@@ -568,8 +569,8 @@
 	return pass
 }
 
-// judge moves the limit of what may be under way to a cache, or as fills, by how it comes back: up while in
-// time, down when not. It guards against collapse whatever the cause: a crowded or slow cache, link, parent
+// judge moves the limit of what may be out to a cache, to all, or as fills, by how it comes back: up in time,
+// down when not. It guards against collapse whatever the cause: a burst, a crowded or slow cache, link, parent
 // or origin, new objects. It could shed needlessly where fewer GETs are not faster.
 func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
 	if f.judged == limits[0] {
@@ -596,7 +597,7 @@
 		return
 	}
 	switch share := l.late / l.seen; {
-	case share > lateShare:
+	case share > lateShare+l.bears:
 		l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
 		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
 	case l.out > l.most*inUse:
@@ -614,13 +615,13 @@
 		objective: d.objective(g)}
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
 	f.miss = s != h && !held
-	f.under, f.fill = []*allowance{&h.under}, []*allowance{&s.under, &d.fills}
+	f.under, f.fill = []*allowance{&h.under, &d.all}, []*allowance{&s.under, &d.fills}
 	if s != h {
 		f.under = append(f.under, &s.under)
 		s.fills++
 		s.credit -= f.work
 	}
-	judged := f.under[:1]
+	judged := f.under[:2]
 	if f.miss {
 		f.under, judged = append(f.under, &d.fills), f.fill
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -484,7 +485,7 @@
 		{"fills in time keep their limit open", 0.1, Returned, Filled, false},
 		{"late fills close it", 2, Returned, Filled, true},
 		{"refused fills close it", 0.1, NotTaken, NoFillPlace, true},
-		{"late hits do not", 2, Returned, Hit, false},
+		{"late hits do not, but close that on all caches", 2, Returned, Hit, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -498,8 +499,8 @@
 				}
 				tickTo(d, now+tt.elapsed, now+2.9)
 			}
-			looked := slices.ContainsFunc(r.forwards, func(f Forward) bool { return f.Source == f.Host })
-			assert.Equal(t, tt.looks, looked)
+			assert.Equal(t, tt.looks, slices.ContainsFunc(r.forwards, func(f Forward) bool { return f.Source == f.Host }))
+			assert.Equal(t, tt.note != Filled, !math.IsInf(d.all.most, 1), "the limit on all caches")
 		})
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -122,6 +122,7 @@
 type allowance struct {
 	out, most  float64 // s
 	held       int     // forwards that out sums
+	bears      float64 // share of late ends that is borne beyond the usual
 	known      float64 // s; half of what it was before late cuts, to which it grows back fast
 	turn       float64 // start of the turn
 	start      float64 // s; what was under way at its start: a turn's worth
@@ -195,6 +196,7 @@
 	chances  uint64
 	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
 	fills    allowance // of the fills under way, as far as known
+	all      allowance // of all that is under way to caches
 	origins  allowance // of those that may need the origin
 }
 
