--- a/control/control.go
+++ b/control/control.go
@@ -570,8 +570,8 @@
 }
 
 // judge moves the limit of what may be out to a cache, to all, or as fills, by how it comes back: up in time,
-// down when not. It guards against collapse whatever the cause: a burst, a crowded or slow cache, link, parent
-// or origin, new objects. It could shed needlessly where fewer GETs are not faster.
+// down when not. It guards against collapse whatever the cause: a burst, a crowded or slow cache, link,
+// parent or origin, new objects. It could shed needlessly where fewer GETs are not faster.
 func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
 	if f.judged == limits[0] {
 		return
