--- a/control/control.go
+++ b/control/control.go
@@ -88,9 +88,10 @@
 		d.list(e)
 	}
 	d.regroup()
-	if math.IsInf(d.fills.most, 1) && len(d.caches) > 0 {
+	if math.IsInf(d.fills.most, 1) && len(d.caches) > 0 && len(d.services) > 0 {
 		// Guards against a first second with no limit, which few answers a dispatcher would close late.
-		d.fills.most = opening * float64(len(d.caches)) / d.sharers(d.Zone) * d.services[0].Objective * unknownSend
+		ds := slices.MaxFunc(d.services, func(a, b *service) int { return cmp.Compare(a.Objective, b.Objective) })
+		d.fills.most = opening * float64(len(d.caches)) / d.sharers(d.Zone) * ds.Objective * unknownSend
 	}
 }
 
@@ -432,8 +433,7 @@
 	if h.credited == 0 {
 		h.credited, h.credit = d.now, d.chance(h)*work
 	}
-	h.credit = math.Min(h.credit+pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved))
-	h.credited = d.now
+	h.credited, h.credit = d.now, math.Min(h.credit+pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved))
 	return h.credit >= work
 }
 
@@ -444,7 +444,7 @@
 	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.sharers(h.Zone)
 	if h.Kind == d.ParentKind {
 		from, ramp, tip, alike = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.parents
-		sharers = float64(d.Dispatchers)
+		sharers = d.sharers(len(d.Seats)) // all
 	}
 	age := math.Max(0, d.now-h.OnlineSince)
 	h.cold = h.cold && age < ramp && h.Kind != d.OriginKind
