--- a/control/control.go
+++ b/control/control.go
@@ -501,7 +501,7 @@
 			share = favoured
 		}
 	}
-	if !g.item.again {
+	if !g.item.again && d.now > buckets*bucketSpan { // before a window has passed all are new
 		share *= newcomer
 	}
 	return share
