--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,7 @@
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
-	learnServing = 0.2     // share; the same for a host's serving time, of which a dispatcher sees few
+	learnServing = 0.2     // share; the same for a serving time: about five, as a dispatcher sees few a host
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
 	uncrowded    = 1       // forwards out beside one whose time still tells of its size
 	unknownSend  = 0.5     // share of the latency objective taken for a sending time before any is known
@@ -36,7 +36,7 @@
 	leaveMost    = 8.0     // s; longest stay away, so that a host that came back is found
 	trialsPassed = 3       // answers in a row after which a host on trial is trusted again
 	coldPart     = 0.75    // share of the budget that a cold host is sent: the rest is for chance and error
-	saved        = 0.25    // share of a window's budget of a cold host that may be saved up, one GET at least
+	saved        = 0.25    // share of a cold host's window that may be saved up: with coldPart under one
 	clearlyMore  = 4.0     // multiple of the own parent's limit that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
@@ -44,7 +44,7 @@
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	oneCrowded   = 0.15    // share; so many more must be late for the limit on all caches, as one may be crowded
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
-	opening      = 16.0    // GETs; fills under way at first for each cache of its share of the zone
+	opening      = 16.0    // GETs; fills out at first a cache of its share: fewer shed in calm, more come late
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
 	inUse        = 0.5     // share of a limit that must be under way for a turn in time to say it is too low
 	regrowth     = 2.0     // the same up to what was borne before late cuts, less by this: troubles pass
