Run the module as a real dispatcher on sockets: the first whole path

Clients, cache hosts and the change log are each a parser that knows no socket and a thin driver; internal/node turns what they read into calls on the module. Settings are decoded in one place for both programs.

--- a/benchwire/decode.go
+++ b/benchwire/decode.go
@@ -8,6 +8,7 @@
 	"math"
 
 	"elderwall/control"
+	"elderwall/settings"
 )
 
 // Clock turns the wire's instants into seconds from a base and back.
@@ -87,9 +88,9 @@
 	if err := m.read(&seed, &options); err != nil {
 		return control.Settings{}, err
 	}
-	s, err := DecodeSettings(options)
+	s, err := settings.Decode(options)
 	s.Seed = uint64(seed)
-	return s, err
+	return s.Settings, err
 }
 
 // Hosts reads a list of hosts.
--- /dev/null
+++ b/cmd/elderwall/config.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"elderwall/internal/changelog"
+	"elderwall/settings"
+)
+
+// config is what a dispatcher is told.
+type config struct {
+	Name, Listen, Seed string
+	Limits             struct {
+		Cores    float64
+		MemoryMB int64 `json:"memory_mb"`
+		Sockets  int
+	}
+	Changelog string
+	Known     changelog.Known
+	Settings  json.RawMessage
+
+	settings settings.Settings
+}
+
+// readConfig reads the file that the environment names, and checks what nothing can start without.
+func readConfig() (*config, error) {
+	raw, err := os.ReadFile(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	c := &config{}
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if listen := os.Getenv("PROXY_LISTEN"); listen != "" {
+		c.Listen = listen
+	}
+	if name := os.Getenv("PROXY_NAME"); name != "" {
+		c.Name = name
+	}
+	if c.settings, err = settings.Decode(c.Settings); err != nil {
+		return nil, err
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	c.settings.Seed = seed
+	switch {
+	case c.Listen == "" || c.Changelog == "":
+		return nil, errors.New("configuration: no address to listen at, or none of the change log")
+	case len(c.settings.Services) == 0:
+		return nil, errors.New("settings: no delivery services")
+	case c.settings.MaxStreams <= 0 || c.settings.MostHeld <= 0:
+		return nil, errors.New("settings: no stream limit, or none on what is held")
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/changelog/changelog.go
@@ -0,0 +1,154 @@
+// Package changelog follows the change log: the numbered changes to the list of hosts, and purges.
+package changelog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elderwall/internal/sse"
+)
+
+const (
+	path      = "/changes"
+	connectIn = time.Second             // what is told counts as told some seconds later, so tries are short
+	silence   = 2500 * time.Millisecond // a comment comes each second: two missed, and some delay
+	retryMin  = 50 * time.Millisecond   // wait before the first new connection
+	retryMax  = time.Second             // and the longest, well within the time in which changes count as told
+)
+
+// Host is one entry of the list of hosts.
+type Host struct {
+	ID          string  `json:"instanceId"`
+	Address     string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	Kind        string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	State       string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"` // 0 for long ago
+}
+
+// Fleet is a list of hosts, whole when Reset is set.
+type Fleet struct {
+	Generation int64  `json:"generation"`
+	Reset      bool   `json:"reset"`
+	Hosts      []Host `json:"instances"`
+}
+
+// Purge names an object, or a group of them, and the Unix millisecond of its purge.
+type Purge struct {
+	Object string `json:"object"`
+	Group  int    `json:"bucket"`
+	Time   int64  `json:"time"`
+}
+
+// Event is one numbered change.
+type Event struct {
+	Seq   int64  `json:"seq"`
+	Fleet *Fleet `json:"fleet"`
+	Purge *Purge `json:"invalidate"`
+}
+
+// Known are the events up to a start.
+type Known struct {
+	Seq    int64   `json:"seq"`
+	Events []Event `json:"results"`
+}
+
+// Follower reads the change log from the last event seen on.
+type Follower struct {
+	Address string
+	Log     zerolog.Logger
+	Take    func(Event)
+
+	last int64
+}
+
+// Follow takes what is known, then new events until the context ends. Connections that end are made anew.
+func (f *Follower) Follow(ctx context.Context, known Known) error {
+	f.last = known.Seq
+	wait, lost := retryMin, false
+	for ctx.Err() == nil {
+		before := f.last
+		err := f.connect(ctx, func() {
+			if lost {
+				f.Log.Info().Int64("seq", f.last).Msg("change log followed again")
+			}
+			lost = false
+		})
+		if ctx.Err() != nil {
+			return nil
+		}
+		if !lost {
+			f.Log.Warn().Err(err).Int64("seq", f.last).Msg("change log lost")
+		}
+		if !lost || f.last != before {
+			wait = retryMin
+		}
+		lost = true
+		select {
+		case <-time.After(wait/2 + rand.N(wait)): // spread, so that dispatchers do not come back at once
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, retryMax)
+	}
+	return nil
+}
+
+// connect follows one connection to its end, and tells when it works.
+func (f *Follower) connect(ctx context.Context, works func()) error {
+	dialer := net.Dialer{Timeout: connectIn}
+	socket, err := dialer.DialContext(ctx, "tcp", f.Address)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	defer func() { _ = socket.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = socket.Close() })()
+	if _, err := socket.Write(sse.AppendRequest(nil, f.Address, path, f.last)); err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	var r sse.Reader
+	buf := make([]byte, 16<<10)
+	for {
+		_ = socket.SetReadDeadline(time.Now().Add(silence))
+		n, err := socket.Read(buf)
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		if err := r.Feed(buf[:n]); err != nil {
+			return err
+		}
+		works()
+		for e, ok := r.Next(); ok; e, ok = r.Next() {
+			f.take(e)
+		}
+		if r.Over() {
+			return errors.New("the reply has ended")
+		}
+	}
+}
+
+// take passes an event on, once; one that can't be read is passed over without losing place.
+func (f *Follower) take(told sse.Event) {
+	var e Event
+	err := json.Unmarshal(told.Data, &e)
+	if err != nil || e.Seq == 0 {
+		f.Log.Warn().Err(err).Str("id", told.ID).Msg("change log event passed over")
+		return
+	}
+	if e.Seq <= f.last {
+		return
+	}
+	if e.Seq != f.last+1 {
+		f.Log.Warn().Int64("after", f.last).Int64("seq", e.Seq).Msg("change log has a gap")
+	}
+	f.last = e.Seq
+	f.Take(e)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,306 @@
+// Package front is the listener and the connections of clients: a thin driver of the client protocol.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"elderwall/internal/counters"
+	"elderwall/internal/thrift"
+)
+
+const (
+	mostOpen  = 32              // calls; that many may be open on one connection
+	mostQueue = 4 * mostOpen    // replies; what a client that does not read may leave unwritten
+	stalled   = 5 * time.Second // a client that takes no byte for so long has gone
+)
+
+// Handler takes what clients send.
+type Handler interface {
+	// Process takes a call, which is answered once, now or later; the slices of the message are lent.
+	Process(c *Call, message thrift.Call)
+	// GiveUp takes word that a client no longer waits for a call; no answer is owed then.
+	GiveUp(c *Call)
+	// Ready tells whether GETs may come.
+	Ready() bool
+}
+
+// Call is one open call of a client.
+type Call struct {
+	conn *conn
+	seq  int32
+}
+
+// Server serves clients until its context ends.
+type Server struct {
+	Handler Handler
+	Log     zerolog.Logger
+	Counts  *counters.Counters
+	Most    int // connections at a time
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+type conn struct {
+	server *Server
+	net    net.Conn
+	wake   chan struct{} // tells the writer of a change
+
+	mu     sync.Mutex
+	open   map[int32]*Call
+	queue  []thrift.Reply
+	writes bool // the writer is at work on a reply
+	closed bool
+}
+
+// Serve accepts connections until the listener is closed, and returns when all of them have ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.conns = map[*conn]bool{}
+	group, ctx := errgroup.WithContext(ctx)
+	places := make(chan struct{}, s.Most)
+	group.Go(func() error {
+		for {
+			select {
+			case places <- struct{}{}:
+			case <-ctx.Done():
+				return nil
+			}
+			socket, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				<-places
+				s.Log.Warn().Err(err).Msg("accept failed")
+				continue
+			}
+			s.Counts.ClientConnections.Add(1)
+			group.Go(func() error {
+				defer func() { <-places }()
+				s.serve(ctx, socket)
+				return nil
+			})
+		}
+	})
+	return group.Wait()
+}
+
+// serve runs one connection to its end.
+func (s *Server) serve(ctx context.Context, socket net.Conn) {
+	c := &conn{server: s, net: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}}
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, c.close)
+	var both sync.WaitGroup
+	both.Go(func() { c.guard(c.write) })
+	c.guard(c.read)
+	c.close()
+	both.Wait()
+	stop()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	for _, call := range c.drop() {
+		s.Handler.GiveUp(call)
+	}
+}
+
+// Quiet tells whether no connection has a call open or a reply unwritten.
+func (s *Server) Quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.quiet() {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *conn) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes
+}
+
+// guard ends the connection, and it alone, when what runs on it panics.
+func (c *conn) guard(run func() error) {
+	defer c.close()
+	defer func() {
+		if broken := recover(); broken != nil {
+			c.server.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("client connection broke")
+		}
+	}()
+	if err := run(); err != nil {
+		c.server.Log.Warn().Err(err).Stringer("client", c.net.RemoteAddr()).Msg("client connection closed")
+	}
+}
+
+func (c *conn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		_ = c.net.Close()
+		c.signal()
+	}
+}
+
+func (c *conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop takes all open calls off the connection.
+func (c *conn) drop() (open []*Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.open {
+		open = append(open, call)
+	}
+	c.open, c.queue = map[int32]*Call{}, nil
+	return open
+}
+
+// read takes calls off the connection until it ends; only what the client did wrong is an error.
+func (c *conn) read() error {
+	var frames thrift.Frames
+	for {
+		n, err := c.net.Read(frames.Space())
+		if err != nil {
+			return nil
+		}
+		c.server.Counts.ClientBytesIn.Add(int64(n))
+		frames.Fed(n)
+		for {
+			frame, ok, err := frames.Next()
+			if err != nil {
+				return err
+			}
+			if !ok {
+				break
+			}
+			message, err := thrift.Parse(frame)
+			if err != nil {
+				return err
+			}
+			if err := c.take(message); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *conn) take(m thrift.Call) error {
+	switch m.Method {
+	case thrift.Process:
+		call := &Call{conn: c, seq: m.Seq}
+		if err := c.enter(call); err != nil {
+			return err
+		}
+		c.server.Handler.Process(call, m)
+	case thrift.GiveUp:
+		if call := c.leave(m.GivenUp); call != nil {
+			c.server.Handler.GiveUp(call)
+		}
+	case thrift.Probe:
+		c.send(thrift.Ready(m.Seq, c.server.Handler.Ready()))
+	default:
+		c.send(thrift.NoSuchMethod(m.Name, m.Seq))
+	}
+	return nil
+}
+
+func (c *conn) enter(call *Call) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[call.seq] != nil {
+		return fmt.Errorf("call %d is open already", call.seq)
+	}
+	if len(c.open) >= mostOpen {
+		return fmt.Errorf("over %d open calls", mostOpen)
+	}
+	c.open[call.seq] = call
+	return nil
+}
+
+// leave takes a call off the connection; nil means that it is not open.
+func (c *conn) leave(seq int32) *Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.open[seq]
+	delete(c.open, seq)
+	return call
+}
+
+// Serve answers with the bytes of the part, or, for same, that the client's copy is the one.
+func (c *Call) Serve(body []byte, same bool) { c.reply(thrift.Served(c.seq, body, same)) }
+
+// Refuse answers that trying again is harmless, after so many milliseconds if over 0.
+func (c *Call) Refuse(wait int64) { c.reply(thrift.Refused(c.seq, wait)) }
+
+// Fail answers that it failed.
+func (c *Call) Fail() { c.reply(thrift.Failed(c.seq)) }
+
+// reply queues the answer of a call that is still open.
+func (c *Call) reply(r thrift.Reply) {
+	if c.conn.leave(c.seq) != nil {
+		c.conn.send(r)
+	}
+}
+
+// send queues a message; a client that leaves too many unread has its connection closed.
+func (c *conn) send(r thrift.Reply) {
+	c.mu.Lock()
+	c.queue = append(c.queue, r)
+	over := len(c.queue) > mostQueue
+	c.mu.Unlock()
+	if over {
+		c.close()
+		return
+	}
+	c.signal()
+}
+
+// next is the next message to be written; false means that there is none now.
+func (c *conn) next() (r thrift.Reply, ok, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes = len(c.queue) > 0 && !c.closed; c.writes {
+		r, c.queue = c.queue[0], c.queue[1:]
+	}
+	return r, c.writes, c.closed
+}
+
+// write writes the queued messages, each whole; a client sees one that is not whole by the connection's end.
+func (c *conn) write() error {
+	for {
+		r, ok, closed := c.next()
+		if closed {
+			return nil
+		}
+		if !ok {
+			<-c.wake
+			continue
+		}
+		_ = c.net.SetWriteDeadline(time.Now().Add(stalled))
+		parts := net.Buffers{r.Head, r.Body, r.Tail}
+		n, err := parts.WriteTo(c.net)
+		c.server.Counts.ClientBytesOut.Add(n)
+		if err != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,242 @@
+// Package lines speaks the protocol of the cache hosts: lines of words, with bodies of a told length. It is
+// fed bytes and knows no socket.
+package lines
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"elderwall/control"
+)
+
+const (
+	longestLine = 4 << 10 // bytes; a head is a few hundred
+	longestBody = 1 << 18 // bytes; an object has at most 240,000
+)
+
+// Word is the kind of an answer.
+type Word int
+
+// The words.
+const (
+	Hit   Word = iota // the bytes
+	Valid             // the client's copy is the one
+	None              // nothing held; it never ran
+	Shed              // full; it never ran
+	Fault             // it may have run
+	Late              // over already; it never ran
+	Pong              // the connection works
+)
+
+var words = map[string]Word{
+	"HIT": Hit, "VALID": Valid, "NONE": None, "SHED": Shed, "FAULT": Fault, "LATE": Late, "PONG": Pong,
+}
+
+// notes are the values of the field that tells of a hit or a fill.
+var notes = map[string]control.Note{
+	"mem": control.Hit, "parent": control.Filled, "origin": control.FilledByOrigin, "shared": control.Joined,
+	"old": control.Aged, "denied": control.SourceRefused, "unreached": control.SourceFailed,
+	"absent": control.SourceLacks, "crowded": control.NoFillPlace, "behind": control.OriginFailed,
+}
+
+// Answer is one answer. ID is a slice of the buffer, good until Space is called; the body is the caller's to keep.
+type Answer struct {
+	ID   []byte
+	Word Word
+	Note control.Note
+	Body []byte
+}
+
+// Reader cuts a stream of bytes into answers. The zero value is ready to use.
+type Reader struct {
+	buf        []byte
+	start, end int
+	head       Answer
+	body       []byte // of the answer that is under way, with its line end
+	got        int
+	begun      bool
+}
+
+// Space is where the next bytes are to be read into: a body's own place once it is under way.
+func (r *Reader) Space() []byte {
+	if r.begun {
+		return r.body[r.got:]
+	}
+	if r.buf == nil {
+		r.buf = make([]byte, longestLine)
+	}
+	if r.start > 0 {
+		r.end = copy(r.buf, r.buf[r.start:r.end])
+		r.start = 0
+	}
+	return r.buf[r.end:]
+}
+
+// Fed takes word that so many bytes were read into Space.
+func (r *Reader) Fed(n int) {
+	if r.begun {
+		r.got += n
+	} else {
+		r.end += n
+	}
+}
+
+// Begun is the id of the answer that has begun and is not whole, nil where none is.
+func (r *Reader) Begun() []byte {
+	if r.begun {
+		return r.head.ID
+	}
+	return nil
+}
+
+// Next is the next whole answer, if there is one.
+func (r *Reader) Next() (Answer, bool, error) {
+	if !r.begun {
+		line, ok, err := r.line()
+		if !ok {
+			return Answer{}, false, err
+		}
+		size, err := r.parse(line)
+		if err != nil {
+			return Answer{}, false, fmt.Errorf("answer %.64q: %w", line, err)
+		}
+		if size < 0 {
+			return r.head, true, nil
+		}
+		r.head.ID = bytes.Clone(r.head.ID)
+		r.body, r.begun = make([]byte, size+2), true
+		r.got = copy(r.body, r.buf[r.start:r.end])
+		r.start += r.got
+	}
+	if r.got < len(r.body) {
+		return Answer{}, false, nil
+	}
+	a, size := r.head, len(r.body)-2
+	if string(r.body[size:]) != "\r\n" {
+		return Answer{}, false, errors.New("no line end behind a body")
+	}
+	a.Body, r.body, r.begun = r.body[:size:size], nil, false
+	return a, true, nil
+}
+
+// line takes the next line off the buffer, without its end.
+func (r *Reader) line() (line []byte, ok bool, err error) {
+	n := bytes.IndexByte(r.buf[r.start:r.end], '\n')
+	if n < 0 {
+		if r.end-r.start >= longestLine {
+			return nil, false, errors.New("line too long")
+		}
+		return nil, false, nil
+	}
+	line = r.buf[r.start : r.start+n]
+	r.start += n + 1
+	if n == 0 || line[n-1] != '\r' {
+		return nil, false, errors.New("line without CR")
+	}
+	return line[:n-1], true, nil
+}
+
+// parse reads the head of an answer, and the length of its body, -1 where there is none to come.
+func (r *Reader) parse(line []byte) (int, error) {
+	parts := bytes.Split(line, []byte(" "))
+	if len(parts) < 2 || len(parts[0]) == 0 {
+		return 0, errors.New("too few words")
+	}
+	word, known := words[string(parts[1])]
+	if !known {
+		return 0, errors.New("unknown word")
+	}
+	r.head = Answer{ID: parts[0], Word: word}
+	if word == Pong && len(parts) == 2 {
+		return -1, nil
+	}
+	if len(parts) != 4 {
+		return 0, errors.New("not four words")
+	}
+	if err := r.head.fields(parts[2]); err != nil {
+		return 0, err
+	}
+	size, err := strconv.ParseUint(string(parts[3]), 10, 32)
+	if err != nil || size > longestBody {
+		return 0, errors.New("unusable length")
+	}
+	return int(size), nil
+}
+
+func (a *Answer) fields(list []byte) error {
+	if string(list) == "-" {
+		return nil
+	}
+	for pair := range bytes.SplitSeq(list, []byte(",")) {
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok {
+			return errors.New("field without value")
+		}
+		if string(name) == "detail" {
+			a.Note = notes[string(value)]
+		}
+	}
+	return nil
+}
+
+// Request is what a cache host is asked.
+type Request struct {
+	ID, Service, Object, Part string
+	Budget                    int64  // ms
+	Source                    string // "" for no fill
+	Rank                      int
+	MaxAge                    int64 // ms, 0 for what the delivery service allows
+	Join, HeldOnly, Renew     bool
+	Tag                       string // of the client's copy, "" for none
+	Body                      []byte
+}
+
+// Append writes the request behind b.
+func (q Request) Append(b []byte) []byte {
+	b = append(append(b, "REQ "...), q.ID...)
+	b = append(append(b, " queue="...), q.Service...)
+	b = append(append(b, ",path="...), q.Object...)
+	b = append(append(b, ",blk="...), q.Part...)
+	b = strconv.AppendInt(append(b, ",budget="...), q.Budget, 10)
+	if q.Source != "" {
+		b = append(append(b, ",up="...), q.Source...)
+	}
+	if q.Rank > 0 {
+		b = strconv.AppendInt(append(b, ",store="...), int64(q.Rank), 10)
+	}
+	if q.MaxAge > 0 {
+		b = strconv.AppendInt(append(b, ",cap="...), q.MaxAge, 10)
+	}
+	b = q.appendHow(b)
+	if q.Tag != "" {
+		b = append(append(b, ",inm="...), q.Tag...)
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(len(q.Body)), 10)
+	return append(append(append(b, "\r\n"...), q.Body...), "\r\n"...)
+}
+
+func (q Request) appendHow(b []byte) []byte {
+	lead := ",do="
+	for _, how := range []struct {
+		set  bool
+		word string
+	}{{q.Join, "share"}, {q.HeldOnly, "peek"}, {q.Renew, "swr"}} {
+		if how.set {
+			b = append(append(b, lead...), how.word...)
+			lead = "+"
+		}
+	}
+	return b
+}
+
+// AppendStop writes that a request is given up.
+func AppendStop(b []byte, id string) []byte {
+	return append(append(append(b, "STOP "...), id...), "\r\n"...)
+}
+
+// AppendHello writes the question whether the connection works.
+func AppendHello(b []byte, tag string) []byte {
+	return append(append(append(b, "HELO "...), tag...), "\r\n"...)
+}
--- /dev/null
+++ b/internal/node/wire.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"elderwall/control"
+	"elderwall/internal/clock"
+	"elderwall/internal/upstream"
+)
+
+// wire carries the module's answers out; it is called under the node's lock and only queues.
+type wire struct{ *Node }
+
+var _ control.Wire = wire{}
+
+// Forward sends a GET to a host.
+func (w wire) Forward(out control.Forward) {
+	n, g := w.Node, w.gets[out.GET]
+	now := n.clock.Now()
+	f := &forward{get: g, number: len(g.forwards), at: now}
+	g.forwards = append(g.forwards, f)
+	g.out++
+	q := g.request
+	q.Budget = max(1, int64((g.until-now)*1e3))
+	if out.Source != out.Host {
+		q.Source = n.hosts[out.Source].name
+	}
+	q.Rank, q.Join, q.HeldOnly, q.Renew = out.Rank, out.Join, out.HeldOnly, out.Renew
+	if out.MaxAge > 0 {
+		q.MaxAge = max(1, int64(out.MaxAge*1e3)) // 0 would ask for any
+	}
+	f.Request, f.Done = q, func(r upstream.Result) { n.done(f, r) }
+	f.expiry = n.expiries.Add(g.until, f)
+	n.counts.Forwards.Add(1)
+	if err := n.hosts[out.Host].Send(&f.Forward); err != nil {
+		n.back(f, control.Answer{Outcome: control.Unreached})
+	}
+}
+
+// Cancel ends the wait for a forward.
+func (w wire) Cancel(id uint32, number int) {
+	g := w.gets[id]
+	if g == nil || number >= len(g.forwards) || g.forwards[number].back {
+		return
+	}
+	f := g.forwards[number]
+	w.counts.Stopped.Add(1)
+	f.Stop()
+	w.back(f, control.Answer{Outcome: control.Revoked})
+}
+
+// Shed answers that trying again is harmless.
+func (w wire) Shed(id uint32, comeBack float64) {
+	if g := w.gets[id]; g != nil && !g.over {
+		w.counts.Shed.Add(1)
+		g.call.Refuse(int64(comeBack * 1e3))
+		w.close(g)
+	}
+}
+
+// Error answers that a GET failed.
+func (w wire) Error(id uint32) {
+	if g := w.gets[id]; g != nil && !g.over {
+		w.counts.Errored.Add(1)
+		g.call.Fail()
+		w.close(g)
+	}
+}
+
+// Schedule sets the one timer.
+func (w wire) Schedule(delay float64, _ string) { w.timer.Reset(clock.Duration(delay)) }
+
+// Subscribe has no counterpart: the change log pushes.
+func (w wire) Subscribe() {}
+
+// Log writes a line on a change of state.
+func (w wire) Log(text string) { w.log.Info().Msg(text) }
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,205 @@
+// Package sse reads server-sent events from an HTTP reply, plain or in chunks. It is fed bytes and knows no socket.
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+const (
+	longestHead  = 16 << 10 // bytes; of the reply's head, or of a chunk's
+	longestEvent = 1 << 20  // bytes; a list of thousands of hosts
+)
+
+// AppendRequest writes the request for all events after one.
+func AppendRequest(b []byte, host, path string, last int64) []byte {
+	return fmt.Appendf(b, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n",
+		path, host, last)
+}
+
+// Event is one event; its data is good until Feed is called.
+type Event struct {
+	ID   string
+	Data []byte
+}
+
+// state is the part of the reply that comes next.
+type state int
+
+const (
+	inHead state = iota
+	inPlain
+	atSize
+	inChunk
+	behindChunk
+	inTrailer
+	over
+)
+
+// Reader turns the bytes of one reply into events. The zero value is ready to use.
+type Reader struct {
+	state   state
+	raw     []byte // not yet understood
+	left    int    // bytes that the chunk, or a body of told length, still has
+	text    []byte // of the stream of events
+	read    int    // how much of text Next has taken
+	id      string // the last one told
+	data    []byte
+	hasData bool
+}
+
+// Feed takes bytes in. An error means that the reply can't be read on.
+func (r *Reader) Feed(b []byte) error {
+	r.raw = append(r.raw, b...)
+	r.text = append(r.text[:0], r.text[r.read:]...)
+	r.read = 0
+	for {
+		more, err := r.step()
+		if err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+	}
+	if len(r.text)+len(r.data) > longestEvent {
+		return errors.New("event too long")
+	}
+	return nil
+}
+
+// Over tells whether the reply has come to its end.
+func (r *Reader) Over() bool { return r.state == over }
+
+// step understands one piece of what came in; false means that it needs more.
+func (r *Reader) step() (bool, error) {
+	switch r.state {
+	case inPlain:
+		return r.pass(len(r.raw), inPlain)
+	case inChunk:
+		return r.pass(min(len(r.raw), r.left), behindChunk)
+	case over:
+		r.raw = nil
+		return false, nil
+	}
+	line, ok, err := r.line()
+	if !ok {
+		return false, err
+	}
+	switch r.state {
+	case inHead:
+		return true, r.head(line)
+	case atSize:
+		return true, r.size(line)
+	case behindChunk:
+		if len(line) > 0 {
+			return false, errors.New("no line end behind a chunk")
+		}
+		r.state = atSize
+	case inTrailer:
+		if len(line) == 0 {
+			r.state = over
+		}
+	}
+	return true, nil
+}
+
+// pass moves bytes on to the stream of events.
+func (r *Reader) pass(n int, then state) (bool, error) {
+	r.text = append(r.text, r.raw[:n]...)
+	r.raw = append(r.raw[:0], r.raw[n:]...)
+	if r.state == inChunk {
+		if r.left -= n; r.left > 0 {
+			return false, nil
+		}
+	}
+	r.state = then
+	return then != inPlain, nil
+}
+
+func (r *Reader) line() (line string, ok bool, err error) {
+	n := bytes.IndexByte(r.raw, '\n')
+	if n < 0 {
+		if len(r.raw) > longestHead {
+			return "", false, errors.New("head too long")
+		}
+		return "", false, nil
+	}
+	line = strings.TrimSuffix(string(r.raw[:n]), "\r")
+	r.raw = append(r.raw[:0], r.raw[n+1:]...)
+	return line, true, nil
+}
+
+// head reads one line of the reply's head. The first one is told from the others by its form.
+func (r *Reader) head(line string) error {
+	if r.left == 0 {
+		if status := strings.Fields(line); len(status) < 2 || !strings.HasPrefix(line, "HTTP/1.") || status[1] != "200" {
+			return fmt.Errorf("reply %.64q", line)
+		}
+		r.left = -1 // the body runs to the end of the connection unless a header says otherwise
+		return nil
+	}
+	name, value, _ := strings.Cut(line, ":")
+	switch {
+	case line == "" && r.left == -1:
+		r.state = inPlain
+	case line == "":
+		r.state = atSize
+	case strings.EqualFold(name, "Transfer-Encoding") && strings.EqualFold(strings.TrimSpace(value), "chunked"):
+		r.left = -2
+	}
+	return nil
+}
+
+func (r *Reader) size(line string) error {
+	digits, _, _ := strings.Cut(line, ";")
+	n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+	if err != nil {
+		return fmt.Errorf("chunk size %.32q", line)
+	}
+	r.left, r.state = int(n), inChunk
+	if n == 0 {
+		r.state = inTrailer
+	}
+	return nil
+}
+
+// Next is the next whole event, if there is one.
+func (r *Reader) Next() (Event, bool) {
+	for {
+		rest := r.text[r.read:]
+		n := bytes.IndexByte(rest, '\n')
+		if n < 0 {
+			return Event{}, false
+		}
+		r.read += n + 1
+		line := bytes.TrimSuffix(rest[:n], []byte("\r"))
+		if len(line) > 0 {
+			r.field(line)
+			continue
+		}
+		if r.hasData {
+			e := Event{ID: r.id, Data: r.data}
+			r.data, r.hasData = nil, false
+			return e, true
+		}
+	}
+}
+
+// field reads one line of an event; comments and unknown fields are passed over.
+func (r *Reader) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		r.id = string(value)
+	case "data":
+		if r.hasData {
+			r.data = append(r.data, '\n')
+		}
+		r.data, r.hasData = append(r.data, value...), true
+	}
+}
--- a/benchwire/settings.go
+++ b/settings/settings.go
@@ -1,4 +1,6 @@
-package benchwire
+// Package settings decodes the settings object that the simulator's first message and the real dispatcher's
+// configuration share.
+package settings
 
 import (
 	"encoding/json"
@@ -7,11 +9,24 @@
 	"elderwall/control"
 )
 
-// DecodeSettings reads the settings of an instance; keys that it does not know are skipped.
-func DecodeSettings(raw []byte) (control.Settings, error) {
+// Settings is what the object tells: what the module goes by, and what sockets need besides. Times are in seconds.
+type Settings struct {
+	control.Settings
+	Zones, Kinds, Services []string // the names in the module's order
+
+	ConnectTimeout float64 // a connection not up by then counts as refused
+	IdleClose      float64 // hosts close connections that were idle for so long
+	MaxStreams     int     // GETs out on one connection
+	MostHeld       int     // GETs that a dispatcher may hold
+}
+
+// Decode reads the settings object; keys that it does not know are skipped.
+func Decode(raw []byte) (Settings, error) {
 	var o struct {
 		Balancers, Index, Zone int
+		Zones, MachineTypes    []string
 		Classes                []struct {
+			Name                        string
 			Aim, Deadline, RepeatWindow int64
 			AimStretch, Worth           float64
 			DedupScope, Effect          string
@@ -27,9 +42,9 @@
 			SourceKind                                 *int
 		}
 		Limits struct {
-			MaxAttempts                         int
-			MaxRetryAfter                       int64
-			MayCancel, RetryAfter, SecondCopies bool
+			MaxAttempts, MaxStreams, MostHeld        int
+			ConnectTimeout, IdleClose, MaxRetryAfter int64
+			MayCancel, RetryAfter, SecondCopies      bool
 		}
 		MembershipMode, Weights string
 		Rules                   struct {
@@ -38,10 +53,14 @@
 		}
 	}
 	if err := json.Unmarshal(raw, &o); err != nil {
-		return control.Settings{}, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	x := o.Extra
-	s := control.Settings{
+	s := Settings{Zones: o.Zones, Kinds: o.MachineTypes,
+		ConnectTimeout: seconds(o.Limits.ConnectTimeout), IdleClose: seconds(o.Limits.IdleClose),
+		MaxStreams: o.Limits.MaxStreams, MostHeld: o.Limits.MostHeld,
+	}
+	s.Settings = control.Settings{
 		Index: o.Index, Dispatchers: o.Balancers, Zone: o.Zone,
 		ParentKind: kind(x.ShieldKind), OriginKind: kind(x.SourceKind),
 		FlowKB: x.FlowKbPerS, WeightsTold: o.Weights == "nominal" || o.Weights == "rough",
@@ -59,7 +78,8 @@
 		s.Seats = append(s.Seats, int(seats))
 	}
 	for i, c := range o.Classes {
-		s.Services = append(s.Services, control.DeliveryService{
+		s.Services = append(s.Services, c.Name)
+		s.Settings.Services = append(s.Settings.Services, control.DeliveryService{
 			Objective: seconds(c.Aim), Stretch: c.AimStretch, ViewerTimeout: seconds(c.Deadline), Revenue: c.Worth,
 			Effect: effects[c.Effect], Scope: scopes[c.DedupScope], RepeatWindow: seconds(c.RepeatWindow),
 			FreshFor: seconds(at(x.GoodFor, i)),
@@ -74,6 +94,8 @@
 	details = map[string]control.Detail{"all": control.Full, "hit": control.HitOnly, "silent": control.Silent}
 )
 
+func seconds(us int64) float64 { return float64(us) / 1e6 }
+
 // kind is a place in the list of machine kinds, or one that no machine has where none is told.
 func kind(place *int) int {
 	if place == nil {
