--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	tableSize    = 1 << 15 // objects; bounds the count table to a few MB
 	fewestCounts = 6       // GETs; below so many a count says nothing, and the object keeps one cache
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
-	lastMoment   = 0.012   // s; answers this long before the viewer timeout, over a tick so as not to miss it
+	lastMoment   = 0.050   // s; answers this long before the viewer timeout: a tick, and a delayed ack (0.04 s)
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
 	learnServing = 0.2     // share; the same for a serving time: about five, as a dispatcher sees few a host
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
