Bound bodies and connections, doubt silent connections, and drain until all is answered

Upstream connections are shared evenly among listed hosts; a forward that is stopped with nothing heard since puts its connection in doubt (HELO) until something comes; a request of an id that was stopped on a connection goes out on another. Bodies take room from a bound of three tenths of the memory limit and are drained where there is none. A change log event that is missing is asked for once more.

--- a/cmd/elderwall/config.go
+++ b/cmd/elderwall/config.go
@@ -27,8 +27,8 @@
 }
 
 // readConfig reads the file that the environment names, and checks what nothing can start without.
-func readConfig() (*config, error) {
-	raw, err := os.ReadFile(os.Getenv("PROXY_CONFIG"))
+func readConfig(env func(string) string) (*config, error) {
+	raw, err := os.ReadFile(env("PROXY_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
@@ -36,10 +36,10 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	if listen := os.Getenv("PROXY_LISTEN"); listen != "" {
+	if listen := env("PROXY_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
-	if name := os.Getenv("PROXY_NAME"); name != "" {
+	if name := env("PROXY_NAME"); name != "" {
 		c.Name = name
 	}
 	if c.settings, err = settings.Decode(c.Settings); err != nil {
@@ -50,13 +50,20 @@
 		return nil, fmt.Errorf("seed: %w", err)
 	}
 	c.settings.Seed = seed
+	return c, c.check()
+}
+
+// check tells what nothing can start without.
+func (c *config) check() error {
 	switch {
 	case c.Listen == "" || c.Changelog == "":
-		return nil, errors.New("configuration: no address to listen at, or none of the change log")
+		return errors.New("configuration: no address to listen at, or none of the change log")
+	case c.Limits.MemoryMB <= 0 || c.Limits.Sockets <= 2*ownSockets:
+		return errors.New("configuration: no memory, or too few sockets")
 	case len(c.settings.Services) == 0:
-		return nil, errors.New("settings: no delivery services")
+		return errors.New("settings: no delivery services")
 	case c.settings.MaxStreams <= 0 || c.settings.MostHeld <= 0:
-		return nil, errors.New("settings: no stream limit, or none on what is held")
+		return errors.New("settings: no stream limit, or none on what is held")
 	}
-	return c, nil
+	return nil
 }
--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -20,33 +20,37 @@
 	"elderwall/internal/counters"
 	"elderwall/internal/front"
 	"elderwall/internal/node"
+	"elderwall/internal/room"
 	"elderwall/internal/upstream"
 )
 
 const (
 	clientShare  = 3                      // clients hold at most a third of the descriptors
-	hostConns    = 100                    // connections to one host
-	memoryShare  = 0.6                    // of the limit; where the runtime starts to collect harder
-	stillComing  = 700 * time.Millisecond // after SIGTERM, until which clients may still come
+	ownSockets   = 16                     // descriptors: listener, log, change log, the runtime's own, and some to spare
+	heapShare    = 0.6                    // of the memory limit, from which on the runtime collects harder
+	bodyShare    = 0.3                    // of it for the bodies of answers under way
+	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 )
 
 func main() {
-	if err := run(); err != nil {
+	got := make(chan os.Signal, 4)
+	signal.Notify(got, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGINT)
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	c, err := readConfig(os.Getenv)
+	if err == nil {
+		err = run(c, log.With().Str("name", c.Name).Logger(), got)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "elderwall:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	c, err := readConfig()
-	if err != nil {
-		return err
-	}
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("name", c.Name).Logger()
-	if c.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB<<20)))
-	}
+// run serves until a signal ends it.
+func run(c *config, log zerolog.Logger, got <-chan os.Signal) error {
+	memory := float64(c.Limits.MemoryMB << 20)
+	debug.SetMemoryLimit(int64(heapShare * memory))
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -55,49 +59,57 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	counts := &counters.Counters{}
-	n := node.New(ctx, group, c.settings, clock.New(), &upstream.Options{Log: log, Counts: counts,
-		ConnectTimeout: clock.Duration(c.settings.ConnectTimeout), IdleClose: clock.Duration(c.settings.IdleClose),
-		Streams: c.settings.MaxStreams, Connections: hostConns})
+	clients := max(1, c.Limits.Sockets/clientShare)
+	o := &upstream.Options{Log: log, Counts: &counters.Counters{}, Room: room.New(int64(bodyShare * memory)),
+		Dialer:    net.Dialer{Timeout: clock.Duration(c.settings.ConnectTimeout)},
+		IdleClose: clock.Duration(c.settings.IdleClose), Streams: c.settings.MaxStreams, Context: ctx, Group: group}
+	n := node.New(node.Config{Settings: c.settings, Clock: clock.New(), Options: o,
+		Connections: c.Limits.Sockets - clients - ownSockets})
 	for _, e := range c.Known.Events {
 		n.Take(e)
 	}
-	server := &front.Server{Handler: n, Log: log, Counts: counts, Most: max(1, c.Limits.Sockets/clientShare)}
+	server := &front.Server{Handler: n, Log: log, Counts: o.Counts, Room: o.Room, Most: clients}
 	follower := &changelog.Follower{Address: c.Changelog, Log: log, Take: n.Take}
-	group.Go(n.Run)
+	group.Go(func() error { return n.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	group.Go(func() error { return server.Serve(ctx, listener) })
-	group.Go(func() error { signals(ctx, cancel, listener, n, server, counts, log); return nil })
-	log.Info().Str("listen", c.Listen).Msg("started")
+	group.Go(func() error {
+		defer cancel()
+		defer func() { _ = listener.Close() }()
+		if signals(ctx, got, func() { o.Counts.Log(log) }) {
+			drain(log, n, server, listener)
+		}
+		return nil
+	})
+	log.Info().Str("listen", listener.Addr().String()).Msg("started")
 	err = group.Wait()
-	counts.Log(log)
+	o.Counts.Log(log)
 	return err
 }
 
-// signals prints the counters on SIGUSR1, and on SIGTERM drains and then ends everything.
-func signals(ctx context.Context, cancel func(), l net.Listener, n *node.Node, s *front.Server, c *counters.Counters, log zerolog.Logger) {
-	got := make(chan os.Signal, 4)
-	signal.Notify(got, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGINT)
+// signals prints the counters on SIGUSR1; it returns true on a signal to end, and false when all has ended.
+func signals(ctx context.Context, got <-chan os.Signal, count func()) bool {
 	for {
 		select {
 		case which := <-got:
-			if which == syscall.SIGUSR1 {
-				c.Log(log)
-				continue
-			}
-			log.Info().Stringer("signal", which).Msg("draining")
-			n.Drain()
-			time.Sleep(stillComing)
-			_ = l.Close()
-			for !s.Quiet() {
-				time.Sleep(lookForQuiet)
+			if which != syscall.SIGUSR1 {
+				return true
 			}
-			log.Info().Msg("drained")
-			cancel()
-			return
+			count()
 		case <-ctx.Done():
-			_ = l.Close()
-			return
+			return false
 		}
 	}
 }
+
+// drain goes on for as long as clients may still come, and then until all is answered.
+func drain(log zerolog.Logger, n *node.Node, s *front.Server, l net.Listener) {
+	log.Info().Msg("draining")
+	n.Drain()
+	time.Sleep(stillComing)
+	_ = l.Close()
+	for !s.Quiet() {
+		time.Sleep(lookForQuiet)
+	}
+	log.Info().Msg("drained")
+}
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,7 @@
 	silence   = 2500 * time.Millisecond // a comment comes each second: two missed, and some delay
 	retryMin  = 50 * time.Millisecond   // wait before the first new connection
 	retryMax  = time.Second             // and the longest, well within the time in which changes count as told
+	readSize  = 16 << 10                // bytes; a list of some dozens of hosts
 )
 
 // Host is one entry of the list of hosts.
@@ -68,42 +70,38 @@
 	Log     zerolog.Logger
 	Take    func(Event)
 
-	last int64
+	last   int64
+	gap    int64 // the event after which one was missing, and was asked for again
+	silent bool  // no connection works
 }
 
-// Follow takes what is known, then new events until the context ends. Connections that end are made anew.
+// Follow takes new events behind what is known until the context ends. Connections that end are made anew.
 func (f *Follower) Follow(ctx context.Context, known Known) error {
 	f.last = known.Seq
-	wait, lost := retryMin, false
-	for ctx.Err() == nil {
+	wait := retryMin
+	for {
 		before := f.last
-		err := f.connect(ctx, func() {
-			if lost {
-				f.Log.Info().Int64("seq", f.last).Msg("change log followed again")
-			}
-			lost = false
-		})
+		err := f.connect(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if !lost {
-			f.Log.Warn().Err(err).Int64("seq", f.last).Msg("change log lost")
-		}
-		if !lost || f.last != before {
+		if !f.silent || f.last != before {
 			wait = retryMin
 		}
-		lost = true
+		if !f.silent {
+			f.Log.Warn().Err(err).Int64("seq", f.last).Msg("change log lost")
+		}
+		f.silent = true
 		select {
 		case <-time.After(wait/2 + rand.N(wait)): // spread, so that dispatchers do not come back at once
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, retryMax)
 	}
-	return nil
 }
 
-// connect follows one connection to its end, and tells when it works.
-func (f *Follower) connect(ctx context.Context, works func()) error {
+// connect follows one connection to its end.
+func (f *Follower) connect(ctx context.Context) error {
 	dialer := net.Dialer{Timeout: connectIn}
 	socket, err := dialer.DialContext(ctx, "tcp", f.Address)
 	if err != nil {
@@ -115,8 +113,8 @@
 		return fmt.Errorf("ask: %w", err)
 	}
 	var r sse.Reader
-	buf := make([]byte, 16<<10)
-	for {
+	buf := make([]byte, readSize)
+	for !r.Over() {
 		_ = socket.SetReadDeadline(time.Now().Add(silence))
 		n, err := socket.Read(buf)
 		if err != nil {
@@ -125,30 +123,51 @@
 		if err := r.Feed(buf[:n]); err != nil {
 			return err
 		}
-		works()
+		f.works()
 		for e, ok := r.Next(); ok; e, ok = r.Next() {
-			f.take(e)
-		}
-		if r.Over() {
-			return errors.New("the reply has ended")
+			if err := f.take(e); err != nil {
+				return err
+			}
 		}
 	}
+	return errEnd
 }
 
-// take passes an event on, once; one that can't be read is passed over without losing place.
-func (f *Follower) take(told sse.Event) {
+func (f *Follower) works() {
+	if f.silent {
+		f.Log.Info().Int64("seq", f.last).Msg("change log followed again")
+	}
+	f.silent = false
+}
+
+var (
+	errEnd = errors.New("the reply has ended")
+	errGap = errors.New("an event is missing")
+)
+
+// take passes an event on, once. One that can't be read is passed over; where one is missing it is asked for
+// again, and done without if it is still missing then.
+func (f *Follower) take(told sse.Event) error {
 	var e Event
-	err := json.Unmarshal(told.Data, &e)
-	if err != nil || e.Seq == 0 {
-		f.Log.Warn().Err(err).Str("id", told.ID).Msg("change log event passed over")
-		return
+	broken := json.Unmarshal(told.Data, &e)
+	if broken != nil {
+		f.Log.Warn().Err(broken).Str("id", told.ID).Msg("change log event passed over")
+		e = Event{}
+	}
+	if e.Seq == 0 {
+		e.Seq, _ = strconv.ParseInt(told.ID, 10, 64)
 	}
 	if e.Seq <= f.last {
-		return
+		return nil
 	}
-	if e.Seq != f.last+1 {
-		f.Log.Warn().Int64("after", f.last).Int64("seq", e.Seq).Msg("change log has a gap")
+	if e.Seq > f.last+1 && f.gap != f.last {
+		f.gap = f.last
+		return fmt.Errorf("%w: %d after %d", errGap, e.Seq, f.last)
+	}
+	if e.Seq > f.last+1 {
+		f.Log.Error().Int64("after", f.last).Int64("seq", e.Seq).Msg("change log has a gap")
 	}
 	f.last = e.Seq
 	f.Take(e)
+	return nil
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,13 +10,16 @@
 
 // Counters are the sums since the start.
 type Counters struct {
-	GETs, Returned, Unchanged, Shed, Errored, GivenUp      atomic.Int64
-	Malformed                                              atomic.Int64
-	Forwards, Stopped                                      atomic.Int64
-	Hits, Valid, None, Full, Faults, Late, Unreached, Lost atomic.Int64
-	Purges, Lists                                          atomic.Int64
-	ClientConnections, HostConnections                     atomic.Int64
-	ClientBytesIn, ClientBytesOut, HostBytesIn             atomic.Int64
+	GETs, Unusable, GivenUp            atomic.Int64 // taken in; errored at the door; given up by clients
+	Returned, Unchanged, Shed, Errored atomic.Int64 // answered; Unchanged of Returned had no body
+
+	Forwards, Stopped                          atomic.Int64 // sent; given up
+	Hit, Valid, None, Full, Fault, Late        atomic.Int64 // ended by an answer
+	Unreached, PartlyWritten, Unanswered       atomic.Int64 // broken off: not written, in part, whole
+	AnswerCut, Expired                         atomic.Int64 // broken off within the answer; overdue
+	Lists, Purges                              atomic.Int64 // events of the change log
+	ClientConnections, HostConnections         atomic.Int64 // opened
+	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
 
 // Log writes all of them as one line.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -14,13 +15,15 @@
 	"golang.org/x/sync/errgroup"
 
 	"elderwall/internal/counters"
+	"elderwall/internal/room"
 	"elderwall/internal/thrift"
 )
 
 const (
-	mostOpen  = 32              // calls; that many may be open on one connection
-	mostQueue = 4 * mostOpen    // replies; what a client that does not read may leave unwritten
-	stalled   = 5 * time.Second // a client that takes no byte for so long has gone
+	mostOpen  = 32               // calls; that many may be open on one connection
+	mostQueue = 4 * mostOpen     // replies; probes too are answered, and a client may leave that many unread
+	stalled   = 5 * time.Second  // a client that has not taken a whole reply by then has gone
+	idle      = 30 * time.Second // clients close idle connections after 4 s; one that does not is closed then
 )
 
 // Handler takes what clients send.
@@ -44,7 +47,8 @@
 	Handler Handler
 	Log     zerolog.Logger
 	Counts  *counters.Counters
-	Most    int // connections at a time
+	Room    *room.Room // what the bodies of answers hold
+	Most    int        // connections at a time
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -100,13 +104,11 @@
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
-	stop := context.AfterFunc(ctx, c.close)
+	defer context.AfterFunc(ctx, c.close)()
 	var both sync.WaitGroup
 	both.Go(func() { c.guard(c.write) })
 	c.guard(c.read)
-	c.close()
 	both.Wait()
-	stop()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -163,13 +165,16 @@
 	}
 }
 
-// drop takes all open calls off the connection.
+// drop takes all open calls and unwritten replies off a closed connection.
 func (c *conn) drop() (open []*Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, call := range c.open {
 		open = append(open, call)
 	}
+	for _, r := range c.queue {
+		c.server.Room.Give(len(r.Body))
+	}
 	c.open, c.queue = map[int32]*Call{}, nil
 	return open
 }
@@ -178,27 +183,35 @@
 func (c *conn) read() error {
 	var frames thrift.Frames
 	for {
+		_ = c.net.SetReadDeadline(time.Now().Add(idle))
 		n, err := c.net.Read(frames.Space())
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.quiet() {
+			continue
+		}
 		if err != nil {
 			return nil
 		}
 		c.server.Counts.ClientBytesIn.Add(int64(n))
 		frames.Fed(n)
-		for {
-			frame, ok, err := frames.Next()
-			if err != nil {
-				return err
-			}
-			if !ok {
-				break
-			}
-			message, err := thrift.Parse(frame)
-			if err != nil {
-				return err
-			}
-			if err := c.take(message); err != nil {
-				return err
-			}
+		if err := c.calls(&frames); err != nil {
+			return err
+		}
+	}
+}
+
+// calls takes all calls that are whole.
+func (c *conn) calls(frames *thrift.Frames) error {
+	for {
+		frame, ok, err := frames.Next()
+		if !ok || err != nil {
+			return err
+		}
+		message, err := thrift.Parse(frame)
+		if err != nil {
+			return err
+		}
+		if err := c.take(message); err != nil {
+			return err
 		}
 	}
 }
@@ -245,7 +258,8 @@
 	return call
 }
 
-// Serve answers with the bytes of the part, or, for same, that the client's copy is the one.
+// Serve answers with the bytes of the part, or, for same, that the client's copy is the one. The room that
+// the bytes hold is given back once they are written or the client has gone.
 func (c *Call) Serve(body []byte, same bool) { c.reply(thrift.Served(c.seq, body, same)) }
 
 // Refuse answers that trying again is harmless, after so many milliseconds if over 0.
@@ -256,18 +270,23 @@
 
 // reply queues the answer of a call that is still open.
 func (c *Call) reply(r thrift.Reply) {
-	if c.conn.leave(c.seq) != nil {
-		c.conn.send(r)
+	if c.conn.leave(c.seq) == nil {
+		c.conn.server.Room.Give(len(r.Body))
+		return
 	}
+	c.conn.send(r)
 }
 
 // send queues a message; a client that leaves too many unread has its connection closed.
 func (c *conn) send(r thrift.Reply) {
 	c.mu.Lock()
-	c.queue = append(c.queue, r)
-	over := len(c.queue) > mostQueue
+	over := c.closed || len(c.queue) >= mostQueue
+	if !over {
+		c.queue = append(c.queue, r)
+	}
 	c.mu.Unlock()
 	if over {
+		c.server.Room.Give(len(r.Body))
 		c.close()
 		return
 	}
@@ -298,6 +317,7 @@
 		_ = c.net.SetWriteDeadline(time.Now().Add(stalled))
 		parts := net.Buffers{r.Head, r.Body, r.Tail}
 		n, err := parts.WriteTo(c.net)
+		c.server.Room.Give(len(r.Body))
 		c.server.Counts.ClientBytesOut.Add(n)
 		if err != nil {
 			return nil
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -14,6 +14,7 @@
 const (
 	longestLine = 4 << 10 // bytes; a head is a few hundred
 	longestBody = 1 << 18 // bytes; an object has at most 240,000
+	lineEnd     = "\r\n"
 )
 
 // Word is the kind of an answer.
@@ -41,27 +42,30 @@
 	"absent": control.SourceLacks, "crowded": control.NoFillPlace, "behind": control.OriginFailed,
 }
 
-// Answer is one answer. ID is a slice of the buffer, good until Space is called; the body is the caller's to keep.
+// Answer is one answer. Its ID is good until Space is called; the body is the caller's to keep.
 type Answer struct {
 	ID   []byte
 	Word Word
 	Note control.Note
 	Body []byte
+	Cut  bool // there was no room for the body, which was drained
 }
 
-// Reader cuts a stream of bytes into answers. The zero value is ready to use.
+// Reader cuts a stream of bytes into answers.
 type Reader struct {
+	Room func(n int) bool // asked before a body takes memory
+
 	buf        []byte
 	start, end int
 	head       Answer
-	body       []byte // of the answer that is under way, with its line end
-	got        int
-	begun      bool
+	begun      bool   // the head is read, the body is under way
+	body       []byte // its place; nil while it is drained
+	size, got  int    // of the body with its line end
 }
 
 // Space is where the next bytes are to be read into: a body's own place once it is under way.
 func (r *Reader) Space() []byte {
-	if r.begun {
+	if r.body != nil {
 		return r.body[r.got:]
 	}
 	if r.buf == nil {
@@ -76,7 +80,7 @@
 
 // Fed takes word that so many bytes were read into Space.
 func (r *Reader) Fed(n int) {
-	if r.begun {
+	if r.body != nil {
 		r.got += n
 	} else {
 		r.end += n
@@ -91,6 +95,9 @@
 	return nil
 }
 
+// Held is the room that the answer under way has taken.
+func (r *Reader) Held() int { return max(0, len(r.body)-len(lineEnd)) }
+
 // Next is the next whole answer, if there is one.
 func (r *Reader) Next() (Answer, bool, error) {
 	if !r.begun {
@@ -105,19 +112,43 @@
 		if size < 0 {
 			return r.head, true, nil
 		}
-		r.head.ID = bytes.Clone(r.head.ID)
-		r.body, r.begun = make([]byte, size+2), true
-		r.got = copy(r.body, r.buf[r.start:r.end])
-		r.start += r.got
+		r.begin(size)
 	}
-	if r.got < len(r.body) {
+	r.fill()
+	if r.got < r.size {
 		return Answer{}, false, nil
 	}
-	a, size := r.head, len(r.body)-2
-	if string(r.body[size:]) != "\r\n" {
-		return Answer{}, false, errors.New("no line end behind a body")
+	return r.finish()
+}
+
+// begin makes a place for a body, or drains it where there is no room.
+func (r *Reader) begin(size int) {
+	r.head.ID = bytes.Clone(r.head.ID)
+	r.begun, r.size, r.got = true, size+len(lineEnd), 0
+	if r.head.Cut = !r.Room(size); !r.head.Cut {
+		r.body = make([]byte, r.size)
+	}
+}
+
+// fill moves what of the body came with other bytes to its place.
+func (r *Reader) fill() {
+	n := min(r.size-r.got, r.end-r.start)
+	if r.body != nil {
+		copy(r.body[r.got:], r.buf[r.start:r.start+n])
+	}
+	r.got += n
+	r.start += n
+}
+
+func (r *Reader) finish() (Answer, bool, error) {
+	a := r.head
+	if r.body != nil {
+		if !bytes.HasSuffix(r.body, []byte(lineEnd)) {
+			return Answer{}, false, errors.New("no line end behind a body")
+		}
+		a.Body = r.body[:r.size-len(lineEnd)]
 	}
-	a.Body, r.body, r.begun = r.body[:size:size], nil, false
+	r.begun, r.body = false, nil
 	return a, true, nil
 }
 
@@ -214,7 +245,7 @@
 		b = append(append(b, ",inm="...), q.Tag...)
 	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(q.Body)), 10)
-	return append(append(append(b, "\r\n"...), q.Body...), "\r\n"...)
+	return append(append(append(b, lineEnd...), q.Body...), lineEnd...)
 }
 
 func (q Request) appendHow(b []byte) []byte {
--- /dev/null
+++ b/internal/node/hosts.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"elderwall/control"
+	"elderwall/internal/changelog"
+	"elderwall/internal/upstream"
+)
+
+type host struct {
+	*upstream.Host
+	name, address string
+	phase         control.Phase
+}
+
+var phases = map[string]control.Phase{
+	"SERVING": control.Ready, "DRAINING": control.Draining, "DELETED": control.Gone,
+}
+
+// fleet takes a list of hosts or changes to it.
+func (n *Node) fleet(now float64, list changelog.Fleet) {
+	n.Options.Counts.Lists.Add(1)
+	form, named := control.Changes, map[uint32]bool{}
+	if list.Reset {
+		form = control.Complete
+	}
+	var entries []control.HostEntry
+	for _, told := range list.Hosts {
+		e, err := n.entry(told)
+		if err != nil {
+			n.Options.Log.Warn().Err(err).Str("host", told.ID).Msg("entry of the list of hosts passed over")
+			continue
+		}
+		entries = append(entries, e)
+		named[e.ID] = true
+	}
+	n.module.Hosts(now, form, entries)
+	for id, h := range n.hosts {
+		if list.Reset && !named[id] {
+			n.phase(h, id, control.Gone)
+		}
+	}
+	n.listed = n.listed || list.Reset
+	n.share()
+}
+
+// entry is a host as the module knows it, with connections of its own.
+func (n *Node) entry(told changelog.Host) (control.HostEntry, error) {
+	phase, known := phases[told.State]
+	e := control.HostEntry{ID: n.hostID(told.ID), Zone: slices.Index(n.Settings.Zones, told.Zone),
+		Kind: slices.Index(n.Settings.Kinds, told.Kind), Cell: told.Cell, Phase: phase, Weight: told.Weight}
+	if !known || told.ID == "" {
+		return e, fmt.Errorf("state %q", told.State)
+	}
+	h := n.hosts[e.ID]
+	if phase == control.Gone {
+		if h != nil {
+			n.phase(h, e.ID, phase)
+		}
+		return e, nil
+	}
+	if e.Zone < 0 || e.Kind < 0 || told.Address == "" {
+		return e, fmt.Errorf("zone %q, kind %q, address %q", told.Zone, told.Kind, told.Address)
+	}
+	if told.StartedAtMs != 0 {
+		e.OnlineSince, e.OnlineSinceIsTold = n.Clock.AtUnixMs(told.StartedAtMs), true
+	}
+	if h == nil || h.phase == control.Gone || h.address != told.Address {
+		if h != nil {
+			h.Leave()
+		}
+		h = &host{Host: upstream.New(told.Address, n.Options), name: told.ID, address: told.Address}
+		n.hosts[e.ID] = h
+	}
+	n.phase(h, e.ID, phase)
+	return e, nil
+}
+
+// phase books what the list says of a host, with a log line where that is new.
+func (n *Node) phase(h *host, id uint32, phase control.Phase) {
+	if phase == h.phase {
+		return
+	}
+	h.phase = phase
+	word := map[control.Phase]string{control.Ready: "ready", control.Draining: "draining", control.Gone: "gone"}[phase]
+	n.Options.Log.Info().Str("host", h.name).Uint32("id", id).Str("address", h.address).Msg("host is " + word)
+	if phase == control.Gone {
+		h.Leave()
+	}
+}
+
+// hostID is the module's id of a host: the same at every dispatcher, as the module orders hosts by it.
+func (n *Node) hostID(name string) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name))
+	id := sum.Sum32()
+	for n.hosts[id] != nil && n.hosts[id].name != name {
+		id++
+	}
+	return id
+}
+
+// share gives each host an even part of the connections.
+func (n *Node) share() { n.Options.PerHost.Store(int64(max(1, n.Connections/max(1, len(n.hosts))))) }
+
+// sweep closes idle connections, and forgets hosts that are gone and have none left.
+func (n *Node) sweep() {
+	for id, h := range n.hosts {
+		if h.phase != control.Gone {
+			h.Sweep(time.Now())
+		} else if h.Leave() {
+			delete(n.hosts, id)
+			n.share()
+		}
+	}
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -13,8 +13,7 @@
 
 // Forward sends a GET to a host.
 func (w wire) Forward(out control.Forward) {
-	n, g := w.Node, w.gets[out.GET]
-	now := n.clock.Now()
+	n, g, now := w.Node, w.gets[out.GET], w.Clock.Now()
 	f := &forward{get: g, number: len(g.forwards), at: now}
 	g.forwards = append(g.forwards, f)
 	g.out++
@@ -28,10 +27,11 @@
 		q.MaxAge = max(1, int64(out.MaxAge*1e3)) // 0 would ask for any
 	}
 	f.Request, f.Done = q, func(r upstream.Result) { n.done(f, r) }
-	f.expiry = n.expiries.Add(g.until, f)
-	n.counts.Forwards.Add(1)
+	n.Options.Counts.Forwards.Add(1)
 	if err := n.hosts[out.Host].Send(&f.Forward); err != nil {
-		n.back(f, control.Answer{Outcome: control.Unreached})
+		outcome, counter := n.outcome(upstream.Result{Stage: upstream.NotConnected, Err: err})
+		counter.Add(1)
+		n.back(f, control.Answer{Outcome: outcome})
 	}
 }
 
@@ -41,16 +41,15 @@
 	if g == nil || number >= len(g.forwards) || g.forwards[number].back {
 		return
 	}
-	f := g.forwards[number]
-	w.counts.Stopped.Add(1)
-	f.Stop()
-	w.back(f, control.Answer{Outcome: control.Revoked})
+	w.Options.Counts.Stopped.Add(1)
+	g.forwards[number].Stop()
+	w.back(g.forwards[number], control.Answer{Outcome: control.Revoked})
 }
 
 // Shed answers that trying again is harmless.
 func (w wire) Shed(id uint32, comeBack float64) {
 	if g := w.gets[id]; g != nil && !g.over {
-		w.counts.Shed.Add(1)
+		w.Options.Counts.Shed.Add(1)
 		g.call.Refuse(int64(comeBack * 1e3))
 		w.close(g)
 	}
@@ -59,7 +58,7 @@
 // Error answers that a GET failed.
 func (w wire) Error(id uint32) {
 	if g := w.gets[id]; g != nil && !g.over {
-		w.counts.Errored.Add(1)
+		w.Options.Counts.Errored.Add(1)
 		g.call.Fail()
 		w.close(g)
 	}
@@ -72,4 +71,4 @@
 func (w wire) Subscribe() {}
 
 // Log writes a line on a change of state.
-func (w wire) Log(text string) { w.log.Info().Msg(text) }
+func (w wire) Log(text string) { w.Options.Log.Info().Msg(text) }
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -30,7 +30,8 @@
 type state int
 
 const (
-	inHead state = iota
+	atStatus state = iota
+	inHead
 	inPlain
 	atSize
 	inChunk
@@ -42,8 +43,9 @@
 // Reader turns the bytes of one reply into events. The zero value is ready to use.
 type Reader struct {
 	state   state
+	chunked bool
 	raw     []byte // not yet understood
-	left    int    // bytes that the chunk, or a body of told length, still has
+	left    int    // bytes that the chunk still has
 	text    []byte // of the stream of events
 	read    int    // how much of text Next has taken
 	id      string // the last one told
@@ -90,17 +92,19 @@
 		return false, err
 	}
 	switch r.state {
+	case atStatus:
+		return true, r.status(line)
 	case inHead:
-		return true, r.head(line)
+		r.header(line)
 	case atSize:
 		return true, r.size(line)
 	case behindChunk:
-		if len(line) > 0 {
+		if line != "" {
 			return false, errors.New("no line end behind a chunk")
 		}
 		r.state = atSize
 	case inTrailer:
-		if len(line) == 0 {
+		if line == "" {
 			r.state = over
 		}
 	}
@@ -133,25 +137,25 @@
 	return line, true, nil
 }
 
-// head reads one line of the reply's head. The first one is told from the others by its form.
-func (r *Reader) head(line string) error {
-	if r.left == 0 {
-		if status := strings.Fields(line); len(status) < 2 || !strings.HasPrefix(line, "HTTP/1.") || status[1] != "200" {
-			return fmt.Errorf("reply %.64q", line)
-		}
-		r.left = -1 // the body runs to the end of the connection unless a header says otherwise
-		return nil
+func (r *Reader) status(line string) error {
+	if words := strings.Fields(line); len(words) < 2 || !strings.HasPrefix(line, "HTTP/1.") || words[1] != "200" {
+		return fmt.Errorf("reply %.64q", line)
 	}
+	r.state = inHead
+	return nil
+}
+
+// header reads one line of the head; a body that is not in chunks runs to the end of the connection.
+func (r *Reader) header(line string) {
 	name, value, _ := strings.Cut(line, ":")
 	switch {
-	case line == "" && r.left == -1:
-		r.state = inPlain
-	case line == "":
+	case line == "" && r.chunked:
 		r.state = atSize
-	case strings.EqualFold(name, "Transfer-Encoding") && strings.EqualFold(strings.TrimSpace(value), "chunked"):
-		r.left = -2
+	case line == "":
+		r.state = inPlain
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		r.chunked = strings.EqualFold(strings.TrimSpace(value), "chunked")
 	}
-	return nil
 }
 
 func (r *Reader) size(line string) error {
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,226 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"elderwall/internal/lines"
+)
+
+// conn is one connection to a host.
+type conn struct {
+	host *Host
+	wake chan struct{} // tells the writer of a change
+
+	// under the host's lock
+	socket  net.Conn            // nil until it is up
+	open    map[string]*Forward // by id of the request
+	queue   []item
+	stopped []string // ids of late, whose answers may still come
+	closed  bool
+	doubted bool      // nothing came between a forward and its stop; no new one goes out until something does
+	heard   time.Time // when bytes last came
+	used    time.Time // when a forward last went out or ended
+}
+
+// item is what is to be written: a forward's request, or text.
+type item struct {
+	forward *Forward
+	text    []byte
+}
+
+// guard ends the connection, and it alone, when what runs on it ends or panics.
+func (c *conn) guard(run func() error) {
+	err := errors.New("panic")
+	defer func() {
+		if broken := recover(); broken != nil {
+			c.host.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("host connection broke")
+		}
+		c.end(err)
+	}()
+	err = run()
+}
+
+// run connects, then writes until the connection ends; reading has a goroutine of its own.
+func (c *conn) run() error {
+	socket, err := c.host.Dialer.DialContext(c.host.Context, "tcp", c.host.address)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	if !c.connected(socket) {
+		_ = socket.Close()
+		return ErrGone
+	}
+	defer context.AfterFunc(c.host.Context, func() { c.end(ErrGone) })()
+	c.host.Group.Go(func() error { c.guard(func() error { return c.read(socket) }); return nil })
+	return c.write(socket)
+}
+
+func (c *conn) connected(socket net.Conn) bool {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.socket, c.used = socket, time.Now()
+	for _, f := range c.open {
+		f.stage = NotWritten
+	}
+	return true
+}
+
+func (c *conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write writes what is queued, each whole.
+func (c *conn) write(socket net.Conn) error {
+	var buf []byte
+	for {
+		it, ok, closed := c.next()
+		if closed {
+			return ErrGone
+		}
+		if !ok {
+			<-c.wake
+			continue
+		}
+		if buf = append(buf[:0], it.text...); it.forward != nil {
+			buf = it.forward.Request.Append(buf)
+		}
+		n, err := socket.Write(buf)
+		if err != nil {
+			c.broke(it.forward, n, len(buf))
+			return fmt.Errorf("write: %w", err)
+		}
+	}
+}
+
+// next takes an item off the queue. Its forward counts as written whole unless the write proves that it was not.
+func (c *conn) next() (it item, ok, closed bool) {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	if c.closed || len(c.queue) == 0 {
+		return it, false, c.closed
+	}
+	it, c.queue = c.queue[0], c.queue[1:]
+	if it.forward != nil {
+		it.forward.stage, it.forward.written = WrittenWhole, time.Now()
+	}
+	return it, true, false
+}
+
+// broke books how much of a request a failed write has written, unless its end was told before.
+func (c *conn) broke(f *Forward, n, whole int) {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	switch {
+	case f == nil || n == whole || c.closed:
+	case n > 0:
+		f.stage = PartlyWritten
+	default:
+		f.stage = NotWritten
+	}
+}
+
+// read takes answers off the connection until it ends.
+func (c *conn) read(socket net.Conn) error {
+	r := lines.Reader{Room: c.host.Room.Take}
+	defer func() { c.host.Room.Give(r.Held()) }()
+	for {
+		n, err := socket.Read(r.Space())
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		c.host.Counts.HostBytesIn.Add(int64(n))
+		r.Fed(n)
+		c.hear()
+		if err := c.answers(&r); err != nil {
+			return err
+		}
+		c.begun(r.Begun())
+	}
+}
+
+// answers passes on all that is whole; an answer to a stopped or unknown id is dropped.
+func (c *conn) answers(r *lines.Reader) error {
+	for {
+		a, ok, err := r.Next()
+		if !ok || err != nil {
+			return err
+		}
+		f := (*Forward)(nil)
+		if a.Word != lines.Pong {
+			f = c.leave(string(a.ID))
+		}
+		switch {
+		case f == nil:
+			c.host.Room.Give(len(a.Body))
+		case a.Cut:
+			f.Done(Result{Stage: AnswerBegun, Err: ErrRoom})
+		default:
+			f.Done(Result{Stage: Answered, Answer: a})
+		}
+	}
+}
+
+// hear books that bytes came.
+func (c *conn) hear() {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	c.heard, c.doubted = time.Now(), false
+}
+
+// begun books that the answer to a request has begun.
+func (c *conn) begun(id []byte) {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	if f := c.open[string(id)]; f != nil {
+		f.stage = AnswerBegun
+	}
+}
+
+// leave takes a forward off the connection; nil means that none of this id is out.
+func (c *conn) leave(id string) *Forward {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	f := c.open[id]
+	delete(c.open, id)
+	c.used = time.Now()
+	return f
+}
+
+// end closes the connection and ends what is open on it, each with how far it came.
+func (c *conn) end(err error) {
+	for _, f := range c.close() {
+		f.Done(Result{Stage: f.stage, Err: err})
+	}
+}
+
+// close takes the connection off its host, and all forwards off the connection.
+func (c *conn) close() (open []*Forward) {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	for _, f := range c.open {
+		open = append(open, f)
+	}
+	c.open, c.queue = map[string]*Forward{}, nil
+	if c.socket != nil {
+		_ = c.socket.Close()
+	}
+	c.signal()
+	c.host.conns = slices.DeleteFunc(c.host.conns, func(o *conn) bool { return o == c })
+	return open
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,14 +1,14 @@
-// Package upstream keeps the connections to one cache host: a thin driver of the protocol of cache hosts. It
-// tells how far each forward came and decides nothing.
+// Package upstream keeps the connections to cache hosts, each host's by itself: a thin driver of their protocol.
+// It tells how far each forward came and decides nothing.
 package upstream
 
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"runtime/debug"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,12 +16,15 @@
 
 	"elderwall/internal/counters"
 	"elderwall/internal/lines"
+	"elderwall/internal/room"
 )
 
+const idlePart = 0.75 // of the time after which hosts close idle connections: none is written to that a host closes
+
 // Stage is how far a forward came.
 type Stage int
 
-// The stages. Up to PartlyWritten the host can't have run it.
+// The stages. Up to PartlyWritten the host has not got the whole request and can't have run it.
 const (
 	NotConnected Stage = iota
 	NotWritten
@@ -31,89 +34,73 @@
 	Answered
 )
 
-// Result is the end of a forward: an answer, or what broke it off and when.
+// Result is the end of a forward: an answer, or what broke it off and when. Whoever gets it gives back the
+// room of the answer's body.
 type Result struct {
 	Stage  Stage
 	Answer lines.Answer // when answered
 	Err    error        // when not
 }
 
-// Forward is one request to a host. Done is called once, unless the forward was stopped before.
+// What breaks a forward off besides the errors of the network.
+var (
+	ErrGone = errors.New("connection closed")
+	ErrFull = errors.New("all connections are full")
+	ErrRoom = errors.New("no memory for the answer")
+)
+
+// Forward is one request to a host. Done is called at most once, and never by Send or Stop.
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
 
-	conn  *conn
-	stage Stage
+	// under the host's lock
+	conn    *conn
+	stage   Stage
+	written time.Time
 }
 
 // Options are what all hosts share.
 type Options struct {
-	Log            zerolog.Logger
-	Counts         *counters.Counters
-	ConnectTimeout time.Duration // a connection not up by then is none
-	IdleClose      time.Duration // hosts close connections that were idle for so long
-	Streams        int           // forwards out on one connection
-	Connections    int           // to one host
+	Log       zerolog.Logger
+	Counts    *counters.Counters
+	Room      *room.Room
+	Dialer    net.Dialer    // with the time after which a connection that is not up is none
+	IdleClose time.Duration // hosts close connections that were idle for so long
+	Streams   int           // forwards out on one connection
+	PerHost   atomic.Int64  // connections to one host
+	Context   context.Context
+	Group     *errgroup.Group
 }
 
 // Host is one cache host.
 type Host struct {
 	*Options
 	address string
-	group   *errgroup.Group
-	ctx     context.Context
 
 	mu    sync.Mutex
 	conns []*conn
 	gone  bool
 }
 
-type conn struct {
-	host *Host
-	net  net.Conn
-	wake chan struct{}
-
-	// under the host's lock
-	open    map[string]*Forward // by id of the request
-	queue   []item
-	stopped []string // ids of late, whose answers may still come
-	up      bool
-	closed  bool
-	doubted bool      // nothing has come since a forward was stopped
-	heard   time.Time // when bytes last came
-	used    time.Time // when it last had a forward
-}
-
-// item is what is to be written: a forward's request, or text.
-type item struct {
-	forward *Forward
-	text    []byte
-	at      time.Time
-}
-
-// New is a host at an address; its connections live as long as the group and the context.
-func New(ctx context.Context, group *errgroup.Group, address string, o *Options) *Host {
-	return &Host{Options: o, address: address, group: group, ctx: ctx}
-}
+// New is a host at an address; its connections live in the group until the context ends.
+func New(address string, o *Options) *Host { return &Host{Options: o, address: address} }
 
-var (
-	errGone = errors.New("host is gone")
-	errFull = errors.New("all connections are full")
-)
-
-// Send queues a forward; false means that there is no place for it. It never blocks.
+// Send queues a forward; an error means that it was not. It never blocks.
 func (h *Host) Send(f *Forward) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.gone {
-		return errGone
+		return ErrGone
 	}
 	c := h.pick(f.Request.ID)
 	if c == nil {
-		return errFull
+		return ErrFull
 	}
 	f.conn = c
+	if c.socket != nil {
+		f.stage = NotWritten
+	}
 	c.open[f.Request.ID] = f
 	c.queue = append(c.queue, item{forward: f})
 	c.used = time.Now()
@@ -121,29 +108,24 @@
 	return nil
 }
 
-// pick is the connection with the fewest forwards out, a new one while all have some and there is room.
+// pick is an idle connection, else a new one, else the one with the fewest forwards out: answers on one
+// connection follow one another.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
 		if c.usable(id) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
-	if (best == nil || len(best.open) > 0) && len(h.conns) < h.Connections {
+	if (best == nil || len(best.open) > 0) && len(h.conns) < int(h.PerHost.Load()) {
 		best = h.dial()
 	}
 	return best
 }
 
+// usable tells whether a request may go out on a connection; never beside an earlier one of the same id, whose
+// answer may still come.
 func (c *conn) usable(id string) bool {
-	if c.closed || c.doubted || len(c.open) >= c.host.Streams || c.open[id] != nil {
-		return false
-	}
-	for _, s := range c.stopped {
-		if s == id {
-			return false
-		}
-	}
-	return true
+	return !c.doubted && len(c.open) < c.host.Streams && c.open[id] == nil && !slices.Contains(c.stopped, id)
 }
 
 // dial starts a new connection, on which forwards may be queued at once.
@@ -151,230 +133,68 @@
 	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}}
 	h.conns = append(h.conns, c)
 	h.Counts.HostConnections.Add(1)
-	h.group.Go(func() error { c.guard(c.run); return nil })
+	h.Group.Go(func() error { c.guard(c.run); return nil })
 	return c
 }
 
-// guard ends the connection, and it alone, when what runs on it panics.
-func (c *conn) guard(run func() error) {
-	err := errors.New("panic")
-	defer func() {
-		if broken := recover(); broken != nil {
-			c.host.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("host connection broke")
-		}
-		c.end(err)
-	}()
-	err = run()
-}
-
-// run connects, then writes until the connection ends; reading has a goroutine of its own.
-func (c *conn) run() error {
-	dialer := net.Dialer{Timeout: c.host.ConnectTimeout}
-	socket, err := dialer.DialContext(c.host.ctx, "tcp", c.host.address)
-	if err != nil {
-		return fmt.Errorf("connect: %w", err)
-	}
-	if !c.connected(socket) {
-		_ = socket.Close()
-		return errGone
-	}
-	stop := context.AfterFunc(c.host.ctx, func() { c.end(errGone) })
-	defer stop()
-	c.host.group.Go(func() error { c.guard(c.read); return nil })
-	return c.write()
-}
-
-func (c *conn) connected(socket net.Conn) bool {
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	if c.closed {
-		return false
-	}
-	c.net, c.up, c.heard = socket, true, time.Now()
-	for _, f := range c.open {
-		f.stage = NotWritten
-	}
-	return true
-}
-
-func (c *conn) signal() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
-// write writes what is queued, each whole.
-func (c *conn) write() error {
-	var buf []byte
-	for {
-		it, ok, closed := c.next()
-		if closed {
-			return errGone
-		}
-		if !ok {
-			<-c.wake
-			continue
-		}
-		buf = append(buf[:0], it.text...)
-		if it.forward != nil {
-			buf = it.forward.Request.Append(buf)
-		}
-		n, err := c.net.Write(buf)
-		c.wrote(it.forward, n, err)
-		if err != nil {
-			return fmt.Errorf("write: %w", err)
-		}
-	}
-}
-
-func (c *conn) next() (it item, ok, closed bool) {
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	if ok = len(c.queue) > 0 && !c.closed; ok {
-		it, c.queue = c.queue[0], c.queue[1:]
-	}
-	return it, ok, c.closed
-}
-
-func (c *conn) wrote(f *Forward, n int, err error) {
-	if f == nil {
-		return
-	}
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	switch {
-	case err == nil:
-		f.stage = max(f.stage, WrittenWhole)
-	case n > 0:
-		f.stage = PartlyWritten
-	}
-}
-
-// read takes answers off the connection until it ends.
-func (c *conn) read() error {
-	var r lines.Reader
-	for {
-		n, err := c.net.Read(r.Space())
-		if err != nil {
-			return fmt.Errorf("read: %w", err)
-		}
-		c.host.Counts.HostBytesIn.Add(int64(n))
-		r.Fed(n)
-		c.hear(r.Begun())
-		for {
-			a, ok, err := r.Next()
-			if err != nil {
-				return err
-			}
-			if !ok {
-				break
-			}
-			if f := c.leave(string(a.ID)); f != nil && a.Word != lines.Pong {
-				f.Done(Result{Stage: Answered, Answer: a})
-			}
-		}
-		c.hear(r.Begun())
-	}
-}
-
-// hear books that bytes came, those of an answer that has begun among them.
-func (c *conn) hear(begun []byte) {
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	c.heard, c.doubted = time.Now(), false
-	if f := c.open[string(begun)]; f != nil {
-		f.stage = AnswerBegun
-	}
-}
-
-// leave takes a forward off the connection; nil means that none of this id is out.
-func (c *conn) leave(id string) *Forward {
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	f := c.open[id]
-	delete(c.open, id)
-	c.used = time.Now()
-	return f
-}
-
-// Stop gives a forward up; its Done is not called any more unless it is on its way already.
+// Stop gives a forward up: it is taken back, or the host is told.
 func (f *Forward) Stop() {
 	c := f.conn
 	if c == nil {
 		return
 	}
-	h := c.host
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
 	id := f.Request.ID
 	if c.open[id] != f {
 		return
 	}
 	delete(c.open, id)
 	c.used = time.Now()
-	for i, it := range c.queue {
-		if it.forward == f {
-			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			return
-		}
+	if i := slices.IndexFunc(c.queue, func(it item) bool { return it.forward == f }); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
+		return
 	}
-	if c.stopped = append(c.stopped, id); len(c.stopped) > h.Streams {
+	if c.stopped = append(c.stopped, id); len(c.stopped) > c.host.Streams {
 		c.stopped = c.stopped[1:]
 	}
 	c.queue = append(c.queue, item{text: lines.AppendStop(nil, id)})
+	if !c.doubted && !c.heard.After(f.written) {
+		c.doubted = true
+		c.queue = append(c.queue, item{text: lines.AppendHello(nil, id)})
+	}
 	c.signal()
 }
 
-// end closes the connection and ends what is open on it, each with how far it came.
-func (c *conn) end(err error) {
-	h := c.host
-	h.mu.Lock()
-	var open []*Forward
-	if !c.closed {
-		c.closed = true
-		for _, f := range c.open {
-			open = append(open, f)
-		}
-		c.open, c.queue = map[string]*Forward{}, nil
-		if c.net != nil {
-			_ = c.net.Close()
-		}
-		c.signal()
-		for i, o := range h.conns {
-			if o == c {
-				h.conns = append(h.conns[:i], h.conns[i+1:]...)
-				break
-			}
-		}
-	}
-	h.mu.Unlock()
-	for _, f := range open {
-		f.Done(Result{Stage: f.stage, Err: err})
+// Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
+// whose host is gone.
+func (h *Host) Sweep(now time.Time) {
+	for _, c := range h.idle(now) {
+		c.end(ErrGone)
 	}
 }
 
-// Sweep closes connections that have been idle for most of what the host bears, and those in doubt or of a
-// host that is gone with nothing open.
-func (h *Host) Sweep(now time.Time) {
+func (h *Host) idle(now time.Time) (ends []*conn) {
 	h.mu.Lock()
-	var ends []*conn
+	defer h.mu.Unlock()
 	for _, c := range h.conns {
-		idle := now.Sub(c.used)
-		if len(c.open) == 0 && c.up && (h.gone || c.doubted && idle > h.ConnectTimeout || idle > h.IdleClose*3/4) {
+		unused := now.Sub(c.used)
+		doubted := c.doubted && unused > h.Dialer.Timeout
+		if len(c.open) == 0 && (h.gone || doubted || unused > time.Duration(idlePart*float64(h.IdleClose))) {
 			ends = append(ends, c)
 		}
 	}
-	h.mu.Unlock()
-	for _, c := range ends {
-		c.end(errGone)
-	}
+	return ends
 }
 
 // Leave takes word that the host is gone: nothing new goes to it, and its connections close when nothing is out.
-func (h *Host) Leave() {
+// It returns true once none is left.
+func (h *Host) Leave() bool {
 	h.mu.Lock()
 	h.gone = true
 	h.mu.Unlock()
 	h.Sweep(time.Now())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns) == 0
 }
