Test every parser, driver and the whole dispatcher against small stand-ins

Tables for the parsers (whole, byte by byte, hostile; fuzz targets), for each point at which a forward can break, for what a client gets, for the list, purges, address reuse, drain and restart; no goroutine and no room left behind. Found by them: a connection that ended while a request was being written told the forward as written whole; now the write tells. examples/ has a configuration, a toy server and a client.

--- /dev/null
+++ b/cmd/elderwall/main_test.go
@@ -0,0 +1,319 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"elderwall/internal/standin"
+)
+
+const settingsText = `{"balancers":1,"zones":["z"],"machineTypes":["std","parent","origin"],"zone":0,"unheardOf":[1],
+"classes":[{"name":"segment","aim":5000000,"deadline":60000000,"effect":"safe","dedupScope":"all","worth":1}],
+"extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[1],"goneEverywhere":60000000,"sharesFills":true},
+"limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":5000000,"idleClose":60000000,
+"maxStreams":10,"mostHeld":%d},"rules":{"coldFrom":0.2,"rampTime":9000000,"tipMultiple":2,"fall":1000000}}`
+
+func configText(listen, changelog, events string, held int) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"changelog":%q,"flow_bytes_per_s":1,"link_bytes_per_s":1,"known":{"seq":0,"results":[%s]},"settings":%s}`,
+		listen, changelog, events, fmt.Sprintf(settingsText, held))
+}
+
+// list is an event with a list of hosts, each given as "id address kind state".
+func list(seq int, reset bool, hosts ...string) string {
+	var all []string
+	for _, h := range hosts {
+		w := strings.Fields(h)
+		all = append(all, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":%q,"lifecycle":%q,"weight":1}`,
+			w[0], w[1], w[2], w[3]))
+	}
+	return fmt.Sprintf(`{"seq":%d,"fleet":{"generation":%d,"reset":%v,"instances":[%s]}}`, seq, seq, reset, strings.Join(all, ","))
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// dispatcher is one that runs for a test, between stand-ins of its own.
+type dispatcher struct {
+	t       *testing.T
+	log     *standin.ChangeLog
+	config  *config
+	signals chan os.Signal
+	ended   chan error
+	out     bytes.Buffer // what it logged; to be read once it has ended
+}
+
+// start runs a dispatcher that knows hosts; it is ended by SIGTERM with the test at the latest.
+func start(t *testing.T, held int, hosts ...string) *dispatcher {
+	log, err := standin.ListenChangeLog("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(log.Close)
+	d := &dispatcher{t: t, log: log}
+	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	d.config, err = read(t, configText(l.Addr().String(), log.Address, "", held))
+	require.NoError(t, err)
+	log.Push(list(1, true, hosts...))
+	d.run()
+	t.Cleanup(d.end)
+	return d
+}
+
+func read(t *testing.T, text string) (*config, error) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return readConfig(func(name string) string { return map[string]string{"PROXY_CONFIG": file}[name] })
+}
+
+// run runs it until it takes GETs.
+func (d *dispatcher) run() {
+	d.signals, d.ended = make(chan os.Signal, 4), make(chan error, 1)
+	log := zerolog.New(zerolog.SyncWriter(&d.out))
+	go func() { d.ended <- run(d.config, log, d.signals) }()
+	for !d.ready() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// end sends SIGTERM and waits for the end, once.
+func (d *dispatcher) end() {
+	if d.ended == nil {
+		return
+	}
+	d.signals <- syscall.SIGTERM
+	assert.NoError(d.t, <-d.ended)
+	d.ended = nil
+}
+
+func (d *dispatcher) dial() *standin.Client {
+	c, err := standin.Dial(d.config.Listen)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = c.Conn.Close() })
+	return c
+}
+
+func (d *dispatcher) ready() bool {
+	c, err := standin.Dial(d.config.Listen)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Conn.Close() }()
+	good, err := c.Probe()
+	return good && err == nil
+}
+
+// get asks one GET on a connection of its own.
+func (d *dispatcher) get(changes ...string) standin.Reply {
+	c := d.dial()
+	defer func() { _ = c.Conn.Close() }()
+	_, err := c.Process(standin.Fields(changes...))
+	require.NoError(d.t, err)
+	r, err := c.Read()
+	require.NoError(d.t, err)
+	return r
+}
+
+// host starts a stand-in host that keeps what it was asked, and answers.
+func host(t *testing.T, answer func(standin.Ask) string) (*standin.Host, chan standin.Ask) {
+	asked := make(chan standin.Ask, 1000)
+	h, err := standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
+		text := answer(a)
+		asked <- a
+		return text
+	})
+	require.NoError(t, err)
+	t.Cleanup(h.Close)
+	return h, asked
+}
+
+func hit(a standin.Ask) string {
+	if a.Stop {
+		return ""
+	}
+	return standin.Hit(a.ID, "bytes of "+a.Fields["path"])
+}
+
+func word(w, detail string) func(standin.Ask) string {
+	return func(a standin.Ask) string { return standin.Answer(a.ID, w, "detail="+detail, "") }
+}
+
+const object, rid = "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41"
+
+func TestWhatAClientGets(t *testing.T) {
+	reset := func(a standin.Ask) string { _ = a.Conn.Close(); return "" }
+	served := standin.Reply{Seq: 1, Method: "process", Kind: "served", Body: "bytes of " + object, Fields: map[string]string{}, Good: true}
+	same := served
+	same.Body, same.Fields = "", map[string]string{"ok304": "1"}
+	refused := standin.Reply{Seq: 1, Method: "process", Kind: "refused", Fields: map[string]string{}}
+	failed := standin.Reply{Seq: 1, Method: "process", Kind: "failed", Fields: map[string]string{}}
+	tests := []struct {
+		name    string
+		first   func(standin.Ask) string // one of two caches, the other one hits
+		both    bool                     // or both are like the first
+		changes []string
+		want    standin.Reply
+	}{
+		{"a hit", hit, true, nil, served},
+		{"the bytes although it holds a copy", hit, true, []string{"got", "4be0c1927d55a6f3"}, served},
+		{"that its copy is the one", word("VALID", "mem"), true, []string{"got", "4be0c1927d55a6f3"}, same},
+		{"a hit from the other, where one breaks off", reset, false, nil, served},
+		{"a hit from the other, where one faults", word("FAULT", "crowded"), false, nil, served},
+		{"a hit from the other, where one is full", word("SHED", "crowded"), false, nil, served},
+		{"a refusal, where all break off", reset, true, nil, refused},
+		{"a refusal, where all fault", word("FAULT", "crowded"), true, nil, refused},
+		{"a refusal, where all lack it", word("NONE", "absent"), true, nil, refused},
+		{"a refusal, where all find it over", word("LATE", "mem"), true, nil, refused},
+		{"a failure, for an unknown delivery service", hit, true, []string{"method", "else"}, failed},
+		{"a failure, for a malformed id", hit, true, []string{"rid", "9b1f03aa5c7e2d4,"}, failed},
+		{"a failure, for a malformed object", hit, true, []string{"obj", "7f3a"}, failed},
+		{"a failure, for no object", hit, true, []string{"obj", ""}, failed},
+		{"a failure, for a budget of nothing", hit, true, []string{"budget", "0"}, failed},
+		{"a failure, for a part that is no number", hit, true, []string{"nth", "one"}, failed},
+		{"a failure, for a group below none", hit, true, []string{"batch", "-1"}, failed},
+		{"a failure, for a malformed tag", hit, true, []string{"got", "a,b=c"}, failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			a, asked := host(t, tt.first)
+			b, askedToo := host(t, map[bool]func(standin.Ask) string{true: tt.first, false: hit}[tt.both])
+			d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 "+b.Address+" std SERVING", "s-3 127.0.0.1:1 origin SERVING")
+			assert.Equal(t, tt.want, d.get(tt.changes...))
+			d.end()
+			a.Close()
+			b.Close()
+			close(asked)
+			close(askedToo)
+			for _, askedOf := range []chan standin.Ask{asked, askedToo} {
+				for q := range askedOf {
+					assert.Equal(t, []string{rid, "segment", object, "3", "s-3", "1"},
+						[]string{q.ID, q.Fields["queue"], q.Fields["path"], q.Fields["blk"], q.Fields["up"], q.Fields["store"]})
+				}
+			}
+		})
+	}
+}
+
+func TestGiveUpStopsTheForward(t *testing.T) {
+	a, asked := host(t, func(standin.Ask) string { return "" })
+	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	c := d.dial()
+	seq, err := c.Process(standin.Fields())
+	require.NoError(t, err)
+	<-asked
+	require.NoError(t, c.GiveUp(seq))
+	assert.Equal(t, standin.Ask{ID: rid, Stop: true}, func() standin.Ask { a := <-asked; return standin.Ask{ID: a.ID, Stop: a.Stop} }())
+	good, err := c.Probe() // and no answer to the GET before it
+	require.NoError(t, err)
+	assert.True(t, good)
+}
+
+func TestHoldsNoMoreThanItMay(t *testing.T) {
+	a, asked := host(t, func(standin.Ask) string { return "" })
+	d := start(t, 1, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	c := d.dial()
+	for range 2 {
+		_, err := c.Process(standin.Fields())
+		require.NoError(t, err)
+	}
+	<-asked
+	r, err := c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []any{int32(2), "refused"}, []any{r.Seq, r.Kind})
+	_ = c.Conn.Close()
+}
+
+func TestChangesOfTheList(t *testing.T) {
+	a, askedA := host(t, hit)
+	b, askedB := host(t, hit)
+	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	served := func(from chan standin.Ask) standin.Ask {
+		require.Equal(t, "served", d.get().Kind)
+		return <-from
+	}
+	until := func(done func() bool) { // the change has come
+		for !done() {
+			d.get()
+		}
+	}
+	old := served(askedA)
+	d.log.Push(list(2, false, "s-1 "+a.Address+" std DRAINING", "s-3 "+b.Address+" std SERVING"))
+	until(func() bool { return len(askedB) > 0 })
+	for len(askedA) > 0 {
+		<-askedA
+	}
+	served(askedB)
+	assert.Empty(t, askedA, "a host that drains gets nothing new")
+	d.log.Push(list(3, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std DELETED", "s-4 "+a.Address+" std SERVING"))
+	until(func() bool { return len(askedA) > 0 })
+	assert.NotSame(t, old.Conn, served(askedA).Conn, "an address that passes on is connected to anew")
+	d.log.Push(fmt.Sprintf(`{"seq":4,"invalidate":{"object":%q,"time":%d}}`, object, time.Now().UnixMilli()))
+	until(func() bool { return (<-askedA).Fields["cap"] != "" })
+	d.log.Push(list(5, true, "s-2 127.0.0.1:1 origin SERVING"))
+	for d.get().Kind != "refused" { // no cache is left in the whole list
+	}
+}
+
+func TestEndsWhenAllIsAnswered(t *testing.T) {
+	release := make(chan bool)
+	a, asked := host(t, func(a standin.Ask) string { <-release; return hit(a) })
+	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	c := d.dial()
+	_, err := c.Process(standin.Fields())
+	require.NoError(t, err)
+	d.signals <- syscall.SIGUSR1
+	d.signals <- syscall.SIGTERM
+	for d.ready() {
+	}
+	_, err = c.Process(standin.Fields("rid", "9b1f03aa5c7e2d42")) // while it drains
+	require.NoError(t, err)
+	close(release)
+	for range 2 {
+		r, err := c.Read()
+		require.NoError(t, err)
+		assert.Equal(t, "served", r.Kind)
+	}
+	require.NoError(t, <-d.ended)
+	assert.Len(t, asked, 2)
+	assert.Equal(t, 2, strings.Count(d.out.String(), `"message":"counters"`), "on request and at the end")
+	assert.Contains(t, d.out.String(), `"GETs":2,`)
+	d.run() // from nothing, under the same address
+	assert.Equal(t, "served", d.get().Kind)
+}
+
+func TestWhatNothingCanStartWith(t *testing.T) {
+	whole := configText("127.0.0.1:0", "127.0.0.1:1", "", 10)
+	tests := map[string]string{
+		"no JSON":             "{",
+		"no seed":             strings.Replace(whole, "8c1f30d27a5be964", "", 1),
+		"no address":          strings.Replace(whole, `"127.0.0.1:0"`, `""`, 1),
+		"no change log":       strings.Replace(whole, `"127.0.0.1:1"`, `""`, 1),
+		"no memory":           strings.Replace(whole, `"memory_mb":192`, `"memory_mb":0`, 1),
+		"too few sockets":     strings.Replace(whole, `"sockets":1024`, `"sockets":9`, 1),
+		"no settings":         strings.Replace(whole, `"settings":{`, `"settings":7,"other":{`, 1),
+		"no delivery service": strings.Replace(whole, `"classes":[`, `"classes":[],"others":[`, 1),
+		"no streams":          strings.Replace(whole, `"maxStreams":10`, `"maxStreams":0`, 1),
+	}
+	for name, text := range tests {
+		_, err := read(t, text)
+		assert.Error(t, err, name)
+	}
+	_, err := readConfig(func(string) string { return "" })
+	assert.Error(t, err, "no file")
+	c, err := read(t, whole)
+	require.NoError(t, err)
+	c.Listen = "127.0.0.1:99999"
+	assert.Error(t, run(c, zerolog.Nop(), nil), "an address that can't be listened at")
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,191 @@
+package front_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"elderwall/internal/counters"
+	"elderwall/internal/front"
+	"elderwall/internal/room"
+	"elderwall/internal/standin"
+	"elderwall/internal/thrift"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const bytesOfRoom = 1 << 25 // more than any test takes
+
+// handler hands calls to the test.
+type handler struct {
+	calls   chan *front.Call
+	givenUp chan *front.Call
+}
+
+func (h *handler) Process(c *front.Call, m thrift.Call) {
+	if string(m.Object) == "boom" {
+		panic("boom")
+	}
+	h.calls <- c
+}
+func (h *handler) GiveUp(c *front.Call) { h.givenUp <- c }
+func (h *handler) Ready() bool          { return true }
+
+// serve starts a server; what it returns ends it and checks that nothing is left of it.
+func serve(t *testing.T, most int) (h *handler, s *front.Server, address string) {
+	h = &handler{calls: make(chan *front.Call, 100), givenUp: make(chan *front.Call, 100)}
+	s = &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: most}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var server sync.WaitGroup
+	server.Go(func() { assert.NoError(t, s.Serve(ctx, l)) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		cancel()
+		server.Wait()
+		assert.True(t, s.Quiet())
+		assert.EqualValues(t, bytesOfRoom, s.Room.Left(), "all room is given back")
+	})
+	return h, s, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) *standin.Client {
+	c, err := standin.Dial(address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Conn.Close() })
+	return c
+}
+
+// body is an answer's bytes that have taken their room.
+func body(s *front.Server, text string) []byte {
+	s.Room.Take(len(text))
+	return []byte(text)
+}
+
+func TestAnswersGoOutInAnyOrder(t *testing.T) {
+	h, s, address := serve(t, 4)
+	c := dial(t, address)
+	good, err := c.Probe()
+	require.NoError(t, err)
+	assert.True(t, good)
+	for range 5 {
+		_, err := c.Process(standin.Fields())
+		require.NoError(t, err)
+	}
+	var open []*front.Call
+	for range 5 {
+		open = append(open, <-h.calls)
+	}
+	assert.False(t, s.Quiet())
+	open[3].Serve(body(s, "bytes"), false)
+	open[1].Refuse(125)
+	open[1].Fail() // it is answered already
+	open[1].Serve(body(s, "dropped"), false)
+	open[0].Fail()
+	open[2].Serve(nil, true)
+	require.NoError(t, c.GiveUp(6)) // the fifth GET
+	assert.Same(t, open[4], <-h.givenUp)
+	open[4].Fail() // nothing is owed
+	want := []standin.Reply{
+		{Seq: 5, Method: "process", Kind: "served", Body: "bytes", Fields: map[string]string{}, Good: true},
+		{Seq: 3, Method: "process", Kind: "refused", Fields: map[string]string{"backoff": "125"}},
+		{Seq: 2, Method: "process", Kind: "failed", Fields: map[string]string{}},
+		{Seq: 4, Method: "process", Kind: "served", Fields: map[string]string{"ok304": "1"}, Good: true},
+	}
+	for _, w := range want {
+		r, err := c.Read()
+		require.NoError(t, err)
+		assert.Equal(t, w, r)
+	}
+	good, err = c.Probe() // and nothing came in between
+	require.NoError(t, err)
+	assert.True(t, good)
+}
+
+func TestBadInputEndsItsConnectionAlone(t *testing.T) {
+	twice := standin.Call("process", 1, 1, standin.ProcessArguments(standin.Fields(), ""))
+	tests := map[string]struct {
+		bytes []byte
+		open  int // calls that are given up
+	}{
+		"a frame that is too long": {[]byte{0x7f, 0, 0, 0}, 0},
+		"an old version":           {[]byte{0, 0, 0, 5, 0, 0, 0, 1, 0}, 0},
+		"a number that is open":    {append(twice, twice...), 1},
+		"a call that breaks the handler": {append(twice, standin.Call("process", 1, 2,
+			standin.ProcessArguments(standin.Fields("obj", "boom"), ""))...), 2},
+		"too many open calls": {func() (b []byte) {
+			for i := range int32(40) {
+				b = append(b, standin.Call("process", 1, i, standin.ProcessArguments(standin.Fields(), ""))...)
+			}
+			return b
+		}(), 32},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, _, address := serve(t, 4)
+			other := dial(t, address)
+			c := dial(t, address)
+			_, err := c.Conn.Write(tt.bytes)
+			require.NoError(t, err)
+			_, err = c.Read()
+			assert.Error(t, err, "the connection ends with no whole answer")
+			for range tt.open {
+				<-h.givenUp
+			}
+			good, err := other.Probe()
+			require.NoError(t, err)
+			assert.True(t, good)
+		})
+	}
+}
+
+func TestAnUnknownMethodIsAnException(t *testing.T) {
+	_, _, address := serve(t, 4)
+	c := dial(t, address)
+	_, err := c.Conn.Write(standin.Call("else", 1, 9, nil))
+	require.NoError(t, err)
+	r, err := c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, standin.Reply{Seq: 9, Method: "else", Kind: "exception", Fields: map[string]string{}}, r)
+}
+
+func TestASlowClientHoldsUpNoOther(t *testing.T) {
+	h, s, address := serve(t, 4)
+	slow, other := dial(t, address), dial(t, address)
+	for range 32 {
+		_, err := slow.Process(standin.Fields())
+		require.NoError(t, err)
+	}
+	long := strings.Repeat("x", 200000)
+	for range 32 {
+		s.Room.Take(len(long))
+		(<-h.calls).Serve([]byte(long), false) // more than the kernel keeps for one that does not read
+	}
+	good, err := other.Probe()
+	require.NoError(t, err)
+	assert.True(t, good)
+	_ = slow.Conn.Close()
+	for !s.Quiet() { // the unwritten replies go with it
+	}
+}
+
+func TestAClientThatLeavesGivesUpItsCalls(t *testing.T) {
+	h, _, address := serve(t, 1)
+	c := dial(t, address)
+	_, err := c.Process(standin.Fields())
+	require.NoError(t, err)
+	call := <-h.calls
+	_ = c.Conn.Close()
+	assert.Same(t, call, <-h.givenUp)
+	next := dial(t, address) // in the one place that is free again
+	_, err = next.Probe()
+	assert.NoError(t, err)
+}
--- /dev/null
+++ b/internal/lines/lines_test.go
@@ -0,0 +1,119 @@
+package lines_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/control"
+	"elderwall/internal/lines"
+	"elderwall/internal/standin"
+)
+
+// answers feeds text in pieces of a size and gives back the answers, until the first error.
+func answers(text string, piece int, room func(int) bool) (got []lines.Answer, err error) {
+	r := lines.Reader{Room: room}
+	for len(text) > 0 {
+		n := copy(r.Space(), text[:min(piece, len(text))])
+		r.Fed(n)
+		text = text[n:]
+		for {
+			a, ok, err := r.Next()
+			if err != nil {
+				return got, err
+			}
+			if !ok {
+				break
+			}
+			a.ID = []byte(string(a.ID)) // Space ends it
+			got = append(got, a)
+		}
+	}
+	return got, nil
+}
+
+func roomy(int) bool { return true }
+
+func TestAnswers(t *testing.T) {
+	long := strings.Repeat("x\r\n", 80000)
+	empty := []byte{}
+	tests := []struct {
+		text string
+		want lines.Answer
+	}{
+		{standin.Hit("a", "bytes"), lines.Answer{Word: lines.Hit, Note: control.Hit, Body: []byte("bytes")}},
+		{standin.Hit("a", long), lines.Answer{Word: lines.Hit, Note: control.Hit, Body: []byte(long)}},
+		{standin.Answer("a", "HIT", "rev=1,detail=parent,fill=20", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=origin", "x"), lines.Answer{Word: lines.Hit, Note: control.FilledByOrigin, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=shared", "x"), lines.Answer{Word: lines.Hit, Note: control.Joined, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=old", "x"), lines.Answer{Word: lines.Hit, Note: control.Aged, Body: []byte("x")}},
+		{standin.Answer("a", "VALID", "detail=mem", ""), lines.Answer{Word: lines.Valid, Note: control.Hit, Body: empty}},
+		{standin.Answer("a", "NONE", "-", ""), lines.Answer{Word: lines.None, Body: empty}},
+		{standin.Answer("a", "NONE", "detail=absent", ""), lines.Answer{Word: lines.None, Note: control.SourceLacks, Body: empty}},
+		{standin.Answer("a", "SHED", "detail=denied", ""), lines.Answer{Word: lines.Shed, Note: control.SourceRefused, Body: empty}},
+		{standin.Answer("a", "SHED", "detail=crowded", ""), lines.Answer{Word: lines.Shed, Note: control.NoFillPlace, Body: empty}},
+		{standin.Answer("a", "FAULT", "detail=unreached", ""), lines.Answer{Word: lines.Fault, Note: control.SourceFailed, Body: empty}},
+		{standin.Answer("a", "FAULT", "detail=behind", ""), lines.Answer{Word: lines.Fault, Note: control.OriginFailed, Body: empty}},
+		{standin.Answer("a", "LATE", "detail=new", ""), lines.Answer{Word: lines.Late, Body: empty}},
+		{"a PONG\r\n", lines.Answer{Word: lines.Pong}},
+		{"a PONG - 0\r\n\r\n", lines.Answer{Word: lines.Pong, Body: empty}},
+	}
+	for _, tt := range tests {
+		tt.want.ID = []byte("a")
+		for _, piece := range []int{1, 11, 1 << 20} {
+			got, err := answers(tt.text+tt.text, piece, roomy)
+			require.NoError(t, err, "%.40q", tt.text)
+			assert.Equal(t, []lines.Answer{tt.want, tt.want}, got, "%.40q", tt.text)
+		}
+	}
+}
+
+func TestABodyThatHasNoRoomIsDrained(t *testing.T) {
+	text := standin.Hit("a", strings.Repeat("x", 9000)) + standin.Hit("b", "y")
+	for _, piece := range []int{1, 5000, 1 << 20} {
+		got, err := answers(text, piece, func(n int) bool { return n < 9000 })
+		require.NoError(t, err)
+		require.Len(t, got, 2)
+		assert.Equal(t, []bool{true, false}, []bool{got[0].Cut, got[1].Cut})
+		assert.Empty(t, got[0].Body)
+		assert.Equal(t, "y", string(got[1].Body))
+	}
+}
+
+func TestHostileAnswers(t *testing.T) {
+	for _, text := range []string{"\r\n", "a\r\n", " HIT - 0\r\n", "a WHAT - 0\r\n", "a HIT -\r\n", "a HIT - 0 0\r\n", "a HIT - -1\r\n",
+		"a HIT - x\r\n", "a HIT - 99999999\r\n", "a HIT - 99999999999999999999\r\n", "a HIT detail 0\r\n\r\n", "a HIT - 0\n\r\n",
+		"a HIT - 1\r\nxyz", strings.Repeat("a", 5000)} {
+		for _, piece := range []int{1, 1 << 20} {
+			got, err := answers(text, piece, roomy)
+			assert.Error(t, err, "%.40q", text)
+			assert.Empty(t, got, "%.40q", text)
+		}
+	}
+}
+
+func TestRequests(t *testing.T) {
+	bare := lines.Request{ID: "9b1f", Service: "segment", Object: "7f3a", Part: "3", Budget: 1500}
+	full := bare
+	full.Source, full.Rank, full.MaxAge, full.Tag, full.Body = "s-0", 2, 900, "4be0", []byte("xy")
+	full.Join, full.HeldOnly, full.Renew = true, true, true
+	for want, q := range map[string]lines.Request{
+		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500 0\r\n\r\n":                                                     bare,
+		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500,up=s-0,store=2,cap=900,do=share+peek+swr,inm=4be0 2\r\nxy\r\n": full,
+	} {
+		assert.Equal(t, want, string(q.Append(nil)))
+	}
+	assert.Equal(t, "STOP 9b1f\r\nHELO t\r\n", string(lines.AppendHello(lines.AppendStop(nil, "9b1f"), "t")))
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add(standin.Hit("a", "bytes") + "b PONG\r\n" + standin.Answer("c", "NONE", "-", ""))
+	f.Fuzz(func(t *testing.T, text string) {
+		whole, wholeErr := answers(text, 1<<20, roomy)
+		bytewise, err := answers(text, 1, roomy)
+		assert.Equal(t, whole, bytewise)
+		assert.Equal(t, wholeErr == nil, err == nil)
+	})
+}
--- /dev/null
+++ b/internal/thrift/thrift_test.go
@@ -0,0 +1,142 @@
+package thrift_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin"
+	"elderwall/internal/thrift"
+)
+
+// calls feeds bytes in pieces of a size and gives back the calls, until the first error.
+func calls(b []byte, piece int) (got []thrift.Call, err error) {
+	var frames thrift.Frames
+	for len(b) > 0 {
+		n := copy(frames.Space(), b[:min(piece, len(b))])
+		frames.Fed(n)
+		b = b[n:]
+		for {
+			frame, ok, err := frames.Next()
+			if err != nil {
+				return got, err
+			}
+			if !ok {
+				break
+			}
+			c, err := thrift.Parse([]byte(string(frame))) // a copy, as Space ends the frame
+			if err != nil {
+				return got, err
+			}
+			got = append(got, c)
+		}
+	}
+	return got, nil
+}
+
+func process(body string, changes ...string) []byte {
+	return standin.Call("process", 1, 7, standin.ProcessArguments(standin.Fields(changes...), body))
+}
+
+func TestCalls(t *testing.T) {
+	get := thrift.Call{Method: thrift.Process, Name: []byte("process"), Seq: 7, Body: []byte("b"), Service: []byte("segment"),
+		ID: []byte("9b1f03aa5c7e2d41"), Budget: []byte("60000"), Object: []byte("7f3a9c21e0b4d655"), Part: []byte("3"),
+		Group: []byte("17"), Tag: []byte("4be0c1927d55a6f3")}
+	bare := get
+	bare.Tag, bare.Body = nil, []byte{}
+	long := get
+	long.Body = []byte(strings.Repeat("x", 240000))
+	tests := []struct {
+		name  string
+		bytes []byte
+		want  []thrift.Call
+	}{
+		{"a GET with all fields, and one unknown", process("b", "got", "4be0c1927d55a6f3", "other", "x"), []thrift.Call{get}},
+		{"a GET with no tag and no body", process(""), []thrift.Call{bare}},
+		{"a GET with the longest body", process(string(long.Body), "got", "4be0c1927d55a6f3"), []thrift.Call{long}},
+		{"a call given up, and a probe", append(standin.Call("giveUp", 4, 9, standin.GiveUpArguments(7)),
+			standin.Call("probe", 1, 10, []byte{2, 0, 1, 0})...),
+			[]thrift.Call{{Method: thrift.GiveUp, Name: []byte("giveUp"), Seq: 9, GivenUp: 7},
+				{Method: thrift.Probe, Name: []byte("probe"), Seq: 10}}},
+		{"a method that is not known, with every type", standin.Call("else", 1, 3, []byte{2, 0, 1, 1, 3, 0, 2, 9, 6, 0, 3, 0, 1,
+			8, 0, 4, 0, 0, 0, 1, 10, 0, 5, 0, 0, 0, 0, 0, 0, 0, 1, 4, 0, 6, 0, 0, 0, 0, 0, 0, 0, 1, 12, 0, 7, 2, 0, 1, 0, 0,
+			15, 0, 8, 2, 0, 0, 0, 2, 1, 1, 14, 0, 9, 3, 0, 0, 0, 1, 1, 13, 0, 10, 11, 2, 0, 0, 0, 1, 0, 0, 0, 1, 'k', 1}),
+			[]thrift.Call{{Name: []byte("else"), Seq: 3}}},
+	}
+	for _, tt := range tests {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			got, err := calls(tt.bytes, piece)
+			require.NoError(t, err, tt.name)
+			assert.Equal(t, tt.want, got, tt.name)
+		}
+	}
+}
+
+func TestHostileCalls(t *testing.T) {
+	nested := standin.Call("else", 1, 1, []byte(strings.Repeat("\x0c\x00\x01", 1000)))
+	endless := standin.Call("else", 1, 1, []byte{15, 0, 1, 12, 0x7f, 0xff, 0xff, 0xff})
+	tests := map[string][]byte{
+		"an oversized frame":          {0x7f, 0xff, 0xff, 0xff},
+		"a negative frame":            {0xff, 0xff, 0xff, 0xff},
+		"an empty frame":              {0, 0, 0, 0},
+		"the old form of a message":   append([]byte{0, 0, 0, 17, 0, 0, 0, 7}, "process\x01\x00\x00\x00\x01\x00"...),
+		"a reply":                     standin.Call("process", 2, 1, nil),
+		"a name longer than its call": {0, 0, 0, 8, 0x80, 1, 0, 1, 0, 0, 0, 9},
+		"a name of negative length":   {0, 0, 0, 8, 0x80, 1, 0, 1, 0xff, 0xff, 0xff, 0xff},
+		"fields of the wrong type":    standin.Call("process", 1, 1, []byte{13, 0, 1, 8, 8, 0, 0, 0, 1, 0, 0, 0, 1, 0, 0, 0, 1}),
+		"a body of the wrong type":    standin.Call("process", 1, 1, []byte{8, 0, 2, 0, 0, 0, 1}),
+		"an unknown type":             standin.Call("else", 1, 1, []byte{5, 0, 1, 0}),
+		"a list of negative length":   standin.Call("else", 1, 1, []byte{15, 0, 1, 2, 0xff, 0xff, 0xff, 0xff}),
+		"endless nesting":             nested,
+		"a list longer than its call": endless,
+		"no end of its arguments":     {0, 0, 0, 13, 0x80, 1, 0, 1, 0, 0, 0, 1, 'p', 0, 0, 0, 1},
+		"bytes behind it":             {0, 0, 0, 15, 0x80, 1, 0, 1, 0, 0, 0, 1, 'p', 0, 0, 0, 1, 0, 0},
+	}
+	for name, b := range tests {
+		got, err := calls(b, 1<<20)
+		assert.Error(t, err, name)
+		assert.Empty(t, got, name)
+	}
+}
+
+func TestReplies(t *testing.T) {
+	head := func(kind, method, seq string) string {
+		return "\x80\x01\x00" + kind + "\x00\x00\x00" + string(rune(len(method))) + method + "\x00\x00\x00" + seq
+	}
+	const none = "\x0d\x00\x02\x0b\x0b\x00\x00\x00\x00"
+	tests := map[string]struct {
+		reply thrift.Reply
+		want  string
+	}{
+		"served": {thrift.Served(7, []byte("abc"), false),
+			head("\x02", "process", "\x07") + "\x0c\x00\x00\x0b\x00\x01\x00\x00\x00\x03abc" + none + "\x02\x00\x03\x01\x00\x00"},
+		"the client's copy is the one": {thrift.Served(7, nil, true), head("\x02", "process", "\x07") +
+			"\x0c\x00\x00\x0b\x00\x01\x00\x00\x00\x00\x0d\x00\x02\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x05ok304\x00\x00\x00\x011" +
+			"\x02\x00\x03\x01\x00\x00"},
+		"not ready": {thrift.Ready(2, false),
+			head("\x02", "probe", "\x02") + "\x0c\x00\x00\x0b\x00\x01\x00\x00\x00\x00" + none + "\x02\x00\x03\x00\x00\x00"},
+		"refused": {thrift.Refused(7, 0), head("\x02", "process", "\x07") + "\x0c\x00\x01\x0d\x00\x01\x0b\x0b\x00\x00\x00\x00\x00\x00"},
+		"refused with a time": {thrift.Refused(7, 125), head("\x02", "process", "\x07") +
+			"\x0c\x00\x01\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x07backoff\x00\x00\x00\x03125\x00\x00"},
+		"failed": {thrift.Failed(7), head("\x02", "process", "\x07") + "\x0c\x00\x02\x0d\x00\x01\x0b\x0b\x00\x00\x00\x00\x00\x00"},
+		"unknown": {thrift.NoSuchMethod([]byte("else"), 7),
+			head("\x03", "else", "\x07") + "\x0b\x00\x01\x00\x00\x00\x0eunknown method\x08\x00\x02\x00\x00\x00\x01\x00"},
+	}
+	for name, tt := range tests {
+		got := string(tt.reply.Head) + string(tt.reply.Body) + string(tt.reply.Tail)
+		assert.Equal(t, "\x00\x00\x00"+string([]byte{byte(len(tt.want))})+tt.want, got, name)
+	}
+}
+
+func FuzzCalls(f *testing.F) {
+	f.Add(process("b"))
+	f.Add(standin.Call("giveUp", 4, 9, standin.GiveUpArguments(7)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		whole, wholeErr := calls(b, 1<<20)
+		bytewise, err := calls(b, 1)
+		assert.Equal(t, whole, bytewise)
+		assert.Equal(t, wholeErr == nil, err == nil)
+	})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	queue   []item
 	stopped []string // ids of late, whose answers may still come
 	closed  bool
+	writing *Forward  // whose request is being written
 	doubted bool      // nothing came between a forward and its stop; no new one goes out until something does
 	heard   time.Time // when bytes last came
 	used    time.Time // when a forward last went out or ended
@@ -97,14 +99,14 @@
 			buf = it.forward.Request.Append(buf)
 		}
 		n, err := socket.Write(buf)
+		c.wrote(it.forward, n, len(buf), err)
 		if err != nil {
-			c.broke(it.forward, n, len(buf))
 			return fmt.Errorf("write: %w", err)
 		}
 	}
 }
 
-// next takes an item off the queue. Its forward counts as written whole unless the write proves that it was not.
+// next takes an item off the queue.
 func (c *conn) next() (it item, ok, closed bool) {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
@@ -112,22 +114,31 @@
 		return it, false, c.closed
 	}
 	it, c.queue = c.queue[0], c.queue[1:]
-	if it.forward != nil {
-		it.forward.stage, it.forward.written = WrittenWhole, time.Now()
+	if c.writing = it.forward; c.writing != nil {
+		c.writing.written = time.Now()
 	}
 	return it, true, false
 }
 
-// broke books how much of a request a failed write has written, unless its end was told before.
-func (c *conn) broke(f *Forward, n, whole int) {
+// wrote books how much of a request is written. If the connection was closed meanwhile, its end is told here,
+// as only the write knows how far it came.
+func (c *conn) wrote(f *Forward, n, whole int, err error) {
+	if f == nil {
+		return
+	}
 	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
+	c.writing = nil
 	switch {
-	case f == nil || n == whole || c.closed:
+	case n == whole:
+		f.stage = max(f.stage, WrittenWhole)
 	case n > 0:
 		f.stage = PartlyWritten
-	default:
-		f.stage = NotWritten
+	}
+	late := c.closed && c.open[f.Request.ID] == f
+	delete(c.open, map[bool]string{true: f.Request.ID}[late])
+	c.host.mu.Unlock()
+	if late {
+		f.Done(Result{Stage: f.stage, Err: cmp.Or(err, ErrGone)})
 	}
 }
 
@@ -205,7 +216,7 @@
 	}
 }
 
-// close takes the connection off its host, and all forwards off the connection.
+// close takes the connection off its host, and all forwards off the connection but one that is being written.
 func (c *conn) close() (open []*Forward) {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
@@ -213,10 +224,13 @@
 		return nil
 	}
 	c.closed = true
-	for _, f := range c.open {
-		open = append(open, f)
+	for id, f := range c.open {
+		if f != c.writing {
+			open = append(open, f)
+			delete(c.open, id)
+		}
 	}
-	c.open, c.queue = map[string]*Forward{}, nil
+	c.queue = nil
 	if c.socket != nil {
 		_ = c.socket.Close()
 	}
