Move what decides from the state file into the module, and plain mechanisms the other way

control/state.go still decided that something always may go when nothing is under way (room), which notes blame a source (sourceFault) and which listed hosts may be used (regroup); they stand in control/control.go now. Behaviour is the same, but that a second ready origin would be chosen by id, not by chance.

--- a/control/control.go
+++ b/control/control.go
@@ -95,14 +95,6 @@
 	}
 }
 
-// sharers is the number of dispatchers that send into a zone.
-func (d *Dispatcher) sharers(zone int) float64 {
-	if zone < len(d.Seats) && d.Seats[zone] > 0 {
-		return float64(d.Seats[zone])
-	}
-	return math.Max(1, float64(d.Dispatchers))
-}
-
 func (d *Dispatcher) list(e HostEntry) {
 	h := d.hosts[e.ID]
 	if h == nil {
@@ -121,6 +113,21 @@
 	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credited = true, false, 0, 0, 0, 0, 0
 }
 
+// regroup tells which of the listed hosts may be used: the own zone's caches, all parents, a ready origin.
+func (d *Dispatcher) regroup() {
+	d.caches, d.parents, d.origin = nil, nil, nil
+	for _, h := range d.listed() {
+		switch {
+		case h.Kind == d.OriginKind && h.Phase == Ready:
+			d.origin = h
+		case h.Kind == d.ParentKind:
+			d.parents = append(d.parents, h)
+		case h.Kind != d.OriginKind && h.Zone == d.Zone:
+			d.caches = append(d.caches, h)
+		}
+	}
+}
+
 // GET takes a client's GET; it is answered through the wire, now or later, exactly once.
 func (d *Dispatcher) GET(now float64, in GET) {
 	d.now = now
@@ -131,14 +138,6 @@
 	d.run(g)
 }
 
-func (d *Dispatcher) run(g *get) {
-	for _, s := range d.chain {
-		if s.out(g) != pass {
-			return
-		}
-	}
-}
-
 // Answer takes the end of a forward; false means that no such forward is out.
 func (d *Dispatcher) Answer(now float64, a Answer) bool {
 	d.now = now
@@ -206,15 +205,6 @@
 	}
 }
 
-// again puts a GET into the line of further forwards.
-func (d *Dispatcher) again(g *get) verdict {
-	if !g.over && !g.lined {
-		g.lined = true
-		d.further = append(d.further, g)
-	}
-	return kept
-}
-
 // count bumps the object's count in the bounded, aged table.
 func (d *Dispatcher) count(g *get) {
 	g.item = d.items.touch(g.Object, g.Part)
@@ -569,6 +559,14 @@
 	return pass
 }
 
+// sourceFault tells whether a note lays a failure on the source of a fill, not on the host that tells of it.
+func sourceFault(n Note) bool {
+	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
+}
+
+// room tells whether more may go; where nothing is under way something always may, or nothing is learned.
+func (l *allowance) room(work float64) bool { return l.held == 0 || l.out+work <= l.most }
+
 // judge moves the limit of what may be out to a cache, to all, or as fills, by how it comes back: up in time,
 // down when not. It guards against collapse whatever the cause: a burst, a crowded or slow cache, link,
 // parent or origin, new objects. It could shed needlessly where fewer GETs are not faster.
--- a/control/state.go
+++ b/control/state.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"cmp"
 	"container/list"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -130,9 +132,6 @@
 	seen, late float64 // s; what of this turn has ended, and what came late or not at all
 }
 
-// room tells whether more may go; where nothing is under way something always may, or nothing would be learned.
-func (l *allowance) room(work float64) bool { return l.held == 0 || l.out+work <= l.most }
-
 func (l *allowance) add(work float64) {
 	l.held++
 	l.out += work
@@ -241,24 +240,37 @@
 	return x ^ x>>31
 }
 
-// regroup sorts the listed hosts into the own zone's caches, the parents and the origin.
-func (d *Dispatcher) regroup() {
-	d.caches, d.parents, d.origin = nil, nil, nil
-	for _, h := range d.hosts {
-		switch {
-		case h.Phase == Gone:
-		case h.Kind == d.OriginKind && h.Phase != Ready:
-		case h.Kind == d.OriginKind:
-			d.origin = h
-		case h.Kind == d.ParentKind:
-			d.parents = append(d.parents, h)
-		case h.Zone == d.Zone:
-			d.caches = append(d.caches, h)
+// listed is the hosts that the list has not taken out, by id.
+func (d *Dispatcher) listed() []*host {
+	hosts := without(slices.Collect(maps.Values(d.hosts)), func(h *host) bool { return h.Phase == Gone })
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts
+}
+
+// sharers is the number of dispatchers that send into a zone.
+func (d *Dispatcher) sharers(zone int) float64 {
+	if zone < len(d.Seats) && d.Seats[zone] > 0 {
+		return float64(d.Seats[zone])
+	}
+	return math.Max(1, float64(d.Dispatchers))
+}
+
+// run passes a GET along the chain for as long as stages pass it on.
+func (d *Dispatcher) run(g *get) {
+	for _, s := range d.chain {
+		if s.out(g) != pass {
+			return
 		}
 	}
-	for _, hosts := range [][]*host{d.caches, d.parents} {
-		sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+}
+
+// again puts a GET into the line of further forwards.
+func (d *Dispatcher) again(g *get) verdict {
+	if !g.over && !g.lined {
+		g.lined = true
+		d.further = append(d.further, g)
 	}
+	return kept
 }
 
 // chance draws a number from 0 to 1.
@@ -303,11 +315,6 @@
 	return fmt.Sprint(" ", group)
 }
 
-// sourceFault tells whether a note lays a failure on the source of a fill, not on the host that tells of it.
-func sourceFault(n Note) bool {
-	return n == SourceRefused || n == SourceFailed || n == SourceLacks || n == OriginFailed
-}
-
 // sending is the GET's sending time by its size, 0 where that is not told.
 func (d *Dispatcher) sending(g *get) float64 {
 	if g.SizeKB <= 0 || d.FlowKB <= 0 {
