--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,7 +216,11 @@
 		counter.Add(1)
 		if g := f.get; outcome == control.Returned && !g.over {
 			n.Options.Counts.Returned.Add(1)
-			g.call.Serve(body, r.Answer.Word == lines.Valid)
+			same := r.Answer.Word == lines.Valid
+			if same {
+				n.Options.Counts.Unchanged.Add(1)
+			}
+			g.call.Serve(body, same)
 			body = nil // with the room that it holds
 			n.close(g)
 		}
