Bound long calls and request bodies by the same room, and never be quiet between call and answer

Read through the whole change: a drain could end between a call's end and its queued answer; long calls and request bodies had bounds of their own only per connection; a request that lacks but its last line end counted as one that can't run.

--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -28,7 +28,7 @@
 	clientShare  = 3                      // clients hold at most a third of the descriptors
 	ownSockets   = 16                     // descriptors: listener, log, change log, the runtime's own, and some to spare
 	heapShare    = 0.6                    // of the memory limit, from which on the runtime collects harder
-	bodyShare    = 0.3                    // of it for the bodies of answers under way
+	bodyShare    = 0.25                   // of it for long calls and the bodies of answers under way
 	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 )
--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -138,7 +138,7 @@
 func (d *dispatcher) get(changes ...string) standin.Reply {
 	c := d.dial()
 	defer func() { _ = c.Conn.Close() }()
-	_, err := c.Process(standin.Fields(changes...))
+	_, err := c.Process(standin.Fields(changes...), "body")
 	require.NoError(d.t, err)
 	r, err := c.Read()
 	require.NoError(d.t, err)
@@ -222,8 +222,8 @@
 					if q.Stop {
 						continue
 					}
-					assert.Equal(t, []string{rid, "segment", object, "3", "s-3", "1"},
-						[]string{q.ID, q.Fields["queue"], q.Fields["path"], q.Fields["blk"], q.Fields["up"], q.Fields["store"]})
+					assert.Equal(t, []string{rid, "segment", object, "3", "s-3", "1", "body"},
+						[]string{q.ID, q.Fields["queue"], q.Fields["path"], q.Fields["blk"], q.Fields["up"], q.Fields["store"], q.Body})
 				}
 			}
 		})
@@ -234,7 +234,7 @@
 	a, asked := host(t, func(standin.Ask) string { return "" })
 	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
 	c := d.dial()
-	seq, err := c.Process(standin.Fields())
+	seq, err := c.Process(standin.Fields(), "")
 	require.NoError(t, err)
 	<-asked
 	require.NoError(t, c.GiveUp(seq))
@@ -249,7 +249,7 @@
 	d := start(t, 1, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
 	c := d.dial()
 	for range 2 {
-		_, err := c.Process(standin.Fields())
+		_, err := c.Process(standin.Fields(), "")
 		require.NoError(t, err)
 	}
 	<-asked
@@ -296,13 +296,13 @@
 	a, asked := host(t, func(a standin.Ask) string { <-release; return hit(a) })
 	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
 	c := d.dial()
-	_, err := c.Process(standin.Fields())
+	_, err := c.Process(standin.Fields(), "")
 	require.NoError(t, err)
 	d.signals <- syscall.SIGUSR1
 	d.signals <- syscall.SIGTERM
 	for d.ready() {
 	}
-	_, err = c.Process(standin.Fields("rid", "9b1f03aa5c7e2d42")) // while it drains
+	_, err = c.Process(standin.Fields("rid", "9b1f03aa5c7e2d42"), "") // while it drains
 	require.NoError(t, err)
 	close(release)
 	for range 2 {
--- a/examples/fetch/main.go
+++ b/examples/fetch/main.go
@@ -28,7 +28,7 @@
 		log.Fatal("the dispatcher is not ready")
 	}
 	if _, err := c.Process(standin.Fields("rid", fmt.Sprintf("%016x", rand.Uint64()), "method", *service,
-		"budget", "2500", "obj", *object, "nth", *part)); err != nil {
+		"budget", "2500", "obj", *object, "nth", *part), ""); err != nil {
 		log.Fatal(err)
 	}
 	r, err := c.Read()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,11 +50,11 @@
 	Handler Handler
 	Log     zerolog.Logger
 	Counts  *counters.Counters
-	Room    *room.Room // what the bodies of answers hold
+	Room    *room.Room // what long calls and the bodies of answers hold
 	Most    int        // connections at a time
 
 	mu    sync.Mutex
-	conns map[*conn]bool
+	conns []*conn
 }
 
 type conn struct {
@@ -70,34 +71,27 @@
 
 // Serve accepts connections until the listener is closed, and returns when all of them have ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	s.conns = map[*conn]bool{}
 	group, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, s.Most)
-	group.Go(func() error {
-		for {
-			select {
-			case places <- struct{}{}:
-			case <-ctx.Done():
-				return nil
-			}
-			socket, err := l.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			if err != nil {
-				<-places
-				s.Log.Warn().Err(err).Msg("accept failed")
-				time.Sleep(acceptAgain)
-				continue
-			}
-			s.Counts.ClientConnections.Add(1)
-			group.Go(func() error {
-				defer func() { <-places }()
-				s.serve(ctx, socket)
-				return nil
-			})
+	for ctx.Err() == nil {
+		places <- struct{}{}
+		socket, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
 		}
-	})
+		if err != nil {
+			<-places
+			s.Log.Warn().Err(err).Msg("accept failed")
+			time.Sleep(acceptAgain)
+			continue
+		}
+		s.Counts.ClientConnections.Add(1)
+		group.Go(func() error {
+			defer func() { <-places }()
+			s.serve(ctx, socket)
+			return nil
+		})
+	}
 	return group.Wait()
 }
 
@@ -105,7 +99,7 @@
 func (s *Server) serve(ctx context.Context, socket net.Conn) {
 	c := &conn{server: s, net: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}}
 	s.mu.Lock()
-	s.conns[c] = true
+	s.conns = append(s.conns, c)
 	s.mu.Unlock()
 	defer context.AfterFunc(ctx, c.close)()
 	var both sync.WaitGroup
@@ -113,10 +107,10 @@
 	c.guard(c.read)
 	both.Wait()
 	s.mu.Lock()
-	delete(s.conns, c)
+	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
 	s.mu.Unlock()
 	for _, call := range c.drop() {
-		s.Handler.GiveUp(call)
+		c.guard(func() error { s.Handler.GiveUp(call); return nil })
 	}
 }
 
@@ -124,12 +118,7 @@
 func (s *Server) Quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		if !c.quiet() {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(s.conns, func(c *conn) bool { return !c.quiet() })
 }
 
 func (c *conn) quiet() bool {
@@ -182,12 +171,22 @@
 	return open
 }
 
+var errRoom = errors.New("no memory for a call")
+
 // read takes calls off the connection until it ends; only what the client did wrong is an error.
 func (c *conn) read() error {
 	var frames thrift.Frames
+	held := 0
+	defer func() { c.server.Room.Give(held) }()
 	for {
+		space := frames.Space()
+		c.server.Room.Give(held)
+		if held = frames.Held(); !c.server.Room.Take(held) {
+			held = 0
+			return errRoom
+		}
 		_ = c.net.SetReadDeadline(time.Now().Add(idle))
-		n, err := c.net.Read(frames.Space())
+		n, err := c.net.Read(space)
 		if errors.Is(err, os.ErrDeadlineExceeded) && !c.quiet() {
 			continue
 		}
@@ -232,9 +231,9 @@
 			c.server.Handler.GiveUp(call)
 		}
 	case thrift.Probe:
-		c.send(thrift.Ready(m.Seq, c.server.Handler.Ready()))
+		c.send(thrift.Ready(m.Seq, c.server.Handler.Ready()), nil)
 	default:
-		c.send(thrift.NoSuchMethod(m.Name, m.Seq))
+		c.send(thrift.NoSuchMethod(m.Name, m.Seq), nil)
 	}
 	return nil
 }
@@ -271,27 +270,27 @@
 // Fail answers that it failed.
 func (c *Call) Fail() { c.reply(thrift.Failed(c.seq)) }
 
-// reply queues the answer of a call that is still open.
-func (c *Call) reply(r thrift.Reply) {
-	if c.conn.leave(c.seq) == nil {
-		c.conn.server.Room.Give(len(r.Body))
-		return
-	}
-	c.conn.send(r)
-}
+// reply queues the answer of a call that is still open. The call is open until its answer is in the queue, so
+// that the connection is never quiet between.
+func (c *Call) reply(r thrift.Reply) { c.conn.send(r, c) }
 
-// send queues a message; a client that leaves too many unread has its connection closed.
-func (c *conn) send(r thrift.Reply) {
+// send queues a message, of a call if that is open still; a client that leaves too many unread has its
+// connection closed.
+func (c *conn) send(r thrift.Reply, of *Call) {
 	c.mu.Lock()
-	over := c.closed || len(c.queue) >= mostQueue
-	if !over {
+	owed := of == nil || c.open[of.seq] == of
+	full := len(c.queue) >= mostQueue
+	if owed && !full && !c.closed {
 		c.queue = append(c.queue, r)
+	} else {
+		c.server.Room.Give(len(r.Body))
+	}
+	if of != nil && owed {
+		delete(c.open, of.seq)
 	}
 	c.mu.Unlock()
-	if over {
-		c.server.Room.Give(len(r.Body))
+	if full {
 		c.close()
-		return
 	}
 	c.signal()
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -77,7 +77,7 @@
 	require.NoError(t, err)
 	assert.True(t, good)
 	for range 5 {
-		_, err := c.Process(standin.Fields())
+		_, err := c.Process(standin.Fields(), "")
 		require.NoError(t, err)
 	}
 	var open []*front.Call
@@ -161,7 +161,7 @@
 	h, s, address := serve(t, 4)
 	slow, other := dial(t, address), dial(t, address)
 	for range 32 {
-		_, err := slow.Process(standin.Fields())
+		_, err := slow.Process(standin.Fields(), "")
 		require.NoError(t, err)
 	}
 	long := strings.Repeat("x", 200000)
@@ -180,7 +180,7 @@
 func TestAClientThatLeavesGivesUpItsCalls(t *testing.T) {
 	h, _, address := serve(t, 1)
 	c := dial(t, address)
-	_, err := c.Process(standin.Fields())
+	_, err := c.Process(standin.Fields(), "")
 	require.NoError(t, err)
 	call := <-h.calls
 	_ = c.Conn.Close()
@@ -189,3 +189,21 @@
 	_, err = next.Probe()
 	assert.NoError(t, err)
 }
+
+func TestALongCallTakesRoom(t *testing.T) {
+	h, s, address := serve(t, 4)
+	long := strings.Repeat("x", 200000)
+	c := dial(t, address)
+	_, err := c.Process(standin.Fields(), long)
+	require.NoError(t, err)
+	(<-h.calls).Fail()
+	_, err = c.Read()
+	require.NoError(t, err)
+	s.Room.Take(bytesOfRoom - len(long)/2) // the rest
+	other := dial(t, address)
+	_, err = other.Process(standin.Fields(), long)
+	require.NoError(t, err)
+	_, err = other.Read()
+	assert.Error(t, err, "there is none for the second")
+	s.Room.Give(bytesOfRoom - len(long)/2)
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -14,7 +14,9 @@
 const (
 	longestLine = 4 << 10 // bytes; a head is a few hundred
 	longestBody = 1 << 18 // bytes; an object has at most 240,000
-	lineEnd     = "\r\n"
+
+	// LineEnd ends each line, and each body.
+	LineEnd = "\r\n"
 )
 
 // Word is the kind of an answer.
@@ -96,7 +98,7 @@
 }
 
 // Held is the room that the answer under way has taken.
-func (r *Reader) Held() int { return max(0, len(r.body)-len(lineEnd)) }
+func (r *Reader) Held() int { return max(0, len(r.body)-len(LineEnd)) }
 
 // Next is the next whole answer, if there is one.
 func (r *Reader) Next() (Answer, bool, error) {
@@ -124,7 +126,7 @@
 // begin makes a place for a body, or drains it where there is no room.
 func (r *Reader) begin(size int) {
 	r.head.ID = bytes.Clone(r.head.ID)
-	r.begun, r.size, r.got = true, size+len(lineEnd), 0
+	r.begun, r.size, r.got = true, size+len(LineEnd), 0
 	if r.head.Cut = !r.Room(size); !r.head.Cut {
 		r.body = make([]byte, r.size)
 	}
@@ -143,10 +145,10 @@
 func (r *Reader) finish() (Answer, bool, error) {
 	a := r.head
 	if r.body != nil {
-		if !bytes.HasSuffix(r.body, []byte(lineEnd)) {
+		if !bytes.HasSuffix(r.body, []byte(LineEnd)) {
 			return Answer{}, false, errors.New("no line end behind a body")
 		}
-		a.Body = r.body[:r.size-len(lineEnd)]
+		a.Body = r.body[:r.size-len(LineEnd)]
 	}
 	r.begun, r.body = false, nil
 	return a, true, nil
@@ -224,8 +226,8 @@
 	Body                      []byte
 }
 
-// Append writes the request behind b.
-func (q Request) Append(b []byte) []byte {
+// AppendHead writes the line of the request behind b; its body and a line end follow.
+func (q Request) AppendHead(b []byte) []byte {
 	b = append(append(b, "REQ "...), q.ID...)
 	b = append(append(b, " queue="...), q.Service...)
 	b = append(append(b, ",path="...), q.Object...)
@@ -245,7 +247,7 @@
 		b = append(append(b, ",inm="...), q.Tag...)
 	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(q.Body)), 10)
-	return append(append(append(b, lineEnd...), q.Body...), lineEnd...)
+	return append(b, LineEnd...)
 }
 
 func (q Request) appendHow(b []byte) []byte {
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -100,10 +100,10 @@
 	full.Source, full.Rank, full.MaxAge, full.Tag, full.Body = "s-0", 2, 900, "4be0", []byte("xy")
 	full.Join, full.HeldOnly, full.Renew = true, true, true
 	for want, q := range map[string]lines.Request{
-		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500 0\r\n\r\n":                                                     bare,
-		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500,up=s-0,store=2,cap=900,do=share+peek+swr,inm=4be0 2\r\nxy\r\n": full,
+		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500 0\r\n":                                                   bare,
+		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500,up=s-0,store=2,cap=900,do=share+peek+swr,inm=4be0 2\r\n": full,
 	} {
-		assert.Equal(t, want, string(q.Append(nil)))
+		assert.Equal(t, want, string(q.AppendHead(nil)))
 	}
 	assert.Equal(t, "STOP 9b1f\r\nHELO t\r\n", string(lines.AppendHello(lines.AppendStop(nil, "9b1f"), "t")))
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -26,7 +26,7 @@
 		return
 	}
 	n.call(func(now float64) {
-		if len(n.gets) >= n.Settings.MostHeld {
+		if len(n.gets) >= n.Settings.MostHeld || !n.Options.Room.Take(len(request.Body)) {
 			n.Options.Counts.Shed.Add(1)
 			c.Refuse(0)
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,7 @@
 	if g.over && g.out == 0 {
 		delete(n.gets, g.id)
 		n.expiries.Remove(g.expiry)
+		n.Options.Room.Give(len(g.request.Body))
 	}
 }
 
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -1,4 +1,4 @@
-// Package room bounds the memory that the bodies of answers take, from a host's connection to the client's.
+// Package room bounds the memory that long calls and the bodies of requests and answers take.
 package room
 
 import "sync/atomic"
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -76,9 +76,9 @@
 func text(s string) []byte { return append(binary.BigEndian.AppendUint32(nil, uint32(len(s))), s...) }
 
 // Process sends a GET and returns its number.
-func (c *Client) Process(fields map[string]string) (int32, error) {
+func (c *Client) Process(fields map[string]string, body string) (int32, error) {
 	c.seq++
-	return c.seq, c.write(Call("process", 1, c.seq, ProcessArguments(fields, "")))
+	return c.seq, c.write(Call("process", 1, c.seq, ProcessArguments(fields, body)))
 }
 
 // GiveUp sends that a call is given up.
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -66,8 +66,8 @@
 
 // Space is where the next bytes are to be read into; it ends what Next gave out.
 func (f *Frames) Space() []byte {
-	if f.buf == nil {
-		f.buf = make([]byte, firstBuffer)
+	if f.start == f.end && len(f.buf) != firstBuffer { // at first, and after a long frame
+		f.buf, f.start, f.end = make([]byte, firstBuffer), 0, 0
 	}
 	if f.start > 0 {
 		f.end = copy(f.buf, f.buf[f.start:f.end])
@@ -79,6 +79,9 @@
 	return f.buf[f.end:]
 }
 
+// Held is the memory that a long frame takes beyond the ordinary.
+func (f *Frames) Held() int { return max(0, len(f.buf)-firstBuffer) }
+
 // Fed takes word that so many bytes were read into Space.
 func (f *Frames) Fed(n int) { f.end += n }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -95,11 +95,15 @@
 			<-c.wake
 			continue
 		}
-		if buf = append(buf[:0], it.text...); it.forward != nil {
-			buf = it.forward.Request.Append(buf)
+		parts := net.Buffers{it.text}
+		if f := it.forward; f != nil {
+			buf = f.Request.AppendHead(buf[:0])
+			parts = net.Buffers{buf, f.Request.Body, []byte(lines.LineEnd)}
+		}
+		n, err := parts.WriteTo(socket)
+		if f := it.forward; f != nil {
+			c.wrote(f, int(n), len(buf)+len(f.Request.Body), err)
 		}
-		n, err := socket.Write(buf)
-		c.wrote(it.forward, n, len(buf), err)
 		if err != nil {
 			return fmt.Errorf("write: %w", err)
 		}
@@ -121,21 +125,20 @@
 }
 
 // wrote books how much of a request is written. If the connection was closed meanwhile, its end is told here,
-// as only the write knows how far it came.
-func (c *conn) wrote(f *Forward, n, whole int, err error) {
-	if f == nil {
-		return
-	}
+// as only the write knows how far it came. A host could run a request that lacks but the last line end.
+func (c *conn) wrote(f *Forward, n, enough int, err error) {
 	c.host.mu.Lock()
 	c.writing = nil
 	switch {
-	case n == whole:
+	case n >= enough:
 		f.stage = max(f.stage, WrittenWhole)
 	case n > 0:
 		f.stage = PartlyWritten
 	}
 	late := c.closed && c.open[f.Request.ID] == f
-	delete(c.open, map[bool]string{true: f.Request.ID}[late])
+	if late {
+		delete(c.open, f.Request.ID)
+	}
 	c.host.mu.Unlock()
 	if late {
 		f.Done(Result{Stage: f.stage, Err: cmp.Or(err, ErrGone)})
