--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -30,13 +30,15 @@
 	heapShare    = 0.6                    // of the memory limit, from which on the runtime collects harder
 	bodyShare    = 0.25                   // of it for long calls and the bodies of answers under way
 	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
+	warnings     = 10                     // a second that are logged; bad input could bring any number
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 )
 
 func main() {
 	got := make(chan os.Signal, 4)
 	signal.Notify(got, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGINT)
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger().
+		Sample(zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: warnings, Period: time.Second}})
 	c, err := readConfig(os.Getenv)
 	if err == nil {
 		err = run(c, log.With().Str("name", c.Name).Logger(), got)
