Let go of written answers and requests that the arrays behind queues kept

Seen: a probe with 330 clients that read nothing (32 GETs of 230,000 bytes each) took the dispatcher to 225 MB of 192. Checked: the room for bodies was kept (48 MB), but 133 MB of bodies were in use by the heap profile and the collector's goal rose with them; so something still pointed at answers that had been written. At fault: conn.next in front and upstream cut the queue's first element off and left it in the array behind. After: 119 and 117 MB in the same probe, 124 MB with long calls. A test looks for written answers that are still held, and fails without the change.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -300,7 +300,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writes = len(c.queue) > 0 && !c.closed; c.writes {
-		r, c.queue = c.queue[0], c.queue[1:]
+		r = c.queue[0]
+		c.queue[0] = thrift.Reply{} // the array behind the queue must not keep the body
+		c.queue = c.queue[1:]
 	}
 	return r, c.writes, c.closed
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"weak"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -207,3 +209,26 @@
 	assert.Error(t, err, "there is none for the second")
 	s.Room.Give(bytesOfRoom - len(long)/2)
 }
+
+func TestAWrittenAnswerIsLetGo(t *testing.T) {
+	h, s, address := serve(t, 4)
+	c := dial(t, address)
+	var bodies []weak.Pointer[byte]
+	for range 8 {
+		_, err := c.Process(standin.Fields(), "")
+		require.NoError(t, err)
+		b := body(s, strings.Repeat("x", 1000))
+		bodies = append(bodies, weak.Make(&b[0]))
+		(<-h.calls).Serve(b, false)
+	}
+	for range 8 {
+		_, err := c.Read()
+		require.NoError(t, err)
+	}
+	for !s.Quiet() {
+	}
+	runtime.GC()
+	for i, b := range bodies {
+		assert.Nil(t, b.Value(), "answer %d", i)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -117,7 +117,9 @@
 	if c.closed || len(c.queue) == 0 {
 		return it, false, c.closed
 	}
-	it, c.queue = c.queue[0], c.queue[1:]
+	it = c.queue[0]
+	c.queue[0] = item{} // the array behind the queue must not keep the request
+	c.queue = c.queue[1:]
 	if c.writing = it.forward; c.writing != nil {
 		c.writing.written = time.Now()
 	}
