Send an id that was stopped out again behind its STOP, on the same connection

Cause: hosts know a request by its id, and the second went out on another connection (so that an answer crossing the STOP could not pass for its own), where it overtook the STOP, which then ended it. At fault: usable and pick in upstream. Change: it goes behind the STOP on the same connection, with a HELO between; what comes under the id before the PONG is for the first. Ruled out before: bare answers, connections, sizes.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -19,15 +20,16 @@
 	wake chan struct{} // tells the writer of a change
 
 	// under the host's lock
-	socket  net.Conn            // nil until it is up
-	open    map[string]*Forward // by id of the request
-	queue   []item
-	stopped []string // ids of late, whose answers may still come
-	closed  bool
-	writing *Forward  // whose request is being written
-	doubted bool      // nothing came between a forward and its stop; no new one goes out until something does
-	heard   time.Time // when bytes last came
-	used    time.Time // when a forward last went out or ended
+	socket    net.Conn            // nil until it is up
+	open      map[string]*Forward // by id of the request
+	queue     []item
+	stopped   map[string]string // ids that were stopped, with the tag of the question behind
+	questions int
+	closed    bool
+	writing   *Forward  // whose request is being written
+	doubted   bool      // nothing came between a forward and its stop; no new one goes out until something does
+	heard     time.Time // when bytes last came
+	used      time.Time // when a forward last went out or ended
 }
 
 // item is what is to be written: a forward's request, or text.
@@ -174,10 +176,7 @@
 		if !ok || err != nil {
 			return err
 		}
-		f := (*Forward)(nil)
-		if a.Word != lines.Pong {
-			f = c.leave(string(a.ID))
-		}
+		f := c.leave(a)
 		switch {
 		case f == nil:
 			c.host.Room.Give(len(a.Body))
@@ -200,15 +199,23 @@
 func (c *conn) begun(id []byte) {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
-	if f := c.open[string(id)]; f != nil {
+	if f := c.open[string(id)]; f != nil && c.stopped[string(id)] == "" {
 		f.stage = AnswerBegun
 	}
 }
 
-// leave takes a forward off the connection; nil means that none of this id is out.
-func (c *conn) leave(id string) *Forward {
+// leave takes the forward that an answer is for off the connection; nil means that it is for none.
+func (c *conn) leave(a lines.Answer) *Forward {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
+	id := string(a.ID)
+	if a.Word == lines.Pong {
+		maps.DeleteFunc(c.stopped, func(_, tag string) bool { return tag == id })
+		return nil
+	}
+	if c.stopped[id] != "" {
+		return nil
+	}
 	f := c.open[id]
 	delete(c.open, id)
 	c.used = time.Now()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -108,10 +109,13 @@
 	return nil
 }
 
-// pick is an idle connection, else a new one, else the one with the fewest forwards out: answers on one
-// connection follow one another.
+// pick is the connection on which the id was stopped, as the host must hear of that first; else an idle one, a
+// new one, or the one with the fewest forwards out: answers on one connection follow one another.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
+		if c.stopped[id] != "" {
+			return c
+		}
 		if c.usable(id) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
@@ -122,22 +126,21 @@
 	return best
 }
 
-// usable tells whether a request may go out on a connection; never beside an earlier one of the same id, whose
-// answer may still come.
 func (c *conn) usable(id string) bool {
-	return !c.doubted && len(c.open) < c.host.Streams && c.open[id] == nil && !slices.Contains(c.stopped, id)
+	return !c.doubted && len(c.open) < c.host.Streams && c.open[id] == nil
 }
 
 // dial starts a new connection, on which forwards may be queued at once.
 func (h *Host) dial() *conn {
-	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}}
+	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}}
 	h.conns = append(h.conns, c)
 	h.Counts.HostConnections.Add(1)
 	h.Group.Go(func() error { c.guard(c.run); return nil })
 	return c
 }
 
-// Stop gives a forward up: it is taken back, or the host is told.
+// Stop gives a forward up: it is taken back, or the host is told, with a question behind. What comes under its
+// id before the question is answered is for what was stopped.
 func (f *Forward) Stop() {
 	c := f.conn
 	if c == nil {
@@ -155,14 +158,11 @@
 		c.queue = slices.Delete(c.queue, i, i+1)
 		return
 	}
-	if c.stopped = append(c.stopped, id); len(c.stopped) > c.host.Streams {
-		c.stopped = c.stopped[1:]
-	}
-	c.queue = append(c.queue, item{text: lines.AppendStop(nil, id)})
-	if !c.doubted && !c.heard.After(f.written) {
-		c.doubted = true
-		c.queue = append(c.queue, item{text: lines.AppendHello(nil, id)})
-	}
+	c.questions++
+	tag := fmt.Sprint("q", c.questions)
+	c.stopped[id] = tag
+	c.doubted = c.doubted || !c.heard.After(f.written)
+	c.queue = append(c.queue, item{text: lines.AppendHello(lines.AppendStop(nil, id), tag)})
 	c.signal()
 }
 
