--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -109,18 +109,18 @@
 	return nil
 }
 
-// pick is the connection on which the id was stopped, as the host must hear of that first; else an idle one, a
-// new one, or the one with the fewest forwards out: answers on one connection follow one another.
+// pick is the connection on which the id was stopped, as the host must hear of that first; else the first one
+// that has a stream left, or a new one: hosts pay for each connection, and sharing one costs nothing measurable.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
 		if c.stopped[id] != "" {
 			return c
 		}
-		if c.usable(id) && (best == nil || len(c.open) < len(best.open)) {
+		if best == nil && c.usable(id) {
 			best = c
 		}
 	}
-	if (best == nil || len(best.open) > 0) && len(h.conns) < int(h.PerHost.Load()) {
+	if best == nil && len(h.conns) < int(h.PerHost.Load()) {
 		best = h.dial()
 	}
 	return best
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,7 +171,7 @@
 	}
 	require.Len(t, conns, 2)
 	for _, n := range conns {
-		assert.Equal(t, 3, n, "spread evenly")
+		assert.Equal(t, 3, n, "its streams are used up first")
 	}
 	f, _ := forward("g", "")
 	assert.ErrorIs(t, h.Send(f), upstream.ErrFull)
