--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"elderwall/control"
+	"elderwall/internal/changelog"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/front"
+	"elderwall/internal/room"
+	"elderwall/internal/standin"
+	"elderwall/internal/thrift"
+	"elderwall/internal/upstream"
+	"elderwall/settings"
+)
+
+// forgetful is a node whose module never hears of a GET, as if it had broken on it.
+type forgetful struct {
+	*Node
+	taken chan bool
+}
+
+func (f forgetful) Process(c *front.Call, _ thrift.Call) {
+	f.guarded(func(now float64) {
+		g := &get{id: 7, call: c, until: now}
+		f.gets[g.id], f.byCall[c] = g, g
+		g.expiry = f.expiries.Add(g.until, g)
+		close(f.taken)
+		panic("broken")
+	})
+}
+
+func newNode(t *testing.T) *Node {
+	o := &upstream.Options{Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(1 << 20), Context: t.Context(),
+		Group: &errgroup.Group{}}
+	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std"}, MostHeld: 1,
+		Settings: control.Settings{ParentKind: -1, OriginKind: -1}}
+	return New(Config{Settings: s, Clock: clock.New(), Options: o, Connections: 9})
+}
+
+func TestAGETThatABrokenModuleLeftIsErroredInItsTime(t *testing.T) {
+	n := newNode(t)
+	f := forgetful{n, make(chan bool)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &front.Server{Handler: f, Log: zerolog.Nop(), Counts: n.Options.Counts, Room: n.Options.Room, Most: 1}
+	ended := make(chan error)
+	go func() { ended <- server.Serve(ctx, l) }()
+	c, err := standin.Dial(l.Addr().String())
+	require.NoError(t, err)
+	_, err = c.Process(standin.Fields(), "")
+	require.NoError(t, err)
+	<-f.taken
+	n.guarded(n.tick)
+	r, err := c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, "failed", r.Kind)
+	assert.Empty(t, n.gets)
+	cancel()
+	_ = l.Close()
+	assert.NoError(t, <-ended)
+}
+
+func TestHosts(t *testing.T) {
+	entry := func(id, address, state string) changelog.Host {
+		return changelog.Host{ID: id, Address: address, Zone: "z", Kind: "std", State: state}
+	}
+	tests := []struct {
+		name  string
+		reset bool
+		list  []changelog.Host
+		want  map[string]string // of those that are not gone, by name
+		share int64
+	}{
+		{"the whole list", true, []changelog.Host{entry("a", "1", "SERVING"), entry("b", "2", "SERVING")}, map[string]string{"a": "1", "b": "2"}, 4},
+		{"one drains", false, []changelog.Host{entry("a", "1", "DRAINING")}, map[string]string{"a": "1", "b": "2"}, 4},
+		{"one is gone, another has its address", false, []changelog.Host{entry("a", "", "DELETED"), entry("c", "1", "SERVING")},
+			map[string]string{"b": "2", "c": "1"}, 3},
+		{"one moves", false, []changelog.Host{entry("b", "3", "SERVING")}, map[string]string{"b": "3", "c": "1"}, 3},
+		{"one comes back", false, []changelog.Host{entry("a", "4", "SERVING")}, map[string]string{"a": "4", "b": "3", "c": "1"}, 3},
+		{"one is no longer in the whole list", true, []changelog.Host{entry("a", "4", "SERVING")}, map[string]string{"a": "4"}, 3},
+	}
+	n := newNode(t)
+	for _, tt := range tests {
+		n.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: tt.reset, Hosts: tt.list}})
+		got := map[string]string{}
+		for _, h := range n.hosts {
+			if h.phase != control.Gone {
+				got[h.name] = h.address
+			}
+		}
+		assert.Equal(t, tt.want, got, tt.name)
+		assert.Equal(t, tt.share, n.Options.PerHost.Load(), tt.name)
+	}
+	n.guarded(func(float64) { n.sweep() })
+	assert.Len(t, n.hosts, 1, "what is gone is forgotten")
+	assert.EqualValues(t, 9, n.Options.PerHost.Load())
+	assert.True(t, n.Ready())
+}
