--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -106,3 +106,26 @@
 	assert.EqualValues(t, 9, n.Options.PerHost.Load())
 	assert.True(t, n.Ready())
 }
+
+func TestEntries(t *testing.T) {
+	n := newNode(t)
+	started := changelog.Host{ID: "a", Address: "1", Zone: "z", Kind: "std", Cell: 2, State: "DRAINING", Weight: 4, StartedAtMs: 1764576000123}
+	e, err := n.entry(started)
+	require.NoError(t, err)
+	assert.Equal(t, control.HostEntry{ID: n.hostID("a"), Cell: 2, Phase: control.Draining, Weight: 4,
+		OnlineSince: n.Clock.AtUnixMs(1764576000123), OnlineSinceIsTold: true}, e)
+	assert.InDelta(t, 1.5, n.Clock.AtUnixMs(1764576001623)-e.OnlineSince, 1e-6)
+	for name, change := range map[string]func(*changelog.Host){
+		"no id":                     func(h *changelog.Host) { h.ID = "" },
+		"an id that splits a field": func(h *changelog.Host) { h.ID = "a,b" },
+		"an unknown state":          func(h *changelog.Host) { h.State = "SLEEPING" },
+		"an unknown zone":           func(h *changelog.Host) { h.Zone = "y" },
+		"an unknown kind":           func(h *changelog.Host) { h.Kind = "" },
+		"no address":                func(h *changelog.Host) { h.Address = "" },
+	} {
+		h := started
+		change(&h)
+		_, err := n.entry(h)
+		assert.Error(t, err, name)
+	}
+}
