--- a/cmd/elderwall/config.go
+++ b/cmd/elderwall/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"strconv"
 
@@ -55,9 +56,12 @@
 
 // check tells what nothing can start without.
 func (c *config) check() error {
+	for _, address := range []string{c.Listen, c.Changelog} { // there is no DNS
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("configuration: listen, changelog: %w", err)
+		}
+	}
 	switch {
-	case c.Listen == "" || c.Changelog == "":
-		return errors.New("configuration: no address to listen at, or none of the change log")
 	case c.Limits.MemoryMB <= 0 || c.Limits.Sockets <= 2*ownSockets:
 		return errors.New("configuration: no memory, or too few sockets")
 	case len(c.settings.Services) == 0:
--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -325,6 +325,7 @@
 		"no seed":             strings.Replace(whole, "8c1f30d27a5be964", "", 1),
 		"no address":          strings.Replace(whole, `"127.0.0.1:0"`, `""`, 1),
 		"no change log":       strings.Replace(whole, `"127.0.0.1:1"`, `""`, 1),
+		"a name to listen at": strings.Replace(whole, `"127.0.0.1:0"`, `"localhost:0"`, 1),
 		"no memory":           strings.Replace(whole, `"memory_mb":192`, `"memory_mb":0`, 1),
 		"too few sockets":     strings.Replace(whole, `"sockets":1024`, `"sockets":9`, 1),
 		"no settings":         strings.Replace(whole, `"settings":{`, `"settings":7,"other":{`, 1),
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -64,7 +65,7 @@
 		}
 		return e, nil
 	}
-	if e.Zone < 0 || e.Kind < 0 || told.Address == "" {
+	if _, err := netip.ParseAddrPort(told.Address); err != nil || e.Zone < 0 || e.Kind < 0 {
 		return e, fmt.Errorf("zone %q, kind %q, address %q", told.Zone, told.Kind, told.Address)
 	}
 	if told.StartedAtMs != 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -72,7 +73,7 @@
 
 func TestHosts(t *testing.T) {
 	entry := func(id, address, state string) changelog.Host {
-		return changelog.Host{ID: id, Address: address, Zone: "z", Kind: "std", State: state}
+		return changelog.Host{ID: id, Address: "127.0.0.1:" + address, Zone: "z", Kind: "std", State: state}
 	}
 	tests := []struct {
 		name  string
@@ -95,7 +96,7 @@
 		got := map[string]string{}
 		for _, h := range n.hosts {
 			if h.phase != control.Gone {
-				got[h.name] = h.address
+				got[h.name] = strings.TrimPrefix(h.address, "127.0.0.1:")
 			}
 		}
 		assert.Equal(t, tt.want, got, tt.name)
@@ -109,7 +110,7 @@
 
 func TestEntries(t *testing.T) {
 	n := newNode(t)
-	started := changelog.Host{ID: "a", Address: "1", Zone: "z", Kind: "std", Cell: 2, State: "DRAINING", Weight: 4, StartedAtMs: 1764576000123}
+	started := changelog.Host{ID: "a", Address: "127.0.0.1:1", Zone: "z", Kind: "std", Cell: 2, State: "DRAINING", Weight: 4, StartedAtMs: 1764576000123}
 	e, err := n.entry(started)
 	require.NoError(t, err)
 	assert.Equal(t, control.HostEntry{ID: n.hostID("a"), Cell: 2, Phase: control.Draining, Weight: 4,
@@ -122,6 +123,7 @@
 		"an unknown zone":           func(h *changelog.Host) { h.Zone = "y" },
 		"an unknown kind":           func(h *changelog.Host) { h.Kind = "" },
 		"no address":                func(h *changelog.Host) { h.Address = "" },
+		"a name for an address":     func(h *changelog.Host) { h.Address = "localhost:1" },
 	} {
 		h := started
 		change(&h)
