Reload on SIGHUP, and have client connections with nothing open give way to new ones

CPU was at 4 to 8%, descriptors at a third: not load. At fault: main.go did not take SIGHUP; front.go (Serve) waited for a place before each accept, while idle clients kept theirs for 30 s, and a message could trickle for ever; door.go took groups over 255, numbers in other forms, budgets over the viewer timeout and ids that were open already.

--- a/cmd/elderwall/config.go
+++ b/cmd/elderwall/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"elderwall/internal/changelog"
@@ -71,3 +72,21 @@
 	}
 	return nil
 }
+
+// reload takes what of a new configuration can change while running, and names what can't.
+func (c *config) reload(to *config) (moved bool, kept []string) {
+	for _, part := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == to.Name}, {"listen", c.Listen == to.Listen}, {"seed", c.Seed == to.Seed},
+		{"limits", c.Limits == to.Limits}, {"settings", reflect.DeepEqual(c.settings, to.settings)},
+	} {
+		if !part.same {
+			kept = append(kept, part.name)
+		}
+	}
+	moved = c.Changelog != to.Changelog
+	c.Changelog = to.Changelog
+	return moved, kept
+}
--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -35,13 +35,13 @@
 )
 
 func main() {
-	got := make(chan os.Signal, 4)
-	signal.Notify(got, syscall.SIGUSR1, syscall.SIGTERM, syscall.SIGINT)
+	got := make(chan os.Signal, 16)
+	signal.Notify(got, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger().
 		Sample(zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: warnings, Period: time.Second}})
 	c, err := readConfig(os.Getenv)
 	if err == nil {
-		err = run(c, log.With().Str("name", c.Name).Logger(), got)
+		err = run(c, log.With().Str("name", c.Name).Logger(), got, func() (*config, error) { return readConfig(os.Getenv) })
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "elderwall:", err)
@@ -49,8 +49,8 @@
 	}
 }
 
-// run serves until a signal ends it.
-func run(c *config, log zerolog.Logger, got <-chan os.Signal) error {
+// run serves until a signal ends it; SIGHUP has it read the configuration again.
+func run(c *config, log zerolog.Logger, got <-chan os.Signal, read func() (*config, error)) error {
 	memory := float64(c.Limits.MemoryMB << 20)
 	debug.SetMemoryLimit(int64(heapShare * memory))
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
@@ -71,14 +71,15 @@
 		n.Take(e)
 	}
 	server := &front.Server{Handler: n, Log: log, Counts: o.Counts, Room: o.Room, Most: clients}
-	follower := &changelog.Follower{Address: c.Changelog, Log: log, Take: n.Take}
+	moves := make(chan string, 1)
+	follower := &changelog.Follower{Address: c.Changelog, Moves: moves, Log: log, Take: n.Take}
 	group.Go(func() error { return n.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error {
 		defer cancel()
 		defer func() { _ = listener.Close() }()
-		if signals(ctx, got, func() { o.Counts.Log(log) }) {
+		if signals(ctx, got, func() { o.Counts.Log(log) }, func() { reload(c, log, read, moves) }) {
 			drain(log, n, server, listener)
 		}
 		return nil
@@ -89,27 +90,52 @@
 	return err
 }
 
-// signals prints the counters on SIGUSR1; it returns true on a signal to end, and false when all has ended.
-func signals(ctx context.Context, got <-chan os.Signal, count func()) bool {
+// signals prints the counters on SIGUSR1 and reloads on SIGHUP; it returns true on a signal to end, and false when
+// all has ended.
+func signals(ctx context.Context, got <-chan os.Signal, count, reload func()) bool {
 	for {
 		select {
 		case which := <-got:
-			if which != syscall.SIGUSR1 {
+			switch which {
+			case syscall.SIGUSR1:
+				count()
+			case syscall.SIGHUP:
+				reload()
+			default:
 				return true
 			}
-			count()
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// reload reads the configuration again and hands on what changed; with an unusable one the old one serves on.
+func reload(c *config, log zerolog.Logger, read func() (*config, error), moves chan string) {
+	to, err := read()
+	if err != nil {
+		log.Warn().Err(err).Msg("new configuration can't be used, the old one stays")
+		return
+	}
+	moved, kept := c.reload(to)
+	log.Info().Bool("changelogMoved", moved).Strs("needsRestart", kept).Msg("configuration read again")
+	if !moved {
+		return
+	}
+	select {
+	case <-moves: // not taken up yet, and overtaken
+	default:
+	}
+	moves <- c.Changelog
+}
+
 // drain goes on for as long as clients may still come, and then until all is answered.
 func drain(log zerolog.Logger, n *node.Node, s *front.Server, l net.Listener) {
 	log.Info().Msg("draining")
 	n.Drain()
 	time.Sleep(stillComing)
 	_ = l.Close()
+	s.Close()
 	for !s.Quiet() {
 		time.Sleep(lookForQuiet)
 	}
--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -69,6 +69,7 @@
 	t       *testing.T
 	log     *standin.ChangeLog
 	config  *config
+	reread  func() (*config, error) // on SIGHUP
 	signals chan os.Signal
 	ended   chan error
 	out     bytes.Buffer // what it logged; to be read once it has ended
@@ -101,7 +102,7 @@
 func (d *dispatcher) run() {
 	d.signals, d.ended = make(chan os.Signal, 4), make(chan error, 1)
 	log := zerolog.New(zerolog.SyncWriter(&d.out))
-	go func() { d.ended <- run(d.config, log, d.signals) }()
+	go func() { d.ended <- run(d.config, log, d.signals, func() (*config, error) { return d.reread() }) }()
 	for !d.ready() {
 		time.Sleep(time.Millisecond)
 	}
@@ -203,6 +204,9 @@
 		{"a failure, for a budget of nothing", hit, true, []string{"budget", "0"}, failed},
 		{"a failure, for a part that is no number", hit, true, []string{"nth", "one"}, failed},
 		{"a failure, for a group below none", hit, true, []string{"batch", "-1"}, failed},
+		{"a failure, for a group above the last", hit, true, []string{"batch", "256"}, failed},
+		{"a failure, for a number in another form", hit, true, []string{"nth", "+3"}, failed},
+		{"a failure, for a budget above the viewer timeout", hit, true, []string{"budget", "60001"}, failed},
 		{"a failure, for a malformed tag", hit, true, []string{"got", "a,b=c"}, failed},
 	}
 	for _, tt := range tests {
@@ -248,14 +252,17 @@
 	a, asked := host(t, func(standin.Ask) string { return "" })
 	d := start(t, 1, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
 	c := d.dial()
-	for range 2 {
-		_, err := c.Process(standin.Fields(), "")
+	for _, id := range []string{rid, rid, "9b1f03aa5c7e2d42"} {
+		_, err := c.Process(standin.Fields("rid", id), "")
 		require.NoError(t, err)
 	}
 	<-asked
 	r, err := c.Read()
 	require.NoError(t, err)
-	assert.Equal(t, []any{int32(2), "refused"}, []any{r.Seq, r.Kind})
+	assert.Equal(t, []any{int32(2), "failed"}, []any{r.Seq, r.Kind}, "an id that is open")
+	r, err = c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []any{int32(3), "refused"}, []any{r.Seq, r.Kind})
 	_ = c.Conn.Close()
 }
 
@@ -318,6 +325,47 @@
 	assert.Equal(t, "served", d.get().Kind)
 }
 
+func TestReadsItsConfigurationAgain(t *testing.T) {
+	a, askedA := host(t, hit)
+	b, askedB := host(t, hit)
+	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	moved, err := standin.ListenChangeLog("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(moved.Close)
+	moved.Push(list(1, true, "s-1 127.0.0.1:1 std SERVING")) // the numbers go on: this one is known
+	moved.Push(list(2, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std SERVING"))
+	c := d.dial()
+	usual := func(id string) {
+		_, err := c.Process(standin.Fields("rid", id), "")
+		require.NoError(t, err)
+		r, err := c.Read()
+		require.NoError(t, err)
+		require.Equal(t, "served", r.Kind)
+	}
+	usual(rid)
+	<-askedA
+	texts := []string{"{", configText("127.0.0.1:1", moved.Address, "", 999)}
+	reread := make(chan bool, 2)
+	d.reread = func() (*config, error) {
+		text := texts[0]
+		texts = texts[1:]
+		defer func() { reread <- true }()
+		return read(t, text)
+	}
+	d.signals <- syscall.SIGHUP
+	<-reread
+	usual(rid)
+	assert.Len(t, askedA, 1, "with an unusable one the old one serves on")
+	d.signals <- syscall.SIGHUP
+	for i := 0; len(askedB) == 0; i++ {
+		usual(fmt.Sprintf("%016x", i))
+	}
+	assert.Equal(t, int64(1), moved.Asked()[0])
+	d.end()
+	assert.Contains(t, d.out.String(), `"needsRestart":["listen","settings"]`)
+	assert.Equal(t, 1, strings.Count(d.out.String(), "the old one stays"))
+}
+
 func TestWhatNothingCanStartWith(t *testing.T) {
 	whole := configText("127.0.0.1:0", "127.0.0.1:1", "", 10)
 	tests := map[string]string{
@@ -341,5 +389,5 @@
 	c, err := read(t, whole)
 	require.NoError(t, err)
 	c.Listen = "127.0.0.1:99999"
-	assert.Error(t, run(c, zerolog.Nop(), nil), "an address that can't be listened at")
+	assert.Error(t, run(c, zerolog.Nop(), nil, nil), "an address that can't be listened at")
 }
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -67,6 +67,7 @@
 // Follower reads the change log from the last event seen on.
 type Follower struct {
 	Address string
+	Moves   <-chan string // new addresses of the change log; nil for none
 	Log     zerolog.Logger
 	Take    func(Event)
 
@@ -75,17 +76,18 @@
 	silent bool  // no connection works
 }
 
-// Follow takes new events behind what is known until the context ends. Connections that end are made anew.
+// Follow takes new events behind what is known until the context ends. Connections that end are made anew, at
+// once where the change log has moved.
 func (f *Follower) Follow(ctx context.Context, known Known) error {
 	f.last = known.Seq
 	wait := retryMin
 	for {
 		before := f.last
-		err := f.connect(ctx)
+		err := f.untilMoved(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if !f.silent || f.last != before {
+		if !f.silent || f.last != before || errors.Is(err, errMoved) {
 			wait = retryMin
 		}
 		if !f.silent {
@@ -94,9 +96,28 @@
 		f.silent = true
 		select {
 		case <-time.After(wait/2 + rand.N(wait)): // spread, so that dispatchers do not come back at once
+			wait = min(2*wait, retryMax)
+		case f.Address = <-f.Moves:
+			wait = retryMin
 		case <-ctx.Done():
 		}
-		wait = min(2*wait, retryMax)
+	}
+}
+
+// untilMoved follows one connection to its end, or until the change log has moved.
+func (f *Follower) untilMoved(ctx context.Context) error {
+	within, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- f.connect(within) }()
+	select {
+	case err := <-ended:
+		return err
+	case address := <-f.Moves:
+		stop()
+		<-ended
+		f.Address = address
+		return errMoved
 	}
 }
 
@@ -141,8 +162,9 @@
 }
 
 var (
-	errEnd = errors.New("the reply has ended")
-	errGap = errors.New("an event is missing")
+	errEnd   = errors.New("the reply has ended")
+	errMoved = errors.New("the change log has moved")
+	errGap   = errors.New("an event is missing")
 )
 
 // take passes an event on, once. One that can't be read is passed over; where one is missing it is asked for
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -19,6 +19,7 @@
 	AnswerCut, Expired                         atomic.Int64 // broken off within the answer; overdue
 	Lists, Purges                              atomic.Int64 // events of the change log
 	ClientConnections, HostConnections         atomic.Int64 // opened
+	GaveWay                                    atomic.Int64 // client connections that were closed for others
 	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	mostOpen  = 32               // calls; that many may be open on one connection
-	mostQueue = 4 * mostOpen     // replies; probes too are answered, and a client may leave that many unread
-	stalled   = 5 * time.Second  // a client that has not taken a whole reply by then has gone
-	idle      = 30 * time.Second // clients close idle connections after 4 s; one that does not is closed then
+	mostOpen  = 32              // calls; that many may be open on one connection
+	mostQueue = 4 * mostOpen    // replies; probes too are answered, and a client may leave that many unread
+	stalled   = 5 * time.Second // a client that has not taken a whole reply by then has gone
+	idle      = 5 * time.Second // clients close idle connections after 4 s; one that does not is closed then
+	wholeIn   = 2 * time.Second // a message that is not whole by then never will be; from its start, the first from connecting
+	spare     = 8               // connections; one that gives way may hold its place until its goroutines have ended
 
 	acceptAgain = 50 * time.Millisecond // wait after a failed accept: it lacks descriptors, which take time to free
 )
@@ -53,8 +55,9 @@
 	Room    *room.Room // what long calls and the bodies of answers hold
 	Most    int        // connections at a time
 
-	mu    sync.Mutex
-	conns []*conn
+	mu      sync.Mutex
+	conns   []*conn
+	closing bool // what comes now is refused
 }
 
 type conn struct {
@@ -67,9 +70,12 @@
 	queue  []thrift.Reply
 	writes bool // the writer is at work on a reply
 	closed bool
+	proven bool      // it has sent something that could be used
+	used   time.Time // when it was accepted, or last sent or was answered something
 }
 
-// Serve accepts connections until the listener is closed, and returns when all of them have ended.
+// Serve accepts connections until the listener is closed, and returns when all of them have ended. Places never
+// wait for clients: where all are taken, a connection that nothing is open on gives way.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, s.Most)
@@ -86,21 +92,51 @@
 			continue
 		}
 		s.Counts.ClientConnections.Add(1)
+		c := s.enter(socket)
 		group.Go(func() error {
 			defer func() { <-places }()
-			s.serve(ctx, socket)
+			s.serve(ctx, c)
 			return nil
 		})
 	}
 	return group.Wait()
 }
 
-// serve runs one connection to its end.
-func (s *Server) serve(ctx context.Context, socket net.Conn) {
-	c := &conn{server: s, net: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}}
+// enter books a new connection, and has another one give way where there are too many, or itself if all have
+// something open: a connection with a GET under way is no place for who comes later.
+func (s *Server) enter(socket net.Conn) *conn {
+	c := &conn{server: s, net: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}, used: time.Now()}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= max(1, s.Most-min(spare, s.Most/4)) {
+		s.Counts.GaveWay.Add(1)
+		if first := s.leastNeeded(); first != nil {
+			first.close()
+			s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == first })
+		} else {
+			c.close()
+		}
+	}
 	s.conns = append(s.conns, c)
-	s.mu.Unlock()
+	return c
+}
+
+// leastNeeded is the connection with nothing open that never sent anything of use, else the one that was unused
+// for longest. Guards against clients that connect in numbers and say nothing, or stay for good.
+func (s *Server) leastNeeded() (least *conn) {
+	var proven bool
+	var used time.Time
+	for _, c := range s.conns {
+		quiet, p, u := c.standing()
+		if quiet && (least == nil || !p && proven || p == proven && u.Before(used)) {
+			least, proven, used = c, p, u
+		}
+	}
+	return least
+}
+
+// serve runs one connection to its end.
+func (s *Server) serve(ctx context.Context, c *conn) {
 	defer context.AfterFunc(ctx, c.close)()
 	var both sync.WaitGroup
 	both.Go(func() { c.guard(c.write) })
@@ -114,6 +150,19 @@
 	}
 }
 
+// Close has all calls that come from now on refused at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 // Quiet tells whether no connection has a call open or a reply unwritten.
 func (s *Server) Quiet() bool {
 	s.mu.Lock()
@@ -122,9 +171,15 @@
 }
 
 func (c *conn) quiet() bool {
+	quiet, _, _ := c.standing()
+	return quiet
+}
+
+// standing is what speaks for a connection: nothing open or unwritten, something of use sent, and when last used.
+func (c *conn) standing() (quiet, proven bool, used time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes
+	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes, c.proven, c.used
 }
 
 // guard ends the connection, and it alone, when what runs on it panics.
@@ -176,7 +231,7 @@
 // read takes calls off the connection until it ends; only what the client did wrong is an error.
 func (c *conn) read() error {
 	var frames thrift.Frames
-	held := 0
+	held, fresh, since := 0, true, time.Now() // of the message under way, or of the wait for one
 	defer func() { c.server.Room.Give(held) }()
 	for {
 		space := frames.Space()
@@ -185,9 +240,14 @@
 			held = 0
 			return errRoom
 		}
-		_ = c.net.SetReadDeadline(time.Now().Add(idle))
+		partial, limit := frames.Partial(), idle
+		if partial || fresh {
+			limit = wholeIn
+		}
+		_ = c.net.SetReadDeadline(since.Add(limit))
 		n, err := c.net.Read(space)
-		if errors.Is(err, os.ErrDeadlineExceeded) && !c.quiet() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !partial && !c.quiet() {
+			since = time.Now()
 			continue
 		}
 		if err != nil {
@@ -195,25 +255,29 @@
 		}
 		c.server.Counts.ClientBytesIn.Add(int64(n))
 		frames.Fed(n)
-		if err := c.calls(&frames); err != nil {
+		whole, err := c.calls(&frames)
+		if err != nil {
 			return err
 		}
+		if fresh = fresh && whole == 0; whole > 0 || !fresh && !partial {
+			since = time.Now()
+		}
 	}
 }
 
-// calls takes all calls that are whole.
-func (c *conn) calls(frames *thrift.Frames) error {
-	for {
+// calls takes all calls that are whole, and counts them.
+func (c *conn) calls(frames *thrift.Frames) (whole int, err error) {
+	for ; ; whole++ {
 		frame, ok, err := frames.Next()
 		if !ok || err != nil {
-			return err
+			return whole, err
 		}
 		message, err := thrift.Parse(frame)
 		if err != nil {
-			return err
+			return whole, err
 		}
 		if err := c.take(message); err != nil {
-			return err
+			return whole, err
 		}
 	}
 }
@@ -225,12 +289,17 @@
 		if err := c.enter(call); err != nil {
 			return err
 		}
+		if c.server.isClosing() {
+			call.Refuse(0)
+			return nil
+		}
 		c.server.Handler.Process(call, m)
 	case thrift.GiveUp:
 		if call := c.leave(m.GivenUp); call != nil {
 			c.server.Handler.GiveUp(call)
 		}
 	case thrift.Probe:
+		c.prove()
 		c.send(thrift.Ready(m.Seq, c.server.Handler.Ready()), nil)
 	default:
 		c.send(thrift.NoSuchMethod(m.Name, m.Seq), nil)
@@ -262,14 +331,27 @@
 
 // Serve answers with the bytes of the part, or, for same, that the client's copy is the one. The room that
 // the bytes hold is given back once they are written or the client has gone.
-func (c *Call) Serve(body []byte, same bool) { c.reply(thrift.Served(c.seq, body, same)) }
+func (c *Call) Serve(body []byte, same bool) {
+	c.conn.prove()
+	c.reply(thrift.Served(c.seq, body, same))
+}
 
 // Refuse answers that trying again is harmless, after so many milliseconds if over 0.
-func (c *Call) Refuse(wait int64) { c.reply(thrift.Refused(c.seq, wait)) }
+func (c *Call) Refuse(wait int64) {
+	c.conn.prove()
+	c.reply(thrift.Refused(c.seq, wait))
+}
 
 // Fail answers that it failed.
 func (c *Call) Fail() { c.reply(thrift.Failed(c.seq)) }
 
+// prove books that a client has sent something of use.
+func (c *conn) prove() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proven, c.used = true, time.Now()
+}
+
 // reply queues the answer of a call that is still open. The call is open until its answer is in the queue, so
 // that the connection is never quiet between.
 func (c *Call) reply(r thrift.Reply) { c.conn.send(r, c) }
@@ -287,6 +369,7 @@
 	}
 	if of != nil && owed {
 		delete(c.open, of.seq)
+		c.used = time.Now()
 	}
 	c.mu.Unlock()
 	if full {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"runtime"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 	"weak"
 
 	"github.com/rs/zerolog"
@@ -232,3 +235,99 @@
 		assert.Nil(t, b.Value(), "answer %d", i)
 	}
 }
+
+func TestConnectionsThatNothingIsOpenOnGiveWay(t *testing.T) {
+	h, s, address := serve(t, 4) // 3 places, and one for who gives way
+	usual := dial(t, address)
+	_, err := usual.Process(standin.Fields(), "")
+	require.NoError(t, err)
+	open := <-h.calls
+	stays := dial(t, address)
+	_, err = stays.Probe()
+	require.NoError(t, err)
+	for range 3 { // each has the one before it closed
+		silent := dial(t, address)
+		t.Cleanup(func() {
+			_, err := silent.Read()
+			assert.Error(t, err)
+		})
+	}
+	_, err = dial(t, address).Probe()
+	require.NoError(t, err, "those that said nothing gave way")
+	_, err = stays.Probe()
+	require.NoError(t, err)
+	_, err = stays.Process(standin.Fields(), "")
+	require.NoError(t, err)
+	busy := []*front.Call{<-h.calls}
+	last := dial(t, address) // in the place of the one that probed
+	_, err = last.Process(standin.Fields(), "")
+	require.NoError(t, err)
+	busy = append(busy, <-h.calls)
+	_, err = dial(t, address).Probe()
+	assert.Error(t, err, "where all have a GET under way the newcomer is closed")
+	for _, c := range append(busy, open) {
+		c.Serve(body(s, "bytes"), false)
+	}
+	r, err := usual.Read()
+	require.NoError(t, err)
+	assert.Equal(t, "served", r.Kind)
+	s.Close()
+	_, err = usual.Process(standin.Fields(), "")
+	require.NoError(t, err)
+	r, err = usual.Read()
+	require.NoError(t, err)
+	assert.Equal(t, "refused", r.Kind, "what comes after the end of a drain")
+}
+
+// pipes is a listener whose connections are in memory, so that time can be the test's.
+type pipes struct {
+	net.Listener
+	accepted chan net.Conn
+}
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p.accepted; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func TestMessagesMustEnd(t *testing.T) {
+	whole := standin.Call("probe", 1, 1, []byte{2, 0, 1, 0})
+	tests := map[string]struct {
+		first []byte
+		each  time.Duration // then a byte more as often as that
+		want  time.Duration // until it is closed
+	}{
+		"nothing":                  {nil, 0, 2 * time.Second},
+		"a message that trickles":  {whole[:4], 900 * time.Millisecond, 2 * time.Second},
+		"a message, and then none": {whole, 0, 5 * time.Second},
+		"a part of a second one":   {append(whole, whole[:7]...), 0, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &front.Server{Handler: &handler{}, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: 1}
+				l := pipes{accepted: make(chan net.Conn)}
+				ended := make(chan error)
+				go func() { ended <- s.Serve(t.Context(), l) }()
+				client, server := net.Pipe()
+				l.accepted <- server
+				close(l.accepted)
+				began := time.Now()
+				var writer sync.WaitGroup
+				defer writer.Wait()
+				writer.Go(func() {
+					_, err := client.Write(tt.first)
+					for err == nil && tt.each > 0 {
+						time.Sleep(tt.each)
+						_, err = client.Write([]byte{0})
+					}
+				})
+				_, _ = io.Copy(io.Discard, client)
+				assert.Equal(t, tt.want, time.Since(began))
+				assert.NoError(t, <-ended)
+			})
+		})
+	}
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -1,9 +1,10 @@
 package node
 
 import (
-	"encoding/hex"
+	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 
@@ -13,7 +14,12 @@
 	"elderwall/internal/thrift"
 )
 
-const idLength = 16 // hex digits of the ids of requests, objects and copies
+const (
+	idLength    = 16 // hex digits of the ids of requests, objects and copies
+	hexDigits   = "0123456789abcdef"
+	lastGroup   = 255     // groups are numbered from 0
+	longestBody = 240_000 // bytes; of an object
+)
 
 // Process takes a call of a client.
 func (n *Node) Process(c *front.Call, m thrift.Call) {
@@ -26,6 +32,11 @@
 		return
 	}
 	n.call(func(now float64) {
+		if n.byID[request.ID] != nil { // a STOP of one, or an answer, would pass for that of the other
+			n.Options.Counts.Unusable.Add(1)
+			c.Fail()
+			return
+		}
 		if len(n.gets) >= n.Settings.MostHeld || !n.Options.Room.Take(len(request.Body)) {
 			n.Options.Counts.Shed.Add(1)
 			c.Refuse(0)
@@ -35,7 +46,7 @@
 		}
 		in.ID, in.ViewerTimeout = n.lastID, now+in.ViewerTimeout
 		g := &get{id: in.ID, call: c, request: request, until: in.ViewerTimeout}
-		n.gets[g.id], n.byCall[c] = g, g
+		n.gets[g.id], n.byCall[c], n.byID[request.ID] = g, g, g
 		g.expiry = n.expiries.Add(g.until, g)
 		n.module.GET(now, in)
 	})
@@ -54,21 +65,23 @@
 			bad = fmt.Errorf("%w: %s %.32q", errField, name, text)
 		}
 	}
-	number := func(name string, text []byte, least int) int {
+	number := func(name string, text []byte, least, most int) int {
 		v, err := strconv.Atoi(string(text))
-		check(err == nil && v >= least, name, text)
+		check(err == nil && v >= least && v <= most && strconv.Itoa(v) == string(text), name, text)
 		return v
 	}
-	in.Part, in.Group = number("nth", m.Part, 0), number("batch", m.Group, 0)
-	in.ViewerTimeout = float64(number("budget", m.Budget, 1)) / 1e3
 	check(in.Service >= 0, "method", m.Service)
+	longest := 0.0
+	if in.Service >= 0 {
+		longest = n.Settings.Settings.Services[in.Service].ViewerTimeout
+	}
+	in.Part, in.Group = number("nth", m.Part, 0, math.MaxInt32), number("batch", m.Group, 0, lastGroup)
+	in.ViewerTimeout = float64(number("budget", m.Budget, 1, int(longest*1e3))) / 1e3
 	check(isID(m.ID), "rid", m.ID)
 	check(isID(m.Object), "obj", m.Object)
 	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
+	check(len(m.Body) <= longestBody, "body", nil)
 	return in, q, bad
 }
 
-func isID(text []byte) bool {
-	_, err := hex.DecodeString(string(text))
-	return err == nil && len(text) == idLength
-}
+func isID(text []byte) bool { return len(text) == idLength && len(bytes.Trim(text, hexDigits)) == 0 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	module   *control.Dispatcher
 	gets     map[uint32]*get
 	byCall   map[*front.Call]*get
+	byID     map[string]*get // by the id of the request
 	lastID   uint32
 	hosts    map[uint32]*host
 	ended    []control.Answer // to be told to the module once it returns
@@ -70,7 +71,7 @@
 // New makes a node and its module.
 func New(c Config) *Node {
 	n := &Node{Config: c, timer: time.NewTimer(time.Hour), gets: map[uint32]*get{},
-		byCall: map[*front.Call]*get{}, hosts: map[uint32]*host{}}
+		byCall: map[*front.Call]*get{}, byID: map[string]*get{}, hosts: map[uint32]*host{}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = control.New(c.Settings.Settings, n.Clock.Now(), wire{n})
@@ -191,6 +192,7 @@
 func (n *Node) forget(g *get) {
 	if g.over && g.out == 0 {
 		delete(n.gets, g.id)
+		delete(n.byID, g.request.ID)
 		n.expiries.Remove(g.expiry)
 		n.Options.Room.Give(len(g.request.Body))
 	}
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -82,6 +82,9 @@
 // Held is the memory that a long frame takes beyond the ordinary.
 func (f *Frames) Held() int { return max(0, len(f.buf)-firstBuffer) }
 
+// Partial tells whether a message has begun and is not whole.
+func (f *Frames) Partial() bool { return f.end > f.start }
+
 // Fed takes word that so many bytes were read into Space.
 func (f *Frames) Fed(n int) { f.end += n }
 
