Give each forward a connection of its own while there are places, and bound answers in time

Checked: 38 spoilt answers in 20 s, so hosts were sound; the forwards lost were those beside the spoilt one. At fault: pick (upstream.go) filled one connection first; read (conn.go) had no limit on an answer's progress. Now: the connection with least out, or a new one up to a host's part of the places; an answer must be whole 0.25 s after its start, a request written 5 s after its. An id that was stopped keeps to its connection, also when that is full. The test of reloads no longer fills its stand-in's record, which could hang it.

--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -359,6 +359,9 @@
 	d.signals <- syscall.SIGHUP
 	for i := 0; len(askedB) == 0; i++ {
 		usual(fmt.Sprintf("%016x", i))
+		for len(askedA) > 0 { // which holds only so many
+			<-askedA
+		}
 	}
 	assert.Equal(t, int64(1), moved.Asked()[0])
 	d.end()
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -97,6 +97,9 @@
 	return nil
 }
 
+// Partial tells whether an answer has begun and is not whole.
+func (r *Reader) Partial() bool { return r.begun || r.end > r.start }
+
 // Held is the room that the answer under way has taken.
 func (r *Reader) Held() int { return max(0, len(r.body)-len(LineEnd)) }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -102,6 +102,7 @@
 			buf = f.Request.AppendHead(buf[:0])
 			parts = net.Buffers{buf, f.Request.Body, []byte(lines.LineEnd)}
 		}
+		_ = socket.SetWriteDeadline(time.Now().Add(stalled))
 		n, err := parts.WriteTo(socket)
 		if f := it.forward; f != nil {
 			c.wrote(f, int(n), len(buf)+len(f.Request.Body), err)
@@ -153,7 +154,12 @@
 func (c *conn) read(socket net.Conn) error {
 	r := lines.Reader{Room: c.host.Room.Take}
 	defer func() { c.host.Room.Give(r.Held()) }()
+	partial := false
 	for {
+		if r.Partial() != partial { // the limit runs from the start of an answer
+			partial = !partial
+			_ = socket.SetReadDeadline(map[bool]time.Time{true: time.Now().Add(wholeIn)}[partial])
+		}
 		n, err := socket.Read(r.Space())
 		if err != nil {
 			return fmt.Errorf("read: %w", err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,7 +20,11 @@
 	"elderwall/internal/room"
 )
 
-const idlePart = 0.75 // of the time after which hosts close idle connections: none is written to that a host closes
+const (
+	idlePart = 0.75                   // of the time after which hosts close idle connections: none is written to that a host closes
+	wholeIn  = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
+	stalled  = 5 * time.Second        // a host that has not taken a whole request by then has gone
+)
 
 // Stage is how far a forward came.
 type Stage int
@@ -109,27 +113,27 @@
 	return nil
 }
 
-// pick is the connection on which the id was stopped, as the host must hear of that first; else the first one
-// that has a stream left, or a new one: hosts pay for each connection, and sharing one costs nothing measurable.
+// pick is the connection on which the id was stopped, and no other, as the host must hear of that first; else one
+// with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
+		free := len(c.open) < h.Streams && c.open[id] == nil
 		if c.stopped[id] != "" {
-			return c
+			if free {
+				return c
+			}
+			return nil
 		}
-		if best == nil && c.usable(id) {
+		if free && !c.doubted && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
-	if best == nil && len(h.conns) < int(h.PerHost.Load()) {
-		best = h.dial()
+	if (best == nil || len(best.open) > 0) && len(h.conns) < int(h.PerHost.Load()) {
+		return h.dial()
 	}
 	return best
 }
 
-func (c *conn) usable(id string) bool {
-	return !c.doubted && len(c.open) < c.host.Streams && c.open[id] == nil
-}
-
 // dial starts a new connection, on which forwards may be queued at once.
 func (h *Host) dial() *conn {
 	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}}
