Take early give-ups, GETs that no host can use and single breaks for no sign of ill health

Ruled out: hosts left (5 in 25 s at one dispatcher), limits of caches (never cut), the hung host, load (CPU 9%). At fault: judgeFill took every revoked fill for late. It now passes over one that a client took back within the latency objective; later ones count as before. Also: an error without a note counts against its host once another host returns that GET, as no host can use some GETs; a connection that breaks under a GET counts as one fault, not two, and the GET goes to that host once more, which may hold the object (idempotent GETs alone: a host that started anew knows no tokens). A forward for which no connection is left is turned away by ourselves, not a fault of the host. Hosts that are gone are forgotten by the module.

--- a/control/control.go
+++ b/control/control.go
@@ -1,8 +1,6 @@
 // Package control decides, for each GET of one dispatcher, which cache host answers it and where a miss is
-// filled from. It is pure: no I/O, clock, goroutine or global. Make a Dispatcher with New, then call Hosts,
-// GET, Answer, Streaming, Left, Purged and Timer as things happen, and Settle after all of one moment.
-// Its answers go out through Wire; that interface and all data handed in are in api.go, types in state.go.
-// The design (docs/design.md) decides the ordinary path; what departs from it says so where it stands.
+// filled from. It is pure: no I/O, clock or global. Settle ends the calls of one moment; answers go out by
+// Wire. The design (docs/design.md) decides the ordinary path; what departs from it says so where it stands.
 package control
 
 import (
@@ -26,6 +24,7 @@
 	uncrowded    = 1       // forwards out beside one whose time still tells of its size
 	unknownSend  = 0.5     // share of the latency objective taken for a sending time before any is known
 	learnFault   = 0.25    // share; weight of one outcome in a fault rate: three faults in a row pass half
+	learnLost    = 0.4375  // share; the same for one that a host never got or never answered: two in a row
 	faulty       = 0.5     // share; a host that faults more often than not is left
 	leastAge     = 1e-6    // s; the least age that can be asked for: none would mean any
 	overdueTimes = 3.0     // multiple of the usual time after which a forward is overdue
@@ -173,9 +172,7 @@
 func (d *Dispatcher) Purged(now float64, object string, group int, age float64) {
 	d.now = now
 	name, at := purgeName(object, group), now-age
-	if old, known := d.purges[name]; !known || at > old {
-		d.purges[name] = at
-	}
+	d.purges[name] = math.Max(at, cmp.Or(d.purges[name], at))
 	d.due.Add(at+d.OldCopies+tick, func() {
 		if d.purges[name] <= at {
 			delete(d.purges, name)
@@ -363,11 +360,22 @@
 			d.judge(f, a.Elapsed > f.objective, f.under[:2])
 		}
 		d.sound(h)
+		for _, o := range g.accused {
+			d.fault(o, learnFault)
+		}
 	case HostError, Dropped, Unreached, Expired:
-		if !sourceFault(a.Note) && !(a.Outcome == Expired && h.heard > f.at) {
-			d.fault(h, a.Outcome != HostError)
+		switch {
+		case sourceFault(a.Note) || a.Outcome == Expired && h.heard > f.at:
+		case a.Outcome == HostError && g.ds.Effect == Idempotent: // no host can use some GETs: others tell
+			g.accused = append(g.accused, h)
+		case a.Outcome == HostError || a.Outcome == Dropped: // connections break at sound hosts too
+			d.fault(h, learnFault)
+		default:
+			d.fault(h, learnLost)
+		}
+		if a.Outcome != Dropped || g.ds.Effect != Idempotent || g.asked(h) > 1 { // it may hold the object
+			g.bad = append(g.bad, h)
 		}
-		g.bad = append(g.bad, h)
 	case NotTaken, Empty:
 		if !sourceFault(a.Note) && !(a.Outcome == Empty && f.source != h) {
 			g.bad = append(g.bad, h)
@@ -387,12 +395,9 @@
 	}
 }
 
-// fault counts a failure against a host, twice where nothing came from it; one that mostly fails is left.
-func (d *Dispatcher) fault(h *host, lost bool) {
-	h.fault += (1 - h.fault) * learnFault
-	if lost {
-		h.fault += (1 - h.fault) * learnFault
-	}
+// fault counts a failure against a host; one that mostly fails is left.
+func (d *Dispatcher) fault(h *host, weight float64) {
+	h.fault += (1 - h.fault) * weight
 	if h.left || h.fault >= faulty {
 		d.leave(h)
 	}
@@ -427,9 +432,8 @@
 	return h.credit >= work
 }
 
-// pace is the sending time a second that this dispatcher may send a cold host. Too little for a GET is
-// saved up, from a chance part of one on. Guards against many dispatchers that send one GET each right after
-// a start; could keep a host idle that only few of them need.
+// pace is the sending time a second that a cold host may be sent; too little for a GET is saved up, from a
+// chance part of one on. Guards against many dispatchers that send one GET each right after a start.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
 	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.sharers(h.Zone)
 	if h.Kind == d.ParentKind {
@@ -525,16 +529,16 @@
 		return pass
 	}
 	g.lacked, g.looked = f.heldOnly && a.Outcome == Empty, g.looked || sourceFault(n)
-	if n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
-		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin {
+	early := a.Outcome == Revoked && g.over && a.Elapsed <= f.objective // its client took it back: no sign
+	if !early && (n == Filled || n >= SourceRefused && n != SourceLacks || a.Outcome == Revoked && f.miss ||
+		d.Detail != Full && (f.miss && n != Hit || a.Outcome == NotTaken) || n == FilledByOrigin) {
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
 		} else if n == SourceFailed {
 			limits = f.fill[:1] // tells of the source alone
 		}
-		late := a.Elapsed > f.objective || a.Crowding > crowded
-		d.judge(f, a.Outcome != Returned || late, limits)
+		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective || a.Crowding > crowded, limits)
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -545,12 +549,12 @@
 	case n == SourceFailed:
 		g.bad = append(g.bad, f.source)
 		if f.source.heard <= f.at || a.Elapsed < d.overdue(g) { // else it waited for the origin in vain
-			d.fault(f.source, false)
+			d.fault(f.source, learnFault)
 		}
 	case sourceFault(n):
 		g.bad = append(g.bad, f.source)
 		if f.source.hear(d.now); n == OriginFailed && d.origin != nil {
-			d.fault(d.origin, false)
+			d.fault(d.origin, learnFault)
 		}
 	}
 	if n == FilledByOrigin && a.Outcome == Returned && d.origin != nil && f.source != d.origin {
@@ -567,9 +571,8 @@
 // room tells whether more may go; where nothing is under way something always may, or nothing is learned.
 func (l *allowance) room(work float64) bool { return l.held == 0 || l.out+work <= l.most }
 
-// judge moves the limit of what may be out to a cache, to all, or as fills, by how it comes back: up in time,
-// down when not. It guards against collapse whatever the cause: a burst, a crowded or slow cache, link,
-// parent or origin, new objects. It could shed needlessly where fewer GETs are not faster.
+// judge moves the limit of what may be out to a cache, to all, or as fills: up when it comes back in time,
+// down when not. It guards against collapse whatever the cause; it could shed where fewer are not faster.
 func (d *Dispatcher) judge(f *forward, late bool, limits []*allowance) {
 	if f.judged == limits[0] {
 		return
@@ -650,9 +653,8 @@
 	h.out++
 	h.credit -= f.work
 	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
-	rank := map[bool]int{false: 1, true: 2}[g.item.again]
-	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, Rank: rank, MaxAge: d.maxAge(g),
-		Renew: g.ds.FreshFor > 0, Join: d.Joins, HeldOnly: f.heldOnly})
+	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, MaxAge: d.maxAge(g), Join: d.Joins,
+		Rank: map[bool]int{false: 1, true: 2}[g.item.again], Renew: g.ds.FreshFor > 0, HeldOnly: f.heldOnly})
 	return kept
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -436,6 +436,57 @@
 	}
 }
 
+func TestWhatIsNoSignOfIllHealth(t *testing.T) {
+	tests := []struct {
+		name string
+		one  func(d *Dispatcher, r *recorder, now float64, id uint32)
+	}{
+		{"GETs that no host can use", func(d *Dispatcher, r *recorder, now float64, id uint32) {
+			for number := 0; len(r.shed) < int(id); number++ {
+				answer(d, now, id, number, HostError, NoNote)
+			}
+		}},
+		{"GETs taken back at once by their clients", func(d *Dispatcher, _ *recorder, now float64, id uint32) {
+			d.Left(now, id)
+			d.Answer(now, Answer{GET: id, Outcome: Revoked, Elapsed: 0.001, Last: true})
+		}},
+		{"a connection that breaks now and then", func(d *Dispatcher, r *recorder, now float64, id uint32) {
+			if host := r.last().Host; id%6 == 0 {
+				answer(d, now, id, 0, Dropped, NoNote)
+				assert.Equal(t, host, r.last().Host, "the GET goes there once more")
+			}
+			answer(d, now, id, len(d.gets[id].forwards)-1, Returned, Hit)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, r := fleet(nil)
+			most := d.fills.most
+			for id := uint32(1); id <= 60; id++ {
+				now := 1 + float64(id)/100
+				ask(d, now, id, fmt.Sprint("o", id))
+				tt.one(d, r, now, id)
+			}
+			assert.Empty(t, r.calls, "no host is left")
+			assert.GreaterOrEqual(t, d.fills.most, most, "the way in stays open")
+			assert.Empty(t, d.gets)
+		})
+	}
+}
+
+func TestHostsThatAreGoneAreForgotten(t *testing.T) {
+	d, r := fleet(nil)
+	ask(d, 1, 7, "a")
+	for id := uint32(100); id < 200; id++ {
+		d.Hosts(2, Changes, []HostEntry{entry(id, 0, Ready)})
+		d.Hosts(2, Changes, []HostEntry{entry(id, 0, Gone), entry(r.last().Host, 0, Gone)})
+	}
+	assert.Len(t, d.hosts, 6, "that which a GET is out at stays")
+	answer(d, 3, 7, 0, Returned, Hit)
+	d.Hosts(3, Changes, nil)
+	assert.Len(t, d.hosts, 5)
+}
+
 func TestALoneForwardIsNoSilence(t *testing.T) {
 	for forwards, left := range map[int]bool{1: false, 2: true, 4: true} {
 		for _, detail := range []Detail{Silent, Full} {
--- a/control/state.go
+++ b/control/state.go
@@ -170,6 +170,7 @@
 	timeout      *due.Entry[func()]
 	host, source *host
 	bad          []*host // that failed it, as host or as source
+	accused      []*host // that answered it with an error
 	heldOnly     bool    // the source is to give only what it holds
 	lacked       bool    // and it did not
 	looked       bool    // the host was asked and lacks the object
@@ -209,6 +210,16 @@
 	return nil
 }
 
+// asked is how often the GET went to a host.
+func (g *get) asked(h *host) (n int) {
+	for _, f := range g.forwards {
+		if f.host == h {
+			n++
+		}
+	}
+	return n
+}
+
 // size is what one GET adds to a byte rate: count alone where no size is told.
 func (g *get) size() float64 {
 	if g.SizeKB > 0 {
@@ -240,8 +251,9 @@
 	return x ^ x>>31
 }
 
-// listed is the hosts that the list has not taken out, by id.
+// listed is the hosts that the list has not taken out, by id; those it has are forgotten once nothing is out.
 func (d *Dispatcher) listed() []*host {
+	maps.DeleteFunc(d.hosts, func(_ uint32, h *host) bool { return h.Phase == Gone && h.out+h.fills == 0 })
 	hosts := without(slices.Collect(maps.Values(d.hosts)), func(h *host) bool { return h.Phase == Gone })
 	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
 	return hosts
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -16,7 +16,7 @@
 	Forwards, Stopped                          atomic.Int64 // sent; given up
 	Hit, Valid, None, Full, Fault, Late        atomic.Int64 // ended by an answer
 	Unreached, PartlyWritten, Unanswered       atomic.Int64 // broken off: not written, in part, whole
-	AnswerCut, Expired                         atomic.Int64 // broken off within the answer; overdue
+	AnswerCut, Expired, NoPlace                atomic.Int64 // broken off within the answer; overdue; no connection left
 	Lists, Purges                              atomic.Int64 // events of the change log
 	ClientConnections, HostConnections         atomic.Int64 // opened
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -108,6 +108,17 @@
 	assert.True(t, n.Ready())
 }
 
+func TestAForwardWithNoPlaceIsNotItsHostsFault(t *testing.T) {
+	n := newNode(t)
+	n.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: true, Hosts: []changelog.Host{{ID: "a", Address: "127.0.0.1:1", Zone: "z",
+		Kind: "std", State: "SERVING"}}}})
+	n.Options.PerHost.Store(0)
+	n.gets[7] = &get{id: 7}
+	wire{n}.Forward(control.Forward{GET: 7, Host: n.hostID("a"), Source: n.hostID("a")})
+	assert.Equal(t, control.NotTaken, n.ended[0].Outcome)
+	assert.EqualValues(t, 1, n.Options.Counts.NoPlace.Load())
+}
+
 func TestEntries(t *testing.T) {
 	n := newNode(t)
 	started := changelog.Host{ID: "a", Address: "127.0.0.1:1", Zone: "z", Kind: "std", Cell: 2, State: "DRAINING", Weight: 4, StartedAtMs: 1764576000123}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -28,10 +28,9 @@
 	}
 	f.Request, f.Done = q, func(r upstream.Result) { n.done(f, r) }
 	n.Options.Counts.Forwards.Add(1)
-	if err := n.hosts[out.Host].Send(&f.Forward); err != nil {
-		outcome, counter := n.outcome(upstream.Result{Stage: upstream.NotConnected, Err: err})
-		counter.Add(1)
-		n.back(f, control.Answer{Outcome: outcome})
+	if err := n.hosts[out.Host].Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
+		n.Options.Counts.NoPlace.Add(1)
+		n.back(f, control.Answer{Outcome: control.NotTaken})
 	}
 }
 
