Let new connections speak before they give way, and keep those that clients come back on

At fault: leastNeeded (front.go) took the oldest connection that had sent nothing, and in a burst that is one accepted a moment before, whose GET was not read yet. Connections now have 0.25 s to speak, readers run between accepts, and connections that were used twice outlast those that asked once.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -21,12 +22,14 @@
 )
 
 const (
-	mostOpen  = 32              // calls; that many may be open on one connection
-	mostQueue = 4 * mostOpen    // replies; probes too are answered, and a client may leave that many unread
-	stalled   = 5 * time.Second // a client that has not taken a whole reply by then has gone
-	idle      = 5 * time.Second // clients close idle connections after 4 s; one that does not is closed then
-	wholeIn   = 2 * time.Second // a message that is not whole by then never will be; from its start, the first from connecting
-	spare     = 8               // connections; one that gives way may hold its place until its goroutines have ended
+	mostOpen  = 32                     // calls; that many may be open on one connection
+	mostQueue = 4 * mostOpen           // replies; probes too are answered, and a client may leave that many unread
+	stalled   = 5 * time.Second        // a client that has not taken a whole reply by then has gone
+	idle      = 5 * time.Second        // clients close idle connections after 4 s; one that does not is closed then
+	wholeIn   = 2 * time.Second        // a message that is not whole by then never will be; from its start, the first from connecting
+	often     = 2                      // uses; a connection with so many is one that its client comes back on
+	speaksIn  = 250 * time.Millisecond // within so long of connecting, saying nothing yet is no sign
+	spare     = 8                      // connections; one that gives way may hold its place until its goroutines have ended
 
 	acceptAgain = 50 * time.Millisecond // wait after a failed accept: it lacks descriptors, which take time to free
 )
@@ -70,7 +73,7 @@
 	queue  []thrift.Reply
 	writes bool // the writer is at work on a reply
 	closed bool
-	proven bool      // it has sent something that could be used
+	uses   int       // what it sent that could be used, counted up to often
 	used   time.Time // when it was accepted, or last sent or was answered something
 }
 
@@ -98,6 +101,7 @@
 			s.serve(ctx, c)
 			return nil
 		})
+		runtime.Gosched() // in a burst those accepted before must be read before they are judged
 	}
 	return group.Wait()
 }
@@ -121,15 +125,19 @@
 	return c
 }
 
-// leastNeeded is the connection with nothing open that never sent anything of use, else the one that was unused
-// for longest. Guards against clients that connect in numbers and say nothing, or stay for good.
+// leastNeeded is a connection with nothing open: one that has sent nothing of use, else one that was used once,
+// else any, and of these the one that was unused for longest. Guards against clients that connect in numbers and
+// say nothing, or ask once and stay for good: those that ask again and again keep theirs.
 func (s *Server) leastNeeded() (least *conn) {
-	var proven bool
+	var uses int
 	var used time.Time
 	for _, c := range s.conns {
-		quiet, p, u := c.standing()
-		if quiet && (least == nil || !p && proven || p == proven && u.Before(used)) {
-			least, proven, used = c, p, u
+		quiet, n, u := c.standing()
+		if n == 0 && time.Since(u) < speaksIn {
+			n = often // its first message may be on the way
+		}
+		if quiet && (least == nil || n < uses || n == uses && u.Before(used)) {
+			least, uses, used = c, n, u
 		}
 	}
 	return least
@@ -175,11 +183,11 @@
 	return quiet
 }
 
-// standing is what speaks for a connection: nothing open or unwritten, something of use sent, and when last used.
-func (c *conn) standing() (quiet, proven bool, used time.Time) {
+// standing is what speaks for a connection: nothing open or unwritten, how often it was of use, and when last.
+func (c *conn) standing() (quiet bool, uses int, used time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes, c.proven, c.used
+	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes, c.uses, c.used
 }
 
 // guard ends the connection, and it alone, when what runs on it panics.
@@ -349,7 +357,7 @@
 func (c *conn) prove() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.proven, c.used = true, time.Now()
+	c.uses, c.used = min(c.uses+1, often), time.Now()
 }
 
 // reply queues the answer of a call that is still open. The call is open until its answer is in the queue, so
