End a turn of a limit once a quarter of its worth came late

Checked with a probe of the limits each second: a dispatcher that had started 3 s before had 171 GETs out at three caches and no cache limited; the limit on all closed at 16.1 s of work after 2 s and at 8.1 after 4, when it was over. Ruled out: CPU (7%), fills, the list of hosts, drains (each ended 0.7 to 1 s after SIGTERM). At fault: move (control.go) waited until as much had ended as was under way at the turn's start, which under a standing queue takes seconds. Enough that came late now ends the turn.

--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
 	oneCrowded   = 0.15    // share; so many more must be late for the limit on all caches, as one may be crowded
+	lateEnough   = 0.25    // share of a turn's worth that came late after which its rest is not waited for
 	lateCut      = 0.7     // share of the limit that falls when all of a turn are late; less in proportion
 	opening      = 16.0    // GETs; fills out at first a cache of its share: fewer shed in calm, more come late
 	growth       = 1.25    // multiple of the limit after a turn in time: doubled in about three turns
@@ -594,7 +595,7 @@
 	for _, ds := range d.services {
 		least = math.Max(least, leastUnder*ds.sending.mean)
 	}
-	if l.seen < math.Max(leastTurn*least, math.Min(l.most, l.start)) {
+	if turn := math.Max(leastTurn*least, math.Min(l.most, l.start)); l.seen < turn && l.late < turn*lateEnough {
 		return
 	}
 	switch share := l.late / l.seen; {
@@ -719,8 +720,6 @@
 	if f.source != f.host {
 		f.source.fills--
 	}
-	if g.over && g.out == 0 {
-		delete(d.gets, g.ID)
-	}
+	d.forget(g)
 	return pass
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -398,6 +398,17 @@
 	assert.InDelta(t, 6*growth, l.most, 1e-9, "grown with care above it")
 }
 
+func TestALimitFallsOnceEnoughCameLate(t *testing.T) {
+	for late, falls := range map[float64]bool{1.5: false, 2.5: true} {
+		d, _ := fleet(nil)
+		l := &allowance{most: 8, start: 8, peak: 8, out: 8}
+		for range 2 {
+			d.move(l, late/2, true)
+		}
+		assert.Equal(t, falls, l.most < 8, "%v of a turn of 8 came late", late)
+	}
+}
+
 func TestHostsAreLeftAndTrustedAgain(t *testing.T) {
 	left := func(id uint32) string { return fmt.Sprintf("host %d left: it fails or is silent", id) }
 	tests := []struct {
--- a/control/state.go
+++ b/control/state.go
@@ -300,10 +300,15 @@
 func (d *Dispatcher) end(g *get) verdict {
 	g.over = true
 	d.due.Remove(g.timeout)
-	if g.out == 0 {
+	d.forget(g)
+	return ended
+}
+
+// forget lets a GET go that is over and has nothing out.
+func (d *Dispatcher) forget(g *get) {
+	if g.over && g.out == 0 {
 		delete(d.gets, g.ID)
 	}
-	return ended
 }
 
 // bandwidth is the KB a second that the host's link is told to carry, 0 where that is not told.
