End a turn of a limit early only on as much as a least turn must see

At fault: with a turn at its least a single late GET made up a quarter, and the limit fell on it by up to 70%. An early end now takes as much late work as a least turn must see; small turns are as they were.

--- a/control/control.go
+++ b/control/control.go
@@ -595,7 +595,8 @@
 	for _, ds := range d.services {
 		least = math.Max(least, leastUnder*ds.sending.mean)
 	}
-	if turn := math.Max(leastTurn*least, math.Min(l.most, l.start)); l.seen < turn && l.late < turn*lateEnough {
+	few, turn := leastTurn*least, math.Min(l.most, l.start)
+	if l.seen < math.Max(few, turn) && l.late < math.Max(few, turn*lateEnough) {
 		return
 	}
 	switch share := l.late / l.seen; {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -407,6 +407,11 @@
 		}
 		assert.Equal(t, falls, l.most < 8, "%v of a turn of 8 came late", late)
 	}
+	d, _ := fleet(nil)
+	d.services[0].sending.add(1, 1)
+	l := &allowance{most: 8, start: 8, peak: 8, out: 8}
+	d.move(l, 2.5, true)
+	assert.Equal(t, 8.0, l.most, "which is fewer GETs than tell anything")
 }
 
 func TestHostsAreLeftAndTrustedAgain(t *testing.T) {
