--- a/control/control.go
+++ b/control/control.go
@@ -18,6 +18,7 @@
 	fewestCounts = 6       // GETs; below so many a count says nothing, and the object keeps one cache
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
 	lastMoment   = 0.050   // s; answers this long before the viewer timeout: a tick, and a delayed ack (0.04 s)
+	lastShare    = 0.25    // share of a GET's time, for those that have so little that lastMoment is much of it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
 	learnServing = 0.2     // share; the same for a serving time: about five, as a dispatcher sees few a host
 	learnSize    = 0.002   // share; weight of one GET in a mean sending time: sizes vary, so hundreds count
@@ -133,7 +134,8 @@
 	d.now = now
 	g := &get{GET: in, ds: d.services[in.Service]}
 	d.gets[in.ID] = g
-	g.timeout = d.due.Add(g.ViewerTimeout-lastMoment, func() { d.giveUp(g) })
+	g.last = g.ViewerTimeout - math.Min(lastMoment, lastShare*(g.ViewerTimeout-now))
+	g.timeout = d.due.Add(g.last, func() { d.giveUp(g) })
 	d.count(g)
 	d.run(g)
 }
@@ -194,9 +196,7 @@
 // Settle serves the line of further forwards, after all first ones of the moment.
 func (d *Dispatcher) Settle(now float64) {
 	d.now = now
-	line := d.further
-	d.further = nil
-	for _, g := range line {
+	for _, g := range d.line() {
 		if g.lined = false; !g.over {
 			d.run(g)
 		}
@@ -227,7 +227,7 @@
 	ran := g.firstRan()
 	repeatable := ran == nil || g.ds.Effect == Idempotent ||
 		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick
-	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.ViewerTimeout-lastMoment {
+	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.last {
 		return d.giveUp(g)
 	}
 	return pass
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -181,6 +181,17 @@
 	}
 }
 
+func TestAGETWithLittleTimeKeepsMostOfIt(t *testing.T) {
+	for budget, last := range map[float64]float64{5: 4.95, 0.2: 0.15, 0.1: 0.075} {
+		d, r := fleet(nil)
+		d.GET(1, GET{ID: 7, Object: "a", ViewerTimeout: 1 + budget})
+		tickTo(d, 1, 1+last-0.001)
+		assert.Empty(t, r.shed, "%v s", budget)
+		tickTo(d, 1+last, 1+last+tick)
+		assert.Equal(t, []uint32{7}, r.shed, "%v s", budget)
+	}
+}
+
 func TestDrainsAreKept(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/control/state.go
+++ b/control/state.go
@@ -167,6 +167,7 @@
 	forwards     []*forward
 	out, turned  int // forwards out, and times it was turned away
 	over, lined  bool
+	last         float64 // when it is given up at the latest
 	timeout      *due.Entry[func()]
 	host, source *host
 	bad          []*host // that failed it, as host or as source
@@ -285,6 +286,12 @@
 	return kept
 }
 
+// line empties the line of further forwards, and gives what was in it.
+func (d *Dispatcher) line() (line []*get) {
+	line, d.further = d.further, nil
+	return line
+}
+
 // chance draws a number from 0 to 1.
 func (d *Dispatcher) chance(h *host) float64 {
 	d.chances++
