Let the limit on an answer's progress run from that answer's start, and round budgets up

Seen in reading, not in a run: conn.go set the limit anew only when no answer was under way between two reads, so a connection that always had a part of the next one could be cut off though each came in time. lines.Reader now numbers what is under way. door.go rounded the viewer timeout down, so a deployment whose timeouts are no whole milliseconds would have had each of its GETs errored.

--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -20,7 +20,7 @@
 )
 
 const settingsText = `{"balancers":1,"zones":["z"],"machineTypes":["std","parent","origin"],"zone":0,"unheardOf":[1],
-"classes":[{"name":"segment","aim":5000000,"deadline":60000000,"effect":"safe","dedupScope":"all","worth":1}],
+"classes":[{"name":"segment","aim":5000000,"deadline":59999500,"effect":"safe","dedupScope":"all","worth":1}],
 "extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[1],"goneEverywhere":60000000,"sharesFills":true},
 "limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":5000000,"idleClose":60000000,
 "maxStreams":10,"mostHeld":%d},"rules":{"coldFrom":0.2,"rampTime":9000000,"tipMultiple":2,"fall":1000000}}`
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -63,6 +63,7 @@
 	begun      bool   // the head is read, the body is under way
 	body       []byte // its place; nil while it is drained
 	size, got  int    // of the body with its line end
+	whole      int    // answers that were
 }
 
 // Space is where the next bytes are to be read into: a body's own place once it is under way.
@@ -97,8 +98,13 @@
 	return nil
 }
 
-// Partial tells whether an answer has begun and is not whole.
-func (r *Reader) Partial() bool { return r.begun || r.end > r.start }
+// Under is the number of the answer that has begun and is not whole, from 1; 0 where none has.
+func (r *Reader) Under() int {
+	if r.begun || r.end > r.start {
+		return r.whole + 1
+	}
+	return 0
+}
 
 // Held is the room that the answer under way has taken.
 func (r *Reader) Held() int { return max(0, len(r.body)-len(LineEnd)) }
@@ -115,6 +121,7 @@
 			return Answer{}, false, fmt.Errorf("answer %.64q: %w", line, err)
 		}
 		if size < 0 {
+			r.whole++
 			return r.head, true, nil
 		}
 		r.begin(size)
@@ -154,6 +161,7 @@
 		a.Body = r.body[:r.size-len(LineEnd)]
 	}
 	r.begun, r.body = false, nil
+	r.whole++
 	return a, true, nil
 }
 
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -36,6 +36,23 @@
 
 func roomy(int) bool { return true }
 
+func TestWhichAnswerIsUnderWay(t *testing.T) {
+	r := lines.Reader{Room: roomy}
+	for _, step := range []struct {
+		bytes string
+		under int
+	}{{"a HI", 1}, {"T - 2\r\nx", 1}, {"x\r\n", 0}, {"b NONE - 0\r\n\r\nc", 3}, {" PONG\r\nd", 4}, {" LATE - 0\r\n\r\n", 0}} {
+		r.Fed(copy(r.Space(), step.bytes))
+		for {
+			if _, ok, err := r.Next(); !ok {
+				require.NoError(t, err)
+				break
+			}
+		}
+		assert.Equal(t, step.under, r.Under(), step.bytes)
+	}
+}
+
 func TestAnswers(t *testing.T) {
 	long := strings.Repeat("x\r\n", 80000)
 	empty := []byte{}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -76,7 +76,7 @@
 		longest = n.Settings.Settings.Services[in.Service].ViewerTimeout
 	}
 	in.Part, in.Group = number("nth", m.Part, 0, math.MaxInt32), number("batch", m.Group, 0, lastGroup)
-	in.ViewerTimeout = float64(number("budget", m.Budget, 1, int(longest*1e3))) / 1e3
+	in.ViewerTimeout = float64(number("budget", m.Budget, 1, int(math.Ceil(longest*1e3)))) / 1e3
 	check(isID(m.ID), "rid", m.ID)
 	check(isID(m.Object), "obj", m.Object)
 	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -154,11 +154,11 @@
 func (c *conn) read(socket net.Conn) error {
 	r := lines.Reader{Room: c.host.Room.Take}
 	defer func() { c.host.Room.Give(r.Held()) }()
-	partial := false
+	under := 0
 	for {
-		if r.Partial() != partial { // the limit runs from the start of an answer
-			partial = !partial
-			_ = socket.SetReadDeadline(map[bool]time.Time{true: time.Now().Add(wholeIn)}[partial])
+		if now := r.Under(); now != under { // the limit runs from the start of each answer
+			under = now
+			_ = socket.SetReadDeadline(map[bool]time.Time{true: time.Now().Add(wholeIn)}[under > 0])
 		}
 		n, err := socket.Read(r.Space())
 		if err != nil {
