Bound a drain by the longest viewer timeout and a second more

Seen in reading: drain (main.go) waited until no reply was unwritten, and a client that takes one reply just within 5 s each could hold it for minutes. What is unread by then is owed no longer. The line drained tells whether all was quiet.

--- a/cmd/elderwall/config.go
+++ b/cmd/elderwall/config.go
@@ -8,8 +8,10 @@
 	"os"
 	"reflect"
 	"strconv"
+	"time"
 
 	"elderwall/internal/changelog"
+	"elderwall/internal/clock"
 	"elderwall/settings"
 )
 
@@ -73,6 +75,14 @@
 	return nil
 }
 
+// longest is the longest viewer timeout.
+func (c *config) longest() (most time.Duration) {
+	for _, ds := range c.settings.Settings.Services {
+		most = max(most, clock.Duration(ds.ViewerTimeout))
+	}
+	return most
+}
+
 // reload takes what of a new configuration can change while running, and names what can't.
 func (c *config) reload(to *config) (moved bool, kept []string) {
 	for _, part := range []struct {
--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -30,6 +30,7 @@
 	heapShare    = 0.6                    // of the memory limit, from which on the runtime collects harder
 	bodyShare    = 0.25                   // of it for long calls and the bodies of answers under way
 	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
+	unread       = time.Second            // for so long after the last viewer timeout clients may read
 	warnings     = 10                     // a second that are logged; bad input could bring any number
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 )
@@ -80,7 +81,7 @@
 		defer cancel()
 		defer func() { _ = listener.Close() }()
 		if signals(ctx, got, func() { o.Counts.Log(log) }, func() { reload(c, log, read, moves) }) {
-			drain(log, n, server, listener)
+			drain(log, n.Drain, server, listener, c.longest()+unread)
 		}
 		return nil
 	})
@@ -129,15 +130,23 @@
 	moves <- c.Changelog
 }
 
-// drain goes on for as long as clients may still come, and then until all is answered.
-func drain(log zerolog.Logger, n *node.Node, s *front.Server, l net.Listener) {
+// quieting is what a drain needs of the server.
+type quieting interface {
+	Close()
+	Quiet() bool
+}
+
+// drain goes on for as long as clients may still come, and then until all is answered and read, or can't be any
+// more: clients that do not read hold it up for no longer.
+func drain(log zerolog.Logger, unready func(), s quieting, l net.Listener, most time.Duration) {
 	log.Info().Msg("draining")
-	n.Drain()
+	unready()
 	time.Sleep(stillComing)
+	end := time.Now().Add(most)
 	_ = l.Close()
 	s.Close()
-	for !s.Quiet() {
+	for !s.Quiet() && time.Now().Before(end) {
 		time.Sleep(lookForQuiet)
 	}
-	log.Info().Msg("drained")
+	log.Info().Bool("quiet", s.Quiet()).Msg("drained")
 }
--- a/cmd/elderwall/main_test.go
+++ b/cmd/elderwall/main_test.go
@@ -369,6 +369,25 @@
 	assert.Equal(t, 1, strings.Count(d.out.String(), "the old one stays"))
 }
 
+// neverQuiet is a server with a client that does not read.
+type neverQuiet struct{ closed bool }
+
+func (s *neverQuiet) Close()      { s.closed = true }
+func (s *neverQuiet) Quiet() bool { return false }
+
+func TestADrainEndsAlthoughAClientDoesNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s, told := &neverQuiet{}, false
+	drain(zerolog.Nop(), func() { told = true }, s, l, 0)
+	assert.True(t, told && s.closed)
+	_, err = l.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+	c, err := read(t, configText("127.0.0.1:0", "127.0.0.1:1", "", 10))
+	require.NoError(t, err)
+	assert.Equal(t, 59999500*time.Microsecond, c.longest())
+}
+
 func TestWhatNothingCanStartWith(t *testing.T) {
 	whole := configText("127.0.0.1:0", "127.0.0.1:1", "", 10)
 	tests := map[string]string{
