--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	GETs, Unusable, GivenUp            atomic.Int64 // taken in; errored at the door; given up by clients
 	Returned, Unchanged, Shed, Errored atomic.Int64 // answered; Unchanged of Returned had no body
+	Unsent                             atomic.Int64 // of Shed and Errored, after half their time with nothing written whole
 
 	Forwards, Stopped                          atomic.Int64 // sent; given up
 	Hit, Valid, None, Full, Fault, Late        atomic.Int64 // ended by an answer
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -45,7 +45,7 @@
 		for n.lastID++; n.gets[n.lastID] != nil; n.lastID++ {
 		}
 		in.ID, in.ViewerTimeout = n.lastID, now+in.ViewerTimeout
-		g := &get{id: in.ID, call: c, request: request, until: in.ViewerTimeout}
+		g := &get{id: in.ID, call: c, request: request, from: now, until: in.ViewerTimeout}
 		n.gets[g.id], n.byCall[c], n.byID[request.ID] = g, g, g
 		g.expiry = n.expiries.Add(g.until, g)
 		n.module.GET(now, in)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,7 @@
 	id       uint32
 	call     *front.Call
 	request  lines.Request // as far as all its forwards share it
+	from     float64       // when it came
 	until    float64       // the viewer timeout
 	expiry   *due.Entry[*get]
 	forwards []*forward
@@ -181,6 +183,14 @@
 	})
 }
 
+// unsent counts a GET that is given up after half its time with no forward written whole, which is charged for.
+func (n *Node) unsent(g *get) {
+	written := func(f *forward) bool { return f.Written() }
+	if 2*n.Clock.Now() > g.from+g.until && !slices.ContainsFunc(g.forwards, written) {
+		n.Options.Counts.Unsent.Add(1)
+	}
+}
+
 // close ends a GET at the client's side.
 func (n *Node) close(g *get) {
 	g.over = true
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -119,6 +119,23 @@
 	assert.EqualValues(t, 1, n.Options.Counts.NoPlace.Load())
 }
 
+func TestGETsGivenUpLateWithNothingWrittenAreCounted(t *testing.T) {
+	for name, tt := range map[string]struct {
+		until    float64 // seconds from when it came, an hour ago
+		forwards []*forward
+		want     int64
+	}{
+		"late, nothing sent":         {3601, nil, 1},
+		"late, nothing written":      {3601, []*forward{{}}, 1},
+		"within the first half":      {9000, nil, 0},
+		"by its viewer timeout past": {1, nil, 1},
+	} {
+		n := newNode(t)
+		n.unsent(&get{from: n.Clock.Now() - 3600, until: n.Clock.Now() - 3600 + tt.until, forwards: tt.forwards})
+		assert.Equal(t, tt.want, n.Options.Counts.Unsent.Load(), name)
+	}
+}
+
 func TestEntries(t *testing.T) {
 	n := newNode(t)
 	started := changelog.Host{ID: "a", Address: "127.0.0.1:1", Zone: "z", Kind: "std", Cell: 2, State: "DRAINING", Weight: 4, StartedAtMs: 1764576000123}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -49,6 +49,7 @@
 func (w wire) Shed(id uint32, comeBack float64) {
 	if g := w.gets[id]; g != nil && !g.over {
 		w.Options.Counts.Shed.Add(1)
+		w.unsent(g)
 		g.call.Refuse(int64(comeBack * 1e3))
 		w.close(g)
 	}
@@ -58,6 +59,7 @@
 func (w wire) Error(id uint32) {
 	if g := w.gets[id]; g != nil && !g.over {
 		w.Options.Counts.Errored.Add(1)
+		w.unsent(g)
 		g.call.Fail()
 		w.close(g)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -170,6 +170,16 @@
 	c.signal()
 }
 
+// Written tells whether the request was written whole.
+func (f *Forward) Written() bool {
+	if f.conn == nil {
+		return false
+	}
+	f.conn.host.mu.Lock()
+	defer f.conn.host.mu.Unlock()
+	return f.stage >= WrittenWhole
+}
+
 // Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
 // whose host is gone.
 func (h *Host) Sweep(now time.Time) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -84,6 +84,7 @@
 			require.NoError(t, h.Send(f))
 			r := <-done
 			assert.Equal(t, tt.want, r.Stage)
+			assert.True(t, f.Written())
 			assert.Equal(t, tt.want == upstream.Answered, r.Err == nil)
 			if tt.err != nil {
 				assert.ErrorIs(t, r.Err, tt.err)
@@ -124,6 +125,7 @@
 				_ = c.Close()
 			}
 			assert.Equal(t, tt.want, (<-done).Stage)
+			assert.False(t, f.Written())
 		})
 	}
 }
