--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,9 +59,10 @@
 	Room    *room.Room // what long calls and the bodies of answers hold
 	Most    int        // connections at a time
 
-	mu      sync.Mutex
-	conns   []*conn
-	closing bool // what comes now is refused
+	closing atomic.Bool // what comes now is refused
+
+	mu    sync.Mutex
+	conns []*conn
 }
 
 type conn struct {
@@ -159,17 +161,7 @@
 }
 
 // Close has all calls that come from now on refused at once.
-func (s *Server) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing = true
-}
-
-func (s *Server) isClosing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closing
-}
+func (s *Server) Close() { s.closing.Store(true) }
 
 // Quiet tells whether no connection has a call open or a reply unwritten.
 func (s *Server) Quiet() bool {
@@ -297,7 +289,7 @@
 		if err := c.enter(call); err != nil {
 			return err
 		}
-		if c.server.isClosing() {
+		if c.server.closing.Load() {
 			call.Refuse(0)
 			return nil
 		}
