--- /dev/null
+++ b/cmd/elderwall-operator/main.go
@@ -0,0 +1,44 @@
+// Command elderwall-operator is what elderwall becomes with an operator's own file or with a command: the same
+// dispatcher with what the file adds, and the tools that operators need beside it.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"elderwall/internal/extras"
+	"elderwall/internal/service"
+)
+
+// commands is the command line; without a word it serves.
+type commands struct {
+	Serve serveCommand `cmd:"" default:"withargs" help:"Serve GETs as PROXY_CONFIG says. This is what happens without a command."`
+	Check checkCommand `cmd:"" help:"Check an operator's file with all that it names, and tell every fault."`
+	Keys  keysCommand  `cmd:"" help:"Keep the keys that callers' tokens are signed by."`
+	Token tokenCommand `cmd:"" help:"Sign a token, or show what one says."`
+}
+
+// serveCommand is the dispatcher itself.
+type serveCommand struct {
+	Operator string `help:"The operator's own file; without one only what the platform's configuration says is on." env:"ELDERWALL_OPERATOR" type:"path" placeholder:"FILE"`
+}
+
+// Run serves until a signal ends it.
+func (s *serveCommand) Run() error {
+	if s.Operator == "" {
+		return service.Serve(nil)
+	}
+	return service.Serve(func(c *service.Config) (service.Extension, error) { return extras.Read(s.Operator, c.Services()) })
+}
+
+func main() {
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("elderwall"), kong.UsageOnError(),
+		kong.Description("A GET router for caches filled from parents and an origin."))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "elderwall:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,28 @@
+// Package call is a GET as every front hands it on, and the one answer that is owed for it.
+package call
+
+import "elderwall/callers"
+
+// Call is one open call of a client. One answer goes out for it; whatever comes after that is dropped.
+type Call interface {
+	// Serve answers with the bytes of the part, or, for same, that the client's copy is the one.
+	Serve(body []byte, same bool)
+	// Refuse answers that trying again is harmless, after so many milliseconds if over 0.
+	Refuse(wait int64)
+	// Fail answers that it failed, for a reason that the client may know; "" names none.
+	Fail(reason string)
+}
+
+// GET is what a front has read, in strings of its own.
+type GET struct {
+	Service, ID, Object string
+	PartText            string // the part as it came
+	Part, Group         int
+	Budget              float64 // s; how long the client waits
+	Tag                 string  // of the copy that the client holds, "" for none
+	Body                []byte
+	Err                 error // what is wrong with it; the rest can't be used then
+
+	Token string        // that came with it, "" for none
+	Conn  *callers.Conn // what is known of its connection; nil where nobody asks who is calling
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,6 +12,10 @@
 type Counters struct {
 	GETs, Unusable, GivenUp            atomic.Int64 // taken in; errored at the door; given up by clients
 	Returned, Unchanged, Shed, Errored atomic.Int64 // answered; Unchanged of Returned had no body
+	NotNamed, Denied, OverShare        atomic.Int64 // of GateErrored: no caller, no right; of GateShed: share used up,
+	OverLevel, Unchecked               atomic.Int64 // over the fair level, no signature check left
+	SignatureChecks                    atomic.Int64 // of tokens
+	GateShed, GateErrored              atomic.Int64 // answered by the gate, which asks who is calling
 	Unsent                             atomic.Int64 // of Shed and Errored, after half their time with nothing written whole
 
 	Forwards, Stopped                          atomic.Int64 // sent; given up
@@ -20,6 +24,7 @@
 	AnswerCut, Expired, NoPlace                atomic.Int64 // broken off within the answer; overdue; no connection left
 	Lists, Purges                              atomic.Int64 // events of the change log
 	ClientConnections, HostConnections         atomic.Int64 // opened
+	Handshakes                                 atomic.Int64 // of clients, that failed
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
 	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
--- /dev/null
+++ b/internal/extras/extras.go
@@ -0,0 +1,98 @@
+// Package extras puts what an operator's own file says into a running service: the stage that asks who is calling and
+// the listener for TLS. A reload swaps all of it at once or nothing.
+package extras
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elderwall/internal/certs"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/gate"
+	"elderwall/internal/operator"
+	"elderwall/internal/service"
+)
+
+// Extras is an operator's file in force.
+type Extras struct {
+	path     string
+	services []string
+	told     *operator.Config
+	gate     *gate.Gate // nil where nobody asks who is calling
+	secure   certs.Listener
+}
+
+// Read reads the file that a path names; services are the delivery services by their place.
+func Read(path string, services []string) (*Extras, error) {
+	told, err := operator.Load(path, services)
+	if err != nil {
+		return nil, err
+	}
+	return &Extras{path: path, services: services, told: told}, nil
+}
+
+// Open opens the listener for TLS and makes the stage that asks who is calling.
+func (e *Extras) Open(log zerolog.Logger, counts *counters.Counters) (all []net.Listener, asks service.Gate, err error) {
+	if t := e.told.TLS; t != nil {
+		e.secure.Take(&t.Material)
+		l, err := net.Listen("tcp", t.Listen)
+		if err != nil {
+			return nil, nil, fmt.Errorf("listen for TLS: %w", err)
+		}
+		all = append(all, tls.NewListener(l, e.secure.Config()))
+		log.Info().Str("listen", t.Listen).Msg("listens for TLS")
+		stale(log, t)
+	}
+	if e.told.Callers == nil {
+		return all, nil, nil
+	}
+	e.gate = &gate.Gate{Clock: clock.New(), Log: log, Counts: counts}
+	return all, e.gate, e.gate.Take(*e.told.Callers, e.told.Keys)
+}
+
+// stale warns of revocation lists that are past their end; they still count.
+func stale(log zerolog.Logger, t *operator.TLS) {
+	for _, end := range t.Stale {
+		if !end.IsZero() && end.Before(time.Now()) {
+			log.Warn().Time("ended", end).Msg("a revocation list is past its end, and still counts")
+		}
+	}
+}
+
+var errTurned = errors.New("operator's file: callers, and the listener for TLS, are turned on, off or moved by a restart alone")
+
+// Read reads the file again, and gives what puts it in force.
+func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
+	to, err := operator.Load(e.path, e.services)
+	if err != nil {
+		return nil, err
+	}
+	was := e.told
+	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
+		was.TLS != nil && was.TLS.Listen != to.TLS.Listen {
+		return nil, errTurned
+	}
+	return func(log zerolog.Logger) error { return e.take(log, to) }, nil
+}
+
+// take puts a file in force. The gate goes first: it alone can still say no.
+func (e *Extras) take(log zerolog.Logger, to *operator.Config) error {
+	if e.gate != nil {
+		if err := e.gate.Take(*to.Callers, to.Keys); err != nil {
+			return err
+		}
+		log.Info().Int("keys", len(to.Callers.Keys)).Int("tenants", len(to.Callers.Tenants)).Msg("callers read again")
+	}
+	if to.TLS != nil {
+		e.secure.Take(&to.TLS.Material)
+		stale(log, to.TLS)
+	}
+	e.told = to
+	return nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"net/netip"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -17,6 +19,8 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"elderwall/callers"
+	"elderwall/internal/call"
 	"elderwall/internal/counters"
 	"elderwall/internal/room"
 	"elderwall/internal/thrift"
@@ -37,14 +41,31 @@
 
 // Handler takes what clients send.
 type Handler interface {
-	// Process takes a call, which is answered once, now or later; the slices of the message are lent.
-	Process(c *Call, message thrift.Call)
+	// Process takes a call, which is answered once, now or later.
+	Process(c call.Call, get call.GET)
 	// GiveUp takes word that a client no longer waits for a call; no answer is owed then.
-	GiveUp(c *Call)
+	GiveUp(c call.Call)
 	// Ready tells whether GETs may come.
 	Ready() bool
 }
 
+// Callers tells who is calling; without one nobody asks, and the service lacks the method identify.
+type Callers interface {
+	// Connected takes a connection, whose handshake is done, and says what is known of it.
+	Connected(remote netip.Addr, socket net.Conn) *callers.Conn
+	// Identify takes a token for all GETs of a connection that bring none; a reason tells that it names nobody.
+	Identify(c *callers.Conn, token string) (reason string)
+	// Standing tells whether a connection may stay.
+	Standing(c *callers.Conn) callers.Standing
+}
+
+// secured is a connection with a handshake and one beneath it, as crypto/tls has it.
+type secured interface {
+	net.Conn
+	Handshake() error
+	NetConn() net.Conn
+}
+
 // Call is one open call of a client.
 type Call struct {
 	conn *conn
@@ -54,6 +75,7 @@
 // Server serves clients until its context ends.
 type Server struct {
 	Handler Handler
+	Callers Callers // nil where nobody asks who is calling
 	Log     zerolog.Logger
 	Counts  *counters.Counters
 	Room    *room.Room // what long calls and the bodies of answers hold
@@ -68,6 +90,8 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	raw    net.Conn      // beneath net where that is TLS, whose own close waits for the client
+	caller *callers.Conn // nil where nobody asks who is calling
 	wake   chan struct{} // tells the writer of a change
 
 	mu     sync.Mutex
@@ -111,7 +135,10 @@
 // enter books a new connection, and has another one give way where there are too many, or itself if all have
 // something open: a connection with a GET under way is no place for who comes later.
 func (s *Server) enter(socket net.Conn) *conn {
-	c := &conn{server: s, net: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}, used: time.Now()}
+	c := &conn{server: s, net: socket, raw: socket, wake: make(chan struct{}, 1), open: map[int32]*Call{}, used: time.Now()}
+	if over, ok := socket.(secured); ok {
+		c.raw = over.NetConn()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= max(1, s.Most-min(spare, s.Most/4)) {
@@ -148,10 +175,13 @@
 // serve runs one connection to its end.
 func (s *Server) serve(ctx context.Context, c *conn) {
 	defer context.AfterFunc(ctx, c.close)()
-	var both sync.WaitGroup
-	both.Go(func() { c.guard(c.write) })
-	c.guard(c.read)
-	both.Wait()
+	if c.guard(c.greet); !c.isClosed() {
+		var both sync.WaitGroup
+		both.Go(func() { defer c.close(); c.guard(c.write) })
+		c.guard(c.read)
+		c.close()
+		both.Wait()
+	}
 	s.mu.Lock()
 	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
 	s.mu.Unlock()
@@ -160,6 +190,73 @@
 	}
 }
 
+// greet does the handshake, where there is one, and finds out what tells of the caller.
+func (c *conn) greet() error {
+	if over, ok := c.net.(secured); ok {
+		_ = over.SetDeadline(time.Now().Add(wholeIn))
+		if err := over.Handshake(); err != nil {
+			c.close()
+			c.server.Counts.Handshakes.Add(1)
+			return nil // a port scan or a client with no good certificate; the counter tells how many
+		}
+		_ = over.SetDeadline(time.Time{})
+	}
+	if c.server.Callers == nil {
+		return nil
+	}
+	remote, _ := netip.ParseAddrPort(c.raw.RemoteAddr().String())
+	caller := c.server.Callers.Connected(remote.Addr().Unmap(), c.net)
+	c.mu.Lock()
+	c.caller = caller
+	c.mu.Unlock()
+	return nil
+}
+
+// Review closes the connections whose callers may not stay: once nothing is open on one, and when its time is over
+// with what is open failed.
+func (s *Server) Review() {
+	s.mu.Lock()
+	all := slices.Clone(s.conns)
+	s.mu.Unlock()
+	for _, c := range all {
+		c.mu.Lock()
+		caller := c.caller
+		c.mu.Unlock()
+		if caller == nil {
+			continue
+		}
+		switch s.Callers.Standing(caller) {
+		case callers.Leaving:
+			if c.quiet() {
+				c.close()
+			}
+		case callers.Left:
+			c.guard(c.fail)
+			if c.quiet() {
+				c.close()
+			}
+		}
+	}
+}
+
+// fail answers all that is open; work for it stops.
+func (c *conn) fail() error {
+	c.mu.Lock()
+	open := slices.Collect(maps.Values(c.open))
+	c.mu.Unlock()
+	for _, call := range open {
+		c.server.Handler.GiveUp(call)
+		call.Fail(callers.BadCertificate.String())
+	}
+	return nil
+}
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // Close has all calls that come from now on refused at once.
 func (s *Server) Close() { s.closing.Store(true) }
 
@@ -182,15 +279,16 @@
 	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes, c.uses, c.used
 }
 
-// guard ends the connection, and it alone, when what runs on it panics.
+// guard ends the connection, and it alone, when what runs on it panics or fails.
 func (c *conn) guard(run func() error) {
-	defer c.close()
 	defer func() {
 		if broken := recover(); broken != nil {
+			c.close()
 			c.server.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("client connection broke")
 		}
 	}()
 	if err := run(); err != nil {
+		c.close()
 		c.server.Log.Warn().Err(err).Stringer("client", c.net.RemoteAddr()).Msg("client connection closed")
 	}
 }
@@ -200,7 +298,7 @@
 	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed = true
-		_ = c.net.Close()
+		_ = c.raw.Close()
 		c.signal()
 	}
 }
@@ -293,11 +391,15 @@
 			call.Refuse(0)
 			return nil
 		}
-		c.server.Handler.Process(call, m)
+		get := read(m)
+		get.Conn = c.caller
+		c.server.Handler.Process(call, get)
 	case thrift.GiveUp:
 		if call := c.leave(m.GivenUp); call != nil {
 			c.server.Handler.GiveUp(call)
 		}
+	case thrift.Identify:
+		return c.identify(m)
 	case thrift.Probe:
 		c.prove()
 		c.send(thrift.Ready(m.Seq, c.server.Handler.Ready()), nil)
@@ -307,6 +409,20 @@
 	return nil
 }
 
+// identify takes a token that names the caller of all later GETs without one.
+func (c *conn) identify(m thrift.Call) error {
+	if c.caller == nil {
+		c.send(thrift.NoSuchMethod(m.Name, m.Seq), nil)
+		return nil
+	}
+	reason := c.server.Callers.Identify(c.caller, string(m.Token))
+	if reason == "" {
+		c.prove()
+	}
+	c.send(thrift.Identified(m.Seq, reason), nil)
+	return nil
+}
+
 func (c *conn) enter(call *Call) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -342,8 +458,8 @@
 	c.reply(thrift.Refused(c.seq, wait))
 }
 
-// Fail answers that it failed.
-func (c *Call) Fail() { c.reply(thrift.Failed(c.seq)) }
+// Fail answers that it failed, for a reason unless that is "".
+func (c *Call) Fail(reason string) { c.reply(thrift.Failed(c.seq, reason)) }
 
 // prove books that a client has sent something of use.
 func (c *conn) prove() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,11 +17,11 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"elderwall/internal/call"
 	"elderwall/internal/counters"
 	"elderwall/internal/front"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
-	"elderwall/internal/thrift"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,22 +30,22 @@
 
 // handler hands calls to the test.
 type handler struct {
-	calls   chan *front.Call
-	givenUp chan *front.Call
+	calls   chan call.Call
+	givenUp chan call.Call
 }
 
-func (h *handler) Process(c *front.Call, m thrift.Call) {
-	if string(m.Object) == "boom" {
+func (h *handler) Process(c call.Call, g call.GET) {
+	if g.Object == "boom" {
 		panic("boom")
 	}
 	h.calls <- c
 }
-func (h *handler) GiveUp(c *front.Call) { h.givenUp <- c }
-func (h *handler) Ready() bool          { return true }
+func (h *handler) GiveUp(c call.Call) { h.givenUp <- c }
+func (h *handler) Ready() bool        { return true }
 
 // serve starts a server; what it returns ends it and checks that nothing is left of it.
 func serve(t *testing.T, most int) (h *handler, s *front.Server, address string) {
-	h = &handler{calls: make(chan *front.Call, 100), givenUp: make(chan *front.Call, 100)}
+	h = &handler{calls: make(chan call.Call, 100), givenUp: make(chan call.Call, 100)}
 	s = &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: most}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -85,20 +85,20 @@
 		_, err := c.Process(standin.Fields(), "")
 		require.NoError(t, err)
 	}
-	var open []*front.Call
+	var open []call.Call
 	for range 5 {
 		open = append(open, <-h.calls)
 	}
 	assert.False(t, s.Quiet())
 	open[3].Serve(body(s, "bytes"), false)
 	open[1].Refuse(125)
-	open[1].Fail() // it is answered already
+	open[1].Fail("") // it is answered already
 	open[1].Serve(body(s, "dropped"), false)
-	open[0].Fail()
+	open[0].Fail("")
 	open[2].Serve(nil, true)
 	require.NoError(t, c.GiveUp(6)) // the fifth GET
 	assert.Same(t, open[4], <-h.givenUp)
-	open[4].Fail() // nothing is owed
+	open[4].Fail("") // nothing is owed
 	want := []standin.Reply{
 		{Seq: 5, Method: "process", Kind: "served", Body: "bytes", Fields: map[string]string{}, Good: true},
 		{Seq: 3, Method: "process", Kind: "refused", Fields: map[string]string{"backoff": "125"}},
@@ -201,7 +201,7 @@
 	c := dial(t, address)
 	_, err := c.Process(standin.Fields(), long)
 	require.NoError(t, err)
-	(<-h.calls).Fail()
+	(<-h.calls).Fail("")
 	_, err = c.Read()
 	require.NoError(t, err)
 	s.Room.Take(bytesOfRoom - len(long)/2) // the rest
@@ -251,7 +251,7 @@
 
 func TestConnectionsThatNothingIsOpenOnGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &handler{calls: make(chan *front.Call, 9), givenUp: make(chan *front.Call, 9)}
+		h := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}
 		s := &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: 4}
 		l, ended := pipes{accepted: make(chan net.Conn)}, make(chan error)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -267,7 +267,7 @@
 			require.NoError(t, err, why)
 			synctest.Wait()
 		}
-		asks := func(c *standin.Client) *front.Call {
+		asks := func(c *standin.Client) call.Call {
 			_, err := c.Process(standin.Fields(), "")
 			require.NoError(t, err)
 			return <-h.calls
@@ -286,7 +286,7 @@
 		}
 		works(stays, "")
 		fresh := dial()
-		busy := []*front.Call{open, asks(dial()), asks(fresh)} // the one that stays gave way: fresh ones have time to speak
+		busy := []call.Call{open, asks(dial()), asks(fresh)} // the one that stays gave way: fresh ones have time to speak
 		_, err = dial().Probe()
 		require.Error(t, err, "where all have a GET under way the newcomer is closed")
 		for _, c := range busy {
--- /dev/null
+++ b/internal/front/read.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"elderwall/internal/call"
+	"elderwall/internal/thrift"
+)
+
+const (
+	idLength    = 16 // hex digits of the ids of requests, objects and copies
+	hexDigits   = "0123456789abcdef"
+	lastGroup   = 255     // groups are numbered from 0
+	longestBody = 240_000 // bytes; of an object
+)
+
+var errField = errors.New("unusable field")
+
+// read makes a GET of a message, with strings of its own.
+func read(m thrift.Call) call.GET {
+	g := call.GET{ID: string(m.ID), Service: string(m.Service), Object: string(m.Object), PartText: string(m.Part),
+		Tag: string(m.Tag), Body: slices.Clone(m.Body), Token: string(m.Token)}
+	check := func(ok bool, name string, text []byte) {
+		if !ok && g.Err == nil {
+			g.Err = fmt.Errorf("%w: %s %.32q", errField, name, text)
+		}
+	}
+	number := func(name string, text []byte, least, most int) int {
+		v, err := strconv.Atoi(string(text))
+		check(err == nil && v >= least && v <= most && strconv.Itoa(v) == string(text), name, text)
+		return v
+	}
+	g.Part, g.Group = number("nth", m.Part, 0, math.MaxInt32), number("batch", m.Group, 0, lastGroup)
+	g.Budget = float64(number("budget", m.Budget, 1, math.MaxInt32)) / 1e3
+	check(isID(m.ID), "rid", m.ID)
+	check(isID(m.Object), "obj", m.Object)
+	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
+	check(len(m.Body) <= longestBody, "body", nil)
+	return g
+}
+
+func isID(text []byte) bool { return len(text) == idLength && len(bytes.Trim(text, hexDigits)) == 0 }
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,178 @@
+// Package gate is the stage that asks who is calling: it has tokens' signatures checked and calls on the module
+// callers under a lock of its own. It decides nothing.
+package gate
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"elderwall/callers"
+	"elderwall/internal/call"
+	"elderwall/internal/certs"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/token"
+)
+
+// Gate asks who is calling.
+type Gate struct {
+	Clock  clock.Clock
+	Wall   func() float64 // Unix seconds; nil is the system's clock
+	Log    zerolog.Logger
+	Counts *counters.Counters
+
+	mu     sync.Mutex
+	module *callers.Module
+	keys   map[string]*token.Key
+	level  bool // a fair level holds
+}
+
+func (g *Gate) wall() float64 {
+	if g.Wall != nil {
+		return g.Wall()
+	}
+	return float64(time.Now().UnixMicro()) / 1e6
+}
+
+// Take puts settings and keys in force together; with an error the old ones stay.
+func (g *Gate) Take(s callers.Settings, keys map[string]*token.Key) (err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.module == nil {
+		g.module, err = callers.New(g.Clock.Now(), g.wall(), s)
+	} else {
+		err = g.module.Reload(g.Clock.Now(), g.wall(), s)
+	}
+	if err == nil {
+		g.keys = keys
+	}
+	return err
+}
+
+// Connected takes a connection whose handshake is done.
+func (g *Gate) Connected(remote netip.Addr, socket net.Conn) *callers.Conn {
+	c := &callers.Conn{Remote: remote}
+	if over, ok := socket.(*tls.Conn); ok {
+		c.Certificate = certs.Facts(over.ConnectionState())
+	}
+	return c
+}
+
+// Identify takes a token for all GETs of a connection that bring none.
+func (g *Gate) Identify(c *callers.Conn, text string) (reason string) {
+	if _, refusal := g.byToken(c, text); refusal != callers.Passed {
+		return refusal.String()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.module.Give(c, sha256.Sum256([]byte(text))) {
+		return callers.ChecksUsed.String()
+	}
+	return ""
+}
+
+// Standing tells whether a connection may stay.
+func (g *Gate) Standing(c *callers.Conn) callers.Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.module.Standing(g.Clock.Now(), g.wall(), c)
+}
+
+// Admit says whether a GET is passed on, and with what End is to be called if so.
+func (g *Gate) Admit(in call.GET, service int) (t callers.Ticket, r callers.Refusal, wait float64) {
+	object, err := strconv.ParseUint(in.Object, 16, 64)
+	if err != nil || in.Conn == nil {
+		return t, callers.Nobody, 0
+	}
+	var c callers.Caller
+	if in.Token != "" {
+		c, r = g.byToken(in.Conn, in.Token)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if in.Token == "" {
+		c, r = g.module.ByConn(g.wall(), in.Conn)
+	}
+	if r == callers.Passed {
+		t, r, wait = g.module.Admit(g.Clock.Now(), c, in.Conn.Remote, callers.GET{Service: service, Object: object, Group: in.Group})
+	}
+	g.count(r)
+	return t, r, wait
+}
+
+// byToken names the caller of a token; its signature is checked unless that was done before.
+func (g *Gate) byToken(conn *callers.Conn, text string) (callers.Caller, callers.Refusal) {
+	if len(text) > token.Longest { // not even its sum is worth making
+		return callers.Caller{}, callers.BadToken
+	}
+	sum := callers.Sum(sha256.Sum256([]byte(text)))
+	g.mu.Lock()
+	c, r, known := g.module.ByToken(g.wall(), sum)
+	g.mu.Unlock()
+	if known {
+		return c, r
+	}
+	t, err := token.Parse(text)
+	if err != nil {
+		return callers.Caller{}, callers.BadToken
+	}
+	g.mu.Lock()
+	r, k := g.module.MayCheck(g.Clock.Now(), g.wall(), conn, t.KeyID, t.Algorithm), g.keys[t.KeyID]
+	g.mu.Unlock()
+	if r != callers.Passed {
+		return callers.Caller{}, r
+	}
+	g.Counts.SignatureChecks.Add(1)
+	claims, err := t.Verify(k)
+	if err != nil {
+		return callers.Caller{}, callers.BadToken
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.module.Verified(g.wall(), conn, sum, k.ID, k.Print, claims)
+}
+
+// End settles a GET that was passed on.
+func (g *Gate) End(t callers.Ticket, ran, shed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.module.End(g.Clock.Now(), t, ran, shed)
+	g.tell()
+}
+
+// count books why a GET ended here.
+func (g *Gate) count(r callers.Refusal) {
+	switch r {
+	case callers.Passed:
+	case callers.Denied:
+		g.Counts.Denied.Add(1)
+	case callers.ShareUsed:
+		g.Counts.OverShare.Add(1)
+	case callers.Pressed:
+		g.Counts.OverLevel.Add(1)
+	case callers.ChecksUsed:
+		g.Counts.Unchecked.Add(1)
+	default:
+		g.Counts.NotNamed.Add(1)
+	}
+	g.tell()
+}
+
+// tell logs when the fair level begins to hold, and when it is put off.
+func (g *Gate) tell() {
+	if level := g.module.Level(); level < 1e300 != g.level {
+		g.level = !g.level
+		if g.level {
+			g.Log.Info().Float64("level", level).Msg("under pressure, tenants are held to a fair level")
+		} else {
+			g.Log.Info().Msg("no tenant is held to a fair level any more")
+		}
+	}
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -1,87 +1,95 @@
 package node
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"slices"
-	"strconv"
 
+	"elderwall/callers"
 	"elderwall/control"
-	"elderwall/internal/front"
+	"elderwall/internal/call"
 	"elderwall/internal/lines"
-	"elderwall/internal/thrift"
 )
 
-const (
-	idLength    = 16 // hex digits of the ids of requests, objects and copies
-	hexDigits   = "0123456789abcdef"
-	lastGroup   = 255     // groups are numbered from 0
-	longestBody = 240_000 // bytes; of an object
-)
-
-// Process takes a call of a client.
-func (n *Node) Process(c *front.Call, m thrift.Call) {
+// Process takes a GET of any front. It passes the gate, where there is one, and goes to the module.
+func (n *Node) Process(c call.Call, in call.GET) {
 	n.Options.Counts.GETs.Add(1)
-	in, request, err := n.read(m)
+	g, err := n.read(in)
 	if err != nil {
 		n.Options.Counts.Unusable.Add(1)
 		n.Options.Log.Warn().Err(err).Msg("GET can't be used")
-		c.Fail()
+		c.Fail("")
 		return
 	}
-	n.call(func(now float64) {
-		if n.byID[request.ID] != nil { // a STOP of one, or an answer, would pass for that of the other
-			n.Options.Counts.Unusable.Add(1)
-			c.Fail()
-			return
-		}
-		if len(n.gets) >= n.Settings.MostHeld || !n.Options.Room.Take(len(request.Body)) {
-			n.Options.Counts.Shed.Add(1)
-			c.Refuse(0)
-			return
-		}
-		for n.lastID++; n.gets[n.lastID] != nil; n.lastID++ {
-		}
-		in.ID, in.ViewerTimeout = n.lastID, now+in.ViewerTimeout
-		g := &get{id: in.ID, call: c, request: request, from: now, until: in.ViewerTimeout}
-		n.gets[g.id], n.byCall[c], n.byID[request.ID] = g, g, g
-		g.expiry = n.expiries.Add(g.until, g)
-		n.module.GET(now, in)
-	})
+	ticket, passed := n.gated(c, in, g.Service)
+	if !passed {
+		return
+	}
+	n.call(func(now float64) { n.enter(now, c, in, g, ticket) })
 }
 
-var errField = errors.New("unusable field")
+// gated answers a GET that the gate does not pass on.
+func (n *Node) gated(c call.Call, in call.GET, service int) (ticket callers.Ticket, passed bool) {
+	if n.Gate == nil {
+		return ticket, true
+	}
+	ticket, refusal, wait := n.Gate.Admit(in, service)
+	switch {
+	case refusal == callers.Passed:
+		return ticket, true
+	case refusal.Shed():
+		n.Options.Counts.GateShed.Add(1)
+		c.Refuse(int64(math.Ceil(wait * 1e3)))
+	default:
+		n.Options.Counts.GateErrored.Add(1)
+		c.Fail(refusal.String())
+	}
+	return ticket, false
+}
 
-// read makes a GET of a message, with strings of its own; its viewer timeout is still that from now on.
-func (n *Node) read(m thrift.Call) (control.GET, lines.Request, error) {
-	q := lines.Request{ID: string(m.ID), Service: string(m.Service), Object: string(m.Object), Part: string(m.Part),
-		Tag: string(m.Tag), Body: slices.Clone(m.Body)}
-	in := control.GET{Service: slices.Index(n.Settings.Services, q.Service), Object: q.Object}
-	var bad error
-	check := func(ok bool, name string, text []byte) {
-		if !ok && bad == nil {
-			bad = fmt.Errorf("%w: %s %.32q", errField, name, text)
+// enter hands a GET to the module, unless it can't be held.
+func (n *Node) enter(now float64, c call.Call, in call.GET, g control.GET, ticket callers.Ticket) {
+	settle := func(shed bool) {
+		if n.Gate != nil {
+			n.Gate.End(ticket, false, shed)
 		}
 	}
-	number := func(name string, text []byte, least, most int) int {
-		v, err := strconv.Atoi(string(text))
-		check(err == nil && v >= least && v <= most && strconv.Itoa(v) == string(text), name, text)
-		return v
+	if n.byID[in.ID] != nil { // a STOP of one, or an answer, would pass for that of the other
+		n.Options.Counts.Unusable.Add(1)
+		settle(false)
+		c.Fail("")
+		return
+	}
+	if len(n.gets) >= n.Settings.MostHeld || !n.Options.Room.Take(len(in.Body)) {
+		n.Options.Counts.Shed.Add(1)
+		settle(true)
+		c.Refuse(0)
+		return
 	}
-	check(in.Service >= 0, "method", m.Service)
-	longest := 0.0
-	if in.Service >= 0 {
-		longest = n.Settings.Settings.Services[in.Service].ViewerTimeout
+	for n.lastID++; n.gets[n.lastID] != nil; n.lastID++ {
 	}
-	in.Part, in.Group = number("nth", m.Part, 0, math.MaxInt32), number("batch", m.Group, 0, lastGroup)
-	in.ViewerTimeout = float64(number("budget", m.Budget, 1, int(math.Ceil(longest*1e3)))) / 1e3
-	check(isID(m.ID), "rid", m.ID)
-	check(isID(m.Object), "obj", m.Object)
-	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
-	check(len(m.Body) <= longestBody, "body", nil)
-	return in, q, bad
+	g.ID, g.ViewerTimeout = n.lastID, now+g.ViewerTimeout
+	request := lines.Request{ID: in.ID, Service: in.Service, Object: in.Object, Part: in.PartText, Tag: in.Tag, Body: in.Body}
+	held := &get{id: g.ID, call: c, ticket: ticket, request: request, from: now, until: g.ViewerTimeout}
+	n.gets[held.id], n.byCall[c], n.byID[in.ID] = held, held, held
+	held.expiry = n.expiries.Add(held.until, held)
+	n.module.GET(now, g)
 }
 
-func isID(text []byte) bool { return len(text) == idLength && len(bytes.Trim(text, hexDigits)) == 0 }
+var errGET = errors.New("unusable GET")
+
+// read makes a GET of the module's of what a front has read; its viewer timeout is still that from now on.
+func (n *Node) read(in call.GET) (control.GET, error) {
+	g := control.GET{Service: slices.Index(n.Settings.Services, in.Service), Object: in.Object, Group: in.Group,
+		Part: in.Part, ViewerTimeout: in.Budget}
+	switch {
+	case in.Err != nil:
+		return g, in.Err
+	case g.Service < 0:
+		return g, fmt.Errorf("%w: method %.32q", errGET, in.Service)
+	case in.Budget > math.Ceil(n.Settings.Settings.Services[g.Service].ViewerTimeout*1e3)/1e3:
+		return g, fmt.Errorf("%w: budget of %g s", errGET, in.Budget)
+	}
+	return g, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,11 +11,12 @@
 	"sync/atomic"
 	"time"
 
+	"elderwall/callers"
 	"elderwall/control"
+	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/due"
-	"elderwall/internal/front"
 	"elderwall/internal/lines"
 	"elderwall/internal/upstream"
 	"elderwall/settings"
@@ -29,6 +30,16 @@
 	Clock       clock.Clock
 	Options     *upstream.Options
 	Connections int // to all hosts; shared evenly among those that are listed
+
+	Gate Gate // the stage that asks who is calling; nil where nobody does
+}
+
+// Gate is the stage before the module that asks who is calling.
+type Gate interface {
+	// Admit says whether a GET is passed on, and for how many seconds its client is to stay away if not.
+	Admit(in call.GET, service int) (t callers.Ticket, r callers.Refusal, wait float64)
+	// End settles a GET that was passed on: whether a host may have worked on it, and whether it was shed.
+	End(t callers.Ticket, ran, shed bool)
 }
 
 // Node runs one dispatcher on sockets.
@@ -39,7 +50,7 @@
 	mu       sync.Mutex
 	module   *control.Dispatcher
 	gets     map[uint32]*get
-	byCall   map[*front.Call]*get
+	byCall   map[call.Call]*get
 	byID     map[string]*get // by the id of the request
 	lastID   uint32
 	hosts    map[uint32]*host
@@ -52,10 +63,11 @@
 
 type get struct {
 	id       uint32
-	call     *front.Call
-	request  lines.Request // as far as all its forwards share it
-	from     float64       // when it came
-	until    float64       // the viewer timeout
+	call     call.Call
+	ticket   callers.Ticket // of a GET that the gate passed
+	request  lines.Request  // as far as all its forwards share it
+	from     float64        // when it came
+	until    float64        // the viewer timeout
 	expiry   *due.Entry[*get]
 	forwards []*forward
 	out      int
@@ -73,7 +85,7 @@
 // New makes a node and its module.
 func New(c Config) *Node {
 	n := &Node{Config: c, timer: time.NewTimer(time.Hour), gets: map[uint32]*get{},
-		byCall: map[*front.Call]*get{}, byID: map[string]*get{}, hosts: map[uint32]*host{}}
+		byCall: map[call.Call]*get{}, byID: map[string]*get{}, hosts: map[uint32]*host{}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = control.New(c.Settings.Settings, n.Clock.Now(), wire{n})
@@ -173,28 +185,33 @@
 }
 
 // GiveUp takes word that a client no longer waits.
-func (n *Node) GiveUp(c *front.Call) {
+func (n *Node) GiveUp(c call.Call) {
 	n.call(func(now float64) {
 		if g := n.byCall[c]; g != nil {
 			n.Options.Counts.GivenUp.Add(1)
-			n.close(g)
+			n.close(g, false)
 			n.module.Left(now, g.id)
 		}
 	})
 }
 
+// written tells whether a host may have got a forward whole.
+func written(f *forward) bool { return f.Written() }
+
 // unsent counts a GET that is given up after half its time with no forward written whole, which is charged for.
 func (n *Node) unsent(g *get) {
-	written := func(f *forward) bool { return f.Written() }
 	if 2*n.Clock.Now() > g.from+g.until && !slices.ContainsFunc(g.forwards, written) {
 		n.Options.Counts.Unsent.Add(1)
 	}
 }
 
-// close ends a GET at the client's side.
-func (n *Node) close(g *get) {
+// close ends a GET at the client's side, and settles it with the gate.
+func (n *Node) close(g *get, shed bool) {
 	g.over = true
 	delete(n.byCall, g.call)
+	if n.Gate != nil {
+		n.Gate.End(g.ticket, slices.ContainsFunc(g.forwards, written), shed)
+	}
 	n.forget(g)
 }
 
@@ -235,7 +252,7 @@
 			}
 			g.call.Serve(body, same)
 			body = nil // with the room that it holds
-			n.close(g)
+			n.close(g, false)
 		}
 		n.back(f, control.Answer{Outcome: outcome, Note: r.Answer.Note})
 	})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,13 +12,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"elderwall/control"
+	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/front"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
-	"elderwall/internal/thrift"
 	"elderwall/internal/upstream"
 	"elderwall/settings"
 )
@@ -29,7 +29,7 @@
 	taken chan bool
 }
 
-func (f forgetful) Process(c *front.Call, _ thrift.Call) {
+func (f forgetful) Process(c call.Call, _ call.GET) {
 	f.guarded(func(now float64) {
 		g := &get{id: 7, call: c, until: now}
 		f.gets[g.id], f.byCall[c] = g, g
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -51,7 +51,7 @@
 		w.Options.Counts.Shed.Add(1)
 		w.unsent(g)
 		g.call.Refuse(int64(comeBack * 1e3))
-		w.close(g)
+		w.close(g, true)
 	}
 }
 
@@ -60,8 +60,8 @@
 	if g := w.gets[id]; g != nil && !g.over {
 		w.Options.Counts.Errored.Add(1)
 		w.unsent(g)
-		g.call.Fail()
-		w.close(g)
+		g.call.Fail("")
+		w.close(g, false)
 	}
 }
 
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -1,4 +1,4 @@
-package main
+package service
 
 import (
 	"encoding/json"
@@ -15,8 +15,8 @@
 	"elderwall/settings"
 )
 
-// config is what a dispatcher is told.
-type config struct {
+// Config is what a dispatcher is told.
+type Config struct {
 	Name, Listen, Seed string
 	Limits             struct {
 		Cores    float64
@@ -30,13 +30,13 @@
 	settings settings.Settings
 }
 
-// readConfig reads the file that the environment names, and checks what nothing can start without.
-func readConfig(env func(string) string) (*config, error) {
+// ReadConfig reads the file that the environment names, and checks what nothing can start without.
+func ReadConfig(env func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(env("PROXY_CONFIG"))
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
-	c := &config{}
+	c := &Config{}
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
@@ -57,8 +57,11 @@
 	return c, c.check()
 }
 
+// Services is the delivery services by their place.
+func (c *Config) Services() []string { return c.settings.Services }
+
 // check tells what nothing can start without.
-func (c *config) check() error {
+func (c *Config) check() error {
 	for _, address := range []string{c.Listen, c.Changelog} { // there is no DNS
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return fmt.Errorf("configuration: listen, changelog: %w", err)
@@ -76,7 +79,7 @@
 }
 
 // longest is the longest viewer timeout.
-func (c *config) longest() (most time.Duration) {
+func (c *Config) longest() (most time.Duration) {
 	for _, ds := range c.settings.Settings.Services {
 		most = max(most, clock.Duration(ds.ViewerTimeout))
 	}
@@ -84,7 +87,7 @@
 }
 
 // reload takes what of a new configuration can change while running, and names what can't.
-func (c *config) reload(to *config) (moved bool, kept []string) {
+func (c *Config) reload(to *Config) (moved bool, kept []string) {
 	for _, part := range []struct {
 		name string
 		same bool
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,285 @@
+// Package service is the life of one dispatcher: its configuration, its signals, its drain, and the parts that it puts
+// together.
+package service
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"elderwall/internal/changelog"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/front"
+	"elderwall/internal/node"
+	"elderwall/internal/room"
+	"elderwall/internal/upstream"
+)
+
+const (
+	clientShare  = 3                      // clients hold at most a third of the descriptors
+	ownSockets   = 16                     // descriptors: listener, log, change log, the runtime's own, and some to spare
+	heapShare    = 0.6                    // of the memory limit, from which on the runtime collects harder
+	bodyShare    = 0.25                   // of it for long calls and the bodies of answers under way
+	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
+	unread       = time.Second            // for so long after the last viewer timeout clients may read
+	warnings     = 10                     // a second that are logged; bad input could bring any number
+	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
+	reviewEach   = 250 * time.Millisecond // how often connections are looked over for callers that may not stay
+)
+
+// Extension is what an operator's own file adds to a service.
+type Extension interface {
+	// Open opens the listeners that stand beside the platform's, and gives the stage that asks who is calling, nil
+	// where nobody does.
+	Open(log zerolog.Logger, counts *counters.Counters) ([]net.Listener, Gate, error)
+	// Read reads the file again. What it gives puts all of it in force; an error leaves the old one in force.
+	Read() (take func(log zerolog.Logger) error, err error)
+}
+
+// Gate asks who is calling, for the node and for the fronts.
+type Gate interface {
+	node.Gate
+	front.Callers
+}
+
+// Serve runs a dispatcher until a signal ends it, as the environment and an extension, nil for none, say. The
+// extension is made once the platform's configuration is read.
+func Serve(extend func(*Config) (Extension, error)) error {
+	got := make(chan os.Signal, 16)
+	signal.Notify(got, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger().
+		Sample(zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: warnings, Period: time.Second}})
+	read := func() (*Config, error) { return ReadConfig(os.Getenv) }
+	c, err := read()
+	if err != nil {
+		return err
+	}
+	var e Extension
+	if extend != nil {
+		if e, err = extend(c); err != nil {
+			return err
+		}
+	}
+	return Run(c, e, log.With().Str("name", c.Name).Logger(), got, read)
+}
+
+// fronts is all ways in.
+type fronts []*front.Server
+
+// Close has all calls that come from now on refused at once.
+func (f fronts) Close() {
+	for _, s := range f {
+		s.Close()
+	}
+}
+
+// Quiet tells whether nothing is open on any of them.
+func (f fronts) Quiet() bool {
+	return !slices.ContainsFunc(f, func(s *front.Server) bool { return !s.Quiet() })
+}
+
+// review looks over the connections for callers that may not stay.
+func (f fronts) review() {
+	for _, s := range f {
+		s.Review()
+	}
+}
+
+// service is one dispatcher at work.
+type service struct {
+	config    *Config
+	extension Extension // nil for none
+	log       zerolog.Logger
+	node      *node.Node
+	fronts    fronts
+	moves     chan string // to the change log's new address
+	listeners []net.Listener
+}
+
+// Run serves until a signal ends it; SIGHUP has it read the configuration again.
+func Run(c *Config, e Extension, log zerolog.Logger, got <-chan os.Signal, read func() (*Config, error)) error {
+	memory := float64(c.Limits.MemoryMB << 20)
+	debug.SetMemoryLimit(int64(heapShare * memory))
+	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
+	s := &service{config: c, extension: e, log: log, moves: make(chan string, 1)}
+	counts := &counters.Counters{}
+	gate, err := s.listen(counts)
+	if err != nil {
+		s.closeListeners()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	clients := max(1, c.Limits.Sockets/clientShare)
+	o := &upstream.Options{Log: log, Counts: counts, Room: room.New(int64(bodyShare * memory)),
+		Dialer:    net.Dialer{Timeout: clock.Duration(c.settings.ConnectTimeout)},
+		IdleClose: clock.Duration(c.settings.IdleClose), Streams: c.settings.MaxStreams, Context: ctx, Group: group}
+	n := node.Config{Settings: c.settings, Clock: clock.New(), Options: o, Connections: c.Limits.Sockets - clients - ownSockets}
+	if gate != nil {
+		n.Gate = gate
+	}
+	s.node = node.New(n)
+	for _, e := range c.Known.Events {
+		s.node.Take(e)
+	}
+	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: s.node.Take}
+	group.Go(func() error { return s.node.Run(ctx) })
+	group.Go(func() error { return follower.Follow(ctx, c.Known) })
+	for _, l := range s.listeners {
+		server := &front.Server{Handler: s.node, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners))}
+		if gate != nil {
+			server.Callers = gate
+		}
+		s.fronts = append(s.fronts, server)
+		group.Go(func() error { return server.Serve(ctx, l) })
+	}
+	if gate != nil {
+		group.Go(func() error { return s.review(ctx) })
+	}
+	group.Go(func() error {
+		defer cancel()
+		defer s.closeListeners()
+		s.signals(ctx, got, read, counts)
+		return nil
+	})
+	log.Info().Str("listen", s.listeners[0].Addr().String()).Msg("started")
+	err = group.Wait()
+	counts.Log(log)
+	return err
+}
+
+// listen opens the platform's listener, and the operator's beside it.
+func (s *service) listen(counts *counters.Counters) (gate Gate, err error) {
+	l, err := net.Listen("tcp", s.config.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s.listeners = append(s.listeners, l)
+	if s.extension == nil {
+		return nil, nil
+	}
+	more, gate, err := s.extension.Open(s.log, counts)
+	s.listeners = append(s.listeners, more...)
+	return gate, err
+}
+
+func (s *service) closeListeners() {
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+// review looks over the connections now and then: certificates end without anybody's doing.
+func (s *service) review(ctx context.Context) error {
+	each := time.NewTicker(reviewEach)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			s.fronts.review()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// signals prints the counters on SIGUSR1 and reloads on SIGHUP, also while it drains, which the first signal to end
+// begins; it returns once it has drained or all has ended.
+func (s *service) signals(ctx context.Context, got <-chan os.Signal, read func() (*Config, error), counts *counters.Counters) {
+	var drained chan bool
+	for {
+		select {
+		case which := <-got:
+			switch {
+			case which == syscall.SIGUSR1:
+				counts.Log(s.log)
+			case which == syscall.SIGHUP:
+				s.reload(read)
+			case drained == nil:
+				drained = make(chan bool)
+				go func() {
+					defer close(drained)
+					drain(s.log, s.node.Drain, s.fronts, s.closeListeners, s.config.longest()+unread)
+				}()
+			}
+		case <-drained:
+			return
+		case <-ctx.Done():
+			if drained != nil {
+				<-drained
+			}
+			return
+		}
+	}
+}
+
+// reload reads the configuration and the operator's file again and hands on what changed; with unusable ones the old
+// ones serve on.
+func (s *service) reload(read func() (*Config, error)) {
+	to, err := read()
+	if err == nil {
+		err = s.extend()
+	}
+	if err != nil {
+		s.log.Warn().Err(err).Msg("new configuration can't be used, the old one stays")
+		return
+	}
+	moved, kept := s.config.reload(to)
+	s.log.Info().Bool("changelogMoved", moved).Strs("needsRestart", kept).Msg("configuration read again")
+	if !moved {
+		return
+	}
+	select {
+	case <-s.moves: // not taken up yet, and overtaken
+	default:
+	}
+	s.moves <- s.config.Changelog
+}
+
+// extend reads the operator's file again and puts it in force, or nothing of it.
+func (s *service) extend() error {
+	if s.extension == nil {
+		return nil
+	}
+	take, err := s.extension.Read()
+	if err == nil {
+		err = take(s.log)
+	}
+	if err == nil {
+		s.fronts.review()
+	}
+	return err
+}
+
+// quieting is what a drain needs of the server.
+type quieting interface {
+	Close()
+	Quiet() bool
+}
+
+// drain goes on for as long as clients may still come, and then until all is answered and read, or can't be any
+// more: clients that do not read hold it up for no longer.
+func drain(log zerolog.Logger, unready func(), s quieting, deaf func(), most time.Duration) {
+	log.Info().Msg("draining")
+	unready()
+	time.Sleep(stillComing)
+	end := time.Now().Add(most)
+	deaf()
+	s.Close()
+	for !s.Quiet() && time.Now().Before(end) {
+		time.Sleep(lookForQuiet)
+	}
+	log.Info().Bool("quiet", s.Quiet()).Msg("drained")
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,4 +1,4 @@
-package main
+package service
 
 import (
 	"bytes"
@@ -68,8 +68,8 @@
 type dispatcher struct {
 	t       *testing.T
 	log     *standin.ChangeLog
-	config  *config
-	reread  func() (*config, error) // on SIGHUP
+	config  *Config
+	reread  func() (*Config, error) // on SIGHUP
 	signals chan os.Signal
 	ended   chan error
 	out     bytes.Buffer // what it logged; to be read once it has ended
@@ -92,17 +92,17 @@
 	return d
 }
 
-func read(t *testing.T, text string) (*config, error) {
+func read(t *testing.T, text string) (*Config, error) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-	return readConfig(func(name string) string { return map[string]string{"PROXY_CONFIG": file}[name] })
+	return ReadConfig(func(name string) string { return map[string]string{"PROXY_CONFIG": file}[name] })
 }
 
 // run runs it until it takes GETs.
 func (d *dispatcher) run() {
 	d.signals, d.ended = make(chan os.Signal, 4), make(chan error, 1)
 	log := zerolog.New(zerolog.SyncWriter(&d.out))
-	go func() { d.ended <- run(d.config, log, d.signals, func() (*config, error) { return d.reread() }) }()
+	go func() { d.ended <- Run(d.config, nil, log, d.signals, func() (*Config, error) { return d.reread() }) }()
 	for !d.ready() {
 		time.Sleep(time.Millisecond)
 	}
@@ -346,7 +346,7 @@
 	<-askedA
 	texts := []string{"{", configText("127.0.0.1:1", moved.Address, "", 999)}
 	reread := make(chan bool, 2)
-	d.reread = func() (*config, error) {
+	d.reread = func() (*Config, error) {
 		text := texts[0]
 		texts = texts[1:]
 		defer func() { reread <- true }()
@@ -379,7 +379,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s, told := &neverQuiet{}, false
-	drain(zerolog.Nop(), func() { told = true }, s, l, 0)
+	drain(zerolog.Nop(), func() { told = true }, s, func() { _ = l.Close() }, 0)
 	assert.True(t, told && s.closed)
 	_, err = l.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
@@ -406,10 +406,10 @@
 		_, err := read(t, text)
 		assert.Error(t, err, name)
 	}
-	_, err := readConfig(func(string) string { return "" })
+	_, err := ReadConfig(func(string) string { return "" })
 	assert.Error(t, err, "no file")
 	c, err := read(t, whole)
 	require.NoError(t, err)
 	c.Listen = "127.0.0.1:99999"
-	assert.Error(t, run(c, zerolog.Nop(), nil, nil), "an address that can't be listened at")
+	assert.Error(t, Run(c, nil, zerolog.Nop(), nil, nil), "an address that can't be listened at")
 }
--- a/internal/thrift/reply.go
+++ b/internal/thrift/reply.go
@@ -23,11 +23,26 @@
 	if wait > 0 {
 		told = []string{"backoff", strconv.FormatInt(wait, 10)}
 	}
-	return exception(seq, 1, told)
+	return exception("process", seq, 1, told)
 }
 
-// Failed is the exception that promises nothing.
-func Failed(seq int32) Reply { return exception(seq, 2, nil) }
+// Failed is the exception that promises nothing, with a reason unless that is "".
+func Failed(seq int32, reason string) Reply { return exception("process", seq, 2, because(reason)) }
+
+// Identified answers a token that was given for a connection: it names a caller now, or, with a reason, does not.
+func Identified(seq int32, reason string) Reply {
+	if reason != "" {
+		return exception("identify", seq, 2, because(reason))
+	}
+	return answer("identify", seq, nil, false, true)
+}
+
+func because(reason string) []string {
+	if reason == "" {
+		return nil
+	}
+	return []string{"reason", reason}
+}
 
 // NoSuchMethod is the application exception for a method that the service lacks.
 func NoSuchMethod(name []byte, seq int32) Reply {
@@ -49,8 +64,8 @@
 	return finish(Reply{Head: b, Body: body, Tail: tail})
 }
 
-func exception(seq int32, id int16, told []string) Reply {
-	b := appendField(begin(kindReply, "process", seq), typeStruct, id)
+func exception(method string, seq int32, id int16, told []string) Reply {
+	b := appendField(begin(kindReply, method, seq), typeStruct, id)
 	return finish(Reply{Head: append(appendMap(b, 1, told), typeStop, typeStop)})
 }
 
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -32,9 +32,10 @@
 	Process
 	GiveUp
 	Probe
+	Identify
 )
 
-var methods = map[string]Method{"process": Process, "giveUp": GiveUp, "probe": Probe}
+var methods = map[string]Method{"process": Process, "giveUp": GiveUp, "probe": Probe, "identify": Identify}
 
 // Call is one call of a client. Its slices are those of the frame.
 type Call struct {
@@ -45,6 +46,7 @@
 	Body    []byte
 
 	Service, ID, Budget, Object, Part, Group, Tag []byte // process: the fields, nil where absent
+	Token                                         []byte // process, identify: who is calling, nil where absent
 }
 
 // fields tells where each named field of process goes; others are skipped.
@@ -56,6 +58,7 @@
 	"nth":    func(c *Call) *[]byte { return &c.Part },
 	"batch":  func(c *Call) *[]byte { return &c.Group },
 	"got":    func(c *Call) *[]byte { return &c.Tag },
+	"token":  func(c *Call) *[]byte { return &c.Token },
 }
 
 // Frames cuts a stream of bytes into frames. The zero value is ready to use.
@@ -245,6 +248,8 @@
 		c.Body = r.bytes()
 	case c.Method == GiveUp && id == 1 && r.want(kind, typeI32):
 		c.GivenUp = r.i32()
+	case c.Method == Identify && id == 1 && r.want(kind, typeString):
+		c.Token = r.bytes()
 	default:
 		r.skip(kind, 0)
 	}
