Tests of who is calling over loopback: rotation under load, revocation, files in part

Three rotations under steady load with old and new tokens mixed and a revoked key asking all the while: no valid caller is refused, no revoked one returned. A certificate revoked with GETs under way: each has one answer and its connection is closed within the window, a resumed session is refused like a new one.

--- a/callers/settings.go
+++ b/callers/settings.go
@@ -44,7 +44,7 @@
 		Limits: Limits{
 			Verdicts:     16384, // 8 MB: two tokens for each GET that a dispatcher may hold elsewhere
 			Callers:      16384, // 5 MB
-			Checks:       2000,  // a second; an eighth of one core by the slowest algorithm
+			Checks:       1000,  // a second; an eighth of one core by EdDSA, a third by RS256
 			ChecksByConn: 100,   // a second; callers that change token with each GET are rare
 			CheckBurst:   50,    // a proxy's connection that comes up brings many callers at once
 		},
--- /dev/null
+++ b/internal/extras/extras_test.go
@@ -0,0 +1,499 @@
+package extras
+
+import (
+	"bytes"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"elderwall/callers"
+	"elderwall/internal/service"
+	"elderwall/internal/standin"
+	"elderwall/internal/token"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is a dispatcher with an operator's file, its keys and an authority, between stand-ins.
+type rig struct {
+	t         testing.TB
+	dir       string
+	address   string
+	secure    string
+	authority *standin.Authority
+	keys      map[string]*token.Key
+	host      *standin.Host
+	slow      atomic.Pointer[chan bool] // what the host waits for before it answers
+	signals   chan os.Signal
+	ended     chan error
+	log       lockedBuffer
+}
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Count(l.b.Bytes(), []byte(text))
+}
+
+const fileText = `{
+  callers: {
+    window: '1s',
+    tokens: { keys: 'keys.json', revoked: 'revoked.json' },
+    certificates: [{ name: 'uri:spiffe://x/counter/*', tenant: 'counter' }],
+    roles: { all: [{ allow: {} }], none: [{ deny: {} }] },
+    tenants: { counter: { roles: ['all'] }, reseller: { roles: ['none'] }, small: { roles: ['all'], share: { under_way: 1 } } },
+  },
+  %s
+}`
+
+const tlsText = `tls: { listen: %q, certificate: 'server.pem', key: 'server.key', authorities: 'clients.pem', revocations: ['clients.crl'] },`
+
+func free(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newRig(t testing.TB, secure bool) *rig {
+	r := &rig{t: t, dir: t.TempDir(), address: free(t), keys: map[string]*token.Key{}, signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
+	var err error
+	r.host, err = standin.Listen("127.0.0.1:0", r.answer)
+	require.NoError(t, err)
+	changes, err := standin.ListenChangeLog("127.0.0.1:0")
+	require.NoError(t, err)
+	changes.Push(standin.List(1, true, "s-1 "+r.host.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING"))
+	r.key("k1", callers.Active)
+	r.put("revoked.json", []byte(`{}`))
+	text := ""
+	if secure {
+		r.secure, r.authority = free(t), standin.NewAuthority("ours")
+		chain, key := r.authority.Issue("server", "", time.Now().Add(time.Hour))
+		r.put("server.pem", chain)
+		r.put("server.key", key)
+		r.put("clients.pem", r.authority.PEM())
+		r.put("clients.crl", r.authority.List())
+		text = fmt.Sprintf(tlsText, r.secure)
+	}
+	r.put("operator.jsonnet", fmt.Appendf(nil, fileText, text))
+	r.put("config.json", []byte(standin.Config(r.address, changes.Address, "", 1000)))
+	read := func() (*service.Config, error) {
+		return service.ReadConfig(func(name string) string {
+			return map[string]string{"PROXY_CONFIG": filepath.Join(r.dir, "config.json")}[name]
+		})
+	}
+	c, err := read()
+	require.NoError(t, err)
+	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Services())
+	require.NoError(t, err)
+	go func() { r.ended <- service.Run(c, e, zerolog.New(&r.log), r.signals, read) }()
+	t.Cleanup(func() {
+		r.signals <- syscall.SIGTERM
+		assert.NoError(t, <-r.ended)
+		r.host.Close()
+		changes.Close()
+	})
+	require.Eventually(t, r.ready, 5*time.Second, time.Millisecond)
+	return r
+}
+
+func (r *rig) ready() bool {
+	c, err := standin.Dial(r.address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Conn.Close() }()
+	good, err := c.Probe()
+	return good && err == nil
+}
+
+func (r *rig) answer(a standin.Ask) string {
+	if a.Stop {
+		return ""
+	}
+	if wait := r.slow.Load(); wait != nil {
+		<-*wait
+	}
+	return standin.Hit(a.ID, "bytes")
+}
+
+func (r *rig) put(name string, raw []byte) {
+	path := filepath.Join(r.dir, name)
+	require.NoError(r.t, os.WriteFile(path+".new", raw, 0o600))
+	require.NoError(r.t, os.Rename(path+".new", path))
+}
+
+// key makes a key, or gives one another state, and writes the set.
+func (r *rig) key(id string, state callers.KeyState) {
+	if r.keys[id] == nil {
+		k, err := token.NewKey(id, "EdDSA")
+		require.NoError(r.t, err)
+		r.keys[id] = k
+	}
+	r.keys[id].State = state
+	var open []*token.Key
+	for _, k := range r.keys {
+		open = append(open, k.Public())
+	}
+	raw, err := token.WriteSet(open)
+	require.NoError(r.t, err)
+	r.put("keys.json", raw)
+}
+
+// reload has the dispatcher read its files again, and waits until it has.
+func (r *rig) reload(line string) {
+	before := r.log.count(line)
+	r.signals <- syscall.SIGHUP
+	require.Eventually(r.t, func() bool { return r.log.count(line) > before }, 5*time.Second, time.Millisecond)
+}
+
+func (r *rig) token(key, tenant, subject string) string {
+	now := float64(time.Now().Unix())
+	text, err := r.keys[key].Sign(callers.Claims{Subject: subject, Tenant: tenant, ID: subject, IssuedAt: now, Expiry: now + 60})
+	require.NoError(r.t, err)
+	return text
+}
+
+var ids atomic.Int64
+
+// fields are those of a new GET, of which the open ids differ.
+func fields(token string) map[string]string {
+	return standin.Fields("rid", fmt.Sprintf("%016x", ids.Add(1)), "token", token, "budget", "5000")
+}
+
+func ask(t testing.TB, c *standin.Client, token string) standin.Reply {
+	_, err := c.Process(fields(token), "")
+	require.NoError(t, err)
+	r, err := c.Read()
+	require.NoError(t, err)
+	return r
+}
+
+func (r *rig) dial() *standin.Client {
+	c, err := standin.Dial(r.address)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Conn.Close() })
+	return c
+}
+
+func (r *rig) dialTLS(c *tls.Config) *standin.Client {
+	client, err := standin.DialTLS(r.secure, c)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = client.Conn.Close() })
+	return client
+}
+
+func TestWhoIsCalling(t *testing.T) {
+	r := newRig(t, false)
+	c := r.dial()
+	good := r.token("k1", "counter", "till-4")
+	old, err := r.keys["k1"].Sign(callers.Claims{Subject: "x", Tenant: "counter", Expiry: float64(time.Now().Unix() - 31)})
+	require.NoError(t, err)
+	tests := []struct{ name, token, kind, reason string }{
+		{"a good token", good, "served", ""},
+		{"the same again", good, "served", ""},
+		{"a tampered one", good[:len(good)-6] + "AAAAAA", "failed", "token"},
+		{"an ended one", old, "failed", "expired"},
+		{"none", "", "failed", "unknown"},
+		{"one with no right", r.token("k1", "reseller", "x"), "failed", "denied"},
+		{"of a tenant that there is not", r.token("k1", "else", "x"), "failed", "unknown"},
+		{"no token at all", "x", "failed", "token"},
+		{"a long one", string(bytes.Repeat([]byte("A"), 100000)), "failed", "token"},
+	}
+	for _, tt := range tests {
+		got := ask(t, c, tt.token)
+		assert.Equal(t, []string{tt.kind, tt.reason}, []string{got.Kind, got.Fields["reason"]}, tt.name)
+	}
+	got, err := c.Identify("x")
+	require.NoError(t, err)
+	assert.Equal(t, []string{"identify", "failed", "token"}, []string{got.Method, got.Kind, got.Fields["reason"]})
+	got, err = c.Identify(good)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"identify", "served"}, []string{got.Method, got.Kind})
+	assert.Equal(t, "served", ask(t, c, "").Kind, "named by its connection")
+	assert.Equal(t, "failed", ask(t, c, "x").Kind, "a token of the GET's own goes first")
+	r.put("revoked.json", []byte(`{"subjects":["till-4"]}`))
+	r.reload("callers read again")
+	assert.Equal(t, "failed", ask(t, c, "").Kind, "revoked, on an open connection")
+	assert.Zero(t, r.log.count(good), "no token is in the log")
+}
+
+func TestAShareThatIsUsedUpIsShed(t *testing.T) {
+	r := newRig(t, false)
+	wait := make(chan bool)
+	r.slow.Store(&wait)
+	c, small := r.dial(), r.token("k1", "small", "x")
+	for range 2 {
+		_, err := c.Process(fields(small), "")
+		require.NoError(t, err)
+	}
+	got, err := c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []any{int32(2), "refused"}, []any{got.Seq, got.Kind})
+	close(wait)
+	got, err = c.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []any{int32(1), "served"}, []any{got.Seq, got.Kind})
+	assert.Equal(t, "served", ask(t, c, small).Kind)
+}
+
+// load has clients ask steadily until it is ended, and counts the answers by kind and reason.
+type load struct {
+	mu   sync.Mutex
+	seen map[string]int
+	all  sync.WaitGroup
+	stop atomic.Bool
+}
+
+func (r *rig) load(clients int, token func(int) string) *load {
+	l := &load{seen: map[string]int{}}
+	for i := range clients {
+		c := r.dial()
+		l.all.Go(func() {
+			for n := 0; !l.stop.Load(); n++ {
+				seq, err := c.Process(fields(token(i+n)), "")
+				var got standin.Reply
+				if err == nil {
+					got, err = c.Read()
+				}
+				l.mu.Lock()
+				switch {
+				case err != nil:
+					l.seen["broken"]++
+				case got.Seq != seq:
+					l.seen["answer of another GET"]++
+				default:
+					l.seen[got.Kind+got.Fields["reason"]]++
+				}
+				l.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) end() map[string]int {
+	l.stop.Store(true)
+	l.all.Wait()
+	return l.seen
+}
+
+// TestKeysRotateUnderSteadyLoad has three rotations, each with tokens of the old and the new key mixed, and asks by a
+// revoked key all the while: no valid caller is refused, no revoked one is returned after the window.
+func TestKeysRotateUnderSteadyLoad(t *testing.T) {
+	r := newRig(t, false)
+	var signed atomic.Pointer[[]string] // tokens in use
+	r.key("bad", callers.Active)
+	r.reload("callers read again")
+	bad := r.token("bad", "counter", "thief")
+	old := r.token("k1", "counter", "till")
+	signed.Store(&[]string{old})
+	steady := r.load(8, func(i int) string { now := *signed.Load(); return now[i%len(now)] })
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, "served", ask(t, r.dial(), bad).Kind)
+	r.key("bad", callers.Revoked)
+	r.reload("callers read again") // from here on the window, of which nothing is needed
+	thief := r.load(2, func(int) string { return bad })
+	for i := 2; i <= 4; i++ {
+		id, before := fmt.Sprint("k", i), fmt.Sprint("k", i-1)
+		r.key(id, callers.Announced)
+		r.reload("callers read again")
+		r.key(id, callers.Active)
+		r.reload("callers read again")
+		fresh := r.token(id, "counter", "till")
+		signed.Store(&[]string{old, fresh})
+		time.Sleep(50 * time.Millisecond)
+		r.key(before, callers.Retiring)
+		r.reload("callers read again")
+		time.Sleep(50 * time.Millisecond)
+		signed.Store(&[]string{fresh})
+		time.Sleep(50 * time.Millisecond) // those with an old token in hand are done
+		r.key(before, callers.Revoked)
+		r.reload("callers read again")
+		assert.Equal(t, "token", ask(t, r.dial(), old).Fields["reason"])
+		old = fresh
+	}
+	good, refused := steady.end(), thief.end()
+	assert.Greater(t, good["served"], 500)
+	assert.Len(t, good, 1, "no valid caller is refused: %v", good)
+	assert.Greater(t, refused["failedtoken"], 50)
+	assert.Len(t, refused, 1, "no revoked one is returned: %v", refused)
+}
+
+func TestFilesThatCannotBeUsedLeaveTheOldOnesInForce(t *testing.T) {
+	r := newRig(t, true)
+	c, good := r.dial(), r.token("k1", "counter", "till")
+	whole := map[string][]byte{}
+	for _, name := range []string{"operator.jsonnet", "keys.json", "revoked.json", "clients.crl", "server.pem", "clients.pem"} {
+		raw, err := os.ReadFile(filepath.Join(r.dir, name))
+		require.NoError(t, err)
+		whole[name] = raw
+		bad := raw[:len(raw)/2]
+		if name == "revoked.json" {
+			bad = []byte(`{"tokens":[`)
+		}
+		r.put(name, bad)
+		r.reload("the old one stays")
+		assert.Equal(t, "served", ask(t, c, good).Kind, name)
+		r.put(name, raw)
+	}
+	for name, text := range map[string]string{
+		"no keys":             `{"keys":[]}`,
+		"no callers any more": "",
+	} {
+		if text == "" {
+			r.put("operator.jsonnet", []byte(`{}`))
+		} else {
+			r.put("keys.json", []byte(text))
+		}
+		r.reload("the old one stays")
+		assert.Equal(t, "served", ask(t, c, good).Kind, name)
+		r.put("keys.json", whole["keys.json"])
+	}
+	r.put("operator.jsonnet", whole["operator.jsonnet"])
+	r.reload("callers read again")
+	assert.Equal(t, 8, r.log.count("the old one stays"), "one warning each")
+}
+
+func TestACertificateRevokedWhileItsConnectionIsOpen(t *testing.T) {
+	r := newRig(t, true)
+	other := r.dialTLS(r.authority.Client("till-1", "spiffe://x/counter/1", time.Now().Add(time.Hour)))
+	require.Equal(t, "served", ask(t, other, "").Kind)
+	config := r.authority.Client("till-2", "spiffe://x/counter/2", time.Now().Add(time.Hour))
+	config.ClientSessionCache = tls.NewLRUClientSessionCache(4)
+	idle, busy, stuck := r.dialTLS(config), r.dialTLS(config), r.dialTLS(config)
+	for _, c := range []*standin.Client{idle, busy, stuck} {
+		require.Equal(t, "served", ask(t, c, "").Kind)
+	}
+	wait := make(chan bool)
+	r.slow.Store(&wait)
+	for _, c := range []*standin.Client{busy, stuck} {
+		_, err := c.Process(fields(""), "")
+		require.NoError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond) // they are under way
+	r.put("clients.crl", r.authority.Revoke())
+	began := time.Now()
+	r.reload("callers read again")
+	_, err := idle.Read()
+	assert.Error(t, err, "with nothing open it is closed at once")
+	_, err = busy.Process(fields(""), "")
+	require.NoError(t, err)
+	got, err := busy.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []string{"failed", "certificate"}, []string{got.Kind, got.Fields["reason"]}, "new ones are refused")
+	_, err = busy.Conn.Write(nil)
+	require.NoError(t, err)
+	wait <- true // one of the two under way is answered, the other is not before the window is over
+	first, second := make(chan error, 1), make(chan error, 1)
+	kinds := make(chan string, 2)
+	read := func(c *standin.Client, end chan error) {
+		got, err := c.Read()
+		if err == nil {
+			kinds <- got.Kind
+			_, err = c.Read()
+		}
+		end <- err
+	}
+	go read(busy, first)
+	go read(stuck, second)
+	assert.Error(t, <-first, "closed")
+	assert.Error(t, <-second, "closed")
+	assert.ElementsMatch(t, []string{"served", "failed"}, []string{<-kinds, <-kinds}, "each under way has one answer")
+	assert.Less(t, time.Since(began), 1200*time.Millisecond, "within the window")
+	close(wait)
+	r.slow.Store(nil)
+	resumed := r.dialTLS(config)
+	assert.True(t, resumed.Conn.(*tls.Conn).ConnectionState().DidResume)
+	got = ask(t, resumed, "")
+	assert.Equal(t, []string{"failed", "certificate"}, []string{got.Kind, got.Fields["reason"]}, "a resumed session is judged like a new one")
+	assert.Equal(t, "served", ask(t, other, "").Kind, "the connections of others go on")
+}
+
+func TestCertificatesOfAServerChangeWithNoConnectionDropped(t *testing.T) {
+	r := newRig(t, true)
+	config := r.authority.Client("till-1", "spiffe://x/counter/1", time.Now().Add(time.Hour))
+	before := r.dialTLS(config)
+	chain, key := r.authority.Issue("server-2", "", time.Now().Add(time.Hour))
+	r.put("server.pem", chain)
+	r.put("server.key", key)
+	r.reload("callers read again")
+	after := r.dialTLS(config)
+	assert.Equal(t, "server-2", after.Conn.(*tls.Conn).ConnectionState().PeerCertificates[0].Subject.CommonName)
+	assert.Equal(t, "served", ask(t, before, "").Kind)
+	assert.Equal(t, "served", ask(t, after, "").Kind)
+	without := r.dialTLS(&tls.Config{RootCAs: config.RootCAs})
+	assert.Equal(t, "unknown", ask(t, without, "").Fields["reason"], "no certificate")
+	old := r.dialTLS(&tls.Config{RootCAs: config.RootCAs, Certificates: config.Certificates, MaxVersion: tls.VersionTLS12})
+	assert.Equal(t, "served", ask(t, old, "").Kind, "by TLS 1.2")
+	stranger := standin.NewAuthority("stranger").Client("till-1", "spiffe://x/counter/1", time.Now().Add(time.Hour))
+	stranger.RootCAs = config.RootCAs
+	stranger.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { // whomever the server asks for
+		return &stranger.Certificates[0], nil
+	}
+	c, err := standin.DialTLS(r.secure, stranger)
+	if err == nil { // with TLS 1.3 the client hears of it by its first read
+		_, err = c.Probe()
+		_ = c.Conn.Close()
+	}
+	assert.Error(t, err, "of no authority that is trusted")
+	scan, err := net.Dial("tcp", r.secure)
+	require.NoError(t, err)
+	_, _ = scan.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	_ = scan.Close()
+	assert.Equal(t, "served", ask(t, before, "").Kind)
+}
+
+// TestAReloadAtEachMomentOfADrain has keys change before, while and after clients may still come.
+func TestAReloadAtEachMomentOfADrain(t *testing.T) {
+	for _, after := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, false)
+			c, good := r.dial(), r.token("k1", "counter", "till")
+			wait := make(chan bool)
+			r.slow.Store(&wait)
+			_, err := c.Process(fields(good), "")
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			r.signals <- syscall.SIGTERM
+			time.Sleep(after)
+			r.key("k1", callers.Revoked)
+			r.reload("callers read again")
+			_, err = c.Process(fields(good), "")
+			require.NoError(t, err)
+			got, err := c.Read()
+			require.NoError(t, err)
+			assert.Contains(t, []string{"failed", "refused"}, got.Kind, "revoked, or too late")
+			close(wait)
+			got, err = c.Read()
+			require.NoError(t, err)
+			assert.Equal(t, []any{int32(1), "served"}, []any{got.Seq, got.Kind}, "what was taken is answered")
+		})
+	}
+}
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -77,7 +77,7 @@
 	if raw, path, ok := d.file(o, "keys"); ok {
 		keys, err := token.ReadSet(raw, false)
 		if err != nil {
-			o.fault("keys", "%s: %v", path, err)
+			d.each(o.at("keys"), err)
 		}
 		for _, k := range keys {
 			s.Keys = append(s.Keys, k.Key)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -81,7 +81,7 @@
 	o.done()
 	if s := d.config.Callers; s != nil {
 		if err := s.Check(); err != nil {
-			d.add([]string{"callers"}, "%v", err)
+			d.each([]string{"callers"}, err)
 		}
 	}
 	return &d.config, errors.Join(d.all...)
@@ -138,7 +138,7 @@
 	}
 	d.secret(o, "key", keyPath)
 	if err := t.Read(chain, key, authorities, crls); err != nil {
-		o.fault("certificate", "%v", err)
+		d.each(o.at("certificate"), err)
 	}
 	t.Only13 = oldest == "1.3"
 	d.config.TLS = t
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/callers"
+	"elderwall/internal/standin"
+	"elderwall/internal/token"
+)
+
+var services = []string{"segment", "page"}
+
+// folder has all that the example names.
+func folder(t testing.TB) string {
+	dir := t.TempDir()
+	put := func(name string, raw []byte) {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), raw, 0o600))
+	}
+	k, err := token.NewKey("k1", "EdDSA")
+	require.NoError(t, err)
+	k.State = callers.Active
+	keys, err := token.WriteSet([]*token.Key{k.Public()})
+	require.NoError(t, err)
+	put("keys.json", keys)
+	put("revoked.json", []byte(`{"tokens":["j9"],"subjects":["till-9"]}`))
+	a := standin.NewAuthority("clients")
+	chain, key := a.Issue("server", "", time.Now().Add(time.Hour))
+	put("server.pem", chain)
+	put("server.key", key)
+	put("clients.pem", a.PEM())
+	put("clients.crl", a.Revoke())
+	return dir
+}
+
+func example(t testing.TB) string {
+	raw, err := os.ReadFile("../../deploy/operator.example.jsonnet")
+	require.NoError(t, err)
+	return string(raw)
+}
+
+func TestTheExample(t *testing.T) {
+	c, err := decode(filepath.Join(folder(t), "operator.jsonnet"), example(t), services)
+	require.NoError(t, err)
+	s := c.Callers
+	assert.Equal(t, []any{30.0, 2.0, 43200.0, "elderwall", 1, []string{"j9"}}, []any{s.Skew, s.Window, s.MostLife, s.Audience, len(s.Keys), s.Revoked.Tokens})
+	assert.Equal(t, callers.Tenant{Name: "reseller-south", Roles: []string{"clips", "pages"}, Rules: []callers.Rule{{Deny: true, Groups: []int{17}}},
+		Share: callers.Share{Rate: 200, Burst: 400, Most: 256, Weight: 2}, Caller: callers.Share{Rate: 20, Burst: 40}}, s.Tenants[2])
+	assert.Equal(t, callers.Rule{Deny: true, Services: []int{1}, Objects: []callers.Prefix{{Bits: 0xff << 48, Digits: 4}}}, s.Roles["pages"][1])
+	assert.Equal(t, []any{"127.0.0.1:4143", true, false, 1, 1}, []any{c.TLS.Listen, c.TLS.Required, c.TLS.Only13, len(s.Authorities), len(s.Revoked.Certificates)})
+	_, err = callers.New(0, 0, *s)
+	assert.NoError(t, err)
+}
+
+func TestEveryFaultIsToldWithItsKeyAndLine(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"an unknown key", `skew:`, `skw:`, "operator.jsonnet:14: callers.skw: unknown key"},
+		{"a time with no unit", `skew: '30s'`, `skew: 30`, `operator.jsonnet:14: callers.skew: must be a time with its unit, such as "250ms", not a number`},
+		{"a time in an unknown unit", `'30s'`, `'30 secs'`, "callers.skew: "},
+		{"a window too short", `window: '2s'`, `window: '1ms'`, "callers.window: 1ms is not from 0.5s"},
+		{"a rate with no unit", `rate: '200/s'`, `rate: 200`, `share.rate: must be a rate with its unit`},
+		{"a rate below nothing", `'200/s'`, `'-1/s'`, "share.rate: -1/s is not from"},
+		{"part of a GET", `under_way: 64`, `under_way: 6.4`, "tenants.staff.share.under_way: 6.4 is no whole number"},
+		{"a delivery service that there is not", `['segment']`, `['sement']`, `"sement" is no delivery service`},
+		{"an object with a letter too many", `'00ff*'`, `'00fg*'`, `"00fg*" is neither 16 hex digits nor fewer with a star`},
+		{"an object cut short with no star", `'00ff*'`, `'00ff'`, "neither 16 hex digits"},
+		{"a group too high", `groups: [17]`, `groups: [256]`, "256 is no group"},
+		{"a network that is none", `'10.0.0.0/8'`, `'10.0.0.0'`, `"10.0.0.0" is no network`},
+		{"neither allowed nor denied", `[{ allow: {} }]`, `[{}]`, `roles.all[0]: must have "allow" or "deny"`},
+		{"a role that there is not", `roles: ['inside']`, `roles: ['insight']`, `there is no role "insight"`},
+		{"a claim that can't be required", `'iat'`, `'ate'`, `tokens.require: "ate"`},
+		{"a key file that is not there", `'keys.json'`, `'keyz.json'`, "tokens.keys: operator's file: stat"},
+		{"a key file of another kind", `'keys.json'`, `'server.pem'`, "tokens.keys: key set"},
+		{"a revocation file of another kind", `'revoked.json'`, `'keys.json'`, "tokens.revoked: "},
+		{"a certificate's name of no kind", `'dns:*.tools`, `'*.tools`, `must begin with "uri:"`},
+		{"a certificate that is a key", `'server.pem'`, `'server.key'`, `tls.certificate: certificate: a PEM block "PRIVATE KEY"`},
+		{"an authority that is none", `'clients.pem'`, `'server.pem'`, "is no authority"},
+		{"a list of nobody's", `authorities: 'clients.pem'`, `authorities: null`, "tls.authorities: is needed"},
+		{"an address that is a name", `127.0.0.1:4143`, `localhost:4143`, "tls.listen: "},
+		{"an unknown word", `oldest: '1.2'`, `oldest: '1.1'`, `tls.oldest: "1.1" is none of 1.2, 1.3`},
+		{"a weight for callers", `caller: { rate`, `caller: { weight: 2, rate`, "caller: weight is for tenants alone"},
+		{"a list for an object", `roles: {`, `roles: [] + {`, "roles"},
+		{"no Jsonnet", `callers: {`, `callers: (`, "operator.jsonnet:"},
+	}
+	for _, tt := range tests {
+		text := example(t)
+		require.Contains(t, text, tt.old, tt.name)
+		_, err := decode(filepath.Join(folder(t), "operator.jsonnet"), strings.Replace(text, tt.old, tt.new, 1), services)
+		require.Error(t, err, tt.name)
+		assert.Contains(t, err.Error(), tt.want, tt.name)
+	}
+	text := strings.NewReplacer("skew:", "skw:", "'2s'", "2", "[17]", "[-1]").Replace(example(t))
+	_, err := decode(filepath.Join(folder(t), "operator.jsonnet"), text, services)
+	assert.Equal(t, 3, len(strings.Split(err.Error(), "\n")), "all at once, a line each: %v", err)
+}
+
+func TestASecretThatOthersMayReadIsRefused(t *testing.T) {
+	dir := folder(t)
+	require.NoError(t, os.Chmod(filepath.Join(dir, "server.key"), 0o644))
+	_, err := decode(filepath.Join(dir, "operator.jsonnet"), example(t), services)
+	assert.ErrorContains(t, err, "make it 0600")
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(`{callers: {tenants: {a: {share: {rate: "1/s"}}}}}`)
+	f.Add(`{tls: {listen: "127.0.0.1:1", revocations: [1]}, callers: []}`)
+	f.Add(`{callers: {tokens: {no_keys: true, require: {}}, roles: {r: [{allow: {objects: ["*"], groups: [1e300]}}]}}}`)
+	dir := folder(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		if strings.ContainsAny(text, "(%") || strings.Contains(text, "for") || strings.Contains(text, "import") {
+			t.Skip("programs may run for as long as their operator likes")
+		}
+		c, err := decode(filepath.Join(dir, "operator.jsonnet"), text, services)
+		if err == nil && c.Callers != nil {
+			_, err = callers.New(0, 0, *c.Callers)
+			assert.NoError(t, err, "what passes the check can be put in force")
+		}
+	})
+}
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -32,6 +32,17 @@
 	f.all = append(f.all, fmt.Errorf("%s: %s: %s", where, cmp.Or(strings.Join(path, "."), "the file"), fmt.Sprintf(format, v...)))
 }
 
+// each adds every fault that an error joins, a line each.
+func (f *faults) each(path []string, err error) {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		for _, one := range joined.Unwrap() {
+			f.each(path, one)
+		}
+		return
+	}
+	f.add(path, "%s", strings.ReplaceAll(err.Error(), "\n", "; "))
+}
+
 // line is where a key stands, as far down as the file spells it out in plain objects; 0 if nowhere.
 func line(n ast.Node, path []string) int {
 	at := 0
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -19,29 +19,6 @@
 	"elderwall/internal/standin"
 )
 
-const settingsText = `{"balancers":1,"zones":["z"],"machineTypes":["std","parent","origin"],"zone":0,"unheardOf":[1],
-"classes":[{"name":"segment","aim":5000000,"deadline":59999500,"effect":"safe","dedupScope":"all","worth":1}],
-"extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[1],"goneEverywhere":60000000,"sharesFills":true},
-"limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":5000000,"idleClose":60000000,
-"maxStreams":10,"mostHeld":%d},"rules":{"coldFrom":0.2,"rampTime":9000000,"tipMultiple":2,"fall":1000000}}`
-
-func configText(listen, changelog, events string, held int) string {
-	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-"changelog":%q,"flow_bytes_per_s":1,"link_bytes_per_s":1,"known":{"seq":0,"results":[%s]},"settings":%s}`,
-		listen, changelog, events, fmt.Sprintf(settingsText, held))
-}
-
-// list is an event with a list of hosts, each given as "id address kind state".
-func list(seq int, reset bool, hosts ...string) string {
-	var all []string
-	for _, h := range hosts {
-		w := strings.Fields(h)
-		all = append(all, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":%q,"lifecycle":%q,"weight":1}`,
-			w[0], w[1], w[2], w[3]))
-	}
-	return fmt.Sprintf(`{"seq":%d,"fleet":{"generation":%d,"reset":%v,"instances":[%s]}}`, seq, seq, reset, strings.Join(all, ","))
-}
-
 // TestMain checks that neither goroutines nor sockets are left.
 func TestMain(m *testing.M) {
 	before := sockets()
@@ -84,9 +61,9 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	d.config, err = read(t, configText(l.Addr().String(), log.Address, "", held))
+	d.config, err = read(t, standin.Config(l.Addr().String(), log.Address, "", held))
 	require.NoError(t, err)
-	log.Push(list(1, true, hosts...))
+	log.Push(standin.List(1, true, hosts...))
 	d.run()
 	t.Cleanup(d.end)
 	return d
@@ -280,7 +257,7 @@
 		}
 	}
 	old := served(askedA)
-	d.log.Push(list(2, false, "s-1 "+a.Address+" std DRAINING", "s-3 "+b.Address+" std SERVING",
+	d.log.Push(standin.List(2, false, "s-1 "+a.Address+" std DRAINING", "s-3 "+b.Address+" std SERVING",
 		"s-8 127.0.0.1:1 unknown SERVING", "s-9 127.0.0.1:1 std SLEEPING", "s,9 127.0.0.1:1 std SERVING")) // three are passed over
 	until(func() bool { return len(askedB) > 0 })
 	for len(askedA) > 0 {
@@ -288,12 +265,12 @@
 	}
 	served(askedB)
 	assert.Empty(t, askedA, "a host that drains gets nothing new")
-	d.log.Push(list(3, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std DELETED", "s-4 "+a.Address+" std SERVING"))
+	d.log.Push(standin.List(3, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std DELETED", "s-4 "+a.Address+" std SERVING"))
 	until(func() bool { return len(askedA) > 0 })
 	assert.NotSame(t, old.Conn, served(askedA).Conn, "an address that passes on is connected to anew")
 	d.log.Push(fmt.Sprintf(`{"seq":4,"invalidate":{"object":%q,"time":%d}}`, object, time.Now().UnixMilli()))
 	until(func() bool { return (<-askedA).Fields["cap"] != "" })
-	d.log.Push(list(5, true, "s-2 127.0.0.1:1 origin SERVING"))
+	d.log.Push(standin.List(5, true, "s-2 127.0.0.1:1 origin SERVING"))
 	for d.get().Kind != "refused" { // no cache is left in the whole list
 	}
 }
@@ -332,8 +309,8 @@
 	moved, err := standin.ListenChangeLog("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(moved.Close)
-	moved.Push(list(1, true, "s-1 127.0.0.1:1 std SERVING")) // the numbers go on: this one is known
-	moved.Push(list(2, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std SERVING"))
+	moved.Push(standin.List(1, true, "s-1 127.0.0.1:1 std SERVING")) // the numbers go on: this one is known
+	moved.Push(standin.List(2, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std SERVING"))
 	c := d.dial()
 	usual := func(id string) {
 		_, err := c.Process(standin.Fields("rid", id), "")
@@ -344,7 +321,7 @@
 	}
 	usual(rid)
 	<-askedA
-	texts := []string{"{", configText("127.0.0.1:1", moved.Address, "", 999)}
+	texts := []string{"{", standin.Config("127.0.0.1:1", moved.Address, "", 999)}
 	reread := make(chan bool, 2)
 	d.reread = func() (*Config, error) {
 		text := texts[0]
@@ -383,13 +360,13 @@
 	assert.True(t, told && s.closed)
 	_, err = l.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
-	c, err := read(t, configText("127.0.0.1:0", "127.0.0.1:1", "", 10))
+	c, err := read(t, standin.Config("127.0.0.1:0", "127.0.0.1:1", "", 10))
 	require.NoError(t, err)
 	assert.Equal(t, 59999500*time.Microsecond, c.longest())
 }
 
 func TestWhatNothingCanStartWith(t *testing.T) {
-	whole := configText("127.0.0.1:0", "127.0.0.1:1", "", 10)
+	whole := standin.Config("127.0.0.1:0", "127.0.0.1:1", "", 10)
 	tests := map[string]string{
 		"no JSON":             "{",
 		"no seed":             strings.Replace(whole, "8c1f30d27a5be964", "", 1),
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,30 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+)
+
+const settingsText = `{"balancers":1,"zones":["z"],"machineTypes":["std","parent","origin"],"zone":0,"unheardOf":[1],
+"classes":[{"name":"segment","aim":5000000,"deadline":59999500,"effect":"safe","dedupScope":"all","worth":1}],
+"extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[1],"goneEverywhere":60000000,"sharesFills":true},
+"limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":5000000,"idleClose":60000000,
+"maxStreams":10,"mostHeld":%d},"rules":{"coldFrom":0.2,"rampTime":9000000,"tipMultiple":2,"fall":1000000}}`
+
+// Config is a platform's configuration for a dispatcher, with events known at its start and so many GETs held.
+func Config(listen, changelog, events string, held int) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"changelog":%q,"flow_bytes_per_s":1,"link_bytes_per_s":1,"known":{"seq":0,"results":[%s]},"settings":%s}`,
+		listen, changelog, events, fmt.Sprintf(settingsText, held))
+}
+
+// List is an event with a list of hosts, each given as "id address kind state".
+func List(seq int, reset bool, hosts ...string) string {
+	var all []string
+	for _, h := range hosts {
+		w := strings.Fields(h)
+		all = append(all, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":%q,"lifecycle":%q,"weight":1}`,
+			w[0], w[1], w[2], w[3]))
+	}
+	return fmt.Sprintf(`{"seq":%d,"fleet":{"generation":%d,"reset":%v,"instances":[%s]}}`, seq, seq, reset, strings.Join(all, ","))
+}
--- a/internal/token/keys.go
+++ b/internal/token/keys.go
@@ -7,7 +7,8 @@
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/rsa"
-	_ "crypto/sha256" // of thumbprints
+	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -130,7 +131,7 @@
 	switch {
 	case k.ID == "" || len(k.ID) > longestID:
 		return fmt.Errorf("an id of %d bytes", len(k.ID))
-	case !jwk.Valid():
+	case !shared && !jwk.Valid():
 		return errors.New("the key is not valid")
 	case jwk.Use != "" && jwk.Use != "sig":
 		return fmt.Errorf("its use is %q, not sig", jwk.Use)
@@ -140,12 +141,22 @@
 	if err := k.fits(); err != nil {
 		return err
 	}
+	sum, err := thumbprint(jwk)
+	k.Print = hex.EncodeToString(sum)
+	return err
+}
+
+// thumbprint is that of RFC 7638, which the library has for all kinds but shared secrets.
+func thumbprint(jwk *jose.JSONWebKey) ([]byte, error) {
+	if secret, shared := jwk.Key.([]byte); shared {
+		sum := sha256.Sum256([]byte(`{"k":"` + base64.RawURLEncoding.EncodeToString(secret) + `","kty":"oct"}`))
+		return sum[:], nil
+	}
 	sum, err := jwk.Thumbprint(crypto.SHA256)
 	if err != nil {
-		return fmt.Errorf("thumbprint: %w", err)
+		return nil, fmt.Errorf("thumbprint: %w", err)
 	}
-	k.Print = hex.EncodeToString(sum)
-	return nil
+	return sum, nil
 }
 
 // fits tells whether a key's algorithm is one that its material is for, and strong enough.
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -118,8 +118,8 @@
 
 // Sign makes a token that says these things, by a private key or a shared secret.
 func (k *Key) Sign(c callers.Claims) (string, error) {
-	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm),
-		Key: jose.JSONWebKey{Key: k.material, KeyID: k.ID}}, (&jose.SignerOptions{}).WithType("JWT"))
+	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Algorithm), Key: k.material},
+		(&jose.SignerOptions{}).WithType("JWT").WithHeader("kid", k.ID))
 	if err != nil {
 		return "", fmt.Errorf("sign: %w", err)
 	}
--- /dev/null
+++ b/internal/token/token_test.go
@@ -0,0 +1,212 @@
+package token
+
+import (
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/callers"
+)
+
+var said = callers.Claims{Issuer: "us", Subject: "till-4", ID: "j1", Tenant: "counter", Audience: []string{"elderwall"},
+	IssuedAt: 1764590400, NotBefore: 1764590400, Expiry: 1764594000}
+
+func newKey(t testing.TB, algorithm string) *Key {
+	k, err := NewKey("k1", algorithm)
+	require.NoError(t, err)
+	return k
+}
+
+// public is the key after it went through a file.
+func public(t testing.TB, k *Key) *Key {
+	raw, err := WriteSet([]*Key{k.Public()})
+	require.NoError(t, err)
+	keys, err := ReadSet(raw, false)
+	require.NoError(t, err)
+	require.Equal(t, k.Print, keys[0].Print)
+	return keys[0]
+}
+
+func sign(t testing.TB, k *Key) string {
+	text, err := k.Sign(said)
+	require.NoError(t, err)
+	return text
+}
+
+// head gives a token another header and leaves the rest.
+func head(text, header string) string {
+	_, rest, _ := strings.Cut(text, ".")
+	return base64.RawURLEncoding.EncodeToString([]byte(header)) + "." + rest
+}
+
+func verify(text string, k *Key) (callers.Claims, error) {
+	p, err := Parse(text)
+	if err != nil {
+		return callers.Claims{}, err
+	}
+	return p.Verify(k)
+}
+
+func TestSignedAndVerified(t *testing.T) {
+	for _, algorithm := range []string{"EdDSA", "ES256", "RS256", "HS256"} {
+		k := newKey(t, algorithm)
+		text := sign(t, k)
+		c, err := verify(text, public(t, k))
+		require.NoError(t, err, algorithm)
+		assert.Equal(t, said, c, algorithm)
+		_, err = verify(text, newKey(t, algorithm).Public())
+		assert.ErrorIs(t, err, ErrSignature, "%s, by another key", algorithm)
+		for i := range text { // any one letter changed
+			if i%7 != 0 || text[i] == '.' {
+				continue
+			}
+			other := byte('A')
+			if text[i] == 'A' {
+				other = 'E'
+			}
+			_, err := verify(text[:i]+string(other)+text[i+1:], public(t, k))
+			assert.Error(t, err, "%s, letter %d", algorithm, i)
+		}
+	}
+}
+
+func TestForgedTokens(t *testing.T) {
+	ed, rs := newKey(t, "EdDSA"), newKey(t, "RS256")
+	good := sign(t, ed)
+	der, err := x509.MarshalPKIXPublicKey(rs.Public().material)
+	require.NoError(t, err)
+	confused, err := (&Key{Key: callers.Key{ID: "k1", Algorithm: "HS256"}, material: der}).Sign(said)
+	require.NoError(t, err)
+	jwk, err := json.Marshal(map[string]any{"alg": "EdDSA", "kid": "k1", "jwk": map[string]string{"kty": "OKP"}})
+	require.NoError(t, err)
+	tests := []struct {
+		name, text string
+		key        *Key
+		want       error
+	}{
+		{"HS256 made with a public RSA key", confused, rs.Public(), ErrSignature},
+		{"no algorithm", head(good, `{"alg":"none","kid":"k1"}`), ed, ErrForm},
+		{"an algorithm that is not in use", head(good, `{"alg":"HS512","kid":"k1"}`), ed, ErrForm},
+		{"another algorithm than the key's", head(good, `{"alg":"ES256","kid":"k1"}`), ed, ErrSignature},
+		{"a key of its own", head(good, string(jwk)), ed, ErrForm},
+		{"an address of its key", head(good, `{"alg":"EdDSA","kid":"k1","jku":"http://x/"}`), ed, ErrForm},
+		{"a certificate of its own", head(good, `{"alg":"EdDSA","kid":"k1","x5c":[]}`), ed, ErrForm},
+		{"an extension that is critical", head(good, `{"alg":"EdDSA","kid":"k1","crit":["exp"],"exp":1}`), ed, ErrForm},
+		{"a header told twice", head(good, `{"alg":"EdDSA","alg":"none","kid":"k1"}`), ed, ErrForm},
+		{"no key id", head(good, `{"alg":"EdDSA"}`), ed, ErrForm},
+		{"a long key id", head(good, `{"alg":"EdDSA","kid":"`+strings.Repeat("k", 129)+`"}`), ed, ErrForm},
+		{"no signature", good[:strings.LastIndex(good, ".")+1], ed, ErrSignature},
+		{"two parts", good[:strings.LastIndex(good, ".")], ed, ErrForm},
+		{"four parts", good + ".x", ed, ErrForm},
+		{"a megabyte", good + strings.Repeat("A", 1<<20), ed, ErrForm},
+		{"nothing", "", ed, ErrForm},
+	}
+	for _, tt := range tests {
+		_, err := verify(tt.text, tt.key)
+		assert.ErrorIs(t, err, tt.want, tt.name)
+	}
+	long := said
+	long.Subject = strings.Repeat("x", 300)
+	text, err := ed.Sign(long)
+	require.NoError(t, err)
+	_, err = verify(text, ed.Public())
+	assert.ErrorIs(t, err, ErrForm, "a long subject")
+}
+
+func TestKeySets(t *testing.T) {
+	ed, hs := newKey(t, "EdDSA"), newKey(t, "HS256")
+	hs.ID, hs.State, hs.From, hs.Tenants = "k2", callers.Retiring, 1764590400.5, []string{"counter"}
+	whole, err := WriteSet([]*Key{ed.Public(), hs})
+	require.NoError(t, err)
+	keys, err := ReadSet(whole, false)
+	require.NoError(t, err)
+	assert.Equal(t, hs.Key, keys[1].Key, "all that is told of a key comes back")
+	assert.Equal(t, []bool{false, true}, []bool{keys[0].Secret(), keys[1].Secret()})
+	private, err := WriteSet([]*Key{ed})
+	require.NoError(t, err)
+	with := func(old, new string) string {
+		require.Contains(t, string(whole), old)
+		return strings.Replace(string(whole), old, new, 1)
+	}
+	tests := map[string]string{
+		"half of it":                       string(whole[:len(whole)/2]),
+		"no keys":                          `{}`,
+		"an id twice":                      with(`"kid": "k2"`, `"kid": "k1"`),
+		"no id":                            with(`"kid": "k2"`, `"kid": ""`),
+		"a state that there is not":        with(`"retiring"`, `"resting"`),
+		"no state":                         with(`"state": "retiring"`, `"other": 1`),
+		"a time in another form":           with("2025-12-01T12:00:00.5Z", "yesterday"),
+		"an algorithm of another key":      with(`"alg": "EdDSA"`, `"alg": "RS256"`),
+		"no algorithm":                     with(`"alg": "EdDSA"`, `"alg": ""`),
+		"a key for encryption":             with(`"use": "sig"`, `"use": "enc"`),
+		"a private key where none must be": string(private),
+		"a short secret":                   `{"keys":[{"kty":"oct","k":"c2hvcnQ","kid":"k3","alg":"HS256","state":"active"}]}`,
+		"a kind that is not known":         `{"keys":[{"kty":"EC","crv":"P-521","kid":"k3","alg":"ES256","state":"active"}]}`,
+		"too many":                         `{"keys":[` + strings.Repeat(`{},`, 1024) + `{}]}`,
+		"too long":                         strings.Repeat(" ", 5<<20),
+	}
+	for name, text := range tests {
+		_, err := ReadSet([]byte(text), false)
+		assert.Error(t, err, name)
+	}
+	_, err = ReadSet([]byte(strings.ReplaceAll(string(whole), `"state"`, `"s"`)), false)
+	assert.Equal(t, 2, strings.Count(err.Error(), "not announced, active"), "every fault is told")
+}
+
+func FuzzParse(f *testing.F) {
+	k, err := NewKey("k1", "EdDSA")
+	require.NoError(f, err)
+	f.Add(sign(f, k))
+	f.Add(head(sign(f, k), `{"alg":"EdDSA","kid":"k1","crit":[]}`))
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := Parse(text)
+		if err != nil {
+			assert.Nil(t, p)
+			return
+		}
+		assert.True(t, p.KeyID != "" && len(p.KeyID) <= longestID && len(text) <= Longest)
+		_, err = p.Verify(newKey(t, "EdDSA")) // of which no text can know
+		assert.Error(t, err)
+	})
+}
+
+func FuzzReadSet(f *testing.F) {
+	k, err := NewKey("k1", "HS256")
+	require.NoError(f, err)
+	raw, err := WriteSet([]*Key{k})
+	require.NoError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		keys, err := ReadSet(raw, true)
+		if err != nil {
+			return
+		}
+		again, err := WriteSet(keys)
+		require.NoError(t, err)
+		twice, err := ReadSet(again, true)
+		require.NoError(t, err)
+		for i, k := range keys {
+			assert.Equal(t, k.Key.Print, twice[i].Key.Print)
+		}
+	})
+}
+
+func BenchmarkVerify(b *testing.B) {
+	for _, algorithm := range []string{"EdDSA", "ES256", "RS256", "HS256"} {
+		k := newKey(b, algorithm)
+		text, open := sign(b, k), k.Public()
+		b.Run(algorithm, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				if _, err := verify(text, open); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
