--- a/callers/rights_test.go
+++ b/callers/rights_test.go
@@ -147,7 +147,7 @@
 		chance := rand.New(rand.NewPCG(1, uint64(n)))
 		var rules []Rule
 		for range n {
-			p := Prefix{chance.Uint64(), 16}.cut(16-chance.IntN(of.most))
+			p := Prefix{chance.Uint64(), 16}.cut(16 - chance.IntN(of.most))
 			rules = append(rules, Rule{Objects: []Prefix{p}, Deny: chance.IntN(4) == 0, Services: []int{chance.IntN(3)}})
 		}
 		gets := make([]GET, 1024)
--- /dev/null
+++ b/cmd/elderwall-operator/load.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"elderwall/internal/load"
+	"elderwall/internal/standin"
+)
+
+// loadCommand runs an experiment.
+type loadCommand struct {
+	Plan string `arg:"" help:"The plan, a Jsonnet file; examples/load.jsonnet is one." type:"existingfile"`
+	JSON string `help:"Where the results go as JSON, with the plan that they are of." type:"path" placeholder:"FILE"`
+}
+
+// Run runs it, and prints the table.
+func (l *loadCommand) Run() error {
+	plan, err := load.Read(l.Plan)
+	if err != nil {
+		return err
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	r := load.Runner{Plan: plan, Farm: []string{own, "farm"}, Report: func(text string) { fmt.Fprintln(os.Stderr, text) }}
+	results, failed := r.Run()
+	if err := load.Table(os.Stdout, results); err != nil {
+		return err
+	}
+	if l.JSON != "" {
+		raw, err := json.MarshalIndent(struct {
+			Plan    string
+			Cores   int
+			Results []*load.Result
+		}{plan.Text, runtime.NumCPU(), results}, "", "  ")
+		if err != nil {
+			return fmt.Errorf("results: %w", err)
+		}
+		if err := os.WriteFile(l.JSON, append(raw, '\n'), 0o644); err != nil {
+			return fmt.Errorf("results: %w", err)
+		}
+	}
+	return failed
+}
+
+// farmCommand plays cache hosts, parents, an origin and the change log.
+type farmCommand struct {
+	Caches  int           `default:"4" help:"Caches."`
+	Parents int           `default:"1" help:"Parents."`
+	Bytes   int           `default:"1000" help:"Bytes of each answer."`
+	Holds   int           `default:"65536" help:"Objects that each cache keeps."`
+	Fill    time.Duration `default:"0" help:"How long a miss takes."`
+	Serve   time.Duration `default:"0" help:"How long a hit takes."`
+}
+
+// Run prints the address of the change log, then what it was asked for each line that it reads, until there are none.
+func (f *farmCommand) Run() error {
+	farm, err := standin.StartFarm(standin.FarmOptions{Caches: f.Caches, Parents: f.Parents, Bytes: f.Bytes, Holds: f.Holds,
+		Fill: f.Fill, Serve: f.Serve})
+	if err != nil {
+		return err
+	}
+	defer farm.Close()
+	fmt.Println(farm.Changes.Address)
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		fmt.Println(farm.Counts().Text())
+	}
+	return nil
+}
--- a/cmd/elderwall-operator/main.go
+++ b/cmd/elderwall-operator/main.go
@@ -18,19 +18,27 @@
 	Check checkCommand `cmd:"" help:"Check an operator's file with all that it names, and tell every fault."`
 	Keys  keysCommand  `cmd:"" help:"Keep the keys that callers' tokens are signed by."`
 	Token tokenCommand `cmd:"" help:"Sign a token, or show what one says."`
+	Load  loadCommand  `cmd:"" help:"Run an experiment: loads against dispatchers, in turn, with tables of what came of it."`
+	Farm  farmCommand  `cmd:"" help:"Play cache hosts, parents, an origin and the change log, fast enough to load many cores."`
 }
 
 // serveCommand is the dispatcher itself.
 type serveCommand struct {
-	Operator string `help:"The operator's own file; without one only what the platform's configuration says is on." env:"ELDERWALL_OPERATOR" type:"path" placeholder:"FILE"`
+	Operator string `help:"The operator's own file; without one only what the platform's configuration says is on." env:"ELDERWALL_OPERATOR" placeholder:"FILE"`
+	Cores    int    `help:"Cores to use, with as many shards; before what the file says." placeholder:"N"`
 }
 
 // Run serves until a signal ends it.
 func (s *serveCommand) Run() error {
-	if s.Operator == "" {
+	switch {
+	case s.Operator == "" && s.Cores == 0:
 		return service.Serve(nil)
+	case s.Operator == "":
+		return service.Serve(func(*service.Config) (service.Extension, error) { return extras.Alone(s.Cores), nil })
 	}
-	return service.Serve(func(c *service.Config) (service.Extension, error) { return extras.Read(s.Operator, c.Services()) })
+	return service.Serve(func(c *service.Config) (service.Extension, error) {
+		return extras.Read(s.Operator, c.Services(), s.Cores)
+	})
 }
 
 func main() {
--- a/control/api.go
+++ b/control/api.go
@@ -109,8 +109,46 @@
 	ColdFrom, RampTime, TipMultiple, Fall float64
 	ParentColdFrom, ParentRamp, ParentTip float64
 	OldCopies                             float64 // after this long no copy older than a purge is left
+
+	Shards int   // that this dispatcher's process has, each with its part of the GETs; 0 for one
+	Peers  Peers // what they have in common, nil for one alone
+}
+
+// Peers is what the shards of one process have in common, so that together they stay within what one would do. It
+// answers at once.
+type Peers interface {
+	// Credit puts what a shard's own pace allows into what all may send to a host that started at a time, up to most,
+	// and gives what there is; first is what there is at the start.
+	Credit(host uint32, since, first, add, most float64) float64
+	// Spend takes a GET out of it; false tells that another shard was faster.
+	Spend(host uint32, work float64) bool
+	// Trial tells whether a host that was left may be tried now: by one shard at a time.
+	Trial(now float64, host uint32) bool
+	// Tell passes on what this shard has found out, for Told of the others.
+	Tell(n News)
+}
+
+// News is what one shard tells the others: that a host was left, or is trusted again, or that a limit fell.
+type News struct {
+	Host        uint32
+	Limit       Limit // that fell, of the host or of all
+	Late        float64
+	Left        bool
+	Until, Wait float64 // until when it is left, and how long the stay was
 }
 
+// Limit names one of the limits on what is under way.
+type Limit int
+
+// The limits. NoLimit is the zero value.
+const (
+	NoLimit Limit = iota
+	HostLimit
+	AllLimit
+	FillLimit
+	OriginLimit
+)
+
 // HostEntry is one host of a list.
 type HostEntry struct {
 	ID                uint32
--- a/control/control.go
+++ b/control/control.go
@@ -60,8 +60,9 @@
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
 		items: table{byName: map[string]*item{}, byUse: list.New()}, purges: map[string]float64{},
-		fills: allowance{most: math.Inf(1)}, origins: allowance{most: math.Inf(1)},
-		all: allowance{most: math.Inf(1), bears: oneCrowded}}
+		fills:   allowance{name: FillLimit, most: math.Inf(1)},
+		origins: allowance{name: OriginLimit, most: math.Inf(1)},
+		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -100,7 +101,7 @@
 	h := d.hosts[e.ID]
 	if h == nil {
 		h = &host{HostEntry: HostEntry{ID: e.ID, OnlineSince: math.Inf(-1)}, heard: d.now,
-			under: allowance{most: math.Inf(1)}}
+			under: allowance{name: HostLimit, host: e.ID, most: math.Inf(1)}}
 		d.hosts[e.ID] = h
 	}
 	if h.Phase = e.Phase; e.Phase == Gone {
@@ -393,6 +394,7 @@
 	if h.streak++; h.left && h.streak >= trialsPassed {
 		h.left, h.wait, h.fault = false, 0, 0
 		d.wire.Log(fmt.Sprintf("host %d trusted again", h.ID))
+		d.tell(News{Host: h.ID})
 	}
 }
 
@@ -415,24 +417,61 @@
 	h.left, h.streak = true, 0
 	h.wait = math.Min(leaveMost, math.Max(leaveFor, 2*h.wait))
 	h.until = d.now + h.wait*(1+leaveSpread*(d.chance(h)-0.5))
+	d.tell(News{Host: h.ID, Left: true, Until: h.until, Wait: h.wait})
+}
+
+// Told takes what another shard of the process has found out: a host that it left is left here too, and a limit
+// falls as it did there. Guards against each shard finding out by forwards of its own.
+func (d *Dispatcher) Told(now float64, n News) {
+	d.now = now
+	h := d.hosts[n.Host]
+	l := map[Limit]*allowance{AllLimit: &d.all, FillLimit: &d.fills, OriginLimit: &d.origins}[n.Limit]
+	if h != nil && n.Limit == HostLimit {
+		l = &h.under
+	}
+	switch {
+	case l != nil && l.peak > 0: // one that nothing was under says nothing of how far to fall
+		d.cut(l, n.Late)
+	case n.Limit != NoLimit || h == nil:
+	case n.Left:
+		h.left, h.streak = true, 0
+		h.until, h.wait = math.Max(h.until, n.Until), math.Max(h.wait, n.Wait)
+	default:
+		h.left, h.wait, h.fault, h.streak = false, 0, 0, 0
+	}
 }
 
 // open tells whether a host may be sent work now, as a cache or as a source.
 func (d *Dispatcher) open(h *host, work float64) bool {
-	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0) {
+	if h.Phase != Ready || h.left && (d.now < h.until || h.out+h.fills > 0 || !d.mayTry(h)) {
 		return false
 	}
 	pace := d.pace(h, work)
 	if !h.cold {
 		return true
 	}
+	first := 0.0
 	if h.credited == 0 {
-		h.credited, h.credit = d.now, d.chance(h)*work
+		first = d.chance(h) * work
+		h.credited, h.credit = d.now, first
+	}
+	add, most := pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved*math.Max(1, float64(d.Shards)))
+	if h.credited = d.now; d.Peers != nil { // one pot for all shards: each with its own could send a GET at once
+		h.credit = d.Peers.Credit(h.ID, h.OnlineSince, first, add, most)
+	} else {
+		h.credit = math.Min(h.credit+add, most)
 	}
-	h.credited, h.credit = d.now, math.Min(h.credit+pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved))
 	return h.credit >= work
 }
 
+// mayTry tells whether none of the other shards tries a host that was left.
+func (d *Dispatcher) mayTry(h *host) bool { return d.Peers == nil || d.Peers.Trial(d.now, h.ID) }
+
+// spend takes a GET out of what all shards may send to a cold host; false tells that another was faster.
+func (d *Dispatcher) spend(h *host, work float64) bool {
+	return d.Peers == nil || !h.cold || d.Peers.Spend(h.ID, work)
+}
+
 // pace is the sending time a second that a cold host may be sent; too little for a GET is saved up, from a
 // chance part of one on. Guards against many dispatchers that send one GET each right after a start.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
@@ -591,29 +630,48 @@
 	if l.seen += work; late {
 		l.late += work
 	}
-	least := 0.0
-	for _, ds := range d.services {
-		least = math.Max(least, leastUnder*ds.sending.mean)
-	}
-	few, turn := leastTurn*least, math.Min(l.most, l.start)
+	few, turn := leastTurn*d.least(), math.Min(l.most, l.start)
 	if l.seen < math.Max(few, turn) && l.late < math.Max(few, turn*lateEnough) {
 		return
 	}
 	switch share := l.late / l.seen; {
 	case share > lateShare+l.bears:
-		l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
-		l.most = math.Max(least, math.Min(l.most, l.peak)*(1-lateCut*share))
+		d.cut(l, share)
+		d.tell(News{Host: l.host, Limit: l.name, Late: share})
+		return
 	case l.out > l.most*inUse:
 		if l.most *= growth; l.known == 0 || l.most < l.known { // never cut, or borne before
 			l.most *= regrowth / growth
 		}
 	}
+	d.turn(l)
+}
+
+// least is the sending time that a limit always leaves room for.
+func (d *Dispatcher) least() (least float64) {
+	for _, ds := range d.services {
+		least = math.Max(least, leastUnder*ds.sending.mean)
+	}
+	return least
+}
+
+// cut lets a limit fall by the share that came late, and begins a turn.
+func (d *Dispatcher) cut(l *allowance, share float64) {
+	l.known = math.Max(l.known/growth, math.Min(l.most, l.peak)/regrowth)
+	l.most = math.Max(d.least(), math.Min(l.most, l.peak)*(1-lateCut*share))
+	d.turn(l)
+}
+
+func (d *Dispatcher) turn(l *allowance) {
 	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
 }
 
 // send hands the GET to its host and counts it there.
 func (d *Dispatcher) send(g *get) verdict {
 	h, s := g.host, g.source
+	if !d.spend(h, d.weigh(g)) || s != h && !d.spend(s, d.weigh(g)) {
+		return d.again(g)
+	}
 	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
 		objective: d.objective(g)}
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
--- a/control/state.go
+++ b/control/state.go
@@ -122,6 +122,8 @@
 
 // allowance limits the sending time of what is under way, judged turn by turn.
 type allowance struct {
+	name       Limit
+	host       uint32  // of a host's limit
 	out, most  float64 // s
 	held       int     // forwards that out sums
 	bears      float64 // share of late ends that is borne beyond the usual
@@ -260,12 +262,20 @@
 	return hosts
 }
 
-// sharers is the number of dispatchers that send into a zone.
+// sharers is the number of dispatchers, and of shards of them, that send into a zone.
 func (d *Dispatcher) sharers(zone int) float64 {
+	shards := math.Max(1, float64(d.Shards))
 	if zone < len(d.Seats) && d.Seats[zone] > 0 {
-		return float64(d.Seats[zone])
+		return float64(d.Seats[zone]) * shards
+	}
+	return math.Max(1, float64(d.Dispatchers)) * shards
+}
+
+// tell passes news on to the other shards of the process, if there are any.
+func (d *Dispatcher) tell(n News) {
+	if d.Peers != nil {
+		d.Peers.Tell(n)
 	}
-	return math.Max(1, float64(d.Dispatchers))
 }
 
 // run passes a GET along the chain for as long as stages pass it on.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -1,7 +1,11 @@
 // Package call is a GET as every front hands it on, and the one answer that is owed for it.
 package call
 
-import "elderwall/callers"
+import (
+	"time"
+
+	"elderwall/callers"
+)
 
 // Call is one open call of a client. One answer goes out for it; whatever comes after that is dropped.
 type Call interface {
@@ -11,6 +15,12 @@
 	Refuse(wait int64)
 	// Fail answers that it failed, for a reason that the client may know; "" names none.
 	Fail(reason string)
+	// Mark keeps a number of its handler's with the call, with the moment by which it must be answered; Marked gives
+	// the number back.
+	Mark(number int, until time.Time)
+	Marked() int
+	// Origin is the number of its connection.
+	Origin() uint64
 }
 
 // GET is what a front has read, in strings of its own.
--- /dev/null
+++ b/internal/cores/cores.go
@@ -0,0 +1,368 @@
+// Package cores is several nodes in one process, each a shard with a module, a lock and connections to hosts of its own:
+// it hands each GET to the shard that the module shards names, each notice to all, and answers in place of a shard that
+// stands still. It decides nothing.
+package cores
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"elderwall/control"
+	"elderwall/internal/call"
+	"elderwall/internal/changelog"
+	"elderwall/internal/counters"
+	"elderwall/internal/node"
+	"elderwall/internal/upstream"
+	"elderwall/shards"
+)
+
+const (
+	turn    = 250 * time.Millisecond // how often load is looked at: two in the shortest grace
+	heardIn = 50 * time.Millisecond  // a shard that has not reported by then in a turn stands still
+	look    = 20 * time.Millisecond  // how often shards that stand still are looked for
+	still   = 60 * time.Millisecond  // a task that takes so long stands still: none takes a millisecond
+)
+
+// Group is the shards of a process.
+type Group struct {
+	config node.Config
+	turns  atomic.Uint64 // GETs, by which hot items are spread
+	fail   func(shard int, by time.Time) int
+
+	table   atomic.Pointer[shards.Table]
+	nodes   atomic.Pointer[[]*node.Node] // by shard; never shorter than the table needs
+	members atomic.Pointer[[]*member]    // by number, those too that get nothing new any more
+
+	shared sync.Mutex // of pots; taken under shards' locks, and held for no call
+	pots   shards.Pots
+	kept   sync.Mutex // of memory, likewise
+	memory shards.Memory
+
+	mu       sync.Mutex // of what follows
+	module   *shards.Module
+	together *node.Together
+	draining bool
+	run      func(func() error) // starts what Run waits for
+}
+
+// member is one shard that there is or was.
+type member struct {
+	*node.Node
+	counts *counters.Counters
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  atomic.Bool // it gets nothing new any more
+	gone   atomic.Bool // and has nothing left
+}
+
+// New makes a group of n shards; fail answers what a shard that stands still owes by a moment, and tells how many.
+func New(c node.Config, n int, way shards.Way, fail func(shard int, by time.Time) int) *Group {
+	g := &Group{config: c, module: shards.New(n, way), together: node.NewTogether(), fail: fail}
+	g.memory.Keep = c.Settings.OldCopies
+	g.run = c.Options.Group.Go
+	g.nodes.Store(&[]*node.Node{})
+	g.members.Store(&[]*member{})
+	g.grow(n)
+	g.table.Store(g.module.Table())
+	return g
+}
+
+// grow makes members until there are n shards.
+func (g *Group) grow(n int) (fresh []*member) {
+	nodes, members := slices.Clone(*g.nodes.Load()), slices.Clone(*g.members.Load())
+	for len(nodes) < n {
+		c, o := g.config, g.config.Options
+		m := &member{counts: &counters.Counters{}}
+		m.ctx, m.cancel = context.WithCancel(o.Context)
+		c.Options = &upstream.Options{Log: o.Log, Counts: m.counts, Room: o.Room, Dialer: o.Dialer, IdleClose: o.IdleClose,
+			Streams: o.Streams, Context: m.ctx, Group: o.Group}
+		c.Connections = max(1, g.config.Connections/n)
+		c.Shard = &node.Shard{Index: len(members), Shards: n, Peers: &peers{g, len(members)}, Together: g.together, Known: g.known}
+		m.Node = node.New(c)
+		nodes, members, fresh = append(nodes, m.Node), append(members, m), append(fresh, m)
+	}
+	g.members.Store(&members)
+	g.nodes.Store(&nodes)
+	return fresh
+}
+
+// known is the list and the purges, for a shard that has to learn them.
+func (g *Group) known() (all []changelog.Event) {
+	g.kept.Lock()
+	defer g.kept.Unlock()
+	hosts, purges := g.memory.All(g.config.Clock.Now())
+	if g.memory.Listed() {
+		list := changelog.Fleet{Reset: true}
+		for _, h := range hosts {
+			list.Hosts = append(list.Hosts, h.(changelog.Host))
+		}
+		all = append(all, changelog.Event{Fleet: &list})
+	}
+	for _, p := range purges {
+		purge := p.(changelog.Purge)
+		all = append(all, changelog.Event{Purge: &purge})
+	}
+	return all
+}
+
+// Run drives the shards until the context ends.
+func (g *Group) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	g.mu.Lock()
+	g.run = group.Go
+	for _, m := range *g.members.Load() {
+		group.Go(func() error { return m.Run(m.ctx) })
+	}
+	g.mu.Unlock()
+	group.Go(func() error { return g.balance(ctx) })
+	group.Go(func() error { return g.watch(ctx) })
+	return group.Wait()
+}
+
+// Take hands an event to every shard: it is in line in all of them before any is at work on it, and a shard does what it
+// is told before all else and keeps back forwards that it has decided on meanwhile. One that stands still holds up none.
+func (g *Group) Take(e changelog.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remember(e)
+	for _, m := range *g.members.Load() {
+		m.Notice(e)
+	}
+	for _, m := range *g.members.Load() {
+		g.run(func() error { m.Serve(); return nil })
+	}
+}
+
+func (g *Group) remember(e changelog.Event) {
+	g.kept.Lock()
+	defer g.kept.Unlock()
+	if e.Fleet != nil {
+		if e.Fleet.Reset {
+			g.memory.Reset()
+		}
+		for _, h := range e.Fleet.Hosts {
+			if h.State == "DELETED" {
+				g.memory.Gone(h.ID)
+			} else {
+				g.memory.Host(h.ID, h)
+			}
+		}
+	}
+	if p := e.Purge; p != nil {
+		g.memory.Purge(g.config.Clock.Now(), p.Object, p.Group, *p)
+	}
+}
+
+// Ready tells whether GETs may come: every shard knows the list.
+func (g *Group) Ready() bool {
+	for _, n := range *g.nodes.Load() {
+		if !n.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// Drain makes the group not ready; it goes on with what comes.
+func (g *Group) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for _, m := range *g.members.Load() {
+		m.Drain()
+	}
+}
+
+// Process hands a GET to its shard.
+func (g *Group) Process(c call.Call, in call.GET) {
+	t := g.table.Load()
+	var key uint64
+	if t.Way() == shards.ByConnection {
+		key = shards.Mix(c.Origin())
+	} else {
+		key = shards.Key(in.Object, in.Part)
+	}
+	(*g.nodes.Load())[t.Of(key, g.turns.Add(1))].ProcessAs(c, in, key)
+}
+
+// GiveUp hands word that a client no longer waits to the shard that has its GET.
+func (g *Group) GiveUp(c call.Call) { (*g.members.Load())[c.Marked()].GiveUp(c) }
+
+// Resize goes on with another number of shards. Those that are new know the list and the purges before any GET comes to
+// them; those that are too many get none any more, end what they have, and go.
+func (g *Group) Resize(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := *g.nodes.Load()
+	if n < 1 || n == len(old) {
+		return
+	}
+	if n < len(old) {
+		g.table.Store(g.module.Resize(n))
+		kept := slices.Clone(old[:n])
+		g.nodes.Store(&kept)
+		for _, m := range *g.members.Load() {
+			m.ended.Store(m.ended.Load() || !slices.Contains(kept, m.Node))
+		}
+		return
+	}
+	for _, m := range g.grow(n) {
+		for _, e := range g.known() {
+			m.Notice(e)
+		}
+		if g.draining {
+			m.Drain()
+		}
+		g.run(func() error { m.Serve(); return m.Run(m.ctx) })
+	}
+	g.table.Store(g.module.Resize(n))
+}
+
+// clear lets go of shards that are too many and have nothing left.
+func (g *Group) clear() {
+	for _, m := range *g.members.Load() {
+		if m.ended.Load() && !m.gone.Load() && m.Empty() {
+			m.gone.Store(true)
+			m.cancel()
+		}
+	}
+}
+
+// Shards is how many there are.
+func (g *Group) Shards() int { return len(*g.nodes.Load()) }
+
+// Counts is the counters of each shard that there ever was.
+func (g *Group) Counts() (all []*counters.Counters) {
+	for _, m := range *g.members.Load() {
+		all = append(all, m.counts)
+	}
+	return all
+}
+
+// balance has load looked at, turn by turn.
+func (g *Group) balance(ctx context.Context) error {
+	each := time.NewTicker(turn)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			g.rebalance()
+			g.clear()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// rebalance takes the reports of a turn; a shard that gives none is not heard of.
+func (g *Group) rebalance() {
+	nodes := *g.nodes.Load()
+	reports, chans := make([]shards.Report, len(nodes)), make([]chan shards.Report, len(nodes))
+	for i, n := range nodes {
+		chans[i] = make(chan shards.Report, 1)
+		n.Turn(chans[i])
+	}
+	until := time.After(heardIn)
+	for i := range nodes {
+		select {
+		case reports[i] = <-chans[i]:
+		case <-until:
+			closed := make(chan time.Time)
+			close(closed)
+			until = closed
+			select { // it may have reported while another was waited for
+			case reports[i] = <-chans[i]:
+			default:
+			}
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(nodes) != len(*g.nodes.Load()) {
+		return // resized meanwhile
+	}
+	d := g.module.Turn(g.config.Clock.Now(), reports)
+	g.table.Store(d.Table)
+	if d.Moved > 0 {
+		g.config.Options.Counts.MovedSlots.Add(int64(d.Moved))
+	}
+	g.config.Options.Counts.HotItems.Store(int64(d.Hot))
+}
+
+// watch answers what a shard that stands still owes, before its clients have gone.
+func (g *Group) watch(ctx context.Context) error {
+	each := time.NewTicker(look)
+	defer each.Stop()
+	told := map[int]bool{}
+	for {
+		select {
+		case <-each.C:
+			for i, m := range *g.members.Load() {
+				g.lookAt(i, m.Node, told)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Group) lookAt(i int, n *node.Node, told map[int]bool) {
+	stalled := n.Stalled()
+	if stalled < still {
+		if told[i] {
+			g.config.Options.Log.Info().Int("shard", i).Msg("shard goes on")
+		}
+		delete(told, i)
+		return
+	}
+	if !told[i] {
+		g.config.Options.Log.Warn().Int("shard", i).Dur("for", stalled).Msg("shard stands still")
+	}
+	told[i] = true
+	g.config.Options.Counts.Overdue.Add(int64(g.fail(i, time.Now().Add(node.Lead()))))
+}
+
+// peers is what the shards have in common, as one of them sees it.
+type peers struct {
+	*Group
+	index int
+}
+
+var _ control.Peers = (*peers)(nil)
+
+func (p *peers) Credit(host uint32, since, first, add, most float64) float64 {
+	p.shared.Lock()
+	defer p.shared.Unlock()
+	return p.pots.Add(host, since, first, add, most)
+}
+
+func (p *peers) Spend(host uint32, work float64) bool {
+	p.shared.Lock()
+	defer p.shared.Unlock()
+	return p.pots.Spend(host, work)
+}
+
+func (p *peers) Trial(now float64, host uint32) bool {
+	p.shared.Lock()
+	defer p.shared.Unlock()
+	return p.pots.Trial(now, host, p.index)
+}
+
+// Tell passes news on to the other shards; it is called under the lock of one, so it only puts them in line.
+func (p *peers) Tell(news control.News) {
+	if !news.Left && news.Limit == control.NoLimit {
+		p.shared.Lock()
+		p.pots.Done(news.Host)
+		p.shared.Unlock()
+	}
+	for i, m := range *p.members.Load() {
+		if i != p.index && !m.gone.Load() {
+			m.Told(news)
+		}
+	}
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -22,6 +22,8 @@
 	Hit, Valid, None, Full, Fault, Late        atomic.Int64 // ended by an answer
 	Unreached, PartlyWritten, Unanswered       atomic.Int64 // broken off: not written, in part, whole
 	AnswerCut, Expired, NoPlace                atomic.Int64 // broken off within the answer; overdue; no connection left
+	MovedSlots, HotItems                       atomic.Int64 // of all shards: slots moved; items spread now
+	Behind, Overdue, Rebuilt                   atomic.Int64 // of shards: forwards kept back for news; GETs answered in place of a shard; modules made anew
 	Lists, Purges                              atomic.Int64 // events of the change log
 	ClientConnections, HostConnections         atomic.Int64 // opened
 	Handshakes                                 atomic.Int64 // of clients, that failed
@@ -29,6 +31,19 @@
 	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
 
+// Sum is several counters in one.
+func Sum(all ...*Counters) *Counters {
+	sum := &Counters{}
+	to := reflect.ValueOf(sum).Elem()
+	for _, c := range all {
+		from := reflect.ValueOf(c).Elem()
+		for i := range to.NumField() {
+			to.Field(i).Addr().Interface().(*atomic.Int64).Add(from.Field(i).Addr().Interface().(*atomic.Int64).Load())
+		}
+	}
+	return sum
+}
+
 // Log writes all of them as one line.
 func (c *Counters) Log(log zerolog.Logger) {
 	line, values := log.Info(), reflect.ValueOf(c).Elem()
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -26,15 +26,24 @@
 	told     *operator.Config
 	gate     *gate.Gate // nil where nobody asks who is calling
 	secure   certs.Listener
+	cores    int // that the command line says, before the file; 0 where it says none
+}
+
+// Alone is what holds with no file, on so many cores.
+func Alone(cores int) *Extras {
+	return &Extras{told: &operator.Config{Cores: service.Cores{Count: cores, Shards: cores}}}
 }
 
 // Read reads the file that a path names; services are the delivery services by their place.
-func Read(path string, services []string) (*Extras, error) {
+func Read(path string, services []string, cores int) (*Extras, error) {
 	told, err := operator.Load(path, services)
 	if err != nil {
 		return nil, err
 	}
-	return &Extras{path: path, services: services, told: told}, nil
+	if cores > 0 {
+		told.Cores.Count, told.Cores.Shards = cores, cores
+	}
+	return &Extras{path: path, services: services, told: told, cores: cores}, nil
 }
 
 // Open opens the listener for TLS and makes the stage that asks who is calling.
@@ -56,6 +65,9 @@
 	return all, e.gate, e.gate.Take(*e.told.Callers, e.told.Keys)
 }
 
+// Cores tells how many cores are used and how GETs are divided.
+func (e *Extras) Cores() service.Cores { return e.told.Cores }
+
 // stale warns of revocation lists that are past their end; they still count.
 func stale(log zerolog.Logger, t *operator.TLS) {
 	for _, end := range t.Stale {
@@ -69,10 +81,16 @@
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
+	if e.path == "" {
+		return func(zerolog.Logger) error { return nil }, nil
+	}
 	to, err := operator.Load(e.path, e.services)
 	if err != nil {
 		return nil, err
 	}
+	if e.cores > 0 {
+		to.Cores.Count, to.Cores.Shards = e.cores, e.cores
+	}
 	was := e.told
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen {
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -108,7 +108,7 @@
 	}
 	c, err := read()
 	require.NoError(t, err)
-	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Services())
+	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Services(), 0)
 	require.NoError(t, err)
 	go func() { r.ended <- service.Run(c, e, zerolog.New(&r.log), r.signals, read) }()
 	t.Cleanup(func() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,8 +70,23 @@
 type Call struct {
 	conn *conn
 	seq  int32
+
+	mark  atomic.Int32 // its handler's
+	until atomic.Int64 // Unix ns, 0 where its handler told of none
+}
+
+// Mark keeps a number of its handler's with the call, with the moment by which it must be answered.
+func (c *Call) Mark(number int, until time.Time) {
+	c.mark.Store(int32(number))
+	c.until.Store(until.UnixNano())
 }
 
+// Origin is the number of its connection.
+func (c *Call) Origin() uint64 { return c.conn.number }
+
+// Marked is the number that its handler keeps with it.
+func (c *Call) Marked() int { return int(c.mark.Load()) }
+
 // Server serves clients until its context ends.
 type Server struct {
 	Handler Handler
@@ -93,6 +108,7 @@
 	raw    net.Conn      // beneath net where that is TLS, whose own close waits for the client
 	caller *callers.Conn // nil where nobody asks who is calling
 	wake   chan struct{} // tells the writer of a change
+	number uint64        // by which it is told from all others
 
 	mu     sync.Mutex
 	open   map[int32]*Call
@@ -132,6 +148,8 @@
 	return group.Wait()
 }
 
+var connections atomic.Uint64 // of all servers
+
 // enter books a new connection, and has another one give way where there are too many, or itself if all have
 // something open: a connection with a GET under way is no place for who comes later.
 func (s *Server) enter(socket net.Conn) *conn {
@@ -139,6 +157,7 @@
 	if over, ok := socket.(secured); ok {
 		c.raw = over.NetConn()
 	}
+	c.number = connections.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= max(1, s.Most-min(spare, s.Most/4)) {
@@ -239,6 +258,25 @@
 	}
 }
 
+// FailOverdue answers what is open with a mark, and was to be answered by a moment, in place of a handler that can't.
+func (s *Server) FailOverdue(mark int, by time.Time) (n int) {
+	s.mu.Lock()
+	all := slices.Clone(s.conns)
+	s.mu.Unlock()
+	for _, c := range all {
+		c.mu.Lock()
+		open := slices.Collect(maps.Values(c.open))
+		c.mu.Unlock()
+		for _, call := range open {
+			if until := call.until.Load(); until != 0 && until <= by.UnixNano() && call.Marked() == mark {
+				call.Fail("")
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // fail answers all that is open; work for it stops.
 func (c *conn) fail() error {
 	c.mu.Lock()
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -13,7 +13,10 @@
 )
 
 // Process takes a GET of any front. It passes the gate, where there is one, and goes to the module.
-func (n *Node) Process(c call.Call, in call.GET) {
+func (n *Node) Process(c call.Call, in call.GET) { n.ProcessAs(c, in, 0) }
+
+// ProcessAs is the same for a shard, with the key by which it was chosen.
+func (n *Node) ProcessAs(c call.Call, in call.GET, key uint64) {
 	n.Options.Counts.GETs.Add(1)
 	g, err := n.read(in)
 	if err != nil {
@@ -26,6 +29,10 @@
 	if !passed {
 		return
 	}
+	if n.Shard != nil {
+		n.enterShard(c, in, g, ticket, key)
+		return
+	}
 	n.call(func(now float64) { n.enter(now, c, in, g, ticket) })
 }
 
@@ -50,20 +57,16 @@
 
 // enter hands a GET to the module, unless it can't be held.
 func (n *Node) enter(now float64, c call.Call, in call.GET, g control.GET, ticket callers.Ticket) {
-	settle := func(shed bool) {
-		if n.Gate != nil {
-			n.Gate.End(ticket, false, shed)
-		}
-	}
-	if n.byID[in.ID] != nil { // a STOP of one, or an answer, would pass for that of the other
+	if n.byID[in.ID] != nil || !n.openID(in.ID) { // a STOP of one, or an answer, would pass for that of the other
 		n.Options.Counts.Unusable.Add(1)
-		settle(false)
+		n.settleGate(ticket, false)
 		c.Fail("")
 		return
 	}
-	if len(n.gets) >= n.Settings.MostHeld || !n.Options.Room.Take(len(in.Body)) {
+	if !n.place(len(in.Body)) {
+		n.closeID(in.ID)
 		n.Options.Counts.Shed.Add(1)
-		settle(true)
+		n.settleGate(ticket, true)
 		c.Refuse(0)
 		return
 	}
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -46,7 +46,9 @@
 			n.phase(h, id, control.Gone)
 		}
 	}
-	n.listed = n.listed || list.Reset
+	if list.Reset {
+		n.listed.Store(true)
+	}
 	n.share()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,8 @@
 	Options     *upstream.Options
 	Connections int // to all hosts; shared evenly among those that are listed
 
-	Gate Gate // the stage that asks who is calling; nil where nobody does
+	Gate  Gate   // the stage that asks who is calling; nil where nobody does
+	Shard *Shard // of several in one process; nil for one alone
 }
 
 // Gate is the stage before the module that asks who is calling.
@@ -57,8 +58,9 @@
 	ended    []control.Answer // to be told to the module once it returns
 	expiries due.Queue[*get]
 	swept    float64
-	listed   bool // the list of hosts is known
-	draining bool
+	listed   atomic.Bool // the list of hosts is known
+	draining atomic.Bool
+	line     line // of what is to be done, where there are several shards
 }
 
 type get struct {
@@ -88,10 +90,19 @@
 		byCall: map[call.Call]*get{}, byID: map[string]*get{}, hosts: map[uint32]*host{}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.module = control.New(c.Settings.Settings, n.Clock.Now(), wire{n})
+	n.module = control.New(n.settings(), n.Clock.Now(), wire{n})
 	return n
 }
 
+// settings is what the module is told; it shares with the other shards, if there are any.
+func (n *Node) settings() control.Settings {
+	s := n.Settings.Settings
+	if n.Shard != nil {
+		s.Shards, s.Peers = n.Shard.Shards, n.Shard.Peers
+	}
+	return s
+}
+
 // Run drives the timer until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	for {
@@ -132,6 +143,10 @@
 
 // guarded calls the module for no connection that a panic could stop at.
 func (n *Node) guarded(what func(now float64)) {
+	if n.Shard != nil {
+		n.put(what)
+		return
+	}
 	defer func() {
 		if broken := recover(); broken != nil {
 			n.Options.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("module broke")
@@ -140,16 +155,26 @@
 	n.call(what)
 }
 
-// call makes one call on the module under the lock, tells it what ended by the way, and lets it settle.
+// call makes one call on the module, under the lock; one shard of several puts it in line instead of waiting.
 func (n *Node) call(what func(now float64)) {
+	if n.Shard != nil {
+		n.put(what)
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.step(what)
+}
+
+// step makes one call on the module, tells it what ended by the way, and lets it settle.
+func (n *Node) step(what func(now float64)) {
 	now := n.Clock.Now()
 	what(now)
 	n.module.Settle(now)
 	for len(n.ended) > 0 {
 		ended := n.ended
 		n.ended = nil
+		n.hearNotices(now)
 		for _, a := range ended {
 			n.module.Answer(now, a)
 		}
@@ -158,30 +183,22 @@
 }
 
 // Ready tells whether GETs may come.
-func (n *Node) Ready() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.listed && !n.draining
-}
+func (n *Node) Ready() bool { return n.listed.Load() && !n.draining.Load() }
 
 // Drain makes the node not ready; it goes on with what comes.
-func (n *Node) Drain() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.draining = true
-}
+func (n *Node) Drain() { n.draining.Store(true) }
 
 // Take takes an event of the change log.
-func (n *Node) Take(e changelog.Event) {
-	n.guarded(func(now float64) {
-		if e.Fleet != nil {
-			n.fleet(now, *e.Fleet)
-		}
-		if p := e.Purge; p != nil {
-			n.Options.Counts.Purges.Add(1)
-			n.module.Purged(now, p.Object, p.Group, now-n.Clock.AtUnixMs(p.Time))
-		}
-	})
+func (n *Node) Take(e changelog.Event) { n.guarded(func(now float64) { n.notice(now, e) }) }
+
+func (n *Node) notice(now float64, e changelog.Event) {
+	if e.Fleet != nil {
+		n.fleet(now, *e.Fleet)
+	}
+	if p := e.Purge; p != nil {
+		n.Options.Counts.Purges.Add(1)
+		n.module.Purged(now, p.Object, p.Group, now-n.Clock.AtUnixMs(p.Time))
+	}
 }
 
 // GiveUp takes word that a client no longer waits.
@@ -220,6 +237,7 @@
 	if g.over && g.out == 0 {
 		delete(n.gets, g.id)
 		delete(n.byID, g.request.ID)
+		n.leftShard(g)
 		n.expiries.Remove(g.expiry)
 		n.Options.Room.Give(len(g.request.Body))
 	}
@@ -237,8 +255,9 @@
 
 // done takes the end of a forward from its connection.
 func (n *Node) done(f *forward, r upstream.Result) {
-	body := r.Answer.Body
 	n.call(func(float64) {
+		body := r.Answer.Body
+		defer func() { n.Options.Room.Give(len(body)) }()
 		if f.back {
 			return
 		}
@@ -256,7 +275,6 @@
 		}
 		n.back(f, control.Answer{Outcome: outcome, Note: r.Answer.Note})
 	})
-	n.Options.Room.Give(len(body))
 }
 
 // outcome names how a forward ended, never better than what is proven, and its counter.
--- /dev/null
+++ b/internal/node/shard.go
@@ -0,0 +1,313 @@
+package node
+
+import (
+	"fmt"
+	"hash/maphash"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"elderwall/callers"
+	"elderwall/control"
+	"elderwall/internal/call"
+	"elderwall/internal/changelog"
+	"elderwall/internal/due"
+	"elderwall/shards"
+)
+
+const (
+	stripes  = 64              // of the ids that are open: hardly two cores meet at one
+	longLine = 4096            // tasks; a shard whose line is as long stands still, and what comes is shed
+	lead     = 2 * lastMoments // ahead of a GET's end that it is answered in place of a shard that stands still
+
+	lastMoments = 25 * time.Millisecond // the longest between two looks for shards that stand still
+)
+
+// Shard is what makes a node one of several in a process.
+type Shard struct {
+	Index, Shards int
+	Peers         control.Peers
+	Together      *Together
+	// Known is the whole list of hosts and the purges that still count, for a module that is made anew.
+	Known func() []changelog.Event
+}
+
+// Together is what all shards of a process have: the ids that are open and the GETs that are held.
+type Together struct {
+	Held atomic.Int64
+	seed maphash.Seed
+	ids  [stripes]struct {
+		mu   sync.Mutex
+		open map[string]bool
+	}
+}
+
+// NewTogether is empty.
+func NewTogether() *Together {
+	t := &Together{seed: maphash.MakeSeed()}
+	for i := range t.ids {
+		t.ids[i].open = map[string]bool{}
+	}
+	return t
+}
+
+// line is what is to be done in a shard. Whoever finds the lock free does all of it; nobody waits for it, so that a
+// shard that stands still holds up no connection of clients or hosts.
+type line struct {
+	mu      sync.Mutex
+	notices []func(now float64) // come before all else, also in the middle of what is done
+	found   []control.News      // by other shards; heard with the next task, within a tick of the timer
+	tasks   []func(now float64)
+	told    atomic.Uint64 // notices put in line
+	heard   uint64        // and done; under the node's lock
+	began   atomic.Int64  // Unix ns at which the task under way began, 0 while none is
+
+	slots  [shards.Slots]uint32 // GETs since the last report; under the node's lock
+	sketch shards.Sketch
+}
+
+// put puts a task in line; false tells that the line is too long.
+func (n *Node) put(task func(now float64)) bool {
+	l := &n.line
+	l.mu.Lock()
+	if len(l.tasks) >= longLine {
+		l.mu.Unlock()
+		return false
+	}
+	l.tasks = append(l.tasks, task)
+	l.mu.Unlock()
+	n.Serve()
+	return true
+}
+
+// Notice puts in line what goes before all else; nothing is done yet.
+func (n *Node) Notice(e changelog.Event) {
+	l := &n.line
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notices = append(l.notices, func(now float64) { n.notice(now, e) })
+	l.told.Add(1)
+}
+
+// Told puts in line what another shard has found out; nothing is done yet.
+func (n *Node) Told(news control.News) {
+	l := &n.line
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.found) < longLine {
+		l.found = append(l.found, news)
+	}
+}
+
+// Empty tells whether nothing is in line or held.
+func (n *Node) Empty() bool {
+	if !n.mu.TryLock() {
+		return false
+	}
+	defer n.mu.Unlock()
+	return len(n.gets) == 0 && !n.waiting()
+}
+
+// Turn puts in line a report of what the shard saw since the last one.
+func (n *Node) Turn(to chan<- shards.Report) {
+	n.put(func(float64) {
+		r := shards.Report{Heard: true, Slots: n.line.slots, Items: n.line.sketch.Take()}
+		n.line.slots = [shards.Slots]uint32{}
+		to <- r
+	})
+}
+
+// Within puts a task in line that the node does not count; tests hold a shard up by it.
+func (n *Node) Within(task func()) { n.put(func(float64) { task() }) }
+
+// Serve does what is in line, unless somebody does already.
+func (n *Node) Serve() {
+	l := &n.line
+	for n.mu.TryLock() {
+		for task := n.next(); task != nil; task = n.next() {
+			n.do(task)
+		}
+		l.began.Store(0)
+		n.mu.Unlock()
+		if !n.waiting() {
+			return
+		}
+	}
+}
+
+func (n *Node) waiting() bool {
+	l := &n.line
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.tasks)+len(l.notices) > 0
+}
+
+// next takes a task off the line.
+func (n *Node) next() (task func(now float64)) {
+	l := &n.line
+	n.hearNotices(n.Clock.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if found := l.found; len(found) > 0 && len(l.tasks) > 0 {
+		l.found = nil
+		return func(now float64) {
+			for _, news := range found {
+				n.module.Told(now, news)
+			}
+		}
+	}
+	if len(l.tasks) == 0 {
+		l.tasks = nil
+		return nil
+	}
+	task = l.tasks[0]
+	l.tasks[0] = nil
+	l.tasks = l.tasks[1:]
+	return task
+}
+
+// hearNotices does the notices in line.
+func (n *Node) hearNotices(now float64) {
+	for n.behind() {
+		l := &n.line
+		l.mu.Lock()
+		notices := l.notices
+		l.notices = nil
+		l.mu.Unlock()
+		for _, notice := range notices {
+			n.safely(now, func() { notice(now); n.module.Settle(now) })
+			l.heard++
+		}
+	}
+}
+
+// behind tells whether there are notices that the module has not heard.
+func (n *Node) behind() bool { return n.Shard != nil && n.line.told.Load() != n.line.heard }
+
+// do does a task.
+func (n *Node) do(task func(now float64)) {
+	n.line.began.Store(time.Now().UnixNano())
+	n.safely(n.Clock.Now(), func() { n.step(task) })
+}
+
+// safely keeps a panic in this shard: its GETs are answered, and it goes on with a module made anew.
+func (n *Node) safely(now float64, what func()) {
+	defer func() {
+		if broken := recover(); broken != nil {
+			n.Options.Log.Error().Int("shard", n.Shard.Index).Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("module broke")
+			n.rebuild(now)
+		}
+	}()
+	what()
+}
+
+// rebuild ends all that a broken module held, and makes a new one that knows the list and the purges.
+func (n *Node) rebuild(now float64) {
+	n.Options.Counts.Rebuilt.Add(1)
+	for _, g := range n.gets {
+		for _, f := range g.forwards {
+			if !f.back {
+				f.back = true
+				f.Stop()
+			}
+		}
+		g.out = 0
+		if !g.over {
+			n.Options.Counts.Errored.Add(1)
+			g.call.Fail("")
+			n.close(g, false)
+		} else {
+			n.forget(g)
+		}
+	}
+	n.ended, n.expiries = nil, due.Queue[*get]{}
+	n.module = control.New(n.settings(), now, wire{n})
+	for _, e := range n.Shard.Known() {
+		n.notice(now, e)
+	}
+}
+
+// Stalled is how long the task under way has been, 0 while there is none.
+func (n *Node) Stalled() time.Duration {
+	if began := n.line.began.Load(); began != 0 {
+		return time.Since(time.Unix(0, began))
+	}
+	return 0
+}
+
+// Lead is how long ahead of a GET's end it is answered in place of a shard that stands still.
+func Lead() time.Duration { return lead }
+
+// enterShard puts a GET in line, or sheds it where the line is too long.
+func (n *Node) enterShard(c call.Call, in call.GET, g control.GET, ticket callers.Ticket, key uint64) {
+	c.Mark(n.Shard.Index, time.Now().Add(time.Duration(in.Budget*float64(time.Second))))
+	from := n.Clock.Now()
+	if !n.put(func(now float64) {
+		n.line.slots[key%shards.Slots]++
+		n.line.sketch.Add(key)
+		if g.ViewerTimeout -= now - from; g.ViewerTimeout <= 0 { // it waited in line, and has been answered
+			n.settleGate(ticket, true)
+			c.Fail("")
+			return
+		}
+		n.enter(now, c, in, g, ticket)
+	}) {
+		n.Options.Counts.Shed.Add(1)
+		n.settleGate(ticket, true)
+		c.Refuse(0)
+	}
+}
+
+func (n *Node) settleGate(ticket callers.Ticket, shed bool) {
+	if n.Gate != nil {
+		n.Gate.End(ticket, false, shed)
+	}
+}
+
+// place tells whether another GET, with a body of so many bytes, may be held; in shards, by all of them together.
+func (n *Node) place(body int) bool {
+	if n.Shard == nil {
+		return len(n.gets) < n.Settings.MostHeld && n.Options.Room.Take(body)
+	}
+	if n.Shard.Together.Held.Add(1) <= int64(n.Settings.MostHeld) && n.Options.Room.Take(body) {
+		return true
+	}
+	n.Shard.Together.Held.Add(-1)
+	return false
+}
+
+// leftShard gives back what a GET had of what all shards have.
+func (n *Node) leftShard(g *get) {
+	if n.Shard != nil {
+		n.Shard.Together.Held.Add(-1)
+		n.closeID(g.request.ID)
+	}
+}
+
+// openID books an id; false tells that it is open in any shard.
+func (n *Node) openID(id string) bool {
+	if n.Shard == nil {
+		return true
+	}
+	t := n.Shard.Together
+	s := &t.ids[maphash.String(t.seed, id)%stripes]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id] {
+		return false
+	}
+	s.open[id] = true
+	return true
+}
+
+func (n *Node) closeID(id string) {
+	if n.Shard == nil {
+		return
+	}
+	t := n.Shard.Together
+	s := &t.ids[maphash.String(t.seed, id)%stripes]
+	s.mu.Lock()
+	delete(s.open, id)
+	s.mu.Unlock()
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -28,6 +28,11 @@
 	}
 	f.Request, f.Done = q, func(r upstream.Result) { n.done(f, r) }
 	n.Options.Counts.Forwards.Add(1)
+	if n.behind() { // what has been told since might forbid it
+		n.Options.Counts.Behind.Add(1)
+		n.back(f, control.Answer{Outcome: control.NotTaken})
+		return
+	}
 	if err := n.hosts[out.Host].Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
 
 	"elderwall/callers"
+	"elderwall/internal/strict"
 	"elderwall/internal/token"
 )
 
@@ -24,60 +24,60 @@
 )
 
 // callers reads who may call, and what they may ask for.
-func (d *decoder) callers(o *object) {
+func (d *decoder) callers(o *strict.Object) {
 	s := callers.Defaults()
 	d.config.Callers = &s
-	o.duration("skew", &s.Skew, 0, day)
-	o.duration("window", &s.Window, 0.5, day)
-	o.text("anonymous", &s.Anonymous)
-	if t := o.inner("tokens"); t != nil {
+	o.Duration("skew", &s.Skew, 0, day)
+	o.Duration("window", &s.Window, 0.5, day)
+	o.Text("anonymous", &s.Anonymous)
+	if t := o.Inner("tokens"); t != nil {
 		d.tokens(t, &s)
 	} else {
 		s.NoKeys = true
 	}
-	for i, v := range o.list("certificates") {
-		c := o.f.object(o.at(fmt.Sprintf("certificates[%d]", i)), v)
+	for i, v := range o.List("certificates") {
+		c := o.Element("certificates", i, v)
 		var n callers.Name
-		c.text("name", &n.Name)
-		c.text("tenant", &n.Tenant)
+		c.Text("name", &n.Name)
+		c.Text("tenant", &n.Tenant)
 		if kind, rest, _ := strings.Cut(n.Name, ":"); !slices.Contains([]string{"uri", "dns", "cn"}, kind) || rest == "" {
-			c.fault("name", `%q must begin with "uri:", "dns:" or "cn:"`, n.Name)
+			c.Fault("name", `%q must begin with "uri:", "dns:" or "cn:"`, n.Name)
 		}
-		c.done()
+		c.Done()
 		s.Names = append(s.Names, n)
 	}
 	s.Roles = map[string][]callers.Rule{}
-	if roles := o.inner("roles"); roles != nil {
-		for _, name := range slices.Sorted(maps.Keys(roles.has)) {
+	if roles := o.Inner("roles"); roles != nil {
+		for _, name := range roles.Keys() {
 			s.Roles[name] = d.rules(roles, name)
 		}
 	}
-	if tenants := o.inner("tenants"); tenants != nil {
-		for _, name := range slices.Sorted(maps.Keys(tenants.has)) {
-			s.Tenants = append(s.Tenants, d.tenant(tenants.inner(name), name))
+	if tenants := o.Inner("tenants"); tenants != nil {
+		for _, name := range tenants.Keys() {
+			s.Tenants = append(s.Tenants, d.tenant(tenants.Inner(name), name))
 		}
 	}
-	d.limits(o.inner("limits"), &s.Limits)
-	o.done()
+	d.limits(o.Inner("limits"), &s.Limits)
+	o.Done()
 }
 
-func (d *decoder) tokens(o *object, s *callers.Settings) {
-	o.text("audience", &s.Audience)
-	o.duration("longest", &s.MostLife, 0, 3650*day)
-	if _, told := o.get("require"); told {
-		s.Require = o.texts("require")
+func (d *decoder) tokens(o *strict.Object, s *callers.Settings) {
+	o.Text("audience", &s.Audience)
+	o.Duration("longest", &s.MostLife, 0, 3650*day)
+	if _, told := o.Get("require"); told {
+		s.Require = o.Texts("require")
 	}
 	for _, claim := range s.Require {
 		if !callers.Requirable(claim) {
-			o.fault("require", "%q is no claim that can be required", claim)
+			o.Fault("require", "%q is no claim that can be required", claim)
 		}
 	}
-	o.flag("no_keys", &s.NoKeys)
+	o.Flag("no_keys", &s.NoKeys)
 	d.config.Keys = map[string]*token.Key{}
 	if raw, path, ok := d.file(o, "keys"); ok {
 		keys, err := token.ReadSet(raw, false)
 		if err != nil {
-			d.each(o.at("keys"), err)
+			d.Each(o.At("keys"), err)
 		}
 		for _, k := range keys {
 			s.Keys = append(s.Keys, k.Key)
@@ -86,15 +86,15 @@
 		if slices.ContainsFunc(keys, (*token.Key).Secret) {
 			d.secret(o, "keys", path)
 		}
-	} else if _, told := o.has["keys"]; !told && !s.NoKeys {
-		o.fault("keys", "is needed, the name of a JWK Set file")
+	} else if _, told := o.Get("keys"); !told && !s.NoKeys {
+		o.Fault("keys", "is needed, the name of a JWK Set file")
 	}
 	if raw, path, ok := d.file(o, "revoked"); ok {
 		if err := revocations(raw, &s.Revoked); err != nil {
-			o.fault("revoked", "%s: %v", path, err)
+			o.Fault("revoked", "%s: %v", path, err)
 		}
 	}
-	o.done()
+	o.Done()
 }
 
 // revocations reads a file of what is revoked: {"tokens": [jti …], "subjects": [sub …]}.
@@ -112,45 +112,45 @@
 	return nil
 }
 
-func (d *decoder) tenant(o *object, name string) callers.Tenant {
+func (d *decoder) tenant(o *strict.Object, name string) callers.Tenant {
 	t := callers.Tenant{Name: name}
 	if o == nil {
 		return t
 	}
-	t.Roles = o.texts("roles")
+	t.Roles = o.Texts("roles")
 	t.Rules = d.rules(o, "rules")
-	t.Share, t.Caller = d.share(o.inner("share")), d.share(o.inner("caller"))
+	t.Share, t.Caller = d.share(o.Inner("share")), d.share(o.Inner("caller"))
 	if t.Caller.Weight != 0 {
-		o.fault("caller", "weight is for tenants alone")
+		o.Fault("caller", "weight is for tenants alone")
 	}
-	o.done()
+	o.Done()
 	return t
 }
 
-func (d *decoder) share(o *object) (s callers.Share) {
+func (d *decoder) share(o *strict.Object) (s callers.Share) {
 	if o == nil {
 		return s
 	}
-	o.rate("rate", &s.Rate, 1.0/3600, mostRate)
-	o.number("burst", &s.Burst, 1, mostCount)
-	o.count("under_way", &s.Most, 1, mostCount)
-	o.number("weight", &s.Weight, 1/mostWeight, mostWeight)
+	o.Rate("rate", &s.Rate, 1.0/3600, mostRate)
+	o.Number("burst", &s.Burst, 1, mostCount)
+	o.Count("under_way", &s.Most, 1, mostCount)
+	o.Number("weight", &s.Weight, 1/mostWeight, mostWeight)
 	if s.Burst > 0 && s.Rate == 0 {
-		o.fault("burst", "means nothing without a rate")
+		o.Fault("burst", "means nothing without a rate")
 	}
-	o.done()
+	o.Done()
 	return s
 }
 
 // rules reads a list of rules, each {allow: {…}} or {deny: {…}}.
-func (d *decoder) rules(o *object, key string) (rules []callers.Rule) {
-	for i, v := range o.list(key) {
+func (d *decoder) rules(o *strict.Object, key string) (rules []callers.Rule) {
+	for i, v := range o.List(key) {
 		at := fmt.Sprintf("%s[%d]", key, i)
-		r := o.f.object(o.at(at), v)
-		allow, deny := r.inner("allow"), r.inner("deny")
-		r.done()
+		r := o.Element(key, i, v)
+		allow, deny := r.Inner("allow"), r.Inner("deny")
+		r.Done()
 		if (allow == nil) == (deny == nil) {
-			o.fault(at, `must have "allow" or "deny"`)
+			o.Fault(at, `must have "allow" or "deny"`)
 			continue
 		}
 		rule := callers.Rule{Deny: deny != nil}
@@ -163,44 +163,44 @@
 	return rules
 }
 
-func (d *decoder) rule(o *object, r *callers.Rule) {
-	for _, name := range o.texts("services") {
+func (d *decoder) rule(o *strict.Object, r *callers.Rule) {
+	for _, name := range o.Texts("services") {
 		place := slices.Index(d.services, name)
 		if place < 0 && d.open {
 			d.services = append(d.services, name)
 			place = len(d.services) - 1
 		}
 		if place < 0 || place >= callers.MostServices {
-			o.fault("services", "%q is no delivery service that rules can name", name)
+			o.Fault("services", "%q is no delivery service that rules can name", name)
 			continue
 		}
 		r.Services = append(r.Services, place)
 	}
-	for _, text := range o.texts("objects") {
+	for _, text := range o.Texts("objects") {
 		p, err := prefix(text)
 		if err != nil {
-			o.fault("objects", "%v", err)
+			o.Fault("objects", "%v", err)
 			continue
 		}
 		r.Objects = append(r.Objects, p)
 	}
-	for _, v := range o.list("groups") {
+	for _, v := range o.List("groups") {
 		g, ok := v.(float64)
 		if !ok || g != float64(int(g)) || g < 0 || g > lastGroup {
-			o.fault("groups", "%v is no group from 0 to %d", v, lastGroup)
+			o.Fault("groups", "%v is no group from 0 to %d", v, lastGroup)
 			continue
 		}
 		r.Groups = append(r.Groups, int(g))
 	}
-	for _, text := range o.texts("networks") {
+	for _, text := range o.Texts("networks") {
 		n, err := netip.ParsePrefix(text)
 		if err != nil {
-			o.fault("networks", "%q is no network, such as 10.0.0.0/8", text)
+			o.Fault("networks", "%q is no network, such as 10.0.0.0/8", text)
 			continue
 		}
 		r.Networks = append(r.Networks, n)
 	}
-	o.done()
+	o.Done()
 }
 
 // prefix reads an object, or the beginning of many with a star behind it.
@@ -213,14 +213,14 @@
 	return callers.Prefix{Bits: bits, Digits: len(digits)}, nil
 }
 
-func (d *decoder) limits(o *object, l *callers.Limits) {
+func (d *decoder) limits(o *strict.Object, l *callers.Limits) {
 	if o == nil {
 		return
 	}
-	o.count("verdicts", &l.Verdicts, 1, mostTable)
-	o.count("callers", &l.Callers, 1, mostTable)
-	o.rate("checks", &l.Checks, 1, mostRate)
-	o.rate("checks_by_connection", &l.ChecksByConn, 1.0/60, mostRate)
-	o.number("check_burst", &l.CheckBurst, 1, mostCount)
-	o.done()
+	o.Count("verdicts", &l.Verdicts, 1, mostTable)
+	o.Count("callers", &l.Callers, 1, mostTable)
+	o.Rate("checks", &l.Checks, 1, mostRate)
+	o.Rate("checks_by_connection", &l.ChecksByConn, 1.0/60, mostRate)
+	o.Number("check_burst", &l.CheckBurst, 1, mostCount)
+	o.Done()
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,9 +12,14 @@
 
 	"elderwall/callers"
 	"elderwall/internal/certs"
+	"elderwall/internal/service"
+	"elderwall/internal/strict"
 	"elderwall/internal/token"
+	"elderwall/shards"
 )
 
+const mostCores = 256 // of a machine; as many shards would each see hardly a GET of an item
+
 const longestFile = 64 << 20 // bytes; a hundred thousand tenants with room
 
 // Config is what the file says.
@@ -22,6 +27,7 @@
 	Callers *callers.Settings     // nil where nobody asks who is calling
 	Keys    map[string]*token.Key // that tokens may be signed by
 	TLS     *TLS                  // nil where there is no listener for it
+	Cores   service.Cores
 }
 
 // TLS is a listener beside the plain one.
@@ -57,7 +63,7 @@
 
 // decoder holds what the parts of a file share.
 type decoder struct {
-	*faults
+	*strict.Faults
 	folder   string
 	services []string
 	open     bool // services are not known: those named are taken as they come
@@ -65,80 +71,95 @@
 }
 
 func decode(path, text string, services []string) (*Config, error) {
-	value, tree, err := evaluate(path, text)
+	o, faults, err := strict.Open(path, text)
 	if err != nil {
 		return nil, err
 	}
-	d := &decoder{faults: &faults{file: path, tree: tree}, folder: filepath.Dir(path), services: services,
+	d := &decoder{Faults: faults, folder: filepath.Dir(path), services: services,
 		open: len(services) == 0}
-	o := d.object(nil, value)
-	if c := o.inner("callers"); c != nil {
+	if c := o.Inner("callers"); c != nil {
 		d.callers(c)
 	}
-	if t := o.inner("tls"); t != nil {
+	if t := o.Inner("tls"); t != nil {
 		d.tls(t)
 	}
-	o.done()
+	if c := o.Inner("cores"); c != nil {
+		d.cores(c)
+	}
+	o.Done()
 	if s := d.config.Callers; s != nil {
 		if err := s.Check(); err != nil {
-			d.each([]string{"callers"}, err)
+			d.Each([]string{"callers"}, err)
 		}
 	}
-	return &d.config, errors.Join(d.all...)
+	return &d.config, errors.Join(d.All...)
 }
 
 // file reads a file that a key names, beside the operator's own.
-func (d *decoder) file(o *object, key string) (raw []byte, path string, ok bool) {
+func (d *decoder) file(o *strict.Object, key string) (raw []byte, path string, ok bool) {
 	var name string
-	if !o.text(key, &name) {
+	if !o.Text(key, &name) {
 		return nil, "", false
 	}
 	return d.named(o, key, name)
 }
 
-func (d *decoder) named(o *object, key, name string) (raw []byte, path string, ok bool) {
+func (d *decoder) named(o *strict.Object, key, name string) (raw []byte, path string, ok bool) {
 	if path = name; !filepath.IsAbs(path) {
 		path = filepath.Join(d.folder, path)
 	}
 	raw, err := readFile(path)
 	if err != nil {
-		o.fault(key, "%v", err)
+		o.Fault(key, "%v", err)
 	}
 	return raw, path, err == nil
 }
 
-func (d *decoder) tls(o *object) {
+// cores reads how many cores are used, and how GETs are divided among shards.
+func (d *decoder) cores(o *strict.Object) {
+	c, way := &d.config.Cores, "items"
+	o.Count("count", &c.Count, 1, mostCores)
+	c.Shards = c.Count
+	o.Count("shards", &c.Shards, 1, mostCores)
+	o.Word("divided", &way, "items", "connections")
+	if way == "connections" {
+		c.Way = shards.ByConnection
+	}
+	o.Done()
+}
+
+func (d *decoder) tls(o *strict.Object) {
 	t := &TLS{}
-	o.address("listen", &t.Listen)
+	o.Address("listen", &t.Listen)
 	if t.Listen == "" {
-		o.fault("listen", "is needed")
+		o.Fault("listen", "is needed")
 	}
 	chain, _, haveChain := d.file(o, "certificate")
 	key, keyPath, haveKey := d.file(o, "key")
 	authorities, _, haveAuthorities := d.file(o, "authorities")
 	var crls [][]byte
-	for _, name := range o.texts("revocations") {
+	for _, name := range o.Texts("revocations") {
 		if raw, _, ok := d.named(o, "revocations", name); ok {
 			crls = append(crls, raw)
 		}
 	}
-	o.flag("required", &t.Required)
+	o.Flag("required", &t.Required)
 	oldest := "1.2"
-	o.word("oldest", &oldest, "1.2", "1.3")
-	o.done()
+	o.Word("oldest", &oldest, "1.2", "1.3")
+	o.Done()
 	if haveAuthorities && d.config.Callers == nil {
-		o.fault("authorities", "nobody would look at their certificates: there are no callers in the file")
+		o.Fault("authorities", "nobody would look at their certificates: there are no callers in the file")
 	}
 	if t.Required && !haveAuthorities {
-		o.fault("authorities", "is needed where certificates are required")
+		o.Fault("authorities", "is needed where certificates are required")
 	}
 	if !haveChain || !haveKey {
-		o.fault("certificate", "and key are needed, each the name of a PEM file")
+		o.Fault("certificate", "and key are needed, each the name of a PEM file")
 		return
 	}
 	d.secret(o, "key", keyPath)
 	if err := t.Read(chain, key, authorities, crls); err != nil {
-		d.each(o.at("certificate"), err)
+		d.Each(o.At("certificate"), err)
 	}
 	t.Only13 = oldest == "1.3"
 	d.config.TLS = t
@@ -148,8 +169,8 @@
 }
 
 // secret refuses a file with a secret that others on the machine may read.
-func (d *decoder) secret(o *object, key, path string) {
+func (d *decoder) secret(o *strict.Object, key, path string) {
 	if info, err := os.Stat(path); err == nil && info.Mode().Perm()&0o077 != 0 {
-		o.fault(key, "%s holds a secret, and its mode %v lets others at it; make it 0600", path, info.Mode().Perm())
+		o.Fault(key, "%s holds a secret, and its mode %v lets others at it; make it 0600", path, info.Mode().Perm())
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -19,11 +20,13 @@
 
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
+	"elderwall/internal/cores"
 	"elderwall/internal/counters"
 	"elderwall/internal/front"
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/upstream"
+	"elderwall/shards"
 )
 
 const (
@@ -45,6 +48,23 @@
 	Open(log zerolog.Logger, counts *counters.Counters) ([]net.Listener, Gate, error)
 	// Read reads the file again. What it gives puts all of it in force; an error leaves the old one in force.
 	Read() (take func(log zerolog.Logger) error, err error)
+	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
+	Cores() Cores
+}
+
+// Cores is what a process has for its work.
+type Cores struct {
+	Count  int // cores, 0 for what the platform's configuration says
+	Shards int // modules among which GETs are divided; below 2 there is one, as on the platform
+	Way    shards.Way
+}
+
+// core is what GETs are handed to: one node, or several as shards.
+type core interface {
+	front.Handler
+	Run(ctx context.Context) error
+	Take(e changelog.Event)
+	Drain()
 }
 
 // Gate asks who is calling, for the node and for the fronts.
@@ -101,7 +121,9 @@
 	config    *Config
 	extension Extension // nil for none
 	log       zerolog.Logger
-	node      *node.Node
+	core      core
+	group     *cores.Group // the same where there are shards, else nil
+	counts    *counters.Counters
 	fronts    fronts
 	moves     chan string // to the change log's new address
 	listeners []net.Listener
@@ -111,9 +133,13 @@
 func Run(c *Config, e Extension, log zerolog.Logger, got <-chan os.Signal, read func() (*Config, error)) error {
 	memory := float64(c.Limits.MemoryMB << 20)
 	debug.SetMemoryLimit(int64(heapShare * memory))
-	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	s := &service{config: c, extension: e, log: log, moves: make(chan string, 1)}
+	var of Cores
+	if e != nil {
+		of = e.Cores()
+	}
+	runtime.GOMAXPROCS(max(1, cmp.Or(of.Count, int(c.Limits.Cores))))
 	counts := &counters.Counters{}
+	s := &service{config: c, extension: e, log: log, moves: make(chan string, 1), counts: counts}
 	gate, err := s.listen(counts)
 	if err != nil {
 		s.closeListeners()
@@ -130,15 +156,20 @@
 	if gate != nil {
 		n.Gate = gate
 	}
-	s.node = node.New(n)
+	if of.Shards > 1 {
+		s.group = cores.New(n, of.Shards, of.Way, s.failOverdue)
+		s.core = s.group
+	} else {
+		s.core = node.New(n)
+	}
 	for _, e := range c.Known.Events {
-		s.node.Take(e)
+		s.core.Take(e)
 	}
-	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: s.node.Take}
-	group.Go(func() error { return s.node.Run(ctx) })
+	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: s.core.Take}
+	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
-		server := &front.Server{Handler: s.node, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners))}
+		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners))}
 		if gate != nil {
 			server.Callers = gate
 		}
@@ -151,15 +182,35 @@
 	group.Go(func() error {
 		defer cancel()
 		defer s.closeListeners()
-		s.signals(ctx, got, read, counts)
+		s.signals(ctx, got, read)
 		return nil
 	})
 	log.Info().Str("listen", s.listeners[0].Addr().String()).Msg("started")
 	err = group.Wait()
-	counts.Log(log)
+	s.logCounts()
 	return err
 }
 
+// logCounts writes the counters: of shards each shard's, and the sum.
+func (s *service) logCounts() {
+	all := []*counters.Counters{s.counts}
+	if s.group != nil {
+		for i, c := range s.group.Counts() {
+			c.Log(s.log.With().Int("shard", i).Logger())
+			all = append(all, c)
+		}
+	}
+	counters.Sum(all...).Log(s.log)
+}
+
+// failOverdue answers what a shard that stands still owes by a moment.
+func (s *service) failOverdue(shard int, by time.Time) (n int) {
+	for _, f := range s.fronts {
+		n += f.FailOverdue(shard, by)
+	}
+	return n
+}
+
 // listen opens the platform's listener, and the operator's beside it.
 func (s *service) listen(counts *counters.Counters) (gate Gate, err error) {
 	l, err := net.Listen("tcp", s.config.Listen)
@@ -197,21 +248,21 @@
 
 // signals prints the counters on SIGUSR1 and reloads on SIGHUP, also while it drains, which the first signal to end
 // begins; it returns once it has drained or all has ended.
-func (s *service) signals(ctx context.Context, got <-chan os.Signal, read func() (*Config, error), counts *counters.Counters) {
+func (s *service) signals(ctx context.Context, got <-chan os.Signal, read func() (*Config, error)) {
 	var drained chan bool
 	for {
 		select {
 		case which := <-got:
 			switch {
 			case which == syscall.SIGUSR1:
-				counts.Log(s.log)
+				s.logCounts()
 			case which == syscall.SIGHUP:
 				s.reload(read)
 			case drained == nil:
 				drained = make(chan bool)
 				go func() {
 					defer close(drained)
-					drain(s.log, s.node.Drain, s.fronts, s.closeListeners, s.config.longest()+unread)
+					drain(s.log, s.core.Drain, s.fronts, s.closeListeners, s.config.longest()+unread)
 				}()
 			}
 		case <-drained:
@@ -259,10 +310,22 @@
 	}
 	if err == nil {
 		s.fronts.review()
+		s.resize(s.extension.Cores())
 	}
 	return err
 }
 
+// resize goes on with another number of shards; between one module and several only a restart changes.
+func (s *service) resize(to Cores) {
+	switch {
+	case s.group != nil && to.Shards > 1 && to.Shards != s.group.Shards():
+		s.log.Info().Int("from", s.group.Shards()).Int("to", to.Shards).Msg("shards")
+		s.group.Resize(to.Shards)
+	case (s.group != nil) != (to.Shards > 1):
+		s.log.Warn().Msg("one module or several is changed by a restart alone")
+	}
+}
+
 // quieting is what a drain needs of the server.
 type quieting interface {
 	Close()
