Let shards lose no end of what they hold, and let go of shards that are gone

Need: read again, a shard's line of 4,096 tasks could drop the end of a forward or a cancel, which would have left a GET to its viewer timeout and room taken; and members that were too many kept their memory for good.

--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -38,7 +38,7 @@
 
 	table   atomic.Pointer[shards.Table]
 	nodes   atomic.Pointer[[]*node.Node] // by shard; never shorter than the table needs
-	members atomic.Pointer[[]*member]    // by number, those too that get nothing new any more
+	members atomic.Pointer[[]*member]    // by number, those too that get nothing new any more; nil for those that are gone
 
 	shared sync.Mutex // of pots; taken under shards' locks, and held for no call
 	pots   shards.Pots
@@ -49,6 +49,7 @@
 	module   *shards.Module
 	together *node.Together
 	draining bool
+	past     *counters.Counters // of shards that are gone
 	run      func(func() error) // starts what Run waits for
 }
 
@@ -59,12 +60,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	ended  atomic.Bool // it gets nothing new any more
-	gone   atomic.Bool // and has nothing left
+}
+
+// alive is the members that are not gone.
+func (g *Group) alive() []*member {
+	return slices.DeleteFunc(slices.Clone(*g.members.Load()), func(m *member) bool { return m == nil })
 }
 
 // New makes a group of n shards; fail answers what a shard that stands still owes by a moment, and tells how many.
 func New(c node.Config, n int, way shards.Way, fail func(shard int, by time.Time) int) *Group {
-	g := &Group{config: c, module: shards.New(n, way), together: node.NewTogether(), fail: fail}
+	g := &Group{config: c, module: shards.New(n, way), together: node.NewTogether(), fail: fail, past: &counters.Counters{}}
 	g.memory.Keep = c.Settings.OldCopies
 	g.run = c.Options.Group.Go
 	g.nodes.Store(&[]*node.Node{})
@@ -117,7 +122,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	g.mu.Lock()
 	g.run = group.Go
-	for _, m := range *g.members.Load() {
+	for _, m := range g.alive() {
 		group.Go(func() error { return m.Run(m.ctx) })
 	}
 	g.mu.Unlock()
@@ -132,10 +137,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remember(e)
-	for _, m := range *g.members.Load() {
+	for _, m := range g.alive() {
 		m.Notice(e)
 	}
-	for _, m := range *g.members.Load() {
+	for _, m := range g.alive() {
 		g.run(func() error { m.Serve(); return nil })
 	}
 }
@@ -175,7 +180,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	for _, m := range *g.members.Load() {
+	for _, m := range g.alive() {
 		m.Drain()
 	}
 }
@@ -193,7 +198,11 @@
 }
 
 // GiveUp hands word that a client no longer waits to the shard that has its GET.
-func (g *Group) GiveUp(c call.Call) { (*g.members.Load())[c.Marked()].GiveUp(c) }
+func (g *Group) GiveUp(c call.Call) {
+	if m := (*g.members.Load())[c.Marked()]; m != nil {
+		m.GiveUp(c)
+	}
+}
 
 // Resize goes on with another number of shards. Those that are new know the list and the purges before any GET comes to
 // them; those that are too many get none any more, end what they have, and go.
@@ -208,7 +217,7 @@
 		g.table.Store(g.module.Resize(n))
 		kept := slices.Clone(old[:n])
 		g.nodes.Store(&kept)
-		for _, m := range *g.members.Load() {
+		for _, m := range g.alive() {
 			m.ended.Store(m.ended.Load() || !slices.Contains(kept, m.Node))
 		}
 		return
@@ -227,23 +236,33 @@
 
 // clear lets go of shards that are too many and have nothing left.
 func (g *Group) clear() {
-	for _, m := range *g.members.Load() {
-		if m.ended.Load() && !m.gone.Load() && m.Empty() {
-			m.gone.Store(true)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := slices.Clone(*g.members.Load())
+	for i, m := range members {
+		if m != nil && m.ended.Load() && m.Empty() {
 			m.cancel()
+			g.past = counters.Sum(g.past, m.counts)
+			members[i] = nil
 		}
 	}
+	g.members.Store(&members)
 }
 
 // Shards is how many there are.
 func (g *Group) Shards() int { return len(*g.nodes.Load()) }
 
-// Counts is the counters of each shard that there ever was.
-func (g *Group) Counts() (all []*counters.Counters) {
-	for _, m := range *g.members.Load() {
-		all = append(all, m.counts)
+// Counts is the counters of each shard by its number, and of those that are gone together.
+func (g *Group) Counts() (by map[int]*counters.Counters, past *counters.Counters) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	by = map[int]*counters.Counters{}
+	for i, m := range *g.members.Load() {
+		if m != nil {
+			by[i] = m.counts
+		}
 	}
-	return all
+	return by, g.past
 }
 
 // balance has load looked at, turn by turn.
@@ -305,7 +324,9 @@
 		select {
 		case <-each.C:
 			for i, m := range *g.members.Load() {
-				g.lookAt(i, m.Node, told)
+				if m != nil {
+					g.lookAt(i, m.Node, told)
+				}
 			}
 		case <-ctx.Done():
 			return nil
@@ -363,7 +384,7 @@
 		p.shared.Unlock()
 	}
 	for i, m := range *p.members.Load() {
-		if i != p.index && !m.gone.Load() {
+		if i != p.index && m != nil {
 			m.Told(news)
 		}
 	}
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"math"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -73,17 +74,26 @@
 	tally shards.Tally
 }
 
-// put puts a task in line; false tells that the line is too long.
-func (n *Node) put(do func(now float64)) bool {
-	l := &n.line
+// put puts a task in line, whatever its length: what ends or gives up what the shard holds must not be lost, and there
+// is no more of it than of that.
+func (n *Node) put(do func(now float64)) { n.line.add(do, math.MaxInt); n.Serve() }
+
+// offer puts a task in line unless that is too long already.
+func (n *Node) offer(do func(now float64)) bool {
+	if !n.line.add(do, longLine) {
+		return false
+	}
+	n.Serve()
+	return true
+}
+
+func (l *line) add(do func(now float64), most int) bool {
 	l.mu.Lock()
-	if len(l.tasks) >= longLine {
-		l.mu.Unlock()
+	defer l.mu.Unlock()
+	if len(l.tasks) >= most {
 		return false
 	}
 	l.tasks = append(l.tasks, task{do, time.Now().UnixNano()})
-	l.mu.Unlock()
-	n.Serve()
 	return true
 }
 
@@ -117,7 +127,7 @@
 
 // Turn puts in line a report of what the shard saw since the last one.
 func (n *Node) Turn(to chan<- shards.Report) {
-	n.put(func(float64) {
+	n.offer(func(float64) {
 		r := shards.Report{Heard: true, Slots: n.line.slots, Items: n.line.tally.Take()}
 		n.line.slots = [shards.Slots]uint32{}
 		to <- r
@@ -249,7 +259,7 @@
 func (n *Node) enterShard(c call.Call, in call.GET, g control.GET, ticket callers.Ticket, key uint64) {
 	c.Mark(n.Shard.Index, time.Now().Add(time.Duration(in.Budget*float64(time.Second))))
 	from := n.Clock.Now()
-	if !n.put(func(now float64) {
+	if !n.offer(func(now float64) {
 		n.line.slots[key%shards.Slots]++
 		n.line.tally.Add(key)
 		if g.ViewerTimeout -= now - from; now-from > shards.Waits && g.ViewerTimeout < shards.TooLittle {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
@@ -197,10 +198,12 @@
 func (s *service) logCounts() {
 	all := []*counters.Counters{s.counts}
 	if s.group != nil {
-		for i, c := range s.group.Counts() {
-			c.Log(s.log.With().Int("shard", i).Logger())
-			all = append(all, c)
+		by, past := s.group.Counts()
+		for _, i := range slices.Sorted(maps.Keys(by)) {
+			by[i].Log(s.log.With().Int("shard", i).Logger())
+			all = append(all, by[i])
 		}
+		all = append(all, past)
 	}
 	counters.Sum(all...).Log(s.log)
 }
