Walk the shared order from an index, and bound the connections to all hosts together

Change: order (pure) keeps the first six hosts of an object's order until the list has other hosts, exactly the order as before; choose and parent walk it and stop; what all hosts have in common is learned by the timer. Places bounds connections to all hosts; the one idle for longest gives way.

--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	tableSize    = 1 << 15 // objects; bounds the count table to a few MB
 	fewestCounts = 6       // GETs; below so many a count says nothing, and the object keeps one cache
 	tick         = 0.010   // s; the periodic timer, finer than any latency objective in use
+	lookEach     = 1e-5    // s by host between looks over all: each takes 70 ns a host, so under 1% of a core
 	lastMoment   = 0.050   // s; answers this long before the viewer timeout: a tick, and a delayed ack (0.04 s)
 	lastShare    = 0.25    // share of a GET's time, for those that have so little that lastMoment is much of it
 	learn        = 0.1     // share; weight of one answer in a learned time: about the last ten count
@@ -59,7 +60,7 @@
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: table{byName: map[string]*item{}, byUse: list.New()}, purges: map[string]float64{},
+		items: table{byName: map[itemKey]*item{}, byUse: list.New()}, purges: map[string]float64{},
 		fills:   allowance{name: FillLimit, most: math.Inf(1)},
 		origins: allowance{name: OriginLimit, most: math.Inf(1)},
 		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
@@ -117,7 +118,7 @@
 
 // regroup tells which of the listed hosts may be used: the own zone's caches, all parents, a ready origin.
 func (d *Dispatcher) regroup() {
-	d.caches, d.parents, d.origin = nil, nil, nil
+	d.caches, d.parents, d.origin, d.ready = nil, nil, nil, 0
 	for _, h := range d.listed() {
 		switch {
 		case h.Kind == d.OriginKind && h.Phase == Ready:
@@ -126,8 +127,13 @@
 			d.parents = append(d.parents, h)
 		case h.Kind != d.OriginKind && h.Zone == d.Zone:
 			d.caches = append(d.caches, h)
+			if h.Phase == Ready {
+				d.ready++
+			}
 		}
 	}
+	d.order.Set(idsOf(d.caches))
+	d.parentOrder.Set(idsOf(d.parents))
 }
 
 // GET takes a client's GET; it is answered through the wire, now or later, exactly once.
@@ -191,7 +197,10 @@
 	for act, ok := d.due.Pop(now); ok; act, ok = d.due.Pop(now) {
 		act()
 	}
-	d.warm = cmp.Or(d.warmRate(d.caches), d.warm)
+	if hosts := float64(len(d.caches) + len(d.parents)); now >= d.looked+hosts*lookEach {
+		d.looked = now
+		d.learnAll()
+	}
 }
 
 // Settle serves the line of further forwards, after all first ones of the moment.
@@ -283,22 +292,27 @@
 // choose takes the least makespan among the object's caches: as many as its demand gives it, along the order
 // that all routers share. It goes further along it only while all those are over the latency objective.
 func (d *Dispatcher) choose(g *get) verdict {
-	ready := without(byWeight(d.caches, g.item.hash), func(h *host) bool { return h.Phase != Ready })
-	open := without(ready, func(h *host) bool {
-		return slices.Contains(g.bad, h) || !g.grouped(h) || !d.open(h, d.weigh(g))
-	})
-	usable := without(open, func(h *host) bool { return !h.under.room(d.weigh(g) / d.favour(g)) })
-	if len(usable) == 0 || !d.all.room(d.weigh(g)/d.favour(g)) {
-		return d.straight(g, len(open) > 0)
-	}
-	n, best, objective := d.copies(g, len(ready)), usable[0], d.objective(g)
-	for i, h := range usable {
-		if i >= n && d.span(best) <= objective {
-			break
+	n, objective, work, favour := d.copies(g, d.ready), d.objective(g), d.weigh(g), d.favour(g)
+	room, some, seen, best := d.all.room(work/favour), false, 0, (*host)(nil)
+	d.order.Walk(g.item.hash, &g.item.caches, func(place int) bool {
+		h := d.caches[place]
+		if h.Phase != Ready || slices.Contains(g.bad, h) || !g.grouped(h) || !d.open(h, work) {
+			return true
+		}
+		if some = true; !room || !h.under.room(work/favour) {
+			return room
+		}
+		if best != nil && seen >= n && d.span(best) <= objective {
+			return false
 		}
-		if i < n && d.span(h) < d.span(best) || d.span(h) < d.span(best)*spareUnder {
+		if best == nil || seen < n && d.span(h) < d.span(best) || d.span(h) < d.span(best)*spareUnder {
 			best = h
 		}
+		seen++
+		return true
+	})
+	if best == nil {
+		return d.straight(g, some)
 	}
 	g.host = best
 	return pass
@@ -336,13 +350,20 @@
 	if h.serving.n > 0 {
 		return h.serving.mean
 	}
+	return d.average
+}
+
+// learnAll takes what all hosts have in common, now and then: no GET looks over all of them.
+func (d *Dispatcher) learnAll() {
 	var all learned
 	for _, o := range d.caches {
 		if o.serving.n > 0 {
 			all.add(o.serving.mean, 0)
 		}
 	}
-	return all.mean
+	d.average = all.mean
+	d.warmCaches, d.warmParents = d.warmRate(d.caches), d.warmRate(d.parents)
+	d.warm = cmp.Or(d.warmCaches, d.warm)
 }
 
 // judgeHost learns from an answer how fast and how sound its host is.
@@ -420,8 +441,8 @@
 	d.tell(News{Host: h.ID, Left: true, Until: h.until, Wait: h.wait})
 }
 
-// Told takes what another shard of the process has found out: a host that it left is left here too, and a limit
-// falls as it did there. Guards against each shard finding out by forwards of its own.
+// Told takes what another shard of the process has found out: a host that it left is left here too, a limit
+// that fell falls. Guards against each shard finding out by forwards of its own.
 func (d *Dispatcher) Told(now float64, n News) {
 	d.now = now
 	h := d.hosts[n.Host]
@@ -475,9 +496,9 @@
 // pace is the sending time a second that a cold host may be sent; too little for a GET is saved up, from a
 // chance part of one on. Guards against many dispatchers that send one GET each right after a start.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
-	from, ramp, tip, alike, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.caches, d.sharers(h.Zone)
+	from, ramp, tip, rate, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.warmCaches, d.sharers(h.Zone)
 	if h.Kind == d.ParentKind {
-		from, ramp, tip, alike = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.parents
+		from, ramp, tip, rate = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.warmParents
 		sharers = d.sharers(len(d.Seats)) // all
 	}
 	age := math.Max(0, d.now-h.OnlineSince)
@@ -485,7 +506,6 @@
 	if !h.cold {
 		return 0
 	}
-	rate := d.warmRate(alike)
 	if d.WeightsTold {
 		rate = h.Weight / sharers
 	} else if rate == 0 {
@@ -544,17 +564,21 @@
 // parent is the first usable one in the object's order over all listed parents, the next if it fails or holds
 // its learned limit while the next bears clearly more, and the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
-	usable := without(byWeight(d.parents, g.item.objectHash), func(h *host) bool {
-		return slices.Contains(g.bad, h) || !d.open(h, d.weigh(g))
-	})
-	usable = append(usable, d.origin)
-	for _, h := range usable[:len(usable)-1] {
-		home := &usable[0].under
-		if !home.room(d.weigh(g)) && h.under.room(d.weigh(g)) && h.under.most > clearlyMore*home.most {
-			return h
+	home, other, work := (*host)(nil), (*host)(nil), d.weigh(g)
+	d.parentOrder.Walk(g.item.objectHash, &g.item.parents, func(place int) bool {
+		h := d.parents[place]
+		switch {
+		case slices.Contains(g.bad, h) || !d.open(h, work):
+		case home == nil:
+			home = h
+			return !h.under.room(work)
+		case h.under.room(work) && h.under.most > clearlyMore*home.under.most:
+			other = h
+			return false
 		}
-	}
-	return usable[0]
+		return true
+	})
+	return cmp.Or(other, home, d.origin)
 }
 
 // judgeFill learns how sound the source of a fill is, and what the way in bears. An origin that fails behind
@@ -721,6 +745,9 @@
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
 	age := 0.0
+	if len(d.purges) == 0 {
+		return age
+	}
 	for _, name := range []string{purgeName(g.Object, g.Group), purgeName("", g.Group)} {
 		if at, purged := d.purges[name]; purged && (age == 0 || d.now-at < age) {
 			age = math.Max(leastAge, d.now-at)
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -28,6 +28,7 @@
 // home is the host that an object goes to.
 func home(d *Dispatcher, r *recorder, now float64, id uint32, object string) uint32 {
 	before := len(r.forwards)
+	d.Timer(now)
 	ask(d, now, id, object)
 	if len(r.forwards) == before {
 		return 0
--- a/control/state.go
+++ b/control/state.go
@@ -9,9 +9,9 @@
 	"maps"
 	"math"
 	"slices"
-	"sort"
 
 	"elderwall/internal/due"
+	"elderwall/order"
 )
 
 // verdict is what a stage does with a GET: it passes it on, keeps it or ends it.
@@ -31,7 +31,7 @@
 
 // item is a cacheable object in the count table; caches keep each part by itself, so each part is an item.
 type item struct {
-	name       string
+	key        itemKey
 	hash       uint64 // of object and part, for the order of caches
 	objectHash uint64 // for the order of parents
 	demand     counter
@@ -39,26 +39,34 @@
 	again      bool    // asked for before
 	holder     *host   // the cache that returned it last
 	heldTo     float64 // and until when it is thought to hold it
+
+	caches, parents *order.First // the beginnings of its orders
+}
+
+// itemKey names an item.
+type itemKey struct {
+	object string
+	part   int
 }
 
 // table finds the items by name, and drops the least lately used beyond its size.
 type table struct {
-	byName map[string]*item
+	byName map[itemKey]*item
 	byUse  *list.List
 }
 
 func (t *table) touch(object string, part int) *item {
-	name := fmt.Sprint(object, " ", part)
-	if it := t.byName[name]; it != nil {
+	key := itemKey{object, part}
+	if it := t.byName[key]; it != nil {
 		it.again = true
 		t.byUse.MoveToFront(it.place)
 		return it
 	}
-	it := &item{name: name, hash: hash(name), objectHash: hash(object)}
+	it := &item{key: key, hash: hash(fmt.Sprint(object, " ", part)), objectHash: hash(object)}
 	it.place = t.byUse.PushFront(it)
-	t.byName[name] = it
+	t.byName[key] = it
 	if t.byUse.Len() > tableSize {
-		delete(t.byName, t.byUse.Remove(t.byUse.Back()).(*item).name)
+		delete(t.byName, t.byUse.Remove(t.byUse.Back()).(*item).key)
 	}
 	return it
 }
@@ -190,6 +198,7 @@
 	hosts    map[uint32]*host
 	caches   []*host // of the own zone, by id
 	parents  []*host // all listed, by id
+	ready    int     // caches that are
 	origin   *host
 	items    table
 	total    counter
@@ -198,9 +207,14 @@
 	further  []*get
 	chances  uint64
 	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
+	looked   float64   // when all hosts were looked over
+	average  float64   // s; serving time of the caches that were heard
 	fills    allowance // of the fills under way, as far as known
 	all      allowance // of all that is under way to caches
 	origins  allowance // of those that may need the origin
+
+	order, parentOrder      order.Index
+	warmCaches, warmParents float64 // s/s; what warm ones return to us, as of the last tick
 }
 
 // firstRan is the first forward that may have run or is still out.
@@ -231,27 +245,19 @@
 	return 1
 }
 
-// byWeight orders hosts by highest random weight.
-func byWeight(hosts []*host, hash uint64) []*host {
-	ordered := slices.Clone(hosts)
-	sort.Slice(ordered, func(i, j int) bool {
-		return mix(hash^mix(uint64(ordered[i].ID))) > mix(hash^mix(uint64(ordered[j].ID)))
-	})
-	return ordered
+// idsOf is the ids of hosts, in their order.
+func idsOf(hosts []*host) (ids []uint32) {
+	for _, h := range hosts {
+		ids = append(ids, h.ID)
+	}
+	return ids
 }
 
 // hash places a name in the shared orders.
 func hash(s string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(s))
-	return mix(sum.Sum64())
-}
-
-// mix spreads a hash over all its bits, which FNV alone leaves uneven for short names.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return order.Mix(sum.Sum64())
 }
 
 // listed is the hosts that the list has not taken out, by id; those it has are forgotten once nothing is out.
@@ -307,7 +313,7 @@
 	d.chances++
 	sum := fnv.New64a()
 	_ = binary.Write(sum, binary.LittleEndian, []uint64{d.Seed, uint64(d.Index), uint64(h.ID), d.chances})
-	return float64(mix(sum.Sum64())>>11) / (1 << 53)
+	return float64(order.Mix(sum.Sum64())>>11) / (1 << 53)
 }
 
 // hear books a sign of life.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -27,6 +27,7 @@
 	Lists, Purges                              atomic.Int64 // events of the change log
 	ClientConnections, HostConnections         atomic.Int64 // opened
 	Handshakes                                 atomic.Int64 // of clients, that failed
+	HostGaveWay                                atomic.Int64 // idle connections to hosts that were closed for other hosts
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
 	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"elderwall/internal/lines"
@@ -18,6 +19,7 @@
 type conn struct {
 	host *Host
 	wake chan struct{} // tells the writer of a change
+	idle atomic.Int64  // Unix ns since when nothing is out on it, or busy, or endedIdle
 
 	// under the host's lock
 	socket    net.Conn            // nil until it is up
@@ -143,6 +145,7 @@
 	late := c.closed && c.open[f.Request.ID] == f
 	if late {
 		delete(c.open, f.Request.ID)
+		c.rest()
 	}
 	c.host.mu.Unlock()
 	if late {
@@ -225,6 +228,7 @@
 	f := c.open[id]
 	delete(c.open, id)
 	c.used = time.Now()
+	c.rest()
 	return f
 }
 
@@ -243,6 +247,9 @@
 		return nil
 	}
 	c.closed = true
+	if c.host.Places != nil {
+		c.host.Places.give(c)
+	}
 	for id, f := range c.open {
 		if f != c.writing {
 			open = append(open, f)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,7 @@
 	IdleClose time.Duration // hosts close connections that were idle for so long
 	Streams   int           // forwards out on one connection
 	PerHost   atomic.Int64  // connections to one host
+	Places    *Places       // connections to all hosts; nil for any number
 	Context   context.Context
 	Group     *errgroup.Group
 }
@@ -117,9 +118,9 @@
 // with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
-		free := len(c.open) < h.Streams && c.open[id] == nil
+		free := len(c.open) < h.Streams && c.open[id] == nil && c.idle.Load() != endedIdle
 		if c.stopped[id] != "" {
-			if free {
+			if free && c.claim() {
 				return c
 			}
 			return nil
@@ -128,15 +129,33 @@
 			best = c
 		}
 	}
-	if (best == nil || len(best.open) > 0) && len(h.conns) < int(h.PerHost.Load()) {
-		return h.dial()
+	if best != nil && len(best.open) == 0 && best.claim() {
+		return best
+	}
+	if len(h.conns) < int(h.PerHost.Load()) {
+		if c := h.dial(); c != nil {
+			return c
+		}
+	}
+	if best != nil && !best.claim() { // it has given way meanwhile
+		return nil
 	}
 	return best
 }
 
-// dial starts a new connection, on which forwards may be queued at once.
+// dial starts a new connection, on which forwards may be queued at once; nil if there is no place for one.
 func (h *Host) dial() *conn {
 	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}}
+	if h.Places != nil {
+		givesWay, ok := h.Places.take(c)
+		if !ok {
+			return nil
+		}
+		if givesWay != nil { // by its own host's lock
+			h.Counts.HostGaveWay.Add(1)
+			h.Group.Go(func() error { givesWay.end(ErrGone); return nil })
+		}
+	}
 	h.conns = append(h.conns, c)
 	h.Counts.HostConnections.Add(1)
 	h.Group.Go(func() error { c.guard(c.run); return nil })
@@ -158,6 +177,7 @@
 	}
 	delete(c.open, id)
 	c.used = time.Now()
+	defer c.rest()
 	if i := slices.IndexFunc(c.queue, func(it item) bool { return it.forward == f }); i >= 0 {
 		c.queue = slices.Delete(c.queue, i, i+1)
 		return
