--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -72,17 +72,10 @@
 
 const tlsText = `tls: { listen: %q, certificate: 'server.pem', key: 'server.key', authorities: 'clients.pem', revocations: ['clients.crl'] },`
 
-func free(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func newRig(t testing.TB, secure bool) *rig { return newRigWith(t, secure, "") }
 
 func newRigWith(t testing.TB, secure bool, text string) *rig {
-	r := &rig{t: t, dir: t.TempDir(), address: free(t), keys: map[string]*token.Key{}, signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
+	r := &rig{t: t, dir: t.TempDir(), address: standin.Free(), keys: map[string]*token.Key{}, signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
 	var err error
 	r.host, err = standin.Listen("127.0.0.1:0", r.answer)
 	require.NoError(t, err)
@@ -92,7 +85,7 @@
 	r.key("k1", callers.Active)
 	r.put("revoked.json", []byte(`{}`))
 	if secure {
-		r.secure, r.authority = free(t), standin.NewAuthority("ours")
+		r.secure, r.authority = standin.Free(), standin.NewAuthority("ours")
 		chain, key := r.authority.Issue("server", "", time.Now().Add(time.Hour))
 		r.put("server.pem", chain)
 		r.put("server.key", key)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -58,10 +58,7 @@
 	require.NoError(t, err)
 	t.Cleanup(log.Close)
 	d := &dispatcher{t: t, log: log}
-	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	d.config, err = read(t, standin.Config(l.Addr().String(), log.Address, "", held))
+	d.config, err = read(t, standin.Config(standin.Free(), log.Address, "", held))
 	require.NoError(t, err)
 	log.Push(standin.List(1, true, hosts...))
 	d.run()
@@ -80,9 +77,7 @@
 	d.signals, d.ended = make(chan os.Signal, 4), make(chan error, 1)
 	log := zerolog.New(zerolog.SyncWriter(&d.out))
 	go func() { d.ended <- Run(d.config, nil, log, d.signals, func() (*Config, error) { return d.reread() }) }()
-	for !d.ready() {
-		time.Sleep(time.Millisecond)
-	}
+	require.Eventually(d.t, d.ready, 10*time.Second, time.Millisecond)
 }
 
 // end sends SIGTERM and waits for the end, once.
--- a/internal/standin/authority.go
+++ b/internal/standin/authority.go
@@ -85,6 +85,10 @@
 
 // DialTLS connects a client to the TLS listener of a dispatcher.
 func DialTLS(address string, c *tls.Config) (*Client, error) {
+	if c.ServerName == "" { // whatever loopback address it stands at
+		c = c.Clone()
+		c.ServerName = "127.0.0.1"
+	}
 	conn, err := tls.Dial("tcp", address, c)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -2,9 +2,23 @@
 
 import (
 	"fmt"
+	"net"
+	"os"
 	"strings"
+	"sync/atomic"
 )
 
+var addresses atomic.Int64
+
+// Free is an address that nobody listens at: of a loopback host of its own, so that no other test, in this process or
+// another, takes its port before a dispatcher does.
+func Free() string {
+	n := addresses.Add(1)
+	l := must(net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n/250%250, 1+n%250)))
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 const settingsText = `{"balancers":1,"zones":["z"],"machineTypes":["std","parent","origin"],"zone":0,"unheardOf":[1],
 "classes":[{"name":"segment","aim":5000000,"deadline":59999500,"effect":"safe","dedupScope":"all","worth":1}],
 "extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[1],"goneEverywhere":60000000,"sharesFills":true},
