--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -18,6 +18,7 @@
 	"elderwall/internal/counters"
 	"elderwall/internal/node"
 	"elderwall/internal/upstream"
+	"elderwall/order"
 	"elderwall/shards"
 )
 
@@ -190,7 +191,7 @@
 	t := g.table.Load()
 	var key uint64
 	if t.Way() == shards.ByConnection {
-		key = shards.Mix(c.Origin())
+		key = order.Mix(c.Origin())
 	} else {
 		key = shards.Key(in.Object, in.Part)
 	}
--- a/shards/shards.go
+++ b/shards/shards.go
@@ -16,6 +16,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"elderwall/order"
 )
 
 const (
@@ -61,14 +63,7 @@
 	for i := range len(name) {
 		h = (h ^ uint64(name[i])) * 1099511628211
 	}
-	return Mix(h ^ uint64(part)*0x9e3779b97f4a7c15)
-}
-
-// Mix spreads a number over all bits.
-func Mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return order.Mix(h ^ uint64(part)*0x9e3779b97f4a7c15)
 }
 
 // Of is the shard of a key; turn spreads the GETs of one that is hot, in turn.
--- a/shards/shards_test.go
+++ b/shards/shards_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"elderwall/order"
 )
 
 // traffic is GETs a second by key.
@@ -254,7 +256,7 @@
 	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 1<<20)
 	keys := make([]uint64, 1<<16)
 	for i := range keys {
-		keys[i] = Mix(zipf.Uint64())
+		keys[i] = order.Mix(zipf.Uint64())
 	}
 	b.Run("sketch", func(b *testing.B) {
 		var s sketch
