--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -37,9 +37,8 @@
 	turns  atomic.Uint64 // GETs, by which hot items are spread
 	fail   func(shard int, by time.Time) int
 
-	table   atomic.Pointer[shards.Table]
-	nodes   atomic.Pointer[[]*node.Node] // by shard; never shorter than the table needs
-	members atomic.Pointer[[]*member]    // by number, those too that get nothing new any more; nil for those that are gone
+	places  atomic.Pointer[places]
+	members atomic.Pointer[[]*member] // by number, those too that get nothing new any more; nil for those that are gone
 
 	shared sync.Mutex // of pots; taken under shards' locks, and held for no call
 	pots   shards.Pots
@@ -54,6 +53,12 @@
 	run      func(func() error) // starts what Run waits for
 }
 
+// places is where GETs go. Guards against a table read with the nodes of another moment, which may be fewer.
+type places struct {
+	table *shards.Table
+	nodes []*node.Node // by shard
+}
+
 // member is one shard that there is or was.
 type member struct {
 	*node.Node
@@ -73,16 +78,15 @@
 	g := &Group{config: c, module: shards.New(n, way), together: node.NewTogether(), fail: fail, past: &counters.Counters{}}
 	g.memory.Keep = c.Settings.OldCopies
 	g.run = c.Options.Group.Go
-	g.nodes.Store(&[]*node.Node{})
 	g.members.Store(&[]*member{})
-	g.grow(n)
-	g.table.Store(g.module.Table())
+	_, nodes := g.grow(nil, n)
+	g.places.Store(&places{g.module.Table(), nodes})
 	return g
 }
 
-// grow makes members until there are n shards.
-func (g *Group) grow(n int) (fresh []*member) {
-	nodes, members := slices.Clone(*g.nodes.Load()), slices.Clone(*g.members.Load())
+// grow makes members until there are n shards; nothing goes to them yet.
+func (g *Group) grow(nodes []*node.Node, n int) (fresh []*member, all []*node.Node) {
+	nodes, members := slices.Clone(nodes), slices.Clone(*g.members.Load())
 	for len(nodes) < n {
 		c, o := g.config, g.config.Options
 		m := &member{counts: &counters.Counters{}}
@@ -95,8 +99,7 @@
 		nodes, members, fresh = append(nodes, m.Node), append(members, m), append(fresh, m)
 	}
 	g.members.Store(&members)
-	g.nodes.Store(&nodes)
-	return fresh
+	return fresh, nodes
 }
 
 // known is the list and the purges, for a shard that has to learn them.
@@ -168,7 +171,7 @@
 
 // Ready tells whether GETs may come: every shard knows the list.
 func (g *Group) Ready() bool {
-	for _, n := range *g.nodes.Load() {
+	for _, n := range g.places.Load().nodes {
 		if !n.Ready() {
 			return false
 		}
@@ -188,14 +191,14 @@
 
 // Process hands a GET to its shard.
 func (g *Group) Process(c call.Call, in call.GET) {
-	t := g.table.Load()
+	p := g.places.Load()
 	var key uint64
-	if t.Way() == shards.ByConnection {
+	if p.table.Way() == shards.ByConnection {
 		key = order.Mix(c.Origin())
 	} else {
 		key = shards.Key(in.Object, in.Part)
 	}
-	(*g.nodes.Load())[t.Of(key, g.turns.Add(1))].ProcessAs(c, in, key)
+	p.nodes[p.table.Of(key, g.turns.Add(1))].ProcessAs(c, in, key)
 }
 
 // GiveUp hands word that a client no longer waits to the shard that has its GET.
@@ -210,20 +213,20 @@
 func (g *Group) Resize(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	old := *g.nodes.Load()
+	old := g.places.Load().nodes
 	if n < 1 || n == len(old) {
 		return
 	}
 	if n < len(old) {
-		g.table.Store(g.module.Resize(n))
 		kept := slices.Clone(old[:n])
-		g.nodes.Store(&kept)
+		g.places.Store(&places{g.module.Resize(n), kept})
 		for _, m := range g.alive() {
 			m.ended.Store(m.ended.Load() || !slices.Contains(kept, m.Node))
 		}
 		return
 	}
-	for _, m := range g.grow(n) {
+	fresh, nodes := g.grow(old, n)
+	for _, m := range fresh {
 		for _, e := range g.known() {
 			m.Notice(e)
 		}
@@ -232,7 +235,7 @@
 		}
 		g.run(func() error { m.Serve(); return m.Run(m.ctx) })
 	}
-	g.table.Store(g.module.Resize(n))
+	g.places.Store(&places{g.module.Resize(n), nodes})
 }
 
 // clear lets go of shards that are too many and have nothing left.
@@ -241,7 +244,7 @@
 	defer g.mu.Unlock()
 	members := slices.Clone(*g.members.Load())
 	for i, m := range members {
-		if m != nil && m.ended.Load() && m.Empty() {
+		if m != nil && m.ended.Load() && m.Close() {
 			m.cancel()
 			g.past = counters.Sum(g.past, m.counts)
 			members[i] = nil
@@ -251,7 +254,7 @@
 }
 
 // Shards is how many there are.
-func (g *Group) Shards() int { return len(*g.nodes.Load()) }
+func (g *Group) Shards() int { return len(g.places.Load().nodes) }
 
 // Counts is the counters of each shard by its number, and of those that are gone together.
 func (g *Group) Counts() (by map[int]*counters.Counters, past *counters.Counters) {
@@ -283,7 +286,7 @@
 
 // rebalance takes the reports of a turn; a shard that gives none is not heard of.
 func (g *Group) rebalance() {
-	nodes := *g.nodes.Load()
+	nodes := g.places.Load().nodes
 	reports, chans := make([]shards.Report, len(nodes)), make([]chan shards.Report, len(nodes))
 	for i, n := range nodes {
 		chans[i] = make(chan shards.Report, 1)
@@ -305,11 +308,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(nodes) != len(*g.nodes.Load()) {
+	if len(nodes) != len(g.places.Load().nodes) {
 		return // resized meanwhile
 	}
 	d := g.module.Turn(g.config.Clock.Now(), reports)
-	g.table.Store(d.Table)
+	g.places.Store(&places{d.Table, g.places.Load().nodes})
 	if d.Moved > 0 {
 		g.config.Options.Counts.MovedSlots.Add(int64(d.Moved))
 	}
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -152,7 +152,7 @@
 func (r *rig) of(shard int) string {
 	for i := 0; ; i++ {
 		name := fmt.Sprintf("%016x", i)
-		if r.table.Load().Of(shards.Key(name, 0), 0) == shard {
+		if r.places.Load().table.Of(shards.Key(name, 0), 0) == shard {
 			return name
 		}
 	}
@@ -161,7 +161,7 @@
 // stall holds a shard up, and gives what lets it go on.
 func (r *rig) stall(shard int) (goOn func()) {
 	held, on := make(chan bool), make(chan bool)
-	go (*r.nodes.Load())[shard].Within(func() { close(held); <-on })
+	go r.places.Load().nodes[shard].Within(func() { close(held); <-on })
 	<-held
 	return func() { close(on) }
 }
@@ -238,7 +238,7 @@
 func TestAForwardThatANoticeOvertookIsKeptBack(t *testing.T) {
 	r := newRig(t, 2, shards.ByItem, 1)
 	name := r.of(0)
-	n := (*r.nodes.Load())[0]
+	n := r.places.Load().nodes[0]
 	done := make(chan bool)
 	n.Within(func() { // as if in the middle of a decision
 		r.Take(changelog.Event{Purge: &changelog.Purge{Object: name, Time: time.Now().UnixMilli()}})
@@ -323,7 +323,7 @@
 	r.send(a, "obj", name, "nth", "0")
 	r.send(b, "obj", other, "nth", "0")
 	require.Eventually(t, func() bool { return len(r.askedFor()) > 0 }, time.Second, time.Millisecond)
-	(*r.nodes.Load())[0].Within(func() { panic("broken") })
+	r.places.Load().nodes[0].Within(func() { panic("broken") })
 	assert.Equal(t, "failed", r.read(a).Kind)
 	close(wait)
 	assert.Equal(t, "served", r.read(b).Kind, "the other goes on")
@@ -398,7 +398,7 @@
 	require.Eventually(t, func() bool { return r.counts.HotItems.Load() > 0 }, 5*time.Second, 10*time.Millisecond)
 	over := map[int]bool{}
 	for i := range uint64(64) {
-		over[r.table.Load().Of(shards.Key(object, 3), i)] = true
+		over[r.places.Load().table.Of(shards.Key(object, 3), i)] = true
 	}
 	end()
 	assert.Greater(t, len(over), 2, "60%% of the load is more than two shards should have")
@@ -461,7 +461,7 @@
 	require.Eventually(t, func() bool { return len(r.askedFor()) > 0 }, time.Second, time.Millisecond)
 	goOn := r.stall(0)
 	for range 5000 {
-		(*r.nodes.Load())[0].Turn(make(chan shards.Report, 1))
+		r.places.Load().nodes[0].Turn(make(chan shards.Report, 1))
 	}
 	r.send(c, "obj", name, "nth", "0")
 	assert.Equal(t, "refused", r.read(c).Kind)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -159,3 +160,35 @@
 		assert.Error(t, err, name)
 	}
 }
+
+// Looking whether a shard can go must not leave a task in line that found the lock taken meanwhile.
+func TestNoTaskIsLeftInLineByALookWhetherAShardCanGo(t *testing.T) {
+	n := newNode(t)
+	n.Shard = &Shard{Together: NewTogether()}
+	stop, stopped := make(chan bool), make(chan bool)
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				n.Close()
+			}
+		}
+	}()
+	for range 20_000 {
+		done := make(chan bool)
+		n.Within(func() { close(done) })
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+			t.Fatal("a task was left in line")
+		}
+	}
+	close(stop)
+	<-stopped
+	for !n.Close() {
+	}
+	assert.False(t, n.offer(func(float64) {}), "one that is closed takes nothing new")
+}
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -66,6 +66,7 @@
 	notices []func(now float64) // come before all else, also in the middle of what is done
 	found   []control.News      // by other shards; heard with the next task, within a tick of the timer
 	tasks   []task
+	closed  bool          // nothing new is taken in
 	told    atomic.Uint64 // notices put in line
 	heard   uint64        // and done; under the node's lock
 	since   atomic.Int64  // Unix ns at which the task under way was put in line, 0 while none is
@@ -90,7 +91,7 @@
 func (l *line) add(do func(now float64), most int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.tasks) >= most {
+	if len(l.tasks) >= most || l.closed && most < math.MaxInt {
 		return false
 	}
 	l.tasks = append(l.tasks, task{do, time.Now().UnixNano()})
@@ -116,13 +117,21 @@
 	}
 }
 
-// Empty tells whether nothing is in line or held.
-func (n *Node) Empty() bool {
+// Close ends a shard that has nothing in line or held, and tells whether it has: what is still offered to it is shed.
+// Guards against a task that found the lock taken by this look alone, and would be left in line for good: the timer's
+// own among them, after which nothing would ever be done.
+func (n *Node) Close() bool {
 	if !n.mu.TryLock() {
 		return false
 	}
-	defer n.mu.Unlock()
-	return len(n.gets) == 0 && !n.waiting()
+	l := &n.line
+	l.mu.Lock()
+	l.closed = len(n.gets)+len(l.tasks)+len(l.notices) == 0
+	closed := l.closed
+	l.mu.Unlock()
+	n.mu.Unlock()
+	n.Serve()
+	return closed
 }
 
 // Turn puts in line a report of what the shard saw since the last one.
