Take lists in by what changed, look at 64 copies at most, and allocate once a GET

A list of 10,000 caches held up GETs for 5 ms whatever changed; a hot object of a large fleet has hundreds of copies, of which each GET looked at all, from a heap of all hosts; a GET made 13 allocations.

Caches that come or go are taken into orders and groups by themselves; orders of hot objects are kept further in a bounded table; of more than 64 copies a GET looks at 64 in a row from a place drawn by the seed; timers and the first forward stand in the GET.

--- a/beliefs/beliefs.go
+++ b/beliefs/beliefs.go
@@ -13,7 +13,7 @@
 import "math"
 
 const (
-	Few = 64 // hosts of a kind and zone; fewer are heard of often enough to speak for themselves
+	Few = 64 // hosts; fewer are heard of often enough to speak for themselves
 
 	span       = 2.0   // s; a turn of what a group's hosts said: the last two count
 	silent     = 3     // hosts of a group that were lost in that time: fewer may be chance
@@ -36,7 +36,7 @@
 
 // Beliefs is all of it. The zero value is empty and ready to use.
 type Beliefs struct {
-	members map[uint32]*Member
+	size    int
 	groups  map[Group]*group
 	whole   group // all of them
 	doubted int   // hosts of groups that have fallen silent
@@ -45,12 +45,6 @@
 	filled  float64 // up to when they are counted
 }
 
-// Host is one that is listed.
-type Host struct {
-	ID uint32
-	Group
-}
-
 // Member is a host of many. A nil one has no opinion, so that few hosts cost nothing.
 type Member struct {
 	all   *Beliefs
@@ -70,6 +64,7 @@
 )
 
 type group struct {
+	name   Group
 	size   int
 	turn   int
 	said   [2][3]int // in this turn and the one before, hosts by their word
@@ -78,48 +73,40 @@
 	up     float64 // when it was believed again
 }
 
-// List takes the hosts that are listed; what is known of those that stay is kept. It returns their members in the order
-// of the hosts, nil for those of a kind and zone that has few.
-func (b *Beliefs) List(hosts []Host) []*Member {
-	many, members := map[Group]int{}, make([]*Member, len(hosts))
-	for _, h := range hosts {
-		many[Group{h.Kind, h.Zone, 0}]++
+// Join takes one more host among many.
+func (b *Beliefs) Join(name Group) *Member {
+	g := b.group(name)
+	if g.size++; g.silent {
+		b.doubted++
 	}
-	before := b.members
-	b.members = make(map[uint32]*Member, len(hosts))
-	for _, g := range b.groups {
-		g.size = 0
+	b.size++
+	return &Member{all: b, group: g, heard: -1}
+}
+
+// Part lets a host go; nil is passed over.
+func (b *Beliefs) Part(m *Member) {
+	if m == nil {
+		return
 	}
-	for i, h := range hosts {
-		if many[Group{h.Kind, h.Zone, 0}] < Few {
-			continue
-		}
-		g := b.group(h.Group)
-		m := before[h.ID]
-		if m == nil || m.group != g {
-			m = &Member{all: b, group: g, heard: -1}
-		}
-		g.size++
-		b.members[h.ID], members[i] = m, m
+	g := m.group
+	if g.size--; g.silent {
+		b.doubted--
 	}
-	b.doubted = 0
-	for name, g := range b.groups {
-		if g.size == 0 {
-			delete(b.groups, name)
-		} else if g.silent {
-			b.doubted += g.size
-		}
+	if b.size--; g.size == 0 {
+		delete(b.groups, g.name)
 	}
-	return members
 }
 
+// In tells whether a host is in a group still.
+func (m *Member) In(name Group) bool { return m != nil && m.group.name == name }
+
 func (b *Beliefs) group(name Group) *group {
 	if b.groups == nil {
 		b.groups = map[Group]*group{}
 	}
 	g := b.groups[name]
 	if g == nil {
-		g = &group{up: -1}
+		g = &group{name: name, up: -1}
 		b.groups[name] = g
 	}
 	return g
@@ -127,7 +114,7 @@
 
 // GET counts one that came, of which trials are a share.
 func (b *Beliefs) GET(now float64) {
-	if len(b.members) == 0 {
+	if b.size == 0 {
 		return
 	}
 	b.fill(now, trialShare)
@@ -208,7 +195,7 @@
 func (m *Member) Doubted() bool { return m != nil && m.doubted() }
 
 func (m *Member) doubted() bool {
-	return m.group.silent && m.heard < m.group.fell && float64(m.all.doubted) <= atMost*float64(len(m.all.members))
+	return m.group.silent && m.heard < m.group.fell && float64(m.all.doubted) <= atMost*float64(m.all.size)
 }
 
 // MayTry tells whether a host that is doubted, or was left, may get a GET as a trial.
--- a/cmd/elderwall-operator/emulate.go
+++ b/cmd/elderwall-operator/emulate.go
@@ -15,7 +15,7 @@
 
 // emulateCommand plays a scenario with no sockets.
 type emulateCommand struct {
-	Scenario []string `arg:"" help:"Scenarios, Jsonnet files; examples/fleet-1000.jsonnet is one." type:"existingfile"`
+	Scenario []string `arg:"" help:"Scenarios, Jsonnet files; examples/fleets/vanish-1000.jsonnet is one." type:"existingfile"`
 	JSON     string   `help:"Where the results go as JSON." type:"path" placeholder:"FILE"`
 	Seeds    int      `help:"So many runs of each, with seeds one after the other." default:"1"`
 	Shards   int      `help:"Modules of each dispatcher, in place of what the scenario says." placeholder:"N"`
--- a/control/control.go
+++ b/control/control.go
@@ -40,6 +40,7 @@
 	saved        = 0.25    // share of a cold host's window that may be saved up: with coldPart under one
 	clearlyMore  = 4.0     // multiple of the own parent's limit that makes the next one the better
 	comeBack     = 0.25    // share of the latency objective after which a shed GET may come back in time
+	sample       = 64      // caches of an object that are looked at for one GET
 	spareUnder   = 0.5     // share of the least makespan under which a cache not the object's is worth a miss
 	turnedMost   = 1       // times; a GET turned away more often finds all ways full
 	lateShare    = 0.1     // share of a turn's GETs that came late or not at all above which their limit falls
@@ -79,7 +80,7 @@
 func (d *Dispatcher) Hosts(now float64, form ListForm, entries []HostEntry) {
 	d.now = now
 	if form == FailedCall {
-		d.due.Add(now+leaveFor, d.wire.Subscribe) // only who asks for lists is told of this
+		d.due.Add(now+leaveFor, event{do: func(d *Dispatcher, _ *get, _ *forward) { d.wire.Subscribe() }}) // only who asks for lists is told of this
 		return
 	}
 	if form != Changes {
@@ -103,7 +104,7 @@
 	if h == nil {
 		h = &host{HostEntry: HostEntry{ID: e.ID, OnlineSince: math.Inf(-1)}, heard: d.now,
 			under: allowance{name: HostLimit, host: e.ID, most: math.Inf(1)}}
-		d.hosts[e.ID] = h
+		d.hosts[e.ID], d.fresh = h, append(d.fresh, h)
 	}
 	if h.Phase = e.Phase; e.Phase == Gone {
 		return
@@ -118,6 +119,7 @@
 
 // regroup tells which of the listed hosts may be used: the own zone's caches, all parents, a ready origin.
 func (d *Dispatcher) regroup() {
+	before := d.caches
 	d.caches, d.parents, d.origin, d.ready = nil, nil, nil, 0
 	for _, h := range d.listed() {
 		switch {
@@ -132,9 +134,7 @@
 			}
 		}
 	}
-	d.order.Set(idsOf(d.caches), d.caches)
-	d.parentOrder.Set(idsOf(d.parents), d.parents)
-	d.believe()
+	d.place(before)
 }
 
 // GET takes a client's GET; it is answered through the wire, now or later, exactly once.
@@ -143,7 +143,7 @@
 	g := &get{GET: in, ds: d.services[in.Service]}
 	d.gets[in.ID] = g
 	g.last = g.ViewerTimeout - math.Min(lastMoment, lastShare*(g.ViewerTimeout-now))
-	g.timeout = d.due.Add(g.last, func() { d.giveUp(g) })
+	d.due.Put(&g.timeout, g.last, event{func(d *Dispatcher, g *get, _ *forward) { d.giveUp(g) }, g, nil})
 	d.beliefs.GET(now)
 	d.count(g)
 	d.run(g)
@@ -185,19 +185,19 @@
 	d.now = now
 	name, at := purgeName(object, group), now-age
 	d.purges[name] = math.Max(at, cmp.Or(d.purges[name], at))
-	d.due.Add(at+d.OldCopies+tick, func() {
+	d.due.Add(at+d.OldCopies+tick, event{do: func(d *Dispatcher, _ *get, _ *forward) {
 		if d.purges[name] <= at {
 			delete(d.purges, name)
 		}
-	})
+	}})
 }
 
 // Timer takes the periodic timer.
 func (d *Dispatcher) Timer(now float64) {
 	d.now = now
 	d.wire.Schedule(tick, "tick")
-	for act, ok := d.due.Pop(now); ok; act, ok = d.due.Pop(now) {
-		act()
+	for e, ok := d.due.Pop(now); ok; e, ok = d.due.Pop(now) {
+		e.do(d, e.g, e.f)
 	}
 	if hosts := float64(len(d.caches) + len(d.parents)); now >= d.looked+hosts*lookEach {
 		d.looked = now
@@ -295,8 +295,11 @@
 // that all routers share. It goes further along it only while all those are over the latency objective.
 func (d *Dispatcher) choose(g *get) verdict {
 	n, objective, work, favour := d.copies(g, d.ready), d.objective(g), d.weigh(g), d.favour(g)
-	room, some, seen, best := d.all.room(work/favour), false, 0, (*host)(nil)
-	d.order.Walk(g.item.hash, &g.item.caches, func(h *host) bool {
+	room, some, seen, best, from := d.all.room(work/favour), false, 0, (*host)(nil), 0
+	if n > sample { // the best of so many of them is hardly worse, and a look at all would grow with the fleet
+		from, n = d.pick(n-sample+1), sample
+	}
+	d.order.Walk(g.item.hash, &g.item.caches, from, func(h *host) bool {
 		if h.Phase != Ready || slices.Contains(g.bad, h) || !g.grouped(h) || !d.open(h, work) {
 			return true
 		}
@@ -571,7 +574,7 @@
 // its learned limit while the next bears clearly more, and the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
 	home, other, work := (*host)(nil), (*host)(nil), d.weigh(g)
-	d.parentOrder.Walk(g.item.objectHash, &g.item.parents, func(h *host) bool {
+	d.parentOrder.Walk(g.item.objectHash, &g.item.parents, 0, func(h *host) bool {
 		switch {
 		case slices.Contains(g.bad, h) || !d.open(h, work):
 		case home == nil:
@@ -704,35 +707,28 @@
 	}
 	h.tried()
 	s.tried()
-	f := &forward{number: len(g.forwards), host: h, source: s, at: d.now, work: d.weigh(g), crowd: h.out,
-		objective: d.objective(g)}
+	f := g.newForward()
+	f.host, f.source, f.at, f.work, f.crowd, f.objective = h, s, d.now, d.weigh(g), h.out, d.objective(g)
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
 	f.miss = s != h && !held
-	f.under, f.fill = []*allowance{&h.under, &d.all}, []*allowance{&s.under, &d.fills}
+	f.under, f.fill = append(f.underOf[:0], &h.under, &d.all), append(f.fillOf[:0], &s.under, &d.fills)
 	if s != h {
 		f.under = append(f.under, &s.under)
 		s.fills++
 		s.credit -= f.work
 	}
-	judged := f.under[:2]
+	f.judges = f.under[:2]
 	if f.miss {
-		f.under, judged = append(f.under, &d.fills), f.fill
+		f.under, f.judges = append(f.under, &d.fills), f.fill
 	}
 	if f.heldOnly = g.heldOnly; f.miss && d.Detail == Full && !f.heldOnly {
-		f.under, judged = append(f.under, &d.origins), []*allowance{&d.origins}
+		f.under = append(f.under, &d.origins)
+		f.judges = f.under[len(f.under)-1:]
 	}
 	for _, l := range f.under {
 		l.add(f.work)
 	}
-	d.due.Add(d.now+f.objective, func() {
-		if f.miss && s.heard <= f.at {
-			judged = f.fill[:1]
-		}
-		if !f.back && (h.belief == nil || h.heard > f.at) { // one of many says nothing for long: it may be gone
-			d.judge(f, true, judged)
-		}
-	})
-	g.forwards = append(g.forwards, f)
+	d.due.Put(&f.objectiveIn, d.now+f.objective, event{(*Dispatcher).passed, g, f})
 	g.out++
 	if h.out == 0 {
 		h.hear(d.now)
@@ -744,12 +740,22 @@
 	h.makespan, h.updated = math.Max(0, h.makespan-(d.now-h.updated))+added, d.now
 	h.out++
 	h.credit -= f.work
-	f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
+	d.due.Put(&f.limit, d.now+d.overdue(g), event{(*Dispatcher).late, g, f})
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, MaxAge: d.maxAge(g), Join: d.Joins,
 		Rank: map[bool]int{false: 1, true: 2}[g.item.again], Renew: g.ds.FreshFor > 0, HeldOnly: f.heldOnly})
 	return kept
 }
 
+// passed judges a forward whose latency objective has passed.
+func (d *Dispatcher) passed(_ *get, f *forward) {
+	if f.miss && f.source.heard <= f.at {
+		f.judges = f.fill[:1]
+	}
+	if !f.back && (f.host.belief == nil || f.host.heard > f.at) { // one of many says nothing for long: it may be gone
+		d.judge(f, true, f.judges)
+	}
+}
+
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
 func (d *Dispatcher) maxAge(g *get) float64 {
 	age := 0.0
@@ -788,7 +794,7 @@
 		}
 	}
 	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
-		f.limit = d.due.Add(d.now+d.overdue(g), func() { d.late(g, f) })
+		d.due.Put(&f.limit, d.now+d.overdue(g), event{(*Dispatcher).late, g, f})
 		return
 	}
 	d.wire.Cancel(g.ID, f.number)
@@ -801,7 +807,8 @@
 
 // release takes a forward that came back off what its host and source hold.
 func (d *Dispatcher) release(g *get, f *forward) verdict {
-	d.due.Remove(f.limit)
+	d.due.Remove(&f.limit)
+	d.due.Remove(&f.objectiveIn)
 	f.ran = f.answer.Outcome < NotTaken
 	g.out--
 	f.host.out--
--- a/control/state.go
+++ b/control/state.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math"
 	"slices"
 
@@ -152,6 +151,7 @@
 	belief      *beliefs.Member // what its group tells of it; nil where hosts are few
 	left        bool            // left until a trial
 	leftAt      float64
+	listing     int // the last look over the list that had it as a cache
 	until, wait float64
 	streak      int
 	cold        bool
@@ -191,8 +191,12 @@
 	host, source *host
 	at, work     float64
 	objective    float64
-	crowd        int // forwards out at the host when this one went
-	limit        *due.Timer[func()]
+	crowd        int              // forwards out at the host when this one went
+	limit        due.Timer[event] // when it is overdue
+	objectiveIn  due.Timer[event] // when it is late
+	judges       []*allowance     // that its lateness counts against
+	underOf      [5]*allowance    // the room of under
+	fillOf       [2]*allowance    // and of fill
 	answer       Answer
 	back         bool         // answered
 	moot         bool         // given up on
@@ -203,6 +207,13 @@
 	heldOnly     bool         // the source was to give only what it holds
 }
 
+// event is what falls due: a function of the dispatcher, with what it is about. None is made anew for a GET.
+type event struct {
+	do func(d *Dispatcher, g *get, f *forward)
+	g  *get
+	f  *forward
+}
+
 type get struct {
 	GET
 	ds           *service
@@ -211,7 +222,9 @@
 	out, turned  int // forwards out, and times it was turned away
 	over, lined  bool
 	last         float64 // when it is given up at the latest
-	timeout      *due.Timer[func()]
+	timeout      due.Timer[event]
+	first        forward     // most have no other
+	forwardsOf   [2]*forward // the room of forwards
 	host, source *host
 	bad          []*host // that failed it, as host or as source
 	accused      []*host // that answered it with an error
@@ -236,7 +249,7 @@
 	items    table
 	total    counter
 	purges   map[string]float64
-	due      due.Wheel[func()]
+	due      due.Wheel[event]
 	further  []*get
 	chances  uint64
 	warm     float64   // s/s; what a warm cache returned to us, for when none is warm
@@ -248,6 +261,8 @@
 
 	order, parentOrder      order.Index[*host]
 	beliefs                 beliefs.Beliefs
+	sorted, fresh           []*host // all of hosts by id, and those that are not among them yet
+	listing                 int
 	warmCaches, warmParents float64 // s/s; what warm ones return to us, as of the last tick
 }
 
@@ -296,12 +311,39 @@
 
 // listed is the hosts that the list has not taken out, by id; those it has are forgotten once nothing is out.
 func (d *Dispatcher) listed() []*host {
-	maps.DeleteFunc(d.hosts, func(_ uint32, h *host) bool { return h.Phase == Gone && h.out+h.fills == 0 })
-	hosts := without(slices.Collect(maps.Values(d.hosts)), func(h *host) bool { return h.Phase == Gone })
-	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
+	if len(d.fresh) > 0 {
+		byID := func(a, b *host) int { return cmp.Compare(a.ID, b.ID) }
+		slices.SortFunc(d.fresh, byID)
+		d.sorted, d.fresh = merge(d.sorted, d.fresh, byID), nil
+	}
+	hosts := make([]*host, 0, len(d.sorted))
+	d.sorted = slices.DeleteFunc(d.sorted, func(h *host) bool {
+		if h.Phase != Gone {
+			hosts = append(hosts, h)
+			return false
+		}
+		if h.out+h.fills > 0 {
+			return false
+		}
+		delete(d.hosts, h.ID)
+		return true
+	})
 	return hosts
 }
 
+// merge is two sorted lists in one.
+func merge[T any](a, b []T, order func(x, y T) int) []T {
+	all := make([]T, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		from := &a
+		if order(b[0], a[0]) < 0 {
+			from = &b
+		}
+		all, *from = append(all, (*from)[0]), (*from)[1:]
+	}
+	return append(append(all, a...), b...)
+}
+
 // sharers is the number of dispatchers, and of shards of them, that send into a zone.
 func (d *Dispatcher) sharers(zone int) float64 {
 	shards := math.Max(1, float64(d.Shards))
@@ -318,6 +360,19 @@
 	}
 }
 
+// newForward is the next one of a GET; the first needs no memory of its own.
+func (g *get) newForward() *forward {
+	f := &g.first
+	if len(g.forwards) > 0 {
+		f = &forward{}
+	} else {
+		g.forwards = g.forwardsOf[:0]
+	}
+	f.number = len(g.forwards)
+	g.forwards = append(g.forwards, f)
+	return f
+}
+
 // run passes a GET along the chain for as long as stages pass it on.
 func (d *Dispatcher) run(g *get) {
 	for _, s := range d.chain {
@@ -350,14 +405,50 @@
 	return float64(order.Mix(sum.Sum64())>>11) / (1 << 53)
 }
 
-// believe takes the caches into what is believed of hosts by their groups.
-func (d *Dispatcher) believe() {
-	all := make([]beliefs.Host, 0, len(d.caches))
+// place takes caches and parents into the shared orders, and caches into what is believed of them by their groups; of
+// many those alone that came, went or are in another group now.
+func (d *Dispatcher) place(before []*host) {
+	d.parentOrder.Set(idsOf(d.parents), d.parents)
+	d.listing++
+	many := len(d.caches) >= beliefs.Few
+	var came, went []*host
 	for _, h := range d.caches {
-		all = append(all, beliefs.Host{ID: h.ID, Group: beliefs.Group{Kind: h.Kind, Zone: h.Zone, Cell: h.Cell}})
+		if h.listing == 0 || h.listing != d.listing-1 {
+			came = append(came, h)
+		}
+		if h.listing = d.listing; many || h.belief != nil {
+			d.believe(h, many)
+		}
 	}
-	for i, m := range d.beliefs.List(all) {
-		d.caches[i].belief = m
+	if len(came) > 0 || len(before) != len(d.caches) { // else none went
+		for _, h := range before {
+			if h.listing != d.listing {
+				went = append(went, h)
+				d.believe(h, false)
+			}
+		}
+	}
+	if len(came)+len(went) > len(d.caches)/4 {
+		d.order.Set(idsOf(d.caches), d.caches)
+		return
+	}
+	for _, h := range went {
+		d.order.Remove(h.ID)
+	}
+	for _, h := range came {
+		d.order.Add(h.ID, h)
+	}
+}
+
+// believe has a cache in the group that it is in now, if it is one of many.
+func (d *Dispatcher) believe(h *host, many bool) {
+	group := beliefs.Group{Kind: h.Kind, Zone: h.Zone, Cell: h.Cell}
+	if many && h.belief.In(group) {
+		return
+	}
+	d.beliefs.Part(h.belief)
+	if h.belief = nil; many {
+		h.belief = d.beliefs.Join(group)
 	}
 }
 
@@ -368,13 +459,19 @@
 	}
 }
 
+// pick draws a number below n.
+func (d *Dispatcher) pick(n int) int {
+	d.chances++
+	return int(order.Mix(d.Seed^order.Mix(uint64(d.Index)<<32+d.chances)) % uint64(n))
+}
+
 // hear books a sign of life.
 func (h *host) hear(now float64) { h.heard, h.silent = now, 0 }
 
 // end closes a GET's books; it is forgotten when its last forward is back.
 func (d *Dispatcher) end(g *get) verdict {
 	g.over = true
-	d.due.Remove(g.timeout)
+	d.due.Remove(&g.timeout)
 	d.forget(g)
 	return ended
 }
@@ -394,11 +491,6 @@
 	return d.FlowKB * h.Weight
 }
 
-// without is the hosts, in their order, less those of a kind.
-func without(hosts []*host, drop func(*host) bool) []*host {
-	return slices.DeleteFunc(slices.Clone(hosts), drop)
-}
-
 // purgeName is the key of a purge: the object, or the group of all, which no object can be named like.
 func purgeName(object string, group int) string {
 	if object != "" {
--- a/dials/dials.go
+++ b/dials/dials.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	rate   = 2000.0 // connections begun a second: each takes some 60 µs here and a handshake there, so an eighth of a core
+	rate   = 8000.0 // connections begun a second: each takes some 60 µs here and a handshake there, so half a core
 	burst  = 500.0  // that may be saved up: more at a time fill the lines in which hosts take them
 	longer = 2.0    // s; over which the first ones are spread at most: a GET that can't wait goes elsewhere
 )
--- a/emulate/result.go
+++ b/emulate/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -101,15 +100,18 @@
 			}
 		}
 	}
-	ready := slices.DeleteFunc(w.caches(), func(h *host) bool { return h.down })
+	copies := map[*object]int{}
+	for _, h := range w.caches() {
+		if !h.down {
+			for _, o := range h.held.Keys() {
+				copies[o]++
+			}
+		}
+	}
 	for from := 1; from <= len(w.items) && from <= 10_000; from *= 10 {
 		to, held := min(from*10-1, len(w.items)), 0
 		for _, o := range w.items[from-1 : to] {
-			for _, h := range ready {
-				if h.held.Contains(o) {
-					held++
-				}
-			}
+			held += copies[o]
 		}
 		r.Copies = append(r.Copies, Copies{from, to, float64(held) / float64(to-from+1)})
 	}
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -48,11 +48,18 @@
 
 // Add puts an item into the wheel, due at the given time.
 func (w *Wheel[T]) Add(at float64, item T) *Timer[T] {
+	t := &Timer[T]{}
+	w.Put(t, at, item)
+	return t
+}
+
+// Put is Add with a timer that its owner keeps; one that is in the wheel already is taken out first.
+func (w *Wheel[T]) Put(t *Timer[T], at float64, item T) {
+	w.Remove(t)
 	w.added++
-	t := &Timer[T]{at: at, order: w.added, item: item}
+	*t = Timer[T]{at: at, order: w.added, item: item}
 	w.n++
 	w.place(t)
-	return t
 }
 
 // tickOf is the tick of a time.
@@ -84,10 +91,10 @@
 	l.occupied |= 1 << slot
 }
 
-// Remove takes a timer out; one that is nil or already out is passed over.
+// Remove takes a timer out; one that is nil, already out or never was in is passed over.
 func (w *Wheel[T]) Remove(t *Timer[T]) {
 	switch {
-	case t == nil || t.index == -1:
+	case t == nil || t.order == 0 || t.index == -1:
 		return
 	case t.index >= 0:
 		heap.Remove(&w.ready, t.index)
--- a/order/order.go
+++ b/order/order.go
@@ -12,6 +12,9 @@
 	Kept  = 6       // hosts of an order that are kept with an object: copies are few, and so are hosts that can't be used
 	small = 16      // hosts up to which the whole order is as cheap as looking it up
 	news  = 1 << 13 // changes that are remembered: those of a list of 10,000 hosts of which 1% change each second, for a minute
+	long  = 256     // orders that are kept further: those of the hottest objects, which have many copies
+	first = 32      // hosts of such an order that are kept at first
+	total = 1 << 18 // and of all of them together: 1 MB
 	catch = 8       // hosts a change: what is kept is found anew where it lags by so much that a look at all is as cheap
 )
 
@@ -24,8 +27,12 @@
 	sets   uint32
 	bySlot map[uint32]int32 // by id; nil for few
 	free   []int32
+	ids    []uint32 // of few
 	n      int
 
+	long *[long]named // by hash; nil until a walk goes so far
+	held int          // hosts that are kept there
+
 	changes []int32 // slots that came (positive) and went (negative), each plus one
 	since   uint64  // changes before those
 	scores  []scored
@@ -36,11 +43,22 @@
 	place int32
 }
 
-// First is the beginning of an object's order, as it was after so many changes of the hosts.
-type First struct {
+// list is the beginning of an order, as it was after so many changes of the hosts.
+type list struct {
 	changes uint64
-	n       int32
-	places  [Kept]int32
+	places  []int32
+}
+
+// named is one that is kept further.
+type named struct {
+	hash uint64
+	list
+}
+
+// First is the beginning of an object's order.
+type First struct {
+	list
+	room [Kept]int32
 }
 
 // Set takes the hosts and their values. What is kept of orders catches up with the hosts that came or went.
@@ -57,24 +75,55 @@
 			fresh = append(fresh, i)
 		}
 	}
-	for id, slot := range x.gone(len(ids) - len(fresh)) {
-		delete(x.bySlot, id)
-		x.free, x.used[slot] = append(x.free, slot), false
-		x.changes = append(x.changes, -slot-1)
+	for id := range x.gone(len(ids) - len(fresh)) {
+		x.Remove(id)
 	}
 	for _, i := range fresh {
-		slot := int32(len(x.keys))
-		if last := len(x.free) - 1; last >= 0 {
-			slot, x.free = x.free[last], x.free[:last]
-		} else {
-			x.keys, x.values = append(x.keys, 0), append(x.values, values[i])
-			x.used, x.marks = append(x.used, true), append(x.marks, 0)
+		x.Add(ids[i], values[i])
+	}
+}
+
+// Add takes one more host, which must not be there. It takes the same time however many there are.
+func (x *Index[V]) Add(id uint32, value V) {
+	if x.bySlot == nil {
+		x.anew(append(x.ids, id), append(slices.Clone(x.values), value))
+		return
+	}
+	slot := int32(len(x.keys))
+	if last := len(x.free) - 1; last >= 0 {
+		slot, x.free = x.free[last], x.free[:last]
+	} else {
+		x.keys, x.values = append(x.keys, 0), append(x.values, value)
+		x.used, x.marks = append(x.used, true), append(x.marks, 0)
+	}
+	x.keys[slot], x.values[slot], x.used[slot], x.marks[slot] = Mix(uint64(id)), value, true, x.sets
+	x.bySlot[id] = slot
+	x.n++
+	x.remember(slot + 1)
+}
+
+// Remove takes a host out; one that is not there is passed over.
+func (x *Index[V]) Remove(id uint32) {
+	if x.bySlot == nil {
+		if i := slices.Index(x.ids, id); i >= 0 {
+			x.anew(slices.Delete(x.ids, i, i+1), slices.Delete(slices.Clone(x.values), i, i+1))
 		}
-		x.keys[slot], x.values[slot], x.used[slot], x.marks[slot] = Mix(uint64(ids[i])), values[i], true, x.sets
-		x.bySlot[ids[i]] = slot
-		x.changes = append(x.changes, slot+1)
+		return
 	}
-	if x.n = len(ids); len(x.changes) > news {
+	slot, ok := x.bySlot[id]
+	if !ok {
+		return
+	}
+	delete(x.bySlot, id)
+	var none V
+	x.free, x.used[slot], x.values[slot] = append(x.free, slot), false, none
+	x.n--
+	x.remember(-slot - 1)
+}
+
+// remember keeps a change, for what is kept of orders to catch up with.
+func (x *Index[V]) remember(change int32) {
+	if x.changes = append(x.changes, change); len(x.changes) > news {
 		drop := len(x.changes) - news/2
 		x.changes, x.since = slices.Delete(x.changes, 0, drop), x.since+uint64(drop)
 	}
@@ -101,7 +150,9 @@
 		x.keys, x.used, x.marks = append(x.keys, Mix(uint64(id))), append(x.used, true), append(x.marks, x.sets)
 	}
 	x.since += uint64(len(x.changes)) + 1
+	x.ids = append([]uint32(nil), ids...)
 	if x.n, x.changes, x.bySlot = len(ids), nil, nil; len(ids) > small {
+		x.ids = nil
 		x.bySlot = make(map[uint32]int32, len(ids))
 		for i, id := range ids {
 			x.bySlot[id] = int32(i)
@@ -119,66 +170,106 @@
 	return h ^ h>>31
 }
 
-// Walk gives the hosts in the order of a hash until it is told to stop. What it finds of the beginning is kept in first,
+// Walk gives the hosts in the order of a hash, from one of its places on, until it is told to stop. What it finds of the beginning is kept,
 // nil where nothing is to be kept. A walk must have ended before the next one of the same index.
-func (x *Index[V]) Walk(hash uint64, first **First, yield func(host V) bool) {
-	if x.n <= small || first == nil {
-		x.rest(hash, 0, yield)
+func (x *Index[V]) Walk(hash uint64, kept **First, from int, yield func(host V) bool) {
+	if x.n <= small || kept == nil {
+		x.rest(hash, from, yield)
 		return
 	}
-	f := *first
+	f := *kept
 	if f == nil {
 		f = &First{}
-		*first = f
+		f.places = f.room[:0]
+		*kept = f
 	}
-	if f.n == 0 || !x.follow(hash, f) {
+	if !x.follow(hash, &f.list, Kept) {
 		x.find(hash, f)
 	}
-	for _, place := range f.places[:f.n] {
-		if !yield(x.values[place]) {
+	for ; from < len(f.places); from++ {
+		if !yield(x.values[f.places[from]]) {
+			return
+		}
+	}
+	x.further(hash, from, yield)
+}
+
+// further gives an order behind its first hosts, from those that are kept further.
+func (x *Index[V]) further(hash uint64, skip int, yield func(host V) bool) {
+	if x.long == nil {
+		x.long = new([long]named)
+	}
+	l := &x.long[hash%long]
+	if l.hash != hash || !x.follow(hash, &l.list, cap(l.places)) {
+		l.hash, l.places = hash, l.places[:0]
+	}
+	for {
+		for ; skip < len(l.places); skip++ {
+			if !yield(x.values[l.places[skip]]) {
+				return
+			}
+		}
+		if skip >= x.n {
 			return
 		}
+		x.keep(hash, l, max(first, 4*len(l.places), skip+first))
 	}
-	x.rest(hash, int(f.n), yield)
+}
+
+// keep finds so many first hosts of an order.
+func (x *Index[V]) keep(hash uint64, l *named, n int) {
+	n = min(n, x.n)
+	if x.held += max(0, n-cap(l.places)); x.held > total {
+		*x.long, x.held = [long]named{}, n
+	}
+	l.hash, l.changes, l.places = hash, x.since+uint64(len(x.changes)), slices.Grow(l.places[:0], n)
+	x.heap(hash, func(place int32) bool {
+		l.places = append(l.places, place)
+		return len(l.places) < n
+	})
 }
 
 // follow lets the beginning of an order catch up with the hosts that came and went since it was found: it stays one,
 // though it may become shorter. False tells that it must be found anew.
-func (x *Index[V]) follow(hash uint64, f *First) bool {
+func (x *Index[V]) follow(hash uint64, f *list, most int) bool {
 	to := x.since + uint64(len(x.changes))
-	if f.changes == to {
-		return true
+	if f.changes == to || len(f.places) == 0 {
+		return len(f.places) > 0
 	}
-	if f.changes < x.since || (to-f.changes)*catch > uint64(x.n) {
+	if f.changes < x.since || (to-f.changes)*catch*uint64(max(1, most/Kept)) > uint64(x.n) {
 		return false
 	}
-	for _, change := range x.changes[f.changes-x.since:] {
+	changes := x.changes[f.changes-x.since:]
+	for _, change := range changes { // first, as a slot may have another host now, which would stand in the wrong place
 		if change < 0 {
 			f.drop(-change - 1)
-		} else {
-			f.take(hash, change-1, x.keys)
+		}
+	}
+	for _, change := range changes {
+		if slot := change - 1; change > 0 && x.used[slot] && !slices.Contains(f.places, slot) {
+			f.take(hash, slot, x.keys, most)
 		}
 	}
 	f.changes = to
-	return f.n > 0
+	return len(f.places) > 0
 }
 
 // drop takes a host out.
-func (f *First) drop(slot int32) {
-	if i := slices.Index(f.places[:f.n], slot); i >= 0 {
-		copy(f.places[i:], f.places[i+1:f.n])
-		f.n--
+func (f *list) drop(slot int32) {
+	if i := slices.Index(f.places, slot); i >= 0 {
+		f.places = slices.Delete(f.places, i, i+1)
 	}
 }
 
 // take puts a host where it belongs; what would stand behind the last that is kept is not known to be next.
-func (f *First) take(hash uint64, slot int32, keys []uint64) {
+func (f *list) take(hash uint64, slot int32, keys []uint64, most int) {
 	score := Mix(hash ^ keys[slot])
-	for i, place := range f.places[:f.n] {
+	for i, place := range f.places {
 		if score > Mix(hash^keys[place]) {
-			f.n = min(f.n+1, Kept)
-			copy(f.places[i+1:f.n], f.places[i:])
-			f.places[i] = slot
+			if len(f.places) >= most {
+				f.places = f.places[:most-1]
+			}
+			f.places = slices.Insert(f.places, min(i, len(f.places)), slot)
 			return
 		}
 	}
@@ -200,14 +291,22 @@
 		}
 		best[at] = scored{score, int32(place)}
 	}
-	f.changes, f.n = x.since+uint64(len(x.changes)), int32(n)
+	f.changes, f.places = x.since+uint64(len(x.changes)), f.room[:n]
 	for i := range n {
 		f.places[i] = best[i].place
 	}
 }
 
-// rest gives an order behind its first hosts, from a heap of all: those that are not asked for are not sorted.
+// rest gives an order behind its first hosts.
 func (x *Index[V]) rest(hash uint64, skip int, yield func(host V) bool) {
+	x.heap(hash, func(place int32) bool {
+		skip--
+		return skip >= 0 || yield(x.values[place])
+	})
+}
+
+// heap gives an order from a heap of all: those that are not asked for are not sorted.
+func (x *Index[V]) heap(hash uint64, yield func(place int32) bool) {
 	all := x.scores[:0]
 	for place, key := range x.keys {
 		if x.used[place] {
@@ -223,7 +322,7 @@
 		all[0] = all[len(all)-1]
 		all = all[:len(all)-1]
 		sift(all, 0)
-		if skip--; skip < 0 && !yield(x.values[top.place]) {
+		if !yield(top.place) {
 			return
 		}
 	}
