Tests of what large fleets fail by, and of certificates that end; a list's last word counts

One found a fault: of a host that a long list names twice, taking it in by steps forgot which word came last.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"elderwall/beliefs"
 )
 
 // end is how a forward ends at a moment.
@@ -160,3 +163,110 @@
 	assert.False(t, tb.touch(3.5, "never", 0, 1).again)
 	assert.Len(t, tb.byName, tableSize)
 }
+
+// Objects that somebody chose because one cache comes first for all of them: others take over what it can't serve in the
+// latency objective.
+func TestAFloodOfObjectsForOneHost(t *testing.T) {
+	l := newLarge(t, 10, 30)
+	var chosen []string
+	for i := 0; len(chosen) < 200; i++ {
+		name := fmt.Sprintf("%016x", i)
+		l.d.order.Walk(hash(name+" 0"), nil, 0, func(h *host) bool {
+			if h.ID == 7919 {
+				chosen = append(chosen, name)
+			}
+			return false
+		})
+	}
+	free, to, late := map[uint32]float64{}, map[uint32]int{}, 0
+	const takes, gets = 0.005, 6000 // a host does 200 a second, and is asked for 1,000
+	for range gets {
+		l.now += 0.001
+		l.id++
+		ask(l.d, l.now, l.id, chosen[int(l.id)%len(chosen)])
+		for ; len(l.r.forwards) > 0; l.r.forwards = l.r.forwards[1:] {
+			f := l.r.forwards[0]
+			number := l.number[f.GET]
+			l.number[f.GET]++
+			to[f.Host]++
+			free[f.Host] = max(free[f.Host], l.now) + takes
+			took := free[f.Host] - l.now
+			if took > 0.2 {
+				late++
+			}
+			l.open = append(l.open, end{free[f.Host], Answer{GET: f.GET, Forward: number, Outcome: Returned, Note: Hit, Elapsed: took, Last: true}})
+		}
+		if l.id%10 == 0 {
+			l.d.Timer(l.now)
+			l.d.Settle(l.now)
+		}
+		l.open = slices.DeleteFunc(l.open, func(e end) bool {
+			if e.at > l.now {
+				return false
+			}
+			l.d.Answer(l.now, e.a)
+			l.d.Settle(l.now)
+			return true
+		})
+	}
+	assert.Less(t, to[7919], gets/2, "others take over")
+	assert.Less(t, late, gets/8)
+	assert.Less(t, len(l.r.shed)+len(l.r.errored), gets/20)
+}
+
+// Time that stands still, goes back, or jumps by an hour: every GET has one answer, and the next ones go on.
+func TestTimeThatStandsStillOrJumps(t *testing.T) {
+	l := newLarge(t, 10, 30)
+	l.ask(200)
+	for range 50 {
+		l.id++
+		ask(l.d, l.now, l.id, fmt.Sprint("p", l.id))
+		l.d.Timer(l.now)
+	}
+	open := len(l.d.gets)
+	l.d.Timer(l.now - 5)
+	l.d.Settle(l.now - 5)
+	assert.Len(t, l.d.gets, open)
+	l.now += 3600
+	l.d.Timer(l.now)
+	l.d.Settle(l.now)
+	assert.Equal(t, 50, len(l.r.shed)+len(l.r.errored), "those under way are over at once")
+	for id := l.id - 49; id <= l.id; id++ {
+		for number := range l.number[id] + 1 {
+			l.d.Answer(l.now, Answer{GET: id, Forward: number, Outcome: Revoked})
+		}
+	}
+	assert.Empty(t, l.d.gets)
+	l.r.forwards = nil
+	assert.Equal(t, 200, l.ask(200))
+}
+
+// A host of many that comes, goes, moves to another rack or comes back is in its group and in the order, or in none.
+func TestCachesThatComeAndGo(t *testing.T) {
+	l := newLarge(t, 10, 30)
+	first := func() (id uint32) {
+		l.d.order.Walk(12345, nil, 0, func(h *host) bool { id = h.ID; return false })
+		return id
+	}
+	id := first()
+	e := l.d.hosts[id].HostEntry
+	other := l.d.hosts[id]
+	e.Phase = Gone
+	l.d.Hosts(1, Changes, []HostEntry{e})
+	assert.NotEqual(t, id, first())
+	assert.Nil(t, other.belief)
+	assert.Len(t, l.d.caches, 299)
+	e.Phase, e.Cell = Ready, 77
+	l.d.Hosts(2, Changes, []HostEntry{e, e})
+	assert.Equal(t, id, first())
+	assert.Len(t, l.d.caches, 300, "named twice, it is there once")
+	m := l.d.hosts[id].belief
+	assert.True(t, m.In(beliefs.Group{Cell: 77}))
+	e.Cell = 78
+	l.d.Hosts(3, Changes, []HostEntry{e})
+	assert.True(t, l.d.hosts[id].belief.In(beliefs.Group{Cell: 78}))
+	l.d.Hosts(4, Complete, l.hosts[:3+beliefs.Few-1])
+	for _, h := range l.d.caches {
+		assert.Nil(t, h.belief, "they are few now")
+	}
+}
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -429,6 +430,35 @@
 	assert.Equal(t, "served", ask(t, other, "").Kind, "the connections of others go on")
 }
 
+// A certificate that comes to its end while its connection is open: what is under way is answered, new GETs are refused,
+// and the connection goes within the window.
+func TestACertificateThatEndsWhileItsConnectionIsOpen(t *testing.T) {
+	r := newRig(t, true)
+	text := strings.Replace(fmt.Sprintf(fileText, fmt.Sprintf(tlsText, r.secure)), "window: '1s',", "window: '1s', skew: '0s',", 1)
+	r.put("operator.jsonnet", []byte(text))
+	r.reload("callers read again")
+	end := time.Now().Add(2 * time.Second).Truncate(time.Second)
+	busy := r.dialTLS(r.authority.Client("till-1", "spiffe://x/counter/1", end))
+	require.Equal(t, "served", ask(t, busy, "").Kind)
+	wait := make(chan bool)
+	r.slow.Store(&wait)
+	_, err := busy.Process(fields(""), "")
+	require.NoError(t, err)
+	time.Sleep(time.Until(end.Add(50 * time.Millisecond)))
+	_, err = busy.Process(fields(""), "")
+	require.NoError(t, err)
+	got, err := busy.Read()
+	require.NoError(t, err)
+	assert.Equal(t, []string{"failed", "certificate"}, []string{got.Kind, got.Fields["reason"]}, "new ones are refused")
+	close(wait)
+	got, err = busy.Read()
+	require.NoError(t, err)
+	assert.Equal(t, "served", got.Kind, "what was taken before stays taken")
+	_, err = busy.Read()
+	assert.Error(t, err, "closed")
+	assert.Less(t, time.Since(end), 1500*time.Millisecond, "within the window")
+}
+
 func TestCertificatesOfAServerChangeWithNoConnectionDropped(t *testing.T) {
 	r := newRig(t, true)
 	config := r.authority.Client("till-1", "spiffe://x/counter/1", time.Now().Add(time.Hour))
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -60,17 +60,20 @@
 	n.share()
 }
 
-// changes is what a list says that is not known yet, with the hosts that are gone by it.
+// changes is what a list says that is not known yet, with the hosts that are gone by it. Of a host that it names twice
+// the last word counts: the order of the list is lost when it is taken in by steps.
 func (n *Node) changes(list changelog.Fleet) (all []changelog.Host) {
-	named := make(map[string]bool, len(list.Hosts))
-	for _, told := range list.Hosts {
-		named[told.ID] = true
-		if h := n.hosts[n.hostID(told.ID)]; h == nil || h.told != told || h.phase == control.Gone {
+	last := make(map[string]int, len(list.Hosts))
+	for i, told := range list.Hosts {
+		last[told.ID] = i
+	}
+	for i, told := range list.Hosts {
+		if h := n.hosts[n.hostID(told.ID)]; last[told.ID] == i && (h == nil || h.told != told || h.phase == control.Gone) {
 			all = append(all, told)
 		}
 	}
 	for _, h := range n.hosts {
-		if list.Reset && !named[h.name] && h.phase != control.Gone {
+		if _, named := last[h.name]; list.Reset && !named && h.phase != control.Gone {
 			all = append(all, changelog.Host{ID: h.name, State: "DELETED"})
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -192,3 +193,35 @@
 	}
 	assert.False(t, n.offer(func(float64) {}), "one that is closed takes nothing new")
 }
+
+// A long list is taken in by steps: what stops work comes first, hosts that it does not name are gone, and what it says
+// twice, or of two hosts at one address, changes nothing else.
+func TestALongList(t *testing.T) {
+	n := newNode(t)
+	list := func(state string, from, to int) (hosts []changelog.Host) {
+		for i := from; i < to; i++ {
+			hosts = append(hosts, changelog.Host{ID: fmt.Sprint("h", i), Address: fmt.Sprint("127.0.0.1:", 10000+i%200), Zone: "z", Kind: "std", State: state})
+		}
+		return hosts
+	}
+	take := func(reset bool, hosts ...changelog.Host) {
+		n.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: reset, Hosts: hosts}})
+	}
+	phases := func() map[control.Phase]int {
+		by := map[control.Phase]int{}
+		for _, h := range n.hosts {
+			by[h.phase]++
+		}
+		return by
+	}
+	take(true, list("SERVING", 0, 300)...)
+	assert.True(t, n.Ready())
+	assert.Equal(t, map[control.Phase]int{control.Ready: 300}, phases())
+	before := n.hosts[n.hostID("h250")].Host
+	take(true, append(list("SERVING", 200, 400), list("DRAINING", 100, 200)...)...)
+	assert.Equal(t, map[control.Phase]int{control.Ready: 200, control.Draining: 100, control.Gone: 100}, phases())
+	assert.Same(t, before, n.hosts[n.hostID("h250")].Host, "what stays keeps its connections")
+	take(false, append(list("SERVING", 0, 90), list("DRAINING", 0, 90)...)...)
+	assert.Equal(t, map[control.Phase]int{control.Ready: 200, control.Draining: 190, control.Gone: 10}, phases(), "draining goes first, and the list ends with that")
+	assert.EqualValues(t, 3, n.Options.Counts.Lists.Load())
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -123,3 +124,22 @@
 		}
 	})
 }
+
+// FuzzRevocations: a file of what is revoked is taken whole or not at all, whatever it holds.
+func FuzzRevocations(f *testing.F) {
+	for _, seed := range []string{`{}`, `{"tokens": ["j9"], "subjects": ["till-4"]}`, `{"tokens": [1]}`, `{"token": []}`, `{"tokens": ["j9"]} x`, `[`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var r callers.Revocations
+		if err := revocations(raw, &r); err != nil {
+			assert.NotContains(t, err.Error(), "\n", "one line")
+			return
+		}
+		again, err := json.Marshal(map[string][]string{"tokens": r.Tokens, "subjects": r.Subjects})
+		require.NoError(t, err)
+		var same callers.Revocations
+		require.NoError(t, revocations(again, &same))
+		assert.Equal(t, [2]int{len(r.Tokens), len(r.Subjects)}, [2]int{len(same.Tokens), len(same.Subjects)})
+	})
+}
--- a/internal/upstream/places_test.go
+++ b/internal/upstream/places_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,3 +102,54 @@
 	assert.EqualValues(t, 1, o.Counts.HostGaveWay.Load())
 	o.Room.Give(3)
 }
+
+// Connections that fail for want of something of ours are told apart: no host is to blame for them.
+func TestOurOwnLimitIsToldApart(t *testing.T) {
+	for _, tt := range []struct {
+		err error
+		own bool
+	}{{syscall.EMFILE, true}, {syscall.ENFILE, true}, {syscall.EADDRNOTAVAIL, true}, {syscall.ECONNREFUSED, false}, {syscall.EHOSTUNREACH, false}} {
+		hosts, o := fleet(t, 1, 4, func(standin.Ask) string { return "" })
+		o.Dialer.Control = func(string, string, syscall.RawConn) error { return tt.err }
+		ended := make(chan Result, 1)
+		require.NoError(t, hosts[0].Send(forward(1, func(r Result) { ended <- r })))
+		r := <-ended
+		assert.Equal(t, NotConnected, r.Stage)
+		assert.Equal(t, tt.own, errors.Is(r.Err, ErrOwn), "%v", r.Err)
+	}
+}
+
+func TestAHostWithAnAddressInIPv6(t *testing.T) {
+	s, err := standin.Listen("[::1]:0", func(a standin.Ask) string { return standin.Hit(a.ID, "x") })
+	if err != nil {
+		t.Skip("this machine has no IPv6 loopback")
+	}
+	t.Cleanup(s.Close)
+	_, o := fleet(t, 0, 4, nil)
+	ended := make(chan Result, 1)
+	require.NoError(t, New(s.Address, o, 0).Send(forward(1, func(r Result) { ended <- r })))
+	assert.Equal(t, Answered, (<-ended).Stage)
+}
+
+// Connections that would be too many in a time are not begun: their forwards find no place, and go elsewhere.
+func TestConnectionsAreBegunAtAPace(t *testing.T) {
+	hosts, o := fleet(t, 3, 1000, func(a standin.Ask) string { return standin.Hit(a.ID, "x") })
+	o.Dials = NewDials()
+	for o.Dials.begin() {
+	}
+	var all sync.WaitGroup
+	all.Add(1)
+	err := hosts[0].Send(forward(1, func(Result) { all.Done() }))
+	if err == nil { // the pace had given one more by then
+		all.Wait()
+	} else {
+		assert.ErrorIs(t, err, ErrFull)
+		assert.Positive(t, o.Counts.DialsHeld.Load())
+	}
+	late := New(hosts[1].address, o, time.Hour)
+	assert.ErrorIs(t, late.Send(forward(2, nil)), ErrFull, "its first connection waits")
+	time.Sleep(20 * time.Millisecond)
+	ended := make(chan Result, 1)
+	require.NoError(t, hosts[2].Send(forward(3, func(r Result) { ended <- r })))
+	assert.Equal(t, Answered, (<-ended).Stage)
+}
