Let a limit at its least grow again where it turns GETs away

The emulator showed a dispatcher that goes on shedding a tenth of its GETs long after the hosts that had vanished were back: a limit that had fallen to its least lets one new object's GET out at a time, is never half in use by the end of a turn, and so never grows. A limit at its least that turned a GET away in a turn that came in time grows as if it were in use.

The emulator's shards have what shards of a process have in common (pots, news).

--- a/control/control.go
+++ b/control/control.go
@@ -642,7 +642,11 @@
 }
 
 // room tells whether more may go; where nothing is under way something always may, or nothing is learned.
-func (l *allowance) room(work float64) bool { return l.held == 0 || l.out+work <= l.most }
+func (l *allowance) room(work float64) bool {
+	room := l.held == 0 || l.out+work <= l.most
+	l.full = l.full || !room
+	return room
+}
 
 // judge moves the limit of what may be out to a cache, to all, or as fills: up when it comes back in time,
 // down when not. It guards against collapse whatever the cause; it could shed where fewer are not faster.
@@ -672,7 +676,7 @@
 		d.cut(l, share)
 		d.tell(News{Host: l.host, Limit: l.name, Late: share})
 		return
-	case l.out > l.most*inUse:
+	case l.out > l.most*inUse || l.full && l.most <= few: // a limit at its least is never half in use
 		if l.most *= growth; l.known == 0 || l.most < l.known { // never cut, or borne before
 			l.most *= regrowth / growth
 		}
@@ -696,7 +700,7 @@
 }
 
 func (d *Dispatcher) turn(l *allowance) {
-	l.turn, l.start, l.seen, l.late, l.peak = d.now, l.out, 0, 0, l.out
+	l.turn, l.start, l.seen, l.late, l.peak, l.full = d.now, l.out, 0, 0, l.out, false
 }
 
 // send hands the GET to its host and counts it there.
--- a/control/state.go
+++ b/control/state.go
@@ -172,6 +172,7 @@
 	turn       float64 // start of the turn
 	start      float64 // s; what was under way at its start: a turn's worth
 	peak       float64 // s; most that was under way in it
+	full       bool    // turned a GET away in it
 	seen, late float64 // s; what of this turn has ended, and what came late or not at all
 }
 
--- a/emulate/dispatcher.go
+++ b/emulate/dispatcher.go
@@ -43,13 +43,18 @@
 
 var _ control.Wire = (*dispatcher)(nil)
 
-func newDispatcher(w *world, index int) *dispatcher {
+func newDispatcher(w *world, index int, together *group) *dispatcher {
 	d := &dispatcher{world: w, gets: map[uint32]*get{}, used: map[*host]float64{}, told: map[*host]float64{}}
+	together.members = append(together.members, d)
+	var common control.Peers
+	if w.Shards > 1 {
+		common = &peers{together, d, len(together.members) - 1}
+	}
 	d.module = control.New(control.Settings{Index: index, Dispatchers: w.Dispatchers, Seed: w.Seed, Seats: []int{w.Dispatchers},
 		Services:   []control.DeliveryService{{Objective: w.Objective, ViewerTimeout: w.ViewerTimeout, Revenue: 1, Effect: control.Idempotent}},
 		ParentKind: 1, OriginKind: 2, Straight: true, Joins: true, Detail: control.Full, MaxForwards: w.MaxForwards, MayCancel: true,
 		SecondCopies: true, MaxRetryAfter: 1, ColdFrom: coldFrom, RampTime: ramp, TipMultiple: tip, Fall: fall,
-		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Shards: w.Shards}, 0, d)
+		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Shards: w.Shards, Peers: common}, 0, d)
 	var entries []control.HostEntry
 	for _, h := range w.hosts {
 		entries = append(entries, h.entry())
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -93,7 +93,7 @@
 	h := &host{world: w, kind: 0, slots: 1, serve: 0.5, since: 4.9}
 	w.chance, w.byID = rand.New(rand.NewPCG(1, 1)), map[uint32]*host{}
 	w.build()
-	d := newDispatcher(w, 0)
+	d := newDispatcher(w, 0, &group{})
 	d.told[h] = 4
 	f := &forward{get: &get{d: d, object: &object{purged: 4.5, told: map[*dispatcher]float64{d: 4.6}}}, at: 4.8, host: h}
 	w.checkDrain(h, f)
--- /dev/null
+++ b/emulate/peers.go
@@ -0,0 +1,42 @@
+package emulate
+
+import (
+	"elderwall/control"
+	"elderwall/shards"
+)
+
+// group is the modules of one dispatcher, with what they have in common: the same pots as in a process, and news that
+// the others hear within a tick.
+type group struct {
+	pots    shards.Pots
+	members []*dispatcher
+}
+
+// peers is a group as one of its modules sees it.
+type peers struct {
+	*group
+	own *dispatcher
+	at  int
+}
+
+var _ control.Peers = (*peers)(nil)
+
+func (p *peers) Credit(host uint32, since, first, add, most float64) float64 {
+	return p.pots.Add(host, since, first, add, most)
+}
+
+func (p *peers) Spend(host uint32, work float64) bool { return p.pots.Spend(host, work) }
+
+func (p *peers) Trial(now float64, host uint32) bool { return p.pots.Trial(now, host, p.at) }
+
+// Tell has the others hear of something with their next task.
+func (p *peers) Tell(n control.News) {
+	if !n.Left && n.Limit == control.NoLimit {
+		p.pots.Done(n.Host)
+	}
+	for _, d := range p.members {
+		if d != p.own {
+			d.at(d.now, func() { d.module.Told(d.now, n) })
+		}
+	}
+}
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -58,8 +58,11 @@
 		w.zipf = rand.NewZipf(w.chance, s.Zipf, 1, uint64(s.Objects-1))
 	}
 	w.build()
-	for i := range s.Dispatchers * s.Shards {
-		w.dispatchers = append(w.dispatchers, newDispatcher(w, i))
+	for i := range s.Dispatchers {
+		together := &group{}
+		for k := range s.Shards {
+			w.dispatchers = append(w.dispatchers, newDispatcher(w, i*s.Shards+k, together))
+		}
 	}
 	for i := range s.Troubles {
 		t := s.Troubles[i]
