--- a/control/state.go
+++ b/control/state.go
@@ -460,6 +460,15 @@
 	}
 }
 
+// MaxAge is the oldest copy in seconds that will do for a GET after the purges known by now; 0 for any.
+func (d *Dispatcher) MaxAge(now float64, id uint32) float64 {
+	d.now = now
+	if g := d.gets[id]; g != nil {
+		return d.maxAge(g)
+	}
+	return 0
+}
+
 // pick draws a number below n.
 func (d *Dispatcher) pick(n int) int {
 	d.chances++
--- /dev/null
+++ b/internal/call/router.go
@@ -0,0 +1,27 @@
+package call
+
+import "elderwall/control"
+
+// Router is a Call whose forwards are sent by a proxy in front: its front is told where to, and tells how they ended.
+type Router interface {
+	Call
+	// Route names where a forward goes. It is called under the node's lock and must only queue.
+	Route(r Route)
+	// Withdraw tells that a forward is not waited for any more; its end need not be told.
+	Withdraw(number int)
+}
+
+// Route is one forward that a proxy sends.
+type Route struct {
+	Number                int // of the forwards of its GET
+	Host, Address         string
+	Source, SourceAddress string  // "" where the host is only to look whether it has a copy
+	Rank                  int     // by which the copy is kept
+	Budget                float64 // s; that the forward has
+	MaxAge                float64 // s; 0 for any
+	Join, Renew, HeldOnly bool
+	// End tells how it ended. What proves it is asked under the node's lock, with the age in seconds that a copy may have
+	// after the purges that are known by then, 0 for any; ok false tells that it has not ended. Once the GET is
+	// over nothing is asked; of a forward that was withdrawn a copy alone counts.
+	End func(proof func(oldest float64) (outcome control.Outcome, note control.Note, ok bool))
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -29,6 +29,8 @@
 	Handshakes                                 atomic.Int64 // of clients, that failed
 	HostGaveWay                                atomic.Int64 // idle connections to hosts that were closed for other hosts
 	DialsHeld                                  atomic.Int64 // connections to hosts that were not begun as too many had been
+	ProxyCalls, ProxyPassed, ProxyAgain        atomic.Int64 // proxies' requests; of those: none of ours; further calls
+	ProxyLate, ProxyHeld                       atomic.Int64 // not decided in their time; whose hold was over
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
 	ClientBytesIn, ClientBytesOut, HostBytesIn atomic.Int64
 }
--- /dev/null
+++ b/internal/extproc/call.go
@@ -0,0 +1,169 @@
+package extproc
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"elderwall/calls"
+	"elderwall/internal/call"
+)
+
+// ask is one GET of a proxy, over as many streams as it takes.
+type ask struct {
+	server *Server
+	row    *calls.Call
+	get    call.GET
+	as     call.Call // as the handler knows it
+	origin uint64
+
+	entered   atomic.Int32 // how far it has come to the handler
+	abandoned atomic.Bool  // the operator's choice went out before its decision
+	mark      atomic.Int32
+
+	mu     sync.Mutex
+	wake   chan struct{}
+	routes []call.Route // that no stream has taken yet
+	final  *final
+	route  *call.Route // the one that is with the proxy
+}
+
+// How far an ask has come to the handler.
+const (
+	inLine int32 = iota
+	entering
+	passedBy // its time was over before its turn came
+	taken
+)
+
+// final is the one answer that is not a route.
+type final struct {
+	status int
+	wait   int64 // ms; after which the client may come again, 0 for none
+	reason string
+	body   []byte
+	same   bool
+}
+
+// HTTP statuses of final answers (RFC 9110, section 15).
+const (
+	statusOK        = 200
+	statusSame      = 304
+	statusBad       = 400
+	statusForbidden = 403
+	statusTooLong   = 431
+	statusShed      = 503
+	statusFailed    = 504
+)
+
+func (a *ask) end(f final) {
+	a.mu.Lock()
+	if a.final == nil {
+		a.final, a.routes = &f, nil
+	}
+	a.mu.Unlock()
+	a.signal()
+}
+
+func (a *ask) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Serve answers with the bytes that the dispatcher fetched itself.
+func (a *ask) Serve(body []byte, same bool) {
+	a.end(final{status: map[bool]int{false: statusOK, true: statusSame}[same], body: body, same: same})
+}
+
+// Refuse answers that coming again is harmless.
+func (a *ask) Refuse(wait int64) { a.end(final{status: statusShed, wait: wait}) }
+
+// Fail answers that it failed; a reason is one that the caller may know.
+func (a *ask) Fail(reason string) {
+	a.end(final{status: map[bool]int{false: statusForbidden, true: statusFailed}[reason == ""], reason: reason})
+}
+
+// Mark keeps the handler's number.
+func (a *ask) Mark(number int, _ time.Time) { a.mark.Store(int32(number)) }
+
+// Marked gives it back.
+func (a *ask) Marked() int { return int(a.mark.Load()) }
+
+// Origin is the number of its proxy.
+func (a *ask) Origin() uint64 { return a.origin }
+
+// routed is an ask whose forwards the proxy sends.
+type routed struct{ *ask }
+
+var _ call.Router = routed{}
+
+// Route keeps a route until a stream of the GET takes it.
+func (r routed) Route(route call.Route) {
+	r.mu.Lock()
+	if r.final == nil {
+		r.routes = append(r.routes, route)
+	}
+	r.mu.Unlock()
+	r.signal()
+}
+
+// Withdraw takes back a route that no stream has taken.
+func (r routed) Withdraw(number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := r.routes[:0]
+	for _, route := range r.routes {
+		if route.Number != number {
+			kept = append(kept, route)
+		}
+	}
+	r.routes = kept
+}
+
+// next takes what there is to say: a route, or the final answer.
+func (a *ask) next() (route *call.Route, f *final) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.final != nil {
+		return nil, a.final
+	}
+	if len(a.routes) > 0 {
+		r := a.routes[0]
+		a.routes = a.routes[1:]
+		a.route = &r
+		return &r, nil
+	}
+	return nil, nil
+}
+
+// wait is next, once there is something, or by a time at the latest.
+func (a *ask) wait(until time.Time) (route *call.Route, f *final, ok bool) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		if route, f = a.next(); route != nil || f != nil {
+			return route, f, true
+		}
+		select {
+		case <-a.wake:
+		case <-timer.C:
+			return nil, nil, false
+		}
+	}
+}
+
+// more tells whether a route waits for a further call of the proxy.
+func (a *ask) more() (waits bool, f *final) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.routes) > 0, a.final
+}
+
+// current is the route that is with the proxy.
+func (a *ask) current() *call.Route {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.route
+}
--- /dev/null
+++ b/internal/extproc/server.go
@@ -0,0 +1,545 @@
+package extproc
+
+import (
+	"cmp"
+	"context"
+	crypto "crypto/rand"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	procv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"elderwall/callers"
+	"elderwall/calls"
+	"elderwall/control"
+	"elderwall/internal/certs"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/front"
+	"elderwall/internal/room"
+)
+
+const (
+	longestMessage = 256 << 10             // bytes; longer headers are refused in any case, and bodies come in pieces
+	speaksIn       = 5.0                   // s; a stream that has not asked for anything by then is closed
+	linger         = time.Second           // for so long after its viewer timeout a stream may stay open
+	keepaliveEach  = 30 * time.Second      // a proxy that says nothing is asked whether it is there
+	keepaliveIn    = 10 * time.Second      // and is gone if it does not answer by then
+	stopsIn        = 2 * time.Second       // streams that are open still at the end of a drain have so long
+	ahead          = 4                     // messages of a stream that are read before they are done
+	passEach       = 10 * time.Millisecond // how often holds are looked at: an abandoned GET's work ends within 100 ms of that
+)
+
+// Options is what the operator's file says.
+type Options struct {
+	Rules    Rules
+	Calls    calls.Settings
+	Decide   float64 // s; what can't be decided by then gets the operator's choice
+	Open     bool    // that choice: the request goes on unrouted, else it is shed
+	Metadata bool    // routes are in dynamic metadata too
+	Speaks   float64 // s; a stream that has not asked for anything by then is closed; 0 for the default
+	Secure   *certs.Listener
+}
+
+// Server serves proxies.
+type Server struct {
+	Options
+	Handler front.Handler
+	Callers front.Callers // nil where nobody asks who is calling
+	Log     zerolog.Logger
+	Counts  *counters.Counters
+	Room    *room.Room
+	Clock   clock.Clock
+
+	closing atomic.Bool
+	streams atomic.Int64
+	health  *health.Server
+
+	mu    sync.Mutex // of what follows; taken under the node's lock, and held for no call
+	table *calls.Table
+	asks  map[calls.ID]*ask
+
+	lineMu sync.Mutex
+	line   calls.Line[*ask]
+	wake   chan struct{}
+}
+
+// Serve serves until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.begin()
+	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(longestMessage), grpc.MaxConcurrentStreams(uint32(s.table.Open)),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveEach, Timeout: keepaliveIn}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveIn, PermitWithoutStream: true})}
+	if s.Secure != nil {
+		c := s.Secure.Config()
+		c.NextProtos = []string{"h2"}
+		options = append(options, grpc.Creds(credentials.NewTLS(c)))
+	}
+	server := grpc.NewServer(options...)
+	procv3.RegisterExternalProcessorServer(server, s)
+	healthpb.RegisterHealthServer(server, s.health)
+	var all sync.WaitGroup
+	all.Go(func() { s.decide(ctx) })
+	all.Go(func() { s.pass(ctx) })
+	all.Go(func() {
+		<-ctx.Done()
+		stop := time.AfterFunc(stopsIn, server.Stop)
+		defer stop.Stop()
+		server.GracefulStop()
+	})
+	err := server.Serve(l)
+	all.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return fmt.Errorf("external processor: %w", err)
+}
+
+func (s *Server) begin() {
+	var seed [32]byte
+	_, _ = crypto.Read(seed[:])
+	s.table, s.asks = calls.New(s.Calls, seed), map[calls.ID]*ask{}
+	s.line.Most, s.wake, s.health = s.table.Open, make(chan struct{}, 1), health.NewServer()
+	s.health.SetServingStatus("", healthpb.HealthCheckResponse_SERVING)
+}
+
+// Close has all that comes from now on shed at once, and proxies told so.
+func (s *Server) Close() {
+	s.closing.Store(true)
+	if s.health != nil {
+		s.health.SetServingStatus("", healthpb.HealthCheckResponse_NOT_SERVING)
+	}
+}
+
+// Quiet tells whether no GET is open.
+func (s *Server) Quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table == nil || s.table.Len() == 0
+}
+
+// Count is how many GETs and streams are open.
+func (s *Server) Count() (gets int, streams int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Len(), s.streams.Load()
+}
+
+// decide hands GETs to the handler, one after the other: the line is where a burst waits, not the handler's lock.
+func (s *Server) decide(ctx context.Context) {
+	for {
+		s.lineMu.Lock()
+		a, ok := s.line.Next(s.Clock.Now())
+		s.lineMu.Unlock()
+		if ok {
+			s.enter(a)
+			continue
+		}
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// enter hands a GET on, unless its time was over. One whose time ends meanwhile is given up behind.
+func (s *Server) enter(a *ask) {
+	if !a.entered.CompareAndSwap(inLine, entering) {
+		return
+	}
+	s.Handler.Process(a.as, a.get)
+	a.entered.Store(taken)
+	if a.abandoned.Load() {
+		s.Handler.GiveUp(a.as)
+	}
+}
+
+// abandon gives up a GET that has had the operator's choice.
+func (s *Server) abandon(a *ask) {
+	a.abandoned.Store(true)
+	if !a.entered.CompareAndSwap(inLine, passedBy) && a.entered.Load() == taken {
+		s.Handler.GiveUp(a.as)
+	}
+	s.over(a)
+}
+
+// over closes a GET's books.
+func (s *Server) over(a *ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.End(a.row)
+	delete(s.asks, a.row.ID)
+}
+
+// pass gives up GETs whose hold is over.
+func (s *Server) pass(ctx context.Context) {
+	each := time.NewTicker(passEach)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, a := range s.passed() {
+			s.Counts.ProxyHeld.Add(1)
+			s.Handler.GiveUp(a.as)
+		}
+	}
+}
+
+func (s *Server) passed() (gone []*ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for row, ok := s.table.Pass(now); ok; row, ok = s.table.Pass(now) {
+		if a := s.asks[row.ID]; a != nil {
+			gone = append(gone, a)
+			delete(s.asks, row.ID)
+		}
+	}
+	return gone
+}
+
+// stream is one stream of a proxy.
+type stream struct {
+	*Server
+	grpc   procv3.ExternalProcessor_ProcessServer
+	proxy  uint64
+	conn   *callers.Conn
+	ask    *ask // nil before it has asked, and where it went on unrouted
+	asked  bool
+	told   bool // a response was told
+	ended  bool // the proxy was given its final answer: nothing more may come
+	closes time.Time
+}
+
+// Process is one stream: a request, and how it went.
+func (s *Server) Process(g procv3.ExternalProcessor_ProcessServer) error {
+	s.streams.Add(1)
+	defer s.streams.Add(-1)
+	st := &stream{Server: s, grpc: g, closes: time.Now().Add(clock.Duration(cmp.Or(s.Speaks, speaksIn)))}
+	st.proxy, st.conn = s.identify(g.Context())
+	defer st.end()
+	messages, failed := make(chan *procv3.ProcessingRequest, ahead), make(chan error, 1)
+	go func() {
+		for {
+			m, err := g.Recv()
+			if err != nil {
+				failed <- err
+				return
+			}
+			select {
+			case messages <- m:
+			case <-g.Context().Done(): // all of the line is full, and nobody hears the answers
+				failed <- g.Context().Err()
+				return
+			}
+		}
+	}()
+	for {
+		timer := time.NewTimer(time.Until(st.closes))
+		select {
+		case m := <-messages:
+			timer.Stop()
+			if err := st.take(m); err != nil {
+				return err
+			}
+		case err := <-failed:
+			timer.Stop()
+			return st.rest(messages, err)
+		case <-timer.C:
+			return status.Error(codes.DeadlineExceeded, "nothing came in its time")
+		}
+	}
+}
+
+// rest takes what came before the end of a stream: a response that was told still proves what it does.
+func (st *stream) rest(messages <-chan *procv3.ProcessingRequest, end error) error {
+	for {
+		select {
+		case m := <-messages:
+			if err := st.take(m); err != nil {
+				return err
+			}
+			continue
+		default:
+		}
+		if errors.Is(end, io.EOF) {
+			return nil
+		}
+		return end
+	}
+}
+
+// identify tells proxies apart: by certificate where there is one, else by address.
+func (s *Server) identify(ctx context.Context) (uint64, *callers.Conn) {
+	sum := fnv.New64a()
+	conn := &callers.Conn{}
+	if p, ok := peer.FromContext(ctx); ok {
+		if at, err := netip.ParseAddrPort(p.Addr.String()); err == nil {
+			conn.Remote = at.Addr()
+			_, _ = sum.Write(at.Addr().AsSlice())
+		}
+		if secured, ok := p.AuthInfo.(credentials.TLSInfo); ok {
+			if conn.Certificate = certs.Facts(tls.ConnectionState(secured.State)); conn.Certificate != nil {
+				_, _ = sum.Write([]byte(conn.Certificate.Serial.Issuer + conn.Certificate.Serial.Number))
+			}
+		}
+	}
+	if s.Callers == nil {
+		conn = nil
+	}
+	return sum.Sum64(), conn
+}
+
+// take takes a message.
+func (st *stream) take(m *procv3.ProcessingRequest) error {
+	if m.ObservabilityMode { // nobody hears what is said
+		return nil
+	}
+	var out *procv3.ProcessingResponse
+	var err error
+	switch r := m.Request.(type) {
+	case *procv3.ProcessingRequest_RequestHeaders:
+		if st.asked {
+			return status.Error(codes.InvalidArgument, "request headers twice")
+		}
+		st.asked = true
+		out = st.request(r.RequestHeaders)
+	case *procv3.ProcessingRequest_ResponseHeaders:
+		if !st.asked || st.told {
+			return status.Error(codes.InvalidArgument, "response headers before the request's, or twice")
+		}
+		st.told = true
+		out, err = st.response(r.ResponseHeaders)
+	default:
+		out = passOn(m)
+	}
+	if err != nil || out == nil {
+		return err
+	}
+	if err := st.grpc.Send(out); err != nil {
+		return err
+	}
+	if body := out.GetImmediateResponse().GetBody(); len(body) > 0 {
+		st.Room.Give(len(body))
+	}
+	return nil
+}
+
+// request decides on a request.
+func (st *stream) request(h *procv3.HttpHeaders) *procv3.ProcessingResponse {
+	st.Counts.ProxyCalls.Add(1)
+	asked, err := st.Rules.Read(h.GetHeaders())
+	switch {
+	case errors.Is(err, ErrNoRule): // not ours to decide
+		st.Counts.ProxyPassed.Add(1)
+		return continueRequest(nil)
+	case errors.Is(err, ErrLong):
+		st.Counts.Unusable.Add(1)
+		return st.Rules.immediate(&final{status: statusTooLong})
+	case err != nil:
+		st.Counts.Unusable.Add(1)
+		return st.Rules.immediate(&final{status: statusBad})
+	case st.closing.Load():
+		st.Counts.Shed.Add(1)
+		return st.Rules.immediate(&final{status: statusShed, wait: 1})
+	}
+	by := time.Now().Add(time.Duration(st.Decide * float64(time.Second)))
+	if asked.Again != 0 && st.again(asked) {
+		return st.decided(by)
+	}
+	if !st.first(asked) {
+		st.Counts.Shed.Add(1)
+		return st.Rules.immediate(&final{status: statusShed})
+	}
+	return st.decided(by)
+}
+
+// first puts a new GET in line; false if there is no place for it.
+func (st *stream) first(asked Asked) bool {
+	st.mu.Lock()
+	now := st.Clock.Now()
+	row := st.table.Begin(st.proxy, now+asked.Budget)
+	if row == nil {
+		st.mu.Unlock()
+		return false
+	}
+	a := &ask{server: st.Server, row: row, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
+	a.get.ID, a.get.Conn = fmt.Sprintf("%016x", uint64(row.ID)), st.conn
+	if a.as = a; st.Rules.Routing {
+		a.as = routed{a}
+	}
+	st.asks[row.ID] = a
+	st.mu.Unlock()
+	st.ask, st.closes = a, time.Now().Add(clock.Duration(asked.Budget)+linger)
+	st.lineMu.Lock()
+	in := st.line.Put(false, now+st.Decide, a)
+	st.lineMu.Unlock()
+	if !in {
+		a.entered.Store(passedBy)
+		st.over(a)
+		st.ask = nil
+		return false
+	}
+	select {
+	case st.Server.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// again goes on with a GET of this proxy that waits for it; false if there is none.
+func (st *stream) again(asked Asked) bool {
+	st.mu.Lock()
+	row, proof := st.table.Again(st.Clock.Now(), st.proxy, asked.Again, asked.Unsent)
+	a := st.asks[asked.Again]
+	st.mu.Unlock()
+	if row == nil || a == nil {
+		return false
+	}
+	st.Counts.ProxyAgain.Add(1)
+	st.ask, st.closes = a, time.Now().Add(clock.Duration(row.Until-st.Clock.Now())+linger)
+	if route := a.current(); route != nil && proof != calls.Nothing {
+		route.End(func(float64) (control.Outcome, control.Note, bool) { return outcomes[proof], control.NoNote, true })
+	}
+	return true
+}
+
+// decided waits for what there is to say of a GET; what does not come in its time is the operator's choice.
+func (st *stream) decided(by time.Time) *procv3.ProcessingResponse {
+	a := st.ask
+	route, f, ok := a.wait(by)
+	switch {
+	case !ok:
+		return st.choice(a)
+	case f != nil:
+		st.over(a)
+		st.ask = nil
+		return st.Rules.immediate(f)
+	}
+	st.mu.Lock()
+	st.table.Name(st.Clock.Now(), a.row, route.Number)
+	sendIn := a.row.SendBy - st.Clock.Now()
+	st.mu.Unlock()
+	return st.Rules.sends(st.Rules.routeHeaders(route, a.row.ID, sendIn, time.Now()), st.Metadata)
+}
+
+// choice is what the operator has chosen for what can't be decided in its time; the GET is given up.
+func (st *stream) choice(a *ask) *procv3.ProcessingResponse {
+	st.Counts.ProxyLate.Add(1)
+	st.abandon(a)
+	st.ask = nil
+	if st.Options.Open {
+		return continueRequest(nil)
+	}
+	return st.Rules.immediate(&final{status: statusShed, wait: 1})
+}
+
+// outcomes is what the module is told of a proof.
+var outcomes = map[calls.Proof]control.Outcome{calls.Returned: control.Returned, calls.HostError: control.HostError,
+	calls.Full: control.NotTaken, calls.TooOld: control.NotTaken, calls.Lacks: control.Empty, calls.Unreached: control.Unreached,
+	calls.Dropped: control.Dropped}
+
+// notes is what hosts say of a hit or a fill in a header.
+var notes = map[string]control.Note{"hit": control.Hit, "filled": control.Filled, "origin": control.FilledByOrigin, "joined": control.Joined,
+	"source-refused": control.SourceRefused, "source-failed": control.SourceFailed, "source-lacks": control.SourceLacks, "origin-failed": control.OriginFailed}
+
+// response takes how a forward went, and says what the client gets.
+func (st *stream) response(h *procv3.HttpHeaders) (*procv3.ProcessingResponse, error) {
+	a := st.ask
+	if a == nil || a.current() == nil { // it went on unrouted
+		return continueResponse(nil), nil
+	}
+	reply, note, err := st.Rules.reply(h.GetHeaders())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if _, f := a.more(); f != nil {
+		return st.last(a, f), nil
+	}
+	route, proofs := a.current(), make(chan calls.Proof, 1)
+	route.End(func(oldest float64) (control.Outcome, control.Note, bool) {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		proof := st.table.Replied(st.Clock.Now(), a.row, reply, oldest, route.HeldOnly)
+		proofs <- proof
+		return outcomes[proof], notes[note], proof != calls.Nothing
+	})
+	by := time.NewTimer(time.Duration(st.Decide * float64(time.Second)))
+	defer by.Stop()
+	select {
+	case proof := <-proofs:
+		return st.proven(a, proof), nil
+	case <-by.C: // the GET is over, or the processor is slow: a copy that nobody has looked at may be too old
+		if _, f := a.more(); f != nil {
+			return st.last(a, f), nil
+		}
+		st.choice(a)
+		return st.Rules.immediate(&final{status: statusShed, wait: 1}), nil
+	}
+}
+
+// proven says what the client gets of a response: the copy, the answer that the proxy may come again on, or the final one.
+func (st *stream) proven(a *ask, proof calls.Proof) *procv3.ProcessingResponse {
+	if proof == calls.Returned {
+		st.over(a)
+		st.ask = nil
+		return continueResponse(mutation(nil, st.Rules.Prefix+"again"))
+	}
+	st.ask = nil // a further call's stream has it from now on, or the hold
+	waits, f := a.more()
+	switch {
+	case f != nil:
+		return st.last(a, f)
+	case waits && proof != calls.TooOld:
+		return continueResponse(mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}}))
+	case waits: // the copy itself must not go out
+		out := st.Rules.immediate(&final{status: statusShed})
+		out.GetImmediateResponse().Headers = mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}})
+		return out
+	}
+	return st.Rules.immediate(&final{status: statusFailed})
+}
+
+func (st *stream) last(a *ask, f *final) *procv3.ProcessingResponse {
+	st.over(a)
+	st.ask = nil
+	return st.Rules.immediate(f)
+}
+
+// end takes the end of the stream.
+func (st *stream) end() {
+	a := st.ask
+	if a == nil {
+		return
+	}
+	st.mu.Lock()
+	proof := st.table.Ended(st.Clock.Now(), a.row)
+	if proof == calls.Left {
+		delete(st.asks, a.row.ID)
+	}
+	st.mu.Unlock()
+	if proof == calls.Left {
+		st.abandon(a)
+	}
+}
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -3,6 +3,7 @@
 package extras
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
+	"elderwall/internal/extproc"
 	"elderwall/internal/gate"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
@@ -26,6 +28,7 @@
 	told     *operator.Config
 	gate     *gate.Gate // nil where nobody asks who is calling
 	secure   certs.Listener
+	proxies  certs.Listener
 	cores    int // that the command line says, before the file; 0 where it says none
 }
 
@@ -65,6 +68,35 @@
 	return all, e.gate, e.gate.Take(*e.told.Callers, e.told.Keys)
 }
 
+// beside is the front for proxies, with its listener.
+type beside struct {
+	*extproc.Server
+	listener net.Listener
+}
+
+// Serve serves until the context ends.
+func (b beside) Serve(ctx context.Context) error { return b.Server.Serve(ctx, b.listener) }
+
+// Beside opens the front for proxies that ask.
+func (e *Extras) Beside(to service.Handling) ([]service.Beside, error) {
+	t := e.told.Proxies
+	if t == nil {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for proxies: %w", err)
+	}
+	o := t.Options
+	if t.Material != nil {
+		e.proxies.Take(t.Material)
+		o.Secure = &e.proxies
+	}
+	to.Log.Info().Str("listen", t.Listen).Bool("routing", o.Rules.Routing).Msg("listens for proxies")
+	return []service.Beside{beside{&extproc.Server{Options: o, Handler: to.Handler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
+		Room: to.Room, Clock: to.Clock}, l}}, nil
+}
+
 // Cores tells how many cores are used and how GETs are divided.
 func (e *Extras) Cores() service.Cores { return e.told.Cores }
 
@@ -77,7 +109,7 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, and the listener for TLS, are turned on, off or moved by a restart alone")
+var errTurned = errors.New("operator's file: callers, and the listeners for TLS and for proxies, are turned on, off or moved by a restart alone")
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -93,7 +125,8 @@
 	}
 	was := e.told
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
-		was.TLS != nil && was.TLS.Listen != to.TLS.Listen {
+		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
+		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
 	return func(log zerolog.Logger) error { return e.take(log, to) }, nil
@@ -111,6 +144,9 @@
 		e.secure.Take(&to.TLS.Material)
 		stale(log, to.TLS)
 	}
+	if to.Proxies != nil && to.Proxies.Material != nil {
+		e.proxies.Take(to.Proxies.Material)
+	}
 	e.told = to
 	return nil
 }
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -18,10 +19,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"google.golang.org/grpc/credentials"
 
 	"elderwall/callers"
 	"elderwall/internal/service"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/proxy"
 	"elderwall/internal/token"
 )
 
@@ -556,3 +559,35 @@
 	assert.GreaterOrEqual(t, r.log.count(`"message":"counters"`), 3, "of each shard that there is, and their sum")
 	assert.Equal(t, 1, r.log.count(`"GETs":32,`))
 }
+
+// Proxies that ask, by the operator's file, over TLS and with callers: a proxy's token names the caller, its certificate the
+// proxy; a drain ends it all.
+func TestProxiesThatAsk(t *testing.T) {
+	address := standin.Free()
+	r := newRigWith(t, true, fmt.Sprintf(`proxies: { listen: %q, decide: '2s', tls: { certificate: 'server.pem', key: 'server.key', authorities: 'clients.pem', required: true },
+		paths: [{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment', budget: '5s' }] },`, address))
+	config := r.authority.Client("edge-1", "spiffe://x/edge/1", time.Now().Add(time.Hour))
+	config.ServerName = "127.0.0.1"
+	p, err := proxy.Dial(address, credentials.NewTLS(config))
+	require.NoError(t, err)
+	defer p.Close()
+	p.Cache = func(host string, _ map[string]string) proxy.Answer {
+		assert.Equal(t, r.host.Address, host)
+		return proxy.Answer{Status: 200}
+	}
+	ask := func(token string) proxy.Outcome {
+		return p.Do(t.Context(), "/clips/7f3a9c21e0b4d655/3", proxy.None, "authorization", "Bearer "+token)
+	}
+	o := ask(r.token("k1", "counter", "a"))
+	require.NoError(t, o.Err)
+	assert.Equal(t, []int{200, 1}, []int{o.Status, len(o.Hosts)})
+	o = ask(r.token("k1", "reseller", "b"))
+	assert.Equal(t, []any{403, "denied"}, []any{o.Status, o.Headers["x-elderwall-reason"]})
+	assert.Equal(t, 403, ask("forged").Status)
+	plain, err := proxy.Dial(address, nil)
+	require.NoError(t, err)
+	defer plain.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	assert.Error(t, plain.Do(ctx, "/clips/7f3a9c21e0b4d655/3", proxy.None).Err, "TLS alone")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,16 @@
 	number int
 	at     float64
 	back   bool
+	router call.Router // whose proxy sends it; nil where it goes out here
+}
+
+// stop ends the wait for it.
+func (f *forward) stop() {
+	if f.router != nil {
+		f.router.Withdraw(f.number)
+		return
+	}
+	f.Stop()
 }
 
 // New makes a node and its module.
@@ -134,7 +144,7 @@
 func (n *Node) expire(g *get) {
 	for _, f := range g.forwards {
 		if !f.back {
-			f.Stop()
+			f.stop()
 			n.Options.Counts.Expired.Add(1)
 			n.back(f, control.Answer{Outcome: control.Expired})
 		}
@@ -232,7 +242,7 @@
 }
 
 // written tells whether a host may have got a forward whole.
-func written(f *forward) bool { return f.Written() }
+func written(f *forward) bool { return f.router != nil || f.Written() }
 
 // unsent counts a GET that is given up after half its time with no forward written whole, which is charged for.
 func (n *Node) unsent(g *get) {
--- /dev/null
+++ b/internal/node/route.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"elderwall/control"
+	"elderwall/internal/call"
+)
+
+// route has a forward sent by the proxy that asked.
+func (n *Node) route(f *forward, out control.Forward) {
+	h := n.hosts[out.Host]
+	r := call.Route{Number: f.number, Host: h.name, Address: h.address, Rank: out.Rank, MaxAge: out.MaxAge, Join: out.Join,
+		Renew: out.Renew, HeldOnly: out.HeldOnly, Budget: f.get.until - f.at}
+	if s := n.hosts[out.Source]; out.Source != out.Host {
+		r.Source, r.SourceAddress = s.name, s.address
+	}
+	r.End = func(proof func(oldest float64) (control.Outcome, control.Note, bool)) {
+		n.call(func(now float64) { n.routed(now, f, proof) })
+	}
+	f.router.Route(r)
+}
+
+// routed takes the end of a forward that a proxy sent.
+func (n *Node) routed(now float64, f *forward, proof func(oldest float64) (control.Outcome, control.Note, bool)) {
+	g := f.get
+	if g.over {
+		return
+	}
+	outcome, note, ok := proof(n.module.MaxAge(now, g.id))
+	if f.back { // not waited for any more, and here all the same: the client gets it
+		if ok && outcome == control.Returned {
+			n.Options.Counts.Returned.Add(1)
+			n.close(g, false)
+			n.module.Left(now, g.id)
+		}
+		return
+	}
+	if !ok {
+		return
+	}
+	n.ending(outcome).Add(1)
+	if outcome == control.Returned && !g.over {
+		n.Options.Counts.Returned.Add(1)
+		n.close(g, false)
+	}
+	n.back(f, control.Answer{Outcome: outcome, Note: note})
+}
+
+// ending is the counter of how a routed forward ended.
+func (n *Node) ending(o control.Outcome) *atomic.Int64 {
+	c := n.Options.Counts
+	switch o {
+	case control.Returned:
+		return &c.Hit
+	case control.HostError:
+		return &c.Fault
+	case control.NotTaken:
+		return &c.Full
+	case control.Empty:
+		return &c.None
+	case control.Unreached:
+		return &c.Unreached
+	}
+	return &c.Unanswered
+}
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -233,7 +233,7 @@
 		for _, f := range g.forwards {
 			if !f.back {
 				f.back = true
-				f.Stop()
+				f.stop()
 			}
 		}
 		g.out = 0
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"elderwall/control"
+	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/upstream"
 )
@@ -33,6 +34,10 @@
 		n.back(f, control.Answer{Outcome: control.NotTaken})
 		return
 	}
+	if f.router, _ = g.call.(call.Router); f.router != nil {
+		n.route(f, out)
+		return
+	}
 	if err := n.hosts[out.Host].Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
@@ -46,7 +51,7 @@
 		return
 	}
 	w.Options.Counts.Stopped.Add(1)
-	g.forwards[number].Stop()
+	g.forwards[number].stop()
 	w.back(g.forwards[number], control.Answer{Outcome: control.Revoked})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 
 	"elderwall/callers"
 	"elderwall/internal/certs"
+	"elderwall/internal/extproc"
 	"elderwall/internal/service"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
@@ -28,6 +29,14 @@
 	Keys    map[string]*token.Key // that tokens may be signed by
 	TLS     *TLS                  // nil where there is no listener for it
 	Cores   service.Cores
+	Proxies *Proxies // nil where none may ask
+}
+
+// Proxies is the listener for proxies that ask for each request, with what is said of them.
+type Proxies struct {
+	Listen string
+	extproc.Options
+	Material *certs.Material // nil for a plain one
 }
 
 // TLS is a listener beside the plain one.
@@ -83,6 +92,9 @@
 	if t := o.Inner("tls"); t != nil {
 		d.tls(t)
 	}
+	if p := o.Inner("proxies"); p != nil {
+		d.proxies(p)
+	}
 	if c := o.Inner("cores"); c != nil {
 		d.cores(c)
 	}
--- /dev/null
+++ b/internal/operator/proxies.go
@@ -0,0 +1,97 @@
+package operator
+
+import (
+	"regexp"
+	"slices"
+
+	"elderwall/calls"
+	"elderwall/internal/certs"
+	"elderwall/internal/extproc"
+	"elderwall/internal/strict"
+)
+
+const (
+	prefixDefault = "x-elderwall-"
+	decideDefault = 0.005 // s; a decision takes microseconds, so what waits for longer waits for the machine
+	mostPaths     = 1000
+	mostOpen      = 1 << 20
+	mostBudget    = 3600.0 // s
+)
+
+var prefixPattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,30}-$`)
+
+// proxies reads the listener for proxies that ask for each request.
+func (d *decoder) proxies(o *strict.Object) {
+	p := &Proxies{Options: extproc.Options{Decide: decideDefault, Rules: extproc.Rules{Prefix: prefixDefault},
+		Calls: calls.Settings{Open: calls.DefaultOpen, Share: calls.DefaultShare, Hold: calls.DefaultHold}}}
+	o.Address("listen", &p.Listen)
+	if p.Listen == "" {
+		o.Fault("listen", "is needed")
+	}
+	mode, late := "routing", "shed"
+	o.Word("mode", &mode, "routing", "immediate")
+	o.Word("late", &late, "shed", "pass")
+	p.Rules.Routing, p.Open = mode == "routing", late == "pass"
+	o.Duration("decide", &p.Decide, 0.0005, 10)
+	o.Duration("hold", &p.Calls.Hold, 0.01, 60)
+	o.Count("open", &p.Calls.Open, 1, mostOpen)
+	o.Number("share", &p.Calls.Share, 0.001, 1)
+	o.Flag("metadata", &p.Metadata)
+	if o.Text("prefix", &p.Rules.Prefix); !prefixPattern.MatchString(p.Rules.Prefix) {
+		o.Fault("prefix", `must be small letters, digits and "-", and end with "-"`)
+	}
+	paths := o.List("paths")
+	if len(paths) == 0 || len(paths) > mostPaths {
+		o.Fault("paths", "must be 1 to %d", mostPaths)
+	}
+	for i, v := range paths {
+		d.path(o.Element("paths", i, v), p)
+	}
+	if t := o.Inner("tls"); t != nil {
+		p.Material = d.material(t)
+		if s := d.config.Callers; s != nil && p.Material != nil {
+			s.Authorities = append(s.Authorities, p.Material.Prints...)
+		}
+	}
+	o.Done()
+	d.config.Proxies = p
+}
+
+func (d *decoder) path(o *strict.Object, p *Proxies) {
+	rule, text := extproc.Path{Budget: 1.5}, ""
+	o.Text("match", &text)
+	o.Text("service", &rule.Service)
+	o.Duration("budget", &rule.Budget, 0.01, mostBudget)
+	o.Done()
+	var err error
+	if rule.Pattern, err = regexp.Compile("^(?:" + text + ")$"); err != nil || text == "" || rule.Pattern.SubexpIndex("object") < 0 {
+		o.Fault("match", "must be a regular expression with a group named object, such as \"/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)\"")
+		return
+	}
+	if !d.open && !slices.Contains(d.services, rule.Service) || rule.Service == "" {
+		o.Fault("service", "%q is no delivery service", rule.Service)
+	}
+	p.Rules.Paths = append(p.Rules.Paths, rule)
+}
+
+// material reads the certificates of a listener.
+func (d *decoder) material(o *strict.Object) *certs.Material {
+	m := &certs.Material{}
+	chain, _, haveChain := d.file(o, "certificate")
+	key, keyPath, haveKey := d.file(o, "key")
+	authorities, _, _ := d.file(o, "authorities")
+	o.Flag("required", &m.Required)
+	o.Done()
+	if !haveChain || !haveKey {
+		o.Fault("certificate", "and key are needed, each the name of a PEM file")
+		return nil
+	}
+	d.secret(o, "key", keyPath)
+	if err := m.Read(chain, key, authorities, nil); err != nil {
+		d.Each(o.At("certificate"), err)
+	}
+	if m.Required && authorities == nil {
+		o.Fault("authorities", "is needed where certificates are required")
+	}
+	return m
+}
--- /dev/null
+++ b/internal/operator/proxies_test.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const onePath = `{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment' }`
+
+func TestProxies(t *testing.T) {
+	c, err := decode("f", fmt.Sprintf(`{proxies: {listen: '127.0.0.1:9002', paths: [%s], decide: '8ms', late: 'pass', hold: '300ms', share: 0.25, open: 100, metadata: true}}`, onePath), services)
+	require.NoError(t, err)
+	p := c.Proxies
+	assert.Equal(t, []any{"127.0.0.1:9002", 0.008, true, 0.3, 0.25, 100, true, true}, []any{p.Listen, p.Decide, p.Open, p.Calls.Hold, p.Calls.Share, p.Calls.Open, p.Metadata, p.Rules.Routing})
+	assert.True(t, p.Rules.Paths[0].Pattern.MatchString("/clips/7f3a9c21e0b4d655/3"))
+	assert.False(t, p.Rules.Paths[0].Pattern.MatchString("/x/clips/7f3a9c21e0b4d655/3"), "the whole path")
+	for text, want := range map[string]string{
+		`{paths: [%s]}`:           "proxies.listen: is needed",
+		`{listen: '127.0.0.1:1'}`: "proxies.paths: must be 1",
+		`{listen: '127.0.0.1:1', paths: [%s], decide: 5}`:                                  "proxies.decide",
+		`{listen: '127.0.0.1:1', paths: [%s], decide: '5'}`:                                "proxies.decide",
+		`{listen: '127.0.0.1:1', paths: [%s], late: 'never'}`:                              "proxies.late",
+		`{listen: '127.0.0.1:1', paths: [%s], mode: 'both'}`:                               "proxies.mode",
+		`{listen: '127.0.0.1:1', paths: [%s], share: 2}`:                                   "proxies.share",
+		`{listen: '127.0.0.1:1', paths: [%s], prefix: 'X-Elder'}`:                          "proxies.prefix",
+		`{listen: '127.0.0.1:1', paths: [%s], unknown: 1}`:                                 "proxies.unknown",
+		`{listen: '127.0.0.1:1', paths: [%s], tls: {}}`:                                    "proxies.tls.certificate",
+		`{listen: '127.0.0.1:1', paths: [{match: '(', service: 'segment'}]}`:               "match",
+		`{listen: '127.0.0.1:1', paths: [{match: '/a', service: 'segment'}]}`:              "a group named object",
+		`{listen: '127.0.0.1:1', paths: [{match: '/(?P<object>.*)', service: 'nothing'}]}`: "no delivery service",
+		`{listen: 'nowhere', paths: [%s]}`:                                                 "proxies.listen",
+	} {
+		text = strings.ReplaceAll(text, "%s", onePath)
+		_, err := decode("f", "{proxies: "+text+"}", services)
+		assert.ErrorContains(t, err, want, text)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -50,10 +51,32 @@
 	Open(log zerolog.Logger, counts *counters.Counters) ([]net.Listener, Gate, error)
 	// Read reads the file again. What it gives puts all of it in force; an error leaves the old one in force.
 	Read() (take func(log zerolog.Logger) error, err error)
+	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
+	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
 	Cores() Cores
 }
 
+// Handling is what a front needs of the service.
+type Handling struct {
+	front.Handler
+	Callers front.Callers // nil where nobody asks who is calling
+	Log     zerolog.Logger
+	Counts  *counters.Counters
+	Room    *room.Room
+	Clock   clock.Clock
+}
+
+// Beside is a front with its listener.
+type Beside interface {
+	// Serve serves until the context ends.
+	Serve(ctx context.Context) error
+	// Close has all that comes from now on refused at once.
+	Close()
+	// Quiet tells whether nothing is open.
+	Quiet() bool
+}
+
 // Cores is what a process has for its work.
 type Cores struct {
 	Count  int // cores, 0 for what the platform's configuration says
@@ -127,6 +150,7 @@
 	group     *cores.Group // the same where there are shards, else nil
 	counts    *counters.Counters
 	fronts    fronts
+	beside    []Beside
 	moves     chan string // to the change log's new address
 	listeners []net.Listener
 }
@@ -184,6 +208,14 @@
 	if gate != nil {
 		group.Go(func() error { return s.review(ctx) })
 	}
+	if err := s.openBeside(n.Clock, o.Room, gate); err != nil {
+		s.closeListeners()
+		cancel()
+		return errors.Join(err, group.Wait())
+	}
+	for _, b := range s.beside {
+		group.Go(func() error { return b.Serve(ctx) })
+	}
 	group.Go(func() error {
 		defer cancel()
 		defer s.closeListeners()
@@ -196,6 +228,32 @@
 	return err
 }
 
+// openBeside opens the fronts of other protocols.
+func (s *service) openBeside(c clock.Clock, r *room.Room, gate Gate) (err error) {
+	if s.extension == nil {
+		return nil
+	}
+	to := Handling{Handler: s.core, Log: s.log, Counts: s.counts, Room: r, Clock: c}
+	if gate != nil {
+		to.Callers = gate
+	}
+	s.beside, err = s.extension.Beside(to)
+	return err
+}
+
+// Close has all calls that come from now on refused at once, whichever way they come.
+func (s *service) Close() {
+	s.fronts.Close()
+	for _, b := range s.beside {
+		b.Close()
+	}
+}
+
+// Quiet tells whether nothing is open, whichever way it came.
+func (s *service) Quiet() bool {
+	return s.fronts.Quiet() && !slices.ContainsFunc(s.beside, func(b Beside) bool { return !b.Quiet() })
+}
+
 // logCounts writes the counters: of shards each shard's, and the sum.
 func (s *service) logCounts() {
 	all := []*counters.Counters{s.counts}
@@ -269,7 +327,7 @@
 				drained = make(chan bool)
 				go func() {
 					defer close(drained)
-					drain(s.log, s.core.Drain, s.fronts, s.closeListeners, s.config.longest()+unread)
+					drain(s.log, s.core.Drain, s, s.closeListeners, s.config.longest()+unread)
 				}()
 			}
 		case <-drained:
