--- a/internal/extproc/bench_test.go
+++ b/internal/extproc/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -57,3 +58,32 @@
 		})
 	}
 }
+
+// BenchmarkOpenCalls is the memory of a call that is open, of the processor and the stand-in proxy together.
+func BenchmarkOpenCalls(b *testing.B) {
+	const n = 2000
+	for range b.N {
+		r := newRig(b, func(o *Options) { o.Decide = 2 })
+		p := r.proxy()
+		defer p.Close()
+		p.Do(context.Background(), path, proxy.None)
+		p.Linger = 3 * time.Second
+		before := used()
+		var all sync.WaitGroup
+		for i := range n {
+			all.Go(func() { p.Do(context.Background(), fmt.Sprintf("/clips/object-%d/0", i%100), proxy.Silent) })
+		}
+		time.Sleep(2 * time.Second)
+		gets, _ := r.Count()
+		b.ReportMetric(float64(used()-before)/float64(max(1, gets)), "B/call")
+		b.ReportMetric(float64(gets), "open")
+		all.Wait()
+	}
+}
+
+func used() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -330,6 +330,25 @@
 	require.NoError(t, err)
 }
 
+// Two proxies that give their requests the same ids have GETs of their own.
+func TestTheSameRequestIDs(t *testing.T) {
+	r := newRig(t, nil)
+	var all sync.WaitGroup
+	for range 2 {
+		p := r.proxy()
+		t.Cleanup(p.Close)
+		all.Go(func() {
+			for i := range 50 {
+				o := p.Do(t.Context(), path, proxy.None, "x-request-id", fmt.Sprint(i))
+				assert.Equal(t, []int{200, 1}, []int{o.Status, o.Answers})
+			}
+		})
+	}
+	all.Wait()
+	r.quiet()
+	assert.EqualValues(t, 100, r.Counts.Returned.Load())
+}
+
 // A purge between the decision and the answer: a copy from before it, or one that may be, does not go out.
 func TestAPurgeBetweenDecisionAndAnswer(t *testing.T) {
 	r := newRig(t, nil)
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -584,6 +584,22 @@
 	o = ask(r.token("k1", "reseller", "b"))
 	assert.Equal(t, []any{403, "denied"}, []any{o.Status, o.Headers["x-elderwall-reason"]})
 	assert.Equal(t, 403, ask("forged").Status)
+	var stop atomic.Bool
+	var all sync.WaitGroup
+	token := r.token("k1", "counter", "c")
+	for range 4 {
+		all.Go(func() {
+			for !stop.Load() {
+				o := ask(token)
+				assert.Equal(t, []int{200, 1}, []int{o.Status, o.Answers})
+			}
+		})
+	}
+	for range 3 { // under load
+		r.reload("callers read again")
+	}
+	stop.Store(true)
+	all.Wait()
 	plain, err := proxy.Dial(address, nil)
 	require.NoError(t, err)
 	defer plain.Close()
