GETs for the same part may share a forward, which goes on for as long as anybody needs it

A part that many ask for at once was forwarded for each of them, and work whose asker left stopped whoever else waited for the same.

joint (pure) decides who leads, follows, goes on after a failure and is stopped with the last; the node asks it behind the gate. Off without joins in the operator's file.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -29,6 +29,7 @@
 	Handshakes                                 atomic.Int64 // of clients, that failed
 	HostGaveWay                                atomic.Int64 // idle connections to hosts that were closed for other hosts
 	DialsHeld                                  atomic.Int64 // connections to hosts that were not begun as too many had been
+	Joined, TookLead                           atomic.Int64 // GETs that waited for another's forward; of those: went on in the lead
 	ProxyCalls, ProxyPassed, ProxyAgain        atomic.Int64 // proxies' requests; of those: none of ours; further calls
 	ProxyLate, ProxyHeld                       atomic.Int64 // not decided in their time; whose hold was over
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -77,6 +77,9 @@
 // Serve serves until the context ends.
 func (b beside) Serve(ctx context.Context) error { return b.Server.Serve(ctx, b.listener) }
 
+// Joins is the delivery services whose GETs share forwards.
+func (e *Extras) Joins() []bool { return e.told.Joins }
+
 // Beside opens the front for proxies that ask.
 func (e *Extras) Beside(to service.Handling) ([]service.Beside, error) {
 	t := e.told.Proxies
--- /dev/null
+++ b/internal/node/joint.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"elderwall/control"
+	"elderwall/internal/call"
+	"elderwall/joint"
+)
+
+// nearEnd is how many seconds before its viewer timeout a leader that is shed has run out of its own time: the module
+// answers 50 ms ahead, and a tick may pass.
+const nearEnd = 0.075
+
+// newJoint is an empty table, nil where no GETs share a forward.
+func (n *Node) newJoint() *joint.Table[*get] {
+	if n.Joins == nil {
+		return nil
+	}
+	return joint.New[*get]()
+}
+
+// follows tells whether a GET waits for what another is at. Those that hold a copy, carry a body, are sent by a proxy, or
+// must not run twice are alone.
+func (n *Node) follows(now float64, g *get) bool {
+	s := g.asks.Service
+	if n.joint == nil || s >= len(n.Joins) || !n.Joins[s] || n.Settings.Settings.Services[s].Effect != control.Idempotent ||
+		g.request.Tag != "" || len(g.request.Body) > 0 {
+		return false
+	}
+	if _, routed := g.call.(call.Router); routed {
+		return false
+	}
+	key := joint.Key{Service: s, Part: g.asks.Part, Group: g.asks.Group, Object: g.asks.Object}
+	w, role := n.joint.Enter(now, key, g.until, g)
+	if g.waiter = w; role == joint.Follows {
+		n.Options.Counts.Joined.Add(1)
+		return true
+	}
+	return false
+}
+
+// lead hands the module those that go on in the lead.
+func (n *Node) lead(now float64) {
+	leads := n.leads
+	n.leads = nil
+	for _, g := range leads {
+		if !g.over || g.waiter.Needed() {
+			n.module.GET(now, g.asks)
+		}
+	}
+}
+
+// landed hands the bytes that a leader got to those that wait for them; one that there is no room for goes by itself.
+func (n *Node) landed(g *get, body []byte) {
+	if g.waiter == nil {
+		return
+	}
+	now := n.Clock.Now()
+	answered, _ := n.joint.Ended(now, g.waiter, joint.Served)
+	for _, o := range answered {
+		if o.over {
+			continue
+		}
+		if !n.Options.Room.Take(len(body)) {
+			o.waiter = nil
+			n.leads = append(n.leads, o)
+			continue
+		}
+		n.Options.Counts.Returned.Add(1)
+		o.call.Serve(body, false)
+		n.close(o, false)
+	}
+	n.forget(g)
+}
+
+// ends takes the end of a leader that got nothing: those that wait have the same, or one of them goes on.
+func (n *Node) ends(g *get, how joint.How, answer func(*get)) {
+	if g.waiter == nil || n.joint == nil {
+		return
+	}
+	if g.waiter.Follows() { // by its own time
+		if stop, stops := n.joint.Leave(g.waiter); stops {
+			n.module.Left(n.Clock.Now(), stop.id)
+			n.forget(stop)
+		}
+		return
+	}
+	now := n.Clock.Now()
+	if how == joint.Shed && now >= g.until-nearEnd {
+		how = joint.TimeOver
+	}
+	answered, next := n.joint.Ended(now, g.waiter, how)
+	for _, o := range answered {
+		answer(o)
+	}
+	if next != nil {
+		n.Options.Counts.TookLead.Add(1)
+		n.leads = append(n.leads, next.W) // the module is at work on the one that ended
+	}
+	n.forget(g)
+}
+
+// leave takes word that a client no longer waits: its work stops, unless others need it.
+func (n *Node) leave(now float64, g *get) {
+	if g.waiter == nil || n.joint == nil {
+		n.close(g, false)
+		n.module.Left(now, g.id)
+		return
+	}
+	follows := g.waiter.Follows()
+	stop, stops := n.joint.Leave(g.waiter)
+	n.close(g, false)
+	if stops {
+		n.module.Left(now, stop.id)
+		n.forget(stop)
+	} else if !follows && !g.waiter.Needed() {
+		n.module.Left(now, g.id)
+	}
+}
+
+// passJoint answers those that have waited for as long as they can.
+func (n *Node) passJoint(now float64) {
+	if n.joint == nil {
+		return
+	}
+	for over, stop, stops, ok := n.joint.Pass(now); ok; over, stop, stops, ok = n.joint.Pass(now) {
+		n.shed(over, 0)
+		if stops {
+			n.module.Left(now, stop.id)
+			n.forget(stop)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/joint_test.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"elderwall/control"
+	"elderwall/internal/call"
+	"elderwall/internal/changelog"
+	"elderwall/internal/clock"
+	"elderwall/internal/counters"
+	"elderwall/internal/room"
+	"elderwall/internal/standin"
+	"elderwall/internal/upstream"
+	"elderwall/settings"
+)
+
+// client is a call that keeps its answers.
+type client struct {
+	room *room.Room
+	got  chan string
+	n    atomic.Int32
+}
+
+func (c *client) answer(word string) {
+	c.n.Add(1)
+	c.got <- word
+}
+
+func (c *client) Serve(body []byte, _ bool) {
+	c.room.Give(len(body))
+	c.answer("served " + string(body))
+}
+func (c *client) Refuse(int64)        { c.answer("refused") }
+func (c *client) Fail(string)         { c.answer("failed") }
+func (c *client) Mark(int, time.Time) {}
+func (c *client) Marked() int         { return 0 }
+func (c *client) Origin() uint64      { return 0 }
+
+// jointRig is a node whose GETs share forwards, before hosts that a test holds up.
+type jointRig struct {
+	*testing.T
+	*Node
+	asked, stopped atomic.Int64
+	wait           chan bool
+	answer         atomic.Pointer[func(standin.Ask) string]
+	ids            atomic.Int64
+	mu             sync.Mutex
+	clients        []*client
+}
+
+func newJointRig(t *testing.T, joins bool) *jointRig {
+	r := &jointRig{T: t, wait: make(chan bool)}
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	o := &upstream.Options{Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(1 << 24), Context: ctx, Group: group,
+		IdleClose: time.Minute, Streams: 1000, Dialer: net.Dialer{Timeout: time.Second}}
+	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std", "parent", "origin"}, Services: []string{"segment"}, MostHeld: 100_000,
+		Settings: control.Settings{ParentKind: 1, OriginKind: 2, MayCancel: true, MaxForwards: 6, OldCopies: 60, Seats: []int{1}, Dispatchers: 1,
+			ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1,
+			Services: []control.DeliveryService{{Objective: 5, ViewerTimeout: 60, Revenue: 1, Effect: control.Idempotent, Scope: control.AllHosts}}}}
+	c := Config{Settings: s, Clock: clock.New(), Options: o, Connections: 100}
+	if joins {
+		c.Joins = []bool{true}
+	}
+	r.Node = New(c)
+	whole := func(a standin.Ask) string { return standin.Hit(a.ID, "bytes") }
+	r.answer.Store(&whole)
+	var entries []changelog.Host
+	for i := range 2 {
+		h, err := standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
+			if a.Stop {
+				r.stopped.Add(1)
+				return ""
+			}
+			r.asked.Add(1)
+			<-r.wait
+			return (*r.answer.Load())(a)
+		})
+		require.NoError(t, err)
+		t.Cleanup(h.Close)
+		entries = append(entries, changelog.Host{ID: fmt.Sprint("s-", i), Address: h.Address, Zone: "z", Kind: "std", State: "SERVING", Weight: 1})
+	}
+	r.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: true, Hosts: entries}})
+	group.Go(func() error { return r.Node.Run(ctx) })
+	t.Cleanup(func() {
+		select {
+		case <-r.wait:
+		default:
+			close(r.wait)
+		}
+		cancel()
+		assert.NoError(t, group.Wait())
+		assert.EqualValues(t, 1<<24, o.Room.Left(), "all room is given back")
+		r.Node.mu.Lock()
+		defer r.Node.mu.Unlock()
+		assert.Empty(t, r.gets, "nothing is held")
+		for _, c := range r.clients {
+			assert.LessOrEqual(t, c.n.Load(), int32(1), "one answer")
+		}
+	})
+	return r
+}
+
+// get sends one GET that waits for so many seconds.
+func (r *jointRig) get(budget float64) *client {
+	c := &client{room: r.Options.Room, got: make(chan string, 4)}
+	r.mu.Lock()
+	r.clients = append(r.clients, c)
+	r.mu.Unlock()
+	r.Process(c, call.GET{Service: "segment", ID: fmt.Sprintf("%016x", r.ids.Add(1)), Object: "7f3a9c21e0b4d655", PartText: "0", Budget: budget})
+	return c
+}
+
+func (r *jointRig) read(c *client) string {
+	select {
+	case word := <-c.got:
+		return word
+	case <-time.After(5 * time.Second):
+		r.Fatal("no answer")
+		return ""
+	}
+}
+
+// under waits until hosts are at so many forwards.
+func (r *jointRig) under(n int64) {
+	require.Eventually(r, func() bool { return r.asked.Load() == n }, 2*time.Second, time.Millisecond)
+}
+
+func TestManyGETsShareAForward(t *testing.T) {
+	r := newJointRig(t, true)
+	var all []*client
+	for range 500 {
+		all = append(all, r.get(10))
+	}
+	r.under(1)
+	close(r.wait)
+	for _, c := range all {
+		assert.Equal(t, "served bytes", r.read(c))
+	}
+	assert.EqualValues(t, 1, r.asked.Load())
+	assert.EqualValues(t, 499, r.Options.Counts.Joined.Load())
+	assert.EqualValues(t, 500, r.Options.Counts.Returned.Load())
+}
+
+// The first asker leaves, and others need the forward; it stops within a moment of the last.
+func TestAForwardThatOthersNeed(t *testing.T) {
+	r := newJointRig(t, true)
+	a, b, c := r.get(10), r.get(10), r.get(10)
+	r.under(1)
+	r.GiveUp(a)
+	r.GiveUp(b)
+	time.Sleep(20 * time.Millisecond)
+	assert.Zero(t, r.stopped.Load())
+	r.GiveUp(c)
+	require.Eventually(t, func() bool { return r.stopped.Load() == 1 }, 100*time.Millisecond, time.Millisecond, "within 100 ms of the last")
+	d, e := r.get(10), r.get(10)
+	r.under(2)
+	r.GiveUp(d)
+	close(r.wait)
+	assert.Equal(t, "served bytes", r.read(e))
+	for _, gone := range []*client{a, b, c, d} {
+		assert.Zero(t, gone.n.Load(), "who has left has no answer")
+	}
+}
+
+// A forward that fails brings no herd: the module's further forwards are one GET's.
+func TestAFailureBringsNoHerd(t *testing.T) {
+	r := newJointRig(t, true)
+	fault := func(a standin.Ask) string { return a.ID + " FAULT - 0\r\n\r\n" }
+	r.answer.Store(&fault)
+	var all []*client
+	for range 300 {
+		all = append(all, r.get(10))
+	}
+	r.under(1)
+	close(r.wait)
+	words := map[string]int{}
+	for _, c := range all {
+		words[r.read(c)]++
+	}
+	assert.Equal(t, 300, words["failed"]+words["refused"])
+	assert.LessOrEqual(t, r.asked.Load(), int64(3*6), "three in the lead, up to six forwards each")
+}
+
+func TestEachWaitsForAsLongAsItCan(t *testing.T) {
+	r := newJointRig(t, true)
+	long, short := r.get(10), r.get(0.2)
+	began := time.Now()
+	assert.Equal(t, "refused", r.read(short))
+	assert.Less(t, time.Since(began), 200*time.Millisecond)
+	r2 := r.get(10)
+	close(r.wait)
+	assert.Equal(t, "served bytes", r.read(long))
+	assert.Equal(t, "served bytes", r.read(r2))
+	assert.EqualValues(t, 1, r.asked.Load())
+}
+
+// A leader's own time is over, and others wait for longer: one of them goes on.
+func TestALeaderWhoseTimeIsOver(t *testing.T) {
+	r := newJointRig(t, true)
+	lead, other := r.get(0.3), r.get(10)
+	assert.Equal(t, "refused", r.read(lead))
+	r.under(2)
+	close(r.wait)
+	assert.Equal(t, "served bytes", r.read(other))
+	assert.EqualValues(t, 1, r.Options.Counts.TookLead.Load())
+}
+
+func TestAPurgeBetweenJoinAndAnswer(t *testing.T) {
+	r := newJointRig(t, true)
+	before := r.get(10)
+	r.under(1)
+	r.Take(changelog.Event{Purge: &changelog.Purge{Object: "7f3a9c21e0b4d655", Time: time.Now().UnixMilli()}})
+	after := r.get(10)
+	r.under(2)
+	close(r.wait)
+	assert.Equal(t, "served bytes", r.read(before))
+	assert.Equal(t, "served bytes", r.read(after))
+}
+
+// Clients that leave and ask again within a millisecond, a thousand times.
+func TestClientsThatLeaveAndComeAgain(t *testing.T) {
+	r := newJointRig(t, true)
+	stay := r.get(20)
+	for range 1000 {
+		c := r.get(10)
+		r.GiveUp(c)
+	}
+	r.under(1)
+	assert.Zero(t, r.stopped.Load())
+	close(r.wait)
+	assert.Equal(t, "served bytes", r.read(stay))
+	assert.EqualValues(t, 1, r.asked.Load())
+}
+
+// Clients that leave just as the answer comes, over and over: one or the other.
+func TestLeavingAsTheAnswerComes(t *testing.T) {
+	r := newJointRig(t, true)
+	close(r.wait)
+	for range 300 {
+		a, b := r.get(10), r.get(10)
+		var all sync.WaitGroup
+		all.Go(func() { r.GiveUp(a) })
+		assert.Equal(t, "served bytes", r.read(b))
+		all.Wait()
+	}
+}
+
+func TestOffNothingIsShared(t *testing.T) {
+	r := newJointRig(t, false)
+	for range 10 {
+		r.get(10)
+	}
+	r.under(10)
+	close(r.wait)
+	require.Eventually(t, func() bool { return r.Options.Counts.Returned.Load() == 10 }, 2*time.Second, time.Millisecond)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"elderwall/internal/due"
 	"elderwall/internal/lines"
 	"elderwall/internal/upstream"
+	"elderwall/joint"
 	"elderwall/membership"
 	"elderwall/settings"
 )
@@ -33,6 +34,8 @@
 	Options     *upstream.Options
 	Connections int // to all hosts; shared evenly among those that are listed
 
+	Joins []bool // by delivery service, whether GETs for the same part share a forward; nil for none
+
 	Gate  Gate   // the stage that asks who is calling; nil where nobody does
 	Shard *Shard // of several in one process; nil for one alone
 }
@@ -63,7 +66,9 @@
 	many     bool        // the list at hand changes more hosts than are told one by one
 	listed   atomic.Bool // the list of hosts is known
 	draining atomic.Bool
-	line     line // of what is to be done, where there are several shards
+	joint    *joint.Table[*get] // nil where none share a forward
+	leads    []*get             // that go on in the lead, to be told to the module once it returns
+	line     line               // of what is to be done, where there are several shards
 }
 
 type get struct {
@@ -76,7 +81,9 @@
 	expiry   *due.Timer[*get]
 	forwards []*forward
 	out      int
-	over     bool // answered, or given up by the client
+	over     bool                // answered, or given up by the client
+	asks     control.GET         // what the module is told, for one that may go on in the lead
+	waiter   *joint.Waiter[*get] // nil for one that is alone
 }
 
 type forward struct {
@@ -104,6 +111,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = control.New(n.settings(), n.Clock.Now(), wire{n})
+	n.joint = n.newJoint()
 	return n
 }
 
@@ -134,6 +142,7 @@
 		n.expire(g)
 	}
 	n.module.Timer(now)
+	n.passJoint(now)
 	if now-n.swept >= sweepEach {
 		n.swept = now
 		n.sweep()
@@ -184,7 +193,8 @@
 	now := n.Clock.Now()
 	what(now)
 	n.module.Settle(now)
-	for len(n.ended) > 0 {
+	for len(n.ended)+len(n.leads) > 0 {
+		n.lead(now)
 		ended := n.ended
 		n.ended = nil
 		n.hearNotices(now)
@@ -227,6 +237,9 @@
 	if p := e.Purge; p != nil {
 		n.Options.Counts.Purges.Add(1)
 		n.module.Purged(now, p.Object, p.Group, now-n.Clock.AtUnixMs(p.Time))
+		if n.joint != nil {
+			n.joint.Purged(p.Object, p.Group)
+		}
 	}
 }
 
@@ -235,8 +248,7 @@
 	n.call(func(now float64) {
 		if g := n.byCall[c]; g != nil {
 			n.Options.Counts.GivenUp.Add(1)
-			n.close(g, false)
-			n.module.Left(now, g.id)
+			n.leave(now, g)
 		}
 	})
 }
@@ -263,7 +275,7 @@
 
 // forget lets a GET go once it is over and its last forward is back.
 func (n *Node) forget(g *get) {
-	if g.over && g.out == 0 {
+	if g.over && g.out == 0 && !g.waiter.Needed() {
 		delete(n.gets, g.id)
 		delete(n.byID, g.request.ID)
 		n.leftShard(g)
@@ -277,7 +289,7 @@
 	f.back = true
 	f.get.out--
 	a.GET, a.Forward, a.Elapsed = f.get.id, f.number, n.Clock.Now()-f.at
-	a.Last = f.get.over || a.Outcome == control.Returned
+	a.Last = f.get.over && !f.get.waiter.Needed() || a.Outcome == control.Returned
 	n.ended = append(n.ended, a)
 	n.forget(f.get)
 }
@@ -292,6 +304,9 @@
 		}
 		outcome, counter := n.outcome(r)
 		counter.Add(1)
+		if outcome == control.Returned {
+			n.landed(f.get, body)
+		}
 		if g := f.get; outcome == control.Returned && !g.over {
 			n.Options.Counts.Returned.Add(1)
 			same := r.Answer.Word == lines.Valid
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -230,6 +230,7 @@
 func (n *Node) rebuild(now float64) {
 	n.Options.Counts.Rebuilt.Add(1)
 	for _, g := range n.gets {
+		g.waiter = nil
 		for _, f := range g.forwards {
 			if !f.back {
 				f.back = true
@@ -245,7 +246,7 @@
 			n.forget(g)
 		}
 	}
-	n.ended, n.expiries = nil, due.Wheel[*get]{}
+	n.ended, n.expiries, n.joint = nil, due.Wheel[*get]{}, n.newJoint()
 	n.module = control.New(n.settings(), now, wire{n})
 	for _, e := range n.Shard.Known() {
 		n.notice(now, e)
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -5,6 +5,7 @@
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/upstream"
+	"elderwall/joint"
 )
 
 // wire carries the module's answers out; it is called under the node's lock and only queues.
@@ -57,21 +58,37 @@
 
 // Shed answers that trying again is harmless.
 func (w wire) Shed(id uint32, comeBack float64) {
-	if g := w.gets[id]; g != nil && !g.over {
-		w.Options.Counts.Shed.Add(1)
-		w.unsent(g)
-		g.call.Refuse(int64(comeBack * 1e3))
-		w.close(g, true)
+	if g := w.gets[id]; g != nil {
+		w.shed(g, comeBack)
+		w.ends(g, joint.Shed, func(o *get) { w.shed(o, comeBack) })
 	}
 }
 
 // Error answers that a GET failed.
 func (w wire) Error(id uint32) {
-	if g := w.gets[id]; g != nil && !g.over {
-		w.Options.Counts.Errored.Add(1)
-		w.unsent(g)
+	if g := w.gets[id]; g != nil {
+		w.failed(g)
+		w.ends(g, joint.Failed, w.failed)
+	}
+}
+
+// shed answers one GET that trying again is harmless, unless it has its answer.
+func (n *Node) shed(g *get, comeBack float64) {
+	if !g.over {
+		n.Options.Counts.Shed.Add(1)
+		n.unsent(g)
+		g.call.Refuse(int64(comeBack * 1e3))
+		n.close(g, true)
+	}
+}
+
+// failed answers one GET that it failed, unless it has its answer.
+func (n *Node) failed(g *get) {
+	if !g.over {
+		n.Options.Counts.Errored.Add(1)
+		n.unsent(g)
 		g.call.Fail("")
-		w.close(g, false)
+		n.close(g, false)
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"elderwall/callers"
 	"elderwall/internal/certs"
@@ -29,6 +30,7 @@
 	Keys    map[string]*token.Key // that tokens may be signed by
 	TLS     *TLS                  // nil where there is no listener for it
 	Cores   service.Cores
+	Joins   []bool   // by delivery service, whether GETs for the same part share a forward; nil for none
 	Proxies *Proxies // nil where none may ask
 }
 
@@ -92,6 +94,7 @@
 	if t := o.Inner("tls"); t != nil {
 		d.tls(t)
 	}
+	d.joins(o)
 	if p := o.Inner("proxies"); p != nil {
 		d.proxies(p)
 	}
@@ -107,6 +110,22 @@
 	return &d.config, errors.Join(d.All...)
 }
 
+// joins reads the delivery services whose GETs share forwards.
+func (d *decoder) joins(o *strict.Object) {
+	for _, name := range o.Texts("joins") {
+		place := slices.Index(d.services, name)
+		if place < 0 && !d.open {
+			o.Fault("joins", "%q is no delivery service", name)
+		}
+		if d.config.Joins == nil {
+			d.config.Joins = make([]bool, len(d.services))
+		}
+		if place >= 0 {
+			d.config.Joins[place] = true
+		}
+	}
+}
+
 // file reads a file that a key names, beside the operator's own.
 func (d *decoder) file(o *strict.Object, key string) (raw []byte, path string, ok bool) {
 	var name string
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -51,6 +51,8 @@
 	Open(log zerolog.Logger, counts *counters.Counters) ([]net.Listener, Gate, error)
 	// Read reads the file again. What it gives puts all of it in force; an error leaves the old one in force.
 	Read() (take func(log zerolog.Logger) error, err error)
+	// Joins is the delivery services, by their place, whose GETs for the same part share a forward; none for nil.
+	Joins() []bool
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -184,6 +186,9 @@
 	if gate != nil {
 		n.Gate = gate
 	}
+	if e != nil {
+		n.Joins = e.Joins()
+	}
 	if of.Shards > 1 {
 		debug.SetGCPercent(collectAt)
 		s.group = cores.New(n, of.Shards, of.Way, s.failOverdue)
