Bound further forwards by what succeeds, off by default; full flights begin the next

Where most caches do the work and answer with errors, further forwards and clients that come again keep the rest busy for seconds after it is over.

retries (pure) earns further forwards by returned answers, with a floor; control asks it before a forward that follows on a failed one. The emulator has hosts that err. A shared forward with 1,024 followers lets the next GET begin another, instead of all going alone.

--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"elderwall/retries"
 )
 
 const (
@@ -65,6 +67,7 @@
 		fills:   allowance{name: FillLimit, most: math.Inf(1)},
 		origins: allowance{name: OriginLimit, most: math.Inf(1)},
 		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
+	d.retries = retries.New(s.Retries, now)
 	for _, ds := range s.Services {
 		d.services = append(d.services, &service{DeliveryService: ds})
 	}
@@ -239,7 +242,7 @@
 	ran := g.firstRan()
 	repeatable := ran == nil || g.ds.Effect == Idempotent ||
 		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick
-	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.last {
+	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.last || g.failed() && !d.retries.Spend(d.now) {
 		return d.giveUp(g)
 	}
 	return pass
@@ -375,6 +378,7 @@
 	h, a := f.host, f.answer
 	switch a.Outcome {
 	case Returned:
+		d.retries.Earn()
 		h.taken.add(d.now, f.work)
 		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
 		g.ds.usual.add(a.Elapsed, learn)
--- a/control/state.go
+++ b/control/state.go
@@ -13,6 +13,7 @@
 	"elderwall/internal/due"
 	"elderwall/order"
 	"elderwall/popular"
+	"elderwall/retries"
 )
 
 // sketchSize is the bytes of counts of objects that the table has let go: some 65,000 by turn, which a tenth of
@@ -262,6 +263,7 @@
 
 	order, parentOrder      order.Index[*host]
 	beliefs                 beliefs.Beliefs
+	retries                 retries.Budget
 	sorted, fresh           []*host // all of hosts by id, and those that are not among them yet
 	listing                 int
 	warmCaches, warmParents float64 // s/s; what warm ones return to us, as of the last tick
@@ -277,6 +279,15 @@
 	return nil
 }
 
+// failed tells whether the last forward failed at a host: one that was turned away, or only looked, cost it nothing.
+func (g *get) failed() bool {
+	if len(g.forwards) == 0 {
+		return false
+	}
+	f := g.forwards[len(g.forwards)-1]
+	return f.moot || f.back && f.answer.Outcome != NotTaken && f.answer.Outcome != Empty && f.answer.Outcome != Unused
+}
+
 // asked is how often the GET went to a host.
 func (g *get) asked(h *host) (n int) {
 	for _, f := range g.forwards {
--- a/emulate/dispatcher.go
+++ b/emulate/dispatcher.go
@@ -54,7 +54,7 @@
 		Services:   []control.DeliveryService{{Objective: w.Objective, ViewerTimeout: w.ViewerTimeout, Revenue: 1, Effect: control.Idempotent}},
 		ParentKind: 1, OriginKind: 2, Straight: true, Joins: true, Detail: control.Full, MaxForwards: w.MaxForwards, MayCancel: true,
 		SecondCopies: true, MaxRetryAfter: 1, ColdFrom: coldFrom, RampTime: ramp, TipMultiple: tip, Fall: fall,
-		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Shards: w.Shards, Peers: common}, 0, d)
+		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Retries: w.Retries, Shards: w.Shards, Peers: common}, 0, d)
 	var entries []control.HostEntry
 	for _, h := range w.hosts {
 		entries = append(entries, h.entry())
@@ -218,16 +218,22 @@
 func (d *dispatcher) Shed(id uint32, comeBack float64) {
 	if g := d.final(id); g != nil {
 		d.world.out.tally(d.world).Shed++
-		if g.again < d.Again {
-			d.at(d.now+comeBack+d.link(), func() { d.ask(g.object, g.again+1) })
-		}
+		d.comeAgain(g, comeBack)
+	}
+}
+
+// comeAgain has a client ask once more.
+func (d *dispatcher) comeAgain(g *get, in float64) {
+	if g.again < d.Again {
+		d.at(d.now+in+d.link(), func() { d.ask(g.object, g.again+1) })
 	}
 }
 
 // Error answers that a GET failed.
 func (d *dispatcher) Error(id uint32) {
-	if d.final(id) != nil {
+	if g := d.final(id); g != nil {
 		d.world.out.tally(d.world).Errored++
+		d.comeAgain(g, 0)
 	}
 }
 
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/retries"
 )
 
 func run(t *testing.T, change func(*Scenario)) *Result {
@@ -123,3 +125,23 @@
 		assert.Error(t, err, name)
 	}
 }
+
+// Load stays, a trigger passes: most caches answer with errors for a while, and clients come again. With a bound on further
+// forwards it is over with the trigger; without, what is tried again keeps the rest busy for seconds more.
+func TestFailuresThatAreTriedAgain(t *testing.T) {
+	after := func(r retries.Settings) (share float64) {
+		got := run(t, func(s *Scenario) {
+			s.Dispatchers, s.Slots, s.Holds, s.Rate, s.Objects, s.Again, s.ViewerTimeout = 4, 4, 4000, 3600, 4000, 4, 1
+			s.Warm, s.Seconds, s.Retries = 6, 8, r
+			s.Troubles = []Trouble{{Kind: Err, At: 1, For: 3, Cells: 3}}
+		})
+		for _, second := range got.Seconds[10:12] {
+			share += second.Share() / 2
+		}
+		return share
+	}
+	without, with := after(retries.Settings{}), after(retries.Settings{Share: 0.1, Floor: 5})
+	t.Logf("in time in the two seconds after: %.3f without, %.3f with", without, with)
+	assert.Greater(t, with, 0.9)
+	assert.Greater(t, with, without+0.1)
+}
--- a/emulate/host.go
+++ b/emulate/host.go
@@ -18,6 +18,7 @@
 	since      float64       // when it came with nothing, below 0 for before all
 	down       bool          // says nothing
 	refuses    bool          // its process has ended
+	errs       bool          // it answers with errors, when the work is done
 	factor     float64       // it takes so many times as long, 0 for once
 
 	busy    int
@@ -126,7 +127,11 @@
 
 // transfer sends a copy to the dispatcher.
 func (h *host) transfer(f *forward, fetched float64, note control.Note) {
-	if !h.send(&f.stopped, func() { f.answer(control.Returned, note, fetched) }) {
+	outcome := control.Returned
+	if h.errs {
+		outcome = control.HostError
+	}
+	if !h.send(&f.stopped, func() { f.answer(outcome, note, fetched) }) {
 		f.answer(control.NotTaken, control.NoNote, 0)
 	}
 }
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -184,6 +184,15 @@
 				h.factor = 0
 			}
 		})
+	case Err:
+		for _, h := range hosts {
+			h.errs = true
+		}
+		w.after(t, func() {
+			for _, h := range hosts {
+				h.errs = false
+			}
+		})
 	case Restart:
 		w.back(hosts, true)
 	case Replace:
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -19,6 +19,7 @@
 	"elderwall/internal/gate"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
+	"elderwall/retries"
 )
 
 // Extras is an operator's file in force.
@@ -80,6 +81,9 @@
 // Joins is the delivery services whose GETs share forwards.
 func (e *Extras) Joins() []bool { return e.told.Joins }
 
+// Retries bounds forwards after failed ones.
+func (e *Extras) Retries() retries.Settings { return e.told.Retries }
+
 // Beside opens the front for proxies that ask.
 func (e *Extras) Beside(to service.Handling) ([]service.Beside, error) {
 	t := e.told.Proxies
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,11 +17,19 @@
 	"elderwall/internal/service"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
+	"elderwall/retries"
 	"elderwall/shards"
 )
 
 const mostCores = 256 // of a machine; as many shards would each see hardly a GET of an item
 
+// What further forwards are bounded to where the file has the bound and says no more: what the emulator's failing caches
+// came back soonest with (docs/deadlines.md).
+const (
+	defaultRetryShare = 0.1
+	defaultRetryFloor = 5.0 // a second
+)
+
 const longestFile = 64 << 20 // bytes; a hundred thousand tenants with room
 
 // Config is what the file says.
@@ -30,7 +38,8 @@
 	Keys    map[string]*token.Key // that tokens may be signed by
 	TLS     *TLS                  // nil where there is no listener for it
 	Cores   service.Cores
-	Joins   []bool   // by delivery service, whether GETs for the same part share a forward; nil for none
+	Joins   []bool // by delivery service, whether GETs for the same part share a forward; nil for none
+	Retries retries.Settings
 	Proxies *Proxies // nil where none may ask
 }
 
@@ -95,6 +104,12 @@
 		d.tls(t)
 	}
 	d.joins(o)
+	if r := o.Inner("retries"); r != nil {
+		d.config.Retries = retries.Settings{Share: defaultRetryShare, Floor: defaultRetryFloor}
+		r.Number("share", &d.config.Retries.Share, 0.001, 10)
+		r.Rate("floor", &d.config.Retries.Floor, 0.1, mostRate)
+		r.Done()
+	}
 	if p := o.Inner("proxies"); p != nil {
 		d.proxies(p)
 	}
--- a/internal/operator/proxies_test.go
+++ b/internal/operator/proxies_test.go
@@ -39,3 +39,19 @@
 		assert.ErrorContains(t, err, want, text)
 	}
 }
+
+func TestJoinsAndRetries(t *testing.T) {
+	c, err := decode("f", `{joins: ['page'], retries: {share: 0.2}}`, services)
+	require.NoError(t, err)
+	assert.Equal(t, []bool{false, true}, c.Joins)
+	assert.Equal(t, []float64{0.2, 5}, []float64{c.Retries.Share, c.Retries.Floor})
+	c, err = decode("f", `{}`, services)
+	require.NoError(t, err)
+	assert.Nil(t, c.Joins)
+	assert.Zero(t, c.Retries)
+	for text, want := range map[string]string{`{joins: ['nothing']}`: "joins", `{retries: {share: -1}}`: "retries.share",
+		`{retries: {floor: 5}}`: "retries.floor", `{retries: {many: 1}}`: "retries.many"} {
+		_, err := decode("f", text, services)
+		assert.ErrorContains(t, err, want, text)
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -46,6 +46,8 @@
 	}
 	o.Rate("rate", &s.Rate, 0.01, most)
 	o.Number("zipf", &s.Zipf, 0, 10)
+	o.Number("retry_share", &s.Retries.Share, 0, 10)
+	o.Rate("retry_floor", &s.Retries.Floor, 0, most)
 	for i, v := range o.List("troubles") {
 		s.Troubles = append(s.Troubles, trouble(o.Element("troubles", i, v)))
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -28,6 +28,7 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/upstream"
+	"elderwall/retries"
 	"elderwall/shards"
 )
 
@@ -53,6 +54,8 @@
 	Read() (take func(log zerolog.Logger) error, err error)
 	// Joins is the delivery services, by their place, whose GETs for the same part share a forward; none for nil.
 	Joins() []bool
+	// Retries bounds forwards after failed ones; the zero value does not.
+	Retries() retries.Settings
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -187,7 +190,7 @@
 		n.Gate = gate
 	}
 	if e != nil {
-		n.Joins = e.Joins()
+		n.Joins, n.Settings.Retries = e.Joins(), e.Retries()
 	}
 	if of.Shards > 1 {
 		debug.SetGCPercent(collectAt)
--- a/joint/joint.go
+++ b/joint/joint.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	mostFollowers = 1024    // of one flight; their answers are written in one go
+	mostFollowers = 1024    // of one flight; their answers are written in one go. Who comes then begins the next
 	mostInAll     = 1 << 14 // followers of all flights
 	mostLeads     = 3       // GETs that go on in the lead one after the other; the object is at fault by then, not its hosts
 	lastMoment    = 0.050   // s; a follower is answered so long before its viewer timeout, as control does
@@ -82,14 +82,14 @@
 // Enter takes a GET that leaves at a time. The waiter is nil for one that is alone.
 func (t *Table[W]) Enter(now float64, key Key, until float64, w W) (*Waiter[W], Role) {
 	f := t.flights[key]
-	if f == nil {
+	if f == nil || len(f.others) >= mostFollowers { // a full one goes on, and the next one takes who comes
 		f = &Flight[W]{key: key, begun: now, leads: 1}
 		f.lead = &Waiter[W]{W: w, until: until, flight: f, leads: true}
 		t.flights[key] = f
 		return f.lead, Leads
 	}
 	last := until - math.Min(lastMoment, lastShare*(until-now))
-	if len(f.others) >= mostFollowers || t.followers >= mostInAll || last < f.begun+t.usual || last <= now {
+	if t.followers >= mostInAll || last < f.begun+t.usual || last <= now {
 		return nil, Alone
 	}
 	one := &Waiter[W]{W: w, until: until, flight: f}
--- /dev/null
+++ b/retries/retries_test.go
@@ -0,0 +1,51 @@
+package retries
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func TestBudget(t *testing.T) {
+	b := New(Settings{Share: 0.1, Floor: 2}, 0)
+	spend := func(now float64) (n int) {
+		for b.Spend(now) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, 9, spend(0), "two seconds of the floor and a tenth of fifty answers")
+	assert.Equal(t, 1, spend(0.5))
+	for range 30 {
+		b.Earn()
+	}
+	assert.Equal(t, 3, spend(0.5))
+	assert.Equal(t, 9, spend(3600), "an hour saves up no more")
+	assert.Equal(t, 0, spend(5))
+	none := Budget{}
+	assert.True(t, none.Spend(1))
+}
+
+// Never more than what was full at first, the share of what succeeded and the floor.
+func TestNeverMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Share: rapid.Float64Range(0.01, 1).Draw(t, "share"), Floor: rapid.Float64Range(0, 10).Draw(t, "floor")}
+		b := New(s, 0)
+		now, earned := 0.0, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				now += rapid.SampledFrom([]float64{0, 0.01, 1}).Draw(t, "passes")
+			case 1:
+				b.Earn()
+				earned += s.Share
+			case 2:
+				b.Spend(now)
+			}
+		}
+		if most := most(s) + earned + s.Floor*now + 1e-6; float64(b.Spent) > most {
+			t.Fatalf("%d spent, at most %g", b.Spent, most)
+		}
+	})
+}
