--- a/calls/calls.go
+++ b/calls/calls.go
@@ -39,6 +39,10 @@
 	DefaultOpen  = 4096
 	DefaultShare = 0.5
 	DefaultHold  = 1.0
+	// DefaultDecide is how many seconds a decision may take: it takes microseconds, so what waits longer waits for the machine.
+	DefaultDecide = 0.005
+	// DefaultBudget is how many seconds a client waits at most where nothing is said.
+	DefaultBudget = 1.5
 )
 
 // Phase is where a GET is.
@@ -151,7 +155,7 @@
 	c.out = false
 	proof := Returned
 	switch {
-	case r.Full:
+	case r.Full && r.Status >= statusError:
 		proof = Full
 	case r.Status >= statusError:
 		proof = HostError
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -100,7 +100,7 @@
 	f := &forward{get: &get{d: d, object: &object{purged: 4.5, told: map[*dispatcher]float64{d: 4.6}}}, at: 4.8, host: h}
 	w.checkDrain(h, f)
 	for range 3 {
-		w.cold(h, f)
+		w.cold(h)
 	}
 	d.returned(f, 0, 4.4)
 	d.expire(&get{d: d})
--- a/emulate/host.go
+++ b/emulate/host.go
@@ -108,7 +108,7 @@
 	}
 	f.arrived = true
 	w.checkDrain(h, f)
-	w.cold(h, f)
+	w.cold(h)
 	o := f.get.object
 	if fetched, ok := h.holdsFresh(o, f.out.MaxAge); ok {
 		h.transfer(f, fetched, control.Hit)
@@ -194,7 +194,7 @@
 		return
 	}
 	w.checkDrain(h, f)
-	w.cold(h, f)
+	w.cold(h)
 	send := func(fetched float64, note control.Note) {
 		if life == h.lives && !h.send(new(bool), func() { done(fetched, note) }) {
 			done(0, control.SourceRefused)
--- a/emulate/result.go
+++ b/emulate/result.go
@@ -64,7 +64,7 @@
 }
 
 // cold sums the load on a cold cache, in transfers of the last second, against what pushes it over.
-func (w *world) cold(h *host, _ *forward) {
+func (w *world) cold(h *host) {
 	age := w.now - h.since
 	if h.since < 0 || age > ramp || h.kind != 0 {
 		return
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -34,7 +34,6 @@
 	hot         *object
 	hotShare    float64
 	scanned     uint64
-	replaced    int
 	out         *Result
 }
 
@@ -261,7 +260,6 @@
 
 // replace drains a host, has another come in its cell, and lets the first go after the grace.
 func (w *world) replace(h *host) {
-	w.replaced++
 	h.phase = control.Draining
 	fresh := w.add(&host{kind: 0, cell: h.cell, slots: w.Slots, serve: w.Serve, holds: w.Holds})
 	fresh.since = w.now
--- a/internal/due/wheel_test.go
+++ b/internal/due/wheel_test.go
@@ -75,41 +75,29 @@
 		}
 		b.Run(fmt.Sprint("heap/", n), func(b *testing.B) {
 			var q Queue[int]
-			open := make([]*Entry[int], n)
-			for i := range open {
-				open[i] = q.Add(ahead[i&0xffff], i)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				now := float64(i) * 1e-6
-				k := which[i&0xffff]
-				q.Remove(open[k])
-				open[k] = q.Add(now+ahead[i&0xffff], k)
-				if i%100 == 0 {
-					for _, ok := q.Pop(now); ok; _, ok = q.Pop(now) {
-					}
-				}
-			}
+			churn(b, ahead, which, make([]*Entry[int], n), q.Add, q.Remove, q.Pop)
 		})
 		b.Run(fmt.Sprint("wheel/", n), func(b *testing.B) {
-			var q Wheel[int]
-			open := make([]*Timer[int], n)
-			for i := range open {
-				open[i] = q.Add(ahead[i&0xffff], i)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				now := float64(i) * 1e-6
-				k := which[i&0xffff]
-				q.Remove(open[k])
-				open[k] = q.Add(now+ahead[i&0xffff], k)
-				if i%100 == 0 {
-					for _, ok := q.Pop(now); ok; _, ok = q.Pop(now) {
-					}
-				}
-			}
+			var w Wheel[int]
+			churn(b, ahead, which, make([]*Timer[int], n), w.Add, w.Remove, w.Pop)
 		})
 	}
 }
+
+func churn[E any](b *testing.B, ahead []float64, which []int, open []E, add func(float64, int) E, remove func(E), pop func(float64) (int, bool)) {
+	for i := range open {
+		open[i] = add(ahead[i&0xffff], i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now := float64(i) * 1e-6
+		k := which[i&0xffff]
+		remove(open[k])
+		open[k] = add(now+ahead[i&0xffff], k)
+		if i%100 == 0 {
+			for _, ok := pop(now); ok; _, ok = pop(now) {
+			}
+		}
+	}
+}
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -11,7 +11,6 @@
 
 // ask is one GET of a proxy, over as many streams as it takes.
 type ask struct {
-	server *Server
 	row    *calls.Call
 	get    call.GET
 	as     call.Call // as the handler knows it
@@ -42,7 +41,6 @@
 	wait   int64 // ms; after which the client may come again, 0 for none
 	reason string
 	body   []byte
-	same   bool
 }
 
 // HTTP statuses of final answers (RFC 9110, section 15).
@@ -74,7 +72,7 @@
 
 // Serve answers with the bytes that the dispatcher fetched itself.
 func (a *ask) Serve(body []byte, same bool) {
-	a.end(final{status: map[bool]int{false: statusOK, true: statusSame}[same], body: body, same: same})
+	a.end(final{status: map[bool]int{false: statusOK, true: statusSame}[same], body: body})
 }
 
 // Refuse answers that coming again is harmless.
--- a/internal/extproc/rules.go
+++ b/internal/extproc/rules.go
@@ -184,7 +184,7 @@
 		return calls.Reply{}, "", fmt.Errorf("%w: status", ErrBad)
 	}
 	note := h[r.Prefix+"note"]
-	reply := calls.Reply{Status: status, Full: note == "full" && status >= 500, Age: -1}
+	reply := calls.Reply{Status: status, Full: note == "full", Age: -1}
 	if age, err := strconv.ParseFloat(h[ageName], 64); err == nil && age >= 0 {
 		reply.Age = age
 	}
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -384,7 +384,7 @@
 		st.mu.Unlock()
 		return false
 	}
-	a := &ask{server: st.Server, row: row, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
+	a := &ask{row: row, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
 	a.get.ID, a.get.Conn = fmt.Sprintf("%016x", uint64(row.ID)), st.conn
 	if a.as = a; st.Rules.Routing {
 		a.as = routed{a}
--- a/internal/node/joint.go
+++ b/internal/node/joint.go
@@ -6,10 +6,6 @@
 	"elderwall/joint"
 )
 
-// nearEnd is how many seconds before its viewer timeout a leader that is shed has run out of its own time: the module
-// answers 50 ms ahead, and a tick may pass.
-const nearEnd = 0.075
-
 // newJoint is an empty table, nil where no GETs share a forward.
 func (n *Node) newJoint() *joint.Table[*get] {
 	if n.Joins == nil {
@@ -85,9 +81,6 @@
 		return
 	}
 	now := n.Clock.Now()
-	if how == joint.Shed && now >= g.until-nearEnd {
-		how = joint.TimeOver
-	}
 	answered, next := n.joint.Ended(now, g.waiter, how)
 	for _, o := range answered {
 		answer(o)
--- a/internal/node/joint_test.go
+++ b/internal/node/joint_test.go
@@ -167,7 +167,7 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.Zero(t, r.stopped.Load())
 	r.GiveUp(c)
-	require.Eventually(t, func() bool { return r.stopped.Load() == 1 }, time.Second, time.Millisecond, "soon after the last")
+	require.Eventually(t, func() bool { return r.stopped.Load() == 1 }, 100*time.Millisecond, time.Millisecond, "within 100 ms of the last")
 	d, e := r.get(10), r.get(10)
 	r.under(2)
 	r.GiveUp(d)
@@ -271,7 +271,7 @@
 	require.Eventually(t, func() bool { return r.Options.Counts.Returned.Load() == 10 }, 2*time.Second, time.Millisecond)
 }
 
-// Clients that leave at random: hosts are told to stop all that was under way for them, and no more.
+// Clients that leave at random: hosts are told to stop all that was under way for them, and no more, within a tenth of a second.
 func TestWorkForThoseWhoLeftStops(t *testing.T) {
 	for _, share := range []int{10, 50, 90} {
 		t.Run(fmt.Sprint(share, "%"), func(t *testing.T) {
@@ -296,9 +296,7 @@
 				r.GiveUp(c)
 			}
 			left := int64(len(all) - len(parts))
-			began := time.Now()
-			require.Eventually(t, func() bool { return r.stopped.Load() == left }, time.Second, time.Millisecond)
-			t.Logf("stopped within %v; a busy machine may take longer than the tenth of a second that is wanted", time.Since(began))
+			require.Eventually(t, func() bool { return r.stopped.Load() == left }, 100*time.Millisecond, time.Millisecond)
 			close(r.wait)
 			for _, c := range stay {
 				assert.Equal(t, "served bytes", r.read(c))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,13 +23,6 @@
 
 const mostCores = 256 // of a machine; as many shards would each see hardly a GET of an item
 
-// What further forwards are bounded to where the file has the bound and says no more: what the emulator's failing caches
-// came back soonest with (docs/deadlines.md).
-const (
-	defaultRetryShare = 0.1
-	defaultRetryFloor = 5.0 // a second
-)
-
 const longestFile = 64 << 20 // bytes; a hundred thousand tenants with room
 
 // Config is what the file says.
@@ -105,7 +98,7 @@
 	}
 	d.joins(o)
 	if r := o.Inner("retries"); r != nil {
-		d.config.Retries = retries.Settings{Share: defaultRetryShare, Floor: defaultRetryFloor}
+		d.config.Retries = retries.Default()
 		r.Number("share", &d.config.Retries.Share, 0.001, 10)
 		r.Rate("floor", &d.config.Retries.Floor, 0.1, mostRate)
 		r.Done()
--- a/internal/operator/proxies.go
+++ b/internal/operator/proxies.go
@@ -12,7 +12,6 @@
 
 const (
 	prefixDefault = "x-elderwall-"
-	decideDefault = 0.005 // s; a decision takes microseconds, so what waits for longer waits for the machine
 	mostPaths     = 1000
 	mostOpen      = 1 << 20
 	mostBudget    = 3600.0 // s
@@ -22,7 +21,7 @@
 
 // proxies reads the listener for proxies that ask for each request.
 func (d *decoder) proxies(o *strict.Object) {
-	p := &Proxies{Options: extproc.Options{Decide: decideDefault, Rules: extproc.Rules{Prefix: prefixDefault},
+	p := &Proxies{Options: extproc.Options{Decide: calls.DefaultDecide, Rules: extproc.Rules{Prefix: prefixDefault},
 		Calls: calls.Settings{Open: calls.DefaultOpen, Share: calls.DefaultShare, Hold: calls.DefaultHold}}}
 	o.Address("listen", &p.Listen)
 	if p.Listen == "" {
@@ -58,7 +57,7 @@
 }
 
 func (d *decoder) path(o *strict.Object, p *Proxies) {
-	rule, text := extproc.Path{Budget: 1.5}, ""
+	rule, text := extproc.Path{Budget: calls.DefaultBudget}, ""
 	o.Text("match", &text)
 	o.Text("service", &rule.Service)
 	o.Duration("budget", &rule.Budget, 0.01, mostBudget)
--- a/retries/retries.go
+++ b/retries/retries.go
@@ -11,6 +11,9 @@
 }
 
 const (
+	share = 0.1 // and floor: what the emulator's failing caches came back soonest with (docs/deadlines.md)
+	floor = 5.0 // a second
+
 	keepFor   = 2.0  // s; of the floor that may be saved up
 	keepTimes = 50.0 // answers whose share may be saved up: a burst of failures on a calm day is retried whole
 )
@@ -18,10 +21,13 @@
 // Budget is what may go now.
 type Budget struct {
 	Settings
-	tokens, at     float64
-	Spent, Refused int
+	tokens, at float64
+	Spent      int
 }
 
+// Default is the bound where an operator asks for one and says no more.
+func Default() Settings { return Settings{Share: share, Floor: floor} }
+
 // New is a full one.
 func New(s Settings, now float64) Budget { return Budget{Settings: s, tokens: most(s), at: now} }
 
@@ -38,7 +44,6 @@
 	b.tokens = math.Min(most(b.Settings), b.tokens+b.Floor*math.Max(0, now-b.at))
 	b.at = now
 	if b.tokens < 1 {
-		b.Refused++
 		return false
 	}
 	b.tokens--
