Share the settings and options that tests of nodes had each for themselves

Four rigs wrote the same fleet and the same connections; internal/standin/rig has them once. Tests pass as before; nothing of the program changed.

--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -17,7 +17,6 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
-	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
@@ -26,8 +25,7 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
-	"elderwall/internal/upstream"
-	"elderwall/settings"
+	rigs "elderwall/internal/standin/rig"
 	"elderwall/shards"
 )
 
@@ -50,15 +48,11 @@
 const object = "7f3a9c21e0b4d655"
 
 func newRig(t *testing.T, n int, way shards.Way, hosts int) *rig {
-	r := &rig{T: t, counts: &counters.Counters{}}
+	r := &rig{T: t}
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
-	o := &upstream.Options{Log: zerolog.Nop(), Counts: r.counts, Room: room.New(1 << 24), Context: ctx, Group: group,
-		IdleClose: time.Minute, Streams: 100, Dialer: net.Dialer{Timeout: time.Second}}
-	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std", "parent", "origin"}, Services: []string{"segment"}, MostHeld: 1000,
-		Settings: control.Settings{ParentKind: 1, OriginKind: 2, MayCancel: true, MaxForwards: 6, OldCopies: 60, Joins: true,
-			ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1, Seats: []int{1}, Dispatchers: 1,
-			Services: []control.DeliveryService{{Objective: 5, ViewerTimeout: 60, Revenue: 1, Effect: control.Idempotent}}}}
+	o, s := rigs.Options(ctx, group), rigs.Settings(1000)
+	o.Streams, r.counts = 100, o.Counts
 	r.Group = New(node.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 400}, n, way,
 		func(shard int, by time.Time) int { return r.server.FailOverdue(shard, by) })
 	r.server = &front.Server{Handler: r.Group, Log: zerolog.Nop(), Counts: r.counts, Room: o.Room, Most: 100}
@@ -89,7 +83,7 @@
 }
 
 func entry(id, address, state string) changelog.Host {
-	return changelog.Host{ID: id, Address: address, Zone: "z", Kind: "std", State: state, Weight: 1}
+	return rigs.Entry(id, address, state)
 }
 
 func (r *rig) answer(a standin.Ask) string {
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -25,13 +25,10 @@
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
-	"elderwall/internal/counters"
 	"elderwall/internal/node"
-	"elderwall/internal/room"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/proxy"
-	"elderwall/internal/upstream"
-	"elderwall/settings"
+	rigs "elderwall/internal/standin/rig"
 )
 
 // paused is a handler that a test can hold up.
@@ -65,13 +62,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	r := &rig{TB: t, sent: map[string]int{}}
-	counts := &counters.Counters{}
-	o := &upstream.Options{Log: zerolog.Nop(), Counts: counts, Room: room.New(1 << 24), Context: ctx, Group: group,
-		IdleClose: time.Minute, Streams: 100, Dialer: net.Dialer{Timeout: time.Second}}
-	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std", "parent", "origin"}, Services: []string{"segment"}, MostHeld: 100_000,
-		Settings: control.Settings{ParentKind: 1, OriginKind: 2, MayCancel: true, MaxForwards: 6, OldCopies: 60, Joins: true, Detail: control.Full,
-			ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1, Seats: []int{1}, Dispatchers: 1, MaxRetryAfter: 1,
-			Services: []control.DeliveryService{{Objective: 1, ViewerTimeout: 10, Revenue: 1, Effect: control.Idempotent, Scope: control.AllHosts}}}}
+	o, s := rigs.Options(ctx, group), rigs.Settings(100_000)
+	counts := o.Counts
+	s.Detail, s.MaxRetryAfter = control.Full, 1
+	s.Settings.Services[0].Objective, s.Settings.Services[0].ViewerTimeout = 1, 10
 	n := node.New(node.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 400})
 	r.handler = &paused{Node: n}
 	options := Options{Decide: 0.5, Calls: calls.Settings{Hold: 0.1, Share: 1, Open: 20_000}, Rules: Rules{Prefix: "x-elderwall-", Routing: true,
@@ -106,7 +100,7 @@
 }
 
 func entry(i int, address, state string) changelog.Host {
-	return changelog.Host{ID: fmt.Sprint("s-", i), Address: address, Zone: "z", Kind: "std", State: state, Weight: 1}
+	return rigs.Entry(fmt.Sprint("s-", i), address, state)
 }
 
 func (r *rig) health() healthpb.HealthCheckResponse_ServingStatus {
--- a/internal/node/joint_test.go
+++ b/internal/node/joint_test.go
@@ -4,26 +4,21 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
-	"elderwall/internal/counters"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
-	"elderwall/internal/upstream"
-	"elderwall/settings"
+	"elderwall/internal/standin/rig"
 )
 
 // client is a call that keeps its answers.
@@ -64,12 +59,7 @@
 	r := &jointRig{TB: t, wait: make(chan bool)}
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
-	o := &upstream.Options{Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(1 << 24), Context: ctx, Group: group,
-		IdleClose: time.Minute, Streams: 1000, Dialer: net.Dialer{Timeout: time.Second}}
-	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std", "parent", "origin"}, Services: []string{"segment"}, MostHeld: 100_000,
-		Settings: control.Settings{ParentKind: 1, OriginKind: 2, MayCancel: true, MaxForwards: 6, OldCopies: 60, Seats: []int{1}, Dispatchers: 1,
-			ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1,
-			Services: []control.DeliveryService{{Objective: 5, ViewerTimeout: 60, Revenue: 1, Effect: control.Idempotent, Scope: control.AllHosts}}}}
+	o, s := rig.Options(ctx, group), rig.Settings(100_000)
 	c := Config{Settings: s, Clock: clock.New(), Options: o, Connections: 100}
 	if joins {
 		c.Joins = []bool{true}
@@ -90,7 +80,7 @@
 		})
 		require.NoError(t, err)
 		t.Cleanup(h.Close)
-		entries = append(entries, changelog.Host{ID: fmt.Sprint("s-", i), Address: h.Address, Zone: "z", Kind: "std", State: "SERVING", Weight: 1})
+		entries = append(entries, rig.Entry(fmt.Sprint("s-", i), h.Address, "SERVING"))
 	}
 	r.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: true, Hosts: entries}})
 	group.Go(func() error { return r.Node.Run(ctx) })
