--- a/internal/due/due_test.go
+++ b/internal/due/due_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func TestQueue(t *testing.T) {
+func TestWheel(t *testing.T) {
 	tests := []struct {
 		name   string
 		at     []float64
@@ -21,8 +21,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var q Queue[int]
-			var entries []*Entry[int]
+			var q Wheel[int]
+			var entries []*Timer[int]
 			for i, at := range tt.at {
 				entries = append(entries, q.Add(at, i))
 			}
