Judge hosts, sources and the way in by the pace that answers' bytes tell

Checked and ruled out: the time that a fill waits for its first byte (told, unread so far) is the same at crowded sources, 0.06 s; counts out at a host say nothing, as one dispatcher has one forward there in some seconds; a parent's own limit never falls under two of the largest GETs, 600 for 300 dispatchers. Bytes do tell: of hits the time over the bytes varies by a fifth, the time alone by a factor of three.

At fault: judgeFill and passed, which laid late fills on the limits of the origin and of all fills, whichever source or link was slow, and a source's refusals too; move, whose turns take longer than the burst; parent, which left a crowded parent only once its limit had fallen; span, which took the mean of all delivery services for a GET's own time.

paces (pure) learns the usual pace from hits, each host's own, fading, and the way in's as the median of the last five fills, those given up included. A GET passes a crowded host or parent on along its order as the design's makespan has it; late fills are laid on what is slow; while the way in is crowded the limit on fills falls at once by the excess and misses fill by a share.

--- a/control/api.go
+++ b/control/api.go
@@ -190,7 +190,9 @@
 	Forward  int
 	Outcome  Outcome
 	Elapsed  float64
-	Last     bool // the GET is finished
+	Waited   float64 // s; of it the fill waited for its source's first byte, or until that failed; 0 where it is not told
+	SizeKB   float64 // of the bytes that came; 0 where it is not told
+	Last     bool    // the GET is finished
 	Note     Note
 	Crowding float64 // reported: transfers on the way into the host's zone over those that fit at full pace, 0 for none
 }
--- a/control/control.go
+++ b/control/control.go
@@ -5,12 +5,11 @@
 
 import (
 	"cmp"
-	"container/list"
 	"fmt"
 	"math"
 	"slices"
 
-	"elderwall/retries"
+	"elderwall/paces"
 )
 
 const (
@@ -60,30 +59,12 @@
 	newcomer     = 0.5     // multiple of it open to objects not asked for before
 )
 
-// New makes a dispatcher that knows its settings alone.
-func New(s Settings, now float64, w Wire) *Dispatcher {
-	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: table{byName: map[itemKey]*item{}, byUse: list.New()}, purges: map[string]float64{},
-		fills:   allowance{name: FillLimit, most: math.Inf(1)},
-		origins: allowance{name: OriginLimit, most: math.Inf(1)},
-		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
-	d.retries = retries.New(s.Retries, now)
-	for _, ds := range s.Services {
-		d.services = append(d.services, &service{DeliveryService: ds})
-	}
-	d.chain = []stage{{d.admit, d.finish}, {d.choose, d.judgeHost}, {d.fill, d.judgeFill}, {d.send, d.release}}
-	if s.OnRequest {
-		w.Subscribe()
-	}
-	w.Schedule(tick, "tick")
-	return d
-}
-
 // Hosts takes in a list of hosts or changes to it.
 func (d *Dispatcher) Hosts(now float64, form ListForm, entries []HostEntry) {
 	d.now = now
 	if form == FailedCall {
-		d.due.Add(now+leaveFor, event{do: func(d *Dispatcher, _ *get, _ *forward) { d.wire.Subscribe() }}) // only who asks for lists is told of this
+		// Only who asks for lists is told of this.
+		d.due.Add(now+leaveFor, event{do: func(d *Dispatcher, _ *get, _ *forward) { d.wire.Subscribe() }})
 		return
 	}
 	if form != Changes {
@@ -242,7 +223,8 @@
 	ran := g.firstRan()
 	repeatable := ran == nil || g.ds.Effect == Idempotent ||
 		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick
-	if !repeatable || len(g.forwards) >= d.MaxForwards || d.now >= g.last || g.failed() && !d.retries.Spend(d.now) {
+	spent := len(g.forwards) >= d.MaxForwards || d.now >= g.last
+	if !repeatable || spent || g.failed() && !d.retries.Spend(d.now) {
 		return d.giveUp(g)
 	}
 	return pass
@@ -309,10 +291,10 @@
 		if some = true; !room || !h.under.room(work/favour) {
 			return room
 		}
-		if best != nil && seen >= n && d.span(best) <= objective {
+		if best != nil && seen >= n && d.span(g, best) <= objective {
 			return false
 		}
-		if best == nil || seen < n && d.span(h) < d.span(best) || d.span(h) < d.span(best)*spareUnder {
+		if best == nil || seen < n && d.span(g, h) < d.span(g, best) || d.span(g, h) < d.span(g, best)*spareUnder {
 			best = h
 		}
 		seen++
@@ -334,7 +316,8 @@
 }
 
 func (d *Dispatcher) objective(g *get) float64 {
-	return math.Min(g.ds.Objective+g.ds.Stretch*cmp.Or(d.sending(g), d.weigh(g)), g.ds.ViewerTimeout)
+	sending := cmp.Or(d.sending(g), d.expected(g), d.weigh(g))
+	return math.Min(g.ds.Objective+g.ds.Stretch*sending, g.ds.ViewerTimeout)
 }
 
 // weigh is what a GET counts for in a budget: its delivery service's mean sending time.
@@ -344,12 +327,13 @@
 
 // span is the design's makespan, drained by the clock; departing from it, what is answered is not waited for,
 // and it is one learned time at least: a host that others crowd is slow with nothing of ours out at it.
-func (d *Dispatcher) span(h *host) float64 {
+func (d *Dispatcher) span(g *get, h *host) float64 {
 	span, one := math.Max(0, h.makespan-(d.now-h.updated)), d.serving(h)
 	if h.bandwidth(d) > 0 {
 		return math.Max(span, float64(h.out)*one)
 	}
-	return math.Max(math.Min(span, float64(h.out)*one), one)
+	alone := cmp.Or(d.expected(g)*d.paces.Slow(d.now, &h.pace), one)
+	return math.Max(math.Min(span, float64(h.out)*one), alone)
 }
 
 // serving is the learned time that one GET adds to a makespan; unheard caches count as average.
@@ -360,22 +344,10 @@
 	return d.average
 }
 
-// learnAll takes what all hosts have in common, now and then: no GET looks over all of them.
-func (d *Dispatcher) learnAll() {
-	var all learned
-	for _, o := range d.caches {
-		if o.serving.n > 0 {
-			all.add(o.serving.mean, 0)
-		}
-	}
-	d.average = all.mean
-	d.warmCaches, d.warmParents = d.warmRate(d.caches), d.warmRate(d.parents)
-	d.warm = cmp.Or(d.warmCaches, d.warm)
-}
-
 // judgeHost learns from an answer how fast and how sound its host is.
 func (d *Dispatcher) judgeHost(g *get, f *forward) verdict {
 	h, a := f.host, f.answer
+	d.paced(g, f)
 	switch a.Outcome {
 	case Returned:
 		d.retries.Earn()
@@ -550,7 +522,9 @@
 	if o := d.origin; o != nil && o.left { // it is tried by one GET at a time, itself or behind a parent
 		spare = d.now >= o.until && d.origins.held == 0
 	}
-	look := !d.fills.room(work) || source == nil || source == d.origin && !spare
+	share := d.paces.Share(d.now)
+	look := !d.fills.room(work) || share < 1 && d.chance(g.host) > share
+	look = look || source == nil || source == d.origin && !spare
 	if !look {
 		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
@@ -577,14 +551,15 @@
 // parent is the first usable one in the object's order over all listed parents, the next if it fails or holds
 // its learned limit while the next bears clearly more, and the origin when none is up.
 func (d *Dispatcher) parent(g *get) *host {
-	home, other, work := (*host)(nil), (*host)(nil), d.weigh(g)
+	home, other, work, slow := (*host)(nil), (*host)(nil), d.weigh(g), 0.0
 	d.parentOrder.Walk(g.item.objectHash, &g.item.parents, 0, func(h *host) bool {
 		switch {
 		case slices.Contains(g.bad, h) || !d.open(h, work):
 		case home == nil:
-			home = h
-			return !h.under.room(work)
-		case h.under.room(work) && h.under.most > clearlyMore*home.under.most:
+			home, slow = h, d.paces.Slow(d.now, &h.pace)
+			return !h.under.room(work) || slow > paces.Crowded
+		case h.under.room(work) && (h.under.most > clearlyMore*home.under.most ||
+			slow > paces.Crowded && d.paces.Slow(d.now, &h.pace) < slow*spareUnder):
 			other = h
 			return false
 		}
@@ -612,10 +587,10 @@
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
-		} else if n == SourceFailed {
+		} else if n == SourceFailed || n == SourceRefused {
 			limits = f.fill[:1] // tells of the source alone
 		}
-		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective || a.Crowding > crowded, limits)
+		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective || a.Crowding > crowded, d.blamed(f, limits))
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -755,13 +730,34 @@
 }
 
 // passed judges a forward whose latency objective has passed.
-func (d *Dispatcher) passed(_ *get, f *forward) {
+func (d *Dispatcher) passed(g *get, f *forward) {
+	if f.miss {
+		d.unfinished(g, f)
+	}
 	if f.miss && f.source.heard <= f.at {
 		f.judges = f.fill[:1]
 	}
-	if !f.back && (f.host.belief == nil || f.host.heard > f.at) { // one of many says nothing for long: it may be gone
-		d.judge(f, true, f.judges)
+	if !f.back && (f.host.belief == nil || f.host.heard > f.at) { // one of many that says nothing may be gone
+		d.judge(f, true, d.blamed(f, f.judges))
+	}
+}
+
+// blamed is the limits that a late fill counts against: that of a source alone which is known to be slow, or
+// that of the way in where all sources look slow, which falls at once: its turns take longer than a burst.
+func (d *Dispatcher) blamed(f *forward, limits []*allowance) []*allowance {
+	if !f.miss {
+		return limits
+	}
+	switch d.paces.Blame(d.now, &f.source.pace) {
+	case paces.Source:
+		return f.fill[:1]
+	case paces.WayIn:
+		if f.at >= d.fills.turn {
+			d.cut(&d.fills, d.paces.Excess(d.now)/lateCut)
+		}
+		return f.fill[1:]
 	}
+	return limits
 }
 
 // maxAge is the oldest copy that will do after the purges of the object and its group; 0 for any fresh one.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -573,7 +573,7 @@
 					ask(d, now, uint32(now)*10+id, fmt.Sprint("o", now, id))
 				}
 				for id := range uint32(10) {
-					d.Answer(now+tt.elapsed, Answer{uint32(now)*10 + id, 0, tt.outcome, tt.elapsed, tt.outcome == Returned, tt.note, 0})
+					d.Answer(now+tt.elapsed, Answer{GET: uint32(now)*10 + id, Outcome: tt.outcome, Elapsed: tt.elapsed, Last: tt.outcome == Returned, Note: tt.note})
 				}
 				tickTo(d, now+tt.elapsed, now+2.9)
 			}
--- a/control/state.go
+++ b/control/state.go
@@ -12,6 +12,7 @@
 	"elderwall/beliefs"
 	"elderwall/internal/due"
 	"elderwall/order"
+	"elderwall/paces"
 	"elderwall/popular"
 	"elderwall/retries"
 )
@@ -43,6 +44,7 @@
 	demand     counter
 	place      *list.Element
 	again      bool    // asked for before
+	kb         float64 // its size as the last answer told, 0 before
 	holder     *host   // the cache that returned it last
 	heldTo     float64 // and until when it is thought to hold it
 
@@ -137,6 +139,7 @@
 
 type service struct {
 	DeliveryService
+	kb             learned // of answers
 	sending, usual learned // s; sending time of a GET, and time from forward to answer
 }
 
@@ -156,6 +159,7 @@
 	until, wait float64
 	streak      int
 	cold        bool
+	pace        paces.Pace
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
 	credit      float64 // s; what may be sent to it while it is cold, as of credited
@@ -264,11 +268,44 @@
 	order, parentOrder      order.Index[*host]
 	beliefs                 beliefs.Beliefs
 	retries                 retries.Budget
+	paces                   paces.Paces
 	sorted, fresh           []*host // all of hosts by id, and those that are not among them yet
 	listing                 int
 	warmCaches, warmParents float64 // s/s; what warm ones return to us, as of the last tick
 }
 
+// New makes a dispatcher that knows its settings alone.
+func New(s Settings, now float64, w Wire) *Dispatcher {
+	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
+		items: table{byName: map[itemKey]*item{}, byUse: list.New()}, purges: map[string]float64{},
+		fills:   allowance{name: FillLimit, most: math.Inf(1)},
+		origins: allowance{name: OriginLimit, most: math.Inf(1)},
+		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
+	d.retries = retries.New(s.Retries, now)
+	for _, ds := range s.Services {
+		d.services = append(d.services, &service{DeliveryService: ds})
+	}
+	d.chain = []stage{{d.admit, d.finish}, {d.choose, d.judgeHost}, {d.fill, d.judgeFill}, {d.send, d.release}}
+	if s.OnRequest {
+		w.Subscribe()
+	}
+	w.Schedule(tick, "tick")
+	return d
+}
+
+// learnAll takes what all hosts have in common, now and then: no GET looks over all of them.
+func (d *Dispatcher) learnAll() {
+	var all learned
+	for _, o := range d.caches {
+		if o.serving.n > 0 {
+			all.add(o.serving.mean, 0)
+		}
+	}
+	d.average = all.mean
+	d.warmCaches, d.warmParents = d.warmRate(d.caches), d.warmRate(d.parents)
+	d.warm = cmp.Or(d.warmCaches, d.warm)
+}
+
 // firstRan is the first forward that may have run or is still out.
 func (g *get) firstRan() *forward {
 	for _, f := range g.forwards {
@@ -527,3 +564,35 @@
 	}
 	return g.SizeKB / d.FlowKB
 }
+
+// paced takes in what the bytes of an answer tell of the object's size, and of the pace of its host and source.
+func (d *Dispatcher) paced(g *get, f *forward) {
+	a := f.answer
+	if a.Note == SourceRefused && f.source != f.host {
+		d.paces.Refused(d.now, &f.source.pace)
+	}
+	if f.miss && a.Outcome == Revoked {
+		d.unfinished(g, f)
+	}
+	if a.SizeKB <= 0 {
+		return
+	}
+	g.item.kb = a.SizeKB
+	g.ds.kb.add(a.SizeKB, learn)
+	switch a.Note {
+	case Hit:
+		d.paces.Hit(d.now, &f.host.pace, a.SizeKB, a.Elapsed)
+	case Filled, FilledByOrigin:
+		d.paces.Fill(d.now, &f.host.pace, &f.source.pace, a.SizeKB, a.Elapsed-a.Waited)
+	}
+}
+
+// expected is the time that a GET's answer takes at the usual pace, 0 as long as that is not known.
+func (d *Dispatcher) expected(g *get) float64 {
+	return d.paces.Expected(cmp.Or(g.item.kb, g.ds.kb.mean))
+}
+
+// unfinished takes in what a fill that has not come tells of its source and the way in.
+func (d *Dispatcher) unfinished(g *get, f *forward) {
+	d.paces.Unfinished(d.now, &f.host.pace, &f.source.pace, cmp.Or(g.item.kb, g.ds.kb.mean), d.now-f.at)
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -14,6 +14,7 @@
 const (
 	longestLine = 4 << 10 // bytes; a head is a few hundred
 	longestBody = 1 << 18 // bytes; an object has at most 240,000
+	longestWait = 1e6     // ms; longer than any viewer timeout, and no figure to go by
 
 	// LineEnd ends each line, and each body.
 	LineEnd = "\r\n"
@@ -46,11 +47,12 @@
 
 // Answer is one answer. Its ID is good until Space is called; the body is the caller's to keep.
 type Answer struct {
-	ID   []byte
-	Word Word
-	Note control.Note
-	Body []byte
-	Cut  bool // there was no room for the body, which was drained
+	ID     []byte
+	Word   Word
+	Note   control.Note
+	Waited float64 // s; how long the fill waited for its source, 0 where that is not told
+	Body   []byte
+	Cut    bool // there was no room for the body, which was drained
 }
 
 // Reader cuts a stream of bytes into answers.
@@ -218,8 +220,13 @@
 		if !ok {
 			return errors.New("field without value")
 		}
-		if string(name) == "detail" {
+		switch string(name) {
+		case "detail":
 			a.Note = notes[string(value)]
+		case "fill":
+			if ms, err := strconv.ParseFloat(string(value), 64); err == nil && ms > 0 && ms <= longestWait {
+				a.Waited = ms / 1e3
+			}
 		}
 	}
 	return nil
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -62,7 +62,10 @@
 	}{
 		{standin.Hit("a", "bytes"), lines.Answer{Word: lines.Hit, Note: control.Hit, Body: []byte("bytes")}},
 		{standin.Hit("a", long), lines.Answer{Word: lines.Hit, Note: control.Hit, Body: []byte(long)}},
-		{standin.Answer("a", "HIT", "rev=1,detail=parent,fill=20", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "rev=1,detail=parent,fill=20", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Waited: 0.02, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=parent,fill=1e300", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=parent,fill=-4", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Body: []byte("x")}},
+		{standin.Answer("a", "HIT", "detail=parent,fill=NaN", "x"), lines.Answer{Word: lines.Hit, Note: control.Filled, Body: []byte("x")}},
 		{standin.Answer("a", "HIT", "detail=origin", "x"), lines.Answer{Word: lines.Hit, Note: control.FilledByOrigin, Body: []byte("x")}},
 		{standin.Answer("a", "HIT", "detail=shared", "x"), lines.Answer{Word: lines.Hit, Note: control.Joined, Body: []byte("x")}},
 		{standin.Answer("a", "HIT", "detail=old", "x"), lines.Answer{Word: lines.Hit, Note: control.Aged, Body: []byte("x")}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -302,6 +302,7 @@
 		if f.back {
 			return
 		}
+		size := float64(len(body)) / 1e3
 		outcome, counter := n.outcome(r)
 		counter.Add(1)
 		if outcome == control.Returned {
@@ -317,7 +318,7 @@
 			body = nil // with the room that it holds
 			n.close(g, false)
 		}
-		n.back(f, control.Answer{Outcome: outcome, Note: r.Answer.Note})
+		n.back(f, control.Answer{Outcome: outcome, Note: r.Answer.Note, Waited: r.Answer.Waited, SizeKB: size})
 	})
 }
 
