Let the limit on fills grow back with each fill while the way in has room

At fault: move, which lets a limit grow at the end of a turn alone, and a turn at the least limit takes a dispatcher of 300 three seconds or more.

Where fills come in time and the way in is known to carry more, each that ends lets the limit grow by its own work up to what it bore before, and by less beyond.

--- a/control/control.go
+++ b/control/control.go
@@ -587,10 +587,11 @@
 		limits := f.fill
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
-		} else if n == SourceFailed || n == SourceRefused {
+		} else if n == SourceFailed {
 			limits = f.fill[:1] // tells of the source alone
 		}
-		d.judge(f, a.Outcome != Returned || a.Elapsed > f.objective || a.Crowding > crowded, d.blamed(f, limits))
+		late := a.Outcome != Returned || a.Elapsed > f.objective || a.Crowding > crowded
+		d.judge(f, late, d.blamed(f, late, limits))
 	}
 	switch {
 	case a.Outcome == Returned && n != Hit && n != Joined && n != Aged:
@@ -738,23 +739,24 @@
 		f.judges = f.fill[:1]
 	}
 	if !f.back && (f.host.belief == nil || f.host.heard > f.at) { // one of many that says nothing may be gone
-		d.judge(f, true, d.blamed(f, f.judges))
+		d.judge(f, true, d.blamed(f, true, f.judges))
 	}
 }
 
 // blamed is the limits that a late fill counts against: that of a source alone which is known to be slow, or
 // that of the way in where all sources look slow, which falls at once: its turns take longer than a burst.
-func (d *Dispatcher) blamed(f *forward, limits []*allowance) []*allowance {
-	if !f.miss {
-		return limits
-	}
-	switch d.paces.Blame(d.now, &f.source.pace) {
-	case paces.Source:
+func (d *Dispatcher) blamed(f *forward, late bool, limits []*allowance) []*allowance {
+	l, blame := &d.fills, d.paces.Blame(d.now, &f.source.pace)
+	switch {
+	case !f.miss:
+	case !late && l.full && d.paces.Spare(d.now): // it grows back as it fell, with each fill
+		l.most += f.work * math.Min(1, l.known/l.most)
+	case blame == paces.Source:
 		return f.fill[:1]
-	case paces.WayIn:
-		if f.at >= d.fills.turn {
-			d.cut(&d.fills, d.paces.Excess(d.now)/lateCut)
-		}
+	case blame == paces.WayIn && f.at >= l.turn:
+		d.cut(l, d.paces.Excess(d.now)/lateCut)
+		fallthrough
+	case blame == paces.WayIn:
 		return f.fill[1:]
 	}
 	return limits
--- a/paces/paces.go
+++ b/paces/paces.go
@@ -156,3 +156,6 @@
 func (p *Paces) Share(now float64) float64 {
 	return math.Min(1, math.Pow(Crowded/p.In(now), 2))
 }
+
+// Spare tells whether the way in is known to carry more; where answers tell no bytes nothing is known.
+func (p *Paces) Spare(now float64) bool { return p.usual > 0 && p.In(now) < (1+Crowded)/2 }
