--- /dev/null
+++ b/cmd/elderwall/deploy_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The line run must stay in the one process that it starts, linked dynamically against the C library: with an operator's
+// file or an argument the program would become another. The rest is left to the bench.
+func TestTheDeployFileStartsOneProcessOfTheCLibrary(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	line := func(key string) string {
+		m := regexp.MustCompile(`(?m)^` + key + ` = "([^"]*)"$`).FindSubmatch(text)
+		require.Len(t, m, 2, key)
+		return string(m[1])
+	}
+	assert.Equal(t, "exec bin/elderwall", line("run"))
+	assert.Contains(t, line("build"), "CGO_ENABLED=1")
+	assert.Contains(t, line("build"), "-ldflags=-linkmode=external")
+
+	path := filepath.Join(t.TempDir(), "elderwall")
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	program, err := elf.Open(path)
+	require.NoError(t, err)
+	defer program.Close()
+	libraries, err := program.ImportedLibraries()
+	require.NoError(t, err)
+	assert.Contains(t, libraries, "libc.so.6")
+
+	// Nothing stands beside it here, so it can become nothing else; it ends by itself for want of a configuration.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	run := exec.CommandContext(ctx, path)
+	var said bytes.Buffer
+	run.Env, run.Stderr = []string{"PROXY_CONFIG=" + filepath.Join(t.TempDir(), "none.json")}, &said
+	assert.Error(t, run.Run())
+	assert.Equal(t, 1, run.ProcessState.ExitCode())
+	assert.Contains(t, said.String(), "none.json", "it read its configuration itself")
+}
--- a/paces/paces.go
+++ b/paces/paces.go
@@ -140,10 +140,10 @@
 // Blame tells what a late fill from a source is laid on.
 func (p *Paces) Blame(now float64, source *Pace) Blame {
 	switch {
+	case p.In(now) > Crowded: // first: what came slowly before that was known stands with the sources
+		return WayIn
 	case p.Slow(now, source) > Crowded:
 		return Source
-	case p.In(now) > Crowded:
-		return WayIn
 	}
 	return Unknown
 }
--- a/paces/paces_test.go
+++ b/paces/paces_test.go
@@ -98,6 +98,7 @@
 		p.Unfinished(6+float64(i), &cache, &source, 3, 3)
 	}
 	assert.Greater(t, p.In(10), 3.0)
+	p, _ = used()
 	var refuses paces.Pace
 	p.Refused(10, &refuses)
 	assert.Equal(t, paces.Source, p.Blame(10, &refuses))
