--- a/paces/paces.go
+++ b/paces/paces.go
@@ -102,7 +102,9 @@
 func (p *Paces) In(now float64) float64 {
 	var overs [recent]float64
 	for i, f := range p.fills {
-		overs[i] = f.over * math.Exp2(-math.Max(0, now-f.at)/holds)
+		if f.over > 0 { // most fills are as usual, and each GET asks
+			overs[i] = f.over * math.Exp2(-math.Max(0, now-f.at)/holds)
+		}
 	}
 	slices.Sort(overs[:])
 	return 1 + overs[recent/2]
@@ -154,7 +156,8 @@
 // Share is the share of misses that may fill while the way in is crowded, 1 while it is not. Guards against many
 // dispatchers that each keep to the least limit, and together fill the way in with what comes late.
 func (p *Paces) Share(now float64) float64 {
-	return math.Min(1, math.Pow(Crowded/p.In(now), 2))
+	part := math.Min(1, Crowded/p.In(now))
+	return part * part
 }
 
 // Spare tells whether the way in is known to carry more; where answers tell no bytes nothing is known.
