Give the emulator links, bursts and killed dispatchers; say what many dispatchers cost hosts

Transfers share links evenly as they come and go (flows); a miss is one transfer through the links of its source, the location and the cache, and is dropped when nobody waits for it. Locations, burst, kill, connections begun and up. Guarded by tests: sharing and halting of transfers, each new trouble, faults of scenarios, and a burst that 150 dispatchers do not prolong, for which the program without bytes fails.

Seen by the way: a Jsonnet file that imports one beside it was not read (evaluate in internal/strict gave no folder to the importer).

--- a/cmd/elderwall-operator/emulate.go
+++ b/cmd/elderwall-operator/emulate.go
@@ -28,6 +28,7 @@
 	Seed     uint64
 	Shards   int
 	Wall     float64 // s
+	Counted  float64 // s, of the scenario
 	*emulate.Result
 }
 
@@ -49,7 +50,7 @@
 			if err != nil {
 				return err
 			}
-			all = append(all, emulated{path, s.Seed, s.Shards, time.Since(start).Seconds(), r})
+			all = append(all, emulated{path, s.Seed, s.Shards, time.Since(start).Seconds(), s.Seconds, r})
 			broken = broken || len(r.Broken) > 0
 			s.Seed++
 		}
@@ -73,7 +74,7 @@
 // table prints what came of the runs; all of it is simulated.
 func (e *emulateCommand) table(to io.Writer, all []emulated) {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "scenario (simulated)\tseed\tGETs\tin time\tshed\terrored\thits\tforwards a GET\twasted\tlost\t50%\t99% ms\tcold most\tcopies 1/10/100/1000\twall s\tbroken")
+	fmt.Fprintln(out, "scenario (simulated)\tseed\tGETs\tin time\tshed\terrored\thits\tforwards a GET\twasted\tlost\t50%\t99% ms\tconnects/s\tconnections\tcold most\tcopies 1/10/100/1000\twall s\tbroken")
 	line := func(name string, seed uint64, t emulate.Tally) {
 		fmt.Fprintf(out, "%s\t%d\t%d\t%.4f\t%d\t%d\t%.3f\t%.3f\t%d\t%d\t%.1f\t%.1f", name, seed, t.GETs, t.Share(), t.Shed, t.Errored,
 			float64(t.Hits)/float64(max(1, t.Returned)), float64(t.Forwards)/float64(max(1, t.GETs+t.Again)), t.Wasted, t.Lost, t.P50, t.P99)
@@ -82,7 +83,7 @@
 		if e.BySecond {
 			for i, t := range r.Seconds {
 				line(fmt.Sprintf("  second %d", i), r.Seed, t)
-				fmt.Fprintln(out, "\t\t\t\t")
+				fmt.Fprintln(out, "\t\t\t\t\t\t")
 			}
 		}
 		line(r.Scenario, r.Seed, r.Total)
@@ -98,7 +99,8 @@
 			rules = append(rules, fmt.Sprintf("%s (%d)", rule, n))
 		}
 		slices.Sort(rules)
-		fmt.Fprintf(out, "\t%.2f\t%s\t%.1f\t%v\n", r.ColdMost, copies, r.Wall, rules)
+		fmt.Fprintf(out, "\t%.1f\t%.1f, %d\t%.2f\t%s\t%.1f\t%v\n", float64(r.Total.Connects)/r.Counted, r.Connections, r.MostConnections,
+			r.ColdMost, copies, r.Wall, rules)
 	}
 	_ = out.Flush()
 }
--- a/emulate/dispatcher.go
+++ b/emulate/dispatcher.go
@@ -1,6 +1,9 @@
 package emulate
 
 import (
+	"maps"
+	"slices"
+
 	"elderwall/control"
 	"elderwall/internal/due"
 )
@@ -14,6 +17,9 @@
 	ended  []control.Answer
 	used   map[*host]float64 // when something last came from a host: a connection is up
 	told   map[*host]float64 // since when it knows that a host drains
+	index  int
+	group  *group
+	dead   bool
 	timer  *due.Timer[func()]
 }
 
@@ -39,32 +45,101 @@
 	host, source  *host
 	back, stopped bool
 	arrived       bool
+	flow          *flow // of its own, or that fills for it; nil for none
+	fills         bool  // that one
+	waited        float64
+}
+
+// begins is the first byte of a fill for it at its cache: bytes are passed on as they come.
+func (f *forward) begins(at *host, pipes []*pipe, done func()) {
+	w := f.get.d.world
+	f.waited = w.now - f.at
+	if at.kind != 0 { // the origin's bytes come to a parent by a link of their own
+		pipes = []*pipe{w.origin.out}
+	}
+	f.flow, f.fills = w.carry(f.get.object.kb, done, pipes...), true
+}
+
+// stop has a host drop what nobody waits for any more.
+func (f *forward) stop() {
+	f.stopped = true
+	o := f.get.object
+	if f.flow == nil || f.fills && len(f.host.filling[o]) > 1 {
+		return
+	}
+	if f.flow.halt(); f.fills {
+		delete(f.host.filling, o)
+	}
 }
 
 var _ control.Wire = (*dispatcher)(nil)
 
 func newDispatcher(w *world, index int, together *group) *dispatcher {
-	d := &dispatcher{world: w, gets: map[uint32]*get{}, used: map[*host]float64{}, told: map[*host]float64{}}
+	d := &dispatcher{world: w, index: index, group: together}
 	together.members = append(together.members, d)
+	d.begin()
+	return d
+}
+
+// zone is the location that a dispatcher stands in.
+func (w *world) zone(dispatcher int) int { return dispatcher / w.Shards * w.Zones / w.Dispatchers }
+
+// kill ends it with all that it holds; hosts hear of that by its connections.
+func (d *dispatcher) kill() {
+	d.dead = true
+	d.events.Remove(d.timer)
+	for _, id := range slices.Sorted(maps.Keys(d.gets)) {
+		g := d.gets[id]
+		d.events.Remove(g.expiry)
+		if g.answers == 0 {
+			g.answers++
+			d.world.out.tally(d.world).Died++
+			d.comeAgain(g, 0)
+		}
+		for _, f := range g.forwards {
+			if !f.back {
+				f.back = true
+				f.stop()
+			}
+		}
+	}
+	d.gets = nil
+}
+
+// begin starts it, knowing nothing but its settings and the list.
+func (d *dispatcher) begin() {
+	w := d.world
+	d.dead, d.gets, d.used, d.told = false, map[uint32]*get{}, map[*host]float64{}, map[*host]float64{}
 	var common control.Peers
 	if w.Shards > 1 {
-		common = &peers{together, d, len(together.members) - 1}
+		common = &peers{d.group, d, len(d.group.members) - 1}
+	}
+	seats := make([]int, w.Zones)
+	for i := range w.Dispatchers {
+		seats[w.zone(i*w.Shards)]++
 	}
-	d.module = control.New(control.Settings{Index: index, Dispatchers: w.Dispatchers, Seed: w.Seed, Seats: []int{w.Dispatchers},
+	d.module = control.New(control.Settings{Index: d.index, Dispatchers: w.Dispatchers, Seed: w.Seed, Zone: w.zone(d.index), Seats: seats,
 		Services:   []control.DeliveryService{{Objective: w.Objective, ViewerTimeout: w.ViewerTimeout, Revenue: 1, Effect: control.Idempotent}},
 		ParentKind: 1, OriginKind: 2, Straight: true, Joins: true, Detail: control.Full, MaxForwards: w.MaxForwards, MayCancel: true,
 		SecondCopies: true, MaxRetryAfter: 1, ColdFrom: coldFrom, RampTime: ramp, TipMultiple: tip, Fall: fall,
-		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Retries: w.Retries, Shards: w.Shards, Peers: common}, 0, d)
+		ParentColdFrom: coldFrom, ParentRamp: ramp, ParentTip: tip, OldCopies: oldCopies, Retries: w.Retries, Shards: w.Shards, Peers: common}, w.now, d)
 	var entries []control.HostEntry
 	for _, h := range w.hosts {
 		entries = append(entries, h.entry())
 	}
 	d.list(control.Complete, entries, nil)
-	return d
+	for _, o := range w.items {
+		if o.purged > 0 && w.now < o.purged+oldCopies {
+			d.module.Purged(w.now, o.name, 0, w.now-o.purged)
+		}
+	}
 }
 
 // list tells the module of hosts.
 func (d *dispatcher) list(form control.ListForm, entries []control.HostEntry, hosts []*host) {
+	if d.dead {
+		return
+	}
 	for i, h := range hosts {
 		if entries[i].Phase != control.Ready && d.told[h] == 0 {
 			d.told[h] = d.now
@@ -114,7 +189,7 @@
 		d.module.Left(now, g.id)
 		for _, f := range g.forwards {
 			if !f.back {
-				f.stopped = true
+				f.stop()
 				d.back(f, control.Expired, control.NoNote)
 			}
 		}
@@ -128,8 +203,12 @@
 	}
 	f.back = true
 	f.get.out--
-	d.ended = append(d.ended, control.Answer{GET: f.get.id, Forward: f.number, Outcome: outcome, Note: note, Elapsed: d.now - f.at,
-		Last: f.get.answers > 0 || outcome == control.Returned})
+	a := control.Answer{GET: f.get.id, Forward: f.number, Outcome: outcome, Note: note, Elapsed: d.now - f.at,
+		Last: f.get.answers > 0 || outcome == control.Returned}
+	if outcome == control.Returned && d.Tells {
+		a.SizeKB, a.Waited = f.get.object.kb, f.waited
+	}
+	d.ended = append(d.ended, a)
 	if outcome != control.Returned {
 		d.world.out.tally(d.world).Wasted++
 	}
@@ -193,6 +272,9 @@
 	if f.host.down {
 		t.Lost++
 	}
+	if !connected {
+		t.Connects++
+	}
 	d.at(d.now+d.link(), func() {
 		switch {
 		case f.stopped:
@@ -209,7 +291,7 @@
 // Cancel ends the wait for a forward.
 func (d *dispatcher) Cancel(id uint32, number int) {
 	if g := d.gets[id]; g != nil && number < len(g.forwards) && !g.forwards[number].back {
-		g.forwards[number].stopped = true
+		g.forwards[number].stop()
 		d.back(g.forwards[number], control.Revoked, control.NoNote)
 	}
 }
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -68,6 +68,13 @@
 		}, 0.98, func(r *Result) bool { return r.Total.Hits > 4000 }},
 		{"a scan", func(s *Scenario) { s.Troubles = []Trouble{{Kind: Scan, At: 0, Rate: 300}} }, 0.9,
 			func(r *Result) bool { return r.Total.Fills > 1500 && r.Copies[0].Mean >= 1 }},
+		{"a burst", func(s *Scenario) { s.Troubles = []Trouble{{Kind: Burst, At: 1, For: 3, Factor: 2}} }, 0.98,
+			func(r *Result) bool { return r.Total.GETs > 4000 }},
+		{"dispatchers killed", func(s *Scenario) {
+			s.Dispatchers, s.Troubles = 20, []Trouble{{Kind: Purge, At: 0, Rate: 20}, {Kind: Kill, At: 2, For: 1, Share: 0.7}}
+		}, 0.9, func(r *Result) bool {
+			return r.Total.Died > 3 && r.Total.Again >= r.Total.Died && r.Total.Connects > 300
+		}},
 		{"purges", func(s *Scenario) { s.Troubles = []Trouble{{Kind: Purge, At: 0, Rate: 20}} }, 0.97,
 			func(r *Result) bool { return r.Total.Fills > 100 }},
 	}
@@ -145,3 +152,56 @@
 	assert.Greater(t, with, 0.9)
 	assert.Greater(t, with, without+0.1)
 }
+
+// Transfers share links as they come and go: what goes at once takes as long as all of it, and nothing is lost or made.
+func TestTransfersShareLinks(t *testing.T) {
+	tests := []struct {
+		name   string
+		shared float64   // KB a second of the link that all share; each has one of 4 of its own, at a pace of 8
+		kb     []float64 // begun together
+		halted int       // after a second
+		ends   []float64 // s; 0 for what was halted
+	}{
+		{"alone", 100, []float64{8}, -1, []float64{2}},
+		{"wide", 0, []float64{8, 4}, -1, []float64{2, 1}},
+		{"narrow", 4, []float64{4, 4}, -1, []float64{2, 2}},
+		{"a short one first", 4, []float64{2, 6}, -1, []float64{1, 2}},
+		{"one is halted", 4, []float64{6, 6}, 0, []float64{0, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := &world{Scenario: Default()}
+			w.Pace = 8
+			shared, ends, flows := &pipe{kb: tt.shared}, make([]float64, len(tt.kb)), make([]*flow, len(tt.kb))
+			for i, kb := range tt.kb {
+				flows[i] = w.carry(kb, func() { ends[i] = w.now }, shared, &pipe{kb: 4})
+			}
+			if tt.halted >= 0 {
+				w.at(1, func() { flows[tt.halted].halt() })
+			}
+			for act, ok := w.events.PopAt(100); ok; act, ok = w.events.PopAt(100) {
+				w.now = act.At
+				act.Item()
+			}
+			assert.InDeltaSlice(t, tt.ends, ends, 0.02)
+			assert.Empty(t, shared.flows)
+		})
+	}
+}
+
+// Guards against 300 dispatchers, none of which sees much, that together keep the ways into their locations full after a
+// burst: by the bytes of answers each finds out. Without them it is the program as it was.
+func TestABurstDoesNotOutlastItselfAtManyDispatchers(t *testing.T) {
+	play := func(tells bool) *Result {
+		return run(t, func(s *Scenario) {
+			s.Dispatchers, s.Zones, s.Caches, s.Cells, s.Parents, s.Holds = 150, 20, 100, 20, 6, 1000
+			s.Rate, s.Objects, s.Objective, s.ViewerTimeout, s.Again = 1500, 20_000, 0.6, 3, 3
+			s.KB, s.Spread, s.Pace, s.CacheKB, s.ParentKB, s.OriginKB, s.WayInKB, s.Tells = 2, 0.6, 8, 60, 200, 1000, 40, tells
+			s.Warm, s.Seconds = 15, 15
+			s.Troubles = []Trouble{{Kind: Burst, At: 3, For: 5, Factor: 1.5}}
+		})
+	}
+	with, without := play(true), play(false)
+	assert.Greater(t, with.Total.Share(), without.Total.Share()+0.03)
+	assert.Less(t, with.Total.Shed, without.Total.Shed)
+}
--- a/emulate/host.go
+++ b/emulate/host.go
@@ -11,6 +11,8 @@
 	world      *world
 	id         uint32
 	kind, cell int
+	zone       int
+	out        *pipe
 	slots      int
 	serve      float64
 	holds      int
@@ -47,10 +49,13 @@
 func (h *host) drop() {
 	h.lives++
 	h.busy, h.waiting, h.filling = 0, nil, nil
+	for h.out != nil && len(h.out.flows) > 0 {
+		h.out.flows[0].halt()
+	}
 }
 
 func (h *host) entry() control.HostEntry {
-	e := control.HostEntry{ID: h.id, Zone: 0, Kind: h.kind, Cell: h.cell, Phase: h.phase, Weight: float64(h.slots)}
+	e := control.HostEntry{ID: h.id, Zone: h.zone, Kind: h.kind, Cell: h.cell, Phase: h.phase, Weight: float64(h.slots)}
 	if h.since >= 0 {
 		e.OnlineSince, e.OnlineSinceIsTold = h.since, true
 	}
@@ -131,7 +136,13 @@
 	if h.errs {
 		outcome = control.HostError
 	}
-	if !h.send(&f.stopped, func() { f.answer(outcome, note, fetched) }) {
+	end := func() { f.answer(outcome, note, fetched) }
+	switch {
+	case h.world.KB > 0 && (note == control.Filled || note == control.FilledByOrigin || note == control.Joined):
+		end() // it was passed on while it came
+	case h.world.KB > 0 && len(h.out.flows) < h.slots+h.world.Queue:
+		f.flow = h.world.carry(f.get.object.kb, end, h.out)
+	case h.world.KB > 0 || !h.send(&f.stopped, end):
 		f.answer(control.NotTaken, control.NoNote, 0)
 	}
 }
@@ -196,7 +207,13 @@
 	w.checkDrain(h, f)
 	w.cold(h)
 	send := func(fetched float64, note control.Note) {
-		if life == h.lives && !h.send(new(bool), func() { done(fetched, note) }) {
+		switch {
+		case life != h.lives:
+		case w.KB > 0 && f.stopped && len(f.host.filling[o]) < 2: // its client has left, and nobody else waits
+			delete(f.host.filling, o)
+		case w.KB > 0 && len(h.out.flows) < h.slots+w.Queue:
+			f.begins(to, []*pipe{h.out, w.waysIn[to.zone], to.out}, func() { done(fetched, note) })
+		case w.KB > 0 || !h.send(new(bool), func() { done(fetched, note) }):
 			done(0, control.SourceRefused)
 		}
 	}
--- a/emulate/result.go
+++ b/emulate/result.go
@@ -14,6 +14,8 @@
 	Hits, Fills      int
 	Forwards, Wasted int     // Wasted came back with no copy
 	Lost             int     // of Forwards, to hosts that say nothing
+	Connects         int     // of Forwards, those that began a connection
+	Died             int     // GETs that were open at a dispatcher that was killed
 	P50, P99         float64 // ms; filled at the end
 	delays           *hdrhistogram.Histogram
 }
@@ -27,6 +29,9 @@
 	// ColdMost is the most load on a cold cache in a second, as a share of what pushes it over.
 	ColdMost float64
 	Pushed   int // caches that were pushed over
+	// Connections is how many are up to a cache in the mean, and to the one with most, when the last GET has come.
+	Connections     float64
+	MostConnections int
 }
 
 // Copies is how many caches hold an object in the mean, by rank of how often it is asked for.
@@ -100,6 +105,7 @@
 			}
 		}
 	}
+	r.connections(w)
 	copies := map[*object]int{}
 	for _, h := range w.caches() {
 		if !h.down {
@@ -129,6 +135,8 @@
 	t.Forwards += o.Forwards
 	t.Wasted += o.Wasted
 	t.Lost += o.Lost
+	t.Connects += o.Connects
+	t.Died += o.Died
 	t.delays.Merge(o.delays)
 }
 
@@ -145,3 +153,20 @@
 	return fmt.Sprintf("%d GETs, %.4f in time, %d shed, %d errored, %d forwards, %d wasted, %d lost, %d fills, %.1f and %.1f ms",
 		t.GETs, t.Share(), t.Shed, t.Errored, t.Forwards, t.Wasted, t.Lost, t.Fills, t.P50, t.P99)
 }
+
+// connections counts what is up: each dispatcher's to a host, until it is unused for long.
+func (r *Result) connections(w *world) {
+	up, all := map[*host]int{}, 0
+	for _, d := range w.dispatchers {
+		for h, used := range d.used {
+			if h.kind == 0 && w.Warm+w.Seconds-used < w.IdleClose {
+				up[h]++
+				all++
+			}
+		}
+	}
+	r.Connections = float64(all) / float64(len(w.caches()))
+	for _, n := range up {
+		r.MostConnections = max(r.MostConnections, n)
+	}
+}
--- a/emulate/scenario.go
+++ b/emulate/scenario.go
@@ -20,18 +20,20 @@
 	Scan    = "scan"    // objects that are asked for once, in a rate of their own
 	Err     = "err"     // hosts do the work and answer with an error
 	Purge   = "purge"   // the most asked for objects are purged, one after the other
+	Burst   = "burst"   // clients ask Factor times as often
+	Kill    = "kill"    // dispatchers end with all they hold, and start again after For, knowing nothing
 )
 
 // Kinds is all of them.
-var Kinds = []string{Vanish, Slow, Restart, Replace, Hot, Scan, Err, Purge}
+var Kinds = []string{Vanish, Slow, Restart, Replace, Hot, Scan, Err, Purge, Burst, Kill}
 
 // Trouble is something that happens in a scenario.
 type Trouble struct {
 	Kind    string
 	At, For float64 // s; For 0 is to the end
-	Share   float64 // of the hosts, or of GETs for Hot
+	Share   float64 // of the hosts, of the dispatchers for Kill, or of GETs for Hot
 	Cells   int     // so many whole cells instead of a share of the hosts
-	Factor  float64 // of Slow
+	Factor  float64 // of Slow and Burst
 	Rate    float64 // a second, of Scan and Purge
 	Cold    bool    // hosts that vanished come back with empty caches, as the list tells
 }
@@ -65,7 +67,17 @@
 	Retries       retries.Settings
 	MaxForwards   int
 	Shards        int // modules of a dispatcher, divided by object; their cold budgets are divided
+	Zones         int // locations among which dispatchers and caches are divided
 	Troubles      []Trouble
+
+	// Bytes. Without KB transfers take Serve, and nothing of what follows counts.
+	KB, Spread float64 // of an object in the mean, and the spread of its logarithm
+	Pace       float64 // KB a second of one transfer that no link bounds
+	CacheKB    float64 // a second, of the link out of a cache; 0 carries any number, here and below
+	ParentKB   float64
+	OriginKB   float64
+	WayInKB    float64 // of the link into a location, which all fills share
+	Tells      bool    // answers tell their bytes
 }
 
 // Default is a small calm fleet.
@@ -73,7 +85,7 @@
 	return Scenario{Seed: 1, Seconds: 20, Warm: 5, Dispatchers: 2, Caches: 20, Cells: 4, Parents: 2, Slots: 8, Serve: 0.02,
 		Queue: 64, Holds: 5000, ParentSlots: 200, ParentHolds: 200_000, OriginSlots: 400, OriginServe: 0.05, Link: 0.002,
 		Connect: 0.3, IdleClose: 15, News: 0.2, Rate: 500, Objects: 10_000, Zipf: 1.1, Objective: 0.3, ViewerTimeout: 2,
-		Again: 1, MaxForwards: 6, Shards: 1}
+		Again: 1, MaxForwards: 6, Shards: 1, Zones: 1, Pace: 1000, Tells: true}
 }
 
 // What a scenario may be at most, so that a run ends and has room.
@@ -105,11 +117,14 @@
 	need(s.Objects > 0 && s.Objects <= mostObjects, "objects: 1 to %d", mostObjects)
 	need(s.Zipf == 0 || s.Zipf > 1, "zipf: 0 or above 1")
 	need(s.Objective > 0 && s.ViewerTimeout > s.Objective, "viewer_timeout: above the objective")
+	need(s.Zones > 0 && s.Zones <= min(s.Caches, s.Dispatchers), "zones: 1 to the caches and the dispatchers")
+	need(s.KB == 0 || s.Pace > 0, "pace: above 0")
 	need(s.MaxForwards > 0, "max_forwards: at least one")
 	need(len(s.Troubles) <= mostTroubles, "troubles: at most %d", mostTroubles)
 	for i, t := range s.Troubles {
 		need(t.Share >= 0 && t.Share <= 1 && t.Cells >= 0 && t.Cells <= s.Cells, "troubles[%d]: share up to 1, cells up to all", i)
-		need(t.Kind != Slow || t.Factor > 0, "troubles[%d]: slow needs a factor", i)
+		need(t.Kind != Slow && t.Kind != Burst || t.Factor > 0, "troubles[%d]: %s needs a factor", i, t.Kind)
+		need(t.Kind != Kill || t.For > 0 && s.Shards == 1, "troubles[%d]: kill needs a time, and no shards", i)
 		need(t.Kind != Scan && t.Kind != Purge || t.Rate > 0 && t.Rate*(s.Seconds+s.Warm) <= mostGETs, "troubles[%d]: %s needs a rate", i, t.Kind)
 	}
 	return errors.Join(all...)
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 
 	"elderwall/control"
@@ -31,6 +32,8 @@
 	origin      *host
 	dispatchers []*dispatcher
 	items       []*object // by rank
+	waysIn      []*pipe   // by zone
+	rate        float64   // GETs a second now
 	hot         *object
 	hotShare    float64
 	scanned     uint64
@@ -40,6 +43,7 @@
 // object is one that clients ask for.
 type object struct {
 	name   string
+	kb     float64
 	purged float64 // when the origin had a new one last
 	told   map[*dispatcher]float64
 }
@@ -49,9 +53,9 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	w := &world{Scenario: s, chance: rand.New(rand.NewPCG(s.Seed, 1)), byID: map[uint32]*host{}, out: newResult(s)}
+	w := &world{Scenario: s, chance: rand.New(rand.NewPCG(s.Seed, 1)), byID: map[uint32]*host{}, out: newResult(s), rate: s.Rate}
 	for i := range s.Objects {
-		w.items = append(w.items, &object{name: fmt.Sprintf("%016x", order.Mix(uint64(i)+s.Seed<<32)), purged: -1})
+		w.items = append(w.items, w.object(order.Mix(uint64(i)+s.Seed<<32)))
 	}
 	if s.Zipf > 0 {
 		w.zipf = rand.NewZipf(w.chance, s.Zipf, 1, uint64(s.Objects-1))
@@ -86,13 +90,26 @@
 func (w *world) link() float64 { return w.Link * (0.5 + w.chance.Float64()) }
 
 func (w *world) build() {
+	for range w.Zones {
+		w.waysIn = append(w.waysIn, &pipe{kb: w.WayInKB})
+	}
 	for i := range w.Caches {
-		w.add(&host{kind: 0, cell: i * w.Cells / w.Caches, slots: w.Slots, serve: w.Serve, holds: w.Holds})
+		w.add(&host{kind: 0, zone: i * w.Zones / w.Caches, cell: i * w.Cells / w.Caches, slots: w.Slots, serve: w.Serve,
+			holds: w.Holds, out: &pipe{kb: w.CacheKB}})
 	}
 	for range w.Parents {
-		w.add(&host{kind: 1, slots: w.ParentSlots, serve: w.Serve, holds: w.ParentHolds})
+		w.add(&host{kind: 1, slots: w.ParentSlots, serve: w.Serve, holds: w.ParentHolds, out: &pipe{kb: w.ParentKB}})
 	}
-	w.origin = w.add(&host{kind: 2, slots: w.OriginSlots, serve: w.OriginServe})
+	w.origin = w.add(&host{kind: 2, slots: w.OriginSlots, serve: w.OriginServe, out: &pipe{kb: w.OriginKB}})
+}
+
+// object is a new one, of a size that is drawn where sizes count.
+func (w *world) object(name uint64) *object {
+	o := &object{name: fmt.Sprintf("%016x", name), purged: -1}
+	if w.KB > 0 {
+		o.kb = w.KB * math.Exp(w.Spread*w.chance.NormFloat64()-w.Spread*w.Spread/2)
+	}
+	return o
 }
 
 // add puts a host into the world, under an id that spreads.
@@ -134,7 +151,7 @@
 	if w.now > w.Warm+w.Seconds {
 		return
 	}
-	w.at(w.now+w.chance.ExpFloat64()/w.Rate, func() {
+	w.at(w.now+w.chance.ExpFloat64()/w.rate, func() {
 		w.ask(w.pick(), 0)
 		w.arrive()
 	})
@@ -161,7 +178,12 @@
 		}
 		d += int(sum % uint64(w.Shards))
 	}
-	w.dispatchers[d].take(o, again)
+	for i := range w.Dispatchers { // a client whose dispatcher has died finds another
+		if one := w.dispatchers[(d+i*w.Shards)%len(w.dispatchers)]; !one.dead {
+			one.take(o, again)
+			return
+		}
+	}
 }
 
 // trouble begins one.
@@ -204,8 +226,18 @@
 	case Scan:
 		w.repeat(t, func() {
 			w.scanned++
-			w.ask(&object{name: fmt.Sprintf("%016x", order.Mix(w.scanned|1<<63)), purged: -1}, 0)
+			w.ask(w.object(order.Mix(w.scanned|1<<63)), 0)
 		})
+	case Burst:
+		w.rate = w.Rate * t.Factor
+		w.after(t, func() { w.rate = w.Rate })
+	case Kill:
+		for _, d := range w.dispatchers {
+			if w.chance.Float64() < t.Share {
+				d.kill()
+				w.after(t, d.begin)
+			}
+		}
 	case Purge:
 		next := 0
 		w.repeat(t, func() { w.purge(w.items[next%len(w.items)]); next++ })
@@ -261,7 +293,7 @@
 // replace drains a host, has another come in its cell, and lets the first go after the grace.
 func (w *world) replace(h *host) {
 	h.phase = control.Draining
-	fresh := w.add(&host{kind: 0, cell: h.cell, slots: w.Slots, serve: w.Serve, holds: w.Holds})
+	fresh := w.add(&host{kind: 0, zone: h.zone, cell: h.cell, slots: w.Slots, serve: w.Serve, holds: w.Holds, out: &pipe{kb: w.CacheKB}})
 	fresh.since = w.now
 	w.tell(h, fresh)
 	w.at(w.now+w.News+drainGrace+1, func() {
@@ -281,6 +313,9 @@
 				o.told = map[*dispatcher]float64{}
 			}
 			o.told[d] = w.now
+			if d.dead {
+				return
+			}
 			d.step(func(now float64) { d.module.Purged(now, o.name, 0, now-at) })
 		})
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -36,7 +36,7 @@
 	s.Seed = uint64(seed)
 	for key, to := range map[string]*int{"dispatchers": &s.Dispatchers, "caches": &s.Caches, "cells": &s.Cells, "parents": &s.Parents,
 		"slots": &s.Slots, "queue": &s.Queue, "holds": &s.Holds, "parent_slots": &s.ParentSlots, "parent_holds": &s.ParentHolds,
-		"origin_slots": &s.OriginSlots, "objects": &s.Objects, "again": &s.Again, "max_forwards": &s.MaxForwards, "shards": &s.Shards} {
+		"origin_slots": &s.OriginSlots, "objects": &s.Objects, "again": &s.Again, "max_forwards": &s.MaxForwards, "shards": &s.Shards, "zones": &s.Zones} {
 		o.Count(key, to, 0, most)
 	}
 	for key, to := range map[string]*float64{"seconds": &s.Seconds, "warm": &s.Warm, "serve": &s.Serve, "origin_serve": &s.OriginServe,
@@ -46,6 +46,11 @@
 	}
 	o.Rate("rate", &s.Rate, 0.01, most)
 	o.Number("zipf", &s.Zipf, 0, 10)
+	for key, to := range map[string]*float64{"kb": &s.KB, "spread": &s.Spread, "pace": &s.Pace, "cache_kb": &s.CacheKB,
+		"parent_kb": &s.ParentKB, "origin_kb": &s.OriginKB, "way_in_kb": &s.WayInKB} {
+		o.Number(key, to, 0, most)
+	}
+	o.Flag("tells", &s.Tells)
 	o.Number("retry_share", &s.Retries.Share, 0, 10)
 	o.Rate("retry_floor", &s.Retries.Floor, 0, most)
 	for i, v := range o.List("troubles") {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -113,6 +114,7 @@
 // evaluate reads a Jsonnet file into plain values, and its tree for the lines of keys.
 func evaluate(path, text string) (value any, tree ast.Node, err error) {
 	vm := jsonnet.MakeVM()
+	vm.Importer(&jsonnet.FileImporter{JPaths: []string{filepath.Dir(path)}}) // a file's own folder, wherever we stand
 	out, err := vm.EvaluateAnonymousSnippet(path, text)
 	if err != nil {
 		return nil, nil, errors.New(strings.TrimSpace(err.Error()))
