Call a client's copy current only where a host names that very copy

Seen by reading every place that answers so: node.done took any VALID for it (node.go, done and outcome), whatever its rev said and whether the GET had brought a copy at all; where GETs share a forward, all that waited would have been answered with no bytes. Ruled out: nothing remembers copies between GETs, so a purge or a restart leaves no claim behind (test), and GETs with a copy never share a forward.

VALID counts now only where its rev is the tag that the GET brought; else the forward ended as a fault of the host (counter Unnamed), and the GET goes on as after any fault.

Tests: five rows over sockets, shared forwards in node, each claim after a purge and a restart. The rows fail without the check.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -20,6 +20,7 @@
 
 	Forwards, Stopped                          atomic.Int64 // sent; given up
 	Hit, Valid, None, Full, Fault, Late        atomic.Int64 // ended by an answer
+	Unnamed                                    atomic.Int64 // ended by VALID for a copy that the GET did not bring
 	Unreached, PartlyWritten, Unanswered       atomic.Int64 // broken off: not written, in part, whole
 	AnswerCut, Expired, NoPlace                atomic.Int64 // broken off within the answer; overdue; no connection left
 	MovedSlots, HotItems                       atomic.Int64 // of all shards: slots moved; items spread now
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -51,6 +51,7 @@
 	Word   Word
 	Note   control.Note
 	Waited float64 // s; how long the fill waited for its source, 0 where that is not told
+	Tag    string  // of the copy that the host calls current, for Valid alone
 	Body   []byte
 	Cut    bool // there was no room for the body, which was drained
 }
@@ -221,6 +222,10 @@
 			return errors.New("field without value")
 		}
 		switch string(name) {
+		case "rev":
+			if a.Word == Valid {
+				a.Tag = string(value)
+			}
 		case "detail":
 			a.Note = notes[string(value)]
 		case "fill":
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -70,6 +70,7 @@
 		{standin.Answer("a", "HIT", "detail=shared", "x"), lines.Answer{Word: lines.Hit, Note: control.Joined, Body: []byte("x")}},
 		{standin.Answer("a", "HIT", "detail=old", "x"), lines.Answer{Word: lines.Hit, Note: control.Aged, Body: []byte("x")}},
 		{standin.Answer("a", "VALID", "detail=mem", ""), lines.Answer{Word: lines.Valid, Note: control.Hit, Body: empty}},
+		{standin.Answer("a", "VALID", "rev=7,detail=old", ""), lines.Answer{Word: lines.Valid, Note: control.Aged, Tag: "7", Body: empty}},
 		{standin.Answer("a", "NONE", "-", ""), lines.Answer{Word: lines.None, Body: empty}},
 		{standin.Answer("a", "NONE", "detail=absent", ""), lines.Answer{Word: lines.None, Note: control.SourceLacks, Body: empty}},
 		{standin.Answer("a", "SHED", "detail=denied", ""), lines.Answer{Word: lines.Shed, Note: control.SourceRefused, Body: empty}},
--- a/internal/node/joint_test.go
+++ b/internal/node/joint_test.go
@@ -187,6 +187,27 @@
 	assert.LessOrEqual(t, r.asked.Load(), int64(3*6), "three in the lead, up to six forwards each")
 }
 
+// A host calls a copy current where nobody brought one: none of those that share the forward are told that.
+func TestACopyThatNobodyBroughtIsNotCurrent(t *testing.T) {
+	r := newJointRig(t, true)
+	var first atomic.Bool
+	once := func(a standin.Ask) string {
+		if first.CompareAndSwap(false, true) {
+			return standin.Answer(a.ID, "VALID", "rev=4be0c1927d55a6f3,detail=mem", "")
+		}
+		return standin.Hit(a.ID, "bytes")
+	}
+	r.answer.Store(&once)
+	all := []*client{r.get(10), r.get(10), r.get(10)}
+	r.under(1)
+	close(r.wait)
+	for _, c := range all {
+		assert.Equal(t, "served bytes", r.read(c))
+	}
+	assert.EqualValues(t, 1, r.Options.Counts.Unnamed.Load())
+	assert.Zero(t, r.Options.Counts.Unchanged.Load())
+}
+
 func TestEachWaitsForAsLongAsItCan(t *testing.T) {
 	r := newJointRig(t, true)
 	long, short := r.get(10), r.get(0.2)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,7 @@
 			return
 		}
 		size := float64(len(body)) / 1e3
-		outcome, counter := n.outcome(r)
+		outcome, counter := n.outcome(r, f.get.request.Tag)
 		counter.Add(1)
 		if outcome == control.Returned {
 			n.landed(f.get, body)
@@ -322,8 +322,10 @@
 	})
 }
 
-// outcome names how a forward ended, never better than what is proven, and its counter.
-func (n *Node) outcome(r upstream.Result) (control.Outcome, *atomic.Int64) {
+// outcome names how a forward ended, never better than what is proven, and its counter. That the client's copy, by its
+// tag, is current counts only where the host names that very copy: guards against VALID for a GET that came with none,
+// which would have its client, and all that share the forward, go on with a copy that nobody vouched for.
+func (n *Node) outcome(r upstream.Result, tag string) (control.Outcome, *atomic.Int64) {
 	c := n.Options.Counts
 	switch r.Stage {
 	case upstream.NotConnected, upstream.NotWritten:
@@ -342,6 +344,9 @@
 	case lines.Hit:
 		return control.Returned, &c.Hit
 	case lines.Valid:
+		if tag == "" || r.Answer.Tag != tag {
+			return control.HostError, &c.Unnamed
+		}
 		return control.Returned, &c.Valid
 	case lines.None:
 		return control.Empty, &c.None
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -160,7 +160,11 @@
 	}{
 		{"a hit", hit, true, nil, served},
 		{"the bytes although it holds a copy", hit, true, []string{"got", "4be0c1927d55a6f3"}, served},
-		{"that its copy is the one", word("VALID", "mem"), true, []string{"got", "4be0c1927d55a6f3"}, same},
+		{"that its copy is the one", word("VALID", "mem,rev=4be0c1927d55a6f3"), true, []string{"got", "4be0c1927d55a6f3"}, same},
+		{"the bytes, where one calls a copy current that it has not", word("VALID", "mem,rev=4be0c1927d55a6f3"), false, nil, served},
+		{"the bytes, where one names another copy", word("VALID", "mem,rev=77"), false, []string{"got", "4be0c1927d55a6f3"}, served},
+		{"the bytes, where one names none", word("VALID", "mem"), false, []string{"got", "4be0c1927d55a6f3"}, served},
+		{"a refusal, where all name another copy", word("VALID", "mem,rev=77"), true, []string{"got", "4be0c1927d55a6f3"}, refused},
 		{"a hit from the other, where one breaks off", reset, false, nil, served},
 		{"a hit from the other, where one faults", word("FAULT", "crowded"), false, nil, served},
 		{"a hit from the other, where one is full", word("SHED", "crowded"), false, nil, served},
@@ -206,6 +210,27 @@
 	}
 }
 
+// Nothing is remembered of what was current: each claim has a host behind it that named the copy for this very GET, also after
+// a purge and after a restart.
+func TestACopyIsCalledCurrentByAHostEachTime(t *testing.T) {
+	const tag = "4be0c1927d55a6f3"
+	a, asked := host(t, func(a standin.Ask) string {
+		return standin.Answer(a.ID, "VALID", "detail=mem,rev="+a.Fields["inm"], "")
+	})
+	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
+	for _, before := range []func(){
+		func() {}, func() {},
+		func() { d.log.Push(`{"seq":2,"invalidate":{"object":"` + object + `","time":1764576000123}}`) },
+		func() { d.end(); d.run() },
+	} {
+		before()
+		r := d.get("got", tag)
+		assert.Equal(t, map[string]string{"ok304": "1"}, r.Fields)
+		require.Len(t, asked, 1, "one host was asked")
+		assert.Equal(t, tag, (<-asked).Fields["inm"])
+	}
+}
+
 func TestGiveUpStopsTheForward(t *testing.T) {
 	a, asked := host(t, func(standin.Ask) string { return "" })
 	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
