Let items that nobody asks for any more rest in 50 bytes each

Ruled out by the same play: hosts that went, purges, due times, the orders' changes.

Change: an item without a GET for a window and the longest viewer timeout keeps its hash and its size (popular.Known). All that decisions still read of it is that it was asked for before, and its size, so they are the same; as many are remembered as before.

--- a/control/state.go
+++ b/control/state.go
@@ -44,6 +44,7 @@
 	demand     counter
 	place      *list.Element
 	again      bool    // asked for before
+	used       float64 // when it was last asked for
 	kb         float64 // its size as the last answer told, 0 before
 	holder     *host   // the cache that returned it last
 	heldTo     float64 // and until when it is thought to hold it
@@ -57,13 +58,37 @@
 	part   int
 }
 
-// table finds the items by name, and drops the least lately used beyond its size.
+// table finds the items by name, and drops the least lately used beyond its size. Guards against a long day on which
+// items that nobody asks for any more fill it, at 360 bytes each: of those that were last asked for so long ago that
+// nothing counts any more but that they were, and their size, no more than that is kept.
 type table struct {
 	byName map[itemKey]*item
 	byUse  *list.List
+	rests  float64         // s; without a GET for so long an item rests
+	rest   *popular.Known  // the items that rest, with their sizes in KB
 	let    *popular.Sketch // what it has let go; nil until it was full
 }
 
+// newTable is empty. What was counted of an item is over a window after the last GET for it, and a holder a window after
+// the last GET for it came back.
+func newTable(services []DeliveryService) table {
+	longest := 0.0
+	for _, s := range services {
+		longest = math.Max(longest, s.ViewerTimeout)
+	}
+	return table{byName: map[itemKey]*item{}, byUse: list.New(), rests: (buckets+1)*bucketSpan + longest, rest: popular.NewKnown(tableSize)}
+}
+
+// settle has items rest, and lets the last of those go that are beyond the size.
+func (t *table) settle(now float64) {
+	for last := t.byUse.Back(); last != nil && now-last.Value.(*item).used > t.rests; last = t.byUse.Back() {
+		it := t.byUse.Remove(last).(*item)
+		delete(t.byName, it.key)
+		t.rest.Put(it.hash, it.kb)
+	}
+	t.rest.Trim(max(0, tableSize-t.byUse.Len()))
+}
+
 // touch gives an item that is asked for. Guards against catalogues far larger than the table, where objects that are
 // asked for now and then would never be known before: what the table has let go keeps its count in a sketch.
 func (t *table) touch(now float64, object string, part int, size float64) *item {
@@ -76,8 +101,12 @@
 		it = &item{key: key, hash: hash(fmt.Sprint(object, " ", part)), objectHash: hash(object)}
 		it.place = t.byUse.PushFront(it)
 		t.byName[key] = it
-		t.recall(now, it, size)
+		if it.kb, it.again = t.rest.Take(it.hash); !it.again {
+			t.recall(now, it, size)
+		}
 	}
+	it.used = now
+	t.settle(now)
 	if t.let != nil {
 		t.let.Add(now, it.hash)
 	}
@@ -277,7 +306,7 @@
 // New makes a dispatcher that knows its settings alone.
 func New(s Settings, now float64, w Wire) *Dispatcher {
 	d := &Dispatcher{Settings: s, wire: w, now: now, gets: map[uint32]*get{}, hosts: map[uint32]*host{},
-		items: table{byName: map[itemKey]*item{}, byUse: list.New()}, purges: map[string]float64{},
+		items: newTable(s.Services), purges: map[string]float64{},
 		fills:   allowance{name: FillLimit, most: math.Inf(1)},
 		origins: allowance{name: OriginLimit, most: math.Inf(1)},
 		all:     allowance{name: AllLimit, most: math.Inf(1), bears: oneCrowded}}
--- a/popular/popular_test.go
+++ b/popular/popular_test.go
@@ -240,3 +240,39 @@
 		})
 	}
 }
+
+// Known beside the plainest list that does the same.
+func TestKnownIsAQueueOfSoMany(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 8
+		k, names, figures := NewKnown(most), []uint64{}, map[uint64]float64{}
+		forget := func(hash uint64) {
+			names = slices.DeleteFunc(names, func(h uint64) bool { return h == hash })
+			delete(figures, hash)
+		}
+		for i := range rapid.IntRange(0, 400).Draw(t, "steps") {
+			hash := rapid.Uint64Range(0, 15).Draw(t, "hash")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				want, known := figures[hash]
+				got, ok := k.Take(hash)
+				assert.Equal(t, known, ok)
+				assert.Equal(t, want, got)
+				forget(hash)
+			case 1:
+				k.Trim(most - 2)
+				for len(names) > most-2 {
+					forget(names[0])
+				}
+			default:
+				forget(hash)
+				names, figures[hash] = append(names, hash), float64(i)
+				if k.Put(hash, float64(i)); len(names) > most {
+					forget(names[0])
+				}
+			}
+			assert.Equal(t, len(names), k.Len())
+			assert.LessOrEqual(t, len(k.queue), 2*most+slack+1, "what was taken does not pile up")
+		}
+	})
+}
