--- a/cmd/elderwall-operator/check.go
+++ b/cmd/elderwall-operator/check.go
@@ -35,6 +35,9 @@
 	if told.TLS != nil {
 		fmt.Printf("tls: listens at %s, %d authorities\n", told.TLS.Listen, len(told.TLS.Prints))
 	}
+	if f := told.Fleet; f != nil {
+		fmt.Printf("fleet: listens at %s, %d peers to begin with, sealed: %v\n", f.Listen, len(f.Peers), f.Keys != nil)
+	}
 	if len(services) == 0 {
 		fmt.Println("delivery services were not checked: PROXY_CONFIG names no configuration")
 	}
--- /dev/null
+++ b/cmd/elderwall-operator/fleet.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dustin/go-humanize"
+
+	"elderwall/fleet/members"
+	"elderwall/internal/fleet"
+)
+
+// fleetCommand asks dispatchers that know each other.
+type fleetCommand struct {
+	Members membersCommand   `cmd:"" help:"List the members as one of them sees them."`
+	Watch   watchCommand     `cmd:"" help:"Follow the changes that one of them sees."`
+	Leave   leaveCommand     `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
+	Key     fleetKeyCommand  `cmd:"" help:"Print a new key, a line of the key file that all have."`
+	Emulate fleetPlayCommand `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
+}
+
+// asked is whom the commands ask.
+type asked struct {
+	At  string `required:"" help:"The fleet address of a dispatcher." placeholder:"ADDR"`
+	Key string `help:"The fleet's key file; none where it has none." placeholder:"FILE"`
+}
+
+func (a asked) ask(what string, after uint64) (fleet.Told, error) {
+	keys := fleet.OpenKeys()
+	if a.Key != "" {
+		var err error
+		if keys, err = fleet.ReadKeys(a.Key); err != nil {
+			return fleet.Told{}, err
+		}
+	}
+	return fleet.Ask(context.Background(), a.At, keys, what, after)
+}
+
+type membersCommand struct {
+	asked
+	JSON bool `help:"All of it, as JSON."`
+}
+
+// Run prints one line a member, the asked one first.
+func (c *membersCommand) Run() error {
+	t, err := c.ask(fleet.AskMembers, 0)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", "  ")
+		return out.Encode(t)
+	}
+	return list(os.Stdout, t)
+}
+
+func list(to io.Writer, t fleet.Told) error {
+	fmt.Fprintf(to, "%s, %s: sees %d of %d (%s), sure %.2f", t.Self.Name, t.Standing, t.View.Seen, t.View.Of, t.Level, t.View.Sure)
+	if t.View.Doubt {
+		fmt.Fprint(to, ", doubts itself")
+	}
+	if t.View.Differs > 0 {
+		fmt.Fprintf(to, ", %d see it otherwise", t.View.Differs)
+	}
+	fmt.Fprintln(to)
+	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "member\tstate\tsince\tzone\tincarnation\taddress\tlink\theard\tGETs/s\tsettings\taccused by")
+	ago := func(at float64) string {
+		if at < 0 {
+			return "never"
+		}
+		return time.Duration((t.Now - at) * float64(time.Second)).Round(time.Second / 10).String()
+	}
+	for _, m := range t.Members {
+		by := m.By
+		if m.State == members.Alive || m.State == members.Left {
+			by = ""
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d.%d\t%s\t%s\t%s\t%s\t%08x\t%s\n", m.Name, m.State, ago(m.Since), m.Zone, m.Incarnation>>32, uint32(m.Incarnation),
+			m.Address, m.Link, ago(m.Heard), humanize.Comma(int64(m.Load.GETs)), m.Generation, by)
+	}
+	return out.Flush()
+}
+
+type watchCommand struct {
+	asked
+	For time.Duration `help:"Stop after so long; never without." placeholder:"TIME"`
+}
+
+// Run prints a line whenever a member's state or the view changes.
+func (c *watchCommand) Run() error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if c.For > 0 {
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	was, after, first := map[string]string{}, uint64(0), true
+	for ctx.Err() == nil {
+		t, err := c.ask(fleet.AskWatch, after)
+		if err != nil {
+			return err
+		}
+		after = t.Number
+		now := map[string]string{t.Self.Name: fmt.Sprintf("%s, sees %s, %d of %d", t.Standing, t.Level, t.View.Seen, t.View.Of)}
+		for _, m := range t.Members {
+			now[m.Name] = m.State.String()
+			if m.Link != members.Clear {
+				now[m.Name] += ", " + m.Link.String()
+			}
+		}
+		for name, is := range now {
+			if !first && was[name] != is {
+				fmt.Printf("%s %s: %s\n", time.Now().Format(time.TimeOnly), name, is)
+			}
+		}
+		for name := range was {
+			if now[name] == "" {
+				fmt.Printf("%s %s: forgotten\n", time.Now().Format(time.TimeOnly), name)
+			}
+		}
+		if first {
+			if err := list(os.Stdout, t); err != nil {
+				return err
+			}
+		}
+		was, first = now, false
+	}
+	return nil
+}
+
+type leaveCommand struct{ asked }
+
+// Run has the dispatcher leave.
+func (c *leaveCommand) Run() error {
+	t, err := c.ask(fleet.AskLeave, 0)
+	if err == nil {
+		fmt.Printf("%s has left, and serves on alone\n", t.Self.Name)
+	}
+	return err
+}
+
+type fleetKeyCommand struct{}
+
+// Run prints a key.
+func (fleetKeyCommand) Run() error {
+	fmt.Println(fleet.NewKey())
+	return nil
+}
--- /dev/null
+++ b/cmd/elderwall-operator/fleetplay.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"elderwall/emulate"
+)
+
+// fleetPlayCommand plays members with no sockets.
+type fleetPlayCommand struct {
+	Members  []int     `default:"30,300" help:"Sizes of the fleet."`
+	Loss     []float64 `default:"0,0.01,0.05,0.2" help:"Shares of datagrams that are lost."`
+	Stalls   float64   `help:"One in so many stands still at any time; 0 for none." placeholder:"N"`
+	Protocol []string  `default:"own doubt,plain SWIM,heartbeats" help:"The protocols that are put side by side."`
+	Span     float64   `default:"300" help:"Intervals that count."`
+	Seeds    int       `default:"1" help:"So many runs of each."`
+	Die      int       `default:"1" help:"Members that end, one after the other."`
+	Cut      float64   `help:"This share of the members is cut off for 60 intervals in the middle."`
+	JSON     string    `help:"Where the results go as JSON." type:"path" placeholder:"FILE"`
+}
+
+type fleetPlayed struct {
+	emulate.MembersScenario
+	*emulate.MembersResult
+	Wall float64 // s
+}
+
+// Run plays all of them, and prints a table.
+func (c *fleetPlayCommand) Run() error {
+	var all []fleetPlayed
+	for _, n := range c.Members {
+		for _, loss := range c.Loss {
+			for _, protocol := range c.Protocol {
+				for seed := range c.Seeds {
+					s := emulate.MembersDefault()
+					s.Seed, s.Members, s.Loss, s.Protocol, s.Stalls, s.Span = uint64(seed+1), n, loss, protocol, c.Stalls, c.Span
+					for i := range c.Die {
+						s.Troubles = append(s.Troubles, emulate.MemberTrouble{Kind: emulate.Die, At: 10 + float64(i)*c.Span/float64(2*c.Die), Number: 1})
+					}
+					if c.Cut > 0 {
+						s.Troubles = append(s.Troubles, emulate.MemberTrouble{Kind: emulate.Cut, At: c.Span / 2, For: 60, Share: c.Cut})
+					}
+					start := time.Now()
+					r, err := emulate.RunMembers(s)
+					if err != nil {
+						return err
+					}
+					all = append(all, fleetPlayed{s, r, time.Since(start).Seconds()})
+				}
+			}
+		}
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "members (simulated)\tloss\tprotocol\tseed\tfirst knows\thalf\t99%\twrong an hour\tdatagrams\tbytes\theal\twall s")
+	median := func(l []float64) string {
+		if len(l) == 0 {
+			return "-"
+		}
+		l = slices.Clone(l)
+		slices.Sort(l)
+		return fmt.Sprintf("%.1f", l[len(l)/2])
+	}
+	for _, r := range all {
+		fmt.Fprintf(out, "%d\t%g\t%s\t%d\t%s\t%s\t%s\t%.0f\t%.1f\t%.0f\t%.1f\t%.1f\n", r.MembersScenario.Members, r.Loss, r.Protocol, r.Seed, median(r.First), median(r.Half),
+			median(r.Known99), r.WrongHour, r.Datagrams, r.Bytes, r.Heal, r.Wall)
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(all, "", "  ")
+	if err == nil {
+		err = os.WriteFile(c.JSON, append(raw, '\n'), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return nil
+}
--- a/cmd/elderwall-operator/main.go
+++ b/cmd/elderwall-operator/main.go
@@ -20,6 +20,7 @@
 	Token   tokenCommand   `cmd:"" help:"Sign a token, or show what one says."`
 	Load    loadCommand    `cmd:"" help:"Run an experiment: loads against dispatchers, in turn, with tables of what came of it."`
 	Emulate emulateCommand `cmd:"" help:"Play scenarios with no sockets: dispatchers, caches, parents, an origin and clients on one clock and one seed."`
+	Fleet   fleetCommand   `cmd:"" help:"Ask dispatchers that know each other."`
 	Farm    farmCommand    `cmd:"" help:"Play cache hosts, parents, an origin and the change log, fast enough to load many cores."`
 }
 
@@ -38,7 +39,7 @@
 		return service.Serve(func(*service.Config) (service.Extension, error) { return extras.Alone(s.Cores), nil })
 	}
 	return service.Serve(func(c *service.Config) (service.Extension, error) {
-		return extras.Read(s.Operator, c.Services(), s.Cores)
+		return extras.Read(s.Operator, c.Name, c.Services(), s.Cores)
 	})
 }
 
--- a/fleet/members/gossip.go
+++ b/fleet/members/gossip.go
@@ -236,10 +236,17 @@
 	to := slices.DeleteFunc(slices.Concat(m.s.Peers, m.known), func(a string) bool { return a == m.self.Address })
 	if len(to) > 0 {
 		m.peerAt++
-		m.put(Envelope{To: to[(m.peerAt+int(m.s.Boot%64))%len(to)], Stream: true, Message: Message{Kind: Join}})
+		m.ask(to[(m.peerAt+int(m.s.Boot%64))%len(to)])
 	}
 }
 
+// ask asks one to be taken in; its answer names the question.
+func (m *Machine) ask(to string) {
+	m.seq++
+	m.joinSeq = m.seq
+	m.put(Envelope{To: to, Stream: true, Message: Message{Kind: Join, Seq: m.seq}})
+}
+
 // takeIn answers one that asks to be taken in. A name is its holder's as long as that is not known to be gone.
 func (m *Machine) takeIn(in Message) {
 	if m.standing != Belongs || len(in.From.Name) > longWord || len(in.From.Address) > longWord {
@@ -257,30 +264,34 @@
 		return // it comes again
 	}
 	if held {
-		m.put(Envelope{To: in.From.Address, Stream: true, Message: Message{Kind: Refused, Target: holder}})
+		m.put(Envelope{To: in.From.Address, Stream: true, Message: Message{Kind: Refused, Seq: in.Seq, Target: holder}})
 		return
 	}
 	if p := m.byName[in.From.Name]; p == nil || in.From.beats(&p.Member) {
 		m.learn(in.From, false)
 	}
-	m.sendTable(in.From.Address, false)
+	m.joined = true
+	m.sendTable(in.From.Address, in.Seq, false)
 	m.look()
 }
 
-// sendTable sends all that is known.
-func (m *Machine) sendTable(to string, wants bool) {
+// sendTable sends all that is known; to one that asks, with the number of its question.
+func (m *Machine) sendTable(to string, seq uint32, wants bool) {
 	all := make([]Member, 0, len(m.list))
 	for _, p := range m.list {
 		r := p.Member
 		r.Counted = p.counted
 		all = append(all, r)
 	}
-	m.put(Envelope{To: to, Stream: true, Message: Message{Kind: Table, News: all, Wants: wants, Fleet: m.reference.fleet,
+	m.put(Envelope{To: to, Stream: true, Message: Message{Kind: Table, Seq: seq, News: all, Wants: wants, Fleet: m.reference.fleet,
 		Reference: m.reference.generation, Of: uint32(m.view.Of)}})
 }
 
 // takeTable takes all that another knows.
 func (m *Machine) takeTable(in Message) {
+	if !m.joined && in.Seq != m.joinSeq {
+		return
+	}
 	m.listen()
 	if m.standing == Ousted { // the name is free, and the table tells who had it
 		m.standing = Belongs
@@ -299,7 +310,7 @@
 	}
 	m.merge(in)
 	if in.Wants && m.tables.take(m.now, tablesAtOne) {
-		m.sendTable(in.From.Address, false)
+		m.sendTable(in.From.Address, 0, false)
 	}
 	m.spread(m.self)
 	m.look()
@@ -310,7 +321,7 @@
 	if m.now >= m.due.sync {
 		m.due.sync = m.now + (m.span(syncEach)/2+m.jitter(syncEach))*math.Max(1, float64(m.In())/syncFew)
 		for _, p := range m.some(1, func(p *peer) bool { return p.State == Alive }) {
-			m.sendTable(p.Address, true)
+			m.sendTable(p.Address, 0, true)
 		}
 	}
 	if m.now < m.due.heal {
@@ -328,7 +339,7 @@
 	case len(failed) > 0 && (len(unknown) == 0 || m.chance.IntN(2) == 0):
 		m.ping(failed[0], 0)
 	case len(unknown) > 0 && m.In() > 0:
-		m.put(Envelope{To: unknown[m.chance.IntN(len(unknown))], Stream: true, Message: Message{Kind: Join}})
+		m.ask(unknown[m.chance.IntN(len(unknown))])
 	}
 }
 
--- a/fleet/members/members.go
+++ b/fleet/members/members.go
@@ -190,7 +190,8 @@
 	due      struct{ probe, sync, heal, join, look float64 }
 	tables   bucket
 	acks     bucket
-	joined   bool // somebody answered
+	joined   bool // somebody answered, or came
+	joinSeq  uint32
 	view     View
 	dirty    bool
 	peerAt   int
@@ -248,7 +249,7 @@
 	m.self = Member{Name: s.Name, Address: s.Address, Zone: s.Zone, Boot: s.Boot, Wire: s.Wire, Generation: s.Generation, Incarnation: epoch}
 	m.tables, m.acks = bucket{tablesAtOne, now}, bucket{acksAtOne, now}
 	m.due.probe, m.due.sync = now+m.jitter(1), now+m.jitter(syncEach)
-	m.due.heal, m.due.join = now+m.jitter(healEach), now
+	m.due.heal, m.due.join, m.joined = now+m.jitter(healEach), now, len(s.Peers) == 0
 	m.look()
 	return m
 }
@@ -278,7 +279,7 @@
 // Known is what is thought of another member.
 type Known struct {
 	Member
-	Since, Heard float64 // of its state; when it last spoke to us itself
+	Since, Heard float64 // of its state; when it last spoke to us itself, below 0 for never
 	Link         Link
 	Reference    bool // it belongs to the last agreed fleet
 }
@@ -287,7 +288,7 @@
 func (m *Machine) Members() []Known {
 	all := make([]Known, 0, len(m.list))
 	for _, p := range m.list {
-		all = append(all, Known{p.Member, p.since, p.heard, p.link, p.counted})
+		all = append(all, Known{p.Member, p.since, math.Max(p.heard, -1), p.link, p.counted})
 	}
 	slices.SortFunc(all, func(a, b Known) int { return cmp.Compare(a.Name, b.Name) })
 	return all
@@ -368,7 +369,7 @@
 		m.takeIn(in)
 		return
 	case Refused:
-		if in.Target.Name == m.self.Name && in.Target.Boot != m.self.Boot {
+		if in.Seq == m.joinSeq && in.Target.Name == m.self.Name && in.Target.Boot != m.self.Boot {
 			m.oust(in.Target)
 		}
 		return
@@ -379,6 +380,13 @@
 	if m.standing == Ousted {
 		return
 	}
+	if !m.joined { // guards against a twin that is asked something before it was taken in, and would pass for its namesake
+		if m.now >= m.due.join-m.span(joinEach) {
+			m.due.join = m.now + m.span(joinEach)
+			m.ask(in.From.Address)
+		}
+		return
+	}
 	m.hear(in.From)
 	for i := range in.News {
 		m.learn(in.News[i], false)
@@ -408,7 +416,7 @@
 	if p := m.byName[from.Name]; p != nil && p.Boot == from.Boot {
 		p.heard = m.now
 		if p.State == Failed && state != Left && m.tables.take(m.now, tablesAtOne) { // it does not know, or its refutation is lost
-			m.sendTable(p.Address, true)
+			m.sendTable(p.Address, 0, true)
 		}
 	}
 }
--- a/fleet/members/view.go
+++ b/fleet/members/view.go
@@ -210,7 +210,7 @@
 		m.event(Event{Name: p.Name, What: "differs", Zone: p.Zone})
 		fallthrough
 	case m.now-p.differs > m.span(differsFor)/4 && m.tables.take(m.now, tablesAtOne/4):
-		m.sendTable(p.Address, true)
+		m.sendTable(p.Address, 0, true)
 	}
 }
 
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -16,6 +16,7 @@
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/extproc"
+	"elderwall/internal/fleet"
 	"elderwall/internal/gate"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
@@ -25,12 +26,14 @@
 // Extras is an operator's file in force.
 type Extras struct {
 	path     string
+	name     string // the dispatcher's
 	services []string
 	told     *operator.Config
 	gate     *gate.Gate // nil where nobody asks who is calling
 	secure   certs.Listener
 	proxies  certs.Listener
-	cores    int // that the command line says, before the file; 0 where it says none
+	fleet    *fleet.Fleet // nil where the dispatcher is by itself
+	cores    int          // that the command line says, before the file; 0 where it says none
 }
 
 // Alone is what holds with no file, on so many cores.
@@ -38,8 +41,8 @@
 	return &Extras{told: &operator.Config{Cores: service.Cores{Count: cores, Shards: cores}}}
 }
 
-// Read reads the file that a path names; services are the delivery services by their place.
-func Read(path string, services []string, cores int) (*Extras, error) {
+// Read reads the file that a path names, for a dispatcher of a name; services are the delivery services by their place.
+func Read(path, name string, services []string, cores int) (*Extras, error) {
 	told, err := operator.Load(path, services)
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 	if cores > 0 {
 		told.Cores.Count, told.Cores.Shards = cores, cores
 	}
-	return &Extras{path: path, services: services, told: told, cores: cores}, nil
+	return &Extras{path: path, name: name, services: services, told: told, cores: cores}, nil
 }
 
 // Open opens the listener for TLS and makes the stage that asks who is calling.
@@ -84,11 +87,20 @@
 // Retries bounds forwards after failed ones.
 func (e *Extras) Retries() retries.Settings { return e.told.Retries }
 
-// Beside opens the front for proxies that ask.
-func (e *Extras) Beside(to service.Handling) ([]service.Beside, error) {
+// Beside opens the front for proxies that ask, and the door to the other dispatchers.
+func (e *Extras) Beside(to service.Handling) (all []service.Beside, err error) {
+	if t := e.told.Fleet; t != nil {
+		s := *t
+		s.Name = e.name
+		if e.fleet, err = fleet.Open(s, e.told.Generation, to.Log); err != nil {
+			return nil, err
+		}
+		e.fleet.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
+		all = append(all, e.fleet)
+	}
 	t := e.told.Proxies
 	if t == nil {
-		return nil, nil
+		return all, nil
 	}
 	l, err := net.Listen("tcp", t.Listen)
 	if err != nil {
@@ -100,8 +112,8 @@
 		o.Secure = &e.proxies
 	}
 	to.Log.Info().Str("listen", t.Listen).Bool("routing", o.Rules.Routing).Msg("listens for proxies")
-	return []service.Beside{beside{&extproc.Server{Options: o, Handler: to.Handler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
-		Room: to.Room, Clock: to.Clock}, l}}, nil
+	return append(all, beside{&extproc.Server{Options: o, Handler: to.Handler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
+		Room: to.Room, Clock: to.Clock}, l}), nil
 }
 
 // Cores tells how many cores are used and how GETs are divided.
@@ -116,7 +128,7 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, and the listeners for TLS and for proxies, are turned on, off or moved by a restart alone")
+var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, and the fleet are turned on, off or moved by a restart alone")
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -133,6 +145,8 @@
 	was := e.told
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
+		(was.Fleet == nil) != (to.Fleet == nil) ||
+		was.Fleet != nil && (was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
@@ -154,6 +168,9 @@
 	if to.Proxies != nil && to.Proxies.Material != nil {
 		e.proxies.Take(to.Proxies.Material)
 	}
+	if e.fleet != nil {
+		e.fleet.Take(*to.Fleet, to.Generation)
+	}
 	e.told = to
 	return nil
 }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,436 @@
+// Package fleet drives what dispatchers decide together (fleet/...) over sockets: datagrams, streams for what is longer,
+// seals and timers. It decides nothing. Nothing of it runs under the lock of a GET.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
+
+	"elderwall/fleet/members"
+)
+
+const (
+	longestDatagram = 1400    // bytes, sealed: whole on every usual path
+	longestStream   = 1 << 20 // bytes; 2,000 records with their names and addresses are half of it
+	streamsIn       = 16      // at a time
+	streamsOut      = 8
+	streamTime      = 5 * time.Second
+	bytesOut        = 256 << 10 // a second, of datagrams and streams together; what is over is dropped, as a network may
+	bytesBurst      = longestStream
+	ticksEach       = 8 // an interval
+	loadEach        = 5 * time.Second
+	watchers        = 16 // that wait for changes at a time
+)
+
+// Settings is what a fleet's member is told.
+type Settings struct {
+	Listen  string
+	Address string // that it tells, where others reach it; "" for Listen
+	Peers   []string
+	Name    string
+	Zone    string
+	Reach   map[string]string // at which address one that a member tells is reached from here
+	Pace    float64           // s between probes
+	Wire    uint8
+	Key     string // path of the key file, "" for none
+	Keys    *Keys
+}
+
+// Check tells what can't go together.
+func (s *Settings) Check() error {
+	listen, err := netip.ParseAddrPort(s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %q is no address with a port", s.Listen)
+	}
+	if s.Key == "" && !listen.Addr().IsLoopback() {
+		return errors.New("key: is needed where others than this machine can come")
+	}
+	if listen.Addr().IsUnspecified() && s.Address == "" {
+		return errors.New("address: is needed where listen is any address")
+	}
+	return nil
+}
+
+// Counts are the sums since the start.
+type Counts struct {
+	In, Out, BytesIn, BytesOut         atomic.Int64 // datagrams and streams
+	StreamsIn, StreamsOut, StreamsHeld atomic.Int64 // and those for which there was no place
+	Unsealed, Replayed, Unusable       atomic.Int64 // dropped: by no key of ours; that came before; no message
+	OverRate, TooLong, Failed          atomic.Int64 // not sent
+	Asked                              atomic.Int64 // by the command line
+}
+
+// Log writes the counters as one line.
+func (c *Counts) Log(log zerolog.Logger) {
+	e := log.Info()
+	for name, n := range c.each() {
+		e = e.Int64(name, n)
+	}
+	e.Msg("fleet counters")
+}
+
+func (c *Counts) each() map[string]int64 {
+	return map[string]int64{"In": c.In.Load(), "Out": c.Out.Load(), "BytesIn": c.BytesIn.Load(), "BytesOut": c.BytesOut.Load(),
+		"StreamsIn": c.StreamsIn.Load(), "StreamsOut": c.StreamsOut.Load(), "StreamsHeld": c.StreamsHeld.Load(),
+		"Unsealed": c.Unsealed.Load(), "Replayed": c.Replayed.Load(), "Unusable": c.Unusable.Load(), "OverRate": c.OverRate.Load(),
+		"TooLong": c.TooLong.Load(), "Failed": c.Failed.Load(), "Asked": c.Asked.Load()}
+}
+
+// Fleet is one member at work.
+type Fleet struct {
+	Settings
+	Log    zerolog.Logger
+	Counts Counts
+	GETs   func() (gets, shed int64) // since the start; nil where none are told
+
+	datagrams *net.UDPConn
+	streams   net.Listener
+	start     time.Time
+	boot      uint64
+	number    atomic.Uint64
+	limit     *rate.Limiter
+	out       *semaphore.Weighted
+	group     *errgroup.Group
+	ctx       context.Context
+	quiet     atomic.Bool
+	last      struct {
+		at         time.Time
+		gets, shed int64
+	}
+
+	mu         sync.Mutex
+	machine    *members.Machine
+	numbers    *numbers
+	reach      map[string]string
+	generation uint32
+	changed    chan struct{} // closed with the next change
+	changes    uint64
+	watching   int
+}
+
+// Open listens, and makes a member that knows nobody yet.
+func Open(s Settings, generation uint32, log zerolog.Logger) (*Fleet, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if s.Keys == nil {
+		s.Keys = OpenKeys()
+	}
+	f := &Fleet{Settings: s, Log: log, start: time.Now(), limit: rate.NewLimiter(bytesOut, bytesBurst), out: semaphore.NewWeighted(streamsOut),
+		numbers: newNumbers(), reach: s.Reach, changed: make(chan struct{}), generation: generation}
+	var drawn [16]byte
+	_, _ = rand.Read(drawn[:])
+	f.boot = binary.BigEndian.Uint64(drawn[:8]) | 1
+	streams, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	at := streams.Addr().(*net.TCPAddr)
+	datagrams, err := net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port})
+	if err != nil {
+		_ = streams.Close()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	f.streams, f.datagrams = streams, datagrams
+	if f.Address == "" {
+		f.Address = at.String()
+	}
+	f.machine = members.New(members.Settings{Name: s.Name, Address: f.Address, Zone: s.Zone, Peers: s.Peers, Boot: f.boot,
+		Seed: binary.BigEndian.Uint64(drawn[8:]), Wire: s.Wire, Generation: generation, Interval: s.Pace}, 0)
+	return f, nil
+}
+
+// now is the time since the start, on this process's own clock. Guards against clocks that are set: it is a monotonic one.
+func (f *Fleet) now() float64 { return time.Since(f.start).Seconds() }
+
+// Serve serves until the context ends. It leaves the fleet before that, unless it is killed.
+func (f *Fleet) Serve(ctx context.Context) error {
+	f.group, f.ctx = errgroup.WithContext(ctx)
+	f.Log.Info().Str("listen", f.Listen).Str("address", f.Address).Str("zone", f.Zone).Uint64("boot", f.boot).Msg("fleet: listens")
+	f.group.Go(f.readDatagrams)
+	f.group.Go(f.accept)
+	f.group.Go(f.tick)
+	f.group.Go(func() error {
+		<-f.ctx.Done()
+		f.leave()
+		return errors.Join(f.datagrams.Close(), f.streams.Close())
+	})
+	err := f.group.Wait()
+	f.Counts.Log(f.Log)
+	return err
+}
+
+// Close has the member leave: others are to ask it nothing more.
+func (f *Fleet) Close() { f.leave() }
+
+// Quiet tells that nothing of a client's is open here.
+func (f *Fleet) Quiet() bool { return true }
+
+func (f *Fleet) leave() {
+	f.step(func(m *members.Machine, now float64) { m.Leave(now) })
+}
+
+// Take puts other keys and ways to reach members in force, and tells the settings' generation.
+func (f *Fleet) Take(s Settings, generation uint32) {
+	if s.Keys != nil {
+		f.Keys.Take(s.Keys)
+	}
+	f.mu.Lock()
+	f.reach, f.generation = s.Reach, generation
+	f.mu.Unlock()
+}
+
+// step has the machine act, and does what comes of it.
+func (f *Fleet) step(do func(m *members.Machine, now float64)) {
+	f.mu.Lock()
+	do(f.machine, f.now())
+	send, tell := f.machine.Ready()
+	if len(tell) > 0 {
+		f.changes++
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	reach := f.reach
+	f.mu.Unlock()
+	for i := range tell {
+		f.tell(&tell[i])
+	}
+	for i := range send {
+		f.send(&send[i], reach)
+	}
+}
+
+// tell logs a change.
+func (f *Fleet) tell(e *members.Event) {
+	line := f.Log.Info()
+	switch e.What {
+	case "ousted":
+		f.Log.Error().Str("member", e.Name).Str("holder", e.By).Str("means", "another process has this name; this one is no member, and serves on alone").
+			Msg("fleet: ousted")
+		return
+	case "failed", "minority", "alone", "doubt", "deaf", "differs":
+		line = f.Log.Warn()
+	}
+	if line = line.Str("member", e.Name); e.By != "" {
+		line = line.Str("by", e.By)
+	}
+	if e.Of > 0 {
+		line = line.Int("seen", e.Seen).Int("of", e.Of)
+	}
+	line.Msg("fleet: " + e.What)
+}
+
+// send puts a message out: as a datagram, less news where it would be too long, or on a stream of its own.
+func (f *Fleet) send(e *members.Envelope, reach map[string]string) {
+	to := e.To
+	if at, ok := reach[to]; ok {
+		to = at
+	}
+	address, err := netip.ParseAddrPort(to)
+	if err != nil {
+		f.Counts.Failed.Add(1)
+		return
+	}
+	text, err := encode(&e.Message, f.Wire)
+	for err == nil && !e.Stream && len(text)+sealLength > longestDatagram && len(e.News) > 0 {
+		e.News = e.News[:len(e.News)-1]
+		text, err = encode(&e.Message, f.Wire)
+	}
+	if err != nil || len(text)+sealLength > longestStream || !e.Stream && len(text)+sealLength > longestDatagram {
+		f.Counts.TooLong.Add(1)
+		return
+	}
+	sealed := f.Keys.seal(sealedMessage, f.boot, f.number.Add(1), text, nil)
+	if !f.limit.AllowN(time.Now(), len(sealed)) {
+		f.Counts.OverRate.Add(1)
+		return
+	}
+	if !e.Stream {
+		if _, err := f.datagrams.WriteToUDPAddrPort(sealed, address); err != nil {
+			f.Counts.Failed.Add(1)
+			return
+		}
+		f.Counts.Out.Add(1)
+		f.Counts.BytesOut.Add(int64(len(sealed)))
+		return
+	}
+	if f.ctx == nil || !f.out.TryAcquire(1) {
+		f.Counts.StreamsHeld.Add(1)
+		return
+	}
+	f.group.Go(func() error {
+		defer f.out.Release(1)
+		if err := f.stream(to, sealed); err != nil {
+			f.Counts.Failed.Add(1)
+			return nil
+		}
+		f.Counts.StreamsOut.Add(1)
+		f.Counts.BytesOut.Add(int64(len(sealed)))
+		return nil
+	})
+}
+
+func (f *Fleet) stream(to string, sealed []byte) error {
+	ctx, cancel := context.WithTimeout(f.ctx, streamTime)
+	defer cancel()
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", to)
+	if err != nil {
+		return fmt.Errorf("stream: %w", err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(streamTime))
+	return writeFrame(c, sealed)
+}
+
+// writeFrame writes a length and what has it.
+func writeFrame(w io.Writer, b []byte) error {
+	if _, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...)); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+// readFrame reads one; memory grows with what comes, not with what its length says.
+func readFrame(r io.Reader, most int) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, fmt.Errorf("read: %w", err)
+	}
+	n := int64(binary.BigEndian.Uint32(size[:]))
+	if n > int64(most) {
+		return nil, fmt.Errorf("%d bytes, at most %d", n, most)
+	}
+	b, err := io.ReadAll(io.LimitReader(r, n))
+	if err == nil && int64(len(b)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read: %w", err)
+	}
+	return b, nil
+}
+
+// readDatagrams takes datagrams until the socket is closed.
+func (f *Fleet) readDatagrams() error {
+	buf := make([]byte, longestDatagram+1)
+	for {
+		n, _, err := f.datagrams.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if f.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			continue // what a peer that is gone has its machine say of our own datagrams
+		}
+		f.take(buf[:n])
+	}
+}
+
+// take takes a sealed message. Whoever has no key gets nothing, not even an answer that something is here.
+func (f *Fleet) take(sealed []byte) {
+	boot, number, text, err := f.Keys.open(sealedMessage, sealed, nil)
+	if err != nil {
+		f.Counts.Unsealed.Add(1)
+		return
+	}
+	m, err := decode(text)
+	if err != nil || m.From.Boot != boot {
+		f.Counts.Unusable.Add(1)
+		return
+	}
+	f.Counts.In.Add(1)
+	f.Counts.BytesIn.Add(int64(len(sealed)))
+	f.step(func(machine *members.Machine, now float64) {
+		if !f.numbers.first(boot, number) {
+			f.Counts.Replayed.Add(1)
+			return
+		}
+		machine.Step(m, now)
+	})
+}
+
+// accept takes streams until the listener is closed, so many at a time.
+func (f *Fleet) accept() error {
+	places := semaphore.NewWeighted(streamsIn)
+	for {
+		c, err := f.streams.Accept()
+		if err != nil {
+			if f.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			f.Log.Warn().Err(err).Msg("fleet: accept failed")
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		if !places.TryAcquire(1) {
+			f.Counts.StreamsHeld.Add(1)
+			_ = c.Close()
+			continue
+		}
+		f.group.Go(func() error {
+			defer places.Release(1)
+			defer func() { _ = c.Close() }()
+			defer context.AfterFunc(f.ctx, func() { _ = c.Close() })()
+			_ = c.SetDeadline(time.Now().Add(streamTime))
+			f.Counts.StreamsIn.Add(1)
+			f.serveStream(c)
+			return nil
+		})
+	}
+}
+
+// tick drives the machine's time, and tells it the load.
+func (f *Fleet) tick() error {
+	pace := f.Pace
+	if pace <= 0 {
+		pace = members.DefaultInterval
+	}
+	each := time.NewTicker(time.Duration(pace * float64(time.Second) / ticksEach))
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			load, told := f.load()
+			f.step(func(m *members.Machine, now float64) {
+				if told || f.generation != m.Self().Generation {
+					m.Tell(load, f.generation)
+				}
+				m.Tick(now)
+			})
+		case <-f.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// load is what there is to tell of the work of the last seconds, if it is time to.
+func (f *Fleet) load() (l members.Load, told bool) {
+	now := time.Now()
+	since := now.Sub(f.last.at)
+	if f.GETs == nil || since < loadEach {
+		return l, false
+	}
+	gets, shed := f.GETs()
+	if !f.last.at.IsZero() {
+		n := gets - f.last.gets
+		l.GETs = uint16(min(65535, float64(n)/since.Seconds()))
+		if n > 0 {
+			l.Shed = uint8(min(255, 255*(shed-f.last.shed)/n))
+		}
+	}
+	f.last.at, f.last.gets, f.last.shed = now, gets, shed
+	return l, true
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +15,7 @@
 	"elderwall/callers"
 	"elderwall/internal/certs"
 	"elderwall/internal/extproc"
+	"elderwall/internal/fleet"
 	"elderwall/internal/service"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
@@ -33,7 +35,10 @@
 	Cores   service.Cores
 	Joins   []bool // by delivery service, whether GETs for the same part share a forward; nil for none
 	Retries retries.Settings
-	Proxies *Proxies // nil where none may ask
+	Proxies *Proxies        // nil where none may ask
+	Fleet   *fleet.Settings // nil where the dispatcher is by itself
+
+	Generation uint32 // of the file: a hash of its text
 }
 
 // Proxies is the listener for proxies that ask for each request, with what is said of them.
@@ -88,7 +93,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &decoder{Faults: faults, folder: filepath.Dir(path), services: services,
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(text))
+	d := &decoder{config: Config{Generation: sum.Sum32()}, Faults: faults, folder: filepath.Dir(path), services: services,
 		open: len(services) == 0}
 	if c := o.Inner("callers"); c != nil {
 		d.callers(c)
@@ -106,6 +113,9 @@
 	if p := o.Inner("proxies"); p != nil {
 		d.proxies(p)
 	}
+	if f := o.Inner("fleet"); f != nil {
+		d.fleet(f)
+	}
 	if c := o.Inner("cores"); c != nil {
 		d.cores(c)
 	}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -301,6 +301,22 @@
 	return all
 }
 
+// Pairs takes an object of strings.
+func (o *Object) Pairs(key string) map[string]string {
+	in := o.Inner(key)
+	if in == nil {
+		return nil
+	}
+	all := map[string]string{}
+	for _, k := range in.Keys() {
+		var v string
+		if in.Text(k, &v) {
+			all[k] = v
+		}
+	}
+	return all
+}
+
 // List takes a list.
 func (o *Object) List(key string) (all []any) {
 	take(o, key, &all, "a list")
