Hold members to every order of troubles; remember the last agreed fleet over a restart

Found and mended: one that started while cut off and was met by those who went on counted itself and them as a new fleet (a Join now tells its fleet, and tables go both ways); a pair that was cut off kept a majority for over 70 intervals, as whoever had not been asked lately counted as seen (seen are those that answered when last asked). Several that start anew while cut off would take themselves for a whole fleet: the last agreed one is kept in a file (remember).

--- a/fleet/members/gossip.go
+++ b/fleet/members/gossip.go
@@ -116,7 +116,7 @@
 	was := p.Member
 	p.Member = r
 	if was.State != r.State || was.Boot != r.Boot || was.Address != r.Address {
-		p.missed, p.link = 0, Clear
+		p.missed, p.link, p.silent = 0, Clear, false
 	}
 	if p.accuser = nil; was.State != r.State || was.Boot != r.Boot {
 		m.changed(p, r.By)
@@ -244,7 +244,7 @@
 func (m *Machine) ask(to string) {
 	m.seq++
 	m.joinSeq = m.seq
-	m.put(Envelope{To: to, Stream: true, Message: Message{Kind: Join, Seq: m.seq}})
+	m.put(Envelope{To: to, Stream: true, Message: Message{Kind: Join, Seq: m.seq, Fleet: m.reference.fleet, Of: uint32(m.view.Of)}})
 }
 
 // takeIn answers one that asks to be taken in. A name is its holder's as long as that is not known to be gone.
@@ -271,7 +271,9 @@
 		m.learn(in.From, false)
 	}
 	m.joined = true
-	m.sendTable(in.From.Address, in.Seq, false)
+	// One that is of a fleet already tells of that: guards against one that started while cut off, is met by those who went on,
+	// and would count itself and them as another fleet.
+	m.sendTable(in.From.Address, in.Seq, in.Fleet != m.reference.fleet && in.Of > 1)
 	m.look()
 }
 
@@ -301,6 +303,7 @@
 	m.learn(in.From, false)
 	if p := m.byName[in.From.Name]; p != nil && p.Boot == in.From.Boot {
 		p.heard = m.now
+		m.silence(p, false)
 	}
 	for _, r := range in.News {
 		m.learn(r, true)
--- a/fleet/members/members.go
+++ b/fleet/members/members.go
@@ -97,7 +97,7 @@
 	Sees   bool     // the sender sees a majority
 	Wants  bool     // of a Table: the receiver's is wanted too
 
-	Fleet, Reference uint64 // of a Table: the last agreed fleet
+	Fleet, Reference uint64 // of a Table or a Join: the last agreed fleet
 	Of               uint32 // and how many belong to it
 }
 
@@ -127,8 +127,20 @@
 	Generation          uint32
 	Interval            float64 // s between probes; 0 for the default
 	Plain               bool    // SWIM without own doubt, to compare with
+	Remembered          Agreed  // from before its start; the zero value where nothing is
 }
 
+// Agreed is the last agreed fleet, as a member keeps it over a restart. Guards against several that start anew while they are
+// cut off, and would take themselves for a whole fleet.
+type Agreed struct {
+	Fleet, Generation uint64
+	Counted           bool // oneself
+	Others            []Place
+}
+
+// Place is where a member of it was.
+type Place struct{ Name, Address, Zone string }
+
 // Figures of the protocol. Times without a unit are in intervals.
 const (
 	DefaultInterval = 1.0  // s; a probe each: SWIM's own period
@@ -221,6 +233,7 @@
 	heard   float64 // when it last spoke to us itself
 	missed  int     // direct probes in a row
 	missAt  float64 // the first of them
+	silent  bool    // the last probe was answered neither by it nor by way of others
 	link    Link
 	accuser []string // of a suspect, each once
 	until   float64  // a suspicion's end
@@ -250,10 +263,31 @@
 	m.tables, m.acks = bucket{tablesAtOne, now}, bucket{acksAtOne, now}
 	m.due.probe, m.due.sync = now+m.jitter(1), now+m.jitter(syncEach)
 	m.due.heal, m.due.join, m.joined = now+m.jitter(healEach), now, len(s.Peers) == 0
+	if r := s.Remembered; r.Fleet != 0 && len(r.Others) < Most {
+		m.reference, m.counted = reference{r.Fleet, r.Generation}, r.Counted
+		for _, o := range r.Others {
+			if o.Name != s.Name && m.byName[o.Name] == nil {
+				p := &peer{Member: Member{Name: o.Name, Address: o.Address, Zone: o.Zone, State: Failed}, since: now, heard: math.Inf(-1), counted: true}
+				m.byName[o.Name], m.list = p, append(m.list, p)
+			}
+		}
+	}
 	m.look()
 	return m
 }
 
+// Agreed is the last agreed fleet as it stands.
+func (m *Machine) Agreed() Agreed {
+	a := Agreed{Fleet: m.reference.fleet, Generation: m.reference.generation, Counted: m.counted}
+	for _, p := range m.list {
+		if p.counted {
+			a.Others = append(a.Others, Place{p.Name, p.Address, p.Zone})
+		}
+	}
+	slices.SortFunc(a.Others, func(x, y Place) int { return cmp.Compare(x.Name, y.Name) })
+	return a
+}
+
 // span is a time in intervals as seconds.
 func (m *Machine) span(intervals float64) float64 { return intervals * m.s.Interval }
 
@@ -415,6 +449,7 @@
 	m.learn(from, false)
 	if p := m.byName[from.Name]; p != nil && p.Boot == from.Boot {
 		p.heard = m.now
+		m.silence(p, false)
 		if p.State == Failed && state != Left && m.tables.take(m.now, tablesAtOne) { // it does not know, or its refutation is lost
 			m.sendTable(p.Address, 0, true)
 		}
--- a/fleet/members/probe.go
+++ b/fleet/members/probe.go
@@ -228,8 +228,12 @@
 		m.linked(o, map[bool]Link{true: Deaf, false: Around}[o.heard > o.missAt])
 	}
 	if p.by {
+		m.silence(o, false)
 		return
 	}
+	if !speaks {
+		m.silence(o, true)
+	}
 	if m.fails++; m.fails == 1 {
 		m.failAt = m.now
 	}
@@ -241,6 +245,14 @@
 	}
 }
 
+// silence books whether a member answered when it was asked last.
+func (m *Machine) silence(p *peer, is bool) {
+	if p.silent != is {
+		p.silent = is
+		m.touched()
+	}
+}
+
 func (m *Machine) linked(p *peer, to Link) {
 	if p.link != to {
 		p.link = to
--- a/fleet/members/view.go
+++ b/fleet/members/view.go
@@ -22,7 +22,7 @@
 // View is what a member believes of the fleet.
 type View struct {
 	Level    Level
-	Seen, Of int     // of the last agreed fleet, oneself with it
+	Seen, Of int     // of the last agreed fleet, oneself with it; who did not answer when last asked is not seen
 	Sure     float64 // 0 to 1; the share of Of that nothing is said against, 0 while the fault is likelier here
 	Doubt    bool    // the fault is likelier here
 	Differs  int     // members that have had another view for long
@@ -107,7 +107,7 @@
 	others := 0
 	for _, p := range m.list {
 		in := p.State.In()
-		count(p.counted, in && !silent, p.State == Suspect)
+		count(p.counted, p.State == Alive && !p.silent && !silent, p.State == Suspect || p.silent)
 		if in {
 			others++
 			v.Digest ^= hash(p.Name)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,11 +6,15 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,21 +37,23 @@
 	bytesBurst      = longestStream
 	ticksEach       = 8 // an interval
 	loadEach        = 5 * time.Second
+	rememberEach    = 200 * time.Millisecond // a write and a sync; what is remembered lags by no more
 	watchers        = 16 // that wait for changes at a time
 )
 
 // Settings is what a fleet's member is told.
 type Settings struct {
-	Listen  string
-	Address string // that it tells, where others reach it; "" for Listen
-	Peers   []string
-	Name    string
-	Zone    string
-	Reach   map[string]string // at which address one that a member tells is reached from here
-	Pace    float64           // s between probes
-	Wire    uint8
-	Key     string // path of the key file, "" for none
-	Keys    *Keys
+	Listen   string
+	Address  string // that it tells, where others reach it; "" for Listen
+	Peers    []string
+	Name     string
+	Zone     string
+	Reach    map[string]string // at which address one that a member tells is reached from here
+	Pace     float64           // s between probes
+	Wire     uint8
+	Key      string // path of the key file, "" for none
+	Remember string // file in which the last agreed fleet is kept over a restart, "" for none
+	Keys     *Keys
 }
 
 // Check tells what can't go together.
@@ -97,17 +103,17 @@
 	Counts Counts
 	GETs   func() (gets, shed int64) // since the start; nil where none are told
 
-	datagrams *net.UDPConn
-	streams   net.Listener
-	start     time.Time
-	boot      uint64
-	number    atomic.Uint64
-	limit     *rate.Limiter
-	out       *semaphore.Weighted
-	group     *errgroup.Group
-	ctx       context.Context
-	quiet     atomic.Bool
-	last      struct {
+	datagrams  *net.UDPConn
+	streams    net.Listener
+	start      time.Time
+	boot       uint64
+	number     atomic.Uint64
+	limit      *rate.Limiter
+	out        *semaphore.Weighted
+	group      *errgroup.Group
+	ctx        context.Context
+	remembered time.Time // of the loop that ticks
+	last       struct {
 		at         time.Time
 		gets, shed int64
 	}
@@ -119,6 +125,7 @@
 	generation uint32
 	changed    chan struct{} // closed with the next change
 	changes    uint64
+	kept       members.Agreed // as the file has it
 	watching   int
 }
 
@@ -149,8 +156,15 @@
 	if f.Address == "" {
 		f.Address = at.String()
 	}
+	var remembered members.Agreed
+	if s.Remember != "" {
+		if remembered, err = recall(s.Remember); err != nil { // it is worth no more than a start that knows nobody
+			log.Warn().Err(err).Msg("fleet: what was remembered can't be used")
+		}
+	}
+	f.kept = remembered
 	f.machine = members.New(members.Settings{Name: s.Name, Address: f.Address, Zone: s.Zone, Peers: s.Peers, Boot: f.boot,
-		Seed: binary.BigEndian.Uint64(drawn[8:]), Wire: s.Wire, Generation: generation, Interval: s.Pace}, 0)
+		Seed: binary.BigEndian.Uint64(drawn[8:]), Wire: s.Wire, Generation: generation, Interval: s.Pace, Remembered: remembered}, 0)
 	return f, nil
 }
 
@@ -410,12 +424,68 @@
 				}
 				m.Tick(now)
 			})
+			f.remember()
 		case <-f.ctx.Done():
 			return nil
 		}
 	}
 }
 
+// remember writes the last agreed fleet to its file, when it has changed: now and then, as it only has to be near.
+func (f *Fleet) remember() {
+	if f.Remember == "" || time.Since(f.remembered) < rememberEach {
+		return
+	}
+	f.remembered = time.Now()
+	f.mu.Lock()
+	agreed := f.machine.Agreed()
+	f.mu.Unlock()
+	if agreed.Fleet == f.kept.Fleet && agreed.Generation == f.kept.Generation && agreed.Counted == f.kept.Counted && slices.Equal(agreed.Others, f.kept.Others) {
+		return
+	}
+	if err := keep(f.Remember, agreed); err != nil {
+		f.Log.Warn().Err(err).Msg("fleet: can't be remembered")
+		return
+	}
+	f.kept = agreed
+}
+
+// recall reads what was remembered; none is no error.
+func recall(path string) (a members.Agreed, err error) {
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return a, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(raw, &a)
+	}
+	if err != nil {
+		return members.Agreed{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return a, nil
+}
+
+// keep writes it beside the file, and then in its place: who reads it sees one or the other.
+func keep(path string, a members.Agreed) error {
+	raw, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	t, err := os.CreateTemp(filepath.Dir(path), ".fleet-*")
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	defer func() { _ = os.Remove(t.Name()) }()
+	_, err = t.Write(raw)
+	if err = errors.Join(err, t.Sync(), t.Close()); err == nil {
+		err = os.Rename(t.Name(), path)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
 // load is what there is to tell of the work of the last seconds, if it is time to.
 func (f *Fleet) load() (l members.Load, told bool) {
 	now := time.Now()
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -55,6 +55,9 @@
 		}
 		f.Keys = keys
 	}
+	if o.Text("remember", &f.Remember) && !filepath.IsAbs(f.Remember) {
+		f.Remember = filepath.Join(d.folder, f.Remember)
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
