--- a/cmd/elderwall-operator/fleetplay.go
+++ b/cmd/elderwall-operator/fleetplay.go
@@ -18,6 +18,7 @@
 	Stalls   float64   `help:"One in so many stands still at any time; 0 for none." placeholder:"N"`
 	Protocol []string  `default:"own doubt,plain SWIM,heartbeats" help:"The protocols that are put side by side."`
 	Span     float64   `default:"300" help:"Intervals that count."`
+	Warm     float64   `default:"30" help:"Intervals before those, in which the fleet forms: 1,000 members take some 100."`
 	Seeds    int       `default:"1" help:"So many runs of each."`
 	Die      int       `default:"1" help:"Members that end, one after the other."`
 	Cut      float64   `help:"This share of the members is cut off for 60 intervals in the middle."`
@@ -38,7 +39,7 @@
 			for _, protocol := range c.Protocol {
 				for seed := range c.Seeds {
 					s := emulate.MembersDefault()
-					s.Seed, s.Members, s.Loss, s.Protocol, s.Stalls, s.Span = uint64(seed+1), n, loss, protocol, c.Stalls, c.Span
+					s.Seed, s.Members, s.Loss, s.Protocol, s.Stalls, s.Span, s.Warm = uint64(seed+1), n, loss, protocol, c.Stalls, c.Span, c.Warm
 					for i := range c.Die {
 						s.Troubles = append(s.Troubles, emulate.MemberTrouble{Kind: emulate.Die, At: 10 + float64(i)*c.Span/float64(2*c.Die), Number: 1})
 					}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,7 +38,7 @@
 	ticksEach       = 8 // an interval
 	loadEach        = 5 * time.Second
 	rememberEach    = 200 * time.Millisecond // a write and a sync; what is remembered lags by no more
-	watchers        = 16 // that wait for changes at a time
+	watchers        = 16                     // that wait for changes at a time
 )
 
 // Settings is what a fleet's member is told.
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -542,3 +542,55 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(seed), 6, 6, 20)) })
 	}
 }
+
+// As many processes as ELDERWALL_MANY says, for figures: not in CI. One is killed at a time.
+func TestMany(t *testing.T) {
+	n := 0
+	if _, err := fmt.Sscan(os.Getenv("ELDERWALL_MANY"), &n); err != nil {
+		t.Skip("ELDERWALL_MANY says how many")
+	}
+	m := &memberRig{keys: map[int]string{-1: NewKey()}, more: map[int]string{}}
+	m.Rig = processes.New(t, processes.Options{N: n, Seed: 1, Direct: true, Binary: processes.Build(t, "../.."), Operator: m.operator})
+	began := time.Now()
+	m.Start()
+	m.Until(2*time.Minute, "all know all", func() error { return m.think(m.all(), "whole", m.all()) })
+	t.Logf("%d processes know each other after %.1f s", n, time.Since(began).Seconds())
+	sums := func() (datagrams, bytes int64) {
+		for i := range n {
+			if s, err := m.see(i); err == nil {
+				datagrams, bytes = datagrams+s.Counts["Out"], bytes+s.Counts["BytesOut"]
+			}
+		}
+		return
+	}
+	d0, b0 := sums()
+	at := time.Now()
+	time.Sleep(20 * time.Second)
+	d1, b1 := sums()
+	by := float64(n) * time.Since(at).Seconds() / pace
+	t.Logf("by a process and an interval: %.2f datagrams, %.0f bytes", float64(d1-d0)/by, float64(b1-b0)/by)
+	for k := range 5 {
+		victim := n - 1 - k
+		m.Processes[victim].Kill()
+		killed := time.Now()
+		var known []float64
+		m.Until(time.Minute, "its end is known", func() error {
+			known = nil
+			for i, p := range m.Processes[:n-5] {
+				for _, l := range p.Said("fleet: failed") {
+					if l.Fields["member"] == m.Processes[victim].Name {
+						known = append(known, l.At.Sub(killed).Seconds()/pace)
+						break
+					}
+				}
+				_ = i
+			}
+			if len(known) < n-5 {
+				return fmt.Errorf("%d know", len(known))
+			}
+			return nil
+		})
+		slices.Sort(known)
+		t.Logf("killed: first knows after %.1f intervals, half %.1f, 99%% %.1f, all %.1f", known[0], known[len(known)/2], known[len(known)*99/100], known[len(known)-1])
+	}
+}
