--- /dev/null
+++ b/fleet/duties/holder.go
@@ -0,0 +1,199 @@
+package duties
+
+import (
+	"slices"
+)
+
+// Holder is a dispatcher's part: which duties it stands for, which it holds, and until when by its own clock.
+type Holder struct {
+	name     string
+	boot     uint64
+	zone     string
+	priority int
+	wants    []string
+	held     map[string]*lease
+	backs    []Lease
+	id       uint64
+	asked    float64 // when the question under way was asked
+	waiting  bool
+	due      float64
+	shortest float64 // of the leases seen, s
+	leaving  bool
+}
+
+type lease struct {
+	Lease
+	until  float64
+	ending bool // it is to be given back: no further act
+}
+
+const (
+	turnsEach = 3.0 // a lease: two may be lost
+	idleTurn  = 1.0 // s between turns that hold nothing
+	answerIn  = 0.5 // of a turn's time; then it is asked anew, of another
+	leastTurn = 0.02
+)
+
+// NewHolder stands for nothing.
+func NewHolder(name string, boot uint64, zone string, priority int) *Holder {
+	return &Holder{name: name, boot: boot, zone: zone, priority: priority, held: map[string]*lease{}}
+}
+
+// Want stands for a duty from now on.
+func (h *Holder) Want(duty string, now float64) {
+	if !slices.Contains(h.wants, duty) {
+		h.wants = append(h.wants, duty)
+		h.due = now
+	}
+}
+
+// Leave gives all back, and stands for nothing any more.
+func (h *Holder) Leave(now float64) {
+	h.leaving, h.wants = true, nil
+	for _, l := range h.held {
+		h.giveBack(l)
+	}
+	h.due, h.waiting = now, false
+}
+
+// GiveBack gives a duty up after its last act.
+func (h *Holder) GiveBack(duty string, now float64) {
+	if l := h.held[duty]; l != nil {
+		h.giveBack(l)
+		h.due, h.waiting = now, false
+	}
+}
+
+func (h *Holder) giveBack(l *lease) {
+	h.backs = append(h.backs, l.Lease)
+	delete(h.held, l.Duty)
+}
+
+// Act asks whether an act may be done under a duty now, and with which token. It is to be asked right before each act: whoever
+// was stopped since it last was asked finds its time gone.
+func (h *Holder) Act(duty string, now float64) (token uint64, ok bool) {
+	l := h.held[duty]
+	if l == nil || now >= l.until || l.ending {
+		return 0, false
+	}
+	return l.Token, true
+}
+
+// Until is when a lease ends by the own clock, 0 where there is none.
+func (h *Holder) Until(duty string) float64 {
+	if l := h.held[duty]; l != nil {
+		return l.until
+	}
+	return 0
+}
+
+// Asked to give back tells which duties are wanted by others: each is to be given back after its last act.
+func (h *Holder) Handing() (all []string) {
+	for name, l := range h.held {
+		if l.Hand {
+			all = append(all, name)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Held lists what is held now.
+func (h *Holder) Held(now float64) (all []Lease) {
+	for _, l := range h.held {
+		if now < l.until {
+			all = append(all, l.Lease)
+		}
+	}
+	slices.SortFunc(all, func(a, b Lease) int { return compare(a.Duty, b.Duty) })
+	return all
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// each is the time between turns, s.
+func (h *Holder) each() float64 {
+	if len(h.held) == 0 || h.shortest == 0 {
+		return idleTurn
+	}
+	return max(leastTurn, h.shortest/turnsEach)
+}
+
+// Tick gives the next turn, when it is time for one; fresh tells that the last one was answered, else another voter is to be asked.
+func (h *Holder) Tick(now float64) (t Turn, ask, fresh bool) {
+	for name, l := range h.held {
+		if now >= l.until {
+			delete(h.held, name)
+		}
+	}
+	if h.waiting && now-h.asked > answerIn*h.each() {
+		h.waiting, h.due = false, now
+	} else {
+		fresh = true
+	}
+	if h.waiting || now < h.due || len(h.wants) == 0 && len(h.backs) == 0 {
+		return t, false, fresh
+	}
+	h.id++
+	h.asked, h.waiting, h.due = now, true, now+h.each()
+	return Turn{ID: h.id, Name: h.name, Boot: h.boot, Zone: h.zone, Priority: h.priority, Stands: slices.Clone(h.wants),
+		Backs: slices.Clone(h.backs)}, true, fresh
+}
+
+// Answer takes what a turn came to. The leases count from when it was asked, not from now. Answers to earlier turns are passed over.
+func (h *Holder) Answer(now float64, id uint64, all []Lease) {
+	if id != h.id || !h.waiting {
+		return
+	}
+	h.waiting = false
+	h.backs = slices.DeleteFunc(h.backs, func(b Lease) bool { return true }) // they were in the turn that is answered
+	if h.leaving {
+		return
+	}
+	h.shortest = 0
+	for _, l := range all {
+		if !slices.Contains(h.wants, l.Duty) {
+			continue
+		}
+		if h.shortest == 0 || l.Length < h.shortest {
+			h.shortest = l.Length
+		}
+		o := h.held[l.Duty]
+		if o == nil || o.Token != l.Token {
+			o = &lease{}
+			h.held[l.Duty] = o
+		}
+		o.Lease, o.until = l, max(o.until, h.asked+l.Length*(1-Drift))
+	}
+	for name := range h.held {
+		if !slices.ContainsFunc(all, func(l Lease) bool { return l.Duty == name && l.Token == h.held[name].Token }) {
+			delete(h.held, name) // another has it, or its end is near
+		}
+	}
+}
+
+// Settled tells that nothing is held and nothing waits to be given back.
+func (h *Holder) Settled() bool { return len(h.held) == 0 && len(h.backs) == 0 }
+
+// Fence is kept by whatever takes acts: it refuses tokens that are lower than one it has seen.
+type Fence struct{ highest map[string]uint64 }
+
+// Take tells whether an act counts.
+func (f *Fence) Take(duty string, token uint64) bool {
+	if f.highest == nil {
+		f.highest = map[string]uint64{}
+	}
+	if token == 0 || token < f.highest[duty] {
+		return false
+	}
+	f.highest[duty] = token
+	return true
+}
