--- /dev/null
+++ b/cmd/elderwall-operator/duties.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"elderwall/fleet/duties"
+	"elderwall/internal/fleet"
+)
+
+func (a asked) keys() (*fleet.Keys, error) {
+	if a.Key == "" {
+		return fleet.OpenKeys(), nil
+	}
+	return fleet.ReadKeys(a.Key)
+}
+
+// command has commands put into the log.
+func (a asked) command(commands ...duties.Command) error {
+	keys, err := a.keys()
+	if err != nil {
+		return err
+	}
+	t, err := fleet.AskDo(context.Background(), a.At, keys, commands...)
+	if err == nil && !t.Changed {
+		err = errors.New("nothing to change")
+	}
+	return err
+}
+
+func printJSON(t fleet.Told) error {
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return out.Encode(t)
+}
+
+type dutiesCommand struct {
+	asked
+	JSON bool `help:"All of it, as JSON."`
+}
+
+// Run prints one line a duty.
+func (c *dutiesCommand) Run() error {
+	t, err := c.ask(fleet.AskDuties, 0)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(t)
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "duty\tholder\ttoken\trest\tlease\tzone\tto\tmarked, told\twaiting")
+	for _, d := range t.Duties {
+		holder, rest := "nobody", "-"
+		if d.Held() {
+			holder, rest = d.Holder.Name, fmt.Sprintf("%.1fs", t.Rest[d.Name])
+		}
+		var waiting []string
+		for _, w := range d.Waiting {
+			name := w.Name
+			if w.Failures > 0 {
+				name += fmt.Sprintf(" (%d run out)", w.Failures)
+			}
+			waiting = append(waiting, name)
+		}
+		fmt.Fprintf(out, "%s\t%s\t%d\t%s\t%gs\t%s\t%s\t%d, %d\t%s\n", d.Name, holder, d.Token, rest, d.Length, d.Zone, d.To, d.Mark, d.Told, strings.Join(waiting, ", "))
+	}
+	return out.Flush()
+}
+
+type handCommand struct {
+	asked
+	Duty string `arg:"" help:"The duty."`
+	To   string `arg:"" help:"The dispatcher."`
+}
+
+// Run hands a duty over.
+func (c *handCommand) Run() error {
+	t, err := c.ask(fleet.AskDuties, 0)
+	if err != nil {
+		return err
+	}
+	for _, d := range t.Duties {
+		if d.Name == c.Duty {
+			return c.command(duties.Command{Act: duties.HandOver, Duty: c.Duty, Token: d.Token, Name: c.To})
+		}
+	}
+	return fmt.Errorf("no duty %q", c.Duty)
+}
+
+type dropCommand struct {
+	asked
+	Duty string `arg:"" help:"The duty."`
+}
+
+// Run forgets a duty.
+func (c *dropCommand) Run() error {
+	return c.command(duties.Command{Act: duties.Drop, Duty: c.Duty})
+}
+
+type votersCommand struct {
+	List   votersList   `cmd:"" default:"withargs" help:"List the voters: leader, term, log, and how far each lags."`
+	Found  foundCommand `cmd:"" help:"Begin the log at a dispatcher that votes; the others are taken in by themselves."`
+	Add    seatCommand  `cmd:"" help:"Have a disk learn, by its id, and vote once it has caught up."`
+	Remove seatCommand  `cmd:"" help:"Take a voter out, by its disk's id, that is gone for good."`
+}
+
+type votersList struct {
+	asked
+	JSON bool `help:"All of it, as JSON."`
+}
+
+// Run prints one line a voter.
+func (c *votersList) Run() error {
+	t, err := c.ask(fleet.AskDuties, 0)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(t)
+	}
+	s := t.Council
+	fmt.Printf("leader %d, term %d, log %d\n", s.Leader, s.Term, s.Commit)
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "disk\tdispatcher\tera\tpart\tlags by")
+	line := func(id uint64, part string) {
+		name, era := "?", uint32(0)
+		for _, seat := range t.Seats {
+			if seat.ID == id {
+				name, era = seat.Name, seat.Era
+			}
+		}
+		fmt.Fprintf(out, "%d\t%s\t%d\t%s\t%d\n", id, name, era, part, max(0, int64(s.Commit)-int64(s.Match[id])))
+	}
+	for _, id := range s.Voters {
+		line(id, map[bool]string{true: "leads", false: "votes"}[id == s.Leader])
+	}
+	for _, id := range s.Learners {
+		line(id, "learns")
+	}
+	return out.Flush()
+}
+
+type foundCommand struct{ asked }
+
+// Run begins the log.
+func (c *foundCommand) Run() error {
+	_, err := c.ask(fleet.AskFound, 0)
+	return err
+}
+
+type seatCommand struct {
+	asked
+	ID uint64 `arg:"" help:"The disk's id, as the list has it."`
+}
+
+// Run changes who votes.
+func (c *seatCommand) Run(parsed interface{ Command() string }) error {
+	keys, err := c.keys()
+	if err != nil {
+		return err
+	}
+	kind := duties.Remove
+	if strings.Contains(parsed.Command(), "add") {
+		kind = duties.AddLearner
+	}
+	_, err = fleet.AskChange(context.Background(), c.At, keys, duties.Change{Kind: kind, ID: c.ID})
+	return err
+}
+
+type recoverCommand struct {
+	asked
+	Sure bool `help:"The majority of the voters is lost for good: their processes are ended and their disks will not come back." required:""`
+}
+
+// Run begins a new log.
+func (c *recoverCommand) Run() error {
+	fmt.Fprintln(os.Stderr, "What the lost voters alone knew is gone: grants of the last moments are unknown, and a holder of one may act until its lease is over.")
+	fmt.Fprintln(os.Stderr, "Tokens go on far above any that was given. Voters of the old log that come back are put aside.")
+	_, err := c.ask(fleet.AskRecover, 0)
+	return err
+}
+
+// holdCommand runs a command under a duty.
+type holdCommand struct {
+	asked
+	Duty     string        `arg:"" help:"The duty."`
+	Command  []string      `arg:"" help:"The command, behind --." passthrough:""`
+	Lease    time.Duration `default:"3s" help:"The length of a lease, where the duty is new."`
+	Name     string        `help:"Under which it stands; drawn without." placeholder:"NAME"`
+	Zone     string        `help:"The zone that it stands in." placeholder:"ZONE"`
+	Priority int           `help:"Higher ones hold it before others."`
+}
+
+const (
+	holdTick = 10 * time.Millisecond
+	holdAsks = 6   // questions that are under way
+	termAt   = 0.4 // of a lease that is left: the command is asked to end
+	killAt   = 0.1 // of a lease that is left: it is ended
+	lostCode = 75  // the command was ended as the duty was lost: try again (EX_TEMPFAIL)
+)
+
+// exitStatus is a command's own status, passed on.
+type exitStatus int
+
+func (e exitStatus) Error() string { return fmt.Sprintf("ended with status %d", int(e)) }
+
+// Run waits for the duty, runs the command while it has it, and gives it back. Guards against a command that goes on without it: it is asked
+// to end, and then ended, before the lease is over by this process's own clock.
+func (c *holdCommand) Run() error {
+	keys, err := c.keys()
+	if err != nil {
+		return err
+	}
+	command := c.Command
+	if len(command) > 0 && command[0] == "--" {
+		command = command[1:]
+	}
+	if len(command) == 0 {
+		return errors.New("no command")
+	}
+	if c.Name == "" {
+		c.Name = fmt.Sprintf("hold-%016x", rand.Uint64())
+	}
+	got := make(chan os.Signal, 4)
+	signal.Notify(got, syscall.SIGTERM, syscall.SIGINT)
+	h := duties.NewHolder(c.Name, rand.Uint64()|1, c.Zone, c.Priority)
+	h.Want(c.Duty, c.Lease.Seconds(), fleet.BootTime())
+	answers, ended := make(chan fleet.Told, holdAsks), make(chan error, 1)
+	asking := 0
+	var run *exec.Cmd
+	var token uint64
+	var asked, lost, leaving bool
+	status, finished := error(nil), false
+	for each := time.NewTicker(holdTick); ; {
+		select {
+		case <-each.C:
+		case t := <-answers:
+			if asking--; t.Error == "" {
+				h.Answer(fleet.BootTime(), t.Number, t.Leases)
+			}
+		case err := <-ended:
+			status, finished, run = err, true, nil
+			h.Leave(fleet.BootTime())
+		case s := <-got:
+			if leaving = true; run != nil {
+				_ = run.Process.Signal(s)
+				asked = true
+			} else {
+				h.Leave(fleet.BootTime())
+			}
+		}
+		now := fleet.BootTime()
+		if turn, ask, _ := h.Tick(now); ask && asking < holdAsks {
+			asking++
+			go func() {
+				t, err := fleet.AskTake(context.Background(), c.At, keys, turn)
+				if err != nil {
+					t.Error = err.Error()
+				}
+				answers <- t
+			}()
+		}
+		if (finished || leaving && run == nil) && h.Settled() {
+			break
+		}
+		if finished || leaving && run == nil {
+			if token == 0 || now > h.Until(c.Duty)+c.Lease.Seconds() { // nobody answers; it runs out by itself
+				break
+			}
+			continue
+		}
+		has, ok := h.Act(c.Duty, now)
+		left := h.Until(c.Duty) - now
+		switch {
+		case run == nil && ok && left > termAt*c.Lease.Seconds():
+			token = has
+			run = exec.Command(command[0], command[1:]...)
+			run.Stdin, run.Stdout, run.Stderr = os.Stdin, os.Stdout, os.Stderr
+			run.Env = append(os.Environ(), fmt.Sprint("ELDERWALL_TOKEN=", token), "ELDERWALL_DUTY="+c.Duty)
+			run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+			if err := run.Start(); err != nil {
+				return fmt.Errorf("hold: %w", err)
+			}
+			go func(r *exec.Cmd) { ended <- r.Wait() }(run)
+		case run != nil && (!ok || has != token || left < killAt*c.Lease.Seconds()):
+			lost = true
+			_ = syscall.Kill(-run.Process.Pid, syscall.SIGKILL)
+		case run != nil && !asked && (left < termAt*c.Lease.Seconds() || slices.Contains(h.Handing(), c.Duty)):
+			asked, lost = true, true
+			_ = syscall.Kill(-run.Process.Pid, syscall.SIGTERM)
+		}
+	}
+	var exit *exec.ExitError
+	switch {
+	case lost:
+		return exitStatus(lostCode)
+	case errors.As(status, &exit):
+		return exitStatus(max(1, exit.ExitCode()))
+	}
+	return status
+}
--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -20,6 +20,12 @@
 type fleetCommand struct {
 	Members membersCommand   `cmd:"" help:"List the members as one of them sees them."`
 	Watch   watchCommand     `cmd:"" help:"Follow the changes that one of them sees."`
+	Duties  dutiesCommand    `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
+	Hold    holdCommand      `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
+	Hand    handCommand      `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
+	Drop    dropCommand      `cmd:"" help:"Forget a duty that nobody holds."`
+	Voters  votersCommand    `cmd:"" help:"List the voters of the log, begin it, or change who votes."`
+	Recover recoverCommand   `cmd:"" help:"Begin a new log with what one voter has, where the majority of the voters is lost for good."`
 	Leave   leaveCommand     `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
 	Key     fleetKeyCommand  `cmd:"" help:"Print a new key, a line of the key file that all have."`
 	Emulate fleetPlayCommand `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
--- a/cmd/elderwall-operator/main.go
+++ b/cmd/elderwall-operator/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -47,7 +48,12 @@
 	var c commands
 	parsed := kong.Parse(&c, kong.Name("elderwall"), kong.UsageOnError(),
 		kong.Description("A GET router for caches filled from parents and an origin."))
-	if err := parsed.Run(); err != nil {
+	parsed.BindTo(parsed, (*interface{ Command() string })(nil))
+	err := parsed.Run()
+	if status := exitStatus(0); errors.As(err, &status) {
+		os.Exit(int(status))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "elderwall:", err)
 		os.Exit(1)
 	}
--- a/fleet/duties/granter.go
+++ b/fleet/duties/granter.go
@@ -88,8 +88,9 @@
 	Boot     uint64
 	Zone     string
 	Priority int
-	Stands   []string // for these duties
-	Backs    []Lease  // that it has given up: nothing is done under them any more
+	Stands   []string  // for these duties
+	Lengths  []float64 // s; of their leases, where they are new
+	Backs    []Lease   // that it has given up: nothing is done under them any more
 }
 
 // Lease is what a dispatcher has of a duty.
@@ -103,9 +104,15 @@
 // Commands is what a turn comes to in the log; none where it tells nothing new.
 func (g *Granter) Commands(t *Turn) (all []Command) {
 	var fresh []string
-	for _, name := range t.Stands {
+	for i, name := range t.Stands {
 		d := g.state.Get(name)
-		if d == nil || d.Held() && d.Holder.Name == t.Name && d.Holder.Boot == t.Boot {
+		if d == nil {
+			if i < len(t.Lengths) {
+				all, fresh = append(all, Command{Act: Declare, Duty: name, Length: t.Lengths[i]}), append(fresh, name)
+			}
+			continue
+		}
+		if d.Held() && d.Holder.Name == t.Name && d.Holder.Boot == t.Boot {
 			continue
 		}
 		known := slices.ContainsFunc(d.Waiting, func(c Candidate) bool {
--- a/fleet/duties/holder.go
+++ b/fleet/duties/holder.go
@@ -11,16 +11,23 @@
 	zone     string
 	priority int
 	wants    []string
+	lengths  []float64 // s; of the leases of those
 	held     map[string]*lease
 	backs    []Lease
 	id       uint64
-	asked    float64 // when the question under way was asked
-	waiting  bool
+	asked    []asking // the last questions: an answer to any may come, late ones where disks are slow
+	answered uint64   // the latest question that was answered
 	due      float64
-	shortest float64 // of the leases seen, s
 	leaving  bool
 }
 
+// asking is a question with when it was asked, and how much of backs was in it.
+type asking struct {
+	id    uint64
+	at    float64
+	backs []Lease
+}
+
 type lease struct {
 	Lease
 	until  float64
@@ -32,6 +39,7 @@
 	idleTurn  = 1.0 // s between turns that hold nothing
 	answerIn  = 0.5 // of a turn's time; then it is asked anew, of another
 	leastTurn = 0.02
+	mostAsked = 8 // questions whose answers may still come
 )
 
 // NewHolder stands for nothing.
@@ -39,28 +47,28 @@
 	return &Holder{name: name, boot: boot, zone: zone, priority: priority, held: map[string]*lease{}}
 }
 
-// Want stands for a duty from now on.
-func (h *Holder) Want(duty string, now float64) {
+// Want stands for a duty from now on; one that is new gets leases of a length.
+func (h *Holder) Want(duty string, length, now float64) {
 	if !slices.Contains(h.wants, duty) {
-		h.wants = append(h.wants, duty)
+		h.wants, h.lengths = append(h.wants, duty), append(h.lengths, length)
 		h.due = now
 	}
 }
 
 // Leave gives all back, and stands for nothing any more.
 func (h *Holder) Leave(now float64) {
-	h.leaving, h.wants = true, nil
+	h.leaving, h.wants, h.lengths = true, nil, nil
 	for _, l := range h.held {
 		h.giveBack(l)
 	}
-	h.due, h.waiting = now, false
+	h.due = now
 }
 
 // GiveBack gives a duty up after its last act.
 func (h *Holder) GiveBack(duty string, now float64) {
 	if l := h.held[duty]; l != nil {
 		h.giveBack(l)
-		h.due, h.waiting = now, false
+		h.due = now
 	}
 }
 
@@ -119,12 +127,16 @@
 	return 0
 }
 
-// each is the time between turns, s.
+// each is the time between turns, s: several a lease, of those that are held or could be given any moment.
 func (h *Holder) each() float64 {
-	if len(h.held) == 0 || h.shortest == 0 {
-		return idleTurn
+	shortest := idleTurn * turnsEach
+	for _, l := range h.lengths {
+		shortest = min(shortest, l)
 	}
-	return max(leastTurn, h.shortest/turnsEach)
+	for _, l := range h.held {
+		shortest = min(shortest, l.Length)
+	}
+	return max(leastTurn, shortest/turnsEach)
 }
 
 // Tick gives the next turn, when it is time for one; fresh tells that the last one was answered, else another voter is to be asked.
@@ -134,50 +146,58 @@
 			delete(h.held, name)
 		}
 	}
-	if h.waiting && now-h.asked > answerIn*h.each() {
-		h.waiting, h.due = false, now
+	waits := h.answered < h.id
+	if waits && now-h.asked[len(h.asked)-1].at > answerIn*h.each() {
+		h.due = min(h.due, now)
 	} else {
 		fresh = true
 	}
-	if h.waiting || now < h.due || len(h.wants) == 0 && len(h.backs) == 0 {
+	if now < h.due || len(h.wants) == 0 && len(h.backs) == 0 {
 		return t, false, fresh
 	}
 	h.id++
-	h.asked, h.waiting, h.due = now, true, now+h.each()
-	return Turn{ID: h.id, Name: h.name, Boot: h.boot, Zone: h.zone, Priority: h.priority, Stands: slices.Clone(h.wants),
+	h.due = now + h.each()
+	h.asked = append(h.asked, asking{h.id, now, slices.Clone(h.backs)})
+	if len(h.asked) > mostAsked {
+		h.asked = h.asked[1:]
+	}
+	return Turn{ID: h.id, Name: h.name, Boot: h.boot, Zone: h.zone, Priority: h.priority, Stands: slices.Clone(h.wants), Lengths: slices.Clone(h.lengths),
 		Backs: slices.Clone(h.backs)}, true, fresh
 }
 
-// Answer takes what a turn came to. The leases count from when it was asked, not from now. Answers to earlier turns are passed over.
-func (h *Holder) Answer(now float64, id uint64, all []Lease) {
-	if id != h.id || !h.waiting {
+// Answer takes what a turn came to. The leases count from when it was asked, not from now. Answers to turns before one that
+// is answered are passed over: what they say may have changed.
+func (h *Holder) Answer(_ float64, id uint64, all []Lease) {
+	i := slices.IndexFunc(h.asked, func(a asking) bool { return a.id == id })
+	if i < 0 || id <= h.answered {
 		return
 	}
-	h.waiting = false
-	h.backs = slices.DeleteFunc(h.backs, func(b Lease) bool { return true }) // they were in the turn that is answered
+	asked := h.asked[i]
+	h.answered, h.asked = id, h.asked[i+1:]
+	h.backs = slices.DeleteFunc(h.backs, func(b Lease) bool { return slices.Contains(asked.backs, b) })
 	if h.leaving {
 		return
 	}
-	h.shortest = 0
+	all = slices.DeleteFunc(slices.Clone(all), func(l Lease) bool { // given up since it was asked
+		return slices.ContainsFunc(h.backs, func(b Lease) bool { return b.Duty == l.Duty && b.Token == l.Token })
+	})
 	for _, l := range all {
 		if !slices.Contains(h.wants, l.Duty) {
 			continue
 		}
-		if h.shortest == 0 || l.Length < h.shortest {
-			h.shortest = l.Length
-		}
 		o := h.held[l.Duty]
 		if o == nil || o.Token != l.Token {
 			o = &lease{}
 			h.held[l.Duty] = o
 		}
-		o.Lease, o.until = l, max(o.until, h.asked+l.Length*(1-Drift))
+		o.Lease, o.until = l, max(o.until, asked.at+l.Length*(1-Drift))
 	}
 	for name := range h.held {
 		if !slices.ContainsFunc(all, func(l Lease) bool { return l.Duty == name && l.Token == h.held[name].Token }) {
 			delete(h.held, name) // another has it, or its end is near
 		}
 	}
+	h.due = min(h.due, asked.at+h.each()) // a lease may be shorter than what was waited for
 }
 
 // Settled tells that nothing is held and nothing waits to be given back.
--- a/fleet/duties/state.go
+++ b/fleet/duties/state.go
@@ -54,6 +54,7 @@
 	Last    uint64 // the last token that was given
 	To      string // who is to hold it next, once the holder has given it back
 	Mark    uint64 // the last number that a holder marked
+	Told    uint64 // the last one that is known to be done
 	Waiting []Candidate
 }
 
@@ -76,7 +77,8 @@
 	Gone                    // a process stands for nothing any more
 	Skip                    // tokens are left out: after a recovery
 	Sit                     // a voter's disk, by its id (Token), with its name and era
-	Mark                    // a holder's count of what it did under a duty: each number once
+	Mark                    // a holder's count of what it is about to do under a duty: each number once
+	Told                    // and that it was done
 )
 
 // Command is one entry of the log. All may come twice: the second does nothing.
@@ -237,6 +239,12 @@
 		}
 		d.Mark = c.Number
 		return []string{d.Name}
+	case Told:
+		if d == nil || c.Number > d.Mark || c.Number <= d.Told {
+			return nil
+		}
+		d.Told = c.Number
+		return []string{d.Name}
 	default:
 		return nil
 	}
--- a/fleet/members/gossip.go
+++ b/fleet/members/gossip.go
@@ -94,8 +94,8 @@
 	}
 	if same && r.Version > p.Version {
 		p.Version, p.Wire, p.Load = r.Version, r.Wire, r.Load
-		if p.Generation != r.Generation {
-			p.Generation = r.Generation
+		if p.Generation != r.Generation || p.Vote != r.Vote {
+			p.Generation, p.Vote = r.Generation, r.Vote
 			m.spread(p.Member)
 		}
 	}
--- a/fleet/members/members.go
+++ b/fleet/members/members.go
@@ -40,6 +40,12 @@
 	Memory uint8  // of 255, of its limit
 }
 
+// Vote is what a member tells of itself as a voter of the log; the zero value is none.
+type Vote struct {
+	ID, Council   uint64 // of its disk; of the log that it votes in, 0 for none yet
+	Era, Recovery uint32 // of the disk; how often the log was recovered
+}
+
 // Member is a record of one: what it told of itself, and what is thought of it.
 type Member struct {
 	Name, Address, Zone string
@@ -49,6 +55,7 @@
 	Wire                uint8
 	Generation          uint32 // of its settings
 	Load                Load
+	Vote                Vote
 	State               State
 	By                  string // who accused it
 	Counted             bool   // to whoever tells, it belongs to the last agreed fleet
@@ -69,7 +76,13 @@
 }
 
 // Bytes is about what a record takes in a datagram.
-func (m *Member) Bytes() int { return 48 + len(m.Name) + len(m.Address) + len(m.Zone) + len(m.By) }
+func (m *Member) Bytes() int {
+	vote := 0
+	if m.Vote.ID != 0 {
+		vote = 32
+	}
+	return 48 + vote + len(m.Name) + len(m.Address) + len(m.Zone) + len(m.By)
+}
 
 // Kind is what a message is for.
 type Kind uint8
@@ -352,15 +365,15 @@
 	m.heard, m.stalled = m.now, false
 }
 
-// Tell changes what is told of the own load and settings.
-func (m *Machine) Tell(l Load, generation uint32) {
-	if l == m.self.Load && generation == m.self.Generation {
+// Tell changes what is told of the own load, settings and vote.
+func (m *Machine) Tell(l Load, generation uint32, v Vote) {
+	if l == m.self.Load && generation == m.self.Generation && v == m.self.Vote {
 		return
 	}
 	m.self.Version++
 	m.self.Load = l
-	if generation != m.self.Generation {
-		m.self.Generation = generation
+	if generation != m.self.Generation || v != m.self.Vote {
+		m.self.Generation, m.self.Vote = generation, v
 		m.spread(m.self)
 	}
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -50,6 +50,15 @@
 	return sum
 }
 
+// Each gives all of them by name.
+func (c *Counters) Each() map[string]int64 {
+	all, values := map[string]int64{}, reflect.ValueOf(c).Elem()
+	for i := range values.NumField() {
+		all[values.Type().Field(i).Name] = values.Field(i).Addr().Interface().(*atomic.Int64).Load()
+	}
+	return all
+}
+
 // Log writes all of them as one line.
 func (c *Counters) Log(log zerolog.Logger) {
 	line, values := log.Info(), reflect.ValueOf(c).Elem()
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -96,6 +96,7 @@
 			return nil, err
 		}
 		e.fleet.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
+		e.fleet.Counters = func() map[string]int64 { return to.Counts.Each() }
 		all = append(all, e.fleet)
 	}
 	t := e.told.Proxies
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -12,7 +12,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
+	"elderwall/internal/fleet/council"
 )
 
 // What can be asked of a member over its fleet address.
@@ -20,11 +22,20 @@
 	AskMembers = "members" // what it thinks of all
 	AskWatch   = "watch"   // the same, once something has changed since a number
 	AskLeave   = "leave"   // have it leave the fleet, and serve on alone
+	AskDuties  = "duties"  // who holds what, and how the voters stand
+	AskTurn    = "turn"    // a turn of one who stands for duties and is no dispatcher
+	AskCommand = "command" // commands for the log
+	AskSeat    = "seat"    // a change of who votes
+	AskFound   = "found"   // have it begin a log
+	AskRecover = "recover" // have it begin a log with what it has of the one whose majority is lost
+	AskCounts  = "counts"  // its counters
+
+	askEra = "era" // the latest era of a disk that it knows
 )
 
 const (
 	nonceLength = 16
-	longestAsk  = 4 << 10
+	longestAsk  = 256 << 10
 	watchMost   = 4 * time.Second // a watch is answered by then, changed or not: within a stream's time
 	askBegins   = 0               // a length that no message has: an ask follows
 )
@@ -33,6 +44,12 @@
 type ask struct {
 	What  string `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint,omitempty"`
+
+	Number   uint64           `cbor:"3,keyasint,omitempty"`
+	Hops     uint8            `cbor:"4,keyasint,omitempty"`
+	Turn     *duties.Turn     `cbor:"5,keyasint,omitempty"`
+	Commands []duties.Command `cbor:"6,keyasint,omitempty"`
+	Seat     duties.Change    `cbor:"7,keyasint,omitempty"`
 }
 
 // Told is what a member answers.
@@ -46,6 +63,14 @@
 	View     members.View     `cbor:"7,keyasint"`
 	Members  []members.Known  `cbor:"8,keyasint"`
 	Counts   map[string]int64 `cbor:"9,keyasint"`
+
+	Duties  []duties.Duty      `cbor:"10,keyasint,omitempty" json:",omitempty"`
+	Rest    map[string]float64 `cbor:"11,keyasint,omitempty" json:",omitempty"` // s of each lease, by the leader's clock
+	Council *council.Status    `cbor:"12,keyasint,omitempty" json:",omitempty"`
+	Seats   []duties.Seat      `cbor:"13,keyasint,omitempty" json:",omitempty"`
+	Leases  []duties.Lease     `cbor:"14,keyasint,omitempty" json:",omitempty"`
+	Changed bool               `cbor:"15,keyasint,omitempty" json:",omitempty"`
+	Leads   string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
 }
 
 // serveStream takes one stream: a message, or a question with a nonce of ours, so that no question counts twice.
@@ -93,8 +118,13 @@
 		f.await(q.After)
 	case AskLeave:
 		f.leave()
+	case AskCounts:
+		if f.Counters == nil {
+			return Told{Error: "there are none"}
+		}
+		return Told{Counts: f.Counters()}
 	default:
-		return Told{Error: fmt.Sprintf("no such question: %.32q", q.What)}
+		return f.answerDuties(f.ctx, q)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -126,6 +156,25 @@
 
 // Ask asks the member at an address. After is the number of the last change that is known, for a watch.
 func Ask(ctx context.Context, at string, k *Keys, what string, after uint64) (t Told, err error) {
+	return askAt(ctx, at, k, ask{What: what, After: after})
+}
+
+// AskDo has commands put into the log, by any member.
+func AskDo(ctx context.Context, at string, k *Keys, commands ...duties.Command) (t Told, err error) {
+	return askAt(ctx, at, k, ask{What: AskCommand, Commands: commands})
+}
+
+// AskChange has who votes changed.
+func AskChange(ctx context.Context, at string, k *Keys, c duties.Change) (t Told, err error) {
+	return askAt(ctx, at, k, ask{What: AskSeat, Seat: c})
+}
+
+// AskTake asks a turn for one who stands and is no dispatcher.
+func AskTake(ctx context.Context, at string, k *Keys, turn duties.Turn) (t Told, err error) {
+	return askAt(ctx, at, k, ask{What: AskTurn, Turn: &turn})
+}
+
+func askAt(ctx context.Context, at string, k *Keys, q ask) (t Told, err error) {
 	ctx, cancel := context.WithTimeout(ctx, streamTime)
 	defer cancel()
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", at)
@@ -141,7 +190,7 @@
 	if err != nil {
 		return t, fmt.Errorf("ask: %w", err)
 	}
-	text, err := encoding.Marshal(ask{what, after})
+	text, err := encoding.Marshal(q)
 	if err != nil {
 		return t, fmt.Errorf("ask: %w", err)
 	}
@@ -168,4 +217,4 @@
 	return t, nil
 }
 
-var told = must(cbor.DecOptions{MaxArrayElements: members.Most}.DecMode())
+var told = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16}.DecMode())
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
 	"elderwall/fleet/duties"
@@ -25,6 +26,7 @@
 	mostTicks     = 3    // made up for at once: after a stall others' messages come first
 	snapshotEach  = 2000 // entries
 	keepEntries   = 500  // behind a snapshot, for those that lag a little
+	mostOfOne     = 8    // of one dispatcher
 	mostTurns     = 2048 // that wait for an answer
 	turnTime      = 3.0  // s after which nobody waits for it any more
 	changeEach    = 1.0  // s between looks at who votes
@@ -81,26 +83,27 @@
 
 // Machine is one voter.
 type Machine struct {
-	id      uint64
-	disk    Disk
-	node    *raft.RawNode
-	storage *raft.MemoryStorage
-	conf    *pb.ConfState
-	state   *duties.State
-	granter *duties.Granter
-	applied uint64
-	saved   uint64 // index of the last snapshot
-	now     float64
-	ticked  float64
-	leads   bool
-	term    uint64
-	leader  uint64
-	number  uint64
-	turns   []*turn
-	reads   map[uint64]float64
-	out     Out
-	changed float64
-	broken  error
+	id       uint64
+	disk     Disk
+	node     *raft.RawNode
+	storage  *raft.MemoryStorage
+	conf     *pb.ConfState
+	state    *duties.State
+	granter  *duties.Granter
+	applied  uint64
+	saved    uint64 // index of the last snapshot
+	now      float64
+	ticked   float64
+	leads    bool
+	term     uint64
+	leader   uint64
+	number   uint64
+	turns    []*turn
+	reads    map[uint64]float64
+	out      Out
+	changed  float64
+	broken   error
+	reseated bool // who votes has changed since the last snapshot
 
 	Willing func() []duties.Willing // who would vote
 }
@@ -335,13 +338,27 @@
 func (m *Machine) Turn(t Turn, now float64) {
 	m.now = now
 	m.guarded(func() error {
-		m.turns = slices.DeleteFunc(m.turns, func(o *turn) bool { return o.Name == t.Name && o.Boot == t.Boot }) // that is an older one
 		if !m.leads || len(m.turns) >= mostTurns {
 			m.out.Answer = append(m.out.Answer, Answered{To: t.To, ID: t.ID, Leader: m.leader})
 			return nil
 		}
 		w := &turn{Turn: t, came: now}
-		if commands := m.granter.Commands(&t.Turn); len(commands) > 0 {
+		var under uint64 // the same commands, of a turn before that waits for them
+		n := 0
+		for _, o := range m.turns {
+			if o.Name == t.Name && o.Boot == t.Boot {
+				if n++; o.proposal != 0 && slices.Equal(o.Stands, t.Stands) && slices.Equal(o.Backs, t.Backs) {
+					under = o.proposal
+				}
+			}
+		}
+		if n >= mostOfOne {
+			m.out.Answer = append(m.out.Answer, Answered{To: t.To, ID: t.ID, Leader: m.leader})
+			return nil
+		}
+		if under != 0 {
+			w.proposal = under
+		} else if commands := m.granter.Commands(&t.Turn); len(commands) > 0 {
 			if w.proposal = m.propose(commands); w.proposal == 0 {
 				m.out.Answer = append(m.out.Answer, Answered{To: t.To, ID: t.ID})
 				return nil
@@ -460,7 +477,7 @@
 		if err := proto.Unmarshal(e.Data, &change); err != nil {
 			return fmt.Errorf("change of voters: %w", err)
 		}
-		m.conf = m.node.ApplyConfChange(&change)
+		m.conf, m.reseated = m.node.ApplyConfChange(&change), true
 		m.out.Events = append(m.out.Events, "voters")
 		return nil
 	case pb.EntryType_EntryConfChange:
@@ -468,7 +485,7 @@
 		if err := proto.Unmarshal(e.Data, &change); err != nil {
 			return fmt.Errorf("change of voters: %w", err)
 		}
-		m.conf = m.node.ApplyConfChange(&change)
+		m.conf, m.reseated = m.node.ApplyConfChange(&change), true
 		m.out.Events = append(m.out.Events, "voters")
 		return nil
 	}
@@ -517,11 +534,13 @@
 	}
 }
 
-// compact keeps the log short.
+// compact keeps the log short. Who voted is told anew in a snapshot at each change: one that is taken in and gets a snapshot passes it over
+// where it is not named in it.
 func (m *Machine) compact() error {
-	if m.applied < m.saved+snapshotEach {
+	if m.applied < m.saved+snapshotEach && !(m.reseated && m.applied > m.saved) {
 		return nil
 	}
+	m.reseated = false
 	data, err := encoding.Marshal(m.state.Save())
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
@@ -530,11 +549,17 @@
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	before := m.applied - keepEntries
+	before := uint64(0)
+	if m.applied > keepEntries {
+		before = m.applied - keepEntries
+	}
 	if err := m.disk.Compact(snapshot, before); err != nil {
 		return fmt.Errorf("disk: %w", err)
 	}
 	m.saved = m.applied
+	if first, err := m.storage.FirstIndex(); err != nil || before < first {
+		return err
+	}
 	if err := m.storage.Compact(before); err != nil && !errors.Is(err, raft.ErrCompacted) {
 		return fmt.Errorf("log: %w", err)
 	}
@@ -560,7 +585,7 @@
 	progress := m.node.Status().Progress
 	c := m.state.NextChange(m.conf.GetVoters(), m.conf.GetLearners(), willing, func(id uint64) bool {
 		p, ok := progress[id]
-		return ok && p.Match+keepEntries/10 >= m.applied && p.RecentActive
+		return ok && p.Match > 0 && p.State == tracker.StateReplicate && p.Match+keepEntries/10 >= m.applied && p.RecentActive
 	})
 	m.change(c)
 }
--- /dev/null
+++ b/internal/fleet/disk.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"elderwall/internal/fleet/council"
+)
+
+const (
+	logFile  = "log.db"
+	lockTime = time.Second // another process that has the folder
+)
+
+var (
+	metaBucket  = []byte("meta")
+	entryBucket = []byte("entries")
+)
+
+// disk keeps a voter's log and votes in a bbolt file, each record with a sum of its own: a file that is torn or was spoilt is told, not
+// believed.
+type disk struct {
+	db   *bbolt.DB
+	path string
+	kept council.Kept
+}
+
+// openDisk opens the file of a folder, or makes one with an id drawn for it. Each opening is a later era.
+func openDisk(folder string) (d *disk, err error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("voter's folder: %w", err)
+	}
+	path := filepath.Join(folder, logFile)
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // what a file that was cut short does to whoever maps it
+	defer func() {
+		if what := recover(); what != nil {
+			d, err = nil, fmt.Errorf("%s is torn: %v", path, what)
+		}
+	}()
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	d = &disk{db: db, path: path}
+	if err := d.read(); err != nil {
+		_ = db.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if d.kept.ID == 0 {
+		var drawn [8]byte
+		_, _ = rand.Read(drawn[:])
+		d.kept.ID = binary.BigEndian.Uint64(drawn[:])>>1 | 1 // raft keeps the highest for itself
+	}
+	return d, d.bump()
+}
+
+// close closes it; what was saved stays.
+func (d *disk) close() { _ = d.db.Close() }
+
+// aside puts the file aside: it is no voter's any more, and may be looked at.
+func (d *disk) aside() error {
+	d.close()
+	return setAside(d.path)
+}
+
+func setAside(path string) error {
+	if err := os.Rename(path, fmt.Sprintf("%s.old-%d", path, time.Now().UnixNano())); err != nil {
+		return fmt.Errorf("voter's folder: %w", err)
+	}
+	return nil
+}
+
+var errTorn = errors.New("a record is torn")
+
+func sealed(b []byte) []byte {
+	return binary.BigEndian.AppendUint64(append([]byte(nil), b...), xxhash.Sum64(b))
+}
+
+func unsealed(b []byte) ([]byte, error) {
+	n := len(b) - 8
+	if n < 0 || xxhash.Sum64(b[:n]) != binary.BigEndian.Uint64(b[n:]) {
+		return nil, errTorn
+	}
+	return append([]byte(nil), b[:n]...), nil
+}
+
+// meta is what there is besides entries.
+type meta struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Era      uint32 `cbor:"2,keyasint"`
+	Council  uint64 `cbor:"3,keyasint"`
+	Recovery uint32 `cbor:"4,keyasint"`
+}
+
+func (d *disk) read() error {
+	return d.db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(metaBucket)
+		if b == nil {
+			return nil
+		}
+		get := func(key string, into func([]byte) error) error {
+			raw := b.Get([]byte(key))
+			if raw == nil {
+				return nil
+			}
+			text, err := unsealed(raw)
+			if err == nil {
+				err = into(text)
+			}
+			return err
+		}
+		var m meta
+		k := &d.kept
+		err := errors.Join(
+			get("meta", func(b []byte) error { return decoding.Unmarshal(b, &m) }),
+			get("hard", func(b []byte) error { k.Hard = &pb.HardState{}; return proto.Unmarshal(b, k.Hard) }),
+			get("snapshot", func(b []byte) error { k.Snapshot = &pb.Snapshot{}; return proto.Unmarshal(b, k.Snapshot) }))
+		if err != nil {
+			return err
+		}
+		k.ID, k.Era, k.Council, k.Recovery = m.ID, m.Era, m.Council, m.Recovery
+		next := k.Snapshot.GetMetadata().GetIndex() + 1
+		return tx.Bucket(entryBucket).ForEach(func(_, v []byte) error {
+			text, err := unsealed(v)
+			if err != nil {
+				return err
+			}
+			e := &pb.Entry{}
+			if err := proto.Unmarshal(text, e); err != nil {
+				return err
+			}
+			if e.GetIndex() < next { // behind the snapshot, kept for those that lag
+				return nil
+			}
+			if e.GetIndex() != next {
+				return fmt.Errorf("%w: entry %d is missing", errTorn, next)
+			}
+			next++
+			k.Entries = append(k.Entries, e)
+			return nil
+		})
+	})
+}
+
+func index(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+
+// write does a synced change.
+func (d *disk) write(do func(meta, entries *bbolt.Bucket) error) error {
+	err := d.db.Update(func(tx *bbolt.Tx) error {
+		m, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		e, err := tx.CreateBucketIfNotExists(entryBucket)
+		if err != nil {
+			return err
+		}
+		return do(m, e)
+	})
+	if err != nil {
+		return fmt.Errorf("%s: %w", d.path, err)
+	}
+	return nil
+}
+
+func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, sealed(raw))
+}
+
+// bump makes it a later era.
+func (d *disk) bump() error {
+	d.kept.Era++
+	return d.tell()
+}
+
+func (d *disk) tell() error {
+	raw, err := encoding.Marshal(meta{d.kept.ID, d.kept.Era, d.kept.Council, d.kept.Recovery})
+	if err != nil {
+		return err
+	}
+	return d.write(func(m, _ *bbolt.Bucket) error { return m.Put([]byte("meta"), sealed(raw)) })
+}
+
+// Save keeps votes, entries in place of those that had their numbers or higher ones, and a snapshot in place of all.
+func (d *disk) Save(hard *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
+	return d.write(func(m, e *bbolt.Bucket) error {
+		if hard != nil {
+			if err := put(m, []byte("hard"), hard); err != nil {
+				return err
+			}
+		}
+		if snapshot != nil && !raft.IsEmptySnap(snapshot) {
+			if err := put(m, []byte("snapshot"), snapshot); err != nil {
+				return err
+			}
+			if err := cut(e, nil); err != nil {
+				return err
+			}
+		}
+		if len(entries) > 0 {
+			if err := cut(e, index(entries[0].GetIndex())); err != nil {
+				return err
+			}
+		}
+		for _, one := range entries {
+			if err := put(e, index(one.GetIndex()), one); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// cut takes out all entries from a key on.
+func cut(b *bbolt.Bucket, from []byte) error {
+	c := b.Cursor()
+	for k, _ := c.Seek(from); k != nil; k, _ = c.Seek(from) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Compact keeps a snapshot, and lets the entries go up to an index.
+func (d *disk) Compact(snapshot *pb.Snapshot, before uint64) error {
+	return d.write(func(m, e *bbolt.Bucket) error {
+		if err := put(m, []byte("snapshot"), snapshot); err != nil {
+			return err
+		}
+		c := e.Cursor()
+		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= before; k, _ = c.First() {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"os"
@@ -24,6 +25,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
+	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 )
 
@@ -31,9 +33,9 @@
 	longestDatagram = 1400    // bytes, sealed: whole on every usual path
 	longestStream   = 1 << 20 // bytes; 2,000 records with their names and addresses are half of it
 	streamsIn       = 16      // at a time
-	streamsOut      = 8
+	streamsOut      = 16
 	streamTime      = 5 * time.Second
-	bytesOut        = 256 << 10 // a second, of datagrams and streams together; what is over is dropped, as a network may
+	bytesOut        = 1 << 20 // a second, of datagrams and streams together; what is over is dropped, as a network may
 	bytesBurst      = longestStream
 	ticksEach       = 8 // an interval
 	loadEach        = 5 * time.Second
@@ -54,6 +56,7 @@
 	Key      string // path of the key file, "" for none
 	Remember string // file in which the last agreed fleet is kept over a restart, "" for none
 	Keys     *Keys
+	Duties   *Duties // nil where it stands for none and does not vote
 }
 
 // Check tells what can't go together.
@@ -99,9 +102,10 @@
 // Fleet is one member at work.
 type Fleet struct {
 	Settings
-	Log    zerolog.Logger
-	Counts Counts
-	GETs   func() (gets, shed int64) // since the start; nil where none are told
+	Log      zerolog.Logger
+	Counts   Counts
+	GETs     func() (gets, shed int64) // since the start; nil where none are told
+	Counters func() map[string]int64   // nil where none are told
 
 	datagrams  *net.UDPConn
 	streams    net.Listener
@@ -118,6 +122,9 @@
 		gets, shed int64
 	}
 
+	voter   *voter // nil where this one does not vote
+	holding holding
+
 	mu         sync.Mutex
 	machine    *members.Machine
 	numbers    *numbers
@@ -165,6 +172,16 @@
 	f.kept = remembered
 	f.machine = members.New(members.Settings{Name: s.Name, Address: f.Address, Zone: s.Zone, Peers: s.Peers, Boot: f.boot,
 		Seed: binary.BigEndian.Uint64(drawn[8:]), Wire: s.Wire, Generation: generation, Interval: s.Pace, Remembered: remembered}, 0)
+	f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, 0)
+	if s.Duties != nil {
+		f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, s.Duties.Priority)
+		for _, name := range slices.Sorted(maps.Keys(s.Duties.Stands)) {
+			f.holding.holder.Want(name, s.Duties.Stands[name], f.dutyNow())
+		}
+		if s.Duties.Voter {
+			f.voter = newVoter(f, s.Duties.Folder)
+		}
+	}
 	return f, nil
 }
 
@@ -178,6 +195,15 @@
 	f.group.Go(f.readDatagrams)
 	f.group.Go(f.accept)
 	f.group.Go(f.tick)
+	if f.voter != nil {
+		f.group.Go(func() error { return f.voter.run(f.ctx) })
+	}
+	if f.Duties != nil {
+		f.group.Go(func() error { return f.hold(f.ctx) })
+		if f.Duties.Stands[Report] > 0 {
+			f.group.Go(func() error { return f.report(f.ctx) })
+		}
+	}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		f.leave()
@@ -188,8 +214,15 @@
 	return err
 }
 
-// Close has the member leave: others are to ask it nothing more.
-func (f *Fleet) Close() { f.leave() }
+// Close has the member give its duties back and leave: others are to ask it nothing more.
+func (f *Fleet) Close() {
+	if f.Duties != nil {
+		f.release()
+	}
+	if f.voter == nil { // a voter votes to its end, and leaves then
+		f.leave()
+	}
+}
 
 // Quiet tells that nothing of a client's is open here.
 func (f *Fleet) Quiet() bool { return true }
@@ -268,14 +301,40 @@
 		f.Counts.TooLong.Add(1)
 		return
 	}
-	sealed := f.Keys.seal(sealedMessage, f.boot, f.number.Add(1), text, nil)
+	f.put(to, address, sealedMessage, text, e.Stream, nil)
+}
+
+// sendSealed sends what is not members' to one of them, as a datagram where it fits; done, where there is one, is told how that ended.
+func (f *Fleet) sendSealed(to string, kind byte, text []byte, stream bool, done func(error)) {
+	f.mu.Lock()
+	if at, ok := f.reach[to]; ok {
+		to = at
+	}
+	f.mu.Unlock()
+	address, err := netip.ParseAddrPort(to)
+	if err != nil {
+		f.Counts.Failed.Add(1)
+		return
+	}
+	f.put(to, address, kind, text, stream || len(text)+sealLength > longestDatagram, done)
+}
+
+var errHeld = errors.New("over a bound")
+
+func (f *Fleet) put(to string, address netip.AddrPort, kind byte, text []byte, stream bool, done func(error)) {
+	if done == nil {
+		done = func(error) {}
+	}
+	sealed := f.Keys.seal(kind, f.boot, f.number.Add(1), text, nil)
 	if !f.limit.AllowN(time.Now(), len(sealed)) {
 		f.Counts.OverRate.Add(1)
+		done(errHeld)
 		return
 	}
-	if !e.Stream {
+	if !stream {
 		if _, err := f.datagrams.WriteToUDPAddrPort(sealed, address); err != nil {
 			f.Counts.Failed.Add(1)
+			done(err)
 			return
 		}
 		f.Counts.Out.Add(1)
@@ -284,11 +343,14 @@
 	}
 	if f.ctx == nil || !f.out.TryAcquire(1) {
 		f.Counts.StreamsHeld.Add(1)
+		done(errHeld)
 		return
 	}
 	f.group.Go(func() error {
 		defer f.out.Release(1)
-		if err := f.stream(to, sealed); err != nil {
+		err := f.stream(to, sealed)
+		done(err)
+		if err != nil {
 			f.Counts.Failed.Add(1)
 			return nil
 		}
@@ -355,25 +417,43 @@
 
 // take takes a sealed message. Whoever has no key gets nothing, not even an answer that something is here.
 func (f *Fleet) take(sealed []byte) {
-	boot, number, text, err := f.Keys.open(sealedMessage, sealed, nil)
-	if err != nil {
+	if len(sealed) == 0 {
+		return
+	}
+	kind := sealed[0]
+	boot, number, text, err := f.Keys.open(kind, sealed, nil)
+	if err != nil || kind == sealedAsk || kind == sealedTold {
 		f.Counts.Unsealed.Add(1)
 		return
 	}
+	f.Counts.In.Add(1)
+	f.Counts.BytesIn.Add(int64(len(sealed)))
+	f.mu.Lock()
+	first := f.numbers.first(boot, number)
+	f.mu.Unlock()
+	if !first {
+		f.Counts.Replayed.Add(1)
+		return
+	}
+	switch kind {
+	case sealedRaft:
+		if f.voter != nil {
+			f.voter.take(text)
+		}
+		return
+	case sealedTurn:
+		f.takeTurn(text)
+		return
+	case sealedAnswer:
+		f.takeAnswer(text)
+		return
+	}
 	m, err := decode(text)
 	if err != nil || m.From.Boot != boot {
 		f.Counts.Unusable.Add(1)
 		return
 	}
-	f.Counts.In.Add(1)
-	f.Counts.BytesIn.Add(int64(len(sealed)))
-	f.step(func(machine *members.Machine, now float64) {
-		if !f.numbers.first(boot, number) {
-			f.Counts.Replayed.Add(1)
-			return
-		}
-		machine.Step(m, now)
-	})
+	f.step(func(machine *members.Machine, now float64) { machine.Step(m, now) })
 }
 
 // accept takes streams until the listener is closed, so many at a time.
@@ -419,8 +499,12 @@
 		case <-each.C:
 			load, told := f.load()
 			f.step(func(m *members.Machine, now float64) {
-				if told || f.generation != m.Self().Generation {
-					m.Tell(load, f.generation)
+				vote := f.vote()
+				if self := m.Self(); told || f.generation != self.Generation || vote != self.Vote {
+					if !told {
+						load = self.Load
+					}
+					m.Tell(load, f.generation, vote)
 				}
 				m.Tick(now)
 			})
@@ -486,6 +570,14 @@
 	return nil
 }
 
+// vote is what is told of this one as a voter.
+func (f *Fleet) vote() members.Vote {
+	if f.voter == nil {
+		return members.Vote{}
+	}
+	return f.voter.known.Load().Vote
+}
+
 // load is what there is to tell of the work of the last seconds, if it is time to.
 func (f *Fleet) load() (l members.Load, told bool) {
 	now := time.Now()
--- /dev/null
+++ b/internal/fleet/hold.go
@@ -0,0 +1,327 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	mrand "math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"elderwall/fleet/duties"
+	"elderwall/internal/fleet/council"
+)
+
+const (
+	dutyTick = 10 * time.Millisecond
+	turnTime = 2 * time.Second        // a question over a stream
+	turnAsk  = 500 * time.Millisecond // of another member, where a lease may wait for it
+)
+
+// BootTime is the clock by which leases are counted, in seconds: it goes on while the machine sleeps, and is never set.
+func BootTime() float64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Since(processStart).Seconds()
+	}
+	return float64(t.Sec) + float64(t.Nsec)/1e9
+}
+
+var processStart = time.Now()
+
+func (f *Fleet) dutyNow() float64 { return BootTime() }
+
+// turnMessage is a dispatcher's question with where its answer goes.
+type turnMessage struct {
+	Turn duties.Turn `cbor:"1,keyasint"`
+	From string      `cbor:"2,keyasint"`
+}
+
+// answerMessage is its answer.
+type answerMessage struct {
+	ID     uint64         `cbor:"1,keyasint"`
+	OK     bool           `cbor:"2,keyasint"`
+	Leader string         `cbor:"3,keyasint"`
+	Leases []duties.Lease `cbor:"4,keyasint"`
+}
+
+// holding is a dispatcher's part in duties.
+type holding struct {
+	mu     sync.Mutex
+	holder *duties.Holder
+	ask    string // the voter that is asked
+	leads  string // who answered as the leader last
+}
+
+// Guard asks whether an act may be done under a duty now, and with which token. It is to be asked right before each act.
+func (f *Fleet) Guard(duty string) (token uint64, ok bool) {
+	f.holding.mu.Lock()
+	defer f.holding.mu.Unlock()
+	return f.holding.holder.Act(duty, f.dutyNow())
+}
+
+// hold is the loop of a dispatcher that stands for duties.
+func (f *Fleet) hold(ctx context.Context) error {
+	each := time.NewTicker(dutyTick)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			f.holdTick()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (f *Fleet) holdTick() {
+	h := &f.holding
+	h.mu.Lock()
+	turn, ask, fresh := h.holder.Tick(f.dutyNow())
+	if !fresh {
+		h.ask = ""
+	}
+	to := h.ask
+	h.mu.Unlock()
+	if !ask {
+		return
+	}
+	if to == "" {
+		if all := f.aliveVoters(); len(all) > 0 {
+			to = all[mrand.IntN(len(all))]
+		}
+	}
+	if to == "" {
+		return
+	}
+	raw, err := encoding.Marshal(turnMessage{turn, f.Address})
+	if err != nil {
+		return
+	}
+	f.sendSealed(to, sealedTurn, raw, false, nil)
+}
+
+// takeTurn takes a dispatcher's question, where this one votes.
+func (f *Fleet) takeTurn(text []byte) {
+	var in turnMessage
+	if err := decoding.Unmarshal(text, &in); err != nil || f.voter == nil || len(in.Turn.Stands) > duties.MostDuties {
+		f.Counts.Unusable.Add(1)
+		return
+	}
+	f.turn(in.Turn, func(a answerMessage) {
+		raw, err := encoding.Marshal(a)
+		if err == nil {
+			f.sendSealed(in.From, sealedAnswer, raw, false, nil)
+		}
+	})
+}
+
+// turn hands a question to the voter here, which answers once.
+func (f *Fleet) turn(t duties.Turn, answer func(answerMessage)) {
+	done := func(a council.Answered) {
+		out := answerMessage{ID: a.ID, OK: a.OK, Leases: a.Leases}
+		if a.Leader != 0 {
+			out.Leader = f.voters()[a.Leader]
+		}
+		answer(out)
+	}
+	if !f.voter.do(func() {
+		if f.voter.machine == nil || !f.voter.admitted {
+			done(council.Answered{ID: t.ID})
+			return
+		}
+		f.voter.machine.Turn(council.Turn{Turn: t, To: done}, f.dutyNow())
+	}) {
+		done(council.Answered{ID: t.ID})
+	}
+}
+
+// takeAnswer takes the answer to a question of ours.
+func (f *Fleet) takeAnswer(text []byte) {
+	var in answerMessage
+	if err := decoding.Unmarshal(text, &in); err != nil {
+		f.Counts.Unusable.Add(1)
+		return
+	}
+	h := &f.holding
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !in.OK {
+		h.ask = in.Leader
+		return
+	}
+	was := h.holder.Held(f.dutyNow())
+	h.holder.Answer(f.dutyNow(), in.ID, in.Leases)
+	for _, name := range h.holder.Handing() { // nothing here acts for longer than a moment: what others want is given back at once
+		h.holder.GiveBack(name, f.dutyNow())
+	}
+	for _, l := range h.holder.Held(f.dutyNow()) {
+		if !slices.ContainsFunc(was, func(o duties.Lease) bool { return o.Duty == l.Duty && o.Token == l.Token }) {
+			f.Log.Info().Str("duty", l.Duty).Uint64("token", l.Token).Msg("duties: holds")
+		}
+	}
+	for _, l := range was {
+		if h.holder.Until(l.Duty) == 0 {
+			f.Log.Info().Str("duty", l.Duty).Uint64("token", l.Token).Msg("duties: holds no more")
+		}
+	}
+}
+
+// release gives all duties back, and waits a moment for that to be known.
+func (f *Fleet) release() {
+	h := &f.holding
+	h.mu.Lock()
+	h.holder.Leave(f.dutyNow())
+	h.mu.Unlock()
+	for end := time.Now().Add(turnTime / 4); time.Now().Before(end); time.Sleep(dutyTick) {
+		f.holdTick()
+		h.mu.Lock()
+		settled := h.holder.Settled()
+		h.mu.Unlock()
+		if settled {
+			return
+		}
+	}
+}
+
+// leaderAddress is where the leader is, as far as is known here.
+func (f *Fleet) leaderAddress() string {
+	if f.voter != nil {
+		if k := f.voter.known.Load(); k.Leader != 0 {
+			return f.voters()[k.Leader]
+		}
+	}
+	f.holding.mu.Lock()
+	defer f.holding.mu.Unlock()
+	return f.holding.ask
+}
+
+// askLeader has the leader answer a question, wherever it is.
+func (f *Fleet) askLeader(ctx context.Context, q ask) (t Told, err error) {
+	q.Hops++
+	tried := map[string]bool{f.Address: true}
+	f.holding.mu.Lock()
+	last := f.holding.leads
+	f.holding.mu.Unlock()
+	within := turnTime
+	if q.What == AskTurn {
+		within = turnAsk
+	}
+	for _, a := range append([]string{last, f.leaderAddress()}, f.aliveVoters()...) {
+		if a == "" || tried[a] || q.Hops > 2 {
+			continue
+		}
+		tried[a] = true
+		c, cancel := context.WithTimeout(ctx, within)
+		t, err = f.askOther(c, a, q)
+		cancel()
+		if err == nil {
+			f.holding.mu.Lock()
+			f.holding.leads = t.Leads
+			f.holding.mu.Unlock()
+			return t, nil
+		}
+	}
+	return t, errors.Join(errors.New("no voter that leads could be asked"), err)
+}
+
+// askOther asks another member, at the address at which it is reached from here.
+func (f *Fleet) askOther(ctx context.Context, address string, q ask) (Told, error) {
+	f.mu.Lock()
+	if at, ok := f.reach[address]; ok {
+		address = at
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, turnTime)
+	defer cancel()
+	return askAt(ctx, address, f.Keys, q)
+}
+
+// answerDuties answers the questions about duties.
+func (f *Fleet) answerDuties(ctx context.Context, q ask) (t Told) {
+	fail := func(err error) Told { return Told{Error: err.Error()} }
+	if f.voter == nil {
+		if q.What == askEra {
+			return fail(errors.New("this dispatcher does not vote"))
+		}
+		t, err := f.askLeader(ctx, q)
+		if err != nil {
+			return fail(err)
+		}
+		return t
+	}
+	k := f.voter.known.Load()
+	switch q.What {
+	case askEra:
+		for _, s := range k.State.Seats {
+			if s.ID == q.Number {
+				t.Number = uint64(s.Era)
+			}
+		}
+		return t
+	case AskFound, AskRecover:
+		done := make(chan error, 1)
+		if !f.voter.do(func() {
+			done <- map[string]func() error{AskFound: f.voter.found, AskRecover: f.voter.recover}[q.What]()
+		}) {
+			return fail(errBusy)
+		}
+		if err := <-done; err != nil {
+			return fail(err)
+		}
+		return t
+	}
+	if leads := k.Leader != 0 && k.Leader == k.Vote.ID; !leads {
+		t, err := f.askLeader(ctx, q)
+		if err != nil {
+			return fail(err)
+		}
+		return t
+	}
+	t.Leads = f.Address
+	switch q.What {
+	case AskDuties:
+		t.Duties, t.Rest, t.Council = k.State.Duties, k.Rest, &k.Status
+		t.Seats = k.State.Seats
+	case AskTurn:
+		if q.Turn == nil {
+			return fail(errMessage)
+		}
+		answered := make(chan answerMessage, 1)
+		f.turn(*q.Turn, func(a answerMessage) {
+			select {
+			case answered <- a:
+			default:
+			}
+		})
+		select {
+		case a := <-answered:
+			if !a.OK {
+				return fail(errNoLeader)
+			}
+			t.Number, t.Leases = a.ID, a.Leases
+		case <-time.After(turnTime):
+			return fail(errors.New("no majority of the voters has answered"))
+		}
+	case AskCommand:
+		changed, err := f.voter.propose(ctx, q.Commands)
+		if err != nil {
+			return fail(err)
+		}
+		t.Changed = changed
+	case AskSeat:
+		failed := make(chan error, 1)
+		if !f.voter.do(func() { failed <- f.voter.machine.Change(q.Seat, f.dutyNow()) }) {
+			return fail(errBusy)
+		}
+		if err := <-failed; err != nil {
+			return fail(err)
+		}
+	default:
+		return fail(fmt.Errorf("no such question: %.32q", q.What))
+	}
+	return t
+}
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -24,6 +24,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(actorEnv) != "" {
+		actor()
+	}
 	flag.Parse()
 	_ = flag.Set("test.parallel", "24") // processes wait for each other most of the time
 	code := m.Run()
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -31,6 +31,9 @@
 	sealedMessage = byte(1)
 	sealedAsk     = byte(2)
 	sealedTold    = byte(3)
+	sealedRaft    = byte(4)
+	sealedTurn    = byte(5)
+	sealedAnswer  = byte(6)
 )
 
 // Keys seal and open what goes between the processes of a fleet: XChaCha20-Poly1305 with a nonce drawn for each. The first
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -30,6 +30,15 @@
 	Generation  uint32       `cbor:"10,keyasint,omitempty"`
 	Load        members.Load `cbor:"11,keyasint,omitempty"`
 	Counted     bool         `cbor:"12,keyasint,omitempty"`
+	Vote        *vote        `cbor:"13,keyasint,omitempty"`
+}
+
+// vote is what a voter tells of itself.
+type vote struct {
+	ID       uint64 `cbor:"1,keyasint"`
+	Council  uint64 `cbor:"2,keyasint,omitempty"`
+	Era      uint32 `cbor:"3,keyasint,omitempty"`
+	Recovery uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // message is one on the wire.
@@ -88,6 +97,9 @@
 		Wire: m.Wire}
 	if wire >= Wire2 {
 		r.Version, r.Generation, r.Load, r.Counted = m.Version, m.Generation, m.Load, m.Counted
+		if v := m.Vote; v.ID != 0 {
+			r.Vote = &vote{v.ID, v.Council, v.Era, v.Recovery}
+		}
 	}
 	return r
 }
@@ -116,7 +128,11 @@
 }
 
 func (r *record) member() members.Member {
-	return members.Member{Name: r.Name, Address: r.Address, Zone: r.Zone, Boot: r.Boot, Incarnation: r.Incarnation,
+	m := members.Member{Name: r.Name, Address: r.Address, Zone: r.Zone, Boot: r.Boot, Incarnation: r.Incarnation,
 		State: members.State(min(r.State, uint8(members.Left))), By: r.By, Wire: r.Wire, Version: r.Version, Generation: r.Generation, Load: r.Load,
 		Counted: r.Counted}
+	if v := r.Vote; v != nil {
+		m.Vote = members.Vote{ID: v.ID, Council: v.Council, Era: v.Era, Recovery: v.Recovery}
+	}
+	return m
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"path/filepath"
 
+	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet"
 	"elderwall/internal/strict"
@@ -58,6 +59,9 @@
 	if o.Text("remember", &f.Remember) && !filepath.IsAbs(f.Remember) {
 		f.Remember = filepath.Join(d.folder, f.Remember)
 	}
+	if in := o.Inner("duties"); in != nil {
+		f.Duties = d.duties(in)
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
@@ -69,3 +73,31 @@
 	}
 	d.config.Fleet = f
 }
+
+// duties reads which duties this dispatcher stands for, and whether it votes on them.
+func (d *decoder) duties(o *strict.Object) *fleet.Duties {
+	to := &fleet.Duties{Stands: map[string]float64{}, Report: fleet.ReportEach}
+	o.Flag("voter", &to.Voter)
+	if o.Text("folder", &to.Folder); to.Folder != "" && !filepath.IsAbs(to.Folder) {
+		to.Folder = filepath.Join(d.folder, to.Folder)
+	}
+	if to.Voter && to.Folder == "" {
+		o.Fault("folder", "is needed where it votes: its log and votes must outlast a crash")
+	}
+	o.Count("priority", &to.Priority, -1000, 1000)
+	o.Duration("report", &to.Report, 1, 24*3600)
+	if in := o.Inner("stands"); in != nil {
+		for _, name := range in.Keys() {
+			var lease float64
+			in.Duration(name, &lease, duties.LeastTime, duties.MostTime)
+			if to.Stands[name] = lease; name == "" || len(name) > duties.LongestName {
+				o.Fault("stands", "%.20q must have 1 to %d bytes", name, duties.LongestName)
+			}
+		}
+		if len(to.Stands) > duties.MostDuties {
+			o.Fault("stands", "%d, at most %d", len(to.Stands), duties.MostDuties)
+		}
+	}
+	o.Done()
+	return to
+}
