Check turns of duties by porcupine; number questions by the boot of who asks

What turns say of holders must be in one order between their questions and answers: checked over the histories of all schedules by anishathalye/porcupine. It found an answer that was meant for the process before, at the same address and with the same number, taken for the new one's: a process that was started anew could take over the lease that its predecessor had. Numbers of questions begin with the boot now (NewHolder, TestAnAnswerToAnEarlierProcess).

Schedules have disks that are full as well: such a voter is out until it starts anew.

--- a/fleet/duties/duties_test.go
+++ b/fleet/duties/duties_test.go
@@ -268,6 +268,20 @@
 	assert.True(t, h.Settled())
 }
 
+// A process that was started anew gets an answer that was meant for the one before it.
+func TestAnAnswerToAnEarlierProcess(t *testing.T) {
+	one, two := NewHolder("a", 1, "", 0), NewHolder("a", 2, "", 0)
+	for _, h := range []*Holder{one, two} {
+		h.Want("d", 3, 0)
+	}
+	old, _, _ := one.Tick(0)
+	_, ask, _ := two.Tick(0)
+	require.True(t, ask)
+	two.Answer(0.1, old.ID, []Lease{{"d", 1, 3, false}})
+	_, ok := two.Act("d", 0.1)
+	assert.False(t, ok)
+}
+
 func TestFence(t *testing.T) {
 	var f Fence
 	for _, step := range []struct {
--- a/fleet/duties/holder.go
+++ b/fleet/duties/holder.go
@@ -44,7 +44,9 @@
 
 // NewHolder stands for nothing.
 func NewHolder(name string, boot uint64, zone string, priority int) *Holder {
-	return &Holder{name: name, boot: boot, zone: zone, priority: priority, held: map[string]*lease{}}
+	// Guards against answers to an earlier process at the same address: its questions had other numbers.
+	first := boot * 0x9e3779b97f4a7c15 >> 1
+	return &Holder{name: name, boot: boot, zone: zone, priority: priority, held: map[string]*lease{}, id: first, answered: first}
 }
 
 // Want stands for a duty from now on; one that is new gets leases of a length.
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.etcd.io/raft/v3"
@@ -37,6 +39,7 @@
 	vacant  map[string]float64
 	well    bool // nothing goes wrong any more
 	drift   float64
+	history []porcupine.Operation
 }
 
 type later struct {
@@ -63,6 +66,7 @@
 	clock   clock
 	copy    Kept // of the disk, from early on
 	led     bool
+	full    bool     // the disk takes nothing more
 	lost    []func() // undoes what a disk that lies has not written
 }
 
@@ -141,7 +145,7 @@
 	if err != nil {
 		panic(err)
 	}
-	v.Machine, v.up, v.lost = m, true, nil
+	v.Machine, v.up, v.full, v.lost = m, true, false, nil
 }
 
 // spoil has a leader end leases that it must not end.
@@ -163,6 +167,9 @@
 
 // Save keeps what is synced; a disk that is at fault loses some of it in a crash.
 func (v *voter) Save(hard *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
+	if v.full {
+		return errors.New("no space left")
+	}
 	was := v.kept
 	was.Entries = slices.Clone(was.Entries)
 	if hard != nil {
@@ -270,7 +277,7 @@
 			}
 		})
 	}
-	if v.Broken() != nil && s.fault == "" {
+	if v.Broken() != nil && s.fault == "" && !v.full {
 		s.wrong = append(s.wrong, fmt.Sprintf("%.2f: voter %d: %v", s.now, v.index, v.Broken()))
 	}
 }
@@ -286,6 +293,13 @@
 	}
 	now := p.clock.at(p.sim.now)
 	p.Answer(now, a.ID, a.Leases)
+	for _, l := range a.Leases {
+		if _, own := p.asked[a.ID]; !own { // of the process that was there before
+			break
+		}
+		p.sim.history = append(p.sim.history, porcupine.Operation{ClientId: p.index, Input: l.Duty, Output: grant{l.Token, p.index, p.boot},
+			Call: int64(1e6 * p.asked[a.ID]), Return: int64(1e6 * p.sim.now)})
+	}
 	for _, l := range a.Leases {
 		p.tokens[l.Duty] = l.Token
 		switch p.sim.fault {
@@ -366,6 +380,7 @@
 		p.ask = s.chance.IntN(voters)
 	}
 	if ask {
+		p.asked[turn.ID] = s.now
 		v := s.voters[p.ask]
 		s.pass(voters+p.index, v.index, func() float64 { return v.stalled }, &v.inbox, func() {
 			if !v.up {
@@ -425,6 +440,35 @@
 	}
 }
 
+// grant is what a turn said: a holder with its token.
+type grant struct {
+	token  uint64
+	player int
+	boot   uint64
+}
+
+// holders is what turns may say of a duty, one after the other in some order between their questions and their answers: a token's holder is one,
+// and once a higher one was told no lower one is.
+var holders = porcupine.Model{
+	Partition: func(all []porcupine.Operation) (by [][]porcupine.Operation) {
+		at := map[any]int{}
+		for _, o := range all {
+			if _, ok := at[o.Input]; !ok {
+				at[o.Input] = len(by)
+				by = append(by, nil)
+			}
+			by[at[o.Input]] = append(by[at[o.Input]], o)
+		}
+		return by
+	},
+	Init: func() any { return grant{} },
+	Step: func(state, _, output any) (bool, any) {
+		is, told := state.(grant), output.(grant)
+		return told == is || told.token > is.token, told
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
 // ordered checks what was taken: never a lower token after a higher, never one token from two.
 func (s *sim) ordered() (wrong []string) {
 	highest, by := map[string]uint64{}, map[string]int{}
@@ -458,13 +502,13 @@
 
 // trouble draws what goes wrong now.
 func (s *sim) trouble() {
-	if s.fault != "" && s.chance.IntN(3) > 0 && slices.Contains([]string{"votes are not synced", "a new leader counts nothing anew", "an old copy of a disk votes on",
+	if s.fault != "" && s.chance.IntN(3) > 0 && slices.Contains([]string{"votes are not synced", "a new leader counts nothing anew", "an old copy of a disk votes on", "no majority is asked",
 		"the log is not synced"}, s.fault) {
 		s.elections()
 		return
 	}
 	some := func() float64 { return 0.1 + s.chance.ExpFloat64()*0.8 }
-	switch s.chance.IntN(9) {
+	switch s.chance.IntN(10) {
 	case 0, 1: // a cut
 		for i := range s.parts {
 			s.parts[i] = s.chance.IntN(2 + s.chance.IntN(2))
@@ -488,6 +532,17 @@
 		p := s.players[s.chance.IntN(players)]
 		p.pending, p.stalled = nil, s.now+some()
 		s.after(some(), p.start)
+	case 9: // a disk is full: its voter is out until it starts anew
+		v := s.voters[s.chance.IntN(voters)]
+		if v.up && !v.full {
+			v.full = true
+			s.after(some(), func() {
+				if v.full && v.up {
+					v.crash()
+					v.start()
+				}
+			})
+		}
 	case 8:
 		s.lossy = s.chance.Float64() * 0.4
 		s.after(some(), func() { s.lossy = 0 })
@@ -522,6 +577,9 @@
 	}
 	for _, v := range s.voters {
 		v.stalled = 0
+		if v.full && v.up {
+			v.crash()
+		}
 		if !v.up {
 			v.start()
 		}
@@ -533,6 +591,9 @@
 		}
 	}
 	s.wrong = append(s.wrong, s.ordered()...)
+	if got := porcupine.CheckOperationsTimeout(holders, s.history, time.Minute); got != porcupine.Ok {
+		s.wrong = append(s.wrong, fmt.Sprintf("what turns said of holders is in no order: %v", got))
+	}
 	return s
 }
 
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -130,6 +132,7 @@
 type dutyRig struct {
 	*memberRig
 	taker *taker
+	lease time.Duration // of the job; 0 for leaseTime
 }
 
 // duty starts so many dispatchers, of which the first ones vote, and begins the log.
@@ -241,7 +244,7 @@
 func (d *dutyRig) hold(at int, env ...string) *hold {
 	key := filepath.Join(d.Dir, "fleet.key")
 	h := &hold{rig: d, ended: make(chan struct{})}
-	h.cmd = exec.Command(d.Binary, "fleet", "hold", job, "--at", d.Processes[at].Fleet, "--key", key, "--lease", leaseTime.String(), "--", os.Args[0])
+	h.cmd = exec.Command(d.Binary, "fleet", "hold", job, "--at", d.Processes[at].Fleet, "--key", key, "--lease", cmp.Or(d.lease, leaseTime).String(), "--", os.Args[0])
 	h.cmd.Env = append(append(os.Environ(), actorEnv+"="+d.taker.listener.Addr().String()), env...)
 	h.cmd.Stderr, h.cmd.Stdout = io.Discard, io.Discard
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -636,3 +639,48 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(100+seed), 5, 6, 15)) })
 	}
 }
+
+// How long it takes to hand a duty on, for figures: not in CI. ELDERWALL_HANDS says how often each.
+func TestHandingOn(t *testing.T) {
+	n := 0
+	if _, err := fmt.Sscan(os.Getenv("ELDERWALL_HANDS"), &n); err != nil {
+		t.Skip("ELDERWALL_HANDS says how often")
+	}
+	for _, lease := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
+		for name, end := range map[string]func(h *hold){
+			"killed":  func(h *hold) { _ = syscall.Kill(-h.pid(), syscall.SIGKILL); _ = h.cmd.Process.Kill() },
+			"stopped": func(h *hold) { _ = h.cmd.Process.Signal(syscall.SIGSTOP) },
+			"SIGTERM": func(h *hold) { _ = h.cmd.Process.Signal(syscall.SIGTERM) },
+		} {
+			t.Run(fmt.Sprint(lease, " ", name), func(t *testing.T) {
+				d := duty(t, 3, 3)
+				d.lease = lease
+				holds := map[int]*hold{0: d.hold(0)}
+				last := d.acts(0)
+				var gaps []float64
+				for i := 1; i <= n; i++ {
+					holds[i] = d.hold(i % 3)
+					time.Sleep(lease/2 + time.Second)
+					at := time.Now()
+					end(holds[i-1])
+					next := d.acts(last.token)
+					d.taker.mu.Lock()
+					for _, a := range d.taker.acts {
+						if a.token == next.token {
+							gaps = append(gaps, a.at.Sub(at).Seconds())
+							break
+						}
+					}
+					d.taker.mu.Unlock()
+					last = next
+				}
+				slices.Sort(gaps)
+				t.Logf("handed on after %.2f s (half), %.2f s (most) of %d", gaps[len(gaps)/2], gaps[len(gaps)-1], len(gaps))
+				d.taker.check(t)
+			})
+		}
+	}
+}
+
+// pid is the process that acts, by what was taken last.
+func (h *hold) pid() int { return h.rig.taker.last().pid }
