--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -263,13 +263,7 @@
 		}
 		return t
 	case AskFound, AskRecover:
-		done := make(chan error, 1)
-		if !f.voter.do(func() {
-			done <- map[string]func() error{AskFound: f.voter.found, AskRecover: f.voter.recover}[q.What]()
-		}) {
-			return fail(errBusy)
-		}
-		if err := <-done; err != nil {
+		if err := f.voter.within(map[string]func() error{AskFound: f.voter.found, AskRecover: f.voter.recover}[q.What]); err != nil {
 			return fail(err)
 		}
 		return t
@@ -313,11 +307,7 @@
 		}
 		t.Changed = changed
 	case AskSeat:
-		failed := make(chan error, 1)
-		if !f.voter.do(func() { failed <- f.voter.machine.Change(q.Seat, f.dutyNow()) }) {
-			return fail(errBusy)
-		}
-		if err := <-failed; err != nil {
+		if err := f.voter.within(func() error { return f.voter.machine.Change(q.Seat, f.dutyNow()) }); err != nil {
 			return fail(err)
 		}
 	default:
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -133,6 +133,9 @@
 }
 
 func (v *voter) tick(ctx context.Context) {
+	if v.machine == nil { // the disk could not be opened anew
+		return
+	}
 	if time.Since(v.bumped) > eraEach && v.admitted {
 		v.bumped = time.Now()
 		if err := v.disk.bump(); err != nil {
@@ -223,8 +226,10 @@
 	if err != nil {
 		v.fleet.Log.Error().Err(err).Msg("duties: the voter's disk can't be used")
 		v.machine, v.admitted = nil, false
+		v.known.Store(&known{Problem: err.Error()})
+		return
 	}
-	v.admitted = err == nil
+	v.admitted = true
 }
 
 // willing is who would vote in this log.
@@ -375,6 +380,29 @@
 	errBusy     = errors.New("too much waits for this voter")
 )
 
+// within has the goroutine do something, and waits for a moment for how that went.
+func (v *voter) within(what func() error) error {
+	done := make(chan error, 1)
+	if v.known.Load().Problem != "" {
+		return errors.New("this voter takes no part: " + v.known.Load().Problem)
+	}
+	if !v.do(func() {
+		if v.machine == nil {
+			done <- errNoLeader
+			return
+		}
+		done <- what()
+	}) {
+		return errBusy
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(turnTime):
+		return errBusy
+	}
+}
+
 // found begins a log with this one as its only voter; the others follow by themselves.
 func (v *voter) found() error { return v.anew(0, nil) }
 
