Wait for room in the test of long calls, which hung where a reader was slow to give its own back

The test took the rest of the room right after the first answer; the connection's reader gives back what the first call held only when it reads again (front.read), so that the taking could fail, unchecked, and the second call was let in and never answered. The program is unchanged.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -206,7 +206,8 @@
 	(<-h.calls).Fail("")
 	_, err = c.Read()
 	require.NoError(t, err)
-	s.Room.Take(bytesOfRoom - len(long)/2) // the rest
+	require.Eventually(t, func() bool { return s.Room.Take(bytesOfRoom - len(long)/2) }, 5*time.Second, time.Millisecond,
+		"the rest, once what read the first call has given its own back")
 	other := dial(t, address)
 	_, err = other.Process(standin.Fields(), long)
 	require.NoError(t, err)
