Tell a voter's new era only once it was admitted

Seen in a run of the program built with the race detector (TestAVotersDisk, first restart): a voter that had just started anew put its own good disk aside as an old copy. Cause: voter.tell published the era of the start at once; the leader saw it among the members, booked it (council.changeSeats, once a second), and then answered that it knew an era as late when the voter asked (voter.admit). On a quick machine the voter asked first. Until it is admitted it tells the era before.

Ruled out: the disk (the era was synced), the rig (one process at a time). With the race detector in the processes, disks, reports, handing over and all killed pass, and no race is told.

--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -155,7 +155,11 @@
 func (v *voter) tell() {
 	v.shown = time.Now()
 	k := &v.disk.kept
-	s := &known{Status: v.machine.Status(), Vote: members.Vote{ID: k.ID, Council: k.Council, Era: k.Era, Recovery: k.Recovery}, Leader: v.machine.Leader(),
+	era := k.Era
+	if !v.admitted { // guards against a leader that books the new era before this one has asked about it: it would pass for an old copy
+		era--
+	}
+	s := &known{Status: v.machine.Status(), Vote: members.Vote{ID: k.ID, Council: k.Council, Era: era, Recovery: k.Recovery}, Leader: v.machine.Leader(),
 		Admit: v.admitted, State: v.machine.State().Save()}
 	if err := v.machine.Broken(); err != nil {
 		s.Problem = err.Error()
