Let go of proposals that never come

Read once more: voter.waits kept an entry for each proposal of a leadership that was lost before it was in the log (voter.propose), a table without a bound. It goes with whoever waits for it now.

--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -367,6 +367,8 @@
 	}) {
 		return false, errBusy
 	}
+	// Guards against proposals of a leadership that was lost, which never come: nobody waits for them for good.
+	defer v.do(func() { maps.DeleteFunc(v.waits, func(_ uint64, c chan bool) bool { return c == wait }) })
 	select {
 	case changed = <-wait:
 		return changed, nil
