Ask the leader at once where a turn went to another voter, and level duties

Seen: with 100 duties and ten dispatchers of which one was started anew, duties of others moved and leases ran out untold. Cause: a voter that does not lead answered who does, and the holder waited half a turn and then asked one drawn by lot (holdTick cleared the address as the turn counted as unanswered); an answer that was good did not keep the leader's address either. Refused turns are asked again of the leader after a twentieth of a turn. What a lease's end takes is logged now.

A fleet that starts gave all duties to whoever asked first, for good: the leader hands some over from who has over 1.5 times the even share, a twentieth a second. A voter whose disk was full takes part again by itself, as after a start.

Hard cases with processes that were missing: a holder cut off five ways, a full disk, syncs of 5 s, clocks off by twice the share and far, a candidate that flaps, a voter replaced under load, many duties with a tenth restarted.

--- a/fleet/duties/duties_test.go
+++ b/fleet/duties/duties_test.go
@@ -292,3 +292,41 @@
 	}
 	assert.True(t, f.Take("e", 1))
 }
+
+// A fleet that starts gives all to whoever asked first; they are handed over until nobody has far more than the even share, and then nothing moves.
+func TestLevel(t *testing.T) {
+	s := NewState()
+	for i := range 100 {
+		s.Apply(Command{Act: Declare, Duty: fmt.Sprint("d", i), Length: 3})
+	}
+	for i := range 10 {
+		s.Apply(Command{Act: Stand, Duties: s.Names(), Name: fmt.Sprint("n", i), Boot: 1})
+	}
+	require.Equal(t, 100, s.loads["n0"])
+	moved := 0
+	for round := range 100 {
+		var back []Command
+		all := s.Level()
+		for _, c := range append(all, s.Level()...) { // again while they are on their way
+			s.Apply(c)
+		}
+		for _, name := range s.Names() {
+			if d := s.Get(name); d.To != "" {
+				back = append(back, Command{Act: GiveBack, Duty: name, Token: d.Token})
+			}
+		}
+		for i, c := range back {
+			was := s.Get(c.Duty).Holder
+			if (round+i)%3 > 0 { // others come later
+				moved++
+				s.Apply(c)
+				s.Apply(Command{Act: Stand, Duties: []string{c.Duty}, Name: was.Name, Boot: 1})
+			}
+		}
+	}
+	for name, n := range s.loads {
+		assert.LessOrEqual(t, n, 15, name)
+	}
+	assert.Empty(t, s.Level())
+	assert.Less(t, moved, 100, "each moves once")
+}
--- a/fleet/duties/granter.go
+++ b/fleet/duties/granter.go
@@ -33,6 +33,7 @@
 
 const (
 	sweepEach   = 1.0 // s between looks for who stands no more
+	settles     = 5.0 // s of a leadership, before duties are levelled
 	proposeEach = 2.0 // s after which an end that did not come is proposed again
 )
 
@@ -183,6 +184,9 @@
 	if now-g.swept >= sweepEach {
 		g.swept = now
 		all = append(all, g.sweep(now)...)
+		if now-g.since > settles { // those who stand have said so by then
+			all = append(all, g.state.Level()...)
+		}
 	}
 	return all
 }
--- a/fleet/duties/holder.go
+++ b/fleet/duties/holder.go
@@ -17,6 +17,7 @@
 	id       uint64
 	asked    []asking // the last questions: an answer to any may come, late ones where disks are slow
 	answered uint64   // the latest question that was answered
+	refused  uint64   // the latest whose answer was that another leads
 	due      float64
 	leaving  bool
 }
@@ -35,9 +36,10 @@
 }
 
 const (
-	turnsEach = 3.0 // a lease: two may be lost
-	idleTurn  = 1.0 // s between turns that hold nothing
-	answerIn  = 0.5 // of a turn's time; then it is asked anew, of another
+	turnsEach = 3.0  // a lease: two may be lost
+	idleTurn  = 1.0  // s between turns that hold nothing
+	refusedIn = 0.05 // of a turn's time, before another is asked when the one that was asked does not lead
+	answerIn  = 0.5  // of a turn's time; then it is asked anew, of another
 	leastTurn = 0.02
 	mostAsked = 8 // questions whose answers may still come
 )
@@ -148,7 +150,7 @@
 			delete(h.held, name)
 		}
 	}
-	waits := h.answered < h.id
+	waits := max(h.answered, h.refused) < h.id
 	if waits && now-h.asked[len(h.asked)-1].at > answerIn*h.each() {
 		h.due = min(h.due, now)
 	} else {
@@ -167,6 +169,15 @@
 		Backs: slices.Clone(h.backs)}, true, fresh
 }
 
+// Refused takes word that whoever was asked does not lead: the one that does is asked soon. Guards against leases lost as whoever stands asks
+// one voter after another and waits at each.
+func (h *Holder) Refused(now float64, id uint64) {
+	if i := slices.IndexFunc(h.asked, func(a asking) bool { return a.id == id }); i >= 0 && id > max(h.answered, h.refused) {
+		h.refused = id
+		h.due = min(h.due, max(now, h.asked[i].at+refusedIn*h.each()))
+	}
+}
+
 // Answer takes what a turn came to. The leases count from when it was asked, not from now. Answers to turns before one that
 // is answered are passed over: what they say may have changed.
 func (h *Holder) Answer(_ float64, id uint64, all []Lease) {
--- a/fleet/duties/state.go
+++ b/fleet/duties/state.go
@@ -28,11 +28,13 @@
 	LeastTime = 0.2  // s; a lease under it is eaten up by what a message and a sync may take
 	MostTime  = 600.0
 
-	loadBound = 1.25    // of the even share, beyond which a dispatcher gets no more duties as long as others stand
-	setBack   = 3       // failures that count
-	Jump      = 1 << 32 // tokens that a recovery leaves out: more than any lost log could have given
-	forgives  = 10.0    // leases, held in a row, that a holder's failures are forgiven after
-	absent    = 10.0    // leases without a word, after which one stands no more
+	loadBound  = 1.25    // of the even share, beyond which a dispatcher gets no more duties as long as others stand
+	levelBound = 1.5     // of the even share, beyond which duties are handed over: well above the other, so that one that comes back moves little
+	levelPart  = 20      // of all duties that are handed over at a time, to level them
+	setBack    = 3       // failures that count
+	Jump       = 1 << 32 // tokens that a recovery leaves out: more than any lost log could have given
+	forgives   = 10.0    // leases, held in a row, that a holder's failures are forgiven after
+	absent     = 10.0    // leases without a word, after which one stands no more
 )
 
 // Candidate is a dispatcher that stands for a duty. Its boot tells it from an earlier process of its name.
@@ -352,6 +354,52 @@
 	return order < 0
 }
 
+// Level hands some duties over, from who has far more than the even share to who has less than the even share: a few at a time, so that one who
+// came late gets its part and nothing swings. A fleet that starts gives all to whoever asked first.
+func (s *State) Level() (all []Command) {
+	held, names := 0, map[string]bool{}
+	for name, n := range s.loads {
+		held, names[name] = held+n, true
+	}
+	loads := maps.Clone(s.loads)
+	for _, d := range s.duties {
+		for _, c := range d.Waiting {
+			names[c.Name] = true
+		}
+		if d.Held() && d.To != "" { // on its way already
+			loads[d.Holder.Name]--
+			loads[d.To]++
+		}
+	}
+	if len(names) < 2 {
+		return nil
+	}
+	even := float64(held) / float64(len(names))
+	most := 1 + held/levelPart
+	for _, name := range s.Names() {
+		d := s.duties[name]
+		if len(all) >= most {
+			return all
+		}
+		if !d.Held() || d.To != "" || float64(loads[d.Holder.Name]) <= math.Ceil(levelBound*even) {
+			continue
+		}
+		to := -1
+		for i, c := range d.Waiting {
+			if c.Failures == 0 && c.Priority >= d.Holder.Priority && (d.Zone == "" || c.Zone == d.Zone || d.Holder.Zone != d.Zone) &&
+				float64(loads[c.Name]) < math.Floor(even) && (to < 0 || loads[c.Name] < loads[d.Waiting[to].Name]) {
+				to = i
+			}
+		}
+		if to >= 0 {
+			loads[d.Holder.Name]--
+			loads[d.Waiting[to].Name]++
+			all = append(all, Command{Act: HandOver, Duty: name, Token: d.Token, Name: d.Waiting[to].Name})
+		}
+	}
+	return all
+}
+
 // weight is a dispatcher's random weight for a duty: the same at every voter.
 func weight(name, duty string) uint64 {
 	h := fnv.New64a()
--- a/internal/fleet/disk.go
+++ b/internal/fleet/disk.go
@@ -63,7 +63,11 @@
 		_, _ = rand.Read(drawn[:])
 		d.kept.ID = binary.BigEndian.Uint64(drawn[:])>>1 | 1 // raft keeps the highest for itself
 	}
-	return d, d.bump()
+	if err := d.bump(); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
+	return d, nil
 }
 
 // close closes it; what was saved stays.
@@ -158,6 +162,7 @@
 
 // write does a synced change.
 func (d *disk) write(do func(meta, entries *bbolt.Bucket) error) error {
+	awaitSync()
 	err := d.db.Update(func(tx *bbolt.Tx) error {
 		m, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -25,6 +26,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/fleet/duties"
 	"elderwall/internal/standin/processes"
 )
 
@@ -136,13 +138,13 @@
 }
 
 // duty starts so many dispatchers, of which the first ones vote, and begins the log.
-func duty(t *testing.T, n, vote int) *dutyRig {
+func duty(t *testing.T, n, vote int, change ...func(*memberRig)) *dutyRig {
 	d := &dutyRig{taker: newTaker(t)}
-	d.memberRig = start(t, n, func(m *memberRig) {
+	d.memberRig = start(t, n, append([]func(*memberRig){func(m *memberRig) {
 		for i := range n {
 			m.more[i] = fmt.Sprintf(`duties: {voter: %v, folder: "duties", stands: {report: "1s"}, report: "1s"}`, i < vote)
 		}
-	})
+	}}, change...)...)
 	d.Until(soon, "the log begins", func() error {
 		out, err := d.run(0, "voters", "found")
 		if err != nil && !strings.Contains(out, "already") {
@@ -183,6 +185,10 @@
 		Name              string
 		Token, Mark, Told uint64
 		Holder            struct{ Name string }
+		Waiting           []struct {
+			Name     string
+			Failures int
+		}
 	}
 	Council struct {
 		Leader   uint64
@@ -362,6 +368,411 @@
 	}
 }
 
+// The holder's dispatcher can't reach the voters: it stops by its own clock before another begins. Where just the way to the leader is cut,
+// it keeps the duty, by way of other voters.
+func TestTheHolderIsCutOff(t *testing.T) {
+	d := duty(t, 6, 5)
+	l := d.leader()
+	other, stands := (l+1)%5, (l+2)%5
+	last := uint64(0)
+	for _, tt := range []struct {
+		name  string
+		fault processes.Fault
+		keeps bool
+	}{
+		{"alone", processes.Fault{What: processes.Cut, A: []int{5}}, false},
+		{"with a minority of the voters", processes.Fault{What: processes.Cut, A: []int{other, 5}}, false},
+		{"what it sends is lost", processes.Fault{What: processes.CutOff, A: []int{5}, B: d.all(5)}, false},
+		{"what it is sent is lost", processes.Fault{What: processes.CutOff, A: d.all(5), B: []int{5}}, false},
+		{"from the leader alone", processes.Fault{What: processes.Cut, A: []int{l}, B: []int{5}}, true},
+		{"with the leader", processes.Fault{What: processes.Cut, A: []int{l, 5}}, false},
+	} {
+		one := d.hold(5)
+		first := d.acts(last)
+		two := d.hold(stands)
+		d.Begin(tt.fault)
+		if tt.keeps {
+			time.Sleep(4 * leaseTime)
+			assert.Equal(t, first.token, d.acts(last).token, tt.name)
+			_ = one.cmd.Process.Signal(syscall.SIGTERM)
+		} else {
+			d.acts(first.token)
+			d.serve(5)
+		}
+		<-one.ended
+		last = d.acts(first.token).token
+		d.End(tt.fault)
+		_ = two.cmd.Process.Signal(syscall.SIGTERM)
+		<-two.ended
+		assert.Zero(t, d.taker.refused, tt.name)
+		d.until("they see each other again", d.all(), "whole", d.all())
+	}
+	d.taker.check(t)
+}
+
+// A disk that is full takes its voter out, the leader's too; with room again it votes.
+func TestAFullDisk(t *testing.T) {
+	d := duty(t, 4, 3)
+	d.hold(3)
+	d.hold(3)
+	first := d.acts(0)
+	l := d.leader()
+	d.Processes[l].Full(true)
+	d.Until(soon, "another leads", func() error {
+		if now := d.leader(); now == l {
+			return errors.New("the same")
+		}
+		return nil
+	})
+	d.acts(first.token - 1)
+	d.serve(l)
+	d.Processes[l].Full(false)
+	votes := len(d.Processes[l].Said("duties: votes"))
+	d.Until(soon, "it votes again", func() error {
+		if len(d.Processes[l].Said("duties: votes")) <= votes {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	d.Processes[(l+1)%3].Kill()
+	time.Sleep(2 * leaseTime)
+	d.hold(3)
+	d.acts(first.token - 1) // by two of three, of which it is one
+	d.taker.check(t)
+}
+
+// faulty has the rig's programs take faults that no signal brings about.
+func faulty(env ...string) func(*memberRig) {
+	return func(m *memberRig) { m.Binary, m.Env = processes.Build(m, "../..", "faults"), env }
+}
+
+// Syncs take 5 s: at the leader another leads; at all, nothing is granted out of order; and all goes on after.
+func TestSyncsTakeSeconds(t *testing.T) {
+	d := duty(t, 4, 3, faulty("ELDERWALL_FAULT_SYNC={dir}/sync"))
+	slow := func(who ...int) {
+		for i, p := range d.Processes {
+			if at := filepath.Join(p.Dir, "sync"); slices.Contains(who, i) {
+				require.NoError(t, os.WriteFile(at, []byte("5"), 0o600))
+			} else {
+				_ = os.Remove(at)
+			}
+		}
+	}
+	one := d.hold(3)
+	first := d.acts(0)
+	slow(d.leader())
+	two := d.hold(3)
+	_ = one.cmd.Process.Kill() // its end has to be in the log
+	second := d.acts(first.token)
+	slow(0, 1, 2)
+	_ = two.cmd.Process.Kill()
+	three := d.hold(3)
+	time.Sleep(6 * time.Second)
+	d.serve(d.all()...)
+	slow()
+	d.acts(second.token)
+	d.taker.check(t)
+	_ = three
+}
+
+// Clocks run off by twice what is stated, and by far more. The first breaks nothing here, as commands are ended well before their lease
+// is over; the second has acts come late, which the token catches.
+func TestClocksRunOff(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		holder, voter float64
+		late          bool
+	}{{"twice the share", 1 - 2*duties.Drift, 1 + 2*duties.Drift, false}, {"far off", 0.4, 1, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := duty(t, 4, 3, faulty(fmt.Sprint("ELDERWALL_FAULT_CLOCK=", tt.voter)))
+			one := d.hold(3, deafEnv+"=1", fmt.Sprint("ELDERWALL_FAULT_CLOCK=", tt.holder))
+			first := d.acts(0)
+			d.hold(0)
+			cut := processes.Fault{What: processes.Cut, A: []int{3}}
+			d.Begin(cut)
+			d.acts(first.token)
+			<-one.ended
+			d.End(cut)
+			assert.Equal(t, tt.late, d.taker.refused > 0, "%d acts came late", d.taker.refused)
+			d.taker.check(t)
+		})
+	}
+}
+
+// One that comes and goes, with a higher priority than all: it moves nothing while another holds the duty, and stands back when that one ends.
+func TestACandidateFlaps(t *testing.T) {
+	d := duty(t, 4, 3, func(m *memberRig) { m.more[3] = strings.Replace(m.more[3], "duties: {", "duties: {priority: 10, ", 1) })
+	report := func() (token uint64, holder string, failures int) {
+		d.Until(soon, "the report is held", func() error {
+			s, err := d.council()
+			for _, o := range s.Duties {
+				if token, holder = o.Token, o.Holder.Name; o.Name == Report && token != 0 {
+					for _, w := range o.Waiting {
+						if w.Name == "n3" {
+							failures = w.Failures
+						}
+					}
+					return nil
+				}
+			}
+			return fmt.Errorf("not held: %w", err)
+		})
+		return
+	}
+	if _, holder, _ := report(); holder != "n3" {
+		out, err := d.run(0, "hand", Report, "n3")
+		require.NoError(t, err, out)
+	}
+	d.Until(soon, "it has it", func() error {
+		if _, holder, _ := report(); holder != "n3" {
+			return errors.New(holder)
+		}
+		return nil
+	})
+	was := uint64(0)
+	for range 4 { // it lets its lease run out once; then another has it
+		d.Processes[3].Kill()
+		d.Until(soon, "another has it", func() error {
+			if _, holder, _ := report(); holder == "n3" {
+				return errors.New(holder)
+			}
+			return nil
+		})
+		d.Processes[3].Start()
+		d.Until(soon, "it stands", func() error {
+			if _, _, failures := report(); failures == 0 {
+				return errors.New("not yet")
+			}
+			return nil
+		})
+		token, _, _ := report()
+		if was != 0 {
+			assert.Equal(t, was, token, "nothing moved")
+		}
+		was = token
+	}
+	_, holder, _ := report()
+	for _, p := range d.Processes {
+		if p.Name == holder {
+			p.End()
+		}
+	}
+	d.Until(soon, "another has it", func() error {
+		if _, now, _ := report(); now == holder {
+			return errors.New(now)
+		}
+		return nil
+	})
+	_, now, _ := report()
+	assert.NotEqual(t, "n3", now, "who let it run out stands behind those that did not")
+}
+
+// load has duties taken and given back as fast as it goes, by so many at once, until stop; it gives all tokens.
+func (d *dutyRig) load(at, many int, stop <-chan struct{}) (tokens []uint64) {
+	keys, err := ParseKeys(d.keys[-1])
+	require.NoError(d, err)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for i := range many {
+		all.Go(func() {
+			name := fmt.Sprint("load-", i)
+			for boot := uint64(1); ; boot++ {
+				h := duties.NewHolder(name, boot, "", 0)
+				h.Want(name, 5, BootTime())
+				for gave := false; !gave || !h.Settled(); {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					turn, ask, _ := h.Tick(BootTime())
+					if !ask {
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					t, err := AskTake(ctx, d.Processes[at].Fleet, keys, turn)
+					cancel()
+					if err != nil {
+						continue
+					}
+					h.Answer(BootTime(), t.Number, t.Leases)
+					if token, ok := h.Act(name, BootTime()); ok {
+						mu.Lock()
+						tokens = append(tokens, token)
+						mu.Unlock()
+						h.Leave(BootTime())
+						gave = true
+					}
+				}
+			}
+		})
+	}
+	all.Wait()
+	return tokens
+}
+
+// A voter comes with an empty disk while duties are given and given back all the time: it is taken in, and no token comes twice.
+func TestAVoterIsReplacedUnderLoad(t *testing.T) {
+	d := duty(t, 4, 3)
+	before, err := d.council()
+	require.NoError(t, err)
+	stop, loaded := make(chan struct{}), make(chan []uint64)
+	go func() { loaded <- d.load(3, 8, stop) }()
+	l := d.leader()
+	d.Begin(processes.Fault{What: processes.Wipe, A: []int{l}})
+	time.Sleep(time.Second)
+	d.End(processes.Fault{What: processes.Wipe, A: []int{l}})
+	d.Until(soon, "another disk has its place", func() error {
+		s, err := d.council()
+		if err != nil || len(s.Council.Voters) != 3 || slices.Equal(s.Council.Voters, before.Council.Voters) {
+			return fmt.Errorf("%v, %w", s.Council.Voters, err)
+		}
+		return nil
+	})
+	d.Processes[(l+1)%3].Kill() // the new one is needed now
+	d.hold(3)
+	d.acts(0)
+	close(stop)
+	tokens := <-loaded
+	slices.Sort(tokens)
+	assert.Len(t, slices.Compact(slices.Clone(tokens)), len(tokens), "no token twice")
+	assert.Greater(t, len(tokens), 50)
+}
+
+// Grants a second, for figures: not in CI.
+func TestGrantsASecond(t *testing.T) {
+	if os.Getenv("ELDERWALL_HANDS") == "" {
+		t.Skip("ELDERWALL_HANDS says that figures are taken")
+	}
+	for _, vote := range []int{3, 5} {
+		for _, many := range []int{1, 8, 64} {
+			d := duty(t, vote+1, vote)
+			stop := make(chan struct{})
+			time.AfterFunc(5*time.Second, func() { close(stop) })
+			t.Logf("%d voters, %d at once: %.0f grants a second", vote, many, float64(len(d.load(vote, many, stop)))/5)
+		}
+	}
+}
+
+// Many duties over many dispatchers, a tenth of which is started anew at a time: all are held, spread evenly, and just theirs move.
+// ELDERWALL_MANY_DUTIES says how many of both, and has every tenth started anew.
+func TestManyDuties(t *testing.T) {
+	n, many, rounds := 10, 100, 2
+	if _, err := fmt.Sscanf(os.Getenv("ELDERWALL_MANY_DUTIES"), "%d,%d", &many, &n); err == nil {
+		rounds = 10
+	}
+	d := duty(t, n, 3, func(m *memberRig) {
+		var stands strings.Builder
+		for i := range many {
+			fmt.Fprintf(&stands, `"d%d": "3s", `, i)
+		}
+		for i := range n {
+			m.more[i] = strings.Replace(m.more[i], `report: "1s"}`, stands.String()+"}", 1)
+		}
+	})
+	holders := func() map[string]string {
+		by := map[string]string{}
+		d.Until(2*soon, "all are held", func() error {
+			s, err := d.council()
+			if err != nil {
+				return err
+			}
+			clear(by)
+			for _, o := range s.Duties {
+				if o.Token != 0 {
+					by[o.Name] = o.Holder.Name
+				}
+			}
+			if len(by) != many {
+				return fmt.Errorf("%d", len(by))
+			}
+			return nil
+		})
+		return by
+	}
+	even := float64(many) / float64(n)
+	spread := func() (by map[string]string, most int) {
+		d.Until(2*soon, "they are spread", func() error {
+			by = holders()
+			load := map[string]int{}
+			most = 0
+			for _, holder := range by {
+				load[holder]++
+				most = max(most, load[holder])
+			}
+			if float64(most) > math.Ceil(1.5*even) {
+				return fmt.Errorf("%d at one", most)
+			}
+			return nil
+		})
+		return by, most
+	}
+	settle := time.Now()
+	was := holders()
+	held := time.Since(settle).Seconds()
+	was, most := spread()
+	t.Logf("%d duties are held after %.1f s, and spread after %.1f s, %d at one at most", many, held, time.Since(settle).Seconds(), most)
+	before, cpu, at := d.sums(), d.cpu(), time.Now()
+	time.Sleep(3 * time.Second)
+	bytes, spent, took := float64(d.sums()-before), d.cpu(), time.Since(at).Seconds()
+	for i := range spent {
+		spent[i] = (spent[i] - cpu[i]) / took
+	}
+	t.Logf("all of them: %.1f kB/s; processor, of a core: %.3f at most, %.3f in all", bytes/1e3/took, slices.Max(spent), sum(spent))
+	for round := range rounds {
+		tenth := map[string]bool{}
+		var all sync.WaitGroup
+		for i := round; i < n; i += 10 {
+			tenth[d.Processes[i].Name] = true
+			all.Go(func() { d.Processes[i].End(); d.Processes[i].Start() })
+		}
+		all.Wait()
+		began := time.Now()
+		holders()
+		held := time.Since(began).Seconds()
+		now, most := spread()
+		moved, others := 0, 0
+		for name, holder := range now {
+			if holder != was[name] {
+				moved++
+				if !tenth[was[name]] {
+					others++
+				}
+			}
+		}
+		t.Logf("a tenth started anew: %d moved, %d of them from others, held after %.1f s, at most %d at one of %.1f on average", moved, others, held, most, even)
+		assert.LessOrEqual(t, float64(others), even/2, "just theirs move, and few of what was on its way")
+		was = now
+		d.until("they are back", d.all(), "whole", d.all())
+	}
+}
+
+func sum(all []float64) (s float64) {
+	for _, x := range all {
+		s += x
+	}
+	return s
+}
+
+// sums is the bytes that all have sent.
+func (m *memberRig) sums() (bytes int64) {
+	for i := range m.Processes {
+		if s, err := m.see(i); err == nil {
+			bytes += s.Counts["BytesOut"]
+		}
+	}
+	return bytes
+}
+
+// cpu is the processor time of each, in seconds.
+func (m *memberRig) cpu() (all []float64) {
+	for _, p := range m.Processes {
+		all = append(all, p.CPU())
+	}
+	return all
+}
+
 // Two of five voters are gone: all goes on. Three: nothing is granted or renewed, and who holds stops by itself. Back: it goes on.
 func TestVotersGoAndComeBack(t *testing.T) {
 	d := duty(t, 6, 5)
--- /dev/null
+++ b/internal/fleet/faults.go
@@ -0,0 +1,31 @@
+//go:build faults
+
+package fleet
+
+import (
+	"os"
+	"strconv"
+	"time"
+)
+
+// Faults that no signal and no relay brings about, in a program that is built with the tag "faults" for tests alone: a clock that runs fast or
+// slow, and a disk whose syncs wait while a file says for how long.
+var (
+	faultClock, _ = strconv.ParseFloat(os.Getenv("ELDERWALL_FAULT_CLOCK"), 64)
+	faultSync     = os.Getenv("ELDERWALL_FAULT_SYNC")
+)
+
+func driven(t float64) float64 {
+	if faultClock > 0 {
+		return t * faultClock
+	}
+	return t
+}
+
+func awaitSync() {
+	if text, err := os.ReadFile(faultSync); err == nil {
+		if s, err := strconv.ParseFloat(string(text), 64); err == nil {
+			time.Sleep(time.Duration(s * float64(time.Second)))
+		}
+	}
+}
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	mrand "math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,9 +24,9 @@
 func BootTime() float64 {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Since(processStart).Seconds()
+		return driven(time.Since(processStart).Seconds())
 	}
-	return float64(t.Sec) + float64(t.Nsec)/1e9
+	return driven(float64(t.Sec) + float64(t.Nsec)/1e9)
 }
 
 var processStart = time.Now()
@@ -52,8 +51,9 @@
 type holding struct {
 	mu     sync.Mutex
 	holder *duties.Holder
-	ask    string // the voter that is asked
-	leads  string // who answered as the leader last
+	ask    string            // the voter that is asked
+	leads  string            // who answered as the leader last
+	told   map[string]uint64 // tokens of what is held, as logged
 }
 
 // Guard asks whether an act may be done under a duty now, and with which token. It is to be asked right before each act.
@@ -81,6 +81,7 @@
 	h := &f.holding
 	h.mu.Lock()
 	turn, ask, fresh := h.holder.Tick(f.dutyNow())
+	f.tellHeld()
 	if !fresh {
 		h.ask = ""
 	}
@@ -149,25 +150,37 @@
 	h := &f.holding
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.ask = in.Leader
 	if !in.OK {
-		h.ask = in.Leader
+		h.holder.Refused(f.dutyNow(), in.ID)
 		return
 	}
-	was := h.holder.Held(f.dutyNow())
 	h.holder.Answer(f.dutyNow(), in.ID, in.Leases)
+	f.tellHeld()
 	for _, name := range h.holder.Handing() { // nothing here acts for longer than a moment: what others want is given back at once
 		h.holder.GiveBack(name, f.dutyNow())
 	}
+	f.tellHeld()
+}
+
+// tellHeld logs what is held now and was not before, or the other way.
+func (f *Fleet) tellHeld() {
+	h := &f.holding
+	now := map[string]uint64{}
 	for _, l := range h.holder.Held(f.dutyNow()) {
-		if !slices.ContainsFunc(was, func(o duties.Lease) bool { return o.Duty == l.Duty && o.Token == l.Token }) {
-			f.Log.Info().Str("duty", l.Duty).Uint64("token", l.Token).Msg("duties: holds")
+		now[l.Duty] = l.Token
+	}
+	for name, token := range h.told {
+		if now[name] != token {
+			f.Log.Info().Str("duty", name).Uint64("token", token).Msg("duties: holds no more")
 		}
 	}
-	for _, l := range was {
-		if h.holder.Until(l.Duty) == 0 {
-			f.Log.Info().Str("duty", l.Duty).Uint64("token", l.Token).Msg("duties: holds no more")
+	for name, token := range now {
+		if h.told[name] != token {
+			f.Log.Info().Str("duty", name).Uint64("token", token).Msg("duties: holds")
 		}
 	}
+	h.told = now
 }
 
 // release gives all duties back, and waits a moment for that to be known.
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -52,7 +52,7 @@
 func start(t *testing.T, n int, change ...func(*memberRig)) *memberRig {
 	t.Parallel()
 	m := &memberRig{keys: map[int]string{-1: NewKey()}, more: map[int]string{}}
-	m.Rig = processes.New(t, processes.Options{N: n, Seed: 1, Binary: processes.Build(t, "../.."), Operator: m.operator})
+	m.Rig = processes.New(t, processes.Options{N: n, Seed: 1, Binary: processes.Build(t, "../..", ""), Operator: m.operator})
 	for _, c := range change {
 		c(m)
 	}
@@ -553,7 +553,7 @@
 		t.Skip("ELDERWALL_MANY says how many")
 	}
 	m := &memberRig{keys: map[int]string{-1: NewKey()}, more: map[int]string{}}
-	m.Rig = processes.New(t, processes.Options{N: n, Seed: 1, Direct: true, Binary: processes.Build(t, "../.."), Operator: m.operator})
+	m.Rig = processes.New(t, processes.Options{N: n, Seed: 1, Direct: true, Binary: processes.Build(t, "../..", ""), Operator: m.operator})
 	began := time.Now()
 	m.Start()
 	m.Until(2*time.Minute, "all know all", func() error { return m.think(m.all(), "whole", m.all()) })
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -29,6 +29,7 @@
 	eraEach    = 15 * time.Second // a disk's era rises so often: a copy that is put back is older than it by then
 	admitEach  = 300 * time.Millisecond
 	showEach   = 100 * time.Millisecond
+	openEach   = 3 * time.Second // between trials of a disk that could not be written
 	inTime     = 3 * time.Second // a proposal that is not in the log by then may be lost
 	raftHead   = 12              // council and recovery before a message
 )
@@ -51,6 +52,7 @@
 	admitted bool             // others have said that the disk is no old copy
 	asked    time.Time
 	bumped   time.Time
+	opened   time.Time // when the disk was last opened anew
 	shown    time.Time
 	in       chan func()
 	waits    map[uint64]chan bool // proposals, by number
@@ -133,7 +135,10 @@
 }
 
 func (v *voter) tick(ctx context.Context) {
-	if v.machine == nil { // the disk could not be opened anew
+	if v.machine == nil || v.machine.Broken() != nil {
+		if time.Since(v.opened) > openEach {
+			v.reopen()
+		}
 		return
 	}
 	if time.Since(v.bumped) > eraEach && v.admitted {
@@ -220,6 +225,22 @@
 	}
 }
 
+// reopen takes part again with what the disk has, as a start would. Guards against a voter that is out for good when its disk was full for a while.
+func (v *voter) reopen() {
+	v.opened = time.Now()
+	v.disk.close()
+	d, err := openDisk(v.folder)
+	if err != nil {
+		v.known.Store(&known{Problem: err.Error()})
+		return
+	}
+	v.disk, v.admitted, v.bumped = d, d.kept.Council == 0, time.Now()
+	if err := v.begin(); err != nil {
+		v.machine = nil
+		v.known.Store(&known{Problem: err.Error()})
+	}
+}
+
 // renew puts the disk aside, and begins with an empty one, as another seat.
 func (v *voter) renew(why string) {
 	v.fleet.Log.Error().Str("why", why).Uint64("voter", v.disk.kept.ID).Msg("duties: the voter's disk is put aside")
--- a/internal/standin/processes/processes.go
+++ b/internal/standin/processes/processes.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"elderwall/internal/standin"
 )
 
@@ -32,6 +35,7 @@
 	Direct bool // no relays: nothing can be put between
 	// Operator is the operator's file of one process.
 	Operator func(p *Process) string
+	Env      []string // more of each process's environment; {dir} is its folder
 }
 
 // Rig is several processes.
@@ -76,36 +80,37 @@
 var (
 	rigs  atomic.Int64
 	built struct {
-		once sync.Once
-		path string
-		err  error
+		sync.Mutex
+		paths map[string]string
 	}
 )
 
-// Build builds the program, once for all tests of a package; root is the module's folder as seen from there.
-func Build(t testing.TB, root string) string {
-	built.once.Do(func() {
-		dir, err := os.MkdirTemp("", "elderwall-rig-")
-		if err != nil {
-			built.err = err
-			return
-		}
-		built.path = filepath.Join(dir, "elderwall-operator")
-		out, err := exec.Command("go", "build", "-C", root, "-o", built.path, "./cmd/elderwall-operator").CombinedOutput()
-		if err != nil {
-			built.err = fmt.Errorf("build: %w\n%s", err, out)
-		}
-	})
-	if built.err != nil {
-		t.Fatal(built.err)
+// Build builds the program with tags, once for all tests of a package; root is the module's folder as seen from there.
+func Build(t testing.TB, root, tags string) string {
+	built.Lock()
+	defer built.Unlock()
+	if path := built.paths[tags]; path != "" {
+		return path
 	}
-	return built.path
+	dir, err := os.MkdirTemp("", "elderwall-rig-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if built.paths == nil {
+		built.paths = map[string]string{}
+	}
+	path := filepath.Join(dir, "elderwall-operator")
+	built.paths[tags] = path
+	if out, err := exec.Command("go", "build", "-C", root, "-tags", tags, "-o", path, "./cmd/elderwall-operator").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return path
 }
 
 // Clean takes away what Build made.
 func Clean() {
-	if built.path != "" {
-		_ = os.RemoveAll(filepath.Dir(built.path))
+	for _, path := range built.paths {
+		_ = os.RemoveAll(filepath.Dir(path))
 	}
 }
 
@@ -220,6 +225,9 @@
 	cmd.Dir = p.Dir
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(p.Dir, "config.json"), "PROXY_NAME="+p.Name,
 		"ELDERWALL_OPERATOR="+filepath.Join(p.Dir, "operator.jsonnet"))
+	for _, e := range p.Rig.Env {
+		cmd.Env = append(cmd.Env, strings.ReplaceAll(e, "{dir}", p.Dir))
+	}
 	cmd.Stderr = &lines{p: p, file: log}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -256,6 +264,40 @@
 	}
 }
 
+// Full has each write to a file fail that would be beyond its bounds, as on a disk that is full; or no more.
+func (p *Process) Full(full bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if full {
+		limit.Cur = 0
+	}
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		p.Rig.Error(err)
+	}
+}
+
+// CPU is the processor time that it has had, in seconds.
+func (p *Process) CPU() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(fields[11], 64) // utime and stime, in hundredths
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / 100
+}
+
 // Kill ends it at once, and waits.
 func (p *Process) Kill() { p.end(syscall.SIGKILL) }
 
