Give a held duty back before the command line ends; divider and ledger of budgets begun

Seen by measuring: with SIGTERM a duty of fleet hold was handed on after a whole lease (3.00 s of 3, 10.09 s of 10), as after a kill. Cause: Run compared the time with h.Until, which is 0 once the duty is given up, and ended before its turn went out.

--- a/cmd/elderwall-operator/duties.go
+++ b/cmd/elderwall-operator/duties.go
@@ -74,6 +74,9 @@
 			}
 			waiting = append(waiting, name)
 		}
+		if d.More > 0 {
+			waiting = append(waiting, fmt.Sprintf("%d more", d.More))
+		}
 		fmt.Fprintf(out, "%s\t%s\t%d\t%s\t%gs\t%s\t%s\t%d, %d\t%s\n", d.Name, holder, d.Token, rest, d.Length, d.Zone, d.To, d.Mark, d.Told, strings.Join(waiting, ", "))
 	}
 	return out.Flush()
@@ -241,6 +244,7 @@
 	asking := 0
 	var run *exec.Cmd
 	var token uint64
+	var until float64
 	var asked, lost, leaving bool
 	status, finished := error(nil), false
 	for each := time.NewTicker(holdTick); ; {
@@ -276,12 +280,13 @@
 			break
 		}
 		if finished || leaving && run == nil {
-			if token == 0 || now > h.Until(c.Duty)+c.Lease.Seconds() { // nobody answers; it runs out by itself
+			if token == 0 || now > until { // nobody answers; it runs out by itself
 				break
 			}
 			continue
 		}
 		has, ok := h.Act(c.Duty, now)
+		until = max(until, h.Until(c.Duty))
 		left := h.Until(c.Duty) - now
 		switch {
 		case run == nil && ok && left > termAt*c.Lease.Seconds():
--- a/fleet/duties/state.go
+++ b/fleet/duties/state.go
@@ -21,8 +21,9 @@
 // Bounds and figures.
 const (
 	MostDuties     = 2000
-	MostCandidates = 400 // of one duty
-	LongestName    = 100 // bytes of a duty's, a dispatcher's or a zone's
+	MostCandidates = 400    // of one duty
+	MostStanding   = 100000 // of all duties together: what a snapshot takes is bounded by it
+	LongestName    = 100    // bytes of a duty's, a dispatcher's or a zone's
 
 	Drift     = 0.01 // share by which a clock may run fast or slow: a hundred times what a quartz does
 	LeastTime = 0.2  // s; a lease under it is eaten up by what a message and a sync may take
@@ -139,7 +140,7 @@
 	all := Saved{Next: s.Next, Seats: s.Seats()}
 	for _, name := range slices.Sorted(maps.Keys(s.duties)) {
 		d := *s.duties[name]
-		d.Waiting = slices.Clone(d.Waiting)
+		d.Waiting = append([]Candidate(nil), d.Waiting...)
 		all.Duties = append(all.Duties, d)
 	}
 	return all
@@ -163,6 +164,52 @@
 	return s
 }
 
+// Packed is what was saved with each candidate's name once: a thousand duties for which sixty dispatchers stand take 0.3 MB and not four.
+type Packed struct {
+	Saved
+	Who     []Candidate // without failures
+	Waiting [][]uint32  // by duty: the index into Who, and failures in the two lowest bits
+}
+
+// Pack packs what was saved; it takes it over.
+func Pack(s Saved) Packed {
+	p := Packed{Saved: s, Waiting: make([][]uint32, len(s.Duties))}
+	index := map[Candidate]int{}
+	for i := range s.Duties {
+		for _, c := range s.Duties[i].Waiting {
+			failures := c.Failures
+			c.Failures = 0
+			at, ok := index[c]
+			if !ok {
+				at = len(p.Who)
+				index[c], p.Who = at, append(p.Who, c)
+			}
+			p.Waiting[i] = append(p.Waiting[i], uint32(at<<2|min(failures, setBack)))
+		}
+		p.Duties[i].Waiting = nil
+	}
+	return p
+}
+
+// Unpack is the other way.
+func Unpack(p Packed) (Saved, error) {
+	s := p.Saved
+	if len(p.Waiting) != len(s.Duties) {
+		return s, fmt.Errorf("%d duties, and who waits for %d", len(s.Duties), len(p.Waiting))
+	}
+	for i := range s.Duties {
+		for _, w := range p.Waiting[i] {
+			if int(w>>2) >= len(p.Who) {
+				return s, fmt.Errorf("candidate %d of %d", w>>2, len(p.Who))
+			}
+			c := p.Who[w>>2]
+			c.Failures = int(w & 3)
+			s.Duties[i].Waiting = append(s.Duties[i].Waiting, c)
+		}
+	}
+	return s, nil
+}
+
 // Get gives a duty; nil where there is none.
 func (s *State) Get(name string) *Duty { return s.duties[name] }
 
@@ -192,10 +239,15 @@
 		delete(s.duties, c.Duty)
 		return []string{c.Duty}
 	case Stand:
+		room := MostStanding
+		for _, d := range s.duties {
+			room -= len(d.Waiting)
+		}
 		for _, name := range c.Duties {
-			if d := s.duties[name]; d != nil && d.stand(c) {
+			if d := s.duties[name]; d != nil && room > 0 && d.stand(c) {
 				s.grant(d)
 				changed = append(changed, name)
+				room--
 			}
 		}
 		return changed
@@ -387,7 +439,7 @@
 		to := -1
 		for i, c := range d.Waiting {
 			if c.Failures == 0 && c.Priority >= d.Holder.Priority && (d.Zone == "" || c.Zone == d.Zone || d.Holder.Zone != d.Zone) &&
-				float64(loads[c.Name]) < math.Floor(even) && (to < 0 || loads[c.Name] < loads[d.Waiting[to].Name]) {
+				float64(loads[c.Name]) < even && (to < 0 || loads[c.Name] < loads[d.Waiting[to].Name]) {
 				to = i
 			}
 		}
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet/council"
@@ -29,8 +30,10 @@
 	AskFound   = "found"   // have it begin a log
 	AskRecover = "recover" // have it begin a log with what it has of the one whose majority is lost
 	AskCounts  = "counts"  // its counters
+	AskBudgets = "budgets" // how the wholes are divided
 
-	askEra = "era" // the latest era of a disk that it knows
+	askEra   = "era"   // the latest era of a disk that it knows
+	askWhere = "where" // where the holder of a duty is
 )
 
 const (
@@ -50,6 +53,9 @@
 	Turn     *duties.Turn     `cbor:"5,keyasint,omitempty"`
 	Commands []duties.Command `cbor:"6,keyasint,omitempty"`
 	Seat     duties.Change    `cbor:"7,keyasint,omitempty"`
+	Ledger   *budgets.Command `cbor:"8,keyasint,omitempty"`
+	Whole    bool             `cbor:"9,keyasint,omitempty"` // the ledger is to be told after it
+	Duty     string           `cbor:"10,keyasint,omitempty"`
 }
 
 // Told is what a member answers.
@@ -64,15 +70,23 @@
 	Members  []members.Known  `cbor:"8,keyasint"`
 	Counts   map[string]int64 `cbor:"9,keyasint"`
 
-	Duties  []duties.Duty      `cbor:"10,keyasint,omitempty" json:",omitempty"`
+	Duties  []ToldDuty         `cbor:"10,keyasint,omitempty" json:",omitempty"`
 	Rest    map[string]float64 `cbor:"11,keyasint,omitempty" json:",omitempty"` // s of each lease, by the leader's clock
 	Council *council.Status    `cbor:"12,keyasint,omitempty" json:",omitempty"`
 	Seats   []duties.Seat      `cbor:"13,keyasint,omitempty" json:",omitempty"`
 	Leases  []duties.Lease     `cbor:"14,keyasint,omitempty" json:",omitempty"`
 	Changed bool               `cbor:"15,keyasint,omitempty" json:",omitempty"`
+	Ledger  *budgets.Saved     `cbor:"17,keyasint,omitempty" json:",omitempty"`
+	Budgets []ToldBudget       `cbor:"18,keyasint,omitempty" json:",omitempty"`
 	Leads   string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
 }
 
+// ToldDuty is a duty with how many wait for it beyond those that are named.
+type ToldDuty struct {
+	duties.Duty
+	More int `json:",omitempty"`
+}
+
 // serveStream takes one stream: a message, or a question with a nonce of ours, so that no question counts twice.
 func (f *Fleet) serveStream(c net.Conn) {
 	in := bufio.NewReader(c)
@@ -123,6 +137,8 @@
 			return Told{Error: "there are none"}
 		}
 		return Told{Counts: f.Counters()}
+	case AskBudgets:
+		return f.tellBudgets(f.ctx, q)
 	default:
 		return f.answerDuties(f.ctx, q)
 	}
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -15,6 +15,7 @@
 	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 )
 
@@ -89,6 +90,7 @@
 	storage  *raft.MemoryStorage
 	conf     *pb.ConfState
 	state    *duties.State
+	ledger   *budgets.Ledger
 	granter  *duties.Granter
 	applied  uint64
 	saved    uint64 // index of the last snapshot
@@ -121,6 +123,13 @@
 	By       uint64           `cbor:"1,keyasint"`
 	Number   uint64           `cbor:"2,keyasint"`
 	Commands []duties.Command `cbor:"3,keyasint"`
+	Ledger   *budgets.Command `cbor:"4,keyasint,omitempty"`
+}
+
+// kept is what a snapshot holds.
+type kept struct {
+	duties.Packed
+	Ledger budgets.Saved
 }
 
 var (
@@ -136,8 +145,8 @@
 }
 
 // Found is the first snapshot of a new log with one voter; state is what it begins with.
-func Found(id uint64, state *duties.State, term, index uint64) (*pb.HardState, *pb.Snapshot, error) {
-	data, err := encoding.Marshal(state.Save())
+func Found(id uint64, state *duties.State, ledger *budgets.Ledger, term, index uint64) (*pb.HardState, *pb.Snapshot, error) {
+	data, err := encoding.Marshal(kept{duties.Pack(state.Save()), ledger.Save()})
 	if err != nil {
 		return nil, nil, fmt.Errorf("state: %w", err)
 	}
@@ -147,7 +156,7 @@
 
 // New makes a voter of what its disk has. One whose disk has no log is none until the leader takes it in.
 func New(kept Kept, disk Disk, now float64, logger raft.Logger) (*Machine, error) {
-	m := &Machine{id: kept.ID, disk: disk, storage: raft.NewMemoryStorage(), state: duties.NewState(), now: now, ticked: now,
+	m := &Machine{id: kept.ID, disk: disk, storage: raft.NewMemoryStorage(), state: duties.NewState(), ledger: budgets.NewLedger(), now: now, ticked: now,
 		number: uint64(kept.Era) << 32, reads: map[uint64]float64{}, conf: &pb.ConfState{}}
 	if kept.Snapshot != nil && !raft.IsEmptySnap(kept.Snapshot) {
 		if err := m.storage.ApplySnapshot(kept.Snapshot); err != nil {
@@ -177,13 +186,17 @@
 }
 
 func (m *Machine) restore(s *pb.Snapshot) error {
-	var saved duties.Saved
+	var packed kept
 	if len(s.Data) > 0 {
-		if err := decoding.Unmarshal(s.Data, &saved); err != nil {
+		if err := decoding.Unmarshal(s.Data, &packed); err != nil {
 			return fmt.Errorf("snapshot: %w", err)
 		}
 	}
-	m.state = duties.Restore(saved)
+	saved, err := duties.Unpack(packed.Packed)
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	m.state, m.ledger = duties.Restore(saved), budgets.Restore(packed.Ledger)
 	m.applied, m.saved, m.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
 	return nil
 }
@@ -191,6 +204,12 @@
 // State is what the log comes to here.
 func (m *Machine) State() *duties.State { return m.state }
 
+// Ledger is what is divided, as the log has it here.
+func (m *Machine) Ledger() *budgets.Ledger { return m.ledger }
+
+// Applied is the index of the last entry that the state has.
+func (m *Machine) Applied() uint64 { return m.applied }
+
 // Granter counts leases, where this one leads.
 func (m *Machine) Granter() *duties.Granter { return m.granter }
 
@@ -303,7 +322,7 @@
 		}
 		if m.leads {
 			if commands := m.granter.Tick(now); len(commands) > 0 {
-				m.propose(commands)
+				m.propose(commands, nil)
 			}
 			m.changeSeats()
 		}
@@ -314,19 +333,19 @@
 }
 
 // Propose puts commands into the log, where this one leads; Done tells the number once they are in.
-func (m *Machine) Propose(commands []duties.Command, now float64) (number uint64, ok bool) {
+func (m *Machine) Propose(commands []duties.Command, ledger *budgets.Command, now float64) (number uint64, ok bool) {
 	m.now = now
 	m.guarded(func() error {
 		if m.leads {
-			number = m.propose(commands)
+			number = m.propose(commands, ledger)
 		}
 		return m.ready()
 	})
 	return number, number != 0
 }
 
-func (m *Machine) propose(commands []duties.Command) uint64 {
-	data, err := encoding.Marshal(entry{m.id, m.number + 1, commands})
+func (m *Machine) propose(commands []duties.Command, ledger *budgets.Command) uint64 {
+	data, err := encoding.Marshal(entry{m.id, m.number + 1, commands, ledger})
 	if err != nil || m.node.Propose(data) != nil { // it comes again with the next turn or tick
 		return 0
 	}
@@ -359,7 +378,7 @@
 		if under != 0 {
 			w.proposal = under
 		} else if commands := m.granter.Commands(&t.Turn); len(commands) > 0 {
-			if w.proposal = m.propose(commands); w.proposal == 0 {
+			if w.proposal = m.propose(commands, nil); w.proposal == 0 {
 				m.out.Answer = append(m.out.Answer, Answered{To: t.To, ID: t.ID})
 				return nil
 			}
@@ -503,6 +522,9 @@
 			m.granter.Applied(m.now, name)
 		}
 	}
+	if in.Ledger != nil {
+		changed = m.ledger.Apply(in.Ledger)
+	}
 	if in.By == m.id {
 		m.out.Done = append(m.out.Done, Done{in.Number, changed})
 		for _, t := range m.turns {
@@ -541,7 +563,7 @@
 		return nil
 	}
 	m.reseated = false
-	data, err := encoding.Marshal(m.state.Save())
+	data, err := encoding.Marshal(kept{duties.Pack(m.state.Save()), m.ledger.Save()})
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
@@ -580,7 +602,7 @@
 		}
 	}
 	if len(sit) > 0 {
-		m.propose(sit)
+		m.propose(sit, nil)
 	}
 	progress := m.node.Status().Progress
 	c := m.state.NextChange(m.conf.GetVoters(), m.conf.GetLearners(), willing, func(id uint64) bool {
--- /dev/null
+++ b/internal/fleet/divide.go
@@ -0,0 +1,375 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	mrand "math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"elderwall/fleet/budgets"
+)
+
+const (
+	divideLease = 3.0 // s; of the duty to divide: a share outlasts two changes of the divider
+	divideEach  = 50 * time.Millisecond
+	spendEach   = 10 * time.Millisecond
+	whereEach   = 300 * time.Millisecond // between looks for the divider
+	mostSilence = 2                      // questions with no answer, after which it is looked for
+)
+
+// Budgets is what a dispatcher is told of budgets.
+type Budgets struct {
+	Generation uint64 // the highest in the fleet is in force
+	All        []budgets.Budget
+	Tail       float64 // s; what is under way ends by then
+}
+
+// spending is a dispatcher's part in budgets. Its lock is held for a moment alone: GETs take it.
+type spending struct {
+	mu     sync.Mutex
+	holder *budgets.Holder // nil where nothing is divided
+	kinds  map[string]budgets.Kind
+	at     string // where the divider is
+	looked time.Time
+	silent int // questions since the last answer
+	held   bool
+}
+
+// dividing is the part of whoever divides.
+type dividing struct {
+	mu      sync.Mutex
+	divider *budgets.Divider
+	token   uint64
+	seq     uint64
+	full    map[string]bool // budgets whose whole was found to be exceeded: told once
+}
+
+// spendMessage is a question on the wire.
+type spendMessage struct {
+	Question budgets.Question `cbor:"1,keyasint"`
+}
+
+// giveMessage is its answer.
+type giveMessage struct {
+	Boot   uint64         `cbor:"1,keyasint"`
+	Answer budgets.Answer `cbor:"2,keyasint"`
+}
+
+func (f *Fleet) beginSpending() {
+	f.spending.holder = budgets.NewHolder(f.Name, f.boot, f.Zone, f.Address)
+	f.takeBudgets(f.Budgets)
+}
+
+// takeBudgets puts other wholes in force: who divides goes by the highest generation.
+func (f *Fleet) takeBudgets(b *Budgets) {
+	s := &f.spending
+	s.mu.Lock()
+	s.kinds = map[string]budgets.Kind{}
+	for _, o := range b.All {
+		s.kinds[o.Name] = o.Kind
+		s.holder.Use(o.Name, o.Kind, f.dutyNow())
+	}
+	s.mu.Unlock()
+	d := &f.dividing
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.Budgets = b
+	if d.divider != nil {
+		d.divider.Settings(b.Generation, b.All)
+	}
+}
+
+// Spend takes units of a budget, if there are any; a name that is none lets all pass. What is under way is given back by Spent.
+func (f *Fleet) Spend(budget string, n int64) (ok bool) {
+	s := &f.spending
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kinds[budget] == 0 {
+		return true
+	}
+	return s.holder.Take(f.dutyNow(), budget, n)
+}
+
+// Spent ends what was under way.
+func (f *Fleet) Spent(budget string, n int64) {
+	s := &f.spending
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kinds[budget] != 0 {
+		s.holder.Done(budget, n)
+	}
+}
+
+// spend asks the divider for shares, until the context ends.
+func (f *Fleet) spend(ctx context.Context) error {
+	each := time.NewTicker(spendEach)
+	defer each.Stop()
+	for {
+		select {
+		case <-each.C:
+			f.spendTick(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (f *Fleet) spendTick(ctx context.Context) {
+	s := &f.spending
+	s.mu.Lock()
+	q, ask := s.holder.Tick(f.dutyNow())
+	to := s.at
+	if ask {
+		s.silent++
+	}
+	look := (to == "" || s.silent > mostSilence) && time.Since(s.looked) > whereEach
+	if look {
+		s.looked = time.Now()
+	}
+	s.mu.Unlock()
+	if look {
+		f.group.Go(func() error { f.findDivider(ctx); return nil })
+	}
+	if !ask || to == "" {
+		return
+	}
+	if raw, err := encoding.Marshal(spendMessage{q}); err == nil {
+		f.sendSealed(to, sealedSpend, raw, false, nil)
+	}
+}
+
+// findDivider asks a voter after another where the divider is.
+func (f *Fleet) findDivider(ctx context.Context) {
+	all := f.aliveVoters()
+	mrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, a := range all[:min(2, len(all))] {
+		var t Told
+		var err error
+		q := ask{What: askWhere, Duty: budgets.Duty}
+		if a == f.Address {
+			t = f.answerDuties(ctx, q)
+		} else {
+			c, cancel := context.WithTimeout(ctx, turnAsk)
+			t, err = f.askOther(c, a, q)
+			cancel()
+		}
+		if err == nil && t.Leads != "" {
+			f.spending.mu.Lock()
+			f.spending.at = t.Leads
+			f.spending.mu.Unlock()
+			return
+		}
+	}
+}
+
+// takeQuestion takes a dispatcher's question, where this one divides.
+func (f *Fleet) takeQuestion(text []byte) {
+	var in spendMessage
+	if err := decoding.Unmarshal(text, &in); err != nil || len(in.Question.Asks) > budgets.MostBudgets || len(in.Question.Name) > budgets.LongestName {
+		f.Counts.Unusable.Add(1)
+		return
+	}
+	d := &f.dividing
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.divider != nil {
+		d.divider.Ask(f.dutyNow(), in.Question)
+	}
+}
+
+// takeGive takes the answer to a question of ours.
+func (f *Fleet) takeGive(text []byte) {
+	var in giveMessage
+	if err := decoding.Unmarshal(text, &in); err != nil {
+		f.Counts.Unusable.Add(1)
+		return
+	}
+	s := &f.spending
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holder == nil || in.Boot != f.boot || !s.holder.Answer(f.dutyNow(), in.Answer) {
+		return
+	}
+	s.silent = 0
+	if got := len(in.Answer.Gives) > 0; got != s.held {
+		s.held = got
+		f.Log.Info().Bool("enrolled", got).Uint64("token", in.Answer.Token).Msg("budgets: shares")
+	}
+}
+
+// giveUp gives all shares back, and waits a moment for that to be known.
+func (f *Fleet) giveUp() {
+	s := &f.spending
+	s.mu.Lock()
+	s.holder.Leave(f.dutyNow())
+	s.mu.Unlock()
+	for end := time.Now().Add(turnTime / 4); time.Now().Before(end); time.Sleep(spendEach) {
+		f.spendTick(f.ctx)
+		s.mu.Lock()
+		settled := s.holder.Settled()
+		s.mu.Unlock()
+		if settled {
+			return
+		}
+	}
+}
+
+// divide divides while this dispatcher has the duty.
+func (f *Fleet) divide(ctx context.Context) error {
+	each := time.NewTicker(divideEach)
+	defer each.Stop()
+	d := &f.dividing
+	for {
+		select {
+		case <-each.C:
+		case <-ctx.Done():
+			return nil
+		}
+		token, ok := f.Guard(budgets.Duty)
+		if !ok || token != d.token {
+			d.mu.Lock()
+			d.divider = nil
+			d.mu.Unlock()
+			if d.token = token; !ok {
+				d.token = 0
+				continue
+			}
+			d.seq = 0
+		}
+		if d.divider == nil {
+			if err := f.beginDividing(ctx, token); err != nil {
+				f.Log.Warn().Err(err).Msg("budgets: can't begin to divide")
+				time.Sleep(whereEach)
+			}
+			continue
+		}
+		f.divideOnce(ctx, token)
+	}
+}
+
+// beginDividing puts a command of this token into the log, and goes by the ledger as of it. Guards against what an earlier divider, or
+// this one before it lost an answer, has on its way: it comes too late from then on.
+func (f *Fleet) beginDividing(ctx context.Context, token uint64) error {
+	d := &f.dividing
+	d.seq += 1 << 16
+	t, err := f.ask(ctx, ask{What: AskCommand, Ledger: &budgets.Command{Token: token, Seq: d.seq}, Whole: true})
+	if err != nil {
+		return err
+	}
+	if !t.Changed || t.Ledger == nil {
+		return errors.New("the log has a later divider's")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.divider = budgets.NewDivider(budgets.Restore(*t.Ledger), token, f.dutyNow(), f.Budgets.Tail, f.Budgets.Generation, f.Budgets.All)
+	f.Log.Info().Uint64("token", token).Int("seats", len(t.Ledger.Seats)).Uint64("generation", t.Ledger.Generation).Msg("budgets: divides")
+	return nil
+}
+
+func (f *Fleet) divideOnce(ctx context.Context, token uint64) {
+	d := &f.dividing
+	d.mu.Lock()
+	c, answers := d.divider.Step(f.dutyNow())
+	d.mu.Unlock()
+	f.give(answers, token)
+	if c == nil {
+		return
+	}
+	d.seq = c.Seq
+	t, err := f.ask(ctx, ask{What: AskCommand, Ledger: c})
+	d.mu.Lock()
+	if err != nil || !t.Changed { // it may be in the log or not: the ledger has to be read anew
+		d.divider = nil
+		d.mu.Unlock()
+		f.Log.Warn().AnErr("why", err).Msg("budgets: a change was not taken; the ledger is read again")
+		return
+	}
+	answers = d.divider.Applied(f.dutyNow(), true)
+	f.tellFull()
+	d.mu.Unlock()
+	f.give(answers, token)
+}
+
+// give sends answers, as long as this one has the duty right now.
+func (f *Fleet) give(all []budgets.Answered, token uint64) {
+	for _, a := range all {
+		if now, ok := f.Guard(budgets.Duty); !ok || now != token {
+			return
+		}
+		if raw, err := encoding.Marshal(giveMessage{a.Boot, a.Answer}); err == nil {
+			f.sendSealed(a.Address, sealedGive, raw, false, nil)
+		}
+	}
+}
+
+// tellFull logs when a whole that was made smaller is in force, and when one is not yet.
+func (f *Fleet) tellFull() {
+	d := &f.dividing
+	if d.full == nil {
+		d.full = map[string]bool{}
+	}
+	for name, a := range d.divider.Ledger().Accounts {
+		if over := a.Sum() > a.Whole; over != d.full[name] {
+			d.full[name] = over
+			f.Log.Info().Str("budget", name).Int64("whole", a.Whole).Int64("out", a.Sum()).Bool("holds", !over).Msg("budgets: a smaller whole")
+		}
+	}
+}
+
+// ToldBudget is how a whole is divided.
+type ToldBudget struct {
+	budgets.Budget
+	Generation uint64
+	Out, Spent int64
+	Gone       bool `json:",omitempty"`
+	Parts      []ToldPart
+}
+
+// ToldPart is one dispatcher's.
+type ToldPart struct {
+	Name, Zone string
+	Out, Floor int64
+	Keep, Need int64   // as it last said
+	Age        float64 // s since then; below 0 where it was not heard by this divider
+}
+
+// tellBudgets answers how the wholes are divided: who divides knows.
+func (f *Fleet) tellBudgets(ctx context.Context, q ask) (t Told) {
+	d := &f.dividing
+	d.mu.Lock()
+	if d.divider != nil {
+		defer d.mu.Unlock()
+		t.Leads = f.Address
+		now, l := f.dutyNow(), d.divider.Ledger()
+		for _, o := range l.Save().Accounts {
+			b := ToldBudget{Budget: o.Budget, Generation: l.Generation, Spent: o.Spent, Gone: o.Gone}
+			for p := range slices.Chunk(o.Parts, 4) {
+				id := uint32(p[0])
+				heard, asked, ok := d.divider.Heard(id, o.Name)
+				part := ToldPart{Name: l.Seats[id].Name, Zone: l.Seats[id].Zone, Out: p[1], Floor: p[2], Keep: asked.Keep, Need: asked.Need, Age: now - heard}
+				if !ok {
+					part.Age = -1
+				}
+				b.Out += part.Out
+				b.Parts = append(b.Parts, part)
+			}
+			t.Budgets = append(t.Budgets, b)
+		}
+		return t
+	}
+	d.mu.Unlock()
+	f.spending.mu.Lock()
+	at := f.spending.at
+	f.spending.mu.Unlock()
+	if q.Hops > 1 || at == "" || at == f.Address {
+		return Told{Error: "nobody divides now"}
+	}
+	q.Hops++
+	t, err := f.askOther(ctx, at, q)
+	if err != nil {
+		return Told{Error: err.Error()}
+	}
+	return t
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,13 +25,14 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 )
 
 const (
 	longestDatagram = 1400    // bytes, sealed: whole on every usual path
-	longestStream   = 1 << 20 // bytes; 2,000 records with their names and addresses are half of it
+	longestStream   = 2 << 20 // bytes; 2,000 records with their names and addresses are a quarter of it, the largest log's state a half
 	streamsIn       = 16      // at a time
 	streamsOut      = 16
 	streamTime      = 5 * time.Second
@@ -56,7 +57,8 @@
 	Key      string // path of the key file, "" for none
 	Remember string // file in which the last agreed fleet is kept over a restart, "" for none
 	Keys     *Keys
-	Duties   *Duties // nil where it stands for none and does not vote
+	Duties   *Duties  // nil where it stands for none and does not vote
+	Budgets  *Budgets // nil where nothing is divided
 }
 
 // Check tells what can't go together.
@@ -122,8 +124,10 @@
 		gets, shed int64
 	}
 
-	voter   *voter // nil where this one does not vote
-	holding holding
+	voter    *voter // nil where this one does not vote
+	holding  holding
+	spending spending
+	dividing dividing
 
 	mu         sync.Mutex
 	machine    *members.Machine
@@ -173,8 +177,14 @@
 	f.machine = members.New(members.Settings{Name: s.Name, Address: f.Address, Zone: s.Zone, Peers: s.Peers, Boot: f.boot,
 		Seed: binary.BigEndian.Uint64(drawn[8:]), Wire: s.Wire, Generation: generation, Interval: s.Pace, Remembered: remembered}, 0)
 	f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, 0)
+	if s.Budgets != nil {
+		f.beginSpending()
+	}
 	if s.Duties != nil {
 		f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, s.Duties.Priority)
+		if s.Budgets != nil {
+			f.holding.holder.Want(budgets.Duty, divideLease, f.dutyNow())
+		}
 		for _, name := range slices.Sorted(maps.Keys(s.Duties.Stands)) {
 			f.holding.holder.Want(name, s.Duties.Stands[name], f.dutyNow())
 		}
@@ -204,6 +214,10 @@
 			f.group.Go(func() error { return f.report(f.ctx) })
 		}
 	}
+	if f.Budgets != nil {
+		f.group.Go(func() error { return f.spend(f.ctx) })
+		f.group.Go(func() error { return f.divide(f.ctx) })
+	}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		f.leave()
@@ -216,6 +230,9 @@
 
 // Close has the member give its duties back and leave: others are to ask it nothing more.
 func (f *Fleet) Close() {
+	if f.Budgets != nil {
+		f.giveUp()
+	}
 	if f.Duties != nil {
 		f.release()
 	}
@@ -239,6 +256,9 @@
 	f.mu.Lock()
 	f.reach, f.generation = s.Reach, generation
 	f.mu.Unlock()
+	if f.spending.holder != nil && s.Budgets != nil {
+		f.takeBudgets(s.Budgets)
+	}
 }
 
 // step has the machine act, and does what comes of it.
@@ -447,6 +467,12 @@
 	case sealedAnswer:
 		f.takeAnswer(text)
 		return
+	case sealedSpend:
+		f.takeQuestion(text)
+		return
+	case sealedGive:
+		f.takeGive(text)
+		return
 	}
 	m, err := decode(text)
 	if err != nil || m.From.Boot != boot {
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	dutyTick = 10 * time.Millisecond
-	turnTime = 2 * time.Second        // a question over a stream
-	turnAsk  = 500 * time.Millisecond // of another member, where a lease may wait for it
+	dutyTick    = 10 * time.Millisecond
+	turnTime    = 2 * time.Second        // a question over a stream
+	mostWaiting = 4000                   // of all duties, in an answer
+	turnAsk     = 500 * time.Millisecond // of another member, where a lease may wait for it
 )
 
 // BootTime is the clock by which leases are counted, in seconds: it goes on while the machine sleeps, and is never set.
@@ -241,6 +242,21 @@
 	return t, errors.Join(errors.New("no voter that leads could be asked"), err)
 }
 
+// addressOf is where a member is, "" for one that is not known.
+func (f *Fleet) addressOf(name string) string {
+	if name == f.Name {
+		return f.Address
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machine.Members() {
+		if m.Name == name {
+			return m.Address
+		}
+	}
+	return ""
+}
+
 // askOther asks another member, at the address at which it is reached from here.
 func (f *Fleet) askOther(ctx context.Context, address string, q ask) (Told, error) {
 	f.mu.Lock()
@@ -253,11 +269,23 @@
 	return askAt(ctx, address, f.Keys, q)
 }
 
+// toTell has some of those who wait for each duty, and how many more there are: a thousand duties of sixty dispatchers fit an answer.
+func toTell(all []duties.Duty) (some []ToldDuty) {
+	for _, d := range all {
+		t := ToldDuty{Duty: d}
+		if most := max(1, mostWaiting/len(all)); len(d.Waiting) > most {
+			t.Waiting, t.More = d.Waiting[:most], len(d.Waiting)-most
+		}
+		some = append(some, t)
+	}
+	return some
+}
+
 // answerDuties answers the questions about duties.
 func (f *Fleet) answerDuties(ctx context.Context, q ask) (t Told) {
 	fail := func(err error) Told { return Told{Error: err.Error()} }
 	if f.voter == nil {
-		if q.What == askEra {
+		if q.What == askEra || q.What == askWhere {
 			return fail(errors.New("this dispatcher does not vote"))
 		}
 		t, err := f.askLeader(ctx, q)
@@ -275,6 +303,13 @@
 			}
 		}
 		return t
+	case askWhere:
+		for _, d := range k.State.Duties {
+			if d.Name == q.Duty && d.Held() {
+				t.Leads = f.addressOf(d.Holder.Name)
+			}
+		}
+		return t
 	case AskFound, AskRecover:
 		if err := f.voter.within(map[string]func() error{AskFound: f.voter.found, AskRecover: f.voter.recover}[q.What]); err != nil {
 			return fail(err)
@@ -291,7 +326,7 @@
 	t.Leads = f.Address
 	switch q.What {
 	case AskDuties:
-		t.Duties, t.Rest, t.Council = k.State.Duties, k.Rest, &k.Status
+		t.Duties, t.Rest, t.Council = toTell(k.State.Duties), k.Rest, &k.Status
 		t.Seats = k.State.Seats
 	case AskTurn:
 		if q.Turn == nil {
@@ -314,11 +349,20 @@
 			return fail(errors.New("no majority of the voters has answered"))
 		}
 	case AskCommand:
-		changed, err := f.voter.propose(ctx, q.Commands)
+		changed, err := f.voter.propose(ctx, q.Commands, q.Ledger)
 		if err != nil {
 			return fail(err)
 		}
 		t.Changed = changed
+		if q.Ledger != nil && len(q.Commands) == 0 && q.Whole { // as of that command or later
+			if err := f.voter.within(func() error {
+				saved := f.voter.machine.Ledger().Save()
+				t.Ledger = &saved
+				return nil
+			}); err != nil {
+				return fail(err)
+			}
+		}
 	case AskSeat:
 		if err := f.voter.within(func() error { return f.voter.machine.Change(q.Seat, f.dutyNow()) }); err != nil {
 			return fail(err)
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -54,7 +54,7 @@
 	var d duties.Duty
 	for _, o := range told.Duties {
 		if o.Name == Report {
-			d = o
+			d = o.Duty
 		}
 	}
 	number := d.Mark + 1
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -34,6 +34,8 @@
 	sealedRaft    = byte(4)
 	sealedTurn    = byte(5)
 	sealedAnswer  = byte(6)
+	sealedSpend   = byte(7)
+	sealedGive    = byte(8)
 )
 
 // Keys seal and open what goes between the processes of a fleet: XChaCha20-Poly1305 with a nonce drawn for each. The first
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -18,6 +18,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet/council"
@@ -65,6 +66,7 @@
 	Vote    members.Vote
 	Leader  uint64
 	Admit   bool
+	Applied uint64 // the index of the last entry that State has
 	State   duties.Saved
 	Rest    map[string]float64
 	Problem string
@@ -165,7 +167,12 @@
 		era--
 	}
 	s := &known{Status: v.machine.Status(), Vote: members.Vote{ID: k.ID, Council: k.Council, Era: era, Recovery: k.Recovery}, Leader: v.machine.Leader(),
-		Admit: v.admitted, State: v.machine.State().Save()}
+		Admit: v.admitted, Applied: v.machine.Applied()}
+	if was := v.known.Load(); was.Applied == s.Applied && was.Vote.ID == k.ID { // nothing has changed since
+		s.State = was.State
+	} else {
+		s.State = v.machine.State().Save()
+	}
 	if err := v.machine.Broken(); err != nil {
 		s.Problem = err.Error()
 	}
@@ -367,7 +374,7 @@
 }
 
 // propose puts commands into the log, and tells whether they changed anything.
-func (v *voter) propose(ctx context.Context, commands []duties.Command) (changed bool, err error) {
+func (v *voter) propose(ctx context.Context, commands []duties.Command, ledger *budgets.Command) (changed bool, err error) {
 	for i := range commands {
 		if err := commands[i].Check(); err != nil {
 			return false, err
@@ -379,7 +386,7 @@
 			failed <- errNoLeader
 			return
 		}
-		number, ok := v.machine.Propose(commands, v.fleet.dutyNow())
+		number, ok := v.machine.Propose(commands, ledger, v.fleet.dutyNow())
 		if !ok {
 			failed <- errNoLeader
 			return
@@ -453,9 +460,11 @@
 		}
 	}
 	state := duties.Restore(v.machine.State().Save())
+	ledger := budgets.Restore(v.machine.Ledger().Save())
 	status := v.machine.Status()
 	if change != nil {
 		change(state)
+		ledger.Hold = true // what the lost voters alone knew may be out
 		if err := v.disk.aside(); err != nil {
 			return err
 		}
@@ -469,7 +478,7 @@
 	_, _ = rand.Read(drawn[:])
 	k := &v.disk.kept
 	k.Council, k.Recovery = binary.BigEndian.Uint64(drawn[:])|1, recovery
-	hard, snapshot, err := council.Found(k.ID, state, status.Term+1, status.Commit+1)
+	hard, snapshot, err := council.Found(k.ID, state, ledger, status.Term+1, status.Commit+1)
 	if err == nil {
 		err = errors.Join(v.disk.Save(hard, nil, snapshot), v.disk.tell())
 	}
