Divide fleet-wide budgets among the dispatchers: origin, tenants, retries, amounts

Need: limits were kept by each dispatcher alone. A divider (the duty divide) goes by a ledger in the replicated log; shares end by the holder's clock before the divider counts them ended; floors are reserved; whole numbers are rounded in turn.

With real processes and a stand-in origin that counts for itself: never over the whole with the divider killed, stopped for 14 s, cut off, clients moved, a cut in parts, messages lost, doubled and late, and a whole cut to a quarter and to nothing under load; drawn schedules too. An amount by the hour is spent once though its divider is killed.

Found on the way: forwards that a host may fill from the origin counted nowhere where answers tell no detail (now counted where bounded, and a host that should have a copy is asked for that first); needs from reservations; targets of 1 each of 8 for five.

--- a/callers/callers.go
+++ b/callers/callers.go
@@ -56,6 +56,7 @@
 	ShareUsed              // the tenant's or the caller's rate, or its GETs under way
 	Pressed                // over the fair level under pressure
 	ChecksUsed             // too many signatures to check
+	FleetUsed              // what the fleet lets this dispatcher have of the tenant's budget
 )
 
 // Shed tells whether trying again is harmless and may help.
@@ -63,7 +64,7 @@
 
 // String is the short reason that a client may know; it tells a forger nothing of which check failed.
 func (r Refusal) String() string {
-	return [...]string{"", "token", "expired", "certificate", "unknown", "denied", "share", "pressure", "checks"}[r]
+	return [...]string{"", "token", "expired", "certificate", "unknown", "denied", "share", "pressure", "checks", "fleet"}[r]
 }
 
 // Conn is what is known of one connection; zero but for Remote and Certificate at its start.
@@ -110,6 +111,8 @@
 	tenant *tenant
 	caller *account
 	at     float64 // when it was passed on
+
+	Budgets []string // of the fleet, that it has taken of
 }
 
 // Module is the state of one dispatcher's callers.
@@ -269,7 +272,7 @@
 	if !c.tenant.rights.allow(g, from) {
 		return Ticket{}, Denied, 0
 	}
-	t = Ticket{c.tenant, m.callers.account(now, c), now}
+	t = Ticket{tenant: c.tenant, caller: m.callers.account(now, c), at: now}
 	if r, wait = m.share(now, t); r != Passed {
 		return Ticket{}, r, wait
 	}
--- a/cmd/elderwall-operator/duties.go
+++ b/cmd/elderwall-operator/duties.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -15,6 +16,7 @@
 	"text/tabwriter"
 	"time"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/internal/fleet"
 )
@@ -112,6 +114,69 @@
 	return c.command(duties.Command{Act: duties.Drop, Duty: c.Duty})
 }
 
+type budgetsCommand struct {
+	asked
+	JSON  bool `help:"All of it, as JSON."`
+	Parts bool `help:"A line for each dispatcher, too."`
+}
+
+// Run prints one line a budget, with a line a zone, or a dispatcher, below it.
+func (c *budgetsCommand) Run() error {
+	t, err := c.ask(fleet.AskBudgets, 0)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(t)
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "budget\tgeneration\twhole\tdivided\tfree\tspent\treserved\tkept\tneeded\tage")
+	for _, b := range t.Budgets {
+		unit := 1.0
+		if b.Kind == budgets.Rate {
+			unit = float64(budgets.Thousand)
+		}
+		line := func(name, generation, whole, free, spent string, parts []fleet.ToldPart) {
+			var sum fleet.ToldPart
+			for _, p := range parts {
+				sum.Out, sum.Floor, sum.Keep, sum.Need, sum.Age = sum.Out+p.Out, sum.Floor+p.Floor, sum.Keep+p.Keep, sum.Need+p.Need, max(sum.Age, p.Age)
+			}
+			fmt.Fprintf(out, "%s\t%s\t%s\t%g\t%s\t%s\t%g\t%g\t%g\t%.1fs\n", name, generation, whole, float64(sum.Out)/unit, free, spent, float64(sum.Floor)/unit, float64(sum.Keep)/unit,
+				float64(sum.Need)/unit, sum.Age)
+		}
+		of := func(n int64) string { return fmt.Sprint(float64(n) / unit) }
+		line(b.Name, fmt.Sprint(b.Generation), of(b.Whole), of(b.Whole-b.Out-b.Spent), of(b.Spent), b.Parts)
+		zones := map[string][]fleet.ToldPart{}
+		for _, p := range b.Parts {
+			zones[p.Zone] = append(zones[p.Zone], p)
+		}
+		for _, z := range slices.Sorted(maps.Keys(zones)) {
+			line("  zone "+z, "", "", "", "", zones[z])
+			for _, p := range zones[z] {
+				if c.Parts {
+					line("    "+p.Name, "", "", "", "", []fleet.ToldPart{p})
+				}
+			}
+		}
+	}
+	return out.Flush()
+}
+
+type spendCommand struct {
+	asked
+	Budget string `arg:"" help:"A budget of a rate or an amount."`
+	Units  uint64 `arg:"" help:"How many: bytes, or whatever the budget counts."`
+}
+
+// Run takes units of a budget at a dispatcher.
+func (c *spendCommand) Run() error {
+	keys, err := c.keys()
+	if err != nil {
+		return err
+	}
+	return fleet.AskUnits(context.Background(), c.At, keys, c.Budget, c.Units)
+}
+
 type votersCommand struct {
 	List   votersList   `cmd:"" default:"withargs" help:"List the voters: leader, term, log, and how far each lags."`
 	Found  foundCommand `cmd:"" help:"Begin the log at a dispatcher that votes; the others are taken in by themselves."`
--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -21,6 +21,8 @@
 	Members membersCommand   `cmd:"" help:"List the members as one of them sees them."`
 	Watch   watchCommand     `cmd:"" help:"Follow the changes that one of them sees."`
 	Duties  dutiesCommand    `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
+	Budgets budgetsCommand   `cmd:"" help:"List the budgets: the wholes, and how they are divided."`
+	Spend   spendCommand     `cmd:"" help:"Take units of a budget at a dispatcher; fails where it has none left."`
 	Hold    holdCommand      `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
 	Hand    handCommand      `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
 	Drop    dropCommand      `cmd:"" help:"Forget a duty that nobody holds."`
--- a/control/control.go
+++ b/control/control.go
@@ -513,17 +513,19 @@
 // limit a GET only looks whether the cache holds the object, and is shed if not.
 func (d *Dispatcher) fill(g *get) verdict {
 	g.source, g.heldOnly = g.host, false
+	if g.host == d.origin && !d.origins.allowed() {
+		return d.giveUp(g)
+	}
 	if g.host == d.origin || g.host.Kind == d.ParentKind {
 		return pass
 	}
-	work := d.weigh(g) / d.favour(g)
+	work, share := d.weigh(g)/d.favour(g), d.paces.Share(d.now)
 	source, spare := d.parent(g), d.origins.room(work)
 	if o := d.origin; o != nil && o.left { // it is tried by one GET at a time, itself or behind a parent
-		spare = d.now >= o.until && d.origins.held == 0
+		spare = d.now >= o.until && d.origins.held == 0 && d.origins.allowed()
 	}
-	share := d.paces.Share(d.now)
 	look := !d.fills.room(work) || share < 1 && d.chance(g.host) > share
-	look = look || source == nil || source == d.origin && !spare
+	look = look || source == nil || source == d.origin && !spare || d.looksFirst(g)
 	if !look {
 		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
@@ -623,7 +625,7 @@
 
 // room tells whether more may go; where nothing is under way something always may, or nothing is learned.
 func (l *allowance) room(work float64) bool {
-	room := l.held == 0 || l.out+work <= l.most
+	room := (l.held == 0 || l.out+work <= l.most) && l.allowed()
 	l.full = l.full || !room
 	return room
 }
@@ -705,7 +707,7 @@
 	if f.miss {
 		f.under, f.judges = append(f.under, &d.fills), f.fill
 	}
-	if f.heldOnly = g.heldOnly; f.miss && d.Detail == Full && !f.heldOnly {
+	if f.heldOnly = g.heldOnly; f.miss && d.Detail == Full && !f.heldOnly || d.needs(f) {
 		f.under = append(f.under, &d.origins)
 		f.judges = f.under[len(f.under)-1:]
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -207,6 +207,9 @@
 	start      float64 // s; what was under way at its start: a turn's worth
 	peak       float64 // s; most that was under way in it
 	full       bool    // turned a GET away in it
+	bound      int     // forwards that the fleet lets this dispatcher have under way
+	bounded    bool    // by the fleet
+	refused    int     // looks that found that bound reached
 	seen, late float64 // s; what of this turn has ended, and what came late or not at all
 }
 
@@ -216,6 +219,33 @@
 	l.peak = math.Max(l.peak, l.out)
 }
 
+// allowed tells whether the fleet lets one more go. Guards against dispatchers that each stay within their own limit and
+// together push the origin over.
+func (l *allowance) allowed() bool {
+	if !l.bounded || l.held < l.bound {
+		return true
+	}
+	l.refused++
+	return false
+}
+
+// needs tells whether a forward may need the origin, where the fleet bounds those.
+func (d *Dispatcher) needs(f *forward) bool {
+	return d.origins.bounded && (f.host == d.origin || f.miss && !f.heldOnly)
+}
+
+// looksFirst tells whether a host that should have a copy is asked for that alone, where the fleet bounds what may need the origin: else it
+// would fill one that it has dropped, and that would count nowhere.
+func (d *Dispatcher) looksFirst(g *get) bool {
+	return d.origins.bounded && !g.looked && g.item.holder == g.host && d.now < g.item.heldTo
+}
+
+// Bound says how many forwards that may need the origin this dispatcher may have under way, by what the fleet shares out.
+func (d *Dispatcher) Bound(most int) { d.origins.bound, d.origins.bounded = most, true }
+
+// Origins is how many forwards that may need the origin are under way, and how many looks have found the bound reached.
+func (d *Dispatcher) Origins() (held, refused int) { return d.origins.held, d.origins.refused }
+
 func (l *allowance) drop(work float64) {
 	l.held--
 	l.out -= work
--- a/fleet/budgets/divider.go
+++ b/fleet/budgets/divider.go
@@ -10,11 +10,12 @@
 const (
 	reserve   = 0.03 // of a whole, for those that come
 	headroom  = 1.15 // times what was needed lately
-	forgets   = 10.0 // s; in which a need that is over falls to a third
+	forgets   = 5.0  // s; in which a need that is over falls to a third
 	least     = 0.05 // of a part: smaller changes are not worth an entry
 	foothold  = 0.2  // of what nobody needs of an amount is spread over all; the rest stays free
 	mostWaits = 2 * MostHolders
-	mostSets  = 1500 // of a command, before the last budget's
+	turnsEach = 5 * Lease // s; after which the next have what whole numbers leave over
+	mostSets  = 1500      // of a command, before the last budget's
 	tombs     = 4 * MostHolders
 )
 
@@ -106,7 +107,11 @@
 	}
 	decay := math.Exp(-(now - s.at) / forgets)
 	for _, a := range q.Asks {
-		s.need[a.Budget] = math.Max(float64(max(0, a.Need)), s.need[a.Budget]*decay)
+		most := float64(0)
+		if o := d.ledger.Accounts[a.Budget]; o != nil {
+			most = float64(o.Whole)
+		}
+		s.need[a.Budget] = math.Min(most, math.Max(float64(max(0, a.Need)), s.need[a.Budget]*decay))
 	}
 	s.heard, s.at, s.last = now, now, q
 	d.waits[id] = q
@@ -354,7 +359,7 @@
 	if n == 0 || a.Gone {
 		return targets
 	}
-	whole := float64(a.Whole) * (1 - reserve)
+	whole := float64(a.Whole) - math.Floor(float64(a.Whole)*reserve)
 	if a.Kind == Amount {
 		whole = math.Max(0, float64(a.Whole-a.Spent))
 	}
@@ -398,9 +403,29 @@
 			targets[id] = t
 		}
 	}
+	if a.Kind != Amount {
+		d.round(now, a, targets, int64(whole), need)
+	}
 	return targets
 }
 
+// round gives out what whole numbers leave over, one each to those who lack most, others in turn: of a whole that is smaller than their number
+// none is left out for good.
+func (d *Divider) round(now float64, a *Account, targets map[uint32]int64, whole int64, need func(uint32) float64) {
+	var lack []uint32
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		if whole -= targets[id]; need(id) > float64(targets[id]) && (a.Ceiling == 0 || targets[id] < a.Ceiling) {
+			lack = append(lack, id)
+		}
+	}
+	for i := range lack {
+		if int64(i) >= whole {
+			return
+		}
+		targets[lack[(i+int(now/turnsEach))%len(lack)]]++
+	}
+}
+
 // fill is weighted max-min fairness: nobody has more than it wants, and nobody can have more without taking from one who has less by weight.
 func fill(whole float64, wants, weights []float64) []float64 {
 	got := make([]float64, len(wants))
--- a/fleet/budgets/holder.go
+++ b/fleet/budgets/holder.go
@@ -176,6 +176,25 @@
 	s.level = math.Min(h.burst(now, s), s.level+gone*rate)
 }
 
+// Refused books what was turned away elsewhere by a bound that this gave.
+func (h *Holder) Refused(budget string, n int64) {
+	if s := h.shares[budget]; s != nil && n > 0 {
+		if s.refused += float64(n); h.starved(s) && h.answers == h.id {
+			h.due = math.Min(h.due, h.asked+leastAsk)
+		}
+	}
+}
+
+// Reserve books what may be under way elsewhere by a bound that this gave, in place of what was reserved before; held is what is, begun how
+// much of it was since the last time.
+func (h *Holder) Reserve(budget string, was, is, held, begun int64) {
+	if s := h.shares[budget]; s != nil && s.Kind == UnderWay {
+		s.inUse = max(0, s.inUse+is-was)
+		s.took += float64(begun)
+		s.peak = max(s.peak, s.inUse-is+held)
+	}
+}
+
 // Done ends what was under way.
 func (h *Holder) Done(budget string, n int64) {
 	if s := h.shares[budget]; s != nil && s.Kind == UnderWay {
--- a/fleet/budgets/ledger.go
+++ b/fleet/budgets/ledger.go
@@ -31,6 +31,13 @@
 	mostTail = 30.0        // s; what is under way under a share ends by then
 )
 
+// What uses budgets; a tenant's GETs by UseTenant and its name.
+const (
+	UseOrigin  = "origin"  // forwards that may need the origin
+	UseRetries = "retries" // forwards after failed ones
+	UseTenant  = "tenant:"
+)
+
 // Kind is what a budget counts.
 type Kind uint8
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	GETs, Unusable, GivenUp            atomic.Int64 // taken in; errored at the door; given up by clients
 	Returned, Unchanged, Shed, Errored atomic.Int64 // answered; Unchanged of Returned had no body
+	OverFleet                          atomic.Int64 // of GateShed: the fleet's budget of the tenant
 	NotNamed, Denied, OverShare        atomic.Int64 // of GateErrored: no caller, no right; of GateShed: share used up,
 	OverLevel, Unchecked               atomic.Int64 // over the fair level, no signature check left
 	SignatureChecks                    atomic.Int64 // of tokens
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -8,16 +8,19 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"elderwall/fleet/budgets"
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/extproc"
 	"elderwall/internal/fleet"
 	"elderwall/internal/gate"
+	"elderwall/internal/node"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
 	"elderwall/retries"
@@ -32,8 +35,8 @@
 	gate     *gate.Gate // nil where nobody asks who is calling
 	secure   certs.Listener
 	proxies  certs.Listener
-	fleet    *fleet.Fleet // nil where the dispatcher is by itself
-	cores    int          // that the command line says, before the file; 0 where it says none
+	fleet    atomic.Pointer[fleet.Fleet] // nil where the dispatcher is by itself, and before it is opened
+	cores    int                         // that the command line says, before the file; 0 where it says none
 }
 
 // Alone is what holds with no file, on so many cores.
@@ -69,6 +72,9 @@
 		return all, nil, nil
 	}
 	e.gate = &gate.Gate{Clock: clock.New(), Log: log, Counts: counts}
+	if e.divides() {
+		e.gate.Fleet = spender{e}
+	}
 	return all, e.gate, e.gate.Take(*e.told.Callers, e.told.Keys)
 }
 
@@ -85,19 +91,73 @@
 func (e *Extras) Joins() []bool { return e.told.Joins }
 
 // Retries bounds forwards after failed ones.
-func (e *Extras) Retries() retries.Settings { return e.told.Retries }
+func (e *Extras) Retries() retries.Settings {
+	s := e.told.Retries
+	if e.divides() {
+		s.Fleet = func() bool {
+			_, ok := spender{e}.Spend(budgets.UseRetries) // a rate: nothing is to be given back
+			return ok
+		}
+	}
+	return s
+}
+
+// divides tells whether wholes are divided among the fleet.
+func (e *Extras) divides() bool { return e.told.Fleet != nil && e.told.Fleet.Budgets != nil }
+
+// spender spends from the fleet's budgets; before the fleet is opened there are none.
+type spender struct{ *Extras }
+
+// Spend takes one of each budget that a use has.
+func (s spender) Spend(use string) (of []string, ok bool) {
+	if f := s.fleet.Load(); f != nil {
+		return f.Spend(use)
+	}
+	return nil, false
+}
+
+// Spent ends what was taken.
+func (s spender) Spent(of []string) { s.fleet.Load().Spent(of) }
+
+// Origins gives a module its part in the budgets at the origin; nil where none is divided.
+func (e *Extras) Origins() func() node.Bounder {
+	if !e.divides() {
+		return nil
+	}
+	return func() node.Bounder { return &bounder{of: e} }
+}
+
+// bounder is one module's part, once the fleet is opened.
+type bounder struct {
+	of *Extras
+	*fleet.Bounded
+}
+
+// Bound is node.Bounder.
+func (b *bounder) Bound(held, refused int, acts bool) int {
+	if b.Bounded == nil {
+		f := b.of.fleet.Load()
+		if f == nil {
+			return 0
+		}
+		b.Bounded = f.Origins()
+	}
+	return b.Bounded.Bound(held, refused, acts)
+}
 
 // Beside opens the front for proxies that ask, and the door to the other dispatchers.
 func (e *Extras) Beside(to service.Handling) (all []service.Beside, err error) {
 	if t := e.told.Fleet; t != nil {
 		s := *t
 		s.Name = e.name
-		if e.fleet, err = fleet.Open(s, e.told.Generation, to.Log); err != nil {
+		f, err := fleet.Open(s, e.told.Generation, to.Log)
+		if err != nil {
 			return nil, err
 		}
-		e.fleet.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
-		e.fleet.Counters = func() map[string]int64 { return to.Counts.Each() }
-		all = append(all, e.fleet)
+		f.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
+		f.Counters = func() map[string]int64 { return to.Counts.Each() }
+		e.fleet.Store(f)
+		all = append(all, f)
 	}
 	t := e.told.Proxies
 	if t == nil {
@@ -147,7 +207,7 @@
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
 		(was.Fleet == nil) != (to.Fleet == nil) ||
-		was.Fleet != nil && (was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
+		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
@@ -169,8 +229,8 @@
 	if to.Proxies != nil && to.Proxies.Material != nil {
 		e.proxies.Take(to.Proxies.Material)
 	}
-	if e.fleet != nil {
-		e.fleet.Take(*to.Fleet, to.Generation)
+	if f := e.fleet.Load(); f != nil {
+		f.Take(*to.Fleet, to.Generation)
 	}
 	e.told = to
 	return nil
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"time"
 
@@ -31,6 +32,7 @@
 	AskRecover = "recover" // have it begin a log with what it has of the one whose majority is lost
 	AskCounts  = "counts"  // its counters
 	AskBudgets = "budgets" // how the wholes are divided
+	AskSpend   = "spend"   // units of a budget
 
 	askEra   = "era"   // the latest era of a disk that it knows
 	askWhere = "where" // where the holder of a duty is
@@ -137,6 +139,11 @@
 			return Told{Error: "there are none"}
 		}
 		return Told{Counts: f.Counters()}
+	case AskSpend:
+		if err := f.spendUnits(q.Duty, int64(min(q.Number, math.MaxInt64))); err != nil {
+			return Told{Error: err.Error()}
+		}
+		return Told{}
 	case AskBudgets:
 		return f.tellBudgets(f.ctx, q)
 	default:
@@ -185,6 +192,12 @@
 	return askAt(ctx, at, k, ask{What: AskSeat, Seat: c})
 }
 
+// AskUnits takes units of a budget at a dispatcher.
+func AskUnits(ctx context.Context, at string, k *Keys, budget string, units uint64) error {
+	_, err := askAt(ctx, at, k, ask{What: AskSpend, Duty: budget, Number: units})
+	return err
+}
+
 // AskTake asks a turn for one who stands and is no dispatcher.
 func AskTake(ctx context.Context, at string, k *Keys, turn duties.Turn) (t Told, err error) {
 	return askAt(ctx, at, k, ask{What: AskTurn, Turn: &turn})
--- /dev/null
+++ b/internal/fleet/budgets_test.go
@@ -0,0 +1,384 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/processes"
+)
+
+const (
+	fillTime = 100 * time.Millisecond // of a stand-in's fill from the origin
+	tail     = "5s"
+)
+
+// origin counts fills that are under way, as the cache hosts that do them see it.
+type origin struct {
+	mu         sync.Mutex
+	now, most  int
+	fills      int
+	whole      int // that all may have; from a time on
+	over       int // fills that found more
+	worst      int
+	wholeSince time.Time
+}
+
+func (o *origin) answer(a standin.Ask) string {
+	if a.Stop {
+		return ""
+	}
+	if a.Fields["up"] == "" {
+		return standin.Answer(a.ID, "NONE", "-", "")
+	}
+	return o.fill(a)
+}
+
+func (o *origin) fill(a standin.Ask) string {
+	if a.Stop {
+		return ""
+	}
+	o.mu.Lock()
+	o.now++
+	o.fills++
+	o.most = max(o.most, o.now)
+	if o.now > o.whole {
+		o.over++
+		o.worst = max(o.worst, o.now)
+	}
+	o.mu.Unlock()
+	time.Sleep(fillTime)
+	o.mu.Lock()
+	o.now--
+	o.mu.Unlock()
+	return standin.Answer(a.ID, "HIT", "rev=4be0c1927d55a6f3,since=1764576000123,detail=origin", "bytes")
+}
+
+// budgetRig is dispatchers of which three vote, with budgets.
+type budgetRig struct {
+	*dutyRig
+	origin origin
+	wholes string // as the operator's file has them
+	number int    // of the generation
+	loads  []atomic.Int64
+	got    atomic.Int64
+	shed   atomic.Int64
+}
+
+func budget(t *testing.T, n, whole int, wholes string) *budgetRig {
+	b := &budgetRig{origin: origin{whole: whole}, wholes: wholes, number: 1, loads: make([]atomic.Int64, n)}
+	b.dutyRig = duty(t, n, 3, func(m *memberRig) {
+		m.Answer = b.origin.answer
+		m.ListenOrigin(b.origin.fill)
+		duties := m.more
+		m.more = map[int]string{}
+		for i := range n {
+			m.more[i] = duties[i]
+		}
+		m.last = func() string {
+			return fmt.Sprintf(`, budgets: {generation: %d, tail: %q, wholes: %s}`, b.number, tail, b.wholes)
+		}
+	})
+	b.enrolled(b.all()...)
+	return b
+}
+
+// enrolled waits until dispatchers have shares.
+func (b *budgetRig) enrolled(who ...int) {
+	b.Helper()
+	b.Until(soon, "all have shares", func() error {
+		for _, i := range who {
+			all := b.Processes[i].Said("budgets: shares")
+			if len(all) == 0 || all[len(all)-1].Fields["enrolled"] != true {
+				return fmt.Errorf("n%d has none", i)
+			}
+		}
+		return nil
+	})
+}
+
+// change puts other wholes in force at all, by a signal.
+func (b *budgetRig) change(wholes string) {
+	b.wholes = wholes
+	b.number++
+	for _, p := range b.Processes {
+		p.Write()
+		p.Signal(syscall.SIGHUP)
+	}
+}
+
+// load has so many clients at each dispatcher ask for objects that no cache has, until stop.
+func (b *budgetRig) load(stop <-chan struct{}, each int) (wait func()) {
+	var all sync.WaitGroup
+	for i, p := range b.Processes {
+		b.loads[i].Store(int64(each))
+		for k := range 3 * each {
+			all.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if int64(k) >= b.loads[i].Load() || !p.Runs() {
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+					kind, err := p.GET(int(b.ids.Add(1)) + 1<<40)
+					switch {
+					case err == nil && kind == "served":
+						b.got.Add(1)
+					default:
+						b.shed.Add(1)
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	return all.Wait
+}
+
+// used waits until so much of the whole is under way at some time from now on.
+func (b *budgetRig) used(least int) {
+	b.Helper()
+	b.origin.mu.Lock()
+	b.origin.most = 0
+	b.origin.mu.Unlock()
+	b.Until(soon, fmt.Sprint(least, " are under way"), func() error {
+		b.origin.mu.Lock()
+		defer b.origin.mu.Unlock()
+		if b.origin.most < least {
+			return fmt.Errorf("%d", b.origin.most)
+		}
+		return nil
+	})
+}
+
+// divider is who divides.
+func (b *budgetRig) divider() int {
+	b.Helper()
+	who := -1
+	b.Until(soon, "somebody divides", func() error {
+		s, err := b.council()
+		for _, d := range s.Duties {
+			if d.Name == "divide" && d.Token != 0 {
+				_, err := fmt.Sscanf(d.Holder.Name, "n%d", &who)
+				return err
+			}
+		}
+		return fmt.Errorf("nobody: %w", err)
+	})
+	return who
+}
+
+// books asks who divides for its books, and checks that they balance.
+func (b *budgetRig) books(at int) ToldBudget {
+	b.Helper()
+	var told ToldBudget
+	b.Until(soon, "the books are told", func() error {
+		keys, err := ParseKeys(b.keys[-1])
+		require.NoError(b, err)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		t, err := Ask(ctx, b.Processes[at].Fleet, keys, AskBudgets, 0)
+		if err == nil && len(t.Budgets) == 0 {
+			err = errors.New("none")
+		}
+		if err == nil {
+			told = t.Budgets[0]
+		}
+		return err
+	})
+	sum := int64(0)
+	for _, p := range told.Parts {
+		sum += p.Out
+	}
+	assert.Equal(b, sum, told.Out)
+	return told
+}
+
+// Fills at the origin, through what may happen to the divider and to holders: never more under way than the whole, and all of it used again.
+func TestABudgetAtTheOrigin(t *testing.T) {
+	b := budget(t, 5, 8, `{fills: {of: "origin", most: 8}}`)
+	stop := make(chan struct{})
+	wait := b.load(stop, 4)
+	b.used(7)
+	for name, trouble := range map[string]func(){
+		"the divider is killed": func() {
+			d := b.divider()
+			b.Processes[d].Kill()
+			time.Sleep(time.Second)
+			b.Processes[d].Start()
+		},
+		"the divider is stopped and wakes": func() {
+			d := b.divider()
+			b.Processes[d].Signal(syscall.SIGSTOP)
+			time.Sleep(14 * time.Second)
+			b.Processes[d].Signal(syscall.SIGCONT)
+		},
+		"the divider is cut off": func() {
+			cut := processes.Fault{What: processes.Cut, A: []int{b.divider()}}
+			b.Begin(cut)
+			time.Sleep(5 * time.Second)
+			b.End(cut)
+		},
+		"all clients move to one": func() {
+			for i := range b.loads {
+				b.loads[i].Store(0)
+			}
+			b.loads[4].Store(12)
+			b.used(6)
+			for i := range b.loads {
+				b.loads[i].Store(4)
+			}
+		},
+		"a cut in parts": func() {
+			cut := processes.Fault{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}}
+			b.Begin(cut)
+			time.Sleep(12 * time.Second)
+			b.End(cut)
+		},
+		"messages are lost, doubled and late": func() {
+			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
+				b.Begin(processes.Fault{What: what, A: b.all(), B: b.all(), Amount: 0.4})
+			}
+			time.Sleep(8 * time.Second)
+			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
+				b.End(processes.Fault{What: what, A: b.all(), B: b.all()})
+			}
+		},
+	} {
+		trouble()
+		b.used(7)
+		b.origin.mu.Lock()
+		assert.Zero(t, b.origin.over, "%s: up to %d", name, b.origin.worst)
+		b.origin.mu.Unlock()
+	}
+	b.change(`{fills: {of: "origin", most: 2}}`)
+	b.Until(soon, "the smaller whole holds", func() error {
+		told := b.books(3)
+		if told.Whole != 2 || told.Out > 2 {
+			return fmt.Errorf("%d of %d", told.Out, told.Whole)
+		}
+		return nil
+	})
+	time.Sleep(time.Second) // what was under way has ended
+	b.origin.mu.Lock()
+	b.origin.whole, b.origin.most = 2, 0
+	b.origin.mu.Unlock()
+	b.used(2)
+	b.change(`{fills: {of: "origin", most: 0}}`)
+	b.Until(soon, "nothing goes any more", func() error {
+		if told := b.books(3); told.Whole != 0 || told.Out > 0 {
+			return fmt.Errorf("%d of %d", told.Out, told.Whole)
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	b.origin.mu.Lock()
+	fills := b.origin.fills
+	b.origin.mu.Unlock()
+	time.Sleep(time.Second)
+	close(stop)
+	wait()
+	b.origin.mu.Lock()
+	defer b.origin.mu.Unlock()
+	assert.Equal(t, fills, b.origin.fills, "a whole of 0")
+	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+	assert.Positive(t, b.shed.Load(), "what is over is turned away")
+}
+
+// Units by the hour that are spent at all dispatchers at once, while the divider and others end: none is spent twice.
+func TestAnAmountIsSpentOnce(t *testing.T) {
+	const whole, units = 3000, 7
+	b := budget(t, 5, 0, fmt.Sprintf(`{bytes: {amount: %d, window: "1h"}}`, whole))
+	keys, err := ParseKeys(b.keys[-1])
+	require.NoError(t, err)
+	var spent, refused atomic.Int64
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for _, p := range b.Processes {
+		all.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				err := AskUnits(ctx, p.Fleet, keys, "bytes", units)
+				cancel()
+				switch {
+				case err == nil:
+					spent.Add(units)
+				case p.Runs():
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	until := func(n int64) {
+		b.Until(soon, fmt.Sprint(n, " are spent"), func() error {
+			if got := spent.Load(); got < n {
+				return fmt.Errorf("%d", got)
+			}
+			return nil
+		})
+	}
+	until(whole / 4)
+	d := b.divider()
+	b.Processes[d].Kill() // what it had itself is lost for this hour
+	until(whole / 2)
+	b.Processes[d].Start()
+	b.Until(2*soon, "all is given out", func() error {
+		if told := b.books((d + 1) % 5); told.Whole-told.Spent-told.Out > units*5 || told.Out > units*10 {
+			return fmt.Errorf("%d spent, %d out", told.Spent, told.Out)
+		}
+		return nil
+	})
+	close(stop)
+	all.Wait()
+	assert.LessOrEqual(t, spent.Load(), int64(whole))
+	assert.Greater(t, spent.Load(), int64(whole*7/10), "the price of one that was killed is its share")
+	assert.Positive(t, refused.Load())
+}
+
+// Schedules of faults that are drawn from seeds: never more under way than the whole, and all of it used once all is well.
+func TestBudgetsThroughDrawnFaults(t *testing.T) {
+	play := func(t *testing.T, s processes.Schedule) {
+		b := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`)
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Logf("play it again: go test ./internal/fleet -run TestBudgetsThroughDrawnFaults -schedule '%s'", s)
+			}
+		})
+		stop := make(chan struct{})
+		wait := b.load(stop, 3)
+		b.used(5)
+		b.Play(s)
+		b.used(5)
+		close(stop)
+		wait()
+		assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+		b.books(0)
+	}
+	if *schedule != "" {
+		s, err := processes.Parse(*schedule)
+		require.NoError(t, err)
+		play(t, s)
+		return
+	}
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(200+seed), 5, 6, 15)) })
+	}
+}
--- a/internal/fleet/divide.go
+++ b/internal/fleet/divide.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	mrand "math/rand/v2"
 	"slices"
 	"sync"
@@ -23,7 +25,8 @@
 type Budgets struct {
 	Generation uint64 // the highest in the fleet is in force
 	All        []budgets.Budget
-	Tail       float64 // s; what is under way ends by then
+	Uses       map[string][]string // budgets by what uses them, those under way first
+	Tail       float64             // s; what is under way ends by then
 }
 
 // spending is a dispatcher's part in budgets. Its lock is held for a moment alone: GETs take it.
@@ -31,6 +34,7 @@
 	mu     sync.Mutex
 	holder *budgets.Holder // nil where nothing is divided
 	kinds  map[string]budgets.Kind
+	uses   map[string][]string
 	at     string // where the divider is
 	looked time.Time
 	silent int // questions since the last answer
@@ -66,7 +70,7 @@
 func (f *Fleet) takeBudgets(b *Budgets) {
 	s := &f.spending
 	s.mu.Lock()
-	s.kinds = map[string]budgets.Kind{}
+	s.kinds, s.uses = map[string]budgets.Kind{}, b.Uses
 	for _, o := range b.All {
 		s.kinds[o.Name] = o.Kind
 		s.holder.Use(o.Name, o.Kind, f.dutyNow())
@@ -81,27 +85,85 @@
 	}
 }
 
-// Spend takes units of a budget, if there are any; a name that is none lets all pass. What is under way is given back by Spent.
-func (f *Fleet) Spend(budget string, n int64) (ok bool) {
+// Spend takes one of each budget that a use has, if all have one; a use with none passes. What it gives goes to Spent.
+func (f *Fleet) Spend(use string) (of []string, ok bool) {
 	s := &f.spending
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.kinds[budget] == 0 {
-		return true
+	all, now := s.uses[use], f.dutyNow()
+	for i, name := range all {
+		if !s.holder.Take(now, name, 1) {
+			for _, taken := range all[:i] { // those under way come first, and a rate's last
+				s.holder.Done(taken, 1)
+			}
+			return nil, false
+		}
 	}
-	return s.holder.Take(f.dutyNow(), budget, n)
+	return all, true
 }
 
 // Spent ends what was under way.
-func (f *Fleet) Spent(budget string, n int64) {
+func (f *Fleet) Spent(of []string) {
 	s := &f.spending
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.kinds[budget] != 0 {
-		s.holder.Done(budget, n)
+	for _, name := range of {
+		s.holder.Done(name, 1)
 	}
 }
 
+// spendUnits takes so many units of one budget, for a command of the operator's.
+func (f *Fleet) spendUnits(name string, n int64) error {
+	s := &f.spending
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.holder == nil || s.kinds[name] == 0:
+		return fmt.Errorf("no budget %q", name)
+	case s.kinds[name] == budgets.UnderWay:
+		return fmt.Errorf("budget %q counts what is under way: nothing says when that ends", name)
+	case !s.holder.Take(f.dutyNow(), name, n):
+		return errSpent
+	}
+	return nil
+}
+
+var errSpent = errors.New("the budget is used up here")
+
+// Bounded is one module's part in the budgets at the origin.
+type Bounded struct {
+	fleet         *Fleet
+	refused, held int // as last told
+	reserved      int // that it may have under way while it acts, held while it does not
+}
+
+// Bound is node.Bounder. What a module may use while it acts is reserved for it: of several in one process none takes what another does.
+func (b *Bounded) Bound(held, refused int, acts bool) (most int) {
+	s := &b.fleet.spending
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, now := math.MaxInt, b.fleet.dutyNow()
+	names := s.uses[budgets.UseOrigin]
+	for _, name := range names {
+		s.holder.Refused(name, int64(refused-b.refused))
+		s.holder.Reserve(name, int64(b.reserved), int64(held), int64(held), int64(max(0, held-b.held)))
+		if acts {
+			most = min(most, held+int(max(0, s.holder.Limit(now, name)-s.holder.InUse(name))))
+		}
+	}
+	b.refused, b.held, b.reserved = refused, held, held
+	if acts && most < math.MaxInt {
+		for _, name := range names {
+			s.holder.Reserve(name, int64(held), int64(most), int64(held), 0)
+		}
+		b.reserved = most
+	}
+	return most
+}
+
+// Origins is a part in the budgets at the origin, for one module.
+func (f *Fleet) Origins() *Bounded { return &Bounded{fleet: f} }
+
 // spend asks the divider for shares, until the context ends.
 func (f *Fleet) spend(ctx context.Context) error {
 	each := time.NewTicker(spendEach)
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -45,6 +45,7 @@
 	*processes.Rig
 	keys map[int]string // key files of some; all others have the first
 	more map[int]string // lines for the fleet section of some
+	last func() string  // a line for that of all
 	ids  atomic.Int64
 }
 
@@ -73,7 +74,11 @@
 	}
 	quoted, _ := json.Marshal(peers)
 	reach, _ := json.Marshal(p.Reach)
-	return fmt.Sprintf(`{fleet: {listen: %q, key: "fleet.key", remember: "fleet.json", zone: "z%d", pace: "%gs", peers: %s, reach: %s, %s}}`, p.Fleet, p.Index%2, pace, quoted, reach, m.more[p.Index])
+	last := ""
+	if m.last != nil {
+		last = m.last()
+	}
+	return fmt.Sprintf(`{fleet: {listen: %q, key: "fleet.key", remember: "fleet.json", zone: "z%d", pace: "%gs", peers: %s, reach: %s, %s%s}}`, p.Fleet, p.Index%2, pace, quoted, reach, m.more[p.Index], last)
 }
 
 // sight is what one process says of the fleet, in words of this test's own.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"elderwall/callers"
+	"elderwall/fleet/budgets"
 	"elderwall/internal/call"
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
@@ -21,12 +22,23 @@
 	"elderwall/internal/token"
 )
 
+// Fleet is what all dispatchers together let a tenant have.
+type Fleet interface {
+	// Spend takes one of each budget that a use has, if all have one.
+	Spend(use string) (of []string, ok bool)
+	// Spent ends what was taken.
+	Spent(of []string)
+}
+
+const backFleet = 0.5 // s; by then more of a budget may have come here
+
 // Gate asks who is calling.
 type Gate struct {
 	Clock  clock.Clock
 	Wall   func() float64 // Unix seconds; nil is the system's clock
 	Log    zerolog.Logger
 	Counts *counters.Counters
+	Fleet  Fleet // nil where tenants have no budgets of the whole fleet
 
 	mu     sync.Mutex
 	module *callers.Module
@@ -103,6 +115,13 @@
 	if r == callers.Passed {
 		t, r, wait = g.module.Admit(g.Clock.Now(), c, in.Conn.Remote, callers.GET{Service: service, Object: object, Group: in.Group})
 	}
+	if r == callers.Passed && g.Fleet != nil {
+		var ok bool
+		if t.Budgets, ok = g.Fleet.Spend(budgets.UseTenant + c.Tenant()); !ok {
+			g.module.End(g.Clock.Now(), t, false, false)
+			t, r, wait = callers.Ticket{}, callers.FleetUsed, backFleet
+		}
+	}
 	g.count(r)
 	return t, r, wait
 }
@@ -144,6 +163,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.module.End(g.Clock.Now(), t, ran, shed)
+	if len(t.Budgets) > 0 {
+		g.Fleet.Spent(t.Budgets)
+	}
 	g.tell()
 }
 
@@ -157,6 +179,8 @@
 		g.Counts.OverShare.Add(1)
 	case callers.Pressed:
 		g.Counts.OverLevel.Add(1)
+	case callers.FleetUsed:
+		g.Counts.OverFleet.Add(1)
 	case callers.ChecksUsed:
 		g.Counts.Unchecked.Add(1)
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,14 @@
 
 	Gate  Gate   // the stage that asks who is calling; nil where nobody does
 	Shard *Shard // of several in one process; nil for one alone
+
+	Bounders func() Bounder // of the fleet's budget at the origin, one for each module; nil where there is none
+}
+
+// Bounder tells how many forwards that may need the origin a module may have under way, while it acts and when it has: how many are, and how
+// many looks have found the bound reached so far.
+type Bounder interface {
+	Bound(held, refused int, acts bool) (most int)
 }
 
 // Gate is the stage before the module that asks who is calling.
@@ -55,6 +63,7 @@
 
 	mu       sync.Mutex
 	module   *control.Dispatcher
+	origins  Bounder // nil where there is none
 	gets     map[uint32]*get
 	byCall   map[call.Call]*get
 	byID     map[string]*get // by the id of the request
@@ -108,6 +117,9 @@
 func New(c Config) *Node {
 	n := &Node{Config: c, timer: time.NewTimer(time.Hour), gets: map[uint32]*get{},
 		byCall: map[call.Call]*get{}, byID: map[string]*get{}, hosts: map[uint32]*host{}}
+	if n.Bounders != nil {
+		n.origins = n.Bounders()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = control.New(n.settings(), n.Clock.Now(), wire{n})
@@ -190,6 +202,8 @@
 
 // step makes one call on the module, tells it what ended by the way, and lets it settle.
 func (n *Node) step(what func(now float64)) {
+	n.bound(true)
+	defer n.bound(false)
 	now := n.Clock.Now()
 	what(now)
 	n.module.Settle(now)
@@ -205,6 +219,16 @@
 	}
 }
 
+// bound has the module know, for as long as it acts, how much of the fleet's budget at the origin it may use, and tells what it does. Guards
+// against a process that was stopped: it acts by no bound that it was told before.
+func (n *Node) bound(acts bool) {
+	if n.origins == nil {
+		return
+	}
+	held, refused := n.module.Origins()
+	n.module.Bound(n.origins.Bound(held, refused, acts))
+}
+
 // Ready tells whether GETs may come.
 func (n *Node) Ready() bool { return n.listed.Load() && !n.draining.Load() }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"net/netip"
 	"path/filepath"
+	"strings"
 
+	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet"
@@ -62,6 +64,11 @@
 	if in := o.Inner("duties"); in != nil {
 		f.Duties = d.duties(in)
 	}
+	if in := o.Inner("budgets"); in != nil {
+		if f.Budgets = d.budgets(in); f.Duties == nil {
+			o.Fault("duties", "is needed where budgets are divided: its log keeps who has what")
+		}
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
@@ -74,6 +81,97 @@
 	d.config.Fleet = f
 }
 
+const (
+	leastTail   = 0.1  // s
+	mostTail    = 30.0 // s
+	defaultTail = 10.0 // s; longer than any usual viewer timeout
+)
+
+// budgets reads the wholes that all dispatchers divide among them.
+func (d *decoder) budgets(o *strict.Object) *fleet.Budgets {
+	to := &fleet.Budgets{Generation: 1, Tail: defaultTail, Uses: map[string][]string{}}
+	generation := 1
+	o.Count("generation", &generation, 1, 1<<31-1)
+	to.Generation = uint64(generation)
+	o.Duration("tail", &to.Tail, leastTail, mostTail)
+	in := o.Inner("wholes")
+	if in == nil {
+		o.Fault("wholes", "is needed")
+		o.Done()
+		return to
+	}
+	rates := map[string][]string{}
+	for _, name := range in.Keys() {
+		one := in.Inner(name)
+		if one == nil {
+			continue
+		}
+		b := budgets.Budget{Name: name}
+		most, amount, rate := -1, -1, -1.0
+		one.Count("most", &most, 0, 1<<31-1)
+		one.Number("rate", &rate, 0, mostRate)
+		one.Count("amount", &amount, 0, 1<<50)
+		kinds := 0
+		if most >= 0 {
+			b.Kind, b.Whole = budgets.UnderWay, int64(most)
+			kinds++
+		}
+		if rate >= 0 {
+			b.Kind, b.Whole = budgets.Rate, int64(rate*float64(budgets.Thousand))
+			kinds++
+		}
+		if amount >= 0 {
+			b.Kind, b.Whole = budgets.Amount, int64(amount)
+			kinds++
+		}
+		if kinds != 1 {
+			in.Fault(name, "needs one of most, rate and amount")
+		}
+		var burst, floor, ceiling int
+		var of string
+		one.Count("burst", &burst, 0, 1<<31-1)
+		one.Count("floor", &floor, 0, 1<<31-1)
+		one.Count("ceiling", &ceiling, 0, 1<<31-1)
+		one.Duration("window", &b.Window, 1, 31*24*3600)
+		unit := int64(1)
+		if b.Kind == budgets.Rate {
+			unit = budgets.Thousand
+		}
+		b.Burst, b.Floor, b.Ceiling = int64(burst), int64(floor)*unit, int64(ceiling)*unit
+		if one.Text("of", &of); of != "" {
+			tenant := strings.HasPrefix(of, budgets.UseTenant) && len(of) > len(budgets.UseTenant)
+			switch {
+			case b.Kind == budgets.Amount, of == budgets.UseOrigin && b.Kind != budgets.UnderWay, of == budgets.UseRetries && b.Kind != budgets.Rate:
+				one.Fault("of", "%q can't be bounded by that: a tenant by most or rate, the origin by most, retries by rate", of)
+			case of != budgets.UseOrigin && of != budgets.UseRetries && !tenant:
+				one.Fault("of", "%q is none of origin, retries and tenant:NAME", of)
+			case b.Kind == budgets.Rate:
+				rates[of] = append(rates[of], name)
+			default:
+				to.Uses[of] = append(to.Uses[of], name)
+			}
+		}
+		one.Done()
+		if err := b.Check(); err != nil && kinds == 1 {
+			in.Fault(name, "%v", err)
+		}
+		to.All = append(to.All, b)
+	}
+	for of, names := range rates { // behind those under way, which can be given back
+		to.Uses[of] = append(to.Uses[of], names...)
+	}
+	for _, names := range to.Uses {
+		if len(names) > 2 {
+			o.Fault("wholes", "%s: more than two bound one use", strings.Join(names, ", "))
+		}
+	}
+	if len(to.All) > budgets.MostBudgets {
+		o.Fault("wholes", "%d, at most %d", len(to.All), budgets.MostBudgets)
+	}
+	o.Done()
+	return to
+}
+
 // duties reads which duties this dispatcher stands for, and whether it votes on them.
 func (d *decoder) duties(o *strict.Object) *fleet.Duties {
 	to := &fleet.Duties{Stands: map[string]float64{}, Report: fleet.ReportEach}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -56,6 +56,8 @@
 	Joins() []bool
 	// Retries bounds forwards after failed ones; the zero value does not.
 	Retries() retries.Settings
+	// Origins makes a module's part in what the fleet lets all dispatchers have at the origin; nil where nothing is shared out.
+	Origins() func() node.Bounder
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -191,6 +193,7 @@
 	}
 	if e != nil {
 		n.Joins, n.Settings.Retries = e.Joins(), e.Retries()
+		n.Bounders = e.Origins()
 	}
 	if of.Shards > 1 {
 		debug.SetGCPercent(collectAt)
--- a/internal/standin/processes/processes.go
+++ b/internal/standin/processes/processes.go
@@ -35,7 +35,8 @@
 	Direct bool // no relays: nothing can be put between
 	// Operator is the operator's file of one process.
 	Operator func(p *Process) string
-	Env      []string // more of each process's environment; {dir} is its folder
+	Answer   func(a standin.Ask) string // of the stand-in host; nil has all copies
+	Env      []string                   // more of each process's environment; {dir} is its folder
 }
 
 // Rig is several processes.
@@ -46,6 +47,7 @@
 	Processes []*Process
 	Host      *standin.Host
 	Changes   *standin.ChangeLog
+	origin    *standin.Host
 
 	number int64
 	links  links
@@ -123,6 +125,9 @@
 	r := &Rig{TB: t, Options: o, Dir: t.TempDir(), number: rigs.Add(1), links: links{all: map[[2]int]Link{}}}
 	var err error
 	if r.Host, err = standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
+		if r.Answer != nil {
+			return r.Answer(a)
+		}
 		if a.Stop {
 			return ""
 		}
@@ -156,6 +161,15 @@
 	return r
 }
 
+// ListenOrigin has an origin listen, before processes are started: without it nothing does.
+func (r *Rig) ListenOrigin(answer func(a standin.Ask) string) {
+	var err error
+	if r.origin, err = standin.Listen("127.0.0.1:0", answer); err != nil {
+		r.Fatal(err)
+	}
+	r.Changes.Push(standin.List(2, true, "s-1 "+r.Host.Address+" std SERVING", "s-2 "+r.origin.Address+" origin SERVING"))
+}
+
 // Start starts all.
 func (r *Rig) Start() {
 	for _, p := range r.Processes {
@@ -177,6 +191,9 @@
 		e.close()
 	}
 	r.Host.Close()
+	if r.origin != nil {
+		r.origin.Close()
+	}
 	r.Changes.Close()
 	r.all.Wait()
 	if r.Failed() {
--- a/retries/retries.go
+++ b/retries/retries.go
@@ -6,8 +6,9 @@
 
 // Settings say how many further forwards may go. The zero value bounds nothing.
 type Settings struct {
-	Share float64 // of answers that were returned: so many further forwards are earned by one
-	Floor float64 // further forwards a second that may go whatever succeeds
+	Share float64     // of answers that were returned: so many further forwards are earned by one
+	Floor float64     // further forwards a second that may go whatever succeeds
+	Fleet func() bool // whether the fleet has one for this dispatcher; nil where it shares none out
 }
 
 const (
@@ -39,11 +40,11 @@
 // Spend takes a further forward out; false if none is left. Time that goes back gives nothing.
 func (b *Budget) Spend(now float64) bool {
 	if b.Share == 0 && b.Floor == 0 {
-		return true
+		return b.Fleet == nil || b.Fleet()
 	}
 	b.tokens = math.Min(most(b.Settings), b.tokens+b.Floor*math.Max(0, now-b.at))
 	b.at = now
-	if b.tokens < 1 {
+	if b.tokens < 1 || b.Fleet != nil && !b.Fleet() {
 		return false
 	}
 	b.tokens--
