--- /dev/null
+++ b/cmd/elderwall-operator/budgetsplay.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"elderwall/emulate"
+	"elderwall/fleet/budgets"
+	"elderwall/internal/chart"
+)
+
+// budgetsPlayCommand plays dispatchers that share a budget, with no sockets.
+type budgetsPlayCommand struct {
+	Dispatchers int      `default:"300" help:"Size of the fleet."`
+	Cases       []string `default:"calm,restarts,burst,herd,split,move,join,less" help:"What happens."`
+	Ways        []string `default:"divided,equal parts,each its own,ideal" help:"The ways that are put side by side."`
+	Kind        string   `default:"under way" enum:"under way,rate" help:"What the budget counts."`
+	Whole       float64  `default:"3000" help:"The whole: at a time, or a second."`
+	Demand      float64  `default:"1.5" help:"Times the whole."`
+	Span        float64  `default:"120" help:"Seconds that count."`
+	Seed        uint64   `default:"1" help:"Of chance."`
+	Charts      string   `help:"Where a chart of each case goes, as SVG." type:"path" placeholder:"FOLDER"`
+	JSON        string   `help:"Where the results go as JSON." type:"path" placeholder:"FILE"`
+}
+
+// budgetCases is what may happen; times are in seconds.
+var budgetCases = map[string]func(*emulate.BudgetScenario){
+	"calm":     func(*emulate.BudgetScenario) {},
+	"restarts": func(s *emulate.BudgetScenario) { s.Restarts = 0.1 },
+	"burst":    trouble(emulate.BudgetTrouble{Kind: emulate.Surge, At: 30, Share: 0.05}),
+	"herd":     trouble(emulate.BudgetTrouble{Kind: emulate.Die, At: 30, For: 3, Share: 0.7}),
+	"split":    trouble(emulate.BudgetTrouble{Kind: emulate.Cut, At: 30, For: 30, Share: 0.5}),
+	"move":     trouble(emulate.BudgetTrouble{Kind: emulate.Moving, At: 30, Share: 0.1}),
+	"join":     func(s *emulate.BudgetScenario) { s.Warm = 0 },
+	"less":     trouble(emulate.BudgetTrouble{Kind: emulate.Whole, At: 30, Share: 0.5}),
+	"divider":  trouble(emulate.BudgetTrouble{Kind: emulate.NoDivider, At: 30, For: 4}),
+}
+
+func trouble(t emulate.BudgetTrouble) func(*emulate.BudgetScenario) {
+	return func(s *emulate.BudgetScenario) { s.Troubles = append(s.Troubles, t) }
+}
+
+type budgetPlayed struct {
+	Case, Way string
+	*emulate.BudgetResult
+}
+
+// Run plays all of them, and prints a table.
+func (c *budgetsPlayCommand) Run() error {
+	var all []budgetPlayed
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "case (simulated)\tway\tgiven\tused\tworst 10 s\tfair\tmost at the host\tfollowed after\tturned away\tbytes/s\tentries/s")
+	for _, name := range c.Cases {
+		change, ok := budgetCases[name]
+		if !ok {
+			return fmt.Errorf("no case %q", name)
+		}
+		var lines []chart.Series
+		for _, way := range c.Ways {
+			s := emulate.BudgetDefault()
+			s.Seed, s.Dispatchers, s.Whole, s.Demand, s.Span, s.Way = c.Seed, c.Dispatchers, c.Whole, c.Demand, c.Span, way
+			if c.Kind == "rate" {
+				s.Kind, s.Burst = budgets.Rate, c.Whole/10
+			}
+			change(&s)
+			r, err := emulate.RunBudgets(s)
+			if err != nil {
+				return err
+			}
+			r.Events = nil
+			all = append(all, budgetPlayed{name, way, r})
+			follow := "never"
+			if r.Follow >= 0 {
+				follow = fmt.Sprintf("%.0f s", r.Follow)
+			}
+			fmt.Fprintf(out, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%s\t%.3f\t%.0f\t%.2f\n", name, way, r.Given, r.Used, r.Worst, r.Fair, r.Most, follow, r.Turned, r.Bytes, r.Entries)
+			line := chart.Series{Name: way, Y: r.Course}
+			for i := range r.Course {
+				line.X = append(line.X, float64(i))
+			}
+			lines = append(lines, line)
+		}
+		if c.Charts != "" {
+			if err := chart.Lines(filepath.Join(c.Charts, "budgets-"+name+".svg"), fmt.Sprintf("%s: %d dispatchers, one budget (simulated)", name, c.Dispatchers),
+				chart.Axis{Name: "s"}, chart.Axis{Name: "of the whole, in use"}, lines); err != nil {
+				return err
+			}
+		}
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(all, "", "  ")
+	if err == nil {
+		err = os.WriteFile(c.JSON, append(raw, '\n'), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return nil
+}
--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -18,19 +18,20 @@
 
 // fleetCommand asks dispatchers that know each other.
 type fleetCommand struct {
-	Members membersCommand   `cmd:"" help:"List the members as one of them sees them."`
-	Watch   watchCommand     `cmd:"" help:"Follow the changes that one of them sees."`
-	Duties  dutiesCommand    `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
-	Budgets budgetsCommand   `cmd:"" help:"List the budgets: the wholes, and how they are divided."`
-	Spend   spendCommand     `cmd:"" help:"Take units of a budget at a dispatcher; fails where it has none left."`
-	Hold    holdCommand      `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
-	Hand    handCommand      `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
-	Drop    dropCommand      `cmd:"" help:"Forget a duty that nobody holds."`
-	Voters  votersCommand    `cmd:"" help:"List the voters of the log, begin it, or change who votes."`
-	Recover recoverCommand   `cmd:"" help:"Begin a new log with what one voter has, where the majority of the voters is lost for good."`
-	Leave   leaveCommand     `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
-	Key     fleetKeyCommand  `cmd:"" help:"Print a new key, a line of the key file that all have."`
-	Emulate fleetPlayCommand `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
+	Members membersCommand     `cmd:"" help:"List the members as one of them sees them."`
+	Watch   watchCommand       `cmd:"" help:"Follow the changes that one of them sees."`
+	Duties  dutiesCommand      `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
+	Budgets budgetsCommand     `cmd:"" help:"List the budgets: the wholes, and how they are divided."`
+	Spend   spendCommand       `cmd:"" help:"Take units of a budget at a dispatcher; fails where it has none left."`
+	Hold    holdCommand        `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
+	Hand    handCommand        `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
+	Drop    dropCommand        `cmd:"" help:"Forget a duty that nobody holds."`
+	Voters  votersCommand      `cmd:"" help:"List the voters of the log, begin it, or change who votes."`
+	Recover recoverCommand     `cmd:"" help:"Begin a new log with what one voter has, where the majority of the voters is lost for good."`
+	Leave   leaveCommand       `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
+	Key     fleetKeyCommand    `cmd:"" help:"Print a new key, a line of the key file that all have."`
+	Emulate fleetPlayCommand   `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
+	Share   budgetsPlayCommand `cmd:"" name:"emulate-budgets" help:"Play a fleet that shares a budget, with no sockets: how the whole is used, beside other ways."`
 }
 
 // asked is whom the commands ask.
--- a/emulate/budgets.go
+++ b/emulate/budgets.go
@@ -74,6 +74,7 @@
 
 // BudgetResult is what came of it. All of it is simulated.
 type BudgetResult struct {
+	Given    float64   // of the whole that all together may use by their own reckoning, in the mean
 	Used     float64   // of what demand would have used of the whole, in the mean
 	Worst    float64   // of ten seconds
 	Fair     float64   // Jain's index over what dispatchers got of what they asked for
@@ -120,6 +121,8 @@
 	wants, uses [][2]float64 // by second: GET-seconds, or GETs
 	shrunk      float64
 	before      float64 // the whole until what was given of it has surely ended
+	given       float64 // sums of limits, by the whole, at all sights
+	sights      float64
 	idle        float64 // bucket of the ideal
 	idleAt      float64
 }
@@ -319,7 +322,7 @@
 	}
 	w.inUse--
 	d.inUse--
-	d.holder.Done(budgetName, 1)
+	d.holder.Done(w.now*d.clock, budgetName, 1)
 }
 
 // pass tells whether a dispatcher lets a GET on.
@@ -432,6 +435,12 @@
 	if w.Kind == budgets.UnderWay && w.now > w.Warm {
 		w.result.Most = max(w.result.Most, float64(w.inUse)/max(1, sight.Whole))
 	}
+	if w.now > w.Warm {
+		for _, l := range sight.Limits {
+			w.given += float64(l) / float64(max(1, w.units(w.whole)))
+		}
+		w.sights++
+	}
 	if w.Watch != nil {
 		w.Watch(sight)
 	}
@@ -465,6 +474,7 @@
 			r.Follow = float64(s) - w.Warm - last
 		}
 	}
+	r.Given = w.given / max(1, w.sights)
 	r.Used = used / max(1, could)
 	var got, squares, n, asked, all float64
 	for _, d := range w.all {
--- a/fleet/budgets/divider.go
+++ b/fleet/budgets/divider.go
@@ -9,7 +9,7 @@
 
 const (
 	reserve   = 0.03 // of a whole, for those that come
-	headroom  = 1.15 // times what was needed lately
+	headroom  = 1.05 // times what was needed lately
 	forgets   = 5.0  // s; in which a need that is over falls to a third
 	least     = 0.05 // of a part: smaller changes are not worth an entry
 	foothold  = 0.2  // of what nobody needs of an amount is spread over all; the rest stays free
@@ -324,6 +324,9 @@
 // feed gives what is free to those who are to have more, evenly by what they lack.
 func (d *Divider) feed(a *Account, hungry []uint32, targets map[uint32]int64, sets map[uint32]Part, free int64) {
 	kept := int64(reserve * float64(a.Whole))
+	if a.Kind == Amount { // who comes has more of the next window
+		kept = 0
+	}
 	lacks := make([]float64, len(hungry))
 	for i, id := range hungry {
 		if lacks[i] = float64(targets[id] - sets[id].Out); sets[id].Out == 0 {
@@ -343,7 +346,7 @@
 	}
 }
 
-// target is what each is to have: by need, zones first and then in each; what nobody needs is spread evenly.
+// target is what each is to have: by need, zones first and then in each; what nobody needs is spread over all.
 func (d *Divider) target(now float64, a *Account) map[uint32]int64 {
 	targets := map[uint32]int64{}
 	byZone := map[string][]uint32{}
@@ -390,13 +393,16 @@
 			left -= own
 		}
 	}
-	spread := left / float64(n)
 	if a.Kind == Amount {
-		spread *= foothold
+		left *= foothold
+	}
+	roots := 0.0
+	for id := range targets {
+		roots += math.Sqrt(1 + need(id))
 	}
 	for _, ids := range byZone {
 		for _, id := range ids {
-			t := targets[id] + int64(math.Max(0, spread))
+			t := targets[id] + int64(math.Max(0, left*math.Sqrt(1+need(id))/roots)) // by how much what comes by chance varies
 			if a.Ceiling > 0 {
 				t = min(t, a.Ceiling)
 			}
@@ -468,8 +474,8 @@
 			case Amount: // counted by the holder's own figure: what it used and the ledger does not know yet is of what is out
 				g.Size, g.Floor = ask.Used+max(0, min(p.Out-max(0, ask.Used-p.Used), d.targets[a.Name][id])), 0
 			case Rate:
-				if a.Whole > 0 {
-					g.Burst = int64(float64(a.Burst) * float64(g.Size) / float64(a.Whole))
+				if a.Whole > 0 && g.Size > 0 { // and one each, without which nothing could be taken at all
+					g.Burst = 1 + int64(float64(a.Burst)*float64(g.Size)/float64(a.Whole))
 				}
 			}
 			to.Gives = append(to.Gives, g)
--- a/fleet/budgets/holder.go
+++ b/fleet/budgets/holder.go
@@ -64,7 +64,9 @@
 type share struct {
 	Give
 	inUse   int64
-	peak    int64 // in use at a time since the last question
+	spare   int64   // of that, reserved and not begun
+	area    float64 // in use by seconds, since the last question
+	areaAt  float64
 	used    int64
 	level   float64 // of a rate's bucket
 	at      float64 // when it was last filled
@@ -83,7 +85,7 @@
 // Use says that a budget is used here.
 func (h *Holder) Use(budget string, kind Kind, now float64) {
 	if h.shares[budget] == nil && len(h.shares) < MostBudgets {
-		h.shares[budget] = &share{Give: Give{Budget: budget, Kind: kind}, at: now, counted: now}
+		h.shares[budget] = &share{Give: Give{Budget: budget, Kind: kind}, at: now, counted: now, areaAt: now}
 		h.due = now
 	}
 }
@@ -138,8 +140,7 @@
 	switch s.Kind {
 	case UnderWay:
 		if ok = s.inUse+n <= limit; ok {
-			s.inUse += n
-			s.peak = max(s.peak, s.inUse)
+			s.use(now, n)
 		}
 	case Rate:
 		h.fill(now, s)
@@ -187,21 +188,28 @@
 
 // Reserve books what may be under way elsewhere by a bound that this gave, in place of what was reserved before; held is what is, begun how
 // much of it was since the last time.
-func (h *Holder) Reserve(budget string, was, is, held, begun int64) {
+func (h *Holder) Reserve(now float64, budget string, was, is, held, begun int64) {
 	if s := h.shares[budget]; s != nil && s.Kind == UnderWay {
-		s.inUse = max(0, s.inUse+is-was)
+		s.use(now, is-was)
 		s.took += float64(begun)
-		s.peak = max(s.peak, s.inUse-is+held)
+		s.spare = is - held
 	}
 }
 
 // Done ends what was under way.
-func (h *Holder) Done(budget string, n int64) {
+func (h *Holder) Done(now float64, budget string, n int64) {
 	if s := h.shares[budget]; s != nil && s.Kind == UnderWay {
-		s.inUse = max(0, s.inUse-n)
+		s.use(now, -n)
 	}
 }
 
+// use books what begins and ends.
+func (s *share) use(now float64, n int64) {
+	s.area += float64(s.inUse-s.spare) * math.Max(0, now-s.areaAt)
+	s.areaAt = now
+	s.inUse = max(0, s.inUse+n)
+}
+
 // Leave gives all up.
 func (h *Holder) Leave(now float64) { h.leaving, h.due = true, now }
 
@@ -227,9 +235,10 @@
 	if s.Kind == Amount {
 		return int64(math.Ceil(rate * 2 * Lease))
 	}
-	n := float64(max(s.peak, s.inUse))
+	s.use(now, 0)
+	n := s.area / span // by the mean: a peak would hold far more than is used at those that have little
 	if s.refused > 0 {
-		n = math.Max(n*(s.took+s.refused)/math.Max(1, s.took), n+1)
+		n = math.Max(n*(s.took+s.refused)/math.Max(1, s.took), 1)
 	}
 	return int64(math.Ceil(n))
 }
@@ -255,7 +264,7 @@
 		// What it binds itself to is in force from now on: an answer to an earlier question raises nothing.
 		s.Size = h.limit(now, s)
 		q.Asks = append(q.Asks, Ask{Budget: name, Keep: h.keep(now, s), Floor: min(s.Floor, s.Size), Used: s.used, Need: s.told})
-		s.peak, s.took, s.refused, s.counted = s.inUse, 0, 0, now
+		s.area, s.took, s.refused, s.counted = 0, 0, 0, now
 	}
 	return q, true
 }
--- a/fleet/budgets/ledger.go
+++ b/fleet/budgets/ledger.go
@@ -53,7 +53,7 @@
 	Name    string
 	Kind    Kind
 	Whole   int64
-	Burst   int64   // of a rate: so many at once, of all together
+	Burst   int64   // of a rate: so many at once, of all together, and one more of each dispatcher
 	Window  float64 // s; of an amount
 	Floor   int64   // the standing part of each dispatcher, also cut off; 0 for none
 	Ceiling int64   // the most that one may have; 0 for any
--- a/internal/fleet/divide.go
+++ b/internal/fleet/divide.go
@@ -94,7 +94,7 @@
 	for i, name := range all {
 		if !s.holder.Take(now, name, 1) {
 			for _, taken := range all[:i] { // those under way come first, and a rate's last
-				s.holder.Done(taken, 1)
+				s.holder.Done(now, taken, 1)
 			}
 			return nil, false
 		}
@@ -108,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range of {
-		s.holder.Done(name, 1)
+		s.holder.Done(f.dutyNow(), name, 1)
 	}
 }
 
@@ -146,7 +146,7 @@
 	names := s.uses[budgets.UseOrigin]
 	for _, name := range names {
 		s.holder.Refused(name, int64(refused-b.refused))
-		s.holder.Reserve(name, int64(b.reserved), int64(held), int64(held), int64(max(0, held-b.held)))
+		s.holder.Reserve(now, name, int64(b.reserved), int64(held), int64(held), int64(max(0, held-b.held)))
 		if acts {
 			most = min(most, held+int(max(0, s.holder.Limit(now, name)-s.holder.InUse(name))))
 		}
@@ -154,7 +154,7 @@
 	b.refused, b.held, b.reserved = refused, held, held
 	if acts && most < math.MaxInt {
 		for _, name := range names {
-			s.holder.Reserve(name, int64(held), int64(most), int64(held), 0)
+			s.holder.Reserve(now, name, int64(held), int64(most), int64(held), 0)
 		}
 		b.reserved = most
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -214,7 +214,7 @@
 			f.group.Go(func() error { return f.report(f.ctx) })
 		}
 	}
-	if f.Budgets != nil {
+	if f.spending.holder != nil {
 		f.group.Go(func() error { return f.spend(f.ctx) })
 		f.group.Go(func() error { return f.divide(f.ctx) })
 	}
@@ -230,7 +230,7 @@
 
 // Close has the member give its duties back and leave: others are to ask it nothing more.
 func (f *Fleet) Close() {
-	if f.Budgets != nil {
+	if f.spending.holder != nil && f.ctx != nil {
 		f.giveUp()
 	}
 	if f.Duties != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -124,3 +124,45 @@
 		}
 	}
 }
+
+// shares is a fleet's budget with so many places.
+type shares struct{ left, out int }
+
+func (s *shares) Spend(use string) ([]string, bool) {
+	if use != "tenant:a" {
+		return nil, true
+	}
+	if s.left == 0 {
+		return nil, false
+	}
+	s.left--
+	s.out++
+	return []string{"a"}, true
+}
+
+func (s *shares) Spent(of []string) {
+	s.left += len(of)
+	s.out -= len(of)
+}
+
+// What the fleet lets a tenant have is asked last, and given back with the GET; what it turns away is charged nowhere.
+func TestTheFleetsBudgetOfATenant(t *testing.T) {
+	wall, k := noon, key(t, "k1", "EdDSA")
+	g, conn, left := newGate(t, &wall, k), &callers.Conn{}, &shares{left: 1}
+	g.Fleet = left
+	get := call.GET{Object: "7f3a9c21e0b4d655", Token: sign(t, k, "till"), Conn: conn}
+	first, r, _ := g.Admit(get, 0)
+	require.Equal(t, callers.Passed, r)
+	for range 3 {
+		_, r, wait := g.Admit(get, 0)
+		assert.Equal(t, callers.FleetUsed, r)
+		assert.True(t, r.Shed())
+		assert.Equal(t, "fleet", r.String())
+		assert.Positive(t, wait)
+	}
+	assert.EqualValues(t, 3, g.Counts.OverFleet.Load())
+	g.End(first, true, false)
+	assert.Equal(t, shares{left: 1}, *left)
+	assert.Equal(t, callers.Passed, ask(g, conn, get.Token))
+	assert.Equal(t, shares{left: 1}, *left)
+}
--- a/internal/operator/proxies_test.go
+++ b/internal/operator/proxies_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/fleet/budgets"
 )
 
 const onePath = `{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment' }`
@@ -55,3 +57,38 @@
 		assert.ErrorContains(t, err, want, text)
 	}
 }
+
+func TestBudgets(t *testing.T) {
+	file := func(budgets string) string {
+		return `{fleet: {listen: '127.0.0.1:5100', duties: {}, budgets: {` + budgets + `}}}`
+	}
+	load := func(text string) (*Config, error) { return decode("f", text, services) }
+	c, err := load(file(`generation: 3, tail: '4s', wholes: {
+		fills: {of: 'origin', most: 40, floor: 1, ceiling: 9}, a: {of: 'tenant:a', rate: 2.5, burst: 10}, aa: {of: 'tenant:a', most: 3}, again: {of: 'retries', rate: 1},
+		bytes: {amount: 100, window: '1h'}}`))
+	require.NoError(t, err)
+	b := c.Fleet.Budgets
+	assert.Equal(t, uint64(3), b.Generation)
+	assert.Equal(t, 4.0, b.Tail)
+	assert.Equal(t, map[string][]string{"origin": {"fills"}, "tenant:a": {"aa", "a"}, "retries": {"again"}}, b.Uses, "what can be given back comes first")
+	assert.Contains(t, b.All, budgets.Budget{Name: "a", Kind: budgets.Rate, Whole: 2500, Burst: 10})
+	assert.Contains(t, b.All, budgets.Budget{Name: "fills", Kind: budgets.UnderWay, Whole: 40, Floor: 1, Ceiling: 9})
+	for text, want := range map[string]string{
+		``:                                                 "wholes: is needed",
+		`wholes: {x: {}}`:                                  "needs one of most, rate and amount",
+		`wholes: {x: {most: 1, rate: 2}}`:                  "needs one of most, rate and amount",
+		`wholes: {x: {of: 'origin', rate: 2}}`:             "can't be bounded by that",
+		`wholes: {x: {of: 'tenant:', most: 2}}`:            "is none of origin, retries and tenant:NAME",
+		`wholes: {x: {amount: 2}}`:                         "a window of 0 s",
+		`wholes: {x: {most: 2, floor: 3, ceiling: 2}}`:     "the ceiling is under the floor",
+		`wholes: {x: {amount: 2, window: '1h', floor: 1}}`: "an amount has no floor",
+		`tail: '40s', wholes: {}`:                          "tail",
+	} {
+		_, err := load(file(text))
+		require.Error(t, err, text)
+		assert.Contains(t, err.Error(), want, text)
+	}
+	_, err = load(`{fleet: {listen: '127.0.0.1:5100', budgets: {wholes: {}}}}`)
+	require.Error(t, err)
+	assert.Contains(t, err.Error(), "duties: is needed")
+}
