Let floors fall with the whole, and test dispatchers that come and go and one that wakes

Seen: with floors of more than the whole, nine dispatchers of which six came and went, and a whole cut from 6 to 1, 2 stayed out for good. Cause: answers told the ledger's floor, which goes by what the holder counts on, so that it never fell. Answers tell the floor that fits now.

--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -415,3 +415,27 @@
 	q, _ = h.Tick(2)
 	assert.False(t, h.Answer(2.1, Answer{ID: q.ID, Token: 2}), "of an older divider")
 }
+
+// Floors fall with the whole, at those that ask: their sum fits it.
+func TestFloorsFall(t *testing.T) {
+	w := newWorld(UnderWay, "")
+	floors := func() (sum int64) {
+		for _, h := range w.holders {
+			sum += h.shares["b"].Floor
+		}
+		return sum
+	}
+	w.divider.Settings(2, []Budget{{Name: "b", Kind: UnderWay, Whole: 4, Floor: 2}})
+	for range 8 {
+		w.calm()
+	}
+	assert.EqualValues(t, 4, floors())
+	w.whole = 1
+	w.divider.Settings(3, []Budget{{Name: "b", Kind: UnderWay, Whole: 1, Floor: 2}})
+	for range 8 {
+		w.calm()
+	}
+	assert.Zero(t, floors())
+	assert.NoError(t, w.check())
+	assert.LessOrEqual(t, w.log.Accounts["b"].Sum(), int64(1))
+}
--- a/fleet/budgets/divider.go
+++ b/fleet/budgets/divider.go
@@ -249,10 +249,7 @@
 		free = 0
 	}
 	sets := map[uint32]Part{}
-	floor := a.Floor
-	if n := int64(len(d.ledger.Seats)); n > 0 {
-		floor = min(floor, a.Whole/n)
-	}
+	floor := d.floor(a)
 	var hungry []uint32
 	for _, id := range slices.Sorted(maps.Keys(d.ledger.Seats)) {
 		if slices.Contains(c.Forget, id) {
@@ -321,6 +318,14 @@
 	}
 }
 
+// floor is what each seat is to keep without word: all of them together have to fit.
+func (d *Divider) floor(a *Account) int64 {
+	if n := int64(len(d.ledger.Seats)); n > 0 {
+		return min(a.Floor, a.Whole/n)
+	}
+	return a.Floor
+}
+
 // feed gives what is free to those who are to have more, evenly by what they lack.
 func (d *Divider) feed(a *Account, hungry []uint32, targets map[uint32]int64, sets map[uint32]Part, free int64) {
 	kept := int64(reserve * float64(a.Whole))
@@ -469,7 +474,9 @@
 				continue
 			}
 			p := a.Parts[id]
-			g := Give{Budget: a.Name, Kind: a.Kind, Size: min(p.Out, max(d.targets[a.Name][id], p.Floor)), Floor: p.Floor}
+			// Not the ledger's floor, which goes by what the holder counts on: that would never fall.
+			floor := min(p.Floor, d.floor(a))
+			g := Give{Budget: a.Name, Kind: a.Kind, Size: min(p.Out, max(d.targets[a.Name][id], floor)), Floor: floor}
 			switch a.Kind {
 			case Amount: // counted by the holder's own figure: what it used and the ledger does not know yet is of what is out
 				g.Size, g.Floor = ask.Used+max(0, min(p.Out-max(0, ask.Used-p.Used), d.targets[a.Name][id])), 0
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/fleet/budgets"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/processes"
 )
@@ -298,6 +300,109 @@
 	assert.Positive(t, b.shed.Load(), "what is over is turned away")
 }
 
+// Three that stay and six that come and go all the time, ended by TERM and by KILL, with floors that are more than the whole: never over it, and
+// all of it used once they stay.
+func TestBudgetsWhileDispatchersComeAndGo(t *testing.T) {
+	b := budget(t, 9, 6, `{fills: {of: "origin", most: 6, floor: 2}}`)
+	stop := make(chan struct{})
+	wait := b.load(stop, 2)
+	b.used(5)
+	chance := rand.New(rand.NewPCG(1, 9))
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		p := b.Processes[3+chance.IntN(6)]
+		switch {
+		case !p.Runs():
+			p.Start()
+		case chance.IntN(2) == 0:
+			p.Kill()
+		default:
+			go p.End()
+		}
+	}
+	for _, p := range b.Processes {
+		b.Until(soon, "it runs", func() error {
+			if p.Start(); !p.Runs() {
+				return errors.New("not yet")
+			}
+			return nil
+		})
+	}
+	b.used(5)
+	b.change(`{fills: {of: "origin", most: 1, floor: 2}}`)
+	b.Until(soon, "a whole of one holds", func() error {
+		if told := b.books(0); told.Whole != 1 || told.Out > 1 {
+			return fmt.Errorf("%d of %d", told.Out, told.Whole)
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	b.origin.mu.Lock()
+	b.origin.whole = 1
+	b.origin.mu.Unlock()
+	b.used(1)
+	close(stop)
+	wait()
+	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+}
+
+// One is stopped for longer than its share with fills under way, and wakes: it acts by no share that it had.
+func TestAHolderWakesAfterItsShare(t *testing.T) {
+	b := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`)
+	stop := make(chan struct{})
+	wait := b.load(stop, 4)
+	b.used(5)
+	for i := range 3 {
+		b.loads[i].Store(0)
+	}
+	b.loads[3].Store(12)
+	b.used(5) // it has nearly all
+	b.Processes[3].Signal(syscall.SIGSTOP)
+	for i := range 3 {
+		b.loads[i].Store(8)
+	}
+	b.Until(soon, "the others have it", func() error {
+		b.origin.mu.Lock()
+		defer b.origin.mu.Unlock()
+		if b.origin.now < 5 {
+			return fmt.Errorf("%d", b.origin.now)
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	b.Processes[3].Signal(syscall.SIGCONT)
+	time.Sleep(3 * time.Second)
+	close(stop)
+	wait()
+	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+}
+
+// BenchmarkSpend is what a GET pays where budgets are on: one tenant's, and the bound at the origin around each act of the module.
+func BenchmarkSpend(b *testing.B) {
+	f := &Fleet{Settings: Settings{Name: "x", Budgets: &Budgets{All: []budgets.Budget{{Name: "t", Kind: budgets.UnderWay, Whole: 9}, {Name: "o", Kind: budgets.UnderWay, Whole: 9}},
+		Uses: map[string][]string{"tenant:a": {"t"}, budgets.UseOrigin: {"o"}}}}}
+	f.beginSpending()
+	s := &f.spending
+	q, _ := s.holder.Tick(f.dutyNow())
+	s.holder.Answer(f.dutyNow(), budgets.Answer{ID: q.ID, Token: 1, Gives: []budgets.Give{{Budget: "t", Kind: budgets.UnderWay, Size: 9}, {Budget: "o", Kind: budgets.UnderWay, Size: 9}}})
+	b.Run("tenant", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			of, ok := f.Spend("tenant:a")
+			if !ok {
+				b.Fatal("spent")
+			}
+			f.Spent(of)
+		}
+	})
+	b.Run("origin", func(b *testing.B) {
+		b.ReportAllocs()
+		for o := f.Origins(); b.Loop(); {
+			o.Bound(1, 0, true)
+			o.Bound(1, 0, false)
+		}
+	})
+}
+
 // Units by the hour that are spent at all dispatchers at once, while the divider and others end: none is spent twice.
 func TestAnAmountIsSpentOnce(t *testing.T) {
 	const whole, units = 3000, 7
