Budgets at single hosts and parents, and budgets that go

Need: the origin alone could be bounded. A bound now stands on any host's allowance; parents at their bound are passed over. A budget that takes another's place at a host moves what is under way to it; one that is used no more leaves the questions. Measured: real processes, four dispatchers, the divider killed, 5 then 1 at the host: never over.

--- a/control/control.go
+++ b/control/control.go
@@ -525,7 +525,7 @@
 		spare = d.now >= o.until && d.origins.held == 0 && d.origins.allowed()
 	}
 	look := !d.fills.room(work) || share < 1 && d.chance(g.host) > share
-	look = look || source == nil || source == d.origin && !spare || d.looksFirst(g)
+	look = look || source == nil || source == d.origin && !spare || d.looksFirst(g, source)
 	if !look {
 		g.source, g.heldOnly = source, source != d.origin && !spare
 	}
@@ -555,7 +555,7 @@
 	home, other, work, slow := (*host)(nil), (*host)(nil), d.weigh(g), 0.0
 	d.parentOrder.Walk(g.item.objectHash, &g.item.parents, 0, func(h *host) bool {
 		switch {
-		case slices.Contains(g.bad, h) || !d.open(h, work):
+		case slices.Contains(g.bad, h) || !d.open(h, work) || !h.under.allowed():
 		case home == nil:
 			home, slow = h, d.paces.Slow(d.now, &h.pace)
 			return !h.under.room(work) || slow > paces.Crowded
--- a/control/state.go
+++ b/control/state.go
@@ -236,15 +236,36 @@
 
 // looksFirst tells whether a host that should have a copy is asked for that alone, where the fleet bounds what may need the origin: else it
 // would fill one that it has dropped, and that would count nowhere.
-func (d *Dispatcher) looksFirst(g *get) bool {
-	return d.origins.bounded && !g.looked && g.item.holder == g.host && d.now < g.item.heldTo
+func (d *Dispatcher) looksFirst(g *get, source *host) bool {
+	return (d.origins.bounded || source != nil && source.under.bounded) && !g.looked && g.item.holder == g.host && d.now < g.item.heldTo
 }
 
-// Bound says how many forwards that may need the origin this dispatcher may have under way, by what the fleet shares out.
-func (d *Dispatcher) Bound(most int) { d.origins.bound, d.origins.bounded = most, true }
+// bounds is the allowance that a bound of the fleet is for: a host's, or for 0 that of what may need the origin; nil for none known.
+func (d *Dispatcher) bounds(host uint32) *allowance {
+	if host == 0 {
+		return &d.origins
+	}
+	if h := d.hosts[host]; h != nil {
+		return &h.under
+	}
+	return nil
+}
 
-// Origins is how many forwards that may need the origin are under way, and how many looks have found the bound reached.
-func (d *Dispatcher) Origins() (held, refused int) { return d.origins.held, d.origins.refused }
+// Bound says how many forwards this dispatcher may have under way at a host, itself or as a source, or with 0 for the host of those that may
+// need the origin, by what the fleet shares out.
+func (d *Dispatcher) Bound(host uint32, most int) {
+	if l := d.bounds(host); l != nil {
+		l.bound, l.bounded = most, true
+	}
+}
+
+// Bounded is how many of those are under way, and how many looks have found the bound reached.
+func (d *Dispatcher) Bounded(host uint32) (held, refused int) {
+	if l := d.bounds(host); l != nil {
+		return l.held, l.refused
+	}
+	return 0, 0
+}
 
 func (l *allowance) drop(work float64) {
 	l.held--
--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -416,6 +416,26 @@
 	assert.False(t, h.Answer(2.1, Answer{ID: q.ID, Token: 2}), "of an older divider")
 }
 
+// Budgets that are used no more go from the questions, once nothing is under way: there is room for others.
+func TestOnly(t *testing.T) {
+	w := newWorld(UnderWay, "")
+	h := w.holders[0]
+	h.Take(w.at(0), "b", 1)
+	for i := range 2 * MostBudgets {
+		h.Only(func(string) bool { return false }, w.at(0))
+		if i == 0 {
+			w.calm()
+			require.Contains(t, h.shares, "b", "something is under way")
+			h.Done(w.at(0), "b", 1)
+		}
+		w.calm()
+		name := fmt.Sprint("x", i)
+		h.Use(name, UnderWay, w.at(0))
+		require.Contains(t, h.shares, name)
+		require.Less(t, len(h.shares), 4)
+	}
+}
+
 // Floors fall with the whole, at those that ask: their sum fits it.
 func TestFloorsFall(t *testing.T) {
 	w := newWorld(UnderWay, "")
--- a/fleet/budgets/holder.go
+++ b/fleet/budgets/holder.go
@@ -74,6 +74,7 @@
 	refused float64
 	rate    float64 // taken and refused a second, lately
 	counted float64 // since when
+	gone    bool    // used here no more
 	told    int64   // Need of the last question
 }
 
@@ -90,6 +91,18 @@
 	}
 }
 
+// Only says which budgets are used here from now on: others go once nothing is under way of them and that was told.
+func (h *Holder) Only(used func(budget string) bool, now float64) {
+	for name, s := range h.shares {
+		if s.gone = !used(name); s.gone {
+			s.Size, s.Floor, h.due = min(s.Size, s.used), 0, now
+			if s.Kind != Amount {
+				s.Size = 0
+			}
+		}
+	}
+}
+
 // limit is what may be used now: the share while it counts, then the floor, then nothing.
 func (h *Holder) limit(now float64, s *share) int64 {
 	switch {
@@ -284,6 +297,12 @@
 		if i >= 0 {
 			g = a.Gives[i]
 		}
+		if s.gone {
+			if s.inUse == 0 {
+				delete(h.shares, name)
+			}
+			continue
+		}
 		if s.Kind == Rate {
 			h.fill(now, s)
 		}
--- a/fleet/budgets/ledger.go
+++ b/fleet/budgets/ledger.go
@@ -36,6 +36,8 @@
 	UseOrigin  = "origin"  // forwards that may need the origin
 	UseRetries = "retries" // forwards after failed ones
 	UseTenant  = "tenant:"
+	UseHost    = "host:" // forwards at it, or with it as their source
+	MostHosts  = 8       // that are bounded so: each act of a module looks at all of them
 )
 
 // Kind is what a budget counts.
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -134,15 +134,26 @@
 }
 
 // Bound is node.Bounder.
-func (b *bounder) Bound(held, refused int, acts bool) int {
-	if b.Bounded == nil {
-		f := b.of.fleet.Load()
-		if f == nil {
-			return 0
-		}
-		b.Bounded = f.Origins()
+func (b *bounder) Bound(host string, held, refused int, acts bool) int {
+	if !b.opened() {
+		return 0
+	}
+	return b.Bounded.Bound(host, held, refused, acts)
+}
+
+// Hosts is node.Bounder.
+func (b *bounder) Hosts() []string {
+	if !b.opened() {
+		return b.of.told.Fleet.Budgets.Hosts()
+	}
+	return b.Bounded.Hosts()
+}
+
+func (b *bounder) opened() bool {
+	if f := b.of.fleet.Load(); b.Bounded == nil && f != nil {
+		b.Bounded = f.Bounds()
 	}
-	return b.Bounded.Bound(held, refused, acts)
+	return b.Bounded != nil
 }
 
 // Beside opens the front for proxies that ask, and the door to the other dispatchers.
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -76,10 +76,13 @@
 	shed   atomic.Int64
 }
 
-func budget(t *testing.T, n, whole int, wholes string) *budgetRig {
+func budget(t *testing.T, n, whole int, wholes string, answer ...func(*budgetRig) func(standin.Ask) string) *budgetRig {
 	b := &budgetRig{origin: origin{whole: whole}, wholes: wholes, number: 1, loads: make([]atomic.Int64, n)}
 	b.dutyRig = duty(t, n, 3, func(m *memberRig) {
 		m.Answer = b.origin.answer
+		for _, a := range answer {
+			m.Answer = a(b)
+		}
 		m.ListenOrigin(b.origin.fill)
 		duties := m.more
 		m.more = map[int]string{}
@@ -396,11 +399,39 @@
 	})
 	b.Run("origin", func(b *testing.B) {
 		b.ReportAllocs()
-		for o := f.Origins(); b.Loop(); {
-			o.Bound(1, 0, true)
-			o.Bound(1, 0, false)
+		for o := f.Bounds(); b.Loop(); {
+			o.Bound("", 1, 0, true)
+			o.Bound("", 1, 0, false)
+		}
+	})
+}
+
+// A budget at one host: all that is under way there, hits too.
+func TestABudgetAtAHost(t *testing.T) {
+	b := budget(t, 4, 5, `{one: {of: "host:s-1", most: 5}}`, func(b *budgetRig) func(standin.Ask) string {
+		return b.origin.fill // whatever is asked
+	})
+	stop := make(chan struct{})
+	wait := b.load(stop, 4)
+	b.used(5)
+	b.Processes[b.divider()].Kill()
+	time.Sleep(14 * time.Second)
+	b.used(4)
+	b.change(`{other: {of: "host:s-1", most: 1}}`) // another budget at the same host: the old one ends first
+	b.Until(soon, "the other holds", func() error {
+		if told := b.books(b.divider()); told.Name != "other" || told.Out > 1 || told.Gone {
+			return fmt.Errorf("%+v", told)
 		}
+		return nil
 	})
+	time.Sleep(time.Second)
+	b.origin.mu.Lock()
+	b.origin.whole = 1
+	b.origin.mu.Unlock()
+	b.used(1)
+	close(stop)
+	wait()
+	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
 }
 
 // Units by the hour that are spent at all dispatchers at once, while the divider and others end: none is spent twice.
--- a/internal/fleet/divide.go
+++ b/internal/fleet/divide.go
@@ -7,6 +7,7 @@
 	"math"
 	mrand "math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,7 +36,9 @@
 	holder *budgets.Holder // nil where nothing is divided
 	kinds  map[string]budgets.Kind
 	uses   map[string][]string
-	at     string // where the divider is
+	bounds map[string][]string // budgets by host, "" for the origin
+	hosts  []string            // that were bounded since the start
+	at     string              // where the divider is
 	looked time.Time
 	silent int // questions since the last answer
 	held   bool
@@ -71,6 +74,18 @@
 	s := &f.spending
 	s.mu.Lock()
 	s.kinds, s.uses = map[string]budgets.Kind{}, b.Uses
+	s.bounds = map[string][]string{}
+	for _, host := range b.Hosts() { // one that is bounded no more has to be told so: it stays in the list
+		if s.bounds[host] = b.Uses[budgets.UseHost+host]; host == "" {
+			s.bounds[host] = b.Uses[budgets.UseOrigin]
+		}
+		if !slices.Contains(s.hosts, host) {
+			s.hosts = append(slices.Clone(s.hosts), host)
+		}
+	}
+	s.holder.Only(func(name string) bool {
+		return slices.ContainsFunc(b.All, func(o budgets.Budget) bool { return o.Name == name })
+	}, f.dutyNow())
 	for _, o := range b.All {
 		s.kinds[o.Name] = o.Kind
 		s.holder.Use(o.Name, o.Kind, f.dutyNow())
@@ -130,39 +145,76 @@
 
 var errSpent = errors.New("the budget is used up here")
 
-// Bounded is one module's part in the budgets at the origin.
+// Bounded is one module's part in the budgets at hosts.
 type Bounded struct {
-	fleet         *Fleet
-	refused, held int // as last told
-	reserved      int // that it may have under way while it acts, held while it does not
+	fleet *Fleet
+	by    map[string]*reserved
+}
+
+type reserved struct {
+	names         []string // of the budgets
+	refused, held int      // as last told
+	reserved      int      // that it may have under way while it acts, held while it does not
+}
+
+// Hosts is node.Bounder.
+func (b *Bounded) Hosts() []string {
+	b.fleet.spending.mu.Lock()
+	defer b.fleet.spending.mu.Unlock()
+	return b.fleet.spending.hosts
 }
 
 // Bound is node.Bounder. What a module may use while it acts is reserved for it: of several in one process none takes what another does.
-func (b *Bounded) Bound(held, refused int, acts bool) (most int) {
+func (b *Bounded) Bound(host string, held, refused int, acts bool) (most int) {
 	s := &b.fleet.spending
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r := b.by[host]
+	if r == nil {
+		r = &reserved{}
+		b.by[host] = r
+	}
 	most, now := math.MaxInt, b.fleet.dutyNow()
-	names := s.uses[budgets.UseOrigin]
+	names := s.bounds[host]
+	if !slices.Equal(names, r.names) { // others bound it now: what is under way moves to them
+		for _, name := range r.names {
+			s.holder.Reserve(now, name, int64(r.reserved), 0, 0, 0)
+		}
+		r.names, r.reserved = names, 0
+	}
 	for _, name := range names {
-		s.holder.Refused(name, int64(refused-b.refused))
-		s.holder.Reserve(now, name, int64(b.reserved), int64(held), int64(held), int64(max(0, held-b.held)))
+		s.holder.Refused(name, int64(refused-r.refused))
+		s.holder.Reserve(now, name, int64(r.reserved), int64(held), int64(held), int64(max(0, held-r.held)))
 		if acts {
 			most = min(most, held+int(max(0, s.holder.Limit(now, name)-s.holder.InUse(name))))
 		}
 	}
-	b.refused, b.held, b.reserved = refused, held, held
+	r.refused, r.held, r.reserved = refused, held, held
 	if acts && most < math.MaxInt {
 		for _, name := range names {
 			s.holder.Reserve(now, name, int64(held), int64(most), int64(held), 0)
 		}
-		b.reserved = most
+		r.reserved = most
 	}
 	return most
 }
 
-// Origins is a part in the budgets at the origin, for one module.
-func (f *Fleet) Origins() *Bounded { return &Bounded{fleet: f} }
+// Bounds is a part in the budgets at hosts, for one module.
+func (f *Fleet) Bounds() *Bounded { return &Bounded{fleet: f, by: map[string]*reserved{}} }
+
+// Hosts is the hosts that are bounded, in order; "" is the origin, itself or behind others.
+func (b *Budgets) Hosts() (all []string) {
+	for use := range b.Uses {
+		if name, ok := strings.CutPrefix(use, budgets.UseHost); ok || use == budgets.UseOrigin {
+			if !ok {
+				name = ""
+			}
+			all = append(all, name)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
 
 // spend asks the divider for shares, until the context ends.
 func (f *Fleet) spend(ctx context.Context) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,10 +42,12 @@
 	Bounders func() Bounder // of the fleet's budget at the origin, one for each module; nil where there is none
 }
 
-// Bounder tells how many forwards that may need the origin a module may have under way, while it acts and when it has: how many are, and how
-// many looks have found the bound reached so far.
+// Bounder tells how many forwards a module may have under way at hosts whose budgets the fleet shares out, while it acts and when it has.
 type Bounder interface {
-	Bound(held, refused int, acts bool) (most int)
+	// Hosts is the names of hosts, and "" for the origin, itself or behind others; none of them goes again.
+	Hosts() []string
+	// Bound takes how many are under way, and how many looks have found the bound reached so far.
+	Bound(host string, held, refused int, acts bool) (most int)
 }
 
 // Gate is the stage before the module that asks who is calling.
@@ -219,14 +221,22 @@
 	}
 }
 
-// bound has the module know, for as long as it acts, how much of the fleet's budget at the origin it may use, and tells what it does. Guards
+// bound has the module know, for as long as it acts, how much of the fleet's budgets at hosts it may use, and tells what it does. Guards
 // against a process that was stopped: it acts by no bound that it was told before.
 func (n *Node) bound(acts bool) {
 	if n.origins == nil {
 		return
 	}
-	held, refused := n.module.Origins()
-	n.module.Bound(n.origins.Bound(held, refused, acts))
+	for _, name := range n.origins.Hosts() {
+		id := uint32(0)
+		if name != "" {
+			if id = n.hostID(name); n.hosts[id] == nil {
+				continue
+			}
+		}
+		held, refused := n.module.Bounded(id)
+		n.module.Bound(id, n.origins.Bound(name, held, refused, acts))
+	}
 }
 
 // Ready tells whether GETs may come.
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -140,11 +140,12 @@
 		b.Burst, b.Floor, b.Ceiling = int64(burst), int64(floor)*unit, int64(ceiling)*unit
 		if one.Text("of", &of); of != "" {
 			tenant := strings.HasPrefix(of, budgets.UseTenant) && len(of) > len(budgets.UseTenant)
+			host := strings.HasPrefix(of, budgets.UseHost) && len(of) > len(budgets.UseHost) || of == budgets.UseOrigin
 			switch {
-			case b.Kind == budgets.Amount, of == budgets.UseOrigin && b.Kind != budgets.UnderWay, of == budgets.UseRetries && b.Kind != budgets.Rate:
-				one.Fault("of", "%q can't be bounded by that: a tenant by most or rate, the origin by most, retries by rate", of)
-			case of != budgets.UseOrigin && of != budgets.UseRetries && !tenant:
-				one.Fault("of", "%q is none of origin, retries and tenant:NAME", of)
+			case b.Kind == budgets.Amount, host && b.Kind != budgets.UnderWay, of == budgets.UseRetries && b.Kind != budgets.Rate:
+				one.Fault("of", "%q can't be bounded by that: a tenant by most or rate, the origin and a host by most, retries by rate", of)
+			case !host && of != budgets.UseRetries && !tenant:
+				one.Fault("of", "%q is none of origin, host:NAME, retries and tenant:NAME", of)
 			case b.Kind == budgets.Rate:
 				rates[of] = append(rates[of], name)
 			default:
@@ -165,6 +166,9 @@
 			o.Fault("wholes", "%s: more than two bound one use", strings.Join(names, ", "))
 		}
 	}
+	if n := len(to.Hosts()); n > budgets.MostHosts {
+		o.Fault("wholes", "%d bound the origin or a host, at most %d", n, budgets.MostHosts)
+	}
 	if len(to.All) > budgets.MostBudgets {
 		o.Fault("wholes", "%d, at most %d", len(to.All), budgets.MostBudgets)
 	}
--- a/internal/operator/proxies_test.go
+++ b/internal/operator/proxies_test.go
@@ -78,7 +78,7 @@
 		`wholes: {x: {}}`:                                  "needs one of most, rate and amount",
 		`wholes: {x: {most: 1, rate: 2}}`:                  "needs one of most, rate and amount",
 		`wholes: {x: {of: 'origin', rate: 2}}`:             "can't be bounded by that",
-		`wholes: {x: {of: 'tenant:', most: 2}}`:            "is none of origin, retries and tenant:NAME",
+		`wholes: {x: {of: 'tenant:', most: 2}}`:            "is none of origin, host:NAME, retries and tenant:NAME",
 		`wholes: {x: {amount: 2}}`:                         "a window of 0 s",
 		`wholes: {x: {most: 2, floor: 3, ceiling: 2}}`:     "the ceiling is under the floor",
 		`wholes: {x: {amount: 2, window: '1h', floor: 1}}`: "an amount has no floor",
