Fold the budgets' tests, and hold back after a recovered log

A recovered log's divider gives nothing before what the lost log may have given has ended: now shown by a test.

--- a/cmd/elderwall-operator/budgetsplay.go
+++ b/cmd/elderwall-operator/budgetsplay.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -93,15 +92,5 @@
 	if err := out.Flush(); err != nil {
 		return fmt.Errorf("table: %w", err)
 	}
-	if c.JSON == "" {
-		return nil
-	}
-	raw, err := json.MarshalIndent(all, "", "  ")
-	if err == nil {
-		err = os.WriteFile(c.JSON, append(raw, '\n'), 0o644)
-	}
-	if err != nil {
-		return fmt.Errorf("results: %w", err)
-	}
-	return nil
+	return writeResults(c.JSON, all)
 }
--- a/cmd/elderwall-operator/fleetplay.go
+++ b/cmd/elderwall-operator/fleetplay.go
@@ -73,12 +73,17 @@
 	if err := out.Flush(); err != nil {
 		return fmt.Errorf("table: %w", err)
 	}
-	if c.JSON == "" {
+	return writeResults(c.JSON, all)
+}
+
+// writeResults writes what was played as JSON, where a path says so.
+func writeResults(path string, all any) error {
+	if path == "" {
 		return nil
 	}
 	raw, err := json.MarshalIndent(all, "", "  ")
 	if err == nil {
-		err = os.WriteFile(c.JSON, append(raw, '\n'), 0o644)
+		err = os.WriteFile(path, append(raw, '\n'), 0o644)
 	}
 	if err != nil {
 		return fmt.Errorf("results: %w", err)
--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -459,3 +459,24 @@
 	assert.NoError(t, w.check())
 	assert.LessOrEqual(t, w.log.Accounts["b"].Sum(), int64(1))
 }
+
+// After a recovery nothing is given until what the lost log may have given has ended, and then all of it.
+func TestARecoveredLogHoldsBack(t *testing.T) {
+	w := newWorld(UnderWay, "")
+	before := w.log.Accounts["b"].Sum()
+	w.divider.Settings(2, []Budget{{Name: "b", Kind: UnderWay, Whole: 40}})
+	w.whole = 40
+	w.log.Hold = true
+	w.token++
+	w.log.Apply(&Command{Token: w.token, Seq: 1})
+	w.divider = NewDivider(Restore(w.log.Save()), w.token, w.now, testTail, 2, []Budget{{Name: "b", Kind: UnderWay, Whole: 40}})
+	for began := w.now; w.now < began+Lease+testTail-1; {
+		w.calm()
+		assert.LessOrEqual(t, w.log.Accounts["b"].Sum(), before)
+	}
+	for range 20 {
+		w.calm()
+	}
+	assert.Greater(t, w.log.Accounts["b"].Sum(), int64(30))
+	assert.False(t, w.log.Hold)
+}
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -153,6 +153,30 @@
 	return all.Wait
 }
 
+// smaller has a smaller whole in force, and waits until it holds and what was under way has ended: it is the bound from then on.
+func (b *budgetRig) smaller(whole int, wholes string) {
+	b.Helper()
+	b.change(wholes)
+	b.Until(soon, "the smaller whole holds", func() error {
+		if told := b.books(b.divider()); told.Whole != int64(whole) || told.Out > int64(whole) || told.Gone {
+			return fmt.Errorf("%+v", told)
+		}
+		return nil
+	})
+	time.Sleep(time.Second)
+	b.origin.mu.Lock()
+	defer b.origin.mu.Unlock()
+	b.origin.whole = whole
+}
+
+// within checks that never more was under way than the whole.
+func (b *budgetRig) within(what string) {
+	b.Helper()
+	b.origin.mu.Lock()
+	defer b.origin.mu.Unlock()
+	assert.Zero(b, b.origin.over, "%s: up to %d", what, b.origin.worst)
+}
+
 // used waits until so much of the whole is under way at some time from now on.
 func (b *budgetRig) used(least int) {
 	b.Helper()
@@ -265,41 +289,19 @@
 	} {
 		trouble()
 		b.used(7)
-		b.origin.mu.Lock()
-		assert.Zero(t, b.origin.over, "%s: up to %d", name, b.origin.worst)
-		b.origin.mu.Unlock()
+		b.within(name)
 	}
-	b.change(`{fills: {of: "origin", most: 2}}`)
-	b.Until(soon, "the smaller whole holds", func() error {
-		told := b.books(3)
-		if told.Whole != 2 || told.Out > 2 {
-			return fmt.Errorf("%d of %d", told.Out, told.Whole)
-		}
-		return nil
-	})
-	time.Sleep(time.Second) // what was under way has ended
-	b.origin.mu.Lock()
-	b.origin.whole, b.origin.most = 2, 0
-	b.origin.mu.Unlock()
+	b.smaller(2, `{fills: {of: "origin", most: 2}}`)
 	b.used(2)
-	b.change(`{fills: {of: "origin", most: 0}}`)
-	b.Until(soon, "nothing goes any more", func() error {
-		if told := b.books(3); told.Whole != 0 || told.Out > 0 {
-			return fmt.Errorf("%d of %d", told.Out, told.Whole)
-		}
-		return nil
-	})
-	time.Sleep(time.Second)
+	b.smaller(0, `{fills: {of: "origin", most: 0}}`)
 	b.origin.mu.Lock()
 	fills := b.origin.fills
 	b.origin.mu.Unlock()
 	time.Sleep(time.Second)
 	close(stop)
 	wait()
-	b.origin.mu.Lock()
-	defer b.origin.mu.Unlock()
 	assert.Equal(t, fills, b.origin.fills, "a whole of 0")
-	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+	b.within("a whole of 0")
 	assert.Positive(t, b.shed.Load(), "what is over is turned away")
 }
 
@@ -331,21 +333,11 @@
 		})
 	}
 	b.used(5)
-	b.change(`{fills: {of: "origin", most: 1, floor: 2}}`)
-	b.Until(soon, "a whole of one holds", func() error {
-		if told := b.books(0); told.Whole != 1 || told.Out > 1 {
-			return fmt.Errorf("%d of %d", told.Out, told.Whole)
-		}
-		return nil
-	})
-	time.Sleep(time.Second)
-	b.origin.mu.Lock()
-	b.origin.whole = 1
-	b.origin.mu.Unlock()
+	b.smaller(1, `{fills: {of: "origin", most: 1, floor: 2}}`)
 	b.used(1)
 	close(stop)
 	wait()
-	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+	b.within("at the end")
 }
 
 // One is stopped for longer than its share with fills under way, and wakes: it acts by no share that it had.
@@ -376,7 +368,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	wait()
-	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+	b.within("at the end")
 }
 
 // BenchmarkSpend is what a GET pays where budgets are on: one tenant's, and the bound at the origin around each act of the module.
@@ -417,21 +409,11 @@
 	b.Processes[b.divider()].Kill()
 	time.Sleep(14 * time.Second)
 	b.used(4)
-	b.change(`{other: {of: "host:s-1", most: 1}}`) // another budget at the same host: the old one ends first
-	b.Until(soon, "the other holds", func() error {
-		if told := b.books(b.divider()); told.Name != "other" || told.Out > 1 || told.Gone {
-			return fmt.Errorf("%+v", told)
-		}
-		return nil
-	})
-	time.Sleep(time.Second)
-	b.origin.mu.Lock()
-	b.origin.whole = 1
-	b.origin.mu.Unlock()
+	b.smaller(1, `{other: {of: "host:s-1", most: 1}}`) // another budget at the same host: the old one ends first
 	b.used(1)
 	close(stop)
 	wait()
-	assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+	b.within("at the end")
 }
 
 // Units by the hour that are spent at all dispatchers at once, while the divider and others end: none is spent twice.
@@ -493,11 +475,6 @@
 func TestBudgetsThroughDrawnFaults(t *testing.T) {
 	play := func(t *testing.T, s processes.Schedule) {
 		b := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`)
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("play it again: go test ./internal/fleet -run TestBudgetsThroughDrawnFaults -schedule '%s'", s)
-			}
-		})
 		stop := make(chan struct{})
 		wait := b.load(stop, 3)
 		b.used(5)
@@ -505,16 +482,8 @@
 		b.used(5)
 		close(stop)
 		wait()
-		assert.Zero(t, b.origin.over, "up to %d", b.origin.worst)
+		b.within("at the end")
 		b.books(0)
 	}
-	if *schedule != "" {
-		s, err := processes.Parse(*schedule)
-		require.NoError(t, err)
-		play(t, s)
-		return
-	}
-	for seed := range *seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(200+seed), 5, 6, 15)) })
-	}
+	drawn(t, 200, play)
 }
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -1043,11 +1043,6 @@
 func TestDutiesThroughDrawnFaults(t *testing.T) {
 	play := func(t *testing.T, s processes.Schedule) {
 		d := duty(t, 5, 5)
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("play it again: go test ./internal/fleet -run TestDutiesThroughDrawnFaults -schedule '%s'", s)
-			}
-		})
 		d.hold(0)
 		d.acts(0)
 		stop := make(chan struct{})
@@ -1073,6 +1068,11 @@
 		d.acts(d.taker.last().token - 1) // by it, or by one that holds it still
 		d.taker.check(t)
 	}
+	drawn(t, 100, play)
+}
+
+// drawn plays the schedule that is given, or some that are drawn from seeds; one that fails is told so that it can be played again.
+func drawn(t *testing.T, from int, play func(t *testing.T, s processes.Schedule)) {
 	if *schedule != "" {
 		s, err := processes.Parse(*schedule)
 		require.NoError(t, err)
@@ -1080,7 +1080,15 @@
 		return
 	}
 	for seed := range *seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(100+seed), 5, 6, 15)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := processes.Draw(uint64(from+seed), 5, 6, 15)
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("play it again: go test ./internal/fleet -run '%s' -schedule '%s'", strings.Split(t.Name(), "/")[0], s)
+				}
+			})
+			play(t, s)
+		})
 	}
 }
 
