Free parts of a budget that a dispatcher asks about no more

Cause: the answer to a question from before the change took the share from the holder, which then never told that it was bound to nothing. A question that does not name a budget binds its sender to nothing of it (divide).

--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -436,6 +436,19 @@
 	}
 }
 
+// One that was asked before its budget went lets go of it all the same, whichever answer comes first.
+func TestWhatIsUsedNoMoreIsFree(t *testing.T) {
+	w := newWorld(UnderWay, "")
+	require.Positive(t, w.log.Accounts["b"].Sum())
+	w.ask(0)
+	w.holders[0].Only(func(string) bool { return false }, w.at(0)) // after the question, before its answer
+	w.holders[0].Use("other", UnderWay, w.at(0))
+	for range 4 {
+		w.calm()
+	}
+	assert.Zero(t, w.log.Accounts["b"].Parts[w.log.Seat("0", w.boots[0])].Out)
+}
+
 // Floors fall with the whole, at those that ask: their sum fits it.
 func TestFloorsFall(t *testing.T) {
 	w := newWorld(UnderWay, "")
--- a/fleet/budgets/divider.go
+++ b/fleet/budgets/divider.go
@@ -281,8 +281,11 @@
 				hungry = append(hungry, id)
 			}
 			sets[id] = to
-		case d.ended(now, id) && (was.Out > was.Floor):
+		case asks && was.Out > 0, d.ended(now, id) && was.Out > was.Floor:
 			to := Part{Out: was.Floor, Floor: was.Floor}
+			if asks { // and not about this: it uses nothing of it any more
+				to = Part{}
+			}
 			if a.Kind == Amount { // guards against units that were used and never told: all that was out counts as spent
 				to = Part{Used: was.Used + was.Out}
 			}
