--- a/retries/retries_test.go
+++ b/retries/retries_test.go
@@ -49,3 +49,22 @@
 		}
 	})
 }
+
+// What the fleet shares out comes on top: a further forward goes where both have one, and is asked of the fleet only where the own budget has.
+func TestTheFleetsShare(t *testing.T) {
+	for _, tt := range []struct {
+		own         Settings
+		left        int
+		went, asked int
+	}{{Settings{}, 2, 2, 5}, {Settings{Floor: 1}, 9, 2, 2}, {Settings{Floor: 1}, 1, 1, 5}} {
+		went, asked, left := 0, 0, tt.left
+		tt.own.Fleet = func() bool { asked++; left--; return left >= 0 }
+		b := New(tt.own, 0)
+		for range 5 {
+			if b.Spend(0) {
+				went++
+			}
+		}
+		assert.Equal(t, []int{tt.went, tt.asked}, []int{went, asked}, "%+v", tt)
+	}
+}
