--- /dev/null
+++ b/fleet/channels/types.go
@@ -0,0 +1,87 @@
+// Package channels keeps streams of notices in the order that their declaration names, at every dispatcher and over reconnections of
+// writers and readers. It stands on replica (entries are records that spread) and, for total order, on a duty's token and the voters' log. It is
+// pure: entries, readers and time come in, what is to be written and shown goes out.
+package channels
+
+// Order is how entries of a channel are put in order.
+type Order uint8
+
+// The orders, from the least to the most that a reader may ask for. Each holds what the one before does, but for Causal and Sender over Key.
+const (
+	Latest   Order = 1 + iota // the newest of each key, others may be passed over
+	ByKey                     // those of one key in the order of their writers' numbers, one writer after the other by the law
+	BySender                  // those of one writer in its order
+	Causal                    // none before what its writer had seen or written
+	Total                     // one order for all
+)
+
+func (o Order) String() string {
+	return [...]string{"", "latest", "key", "sender", "causal", "total"}[min(o, Total)]
+}
+
+// Declaration is what a channel promises, in one generation. It is agreed: readers see it change at one entry.
+type Declaration struct {
+	Name       string  `cbor:"1,keyasint"`
+	Generation uint64  `cbor:"2,keyasint"`
+	Order      Order   `cbor:"3,keyasint"`
+	Told       bool    `cbor:"4,keyasint,omitempty"` // gaps are told; else there are none
+	Repeats    bool    `cbor:"5,keyasint,omitempty"` // repeats are allowed; else none within what is kept
+	Entries    int     `cbor:"6,keyasint"`           // kept
+	Bytes      int     `cbor:"7,keyasint"`
+	Seconds    float64 `cbor:"8,keyasint"`            // kept for
+	Wait       float64 `cbor:"9,keyasint"`            // s that a reader is held back for order before it is told
+	Slow       bool    `cbor:"10,keyasint,omitempty"` // a slow reader is cut off; else it is told a gap
+}
+
+// Entry is one notice.
+type Entry struct {
+	Channel string `cbor:"1,keyasint"`
+	Key     string `cbor:"2,keyasint,omitempty"`
+	Writer  string `cbor:"3,keyasint"` // a client of the fleet, not a dispatcher
+	Number  uint64 `cbor:"4,keyasint"` // the writer's own, from 1
+	// After is what the writer had seen or written when it wrote: by writer its highest number; of Causal.
+	After map[string]uint64 `cbor:"5,keyasint,omitempty"`
+	// Epoch and Place are given by who puts total order; 0 otherwise.
+	Epoch uint64 `cbor:"6,keyasint,omitempty"`
+	Place uint64 `cbor:"7,keyasint,omitempty"`
+	Body  []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// Position is how far a reader has come; a token of it is good at every dispatcher.
+type Position struct {
+	Channel    string            `cbor:"1,keyasint"`
+	Generation uint64            `cbor:"2,keyasint"`
+	Epoch      uint64            `cbor:"3,keyasint,omitempty"`
+	Place      uint64            `cbor:"4,keyasint,omitempty"` // of Total
+	Seen       map[string]uint64 `cbor:"5,keyasint,omitempty"` // by writer, else
+}
+
+// What a reader is told besides entries.
+type Word uint8
+
+// The words.
+const (
+	Shown  Word = 1 + iota // an entry
+	Gap                    // entries were passed over; a declaration with gaps told
+	Reset                  // the position is of an epoch that is lost: begin anew
+	Behind                 // this dispatcher has not come so far within the wait: go to another
+	Cut                    // too slow
+	Turned                 // the declaration has changed here
+)
+
+// Note is what goes to a reader.
+type Note struct {
+	Word       Word
+	Entry      *Entry
+	Position   string // token after it
+	From, To   uint64 // of a gap, where they can be told
+	Writer     string // of a gap
+	Where      []string
+	Generation uint64
+}
+
+// Kinds of records that channels need of replica.
+const (
+	EntryKind  = 3 // key: channel, writer and number, or channel, epoch and place; value: the entry
+	WriterKind = 4 // key: channel and writer; value: its highest acknowledged number
+)
--- /dev/null
+++ b/fleet/variants/types.go
@@ -0,0 +1,83 @@
+// Package variants decides by which key a GET of a device class is looked for: its own class's, or that of the class whose answers have
+// the same bytes. It stands on evidence: answers of one generation of an object that bore the same proof. It is pure: GETs, answers, purges
+// and facts of other dispatchers come in with their time, keys and facts go out.
+//
+// The invariant, claimed by checkers that know the truth of each variant: without presume no client ever gets bytes of a class that are
+// not its own class's in the generation at hand, as far as the proof is one.
+package variants
+
+// Proof is what sameness is proven by.
+type Proof uint8
+
+// The proofs.
+const (
+	ByTag    Proof = 1 + iota // a content tag that the operator declares strong
+	ByDigest                  // Repr-Digest (RFC 9530)
+	ByBody                    // a digest of the body that passed here
+)
+
+// Service declares one delivery service. The zero value rewrites nothing.
+type Service struct {
+	Classes   []string  // device classes, the first of them preferred to stand for others; none: keys as they come
+	Proof     Proof     // what proves sameness
+	Witnesses int       // independent hosts that must have borne out sameness, 1 at least
+	Repeats   bool      // GETs may be repeated (idempotent): others are never rewritten
+	Presume   *Presumed // nil where nothing is presumed
+}
+
+// Presumed is where sameness is presumed for new objects of a group.
+type Presumed struct {
+	Objects int     // that bore it out, with none against, before it is presumed
+	Checks  float64 // least share of GETs that are sent by their own class all the same, over 0
+}
+
+// Settings are those of all delivery services, by their number.
+type Settings struct {
+	Services []Service
+	Objects  int // in the table at most
+	Seed     uint64
+	Self     string // the dispatcher's name: facts are by witness
+}
+
+// Object names one.
+type Object struct {
+	Service int
+	Object  uint64
+	Group   int
+}
+
+// Generation tells answers of one state of an object from others: the newest purge that counts for it, and the version that an origin names.
+// A higher purge is a later state.
+type Generation struct {
+	Purge   uint64
+	Version uint64 // 0 where the origin names none
+}
+
+// Key is what a GET is looked for by.
+type Key struct {
+	Class   int  // index of the class that stands; the GET's own where nothing is known
+	Own     bool // it is the GET's own class
+	Checks  bool // sent by its own class to check what is presumed
+	Presume bool // it rests on what is presumed
+}
+
+// Answer is what is known of an answer to a forward.
+type Answer struct {
+	Object     Object
+	Class      int    // that was asked of the host
+	Host       uint32 // witness
+	Proof      uint64 // hash of the tag, digest or body; 0 for none
+	Generation Generation
+}
+
+// Fact is what dispatchers tell each other: one class's content of an object in a generation, by one witness.
+// Facts of one key are ordered by FactLaw; sameness of two classes is worked out from the facts of both.
+type Fact struct {
+	Object     Object
+	Class      int
+	Witness    string // dispatcher and host
+	Proof      uint64
+	Generation Generation
+	Split      bool   // contrary: this class had another content than the one that stood for it
+	Splits     uint32 // how often: a flapping object is held apart for longer
+}
