variants: keys that stand for classes, by evidence of one generation

Need: device classes that get the same bytes are kept once. The module decides each GET's key, takes evidence from answers and peers' facts, and voids it with each purge or version. Fits tells whether an answer may go to a client of another class.

--- /dev/null
+++ b/fleet/variants/evidence.go
@@ -0,0 +1,418 @@
+package variants
+
+import "math"
+
+// pair numbers the pairs of classes.
+func pair(a, b int) int {
+	if a > b {
+		a, b = b, a
+	}
+	return b*(b-1)/2 + a
+}
+
+// timed tells whether evidence of a generation lapses: without a version it is as good as the copies that it came from.
+func timed(v *Service, g Generation) bool { return g.Version == 0 && !math.IsInf(v.Fresh, 1) }
+
+// Answered takes an answer to a forward as evidence. Its generation's purge is that which was known when the forward began (Floor).
+func (m *Module) Answered(now float64, a Answer) {
+	v := m.service(a.Object, a.Class)
+	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 {
+		return
+	}
+	i := m.place(a.Object, a.Generation, true)
+	if i < 0 {
+		return
+	}
+	t := m.tick(now)
+	if !m.advance(i, a.Generation) {
+		return
+	}
+	d := &m.of(i)[a.Class]
+	if !m.timely(v, i, d, t) {
+		d.n = 0
+	}
+	if d.n > 0 && d.proof != a.Proof {
+		m.contrary(v, i, a.Class, t)
+		if timed(v, a.Generation) {
+			*d = class{proof: a.Proof, hosts: [MaxWitnesses]uint32{a.Host}, at: [MaxWitnesses]uint32{t}, n: 1, until: d.until, splits: d.splits,
+				stands: d.stands, last: d.last, from: d.from, since: d.since}
+		}
+		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits)}, a.Host})
+	} else {
+		if m.bear(v, d, a.Host, a.Proof, t) && (d.n == 1 || !timed(v, a.Generation)) {
+			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
+		}
+		if d.stands >= 0 && d.checks < math.MaxUint16 {
+			d.checks++
+		}
+	}
+	m.settle(v, i, t, -1)
+}
+
+// Learn takes facts from peers. What is of no use or makes no sense is passed over.
+func (m *Module) Learn(now float64, facts []Fact) {
+	t := m.tick(now)
+	for n := range facts {
+		f := &facts[n]
+		v := m.service(f.Object, f.Class)
+		host, ok := hostOf(f.Witness)
+		if v == nil || !ok || f.Proof == 0 || f.Generation.Version == 0 && v.Fresh == 0 {
+			continue
+		}
+		i := m.place(f.Object, f.Generation, false)
+		if i < 0 || !m.advance(i, f.Generation) {
+			continue
+		}
+		d := &m.of(i)[f.Class]
+		if f.Split && f.Splits > 0 { // the split below is the teller's last
+			d.splits = max(d.splits, uint8(min(f.Splits-1, math.MaxUint8)))
+		}
+		switch lapses := timed(v, f.Generation); {
+		case f.Split:
+			m.contrary(v, i, f.Class, t)
+			if lapses {
+				d.n = 0
+			}
+		case d.n > 0 && d.proof != f.Proof:
+			if lapses { // nobody knows how old it is: evidence is asked for anew, and nothing is held against the class
+				d.n = 0
+			} else {
+				m.contrary(v, i, f.Class, t)
+			}
+		case !lapses:
+			m.bear(v, d, host, f.Proof, t)
+		}
+		m.settle(v, i, t, int(f.Stands)-1)
+	}
+}
+
+// place finds or takes an object's place in the table for evidence of a generation; -1 where it is too old, or there is no room.
+func (m *Module) place(o Object, g Generation, evict bool) int {
+	floor := m.Floor(o)
+	if g.Purge < floor {
+		return -1
+	}
+	if g.Purge > floor {
+		*m.floorOf(o) = g.Purge
+	}
+	if i := m.find(o); i >= 0 {
+		m.entries[i].ref = true
+		return i
+	}
+	if _, taken := m.index[id(o)]; taken {
+		return -1 // two objects of one id: the second keeps own keys
+	}
+	if len(m.index) >= len(m.entries) {
+		if !evict {
+			return -1
+		}
+		for m.entries[m.hand].ref {
+			m.entries[m.hand].ref = false
+			m.hand = (m.hand + 1) % len(m.entries)
+		}
+		delete(m.index, id(m.entries[m.hand].object))
+		m.entries[m.hand].used = false
+	}
+	for m.entries[m.hand].used {
+		m.hand = (m.hand + 1) % len(m.entries)
+	}
+	i := m.hand
+	m.hand = (m.hand + 1) % len(m.entries)
+	m.entries[i] = entry{object: o, generation: g, used: true, ref: true}
+	m.index[id(o)] = int32(i)
+	for j := range m.of(i) {
+		m.of(i)[j] = class{stands: -1, last: -1, from: -1}
+	}
+	return i
+}
+
+// advance voids what is of an older generation; false where g is older itself.
+func (m *Module) advance(i int, g Generation) bool {
+	e := &m.entries[i]
+	switch c := g.compare(e.generation); {
+	case c < 0:
+		return false
+	case c > 0:
+		e.generation = g
+		k := m.of(i)
+		for j := range k {
+			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks = 0, false, -1, -1, 0
+		}
+	}
+	return true
+}
+
+// timely tells whether a class's evidence has not lapsed.
+func (m *Module) timely(v *Service, i int, d *class, t uint32) bool {
+	return d.n == 0 || !timed(v, m.entries[i].generation) || t < d.expires
+}
+
+// bear takes a witness; it tells whether it is a new one.
+func (m *Module) bear(v *Service, d *class, host uint32, proof uint64, t uint32) bool {
+	if d.n == 0 {
+		d.proof = proof
+	}
+	oldest := 0
+	for j := range int(d.n) {
+		if d.hosts[j] == host {
+			d.at[j] = max(d.at[j], t)
+			return false
+		}
+		if d.at[j] < d.at[oldest] {
+			oldest = j
+		}
+	}
+	if int(d.n) < v.Witnesses {
+		d.hosts[d.n], d.at[d.n] = host, t
+		d.n++
+		return true
+	}
+	d.hosts[oldest], d.at[oldest] = host, t
+	return false
+}
+
+// contrary takes that a class had two contents in one generation.
+func (m *Module) contrary(v *Service, i, c int, t uint32) {
+	k, e := m.of(i), &m.entries[i]
+	joined := k[c].stands >= 0
+	for j := range k {
+		if j != c {
+			m.count(v, e, j, c, false)
+		}
+	}
+	if !timed(v, e.generation) {
+		k[c].disputed = true
+	}
+	for j := range k {
+		if j != c && int(k[j].last) == c {
+			k[j].last = -1 // its own content is not in question
+		}
+	}
+	if joined {
+		m.split(i, c, t)
+	}
+}
+
+// apart is for how long a class is held apart, in ticks.
+func (d *class) apart() float64 {
+	return min(holdMost, hold*math.Pow(2, float64(max(d.splits, 1)-1))) * ticks
+}
+
+// split holds a class apart, for longer with each time.
+func (m *Module) split(i, c int, t uint32) {
+	d := &m.of(i)[c]
+	if d.last >= 0 && float64(t-d.since) > forgiven*d.apart() {
+		d.splits = 0
+	}
+	if d.splits < math.MaxUint8 {
+		d.splits++
+	}
+	d.until = max(d.until, t+uint32(d.apart()))
+	d.stands, d.last, d.from, d.checks = -1, -1, -1, 0
+	m.notice(Notice{Object: m.entries[i].object, Class: c, Standing: c, Split: true, Generation: m.entries[i].generation})
+}
+
+// settle works out anew which classes are one, and which stands: the one that stood, then the one that stood last, then the first declared.
+// hint is a class that stands at a peer: it takes over if it was declared earlier, so that all dispatchers end with one.
+func (m *Module) settle(v *Service, i int, t uint32, hint int) {
+	e, k := &m.entries[i], m.of(i)
+	for j := range k {
+		d := &k[j]
+		d.expires = math.MaxUint32
+		if timed(v, e.generation) {
+			for w := range int(d.n) {
+				d.expires = min(d.expires, d.at[w]+uint32(min(v.Fresh*ticks, math.MaxUint32/2)))
+			}
+		}
+	}
+	differ := func(a, b int) bool {
+		x, y := &k[a], &k[b]
+		return x.n > 0 && y.n > 0 && x.proof != y.proof && t < min(x.expires, y.expires) && !x.disputed && !y.disputed
+	}
+	var before [MaxClasses]int8
+	for j := range k {
+		before[j] = k[j].stands
+		if l := int(k[j].last); l >= 0 && differ(j, l) {
+			before[j] = -1
+			m.split(i, j, t)
+		}
+	}
+	for j := range k {
+		for l := range j {
+			if differ(j, l) {
+				m.count(v, e, l, j, false)
+			} else if k[j].proof == k[l].proof && m.sure(v, &k[j], t) && m.sure(v, &k[l], t) {
+				m.count(v, e, l, j, true)
+			}
+		}
+	}
+	var done uint32
+	for j := range k {
+		if done&(1<<j) != 0 {
+			continue
+		}
+		if !m.sure(v, &k[j], t) {
+			k[j].stands, k[j].from = -1, -1
+			continue
+		}
+		var set uint32
+		for l := j; l < len(k); l++ {
+			if m.sure(v, &k[l], t) && k[l].proof == k[j].proof {
+				set |= 1 << l
+			}
+		}
+		done |= set
+		if set&(set-1) == 0 {
+			k[j].stands, k[j].from = -1, -1
+			continue
+		}
+		stands := int8(j)
+		for _, by := range []func(l int) bool{
+			func(l int) bool { return before[l] == int8(l) },
+			func(l int) bool { return k[l].last == int8(l) },
+		} {
+			found := false
+			for l := range k {
+				if set&(1<<l) != 0 && by(l) {
+					stands, found = int8(l), true
+					break
+				}
+			}
+			if found {
+				break
+			}
+		}
+		if hint >= 0 && set&(1<<hint) != 0 && hint < int(stands) {
+			stands = int8(hint)
+		}
+		for l := range k {
+			if d := &k[l]; set&(1<<l) != 0 {
+				if d.from >= 0 && set&(1<<d.from) == 0 {
+					d.from = -1
+				}
+				if d.stands == stands {
+					continue
+				}
+				d.from = int8(l)
+				if b := before[l]; b >= 0 && set&(1<<b) != 0 {
+					d.from = b
+				}
+				d.stands, d.last, d.since, d.checks = stands, stands, t, 0
+				if int8(l) != stands {
+					m.notice(Notice{Object: e.object, Class: l, Standing: int(stands), Generation: e.generation})
+				}
+			}
+		}
+	}
+	for j := range k {
+		if b := before[j]; b >= 0 && int(b) != j && k[j].stands < 0 {
+			m.notice(Notice{Object: e.object, Class: j, Standing: j, Split: true, Generation: e.generation})
+		}
+	}
+}
+
+// count takes an object for or against the pattern of its group, once for a pair.
+func (m *Module) count(v *Service, e *entry, a, b int, agrees bool) {
+	bit := uint32(1) << pair(a, b)
+	if agrees && e.agreed&bit != 0 || !agrees && e.against&bit != 0 {
+		return
+	}
+	if agrees {
+		e.agreed |= bit
+	} else {
+		e.against |= bit
+	}
+	if v.Presume == nil {
+		return
+	}
+	g := group{e.object.Service, e.object.Group}
+	p := m.patterns[g]
+	if p == nil {
+		if len(m.patterns) >= maxGroups {
+			return
+		}
+		p = &pattern{}
+		for j := range p.stands {
+			p.stands[j] = -1
+		}
+		m.patterns[g] = p
+	}
+	if agrees {
+		p.agreed[pair(a, b)]++
+	} else {
+		p.against[pair(a, b)]++
+	}
+	for c := range v.Classes {
+		p.stands[c] = -1
+		for d := range c {
+			if x := pair(d, c); p.against[x] == 0 && int(p.agreed[x]) >= v.Presume.Objects {
+				p.stands[c] = int8(d)
+				break
+			}
+		}
+	}
+}
+
+// Wrong estimates the chance that what is presumed for a new object of a group is wrong, at worst over its classes: by the rule of
+// succession, 1/(n+2) after n objects with none against. 0 where nothing is presumed.
+func (m *Module) Wrong(service, g int) float64 {
+	p := m.patterns[group{service, g}]
+	if p == nil {
+		return 0
+	}
+	worst := 0.0
+	for c, d := range p.stands {
+		if d >= 0 {
+			worst = max(worst, 1/float64(p.agreed[pair(int(d), c)]+2))
+		}
+	}
+	return worst
+}
+
+func (m *Module) tell(f told) {
+	if len(m.facts) >= maxFacts {
+		m.facts = m.facts[1:]
+		m.dropped++
+	}
+	m.facts = append(m.facts, f)
+}
+
+func (m *Module) notice(n Notice) {
+	if len(m.notices) >= maxNotices {
+		m.notices = m.notices[1:]
+		m.dropped++
+	}
+	m.notices = append(m.notices, n)
+}
+
+// Facts takes what peers are to be told, the oldest first. What a purge voided meanwhile is left out.
+func (m *Module) Facts(most int) []Fact {
+	var out []Fact
+	for len(m.facts) > 0 && len(out) < most {
+		f := m.facts[0]
+		m.facts = m.facts[1:]
+		i := m.find(f.fact.Object)
+		if i < 0 || f.fact.Generation.Purge < m.Floor(f.fact.Object) {
+			continue
+		}
+		if m.entries[i].generation == f.fact.Generation {
+			f.fact.Stands = uint8(m.of(i)[f.fact.Class].stands + 1)
+		}
+		f.fact.Witness = witness(m.s.Self, f.host)
+		out = append(out, f.fact)
+	}
+	return out
+}
+
+// Notices takes the joins and splits since it was last asked.
+func (m *Module) Notices() []Notice {
+	n := m.notices
+	m.notices = nil
+	return n
+}
+
+// Dropped counts facts and notices that nobody took in time.
+func (m *Module) Dropped() uint64 { return m.dropped }
+
+// Objects counts those in the table.
+func (m *Module) Objects() int { return len(m.index) }
--- /dev/null
+++ b/fleet/variants/facts.go
@@ -0,0 +1,148 @@
+package variants
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+var errFact = errors.New("not a fact: spoilt, or of another version")
+
+// factHead is the bytes of a fact before its witness: version, service, group, object, class, proof, purge, version, split, splits, stands.
+const factHead = 1 + 4 + 4 + 8 + 1 + 8 + 8 + 8 + 1 + 4 + 1
+
+// FactKey is the key of a fact's record: of one object, class and witness.
+func FactKey(f *Fact) string {
+	return fmt.Sprintf("%d/%016x/%d/%s", f.Object.Service, f.Object.Object, f.Class, f.Witness)
+}
+
+// EncodeFact gives a fact's bytes: the same for the same fact.
+func EncodeFact(f *Fact) []byte {
+	b := make([]byte, 0, factHead+len(f.Witness))
+	b = append(b, 1)
+	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Service))
+	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Group))
+	b = binary.BigEndian.AppendUint64(b, f.Object.Object)
+	b = append(b, byte(f.Class))
+	b = binary.BigEndian.AppendUint64(b, f.Proof)
+	b = binary.BigEndian.AppendUint64(b, f.Generation.Purge)
+	b = binary.BigEndian.AppendUint64(b, f.Generation.Version)
+	split := byte(0)
+	if f.Split {
+		split = 1
+	}
+	b = append(b, split)
+	b = binary.BigEndian.AppendUint32(b, f.Splits)
+	b = append(b, f.Stands)
+	return append(b, f.Witness...)
+}
+
+// DecodeFact reads what EncodeFact wrote; whatever else is refused.
+func DecodeFact(b []byte) (Fact, error) {
+	if len(b) <= factHead || len(b) > factHead+maxWitness || b[0] != 1 || b[42] > 1 {
+		return Fact{}, errFact
+	}
+	f := Fact{
+		Object: Object{
+			Service: int(int32(binary.BigEndian.Uint32(b[1:]))), Group: int(int32(binary.BigEndian.Uint32(b[5:]))),
+			Object: binary.BigEndian.Uint64(b[9:]),
+		},
+		Class:      int(b[17]),
+		Proof:      binary.BigEndian.Uint64(b[18:]),
+		Generation: Generation{binary.BigEndian.Uint64(b[26:]), binary.BigEndian.Uint64(b[34:])},
+		Split:      b[42] == 1,
+		Splits:     binary.BigEndian.Uint32(b[43:]),
+		Stands:     b[47],
+		Witness:    string(b[factHead:]),
+	}
+	if _, ok := hostOf(f.Witness); !ok || f.Class >= MaxClasses || f.Stands > MaxClasses || f.Object.Service < 0 || f.Proof == 0 {
+		return Fact{}, errFact
+	}
+	return f, nil
+}
+
+// FactLaw orders two values of one key, totally: what can't be read is lowest; then the higher generation, a contrary one over an agreeing
+// one, more splits, the class that stands and was declared first, and the bytes.
+func FactLaw(a, b []byte) int {
+	f, e := DecodeFact(a)
+	g, h := DecodeFact(b)
+	if e != nil || h != nil {
+		return cmp.Or(boolean(e == nil)-boolean(h == nil), bytes.Compare(a, b))
+	}
+	stands := func(x uint8) int { return (MaxClasses + 1 - int(x)) % (MaxClasses + 1) } // 0 for none, else the lower the class the higher
+	return cmp.Or(f.Generation.compare(g.Generation), boolean(f.Split)-boolean(g.Split), cmp.Compare(f.Splits, g.Splits),
+		cmp.Compare(stands(f.Stands), stands(g.Stands)), bytes.Compare(a, b))
+}
+
+func (g Generation) compare(o Generation) int {
+	return cmp.Or(cmp.Compare(g.Purge, o.Purge), cmp.Compare(g.Version, o.Version))
+}
+
+func boolean(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func witness(self string, host uint32) string {
+	return self + "/" + strconv.FormatUint(uint64(host), 16)
+}
+
+// hostOf reads the host: two dispatchers that heard one host are one witness.
+func hostOf(w string) (uint32, bool) {
+	i := strings.LastIndexByte(w, '/')
+	if i < 0 || len(w) > maxWitness {
+		return 0, false
+	}
+	h, err := strconv.ParseUint(w[i+1:], 16, 32)
+	return uint32(h), err == nil
+}
+
+// check names all that is wrong with settings.
+func (s *Settings) check() error {
+	var faults []error
+	fault := func(f string, a ...any) { faults = append(faults, fmt.Errorf(f, a...)) }
+	declared := false
+	for i := range s.Services {
+		v := &s.Services[i]
+		if len(v.Classes) == 0 {
+			continue
+		}
+		declared = true
+		if len(v.Classes) > MaxClasses {
+			fault("service %d: %d classes, %d at most", i, len(v.Classes), MaxClasses)
+		}
+		seen := map[string]bool{}
+		for _, c := range v.Classes {
+			if c == "" || seen[c] {
+				fault("service %d: class %q is empty or named twice", i, c)
+			}
+			seen[c] = true
+		}
+		if v.Proof < ByTag || v.Proof > ByBody {
+			fault("service %d: no proof of sameness is named", i)
+		}
+		if v.Witnesses < 1 || v.Witnesses > MaxWitnesses {
+			fault("service %d: %d witnesses, 1 to %d", i, v.Witnesses, MaxWitnesses)
+		}
+		if math.IsNaN(v.Fresh) || v.Fresh < 0 {
+			fault("service %d: fresh %v s, 0 at least", i, v.Fresh)
+		}
+		if p := v.Presume; p != nil && (p.Objects < 1 || !(p.Checks > 0 && p.Checks <= 1)) {
+			fault("service %d: presumes after %d objects with checks %v: 1 object at least, and a share over 0 up to 1", i, p.Objects, p.Checks)
+		}
+	}
+	if declared && (s.Objects < 1 || s.Objects > MaxObjects) {
+		fault("%d objects, 1 to %d", s.Objects, MaxObjects)
+	}
+	if declared && (s.Self == "" || len(s.Self) > maxWitness-9) {
+		fault("the dispatcher's name %q is empty or longer than %d bytes", s.Self, maxWitness-9)
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/fleet/variants/module.go
@@ -0,0 +1,302 @@
+package variants
+
+import "math"
+
+// Bounds.
+const (
+	MaxClasses   = 8       // of a service: a class's state is 64 bytes an object
+	MaxWitnesses = 4       // that can be asked for
+	MaxObjects   = 1 << 22 // in the table
+	maxGroups    = 1 << 14 // patterns that are counted; of further groups nothing is presumed
+	maxWitness   = 128     // bytes of a witness's name
+	maxFacts     = 1 << 13 // that wait to be told; the oldest goes, and peers keep own keys for it
+	maxNotices   = 1 << 12 // that wait
+	floorsEach   = 4       // floors of purges an object, so that few objects share one
+
+	warm        = 20.0  // s over which a growing share of GETs goes by a new key: hosts fill it once, not all at one moment
+	hold        = 30.0  // s that a class is held apart after its first split; doubled with each further one
+	holdMost    = 7200  // s at most
+	forgiven    = 4.0   // times the last hold that a join must have stood for its splits to be forgotten
+	checksFirst = 0.1   // share of GETs by their own class right after a join, falling with each that agreed
+	checksLeast = 0.002 // share that always remains: an origin may change one variant and tell nobody
+	checksRenew = 0.2   // share where evidence is past half of Fresh and would lapse
+	ticks       = 10.0  // a second: times are kept so, rounded to the past
+)
+
+// class is what is known of one class of an object in the object's generation.
+type class struct {
+	proof    uint64
+	hosts    [MaxWitnesses]uint32
+	at       [MaxWitnesses]uint32 // ticks
+	since    uint32               // tick of the last change of stands
+	until    uint32               // tick up to which it is held apart
+	expires  uint32               // tick at which its evidence lapses
+	checks   uint16               // own answers that agreed since the join
+	n        uint8                // witnesses
+	splits   uint8
+	stands   int8 // class that stands for it, itself where it stands for others; -1 for none
+	last     int8 // that stood before
+	from     int8 // class by which the rest of the GETs go while the key is warmed
+	disputed bool // two contents in one generation: not joined until another generation
+}
+
+// entry is an object in the table; its classes are m.classes[i*m.stride:].
+type entry struct {
+	object     Object
+	generation Generation
+	agreed     uint32 // pairs of classes that were counted for the group's pattern
+	against    uint32
+	used, ref  bool
+}
+
+// pattern is what the objects of a group bore out, by pair of classes.
+type pattern struct {
+	agreed, against [MaxClasses * (MaxClasses - 1) / 2]uint32
+	stands          [MaxClasses]int8 // what is presumed to stand for each class, -1 for nothing
+}
+
+type group struct{ service, group int }
+
+// told waits to be told to peers.
+type told struct {
+	fact Fact
+	host uint32
+}
+
+// Module is the state of one dispatcher. It is not safe for concurrent use.
+type Module struct {
+	s       Settings
+	stride  int
+	index   map[uint64]int32
+	entries []entry
+	classes []class
+	hand    int
+	zero    float64
+	started bool
+	// Floors of purges: of all, of services, and by hash of groups and objects. One that two share is higher than need be for one of
+	// them: it voids too much, never too little. So nothing that is forgotten lets an older generation in.
+	all      uint64
+	services []uint64
+	floors   []uint64
+	patterns map[group]*pattern
+	facts    []told
+	notices  []Notice
+	dropped  uint64
+}
+
+// New makes a module, or names all that is wrong with the settings.
+func New(s Settings) (*Module, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	m := &Module{s: s, services: make([]uint64, len(s.Services)), patterns: map[group]*pattern{}}
+	for _, v := range s.Services {
+		m.stride = max(m.stride, len(v.Classes))
+	}
+	if m.stride == 0 {
+		m.floors = make([]uint64, 1)
+		return m, nil
+	}
+	m.index = make(map[uint64]int32, s.Objects)
+	m.entries = make([]entry, s.Objects)
+	m.classes = make([]class, s.Objects*m.stride)
+	n := 1
+	for n < s.Objects*floorsEach {
+		n *= 2
+	}
+	m.floors = make([]uint64, n)
+	return m, nil
+}
+
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// KeyOf is the key by which hosts, their order, byte rates and joint forwards know an object of a class; the object's own for class 0 and
+// where there is none.
+func KeyOf(object uint64, class int) uint64 {
+	if class <= 0 {
+		return object
+	}
+	return mix(object ^ uint64(class)*0xd6e8feb86659fd93)
+}
+
+func id(o Object) uint64 { return o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15 }
+
+func (m *Module) floorOf(o Object) *uint64 { return &m.floors[mix(id(o))&uint64(len(m.floors)-1)] }
+func (m *Module) floorOfGroup(service, g int) *uint64 {
+	return &m.floors[mix(uint64(g)<<20^uint64(service)^0xa0761d6478bd642f)&uint64(len(m.floors)-1)]
+}
+
+// Floor is the newest purge that may count for an object, as known here. An answer bears the one that was known when its forward began.
+func (m *Module) Floor(o Object) uint64 {
+	f := m.all
+	if o.Service >= 0 && o.Service < len(m.services) {
+		f = max(f, m.services[o.Service])
+	}
+	return max(f, *m.floorOf(o), *m.floorOfGroup(o.Service, o.Group))
+}
+
+// Purged voids all evidence of generations before a purge: of all (service -1), of a group, of an object (group -1), of a service
+// (group -1, object 0).
+func (m *Module) Purged(now float64, service int, object uint64, g int, purge uint64) {
+	of := func(k group) bool { return false }
+	switch {
+	case service < 0:
+		of = func(group) bool { return purge > m.all }
+		defer func() { m.all = max(m.all, purge) }()
+	case service >= len(m.services):
+		return
+	case g >= 0:
+		f := m.floorOfGroup(service, g)
+		of = func(k group) bool { return k == group{service, g} && purge > *f }
+		defer func() { *f = max(*f, purge) }()
+	case object == 0:
+		of = func(k group) bool { return k.service == service && purge > m.services[service] }
+		defer func() { m.services[service] = max(m.services[service], purge) }()
+	default:
+		f := m.floorOf(Object{Service: service, Object: object})
+		*f = max(*f, purge)
+		return
+	}
+	for k := range m.patterns {
+		if of(k) {
+			delete(m.patterns, k)
+		}
+	}
+}
+
+func (m *Module) tick(now float64) uint32 {
+	if !m.started {
+		m.zero, m.started = now-1, true // tick 0 is before all
+	}
+	return uint32(min(max(0, (now-m.zero)*ticks), math.MaxUint32-1))
+}
+
+func (m *Module) service(o Object, c int) *Service {
+	if o.Service < 0 || o.Service >= len(m.s.Services) {
+		return nil
+	}
+	if v := &m.s.Services[o.Service]; v.Repeats && c >= 0 && c < len(v.Classes) {
+		return v
+	}
+	return nil
+}
+
+// find gives an object's place in the table, -1 where it isn't there.
+func (m *Module) find(o Object) int {
+	if i, ok := m.index[id(o)]; ok {
+		if e := &m.entries[i]; e.object.Object == o.Object && e.object.Service == o.Service {
+			return int(i)
+		}
+	}
+	return -1
+}
+
+func (m *Module) of(i int) []class {
+	return m.classes[i*m.stride : i*m.stride+len(m.s.Services[m.entries[i].object.Service].Classes)]
+}
+
+// Key says by which class a GET of a class is looked for.
+func (m *Module) Key(now float64, o Object, c int) Key {
+	own := Key{Class: c, Own: true}
+	v := m.service(o, c)
+	if v == nil {
+		return own
+	}
+	i := m.find(o)
+	if i < 0 && v.Presume == nil {
+		return own
+	}
+	t := m.tick(now)
+	draw := mix(math.Float64bits(now) ^ m.s.Seed ^ mix(o.Object) ^ uint64(c)<<56)
+	low, high := float64(draw&0xffffffff)/(1<<32), float64(draw>>32)/(1<<32)
+	if i >= 0 {
+		e := &m.entries[i]
+		e.ref = true
+		k := m.of(i)
+		if d := &k[c]; d.stands >= 0 && t < d.expires && e.generation.Purge >= m.Floor(o) {
+			stands := int(d.stands)
+			if d.from >= 0 && t-d.since < warm*ticks && low*warm*ticks >= float64(t-d.since) {
+				stands = int(d.from)
+			}
+			if stands == c {
+				return own
+			}
+			if high < m.share(v, d, t) {
+				return Key{Class: c, Own: true, Checks: true}
+			}
+			return Key{Class: stands}
+		}
+	}
+	if v.Presume == nil {
+		return own
+	}
+	p := m.patterns[group{o.Service, o.Group}]
+	if p == nil || p.stands[c] < 0 {
+		return own
+	}
+	d := int(p.stands[c])
+	if i >= 0 && !m.presumable(i, d, c, t) {
+		return own
+	}
+	if high < max(v.Presume.Checks, checksFirst*float64(v.Presume.Objects)/float64(max(1, p.agreed[pair(d, c)]))) {
+		return Key{Class: c, Own: true, Checks: true, Presume: true}
+	}
+	return Key{Class: d, Presume: true}
+}
+
+// share is that of a joined class's GETs that ask by their own class all the same.
+func (m *Module) share(v *Service, d *class, t uint32) float64 {
+	s := max(checksLeast, checksFirst/float64(1+d.checks))
+	if d.expires != math.MaxUint32 && float64(d.expires-t) < v.Fresh*ticks/2 {
+		s = max(s, checksRenew)
+	}
+	return s
+}
+
+// presumable tells whether nothing that is known of an object speaks against its class c being d's.
+func (m *Module) presumable(i, d, c int, t uint32) bool {
+	e, k := &m.entries[i], m.of(i)
+	if e.against&(1<<pair(d, c)) != 0 || k[c].until > t || k[d].until > t || k[c].disputed || k[d].disputed {
+		return false
+	}
+	return k[c].n == 0 || k[d].n == 0 || k[c].proof == k[d].proof || e.generation.Purge < m.Floor(e.object)
+}
+
+// Fits tells whether an answer to a GET of class c may be given to its client; else it is to be asked anew by its own class. It is asked
+// after Answered, before the first byte goes out. Without it a new version of one variant reaches clients of another class until it is known.
+func (m *Module) Fits(now float64, c int, k Key, a *Answer) bool {
+	if a.Class == c {
+		return true
+	}
+	v := m.service(a.Object, c)
+	if v == nil || a.Proof == 0 || a.Generation.Purge < m.Floor(a.Object) {
+		return false
+	}
+	t := m.tick(now)
+	i := m.find(a.Object)
+	if k.Presume && a.Class >= 0 && a.Class < len(v.Classes) {
+		if i < 0 {
+			return true
+		}
+		d := &m.of(i)[c]
+		if !m.presumable(i, a.Class, c, t) {
+			return false
+		}
+		return d.n == 0 || m.entries[i].generation != a.Generation || d.proof == a.Proof
+	}
+	if i < 0 {
+		return false
+	}
+	d := &m.of(i)[c]
+	return m.entries[i].generation == a.Generation && m.sure(v, d, t) && d.proof == a.Proof
+}
+
+// sure tells whether a class's content is known as well as is asked for.
+func (m *Module) sure(v *Service, d *class, t uint32) bool {
+	return !d.disputed && int(d.n) >= v.Witnesses && d.until <= t && t < d.expires
+}
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -23,6 +23,9 @@
 	Witnesses int       // independent hosts that must have borne out sameness, 1 at least
 	Repeats   bool      // GETs may be repeated (idempotent): others are never rewritten
 	Presume   *Presumed // nil where nothing is presumed
+	// Fresh is for how long an answer that names no version is evidence (s), own answers only: no clock is compared, so that the age of a
+	// peer's fact is not known, and it may split but not join. 0: such answers are none. +Inf: contents change with purges only.
+	Fresh float64
 }
 
 // Presumed is where sameness is presumed for new objects of a group.
@@ -50,7 +53,7 @@
 // A higher purge is a later state.
 type Generation struct {
 	Purge   uint64
-	Version uint64 // 0 where the origin names none
+	Version uint64 // of the object and not of the variant alone, rising with each change of any of them; 0 where the origin names none
 }
 
 // Key is what a GET is looked for by.
@@ -65,7 +68,7 @@
 type Answer struct {
 	Object     Object
 	Class      int    // that was asked of the host
-	Host       uint32 // witness
+	Host       uint32 // witness, by the same number at all dispatchers
 	Proof      uint64 // hash of the tag, digest or body; 0 for none
 	Generation Generation
 }
@@ -80,4 +83,14 @@
 	Generation Generation
 	Split      bool   // contrary: this class had another content than the one that stood for it
 	Splits     uint32 // how often: a flapping object is held apart for longer
+	Stands     uint8  // 1 and the class that stands for it at the teller, 0 for none: dispatchers settle on the first declared
+}
+
+// Notice tells that a class was joined to the one that stands for it, or split off it.
+type Notice struct {
+	Object     Object
+	Class      int
+	Standing   int // the class's own where it was split off
+	Split      bool
+	Generation Generation
 }
