--- /dev/null
+++ b/fleet/replica/pull.go
@@ -0,0 +1,345 @@
+package replica
+
+import (
+	"math"
+	"slices"
+)
+
+// Figures of a pull.
+const (
+	pullRanges = 64         // at once: some 13 KB of sums
+	pullKeys   = 2_000      // at once
+	listUnder  = 64         // a range with no more records is listed: 1 KB
+	pieceBytes = fillStream // of a whole snapshot
+	patience   = 4.0        // intervals until another source is asked
+	mostTries  = 8          // that fail in a row; then a walk is given up. A whole snapshot goes on
+)
+
+// pull is a catch-up under way: a walk down the tree to what differs, or all in pieces by the hash of the key. All that it asks for may be asked of
+// another source: who is cut off goes on elsewhere. Base is what the source had when it was asked first: every part is looked at after
+// that, so that at the end all of it is here; of several sources, what all of them had.
+type pull struct {
+	id     uint64
+	from   string
+	whole  bool
+	base   vector // of this source; nil until it came
+	joint  vector // of all of them
+	lacks  map[uint8]bool
+	sums   []Range
+	lists  []Range
+	keys   []uint64
+	after  uint64
+	done   bool
+	asked  *Pull
+	at     float64
+	tries  int
+	gone   []*entry // here alone, under dots that the source has: deleted there
+	odd    map[Dot]Carried
+	sound  bool // nothing was refused on the way
+	before [256]int
+}
+
+// begin starts one, if none is under way.
+func (m *Machine) begin(from string, whole bool) {
+	if m.pull != nil {
+		return
+	}
+	records := 0
+	for _, id := range m.ids {
+		records += len(m.kinds[id].byKey)
+	}
+	whole = whole || records == 0
+	m.away = false
+	p := &pull{id: m.chance.Uint64(), from: m.near(from, whole), whole: whole, lacks: map[uint8]bool{}, odd: map[Dot]Carried{}, sound: true}
+	for _, id := range m.ids {
+		p.before[id] = m.kinds[id].refused
+	}
+	if !whole {
+		p.sums = []Range{{}}
+		m.stat.walks++
+	} else {
+		m.stat.wholes++
+		m.event(Event{What: "catching up", Who: p.from})
+	}
+	m.pull, m.walkAt = p, m.now
+	m.stat.pulls++
+	m.pump()
+}
+
+// near gives one of the own zone for a whole snapshot, where there is one.
+func (m *Machine) near(not string, whole bool) string {
+	if !whole || m.byName[not].Zone == m.s.Zone {
+		return not
+	}
+	var all []string
+	for _, o := range m.fleet.Others {
+		if o.Alive && o.Zone == m.s.Zone {
+			all = append(all, o.Name)
+		}
+	}
+	if len(all) == 0 {
+		return not
+	}
+	return all[m.chance.IntN(len(all))]
+}
+
+// pump asks for the next part, if the rate allows, and for one that did not come of another source.
+func (m *Machine) pump() {
+	m.bucket = min(m.s.Rate, m.bucket+(m.now-m.filled)*m.s.Rate)
+	m.filled = m.now
+	p := m.pull
+	if p == nil {
+		return
+	}
+	if p.asked != nil {
+		if m.now-p.at < patience*m.s.Interval {
+			return
+		}
+		p.sums, p.lists, p.keys = append(p.sums, p.asked.Sums...), append(p.lists, p.asked.Lists...), append(p.keys, p.asked.Keys...)
+		p.asked, p.base = nil, nil
+		if p.tries++; p.tries >= mostTries && !p.whole {
+			m.pull = nil
+			return
+		}
+		if all := m.some(len(m.fleet.Others), func(n string) bool { return n == p.from }); len(all) > 0 {
+			p.from = all[0]
+		}
+	}
+	if m.bucket < 0 {
+		return
+	}
+	ask := &Pull{ID: p.id, Vector: p.base == nil}
+	switch {
+	case p.whole && !p.done:
+		ask.Whole, ask.After = true, p.after
+	case len(p.sums)+len(p.lists)+len(p.keys) > 0:
+		ask.Sums, p.sums = cut(p.sums, pullRanges)
+		ask.Lists, p.lists = cut(p.lists, pullRanges)
+		ask.Keys, p.keys = cut(p.keys, pullKeys)
+	default:
+		m.finish(p)
+		return
+	}
+	p.asked, p.at = ask, m.now
+	m.send(p.from, Message{Pull: ask}, len(ask.Keys)*9+(len(ask.Sums)+len(ask.Lists))*10)
+}
+
+func cut[T any](all []T, n int) (head, tail []T) {
+	n = min(n, len(all))
+	return all[:n:n], all[n:]
+}
+
+// serve answers a part of another's catch-up.
+func (m *Machine) serve(to string, p *Pull) {
+	g := &Give{ID: p.ID}
+	used := 0
+	if p.Vector {
+		g.Vector = m.vec.list()
+		used += vectorBytes(g.Vector)
+	}
+	for _, r := range p.Sums {
+		if r.Depth < maxDepth {
+			g.Sums = append(g.Sums, m.tree.children(r))
+			used += 16 * 14
+		}
+	}
+	for _, r := range p.Lists {
+		l := List{Range: r}
+		m.tree.each(r, func(e *entry) { l.Keys, l.Sums = append(l.Keys, e.hash), append(l.Sums, e.sum) })
+		if used += 18 * len(l.Keys); len(l.Keys) > mostGiven/2 || used > fillStream {
+			break // the rest is asked for again
+		}
+		g.Lists = append(g.Lists, l)
+	}
+	for _, h := range p.Keys {
+		if used > fillStream {
+			break
+		}
+		g.Keys = append(g.Keys, h)
+		for _, e := range m.tree.leaf[h>>(64-4*leafDepth)] {
+			if e.hash == h {
+				g.Records = append(g.Records, Carried{e.rec, e.aside})
+				used += weigh(&e.rec)
+			}
+		}
+	}
+	if p.Whole {
+		m.piece(p.After, g, &used)
+	}
+	m.send(to, Message{Give: g}, used)
+}
+
+// piece adds records from a hash on, those of one hash together.
+func (m *Machine) piece(after uint64, g *Give, used *int) {
+	g.Whole = true
+	for i := after >> (64 - 4*leafDepth); i < leaves; i++ {
+		for at, e := range m.tree.leaf[i] {
+			if e.hash < after {
+				continue
+			}
+			if *used > pieceBytes && (at == 0 || m.tree.leaf[i][at-1].hash != e.hash) {
+				g.Next = e.hash
+				return
+			}
+			g.Records = append(g.Records, Carried{e.rec, e.aside})
+			*used += weigh(&e.rec)
+		}
+	}
+	g.Done = true
+}
+
+// given takes a part.
+func (m *Machine) given(from string, g *Give, lacks []uint8) {
+	p := m.pull
+	if p == nil || p.asked == nil || g.ID != p.id || from != p.from || g.Whole != p.asked.Whole || p.base == nil && g.Vector == nil && !p.asked.Vector {
+		return
+	}
+	asked := p.asked
+	p.asked, p.tries = nil, 0
+	if asked.Vector {
+		p.base = load(g.Vector)
+		m.hear(from, p.base, lacks)
+		if p.joint == nil {
+			p.joint = load(g.Vector)
+		} else {
+			p.joint = meet(p.joint, p.base)
+		}
+	}
+	for _, k := range lacks {
+		p.lacks[k] = true
+	}
+	used := vectorBytes(g.Vector)
+	for _, s := range g.Sums {
+		if !slices.Contains(asked.Sums, s.Range) {
+			continue
+		}
+		asked.Sums = slices.DeleteFunc(asked.Sums, func(r Range) bool { return r == s.Range })
+		used += 16 * 14
+		mine := m.tree.children(s.Range)
+		for i := range 16 {
+			switch c := s.Range.child(i); {
+			case mine.Sums[i] == s.Sums[i] && mine.Count[i] == s.Count[i]:
+			case s.Count[i]+mine.Count[i] <= listUnder || c.Depth >= maxDepth:
+				p.lists = append(p.lists, c)
+			default:
+				p.sums = append(p.sums, c)
+			}
+		}
+	}
+	for _, l := range g.Lists {
+		if !slices.Contains(asked.Lists, l.Range) {
+			continue
+		}
+		asked.Lists = slices.DeleteFunc(asked.Lists, func(r Range) bool { return r == l.Range })
+		used += 18 * len(l.Keys)
+		mine, theirs := map[uint64]uint64{}, map[uint64]bool{}
+		m.tree.each(l.Range, func(e *entry) { mine[e.hash] += e.sum })
+		sums := map[uint64]uint64{}
+		for i, h := range l.Keys {
+			theirs[h] = true
+			sums[h] += l.Sums[i]
+		}
+		for _, h := range l.Keys {
+			if l.Range.in(h) && theirs[h] && mine[h] != sums[h] {
+				p.keys = append(p.keys, h)
+			}
+			theirs[h] = false // asked once
+		}
+		m.tree.each(l.Range, func(e *entry) {
+			if _, ok := theirs[e.hash]; !ok {
+				m.absent(p, e)
+			}
+		})
+	}
+	for i := range g.Records {
+		used += weigh(&g.Records[i].Record)
+		m.pulled(p, g.Records[i])
+	}
+	asked.Keys = slices.DeleteFunc(asked.Keys, func(h uint64) bool { return slices.Contains(g.Keys, h) })
+	if g.Whole {
+		end := uint64(math.MaxUint64)
+		if !g.Done {
+			end = g.Next
+		}
+		there := map[uint64]bool{}
+		for _, c := range g.Records {
+			there[m.hashOf(c.Record.Kind, c.Record.Key)] = true
+		}
+		for i := asked.After >> (64 - 4*leafDepth); i < leaves; i++ {
+			for _, e := range m.tree.leaf[i] {
+				if e.hash >= asked.After && (e.hash < end || g.Done) && !there[e.hash] {
+					m.absent(p, e)
+				}
+			}
+		}
+		p.after, p.done = g.Next, g.Done || g.Next <= asked.After
+	}
+	// What was not answered is asked for again.
+	p.sums, p.lists, p.keys = append(p.sums, asked.Sums...), append(p.lists, asked.Lists...), append(p.keys, asked.Keys...)
+	m.stat.pulled += uint64(used)
+	m.bucket -= float64(used)
+	m.pump()
+}
+
+// absent books a record that is here and not at the source: under a dot that the source has, it was deleted there.
+func (m *Machine) absent(p *pull, e *entry) {
+	if p.base.covers(e.rec.Dot) && !p.lacks[e.rec.Kind] || m.fault.dropAll {
+		p.gone = append(p.gone, e)
+	}
+}
+
+// pulled takes a record of the source, unless it was deleted and forgotten here.
+func (m *Machine) pulled(p *pull, c Carried) {
+	s := m.kinds[c.Record.Kind]
+	if s.byKey[c.Record.Key] == nil && m.vec.covers(c.Record.Dot) && !s.lacks && !m.fault.noRule {
+		if len(p.odd) < mostGiven {
+			p.odd[c.Record.Dot] = c
+		}
+		return
+	}
+	m.merge(c)
+}
+
+// finish joins what the sources had, once all of it was looked at.
+func (m *Machine) finish(p *pull) {
+	for _, e := range p.gone {
+		if e.gone {
+			continue
+		}
+		// One dot under which each side has another key: neither was deleted.
+		if c, ok := p.odd[e.rec.Dot]; ok && (c.Record.Key != e.rec.Key || c.Record.Kind != e.rec.Kind) {
+			m.setAside(e)
+			if o := m.merge(Carried{c.Record, true}); o != nil && !o.aside && o.rec.Dot == c.Record.Dot {
+				m.setAside(o)
+			}
+			continue
+		}
+		if p.joint.covers(e.rec.Dot) || m.fault.dropAll {
+			m.drop(e)
+		}
+	}
+	for name, w := range p.joint {
+		if m.vec[name] == nil && len(m.vec) >= mostWriters {
+			continue
+		}
+		for _, k := range w.marks {
+			if m.vec.raise(name, k.era, k.number) {
+				m.raised = append(m.raised, trackKey{m.intern(name), k.era})
+				delete(m.logs, trackKey{name, k.era}) // it goes on from here
+			}
+		}
+		if o := m.vec[name]; o != nil && w.floor > o.floor && len(o.marks) > 0 && o.marks[0].era >= w.floor {
+			o.floor = o.marks[0].era
+			m.raised = append(m.raised, trackKey{name, o.floor})
+		}
+	}
+	for _, id := range m.ids {
+		s := m.kinds[id]
+		s.lacks = p.lacks[id] || s.lacks && s.refused != p.before[id]
+	}
+	m.pull = nil
+	if p.whole {
+		m.event(Event{What: "caught up", Who: p.from})
+	}
+	m.ask(p.from)
+}
