--- /dev/null
+++ b/fleet/replica/world_test.go
@@ -0,0 +1,437 @@
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// The world plays machines on one clock, with a network and disks that fail by seed. What is right is worked out from what it wrote itself.
+
+const (
+	kindMax, kindText = 1, 2 // the greatest first 8 bytes stand; no law
+)
+
+func kinds() []Kind {
+	law := func(a, b []byte) int { return strings.Compare(string(a[:min(8, len(a))]), string(b[:min(8, len(b))])) }
+	return []Kind{{ID: kindMax, Name: "max", Records: 200_000, Bytes: 1 << 26, Longest: 1000, Sync: true, Law: law},
+		{ID: kindText, Name: "text", Records: 200_000, Bytes: 1 << 26, Longest: 1000}}
+}
+
+type disk struct {
+	saved Saved
+	recs  map[Name]Carried
+	vec   map[[2]any]Entry
+}
+
+func newDisk() *disk { return &disk{recs: map[Name]Carried{}, vec: map[[2]any]Entry{}} }
+
+func (d *disk) put(s *Save) {
+	if s == nil {
+		return
+	}
+	d.saved.Era = s.Era
+	for _, n := range s.Drops {
+		delete(d.recs, n)
+	}
+	for _, c := range s.Records {
+		d.recs[Name{c.Record.Kind, c.Record.Key}] = c
+	}
+	for _, e := range s.Folded {
+		delete(d.vec, [2]any{e.Writer, e.Era})
+	}
+	for _, e := range s.Vector {
+		d.vec[[2]any{e.Writer, e.Era}] = e
+	}
+}
+
+func (d *disk) load() *Saved {
+	s := &Saved{Era: d.saved.Era}
+	for _, c := range d.recs {
+		s.Records = append(s.Records, c)
+	}
+	slices.SortFunc(s.Records, func(a, b Carried) int { return cmp.Compare(a.Record.Key, b.Record.Key) })
+	for _, e := range d.vec {
+		s.Vector = append(s.Vector, e)
+	}
+	slices.SortFunc(s.Vector, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Era, b.Era)) })
+	return s
+}
+
+func (d *disk) copy() *disk {
+	c := newDisk()
+	c.saved = d.saved
+	for k, v := range d.recs {
+		c.recs[k] = v
+	}
+	for k, v := range d.vec {
+		c.vec[k] = v
+	}
+	return c
+}
+
+type node struct {
+	name, zone string
+	m          *Machine
+	disk, old  *disk
+	boots      uint64
+}
+
+type letter struct {
+	at       float64
+	from, to string
+	raw      []byte
+	order    int
+}
+
+type written struct {
+	name  Name
+	value string
+	dead  bool
+	by    string
+	met   Level
+	acked bool
+	at    float64
+	seen  map[string]bool // values of the key that stood at the writer, or were acknowledged, before: those it deleted
+}
+
+type world struct {
+	t       require.TestingT
+	now     float64
+	chance  *rand.Rand
+	nodes   []*node
+	by      map[string]*node
+	post    []letter
+	sent    int
+	bytes   map[string]int
+	cutOff  map[string]int // part of the net that one is in
+	loss    float64
+	delay   float64
+	writes  map[Dot]*written
+	events  []Event
+	boot    func(m *Machine)
+	problem []string
+	horizon float64
+}
+
+func newWorld(t require.TestingT, n int, seed uint64) *world {
+	w := &world{t: t, chance: rand.New(rand.NewPCG(seed, 7)), by: map[string]*node{}, bytes: map[string]int{}, cutOff: map[string]int{},
+		writes: map[Dot]*written{}, delay: 0.05, horizon: 1000}
+	for i := range n {
+		x := &node{name: fmt.Sprintf("n%03d", i), zone: string(rune('a' + i%3)), disk: newDisk()}
+		w.nodes = append(w.nodes, x)
+		w.by[x.name] = x
+	}
+	return w
+}
+
+func (w *world) start(x *node, saved *Saved) {
+	x.boots++
+	m, err := New(Settings{Name: x.name, Zone: x.zone, Seed: w.chance.Uint64(), Interval: 1, Horizon: w.horizon, Kinds: kinds()}, saved, w.now)
+	require.NoError(w.t, err)
+	if w.boot != nil {
+		w.boot(m)
+	}
+	x.m = m
+	w.fleet()
+	w.drain(x)
+}
+
+func (w *world) all() {
+	for _, x := range w.nodes {
+		if x.m == nil {
+			w.start(x, nil)
+		}
+	}
+}
+
+func (w *world) fleet() {
+	for _, x := range w.nodes {
+		if x.m == nil {
+			continue
+		}
+		f := Fleet{Of: len(w.nodes)}
+		seen := 1
+		for _, o := range w.nodes {
+			if o != x {
+				alive := o.m != nil && w.cutOff[o.name] == w.cutOff[x.name]
+				if alive {
+					seen++
+				}
+				f.Others = append(f.Others, Member{Name: o.name, Zone: o.zone, Alive: alive, Counted: true})
+			}
+		}
+		f.Decides = 2*seen > len(w.nodes)
+		x.m.Fleet(f, w.now)
+	}
+}
+
+// drain does what a driver does: save, then send and tell.
+func (w *world) drain(x *node) {
+	r := x.m.Ready()
+	x.disk.put(r.Save)
+	for _, o := range r.Outcomes {
+		if wr := w.writes[o.Dot]; wr != nil {
+			wr.acked, wr.met = true, o.Got
+		}
+	}
+	for _, e := range r.Events {
+		e.Who = x.name + " " + e.Who
+		w.events = append(w.events, e)
+	}
+	for _, e := range r.Send {
+		raw, err := cbor.Marshal(e.Message)
+		require.NoError(w.t, err)
+		if limit := map[bool]int{false: MostMessage, true: MostStream}[e.Stream]; len(raw) >= limit {
+			w.problem = append(w.problem, fmt.Sprintf("a message of %d bytes, stream %v", len(raw), e.Stream))
+		}
+		w.bytes[x.name] += len(raw)
+		w.sent++
+		if w.chance.Float64() >= w.loss {
+			w.post = append(w.post, letter{w.now + w.delay*(0.5+w.chance.Float64()), x.name, e.To, raw, w.sent})
+			if w.loss > 0 && w.chance.Float64() < 0.05 {
+				w.post = append(w.post, letter{w.now + 3*w.chance.Float64(), x.name, e.To, raw, w.sent})
+			}
+		}
+	}
+}
+
+func (w *world) deliver(l letter) {
+	x := w.by[l.to]
+	if x == nil || x.m == nil || w.cutOff[l.from] != w.cutOff[l.to] {
+		return
+	}
+	var msg Message
+	require.NoError(w.t, cbor.Unmarshal(l.raw, &msg))
+	if err := x.m.Step(l.from, &msg, w.now); err != nil {
+		w.problem = append(w.problem, err.Error())
+	}
+}
+
+func (w *world) run(span float64) {
+	for end := w.now + span; w.now < end; {
+		w.now += 0.25
+		slices.SortFunc(w.post, func(a, b letter) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) })
+		i := 0
+		for i < len(w.post) && w.post[i].at <= w.now {
+			i++
+		}
+		now := w.post[:i:i]
+		w.post = slices.Clone(w.post[i:])
+		for _, l := range now {
+			w.deliver(l)
+			if x := w.by[l.to]; x != nil && x.m != nil && w.chance.Float64() < 0.7 { // else they pile up: group commit
+				w.drain(x)
+			}
+		}
+		for _, x := range w.nodes {
+			if x.m != nil {
+				x.m.Tick(w.now)
+				w.drain(x)
+			}
+		}
+	}
+}
+
+func (w *world) write(x *node, kind uint8, key, value string, dead bool, sure Sure) (Dot, error) {
+	seen := map[string]bool{}
+	if r, ok := x.m.Get(kind, key); ok {
+		seen[string(r.Value)] = true
+	}
+	for _, o := range w.writes {
+		if o.name == (Name{kind, key}) && !o.dead && o.acked && o.met == Majority {
+			seen[o.value] = true
+		}
+	}
+	d, err := x.m.Write(w.now, kind, key, []byte(value), dead, sure)
+	if err == nil {
+		if w.writes[d] != nil && w.writes[d].by != x.name+fmt.Sprint(x.boots) {
+			w.problem = append(w.problem, fmt.Sprintf("dot %v was given twice", d))
+		}
+		w.writes[d] = &written{name: Name{kind, key}, value: value, dead: dead, by: x.name + fmt.Sprint(x.boots), at: w.now, seen: seen}
+	}
+	return d, err
+}
+
+func (w *world) kill(x *node) { x.m = nil; w.fleet() }
+
+func (w *world) heal() {
+	clear(w.cutOff)
+	w.loss = 0
+	for _, x := range w.nodes {
+		if x.m == nil {
+			w.start(x, x.disk.load())
+		}
+	}
+	w.fleet()
+}
+
+// higher is the checker's own order of contents.
+func higher(kind uint8, av string, ad bool, bv string, bd bool) bool {
+	if kind == kindMax {
+		if x, y := av[:min(8, len(av))], bv[:min(8, len(bv))]; x != y {
+			return x > y
+		}
+	}
+	if ad != bd {
+		return ad
+	}
+	return av > bv
+}
+
+// state is all that stands at a node, as its reader sees it.
+func (w *world) state(x *node) map[Name]string {
+	all := map[Name]string{}
+	for _, k := range []uint8{kindMax, kindText} {
+		x.m.Each(k, "", func(r Record) bool { all[Name{k, r.Key}] = string(r.Value); return true })
+	}
+	return all
+}
+
+// verdict tells what is wrong after healing: disagreement, something acknowledged that is lost, something deleted that is back.
+func (w *world) verdict() []string {
+	bad := w.problem
+	first := w.state(w.nodes[0])
+	for _, x := range w.nodes[1:] {
+		s := w.state(x)
+		for n, v := range s {
+			if o, ok := first[n]; !ok || o != v {
+				bad = append(bad, fmt.Sprintf("%s has %v %q, the first %q %v", x.name, n, v, o, ok))
+			}
+		}
+		for n, v := range first {
+			if _, ok := s[n]; !ok {
+				bad = append(bad, fmt.Sprintf("%s lacks %v %q", x.name, n, v))
+			}
+		}
+	}
+	for d, o := range w.writes {
+		v, ok := first[o.name]
+		// What a deletion was above is not to stand again. What it knew nothing of may, once it is forgotten.
+		if o.dead && o.acked && o.met == Majority && ok && higher(o.name.Kind, o.value, true, v, false) && o.seen[v] {
+			bad = append(bad, fmt.Sprintf("%v was deleted by %v and is back as %q", o.name, d, v))
+		}
+		if !o.dead && o.acked && o.met == Majority && (!ok || higher(o.name.Kind, o.value, false, v, false)) && !w.deleted(o) {
+			bad = append(bad, fmt.Sprintf("%v %q by %v, acknowledged, is lost: %q", o.name, o.value, d, v))
+		}
+		if ok && v == "" {
+			bad = append(bad, fmt.Sprintf("%v is empty", o.name))
+		}
+	}
+	for n, v := range first {
+		found := false
+		for _, o := range w.writes {
+			found = found || o.name == n && o.value == v && !o.dead
+		}
+		if !found {
+			bad = append(bad, fmt.Sprintf("%v %q was never written", n, v))
+		}
+	}
+	slices.Sort(bad)
+	return slices.Compact(bad)
+}
+
+// deleted tells whether a deletion above it was written, acknowledged or not.
+func (w *world) deleted(o *written) bool {
+	for _, x := range w.writes {
+		if x.dead && x.name == o.name && higher(o.name.Kind, x.value, true, o.value, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// settle runs until all agree, or a bound.
+func (w *world) settle(bound float64) float64 {
+	from := w.now
+	for w.now-from < bound {
+		w.run(1)
+		if w.same() {
+			return w.now - from
+		}
+	}
+	return bound
+}
+
+func (w *world) same() bool {
+	for _, x := range w.nodes {
+		if x.m == nil || x.m.tree.live != w.nodes[0].m.tree.live || x.m.pull != nil || !x.m.vec.reaches(w.nodes[0].m.vec) || !w.nodes[0].m.vec.reaches(x.m.vec) {
+			return false
+		}
+	}
+	return true
+}
+
+// schedule plays faults by seed, heals, and gives the verdict.
+func schedule(t *testing.T, seed uint64, boot func(*Machine)) []string {
+	w := newWorld(t, 5, seed)
+	w.boot = boot
+	w.horizon = 60
+	w.all()
+	w.run(3)
+	c := w.chance
+	for range 60 {
+		switch c.IntN(14) {
+		case 0:
+			w.cutOff[w.nodes[c.IntN(5)].name] = c.IntN(2)
+			w.fleet()
+		case 1:
+			clear(w.cutOff)
+			w.fleet()
+		case 2:
+			w.loss = []float64{0, 0, 0.1, 0.3}[c.IntN(4)]
+		case 3, 4:
+			down := 0
+			for _, x := range w.nodes {
+				if x.m == nil {
+					down++
+				}
+			}
+			if x := w.nodes[c.IntN(5)]; x.m != nil && down == 0 {
+				w.kill(x)
+			}
+		case 5, 6:
+			for _, x := range w.nodes {
+				if x.m == nil {
+					saved := x.disk.load()
+					if c.IntN(6) == 0 && len(w.cutOff) == 0 && x.name == "n004" { // one disk alone may be lost: a majority keeps what was acknowledged
+						x.disk, saved = newDisk(), nil
+					}
+					w.start(x, saved)
+					break
+				}
+			}
+		case 7:
+			w.run(5 + 20*c.Float64())
+		}
+		for range 1 + c.IntN(4) {
+			x := w.nodes[c.IntN(5)]
+			if x.m == nil {
+				continue
+			}
+			kind, key := uint8(1+c.IntN(2)), fmt.Sprintf("k%02d", c.IntN(20))
+			value := fmt.Sprintf("%08d %d", c.IntN(1000), w.sent)
+			dead := c.IntN(4) == 0
+			sure := Sure{Level: []Level{Here, Copies, Majority}[c.IntN(3)], Copies: 2 + c.IntN(2), Within: 5}
+			_, _ = w.write(x, kind, key, value, dead, sure)
+			w.drain(x)
+		}
+		w.run(0.5 + c.Float64())
+	}
+	w.heal()
+	if took := w.settle(400); took >= 400 {
+		var s []string
+		for _, x := range w.nodes {
+			s = append(s, fmt.Sprintf("%s %+v %x", x.name, x.m.Status(), x.m.tree.live))
+		}
+		w.problem = append(w.problem, "not the same after 400 intervals:\n"+strings.Join(s, "\n"))
+	}
+	w.run(100)
+	return w.verdict()
+}
