--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -12,7 +12,7 @@
 // Settings is what a machine is told at its start.
 type Settings struct {
 	Name, Zone string
-	Seed       uint64
+	Seed       uint64  // drawn anew at each start
 	Interval   float64 // s between rounds; 0 for the default
 	Horizon    float64 // s after which one who was away takes a whole snapshot, and tombstones go; 0 for the default
 	Rate       float64 // bytes a second of catching up; 0 for the default
@@ -161,6 +161,8 @@
 	}
 	slices.Sort(m.ids)
 	if saved == nil {
+		// Guards against a lost disk whose last writes only some know: those eras are not given twice.
+		m.era = 1 + uint64(m.chance.Uint32()>>1)
 		return m, nil
 	}
 	m.era, m.vec, m.away = saved.Era+1, load(saved.Vector), saved.Away > s.Horizon
@@ -237,7 +239,7 @@
 	r := Record{Kind: kind, Key: key, Value: slices.Clone(value), Dead: dead, Dot: Dot{m.s.Name, m.era, m.vec.at(m.s.Name, m.era) + 1}}
 	e, more := s.byKey[key], size(&r)
 	if e != nil {
-		if cmp.Or(m.content(s, &r, &e.rec), r.Dot.Compare(e.rec.Dot)) <= 0 {
+		if m.order(s, &r, &e.rec) <= 0 {
 			return Dot{}, ErrLower
 		}
 		more -= size(&e.rec)
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -33,12 +33,18 @@
 	asked  *Pull
 	at     float64
 	tries  int
-	gone   []*entry // here alone, under dots that the source has: deleted there
+	gone   []fall // here, under dots that the source has, and not there: deleted there
 	odd    map[Dot]Carried
 	sound  bool // nothing was refused on the way
 	before [256]int
 }
 
+// fall is a record that is to go at the end, and what stands in its place.
+type fall struct {
+	e  *entry
+	by *Carried
+}
+
 // begin starts one, if none is under way.
 func (m *Machine) begin(from string, whole bool) {
 	if m.pull != nil {
@@ -284,25 +290,38 @@
 // absent books a record that is here and not at the source: under a dot that the source has, it was deleted there.
 func (m *Machine) absent(p *pull, e *entry) {
 	if p.base.covers(e.rec.Dot) && !p.lacks[e.rec.Kind] || m.fault.dropAll {
-		p.gone = append(p.gone, e)
+		p.gone = append(p.gone, fall{e: e})
 	}
 }
 
-// pulled takes a record of the source, unless it was deleted and forgotten here.
+// fallen tells whether a record fell here to one that is forgotten since: the vector has its dot, so that it or a higher one stood.
+func (m *Machine) fallen(r *Record) bool {
+	s := m.kinds[r.Kind]
+	e := s.byKey[r.Key]
+	return m.vec.covers(r.Dot) && !s.lacks && !m.fault.noRule && (e == nil || e.rec.Dot != r.Dot && m.order(s, r, &e.rec) > 0)
+}
+
+// pulled takes a record of the source, unless it fell here. What stands here falls if the source had it and has a lower one now.
 func (m *Machine) pulled(p *pull, c Carried) {
-	s := m.kinds[c.Record.Kind]
-	if s.byKey[c.Record.Key] == nil && m.vec.covers(c.Record.Dot) && !s.lacks && !m.fault.noRule {
+	if m.fallen(&c.Record) {
 		if len(p.odd) < mostGiven {
 			p.odd[c.Record.Dot] = c
 		}
 		return
 	}
+	s := m.kinds[c.Record.Kind]
+	if e := s.byKey[c.Record.Key]; e != nil && e.rec.Dot != c.Record.Dot && p.base.covers(e.rec.Dot) && !p.lacks[s.ID] && !m.fault.noRule &&
+		m.order(s, &c.Record, &e.rec) < 0 {
+		p.gone = append(p.gone, fall{e, &c})
+		return
+	}
 	m.merge(c)
 }
 
 // finish joins what the sources had, once all of it was looked at.
 func (m *Machine) finish(p *pull) {
-	for _, e := range p.gone {
+	for _, f := range p.gone {
+		e := f.e
 		if e.gone {
 			continue
 		}
@@ -315,7 +334,11 @@
 			continue
 		}
 		if p.joint.covers(e.rec.Dot) || m.fault.dropAll {
-			m.drop(e)
+			if s := m.kinds[e.rec.Kind]; f.by == nil {
+				m.drop(e)
+			} else if m.order(s, &f.by.Record, &e.rec) < 0 {
+				m.change(s, e, func() { e.rec, e.aside = f.by.Record, f.by.Aside })
+			}
 		}
 	}
 	for name, w := range p.joint {
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -180,7 +180,9 @@
 	at := make([]*entry, len(d.Records))
 	if !m.fault.joinFirst || m.chance.Float64() < 0.8 {
 		for i, c := range d.Records {
-			at[i] = m.merge(c)
+			if !m.fallen(&c.Record) {
+				at[i] = m.merge(c)
+			}
 		}
 	}
 	skip := have - min(have, d.From)
--- a/fleet/replica/table.go
+++ b/fleet/replica/table.go
@@ -163,6 +163,11 @@
 	return bytes.Compare(a.Value, b.Value)
 }
 
+// order is the whole order of records of a key.
+func (m *Machine) order(s *shelf, a, b *Record) int {
+	return cmp.Or(m.content(s, a, b), a.Dot.Compare(b.Dot))
+}
+
 func size(r *Record) int { return len(r.Key) + len(r.Value) }
 
 // merge has the higher of what comes and what stands stand. It gives the key's entry, nil where the kind is full.
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -214,6 +214,8 @@
 	}
 }
 
+var dbg func(*world, string)
+
 func (w *world) run(span float64) {
 	for end := w.now + span; w.now < end; {
 		w.now += 0.25
@@ -236,6 +238,9 @@
 				w.drain(x)
 			}
 		}
+		if dbg != nil {
+			dbg(w, "run")
+		}
 	}
 }
 
@@ -259,7 +264,11 @@
 	return d, err
 }
 
-func (w *world) kill(x *node) { x.m = nil; w.fleet() }
+func (w *world) kill(x *node) {
+	if dbg != nil {
+		dbg(w, "kill "+x.name)
+	}
+	 x.m = nil; w.fleet() }
 
 func (w *world) heal() {
 	clear(w.cutOff)
