--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -64,6 +64,34 @@
 	assert.Equal(t, 1000, keyed(m, 140, o, 2)[2], "late answers are no evidence")
 }
 
+// Dispatchers that took different classes to stand settle on the first declared.
+func TestSettlesOnOne(t *testing.T) {
+	a, b := module(t, settings(1, 0, nil)), module(t, settings(1, 0, nil))
+	for n := range 2 {
+		a.Answered(1, answer(7, 2-n, 1, 5, 0, 1))
+		b.Answered(1, answer(7, 1-n, 1, 5, 0, 1))
+	}
+	b.Learn(2, a.Facts(9))
+	a.Learn(2, b.Facts(9))
+	for _, m := range []*Module{a, b} {
+		assert.Equal(t, 1000, keyed(m, 60, Object{Object: 7}, 0)[0])
+		assert.Greater(t, keyed(m, 60, Object{Object: 7}, 2)[0], 850)
+	}
+	c := module(t, settings(1, 0, nil))
+	c.Answered(1, answer(7, 2, 1, 5, 0, 1))
+	c.Answered(1, answer(7, 1, 1, 5, 0, 1))
+	assert.Greater(t, keyed(c, 60, Object{Object: 7}, 2)[1], 850)
+	c.Answered(61, answer(7, 0, 1, 5, 0, 1))
+	assert.Greater(t, keyed(c, 100, Object{Object: 7}, 2)[1], 850, "alone it changes nothing")
+	for _, f := range b.Facts(9) {
+		t.Fatal("told twice", f)
+	}
+	c.Learn(101, []Fact{{Object: Object{Object: 7}, Class: 0, Witness: "x/1", Proof: 5, Generation: Generation{0, 1}, Stands: 1}})
+	half := keyed(c, 101+warm/2, Object{Object: 7}, 2)
+	assert.Greater(t, half[0], 300, "warmed by a share")
+	assert.Greater(t, half[1], 300)
+}
+
 func TestForgotten(t *testing.T) {
 	s := settings(1, 0, nil)
 	s.Objects = 1
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -67,10 +67,10 @@
 // Answer is what is known of an answer to a forward.
 type Answer struct {
 	Object     Object
-	Class      int    // that was asked of the host
-	Host       uint32 // witness, by the same number at all dispatchers
-	Proof      uint64 // hash of the tag, digest or body; 0 for none
-	Generation Generation
+	Class      int        // that was asked of the host
+	Host       uint32     // witness, by the same number at all dispatchers
+	Proof      uint64     // hash of the tag, digest or body; 0 for none
+	Generation Generation // purge: Floor as it was when the forward began
 }
 
 // Fact is what dispatchers tell each other: one class's content of an object in a generation, by one witness.
