--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -39,12 +39,17 @@
 		}
 		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits)}, a.Host})
 	} else {
-		if m.bear(v, d, a.Host, a.Proof, t) && (d.n == 1 || !timed(v, a.Generation)) {
+		lapses := timed(v, a.Generation)
+		fresh := m.bear(v, d, a.Host, a.Proof, t)
+		if fresh && (d.n == 1 || !lapses) {
 			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
 		}
 		if d.stands >= 0 && d.checks < math.MaxUint16 {
 			d.checks++
 		}
+		if !fresh && !lapses && d.stands >= 0 {
+			return // nothing new
+		}
 	}
 	m.settle(v, i, t, -1)
 }
--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -217,6 +217,16 @@
 	assert.Equal(t, uint64(9), KeyOf(9, 0))
 }
 
+func BenchmarkAnswered(b *testing.B) {
+	m := module(b, settings(1, 0, nil))
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		m.Answered(float64(i)/1000, answer(uint64(i&7), i%3, 1, 5, 0, 1))
+	}
+}
+
 func BenchmarkKey(b *testing.B) {
 	for _, objects := range []int{1 << 10, 1 << 16} {
 		b.Run(fmt.Sprint(objects), func(b *testing.B) {
