--- a/internal/fleet/disk.go
+++ b/internal/fleet/disk.go
@@ -5,12 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
-	"runtime/debug"
-	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -19,10 +15,7 @@
 	"elderwall/internal/fleet/council"
 )
 
-const (
-	logFile  = "log.db"
-	lockTime = time.Second // another process that has the folder
-)
+const logFile = "log.db"
 
 var (
 	metaBucket  = []byte("meta")
@@ -32,31 +25,20 @@
 // disk keeps a voter's log and votes in a bbolt file, each record with a sum of its own: a file that is torn or was spoilt is told, not
 // believed.
 type disk struct {
-	db   *bbolt.DB
-	path string
+	*file
 	kept council.Kept
 }
 
 // openDisk opens the file of a folder, or makes one with an id drawn for it. Each opening is a later era.
-func openDisk(folder string) (d *disk, err error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, fmt.Errorf("voter's folder: %w", err)
-	}
-	path := filepath.Join(folder, logFile)
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // what a file that was cut short does to whoever maps it
-	defer func() {
-		if what := recover(); what != nil {
-			d, err = nil, fmt.Errorf("%s is torn: %v", path, what)
-		}
-	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime})
+func openDisk(folder string) (*disk, error) {
+	d := &disk{}
+	f, err := openFile(filepath.Join(folder, logFile), func(f *file) (err error) {
+		d.file = f
+		d.kept, err = d.read()
+		return err
+	})
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	d = &disk{db: db, path: path}
-	if err := d.read(); err != nil {
-		_ = db.Close()
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	if d.kept.ID == 0 {
 		var drawn [8]byte
@@ -64,42 +46,12 @@
 		d.kept.ID = binary.BigEndian.Uint64(drawn[:])>>1 | 1 // raft keeps the highest for itself
 	}
 	if err := d.bump(); err != nil {
-		_ = db.Close()
+		f.close()
 		return nil, err
 	}
 	return d, nil
 }
 
-// close closes it; what was saved stays.
-func (d *disk) close() { _ = d.db.Close() }
-
-// aside puts the file aside: it is no voter's any more, and may be looked at.
-func (d *disk) aside() error {
-	d.close()
-	return setAside(d.path)
-}
-
-func setAside(path string) error {
-	if err := os.Rename(path, fmt.Sprintf("%s.old-%d", path, time.Now().UnixNano())); err != nil {
-		return fmt.Errorf("voter's folder: %w", err)
-	}
-	return nil
-}
-
-var errTorn = errors.New("a record is torn")
-
-func sealed(b []byte) []byte {
-	return binary.BigEndian.AppendUint64(append([]byte(nil), b...), xxhash.Sum64(b))
-}
-
-func unsealed(b []byte) ([]byte, error) {
-	n := len(b) - 8
-	if n < 0 || xxhash.Sum64(b[:n]) != binary.BigEndian.Uint64(b[n:]) {
-		return nil, errTorn
-	}
-	return append([]byte(nil), b[:n]...), nil
-}
-
 // meta is what there is besides entries.
 type meta struct {
 	ID       uint64 `cbor:"1,keyasint"`
@@ -108,11 +60,12 @@
 	Recovery uint32 `cbor:"4,keyasint"`
 }
 
-func (d *disk) read() error {
-	return d.db.View(func(tx *bbolt.Tx) error {
+// read reads all that is kept.
+func (d *disk) read() (k council.Kept, err error) {
+	err = d.db.View(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(metaBucket)
 		if b == nil {
-			return nil
+			return fresh(tx)
 		}
 		get := func(key string, into func([]byte) error) error {
 			raw := b.Get([]byte(key))
@@ -126,17 +79,24 @@
 			return err
 		}
 		var m meta
-		k := &d.kept
+		last := uint64(0)
 		err := errors.Join(
 			get("meta", func(b []byte) error { return decoding.Unmarshal(b, &m) }),
+			get("last", func(b []byte) error { last = binary.BigEndian.Uint64(b); return nil }),
 			get("hard", func(b []byte) error { k.Hard = &pb.HardState{}; return proto.Unmarshal(b, k.Hard) }),
 			get("snapshot", func(b []byte) error { k.Snapshot = &pb.Snapshot{}; return proto.Unmarshal(b, k.Snapshot) }))
+		if err == nil && m.ID == 0 {
+			err = fmt.Errorf("%w: there is no id", errTorn)
+		}
 		if err != nil {
 			return err
 		}
+		if k.Hard == nil && (last > 0 || k.Snapshot != nil) {
+			return fmt.Errorf("%w: the vote is missing", errTorn)
+		}
 		k.ID, k.Era, k.Council, k.Recovery = m.ID, m.Era, m.Council, m.Recovery
 		next := k.Snapshot.GetMetadata().GetIndex() + 1
-		return tx.Bucket(entryBucket).ForEach(func(_, v []byte) error {
+		if err := tx.Bucket(entryBucket).ForEach(func(_, v []byte) error {
 			text, err := unsealed(v)
 			if err != nil {
 				return err
@@ -154,16 +114,22 @@
 			next++
 			k.Entries = append(k.Entries, e)
 			return nil
-		})
+		}); err != nil {
+			return err
+		}
+		if last >= next {
+			return fmt.Errorf("%w: entry %d is missing", errTorn, next)
+		}
+		return nil
 	})
+	return k, err
 }
 
 func index(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
 
 // write does a synced change.
 func (d *disk) write(do func(meta, entries *bbolt.Bucket) error) error {
-	awaitSync()
-	err := d.db.Update(func(tx *bbolt.Tx) error {
+	return d.update(true, func(tx *bbolt.Tx) error {
 		m, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
 			return err
@@ -174,10 +140,6 @@
 		}
 		return do(m, e)
 	})
-	if err != nil {
-		return fmt.Errorf("%s: %w", d.path, err)
-	}
-	return nil
 }
 
 func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
@@ -214,12 +176,12 @@
 			if err := put(m, []byte("snapshot"), snapshot); err != nil {
 				return err
 			}
-			if err := cut(e, nil); err != nil {
+			if err := errors.Join(cut(e, nil), mark(m, snapshot.GetMetadata().GetIndex())); err != nil {
 				return err
 			}
 		}
 		if len(entries) > 0 {
-			if err := cut(e, index(entries[0].GetIndex())); err != nil {
+			if err := errors.Join(cut(e, index(entries[0].GetIndex())), mark(m, entries[len(entries)-1].GetIndex())); err != nil {
 				return err
 			}
 		}
@@ -232,6 +194,9 @@
 	})
 }
 
+// mark keeps the highest index. Guards against a log whose end is gone without a gap.
+func mark(m *bbolt.Bucket, last uint64) error { return m.Put([]byte("last"), sealed(index(last))) }
+
 // cut takes out all entries from a key on.
 func cut(b *bbolt.Bucket, from []byte) error {
 	c := b.Cursor()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
@@ -560,25 +561,44 @@
 	f.kept = agreed
 }
 
+// remembered is the file: with a sum, as a name that was spoilt looks like another.
+type remembered struct {
+	members.Agreed
+	Sum string `json:",omitempty"` // of the rest; files of older versions have none
+}
+
+func sumUp(a members.Agreed) (string, error) {
+	raw, err := json.Marshal(a)
+	return fmt.Sprintf("%016x", xxhash.Sum64(raw)), err
+}
+
 // recall reads what was remembered; none is no error.
 func recall(path string) (a members.Agreed, err error) {
 	raw, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return a, nil
 	}
+	var in remembered
 	if err == nil {
-		err = json.Unmarshal(raw, &a)
+		err = json.Unmarshal(raw, &in)
+	}
+	if err == nil && in.Sum != "" {
+		var sum string
+		if sum, err = sumUp(in.Agreed); err == nil && sum != in.Sum {
+			err = errTorn
+		}
 	}
 	if err != nil {
 		return members.Agreed{}, fmt.Errorf("%s: %w", path, err)
 	}
-	return a, nil
+	return in.Agreed, nil
 }
 
 // keep writes it beside the file, and then in its place: who reads it sees one or the other.
 func keep(path string, a members.Agreed) error {
-	raw, err := json.Marshal(a)
-	if err != nil {
+	sum, err := sumUp(a)
+	raw, err2 := json.Marshal(remembered{a, sum})
+	if err = errors.Join(err, err2); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	t, err := os.CreateTemp(filepath.Dir(path), ".fleet-*")
