--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/internal/contract"
 	"elderwall/internal/standin/processes"
 )
 
@@ -27,6 +28,7 @@
 	if os.Getenv(actorEnv) != "" {
 		actor()
 	}
+	contract.Child(stores...)
 	flag.Parse()
 	_ = flag.Set("test.parallel", "24") // processes wait for each other most of the time
 	code := m.Run()
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -16,22 +16,23 @@
 
 var (
 	recordBucket = []byte("records")
-	tallyKey     = []byte("tally") // in the bucket of meta: how many there are, and all their sums in one
+	tallyKey     = []byte("tally") // in the bucket of meta: how many there are, all their sums in one, and how many saves made them
 )
 
 // records keeps what the fleet's memory has, by key, in a bbolt file. Each bears a sum over key and value, and the tally has all of them, so
 // that none is lost, changed or moved in silence. One goroutine saves, any may load meanwhile.
 type records struct {
 	*file
+	age      uint64 // saves at its opening: an older copy has fewer
 	unsynced bool
 }
 
 // openRecords opens the file of a folder, or makes one.
 func openRecords(folder string) (*records, error) {
 	r := &records{}
-	_, err := openFile(filepath.Join(folder, recordsFile), func(f *file) error {
+	_, err := openFile(filepath.Join(folder, recordsFile), func(f *file) (err error) {
 		r.file = f
-		_, err := r.Load()
+		_, r.age, err = r.load()
 		return err
 	})
 	if err != nil {
@@ -40,7 +41,7 @@
 	return r, nil
 }
 
-type tally struct{ count, sums uint64 }
+type tally struct{ count, sums, saves uint64 }
 
 func (t *tally) book(sum uint64, by int) { t.count, t.sums = t.count+uint64(by), t.sums^sum }
 
@@ -55,14 +56,24 @@
 // readTally reads what there should be.
 func readTally(b *bbolt.Bucket) (t tally, err error) {
 	raw, err := unsealed(b.Get(tallyKey))
-	if err != nil || len(raw) != 16 {
+	if err != nil || len(raw) != 24 {
 		return t, errTorn
 	}
-	return tally{binary.BigEndian.Uint64(raw), binary.BigEndian.Uint64(raw[8:])}, nil
+	return tally{binary.BigEndian.Uint64(raw), binary.BigEndian.Uint64(raw[8:]), binary.BigEndian.Uint64(raw[16:])}, nil
+}
+
+func (t *tally) raw() []byte {
+	b := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, t.count), t.sums)
+	return binary.BigEndian.AppendUint64(b, t.saves)
 }
 
 // Load gives all that is kept, as of one save; errTorn where it isn't whole.
-func (r *records) Load() (all map[string][]byte, err error) {
+func (r *records) Load() (map[string][]byte, error) {
+	all, _, err := r.load()
+	return all, err
+}
+
+func (r *records) load() (all map[string][]byte, saves uint64, err error) {
 	all = map[string][]byte{}
 	err = r.db.View(func(tx *bbolt.Tx) error {
 		meta, in := tx.Bucket(metaBucket), tx.Bucket(recordBucket)
@@ -76,7 +87,8 @@
 		if err != nil {
 			return err
 		}
-		var is tally
+		saves = should.saves
+		is := tally{saves: saves}
 		if err := in.ForEach(func(k, v []byte) error {
 			n := len(v) - 8
 			if n < 0 || sumOf(string(k), v[:n]) != binary.BigEndian.Uint64(v[n:]) {
@@ -94,13 +106,14 @@
 		return nil
 	})
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return all, nil
+	return all, saves, nil
 }
 
 // Save does changes, all or none; a nil value takes a record out. Synced, they outlive the machine; else this process alone, until a Sync or
-// the next synced save.
+// the next synced save: a machine that loses its power meanwhile can spoil the file, which is told, and what was synced before with it. So
+// kinds whose acknowledgements are to outlive the machine have a folder of their own beside those that need not, or all is synced.
 func (r *records) Save(changes map[string][]byte, sync bool) error {
 	if err := r.update(sync, func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(metaBucket)
@@ -133,7 +146,8 @@
 				return err
 			}
 		}
-		return meta.Put(tallyKey, sealed(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, t.count), t.sums)))
+		t.saves++
+		return meta.Put(tallyKey, sealed(t.raw()))
 	}); err != nil {
 		return err
 	}
