--- a/internal/contract/store.go
+++ b/internal/contract/store.go
@@ -466,7 +466,10 @@
 	if n, said := k.run(t, folder, 8, 0, 0, 30); n != 30 || !strings.HasPrefix(said, "full") {
 		t.Fatalf("a full disk after 30 saves: %d, it said %q", n, said)
 	}
-	s, _ := k.open(t, folder)
+	s, _, err := k.Open(folder)
+	if err != nil {
+		t.Fatalf("the disk was full: %v", err)
+	}
 	defer func() { _ = s.Close() }()
 	k.holds(t, s, 8, 30, "the disk was full")
 	k.fill(t, s, 8, 31, 33)
--- a/internal/contract/store_test.go
+++ b/internal/contract/store_test.go
@@ -31,7 +31,7 @@
 	"believes flipped bytes":                "believed",
 	"believes what was cut off":             "cut off at",
 	"says nothing of a full disk":           "full disk",
-	"loses all on a full disk":              "full disk",
+	"loses all on a full disk":              "disk was full",
 	"does a save by halves":                 "beside the writer",
 	"shows a reader an older save":          "49 saves are kept of 50",
 	"tells no age":                          "older copy",
