--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,7 +125,8 @@
 		gets, shed int64
 	}
 
-	voter    *voter // nil where this one does not vote
+	takes    map[byte]func(boot uint64, text []byte) // by kind of what is sealed
+	voter    *voter                                  // nil where this one does not vote
 	holding  holding
 	spending spending
 	dividing dividing
@@ -193,6 +194,7 @@
 			f.voter = newVoter(f, s.Duties.Folder)
 		}
 	}
+	f.takes = f.takers()
 	return f, nil
 }
 
@@ -318,7 +320,7 @@
 		e.News = e.News[:len(e.News)-1]
 		text, err = encode(&e.Message, f.Wire)
 	}
-	if err != nil || len(text)+sealLength > longestStream || !e.Stream && len(text)+sealLength > longestDatagram {
+	if err != nil || !e.Stream && len(text)+sealLength > longestDatagram {
 		f.Counts.TooLong.Add(1)
 		return
 	}
@@ -340,12 +342,20 @@
 	f.put(to, address, kind, text, stream || len(text)+sealLength > longestDatagram, done)
 }
 
-var errHeld = errors.New("over a bound")
+var (
+	errHeld    = errors.New("over a bound")
+	errTooLong = fmt.Errorf("longer than %d bytes", longestStream-sealLength)
+)
 
 func (f *Fleet) put(to string, address netip.AddrPort, kind byte, text []byte, stream bool, done func(error)) {
 	if done == nil {
 		done = func(error) {}
 	}
+	if len(text)+sealLength > longestStream {
+		f.Counts.TooLong.Add(1)
+		done(errTooLong)
+		return
+	}
 	sealed := f.Keys.seal(kind, f.boot, f.number.Add(1), text, nil)
 	if !f.limit.AllowN(time.Now(), len(sealed)) {
 		f.Counts.OverRate.Add(1)
@@ -456,25 +466,25 @@
 		f.Counts.Replayed.Add(1)
 		return
 	}
-	switch kind {
-	case sealedRaft:
-		if f.voter != nil {
-			f.voter.take(text)
-		}
-		return
-	case sealedTurn:
-		f.takeTurn(text)
-		return
-	case sealedAnswer:
-		f.takeAnswer(text)
-		return
-	case sealedSpend:
-		f.takeQuestion(text)
-		return
-	case sealedGive:
-		f.takeGive(text)
-		return
+	if take := f.takes[kind]; take != nil {
+		take(boot, text)
+	} else {
+		f.Counts.Unusable.Add(1)
+	}
+}
+
+// takers says who takes messages of each kind.
+func (f *Fleet) takers() map[byte]func(boot uint64, text []byte) {
+	by := func(take func([]byte)) func(uint64, []byte) { return func(_ uint64, text []byte) { take(text) } }
+	takes := map[byte]func(uint64, []byte){sealedMessage: f.takeMessage, sealedTurn: by(f.takeTurn), sealedAnswer: by(f.takeAnswer),
+		sealedSpend: by(f.takeQuestion), sealedGive: by(f.takeGive)}
+	if f.voter != nil {
+		takes[sealedRaft] = by(f.voter.take)
 	}
+	return takes
+}
+
+func (f *Fleet) takeMessage(boot uint64, text []byte) {
 	m, err := decode(text)
 	if err != nil || m.From.Boot != boot {
 		f.Counts.Unusable.Add(1)
