--- /dev/null
+++ b/internal/fleet/memory.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"elderwall/fleet/replica"
+)
+
+// store is the disk of the fleet's memory: what a replica machine wants saved, in records.
+type store struct {
+	*records
+	era     uint64
+	spoilt  error // what was found at the opening and put aside; nil where nothing was
+	skipped int   // records that can't be read although they are whole: of a later version
+}
+
+// stamp is the era, and when the last save was. The time is this machine's own, and compared with no other's.
+type stamp struct {
+	Era  uint64 `cbor:"1,keyasint"`
+	Unix int64  `cbor:"2,keyasint"` // s
+}
+
+// Beginnings of keys.
+const (
+	stampAt  = "s"
+	vectorAt = "v" // era and writer follow
+	recordAt = "r" // kind and key follow
+)
+
+// openStore opens the memory of a folder. One that is spoilt is put aside and told in spoilt, and an empty one is opened: the others have the
+// rest. A folder that another process has, or that can't be written, is an error.
+func openStore(folder string) (*store, *replica.Saved, error) {
+	s := &store{}
+	var err error
+	if s.records, err = openRecords(folder); errors.Is(err, errTorn) {
+		s.spoilt = err
+		if err = setAside(filepath.Join(folder, recordsFile)); err == nil {
+			s.records, err = openRecords(folder)
+		}
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	saved, err := s.saved(time.Now())
+	if err != nil {
+		_ = s.close()
+		return nil, nil, err
+	}
+	return s, saved, nil
+}
+
+func (s *store) saved(now time.Time) (*replica.Saved, error) {
+	all, err := s.Load()
+	if err != nil {
+		return nil, err
+	}
+	saved := &replica.Saved{}
+	for key, value := range all {
+		switch key[:1] {
+		case stampAt:
+			var at stamp
+			if err := decoding.Unmarshal(value, &at); err != nil {
+				return nil, fmt.Errorf("%s: %w", s.path, err)
+			}
+			saved.Era, s.era = at.Era, at.Era
+			saved.Away = math.Max(0, now.Sub(time.Unix(at.Unix, 0)).Seconds())
+		case vectorAt:
+			var e replica.Entry
+			if err := decoding.Unmarshal(value, &e); err != nil {
+				return nil, fmt.Errorf("%s: %w", s.path, err)
+			}
+			saved.Vector = append(saved.Vector, e)
+		case recordAt:
+			var c replica.Carried
+			if decoding.Unmarshal(value, &c) != nil {
+				s.skipped++
+				continue
+			}
+			saved.Records = append(saved.Records, c)
+		}
+	}
+	slices.SortFunc(saved.Vector, func(a, b replica.Entry) int {
+		return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Era, b.Era))
+	})
+	slices.SortFunc(saved.Records, func(a, b replica.Carried) int {
+		return cmp.Or(cmp.Compare(a.Record.Kind, b.Record.Kind), cmp.Compare(a.Record.Key, b.Record.Key))
+	})
+	return saved, nil
+}
+
+func recordKey(kind uint8, key string) string { return recordAt + string([]byte{kind}) + key }
+
+func entryKey(e replica.Entry) string {
+	return vectorAt + string(binary.BigEndian.AppendUint64(nil, e.Era)) + e.Writer
+}
+
+// save saves all of it or nothing. Several saves of a machine are one where their driver joins them: one sync is then for all.
+func (s *store) save(in *replica.Save) error {
+	changes := make(map[string][]byte, len(in.Records)+len(in.Drops)+len(in.Vector)+len(in.Folded)+1)
+	for _, e := range in.Folded { // before what replaces them
+		changes[entryKey(e)] = nil
+	}
+	for _, n := range in.Drops {
+		changes[recordKey(n.Kind, n.Key)] = nil
+	}
+	put := func(key string, what any) error {
+		raw, err := encoding.Marshal(what)
+		changes[key] = raw
+		return err
+	}
+	era := max(s.era, in.Era)
+	err := put(stampAt, stamp{era, time.Now().Unix()})
+	for i := range in.Records {
+		err = errors.Join(err, put(recordKey(in.Records[i].Record.Kind, in.Records[i].Record.Key), in.Records[i]))
+	}
+	for _, e := range in.Vector {
+		err = errors.Join(err, put(entryKey(e), e))
+	}
+	if err == nil {
+		err = s.Save(changes, in.Sync)
+	}
+	if err != nil {
+		return err
+	}
+	s.era = era
+	return nil
+}
+
+func (s *store) close() error { return s.Close() }
