--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -128,24 +128,15 @@
 
 // answer answers a question.
 func (f *Fleet) answer(q ask) Told {
+	if answer := f.answers[q.What]; answer != nil {
+		return answer(q)
+	}
 	switch q.What {
 	case AskMembers:
 	case AskWatch:
 		f.await(q.After)
 	case AskLeave:
 		f.leave()
-	case AskCounts:
-		if f.Counters == nil {
-			return Told{Error: "there are none"}
-		}
-		return Told{Counts: f.Counters()}
-	case AskSpend:
-		if err := f.spendUnits(q.Duty, int64(min(q.Number, math.MaxInt64))); err != nil {
-			return Told{Error: err.Error()}
-		}
-		return Told{}
-	case AskBudgets:
-		return f.tellBudgets(f.ctx, q)
 	default:
 		return f.answerDuties(f.ctx, q)
 	}
@@ -157,6 +148,25 @@
 	return t
 }
 
+// answerers says who answers what is not about members or duties.
+func (f *Fleet) answerers() map[string]func(q ask) Told {
+	return map[string]func(q ask) Told{
+		AskCounts: func(ask) Told {
+			if f.Counters == nil {
+				return Told{Error: "there are none"}
+			}
+			return Told{Counts: f.Counters()}
+		},
+		AskSpend: func(q ask) Told {
+			if err := f.spendUnits(q.Duty, int64(min(q.Number, math.MaxInt64))); err != nil {
+				return Told{Error: err.Error()}
+			}
+			return Told{}
+		},
+		AskBudgets: func(q ask) Told { return f.tellBudgets(f.ctx, q) },
+	}
+}
+
 // await waits until something changes, for so long at most.
 func (f *Fleet) await(after uint64) {
 	f.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,7 @@
 	}
 
 	takes    map[byte]func(boot uint64, text []byte) // by kind of what is sealed
+	answers  map[string]func(q ask) Told             // by what is asked
 	voter    *voter                                  // nil where this one does not vote
 	holding  holding
 	spending spending
@@ -194,7 +195,7 @@
 			f.voter = newVoter(f, s.Duties.Folder)
 		}
 	}
-	f.takes = f.takers()
+	f.takes, f.answers = f.takers(), f.answerers()
 	return f, nil
 }
 
@@ -372,7 +373,12 @@
 		f.Counts.BytesOut.Add(int64(len(sealed)))
 		return
 	}
-	if f.ctx == nil || !f.out.TryAcquire(1) {
+	if f.ctx == nil || f.ctx.Err() != nil {
+		f.Counts.Failed.Add(1)
+		done(net.ErrClosed)
+		return
+	}
+	if !f.out.TryAcquire(1) {
 		f.Counts.StreamsHeld.Add(1)
 		done(errHeld)
 		return
