--- a/internal/contract/transport.go
+++ b/internal/contract/transport.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n, ok := number(a); ok && n != 9 {
+		t.Fatalf("message %d came twice", n)
+	}
 	k.carry(t, from, to, 10, 64)
 	if n, ok := number(a); !ok || n != 9 {
 		t.Fatal("what was sent or received is changed by who sent it, or by the next")
