--- a/fleet/channels/types.go
+++ b/fleet/channels/types.go
@@ -45,6 +45,10 @@
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 	Place uint64 `cbor:"7,keyasint,omitempty"`
 	Body  []byte `cbor:"8,keyasint,omitempty"`
+	// The rest is given by who takes the entry in, too.
+	Generation uint64 `cbor:"9,keyasint,omitempty"`  // of the declaration that it was taken under
+	Since      uint64 `cbor:"10,keyasint,omitempty"` // of Total: the first place of its epoch; what an older epoch has from there on is void
+	Stamp      uint64 `cbor:"11,keyasint,omitempty"` // above all that its taker knew in the channel: the law by which one of two is newer
 }
 
 // Position is how far a reader has come; a token of it is good at every dispatcher.
@@ -56,7 +60,7 @@
 	Seen       map[string]uint64 `cbor:"5,keyasint,omitempty"` // by writer, else
 }
 
-// What a reader is told besides entries.
+// Word is what a reader is told.
 type Word uint8
 
 // The words.
@@ -78,6 +82,7 @@
 	Writer     string // of a gap
 	Where      []string
 	Generation uint64
+	Late       bool // of an entry: by the law a newer one of its key was shown before it, as after a cut
 }
 
 // Kinds of records that channels need of replica.
