Channels: the machine of readers and writers by order

A channel is one log at each dispatcher, in an order that its declaration allows; readers are cursors in it and positions say what they have seen. Total is one lane of places that the voters' log gives.

--- a/fleet/channels/codec.go
+++ b/fleet/channels/codec.go
@@ -38,10 +38,10 @@
 	return cmp.Compare(x, y)
 }
 
+// numberLaw: the higher epoch, then the higher number.
 func numberLaw(a, b []byte) int {
-	x, _ := binary.Uvarint(a)
-	y, _ := binary.Uvarint(b)
-	return cmp.Compare(x, y)
+	x, y := reading{b: a}, reading{b: b}
+	return cmp.Or(cmp.Compare(x.number(), y.number()), cmp.Compare(x.number(), y.number()))
 }
 
 func checkEntry(key string, value []byte) error {
@@ -60,7 +60,10 @@
 
 func checkNumber(key string, value []byte) error {
 	_, _, number, _, err := readKey(key)
-	if _, n := binary.Uvarint(value); err == nil && (n != len(value) && len(value) > 0 || number != 0) {
+	r := reading{b: value}
+	r.number()
+	r.number()
+	if err == nil && (len(value) > 0 && r.bad || len(r.b) > 0 || number != 0) {
 		err = ErrEntry
 	}
 	return err
@@ -227,3 +230,5 @@
 	}
 	return p, nil
 }
+
+func number(ep, n uint64) []byte { return binary.AppendUvarint(binary.AppendUvarint(nil, ep), n) }
--- a/fleet/channels/ledger.go
+++ b/fleet/channels/ledger.go
@@ -36,7 +36,9 @@
 	againAfter  = 1.0      // s after which a command that nothing came of is proposed again
 	mostTrims   = 256      // tombstones handed out at once
 	mostWaiting = 10_000   // readers that the spread of waits reckons with
-	indefinite  = 1 << 20  // attempts under one epoch
+	attempts    = 1 << 20  // to spread an entry under one epoch
+	leastKept   = 64       // entries that stay for readers in step, where less is declared
+	leastTime   = 1.0      // s, the same
 )
 
 // Check tells all that is wrong with a declaration: what contradicts itself and what nobody could keep.
--- a/fleet/channels/types.go
+++ b/fleet/channels/types.go
@@ -69,7 +69,7 @@
 	Gap                    // entries were passed over; a declaration with gaps told
 	Reset                  // the position is of an epoch that is lost: begin anew
 	Behind                 // this dispatcher has not come so far within the wait: go to another
-	Cut                    // too slow
+	Cut                    // too slow, or away for longer than is kept, where no gap may be: begin anew
 	Turned                 // the declaration has changed here
 )
 
@@ -88,5 +88,5 @@
 // Kinds of records that channels need of replica.
 const (
 	EntryKind  = 3 // key: channel, writer and number, or channel, epoch and place; value: the entry
-	WriterKind = 4 // key: channel and writer; value: its highest acknowledged number
+	WriterKind = 4 // key: channel and writer; value: its highest number that fell out of what is kept
 )
--- /dev/null
+++ b/fleet/channels/writers.go
@@ -0,0 +1,251 @@
+package channels
+
+import (
+	"fmt"
+	"maps"
+
+	"elderwall/fleet/replica"
+)
+
+// highest is the highest number of a writer that is here or on its way here, with none missing.
+func (c *channel) highest(w string) uint64 {
+	n := c.vec[w]
+	for {
+		if _, ok := c.held[w][n+1]; ok {
+			n++
+			continue
+		}
+		if !c.flies(w, n+1) {
+			return n
+		}
+		n++
+	}
+}
+
+func (c *channel) flies(w string, n uint64) bool {
+	for _, f := range c.flight[w] {
+		if f.number == n && f.err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Write takes an entry of a writer. Errors: ErrEntry, ErrChannel, ErrSkips, ErrAfter, ErrFull, ErrWriters, ErrCut; the last but ErrEntry may pass.
+func (m *Machine) Write(now float64, e Entry) (State, error) {
+	if err := e.check(); err != nil {
+		return 0, err
+	}
+	c := m.channels[e.Channel]
+	if c == nil || !c.known {
+		return 0, ErrChannel
+	}
+	e.Epoch, e.Since, e.Place, e.Stamp, e.Generation = 0, 0, 0, 0, c.d.Generation
+	if c.d.Order == Total {
+		return m.queue(now, c, e)
+	}
+	w, n := e.Writer, e.Number
+	if e.After = maps.Clone(e.After); c.d.Order != Causal {
+		e.After = nil
+	}
+	if c.flies(w, n) {
+		return OnWay, nil
+	}
+	if n <= c.vec[w] {
+		if i := c.find(w, n); i == nil || i.e != nil && i.sure {
+			return Known, nil
+		}
+	} else if h, ok := c.held[w][n]; ok && h.sure {
+		return Known, nil
+	} else if high := c.highest(w); n > high+1 {
+		return 0, fmt.Errorf("%w: %d follows %d", ErrSkips, n, high)
+	}
+	if delete(e.After, w); !c.free(&e) {
+		return 0, ErrAfter
+	}
+	if _, ok := c.vec[w]; !ok && len(c.vec)+len(c.flight) >= MostWriters {
+		return 0, ErrWriters
+	}
+	if m.flights >= MostFlight {
+		return 0, ErrFull
+	}
+	c.stamp++
+	e.Stamp = c.stamp
+	id := m.put(replica.Record{Kind: EntryKind, Key: e.key(), Value: packEntry(&e)}, replica.Sure{Level: replica.Copies, Copies: Copies, Within: Within},
+		wait{channel: e.Channel, writer: w, number: n})
+	c.flight[w] = append(c.flight[w], &flight{number: n, id: id})
+	m.flights++
+	return OnWay, nil
+}
+
+func (m *Machine) put(r replica.Record, s replica.Sure, w wait) uint64 {
+	id := m.next
+	m.next++
+	m.waits[id] = w
+	m.ready.Puts = append(m.ready.Puts, Put{ID: id, Record: r, Sure: s})
+	return id
+}
+
+// Written tells how a Put with an ID ended: refused by replica, or by its outcome.
+func (m *Machine) Written(now float64, id uint64, o replica.Outcome, err error) {
+	w, ok := m.waits[id]
+	if !ok {
+		return
+	}
+	delete(m.waits, id)
+	c := m.channels[w.channel]
+	if w.place > 0 {
+		if _, ok := c.spread[w.place]; ok && err == nil && o.Met {
+			c.spread[w.place] = true
+		} else if ok {
+			delete(c.spread, w.place)
+		}
+		return
+	}
+	for _, f := range c.flight[w.writer] {
+		if f.id == id {
+			f.done, f.outcome, f.err = true, o, err
+		}
+	}
+	// In the writer's order: none is acknowledged before those before it are.
+	all := c.flight[w.writer]
+	for len(all) > 0 && all[0].done {
+		f := all[0]
+		all = all[1:]
+		m.flights--
+		met := f.err == nil && f.outcome.Met
+		if met {
+			if i := c.find(w.writer, f.number); i != nil {
+				i.sure = true
+			} else if h, ok := c.held[w.writer][f.number]; ok {
+				h.sure = true
+				c.held[w.writer][f.number] = h
+			}
+		}
+		m.ready.Acks = append(m.ready.Acks, Ack{Channel: w.channel, Writer: w.writer, Number: f.number, Met: met, Copies: f.outcome.Copies, Err: f.err})
+	}
+	if c.flight[w.writer] = all; len(all) == 0 {
+		delete(c.flight, w.writer)
+	}
+}
+
+// Hold tells that this dispatcher got the duty of a channel, its token the epoch; 0: that it lost it.
+func (m *Machine) Hold(now float64, name string, epoch uint64) {
+	c := m.channel(name)
+	if c == nil || c.holds == epoch {
+		return
+	}
+	c.holds, c.line, c.proposed, c.again = epoch, nil, 0, 0
+	m.unqueue(c)
+	clear(c.spread)
+}
+
+// unqueue says that nothing is known to come of what is queued: who sends it again learns whether it was put in order after all.
+func (m *Machine) unqueue(c *channel) {
+	for _, e := range c.queue {
+		m.ready.Acks = append(m.ready.Acks, Ack{Channel: e.Channel, Writer: e.Writer, Number: e.Number, Err: ErrCut})
+	}
+	c.queue, c.proposed = nil, 0
+}
+
+// Agreed tells a holder what the ledger has of its channel: when it got the duty, having read the log to its end, and after each command.
+func (m *Machine) Agreed(now float64, l *Line) {
+	c := m.channel(l.Channel)
+	if c == nil || c.holds == 0 || l.Epoch > c.holds {
+		return
+	}
+	if o := c.line; o == nil || o.Next != l.Next || o.Spread != l.Spread {
+		c.proposed = 0
+	}
+	c.line = l
+	kept := c.queue[:0]
+	for _, e := range c.queue {
+		if e.Number > l.Writers[e.Writer].Number {
+			kept = append(kept, e)
+			continue
+		}
+		m.ready.Acks = append(m.ready.Acks, Ack{Channel: e.Channel, Writer: e.Writer, Number: e.Number, Met: true})
+	}
+	clear(c.queue[len(kept):])
+	c.queue = kept
+	m.order(now, l.Channel, c)
+}
+
+// queue takes an entry of Total at the holder; elsewhere it is known only once it came back.
+func (m *Machine) queue(now float64, c *channel, e Entry) (State, error) {
+	e.After = nil
+	if e.Number <= c.taken[e.Writer] {
+		return Known, nil
+	}
+	if c.holds == 0 || c.line == nil {
+		return Elsewhere, nil
+	}
+	if !m.decides {
+		return 0, ErrCut
+	}
+	high := c.line.Writers[e.Writer].Number
+	if e.Number <= high {
+		return Known, nil
+	}
+	for i := range c.queue {
+		if c.queue[i].Writer == e.Writer {
+			high = max(high, c.queue[i].Number)
+		}
+	}
+	switch {
+	case e.Number <= high:
+		return OnWay, nil
+	case e.Number > high+1:
+		return 0, fmt.Errorf("%w: %d follows %d", ErrSkips, e.Number, high)
+	case len(c.queue) >= MostPending:
+		return 0, ErrFull
+	}
+	c.queue = append(c.queue, e)
+	return OnWay, nil
+}
+
+// order is what the holder does: it proposes what is queued, one command at a time, writes what stands, and lets go of what is spread.
+func (m *Machine) order(now float64, name string, c *channel) {
+	if c.holds == 0 || c.line == nil {
+		return
+	}
+	spread := c.line.Spread
+	for i := range c.line.Pending {
+		e := c.line.Pending[i]
+		done, ok := c.spread[e.Place]
+		if done && e.Place == spread+1 {
+			spread = e.Place
+		}
+		if !ok {
+			c.again = min(c.again+1, attempts-1)
+			c.spread[e.Place] = false
+			e.Stamp = c.holds*attempts + c.again // above what an earlier holder wrote: so its outcome is one's own
+			m.put(replica.Record{Kind: EntryKind, Key: e.key(), Value: packEntry(&e)}, replica.Sure{Level: replica.Majority, Within: Within},
+				wait{channel: name, place: e.Place})
+		}
+	}
+	if c.proposed > 0 && now-c.proposed < againAfter {
+		return
+	}
+	cmd := Command{Channel: name, Epoch: c.holds}
+	if spread > c.line.Spread {
+		cmd.Spread = spread
+	}
+	size := 0
+	for i := range c.queue {
+		if size += c.queue[i].size(); i >= batch || i > 0 && size > batchBytes {
+			break
+		}
+		cmd.Entries = append(cmd.Entries, c.queue[i])
+	}
+	if !m.decides || cmd.Spread == 0 && len(cmd.Entries) == 0 {
+		return
+	}
+	for p := range c.spread {
+		if p <= c.line.Spread {
+			delete(c.spread, p)
+		}
+	}
+	c.proposed = now
+	m.ready.Commands = append(m.ready.Commands, cmd)
+}
