--- a/fleet/channels/codec.go
+++ b/fleet/channels/codec.go
@@ -182,7 +182,7 @@
 func packEntry(e *Entry) []byte {
 	b := make([]byte, 0, e.size()+len(e.Channel)+24*len(e.After)+16)
 	b = text(text(text(binary.AppendUvarint(b, e.Stamp), e.Channel), e.Key), e.Writer)
-	for _, x := range []uint64{e.Number, e.Epoch, e.Place, e.Generation, e.Since} {
+	for _, x := range []uint64{e.Number, e.Epoch, e.Place, e.Generation, e.Since, e.Clock} {
 		b = binary.AppendUvarint(b, x)
 	}
 	return append(vector(b, e.After), e.Body...)
@@ -191,7 +191,7 @@
 func unpackEntry(b []byte) (*Entry, error) {
 	r := reading{b: b}
 	e := &Entry{Stamp: r.number(), Channel: r.text(LongestName), Key: r.text(LongestKey), Writer: r.text(LongestName)}
-	for _, x := range []*uint64{&e.Number, &e.Epoch, &e.Place, &e.Generation, &e.Since} {
+	for _, x := range []*uint64{&e.Number, &e.Epoch, &e.Place, &e.Generation, &e.Since, &e.Clock} {
 		*x = r.number()
 	}
 	e.After = r.vector()
--- a/fleet/channels/machine.go
+++ b/fleet/channels/machine.go
@@ -1,6 +1,7 @@
 package channels
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -103,6 +104,7 @@
 	items  []item
 	first  uint64                     // offset of the first
 	vec    map[string]uint64          // up to here each writer's numbers are in the log
+	clock  map[string]uint64          // of each writer's last
 	base   map[string]uint64          // up to here they fell out of it
 	floor  map[string]uint64          // up to here others let them go
 	held   map[string]map[uint64]held // not in turn yet
@@ -194,7 +196,7 @@
 func (m *Machine) channel(name string) *channel {
 	c := m.channels[name]
 	if c == nil && len(m.channels) < 2*MostChannels {
-		c = &channel{first: 1, vec: map[string]uint64{}, base: map[string]uint64{}, floor: map[string]uint64{}, held: map[string]map[uint64]held{},
+		c = &channel{first: 1, vec: map[string]uint64{}, clock: map[string]uint64{}, base: map[string]uint64{}, floor: map[string]uint64{}, held: map[string]map[uint64]held{},
 			newest: map[string]*Entry{}, taken: map[string]uint64{}, flight: map[string][]*flight{}, loose: map[string]float64{}, marks: map[string]bool{},
 			spread: map[uint64]bool{}, dead: map[string]uint64{}}
 		m.channels[name] = c
@@ -427,10 +429,10 @@
 	}
 }
 
+// newer takes an entry as the newest of its key if it is that by the law: by place, or by clock, number and writer.
 func (c *channel) newer(e *Entry) bool {
-	o := c.newest[e.Key]
-	if o != nil && (o.Place > e.Place || o.Place == e.Place && (o.Stamp > e.Stamp || o.Stamp == e.Stamp && (o.Writer > e.Writer ||
-		o.Writer == e.Writer && o.Number > e.Number))) {
+	if o := c.newest[e.Key]; o != nil && cmp.Or(cmp.Compare(e.Place, o.Place), cmp.Compare(e.Clock, o.Clock), cmp.Compare(e.Number, o.Number),
+		cmp.Compare(e.Writer, o.Writer)) < 0 {
 		return false
 	}
 	c.newest[e.Key] = e
@@ -525,6 +527,7 @@
 		delete(c.held, w)
 	}
 	c.vec[w] = n
+	c.clock[w] = h.e.Clock
 	i := item{e: h.e, sure: h.sure, at: now, size: h.e.size(), late: !c.newer(h.e)}
 	if w == "" {
 		c.epoch, c.turned = max(c.epoch, h.e.Epoch), max(c.turned, h.e.Generation)
--- a/fleet/channels/types.go
+++ b/fleet/channels/types.go
@@ -45,10 +45,13 @@
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 	Place uint64 `cbor:"7,keyasint,omitempty"`
 	Body  []byte `cbor:"8,keyasint,omitempty"`
+	// Clock says which of two is newer, of several writers': above those that the writer had seen in the channel, never falling; 0 if it keeps none.
+	// It is the writer's, so that it is the same wherever the entry is sent again.
+	Clock uint64 `cbor:"12,keyasint,omitempty"`
 	// The rest is given by who takes the entry in, too.
 	Generation uint64 `cbor:"9,keyasint,omitempty"`  // of the declaration that it was taken under
 	Since      uint64 `cbor:"10,keyasint,omitempty"` // of Total: the first place of its epoch; what an older epoch has from there on is void
-	Stamp      uint64 `cbor:"11,keyasint,omitempty"` // above all that its taker knew in the channel: the law by which one of two is newer
+	Stamp      uint64 `cbor:"11,keyasint,omitempty"` // above all that its taker knew in the channel: an entry that is written again stands over itself
 }
 
 // Position is how far a reader has come; a token of it is good at every dispatcher.
--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -60,6 +60,9 @@
 	} else if high := c.highest(w); n > high+1 {
 		return 0, fmt.Errorf("%w: %d follows %d", ErrSkips, n, high)
 	}
+	if e.Clock < c.clock[w] && n > c.vec[w] {
+		return 0, fmt.Errorf("%w: its clock falls", ErrEntry)
+	}
 	if delete(e.After, w); !c.free(&e) {
 		return 0, ErrAfter
 	}
