--- a/fleet/channels/machine.go
+++ b/fleet/channels/machine.go
@@ -137,6 +137,7 @@
 	cursor  uint64
 	seen    map[string]uint64 // nil once the log's own positions hold
 	place   Position
+	had     map[string]*Entry // by key the newest that it had seen when it came
 	started bool
 	fresh   uint64 // with no token: what its writers wrote before is no gap up to this offset
 	gen     uint64
@@ -429,10 +430,14 @@
 	}
 }
 
-// newer takes an entry as the newest of its key if it is that by the law: by place, or by clock, number and writer.
+// law settles which of two entries of a key is newer: by place, or by clock, number and writer.
+func law(a, b *Entry) int {
+	return cmp.Or(cmp.Compare(a.Place, b.Place), cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Number, b.Number), cmp.Compare(a.Writer, b.Writer))
+}
+
+// newer takes an entry as the newest of its key if it is that.
 func (c *channel) newer(e *Entry) bool {
-	if o := c.newest[e.Key]; o != nil && cmp.Or(cmp.Compare(e.Place, o.Place), cmp.Compare(e.Clock, o.Clock), cmp.Compare(e.Number, o.Number),
-		cmp.Compare(e.Writer, o.Writer)) < 0 {
+	if o := c.newest[e.Key]; o != nil && law(e, o) < 0 {
 		return false
 	}
 	c.newest[e.Key] = e
--- a/fleet/channels/readers.go
+++ b/fleet/channels/readers.go
@@ -84,6 +84,12 @@
 			return nil
 		}
 		r.started, r.cursor = true, c.first
+		r.had = map[string]*Entry{}
+		for k := range c.items {
+			if e := c.items[k].e; e != nil && e.Place == 0 && e.Number <= r.seen[e.Writer] && (r.had[e.Key] == nil || law(e, r.had[e.Key]) > 0) {
+				r.had[e.Key] = e
+			}
+		}
 		behind := false
 		for w, n := range c.base {
 			if behind = behind || r.seen[w] < n; n > r.seen[w] {
@@ -132,7 +138,8 @@
 		case seen:
 		case i.e != nil && r.wish == Latest && c.newest[i.e.Key] != i.e: // a newer one follows
 		case i.e != nil:
-			out = append(out, Note{Word: Shown, Entry: i.e, Late: i.late, Generation: i.generation})
+			had := r.had[i.e.Key]
+			out = append(out, Note{Word: Shown, Entry: i.e, Late: i.late || had != nil && law(had, i.e) > 0, Generation: i.generation})
 		case to > 0 && !i.mark && !(from == 1 && r.cursor <= r.fresh): // what was before a new reader came is no gap
 			if !c.d.Told {
 				return append(out, end(Cut))
@@ -153,7 +160,7 @@
 		}
 	}
 	if r.cursor == c.end() {
-		r.seen = nil // from here on the log's own positions hold
+		r.seen, r.had = nil, nil // from here on the log's own positions hold
 		if c.d.Order == Total {
 			r.place = Position{Epoch: c.epoch, Place: c.vec[""]}
 		}
--- a/fleet/channels/world_test.go
+++ b/fleet/channels/world_test.go
@@ -128,7 +128,7 @@
 	n.m.Declare(w.clock(i), w.ledger.Declarations())
 }
 
-func law(a, b replica.Record) int {
+func stands(a, b replica.Record) int {
 	if a.Dead != b.Dead {
 		return map[bool]int{true: 1, false: -1}[a.Dead]
 	}
@@ -144,7 +144,7 @@
 
 func (w *world) give(i int, r replica.Record) bool {
 	n := w.nodes[i]
-	if was, ok := n.store[r.Key]; ok && law(r, was) <= 0 {
+	if was, ok := n.store[r.Key]; ok && stands(r, was) <= 0 {
 		return false
 	}
 	n.store[r.Key] = r
@@ -288,7 +288,7 @@
 		return true
 	}
 	for _, x := range w.nodes {
-		if r, ok := x.store[o.r.Key]; ok && x.up && x.side == n.side && law(r, o.r) >= 0 {
+		if r, ok := x.store[o.r.Key]; ok && x.up && x.side == n.side && stands(r, o.r) >= 0 {
 			has++
 		}
 	}
@@ -335,7 +335,7 @@
 }
 
 func (r *follower) anew() {
-	r.token, r.open, r.saw, r.late, r.num, r.gaps, r.anyGap = "", false, nil, nil, map[string]uint64{}, map[string]bool{}, false
+	r.token, r.open, r.saw, r.late, r.num, r.gaps, r.anyGap, r.gen = "", false, nil, nil, map[string]uint64{}, map[string]bool{}, false, 0
 }
 
 func (w *world) read(r *follower) {
