--- a/fleet/channels/world_test.go
+++ b/fleet/channels/world_test.go
@@ -91,6 +91,9 @@
 
 const channelName = "news"
 
+// small: so little is kept that readers find less than all.
+func (w *world) small() bool { return w.d.Entries < 1000 }
+
 func ref(w string, n uint64) string { return fmt.Sprint(w, "/", n) }
 
 func newWorld(seed uint64, d Declaration, nodes, writers, readers int, fault string) *world {
@@ -408,7 +411,7 @@
 		w.wrong("%s at n%d: %s after %d", r.name, r.at, ref(e.Writer, e.Number), last)
 	}
 	if w.d.Order > Latest {
-		for k := last + 1; k < e.Number; k++ {
+		for k := last + 1; k < e.Number && !(last == 0 && w.small()); k++ {
 			if !r.gaps[ref(e.Writer, k)] && !r.anyGap {
 				w.wrong("%s at n%d: %s came, %d is missing", r.name, r.at, ref(e.Writer, e.Number), k)
 			}
@@ -416,7 +419,7 @@
 	}
 	if w.d.Order == Causal {
 		for v, n := range sent.After {
-			for k := r.num[v] + 1; k <= n && v != e.Writer; k++ {
+			for k := r.num[v] + 1; k <= n && v != e.Writer && !(r.num[v] == 0 && w.small()); k++ {
 				if !r.gaps[ref(v, k)] && !r.anyGap {
 					w.wrong("%s: %s came before %s", r.name, ref(e.Writer, e.Number), ref(v, k))
 				}
@@ -461,11 +464,14 @@
 			first = final
 		}
 		for id := range w.acked {
+			if sent := w.sent[id]; w.small() && w.acked[ref(sent.Writer, sent.Number+1)] {
+				continue // may have fallen out; those from the first that came on are checked as they come
+			}
 			if !saw[id] && !r.gaps[id] && !r.anyGap && !w.lost && w.d.Order > Latest {
 				w.wrong("%s: %s was acknowledged and never came", r.name, id)
 			}
 		}
-		if !w.lost && !r.anyGap && len(r.gaps) == 0 && !maps.Equal(first, final) {
+		if !w.lost && !w.small() && !r.anyGap && len(r.gaps) == 0 && !maps.Equal(first, final) {
 			w.wrong("%s: newest by key %v, another has %v", r.name, final, first)
 		}
 	}
@@ -532,6 +538,11 @@
 	return Declaration{Name: channelName, Generation: 1, Order: o, Told: told, Entries: 50_000, Bytes: 16 << 20, Seconds: 3600, Wait: 2, Slow: !told}
 }
 
+func few(d Declaration) Declaration {
+	d.Entries = 10 // and 64 at least
+	return d
+}
+
 func schedules() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("ELDERWALL_SCHEDULES"), 10, 32); err == nil {
 		return n
@@ -541,8 +552,9 @@
 
 func TestOrdersHold(t *testing.T) {
 	for _, d := range []Declaration{declared(Latest, true), declared(ByKey, false), declared(BySender, true), declared(BySender, false), declared(Causal, true),
-		declared(Causal, false), declared(Total, false), declared(Total, true)} {
-		t.Run(fmt.Sprint(d.Order, " told ", d.Told), func(t *testing.T) {
+		declared(Causal, false), declared(Total, false), declared(Total, true),
+		few(declared(BySender, true)), few(declared(Causal, false)), few(declared(Total, false)), few(declared(Total, true))} {
+		t.Run(fmt.Sprint(d.Order, " told ", d.Told, " kept ", d.Entries), func(t *testing.T) {
 			t.Parallel()
 			shown := 0
 			for seed := range schedules() {
