--- a/fleet/channels/types.go
+++ b/fleet/channels/types.go
@@ -45,6 +45,13 @@
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 	Place uint64 `cbor:"7,keyasint,omitempty"`
 	Body  []byte `cbor:"8,keyasint,omitempty"`
+	// Clock says which of two is newer, of several writers': above those that the writer had seen in the channel, never falling; 0 if it keeps none.
+	// It is the writer's, so that it is the same wherever the entry is sent again.
+	Clock uint64 `cbor:"12,keyasint,omitempty"`
+	// The rest is given by who takes the entry in, too.
+	Generation uint64 `cbor:"9,keyasint,omitempty"`  // of the declaration that it was taken under
+	Since      uint64 `cbor:"10,keyasint,omitempty"` // of Total: the first place of its epoch; what an older epoch has from there on is void
+	Stamp      uint64 `cbor:"11,keyasint,omitempty"` // above all that its taker knew in the channel: an entry that is written again stands over itself
 }
 
 // Position is how far a reader has come; a token of it is good at every dispatcher.
@@ -56,7 +63,7 @@
 	Seen       map[string]uint64 `cbor:"5,keyasint,omitempty"` // by writer, else
 }
 
-// What a reader is told besides entries.
+// Word is what a reader is told.
 type Word uint8
 
 // The words.
@@ -65,7 +72,7 @@
 	Gap                    // entries were passed over; a declaration with gaps told
 	Reset                  // the position is of an epoch that is lost: begin anew
 	Behind                 // this dispatcher has not come so far within the wait: go to another
-	Cut                    // too slow
+	Cut                    // too slow, or away for longer than is kept, where no gap may be: begin anew
 	Turned                 // the declaration has changed here
 )
 
@@ -78,10 +85,11 @@
 	Writer     string // of a gap
 	Where      []string
 	Generation uint64
+	Late       bool // of an entry: by the law a newer one of its key was shown before it, as after a cut
 }
 
 // Kinds of records that channels need of replica.
 const (
 	EntryKind  = 3 // key: channel, writer and number, or channel, epoch and place; value: the entry
-	WriterKind = 4 // key: channel and writer; value: its highest acknowledged number
+	WriterKind = 4 // key: channel and writer; value: its highest number that fell out of what is kept
 )
