--- a/internal/contract/channel.go
+++ b/internal/contract/channel.go
@@ -10,6 +10,7 @@
 type Note struct {
 	Key, Writer string
 	Number      uint64            // of its writer, from 1
+	Late        bool              // told to be older than one of its key that was shown: it is shown, and is not the newest
 	After       map[string]uint64 // what its writer had been shown of others, where the order is causal
 }
 
@@ -117,7 +118,7 @@
 	switch {
 	case !k.Repeats && r.has(n):
 		fail("it is repeated")
-	case r.highest[both] >= n.Number && !k.Repeats:
+	case r.highest[both] >= n.Number && !k.Repeats && !n.Late:
 		fail("its key goes back")
 	case (k.Order == "sender" || k.Order == "causal") && r.highest[n.Writer] >= n.Number && !k.Repeats:
 		fail("its writer goes back")
@@ -187,7 +188,9 @@
 func (r *reader) lasts() map[string]Note {
 	by := map[string]Note{}
 	for _, n := range r.all {
-		by[n.Key] = n
+		if !n.Late {
+			by[n.Key] = n
+		}
 	}
 	return by
 }
