--- a/internal/fleet/memory.go
+++ b/internal/fleet/memory.go
@@ -57,12 +57,8 @@
 }
 
 func (s *store) saved(now time.Time) (*replica.Saved, error) {
-	all, err := s.Load()
-	if err != nil {
-		return nil, err
-	}
 	saved := &replica.Saved{}
-	for key, value := range all {
+	for key, value := range s.opened {
 		switch key[:1] {
 		case stampAt:
 			var at stamp
@@ -86,6 +82,7 @@
 			saved.Records = append(saved.Records, c)
 		}
 	}
+	s.opened = nil
 	slices.SortFunc(saved.Vector, func(a, b replica.Entry) int {
 		return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Era, b.Era))
 	})
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -24,6 +24,7 @@
 type records struct {
 	*file
 	age      uint64 // saves at its opening: an older copy has fewer
+	opened   map[string][]byte // what was there then, for who takes it first
 	unsynced bool
 }
 
@@ -32,7 +33,7 @@
 	r := &records{}
 	_, err := openFile(filepath.Join(folder, recordsFile), func(f *file) (err error) {
 		r.file = f
-		_, r.age, err = r.load()
+		r.opened, r.age, err = r.load()
 		return err
 	})
 	if err != nil {
