--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -23,7 +23,7 @@
 // that none is lost, changed or moved in silence. One goroutine saves, any may load meanwhile.
 type records struct {
 	*file
-	age      uint64 // saves at its opening: an older copy has fewer
+	age      uint64            // saves at its opening: an older copy has fewer
 	opened   map[string][]byte // what was there then, for who takes it first
 	unsynced bool
 }
