--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -42,7 +43,9 @@
 		suite(r)
 	}()
 	<-done
-	return r.words
+	r.mu.Lock() // what waits without end may speak later
+	defer r.mu.Unlock()
+	return slices.Clone(r.words)
 }
 
 // recorder stands in for a test that is meant to fail.
