--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
@@ -124,7 +125,9 @@
 		gets, shed int64
 	}
 
-	voter    *voter // nil where this one does not vote
+	takes    map[byte]func(boot uint64, text []byte) // by kind of what is sealed
+	answers  map[string]func(q ask) Told             // by what is asked
+	voter    *voter                                  // nil where this one does not vote
 	holding  holding
 	spending spending
 	dividing dividing
@@ -192,6 +195,7 @@
 			f.voter = newVoter(f, s.Duties.Folder)
 		}
 	}
+	f.takes, f.answers = f.takers(), f.answerers()
 	return f, nil
 }
 
@@ -317,7 +321,7 @@
 		e.News = e.News[:len(e.News)-1]
 		text, err = encode(&e.Message, f.Wire)
 	}
-	if err != nil || len(text)+sealLength > longestStream || !e.Stream && len(text)+sealLength > longestDatagram {
+	if err != nil || !e.Stream && len(text)+sealLength > longestDatagram {
 		f.Counts.TooLong.Add(1)
 		return
 	}
@@ -339,12 +343,20 @@
 	f.put(to, address, kind, text, stream || len(text)+sealLength > longestDatagram, done)
 }
 
-var errHeld = errors.New("over a bound")
+var (
+	errHeld    = errors.New("over a bound")
+	errTooLong = fmt.Errorf("longer than %d bytes", longestStream-sealLength)
+)
 
 func (f *Fleet) put(to string, address netip.AddrPort, kind byte, text []byte, stream bool, done func(error)) {
 	if done == nil {
 		done = func(error) {}
 	}
+	if len(text)+sealLength > longestStream {
+		f.Counts.TooLong.Add(1)
+		done(errTooLong)
+		return
+	}
 	sealed := f.Keys.seal(kind, f.boot, f.number.Add(1), text, nil)
 	if !f.limit.AllowN(time.Now(), len(sealed)) {
 		f.Counts.OverRate.Add(1)
@@ -361,7 +373,12 @@
 		f.Counts.BytesOut.Add(int64(len(sealed)))
 		return
 	}
-	if f.ctx == nil || !f.out.TryAcquire(1) {
+	if f.ctx == nil || f.ctx.Err() != nil {
+		f.Counts.Failed.Add(1)
+		done(net.ErrClosed)
+		return
+	}
+	if !f.out.TryAcquire(1) {
 		f.Counts.StreamsHeld.Add(1)
 		done(errHeld)
 		return
@@ -455,25 +472,25 @@
 		f.Counts.Replayed.Add(1)
 		return
 	}
-	switch kind {
-	case sealedRaft:
-		if f.voter != nil {
-			f.voter.take(text)
-		}
-		return
-	case sealedTurn:
-		f.takeTurn(text)
-		return
-	case sealedAnswer:
-		f.takeAnswer(text)
-		return
-	case sealedSpend:
-		f.takeQuestion(text)
-		return
-	case sealedGive:
-		f.takeGive(text)
-		return
+	if take := f.takes[kind]; take != nil {
+		take(boot, text)
+	} else {
+		f.Counts.Unusable.Add(1)
 	}
+}
+
+// takers says who takes messages of each kind.
+func (f *Fleet) takers() map[byte]func(boot uint64, text []byte) {
+	by := func(take func([]byte)) func(uint64, []byte) { return func(_ uint64, text []byte) { take(text) } }
+	takes := map[byte]func(uint64, []byte){sealedMessage: f.takeMessage, sealedTurn: by(f.takeTurn), sealedAnswer: by(f.takeAnswer),
+		sealedSpend: by(f.takeQuestion), sealedGive: by(f.takeGive)}
+	if f.voter != nil {
+		takes[sealedRaft] = by(f.voter.take)
+	}
+	return takes
+}
+
+func (f *Fleet) takeMessage(boot uint64, text []byte) {
 	m, err := decode(text)
 	if err != nil || m.From.Boot != boot {
 		f.Counts.Unusable.Add(1)
@@ -560,25 +577,44 @@
 	f.kept = agreed
 }
 
+// remembered is the file: with a sum, as a name that was spoilt looks like another.
+type remembered struct {
+	members.Agreed
+	Sum string `json:",omitempty"` // of the rest; files of older versions have none
+}
+
+func sumUp(a members.Agreed) (string, error) {
+	raw, err := json.Marshal(a)
+	return fmt.Sprintf("%016x", xxhash.Sum64(raw)), err
+}
+
 // recall reads what was remembered; none is no error.
 func recall(path string) (a members.Agreed, err error) {
 	raw, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return a, nil
 	}
+	var in remembered
 	if err == nil {
-		err = json.Unmarshal(raw, &a)
+		err = json.Unmarshal(raw, &in)
+	}
+	if err == nil && in.Sum != "" {
+		var sum string
+		if sum, err = sumUp(in.Agreed); err == nil && sum != in.Sum {
+			err = errTorn
+		}
 	}
 	if err != nil {
 		return members.Agreed{}, fmt.Errorf("%s: %w", path, err)
 	}
-	return a, nil
+	return in.Agreed, nil
 }
 
 // keep writes it beside the file, and then in its place: who reads it sees one or the other.
 func keep(path string, a members.Agreed) error {
-	raw, err := json.Marshal(a)
-	if err != nil {
+	sum, err := sumUp(a)
+	raw, err2 := json.Marshal(remembered{a, sum})
+	if err = errors.Join(err, err2); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	t, err := os.CreateTemp(filepath.Dir(path), ".fleet-*")
