--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -52,7 +52,7 @@
 		return OnWay, nil
 	}
 	if n <= c.vec[w] {
-		if i := c.find(w, n); i == nil || i.e != nil && i.sure {
+		if i := c.find(w, n); i == nil || i.sure {
 			return Known, nil
 		}
 	} else if h, ok := c.held[w][n]; ok && h.sure {
