--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -268,7 +268,9 @@
 	if dbg != nil {
 		dbg(w, "kill "+x.name)
 	}
-	 x.m = nil; w.fleet() }
+	x.m = nil
+	w.fleet()
+}
 
 func (w *world) heal() {
 	clear(w.cutOff)
