Leave a source that alone is refused, where no note tells by whom

A probe at each GET that was given up and at each judgement of a limit: 63% to 84% of the sheds are misses past the limit on fills, which stood at its least for up to 8 s after the release had ended.

Ruled out: connections that come up late (under a quarter of the late fills returned).

Change: control.contrast leaves a source, like a silent one, once three caches have turned away most fills from it while another source gives; what is turned away then counts against it alone, and its GET goes by another. Caches that are full refuse whatever the source: nothing changes. Only where notes do not tell.

--- a/control/control.go
+++ b/control/control.go
@@ -586,7 +586,7 @@
 	early := a.Outcome == Revoked && (g.over && a.Elapsed <= f.objective || f.host.left && f.host.belief != nil)
 	if !early && o != Recalled && (n == Filled || n == FilledByOrigin || o == Revoked && f.miss ||
 		n >= SourceRefused && n != SourceLacks || d.Detail != Full && (f.miss && n != Hit || o == NotTaken)) {
-		limits := f.fill
+		limits := f.judgedBy()
 		if n == FilledByOrigin || n == OriginFailed {
 			limits = []*allowance{&d.origins}
 		} else if n == SourceFailed {
--- a/control/paces_test.go
+++ b/control/paces_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -141,3 +144,33 @@
 		assert.Greater(t, c.fills.most, before)
 	}
 }
+
+// Where no note tells by whom a fill was turned away, a source is left that several caches are refused by while another gives; caches that are
+// full refuse whatever the source, and no source is left for that.
+func TestASourceThatAloneIsRefusedIsLeft(t *testing.T) {
+	for name, tt := range map[string]struct {
+		refused func(f Forward) bool
+		most    int // fills from parent A in 4 s that are refused
+		left    bool
+	}{
+		"one source":        {func(f Forward) bool { return f.Source == parentA }, 10, true},
+		"whatever it is":    {func(f Forward) bool { return f.Source != f.Host }, math.MaxInt, false},
+		"one cache":         {func(f Forward) bool { return f.Host == cacheA }, math.MaxInt, false},
+		"now and then only": {func(f Forward) bool { return f.Source == parentA && f.GET%8 == 0 }, math.MaxInt, false},
+	} {
+		d, r := fleet(func(s *Settings) { s.Detail = Silent })
+		n := 0
+		play(d, r, 1, 5, 0.02, 1, func(_ uint32, f Forward) (Outcome, Note) {
+			if !tt.refused(f) {
+				return Returned, NoNote
+			}
+			if f.Source == parentA {
+				n++
+			}
+			return NotTaken, NoNote
+		})
+		assert.LessOrEqual(t, n, tt.most, name)
+		left := slices.ContainsFunc(r.calls, func(text string) bool { return strings.HasSuffix(text, "left: it fails or is silent") })
+		assert.Equal(t, tt.left, left, name)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -181,6 +181,10 @@
 	heard       float64         // when it last answered, or had nothing out
 	silent      int             // forwards found overdue since
 	fault       float64         // share of late outcomes that were faults
+	refuses     float64         // share of late fills from it that were turned away, where no note tells by whom
+	refusers    []*host         // some of those that did
+	refused     float64         // when the first of them did
+	gave        float64         // when a fill from it last came back
 	belief      *beliefs.Member // what its group tells of it; nil where hosts are few
 	left        bool            // left until a trial
 	leftAt      float64
@@ -291,6 +295,7 @@
 	under, fill  []*allowance // that it counts in, its host's first; that judge it as a fill
 	judged       *allowance   // that counted its end
 	heldOnly     bool         // the source was to give only what it holds
+	cutOff       bool         // it was turned away, and that is the source's fault
 }
 
 // event is what falls due: a function of the dispatcher, with what it is about. None is made anew for a GET.
@@ -659,6 +664,9 @@
 // paced takes in what an answer tells of the object's size, and of the pace of its host, its source and the way in.
 func (d *Dispatcher) paced(g *get, f *forward) {
 	a := f.answer
+	if d.Detail != Full && f.source != f.host {
+		d.contrast(g, f)
+	}
 	if a.Note == SourceRefused && f.source != f.host {
 		d.paces.Refused(d.now, &f.source.pace)
 	}
@@ -678,6 +686,48 @@
 	}
 }
 
+// contrast tells, where no note does, whether a fill was turned away for its source: several caches turn most fills from it away, while another
+// source gives. Guards against a source that is down before the list says so, whose refusals would pass for a crowded way in and shut all
+// fills off; caches that are full turn fills away whatever the source.
+func (d *Dispatcher) contrast(g *get, f *forward) {
+	s := f.source
+	switch o := f.answer.Outcome; {
+	case o == Returned && f.miss:
+		s.gave = d.now
+		if s.refuses *= 1 - learnFault; s.refuses < learnFault {
+			s.refusers = nil
+		}
+		return
+	case o != NotTaken:
+		return
+	}
+	s.refuses += (1 - s.refuses) * learnFault
+	if len(s.refusers) == 0 {
+		s.refused = d.now
+	}
+	if len(s.refusers) < silentCount && !slices.Contains(s.refusers, f.host) {
+		s.refusers = append(s.refusers, f.host)
+	}
+	if s.refuses < faulty || len(s.refusers) < silentCount {
+		return
+	}
+	for _, other := range append([]*host{d.origin}, d.parents...) {
+		if other != nil && other != s && other.gave > s.refused && other.refuses < s.refuses*spareUnder {
+			f.cutOff, g.bad = true, append(g.bad, s)
+			d.leave(s)
+			return
+		}
+	}
+}
+
+// judgedBy is the limits that a fill's end counts against.
+func (f *forward) judgedBy() []*allowance {
+	if f.cutOff {
+		return f.fill[:1]
+	}
+	return f.fill
+}
+
 // expected is the time that a GET's answer takes at the usual pace, 0 as long as that is not known.
 func (d *Dispatcher) expected(g *get) float64 {
 	return d.paces.Expected(cmp.Or(g.item.kb, g.ds.kb.mean))
