--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -317,9 +317,12 @@
 	}
 	// Guards against folding an era whose last numbers a counted member has and this one lacks.
 	for name, w := range m.check {
-		for i := 0; i < len(w.marks)-keptEras; i++ {
-			if n := v.at(name, w.marks[i].era); n > w.marks[i].number && n != math.MaxUint64 {
-				m.more[name] = true
+		if o := v[name]; o != nil && len(w.marks) > keptEras {
+			floor := w.marks[len(w.marks)-keptEras].era
+			for _, k := range o.marks {
+				if k.era < floor && k.number > m.check.at(name, k.era) {
+					m.more[name] = true
+				}
 			}
 		}
 	}
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -412,7 +412,12 @@
 					break
 				}
 			}
-		case 8: // all at once
+		case 8: // all at once, right after something was acknowledged
+			if x := w.nodes[c.IntN(4)]; x.m != nil {
+				_, _ = w.write(x, kindText, fmt.Sprintf("last%d", w.sent), "00000001 last", false, Sure{})
+				w.drain(x)
+			}
+			w.post = nil
 			for _, x := range w.nodes {
 				x.m = nil
 			}
