--- a/cmd/elderwall-operator/duties.go
+++ b/cmd/elderwall-operator/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -19,6 +18,7 @@
 	"elderwall/fleet/budgets"
 	"elderwall/fleet/duties"
 	"elderwall/internal/fleet"
+	"elderwall/internal/snake"
 )
 
 func (a asked) keys() (*fleet.Keys, error) {
@@ -42,9 +42,11 @@
 }
 
 func printJSON(t fleet.Told) error {
-	out := json.NewEncoder(os.Stdout)
-	out.SetIndent("", "  ")
-	return out.Encode(t)
+	raw, err := snake.Indent(t)
+	if err == nil {
+		_, err = os.Stdout.Write(raw)
+	}
+	return err
 }
 
 type dutiesCommand struct {
--- a/cmd/elderwall-operator/emulate.go
+++ b/cmd/elderwall-operator/emulate.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -56,14 +55,8 @@
 		}
 	}
 	e.table(os.Stdout, all)
-	if e.JSON != "" {
-		raw, err := json.MarshalIndent(all, "", "  ")
-		if err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
-		if err := os.WriteFile(e.JSON, append(raw, '\n'), 0o644); err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
+	if err := writeResults(e.JSON, all); err != nil {
+		return err
 	}
 	if broken {
 		return fmt.Errorf("a rule was broken")
--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -63,9 +62,7 @@
 		return err
 	}
 	if c.JSON {
-		out := json.NewEncoder(os.Stdout)
-		out.SetIndent("", "  ")
-		return out.Encode(t)
+		return printJSON(t)
 	}
 	return list(os.Stdout, t)
 }
--- a/cmd/elderwall-operator/fleetplay.go
+++ b/cmd/elderwall-operator/fleetplay.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"slices"
@@ -9,6 +8,7 @@
 	"time"
 
 	"elderwall/emulate"
+	"elderwall/internal/snake"
 )
 
 // fleetPlayCommand plays members with no sockets.
@@ -81,9 +81,9 @@
 	if path == "" {
 		return nil
 	}
-	raw, err := json.MarshalIndent(all, "", "  ")
+	raw, err := snake.Indent(all)
 	if err == nil {
-		err = os.WriteFile(path, append(raw, '\n'), 0o644)
+		err = os.WriteFile(path, raw, 0o644)
 	}
 	if err != nil {
 		return fmt.Errorf("results: %w", err)
--- a/cmd/elderwall-operator/load.go
+++ b/cmd/elderwall-operator/load.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -33,20 +33,11 @@
 	if err := load.Table(os.Stdout, results); err != nil {
 		return err
 	}
-	if l.JSON != "" {
-		raw, err := json.MarshalIndent(struct {
-			Plan    string
-			Cores   int
-			Results []*load.Result
-		}{plan.Text, runtime.NumCPU(), results}, "", "  ")
-		if err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
-		if err := os.WriteFile(l.JSON, append(raw, '\n'), 0o644); err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
-	}
-	return failed
+	return errors.Join(failed, writeResults(l.JSON, struct {
+		Plan    string
+		Cores   int
+		Results []*load.Result
+	}{plan.Text, runtime.NumCPU(), results}))
 }
 
 // farmCommand plays cache hosts, parents, an origin and the change log.
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -17,6 +17,7 @@
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet/council"
+	"elderwall/internal/snake"
 )
 
 // What can be asked of a member over its fleet address.
@@ -70,7 +71,7 @@
 	Level    string           `cbor:"6,keyasint"`
 	View     members.View     `cbor:"7,keyasint"`
 	Members  []members.Known  `cbor:"8,keyasint"`
-	Counts   map[string]int64 `cbor:"9,keyasint"`
+	Counts   map[string]int64 `cbor:"9,keyasint" snake:"names"`
 
 	Duties  []ToldDuty         `cbor:"10,keyasint,omitempty" json:",omitempty"`
 	Rest    map[string]float64 `cbor:"11,keyasint,omitempty" json:",omitempty"` // s of each lease, by the leader's clock
@@ -83,6 +84,12 @@
 	Leads   string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
 }
 
+// MarshalJSON writes it in the style of the command line, whoever prints it.
+func (t Told) MarshalJSON() ([]byte, error) {
+	type plain Told
+	return snake.JSON(plain(t))
+}
+
 // ToldDuty is a duty with how many wait for it beyond those that are named.
 type ToldDuty struct {
 	duties.Duty
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -792,7 +792,7 @@
 func (m *memberRig) sums() (bytes int64) {
 	for i := range m.Processes {
 		if s, err := m.see(i); err == nil {
-			bytes += s.Counts["BytesOut"]
+			bytes += s.Counts["bytes_out"]
 		}
 	}
 	return bytes
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -91,14 +91,12 @@
 	Self    struct{ Name, Address string }
 	Members []struct {
 		Name, Address string
-		State, Link   int
+		State, Link   string
 		Generation    uint32
 	}
 	Counts map[string]int64
 }
 
-var states = []string{"alive", "suspect", "failed", "left"}
-
 // see asks a process; what is asked goes past the relays.
 func (m *memberRig) see(i int) (s sight, err error) {
 	keys := m.keys[-1]
@@ -125,7 +123,7 @@
 func (s *sight) of(name string) string {
 	for _, o := range s.Members {
 		if o.Name == name {
-			return states[o.State]
+			return o.State
 		}
 	}
 	return "unknown"
@@ -431,7 +429,7 @@
 		require.NoError(t, err)
 		for _, o := range s.Members {
 			if o.Name == holder.Name {
-				assert.Equal(t, []any{"alive", holder.Fleet}, []any{states[o.State], o.Address})
+				assert.Equal(t, []any{"alive", holder.Fleet}, []any{o.State, o.Address})
 			}
 		}
 	}
@@ -443,8 +441,8 @@
 				return err
 			}
 			for _, o := range s.Members {
-				if o.Name == holder.Name && (o.State != 0 || o.Address != twin.Fleet) {
-					return fmt.Errorf("n%d: %s at %s", i, states[o.State], o.Address)
+				if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
+					return fmt.Errorf("n%d: %s at %s", i, o.State, o.Address)
 				}
 			}
 		}
@@ -514,8 +512,8 @@
 	m.Until(soon, "it sees all as before", func() error { return m.think(m.all(0), "whole", m.all()) })
 	m.Until(soon, "and can be asked", func() error {
 		s, err := m.see(0)
-		if err == nil && s.Counts["Unsealed"] < 1000 {
-			err = fmt.Errorf("%d were dropped", s.Counts["Unsealed"])
+		if err == nil && s.Counts["unsealed"] < 1000 {
+			err = fmt.Errorf("%d were dropped", s.Counts["unsealed"])
 		}
 		return err
 	})
@@ -566,7 +564,7 @@
 	sums := func() (datagrams, bytes int64) {
 		for i := range n {
 			if s, err := m.see(i); err == nil {
-				datagrams, bytes = datagrams+s.Counts["Out"], bytes+s.Counts["BytesOut"]
+				datagrams, bytes = datagrams+s.Counts["out"], bytes+s.Counts["bytes_out"]
 			}
 		}
 		return
