--- /dev/null
+++ b/fleet/floors/floors_test.go
@@ -0,0 +1,33 @@
+package floors
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestFloors(t *testing.T) {
+	for _, f := range []Floor{{"7f3a", 0, 1764576000123}, {"", 17, 5}, {"", -1, 5}, {"g17", 0, 5}} {
+		key, value, ok := Record(f)
+		require.True(t, ok)
+		require.NoError(t, Check(key, value))
+		got, err := Read(key, value)
+		require.NoError(t, err)
+		assert.Equal(t, f, got)
+		_, later, _ := Record(Floor{Object: f.Object, Group: f.Group, Time: f.Time + 256})
+		assert.Equal(t, []int{1, -1, 0}, []int{Law(later, value), Law(value, later), Law(value, value)})
+	}
+	for _, f := range []Floor{{"a", 0, 0}, {"a", 0, -5}, {"a", 0, most}, {strings.Repeat("a", 257), 0, 5}} {
+		_, _, ok := Record(f)
+		assert.False(t, ok, f)
+	}
+	good := []byte{0, 0, 0, 0, 0, 0, 0, 5}
+	for _, key := range []string{"", "o", "x1", "g", "g1x", "g01", "o" + strings.Repeat("a", 257)} {
+		assert.Error(t, Check(key, good), key)
+	}
+	for _, value := range [][]byte{nil, make([]byte, 8), make([]byte, 7), {255, 0, 0, 0, 0, 0, 0, 0}} {
+		assert.Error(t, Check("oa", value))
+	}
+}
