--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -14,7 +14,9 @@
 	"github.com/rs/zerolog"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/floors"
 	"elderwall/internal/certs"
+	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/extproc"
@@ -36,6 +38,8 @@
 	secure   certs.Listener
 	proxies  certs.Listener
 	fleet    atomic.Pointer[fleet.Fleet] // nil where the dispatcher is by itself, and before it is opened
+	purged   func(floors.Floor)          // takes what others learned of purges; nil where the fleet remembers nothing
+	gone     float64                     // s after which a purge needs no memory
 	cores    int                         // that the command line says, before the file; 0 where it says none
 }
 
@@ -127,6 +131,23 @@
 	return func() node.Bounder { return &bounder{of: e} }
 }
 
+// Changes has purges that the change log tells remembered by the fleet, and those that others tell taken here: they only narrow.
+func (e *Extras) Changes(take func(changelog.Event), gone float64) func(changelog.Event) {
+	if e.told.Fleet == nil || e.told.Fleet.Memory == nil {
+		return take
+	}
+	e.purged = func(p floors.Floor) {
+		take(changelog.Event{Purge: &changelog.Purge{Object: p.Object, Group: p.Group, Time: p.Time}})
+	}
+	e.gone = gone
+	return func(c changelog.Event) {
+		take(c)
+		if f := e.fleet.Load(); f != nil && c.Purge != nil {
+			f.Purged(floors.Floor{Object: c.Purge.Object, Group: c.Purge.Group, Time: c.Purge.Time})
+		}
+	}
+}
+
 // bounder is one module's part, once the fleet is opened.
 type bounder struct {
 	of *Extras
@@ -167,6 +188,9 @@
 		}
 		f.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
 		f.Counters = func() map[string]int64 { return to.Counts.Each() }
+		if e.purged != nil {
+			f.TakePurges(e.purged, e.gone)
+		}
 		e.fleet.Store(f)
 		all = append(all, f)
 	}
@@ -218,7 +242,7 @@
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
 		(was.Fleet == nil) != (to.Fleet == nil) ||
-		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
+		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -14,26 +14,31 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
+	"elderwall/fleet/replica"
 	"elderwall/internal/fleet/council"
 	"elderwall/internal/snake"
 )
 
 // What can be asked of a member over its fleet address.
 const (
-	AskMembers = "members" // what it thinks of all
-	AskWatch   = "watch"   // the same, once something has changed since a number
-	AskLeave   = "leave"   // have it leave the fleet, and serve on alone
-	AskDuties  = "duties"  // who holds what, and how the voters stand
-	AskTurn    = "turn"    // a turn of one who stands for duties and is no dispatcher
-	AskCommand = "command" // commands for the log
-	AskSeat    = "seat"    // a change of who votes
-	AskFound   = "found"   // have it begin a log
-	AskRecover = "recover" // have it begin a log with what it has of the one whose majority is lost
-	AskCounts  = "counts"  // its counters
-	AskBudgets = "budgets" // how the wholes are divided
-	AskSpend   = "spend"   // units of a budget
+	AskMembers  = "members"  // what it thinks of all
+	AskWatch    = "watch"    // the same, once something has changed since a number
+	AskLeave    = "leave"    // have it leave the fleet, and serve on alone
+	AskDuties   = "duties"   // who holds what, and how the voters stand
+	AskTurn     = "turn"     // a turn of one who stands for duties and is no dispatcher
+	AskCommand  = "command"  // commands for the log
+	AskSeat     = "seat"     // a change of who votes
+	AskFound    = "found"    // have it begin a log
+	AskRecover  = "recover"  // have it begin a log with what it has of the one whose majority is lost
+	AskCounts   = "counts"   // its counters
+	AskBudgets  = "budgets"  // how the wholes are divided
+	AskSpend    = "spend"    // units of a budget
+	AskChannels = "channels" // what is declared, and the line of the channel that Duty names
+	AskWrite    = "write"    // records into the memory
+	AskRead     = "read"     // what the memory has for some keys, or how many records of a kind and a sum over them
 
 	askEra   = "era"   // the latest era of a disk that it knows
 	askWhere = "where" // where the holder of a duty is
@@ -51,14 +56,17 @@
 	What  string `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint,omitempty"`
 
-	Number   uint64           `cbor:"3,keyasint,omitempty"`
-	Hops     uint8            `cbor:"4,keyasint,omitempty"`
-	Turn     *duties.Turn     `cbor:"5,keyasint,omitempty"`
-	Commands []duties.Command `cbor:"6,keyasint,omitempty"`
-	Seat     duties.Change    `cbor:"7,keyasint,omitempty"`
-	Ledger   *budgets.Command `cbor:"8,keyasint,omitempty"`
-	Whole    bool             `cbor:"9,keyasint,omitempty"` // the ledger is to be told after it
-	Duty     string           `cbor:"10,keyasint,omitempty"`
+	Number   uint64            `cbor:"3,keyasint,omitempty"`
+	Hops     uint8             `cbor:"4,keyasint,omitempty"`
+	Turn     *duties.Turn      `cbor:"5,keyasint,omitempty"`
+	Commands []duties.Command  `cbor:"6,keyasint,omitempty"`
+	Seat     duties.Change     `cbor:"7,keyasint,omitempty"`
+	Ledger   *budgets.Command  `cbor:"8,keyasint,omitempty"`
+	Whole    bool              `cbor:"9,keyasint,omitempty"` // the ledger is to be told after it
+	Duty     string            `cbor:"10,keyasint,omitempty"`
+	Records  []replica.Record  `cbor:"11,keyasint,omitempty"` // to be written; or whose keys are to be read
+	Channels *channels.Command `cbor:"13,keyasint,omitempty"`
+	Sure     replica.Sure      `cbor:"12,keyasint,omitempty"`
 }
 
 // Told is what a member answers.
@@ -73,15 +81,19 @@
 	Members  []members.Known  `cbor:"8,keyasint"`
 	Counts   map[string]int64 `cbor:"9,keyasint" snake:"names"`
 
-	Duties  []ToldDuty         `cbor:"10,keyasint,omitempty" json:",omitempty"`
-	Rest    map[string]float64 `cbor:"11,keyasint,omitempty" json:",omitempty"` // s of each lease, by the leader's clock
-	Council *council.Status    `cbor:"12,keyasint,omitempty" json:",omitempty"`
-	Seats   []duties.Seat      `cbor:"13,keyasint,omitempty" json:",omitempty"`
-	Leases  []duties.Lease     `cbor:"14,keyasint,omitempty" json:",omitempty"`
-	Changed bool               `cbor:"15,keyasint,omitempty" json:",omitempty"`
-	Ledger  *budgets.Saved     `cbor:"17,keyasint,omitempty" json:",omitempty"`
-	Budgets []ToldBudget       `cbor:"18,keyasint,omitempty" json:",omitempty"`
-	Leads   string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
+	Duties   []ToldDuty         `cbor:"10,keyasint,omitempty" json:",omitempty"`
+	Rest     map[string]float64 `cbor:"11,keyasint,omitempty" json:",omitempty"` // s of each lease, by the leader's clock
+	Council  *council.Status    `cbor:"12,keyasint,omitempty" json:",omitempty"`
+	Seats    []duties.Seat      `cbor:"13,keyasint,omitempty" json:",omitempty"`
+	Leases   []duties.Lease     `cbor:"14,keyasint,omitempty" json:",omitempty"`
+	Changed  bool               `cbor:"15,keyasint,omitempty" json:",omitempty"`
+	Ledger   *budgets.Saved     `cbor:"17,keyasint,omitempty" json:",omitempty"`
+	Budgets  []ToldBudget       `cbor:"18,keyasint,omitempty" json:",omitempty"`
+	Memory   *ToldMemory        `cbor:"19,keyasint,omitempty" json:",omitempty"`
+	Records  []replica.Record   `cbor:"20,keyasint,omitempty" json:",omitempty"`
+	Ended    []replica.Outcome  `cbor:"21,keyasint,omitempty" json:",omitempty"` // of the writes, in their order
+	Channels *channels.Saved    `cbor:"22,keyasint,omitempty" json:",omitempty"`
+	Leads    string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
 }
 
 // MarshalJSON writes it in the style of the command line, whoever prints it.
@@ -151,14 +163,20 @@
 			return Told{Error: err.Error()}
 		}
 		return Told{}
+	case AskWrite, AskRead:
+		return f.answerMemory(q)
 	case AskBudgets:
 		return f.tellBudgets(f.ctx, q)
 	default:
 		return f.answerDuties(f.ctx, q)
 	}
+	var memory *ToldMemory
+	if f.memory != nil {
+		memory = f.memory.status()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t := Told{Number: f.changes, Now: f.now(), Self: f.machine.Self(), Standing: f.machine.Standing().String(), View: f.machine.View(),
+	t := Told{Memory: memory, Number: f.changes, Now: f.now(), Self: f.machine.Self(), Standing: f.machine.Standing().String(), View: f.machine.View(),
 		Members: f.machine.Members(), Counts: f.Counts.each()}
 	t.Level = t.View.Level.String()
 	return t
@@ -205,6 +223,11 @@
 	return err
 }
 
+// AskMemory has records written as sure as is wanted, or read.
+func AskMemory(ctx context.Context, at string, k *Keys, what string, records []replica.Record, sure replica.Sure) (t Told, err error) {
+	return askAt(ctx, at, k, ask{What: what, Records: records, Sure: sure})
+}
+
 // AskTake asks a turn for one who stands and is no dispatcher.
 func AskTake(ctx context.Context, at string, k *Keys, turn duties.Turn) (t Told, err error) {
 	return askAt(ctx, at, k, ask{What: AskTurn, Turn: &turn})
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
 )
 
@@ -72,6 +73,7 @@
 type Done struct {
 	Number  uint64
 	Changed bool
+	Why     error // of a command of channels that was refused
 }
 
 // Out is what is to be done.
@@ -91,6 +93,7 @@
 	conf     *pb.ConfState
 	state    *duties.State
 	ledger   *budgets.Ledger
+	channels *channels.Ledger
 	granter  *duties.Granter
 	applied  uint64
 	saved    uint64 // index of the last snapshot
@@ -120,16 +123,18 @@
 
 // entry is what an entry of the log holds.
 type entry struct {
-	By       uint64           `cbor:"1,keyasint"`
-	Number   uint64           `cbor:"2,keyasint"`
-	Commands []duties.Command `cbor:"3,keyasint"`
-	Ledger   *budgets.Command `cbor:"4,keyasint,omitempty"`
+	By       uint64            `cbor:"1,keyasint"`
+	Number   uint64            `cbor:"2,keyasint"`
+	Commands []duties.Command  `cbor:"3,keyasint"`
+	Ledger   *budgets.Command  `cbor:"4,keyasint,omitempty"`
+	Channels *channels.Command `cbor:"5,keyasint,omitempty"`
 }
 
 // kept is what a snapshot holds.
 type kept struct {
 	duties.Packed
-	Ledger budgets.Saved
+	Ledger   budgets.Saved
+	Channels channels.Saved // a voter of an earlier version knows none, and keeps none
 }
 
 var (
@@ -145,8 +150,8 @@
 }
 
 // Found is the first snapshot of a new log with one voter; state is what it begins with.
-func Found(id uint64, state *duties.State, ledger *budgets.Ledger, term, index uint64) (*pb.HardState, *pb.Snapshot, error) {
-	data, err := encoding.Marshal(kept{duties.Pack(state.Save()), ledger.Save()})
+func Found(id uint64, state *duties.State, ledger *budgets.Ledger, streams *channels.Ledger, term, index uint64) (*pb.HardState, *pb.Snapshot, error) {
+	data, err := encoding.Marshal(kept{duties.Pack(state.Save()), ledger.Save(), streams.Save()})
 	if err != nil {
 		return nil, nil, fmt.Errorf("state: %w", err)
 	}
@@ -156,7 +161,7 @@
 
 // New makes a voter of what its disk has. One whose disk has no log is none until the leader takes it in.
 func New(kept Kept, disk Disk, now float64, logger raft.Logger) (*Machine, error) {
-	m := &Machine{id: kept.ID, disk: disk, storage: raft.NewMemoryStorage(), state: duties.NewState(), ledger: budgets.NewLedger(), now: now, ticked: now,
+	m := &Machine{id: kept.ID, disk: disk, storage: raft.NewMemoryStorage(), state: duties.NewState(), ledger: budgets.NewLedger(), channels: channels.NewLedger(), now: now, ticked: now,
 		number: uint64(kept.Era) << 32, reads: map[uint64]float64{}, conf: &pb.ConfState{}}
 	if kept.Snapshot != nil && !raft.IsEmptySnap(kept.Snapshot) {
 		if err := m.storage.ApplySnapshot(kept.Snapshot); err != nil {
@@ -196,7 +201,7 @@
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	m.state, m.ledger = duties.Restore(saved), budgets.Restore(packed.Ledger)
+	m.state, m.ledger, m.channels = duties.Restore(saved), budgets.Restore(packed.Ledger), channels.Restore(packed.Channels)
 	m.applied, m.saved, m.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
 	return nil
 }
@@ -207,6 +212,9 @@
 // Ledger is what is divided, as the log has it here.
 func (m *Machine) Ledger() *budgets.Ledger { return m.ledger }
 
+// Channels is what is declared and put in order, as the log has it here.
+func (m *Machine) Channels() *channels.Ledger { return m.channels }
+
 // Applied is the index of the last entry that the state has.
 func (m *Machine) Applied() uint64 { return m.applied }
 
@@ -322,7 +330,7 @@
 		}
 		if m.leads {
 			if commands := m.granter.Tick(now); len(commands) > 0 {
-				m.propose(commands, nil)
+				m.propose(commands, nil, nil)
 			}
 			m.changeSeats()
 		}
@@ -333,19 +341,19 @@
 }
 
 // Propose puts commands into the log, where this one leads; Done tells the number once they are in.
-func (m *Machine) Propose(commands []duties.Command, ledger *budgets.Command, now float64) (number uint64, ok bool) {
+func (m *Machine) Propose(commands []duties.Command, ledger *budgets.Command, streams *channels.Command, now float64) (number uint64, ok bool) {
 	m.now = now
 	m.guarded(func() error {
 		if m.leads {
-			number = m.propose(commands, ledger)
+			number = m.propose(commands, ledger, streams)
 		}
 		return m.ready()
 	})
 	return number, number != 0
 }
 
-func (m *Machine) propose(commands []duties.Command, ledger *budgets.Command) uint64 {
-	data, err := encoding.Marshal(entry{m.id, m.number + 1, commands, ledger})
+func (m *Machine) propose(commands []duties.Command, ledger *budgets.Command, streams *channels.Command) uint64 {
+	data, err := encoding.Marshal(entry{m.id, m.number + 1, commands, ledger, streams})
 	if err != nil || m.node.Propose(data) != nil { // it comes again with the next turn or tick
 		return 0
 	}
@@ -378,7 +386,7 @@
 		if under != 0 {
 			w.proposal = under
 		} else if commands := m.granter.Commands(&t.Turn); len(commands) > 0 {
-			if w.proposal = m.propose(commands, nil); w.proposal == 0 {
+			if w.proposal = m.propose(commands, nil, nil); w.proposal == 0 {
 				m.out.Answer = append(m.out.Answer, Answered{To: t.To, ID: t.ID})
 				return nil
 			}
@@ -515,7 +523,7 @@
 	if err := decoding.Unmarshal(e.Data, &in); err != nil {
 		return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 	}
-	changed := false
+	changed, why := false, error(nil)
 	for _, c := range in.Commands {
 		for _, name := range m.state.Apply(c) {
 			changed = true
@@ -525,8 +533,12 @@
 	if in.Ledger != nil {
 		changed = m.ledger.Apply(in.Ledger)
 	}
+	if in.Channels != nil {
+		why = m.channels.Apply(in.Channels)
+		changed = why == nil
+	}
 	if in.By == m.id {
-		m.out.Done = append(m.out.Done, Done{in.Number, changed})
+		m.out.Done = append(m.out.Done, Done{in.Number, changed, why})
 		for _, t := range m.turns {
 			if t.proposal == in.Number {
 				t.proposal = 0
@@ -563,7 +575,7 @@
 		return nil
 	}
 	m.reseated = false
-	data, err := encoding.Marshal(kept{duties.Pack(m.state.Save()), m.ledger.Save()})
+	data, err := encoding.Marshal(kept{duties.Pack(m.state.Save()), m.ledger.Save(), m.channels.Save()})
 	if err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
@@ -602,7 +614,7 @@
 		}
 	}
 	if len(sit) > 0 {
-		m.propose(sit, nil)
+		m.propose(sit, nil, nil)
 	}
 	progress := m.node.Status().Progress
 	c := m.state.NextChange(m.conf.GetVoters(), m.conf.GetLearners(), willing, func(id uint64) bool {
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
 )
 
@@ -113,7 +114,7 @@
 	}
 	for i := range voters {
 		v := &voter{sim: s, index: i, clock: s.clock()}
-		hard, snapshot, err := Found(1, duties.NewState(), budgets.NewLedger(), 1, 1)
+		hard, snapshot, err := Found(1, duties.NewState(), budgets.NewLedger(), channels.NewLedger(), 1, 1)
 		if err != nil {
 			panic(err)
 		}
@@ -161,7 +162,7 @@
 			continue
 		}
 		if early || v.sim.fault == "a lease is ended early" && v.Granter().Rest(now, d) < 0.5*lease {
-			v.Propose([]duties.Command{{Act: duties.Expire, Duty: d, Token: duty.Token}}, nil, now)
+			v.Propose([]duties.Command{{Act: duties.Expire, Duty: d, Token: duty.Token}}, nil, nil, now)
 		}
 	}
 }
@@ -219,7 +220,7 @@
 		v.kept.Entries = slices.Clone(v.copy.Entries)
 	}
 	if v.sim.fault == "a disk is lost and the voter votes on" {
-		hard, snapshot, _ := Found(1, duties.NewState(), budgets.NewLedger(), 1, 1)
+		hard, snapshot, _ := Found(1, duties.NewState(), budgets.NewLedger(), channels.NewLedger(), 1, 1)
 		snapshot.Metadata.ConfState.Voters = []uint64{1, 2, 3, 4, 5}
 		v.kept = Kept{ID: v.kept.ID, Era: v.kept.Era, Hard: hard, Snapshot: snapshot}
 	}
@@ -389,7 +390,7 @@
 			}
 			if s.fault == "no majority is asked" && v.Leads() {
 				if commands := v.Granter().Commands(&turn); len(commands) > 0 {
-					v.Propose(commands, nil, v.clock.at(s.now))
+					v.Propose(commands, nil, nil, v.clock.at(s.now))
 				}
 				v.out.Answer = append(v.out.Answer, Answered{To: p, ID: turn.ID, OK: true, Leases: v.Granter().Confirm(v.clock.at(s.now), &turn)})
 			} else {
@@ -561,7 +562,7 @@
 			for _, d := range dutyNames {
 				all = append(all, duties.Command{Act: duties.Declare, Duty: d, Length: lease})
 			}
-			v.Propose(all, nil, v.clock.at(s.now))
+			v.Propose(all, nil, nil, v.clock.at(s.now))
 			s.drain(v)
 		}
 	}
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -3,9 +3,12 @@
 package fleet
 
 import (
+	"bytes"
 	"os"
 	"strconv"
 	"time"
+
+	"elderwall/fleet/replica"
 )
 
 // Faults that no signal and no relay brings about, in a program that is built with the tag "faults" for tests alone: a clock that runs fast or
@@ -15,6 +18,9 @@
 	faultSync     = os.Getenv("ELDERWALL_FAULT_SYNC")
 )
 
+// faultKinds has a kind for tests whose acknowledged records are synced: the higher bytes stand.
+var faultKinds = []replica.Kind{{ID: 250, Name: "test", Records: 50_000, Bytes: 32 << 20, Longest: 4096, Sync: true, Law: bytes.Compare}}
+
 func driven(t float64) float64 {
 	if faultClock > 0 {
 		return t * faultClock
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,7 @@
 	Keys     *Keys
 	Duties   *Duties  // nil where it stands for none and does not vote
 	Budgets  *Budgets // nil where nothing is divided
+	Memory   *Memory  // nil where nothing is remembered together
 }
 
 // Check tells what can't go together.
@@ -129,6 +130,7 @@
 	holding  holding
 	spending spending
 	dividing dividing
+	memory   *memory // nil where nothing is remembered together
 
 	mu         sync.Mutex
 	machine    *members.Machine
@@ -181,6 +183,9 @@
 	if s.Budgets != nil {
 		f.beginSpending()
 	}
+	if s.Memory != nil {
+		f.memory = newMemory(f)
+	}
 	if s.Duties != nil {
 		f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, s.Duties.Priority)
 		if s.Budgets != nil {
@@ -219,6 +224,9 @@
 		f.group.Go(func() error { return f.spend(f.ctx) })
 		f.group.Go(func() error { return f.divide(f.ctx) })
 	}
+	if f.memory != nil {
+		f.group.Go(func() error { return f.memory.run(f.ctx) })
+	}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		f.leave()
@@ -274,6 +282,9 @@
 	}
 	reach := f.reach
 	f.mu.Unlock()
+	if len(tell) > 0 && f.memory != nil {
+		poke(f.memory.stale)
+	}
 	for i := range tell {
 		f.tell(&tell[i])
 	}
@@ -347,7 +358,11 @@
 		done = func(error) {}
 	}
 	sealed := f.Keys.seal(kind, f.boot, f.number.Add(1), text, nil)
-	if !f.limit.AllowN(time.Now(), len(sealed)) {
+	limit := f.limit
+	if kind == sealedMemory { // with its own share: a catch-up takes nothing from who tells who is there
+		limit = f.memory.limit
+	}
+	if !limit.AllowN(time.Now(), len(sealed)) {
 		f.Counts.OverRate.Add(1)
 		done(errHeld)
 		return
@@ -474,6 +489,11 @@
 	case sealedGive:
 		f.takeGive(text)
 		return
+	case sealedMemory:
+		if f.memory != nil {
+			f.memory.take(boot, text)
+		}
+		return
 	}
 	m, err := decode(text)
 	if err != nil || m.From.Boot != boot {
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
 	"elderwall/internal/fleet/council"
 )
@@ -349,7 +350,7 @@
 			return fail(errors.New("no majority of the voters has answered"))
 		}
 	case AskCommand:
-		changed, err := f.voter.propose(ctx, q.Commands, q.Ledger)
+		changed, err := f.voter.propose(ctx, q.Commands, q.Ledger, q.Channels)
 		if err != nil {
 			return fail(err)
 		}
@@ -363,6 +364,16 @@
 				return fail(err)
 			}
 		}
+	case AskChannels:
+		if err := f.voter.within(func() error {
+			t.Channels = &channels.Saved{Declared: f.voter.machine.Channels().Declarations()}
+			if l := f.voter.machine.Channels().Line(q.Duty); l != nil {
+				t.Channels.Lines = []channels.Line{*l}
+			}
+			return nil
+		}); err != nil {
+			return fail(err)
+		}
 	case AskSeat:
 		if err := f.voter.within(func() error { return f.voter.machine.Change(q.Seat, f.dutyNow()) }); err != nil {
 			return fail(err)
--- /dev/null
+++ b/internal/fleet/memory_test.go
@@ -0,0 +1,420 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/fleet/floors"
+	"elderwall/fleet/replica"
+	"elderwall/internal/standin/processes"
+)
+
+const testKind = 250 // of a program built with faults: synced, the higher bytes stand
+
+// memoryRig is dispatchers that remember together.
+type memoryRig struct{ *memberRig }
+
+// remember starts so many; settings are more of the section on memory.
+func remember(t *testing.T, n int, settings string) *memoryRig {
+	return &memoryRig{start(t, n, func(m *memberRig) {
+		m.Binary = processes.Build(t, "../..", "faults")
+		for i := range n {
+			m.more[i] = `memory: {folder: "memory", ` + settings + `}`
+		}
+	})}
+}
+
+func (m *memoryRig) ask(i int, what string, sure replica.Sure, records ...replica.Record) (Told, error) {
+	k, err := ParseKeys(m.keys[-1])
+	require.NoError(m, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	return AskMemory(ctx, m.Processes[i].Fleet, k, what, records, sure)
+}
+
+func key(i int) string { return fmt.Sprintf("k%06d", i) }
+
+// write writes keys from one number up to another at a process, and waits until it is as sure as wanted. It is repeated where that failed.
+func (m *memoryRig) write(at, from, to int, value string, sure replica.Sure) {
+	m.Helper()
+	for from < to {
+		var all []replica.Record
+		for i := from; i < min(to, from+1000); i++ {
+			all = append(all, replica.Record{Kind: testKind, Key: key(i), Value: []byte(value), Dead: value == ""})
+		}
+		m.Until(soon, "records are written", func() error {
+			t, err := m.ask(at, AskWrite, sure, all...)
+			for _, o := range t.Ended {
+				if !o.Met {
+					err = errors.Join(err, fmt.Errorf("%+v", o))
+					break
+				}
+			}
+			if err != nil && err.Error() == replica.ErrLower.Error() { // a former trial's
+				err = nil
+			}
+			return err
+		})
+		from += len(all)
+	}
+}
+
+// sum is how many records of the test's kind stand at a process, and a sum over them.
+func (m *memoryRig) sum(i int) (n, sum uint64, err error) {
+	t, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: testKind})
+	if err != nil || len(t.Records) == 0 {
+		return 0, 0, errors.Join(err, errMessage)
+	}
+	return t.Number, binary.BigEndian.Uint64(t.Records[0].Value), nil
+}
+
+// same waits until some have the same, so many records.
+func (m *memoryRig) same(n int, who ...int) {
+	m.Helper()
+	m.Until(soon, fmt.Sprintf("%v have the same %d", who, n), func() error {
+		var first uint64
+		for at, i := range who {
+			has, sum, err := m.sum(i)
+			if err != nil {
+				return err
+			}
+			if at == 0 {
+				first = sum
+			}
+			if has != uint64(n) || sum != first {
+				return fmt.Errorf("n%d has %d, sum %x of %x; %+v", i, has, sum, first, m.memory(i))
+			}
+		}
+		return nil
+	})
+}
+
+func (m *memoryRig) memory(i int) (s ToldMemory) {
+	k, err := ParseKeys(m.keys[-1])
+	require.NoError(m, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if t, err := Ask(ctx, m.Processes[i].Fleet, k, AskMembers, 0); err == nil && t.Memory != nil {
+		return *t.Memory
+	}
+	return ToldMemory{Problem: "no answer"}
+}
+
+func (m *memoryRig) reads(i, of int) string {
+	t, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: testKind, Key: key(of)})
+	if err != nil || len(t.Records) == 0 {
+		return ""
+	}
+	return string(t.Records[0].Value)
+}
+
+func (m *memoryRig) disk(i int) string {
+	return filepath.Join(m.Processes[i].Dir, "memory", recordsFile)
+}
+
+var (
+	here     = replica.Sure{Within: 3}
+	majority = replica.Sure{Level: replica.Majority, Within: 3}
+	two      = replica.Sure{Level: replica.Copies, Copies: 2, Within: 3}
+)
+
+func TestOneIsAwayDuringManyWrites(t *testing.T) {
+	const many = 10_000
+	for name, way := range map[string]struct {
+		back  func(m *memoryRig)
+		check func(s ToldMemory) bool
+	}{
+		"deltas": {func(*memoryRig) {}, func(s ToldMemory) bool { return s.Wholes == 0 }},
+		"digests": {func(m *memoryRig) { // the deltas are gone with the processes that had them
+			for i := range 2 {
+				m.Processes[i].Kill()
+			}
+			for i := range 2 {
+				m.Processes[i].Start()
+			}
+			m.until("they are back", []int{0, 1}, "majority", []int{0, 1})
+		}, func(s ToldMemory) bool { return s.Wholes == 0 && s.Walks > 0 }},
+		"whole": {func(m *memoryRig) { m.Processes[2].Wipe() }, func(s ToldMemory) bool { return s.Wholes > 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := remember(t, 3, "")
+			m.write(0, 0, 100, "before", majority)
+			m.same(100, 0, 1, 2)
+			m.Processes[2].Kill()
+			m.until("its end is known", []int{0, 1}, "majority", []int{0, 1})
+			m.write(0, 100, many/2, "while it was away, by one", here)
+			m.write(1, many/2, many, "while it was away, by another", two)
+			way.back(m)
+			m.Processes[2].Start()
+			m.same(many, 0, 1, 2)
+			s := m.memory(2)
+			assert.True(t, way.check(s), "%+v", s)
+			m.write(2, 0, 1, "written by who came back", majority)
+			m.serve(0, 1, 2)
+		})
+	}
+}
+
+func TestASnapshotIsCutOff(t *testing.T) {
+	for _, who := range []int{0, 2} { // its source, which is near; its taker
+		t.Run(fmt.Sprint("n", who), func(t *testing.T) {
+			const many = 8000
+			m := remember(t, 4, `rate: "200KiB"`)
+			m.write(0, 0, many, "a value that has some length, so that all of them take some seconds on their way", here)
+			m.same(many, 0, 1, 2, 3)
+			m.Processes[2].Kill()
+			m.Processes[2].Wipe()
+			m.Processes[2].Start()
+			halfway := func() error {
+				if n, _, err := m.sum(2); err != nil || n == 0 || n >= many {
+					return fmt.Errorf("%d, %w", n, errors.Join(err, errMessage))
+				}
+				return nil
+			}
+			m.Until(soon, "it has some", halfway)
+			m.Processes[who].Kill()
+			if who == 2 {
+				m.Processes[who].Start()
+			}
+			m.same(many, 1, 2, 3)
+			m.Processes[who].Start()
+			m.same(many, 0, 1, 2, 3)
+		})
+	}
+}
+
+func TestAMemorysDisk(t *testing.T) {
+	const n = 500
+	for name, spoil := range map[string]func(m *memoryRig){
+		"emptied": func(m *memoryRig) { require.NoError(m, os.RemoveAll(filepath.Dir(m.disk(2)))) },
+		"torn": func(m *memoryRig) {
+			raw, err := os.ReadFile(m.disk(2))
+			require.NoError(m, err)
+			for i := len(raw) / 3; i < 2*len(raw)/3; i++ {
+				raw[i] ^= 0xff
+			}
+			require.NoError(m, os.WriteFile(m.disk(2), raw, 0o600))
+		},
+		"cut short": func(m *memoryRig) { require.NoError(m, os.Truncate(m.disk(2), 5000)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := remember(t, 3, "")
+			m.write(2, 0, n, "by it", majority)
+			m.Processes[2].Kill()
+			spoil(m)
+			m.Processes[2].Start()
+			m.same(n, 0, 1, 2)
+			m.write(2, n, n+10, "by it again", majority)
+			m.same(n+10, 0, 1, 2)
+			for i := range 3 {
+				for _, k := range m.memory(i).Kinds {
+					assert.Zero(t, k.Aside)
+				}
+			}
+		})
+	}
+	t.Run("put back older", func(t *testing.T) {
+		m := remember(t, 3, "")
+		m.write(2, 0, n, "early", majority)
+		m.Processes[2].Kill()
+		old, err := os.ReadFile(m.disk(2))
+		require.NoError(t, err)
+		m.Processes[2].Start()
+		m.same(n, 0, 1, 2)
+		m.write(2, 0, 2*n, "late", majority)
+		m.Processes[2].Kill()
+		require.NoError(t, os.WriteFile(m.disk(2), old, 0o600))
+		m.Processes[2].Start()
+		m.write(2, 2*n, 3*n, "after it was put back", majority)
+		m.same(3*n, 0, 1, 2)
+		assert.Equal(t, "late", m.reads(2, 0))
+		assert.Zero(t, m.memory(0).Kinds[1].Aside)
+	})
+	t.Run("full", func(t *testing.T) {
+		m := remember(t, 3, "")
+		m.write(2, 0, n, "by it", majority)
+		m.Processes[2].Full(true)
+		_, err := m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+		m.Until(soon, "it refuses", func() error {
+			if m.memory(2).Problem == "" {
+				return errors.New("not yet")
+			}
+			_, err = m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+			return nil
+		})
+		require.Error(t, err)
+		m.write(0, n, 2*n, "while it was full", two)
+		m.serve(2)
+		m.Processes[2].Full(false)
+		m.same(2*n, 0, 1, 2)
+		m.write(2, 2*n, 2*n+1, "by it", majority)
+	})
+}
+
+func TestTwoHalvesWriteTheSameKeys(t *testing.T) {
+	for name, cut := range map[string]processes.Fault{"cut": {What: processes.Cut, A: []int{0, 1}}, "one way": {What: processes.CutOff, A: []int{0, 1}}} {
+		t.Run(name, func(t *testing.T) {
+			m := remember(t, 4, "")
+			m.write(0, 0, 100, "a", two)
+			m.same(100, 0, 1, 2, 3)
+			m.Begin(cut)
+			for i := range 4 { // each key is written in both parts, now the higher in one, now in the other
+				m.write(i, 0, 200, fmt.Sprintf("b%d", (i+2)%4), here)
+			}
+			m.write(1, 200, 250, "by one part", here)
+			m.write(3, 250, 300, "by the other", here)
+			m.End(cut)
+			m.same(300, 0, 1, 2, 3)
+			for i := range 4 {
+				assert.Equal(t, "b3", m.reads(i, 7))
+			}
+		})
+	}
+}
+
+// A disk that has another content under one dot, as a torn or a copied one may: no law can settle it.
+func TestOneDotWithTwoContents(t *testing.T) {
+	m := remember(t, 3, "")
+	m.write(0, 0, 100, "the value", majority)
+	m.same(100, 0, 1, 2)
+	m.Processes[2].Kill()
+	s, saved, err := openStore(filepath.Join(m.Processes[2].Dir, "memory"))
+	require.NoError(t, err)
+	for _, c := range saved.Records {
+		if c.Record.Key == key(7) {
+			c.Record.Value = []byte("another")
+			require.NoError(t, s.save(&replica.Save{Era: saved.Era, Records: []replica.Carried{c}, Sync: true}))
+		}
+	}
+	s.close()
+	m.Processes[2].Start()
+	m.same(99, 0, 1, 2)
+	m.write(1, 7, 8, "written anew", majority)
+	m.same(100, 0, 1, 2)
+	assert.NotEmpty(t, append(m.Processes[0].Said("memory: aside"), m.Processes[2].Said("memory: aside")...))
+}
+
+func TestOneIsStoppedForLongerThanTheHorizon(t *testing.T) {
+	m := remember(t, 3, `horizon: "10s"`)
+	m.write(2, 0, 1000, "a value", majority)
+	m.same(1000, 0, 1, 2)
+	m.Processes[2].Signal(syscall.SIGSTOP)
+	m.until("it is held to have failed", []int{0, 1}, "majority", []int{0, 1})
+	m.write(0, 0, 500, "", two) // deleted
+	m.write(0, 1000, 1500, "while it was stopped", two)
+	m.same(1000, 0, 1)
+	m.Until(soon, "the tombstones are forgotten", func() error {
+		if k := m.memory(0).Kinds; len(k) < 2 || k[1].Dead > 0 {
+			return fmt.Errorf("%+v", k)
+		}
+		return nil
+	})
+	m.Processes[2].Signal(syscall.SIGCONT)
+	m.same(1000, 0, 1, 2)
+	for range 10 { // nothing that was deleted comes back
+		m.same(1000, 0, 1, 2)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func TestAllAreKilledAndNothingAcknowledgedIsLost(t *testing.T) {
+	m := remember(t, 3, "")
+	var acked [3]int
+	done := make(chan struct{})
+	stop := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			at := n % 3
+			r := replica.Record{Kind: testKind, Key: fmt.Sprintf("w%d-%06d", at, acked[at]), Value: []byte("x")}
+			if t, err := m.ask(at, AskWrite, [3]replica.Sure{here, two, majority}[at], r); err == nil && len(t.Ended) == 1 && t.Ended[0].Met {
+				acked[at]++
+			}
+		}
+	}()
+	for range 2 {
+		m.Until(soon, "some are acknowledged", func() error {
+			if n, _, err := m.sum(0); err != nil || n < 30 {
+				return fmt.Errorf("%d: %w", n, errors.Join(err, errMessage))
+			}
+			return nil
+		})
+		for _, p := range m.Processes {
+			p.Kill()
+		}
+		for _, p := range m.Processes {
+			p.Start()
+		}
+		m.whole()
+	}
+	close(stop)
+	<-done
+	total := 0
+	for at, n := range acked {
+		total += n
+		for i := range n {
+			m.Until(soon, "it is everywhere", func() error {
+				t, err := m.ask((at+1)%3, AskRead, replica.Sure{}, replica.Record{Kind: testKind, Key: fmt.Sprintf("w%d-%06d", at, i)})
+				if err != nil || len(t.Records) != 1 {
+					return fmt.Errorf("n%d's %d of %d is not at another: %w", at, i, n, errors.Join(err, errMessage))
+				}
+				return nil
+			})
+		}
+	}
+	t.Log("acknowledged:", total)
+}
+
+// A purge that one hears is learned by the others, whose change log is silent.
+func TestPurgesReachThoseWhoDidNotHearThem(t *testing.T) {
+	m := remember(t, 3, "")
+	now := time.Now().UnixMilli()
+	m.Changes.Push(fmt.Sprintf(`{"seq":2,"invalidate":{"object":"7f3a9c21e0b4d655","bucket":3,"time":%d}}`, now))
+	k, value, _ := floors.Record(floors.Floor{Object: "7f3a9c21e0b4d655", Time: now})
+	for i := range 3 {
+		m.Until(soon, "it is known", func() error {
+			t, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: floors.ID, Key: k})
+			if err == nil && (len(t.Records) != 1 || string(t.Records[0].Value) != string(value)) {
+				err = fmt.Errorf("%+v", t.Records)
+			}
+			return err
+		})
+	}
+	m.Changes.Close() // silent for all
+	k2, value2, _ := floors.Record(floors.Floor{Object: "another", Time: now + 5})
+	before := m.purges(2)
+	_, err := m.ask(0, AskWrite, two, replica.Record{Kind: floors.ID, Key: k2, Value: value2})
+	require.NoError(t, err)
+	m.Until(soon, "it is taken", func() error {
+		if n := m.purges(2); n != before+1 {
+			return fmt.Errorf("%d after %d", n, before)
+		}
+		return nil
+	})
+}
+
+// purges is how many a process has taken.
+func (m *memoryRig) purges(i int) int64 {
+	k, err := ParseKeys(m.keys[-1])
+	require.NoError(m, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	told, err := Ask(ctx, m.Processes[i].Fleet, k, AskCounts, 0)
+	require.NoError(m, err)
+	return told.Counts["Purges"]
+}
--- a/internal/fleet/nofaults.go
+++ b/internal/fleet/nofaults.go
@@ -2,6 +2,10 @@
 
 package fleet
 
+import "elderwall/fleet/replica"
+
+var faultKinds []replica.Kind
+
 func driven(t float64) float64 { return t }
 
 func awaitSync() {}
--- /dev/null
+++ b/internal/fleet/purges.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"elderwall/fleet/floors"
+	"elderwall/fleet/replica"
+)
+
+const (
+	mostHeard = 1 << 16          // purges that were told here: none of them is handed on again
+	mostOwed  = 4096             // purges that wait until they can be written
+	tidyEach  = 30 * time.Second // between looks for floors that no copy is older than
+	mostTidy  = 500              // of them at a time
+	tidyAfter = 60 * time.Second // beyond the time after which no copy is left, and twice as long for others' floors
+)
+
+// purges has those that the change log tells here remembered by all, and takes those that others tell.
+type purges struct {
+	memory *memory
+	take   func(floors.Floor) // nil where nobody takes them
+	gone   float64            // s after which no copy is left that is older
+
+	heard *lru.LRU[string, int64] // under the memory's lock, as are the next two
+	owed  map[string]floors.Floor
+	all   bool // all floors are to be taken: a machine was opened, or peers' word counts again
+
+	may    bool // peers' word narrows
+	tidied time.Time
+}
+
+func (p *purges) begin(m *memory) {
+	p.memory, p.heard, p.owed, p.tidied = m, must(lru.NewLRU[string, int64](mostHeard, nil)), map[string]floors.Floor{}, time.Now()
+	m.follow[floors.ID] = append(m.follow[floors.ID], p.changed)
+}
+
+// TakePurges has a function take purges that others tell, before the fleet is served. After gone seconds a purge needs no memory.
+func (f *Fleet) TakePurges(take func(floors.Floor), gone float64) {
+	f.memory.purges.take, f.memory.purges.gone = take, gone
+}
+
+// Purged takes a purge that the change log told here: it is written, unless all know it already.
+func (f *Fleet) Purged(o floors.Floor) {
+	p, m := &f.memory.purges, f.memory
+	key, value, ok := floors.Record(o)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	p.hear(key, o.Time)
+	m.mu.Unlock()
+	if stands, ok := m.get(floors.ID, key); ok && floors.Law(stands.Value, value) >= 0 {
+		return
+	}
+	if _, err := m.write(floors.ID, key, value, false, replica.Sure{}); errors.Is(err, replica.ErrCatches) || errors.Is(err, errNoDisk) || errors.Is(err, errBusy) {
+		m.mu.Lock()
+		if len(p.owed) < mostOwed {
+			p.owed[key] = o
+		}
+		m.mu.Unlock()
+	}
+}
+
+// hear tells whether a purge is news here.
+func (p *purges) hear(key string, at int64) bool {
+	if was, ok := p.heard.Get(key); ok && was >= at {
+		return false
+	}
+	p.heard.Add(key, at)
+	return true
+}
+
+// past tells whether no copy is left that is older than a purge, and some time more.
+func (p *purges) past(at int64, more time.Duration) bool {
+	return time.Since(time.UnixMilli(at)) > time.Duration(p.gone*float64(time.Second))+more
+}
+
+func (p *purges) opened() {
+	p.memory.mu.Lock()
+	p.all = true
+	p.memory.mu.Unlock()
+}
+
+func (p *purges) narrows(may bool) {
+	if may && !p.may {
+		p.opened()
+	}
+	p.may = may
+}
+
+// changed takes floors that came to stand.
+func (p *purges) changed(all []replica.Record) {
+	if !p.may || p.take == nil {
+		return
+	}
+	for _, r := range all {
+		o, err := floors.Read(r.Key, r.Value)
+		if err != nil || r.Dead || p.past(o.Time, 0) {
+			continue
+		}
+		p.memory.mu.Lock()
+		news := p.hear(r.Key, o.Time)
+		p.memory.mu.Unlock()
+		if news {
+			p.take(o)
+		}
+	}
+}
+
+// tick writes what is owed, takes what was left, and lets go of what is past.
+func (p *purges) tick() {
+	m := p.memory
+	m.mu.Lock()
+	owed, all := p.owed, p.all && p.may
+	if len(owed) > 0 {
+		p.owed = map[string]floors.Floor{}
+	}
+	p.all = p.all && !all
+	m.mu.Unlock()
+	for _, o := range owed {
+		m.fleet.Purged(o)
+	}
+	if all {
+		var records []replica.Record
+		m.each(floors.ID, "", func(r replica.Record) bool {
+			records = append(records, r)
+			return true
+		})
+		p.changed(records)
+	}
+	if time.Since(p.tidied) < tidyEach || p.take == nil {
+		return
+	}
+	p.tidied = time.Now()
+	var past []replica.Record
+	m.each(floors.ID, "", func(r replica.Record) bool {
+		more := tidyAfter
+		if r.Dot.Writer != m.fleet.Name { // whoever wrote it lets go of it first
+			more += tidyAfter
+		}
+		if o, err := floors.Read(r.Key, r.Value); err == nil && !r.Dead && p.past(o.Time, more) {
+			past = append(past, r)
+		}
+		return len(past) < mostTidy
+	})
+	for _, r := range past {
+		_, _ = m.write(floors.ID, r.Key, r.Value, true, replica.Sure{}) // it comes again at the next look
+	}
+}
--- /dev/null
+++ b/internal/fleet/recall.go
@@ -0,0 +1,450 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/time/rate"
+
+	"elderwall/fleet/channels"
+	"elderwall/fleet/floors"
+	"elderwall/fleet/members"
+	"elderwall/fleet/replica"
+)
+
+// Defaults of the fleet's memory.
+const (
+	DefaultHorizon = 3600.0         // s
+	DefaultRate    = int64(1 << 20) // bytes a second of a catch-up
+)
+
+const (
+	memoryTick  = 20 * time.Millisecond
+	lookEach    = 500 * time.Millisecond // between looks at who is there, besides at each change
+	mostOutcome = 1 << 14                // writers that wait at a time
+)
+
+// Memory is what a dispatcher is told of what the fleet remembers together.
+type Memory struct {
+	Folder  string  // "" for none: what is known ends with the process, and comes from the others
+	Horizon float64 // s; who was away for longer takes a whole snapshot
+	Rate    int64   // bytes a second that a catch-up may send
+}
+
+var errNoDisk = errors.New("the memory's disk can't be used now")
+
+// keeper keeps what is remembered. What save has returned for is there after a kill, and after a crash of the machine where it says so.
+type keeper interface {
+	save(s *replica.Save) error
+	close()
+}
+
+// memory is the replica's machine at work. One goroutine takes what it has ready, saves it and sends it; what comes while a save is under
+// way goes into the next one.
+type memory struct {
+	fleet *Fleet
+	limit *rate.Limiter // of what goes out, beside that of the rest
+	wake  chan struct{}
+
+	mu      sync.Mutex
+	machine *replica.Machine // nil while the disk can't be used
+	kinds   []replica.Kind
+	waits   map[replica.Dot]chan replica.Outcome
+	follow  map[uint8][]func([]replica.Record)
+	names   map[uint64]string // members by boot
+	problem string
+	purges  purges
+
+	// Of the goroutine alone.
+	disk   keeper // nil where nothing is kept
+	at     map[string]string
+	looked time.Time
+	opened time.Time
+	stale  chan struct{} // somebody came or went
+}
+
+func newMemory(f *Fleet) *memory {
+	out := rate.Limit(bytesOut + f.Memory.Rate)
+	m := &memory{fleet: f, limit: rate.NewLimiter(out, bytesBurst), wake: make(chan struct{}, 1), stale: make(chan struct{}, 1),
+		kinds: append([]replica.Kind{floors.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
+		follow: map[uint8][]func([]replica.Record){}, names: map[uint64]string{}}
+	m.purges.begin(m)
+	return m
+}
+
+// Kinds adds kinds of records, before the fleet is served.
+func (f *Fleet) Kinds(all ...replica.Kind) { f.memory.kinds = append(f.memory.kinds, all...) }
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// write has a record written, as sure as wanted: the channel tells once how it ended. An error leaves nothing behind.
+func (m *memory) write(kind uint8, key string, value []byte, dead bool, sure replica.Sure) (<-chan replica.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.machine == nil {
+		return nil, errNoDisk
+	}
+	if len(m.waits) >= mostOutcome {
+		return nil, errBusy
+	}
+	dot, err := m.machine.Write(m.fleet.dutyNow(), kind, key, value, dead, sure)
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan replica.Outcome, 1)
+	m.waits[dot] = done
+	poke(m.wake)
+	return done, nil
+}
+
+// subscribe has a function called with each change of a kind, one call after the other; it may not wait.
+func (m *memory) subscribe(kind uint8, f func([]replica.Record)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.follow[kind] = append(m.follow[kind], f)
+}
+
+// get gives what stands for a key.
+func (m *memory) get(kind uint8, key string) (replica.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.machine == nil {
+		return replica.Record{}, false
+	}
+	return m.machine.Get(kind, key)
+}
+
+// each goes through what stands of a kind and a prefix, in the order of keys, until f says no. Nothing else is done with the memory meanwhile.
+func (m *memory) each(kind uint8, prefix string, f func(replica.Record) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.machine != nil {
+		m.machine.Each(kind, prefix, f)
+	}
+}
+
+// status tells how it stands; nil while the disk can't be used.
+func (m *memory) status() (s *ToldMemory) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s = &ToldMemory{Problem: m.problem}
+	if m.machine != nil {
+		s.Status = m.machine.Status()
+	}
+	return s
+}
+
+// ToldMemory is how the memory stands.
+type ToldMemory struct {
+	replica.Status
+	Problem string `json:",omitempty"`
+}
+
+// run is the memory's goroutine.
+func (m *memory) run(ctx context.Context) error {
+	m.open()
+	defer func() {
+		if m.disk != nil {
+			m.disk.close()
+		}
+	}()
+	each := time.NewTicker(memoryTick)
+	defer each.Stop()
+	for {
+		select {
+		case <-m.wake:
+		case <-m.stale:
+			m.looked = time.Time{}
+		case <-each.C:
+		case <-ctx.Done():
+			m.flush() // what was written in the last moment is kept
+			return nil
+		}
+		if m.machine == nil {
+			if time.Since(m.opened) > openEach {
+				m.open()
+			}
+			continue
+		}
+		m.look()
+		m.flush()
+		m.purges.tick()
+	}
+}
+
+// open makes a machine of what the disk has. A file that is torn is put aside: all of it is with the others, but for what none of them had.
+func (m *memory) open() {
+	m.opened = time.Now()
+	machine, disk, err := m.begin()
+	if errors.Is(err, errTorn) {
+		m.fleet.Log.Error().Err(err).Str("means", "it is put aside, and what it had is taken from the others").Msg("memory: the disk is torn")
+		if err = asideStore(m.fleet.Memory.Folder); err == nil {
+			machine, disk, err = m.begin()
+		}
+	}
+	if err != nil {
+		m.fail(err)
+		return
+	}
+	m.disk, m.looked = disk, time.Time{}
+	m.mu.Lock()
+	if m.problem != "" {
+		m.fleet.Log.Info().Msg("memory: the disk is used again")
+	}
+	m.machine, m.problem = machine, ""
+	m.mu.Unlock()
+	m.purges.opened()
+	status := machine.Status()
+	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
+}
+
+func (m *memory) settings(seed uint64) replica.Settings {
+	f := m.fleet
+	return replica.Settings{Name: f.Name, Zone: f.Zone, Seed: seed, Horizon: f.Memory.Horizon, Rate: float64(f.Memory.Rate), Kinds: m.kinds}
+}
+
+func (m *memory) begin() (machine *replica.Machine, disk keeper, err error) {
+	var drawn [8]byte
+	_, _ = rand.Read(drawn[:])
+	settings := m.settings(binary.BigEndian.Uint64(drawn[:]))
+	if m.fleet.Memory.Folder == "" {
+		machine, err = replica.New(settings, nil, m.fleet.dutyNow())
+		return machine, nil, err
+	}
+	kept, saved, err := openStore(m.fleet.Memory.Folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	if machine, err = replica.New(settings, saved, m.fleet.dutyNow()); err != nil { // what this version's kinds don't allow
+		kept.close()
+		return nil, nil, errors.Join(errTorn, err)
+	}
+	return machine, kept, nil
+}
+
+// fail lets the machine go: what it had beyond the disk is with the others or was acknowledged to nobody. It begins anew with what the disk has.
+func (m *memory) fail(err error) {
+	if m.disk != nil {
+		m.disk.close()
+		m.disk = nil
+	}
+	m.opened = time.Now()
+	m.mu.Lock()
+	first := m.problem == ""
+	m.machine, m.problem = nil, err.Error()
+	waits := m.waits
+	m.waits = map[replica.Dot]chan replica.Outcome{}
+	m.mu.Unlock()
+	for dot, done := range waits {
+		done <- replica.Outcome{Dot: dot}
+	}
+	if first {
+		m.fleet.Log.Error().Err(err).Str("means", "nothing is written or learned here until it can be used").Msg("memory: the disk can't be used")
+	}
+}
+
+// look tells the machine who is there, now and then and at each change.
+func (m *memory) look() {
+	if time.Since(m.looked) < lookEach {
+		return
+	}
+	m.looked = time.Now()
+	f := m.fleet
+	f.mu.Lock()
+	view := f.machine.View()
+	to := replica.Fleet{Of: view.Of, Decides: f.machine.May(members.Decide), Narrows: f.machine.May(members.Narrow)}
+	known := f.machine.Members()
+	f.mu.Unlock()
+	m.at = map[string]string{}
+	names := map[uint64]string{}
+	for _, o := range known {
+		if o.State == members.Left && !o.Reference {
+			continue
+		}
+		to.Others = append(to.Others, replica.Member{Name: o.Name, Zone: o.Zone, Alive: o.State.In(), Counted: o.Reference})
+		m.at[o.Name], names[o.Boot] = o.Address, o.Name
+	}
+	m.mu.Lock()
+	m.names = names
+	m.machine.Fleet(to, f.dutyNow())
+	m.mu.Unlock()
+	m.purges.narrows(to.Narrows)
+}
+
+// flush does what the machine has ready: first the disk, then what stands on it.
+func (m *memory) flush() {
+	if m.machine == nil {
+		return
+	}
+	m.mu.Lock()
+	m.machine.Tick(m.fleet.dutyNow())
+	out := m.machine.Ready()
+	m.mu.Unlock()
+	if out.Save != nil && m.disk != nil {
+		if err := m.disk.save(out.Save); err != nil {
+			m.fail(err)
+			return
+		}
+	}
+	for i := range out.Send {
+		m.send(&out.Send[i])
+	}
+	m.mu.Lock()
+	type told struct {
+		done chan replica.Outcome
+		replica.Outcome
+	}
+	var ended []told
+	for _, o := range out.Outcomes {
+		if done := m.waits[o.Dot]; done != nil {
+			ended = append(ended, told{done, o})
+			delete(m.waits, o.Dot)
+		}
+	}
+	m.mu.Unlock()
+	for _, o := range ended {
+		o.done <- o.Outcome
+	}
+	m.tell(out.Changed)
+	for _, e := range out.Events {
+		line := m.fleet.Log.Info()
+		switch e.What {
+		case "aside", "twin", "full", "refused":
+			line = m.fleet.Log.Warn()
+		}
+		if e.Who != "" {
+			line = line.Str("who", e.Who)
+		}
+		if e.Key != "" {
+			line = line.Uint8("kind", e.Kind).Str("key", e.Key)
+		}
+		line.Msg("memory: " + e.What)
+	}
+}
+
+// tell hands changes to those who follow a kind.
+func (m *memory) tell(changed []replica.Record) {
+	if len(changed) == 0 {
+		return
+	}
+	by := map[uint8][]replica.Record{}
+	for _, r := range changed {
+		by[r.Kind] = append(by[r.Kind], r)
+	}
+	for kind, all := range by {
+		m.mu.Lock()
+		follow := m.follow[kind]
+		m.mu.Unlock()
+		for _, f := range follow {
+			f(all)
+		}
+	}
+}
+
+var memoryDecoding = must(cbor.DecOptions{MaxArrayElements: 1 << 18, MaxMapPairs: 64, MaxNestedLevels: 12}.DecMode())
+
+func (m *memory) send(e *replica.Envelope) {
+	to := m.at[e.To]
+	text, err := encoding.Marshal(&e.Message)
+	if err != nil || to == "" {
+		m.fleet.Counts.Failed.Add(1)
+		return
+	}
+	if len(text)+sealLength > longestStream {
+		m.fleet.Counts.TooLong.Add(1)
+		return
+	}
+	m.fleet.sendSealed(to, sealedMemory, text, e.Stream, nil)
+}
+
+// take takes another's message. Who it is goes by the boot that it is sealed with, and by nothing that it says of itself.
+func (m *memory) take(boot uint64, text []byte) {
+	var in replica.Message
+	if err := memoryDecoding.Unmarshal(text, &in); err != nil {
+		m.fleet.Counts.Unusable.Add(1)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := m.names[boot]
+	if m.machine == nil || from == "" { // it comes again once members knows it
+		return
+	}
+	if err := m.machine.Step(from, &in, m.fleet.dutyNow()); err != nil {
+		m.fleet.Counts.Unusable.Add(1)
+	}
+	poke(m.wake)
+}
+
+// answerMemory answers questions about records.
+func (f *Fleet) answerMemory(q ask) (t Told) {
+	m := f.memory
+	if m == nil || len(q.Records) == 0 {
+		return Told{Error: "no memory, or no records"}
+	}
+	if q.What == AskRead {
+		for _, r := range q.Records {
+			if r.Key != "" {
+				if stands, ok := m.get(r.Kind, r.Key); ok {
+					t.Records = append(t.Records, stands)
+				}
+				continue
+			}
+			sum := uint64(0)
+			m.each(r.Kind, "", func(o replica.Record) bool {
+				if !o.Dead {
+					t.Number++
+					sum ^= sumOf(o.Key, o.Value)
+				}
+				return true
+			})
+			t.Records = append(t.Records, replica.Record{Kind: r.Kind, Value: binary.BigEndian.AppendUint64(nil, sum)})
+		}
+		return t
+	}
+	var waits []<-chan replica.Outcome
+	for _, r := range q.Records {
+		done, err := m.write(r.Kind, r.Key, r.Value, r.Dead, q.Sure)
+		if err != nil {
+			t.Error = err.Error() // those before it are written all the same
+			break
+		}
+		waits = append(waits, done)
+	}
+	end := time.NewTimer(streamTime - time.Second)
+	defer end.Stop()
+	for _, done := range waits {
+		select {
+		case o := <-done:
+			t.Ended = append(t.Ended, o)
+		case <-end.C:
+			return Told{Error: "no word in time of how the writes ended"}
+		}
+	}
+	return t
+}
+
+// agree has a command of channels put into the log, by whoever leads; the error tells why it was refused.
+func (f *Fleet) agree(ctx context.Context, c channels.Command) error {
+	_, err := f.ask(ctx, ask{What: AskCommand, Channels: &c})
+	return err
+}
+
+// agreed gives what is declared, and the line of a channel of total order, as whoever leads has it.
+func (f *Fleet) agreed(ctx context.Context, channel string) (channels.Saved, error) {
+	t, err := f.ask(ctx, ask{What: AskChannels, Duty: channel})
+	if err != nil || t.Channels == nil {
+		return channels.Saved{}, errors.Join(err, errNoLeader)
+	}
+	return *t.Channels, nil
+}
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -36,6 +36,7 @@
 	sealedAnswer  = byte(6)
 	sealedSpend   = byte(7)
 	sealedGive    = byte(8)
+	sealedMemory  = byte(9)
 )
 
 // Keys seal and open what goes between the processes of a fleet: XChaCha20-Poly1305 with a nonce drawn for each. The first
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
 	"elderwall/fleet/members"
 	"elderwall/internal/fleet/council"
@@ -56,7 +57,7 @@
 	opened   time.Time // when the disk was last opened anew
 	shown    time.Time
 	in       chan func()
-	waits    map[uint64]chan bool // proposals, by number
+	waits    map[uint64]chan council.Done // proposals, by number
 	known    atomic.Pointer[known]
 }
 
@@ -73,7 +74,7 @@
 }
 
 func newVoter(f *Fleet, folder string) *voter {
-	v := &voter{fleet: f, folder: folder, in: make(chan func(), voterQueue), waits: map[uint64]chan bool{}}
+	v := &voter{fleet: f, folder: folder, in: make(chan func(), voterQueue), waits: map[uint64]chan council.Done{}}
 	v.known.Store(&known{})
 	return v
 }
@@ -290,7 +291,7 @@
 	}
 	for _, d := range out.Done {
 		if wait := v.waits[d.Number]; wait != nil {
-			wait <- d.Changed
+			wait <- d
 			delete(v.waits, d.Number)
 		}
 	}
@@ -374,19 +375,19 @@
 }
 
 // propose puts commands into the log, and tells whether they changed anything.
-func (v *voter) propose(ctx context.Context, commands []duties.Command, ledger *budgets.Command) (changed bool, err error) {
+func (v *voter) propose(ctx context.Context, commands []duties.Command, ledger *budgets.Command, streams *channels.Command) (changed bool, err error) {
 	for i := range commands {
 		if err := commands[i].Check(); err != nil {
 			return false, err
 		}
 	}
-	wait, failed := make(chan bool, 1), make(chan error, 1)
+	wait, failed := make(chan council.Done, 1), make(chan error, 1)
 	if !v.do(func() {
 		if v.machine == nil {
 			failed <- errNoLeader
 			return
 		}
-		number, ok := v.machine.Propose(commands, ledger, v.fleet.dutyNow())
+		number, ok := v.machine.Propose(commands, ledger, streams, v.fleet.dutyNow())
 		if !ok {
 			failed <- errNoLeader
 			return
@@ -396,10 +397,10 @@
 		return false, errBusy
 	}
 	// Guards against proposals of a leadership that was lost, which never come: nobody waits for them for good.
-	defer v.do(func() { maps.DeleteFunc(v.waits, func(_ uint64, c chan bool) bool { return c == wait }) })
+	defer v.do(func() { maps.DeleteFunc(v.waits, func(_ uint64, c chan council.Done) bool { return c == wait }) })
 	select {
-	case changed = <-wait:
-		return changed, nil
+	case done := <-wait:
+		return done.Changed, done.Why
 	case err = <-failed:
 		return false, err
 	case <-time.After(inTime):
@@ -460,7 +461,7 @@
 		}
 	}
 	state := duties.Restore(v.machine.State().Save())
-	ledger := budgets.Restore(v.machine.Ledger().Save())
+	ledger, streams := budgets.Restore(v.machine.Ledger().Save()), channels.Restore(v.machine.Channels().Save())
 	status := v.machine.Status()
 	if change != nil {
 		change(state)
@@ -478,7 +479,7 @@
 	_, _ = rand.Read(drawn[:])
 	k := &v.disk.kept
 	k.Council, k.Recovery = binary.BigEndian.Uint64(drawn[:])|1, recovery
-	hard, snapshot, err := council.Found(k.ID, state, ledger, status.Term+1, status.Commit+1)
+	hard, snapshot, err := council.Found(k.ID, state, ledger, streams, status.Term+1, status.Commit+1)
 	if err == nil {
 		err = errors.Join(v.disk.Save(hard, nil, snapshot), v.disk.tell())
 	}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -69,6 +69,9 @@
 			o.Fault("duties", "is needed where budgets are divided: its log keeps who has what")
 		}
 	}
+	if in := o.Inner("memory"); in != nil {
+		f.Memory = d.memory(in)
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
@@ -81,6 +84,25 @@
 	d.config.Fleet = f
 }
 
+const (
+	leastHorizon    = 10.0          // s; below that a restart counts as an absence
+	mostHorizon     = 7 * 24 * 3600 // s; deletions are kept so long
+	leastMemoryRate = 16 << 10      // bytes a second; a whole state of many megabytes would take hours
+	mostMemoryRate  = 256 << 20     // bytes a second
+)
+
+// memory reads how this dispatcher remembers with the others.
+func (d *decoder) memory(o *strict.Object) *fleet.Memory {
+	to := &fleet.Memory{Horizon: fleet.DefaultHorizon, Rate: fleet.DefaultRate}
+	if o.Text("folder", &to.Folder) && !filepath.IsAbs(to.Folder) {
+		to.Folder = filepath.Join(d.folder, to.Folder)
+	}
+	o.Duration("horizon", &to.Horizon, leastHorizon, mostHorizon)
+	o.Size("rate", &to.Rate, leastMemoryRate, mostMemoryRate)
+	o.Done()
+	return to
+}
+
 const (
 	leastTail   = 0.1  // s
 	mostTail    = 30.0 // s
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -58,6 +58,9 @@
 	Retries() retries.Settings
 	// Origins makes a module's part in what the fleet lets all dispatchers have at the origin; nil where nothing is shared out.
 	Origins() func() node.Bounder
+	// Changes is given what takes the change log's events, and gives what takes them from the follower: itself, or one around it that
+	// learns more. After gone seconds no copy is left that is older than a purge.
+	Changes(take func(changelog.Event), gone float64) func(changelog.Event)
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -205,7 +208,11 @@
 	for _, e := range c.Known.Events {
 		s.core.Take(e)
 	}
-	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: s.core.Take}
+	take := s.core.Take
+	if e != nil {
+		take = e.Changes(take, c.settings.OldCopies)
+	}
+	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
