--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 // keeper keeps what is remembered. What save has returned for is there after a kill, and after a crash of the machine where it says so.
 type keeper interface {
 	save(s *replica.Save) error
-	close()
+	close() error
 }
 
 // memory is the replica's machine at work. One goroutine takes what it has ready, saves it and sends it; what comes while a save is under
@@ -61,11 +62,12 @@
 	purges  purges
 
 	// Of the goroutine alone.
-	disk   keeper // nil where nothing is kept
-	at     map[string]string
-	looked time.Time
-	opened time.Time
-	stale  chan struct{} // somebody came or went
+	disk     keeper // nil where nothing is kept
+	at       map[string]string
+	looked   time.Time
+	fleetNow view // as the machine was told last
+	opened   time.Time
+	stale    chan struct{} // somebody came or went
 }
 
 func newMemory(f *Fleet) *memory {
@@ -155,7 +157,7 @@
 	m.open()
 	defer func() {
 		if m.disk != nil {
-			m.disk.close()
+			_ = m.disk.close()
 		}
 	}()
 	each := time.NewTicker(memoryTick)
@@ -187,8 +189,8 @@
 	m.opened = time.Now()
 	machine, disk, err := m.begin()
 	if errors.Is(err, errTorn) {
-		m.fleet.Log.Error().Err(err).Str("means", "it is put aside, and what it had is taken from the others").Msg("memory: the disk is torn")
-		if err = asideStore(m.fleet.Memory.Folder); err == nil {
+		m.torn(err)
+		if err = setAside(filepath.Join(m.fleet.Memory.Folder, recordsFile)); err == nil {
 			machine, disk, err = m.begin()
 		}
 	}
@@ -213,6 +215,10 @@
 	return replica.Settings{Name: f.Name, Zone: f.Zone, Seed: seed, Horizon: f.Memory.Horizon, Rate: float64(f.Memory.Rate), Kinds: m.kinds}
 }
 
+func (m *memory) torn(err error) {
+	m.fleet.Log.Error().Err(err).Str("means", "it is put aside, and what it had is taken from the others").Msg("memory: the disk is torn")
+}
+
 func (m *memory) begin() (machine *replica.Machine, disk keeper, err error) {
 	var drawn [8]byte
 	_, _ = rand.Read(drawn[:])
@@ -225,9 +231,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if kept.spoilt != nil {
+		m.torn(kept.spoilt)
+	}
 	if machine, err = replica.New(settings, saved, m.fleet.dutyNow()); err != nil { // what this version's kinds don't allow
-		kept.close()
-		return nil, nil, errors.Join(errTorn, err)
+		return nil, nil, errors.Join(errTorn, err, kept.close())
 	}
 	return machine, kept, nil
 }
@@ -235,7 +243,7 @@
 // fail lets the machine go: what it had beyond the disk is with the others or was acknowledged to nobody. It begins anew with what the disk has.
 func (m *memory) fail(err error) {
 	if m.disk != nil {
-		m.disk.close()
+		_ = m.disk.close()
 		m.disk = nil
 	}
 	m.opened = time.Now()
@@ -253,18 +261,26 @@
 	}
 }
 
-// look tells the machine who is there, now and then and at each change.
+// view is what a write as sure as a majority goes by.
+type view struct {
+	of               int
+	decides, narrows bool
+}
+
+// look tells the machine who is there: at each change, and now and then for what is told of nobody. Guards against a majority of a fleet that
+// has grown since: how large it is is looked at each time.
 func (m *memory) look() {
-	if time.Since(m.looked) < lookEach {
-		return
-	}
-	m.looked = time.Now()
 	f := m.fleet
 	f.mu.Lock()
-	view := f.machine.View()
-	to := replica.Fleet{Of: view.Of, Decides: f.machine.May(members.Decide), Narrows: f.machine.May(members.Narrow)}
+	now := view{f.machine.View().Of, f.machine.May(members.Decide), f.machine.May(members.Narrow)}
+	if now == m.fleetNow && time.Since(m.looked) < lookEach {
+		f.mu.Unlock()
+		return
+	}
 	known := f.machine.Members()
 	f.mu.Unlock()
+	m.looked, m.fleetNow = time.Now(), now
+	to := replica.Fleet{Of: now.of, Decides: now.decides, Narrows: now.narrows}
 	m.at = map[string]string{}
 	names := map[uint64]string{}
 	for _, o := range known {
