--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -75,6 +75,10 @@
 	m := &memory{fleet: f, limit: rate.NewLimiter(out, bytesBurst), wake: make(chan struct{}, 1), stale: make(chan struct{}, 1),
 		kinds: append([]replica.Kind{floors.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
 		follow: map[uint8][]func([]replica.Record){}, names: map[uint64]string{}}
+	for _, k := range channels.Kinds() {
+		k.Longest = min(k.Longest, replica.MostLongest)
+		m.kinds = append(m.kinds, k)
+	}
 	m.purges.begin(m)
 	return m
 }
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -117,6 +117,16 @@
 	return ToldMemory{Problem: "no answer"}
 }
 
+// kind is the counts of a kind.
+func (s *ToldMemory) kind(name string) (k replica.KindStatus) {
+	for _, o := range s.Kinds {
+		if o.Kind == name {
+			k = o
+		}
+	}
+	return k
+}
+
 func (m *memoryRig) reads(i, of int) string {
 	t, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: testKind, Key: key(of)})
 	if err != nil || len(t.Records) == 0 {
@@ -125,6 +135,17 @@
 	return strings.TrimRight(string(t.Records[0].Value), "0123456789")
 }
 
+// anew starts some again, while n2 is away: the deltas that they had are gone.
+func (m *memoryRig) anew(who ...int) {
+	for _, i := range who {
+		m.Processes[i].Kill()
+	}
+	for _, i := range who {
+		m.Processes[i].Start()
+	}
+	m.until("they are back", who, "majority", who)
+}
+
 func (m *memoryRig) disk(i int) string {
 	return filepath.Join(m.Processes[i].Dir, "memory", recordsFile)
 }
@@ -132,20 +153,13 @@
 var (
 	here     = replica.Sure{Within: 3}
 	majority = replica.Sure{Level: replica.Majority, Within: 3}
+	three    = replica.Sure{Level: replica.Copies, Copies: 3, Within: 3}
 	two      = replica.Sure{Level: replica.Copies, Copies: 2, Within: 3}
 )
 
 func TestOneIsAwayDuringManyWrites(t *testing.T) {
 	const many = 10_000
-	anew := func(m *memoryRig) { // the deltas are gone with the processes that had them
-		for i := range 2 {
-			m.Processes[i].Kill()
-		}
-		for i := range 2 {
-			m.Processes[i].Start()
-		}
-		m.until("they are back", []int{0, 1}, "majority", []int{0, 1})
-	}
+	anew := func(m *memoryRig) { m.anew(0, 1) }
 	for name, way := range map[string]struct {
 		back  func(m *memoryRig)
 		check func(s ToldMemory) bool
@@ -156,7 +170,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := remember(t, 3, "")
-			m.write(0, 0, 100, "before", majority)
+			m.write(0, 0, 100, "before", three) // on its disk, too
 			m.same(100, 0, 1, 2)
 			m.Processes[2].Kill()
 			m.until("its end is known", []int{0, 1}, "majority", []int{0, 1})
@@ -182,6 +196,7 @@
 			m.same(many, 0, 1, 2, 3)
 			m.Processes[2].Kill()
 			m.Processes[2].Wipe()
+			m.anew(0, 1, 3)
 			m.Processes[2].Start()
 			halfway := func() error {
 				if n, _, err := m.sum(2); err != nil || n == 0 || n >= many {
@@ -197,6 +212,10 @@
 			m.same(many, 1, 2, 3)
 			m.Processes[who].Start()
 			m.same(many, 0, 1, 2, 3)
+			if s := m.memory(2); who == 0 {
+				assert.Positive(t, s.Wholes)
+				assert.Less(t, s.Pulled, uint64(2*many*150), "it goes on where it was cut off")
+			}
 		})
 	}
 }
@@ -246,7 +265,8 @@
 		m.write(2, 2*n, 3*n, "after it was put back", majority)
 		m.same(3*n, 0, 1, 2)
 		assert.Equal(t, "late", m.reads(2, 0))
-		assert.Zero(t, m.memory(0).Kinds[1].Aside)
+		s := m.memory(0)
+		assert.Zero(t, s.kind("test").Aside)
 	})
 	t.Run("full", func(t *testing.T) {
 		m := remember(t, 3, "")
@@ -293,7 +313,7 @@
 // A disk that has another content under one dot, as a torn or a copied one may: no law can settle it.
 func TestOneDotWithTwoContents(t *testing.T) {
 	m := remember(t, 3, "")
-	m.write(0, 0, 100, "the value", majority)
+	m.write(0, 0, 100, "the value", three)
 	m.same(100, 0, 1, 2)
 	m.Processes[2].Kill()
 	s, saved, err := openStore(filepath.Join(m.Processes[2].Dir, "memory"))
@@ -322,7 +342,7 @@
 	m.write(0, 1000, 1500, "while it was stopped", two)
 	m.same(1000, 0, 1)
 	m.Until(soon, "the tombstones are forgotten", func() error {
-		if k := m.memory(0).Kinds; len(k) < 2 || k[1].Dead > 0 {
+		if k := m.memory(0); k.kind("test").Dead > 0 {
 			return fmt.Errorf("%+v", k)
 		}
 		return nil
