--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -76,6 +76,9 @@
 		fmt.Fprintf(to, ", %d see it otherwise", t.View.Differs)
 	}
 	fmt.Fprintln(to)
+	if t.Memory != nil {
+		listMemory(to, t.Memory)
+	}
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "member\tstate\tsince\tzone\tincarnation\taddress\tlink\theard\tGETs/s\tsettings\taccused by")
 	ago := func(at float64) string {
@@ -95,6 +98,25 @@
 	return out.Flush()
 }
 
+func listMemory(to io.Writer, m *fleet.ToldMemory) {
+	standing := "has all that it heard of"
+	switch {
+	case m.Problem != "":
+		standing = "out: " + m.Problem
+	case m.CatchingUp:
+		standing = "catching up: what it knows narrows, and nothing else"
+	case m.Behind > 0:
+		standing = fmt.Sprintf("%s writes behind", humanize.Comma(int64(m.Behind)))
+	}
+	fmt.Fprintln(to, "memory:", standing)
+	for _, k := range m.Kinds {
+		if k.Records+k.Refused > 0 {
+			fmt.Fprintf(to, "  %s: %s records, %s, %d deleted, %d set aside, %d refused\n", k.Kind, humanize.Comma(int64(k.Records)), humanize.IBytes(uint64(k.Bytes)),
+				k.Dead, k.Aside, k.Refused)
+		}
+	}
+}
+
 type watchCommand struct {
 	asked
 	For time.Duration `help:"Stop after so long; never without." placeholder:"TIME"`
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -203,6 +203,7 @@
 		return
 	}
 	m.disk, m.looked = disk, time.Time{}
+	status := machine.Status()
 	m.mu.Lock()
 	if m.problem != "" {
 		m.fleet.Log.Info().Msg("memory: the disk is used again")
@@ -210,7 +211,6 @@
 	m.machine, m.problem = machine, ""
 	m.mu.Unlock()
 	m.purges.opened()
-	status := machine.Status()
 	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
 }
 
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -12,8 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"elderwall/fleet/floors"
 	"elderwall/fleet/replica"
@@ -446,3 +449,49 @@
 	require.NoError(m, err)
 	return told.Counts["Purges"]
 }
+
+// Writers at one time share a save: with each its own, there were as many saves as writes.
+func TestWritesShareASave(t *testing.T) {
+	const writers, each = 64, 20
+	folder := t.TempDir()
+	f, err := Open(Settings{Listen: "127.0.0.1:0", Name: "n0", Memory: &Memory{Folder: folder, Horizon: DefaultHorizon, Rate: DefaultRate}}, 1, zerolog.Nop())
+	require.NoError(t, err)
+	f.Kinds(replica.Kind{ID: 251, Name: "own", Records: 10_000, Bytes: 1 << 20, Longest: 100, Sync: true, Law: bytes.Compare})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx) }()
+	require.Eventually(t, func() bool { return f.memory.status().Writes }, 5*time.Second, time.Millisecond)
+	told := make(chan replica.Record, writers*each)
+	f.memory.subscribe(251, func(all []replica.Record) {
+		for _, r := range all {
+			told <- r
+		}
+	})
+	start := time.Now()
+	var group errgroup.Group
+	for w := range writers {
+		group.Go(func() error {
+			for n := range each {
+				done, err := f.memory.write(251, fmt.Sprintf("%d-%d", w, n), []byte("x"), false, here)
+				if err != nil {
+					return err
+				}
+				if o := <-done; !o.Met {
+					return fmt.Errorf("%+v", o)
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	took := time.Since(start)
+	cancel()
+	require.NoError(t, <-ended)
+	assert.Len(t, told, writers*each)
+	s, saved, err := openStore(folder)
+	require.NoError(t, err)
+	assert.Len(t, saved.Records, writers*each, "what was acknowledged is on the disk")
+	assert.Less(t, s.age, uint64(writers*each/4))
+	t.Logf("%d writes in %v, %d saves", writers*each, took, s.age)
+	require.NoError(t, s.close())
+}
--- a/internal/operator/proxies_test.go
+++ b/internal/operator/proxies_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/fleet/budgets"
+	"elderwall/internal/fleet"
 )
 
 const onePath = `{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment' }`
@@ -92,3 +93,21 @@
 	require.Error(t, err)
 	assert.Contains(t, err.Error(), "duties: is needed")
 }
+
+func TestMemory(t *testing.T) {
+	file := func(memory string) string { return `{fleet: {listen: '127.0.0.1:5100', ` + memory + `}}` }
+	c, err := decode("/etc/f", file(`memory: {folder: 'here', horizon: '2h', rate: '64KiB'}`), services)
+	require.NoError(t, err)
+	assert.Equal(t, &fleet.Memory{Folder: "/etc/here", Horizon: 7200, Rate: 64 << 10}, c.Fleet.Memory)
+	c, err = decode("f", file(`memory: {}`), services)
+	require.NoError(t, err)
+	assert.Equal(t, &fleet.Memory{Horizon: 3600, Rate: 1 << 20}, c.Fleet.Memory)
+	c, err = decode("f", file(``), services)
+	require.NoError(t, err)
+	assert.Nil(t, c.Fleet.Memory)
+	for text, want := range map[string]string{`horizon: 5`: "memory.horizon", `horizon: '1s'`: "memory.horizon", `rate: '1KiB'`: "memory.rate", `rate: 5000000`: "memory.rate",
+		`kinds: 3`: "memory.kinds"} {
+		_, err := decode("f", file(`memory: {`+text+`}`), services)
+		assert.ErrorContains(t, err, want, text)
+	}
+}
