--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -93,6 +93,7 @@
 	Records  []replica.Record   `cbor:"20,keyasint,omitempty" json:",omitempty"`
 	Ended    []replica.Outcome  `cbor:"21,keyasint,omitempty" json:",omitempty"` // of the writes, in their order
 	Channels *channels.Saved    `cbor:"22,keyasint,omitempty" json:",omitempty"`
+	Refused  string             `cbor:"23,keyasint,omitempty" json:",omitempty"` // why a command of channels did nothing
 	Leads    string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
 }
 
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -351,6 +351,11 @@
 		}
 	case AskCommand:
 		changed, err := f.voter.propose(ctx, q.Commands, q.Ledger, q.Channels)
+		var why refused
+		if errors.As(err, &why) {
+			t.Refused = why.Error()
+			return t
+		}
 		if err != nil {
 			return fail(err)
 		}
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -456,7 +456,10 @@
 
 // agree has a command of channels put into the log, by whoever leads; the error tells why it was refused.
 func (f *Fleet) agree(ctx context.Context, c channels.Command) error {
-	_, err := f.ask(ctx, ask{What: AskCommand, Channels: &c})
+	t, err := f.ask(ctx, ask{What: AskCommand, Channels: &c})
+	if err == nil && t.Refused != "" {
+		err = errorOf(t.Refused)
+	}
 	return err
 }
 
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"elderwall/fleet/channels"
 	"elderwall/fleet/floors"
 	"elderwall/fleet/replica"
 	"elderwall/internal/standin/processes"
@@ -495,3 +496,46 @@
 	t.Logf("%d writes in %v, %d saves", writers*each, took, s.age)
 	require.NoError(t, s.close())
 }
+
+// What is declared and put in order is agreed: it outlasts all processes, is the same from all, and a command of an older epoch is refused.
+func TestTheLogKeepsWhatChannelsAgreeOn(t *testing.T) {
+	d := duty(t, 4, 3)
+	k, err := ParseKeys(d.keys[-1])
+	require.NoError(t, err)
+	agree := func(at int, c channels.Command) (why string) {
+		d.Until(soon, "the log takes it or says why not", func() error {
+			told, err := askAt(context.Background(), d.Processes[at].Fleet, k, ask{What: AskCommand, Channels: &c})
+			why = told.Refused
+			return err
+		})
+		return why
+	}
+	has := func(at int, next uint64) {
+		d.Until(soon, fmt.Sprintf("n%d has it", at), func() error {
+			told, err := askAt(context.Background(), d.Processes[at].Fleet, k, ask{What: AskChannels, Duty: "orders"})
+			if err == nil && (len(told.Channels.Lines) != 1 || told.Channels.Lines[0].Next != next || len(told.Channels.Declared) != 1) {
+				err = fmt.Errorf("%+v", told.Channels)
+			}
+			return err
+		})
+	}
+	orders := channels.Declaration{Name: "orders", Generation: 1, Order: channels.Total, Told: true, Entries: 100, Bytes: 1 << 20, Seconds: 600, Wait: 2}
+	assert.Empty(t, agree(3, channels.Command{Declare: &orders}))
+	assert.Contains(t, agree(0, channels.Command{Declare: &orders}), "generation")
+	entry := channels.Entry{Channel: "orders", Writer: "w", Number: 1, Body: []byte("first")}
+	assert.Empty(t, agree(1, channels.Command{Channel: "orders", Epoch: 5, Entries: []channels.Entry{entry}}))
+	assert.Empty(t, agree(2, channels.Command{Channel: "orders", Epoch: 5, Entries: []channels.Entry{entry}}), "it comes twice and counts once")
+	assert.Contains(t, agree(1, channels.Command{Channel: "orders", Epoch: 4}), "epoch")
+	for i := range 4 {
+		has(i, 2)
+	}
+	for _, p := range d.Processes {
+		p.Kill()
+	}
+	for _, p := range d.Processes {
+		p.Start()
+	}
+	d.whole()
+	has(3, 2)
+	assert.Empty(t, agree(3, channels.Command{Channel: "orders", Epoch: 6, Spread: 1}))
+}
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -400,7 +400,10 @@
 	defer v.do(func() { maps.DeleteFunc(v.waits, func(_ uint64, c chan council.Done) bool { return c == wait }) })
 	select {
 	case done := <-wait:
-		return done.Changed, done.Why
+		if done.Why != nil {
+			return false, refused{done.Why}
+		}
+		return done.Changed, nil
 	case err = <-failed:
 		return false, err
 	case <-time.After(inTime):
@@ -410,6 +413,9 @@
 	}
 }
 
+// refused is why a command that is in the log did nothing: all voters say the same, so that no other is asked.
+type refused struct{ error }
+
 var (
 	errNoLeader = errors.New("this voter does not lead")
 	errBusy     = errors.New("too much waits for this voter")
