--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -224,7 +224,7 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, and the fleet are turned on, off or moved by a restart alone")
+var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, the fleet and its memory are turned on, off or moved by a restart alone")
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -242,7 +242,8 @@
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
 		(was.Fleet == nil) != (to.Fleet == nil) ||
-		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
+		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) ||
+			was.Fleet.Memory != nil && *was.Fleet.Memory != *to.Fleet.Memory || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
