--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -309,9 +309,23 @@
 			}
 		}
 	}
-	if m.check != nil && v.reaches(m.check) {
+	if m.check == nil {
+		return
+	}
+	if v.reaches(m.check) {
 		m.checked[from] = true
 	}
+	// Guards against folding an era whose last numbers a counted member has and this one lacks.
+	for name, w := range m.check {
+		if o := v[name]; o != nil && len(w.marks) > keptEras {
+			floor := w.marks[len(w.marks)-keptEras].era
+			for _, k := range o.marks {
+				if k.era < floor && k.number > m.check.at(name, k.era) {
+					m.more[name] = true
+				}
+			}
+		}
+	}
 }
 
 // acked books that a member has own writes up to a number on its disk.
@@ -471,12 +485,13 @@
 		if m.check != nil {
 			m.stable = m.check
 			for name, w := range m.stable {
-				if o := m.vec[name]; o != nil && len(w.marks) == len(o.marks) && len(o.marks) > keptEras {
+				if o := m.vec[name]; o != nil && !m.more[name] && len(o.marks) > keptEras && slices.Equal(w.marks, o.marks[:min(len(o.marks), len(w.marks))]) &&
+					len(w.marks) == len(o.marks) {
 					m.fold(name, o, len(o.marks)-keptEras)
 				}
 			}
 		}
-		m.check, m.checked = load(m.vec.list()), map[string]bool{}
+		m.check, m.checked, m.more = load(m.vec.list()), map[string]bool{}, map[string]bool{}
 	}
 	kept := m.graves[:0]
 	for _, g := range m.graves {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -23,7 +23,8 @@
 // that none is lost, changed or moved in silence. One goroutine saves, any may load meanwhile.
 type records struct {
 	*file
-	age      uint64 // saves at its opening: an older copy has fewer
+	age      uint64            // saves at its opening: an older copy has fewer
+	opened   map[string][]byte // what was there then, for who takes it first
 	unsynced bool
 }
 
@@ -32,7 +33,7 @@
 	r := &records{}
 	_, err := openFile(filepath.Join(folder, recordsFile), func(f *file) (err error) {
 		r.file = f
-		_, r.age, err = r.load()
+		r.opened, r.age, err = r.load()
 		return err
 	})
 	if err != nil {
