--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,7 @@
 	Keys     *Keys
 	Duties   *Duties  // nil where it stands for none and does not vote
 	Budgets  *Budgets // nil where nothing is divided
+	Memory   *Memory  // nil where nothing is remembered together
 }
 
 // Check tells what can't go together.
@@ -131,6 +132,7 @@
 	holding  holding
 	spending spending
 	dividing dividing
+	memory   *memory // nil where nothing is remembered together
 
 	mu         sync.Mutex
 	machine    *members.Machine
@@ -183,6 +185,9 @@
 	if s.Budgets != nil {
 		f.beginSpending()
 	}
+	if s.Memory != nil {
+		f.memory = newMemory(f)
+	}
 	if s.Duties != nil {
 		f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, s.Duties.Priority)
 		if s.Budgets != nil {
@@ -222,6 +227,9 @@
 		f.group.Go(func() error { return f.spend(f.ctx) })
 		f.group.Go(func() error { return f.divide(f.ctx) })
 	}
+	if f.memory != nil {
+		f.group.Go(func() error { return f.memory.run(f.ctx) })
+	}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		f.leave()
@@ -277,6 +285,9 @@
 	}
 	reach := f.reach
 	f.mu.Unlock()
+	if len(tell) > 0 && f.memory != nil {
+		poke(f.memory.stale)
+	}
 	for i := range tell {
 		f.tell(&tell[i])
 	}
@@ -358,7 +369,11 @@
 		return
 	}
 	sealed := f.Keys.seal(kind, f.boot, f.number.Add(1), text, nil)
-	if !f.limit.AllowN(time.Now(), len(sealed)) {
+	limit := f.limit
+	if kind == sealedMemory { // with its own share: a catch-up takes nothing from who tells who is there
+		limit = f.memory.limit
+	}
+	if !limit.AllowN(time.Now(), len(sealed)) {
 		f.Counts.OverRate.Add(1)
 		done(errHeld)
 		return
@@ -487,6 +502,9 @@
 	if f.voter != nil {
 		takes[sealedRaft] = by(f.voter.take)
 	}
+	if f.memory != nil {
+		takes[sealedMemory] = f.memory.take
+	}
 	return takes
 }
 
