Way of a GET by its variant: stage in node, device class, proofs of answers

Need: device classes whose answers have the same bytes are to share copies, fills and byte rates. The node hands each GET of a declared device class to a stage that names the variant it is sent for, checks each answer before a byte goes out, and sends those for whom it will not do again for their own variant. Nothing of it is looked for without the stage.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,7 +31,8 @@
 	Budget              float64 // s; how long the client waits
 	Tag                 string  // of the copy that the client holds, "" for none
 	Body                []byte
-	Err                 error // what is wrong with it; the rest can't be used then
+	Device              string // class of the client's device, where the operator names what tells it; "" for none
+	Err                 error  // what is wrong with it; the rest can't be used then
 
 	Token string        // that came with it, "" for none
 	Conn  *callers.Conn // what is known of its connection; nil where nobody asks who is calling
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -44,6 +44,7 @@
 	pots   shards.Pots
 	kept   sync.Mutex // of memory, likewise
 	memory shards.Memory
+	seq    int64 // of the newest event
 
 	mu       sync.Mutex // of what follows
 	module   *shards.Module
@@ -92,7 +93,7 @@
 		m := &member{counts: &counters.Counters{}}
 		m.ctx, m.cancel = context.WithCancel(o.Context)
 		c.Options = &upstream.Options{Log: o.Log, Counts: m.counts, Room: o.Room, Dialer: o.Dialer, IdleClose: o.IdleClose,
-			Streams: o.Streams, Places: o.Places, Dials: o.Dials, Context: m.ctx, Group: o.Group}
+			Streams: o.Streams, Proofs: o.Proofs, Places: o.Places, Dials: o.Dials, Context: m.ctx, Group: o.Group}
 		c.Connections = max(1, g.config.Connections/n)
 		c.Shard = &node.Shard{Index: len(members), Shards: n, Peers: &peers{g, len(members)}, Together: g.together, Known: g.known}
 		m.Node = node.New(c)
@@ -118,6 +119,7 @@
 		purge := p.(changelog.Purge)
 		all = append(all, changelog.Event{Purge: &purge})
 	}
+	all = append(all, changelog.Event{Seq: g.seq})
 	return all
 }
 
@@ -164,6 +166,7 @@
 			}
 		}
 	}
+	g.seq = max(g.seq, e.Seq)
 	if p := e.Purge; p != nil {
 		g.memory.Purge(g.config.Clock.Now(), p.Object, p.Group, *p)
 	}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -32,6 +32,7 @@
 	HostGaveWay                                atomic.Int64 // idle connections to hosts that were closed for other hosts
 	DialsHeld                                  atomic.Int64 // connections to hosts that were not begun as too many had been
 	Joined, TookLead                           atomic.Int64 // GETs that waited for another's forward; of those: went on in the lead
+	Rewritten, Turned                          atomic.Int64 // GETs sent for another variant than their own; whose answer would not do, and that went on for their own
 	ProxyCalls, ProxyPassed, ProxyAgain        atomic.Int64 // proxies' requests; of those: none of ours; further calls
 	ProxyLate, ProxyHeld                       atomic.Int64 // not decided in their time; whose hold was over
 	GaveWay                                    atomic.Int64 // client connections that were closed for others
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -59,6 +59,24 @@
 	Standing(c *callers.Conn) callers.Standing
 }
 
+// Devices tells in which field the class of a client's device stands.
+type Devices struct {
+	Fields []string          // names, thrift.MostAlso at most; nil for none
+	By     map[string]Device // by delivery service
+}
+
+// Device is what tells the class in one delivery service.
+type Device struct {
+	Field   int               // of the names
+	Classes map[string]string // each by its own name; others count as none
+}
+
+// of is what a message tells of its client's device.
+func (d *Devices) of(m thrift.Call) string {
+	one := d.By[string(m.Service)]
+	return one.Classes[string(m.Also[one.Field])]
+}
+
 // secured is a connection with a handshake and one beneath it, as crypto/tls has it.
 type secured interface {
 	net.Conn
@@ -95,6 +113,7 @@
 	Counts  *counters.Counters
 	Room    *room.Room // what long calls and the bodies of answers hold
 	Most    int        // connections at a time
+	Devices Devices    // where the class of a client's device stands; nothing of it is looked for by the zero value
 
 	closing atomic.Bool // what comes now is refused
 
@@ -408,7 +427,7 @@
 		if !ok || err != nil {
 			return whole, err
 		}
-		message, err := thrift.Parse(frame)
+		message, err := thrift.Parse(frame, c.server.Devices.Fields...)
 		if err != nil {
 			return whole, err
 		}
@@ -431,6 +450,7 @@
 		}
 		get := read(m)
 		get.Conn = c.caller
+		get.Device = c.server.Devices.of(m)
 		c.server.Handler.Process(call, get)
 	case thrift.GiveUp:
 		if call := c.leave(m.GivenUp); call != nil {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"elderwall/control"
 )
 
@@ -52,13 +54,30 @@
 	Note   control.Note
 	Waited float64 // s; how long the fill waited for its source, 0 where that is not told
 	Tag    string  // of the copy that the host calls current, for Valid alone
+	Proofs Proofs  // where the reader is to keep them
 	Body   []byte
 	Cut    bool // there was no room for the body, which was drained
 }
 
+// Proofs are hashes of what tells whether the contents of two answers are the same; 0 for what is not told.
+type Proofs struct {
+	Tag     uint64 // of the copy
+	Digest  uint64 // that the origin gave (RFC 9530, Repr-Digest)
+	Version uint64 // that the origin gave, as a number
+}
+
+// Hash is that of a proof's text; 0 for none.
+func Hash(text []byte) uint64 {
+	if len(text) == 0 {
+		return 0
+	}
+	return max(1, xxhash.Sum64(text))
+}
+
 // Reader cuts a stream of bytes into answers.
 type Reader struct {
-	Room func(n int) bool // asked before a body takes memory
+	Room   func(n int) bool // asked before a body takes memory
+	Proofs bool             // are to be kept
 
 	buf        []byte
 	start, end int
@@ -202,7 +221,7 @@
 	if len(parts) != 4 {
 		return 0, errors.New("not four words")
 	}
-	if err := r.head.fields(parts[2]); err != nil {
+	if err := r.head.fields(parts[2], r.Proofs); err != nil {
 		return 0, err
 	}
 	size, err := strconv.ParseUint(string(parts[3]), 10, 32)
@@ -212,7 +231,7 @@
 	return int(size), nil
 }
 
-func (a *Answer) fields(list []byte) error {
+func (a *Answer) fields(list []byte, proofs bool) error {
 	if string(list) == "-" {
 		return nil
 	}
@@ -226,6 +245,17 @@
 			if a.Word == Valid {
 				a.Tag = string(value)
 			}
+			if proofs {
+				a.Proofs.Tag = Hash(value)
+			}
+		case "digest":
+			if proofs {
+				a.Proofs.Digest = Hash(value)
+			}
+		case "version":
+			if proofs {
+				a.Proofs.Version, _ = strconv.ParseUint(string(value), 10, 64)
+			}
 		case "detail":
 			a.Note = notes[string(value)]
 		case "fill":
@@ -247,6 +277,7 @@
 	Join, HeldOnly, Renew     bool
 	Tag                       string // of the client's copy, "" for none
 	Body                      []byte
+	Variant                   string // field and value that name the variant that is wanted, "" for none
 }
 
 // AppendHead writes the line of the request behind b; its body and a line end follow.
@@ -266,6 +297,9 @@
 		b = strconv.AppendInt(append(b, ",cap="...), q.MaxAge, 10)
 	}
 	b = q.appendHow(b)
+	if q.Variant != "" {
+		b = append(append(b, ','), q.Variant...)
+	}
 	if q.Tag != "" {
 		b = append(append(b, ",inm="...), q.Tag...)
 	}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -76,6 +76,10 @@
 	request := lines.Request{ID: in.ID, Service: in.Service, Object: in.Object, Part: in.PartText, Tag: in.Tag, Body: in.Body}
 	held := &get{id: g.ID, call: c, ticket: ticket, request: request, from: now, until: g.ViewerTimeout, asks: g}
 	n.gets[held.id], n.byCall[c], n.byID[in.ID] = held, held, held
+	if n.Variants != nil {
+		n.enterVariant(now, held, in.Device)
+		g = held.asks
+	}
 	held.expiry = n.expiries.Add(held.until, held)
 	if !n.follows(now, held) {
 		n.module.GET(now, g)
--- a/internal/node/joint.go
+++ b/internal/node/joint.go
@@ -26,6 +26,9 @@
 		return false
 	}
 	key := joint.Key{Service: s, Part: g.asks.Part, Group: g.asks.Group, Object: g.asks.Object}
+	if g.variant.Declared { // else the first class, whose name is the object's, would get what is sent for who names none
+		key.Service = ^s
+	}
 	w, role := n.joint.Enter(now, key, g.until, g)
 	if g.waiter = w; role == joint.Follows {
 		n.Options.Counts.Joined.Add(1)
@@ -46,14 +49,15 @@
 }
 
 // landed hands the bytes that a leader got to those that wait for them; one that there is no room for goes by itself.
-func (n *Node) landed(g *get, body []byte) {
+func (n *Node) landed(of *forward, body []byte) {
+	g := of.get
 	if g.waiter == nil {
 		return
 	}
 	now := n.Clock.Now()
 	answered, _ := n.joint.Ended(now, g.waiter, joint.Served)
 	for _, o := range answered {
-		if o.over {
+		if o.over || n.Variants != nil && n.turnedVariant(now, o, of) {
 			continue
 		}
 		if !n.Options.Room.Take(len(body)) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,8 @@
 	Gate  Gate   // the stage that asks who is calling; nil where nobody does
 	Shard *Shard // of several in one process; nil for one alone
 
+	Variants Variants // the stage that names the variant that is looked for; nil where none are declared
+
 	Bounders func() Bounder // of the fleet's budget at the origin, one for each module; nil where there is none
 }
 
@@ -79,6 +81,7 @@
 	draining atomic.Bool
 	joint    *joint.Table[*get] // nil where none share a forward
 	leads    []*get             // that go on in the lead, to be told to the module once it returns
+	heard    int64              // the newest event of the change log that the module knows
 	line     line               // of what is to be done, where there are several shards
 }
 
@@ -95,6 +98,7 @@
 	over     bool                // answered, or given up by the client
 	asks     control.GET         // what the module is told, for one that may go on in the lead
 	waiter   *joint.Waiter[*get] // nil for one that is alone
+	variant  Variant             // that it is sent for, where variants are declared
 }
 
 type forward struct {
@@ -104,6 +108,8 @@
 	at     float64
 	back   bool
 	router call.Router // whose proxy sends it; nil where it goes out here
+
+	evidence Evidence // of its answer, where variants are declared
 }
 
 // stop ends the wait for it.
@@ -270,10 +276,18 @@
 	}
 	if p := e.Purge; p != nil {
 		n.Options.Counts.Purges.Add(1)
-		n.module.Purged(now, p.Object, p.Group, now-n.Clock.AtUnixMs(p.Time))
-		if n.joint != nil {
-			n.joint.Purged(p.Object, p.Group)
-		}
+		n.purged(now, p.Object, p.Group, p.Time)
+	}
+	if n.Variants != nil {
+		n.noticeVariants(now, e)
+	}
+}
+
+// purged tells of a purge of an object by one of its names, or of a group.
+func (n *Node) purged(now float64, object string, group int, time int64) {
+	n.module.Purged(now, object, group, now-n.Clock.AtUnixMs(time))
+	if n.joint != nil {
+		n.joint.Purged(object, group)
 	}
 }
 
@@ -339,8 +353,10 @@
 		size := float64(len(body)) / 1e3
 		outcome, counter := n.outcome(r, f.get.request.Tag)
 		counter.Add(1)
-		if outcome == control.Returned {
-			n.landed(f.get, body)
+		if outcome == control.Returned && n.Variants != nil {
+			outcome = n.landedVariant(f, r.Answer.Proofs, body)
+		} else if outcome == control.Returned {
+			n.landed(f, body)
 		}
 		if g := f.get; outcome == control.Returned && !g.over {
 			n.Options.Counts.Returned.Add(1)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -18,6 +18,9 @@
 	r.End = func(proof func(oldest float64) (control.Outcome, control.Note, bool)) {
 		n.call(func(now float64) { n.routed(now, f, proof) })
 	}
+	if n.Variants != nil {
+		n.routeVariant(f, &r)
+	}
 	f.router.Route(r)
 }
 
--- /dev/null
+++ b/internal/node/variants.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"elderwall/control"
+	"elderwall/internal/call"
+	"elderwall/internal/changelog"
+	"elderwall/internal/lines"
+)
+
+// Variants is the stage behind the gate that names the variant of an object that a GET is sent for. It has a lock of its own and answers at
+// once; several shards share it.
+type Variants interface {
+	// Key names the variant that stands for a GET's own, and the object by that; ok false for one that goes as it came.
+	Key(now float64, in *control.GET, device string) (v Variant, object string, ok bool)
+	// Own is the name of an object by a GET's own variant.
+	Own(in *control.GET, v Variant) (object string)
+	// Field is what a request to a host bears for a class, and the class's name.
+	Field(service int, class int16) (pair, name string)
+	// Proof is what tells whether two contents are the same; 0 for nothing. The body is nil where no bytes pass here.
+	Proof(service int, p lines.Proofs, body []byte) uint64
+	// Answered takes what an answer tells.
+	Answered(now float64, in *control.GET, e Evidence)
+	// Fits tells whether an answer will do for a GET of a variant, by all that is known by now; Answered was told before.
+	Fits(now float64, in *control.GET, v Variant, e Evidence) bool
+	// Purged takes a purge by its number in the change log, 0 for one that was told; an object of "" is a whole group. It gives the
+	// object's names by its variants besides its own.
+	Purged(now float64, number int64, object string, group int) (names []string)
+}
+
+// Variant is which of an object's a GET is to get. The zero value is for what goes as it came.
+type Variant struct {
+	Own, Asked int16 // classes
+	Declared   bool
+	Presumed   bool // that both are the same
+	Tagged     bool // a tag tells contents apart whatever the class
+}
+
+// Evidence is what an answer to a forward tells of a variant's content.
+type Evidence struct {
+	Asked   int16 // class
+	Host    uint32
+	Known   int64  // the newest event of the change log that was known when the forward was sent
+	Proof   uint64 // 0 for none
+	Version uint64 // 0 for none
+}
+
+// enterVariant finds out for which variant a GET is sent; those with a body, or that must not run twice, go as they came. Whoever holds a
+// copy may have it from another class: it is told of to a host only where tags tell contents apart whatever the class.
+func (n *Node) enterVariant(now float64, g *get, device string) {
+	if len(g.request.Body) > 0 || n.Settings.Settings.Services[g.asks.Service].Effect != control.Idempotent {
+		return
+	}
+	v, object, ok := n.Variants.Key(now, &g.asks, device)
+	if !ok {
+		return
+	}
+	g.variant, g.asks.Object = v, object
+	if !v.Tagged {
+		g.request.Tag = ""
+	}
+	if v.Own != v.Asked {
+		n.Options.Counts.Rewritten.Add(1)
+	}
+}
+
+// asked is a GET as its client sent it.
+func (g *get) asked() control.GET {
+	in := g.asks
+	in.Object = g.request.Object
+	return in
+}
+
+// sendVariant books what a forward is sent for, and gives what its request bears for that.
+func (n *Node) sendVariant(f *forward, host uint32) (pair string) {
+	v := f.get.variant
+	if !v.Declared {
+		return ""
+	}
+	f.evidence = Evidence{Asked: v.Asked, Host: host, Known: n.heard}
+	pair, _ = n.Variants.Field(f.get.asks.Service, v.Asked)
+	return pair
+}
+
+// provenVariant has an answer leave its evidence, and tells whether it will do for the client that it was sent for.
+func (n *Node) provenVariant(f *forward, p lines.Proofs, body []byte) bool {
+	now, in := n.Clock.Now(), f.get.asked()
+	f.evidence.Proof, f.evidence.Version = n.Variants.Proof(in.Service, p, body), p.Version
+	n.Variants.Answered(now, &in, f.evidence)
+	return n.Variants.Fits(now, &in, f.get.variant, f.evidence)
+}
+
+// landedVariant takes the bytes of a variant: those for whom they will do get them, others go on for their own.
+func (n *Node) landedVariant(f *forward, p lines.Proofs, body []byte) control.Outcome {
+	fits := !f.get.variant.Declared || n.provenVariant(f, p, body)
+	n.landed(f, body)
+	if fits || f.get.over {
+		return control.Returned
+	}
+	n.turnVariant(f.get)
+	return control.Unused // which holds nothing against the host
+}
+
+// turnedVariant has one that waited for an answer that will not do for it go on for its own variant.
+func (n *Node) turnedVariant(now float64, g *get, of *forward) bool {
+	if !g.variant.Declared {
+		return false
+	}
+	if in := g.asked(); n.Variants.Fits(now, &in, g.variant, of.evidence) {
+		return false
+	}
+	n.turnVariant(g)
+	if g.waiter = nil; !n.follows(now, g) {
+		n.leads = append(n.leads, g)
+	}
+	return true
+}
+
+// turnVariant has a GET be sent for its own variant from now on.
+func (n *Node) turnVariant(g *get) {
+	n.Options.Counts.Turned.Add(1)
+	g.variant.Asked, g.variant.Presumed = g.variant.Own, false
+	in := g.asked()
+	g.asks.Object = n.Variants.Own(&in, g.variant)
+}
+
+// noticeVariants takes an event for all variants, after the module has: what it sent before is told apart by the number.
+func (n *Node) noticeVariants(now float64, e changelog.Event) {
+	if p := e.Purge; p != nil {
+		for _, name := range n.Variants.Purged(now, e.Seq, p.Object, p.Group) {
+			n.purged(now, name, p.Group, p.Time)
+		}
+	}
+	n.heard = max(n.heard, e.Seq)
+}
+
+// routeVariant names the variant that a proxy is to ask for, and lets no copy through that will not do for its client.
+func (n *Node) routeVariant(f *forward, r *call.Route) {
+	g := f.get
+	if !g.variant.Declared {
+		return
+	}
+	_, r.Variant = n.Variants.Field(g.asks.Service, g.variant.Asked)
+	r.Good = func(p lines.Proofs) bool {
+		fits := n.provenVariant(f, p, nil)
+		if !fits {
+			n.turnVariant(g)
+		}
+		return fits
+	}
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -28,6 +28,9 @@
 	if out.MaxAge > 0 {
 		q.MaxAge = max(1, int64(out.MaxAge*1e3)) // 0 would ask for any
 	}
+	if n.Variants != nil {
+		q.Variant = n.sendVariant(f, out.Host)
+	}
 	f.Request, f.Done = q, func(r upstream.Result) { n.done(f, r) }
 	n.Options.Counts.Forwards.Add(1)
 	if n.behind() { // what has been told since might forbid it
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -6,12 +6,14 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 const (
 	longestFrame = 1 << 18 // bytes; an object's 240,000, and room for names and fields
 	firstBuffer  = 4 << 10 // bytes; holds a few calls with no body
 	deepest      = 16      // levels; nesting that no message of the service comes near
+	MostAlso     = 4       // further fields that can be asked for; they are looked for in each message
 	version      = 0x8001  // the strict form's mark
 )
 
@@ -47,6 +49,9 @@
 
 	Service, ID, Budget, Object, Part, Group, Tag []byte // process: the fields, nil where absent
 	Token                                         []byte // process, identify: who is calling, nil where absent
+
+	Also  [MostAlso][]byte // process: further fields that were asked for, nil where absent
+	asked []string
 }
 
 // fields tells where each named field of process goes; others are skipped.
@@ -220,11 +225,11 @@
 	}
 }
 
-// Parse reads the call in a frame. An error means that the frame is no call.
-func Parse(frame []byte) (Call, error) {
+// Parse reads the call in a frame, with further fields of process by name, MostAlso at most. An error means that the frame is no call.
+func Parse(frame []byte, also ...string) (Call, error) {
 	r := &reader{rest: frame}
 	head := uint32(r.i32())
-	c := Call{Name: r.bytes(), Seq: r.i32()}
+	c := Call{Name: r.bytes(), Seq: r.i32(), asked: also}
 	kind := byte(head)
 	if r.err == nil && (head>>16 != version || kind != kindCall && kind != kindOneway) {
 		return c, fmt.Errorf("message head %#x", head)
@@ -264,6 +269,10 @@
 		name, v := r.bytes(), r.bytes()
 		if place := fields[string(name)]; place != nil && r.err == nil {
 			*place(c) = v
+		} else if c.asked != nil && r.err == nil {
+			if i := slices.Index(c.asked, string(name)); i >= 0 && i < MostAlso {
+				c.Also[i] = v
+			}
 		}
 	})
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -158,7 +158,7 @@
 
 // read takes answers off the connection until it ends.
 func (c *conn) read(socket net.Conn) error {
-	r := lines.Reader{Room: c.host.Room.Take}
+	r := lines.Reader{Room: c.host.Room.Take, Proofs: c.host.Proofs}
 	defer func() { c.host.Room.Give(r.Held()) }()
 	under := 0
 	for {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,7 @@
 	Dialer    net.Dialer    // with the time after which a connection that is not up is none
 	IdleClose time.Duration // hosts close connections that were idle for so long
 	Streams   int           // forwards out on one connection
+	Proofs    bool          // answers are to bring what tells whether two are the same
 	PerHost   atomic.Int64  // connections to one host
 	Places    *Places       // connections to all hosts; nil for any number
 	Dials     *Dials        // connections begun in a time; nil for any number
