--- a/internal/call/router.go
+++ b/internal/call/router.go
@@ -24,6 +24,7 @@
 	MaxAge                float64 // s; 0 for any
 	Join, Renew, HeldOnly bool
 	Variant               string // device class whose variant is asked for, "" where none is named
+	Untagged              bool   // the client's tag may be of another variant: a host is not to be told of it
 	// End tells how it ended. What proves it is asked under the node's lock, with the age in seconds that a copy may have
 	// after the purges that are known by then, 0 for any; ok false tells that it has not ended. Once the GET is
 	// over nothing is asked; of a forward that was withdrawn a copy alone counts.
--- a/internal/extproc/messages.go
+++ b/internal/extproc/messages.go
@@ -47,6 +47,9 @@
 	if route.MaxAge > 0 {
 		all = append(all, pair{r.Prefix + "max-age-ms", strconv.FormatInt(max(1, int64(route.MaxAge*1e3)), 10)})
 	}
+	if route.Variant != "" {
+		all = append(all, pair{r.Prefix + "variant", route.Variant})
+	}
 	for name, on := range map[string]bool{"join": route.Join, "renew": route.Renew, "held-only": route.HeldOnly} {
 		if on {
 			all = append(all, pair{r.Prefix + name, "1"})
@@ -60,12 +63,15 @@
 	for _, name := range []string{"source", "source-name", "max-age-ms", "join", "renew", "held-only", "unsent", "again"} {
 		all = append(all, r.Prefix+name)
 	}
+	if r.Devices != nil {
+		all = append(all, r.Prefix+"variant")
+	}
 	return all
 }
 
-// sends is the answer to a request's headers that names a host.
-func (r *Rules) sends(set []pair, metadata bool) *procv3.ProcessingResponse {
-	out := continueRequest(mutation(set, r.optional()...))
+// sends is the answer to a request's headers that names a host; others are headers that must go besides.
+func (r *Rules) sends(set []pair, metadata bool, others ...string) *procv3.ProcessingResponse {
+	out := continueRequest(mutation(set, append(r.optional(), others...)...))
 	out.GetRequestHeaders().Response.ClearRouteCache = true
 	if metadata {
 		fields := map[string]*structpb.Value{}
--- a/internal/extproc/rules.go
+++ b/internal/extproc/rules.go
@@ -16,6 +16,7 @@
 
 	"elderwall/calls"
 	"elderwall/internal/call"
+	"elderwall/internal/lines"
 )
 
 const (
@@ -43,8 +44,9 @@
 // Rules is how requests are read.
 type Rules struct {
 	Paths   []Path
-	Prefix  string // of our headers
-	Routing bool   // the proxy sends; else the dispatcher does, and object names must be as hosts have them
+	Prefix  string            // of our headers
+	Devices map[string]string // by delivery service, the header that tells the class of a client's device; nil for none
+	Routing bool              // the proxy sends; else the dispatcher does, and object names must be as hosts have them
 }
 
 // Asked is what a request asks for.
@@ -144,6 +146,9 @@
 	if id, err := strconv.ParseUint(h[r.Prefix+"get"], 16, 64); err == nil {
 		a.Again = calls.ID(id)
 	}
+	if header := r.Devices[a.Service]; header != "" {
+		a.Device = h[header]
+	}
 	a.Unsent = h[r.Prefix+"unsent"] == "1"
 	return a, nil
 }
@@ -174,19 +179,32 @@
 }
 
 // reply reads a response's headers.
-func (r *Rules) reply(m *corev3.HeaderMap) (calls.Reply, string, error) {
+func (r *Rules) reply(m *corev3.HeaderMap) (_ calls.Reply, note string, p lines.Proofs, _ error) {
 	h, err := headers(m, longestHead)
 	if err != nil {
-		return calls.Reply{}, "", err
+		return calls.Reply{}, "", p, err
 	}
 	status, err := strconv.Atoi(h[statusName])
 	if err != nil || status < 100 || status > 999 {
-		return calls.Reply{}, "", fmt.Errorf("%w: status", ErrBad)
+		return calls.Reply{}, "", p, fmt.Errorf("%w: status", ErrBad)
 	}
-	note := h[r.Prefix+"note"]
+	note = h[r.Prefix+"note"]
 	reply := calls.Reply{Status: status, Full: note == "full", Age: -1}
 	if age, err := strconv.ParseFloat(h[ageName], 64); err == nil && age >= 0 {
 		reply.Age = age
 	}
-	return reply, note, nil
+	if r.Devices != nil {
+		p = r.proofs(h)
+	}
+	return reply, note, p, nil
+}
+
+// proofs is what a response tells of its content. A weak tag proves nothing (RFC 9110, section 8.8.1).
+func (r *Rules) proofs(h map[string]string) (p lines.Proofs) {
+	if tag := h["etag"]; len(tag) > 2 && tag[0] == '"' && tag[len(tag)-1] == '"' {
+		p.Tag = lines.Hash([]byte(tag[1 : len(tag)-1]))
+	}
+	p.Digest = lines.Hash([]byte(h["repr-digest"]))
+	p.Version, _ = strconv.ParseUint(h[r.Prefix+"version"], 10, 64)
+	return p
 }
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -441,7 +442,11 @@
 	st.table.Name(st.Clock.Now(), a.row, route.Number)
 	sendIn := a.row.SendBy - st.Clock.Now()
 	st.mu.Unlock()
-	return st.Rules.sends(st.Rules.routeHeaders(route, a.row.ID, sendIn, time.Now()), st.Metadata)
+	var others []string
+	if route.Untagged {
+		others = append(others, tagName)
+	}
+	return st.Rules.sends(st.Rules.routeHeaders(route, a.row.ID, sendIn, time.Now()), st.Metadata, others...)
 }
 
 // choice is what the operator has chosen for what can't be decided in its time; the GET is given up.
@@ -470,7 +475,7 @@
 	if a == nil || a.current() == nil { // it went on unrouted
 		return continueResponse(nil), nil
 	}
-	reply, note, err := st.Rules.reply(h.GetHeaders())
+	reply, note, tells, err := st.Rules.reply(h.GetHeaders())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -481,6 +486,9 @@
 	route.End(func(oldest float64) (control.Outcome, control.Note, bool) {
 		st.mu.Lock()
 		defer st.mu.Unlock()
+		if route.Good != nil && reply.Status < statusBad && !route.Good(tells) {
+			reply.Age, oldest = -1, math.MaxFloat64 // as one that is too old: another is to be asked for
+		}
 		proof := st.table.Replied(st.Clock.Now(), a.row, reply, oldest, route.HeldOnly)
 		proofs <- proof
 		return outcomes[proof], notes[note], proof != calls.Nothing
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +20,12 @@
 	"elderwall/internal/counters"
 	"elderwall/internal/extproc"
 	"elderwall/internal/fleet"
+	"elderwall/internal/front"
 	"elderwall/internal/gate"
 	"elderwall/internal/node"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
+	"elderwall/internal/variants"
 	"elderwall/retries"
 )
 
@@ -36,6 +39,7 @@
 	secure   certs.Listener
 	proxies  certs.Listener
 	fleet    atomic.Pointer[fleet.Fleet] // nil where the dispatcher is by itself, and before it is opened
+	variants *variants.Stage             // nil where none are declared
 	cores    int                         // that the command line says, before the file; 0 where it says none
 }
 
@@ -156,6 +160,22 @@
 	return b.Bounded != nil
 }
 
+// Variants makes the stage that names the variant of an object that a GET is sent for.
+func (e *Extras) Variants() (node.Variants, front.Devices, error) {
+	t := e.told.Variants
+	if t == nil {
+		return nil, front.Devices{}, nil
+	}
+	s := t.Settings
+	s.Module.Self = e.name
+	stage, err := variants.New(s)
+	if err != nil {
+		return nil, front.Devices{}, err
+	}
+	e.variants = stage
+	return stage, t.Devices, nil
+}
+
 // Beside opens the front for proxies that ask, and the door to the other dispatchers.
 func (e *Extras) Beside(to service.Handling) (all []service.Beside, err error) {
 	if t := e.told.Fleet; t != nil {
@@ -200,7 +220,7 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, and the fleet are turned on, off or moved by a restart alone")
+var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, the fleet and variants are turned on, off or moved by a restart alone")
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -217,7 +237,7 @@
 	was := e.told
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
-		(was.Fleet == nil) != (to.Fleet == nil) ||
+		(was.Fleet == nil) != (to.Fleet == nil) || !reflect.DeepEqual(was.Variants, to.Variants) ||
 		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -280,6 +281,11 @@
 	Variant                   string // field and value that name the variant that is wanted, "" for none
 }
 
+// Known tells whether a field of a request has a meaning of its own.
+func Known(field string) bool { return slices.Contains(fields, field) }
+
+var fields = []string{"queue", "path", "blk", "budget", "up", "store", "cap", "do", "inm"}
+
 // AppendHead writes the line of the request behind b; its body and a line end follow.
 func (q Request) AppendHead(b []byte) []byte {
 	b = append(append(b, "REQ "...), q.ID...)
--- a/internal/node/variants.go
+++ b/internal/node/variants.go
@@ -140,6 +140,7 @@
 		return
 	}
 	_, r.Variant = n.Variants.Field(g.asks.Service, g.variant.Asked)
+	r.Untagged = !g.variant.Tagged
 	r.Good = func(p lines.Proofs) bool {
 		fits := n.provenVariant(f, p, nil)
 		if !fits {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -69,6 +69,9 @@
 			o.Fault("duties", "is needed where budgets are divided: its log keeps who has what")
 		}
 	}
+	if in := o.Inner("variants"); in != nil {
+		d.variants(in)
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,14 +29,15 @@
 
 // Config is what the file says.
 type Config struct {
-	Callers *callers.Settings     // nil where nobody asks who is calling
-	Keys    map[string]*token.Key // that tokens may be signed by
-	TLS     *TLS                  // nil where there is no listener for it
-	Cores   service.Cores
-	Joins   []bool // by delivery service, whether GETs for the same part share a forward; nil for none
-	Retries retries.Settings
-	Proxies *Proxies        // nil where none may ask
-	Fleet   *fleet.Settings // nil where the dispatcher is by itself
+	Callers  *callers.Settings     // nil where nobody asks who is calling
+	Keys     map[string]*token.Key // that tokens may be signed by
+	TLS      *TLS                  // nil where there is no listener for it
+	Cores    service.Cores
+	Joins    []bool // by delivery service, whether GETs for the same part share a forward; nil for none
+	Retries  retries.Settings
+	Proxies  *Proxies        // nil where none may ask
+	Variants *Variants       // nil where no device classes are declared
+	Fleet    *fleet.Settings // nil where the dispatcher is by itself
 
 	Generation uint32 // of the file: a hash of its text
 }
@@ -116,6 +117,9 @@
 	if f := o.Inner("fleet"); f != nil {
 		d.fleet(f)
 	}
+	if v, p := d.config.Variants, d.config.Proxies; v != nil && p != nil {
+		p.Rules.Devices = v.headers
+	}
 	if c := o.Inner("cores"); c != nil {
 		d.cores(c)
 	}
--- /dev/null
+++ b/internal/operator/variants.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+
+	pure "elderwall/fleet/variants"
+	"elderwall/internal/front"
+	"elderwall/internal/lines"
+	"elderwall/internal/strict"
+	"elderwall/internal/thrift"
+	"elderwall/internal/variants"
+)
+
+const (
+	objectsDefault = 100_000        // in the table of variants
+	mostFresh      = 30 * 24 * 3600 // s
+	untilPurged    = "until purged" // contents change with purges alone
+)
+
+var (
+	classPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,31}$`)
+	fieldPattern = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_-]{0,62}$`)
+)
+
+// Variants is which device classes there are, and where they are named.
+type Variants struct {
+	variants.Settings
+	Devices front.Devices
+	headers map[string]string // by delivery service
+}
+
+// variants reads which device classes may share copies of an object.
+func (d *decoder) variants(o *strict.Object) {
+	to := &Variants{headers: map[string]string{}}
+	to.Module.Services = make([]pure.Service, len(d.services))
+	to.Module.Self = "check" // until the dispatcher's is known
+	to.Fields = make([]string, len(d.services))
+	to.Devices.By = map[string]front.Device{}
+	to.Module.Objects = objectsDefault
+	o.Count("objects", &to.Module.Objects, 1, pure.MaxObjects)
+	in := o.Inner("services")
+	if in == nil || len(in.Keys()) == 0 {
+		o.Fault("services", "is needed: the delivery services that have variants")
+	} else {
+		for _, name := range in.Keys() {
+			if one := in.Inner(name); one != nil {
+				d.variantsOf(in, name, one, to)
+			}
+		}
+	}
+	o.Done()
+	d.config.Variants = to
+}
+
+func (d *decoder) variantsOf(in *strict.Object, name string, o *strict.Object, to *Variants) {
+	place := slices.Index(d.services, name)
+	if place < 0 && !d.open {
+		in.Fault(name, "%q is no delivery service", name)
+	}
+	v := pure.Service{Classes: o.Texts("classes"), Witnesses: 1, Repeats: true}
+	var field, header, host, proof string
+	o.Text("field", &field)
+	if header = strings.ToLower(field); !fieldPattern.MatchString(field) || thrift.Known(field) {
+		o.Fault("field", "is needed, the name of a field or header that tells the class of a client's device and nothing else")
+	}
+	o.Text("host_field", &host)
+	if !fieldPattern.MatchString(host) || lines.Known(host) {
+		o.Fault("host_field", "is needed, the name of a field that tells a cache host the class and nothing else")
+	}
+	o.Word("proof", &proof, "tag", "digest", "body")
+	if v.Proof = map[string]pure.Proof{"tag": pure.ByTag, "digest": pure.ByDigest, "body": pure.ByBody}[proof]; proof == "" {
+		o.Fault("proof", "is needed, one of tag, digest and body")
+	}
+	if p := d.config.Proxies; v.Proof == pure.ByBody && p != nil && p.Rules.Routing {
+		o.Fault("proof", "no bodies pass here where proxies send: it must be tag or digest")
+	}
+	o.Count("witnesses", &v.Witnesses, 1, pure.MaxWitnesses)
+	if text, _ := o.Get("fresh"); text == untilPurged {
+		v.Fresh = math.Inf(1)
+	} else {
+		o.Duration("fresh", &v.Fresh, 0, mostFresh)
+	}
+	if p := o.Inner("presume"); p != nil {
+		v.Presume = &pure.Presumed{Objects: 100, Checks: 0.01}
+		p.Count("objects", &v.Presume.Objects, 1, pure.MaxObjects)
+		p.Number("checks", &v.Presume.Checks, 1e-6, 1)
+		p.Done()
+	}
+	o.Done()
+	if len(v.Classes) < 2 {
+		o.Fault("classes", "two at least are needed, the first of them preferred to stand for others")
+	}
+	device := front.Device{Classes: map[string]string{}}
+	for _, c := range v.Classes {
+		if !classPattern.MatchString(c) {
+			o.Fault("classes", `%.40q must be letters, digits, ".", "_" and "-", 32 at most`, c)
+		}
+		device.Classes[c] = c
+	}
+	one := pure.Settings{Services: []pure.Service{v}, Objects: 1, Self: "check"}
+	if _, err := pure.New(one); err != nil && v.Proof != 0 {
+		d.Each(in.At(name), err)
+	}
+	if device.Field = slices.Index(to.Devices.Fields, field); device.Field < 0 {
+		device.Field = len(to.Devices.Fields)
+		if to.Devices.Fields = append(to.Devices.Fields, field); device.Field >= thrift.MostAlso {
+			in.Fault(name, "over %d different fields", thrift.MostAlso)
+		}
+	}
+	to.Devices.By[name], to.headers[name] = device, header
+	if place >= 0 {
+		to.Module.Services[place], to.Fields[place] = v, host
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -58,6 +58,9 @@
 	Retries() retries.Settings
 	// Origins makes a module's part in what the fleet lets all dispatchers have at the origin; nil where nothing is shared out.
 	Origins() func() node.Bounder
+	// Variants makes the stage that names the variant of an object that a GET is sent for, and tells what names the class of a client's
+	// device; nil where none are declared.
+	Variants() (node.Variants, front.Devices, error)
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -195,6 +198,14 @@
 		n.Joins, n.Settings.Retries = e.Joins(), e.Retries()
 		n.Bounders = e.Origins()
 	}
+	var devices front.Devices
+	if e != nil {
+		if n.Variants, devices, err = e.Variants(); err != nil {
+			s.closeListeners()
+			return err
+		}
+		o.Proofs = n.Variants != nil
+	}
 	if of.Shards > 1 {
 		debug.SetGCPercent(collectAt)
 		s.group = cores.New(n, of.Shards, of.Way, s.failOverdue)
@@ -205,11 +216,14 @@
 	for _, e := range c.Known.Events {
 		s.core.Take(e)
 	}
+	if n.Variants != nil {
+		s.core.Take(changelog.Event{Seq: c.Known.Seq})
+	}
 	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: s.core.Take}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
-		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners))}
+		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners)), Devices: devices}
 		if gate != nil {
 			server.Callers = gate
 		}
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -66,6 +66,9 @@
 	"token":  func(c *Call) *[]byte { return &c.Token },
 }
 
+// Known tells whether a field of process has a meaning of its own.
+func Known(field string) bool { return fields[field] != nil }
+
 // Frames cuts a stream of bytes into frames. The zero value is ready to use.
 type Frames struct {
 	buf        []byte
--- /dev/null
+++ b/internal/variants/variants.go
@@ -0,0 +1,249 @@
+// Package variants drives the module of the same name in the way of a GET: a lock around it, that several shards share, and the names
+// by which hosts and operators know what it numbers. It decides nothing.
+package variants
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"elderwall/control"
+	"elderwall/fleet/variants"
+	"elderwall/internal/lines"
+	"elderwall/internal/node"
+	"elderwall/order"
+)
+
+const (
+	mostParts = 16      // of an object whose keys are rewritten: each is evidence by itself, and a purge names all of them one by one
+	nameSlots = 1 << 13 // names of objects by class that are at hand; others are made anew, 16 bytes each
+)
+
+// Settings is what an operator declares.
+type Settings struct {
+	Module variants.Settings
+	Fields []string // by delivery service, what names the class to a host; "" for none
+}
+
+// Stage is the module with its lock.
+type Stage struct {
+	settings Settings
+	services []service
+	most     int // classes of a service
+
+	mu     sync.Mutex // of what follows
+	module *variants.Module
+	names  []name
+}
+
+// service is how a delivery service's classes are told.
+type service struct {
+	proof variants.Proof // 0 where nothing is declared
+	class map[string]int16
+	names []string
+	pairs []string // fields of requests to hosts
+}
+
+type name struct {
+	key  uint64
+	text string
+}
+
+var _ node.Variants = (*Stage)(nil)
+
+// New makes a stage, or names all that is wrong with the settings.
+func New(s Settings) (*Stage, error) {
+	module, err := variants.New(s.Module)
+	if err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	st := &Stage{settings: s, module: module, names: make([]name, nameSlots)}
+	for i, of := range s.Module.Services {
+		v := service{class: map[string]int16{}, names: of.Classes}
+		if len(of.Classes) > 0 && of.Repeats {
+			v.proof = of.Proof
+			st.most = max(st.most, len(of.Classes))
+		}
+		for c, class := range of.Classes {
+			v.class[class] = int16(c)
+			pair := ""
+			if i < len(s.Fields) && s.Fields[i] != "" {
+				pair = s.Fields[i] + "=" + class
+			}
+			v.pairs = append(v.pairs, pair)
+		}
+		st.services = append(st.services, v)
+	}
+	return st, nil
+}
+
+// object is what the module knows of a GET's object by, with its own number.
+func object(in *control.GET) (o variants.Object, number uint64, ok bool) {
+	number, err := strconv.ParseUint(in.Object, 16, 64)
+	return variants.Object{Service: in.Service, Object: part(number, in.Part), Group: in.Group}, number, err == nil && in.Part < mostParts
+}
+
+// part is an object's part as an object of its own: that one part is the same for two classes tells nothing of the others.
+func part(number uint64, part int) uint64 {
+	if part == 0 {
+		return number
+	}
+	return order.Mix(number ^ order.Mix(uint64(part)))
+}
+
+// of is a delivery service's, nil where none are declared.
+func (s *Stage) of(service int) *service {
+	if service < 0 || service >= len(s.services) || s.services[service].proof == 0 {
+		return nil
+	}
+	return &s.services[service]
+}
+
+// Key is node.Variants.
+func (s *Stage) Key(now float64, in *control.GET, device string) (v node.Variant, text string, ok bool) {
+	of := s.of(in.Service)
+	if of == nil {
+		return v, "", false
+	}
+	class, declared := of.class[device]
+	if !declared {
+		return v, "", false
+	}
+	o, number, whole := object(in)
+	v = node.Variant{Own: class, Asked: class, Declared: true, Tagged: of.proof == variants.ByTag}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if whole {
+		k := s.module.Key(now, o, int(class))
+		v.Asked, v.Presumed = int16(k.Class), k.Presume
+	}
+	return v, s.name(in.Object, number, int(v.Asked)), true
+}
+
+// Own is node.Variants.
+func (s *Stage) Own(in *control.GET, v node.Variant) string {
+	number, _ := strconv.ParseUint(in.Object, 16, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.name(in.Object, number, int(v.Own))
+}
+
+// name is an object's by a class.
+func (s *Stage) name(as string, number uint64, class int) string {
+	key := variants.KeyOf(number, class)
+	if key == number {
+		return as
+	}
+	n := &s.names[key%nameSlots]
+	if n.key != key || n.text == "" {
+		*n = name{key, text(key)}
+	}
+	return n.text
+}
+
+func text(key uint64) string { return fmt.Sprintf("%016x", key) }
+
+// Field is node.Variants.
+func (s *Stage) Field(service int, class int16) (pair, name string) {
+	of := s.of(service)
+	if of == nil || int(class) >= len(of.names) {
+		return "", ""
+	}
+	return of.pairs[class], of.names[class]
+}
+
+// Proof is node.Variants.
+func (s *Stage) Proof(service int, p lines.Proofs, body []byte) uint64 {
+	of := s.of(service)
+	switch {
+	case of == nil:
+		return 0
+	case of.proof == variants.ByTag:
+		return p.Tag
+	case of.proof == variants.ByDigest:
+		return p.Digest
+	case body == nil:
+		return 0
+	}
+	return max(1, xxhash.Sum64(body))
+}
+
+// answer is evidence as the module takes it. What was sent before a purge that counts by now was known is of no generation.
+func (s *Stage) answer(in *control.GET, e node.Evidence) (a variants.Answer, ok bool) {
+	o, _, whole := object(in)
+	floor := s.module.Floor(o)
+	a = variants.Answer{Object: o, Class: int(e.Asked), Host: e.Host, Proof: e.Proof,
+		Generation: variants.Generation{Purge: floor, Version: e.Version}}
+	return a, whole && e.Known >= 0 && floor <= uint64(e.Known)
+}
+
+// Answered is node.Variants.
+func (s *Stage) Answered(now float64, in *control.GET, e node.Evidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.answer(in, e); ok {
+		s.module.Answered(now, a)
+	}
+}
+
+// Fits is node.Variants.
+func (s *Stage) Fits(now float64, in *control.GET, v node.Variant, e node.Evidence) bool {
+	if v.Own == e.Asked {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.answer(in, e)
+	return ok && s.module.Fits(now, int(v.Own), variants.Key{Class: int(e.Asked), Presume: v.Presumed}, &a)
+}
+
+// Purged is node.Variants.
+func (s *Stage) Purged(now float64, number int64, object string, group int) (names []string) {
+	key, err := strconv.ParseUint(object, 16, 64)
+	if object != "" && err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.services {
+		switch {
+		case s.of(i) == nil || number <= 0:
+		case object == "":
+			s.module.Purged(now, i, 0, group, uint64(number))
+		default:
+			for p := range mostParts {
+				s.module.Purged(now, i, part(key, p), -1, uint64(number))
+			}
+		}
+	}
+	if object == "" {
+		return nil
+	}
+	for c := 1; c < s.most; c++ {
+		names = append(names, text(variants.KeyOf(key, c)))
+	}
+	return names
+}
+
+// Facts takes what the other dispatchers are to be told, the oldest first.
+func (s *Stage) Facts(most int) []variants.Fact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Facts(most)
+}
+
+// Learn takes what another dispatcher told.
+func (s *Stage) Learn(now float64, facts []variants.Fact) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.module.Learn(now, facts)
+}
+
+// Notices takes the joins and splits since it was last asked.
+func (s *Stage) Notices() []variants.Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Notices()
+}
