--- /dev/null
+++ b/internal/variants/bench_test.go
@@ -0,0 +1,48 @@
+package variants_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"elderwall/control"
+	pure "elderwall/fleet/variants"
+	"elderwall/internal/lines"
+	"elderwall/internal/node"
+	"elderwall/internal/variants"
+)
+
+// BenchmarkStage is what the stage adds to a GET: a key, a field, the evidence of its answer, and whether that fits. Off, a nil stage.
+func BenchmarkStage(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint("on ", on), func(b *testing.B) {
+			one := pure.Service{Classes: classes, Proof: pure.ByTag, Witnesses: 1, Repeats: true, Fresh: math.Inf(1)}
+			made, err := variants.New(variants.Settings{Module: pure.Settings{Services: []pure.Service{one}, Objects: 1000, Seed: 7, Self: "d1"}, Fields: []string{"dev"}})
+			require.NoError(b, err)
+			var stage node.Variants
+			if on {
+				stage = made
+			}
+			in := control.GET{Object: objects[0]}
+			proofs := lines.Proofs{Tag: 9}
+			began := time.Now()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if stage == nil {
+					continue
+				}
+				now := 1 + time.Since(began).Seconds()
+				v, _, _ := stage.Key(now, &in, classes[i%2])
+				_, _ = stage.Field(0, v.Asked)
+				e := node.Evidence{Asked: v.Asked, Host: uint32(i & 7), Proof: stage.Proof(0, proofs, nil)}
+				stage.Answered(now, &in, e)
+				if !stage.Fits(now, &in, v, e) {
+					b.Fatal("same bytes")
+				}
+			}
+		})
+	}
+}
