--- a/internal/node/variants.go
+++ b/internal/node/variants.go
@@ -18,9 +18,9 @@
 	Field(service int, class int16) (pair, name string)
 	// Proof is what tells whether two contents are the same; 0 for nothing. The body is nil where no bytes pass here.
 	Proof(service int, p lines.Proofs, body []byte) uint64
-	// Answered takes what an answer tells.
-	Answered(now float64, in *control.GET, v Variant, e Evidence)
-	// Fits tells whether an answer will do for a GET of a variant, by all that is known by now; Answered was told before.
+	// Answered takes what an answer tells, and gives whether it fits the GET that it was sent for.
+	Answered(now float64, in *control.GET, v Variant, e Evidence) (fits bool)
+	// Fits tells whether an answer that was told will do for another GET, by all that is known by now.
 	Fits(now float64, in *control.GET, v Variant, e Evidence) bool
 	// Purged takes a purge by its number in the change log, 0 for one that was told; an object of "" is a whole group. It gives the
 	// object's names by its variants besides its own.
@@ -86,8 +86,7 @@
 func (n *Node) provenVariant(f *forward, p lines.Proofs, body []byte) bool {
 	now, in := n.Clock.Now(), f.get.asked()
 	f.evidence.Proof, f.evidence.Version = n.Variants.Proof(in.Service, p, body), p.Version
-	n.Variants.Answered(now, &in, f.get.variant, f.evidence)
-	return n.Variants.Fits(now, &in, f.get.variant, f.evidence)
+	return n.Variants.Answered(now, &in, f.get.variant, f.evidence)
 }
 
 // landedVariant takes the bytes of a variant: those for whom they will do get them, others go on for their own.
--- a/internal/variants/bench_test.go
+++ b/internal/variants/bench_test.go
@@ -36,8 +36,7 @@
 				v, _, _ := stage.Key(now, &in, classes[i%2])
 				_, _ = stage.Field(0, v.Asked)
 				e := node.Evidence{Asked: v.Asked, Host: uint32(i & 7), Proof: stage.Proof(0, proofs, nil)}
-				stage.Answered(now, &in, v, e)
-				if !stage.Fits(now, &in, v, e) {
+				if !stage.Answered(now, &in, v, e) {
 					b.Fatal("same bytes")
 				}
 			}
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -191,12 +191,14 @@
 }
 
 // Answered is node.Variants.
-func (s *Stage) Answered(now float64, in *control.GET, v node.Variant, e node.Evidence) {
+func (s *Stage) Answered(now float64, in *control.GET, v node.Variant, e node.Evidence) (fits bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a, ok := s.answer(in, v, e); ok {
+	a, ok := s.answer(in, v, e)
+	if ok {
 		s.module.Answered(now, a)
 	}
+	return v.Own == e.Asked || ok && s.fits(now, v, &a)
 }
 
 // Fits is node.Variants.
@@ -207,7 +209,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, ok := s.answer(in, v, e)
-	return ok && s.module.Fits(now, int(v.Own), variants.Key{Class: int(e.Asked), Presume: v.Presumed}, &a)
+	return ok && s.fits(now, v, &a)
+}
+
+func (s *Stage) fits(now float64, v node.Variant, a *variants.Answer) bool {
+	return s.module.Fits(now, int(v.Own), variants.Key{Class: a.Class, Presume: v.Presumed}, a)
 }
 
 // Purged is node.Variants.
--- a/internal/variants/way_test.go
+++ b/internal/variants/way_test.go
@@ -61,8 +61,8 @@
 func (l *later) Key(now float64, in *control.GET, device string) (node.Variant, string, bool) {
 	return l.Stage.Key(now+float64(l.by.Load()), in, device)
 }
-func (l *later) Answered(now float64, in *control.GET, v node.Variant, e node.Evidence) {
-	l.Stage.Answered(now+float64(l.by.Load()), in, v, e)
+func (l *later) Answered(now float64, in *control.GET, v node.Variant, e node.Evidence) bool {
+	return l.Stage.Answered(now+float64(l.by.Load()), in, v, e)
 }
 func (l *later) Fits(now float64, in *control.GET, v node.Variant, e node.Evidence) bool {
 	return l.Stage.Fits(now+float64(l.by.Load()), in, v, e)
