--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -55,7 +55,6 @@
 	Note   control.Note
 	Waited float64 // s; how long the fill waited for its source, 0 where that is not told
 	Tag    string  // of the copy that the host calls current, for Valid alone
-	Proofs Proofs  // where the reader is to keep them
 	Body   []byte
 	Cut    bool // there was no room for the body, which was drained
 }
@@ -78,7 +77,8 @@
 // Reader cuts a stream of bytes into answers.
 type Reader struct {
 	Room   func(n int) bool // asked before a body takes memory
-	Proofs bool             // are to be kept
+	Keep   bool             // keep Proofs
+	Proofs Proofs           // of the answer that Next gave last
 
 	buf        []byte
 	start, end int
@@ -222,7 +222,7 @@
 	if len(parts) != 4 {
 		return 0, errors.New("not four words")
 	}
-	if err := r.head.fields(parts[2], r.Proofs); err != nil {
+	if err := r.fields(parts[2]); err != nil {
 		return 0, err
 	}
 	size, err := strconv.ParseUint(string(parts[3]), 10, 32)
@@ -232,7 +232,9 @@
 	return int(size), nil
 }
 
-func (a *Answer) fields(list []byte, proofs bool) error {
+func (r *Reader) fields(list []byte) error {
+	a := &r.head
+	r.Proofs = Proofs{}
 	if string(list) == "-" {
 		return nil
 	}
@@ -246,16 +248,16 @@
 			if a.Word == Valid {
 				a.Tag = string(value)
 			}
-			if proofs {
-				a.Proofs.Tag = Hash(value)
+			if r.Keep {
+				r.Proofs.Tag = Hash(value)
 			}
 		case "digest":
-			if proofs {
-				a.Proofs.Digest = Hash(value)
+			if r.Keep {
+				r.Proofs.Digest = Hash(value)
 			}
 		case "version":
-			if proofs {
-				a.Proofs.Version, _ = strconv.ParseUint(string(value), 10, 64)
+			if r.Keep {
+				r.Proofs.Version, _ = strconv.ParseUint(string(value), 10, 64)
 			}
 		case "detail":
 			a.Note = notes[string(value)]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -354,7 +354,7 @@
 		outcome, counter := n.outcome(r, f.get.request.Tag)
 		counter.Add(1)
 		if outcome == control.Returned && n.Variants != nil {
-			outcome = n.landedVariant(f, r.Answer.Proofs, body)
+			outcome = n.landedVariant(f, f.Proofs, body)
 		} else if outcome == control.Returned {
 			n.landed(f, body)
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -158,7 +158,7 @@
 
 // read takes answers off the connection until it ends.
 func (c *conn) read(socket net.Conn) error {
-	r := lines.Reader{Room: c.host.Room.Take, Proofs: c.host.Proofs}
+	r := lines.Reader{Room: c.host.Room.Take, Keep: c.host.Proofs}
 	defer func() { c.host.Room.Give(r.Held()) }()
 	under := 0
 	for {
@@ -189,6 +189,9 @@
 			return err
 		}
 		f := c.leave(a)
+		if f != nil && r.Keep {
+			f.Proofs = r.Proofs
+		}
 		switch {
 		case f == nil:
 			c.host.Room.Give(len(a.Body))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -59,6 +59,7 @@
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
+	Proofs  lines.Proofs // of its answer, once Done is called
 
 	// under the host's lock
 	conn    *conn
