--- a/internal/variants/way_test.go
+++ b/internal/variants/way_test.go
@@ -48,7 +48,7 @@
 func (o *truth) bytes(object, part, class string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	content := map[string]string{"tv": "wide", "phone": "wide", "car": "narrow"}[class]
+	content := map[string]string{"tv": "wide", "phone": "wide", "car": "narrow", "": "plain"}[class]
 	return fmt.Sprint(object, " ", part, " ", content, " ", o.changed[class])
 }
 
@@ -138,9 +138,6 @@
 	w.mu.Unlock()
 	<-wait
 	class := a.Fields["dev"]
-	if class == "" {
-		class = "tv"
-	}
 	bytes := w.bytes(a.Fields["path"], a.Fields["blk"], class)
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(bytes))
@@ -291,9 +288,6 @@
 	}
 	release()
 	for _, c := range all {
-		if c.class == "" {
-			c.class = "tv" // what hosts give to who names none
-		}
 		w.holds(c)
 	}
 }
@@ -344,11 +338,10 @@
 	w.joined()
 	before := w.Options.Counts.Rewritten.Load()
 	for range 50 {
-		w.holds(w.send(objects[0], "tv", "method", "order"))
-		w.holds(w.send(objects[0], "phone", "method", "order"))
-		c := w.send(objects[0], "fridge")
-		c.class = "tv"
-		w.holds(c)
+		for _, c := range []client{w.send(objects[0], "tv", "method", "order"), w.send(objects[0], "phone", "method", "order"), w.send(objects[0], "fridge")} {
+			c.class = "" // what hosts give to who names none
+			w.holds(c)
+		}
 	}
 	for _, f := range w.seen() {
 		assert.NotContains(t, f, "dev")
@@ -361,10 +354,11 @@
 	for proof, told := range map[pure.Proof]bool{pure.ByTag: true, pure.ByBody: false} {
 		w := newWay(t, proof, false)
 		w.joined()
-		sum := fnv.New64a()
-		_, _ = sum.Write([]byte(w.bytes(objects[0], "0", "phone")))
-		tag := fmt.Sprintf("%016x", sum.Sum64())
+		tag := ""
 		for class, told := range map[string]bool{"phone": told, "": true} {
+			sum := fnv.New64a()
+			_, _ = sum.Write([]byte(w.bytes(objects[0], "0", class)))
+			tag = fmt.Sprintf("%016x", sum.Sum64())
 			c := w.send(objects[0], class, "got", tag)
 			r := w.holds(c)
 			assert.Equal(t, told, w.seen()[0]["inm"] == tag, "%d %q", proof, class)
@@ -377,3 +371,24 @@
 		}
 	}
 }
+
+// What was sent before a purge was known there is no evidence for what is after it, whenever it comes back.
+func TestEvidenceOfBeforeAPurge(t *testing.T) {
+	for known, same := range map[int64]bool{4: false, 5: true} {
+		w := newWay(t, pure.ByTag, false)
+		in := control.GET{Object: objects[0]}
+		assert.Len(t, w.stage.Purged(1, 5, objects[0], 0), 2, "names by the other classes")
+		for class := range int16(2) {
+			v := node.Variant{Own: class, Asked: class, Declared: true}
+			key, _, _ := w.stage.Key(1, &in, classes[class])
+			v.Number = key.Number
+			w.stage.Answered(1, &in, v, node.Evidence{Asked: class, Host: 1, Known: known, Proof: 9})
+		}
+		joined := false
+		for i := range 100 {
+			v, _, _ := w.stage.Key(60+float64(i), &in, "phone")
+			joined = joined || v.Asked == 0
+		}
+		assert.Equal(t, same, joined, "known %d", known)
+	}
+}
