--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -72,6 +72,9 @@
 	if in := o.Inner("memory"); in != nil {
 		f.Memory = d.memory(in)
 	}
+	if in := o.Inner("variants"); in != nil {
+		d.variants(in)
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -63,6 +63,7 @@
 	Done    func(Result)
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
+	Proofs    lines.Proofs // of its answer, once Done is called
 
 	// under the host's lock
 	conn    *conn
@@ -78,6 +79,7 @@
 	Dialer    net.Dialer    // with the time after which a connection that is not up is none
 	IdleClose time.Duration // hosts close connections that were idle for so long
 	Streams   int           // forwards out on one connection
+	Proofs    bool          // answers are to bring what tells whether two are the same
 	PerHost   atomic.Int64  // connections to one host
 	Places    *Places       // connections to all hosts; nil for any number
 	Dials     *Dials        // connections begun in a time; nil for any number
