--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -15,7 +15,7 @@
 	Seed       uint64  // drawn anew at each start
 	Interval   float64 // s between rounds; 0 for the default
 	Horizon    float64 // s after which one who was away takes a whole snapshot, and tombstones go; 0 for the default
-	Rate       float64 // bytes a second of catching up; 0 for the default
+	Rate       float64 // bytes a second of catching up, and as many of serving others that do; 0 for the default
 	Kinds      []Kind
 }
 
@@ -36,6 +36,8 @@
 	acrossEach  = 4       // one question of so many goes to another zone, where they cost most
 	mostLog     = 32_768  // numbers whose deltas are kept: 256 KB of pointers
 	mostWriters = 4_096   // in the vector
+	buckets     = 256     // of writers, by the upper byte of the hash of the name: 4 writers in each of a fleet of 1,000
+	mostPast    = 4       // questions whose vector is kept for their answers: at 1,000 writers 100 KB each
 	mostEras    = 32      // of a writer; older ones are folded even if some lack them
 	keptEras    = 2       // of a writer that are never folded: a restart or two, at most of what is under way
 	mostPending = 4_096   // writes whose outcome is open
@@ -92,7 +94,8 @@
 	kinds  [256]*shelf
 	ids    []uint8
 	tree   *tree
-	vec    vector
+	vec    *vector
+	past   []*vector // that questions were of, the last ones: what answers are about
 	names  map[string]string
 	fleet  Fleet
 	byName map[string]Member
@@ -125,16 +128,18 @@
 	round   []string
 	rounds  int
 	due     float64
-	check   vector // what all counted members are waited for to have
+	check   *vector // what all counted members are waited for to have
 	checked map[string]bool
 	more    map[string]bool // writers of whom somebody has more of an older era than check: not to be folded
-	stable  vector          // what all had
+	stable  *vector         // what all had
 
 	pull    *pull
 	away    bool
 	walkAt  float64
 	behind  int
-	bucket  float64
+	bucket  float64 // bytes that may be pulled
+	serves  float64 // bytes that may be served
+	served  float64 // when that was counted
 	filled  float64
 	stat    struct{ pulled, pulls, wholes, walks, bad uint64 }
 	scratch []byte
@@ -149,10 +154,10 @@
 	if s.Name == "" || len(s.Name) > mostName {
 		return nil, fmt.Errorf("replica: a name of 1 to %d bytes is needed", mostName)
 	}
-	m := &Machine{s: s, now: now, ticked: now, heardAt: now, chance: rand.New(rand.NewPCG(s.Seed, 0x7265706c)), tree: newTree(), vec: vector{},
+	m := &Machine{s: s, now: now, ticked: now, heardAt: now, chance: rand.New(rand.NewPCG(s.Seed, 0x7265706c)), tree: newTree(), vec: newVector(),
 		names: map[string]string{}, byName: map[string]Member{}, aims: map[uint64]uint64{}, logs: map[trackKey]*track{},
 		acks: map[string]map[uint64]bool{}, era: 1, eraDirty: true, due: now, filled: now, walkAt: now - 1e9}
-	m.bucket = s.Rate
+	m.bucket, m.serves, m.served = s.Rate, s.Rate, now
 	for _, k := range s.Kinds {
 		if k.ID == 0 || m.kinds[k.ID] != nil || k.Records <= 0 || k.Bytes <= 0 || k.Longest <= 0 || k.Longest > MostLongest {
 			return nil, fmt.Errorf("replica: kind %d %q: its number has to be its own and over 0, its bounds over 0, the longest up to %d", k.ID, k.Name, MostLongest)
@@ -177,7 +182,7 @@
 		e.dirty = false
 	}
 	m.dirty, m.tellAside = nil, nil
-	if w := m.vec[s.Name]; w != nil {
+	if w := m.vec.of[s.Name]; w != nil {
 		for _, k := range w.marks {
 			m.era = max(m.era, k.era+1)
 		}
@@ -283,7 +288,7 @@
 		}
 		m.fifo = m.fifo[1:]
 	}
-	if w := m.vec[k.writer]; len(w.marks) > mostEras {
+	if w := m.vec.of[k.writer]; len(w.marks) > mostEras {
 		m.fold(k.writer, w, len(w.marks)-mostEras)
 	}
 }
@@ -294,8 +299,10 @@
 		m.folded = append(m.folded, Entry{Writer: name, Era: o.era})
 		delete(m.logs, trackKey{name, o.era})
 	}
-	w.marks = slices.Clone(w.marks[n:])
-	w.floor = w.marks[0].era
+	m.vec.change(w, func() {
+		w.marks = slices.Clone(w.marks[n:])
+		w.floor = w.marks[0].era
+	})
 	m.raised = append(m.raised, trackKey{name, w.floor})
 }
 
@@ -387,9 +394,9 @@
 
 // Status gives figures.
 func (m *Machine) Status() Status {
-	s := Status{CatchingUp: m.catching(), Writes: m.writes(), Era: m.era, Writers: len(m.vec), Behind: m.behind, Pending: len(m.pending), Log: len(m.fifo),
+	s := Status{CatchingUp: m.catching(), Writes: m.writes(), Era: m.era, Writers: len(m.vec.of), Behind: m.behind, Pending: len(m.pending), Log: len(m.fifo),
 		Pulled: m.stat.pulled, Pulls: m.stat.pulls, Wholes: m.stat.wholes, Walks: m.stat.walks, Bad: m.stat.bad}
-	for _, w := range m.vec {
+	for _, w := range m.vec.of {
 		s.Entries += len(w.marks)
 	}
 	for _, id := range m.ids {
--- a/fleet/replica/message.go
+++ b/fleet/replica/message.go
@@ -28,12 +28,18 @@
 	Ack     bool      `cbor:"6,keyasint,omitempty"` // the writer waits to hear who has it
 }
 
-// Ask tells what the sender has, and asks for what it lacks.
+// Ask tells what the sender has, and asks for what it lacks. A question bears sums of the vector: as large for 3 writers as for 3,000. Where they
+// are equal to the receiver's, it answers with Sum and Live alone; else it sends its entries of the buckets that differ, and those of the first
+// come back, each with what the other lacks.
 type Ask struct {
-	Vector Vector `cbor:"1,keyasint,omitempty"`
+	Vector Vector `cbor:"1,keyasint,omitempty"` // entries of the buckets Shown
 	Live   uint64 `cbor:"2,keyasint,omitempty"` // sum of what stands: with equal vectors it is to be equal
 	Answer bool   `cbor:"3,keyasint,omitempty"` // it answers one: no other is sent back
 	Below  bool   `cbor:"4,keyasint,omitempty"` // deltas do not reach the receiver any more: it is to pull
+	Sum    uint64 `cbor:"5,keyasint,omitempty"` // of the whole vector
+	Salt   uint64 `cbor:"6,keyasint,omitempty"`
+	Digest []byte `cbor:"7,keyasint,omitempty"` // of a question: a byte a bucket of writers, salted
+	Shown  []byte `cbor:"8,keyasint,omitempty"` // buckets, rising
 }
 
 // Range is a part of the space of hashes of keys: all that begin with the upper Depth times four bits of Prefix.
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -22,8 +22,8 @@
 	id     uint64
 	from   string
 	whole  bool
-	base   vector // of this source; nil until it came
-	joint  vector // of all of them
+	base   *vector // of this source; nil until it came
+	joint  *vector // of all of them
 	lacks  map[uint8]bool
 	sums   []Range
 	lists  []Range
@@ -135,12 +135,17 @@
 	return all[:n:n], all[n:]
 }
 
-// serve answers a part of another's catch-up.
+// serve answers a part of another's catch-up. What is over the rate is not answered: its taker asks elsewhere. A message more than that is, so that
+// one taker alone, who keeps to the same rate, is never put off by what was lost.
 func (m *Machine) serve(to string, p *Pull) {
+	m.serves, m.served = min(m.s.Rate, m.serves+(m.now-m.served)*m.s.Rate), m.now
+	if m.serves < -fillStream {
+		return
+	}
 	g := &Give{ID: p.ID}
 	used := 0
 	if p.Vector {
-		g.Vector = m.vec.list()
+		g.Vector = m.vec.list(nil)
 		used += vectorBytes(g.Vector)
 	}
 	for _, r := range p.Sums {
@@ -172,6 +177,7 @@
 	if p.Whole {
 		m.piece(p.After, g, &used)
 	}
+	m.serves -= float64(used)
 	m.send(to, Message{Give: g}, used)
 }
 
@@ -341,8 +347,8 @@
 			}
 		}
 	}
-	for name, w := range p.joint {
-		if m.vec[name] == nil && len(m.vec) >= mostWriters {
+	for name, w := range p.joint.of {
+		if m.vec.of[name] == nil && len(m.vec.of) >= mostWriters {
 			continue
 		}
 		for _, k := range w.marks {
@@ -351,8 +357,8 @@
 				delete(m.logs, trackKey{name, k.era}) // it goes on from here
 			}
 		}
-		if o := m.vec[name]; o != nil && w.floor > o.floor && len(o.marks) > 0 && o.marks[0].era >= w.floor {
-			o.floor = o.marks[0].era
+		if o := m.vec.of[name]; o != nil && w.floor > o.floor && len(o.marks) > 0 && o.marks[0].era >= w.floor {
+			m.vec.ground(o, o.marks[0].era)
 			m.raised = append(m.raised, trackKey{name, o.floor})
 		}
 	}
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -102,6 +102,7 @@
 		{"whole", 10, false, true, true, 6_000_000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, 3, 1)
 			w.all()
 			w.run(3)
@@ -143,6 +144,7 @@
 
 // A snapshot whose source is killed goes on at another; what the taker alone knows is kept, what was deleted is not.
 func TestWholeGoesOn(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 2)
 	w.boot = func(m *Machine) { m.s.Rate = 100_000 }
 	w.all()
@@ -332,7 +334,10 @@
 		assert.Error(t, m.Step("y", &Message{Deltas: []Delta{*d}}, 0), name)
 	}
 	assert.Error(t, m.Step("stranger", &Message{}, 0))
-	for _, msg := range []Message{{Ask: &Ask{Vector: Vector{{}}}}, {Pull: &Pull{Sums: []Range{{200, 1}}}}, {Give: &Give{Lists: []List{{Keys: []uint64{1}}}}}, {Give: &Give{Sums: []Sums{{}}}}} {
+	entry := Vector{{Writer: "y", Era: 1, Number: 1}}
+	for _, msg := range []Message{{Ask: &Ask{Vector: Vector{{}}}}, {Ask: &Ask{Vector: entry, Shown: []byte{bucketOf("y") + 1}}}, {Ask: &Ask{Vector: entry}}, {Ask: &Ask{Shown: []byte{2, 2}}},
+		{Ask: &Ask{Digest: make([]byte, buckets-1)}}, {Ask: &Ask{Digest: make([]byte, buckets), Shown: []byte{1}}},
+		{Pull: &Pull{Sums: []Range{{200, 1}}}}, {Give: &Give{Lists: []List{{Keys: []uint64{1}}}}}, {Give: &Give{Sums: []Sums{{}}}}} {
 		assert.Error(t, m.Step("y", &msg, 0))
 	}
 	require.NoError(t, m.Step("y", &Message{Deltas: []Delta{*good()}}, 0))
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -38,6 +38,27 @@
 	return nil
 }
 
+func (a *Ask) check() error {
+	if err := entries(a.Vector); err != nil {
+		return err
+	}
+	var in [buckets]bool
+	for i, b := range a.Shown {
+		if in[b] = true; i > 0 && b <= a.Shown[i-1] {
+			return fmt.Errorf("%w: bucket %d shown after %d", errBad, b, a.Shown[i-1])
+		}
+	}
+	if n := len(a.Digest); n > 0 && (n != buckets || len(a.Shown) > 0 || a.Answer) {
+		return fmt.Errorf("%w: a digest of %d buckets, %d are asked about, in a question alone", errBad, n, buckets)
+	}
+	for _, e := range a.Vector {
+		if !in[bucketOf(e.Writer)] {
+			return fmt.Errorf("%w: an entry of %q, whose bucket isn't shown", errBad, e.Writer)
+		}
+	}
+	return nil
+}
+
 // checkMessage looks through all that a message holds before any of it is used.
 func (m *Machine) checkMessage(msg *Message) error {
 	if err := entries(msg.Acks); err != nil {
@@ -59,7 +80,7 @@
 		all = append(all, d.Records)
 	}
 	if msg.Ask != nil {
-		if err := entries(msg.Ask.Vector); err != nil {
+		if err := msg.Ask.check(); err != nil {
 			return err
 		}
 	}
@@ -148,8 +169,26 @@
 
 // ask tells a member what is here, and asks for what lacks.
 func (m *Machine) ask(to string) {
-	v := m.vec.list()
-	m.send(to, Message{Ask: &Ask{Vector: v, Live: m.tree.live}}, vectorBytes(v))
+	m.send(to, Message{Ask: m.question(), Acks: m.acksFor(to)}, buckets)
+}
+
+// question is of the sums of what is here. Its vector is kept: so the answer is understood when more has come meanwhile.
+func (m *Machine) question() *Ask {
+	if n := len(m.past); n == 0 || m.past[n-1].sum != m.vec.sum {
+		m.past = append(m.past[max(0, n+1-mostPast):n:n], m.vec.clone())
+	}
+	salt := m.chance.Uint64()
+	return &Ask{Sum: m.vec.sum, Salt: salt, Digest: m.vec.digest(salt), Live: m.tree.live}
+}
+
+// acksFor tells a writer of its last eras. Guards against a question with sums telling less of pending writes than one with entries.
+func (m *Machine) acksFor(name string) (acks []Entry) {
+	if w := m.vec.of[name]; w != nil {
+		for _, k := range w.marks[max(0, len(w.marks)-keptEras):] {
+			acks = append(acks, Entry{Writer: name, Era: k.era, Number: k.number})
+		}
+	}
+	return acks
 }
 
 func vectorBytes(v Vector) (n int) {
@@ -174,7 +213,7 @@
 	if have < d.From && !m.fault.joinFirst {
 		return false, true
 	}
-	if to <= have || m.vec[d.Writer] == nil && len(m.vec) >= mostWriters {
+	if to <= have || m.vec.of[d.Writer] == nil && len(m.vec.of) >= mostWriters {
 		return false, false
 	}
 	at := make([]*entry, len(d.Records))
@@ -243,16 +282,34 @@
 
 // asked takes what another has.
 func (m *Machine) asked(from string, a *Ask, lacks []uint8, grew bool) {
-	if a.Vector == nil && a.Below {
+	switch {
+	case len(a.Digest) > 0 && a.Sum != m.vec.sum:
+		m.show(from, a.Salt, a.Digest)
+		return
+	case len(a.Digest) > 0:
+		m.send(from, Message{Ask: &Ask{Sum: m.vec.sum, Live: m.tree.live, Answer: true}}, 0)
+	case len(a.Shown) == 0 && a.Below:
 		m.begin(from, false)
 		return
 	}
-	theirs := load(a.Vector)
+	theirs, whole := m.resolve(a)
+	if !whole && len(a.Shown) == 0 {
+		return // an answer to a question of long ago
+	}
 	m.hear(from, theirs, lacks)
+	if len(a.Shown) == 0 {
+		m.compare(from, a, lacks, theirs.sum == m.vec.sum)
+		return
+	}
 	var msg Message
-	room, used, below := fillStream, 0, false
-	for _, e := range m.vec.list() {
+	room, used, below, over := fillStream, 0, false, false
+	shown := a.Shown
+	if whole {
+		shown = nil
+	}
+	for _, e := range m.vec.list(shown) {
 		at := theirs.at(e.Writer, e.Era)
+		below = below || e.Floor && !theirs.rooted(e.Writer, e.Era)
 		if at >= e.Number {
 			continue
 		}
@@ -262,17 +319,20 @@
 			msg.Deltas = append(msg.Deltas, *d)
 		}
 		if used += took; used >= room-mostName-40 {
+			over = true
 			break
 		}
 	}
 	lower := !m.vec.reaches(theirs)
-	equal := !lower && theirs.reaches(m.vec)
-	if !a.Answer {
-		v := m.vec.list()
-		used += vectorBytes(v)
-		msg.Ask = &Ask{Vector: v, Live: m.tree.live, Answer: true, Below: below}
-	} else if below {
+	equal := whole && !lower && theirs.reaches(m.vec)
+	switch {
+	case !a.Answer:
+		msg.Ask = &Ask{Vector: m.vec.list(a.Shown), Shown: a.Shown, Sum: m.vec.sum, Live: m.tree.live, Answer: true, Below: below}
+		used += vectorBytes(msg.Ask.Vector)
+	case below:
 		msg.Ask = &Ask{Answer: true, Below: true}
+	case over:
+		msg.Ask = m.question() // so that it goes on at once
 	}
 	if len(msg.Deltas) > 0 || msg.Ask != nil {
 		m.send(from, msg, used)
@@ -284,25 +344,55 @@
 		m.begin(from, false)
 	case a.Answer && lower && grew:
 		m.ask(from)
-	case equal && a.Live != m.tree.live && m.now-m.walkAt > checkEach*m.s.Interval && len(lacks) == 0 && len(m.lacking()) == 0:
-		m.begin(from, false)
+	default:
+		m.compare(from, a, lacks, equal)
 	}
-	if equal {
-		m.away = false
+}
+
+// show sends entries of the buckets that differ.
+func (m *Machine) show(to string, salt uint64, digest []byte) {
+	shown := m.vec.differs(salt, digest)
+	v := m.vec.list(shown)
+	m.send(to, Message{Ask: &Ask{Vector: v, Shown: shown, Sum: m.vec.sum, Live: m.tree.live}}, vectorBytes(v)+len(shown))
+}
+
+// resolve gives another's vector: what it shows in place of what is here, or was here when it was asked, if the sums prove that the rest is
+// equal. Otherwise it gives what is shown alone, and not that it is whole.
+func (m *Machine) resolve(a *Ask) (theirs *vector, whole bool) {
+	theirs = load(a.Vector)
+	for _, v := range append([]*vector{m.vec}, m.past...) {
+		if len(a.Shown) == 0 && v.sum == a.Sum {
+			return v, true
+		}
+		if c := v.with(a.Shown, theirs, a.Sum); len(a.Shown) > 0 && c != nil {
+			return c, true
+		}
+	}
+	return theirs, false
+}
+
+// compare looks at whether the same stands where the vectors are equal.
+func (m *Machine) compare(from string, a *Ask, lacks []uint8, equal bool) {
+	if !equal {
+		return
+	}
+	m.away = false
+	if a.Live != m.tree.live && m.now-m.walkAt > checkEach*m.s.Interval && len(lacks) == 0 && len(m.lacking()) == 0 {
+		m.begin(from, false)
 	}
 }
 
 // hear books a vector, which its sender has on its disk.
-func (m *Machine) hear(from string, v vector, lacks []uint8) {
+func (m *Machine) hear(from string, v *vector, lacks []uint8) {
 	m.heard, m.heardAt = true, m.now
-	if w := v[m.s.Name]; w != nil {
+	if w := v.of[m.s.Name]; w != nil {
 		for _, k := range w.marks {
 			m.own(k.era, k.number)
 			m.acked(from, k.era, k.number, lacks)
 		}
 	}
 	m.behind = 0
-	for name, w := range v {
+	for name, w := range v.of {
 		for _, k := range w.marks {
 			if at := m.vec.at(name, k.era); at < k.number {
 				m.behind += int(min(k.number-at, math.MaxInt32))
@@ -315,9 +405,12 @@
 	if v.reaches(m.check) {
 		m.checked[from] = true
 	}
-	// Guards against folding an era whose last numbers a counted member has and this one lacks.
-	for name, w := range m.check {
-		if o := v[name]; o != nil && len(w.marks) > keptEras {
+	// Guards against folding an era whose last numbers a counted member has and this one lacks, and over eras that it lacks whole.
+	for name, w := range m.check.of {
+		if o := v.of[name]; o != nil && len(w.marks) > keptEras {
+			if !m.vec.rooted(name, o.floor) {
+				m.more[name] = true
+			}
 			floor := w.marks[len(w.marks)-keptEras].era
 			for _, k := range o.marks {
 				if k.era < floor && k.number > m.check.at(name, k.era) {
@@ -484,14 +577,14 @@
 	if m.check == nil || all && counted >= m.fleet.Of {
 		if m.check != nil {
 			m.stable = m.check
-			for name, w := range m.stable {
-				if o := m.vec[name]; o != nil && !m.more[name] && len(o.marks) > keptEras && slices.Equal(w.marks, o.marks[:min(len(o.marks), len(w.marks))]) &&
+			for name, w := range m.stable.of {
+				if o := m.vec.of[name]; o != nil && !m.more[name] && len(o.marks) > keptEras && slices.Equal(w.marks, o.marks[:min(len(o.marks), len(w.marks))]) &&
 					len(w.marks) == len(o.marks) {
 					m.fold(name, o, len(o.marks)-keptEras)
 				}
 			}
 		}
-		m.check, m.checked, m.more = load(m.vec.list()), map[string]bool{}, map[string]bool{}
+		m.check, m.checked, m.more = m.vec.clone(), map[string]bool{}, map[string]bool{}
 	}
 	kept := m.graves[:0]
 	for _, g := range m.graves {
@@ -550,10 +643,10 @@
 	m.dirty = nil
 	seen := map[trackKey]bool{}
 	for _, k := range m.raised {
-		w := m.vec[k.writer]
+		w := m.vec.of[k.writer]
 		if n := m.vec.at(k.writer, k.era); !seen[k] && w != nil && n > 0 && n < math.MaxUint64 {
 			seen[k] = true
-			s.Vector = append(s.Vector, Entry{k.writer, k.era, n, w.floor == k.era && w.floor > 0})
+			s.Vector = append(s.Vector, Entry{k.writer, k.era, n, w.grounded() && w.floor == k.era})
 		}
 	}
 	m.raised = nil
--- a/fleet/replica/types.go
+++ b/fleet/replica/types.go
@@ -95,6 +95,5 @@
 	ErrFull    = errors.New("its kind is full")
 	ErrLower   = errors.New("what stands is higher by the law")
 	ErrCatches = errors.New("catching up: what this dispatcher wrote before is not known yet")
-	ErrAside   = errors.New("set aside: two contents came under one dot")
 	ErrCut     = errors.New("no majority is seen")
 )
