Channels: an entry is shown once another dispatcher has it, too

With a disk that is lost, an entry that only it had was shown before: readers kept positions ahead of what anybody has, and acknowledged entries came after what never comes again. Own entries with too few copies are written again, also after a start. A position of an epoch that is unknown here waits for it.

--- a/fleet/channels/channels_test.go
+++ b/fleet/channels/channels_test.go
@@ -195,6 +195,7 @@
 		"ahead of a place":         {declared(Total, false), at(3, 101), "", "behind"},
 		"of a later generation":    {declared(BySender, false), Position{Channel: channelName, Generation: 2}, "", "behind"},
 		"of an epoch to come":      {declared(Total, false), at(4, 101), "", "behind"},
+		"of an epoch unknown here": {declared(Total, false), at(4, 50), "", "behind"},
 		"of a lost epoch":          {declared(Total, false), at(2, 50), "reset", ""},
 		"behind, told":             {few(declared(BySender, true)), seen(10), "gap0-0 a37 a38", ""},
 		"behind, never":            {few(declared(Causal, false)), seen(10), "cut", ""},
@@ -276,6 +277,44 @@
 	}
 }
 
+// What one alone has is not shown, nor known after a start, until another has it: it is written anew, by its writer or without.
+func TestShownOnceKept(t *testing.T) {
+	for _, o := range []Order{Latest, ByKey, BySender, Causal} {
+		var disk replica.Record
+		for start, resends := range []bool{true, true, false} {
+			m := one(declared(o, o == Latest))
+			m.Fleet(replica.Fleet{Of: 2})
+			id, err := m.Open(0, Ask{Channel: channelName})
+			require.NoError(t, err)
+			if start > 0 {
+				m.Learn(0, disk)
+			}
+			if resends {
+				state, err := m.Write(0, entry("a", 1, 0))
+				require.NoError(t, err)
+				require.Equal(t, OnWay, state, "no other is known to have it")
+			}
+			m.Tick(1)
+			puts := m.Ready().Puts
+			require.Len(t, puts, 1)
+			require.True(t, start == 0 || entryLaw(puts[0].Record.Value, disk.Value) > 0, "it stands over itself")
+			disk = puts[0].Record
+			disk.Dot = replica.Dot{Writer: "n0", Era: uint64(start), Number: 1}
+			m.Learn(1, disk)
+			assert.Empty(t, m.Take(1, id, 9))
+			m.Written(2, puts[0].ID, replica.Outcome{Met: start == 2, Copies: 1}, nil)
+			assert.Equal(t, map[bool]string{true: "a1"}[start == 2], words(m.Take(2, id, 9)))
+		}
+		m := one(declared(o, o == Latest))
+		m.Fleet(replica.Fleet{Of: 2})
+		disk.Dot.Writer = "n1"
+		m.Learn(0, disk)
+		state, err := m.Write(0, entry("a", 1, 0))
+		require.NoError(t, err)
+		assert.Equal(t, Known, state, "who wrote it has it, too")
+	}
+}
+
 // A change takes effect at one entry: what is taken under it waits for it.
 func TestTurned(t *testing.T) {
 	m := one(declared(BySender, false))
--- a/fleet/channels/machine.go
+++ b/fleet/channels/machine.go
@@ -158,6 +158,7 @@
 	readers  map[uint64]*reader
 	next     uint64
 	others   []string
+	counted  bool // the last agreed fleet has others
 	trims    bool
 	decides  bool
 	waits    map[uint64]wait
@@ -180,7 +181,7 @@
 
 // Fleet tells who else is there and whether a majority is seen. The first by name writes the tombstones: of two in a cut both may.
 func (m *Machine) Fleet(f replica.Fleet) {
-	m.others, m.trims, m.decides = nil, true, f.Decides
+	m.others, m.trims, m.decides, m.counted = nil, true, f.Decides, f.Of > 1
 	for _, o := range f.Others {
 		if o.Alive {
 			m.others = append(m.others, o.Name)
@@ -491,7 +492,7 @@
 	for again := true; again; {
 		again = false
 		for _, w := range c.lanes() {
-			for c.step(now, w) {
+			for c.step(now, w, m.counted) {
 				again = true
 			}
 		}
@@ -510,7 +511,9 @@
 	c.trim(now)
 }
 
-func (c *channel) step(now float64, w string) bool {
+// step puts the next of a lane into the log; but for Total only what another has, too, where there are others. Else with one disk that is lost
+// a reader had seen what nobody has, or what is acknowledged came after it: both would wait for ever.
+func (c *channel) step(now float64, w string, others bool) bool {
 	n := c.vec[w] + 1
 	h, ok := c.held[w][n]
 	if !ok {
@@ -525,7 +528,7 @@
 		c.gap(now, w, f)
 		return true
 	}
-	if !c.free(h.e) {
+	if !c.free(h.e) || w != "" && !h.sure && others {
 		return false
 	}
 	if delete(c.held[w], n); len(c.held[w]) == 0 {
@@ -628,6 +631,9 @@
 		if m.trims {
 			m.tombs(now, name, c)
 		}
+		if c.known && c.d.Order != Total {
+			m.again(c)
+		}
 		m.order(now, name, c)
 	}
 	m.refused *= 0.9
@@ -659,6 +665,16 @@
 	}
 }
 
+// again writes the first of each lane anew that no other is known to have and nobody sends: its copies fell short, or a start forgot them.
+func (m *Machine) again(c *channel) {
+	for _, w := range c.lanes() {
+		n := c.vec[w] + 1
+		if h, ok := c.held[w][n]; ok && !h.sure && !c.flies(w, n) && m.flights < MostFlight {
+			m.send(c, *h.e)
+		}
+	}
+}
+
 // Ready is what is to be done since the last call.
 func (m *Machine) Ready() Ready {
 	for _, name := range slices.Sorted(maps.Keys(m.channels)) {
--- a/fleet/channels/readers.go
+++ b/fleet/channels/readers.go
@@ -188,6 +188,9 @@
 	if r.place.Generation > r.c.turned && r.c.d.Order != Total || r.place.Generation > r.c.d.Generation {
 		return false
 	}
+	if ep := r.c.epochs; r.c.d.Order == Total && len(ep) > 0 && r.place.Epoch > max(ep[0].epoch, r.c.epochAt(r.place.Place)) {
+		return false // what stands at its place here is of an older epoch
+	}
 	for w, n := range r.seen {
 		if n > r.c.vec[w] {
 			return false
--- a/fleet/channels/world_test.go
+++ b/fleet/channels/world_test.go
@@ -25,6 +25,7 @@
 	ledger  *Ledger
 	saved   Saved
 	token   uint64
+	dots    uint64
 	holder  int
 	log     []wire
 	outs    []outcome
@@ -151,6 +152,9 @@
 		return false
 	}
 	n.store[r.Key] = r
+	if w.fault == "always sure" {
+		r.Dot.Writer = "another"
+	}
 	n.m.Learn(w.clock(i), r)
 	return true
 }
@@ -270,6 +274,8 @@
 }
 
 func (w *world) put(i int, p Put) {
+	p.Record.Dot = replica.Dot{Writer: fmt.Sprint("n", i), Era: w.nodes[i].boot, Number: w.dots}
+	w.dots++
 	ok := w.give(i, p.Record)
 	if p.ID == 0 {
 		return
@@ -507,6 +513,9 @@
 		case 7:
 			if n := w.nodes[w.rng.IntN(len(w.nodes))]; !emptied && k > 100 { // one disk is lost: of what was acknowledged another has it
 				emptied, n.up, n.store = true, false, map[string]replica.Record{}
+				if s := w.writers[w.rng.IntN(len(w.writers))]; k%2 == 0 { // and who might have sent again never does
+					s.name, s.next = s.name+"'", 1
+				}
 			}
 		case 6:
 			if k%5 == 0 { // all at once
@@ -582,7 +591,8 @@
 
 func TestFaultsAreFound(t *testing.T) {
 	for fault, d := range map[string]Declaration{"stale epoch": declared(Total, false), "shown before commit": declared(Total, false),
-		"token without epoch": declared(Total, false), "gap untold": hasty(BySender), "number forgotten": declared(Total, false), "after ignored": declared(Causal, false)} {
+		"token without epoch": declared(Total, false), "gap untold": hasty(BySender), "number forgotten": declared(Total, false), "after ignored": declared(Causal, false),
+		"always sure": declared(Causal, false)} {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(60) {
--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -72,13 +72,18 @@
 	if m.flights >= MostFlight {
 		return 0, ErrFull
 	}
+	m.send(c, e)
+	return OnWay, nil
+}
+
+// send has replica spread an entry, over whatever it has of it.
+func (m *Machine) send(c *channel, e Entry) {
 	c.stamp++
 	e.Stamp = c.stamp
 	id := m.put(replica.Record{Kind: EntryKind, Key: e.key(), Value: packEntry(&e)}, replica.Sure{Level: replica.Copies, Copies: Copies, Within: Within},
-		wait{channel: e.Channel, writer: w, number: n})
-	c.flight[w] = append(c.flight[w], &flight{number: n, id: id})
+		wait{channel: e.Channel, writer: e.Writer, number: e.Number})
+	c.flight[e.Writer] = append(c.flight[e.Writer], &flight{number: e.Number, id: id})
 	m.flights++
-	return OnWay, nil
 }
 
 func (m *Machine) put(r replica.Record, s replica.Sure, w wait) uint64 {
@@ -130,6 +135,7 @@
 	if c.flight[w.writer] = all; len(all) == 0 {
 		delete(c.flight, w.writer)
 	}
+	m.advance(now, c)
 }
 
 // Hold tells that this dispatcher got the duty of a channel, its token the epoch; 0: that it lost it.
