Channels: what one alone has is not shown before the fleet is told, either

After a start the records of the disk are learned before the first word of who else there is: they were shown then, and with that disk lost a reader stayed ahead of all.

--- a/fleet/channels/machine.go
+++ b/fleet/channels/machine.go
@@ -158,7 +158,7 @@
 	readers  map[uint64]*reader
 	next     uint64
 	others   []string
-	counted  bool // the last agreed fleet has others
+	alone    bool // the last agreed fleet has no other; not so until it is told
 	trims    bool
 	decides  bool
 	waits    map[uint64]wait
@@ -181,7 +181,7 @@
 
 // Fleet tells who else is there and whether a majority is seen. The first by name writes the tombstones: of two in a cut both may.
 func (m *Machine) Fleet(f replica.Fleet) {
-	m.others, m.trims, m.decides, m.counted = nil, true, f.Decides, f.Of > 1
+	m.others, m.trims, m.decides, m.alone = nil, true, f.Decides, f.Of <= 1
 	for _, o := range f.Others {
 		if o.Alive {
 			m.others = append(m.others, o.Name)
@@ -492,7 +492,7 @@
 	for again := true; again; {
 		again = false
 		for _, w := range c.lanes() {
-			for c.step(now, w, m.counted) {
+			for c.step(now, w, m.alone) {
 				again = true
 			}
 		}
@@ -513,7 +513,7 @@
 
 // step puts the next of a lane into the log; but for Total only what another has, too, where there are others. Else with one disk that is lost
 // a reader had seen what nobody has, or what is acknowledged came after it: both would wait for ever.
-func (c *channel) step(now float64, w string, others bool) bool {
+func (c *channel) step(now float64, w string, alone bool) bool {
 	n := c.vec[w] + 1
 	h, ok := c.held[w][n]
 	if !ok {
@@ -528,7 +528,7 @@
 		c.gap(now, w, f)
 		return true
 	}
-	if !c.free(h.e) || w != "" && !h.sure && others {
+	if !c.free(h.e) || w != "" && !h.sure && !alone {
 		return false
 	}
 	if delete(c.held[w], n); len(c.held[w]) == 0 {
