variants: checks of what is joined are shared by dispatchers

Each of 300 dispatchers checked a joined class anew, with a tenth of its GETs at first: 3% of all GETs, which kept the copies alive that joining saves. All of them check as much as one now, as any of them tells all.

--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -82,6 +82,7 @@
 	facts    []told
 	notices  []Notice
 	dropped  uint64
+	peers    int // dispatchers that share their facts, this one too
 }
 
 // New makes a module, or names all that is wrong with the settings.
@@ -249,9 +250,13 @@
 	return Key{Class: d, Presume: true}
 }
 
+// Peers tells how many dispatchers share their facts, this one too: all of them together then check as much as one alone would, as any of
+// them tells all. Guards against 300 that each make sure anew, at the cost of the copies that were to be saved.
+func (m *Module) Peers(n int) { m.peers = n }
+
 // share is that of a joined class's GETs that ask by their own class all the same.
 func (m *Module) share(v *Service, d *class, t uint32) float64 {
-	s := max(checksLeast, checksFirst/float64(1+d.checks))
+	s := max(checksLeast, checksFirst/float64(1+d.checks)/float64(max(1, m.peers)))
 	if d.expires != math.MaxUint32 && float64(d.expires-t) < v.Fresh*ticks/2 {
 		s = max(s, checksRenew)
 	}
--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -44,6 +44,9 @@
 	assert.Less(t, half[1], 550)
 	assert.Greater(t, keyed(m, 2+warm, o, 2)[1], 850)
 	assert.Less(t, keyed(m, 2+warm, o, 2)[1], 1000, "checks remain")
+	m.Peers(100)
+	assert.Greater(t, keyed(m, 2+warm, o, 2)[1], 990, "a hundred share them")
+	m.Peers(1)
 	for host := range uint32(2) {
 		m.Answered(40, answer(7, 0, host, 5, 0, 1))
 	}
