--- /dev/null
+++ b/emulate/variants.go
@@ -0,0 +1,518 @@
+package emulate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"elderwall/fleet/variants"
+	"elderwall/internal/due"
+	"elderwall/order"
+)
+
+// Ways by which GETs of device classes may be looked for, side by side.
+const (
+	ByClass  = "keys by class" // as without variants
+	OneKey   = "one key"       // for all classes: wrong
+	Alone    = "each alone"    // the program's, no facts from other dispatchers
+	Fleet    = "fleet"         // the program's
+	Presumed = "presume"       // the program's, sameness of new objects presumed
+	Knowing  = "ideal"         // knows the truth at once
+)
+
+// VariantsScenario is dispatchers, cache hosts and an origin that answers by device class. Times are in seconds.
+// Facts reach each other dispatcher after a delay by chance (FactDelay in the mean), as RunMemory measures it for records: there is no replica in it.
+type VariantsScenario struct {
+	Seed         uint64
+	Way          string
+	Dispatchers  int
+	Hosts        int
+	Holds        int // answers that a host holds
+	Objects      int
+	Skew         float64 // of Zipf, over the objects
+	Same         []int   // by class: classes with one number get the same bytes
+	Odd          float64 // share of the objects whose classes all differ
+	Rate         float64 // GETs a second, all together
+	Lasts        float64 // an answer at a host
+	Changes      float64 // of an object's bytes a second, of all objects together
+	One          float64 // share of those that change one class only
+	Silent       float64 // share of those with no version that are not purged either
+	Fresh        float64 // objects a second that are new: an old one's place and popularity
+	PurgeDelay   float64 // until a dispatcher hears of a purge, in the mean
+	FactDelay    float64
+	OriginRate   float64 // fills a second that the origin takes; what is over is shed
+	Witnesses    int
+	Liars        int // hosts that give one proof for all classes
+	Checks       float64
+	Warm, Span   float64
+	Cut, CutFor  float64 // s after Warm: half of the dispatchers hear no facts of the other half
+	TablesHold   int     // objects in a dispatcher's table
+	OfOneService bool
+}
+
+// VariantsDefault is 300 dispatchers and 100 hosts.
+func VariantsDefault() VariantsScenario {
+	return VariantsScenario{Seed: 1, Way: Fleet, Dispatchers: 300, Hosts: 100, Holds: 100, Objects: 4000, Skew: 0.9, Same: []int{0, 0, 0, 1, 1}, Odd: 0.05, Rate: 10_000, Lasts: 60,
+		Changes: 1, One: 0.5, Silent: 0, PurgeDelay: 0.1, FactDelay: 0.5, OriginRate: 700, Witnesses: 1, Checks: 0.01, Warm: 200, Span: 200, TablesHold: 8000}
+}
+
+// The delivery services of a scenario, object by object: of ten objects six, three and one.
+const (
+	named    = iota // the origin names versions, hosts a strong tag
+	bodies          // no versions; the body is digested here
+	tokened         // never rewritten
+	services        // so many
+)
+
+// VariantsResult is what came of it; all of it is simulated. Shares are of the GETs that counted.
+type VariantsResult struct {
+	GETs    int
+	Hits    float64 // share of the GETs
+	Fills   float64 // at the origin, a second
+	Again   float64 // share of the GETs that were sent once more, by their own class
+	Checked float64 // share of the GETs that were sent by their own class to check
+	Apart   float64 // share of the GETs that were sent by another class's key than the ideal would have sent them by, not to check
+	Shed    float64 // by the origin's rate
+	Missed  float64 // GETs a second that no host could answer from what it held: filled or shed
+	Revenue float64 // share of what all GETs are worth: services pay 1, 2 and 4; wrong bytes nothing
+	Copies  float64 // held at the end
+	Spare   float64 // of them with the bytes of another one at the same host or another's, of one object
+	Wrong   int     // GETs with bytes that never were their class's since the last purge that their dispatcher had heard of
+	Older   int     // GETs with bytes that were their class's before
+	Facts   float64 // a second, all dispatchers together
+	Objects float64 // in a dispatcher's table, in the mean
+	Course  []float64
+	Faults  []string // the first wrong ones
+}
+
+// keys is a dispatcher's way to find keys.
+type keys interface {
+	key(now float64, o *item, class int) (stands int, checks bool)
+	// answered takes what came for a GET; false where the bytes may not go to it, and it has to be sent by its own class.
+	answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool
+	purged(now float64, o *item, purge uint64)
+	facts() []variantFact
+	learn(now float64, f variantFact)
+	objects() int
+}
+
+// item is an object as the origin knows it: its contents by state and class.
+type item struct {
+	index   int
+	id      uint64
+	service int
+	purge   uint64
+	states  [][]uint64
+	floors  []int // by purge: the state at which it came
+}
+
+// copyOf is an answer as a host holds it.
+type copyOf struct {
+	content, proof uint64
+	class, state   int
+	purge, version uint64
+	at             float64
+}
+
+type hostKey struct {
+	id    uint64
+	class int
+}
+
+type variantsWorld struct {
+	VariantsScenario
+	chance *rand.Rand
+	now    float64
+	acts   due.Wheel[func()]
+	items  []*item
+	upTo   []float64 // popularity, summed up
+	hosts  []*simplelru.LRU[hostKey, copyOf]
+	index  order.Index[uint32]
+	first  map[hostKey]*order.First
+	all    []keys
+	heard  [][]uint64 // by dispatcher and item: the highest purge
+	next   uint64
+	room   float64 // of the origin, as a bucket
+	roomAt float64
+	out    *VariantsResult
+	fills  int
+	facts  int
+	paid   float64
+	worth  float64
+	bins   []int
+}
+
+// RunVariants plays one.
+func RunVariants(s VariantsScenario) (*VariantsResult, error) {
+	if s.Dispatchers < 1 || s.Hosts < 1 || s.Objects < 1 || s.Rate <= 0 || len(s.Same) < 1 || s.Holds < 1 || s.Span <= 0 {
+		return nil, fmt.Errorf("variants: %d dispatchers, %d hosts, %d objects of %d classes: out of range", s.Dispatchers, s.Hosts, s.Objects, len(s.Same))
+	}
+	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[hostKey]*order.First{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
+	sum := 0.0
+	for i := range s.Objects {
+		w.items = append(w.items, w.item(i))
+		sum += math.Pow(float64(i+1), -s.Skew)
+		w.upTo = append(w.upTo, sum)
+	}
+	ids := make([]uint32, s.Hosts)
+	for i := range ids {
+		ids[i] = uint32(i + 1)
+		l, _ := simplelru.NewLRU[hostKey, copyOf](s.Holds, nil)
+		w.hosts = append(w.hosts, l)
+	}
+	w.index.Set(ids, ids)
+	for i := range s.Dispatchers {
+		w.all = append(w.all, w.keys(i))
+		w.heard = append(w.heard, make([]uint64, s.Objects))
+	}
+	w.every(s.Changes, w.change)
+	w.every(s.Fresh, w.fresh)
+	end := s.Warm + s.Span
+	for w.now < end {
+		w.now += w.chance.ExpFloat64() / s.Rate
+		for e, ok := w.acts.PopAt(w.now); ok; e, ok = w.acts.PopAt(w.now) {
+			at := w.now
+			w.now = e.At
+			e.Item()
+			w.now = at
+		}
+		w.get()
+	}
+	w.sum()
+	return w.out, nil
+}
+
+// every does something at a rate, by chance.
+func (w *variantsWorld) every(rate float64, do func()) {
+	if rate > 0 {
+		w.acts.Add(w.now+w.chance.ExpFloat64()/rate, func() { do(); w.every(rate, do) })
+	}
+}
+
+// item is a new object at a place of the popularity.
+func (w *variantsWorld) item(place int) *item {
+	w.next++
+	service := []int{named, bodies, named, named, bodies, named, tokened, named, bodies, named}[w.next%10]
+	if w.OfOneService {
+		service = named
+	}
+	o := &item{index: place, id: order.Mix(w.next), service: service, floors: []int{0}}
+	same := w.Same
+	if w.chance.Float64() < w.Odd {
+		same = make([]int, len(w.Same))
+		for c := range same {
+			same[c] = c
+		}
+	}
+	contents := make([]uint64, len(same))
+	for c := range contents {
+		if first := slices.Index(same, same[c]); first < c {
+			contents[c] = contents[first]
+		} else {
+			contents[c] = w.chance.Uint64() | 1
+		}
+	}
+	o.states = [][]uint64{contents}
+	return o
+}
+
+// change changes an object's bytes: of one class, or of all as they were the same before. Where no version names it, a purge follows.
+func (w *variantsWorld) change() {
+	o := w.items[w.pick()]
+	last := o.states[len(o.states)-1]
+	contents := slices.Clone(last)
+	if w.chance.Float64() < w.One {
+		contents[w.chance.IntN(len(contents))] = w.chance.Uint64() | 1
+	} else {
+		anew := map[uint64]uint64{}
+		for c, x := range last {
+			if anew[x] == 0 {
+				anew[x] = w.chance.Uint64() | 1
+			}
+			contents[c] = anew[x]
+		}
+	}
+	o.states = append(o.states, contents)
+	if o.service != named && w.chance.Float64() >= w.Silent || w.chance.Float64() < 0.1 {
+		w.purge(o)
+	}
+}
+
+// purge empties the hosts of an object at once; dispatchers hear of it one by one.
+func (w *variantsWorld) purge(o *item) {
+	o.purge++
+	o.floors = append(o.floors, len(o.states)-1)
+	for c := range w.Same {
+		for _, h := range w.hosts {
+			h.Remove(hostKey{o.id, c})
+		}
+	}
+	purge := o.purge
+	for i, k := range w.all {
+		w.acts.Add(w.now+w.PurgeDelay*w.chance.ExpFloat64(), func() {
+			w.heard[i][o.index] = max(w.heard[i][o.index], purge)
+			if k != nil {
+				k.purged(w.now, o, purge)
+			}
+		})
+	}
+}
+
+// fresh puts a new object in an old one's place.
+func (w *variantsWorld) fresh() {
+	at := w.pick()
+	w.items[at] = w.item(at)
+	for i := range w.heard {
+		w.heard[i][at] = 0
+	}
+}
+
+func (w *variantsWorld) pick() int {
+	i, _ := slices.BinarySearch(w.upTo, w.chance.Float64()*w.upTo[len(w.upTo)-1])
+	return min(i, len(w.items)-1)
+}
+
+// get is one GET from the client to the checker.
+func (w *variantsWorld) get() {
+	o, class := w.items[w.pick()], w.chance.IntN(len(w.Same))
+	d := w.chance.IntN(len(w.all))
+	counts, worth := w.now >= w.Warm, float64(int(1)<<o.service)
+	if counts {
+		w.out.GETs++
+		w.worth += worth
+	}
+	asked, checks := class, false
+	switch {
+	case o.service == tokened || w.Way == ByClass:
+	case w.Way == OneKey:
+		asked = 0
+	case w.Way == Knowing:
+		truth := o.states[len(o.states)-1]
+		asked = slices.Index(truth, truth[class])
+	default:
+		asked, checks = w.all[d].key(w.now, o, class)
+	}
+	if truth := o.states[len(o.states)-1]; counts && o.service != tokened && slices.Index(truth, truth[class]) != asked {
+		if checks {
+			w.out.Checked++
+		} else {
+			w.out.Apart++
+		}
+	}
+	a, hit, host, ok := w.fetch(o, asked)
+	if ok && o.service != tokened {
+		switch w.Way {
+		case ByClass, OneKey:
+		case Knowing:
+			if a.content != o.states[a.state][class] {
+				a, hit, _, ok = w.fetch(o, class)
+			}
+		default:
+			if !w.all[d].answered(w.now, o, class, asked, host, a) {
+				if counts {
+					w.out.Again++
+				}
+				if a, hit, host, ok = w.fetch(o, class); ok {
+					w.all[d].answered(w.now, o, class, class, host, a)
+				}
+			}
+			w.spread(d)
+		}
+	}
+	if !counts {
+		return
+	}
+	if !ok {
+		w.out.Shed++
+		return
+	}
+	if hit {
+		w.out.Hits++
+	}
+	if w.check(d, o, class, asked, a) {
+		w.paid += worth
+	}
+}
+
+// fetch gets an answer of a class from the host that its key names.
+func (w *variantsWorld) fetch(o *item, class int) (a copyOf, hit bool, host uint32, ok bool) {
+	k := hostKey{o.id, class}
+	spread, first := 1, w.first[k]
+	if o.index < len(w.items)/100 {
+		spread = 3
+	}
+	skip := w.chance.IntN(spread)
+	w.index.Walk(order.Mix(o.id+uint64(class)), &first, skip, func(h uint32) bool { host = h; return false })
+	w.first[k] = first
+	held := w.hosts[host-1]
+	if a, hit = held.Get(k); hit && w.now < a.at+w.Lasts {
+		return a, true, host, true
+	}
+	w.room = min(w.OriginRate, w.room+w.OriginRate*(w.now-w.roomAt))
+	w.roomAt = w.now
+	if w.room < 1 {
+		return a, false, host, false
+	}
+	w.room--
+	if w.now >= w.Warm {
+		w.fills++
+	}
+	w.bins[int(min(w.now, w.Warm+w.Span))]++
+	state := len(o.states) - 1
+	a = copyOf{content: o.states[state][class], class: class, state: state, purge: o.purge, at: w.now}
+	a.proof = a.content
+	if int(host) <= w.Liars {
+		a.proof = o.states[state][0]
+	}
+	if o.service == named {
+		a.version = uint64(state + 1)
+	}
+	held.Add(k, a)
+	return a, false, host, true
+}
+
+// check tells whether a GET got its own class's bytes. It knows nothing of keys.
+func (w *variantsWorld) check(d int, o *item, class, asked int, a copyOf) bool {
+	if a.content == o.states[a.state][class] {
+		return true
+	}
+	for s := o.floors[w.heard[d][o.index]]; s < a.state; s++ {
+		if a.content == o.states[s][class] {
+			w.out.Older++
+			return true
+		}
+	}
+	if w.out.Wrong++; len(w.out.Faults) < 10 {
+		w.out.Faults = append(w.out.Faults, fmt.Sprintf("%.3f s: dispatcher %d, object %x of service %d: class %d got class %d's of state %d of %d, purge %d (heard %d), version %d",
+			w.now, d, o.id, o.service, class, asked, a.state, len(o.states), a.purge, w.heard[d][o.index], a.version))
+	}
+	return false
+}
+
+// spread takes a dispatcher's facts to the others.
+func (w *variantsWorld) spread(d int) {
+	for _, f := range w.all[d].facts() {
+		w.facts++
+		if w.Way == Alone {
+			continue
+		}
+		for i, k := range w.all {
+			if i != d {
+				at := w.now + w.FactDelay*w.chance.ExpFloat64()
+				if from, to := w.Warm+w.Cut, w.Warm+w.Cut+w.CutFor; w.CutFor > 0 && i%2 != d%2 && at > from && at < to {
+					at = to + w.FactDelay*w.chance.ExpFloat64()
+				}
+				w.acts.Add(at, func() { k.learn(w.now, f) })
+			}
+		}
+	}
+}
+
+func (w *variantsWorld) sum() {
+	r, n := w.out, float64(max(1, w.out.GETs))
+	r.Hits, r.Again, r.Shed, r.Checked, r.Apart = r.Hits/n, r.Again/n, r.Shed/n, r.Checked/n, r.Apart/n
+	r.Revenue = w.paid / max(1, w.worth)
+	r.Missed = (1 - r.Hits) * n / w.Span
+	r.Fills, r.Facts = float64(w.fills)/w.Span, float64(w.facts)/(w.Warm+w.Span)
+	for _, h := range w.hosts {
+		r.Copies += float64(h.Len())
+	}
+	type one struct{ id, content uint64 }
+	seen := map[one]map[uint32]int{}
+	for i, h := range w.hosts {
+		for _, k := range h.Keys() {
+			if a, ok := h.Peek(k); ok {
+				x := one{k.id, a.content}
+				if seen[x] == nil {
+					seen[x] = map[uint32]int{}
+				}
+				seen[x][uint32(a.class)]++
+				_ = i
+			}
+		}
+	}
+	for _, by := range seen { // copies of one class at several hosts are meant
+		most, all := 0, 0
+		for _, k := range by {
+			most, all = max(most, k), all+k
+		}
+		r.Spare += float64(all - most)
+	}
+	for _, k := range w.all {
+		if k == nil {
+			break
+		}
+		r.Objects += float64(k.objects()) / float64(len(w.all))
+	}
+	for _, b := range w.bins {
+		r.Course = append(r.Course, float64(b))
+	}
+}
+
+// variantFact is what one dispatcher tells the others.
+type variantFact = variants.Fact
+
+// program is the product's module at one dispatcher.
+type program struct {
+	*variants.Module
+	floor uint64
+	key1  variants.Key
+}
+
+func (w *variantsWorld) keys(i int) keys {
+	if w.Way == ByClass || w.Way == OneKey || w.Way == Knowing {
+		return nil
+	}
+	var classes []string
+	for c := range w.Same {
+		classes = append(classes, fmt.Sprint("c", c))
+	}
+	all := make([]variants.Service, services)
+	for s := range all {
+		all[s] = variants.Service{Classes: classes, Proof: variants.ByTag, Witnesses: w.Witnesses, Repeats: s != tokened, Fresh: math.Inf(1)}
+		if w.Silent > 0 {
+			all[s].Fresh = w.Lasts
+		}
+		if w.Way == Presumed {
+			all[s].Presume = &variants.Presumed{Objects: 20, Checks: w.Checks}
+		}
+	}
+	m, err := variants.New(variants.Settings{Services: all, Objects: w.TablesHold, Seed: w.Seed + uint64(i)<<16, Self: fmt.Sprint("n", i)})
+	if err != nil {
+		panic(err) // the settings stand above
+	}
+	if w.Way != Alone {
+		m.Peers(w.Dispatchers)
+	}
+	return &program{Module: m}
+}
+
+func named1(o *item) variants.Object {
+	return variants.Object{Service: o.service, Object: o.id, Group: o.service}
+}
+
+func (p *program) key(now float64, o *item, class int) (int, bool) {
+	p.floor = p.Floor(named1(o))
+	p.key1 = p.Key(now, named1(o), class)
+	return p.key1.Class, p.key1.Checks
+}
+
+func (p *program) answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool {
+	answer := variants.Answer{Object: named1(o), Class: asked, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}}
+	p.Answered(now, answer)
+	k := p.key1
+	if asked == class {
+		k = variants.Key{Class: class, Own: true}
+	}
+	return p.Fits(now, class, k, &answer)
+}
+
+func (p *program) purged(now float64, o *item, purge uint64) {
+	p.Purged(now, o.service, o.id, -1, purge)
+}
+func (p *program) facts() []variantFact             { return p.Facts(1000) }
+func (p *program) learn(now float64, f variantFact) { p.Learn(now, []variants.Fact{f}) }
+func (p *program) objects() int                     { return p.Objects() }
