--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -159,7 +159,7 @@
 	best    map[int]replica.Record // by key's number: the highest of what was acknowledged, by a law written anew here
 	acked   map[replica.Dot]replica.Record
 	deleted map[int]replica.Record // by key's number: the highest that deletes, whatever its outcome
-	order   map[replica.Dot]int // in which they were written, from 1
+	order   map[replica.Dot]int    // in which they were written, from 1
 	keys    int
 	tally   map[uint64]int // members by fold
 	last    float64        // end of the last trouble
@@ -332,28 +332,34 @@
 		return
 	}
 	m.machine = machine
+	w.tell(m)
 }
 
 // know tells all who is there, as members would by now.
 func (w *memoryWorld) know() {
-	bySide := map[int]int{}
 	for _, m := range w.all {
-		if !m.gone && !m.deaf && !m.mute {
-			bySide[m.side]++
+		if !m.gone {
+			w.tell(m)
 		}
 	}
-	for _, m := range w.all {
-		if m.gone {
-			continue
+}
+
+// tell tells one of them.
+func (w *memoryWorld) tell(m *memoryMember) {
+	there := func(o *memoryMember) bool { return !o.gone && o.side == m.side && !o.deaf && !o.mute }
+	n := 0
+	f := replica.Fleet{Of: len(w.all)}
+	for _, o := range w.all {
+		if there(o) {
+			n++
 		}
-		f := replica.Fleet{Of: len(w.all), Decides: 2*bySide[m.side] > len(w.all), Narrows: 2*bySide[m.side] > len(w.all)}
-		for _, o := range w.all {
-			if o != m {
-				f.Others = append(f.Others, replica.Member{Name: o.name, Zone: o.zone, Alive: !o.gone && o.side == m.side && !o.deaf && !o.mute && !m.deaf && !m.mute, Counted: true})
-			}
+		if o != m {
+			f.Others = append(f.Others, replica.Member{Name: o.name, Zone: o.zone, Alive: there(o) && there(m), Counted: true})
 		}
-		w.step(m, func(x *replica.Machine) { x.Fleet(f, w.now) })
 	}
+	f.Decides = 2*n > len(w.all)
+	f.Narrows = f.Decides
+	w.step(m, func(x *replica.Machine) { x.Fleet(f, w.now) })
 }
 
 func (w *memoryWorld) tick(m *memoryMember) {
@@ -639,6 +645,15 @@
 	}
 	if r.Agree < 0 {
 		w.fault("%d ways to see it at the end", len(w.tally))
+		for k := range w.all[0].holds {
+			for _, m := range w.all[1:] {
+				if k < len(m.holds) && m.holds[k] != w.all[0].holds[k] {
+					a, _ := w.all[0].machine.Get(memoryKind, memoryKey(k))
+					b, _ := m.machine.Get(memoryKind, memoryKey(k))
+					w.fault("%s: %s has %v, %s has %v", memoryKey(k), w.all[0].name, a.Dot, m.name, b.Dot)
+				}
+			}
+		}
 		return
 	}
 	for key, b := range w.best {
