replica: a vector is told by what rose lately, so that bytes don't grow with the fleet

Each question and answer bore the whole vector: 23 KB a second a member at 1,000 of them with no writes at all. What rose within four intervals goes now, with a sum of all; who had the same before works out the rest, and asks for the whole where the sum doesn't bear it out.

--- a/emulate/memory_test.go
+++ b/emulate/memory_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// What a member sends at the same writes hardly grows with the fleet: vectors are told by what rose lately.
+func TestMemorysBytesDoNotGrowWithTheFleet(t *testing.T) {
+	bytes := func(n int) float64 {
+		s := MemoryDefault()
+		s.Members, s.Writes, s.Records, s.Warm, s.Span, s.Size = n, 2, 200, 12, 20, sized
+		r, err := RunMemory(s)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, r.Agree, 0.0)
+		return r.Bytes
+	}
+	assert.Less(t, bytes(120), 1.6*bytes(30))
+}
+
 // The checker finds what machines that forget, or don't agree, do.
 func TestMemorysCheckerSeesFaults(t *testing.T) {
 	m := &memoryMember{holds: make([]uint64, 2)}
--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -42,6 +42,8 @@
 	mostEvents  = 256     // that wait to be taken
 	mostNew     = 4_096   // intervals that wait to be passed on; the rest is asked for
 	mostGiven   = 100_000 // items in a message from outside
+	mostRises   = 256     // marks that rose lately and are told in place of the vector: 6 KB
+	lately      = 4.0     // what rose within it: news takes two or three at 1,000 members
 	mostName    = 255     // bytes of a writer's name
 	stallAfter  = 4.0     // between two ticks: who was away for longer heard nobody
 	checkEach   = 30.0    // of equal vectors with unequal sums: a walk at most so often
@@ -85,17 +87,19 @@
 
 // Machine keeps the records of one dispatcher.
 type Machine struct {
-	s      Settings
-	now    float64
-	ticked float64
-	chance *rand.Rand
-	kinds  [256]*shelf
-	ids    []uint8
-	tree   *tree
-	vec    vector
-	names  map[string]string
-	fleet  Fleet
-	byName map[string]Member
+	s         Settings
+	now       float64
+	ticked    float64
+	chance    *rand.Rand
+	kinds     [256]*shelf
+	ids       []uint8
+	tree      *tree
+	vec       vector
+	rises     []rise  // in the order of time
+	risesFrom float64 // before it not all is remembered
+	names     map[string]string
+	fleet     Fleet
+	byName    map[string]Member
 
 	era     uint64
 	wrote   bool // in this era
@@ -135,7 +139,7 @@
 	behind  int
 	bucket  float64
 	filled  float64
-	stat    struct{ pulled, pulls, wholes, walks, bad uint64 }
+	stat    struct{ pulled, pulls, wholes, walks, bad, vectors uint64 }
 	scratch []byte
 	held    *Save // of the fault
 
@@ -150,7 +154,7 @@
 	}
 	m := &Machine{s: s, now: now, ticked: now, heardAt: now, chance: rand.New(rand.NewPCG(s.Seed, 0x7265706c)), tree: newTree(), vec: vector{},
 		names: map[string]string{}, byName: map[string]Member{}, aims: map[uint64]uint64{}, logs: map[trackKey]*track{},
-		acks: map[string]map[uint64]bool{}, era: 1, eraDirty: true, due: now, filled: now, walkAt: now - 1e9}
+		acks: map[string]map[uint64]bool{}, era: 1, eraDirty: true, due: now, filled: now, walkAt: now - 1e9, risesFrom: now - 1e9}
 	m.bucket = s.Rate
 	for _, k := range s.Kinds {
 		if k.ID == 0 || m.kinds[k.ID] != nil || k.Records <= 0 || k.Bytes <= 0 || k.Longest <= 0 || k.Longest > MostLongest {
@@ -260,6 +264,7 @@
 // advance books that a writer's numbers from from+1 on are here.
 func (m *Machine) advance(k trackKey, from uint64, keys []*entry) {
 	k.writer = m.intern(k.writer)
+	m.note(k, from+uint64(len(keys)))
 	if !m.vec.raise(k.writer, k.era, from+uint64(len(keys))) {
 		return
 	}
@@ -387,7 +392,7 @@
 // Status gives figures.
 func (m *Machine) Status() Status {
 	s := Status{CatchingUp: m.catching(), Writes: m.writes(), Era: m.era, Writers: len(m.vec), Behind: m.behind, Pending: len(m.pending), Log: len(m.fifo),
-		Pulled: m.stat.pulled, Pulls: m.stat.pulls, Wholes: m.stat.wholes, Walks: m.stat.walks, Bad: m.stat.bad}
+		Pulled: m.stat.pulled, Pulls: m.stat.pulls, Wholes: m.stat.wholes, Walks: m.stat.walks, Bad: m.stat.bad, Vectors: m.stat.vectors}
 	for _, w := range m.vec {
 		s.Entries += len(w.marks)
 	}
--- a/fleet/replica/message.go
+++ b/fleet/replica/message.go
@@ -28,8 +28,11 @@
 	Ack     bool      `cbor:"6,keyasint,omitempty"` // the writer waits to hear who has it
 }
 
-// Ask tells what the sender has, and asks for what it lacks.
+// Ask tells what the sender has, and asks for what it lacks. Where Part is set, Vector holds what rose lately alone and Sum is that of all of
+// it: who had the same before then works out the rest, and asks for the whole where the sum does not bear it out.
 type Ask struct {
+	Part   bool   `cbor:"5,keyasint,omitempty"`
+	Sum    uint64 `cbor:"6,keyasint,omitempty"`
 	Vector Vector `cbor:"1,keyasint,omitempty"`
 	Live   uint64 `cbor:"2,keyasint,omitempty"` // sum of what stands: with equal vectors it is to be equal
 	Answer bool   `cbor:"3,keyasint,omitempty"` // it answers one: no other is sent back
@@ -167,4 +170,5 @@
 	Wholes     uint64       `json:"whole_snapshots"`
 	Walks      uint64       `json:"digest_walks"`
 	Bad        uint64       `json:"bad_messages"`
+	Vectors    uint64       `json:"whole_vectors"` // sent, where what rose lately did not do
 }
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -346,6 +346,7 @@
 			continue
 		}
 		for _, k := range w.marks {
+			m.note(trackKey{m.intern(name), k.era}, k.number)
 			if m.vec.raise(name, k.era, k.number) {
 				m.raised = append(m.raised, trackKey{m.intern(name), k.era})
 				delete(m.logs, trackKey{name, k.era}) // it goes on from here
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -148,8 +148,8 @@
 
 // ask tells a member what is here, and asks for what lacks.
 func (m *Machine) ask(to string) {
-	v := m.vec.list()
-	m.send(to, Message{Ask: &Ask{Vector: v, Live: m.tree.live}}, vectorBytes(v))
+	a := m.mine(false)
+	m.send(to, Message{Ask: a}, vectorBytes(a.Vector))
 }
 
 func vectorBytes(v Vector) (n int) {
@@ -243,19 +243,21 @@
 
 // asked takes what another has.
 func (m *Machine) asked(from string, a *Ask, lacks []uint8, grew bool) {
-	if a.Vector == nil && a.Below {
+	if a.Vector == nil && a.Below && !a.Part {
 		m.begin(from, false)
 		return
 	}
-	theirs := load(a.Vector)
+	theirs := m.theirs(a)
+	if theirs == nil { // who differs by more than what rose lately tells all, and is told all
+		w := m.mine(true)
+		m.send(from, Message{Ask: w}, vectorBytes(w.Vector))
+		return
+	}
 	m.hear(from, theirs, lacks)
 	var msg Message
 	room, used, below := fillStream, 0, false
-	for _, e := range m.vec.list() {
+	for _, e := range m.vec.above(theirs) {
 		at := theirs.at(e.Writer, e.Era)
-		if at >= e.Number {
-			continue
-		}
 		d, took, low := m.delta(trackKey{e.Writer, e.Era}, at, room-used)
 		if below = below || low; d != nil {
 			d.Ack = d.Writer == m.s.Name && len(m.pending) > 0
@@ -268,9 +270,9 @@
 	lower := !m.vec.reaches(theirs)
 	equal := !lower && theirs.reaches(m.vec)
 	if !a.Answer {
-		v := m.vec.list()
-		used += vectorBytes(v)
-		msg.Ask = &Ask{Vector: v, Live: m.tree.live, Answer: true, Below: below}
+		msg.Ask = m.mine(!a.Part)
+		msg.Ask.Answer, msg.Ask.Below = true, below
+		used += vectorBytes(msg.Ask.Vector)
 	} else if below {
 		msg.Ask = &Ask{Answer: true, Below: true}
 	}
--- a/fleet/replica/vector.go
+++ b/fleet/replica/vector.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // mark is how far one has a writer's era.
@@ -54,17 +56,141 @@
 	return true
 }
 
-func (v vector) list() Vector {
-	all := make(Vector, 0, len(v))
+func (v vector) list() Vector { return v.above(vector{}) }
+
+// above lists what v has and o has not.
+func (v vector) above(o vector) Vector {
+	var all Vector
 	for name, w := range v {
 		for i, m := range w.marks {
-			all = append(all, Entry{name, m.era, m.number, i == 0 && w.floor == m.era && w.floor > 0})
+			if o.at(name, m.era) < m.number {
+				all = append(all, Entry{name, m.era, m.number, i == 0 && w.floor == m.era && w.floor > 0})
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Era, b.Era)) })
 	return all
 }
 
+// set takes a number as it is, lower ones too; 0 for none.
+func (v vector) set(name string, era, number uint64) {
+	w := v[name]
+	if w == nil {
+		v.raise(name, era, number)
+		return
+	}
+	i, found := slices.BinarySearchFunc(w.marks, era, func(m mark, e uint64) int { return cmp.Compare(m.era, e) })
+	switch {
+	case !found:
+		v.raise(name, era, number)
+	case number > 0:
+		w.marks[i].number = number
+	case len(w.marks) == 1 && w.floor == 0:
+		delete(v, name)
+	default:
+		w.marks = slices.Delete(w.marks, i, i+1)
+	}
+}
+
+// sum is one number for all of it, whatever the order.
+func (v vector) sum() (s uint64) {
+	for name, w := range v {
+		h := xxhash.Sum64String(name)
+		for _, m := range w.marks {
+			s += scramble(h ^ scramble(m.era^scramble(m.number)))
+		}
+		s += scramble(h ^ scramble(^w.floor))
+	}
+	return s
+}
+
+func scramble(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (v vector) clone() vector {
+	c := make(vector, len(v))
+	for name, w := range v {
+		c[name] = &writer{w.floor, slices.Clone(w.marks)}
+	}
+	return c
+}
+
+// rise is one that was lately: a mark's number before it.
+type rise struct {
+	trackKey
+	before uint64
+	at     float64
+}
+
+// note keeps that a mark is about to rise to a number.
+func (m *Machine) note(k trackKey, number uint64) {
+	at := m.vec.at(k.writer, k.era)
+	if at >= number {
+		return
+	}
+	if m.rises = append(m.rises, rise{k, at, m.now}); len(m.rises) > 2*mostRises {
+		m.rises = slices.Delete(m.rises, 0, mostRises)
+		m.risesFrom = m.now
+	}
+}
+
+// lately is what marks had before all that rose within the window; false where more rose than is remembered.
+func (m *Machine) lately() (map[trackKey]uint64, bool) {
+	from := m.now - lately*m.s.Interval
+	n := 0
+	for n < len(m.rises) && m.rises[n].at < from {
+		n++
+	}
+	m.rises = m.rises[n:]
+	before := map[trackKey]uint64{}
+	for _, r := range m.rises {
+		if _, ok := before[r.trackKey]; !ok {
+			before[r.trackKey] = r.before
+		}
+	}
+	return before, m.risesFrom < from && len(before) <= mostRises
+}
+
+// mine is what is told of the own vector: what rose lately, where that is less than half of it; else all.
+func (m *Machine) mine(whole bool) *Ask {
+	if before, ok := m.lately(); !whole && ok && m.heard && 2*len(before) < len(m.vec) {
+		a := &Ask{Part: true, Sum: m.vec.sum(), Live: m.tree.live}
+		for k := range before {
+			if w := m.vec[k.writer]; w != nil {
+				if n := m.vec.at(k.writer, k.era); n > 0 && n < math.MaxUint64 {
+					a.Vector = append(a.Vector, Entry{k.writer, k.era, n, false})
+				}
+			}
+		}
+		slices.SortFunc(a.Vector, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Writer, b.Writer), cmp.Compare(a.Era, b.Era)) })
+		return a
+	}
+	m.stat.vectors++
+	return &Ask{Vector: m.vec.list(), Live: m.tree.live}
+}
+
+// theirs works out a vector of which a part was told: what is here, without what rose here lately, and with that part. Nil where it is another.
+func (m *Machine) theirs(a *Ask) vector {
+	if !a.Part {
+		return load(a.Vector)
+	}
+	v := m.vec.clone()
+	before, _ := m.lately()
+	for k, n := range before {
+		v.set(k.writer, k.era, n)
+	}
+	for _, e := range a.Vector {
+		v.set(e.Writer, e.Era, e.Number)
+	}
+	if v.sum() != a.Sum {
+		return nil
+	}
+	return v
+}
+
 // load makes one of a list.
 func load(all Vector) vector {
 	v := vector{}
