--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -524,6 +524,7 @@
 		}
 		r.Dot = dot
 		w.acked[dot] = r
+		w.out.Written++
 		w.order[dot] = len(w.acked)
 		if d, ok := w.deleted[key]; r.Dead && (!ok || higher(&r, &d)) {
 			w.deleted[key] = r
--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -43,7 +43,7 @@
 	mostNew     = 4_096   // intervals that wait to be passed on; the rest is asked for
 	mostGiven   = 100_000 // items in a message from outside
 	mostRises   = 256     // marks that rose lately and are told in place of the vector: 6 KB
-	lately      = 4.0     // what rose within it: news takes two or three at 1,000 members
+	lately      = 2.5     // what rose within twice this is told, within this taken back: news takes up to two at 1,000 members
 	mostName    = 255     // bytes of a writer's name
 	stallAfter  = 4.0     // between two ticks: who was away for longer heard nobody
 	checkEach   = 30.0    // of equal vectors with unequal sums: a walk at most so often
--- a/fleet/replica/vector.go
+++ b/fleet/replica/vector.go
@@ -137,16 +137,19 @@
 	}
 }
 
-// lately is what marks had before all that rose within the window; false where more rose than is remembered.
-func (m *Machine) lately() (map[trackKey]uint64, bool) {
-	from := m.now - lately*m.s.Interval
-	n := 0
+// lately is what marks had before all that rose within so many intervals; false where more rose than is remembered.
+func (m *Machine) lately(window float64) (map[trackKey]uint64, bool) {
+	n, from := 0, m.now-2*lately*m.s.Interval
 	for n < len(m.rises) && m.rises[n].at < from {
 		n++
 	}
 	m.rises = m.rises[n:]
+	from = m.now - window*m.s.Interval
 	before := map[trackKey]uint64{}
 	for _, r := range m.rises {
+		if r.at < from {
+			continue
+		}
 		if _, ok := before[r.trackKey]; !ok {
 			before[r.trackKey] = r.before
 		}
@@ -154,9 +157,9 @@
 	return before, m.risesFrom < from && len(before) <= mostRises
 }
 
-// mine is what is told of the own vector: what rose lately, where that is less than half of it; else all.
+// mine is what is told of the own vector: what rose lately (twice as long as theirs takes back, so that what rose here a moment earlier is told), where that is less than half of it; else all.
 func (m *Machine) mine(whole bool) *Ask {
-	if before, ok := m.lately(); !whole && ok && m.heard && 2*len(before) < len(m.vec) {
+	if before, ok := m.lately(2 * lately); !whole && ok && m.heard && 2*len(before) < len(m.vec) {
 		a := &Ask{Part: true, Sum: m.vec.sum(), Live: m.tree.live}
 		for k := range before {
 			if w := m.vec[k.writer]; w != nil {
@@ -178,7 +181,7 @@
 		return load(a.Vector)
 	}
 	v := m.vec.clone()
-	before, _ := m.lately()
+	before, _ := m.lately(lately)
 	for k, n := range before {
 		v.set(k.writer, k.era, n)
 	}
