channels: an entry has to fit into a record of replica's

Kinds asked for records of 80 KB, replica allows 32,000 bytes: a machine of both didn't start. What an entry comes after counts now, and one that is too long is refused with both figures.

--- a/fleet/channels/codec.go
+++ b/fleet/channels/codec.go
@@ -23,7 +23,7 @@
 // Kinds are those that replica has to be given.
 func Kinds() []replica.Kind {
 	return []replica.Kind{
-		{ID: EntryKind, Name: "entry", Records: 400_000, Bytes: 256 << 20, Longest: MostBody + 64<<10, Sync: true, Law: entryLaw, Check: checkEntry},
+		{ID: EntryKind, Name: "entry", Records: 400_000, Bytes: 256 << 20, Longest: replica.MostLongest, Sync: true, Law: entryLaw, Check: checkEntry},
 		{ID: WriterKind, Name: "writer", Records: MostChannels * (MostWriters + 1), Bytes: 8 << 20, Longest: 512, Sync: true, Law: numberLaw, Check: checkNumber},
 	}
 }
@@ -98,10 +98,15 @@
 	case len(e.After) > MostWriters:
 		return fmt.Errorf("%w: after more than %d writers", ErrEntry, MostWriters)
 	}
+	all := len(e.Body) + len(e.Key) + 2*(len(e.Channel)+len(e.Writer)) + 128
 	for w := range e.After {
 		if len(w) > LongestName {
 			return fmt.Errorf("%w: a writer has 1 to %d bytes", ErrEntry, LongestName)
 		}
+		all += len(w) + 12
+	}
+	if all > replica.MostLongest {
+		return fmt.Errorf("%w: with what it comes after it has %d bytes, %d are allowed", ErrEntry, all, replica.MostLongest)
 	}
 	return nil
 }
