--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -31,6 +31,7 @@
 	Leave   leaveCommand       `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
 	Key     fleetKeyCommand    `cmd:"" help:"Print a new key, a line of the key file that all have."`
 	Emulate fleetPlayCommand   `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
+	Memory  memoryPlayCommand  `cmd:"" name:"emulate-memory" help:"Play what a fleet remembers, with no sockets: records, variants, channels, beside other ways."`
 	Share   budgetsPlayCommand `cmd:"" name:"emulate-budgets" help:"Play a fleet that shares a budget, with no sockets: how the whole is used, beside other ways."`
 }
 
--- /dev/null
+++ b/cmd/elderwall-operator/memoryplay.go
@@ -0,0 +1,444 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"elderwall/emulate"
+	"elderwall/fleet/channels"
+	"elderwall/fleet/replica"
+	"elderwall/internal/chart"
+)
+
+// memoryPlayCommand plays what dispatchers remember together, with no sockets.
+type memoryPlayCommand struct {
+	What        []string `default:"writes,heal,catchup,record,copies,variants,channels" help:"What is played."`
+	Members     []int    `default:"3,30,300" help:"Sizes of the fleet, of writes, heal and copies; 1,000 takes minutes."`
+	Records     int      `default:"100000" help:"Records that there are, of catchup, record and copies."`
+	Differ      []int    `default:"10,100,1000,10000" help:"Records that differ, of catchup."`
+	Writes      float64  `default:"10" help:"Writes a second of the whole fleet, of writes and heal."`
+	Loss        float64  `help:"Share of datagrams that are lost, of writes and heal."`
+	Ways        []string `default:"keys by class,one key,each alone,fleet,presume,ideal" help:"Of variants."`
+	Dispatchers int      `default:"300" help:"Of variants."`
+	Cases       []string `default:"calm,changes,silent,new objects,two witnesses,cut" help:"Of variants."`
+	Processes   []int    `default:"3,30" help:"Sizes of the fleet, of channels."`
+	Readers     []int    `default:"10,100,1000" help:"Of channels."`
+	Seed        uint64   `default:"1" help:"Of chance."`
+	Charts      string   `help:"Where charts go, as SVG." type:"path" placeholder:"FOLDER"`
+	JSON        string   `help:"Where the results go as JSON." type:"path" placeholder:"FILE"`
+}
+
+// Run plays all of them, and prints a table of each.
+func (c *memoryPlayCommand) Run() error {
+	all := map[string]any{}
+	for _, what := range c.What {
+		play, ok := map[string]func() (any, error){"writes": c.writes, "heal": c.heal, "catchup": c.catchup, "record": c.record, "copies": c.copies,
+			"variants": c.variants, "channels": c.channels}[what]
+		if !ok {
+			return fmt.Errorf("nothing is called %q", what)
+		}
+		result, err := play()
+		if err != nil {
+			return fmt.Errorf("%s: %w", what, err)
+		}
+		all[what] = result
+	}
+	return writeResults(c.JSON, all)
+}
+
+// sizeOf is what a message takes on its way, without seals.
+func sizeOf(m *replica.Message) int {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return 0 // the machines' messages are all of plain fields
+	}
+	return len(b)
+}
+
+// sheet prints a table in Markdown.
+type sheet struct{ *tabwriter.Writer }
+
+func newSheet(title string, columns ...any) sheet {
+	fmt.Println(title)
+	s := sheet{tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)}
+	s.row(columns...)
+	line := make([]any, len(columns))
+	for i := range line {
+		line[i] = "---"
+	}
+	s.row(line...)
+	return s
+}
+
+func (s sheet) row(cells ...any) {
+	for _, c := range cells {
+		if f, ok := c.(float64); ok {
+			c = fmt.Sprintf("%.4g", f)
+		}
+		fmt.Fprintf(s, "| %v\t", c)
+	}
+	fmt.Fprintln(s, "|")
+}
+
+func (s sheet) end() { _ = s.Flush(); fmt.Println() }
+
+// part is the value at a share of a sorted list.
+func part(l []float64, share float64) float64 {
+	if len(l) == 0 {
+		return 0
+	}
+	return l[min(int(share*float64(len(l))), len(l)-1)]
+}
+
+func (c *memoryPlayCommand) draw(name, title string, x, y chart.Axis, all []chart.Series) error {
+	if c.Charts == "" {
+		return nil
+	}
+	return chart.Lines(filepath.Join(c.Charts, name+".svg"), title, x, y, all)
+}
+
+// together plays so many at once, each by itself; it gives the first error.
+func together(n int, play func(i int) error) error {
+	var all sync.WaitGroup
+	room, errs := make(chan struct{}, max(1, runtime.NumCPU()/2)), make([]error, n)
+	for i := range n {
+		all.Go(func() {
+			room <- struct{}{}
+			errs[i] = play(i)
+			<-room
+		})
+	}
+	all.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *memoryPlayCommand) fleet(n int) emulate.MemoryScenario {
+	s := emulate.MemoryDefault()
+	s.Seed, s.Members, s.Writes, s.Loss, s.Size, s.Checks = c.Seed, n, c.Writes, c.Loss, sizeOf, n < 1000
+	if s.Span = 60; n >= 1000 {
+		s.Span = 30
+	}
+	return s
+}
+
+func (c *memoryPlayCommand) writes() (any, error) {
+	all := make([]*emulate.MemoryResult, len(c.Members))
+	if err := together(len(all), func(i int) (err error) {
+		all[i], err = emulate.RunMemory(c.fleet(c.Members[i]))
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	t := newSheet(fmt.Sprintf("simulated: %g writes/s of 100 bytes, all members together", c.Writes), "members", "idle bytes/s", "bytes/s a member", "busiest", "messages/s", "two have it ms", "99% ms",
+		"most ms", "99% ms", "all s", "99% s", "as sure as wanted", "not", "faults")
+	course := chart.Series{Name: "with writes"}
+	idle := chart.Series{Name: "idle"}
+	for i, r := range all {
+		t.row(r.Members, r.Calm, r.Bytes, r.Busiest, r.Messages, 1000*part(r.Two, 0.5), 1000*part(r.Two, 0.99), 1000*part(r.Most, 0.5), 1000*part(r.Most, 0.99), part(r.All, 0.5),
+			part(r.All, 0.99), r.Met, r.Fell, len(r.Faults))
+		course.X, course.Y = append(course.X, float64(c.Members[i])), append(course.Y, r.Bytes)
+		idle.X, idle.Y = append(idle.X, float64(c.Members[i])), append(idle.Y, r.Calm)
+	}
+	t.end()
+	return all, c.draw("memory-bytes", fmt.Sprintf("What a member sends: %g writes/s of 100 bytes in all (simulated)", c.Writes), chart.Axis{Name: "members", Log: true},
+		chart.Axis{Name: "bytes/s"}, []chart.Series{course, idle})
+}
+
+func (c *memoryPlayCommand) heal() (any, error) {
+	type played struct {
+		Kind string
+		*emulate.MemoryResult
+	}
+	kinds := []string{"half cut off", "a tenth ends, disks kept", "a tenth ends, disks emptied", "a tenth ends, older disks"}
+	all := make([]played, len(c.Members)*len(kinds))
+	if err := together(len(all), func(i int) error {
+		s := c.fleet(c.Members[i/len(kinds)])
+		n := max(1, s.Members/10)
+		s.Span = 25
+		s.Troubles = []emulate.MemberTrouble{[]emulate.MemberTrouble{{Kind: emulate.Cut, At: 5, For: 20, Number: s.Members / 2}, {Kind: emulate.Die, At: 5, For: 20, Number: n},
+			{Kind: emulate.Emptied, At: 5, For: 20, Number: n}, {Kind: emulate.Older, At: 5, For: 20, Number: n}}[i%len(kinds)]}
+		r, err := emulate.RunMemory(s)
+		all[i] = played{kinds[i%len(kinds)], r}
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	t := newSheet(fmt.Sprintf("simulated: 20 s of trouble, %g writes/s go on in all parts; it is known to have ended after 5 s", c.Writes), "trouble", "members", "all agree after s", "KB sent by all till then",
+		"walks", "whole snapshots", "set aside", "lost", "faults")
+	for _, r := range all {
+		t.row(r.Kind, r.Members, r.Agree, float64(r.CatchAll)/1000, r.Walks, r.Wholes, r.Aside, r.Lost, len(r.Faults))
+	}
+	t.end()
+	return all, nil
+}
+
+func (c *memoryPlayCommand) catchup() (any, error) {
+	type played struct {
+		Way    string
+		Differ int
+		*emulate.MemoryResult
+	}
+	ways := []string{"deltas", "digests", "whole"}
+	all := make([]played, len(c.Differ)*len(ways))
+	if err := together(len(all), func(i int) error {
+		s := c.fleet(3)
+		s.Records, s.Writes, s.Span, s.Quiet, s.Knows, s.Settle, s.Checks, s.Fresh = c.Records, 0, 1, float64(c.Differ[i/len(ways)]), 1, 300, false, 0
+		s.Sure = replica.Sure{}
+		s.Troubles = []emulate.MemberTrouble{{Kind: emulate.Cut, At: 1, For: 30, Number: 1}}
+		switch ways[i%len(ways)] {
+		case "digests": // all start anew, and know no deltas
+			s.Troubles = append(s.Troubles, emulate.MemberTrouble{Kind: emulate.Die, At: 20, For: 2, Share: 1})
+		case "whole":
+			s.Troubles[0].Kind = emulate.Emptied
+		}
+		r, err := emulate.RunMemory(s)
+		all[i] = played{ways[i%len(ways)], c.Differ[i/len(ways)], r}
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	t := newSheet(fmt.Sprintf("simulated: catching up by one of three, %d records of 100 bytes; known to be back after 1 s", c.Records), "by", "differ", "KB sent by all", "bytes by what differs", "all agree after s",
+		"walks", "whole snapshots", "faults")
+	lines := make([]chart.Series, len(ways))
+	for i, r := range all {
+		n := float64(max(1, r.Written))
+		t.row(r.Way, r.Written, float64(r.CatchAll)/1000, float64(r.CatchAll)/n, r.Agree, r.Walks, r.Wholes, len(r.Faults))
+		l := &lines[i%len(ways)]
+		l.Name, l.X, l.Y = r.Way, append(l.X, n), append(l.Y, float64(max(1, r.CatchAll))/1000)
+	}
+	t.end()
+	return all, c.draw("memory-catchup", fmt.Sprintf("Catching up, of %d records (simulated)", c.Records), chart.Axis{Name: "records that differ", Log: true},
+		chart.Axis{Name: "KB", Log: true}, lines)
+}
+
+// record measures what a record takes in memory, of a machine of this process.
+func (c *memoryPlayCommand) record() (any, error) {
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	t := newSheet("memory by record, measured in this process", "records", "bytes of key and value", "bytes a record", "beyond key and value")
+	var all []map[string]float64
+	for _, n := range []int{c.Records / 10, c.Records} {
+		for _, size := range []int{20, 100} {
+			before := heap()
+			saved := &replica.Saved{Era: 1, Vector: replica.Vector{{Writer: "n0", Era: 1, Number: uint64(n)}}}
+			for i := range n {
+				saved.Records = append(saved.Records, replica.Carried{Record: replica.Record{Kind: 1, Key: fmt.Sprintf("k%07d", i), Value: make([]byte, size),
+					Dot: replica.Dot{Writer: "n0", Era: 1, Number: uint64(i + 1)}}})
+			}
+			m, err := replica.New(replica.Settings{Name: "n1", Kinds: []replica.Kind{{ID: 1, Name: "played", Records: 2 * n, Bytes: 1 << 30, Longest: 1000, Law: func(a, b []byte) int { return 0 }}}},
+				saved, 0)
+			if err != nil {
+				return nil, fmt.Errorf("record: %w", err)
+			}
+			saved = nil
+			took := float64(heap()-before) / float64(n)
+			t.row(n, size+8, took, took-float64(size+8))
+			all = append(all, map[string]float64{"records": float64(n), "bytes": float64(size + 8), "took": took})
+			runtime.KeepAlive(m)
+		}
+	}
+	t.end()
+	return all, nil
+}
+
+func (c *memoryPlayCommand) copies() (any, error) {
+	type played struct {
+		Members, Copies int
+		Reads           float64
+		Calm, Dead, Cut *emulate.CopiesResult
+	}
+	var all []played
+	t := newSheet(fmt.Sprintf("simulated: %d records of 130 bytes, %g writes/s: k copies by the shared order, a simulation of placement and questions", c.Records, c.Writes), "members", "copies", "reads/s a member", "bytes/s a member",
+		"MB of records at one", "read here", "ms to read", "99% ms", "99%, a tenth just ended", "unread then", "unread by half in a cut", "MB moved by one's end")
+	for _, n := range c.Members {
+		for _, k := range slices.Compact([]int{3, n}) {
+			for _, reads := range []float64{10, 1000} {
+				s := emulate.CopiesScenario{Seed: c.Seed, Members: n, Copies: k, Records: c.Records, Bytes: 130, Question: 60, Writes: c.Writes, Reads: reads, Delay: 0.002, Patience: 0.1,
+					Samples: 20_000 / max(1, k/30)}
+				p := played{Members: n, Copies: k, Reads: reads}
+				var err error
+				for _, x := range []struct {
+					to        **emulate.CopiesResult
+					dead, cut float64
+				}{{&p.Calm, 0, 0}, {&p.Dead, 0.1, 0}, {&p.Cut, 0, 0.5}} {
+					if s.Dead, s.Cut = x.dead, x.cut; err == nil {
+						*x.to, err = emulate.RunCopies(s)
+					}
+				}
+				if err != nil {
+					return nil, err
+				}
+				all = append(all, p)
+				name := fmt.Sprint(k)
+				if k == n {
+					name = "all"
+				}
+				t.row(n, name, reads, p.Calm.Bytes, p.Calm.Memory/1e6, p.Calm.Local, 1000*p.Calm.Mean, 1000*p.Calm.P99, 1000*p.Dead.P99, p.Dead.Unread, p.Cut.Unread, p.Calm.Moved/1e6)
+			}
+		}
+	}
+	t.end()
+	return all, nil
+}
+
+// variantCases is what may happen to variants.
+var variantCases = map[string]func(*emulate.VariantsScenario){
+	"calm":          func(s *emulate.VariantsScenario) { s.Changes = 0.1 },
+	"changes":       func(s *emulate.VariantsScenario) { s.Changes, s.One = 10, 1 },
+	"silent":        func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Silent = 5, 1, 1 },
+	"new objects":   func(s *emulate.VariantsScenario) { s.Fresh = 20 },
+	"two witnesses": func(s *emulate.VariantsScenario) { s.Witnesses = 2 },
+	"cut":           func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Cut, s.CutFor = 10, 1, 30, 60 },
+}
+
+func (c *memoryPlayCommand) variants() (any, error) {
+	type played struct {
+		Case, Way string
+		*emulate.VariantsResult
+	}
+	all := make([]played, len(c.Cases)*len(c.Ways))
+	if err := together(len(all), func(i int) error {
+		name := c.Cases[i/len(c.Ways)]
+		change, ok := variantCases[name]
+		if !ok {
+			return fmt.Errorf("no case %q", name)
+		}
+		s := emulate.VariantsDefault()
+		s.Seed, s.Dispatchers, s.Way = c.Seed, c.Dispatchers, c.Ways[i%len(c.Ways)]
+		change(&s)
+		r, err := emulate.RunVariants(s)
+		all[i] = played{name, s.Way, r}
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	t := newSheet(fmt.Sprintf("simulated: %d dispatchers, 100 hosts, 5 classes", c.Dispatchers), "case", "way", "hits", "missed/s", "of the ideal's saving", "fills/s", "shed", "revenue", "copies", "spare copies", "sent again",
+		"checks", "wrong", "older", "facts/s")
+	for i, r := range all {
+		same := all[i/len(c.Ways)*len(c.Ways):][:len(c.Ways)]
+		find := func(way string) float64 {
+			if at := slices.IndexFunc(same, func(p played) bool { return p.Way == way }); at >= 0 {
+				return same[at].Missed
+			}
+			return 0
+		}
+		saved := (find(emulate.ByClass) - r.Missed) / max(1e-9, find(emulate.ByClass)-find(emulate.Knowing))
+		t.row(r.Case, r.Way, r.Hits, r.Missed, saved, r.Fills, r.Shed, r.Revenue, r.Copies, r.Spare, r.Again, r.Checked, r.Wrong, r.Older, r.Facts)
+	}
+	t.end()
+	for i, name := range c.Cases {
+		var lines []chart.Series
+		for _, r := range all[i*len(c.Ways):][:len(c.Ways)] {
+			l := chart.Series{Name: r.Way}
+			for at := 0; at+10 <= len(r.Course); at += 10 { // by tens of seconds
+				sum := 0.0
+				for _, y := range r.Course[at : at+10] {
+					sum += y / 10
+				}
+				l.X, l.Y = append(l.X, float64(at)), append(l.Y, sum)
+			}
+			lines = append(lines, l)
+		}
+		if name == "calm" || name == "new objects" {
+			if err := c.draw("variants-"+map[string]string{"calm": "calm", "new objects": "new"}[name], fmt.Sprintf("%s: %d dispatchers, fills at the origin (simulated)", name, c.Dispatchers),
+				chart.Axis{Name: "s"}, chart.Axis{Name: "fills/s"}, lines); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return all, nil
+}
+
+// channelCases is what may happen to channels.
+var channelCases = []struct {
+	name   string
+	change func(*emulate.ChannelsScenario)
+}{
+	{"calm", func(*emulate.ChannelsScenario) {}},
+	{"readers move each 2 s", func(s *emulate.ChannelsScenario) { s.Moves = 2 }},
+	{"a third ends for 8 s", func(s *emulate.ChannelsScenario) {
+		s.Troubles = []emulate.MemberTrouble{{Kind: emulate.Die, At: 8, For: 8, Number: max(1, s.Members/3)}}
+	}},
+	{"a third cut off for 8 s", func(s *emulate.ChannelsScenario) {
+		s.Troubles = []emulate.MemberTrouble{{Kind: emulate.Cut, At: 8, For: 8, Number: max(1, s.Members/3)}}
+	}},
+}
+
+func (c *memoryPlayCommand) channels() (any, error) {
+	type played struct {
+		Case    string
+		Order   string
+		Members int
+		Readers int
+		*emulate.ChannelsResult
+	}
+	var plans []emulate.ChannelsScenario
+	var all []played
+	for _, n := range c.Processes {
+		for _, readers := range c.Readers {
+			for _, x := range channelCases {
+				for order := channels.Latest; order <= channels.Total; order++ {
+					s := emulate.ChannelsDefault()
+					s.Seed, s.Members, s.Readers, s.Order = c.Seed, n, readers, order
+					x.change(&s)
+					plans, all = append(plans, s), append(all, played{Case: x.name, Order: order.String(), Members: n, Readers: readers})
+				}
+			}
+		}
+	}
+	if err := together(len(plans), func(i int) (err error) {
+		all[i].ChannelsResult, err = emulate.RunChannels(plans[i])
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	t := newSheet("simulated: 20 entries/s of ten writers, lateness from the writer's wish to each reader", "processes", "readers", "case", "order", "shown/s", "median ms", "99% ms", "latest s", "acknowledged", "unseen", "wrong",
+		"to come later", "all back after s")
+	for _, r := range all {
+		t.row(r.Members, r.Readers, r.Case, r.Order, float64(r.Shown)/30, 1000*part(r.Late, 0.5), 1000*part(r.Late, 0.99), part(r.Late, 1), r.Acked, r.Unseen, r.Broken, r.Waited, r.Back)
+	}
+	t.end()
+	for _, x := range channelCases[2:] {
+		var lines []chart.Series
+		for _, r := range all {
+			if r.Case != x.name || r.Members != c.Processes[len(c.Processes)-1] || r.Readers != c.Readers[0] {
+				continue
+			}
+			l := chart.Series{Name: r.Order}
+			for at, late := range r.Course {
+				if len(late) > 0 {
+					l.X, l.Y = append(l.X, float64(at)), append(l.Y, max(0.001, part(late, 0.99)))
+				}
+			}
+			lines = append(lines, l)
+		}
+		name := "channels-kill"
+		if x.name == channelCases[3].name {
+			name = "channels-cut"
+		}
+		if err := c.draw(name, x.name+": 99 in 100 shown within (simulated)", chart.Axis{Name: "s, when there to be written"}, chart.Axis{Name: "s", Log: true}, lines); err != nil {
+			return nil, err
+		}
+	}
+	for i := range all {
+		all[i].Late, all[i].Course = nil, nil
+	}
+	return all, nil
+}
--- a/emulate/copies.go
+++ b/emulate/copies.go
@@ -67,7 +67,9 @@
 	}
 	scale := float64(s.Records) / float64(sampled) * float64(s.Bytes)
 	r.Memory, r.Fullest = float64(k)/float64(s.Members)*float64(s.Records*s.Bytes), float64(slices.Max(held))*scale
-	r.Moved = r.Memory // whatever one held goes to others
+	if k < s.Members {
+		r.Moved = r.Memory // whatever one held goes to others
+	}
 	dead := make([]bool, s.Members)
 	for i := range dead {
 		dead[i] = chance.Float64() < s.Dead
--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -66,6 +66,7 @@
 	Two      []float64 // s from a write until a second member held it
 	Most     []float64 // more than half
 	All      []float64 // all that were there
+	Written  int       // writes that were taken
 	Met      int       // outcomes as sure as wanted
 	Fell     int
 	Refused  map[string]int // writes that were refused, by error
