--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -204,6 +204,7 @@
 		return 0, ErrFull
 	}
 	c.queue = append(c.queue, e)
+	m.order(now, e.Channel, c) // at once, if no command is on its way: what comes meanwhile goes with the next
 	return OnWay, nil
 }
 
