--- a/emulate/channels.go
+++ b/emulate/channels.go
@@ -531,6 +531,11 @@
 		state, err := m.channels.Write(w.now, e)
 		if err != nil {
 			w.out.Refusals[err.Error()]++
+			w.act(w.Patience/20, func() { // what it waits for may come in a moment
+				if x.sent == turn && len(x.queue) > 0 && x.queue[0].Number == e.Number {
+					w.write(x)
+				}
+			})
 		} else if state == channels.Elsewhere {
 			w.act(w.delay(), func() {
 				if h := w.holder; h != nil && h.up && h.side == m.side {
--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -253,7 +253,9 @@
 	purge := o.purge
 	for i, k := range w.all {
 		w.acts.Add(w.now+w.PurgeDelay*w.chance.ExpFloat64(), func() {
-			w.heard[i][o.index] = max(w.heard[i][o.index], purge)
+			if w.items[o.index] == o {
+				w.heard[i][o.index] = max(w.heard[i][o.index], purge)
+			}
 			if k != nil {
 				k.purged(w.now, o, purge)
 			}
