--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -106,7 +106,7 @@
 	service int
 	purge   uint64
 	states  [][]uint64
-	floors  []int // by purge: the state at which it came
+	floors  map[uint64]int // by purge: the state at which it came
 }
 
 // copyOf is an answer as a host holds it.
@@ -135,6 +135,7 @@
 	all    []keys
 	heard  [][]uint64 // by dispatcher and item: the highest purge
 	next   uint64
+	purges uint64
 	room   float64 // of the origin, as a bucket
 	roomAt float64
 	out    *VariantsResult
@@ -199,7 +200,7 @@
 	if w.OfOneService {
 		service = named
 	}
-	o := &item{index: place, id: order.Mix(w.next), service: service, floors: []int{0}}
+	o := &item{index: place, id: order.Mix(w.next), service: service, floors: map[uint64]int{}}
 	same := w.Same
 	if w.chance.Float64() < w.Odd {
 		same = make([]int, len(w.Same))
@@ -243,8 +244,9 @@
 
 // purge empties the hosts of an object at once; dispatchers hear of it one by one.
 func (w *variantsWorld) purge(o *item) {
-	o.purge++
-	o.floors = append(o.floors, len(o.states)-1)
+	w.purges++ // numbers are of one log, for all objects
+	o.purge = w.purges
+	o.floors[o.purge] = len(o.states) - 1
 	for c := range w.Same {
 		for _, h := range w.hosts {
 			h.Remove(hostKey{o.id, c})
