replica: who is back is asked next

A member asks all others in turn, one an interval, and what a cut had kept apart came up only when the turn of the own part was over: at 120 members all agreed 34 s after a cut had ended, at 300 not within 120 s.

--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -195,9 +195,18 @@
 	m.fleet = f
 	m.fleet.Others = slices.DeleteFunc(slices.Clone(f.Others), func(o Member) bool { return o.Name == m.s.Name })
 	slices.SortFunc(m.fleet.Others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	was := m.byName
 	m.byName = make(map[string]Member, len(f.Others))
+	var back []string
 	for _, o := range m.fleet.Others {
 		m.byName[o.Name] = o
+		if o.Alive && !was[o.Name].Alive {
+			back = append(back, o.Name)
+		}
+	}
+	if len(m.round) > 0 && len(back) > 0 { // who is back is asked next: what a cut kept apart meets at once, not after a round of the own part
+		m.chance.Shuffle(len(back), func(i, j int) { back[i], back[j] = back[j], back[i] })
+		m.round = append(back, slices.DeleteFunc(m.round, func(n string) bool { return slices.Contains(back, n) })...)
 	}
 	if !m.heard {
 		m.due = m.now
