--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -8,21 +8,26 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"elderwall/fleet/budgets"
+	"elderwall/fleet/floors"
 	"elderwall/internal/certs"
+	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/extproc"
 	"elderwall/internal/fleet"
+	"elderwall/internal/front"
 	"elderwall/internal/gate"
 	"elderwall/internal/node"
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
+	"elderwall/internal/variants"
 	"elderwall/retries"
 )
 
@@ -36,6 +41,9 @@
 	secure   certs.Listener
 	proxies  certs.Listener
 	fleet    atomic.Pointer[fleet.Fleet] // nil where the dispatcher is by itself, and before it is opened
+	purged   func(floors.Floor)          // takes what others learned of purges; nil where the fleet remembers nothing
+	gone     float64                     // s after which a purge needs no memory
+	variants *variants.Stage             // nil where none are declared
 	cores    int                         // that the command line says, before the file; 0 where it says none
 }
 
@@ -127,6 +135,23 @@
 	return func() node.Bounder { return &bounder{of: e} }
 }
 
+// Changes has purges that the change log tells remembered by the fleet, and those that others tell taken here: they only narrow.
+func (e *Extras) Changes(take func(changelog.Event), gone float64) func(changelog.Event) {
+	if e.told.Fleet == nil || e.told.Fleet.Memory == nil {
+		return take
+	}
+	e.purged = func(p floors.Floor) {
+		take(changelog.Event{Purge: &changelog.Purge{Object: p.Object, Group: p.Group, Time: p.Time}})
+	}
+	e.gone = gone
+	return func(c changelog.Event) {
+		take(c)
+		if f := e.fleet.Load(); f != nil && c.Purge != nil {
+			f.Purged(floors.Floor{Object: c.Purge.Object, Group: c.Purge.Group, Time: c.Purge.Time})
+		}
+	}
+}
+
 // bounder is one module's part, once the fleet is opened.
 type bounder struct {
 	of *Extras
@@ -156,6 +181,22 @@
 	return b.Bounded != nil
 }
 
+// Variants makes the stage that names the variant of an object that a GET is sent for.
+func (e *Extras) Variants() (node.Variants, front.Devices, error) {
+	t := e.told.Variants
+	if t == nil {
+		return nil, front.Devices{}, nil
+	}
+	s := t.Settings
+	s.Module.Self = e.name
+	stage, err := variants.New(s)
+	if err != nil {
+		return nil, front.Devices{}, err
+	}
+	e.variants = stage
+	return stage, t.Devices, nil
+}
+
 // Beside opens the front for proxies that ask, and the door to the other dispatchers.
 func (e *Extras) Beside(to service.Handling) (all []service.Beside, err error) {
 	if t := e.told.Fleet; t != nil {
@@ -167,6 +208,9 @@
 		}
 		f.GETs = func() (gets, shed int64) { return to.Counts.GETs.Load(), to.Counts.Shed.Load() }
 		f.Counters = func() map[string]int64 { return to.Counts.Each() }
+		if e.purged != nil {
+			f.TakePurges(e.purged, e.gone)
+		}
 		e.fleet.Store(f)
 		all = append(all, f)
 	}
@@ -200,7 +244,7 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, and the fleet are turned on, off or moved by a restart alone")
+var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, the fleet, its memory and variants are turned on, off or moved by a restart alone")
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -217,8 +261,9 @@
 	was := e.told
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
-		(was.Fleet == nil) != (to.Fleet == nil) ||
-		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
+		(was.Fleet == nil) != (to.Fleet == nil) || !reflect.DeepEqual(was.Variants, to.Variants) ||
+		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) ||
+			was.Fleet.Memory != nil && *was.Fleet.Memory != *to.Fleet.Memory || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
 	}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -6,8 +6,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"elderwall/control"
 )
 
@@ -56,9 +59,26 @@
 	Cut    bool // there was no room for the body, which was drained
 }
 
+// Proofs are hashes of what tells whether the contents of two answers are the same; 0 for what is not told.
+type Proofs struct {
+	Tag     uint64 // of the copy
+	Digest  uint64 // that the origin gave (RFC 9530, Repr-Digest)
+	Version uint64 // that the origin gave, as a number
+}
+
+// Hash is that of a proof's text; 0 for none.
+func Hash(text []byte) uint64 {
+	if len(text) == 0 {
+		return 0
+	}
+	return max(1, xxhash.Sum64(text))
+}
+
 // Reader cuts a stream of bytes into answers.
 type Reader struct {
-	Room func(n int) bool // asked before a body takes memory
+	Room   func(n int) bool // asked before a body takes memory
+	Keep   bool             // keep Proofs
+	Proofs Proofs           // of the answer that Next gave last
 
 	buf        []byte
 	start, end int
@@ -202,7 +222,7 @@
 	if len(parts) != 4 {
 		return 0, errors.New("not four words")
 	}
-	if err := r.head.fields(parts[2]); err != nil {
+	if err := r.fields(parts[2]); err != nil {
 		return 0, err
 	}
 	size, err := strconv.ParseUint(string(parts[3]), 10, 32)
@@ -212,7 +232,9 @@
 	return int(size), nil
 }
 
-func (a *Answer) fields(list []byte) error {
+func (r *Reader) fields(list []byte) error {
+	a := &r.head
+	r.Proofs = Proofs{}
 	if string(list) == "-" {
 		return nil
 	}
@@ -226,6 +248,17 @@
 			if a.Word == Valid {
 				a.Tag = string(value)
 			}
+			if r.Keep {
+				r.Proofs.Tag = Hash(value)
+			}
+		case "digest":
+			if r.Keep {
+				r.Proofs.Digest = Hash(value)
+			}
+		case "version":
+			if r.Keep {
+				r.Proofs.Version, _ = strconv.ParseUint(string(value), 10, 64)
+			}
 		case "detail":
 			a.Note = notes[string(value)]
 		case "fill":
@@ -247,8 +280,14 @@
 	Join, HeldOnly, Renew     bool
 	Tag                       string // of the client's copy, "" for none
 	Body                      []byte
+	Variant                   string // field and value that name the variant that is wanted, "" for none
 }
 
+// Known tells whether a field of a request has a meaning of its own.
+func Known(field string) bool { return slices.Contains(fields, field) }
+
+var fields = []string{"queue", "path", "blk", "budget", "up", "store", "cap", "do", "inm"}
+
 // AppendHead writes the line of the request behind b; its body and a line end follow.
 func (q Request) AppendHead(b []byte) []byte {
 	b = append(append(b, "REQ "...), q.ID...)
@@ -266,6 +305,9 @@
 		b = strconv.AppendInt(append(b, ",cap="...), q.MaxAge, 10)
 	}
 	b = q.appendHow(b)
+	if q.Variant != "" {
+		b = append(append(b, ','), q.Variant...)
+	}
 	if q.Tag != "" {
 		b = append(append(b, ",inm="...), q.Tag...)
 	}
