--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -197,16 +197,13 @@
 	slices.SortFunc(m.fleet.Others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	was := m.byName
 	m.byName = make(map[string]Member, len(f.Others))
-	var back []string
+	back := false
 	for _, o := range m.fleet.Others {
 		m.byName[o.Name] = o
-		if o.Alive && !was[o.Name].Alive {
-			back = append(back, o.Name)
-		}
+		back = back || o.Alive && !was[o.Name].Alive
 	}
-	if len(m.round) > 0 && len(back) > 0 { // who is back is asked next: what a cut kept apart meets at once, not after a round of the own part
-		m.chance.Shuffle(len(back), func(i, j int) { back[i], back[j] = back[j], back[i] })
-		m.round = append(back, slices.DeleteFunc(m.round, func(n string) bool { return slices.Contains(back, n) })...)
+	if back { // the turn begins anew: what a cut kept apart meets at once, not after a turn of the own part
+		m.round = nil
 	}
 	if !m.heard {
 		m.due = m.now
