--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -196,9 +196,14 @@
 	m.fleet = f
 	m.fleet.Others = slices.DeleteFunc(slices.Clone(f.Others), func(o Member) bool { return o.Name == m.s.Name })
 	slices.SortFunc(m.fleet.Others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	was, back := m.byName, false
 	m.byName = make(map[string]Member, len(f.Others))
 	for _, o := range m.fleet.Others {
 		m.byName[o.Name] = o
+		back = back || o.Alive && !was[o.Name].Alive
+	}
+	if back { // the turn begins anew: what a cut kept apart meets at once, not after a turn of the own part
+		m.round = nil
 	}
 	if !m.heard {
 		m.due = m.now
