--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -139,6 +139,7 @@
 	stat    struct{ pulled, pulls, wholes, walks, bad uint64 }
 	scratch []byte
 	held    *Save // of the fault
+	unkept  bool
 
 	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule bool } // put in by tests
 }
@@ -227,6 +228,8 @@
 		return Dot{}, ErrKind
 	case key == "" || len(key)+len(value) > s.Longest:
 		return Dot{}, ErrLong
+	case m.unkept:
+		return Dot{}, ErrUnkept
 	case !m.writes():
 		return Dot{}, ErrCatches
 	case sure.Level == Majority && !m.fleet.Decides:
--- a/fleet/replica/message.go
+++ b/fleet/replica/message.go
@@ -34,6 +34,7 @@
 	Live   uint64 `cbor:"2,keyasint,omitempty"` // sum of what stands: with equal vectors it is to be equal
 	Answer bool   `cbor:"3,keyasint,omitempty"` // it answers one: no other is sent back
 	Below  bool   `cbor:"4,keyasint,omitempty"` // deltas do not reach the receiver any more: it is to pull
+	Unkept bool   `cbor:"5,keyasint,omitempty"` // some of Vector is not on the sender's disk: it acknowledges nothing
 }
 
 // Range is a part of the space of hashes of keys: all that begin with the upper Depth times four bits of Prefix.
@@ -62,8 +63,9 @@
 	Records []Carried `cbor:"5,keyasint,omitempty"`
 	Keys    []uint64  `cbor:"6,keyasint,omitempty"` // of Pull.Keys, those that Records answers; the rest is to be asked again
 	Whole   bool      `cbor:"7,keyasint,omitempty"`
-	Next    uint64    `cbor:"8,keyasint,omitempty"` // the piece holds all from After up to before it
-	Done    bool      `cbor:"9,keyasint,omitempty"` // or to the end
+	Next    uint64    `cbor:"8,keyasint,omitempty"`  // the piece holds all from After up to before it
+	Done    bool      `cbor:"9,keyasint,omitempty"`  // or to the end
+	Unkept  bool      `cbor:"10,keyasint,omitempty"` // as an Ask's
 }
 
 // Sums are those of the sixteen children of a range, with how many records each has.
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -140,7 +140,7 @@
 	g := &Give{ID: p.ID}
 	used := 0
 	if p.Vector {
-		g.Vector = m.vec.list()
+		g.Vector, g.Unkept = m.vec.list(), m.unkept
 		used += vectorBytes(g.Vector)
 	}
 	for _, r := range p.Sums {
@@ -204,7 +204,7 @@
 	p.asked, p.tries = nil, 0
 	if asked.Vector {
 		p.base = load(g.Vector)
-		m.hear(from, p.base, lacks)
+		m.hear(from, p.base, lacks, !g.Unkept)
 		if p.joint == nil {
 			p.joint = load(g.Vector)
 		} else {
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -149,7 +149,7 @@
 // ask tells a member what is here, and asks for what lacks.
 func (m *Machine) ask(to string) {
 	v := m.vec.list()
-	m.send(to, Message{Ask: &Ask{Vector: v, Live: m.tree.live}}, vectorBytes(v))
+	m.send(to, Message{Ask: &Ask{Vector: v, Live: m.tree.live, Unkept: m.unkept}}, vectorBytes(v))
 }
 
 func vectorBytes(v Vector) (n int) {
@@ -248,7 +248,7 @@
 		return
 	}
 	theirs := load(a.Vector)
-	m.hear(from, theirs, lacks)
+	m.hear(from, theirs, lacks, !a.Unkept)
 	var msg Message
 	room, used, below := fillStream, 0, false
 	for _, e := range m.vec.list() {
@@ -270,7 +270,7 @@
 	if !a.Answer {
 		v := m.vec.list()
 		used += vectorBytes(v)
-		msg.Ask = &Ask{Vector: v, Live: m.tree.live, Answer: true, Below: below}
+		msg.Ask = &Ask{Vector: v, Live: m.tree.live, Answer: true, Below: below, Unkept: m.unkept}
 	} else if below {
 		msg.Ask = &Ask{Answer: true, Below: true}
 	}
@@ -292,13 +292,15 @@
 	}
 }
 
-// hear books a vector, which its sender has on its disk.
-func (m *Machine) hear(from string, v vector, lacks []uint8) {
+// hear books a vector, which its sender has on its disk where it is kept.
+func (m *Machine) hear(from string, v vector, lacks []uint8, kept bool) {
 	m.heard, m.heardAt = true, m.now
 	if w := v[m.s.Name]; w != nil {
 		for _, k := range w.marks {
 			m.own(k.era, k.number)
-			m.acked(from, k.era, k.number, lacks)
+			if kept {
+				m.acked(from, k.era, k.number, lacks)
+			}
 		}
 	}
 	m.behind = 0
@@ -312,7 +314,7 @@
 	if m.check == nil {
 		return
 	}
-	if v.reaches(m.check) {
+	if kept && v.reaches(m.check) {
 		m.checked[from] = true
 	}
 	// Guards against folding an era whose last numbers a counted member has and this one lacks.
@@ -507,6 +509,18 @@
 	m.graves = kept
 }
 
+// Unkept tells whether the disk lags behind: a Save failed, and is still owed. Until all is kept, others' news is taken and passed on, nothing
+// is acknowledged, and no write is taken. What a Ready whose Save failed had to send is not to be sent. Writes that are open end as not met.
+func (m *Machine) Unkept(unkept bool) {
+	if unkept && !m.unkept {
+		for _, p := range m.pending {
+			m.outs = append(m.outs, Outcome{Dot: p.dot})
+		}
+		m.pending, m.out = nil, nil // what waits to be sent tells what is not kept
+	}
+	m.unkept = unkept
+}
+
 // Ready takes what is to be done. The driver keeps Save before it sends or tells anything else of it; Steps may go on meanwhile, and what they
 // bring is taken together the next time.
 func (m *Machine) Ready() (r Ready) {
@@ -571,7 +585,7 @@
 				}
 			}
 			slices.SortFunc(acks, func(a, b Entry) int { return int(a.Era) - int(b.Era) })
-			if len(acks) > 0 {
+			if len(acks) > 0 && !m.unkept {
 				m.send(w, Message{Acks: acks}, 0)
 			}
 		}
--- a/fleet/replica/table.go
+++ b/fleet/replica/table.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// Scan goes through what stands of a kind by the hash of the key, from a place on: so many records of any kind at least, and more only to the
+// end of a leaf. It gives the next place; 0 at the end.
+func (m *Machine) Scan(kind uint8, from uint64, most int, f func(Record)) (next uint64) {
+	const shift = 64 - 4*leafDepth
+	for i := from >> shift; i < leaves; i++ {
+		if most <= 0 {
+			return i << shift
+		}
+		for _, e := range m.tree.leaf[i] {
+			if e.rec.Kind == kind && !e.rec.Dead && !e.aside {
+				f(e.rec)
+			}
+		}
+		most -= 1 + len(m.tree.leaf[i])
+	}
+	return 0
+}
+
 // children gives sums and counts of a range's sixteen parts.
 func (t *tree) children(r Range) (s Sums) {
 	s = Sums{Range: r, Sums: make([]uint64, 16), Count: make([]uint32, 16)}
--- a/fleet/replica/types.go
+++ b/fleet/replica/types.go
@@ -97,4 +97,5 @@
 	ErrCatches = errors.New("catching up: what this dispatcher wrote before is not known yet")
 	ErrAside   = errors.New("set aside: two contents came under one dot")
 	ErrCut     = errors.New("no majority is seen")
+	ErrUnkept  = errors.New("this dispatcher's disk can't be written now")
 )
--- a/internal/fleet/memory.go
+++ b/internal/fleet/memory.go
@@ -17,8 +17,9 @@
 type store struct {
 	*records
 	era     uint64
-	spoilt  error // what was found at the opening and put aside; nil where nothing was
-	skipped int   // records that can't be read although they are whole: of a later version
+	owed    map[string][]byte // changes of saves that failed; the next one has them too
+	spoilt  error             // what was found at the opening and put aside; nil where nothing was
+	skipped int               // records that can't be read although they are whole: of a later version
 }
 
 // stamp is the era, and when the last save was. The time is this machine's own, and compared with no other's.
@@ -98,9 +99,39 @@
 	return vectorAt + string(binary.BigEndian.AppendUint64(nil, e.Era)) + e.Writer
 }
 
-// save saves all of it or nothing. Several saves of a machine are one where their driver joins them: one sync is then for all.
+// mostOwedChanges is how many changes wait for the disk: what all kinds may have, about.
+const mostOwedChanges = 1 << 20
+
+var errOwed = errors.New("too much waits for the disk")
+
+// save saves all of it, with what is owed, or nothing. Several saves of a machine are one where their driver joins them: one sync is then for
+// all. What failed is owed: it is saved with the next one.
 func (s *store) save(in *replica.Save) error {
-	changes := make(map[string][]byte, len(in.Records)+len(in.Drops)+len(in.Vector)+len(in.Folded)+1)
+	if err := s.owe(in); err != nil {
+		return err
+	}
+	return s.pay()
+}
+
+// pay saves what is owed. It always syncs, whatever a kind asks for: a machine that loses its power during an unsynced save can spoil the whole
+// file, and what was synced before with it.
+func (s *store) pay() error {
+	if len(s.owed) == 0 {
+		return nil
+	}
+	if err := s.Save(s.owed, true); err != nil {
+		return err
+	}
+	s.owed = nil
+	return nil
+}
+
+// owe takes changes over those that are owed.
+func (s *store) owe(in *replica.Save) error {
+	if s.owed == nil {
+		s.owed = make(map[string][]byte, len(in.Records)+len(in.Drops)+len(in.Vector)+len(in.Folded)+1)
+	}
+	changes := s.owed
 	for _, e := range in.Folded { // before what replaces them
 		changes[entryKey(e)] = nil
 	}
@@ -120,14 +151,11 @@
 	for _, e := range in.Vector {
 		err = errors.Join(err, put(entryKey(e), e))
 	}
-	if err == nil {
-		err = s.Save(changes, in.Sync)
-	}
-	if err != nil {
-		return err
-	}
 	s.era = era
-	return nil
+	if err == nil && len(changes) > mostOwedChanges {
+		err = errOwed
+	}
+	return err
 }
 
 func (s *store) close() error { return s.Close() }
--- a/internal/fleet/purges.go
+++ b/internal/fleet/purges.go
@@ -55,7 +55,7 @@
 	if stands, ok := m.get(floors.ID, key); ok && floors.Law(stands.Value, value) >= 0 {
 		return
 	}
-	if _, err := m.write(floors.ID, key, value, false, replica.Sure{}); errors.Is(err, replica.ErrCatches) || errors.Is(err, errNoDisk) || errors.Is(err, errBusy) {
+	if _, err := m.write(floors.ID, key, value, false, replica.Sure{}); errors.Is(err, replica.ErrCatches) || errors.Is(err, errNoDisk) || errors.Is(err, replica.ErrUnkept) || errors.Is(err, errBusy) {
 		m.mu.Lock()
 		if len(p.owed) < mostOwed {
 			p.owed[key] = o
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -39,12 +39,6 @@
 
 var errNoDisk = errors.New("the memory's disk can't be used now")
 
-// keeper keeps what is remembered. What save has returned for is there after a kill, and after a crash of the machine where it says so.
-type keeper interface {
-	save(s *replica.Save) error
-	close() error
-}
-
 // memory is the replica's machine at work. One goroutine takes what it has ready, saves it and sends it; what comes while a save is under
 // way goes into the next one.
 type memory struct {
@@ -62,7 +56,9 @@
 	purges  purges
 
 	// Of the goroutine alone.
-	disk     keeper // nil where nothing is kept
+	disk     *store    // nil where nothing is kept
+	tried    time.Time // to save what is owed
+	unkept   error     // why some is owed
 	at       map[string]string
 	looked   time.Time
 	fleetNow view // as the machine was told last
@@ -205,11 +201,9 @@
 	m.disk, m.looked = disk, time.Time{}
 	status := machine.Status()
 	m.mu.Lock()
-	if m.problem != "" {
-		m.fleet.Log.Info().Msg("memory: the disk is used again")
-	}
-	m.machine, m.problem = machine, ""
+	m.machine = machine
 	m.mu.Unlock()
+	m.kept(m.keep(machine.Ready().Save)) // its era is kept before it writes
 	m.purges.opened()
 	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
 }
@@ -223,7 +217,7 @@
 	m.fleet.Log.Error().Err(err).Str("means", "it is put aside, and what it had is taken from the others").Msg("memory: the disk is torn")
 }
 
-func (m *memory) begin() (machine *replica.Machine, disk keeper, err error) {
+func (m *memory) begin() (machine *replica.Machine, disk *store, err error) {
 	var drawn [8]byte
 	_, _ = rand.Read(drawn[:])
 	settings := m.settings(binary.BigEndian.Uint64(drawn[:]))
@@ -248,7 +242,7 @@
 func (m *memory) fail(err error) {
 	if m.disk != nil {
 		_ = m.disk.close()
-		m.disk = nil
+		m.disk, m.unkept = nil, nil
 	}
 	m.opened = time.Now()
 	m.mu.Lock()
@@ -310,10 +304,17 @@
 	m.machine.Tick(m.fleet.dutyNow())
 	out := m.machine.Ready()
 	m.mu.Unlock()
-	if out.Save != nil && m.disk != nil {
-		if err := m.disk.save(out.Save); err != nil {
-			m.fail(err)
-			return
+	err := m.keep(out.Save)
+	if errors.Is(err, errOwed) {
+		m.fail(err)
+		return
+	}
+	was := m.problem == ""
+	m.kept(err)
+	if err != nil && was {
+		out.Send = nil // it tells what is not kept
+		for i := range out.Outcomes {
+			out.Outcomes[i] = replica.Outcome{Dot: out.Outcomes[i].Dot}
 		}
 	}
 	for i := range out.Send {
@@ -352,6 +353,41 @@
 	}
 }
 
+// keep saves, if there is anything to. While that fails it is tried now and then; what came meanwhile is owed.
+func (m *memory) keep(s *replica.Save) error {
+	if m.disk == nil {
+		return nil
+	}
+	if s != nil {
+		if err := m.disk.owe(s); err != nil {
+			return err
+		}
+	}
+	if m.unkept != nil && time.Since(m.tried) < openEach {
+		return m.unkept
+	}
+	m.tried = time.Now()
+	m.unkept = m.disk.pay()
+	return m.unkept
+}
+
+// kept takes whether all is on the disk. While it is not, what others tell is learned and used, but nothing is acknowledged, nor written here.
+func (m *memory) kept(err error) {
+	m.mu.Lock()
+	was := m.problem
+	if m.problem = ""; err != nil {
+		m.problem = err.Error()
+	}
+	m.machine.Unkept(err != nil)
+	m.mu.Unlock()
+	switch {
+	case err != nil && was == "":
+		m.fleet.Log.Error().Err(err).Str("means", "what others tell is used, but nothing is written or acknowledged until it can be used").Msg("memory: the disk can't be used")
+	case err == nil && was != "":
+		m.fleet.Log.Info().Msg("memory: the disk is used again")
+	}
+}
+
 // tell hands changes to those who follow a kind.
 func (m *memory) tell(changed []replica.Record) {
 	if len(changed) == 0 {
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -286,10 +286,19 @@
 		})
 		require.Error(t, err)
 		m.write(0, n, 2*n, "while it was full", two)
+		m.same(2*n, 0, 1, 2) // it learns, but its word counts for nothing
+		s, err := m.ask(0, AskWrite, replica.Sure{Level: replica.Copies, Copies: 3, Within: 1.5}, replica.Record{Kind: testKind, Key: key(0), Value: []byte("c")})
+		require.NoError(t, err)
+		require.Equal(t, 2, s.Ended[0].Copies)
+		require.False(t, s.Ended[0].Met)
 		m.serve(2)
 		m.Processes[2].Full(false)
-		m.same(2*n, 0, 1, 2)
-		m.write(2, 2*n, 2*n+1, "by it", majority)
+		m.write(0, 2*n, 2*n+1, "when it has room", three)
+		m.write(2, 2*n+1, 2*n+2, "by it", majority)
+		m.Processes[2].Kill()
+		m.Begin(processes.Fault{What: processes.Cut, A: []int{2}})
+		m.Processes[2].Start() // what it was told while it was full is on its disk
+		m.same(2*n+2, 0, 1, 2)
 	})
 }
 
