--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -141,7 +141,7 @@
 	held    *Save // of the fault
 	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -34,6 +34,7 @@
 		"no law":                                func(m *Machine) { m.fault.noLaw = true },
 		"acknowledged before it is saved":       func(m *Machine) { m.fault.ackEarly = true },
 		"a catch-up drops what is here alone":   func(m *Machine) { m.fault.dropAll = true },
+		"acknowledged while the disk is full":   func(m *Machine) { m.fault.ackUnkept = true },
 		"what fell is taken again":              func(m *Machine) { m.fault.noRule = true },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -120,7 +121,7 @@
 			for _, n := range w.bytes {
 				before += n
 			}
-			saved := x.disk.load()
+			saved := x.disk.load(w.now)
 			if c.empty {
 				x.disk, saved = newDisk(), nil
 			}
@@ -163,7 +164,7 @@
 	for _, n := range w.nodes[:3] {
 		n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
 	}
-	saved := x.disk.load()
+	saved := x.disk.load(w.now)
 	saved.Away = 2 * w.horizon
 	w.start(x, saved)
 	w.run(6)
@@ -247,7 +248,7 @@
 	old := x.disk.copy()
 	for range 3 {
 		w.kill(x)
-		w.start(x, x.disk.load())
+		w.start(x, x.disk.load(w.now))
 		w.run(3)
 		w.fill(x, 20, fmt.Sprint(x.boots))
 	}
@@ -255,7 +256,7 @@
 	for _, d := range []*disk{old, newDisk()} {
 		w.kill(x)
 		x.disk = d
-		saved := d.load()
+		saved := d.load(d.at)
 		if d.saved.Era == 0 {
 			saved = nil
 		}
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -518,7 +518,7 @@
 		}
 		m.pending, m.out = nil, nil // what waits to be sent tells what is not kept
 	}
-	m.unkept = unkept
+	m.unkept = unkept && !m.fault.ackUnkept
 }
 
 // Ready takes what is to be done. The driver keeps Save before it sends or tells anything else of it; Steps may go on meanwhile, and what they
--- a/fleet/replica/types.go
+++ b/fleet/replica/types.go
@@ -69,7 +69,7 @@
 	Dot    Dot
 	Met    bool
 	Got    Level // the highest that it got
-	Copies int   // known to have it, with the writer
+	Copies int   // known to have it, with the writer; 0 where not even the writer is known to keep it: in doubt, it may come to stand
 	Zones  int
 }
 
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -26,6 +26,7 @@
 
 type disk struct {
 	saved Saved
+	at    float64 // of the last save
 	recs  map[Name]Carried
 	vec   map[[2]any]Entry
 }
@@ -51,8 +52,8 @@
 	}
 }
 
-func (d *disk) load() *Saved {
-	s := &Saved{Era: d.saved.Era}
+func (d *disk) load(now float64) *Saved {
+	s := &Saved{Era: d.saved.Era, Away: now - d.at}
 	for _, c := range d.recs {
 		s.Records = append(s.Records, c)
 	}
@@ -66,7 +67,7 @@
 
 func (d *disk) copy() *disk {
 	c := newDisk()
-	c.saved = d.saved
+	c.saved, c.at = d.saved, d.at
 	for k, v := range d.recs {
 		c.recs[k] = v
 	}
@@ -81,6 +82,8 @@
 	m          *Machine
 	disk, old  *disk
 	boots      uint64
+	full       bool
+	owed       []*Save // lost with the process
 }
 
 type letter struct {
@@ -134,6 +137,7 @@
 
 func (w *world) start(x *node, saved *Saved) {
 	x.boots++
+	x.owed = nil
 	m, err := New(Settings{Name: x.name, Zone: x.zone, Seed: w.chance.Uint64(), Interval: 1, Horizon: w.horizon, Kinds: kinds()}, saved, w.now)
 	require.NoError(w.t, err)
 	if w.boot != nil {
@@ -176,9 +180,20 @@
 // drain does what a driver does: save, then send and tell.
 func (w *world) drain(x *node) {
 	r := x.m.Ready()
-	x.disk.put(r.Save)
+	if unkept := len(x.owed) > 0; r.Save != nil || unkept {
+		if x.owed = append(x.owed, r.Save); !x.full {
+			for _, s := range x.owed {
+				x.disk.put(s)
+				x.disk.at = w.now
+			}
+			x.owed = nil
+		} else if !unkept {
+			r.Send, r.Outcomes = nil, nil
+		}
+		x.m.Unkept(x.full)
+	}
 	for _, o := range r.Outcomes {
-		if wr := w.writes[o.Dot]; wr != nil {
+		if wr := w.writes[o.Dot]; wr != nil && o.Copies > 0 {
 			wr.acked, wr.met = true, o.Got
 		}
 	}
@@ -269,9 +284,12 @@
 func (w *world) heal() {
 	clear(w.cutOff)
 	w.loss = 0
+	for _, x := range w.nodes {
+		x.full = false
+	}
 	for _, x := range w.nodes {
 		if x.m == nil {
-			w.start(x, x.disk.load())
+			w.start(x, x.disk.load(w.now))
 		}
 	}
 	w.fleet()
@@ -404,7 +422,7 @@
 		case 5, 6:
 			for _, x := range w.nodes {
 				if x.m == nil {
-					saved := x.disk.load()
+					saved := x.disk.load(w.now)
 					if c.IntN(6) == 0 && len(w.cutOff) == 0 && x.name == "n004" { // one disk alone may be lost: a majority keeps what was acknowledged
 						x.disk, saved = newDisk(), nil
 					}
@@ -422,8 +440,11 @@
 				x.m = nil
 			}
 			for _, x := range w.nodes {
-				w.start(x, x.disk.load())
+				w.start(x, x.disk.load(w.now))
 			}
+		case 9, 10:
+			x := w.nodes[c.IntN(5)]
+			x.full = !x.full
 		case 7:
 			w.run(5 + 20*c.Float64())
 		}
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -276,12 +276,14 @@
 		m := remember(t, 3, "")
 		m.write(2, 0, n, "by it", majority)
 		m.Processes[2].Full(true)
-		_, err := m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+		doubt := replica.Record{Kind: testKind, Key: key(0), Value: []byte("by it, in doubt")}
+		doubt.Value[5] = '~' // above what stands: it may come to stand once there is room
+		_, err := m.ask(2, AskWrite, here, doubt)
 		m.Until(soon, "it refuses", func() error {
 			if m.memory(2).Problem == "" {
 				return errors.New("not yet")
 			}
-			_, err = m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+			_, err = m.ask(2, AskWrite, here, doubt)
 			return nil
 		})
 		require.Error(t, err)
