--- a/fleet/channels/channels_test.go
+++ b/fleet/channels/channels_test.go
@@ -78,6 +78,19 @@
 	}
 	assert.Equal(t, Restore(l.Save()), l)
 	assert.Less(t, len(l.Line(channelName).Pending)*MostBody, PendingBytes, "more waits for the records to spread")
+	all := 0
+	for c := range MostChannels - 1 { // all channels together: the log's snapshot has to fit into one stream
+		d.Name, d.Generation = fmt.Sprint("c", c), 1
+		require.NoError(t, l.Apply(&Command{Declare: &d}))
+		for k := range uint64(20) {
+			e := entry("c", k+1, MostBody)
+			e.Channel = d.Name
+			require.NoError(t, l.Apply(&Command{Channel: d.Name, Epoch: 6, Entries: []Entry{e}}))
+		}
+		all += len(l.Line(d.Name).Pending) * MostBody
+	}
+	assert.LessOrEqual(t, all, AllPending, "more waits")
+	assert.Positive(t, all)
 }
 
 // one is a machine with a channel and nobody else.
--- a/fleet/channels/ledger.go
+++ b/fleet/channels/ledger.go
@@ -21,6 +21,8 @@
 	MostTakers   = 4096      // writers of a channel of Total that the ledger remembers
 	MostPending  = 256       // entries of a channel put in order and not yet spread: what the voters' log bears
 	PendingBytes = 256 << 10 // of those
+	AllTakers    = 4096      // writers of all channels of Total together: 470 KiB with the longest names
+	AllPending   = 384 << 10 // bytes of all channels' together: the voters' log sends all of its state at once, in 2 MiB with all that is in it
 	MostReaders  = 2000      // of a dispatcher
 	MostFlight   = 4096      // entries of a dispatcher on their way to be kept
 	MostToken    = 48 << 10  // bytes of a position's token
@@ -199,27 +201,38 @@
 	}
 	n.Spread = max(n.Spread, c.Spread)
 	n.Pending = slices.DeleteFunc(n.Pending, func(e Entry) bool { return e.Place <= n.Spread })
-	size := 0
-	for i := range n.Pending {
-		size += n.Pending[i].size()
+	size, all, takers := n.pending(), 0, 0
+	for _, o := range l.lines {
+		all, takers = all+o.pending(), takers+len(o.Writers)
 	}
 	for _, e := range c.Entries {
 		was, ok := n.Writers[e.Writer]
+		held := len(n.Writers)
 		if e.Number != was.Number+1 {
 			continue // known, or one before it is missing: its writer sends it again
 		}
-		if size += e.size(); len(n.Pending) >= MostPending || size > PendingBytes {
-			break
+		if size, all = size+e.size(), all+e.size(); len(n.Pending) >= MostPending || size > PendingBytes || all > AllPending {
+			break // its writer hears nothing of it, and sends it again
 		}
-		if !ok && len(n.Writers) >= MostTakers && !n.forget(uint64(d.Entries)) {
+		if !ok && (len(n.Writers) >= MostTakers || takers >= AllTakers) && !n.forget(uint64(d.Entries)) {
 			continue
 		}
+		takers -= held
 		n.Writers[e.Writer] = Taken{e.Number, n.Next}
+		takers += len(n.Writers)
 		n.put(e, d.Generation)
 	}
 	return nil
 }
 
+// pending is how many bytes wait to be spread.
+func (n *Line) pending() (size int) {
+	for i := range n.Pending {
+		size += n.Pending[i].size()
+	}
+	return size
+}
+
 func (n *Line) put(e Entry, generation uint64) {
 	e.Epoch, e.Since, e.Place, e.Generation, e.Stamp, e.After = n.Epoch, n.Since, n.Next, generation, 0, nil
 	n.Next++
@@ -228,6 +241,9 @@
 
 // forget lets go of the writer that was silent for longest, if none of its entries is within what is kept: so no repeat comes into the window.
 func (n *Line) forget(kept uint64) bool {
+	if len(n.Writers) == 0 {
+		return false
+	}
 	name := ""
 	for w, t := range n.Writers {
 		if o := n.Writers[name]; name == "" || t.Place < o.Place {
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -405,3 +406,28 @@
 		}
 	})
 }
+
+// A scan in parts sees each record once, and holds the machine for a part alone: each sorts all of a kind.
+func TestAScanInParts(t *testing.T) {
+	m, err := New(Settings{Name: "a", Kinds: kinds()}, nil, 0)
+	require.NoError(t, err)
+	n := 170_000
+	for i := range n {
+		_, err := m.Write(0, kindMax, fmt.Sprintf("o%024d", i), []byte("00000001"), false, Sure{})
+		require.NoError(t, err)
+		if i%1000 == 0 {
+			m.Ready()
+		}
+	}
+	seen, longest, start := map[string]bool{}, time.Duration(0), time.Now()
+	m.Each(kindMax, "", func(Record) bool { return true })
+	whole := time.Since(start)
+	for at, more := uint64(0), true; more; more = at != 0 {
+		start, part := time.Now(), 0
+		at = m.Scan(kindMax, at, 4096, func(r Record) { seen[r.Key] = true; part++ })
+		longest = max(longest, time.Since(start))
+		require.Less(t, part, 4200)
+	}
+	assert.Len(t, seen, n)
+	t.Logf("%d records: each holds the machine for %v, a part for %v", n, whole, longest)
+}
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -49,6 +49,8 @@
 	Object string `json:"object"`
 	Group  int    `json:"bucket"`
 	Time   int64  `json:"time"`
+
+	Learned bool `json:"-"` // told by another dispatcher, not by the change log
 }
 
 // Event is one numbered change.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -28,6 +28,7 @@
 	Recalled                                   atomic.Int64 // forwards taken back for news before anything of them went out
 	Behind, Overdue, Rebuilt                   atomic.Int64 // of shards: forwards kept back for news; GETs answered in place of a shard; modules made anew
 	Lists, Purges                              atomic.Int64 // events of the change log
+	PurgesLearned                              atomic.Int64 // told by other dispatchers
 	ClientConnections, HostConnections         atomic.Int64 // opened
 	Handshakes                                 atomic.Int64 // of clients, that failed
 	HostGaveWay                                atomic.Int64 // idle connections to hosts that were closed for other hosts
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,7 @@
 	secure   certs.Listener
 	proxies  certs.Listener
 	fleet    atomic.Pointer[fleet.Fleet] // nil where the dispatcher is by itself, and before it is opened
+	early    early                       // purges told before the fleet was opened
 	purged   func(floors.Floor)          // takes what others learned of purges; nil where the fleet remembers nothing
 	gone     float64                     // s after which a purge needs no memory
 	cores    int                         // that the command line says, before the file; 0 where it says none
@@ -137,17 +139,45 @@
 		return take
 	}
 	e.purged = func(p floors.Floor) {
-		take(changelog.Event{Purge: &changelog.Purge{Object: p.Object, Group: p.Group, Time: p.Time}})
+		take(changelog.Event{Purge: &changelog.Purge{Object: p.Object, Group: p.Group, Time: p.Time, Learned: true}})
 	}
 	e.gone = gone
 	return func(c changelog.Event) {
 		take(c)
-		if f := e.fleet.Load(); f != nil && c.Purge != nil {
-			f.Purged(floors.Floor{Object: c.Purge.Object, Group: c.Purge.Group, Time: c.Purge.Time})
+		if c.Purge != nil {
+			e.early.tell(&e.fleet, floors.Floor{Object: c.Purge.Object, Group: c.Purge.Group, Time: c.Purge.Time})
 		}
 	}
 }
 
+const mostEarly = 4096 // purges told before the fleet was opened: as many as wait to be written
+
+// early keeps purges until there is a fleet.
+type early struct {
+	mu  sync.Mutex
+	all []floors.Floor
+}
+
+func (e *early) tell(to *atomic.Pointer[fleet.Fleet], p floors.Floor) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f := to.Load(); f != nil {
+		f.Purged(p)
+	} else if len(e.all) < mostEarly {
+		e.all = append(e.all, p)
+	}
+}
+
+func (e *early) open(to *atomic.Pointer[fleet.Fleet], f *fleet.Fleet) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	to.Store(f)
+	for _, p := range e.all {
+		f.Purged(p)
+	}
+	e.all = nil
+}
+
 // bounder is one module's part, once the fleet is opened.
 type bounder struct {
 	of *Extras
@@ -191,7 +221,7 @@
 		if e.purged != nil {
 			f.TakePurges(e.purged, e.gone)
 		}
-		e.fleet.Store(f)
+		e.early.open(&e.fleet, f)
 		all = append(all, f)
 	}
 	t := e.told.Proxies
--- a/internal/fleet/purges.go
+++ b/internal/fleet/purges.go
@@ -14,7 +14,6 @@
 	mostHeard = 1 << 16          // purges that were told here: none of them is handed on again
 	mostOwed  = 4096             // purges that wait until they can be written
 	tidyEach  = 30 * time.Second // between looks for floors that no copy is older than
-	mostTidy  = 500              // of them at a time
 	tidyAfter = 60 * time.Second // beyond the time after which no copy is left, and twice as long for others' floors
 )
 
@@ -30,6 +29,7 @@
 
 	may    bool // peers' word narrows
 	tidied time.Time
+	at     uint64 // place of the look that is under way; 0 for none
 }
 
 func (p *purges) begin(m *memory) {
@@ -125,18 +125,18 @@
 	}
 	if all {
 		var records []replica.Record
-		m.each(floors.ID, "", func(r replica.Record) bool {
-			records = append(records, r)
-			return true
-		})
-		p.changed(records)
+		for at, more := uint64(0), true; more; more = at != 0 {
+			records = records[:0]
+			at = m.scan(floors.ID, at, func(r replica.Record) { records = append(records, r) })
+			p.changed(records)
+		}
 	}
-	if time.Since(p.tidied) < tidyEach || p.take == nil {
+	if p.at == 0 && time.Since(p.tidied) < tidyEach || p.take == nil {
 		return
 	}
 	p.tidied = time.Now()
 	var past []replica.Record
-	m.each(floors.ID, "", func(r replica.Record) bool {
+	p.at = m.scan(floors.ID, p.at, func(r replica.Record) { // the next part at the next tick
 		more := tidyAfter
 		if r.Dot.Writer != m.fleet.Name { // whoever wrote it lets go of it first
 			more += tidyAfter
@@ -144,7 +144,6 @@
 		if o, err := floors.Read(r.Key, r.Value); err == nil && !r.Dead && p.past(o.Time, more) {
 			past = append(past, r)
 		}
-		return len(past) < mostTidy
 	})
 	for _, r := range past {
 		_, _ = m.write(floors.ID, r.Key, r.Value, true, replica.Sure{}) // it comes again at the next look
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -28,6 +28,7 @@
 	memoryTick  = 20 * time.Millisecond
 	lookEach    = 500 * time.Millisecond // between looks at who is there, besides at each change
 	mostOutcome = 1 << 14                // writers that wait at a time
+	mostScan    = 4096                   // records looked at while the memory is held: under a millisecond
 )
 
 // Memory is what a dispatcher is told of what the fleet remembers together.
@@ -135,6 +136,16 @@
 	}
 }
 
+// scan goes through a part of what stands of a kind, from a place on, and gives the next one; 0 at the end. So the memory is held for a short time.
+func (m *memory) scan(kind uint8, from uint64, f func(replica.Record)) (next uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.machine == nil {
+		return 0
+	}
+	return m.machine.Scan(kind, from, mostScan, f)
+}
+
 // status tells how it stands; nil while the disk can't be used.
 func (m *memory) status() (s *ToldMemory) {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,7 +271,11 @@
 		n.fleet(now, *e.Fleet)
 	}
 	if p := e.Purge; p != nil {
-		n.Options.Counts.Purges.Add(1)
+		if p.Learned {
+			n.Options.Counts.PurgesLearned.Add(1)
+		} else {
+			n.Options.Counts.Purges.Add(1)
+		}
 		n.module.Purged(now, p.Object, p.Group, now-n.Clock.AtUnixMs(p.Time))
 		if n.joint != nil {
 			n.joint.Purged(p.Object, p.Group)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -205,13 +205,13 @@
 	} else {
 		s.core = node.New(n)
 	}
-	for _, e := range c.Known.Events {
-		s.core.Take(e)
-	}
 	take := s.core.Take
 	if e != nil {
 		take = e.Changes(take, c.settings.OldCopies)
 	}
+	for _, e := range c.Known.Events {
+		take(e)
+	}
 	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
