--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -6,9 +6,14 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -423,6 +428,216 @@
 	t.Log("acknowledged:", total)
 }
 
+// A second process has the name and a copy of the disk of one. While it is ousted it speaks to nobody and nothing is acknowledged by it beyond
+// itself; when it has the name, what came twice under one dot is told and set aside, and whatever is written after that is the same to all.
+func TestATwinRemembers(t *testing.T) {
+	m := remember(t, 5, "")
+	m.write(3, 0, 100, "by the holder", majority)
+	m.same(100, 0, 1, 2, 3, 4)
+	holder, twin := m.Processes[3], m.Processes[4]
+	twin.Kill()
+	holder.Kill()
+	m.until("both are gone", []int{0, 1, 2}, "majority", []int{0, 1, 2})
+	raw, err := os.ReadFile(m.disk(3))
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(m.disk(4), raw, 0o600))
+	holder.Start()
+	m.until("it is back", []int{0, 1, 2, 3}, "majority", []int{0, 1, 2, 3})
+	m.write(3, 100, 150, "by the holder again", majority)
+	twin.Name = holder.Name
+	twin.Start()
+	m.told(4, "ousted", holder.Name)
+	var all []replica.Record
+	for i := range 50 {
+		all = append(all, replica.Record{Kind: testKind, Key: key(100 + i), Value: []byte("by the twin")})
+	}
+	told, err := m.ask(4, AskWrite, replica.Sure{Level: replica.Majority, Within: 1}, all...)
+	assert.True(t, err != nil || !told.Ended[0].Met, "it has no majority")
+	told, err = m.ask(4, AskWrite, here, all...)
+	require.NoError(t, err)
+	require.True(t, told.Ended[0].Met)
+	holder.Kill()
+	m.Until(soon, "the twin has the name", func() error {
+		s, err := m.see(4)
+		if err == nil && s.Standing != "member" {
+			err = errors.New(s.Standing)
+		}
+		return err
+	})
+	m.Until(soon, "the two contents are told, and used by nobody", func() error {
+		for _, i := range []int{0, 1, 2, 4} {
+			if s := m.memory(i); s.kind("test").Aside != 50 {
+				return fmt.Errorf("n%d: %+v", i, s.kind("test"))
+			}
+		}
+		return nil
+	})
+	m.write(4, 100, 160, "later", majority)
+	m.same(160, 0, 1, 2, 4)
+}
+
+// Clocks run ten times as fast, and at a tenth: none is compared with another's, so all that changes is when each forgets.
+func TestClocksOfTheMemoryRunOff(t *testing.T) {
+	m := remember(t, 4, `horizon: "10s"`)
+	m.write(2, 0, 500, "a value", three)
+	for i, clock := range map[int]string{1: "0.1", 2: "10"} {
+		m.Processes[i].Kill()
+		m.Env = []string{"ELDERWALL_FAULT_CLOCK=" + clock}
+		m.Processes[i].Start()
+	}
+	m.Env = nil
+	m.whole()
+	m.same(500, 0, 1, 2, 3)
+	cut := processes.Fault{What: processes.Cut, A: []int{1}}
+	m.Begin(cut)
+	m.write(0, 0, 250, gone, three)
+	m.write(2, 500, 600, "by the fast one", three)
+	m.Until(soon, "the fast one forgets what was deleted", func() error {
+		s := m.memory(2)
+		if k := s.kind("test"); k.Dead > 0 {
+			return fmt.Errorf("%+v", k)
+		}
+		return nil
+	})
+	m.End(cut)
+	m.write(1, 600, 650, "by the slow one", majority)
+	m.same(400, 0, 1, 2, 3)
+}
+
+// chaos is what a drawn schedule does to five processes that write meanwhile. What it knows is what it was told itself.
+type chaos struct {
+	*memoryRig
+	mu    sync.Mutex
+	acked map[string]bool // keys that a majority has; false: whose deletion it has, or may have
+}
+
+// work has one process write and delete keys of its own until it is told to stop.
+func (c *chaos) work(at int, stop <-chan struct{}) {
+	var own []string
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		records, dead := []replica.Record{}, n%3 == 2 && len(own) > 10
+		for i := range 10 {
+			k := fmt.Sprintf("c%d-%d-%d", at, n, i)
+			if dead {
+				k, own = own[0], own[1:]
+			}
+			records = append(records, replica.Record{Kind: testKind, Key: k, Value: []byte(map[bool]string{true: gone, false: "v"}[dead]), Dead: dead})
+		}
+		c.mu.Lock()
+		for _, r := range records {
+			if dead {
+				delete(c.acked, r.Key) // either way is right until it is acknowledged
+			}
+		}
+		c.mu.Unlock()
+		told, err := c.ask(at, AskWrite, majority, records...)
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		for i, o := range told.Ended {
+			if o.Met {
+				if c.acked[records[i].Key] = !dead; !dead {
+					own = append(own, records[i].Key)
+				}
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+// TestSchedulesOfTheMemory plays faults that are drawn by seed. One disk alone is emptied or put back older: a majority keeps what it acknowledged.
+func TestSchedulesOfTheMemory(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("ELDERWALL_SCHEDULES"))
+	for seed := range max(1, seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := &chaos{memoryRig: remember(t, 5, ""), acked: map[string]bool{}}
+			chance := rand.New(rand.NewPCG(uint64(seed), 47))
+			stop := make(chan struct{})
+			var group errgroup.Group
+			for i := range 5 {
+				group.Go(func() error { c.work(i, stop); return nil })
+			}
+			var old []byte
+			for range 6 {
+				time.Sleep(time.Duration(200+chance.IntN(400)) * time.Millisecond)
+				who, lasts := chance.IntN(5), time.Duration(300+chance.IntN(1500))*time.Millisecond
+				f := processes.Fault{What: []string{processes.Cut, processes.CutOff, processes.Kill, processes.Stop, "empty", "older"}[chance.IntN(6)], A: []int{who}}
+				if f.What == processes.Cut {
+					f.A = []int{who, (who + 1 + chance.IntN(4)) % 5}
+				}
+				t.Log(f.What, f.A, lasts)
+				if f.What != "empty" && f.What != "older" {
+					c.Begin(f)
+					time.Sleep(lasts)
+					c.End(f)
+					continue
+				}
+				c.Processes[4].Kill()
+				is, err := os.ReadFile(c.disk(4))
+				require.NoError(t, err)
+				if f.What == "empty" {
+					require.NoError(t, os.Remove(c.disk(4)))
+				} else if old != nil {
+					require.NoError(t, os.WriteFile(c.disk(4), old, 0o600))
+				}
+				old = is
+				c.Processes[4].Start()
+			}
+			close(stop)
+			require.NoError(t, group.Wait())
+			c.whole()
+			count := 0
+			c.Until(soon, "all agree", func() error {
+				var sums [5]uint64
+				for i := range sums {
+					n, sum, err := c.sum(i)
+					if sums[i], count = sum, int(n); err != nil || sum != sums[0] {
+						return fmt.Errorf("n%d has %d, sum %x of %x, %w", i, n, sum, sums[0], errors.Join(err, errMessage))
+					}
+				}
+				return nil
+			})
+			lost, back := c.wrong()
+			assert.Empty(t, lost, "acknowledged and lost")
+			assert.Empty(t, back, "deleted and back")
+			t.Logf("%d stand, %d acknowledged", count, len(c.acked))
+			assert.Greater(t, len(c.acked), 100)
+		})
+	}
+}
+
+// wrong asks a process for all keys of which it is known how they stand.
+func (c *chaos) wrong() (lost, back []string) {
+	keys := slices.Sorted(maps.Keys(c.acked))
+	for part := range slices.Chunk(keys, 500) {
+		var all []replica.Record
+		for _, k := range part {
+			all = append(all, replica.Record{Kind: testKind, Key: k})
+		}
+		told, err := c.ask(0, AskRead, replica.Sure{}, all...)
+		require.NoError(c, err)
+		has := map[string]bool{}
+		for _, r := range told.Records {
+			has[r.Key] = true
+		}
+		for _, k := range part {
+			if c.acked[k] && !has[k] {
+				lost = append(lost, k)
+			}
+			if !c.acked[k] && has[k] {
+				back = append(back, k)
+			}
+		}
+	}
+	return lost, back
+}
+
 // A purge that one hears is learned by the others, whose change log is silent.
 func TestPurgesReachThoseWhoDidNotHearThem(t *testing.T) {
 	m := remember(t, 3, "")
