--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"encoding/binary"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -8,7 +10,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/fleet/floors"
+	"elderwall/fleet/members"
 	"elderwall/fleet/replica"
+	"elderwall/fleet/variants"
 )
 
 // What a machine wants saved comes back as one upon the other; a spoilt file is put aside and told.
@@ -44,3 +49,89 @@
 	require.NoError(t, err)
 	assert.Len(t, there, 1)
 }
+
+// docs/replica.md has the rule for copies that differ, by kind: each pair of neighbours here is settled so, whichever comes first, and each kind
+// of the program has a row.
+func TestTheRuleInTheDocsIsTrue(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/replica.md")
+	require.NoError(t, err)
+	floor := func(at uint64) []byte { return binary.BigEndian.AppendUint64(nil, at) }
+	numbers := func(all ...uint64) (b []byte) {
+		for _, n := range all {
+			b = binary.AppendUvarint(b, n)
+		}
+		return b
+	}
+	fact := func(purge uint64, split bool, splits uint32, stands uint8) []byte {
+		return variants.EncodeFact(&variants.Fact{Witness: "d/1", Proof: 1, Generation: variants.Generation{Purge: purge}, Split: split, Splits: splits, Stands: stands})
+	}
+	rules := map[string]struct {
+		words  string
+		rising [][]byte
+	}{
+		"floors": {"the later purge, by the change log's own word", [][]byte{floor(1000), floor(1001), floor(70_000)}},
+		"facts": {"the higher generation; then contrary over agreeing; then more splits; then the class declared first",
+			[][]byte{fact(1, true, 9, 1), fact(2, false, 9, 2), fact(2, false, 9, 1), fact(2, true, 1, 0), fact(2, true, 2, 0)}},
+		"entry":  {"let go over there; then the higher stamp", [][]byte{numbers(3, 1), numbers(300, 1), nil}},
+		"writer": {"the higher epoch; then the higher number", [][]byte{numbers(1, 9), numbers(2, 1), numbers(2, 300)}},
+		"test":   {"the higher bytes", [][]byte{[]byte("a"), []byte("b")}},
+	}
+	all := append(newMemory(&Fleet{Settings: Settings{Memory: &Memory{}}}).kinds, replica.Kind{Name: "facts", Law: variants.FactLaw})
+	for _, k := range all {
+		rule, ok := rules[k.Name]
+		require.True(t, ok, "%s has no rule", k.Name)
+		if k.Name != "test" {
+			assert.Contains(t, string(raw), fmt.Sprintf("| `%s` | %s |\n", k.Name, rule.words))
+		}
+		for i := range len(rule.rising) - 1 {
+			a, b := rule.rising[i], rule.rising[i+1]
+			assert.Negative(t, k.Law(a, b), "%s, %d", k.Name, i)
+			assert.Positive(t, k.Law(b, a), "%s, %d", k.Name, i)
+		}
+	}
+	assert.Contains(t, string(raw), "| any, where that says nothing | deleted over there; then the higher bytes; then the dot |\n")
+	assert.Contains(t, string(raw), "| any: one dot with two contents | set aside, told, used by nobody until it is written anew |\n")
+	assert.Equal(t, floors.Kind().Name, "floors")
+}
+
+// docs/members.md tells how sure a write gets in each view: five dispatchers in two zones, of which so many are heard.
+func TestHowSureAWriteGets(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/members.md")
+	require.NoError(t, err)
+	views := []struct {
+		level members.Level
+		doubt bool
+		live  int
+	}{{members.Whole, false, 4}, {members.Majority, false, 2}, {members.Minority, false, 1}, {members.Alone, false, 0}, {members.Whole, true, 0}}
+	for _, row := range []struct {
+		words string
+		sure  replica.Sure
+	}{{"a write is kept `here`", here}, {"a write gets `copies: 2`", two}, {"a write gets a `majority`", majority}} {
+		line := "| " + row.words + " |"
+		for _, v := range views {
+			m, err := replica.New(replica.Settings{Name: "n0", Zone: "z0", Kinds: []replica.Kind{floors.Kind()}}, nil, 0)
+			require.NoError(t, err)
+			f := replica.Fleet{Of: 5, Decides: members.Allowed(members.Decide, v.level, v.doubt)}
+			for i := range 4 {
+				f.Others = append(f.Others, replica.Member{Name: fmt.Sprint("n", i+1), Zone: fmt.Sprint("z", (i+1)%2), Alive: i < v.live || v.doubt, Counted: true})
+			}
+			m.Fleet(f, 0)
+			require.NoError(t, m.Step("n1", &replica.Message{Ask: &replica.Ask{Answer: true}}, 0)) // before the cut
+			k, value, _ := floors.Record(floors.Floor{Group: 1, Time: 5})
+			dot, err := m.Write(1, floors.ID, k, value, false, row.sure)
+			met := false
+			if err == nil {
+				for i := range v.live {
+					from := fmt.Sprint("n", i+1)
+					require.NoError(t, m.Step(from, &replica.Message{Acks: []replica.Entry{{Writer: "n0", Era: dot.Era, Number: dot.Number}}}, 2))
+				}
+				m.Tick(10)
+				out := m.Ready()
+				require.Len(t, out.Outcomes, 1)
+				met = out.Outcomes[0].Met
+			}
+			line += map[bool]string{true: " yes |", false: " no |"}[met]
+		}
+		assert.Contains(t, string(raw), line+"\n")
+	}
+}
