--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -61,6 +61,9 @@
 	// Changes is given what takes the change log's events, and gives what takes them from the follower: itself, or one around it that
 	// learns more. After gone seconds no copy is left that is older than a purge.
 	Changes(take func(changelog.Event), gone float64) func(changelog.Event)
+	// Variants makes the stage that names the variant of an object that a GET is sent for, and tells what names the class of a client's
+	// device; nil where none are declared.
+	Variants() (node.Variants, front.Devices, error)
 	// Beside opens fronts of other protocols, which hand their GETs to the same handler.
 	Beside(to Handling) ([]Beside, error)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
@@ -198,6 +201,14 @@
 		n.Joins, n.Settings.Retries = e.Joins(), e.Retries()
 		n.Bounders = e.Origins()
 	}
+	var devices front.Devices
+	if e != nil {
+		if n.Variants, devices, err = e.Variants(); err != nil {
+			s.closeListeners()
+			return err
+		}
+		o.Proofs = n.Variants != nil
+	}
 	if of.Shards > 1 {
 		debug.SetGCPercent(collectAt)
 		s.group = cores.New(n, of.Shards, of.Way, s.failOverdue)
@@ -212,11 +223,14 @@
 	for _, e := range c.Known.Events {
 		take(e)
 	}
+	if n.Variants != nil {
+		s.core.Take(changelog.Event{Seq: c.Known.Seq})
+	}
 	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
-		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners))}
+		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners)), Devices: devices}
 		if gate != nil {
 			server.Callers = gate
 		}
