--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -144,8 +144,9 @@
 	stat    struct{ pulled, pulls, wholes, walks, bad uint64 }
 	scratch []byte
 	held    *Save // of the fault
+	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
@@ -237,6 +238,8 @@
 		return Dot{}, ErrKind
 	case key == "" || len(key)+len(value) > s.Longest:
 		return Dot{}, ErrLong
+	case m.unkept:
+		return Dot{}, ErrUnkept
 	case !m.writes():
 		return Dot{}, ErrCatches
 	case sure.Level == Majority && !m.fleet.Decides:
@@ -429,5 +432,13 @@
 
 func (m *Machine) send(to string, msg Message, bytes int) {
 	msg.Lacks = m.lacking()
+	if m.unkept { // it acknowledges nothing
+		if msg.Acks = nil; msg.Ask != nil {
+			msg.Ask.Unkept = true
+		}
+		if msg.Give != nil {
+			msg.Give.Unkept = true
+		}
+	}
 	m.out = append(m.out, Envelope{To: to, Stream: bytes > fill, Message: msg})
 }
--- a/fleet/replica/message.go
+++ b/fleet/replica/message.go
@@ -40,6 +40,7 @@
 	Salt   uint64 `cbor:"6,keyasint,omitempty"`
 	Digest []byte `cbor:"7,keyasint,omitempty"` // of a question: a byte a bucket of writers, salted
 	Shown  []byte `cbor:"8,keyasint,omitempty"` // buckets, rising
+	Unkept bool   `cbor:"9,keyasint,omitempty"` // some of Vector is not on the sender's disk: it acknowledges nothing
 }
 
 // Range is a part of the space of hashes of keys: all that begin with the upper Depth times four bits of Prefix.
@@ -68,8 +69,9 @@
 	Records []Carried `cbor:"5,keyasint,omitempty"`
 	Keys    []uint64  `cbor:"6,keyasint,omitempty"` // of Pull.Keys, those that Records answers; the rest is to be asked again
 	Whole   bool      `cbor:"7,keyasint,omitempty"`
-	Next    uint64    `cbor:"8,keyasint,omitempty"` // the piece holds all from After up to before it
-	Done    bool      `cbor:"9,keyasint,omitempty"` // or to the end
+	Next    uint64    `cbor:"8,keyasint,omitempty"`  // the piece holds all from After up to before it
+	Done    bool      `cbor:"9,keyasint,omitempty"`  // or to the end
+	Unkept  bool      `cbor:"10,keyasint,omitempty"` // as an Ask's
 }
 
 // Sums are those of the sixteen children of a range, with how many records each has.
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -296,7 +296,7 @@
 	if !whole && len(a.Shown) == 0 {
 		return // an answer to a question of long ago
 	}
-	m.hear(from, theirs, lacks)
+	m.hear(from, theirs, lacks, !a.Unkept)
 	if len(a.Shown) == 0 {
 		m.compare(from, a, lacks, theirs.sum == m.vec.sum)
 		return
@@ -382,13 +382,15 @@
 	}
 }
 
-// hear books a vector, which its sender has on its disk.
-func (m *Machine) hear(from string, v *vector, lacks []uint8) {
+// hear books a vector, which its sender has on its disk where it is kept.
+func (m *Machine) hear(from string, v *vector, lacks []uint8, kept bool) {
 	m.heard, m.heardAt = true, m.now
 	if w := v.of[m.s.Name]; w != nil {
 		for _, k := range w.marks {
 			m.own(k.era, k.number)
-			m.acked(from, k.era, k.number, lacks)
+			if kept {
+				m.acked(from, k.era, k.number, lacks)
+			}
 		}
 	}
 	m.behind = 0
@@ -402,7 +404,7 @@
 	if m.check == nil {
 		return
 	}
-	if v.reaches(m.check) {
+	if kept && v.reaches(m.check) {
 		m.checked[from] = true
 	}
 	// Guards against folding an era whose last numbers a counted member has and this one lacks, and over eras that it lacks whole.
@@ -600,6 +602,18 @@
 	m.graves = kept
 }
 
+// Unkept tells whether the disk lags behind: a Save failed, and is still owed. Until all is kept, others' news is taken and passed on, nothing
+// is acknowledged, and no write is taken. What a Ready whose Save failed had to send is not to be sent. Writes that are open end as not met.
+func (m *Machine) Unkept(unkept bool) {
+	if unkept && !m.unkept {
+		for _, p := range m.pending {
+			m.outs = append(m.outs, Outcome{Dot: p.dot})
+		}
+		m.pending, m.out = nil, nil // what waits to be sent tells what is not kept
+	}
+	m.unkept = unkept && !m.fault.ackUnkept
+}
+
 // Ready takes what is to be done. The driver keeps Save before it sends or tells anything else of it; Steps may go on meanwhile, and what they
 // bring is taken together the next time.
 func (m *Machine) Ready() (r Ready) {
@@ -664,7 +678,7 @@
 				}
 			}
 			slices.SortFunc(acks, func(a, b Entry) int { return int(a.Era) - int(b.Era) })
-			if len(acks) > 0 {
+			if len(acks) > 0 && !m.unkept {
 				m.send(w, Message{Acks: acks}, 0)
 			}
 		}
