--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,131 @@
+// Package client follows channels of a fleet of dispatchers, and writes into them. It goes from dispatcher to dispatcher by itself: a reader keeps
+// its position, so that nothing comes twice and nothing is passed over untold; a writer keeps its numbers, so that nothing is written twice and
+// nothing that was acknowledged is lost. Whoever has the fleet's key may do both.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"elderwall/fleet/channels"
+	"elderwall/internal/fleet"
+)
+
+// Waits of a reader or writer that has lost its dispatcher; each is spread by chance, so that those of one that was killed don't come as a herd.
+const (
+	firstWait = 0.5  // s at most, before the first trial elsewhere
+	mostWait  = 5.0  // s at most, after several
+	unknown   = 15.0 // s for which a channel may be unknown where it is asked for: it may have been declared a moment ago
+)
+
+// Fleet is where dispatchers are, and the key that opens their streams.
+type Fleet struct {
+	addresses []string
+	keys      *fleet.Keys
+}
+
+// Open takes addresses of dispatchers, and the path of the fleet's key file; "" where it has none. Errors: no address, a bad key file.
+func Open(addresses []string, keyFile string) (*Fleet, error) {
+	if keyFile == "" {
+		return OpenKey(addresses, "")
+	}
+	if _, err := fleet.ReadKeys(keyFile); err != nil { // its mode, too
+		return nil, err
+	}
+	text, err := os.ReadFile(keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("key file: %w", err)
+	}
+	return OpenKey(addresses, string(text))
+}
+
+// OpenKey does the same with the key itself.
+func OpenKey(addresses []string, key string) (*Fleet, error) {
+	if len(addresses) == 0 {
+		return nil, errors.New("client: no address")
+	}
+	f := &Fleet{addresses: append([]string{}, addresses...), keys: fleet.OpenKeys()}
+	rand.Shuffle(len(f.addresses), func(i, j int) { f.addresses[i], f.addresses[j] = f.addresses[j], f.addresses[i] })
+	if key != "" {
+		var err error
+		if f.keys, err = fleet.ParseKeys(key); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Note is what a reader is told: an entry, or what became of the order, as channels.Word has it.
+type Note = channels.Note
+
+// Follow has a function called with each note of a channel, one after the other, until the context ends, the function fails, or the channel or
+// the order is refused. A position goes on where an earlier Follow ended; "" begins with all that is kept. Each note has the position after it: kept
+// with what came of the note, it lets a later Follow, anywhere, go on from there. After Reset and Cut, which are told, it begins anew with all that is
+// kept. It gives the last position.
+func (f *Fleet) Follow(ctx context.Context, channel string, order channels.Order, position string, take func(Note) error) (string, error) {
+	at, tries, since := 0, 0, time.Now()
+	for ctx.Err() == nil {
+		s, err := fleet.AskNotes(ctx, f.addresses[at%len(f.addresses)], f.keys, channels.Ask{Channel: channel, Token: position, Order: order})
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+			var some bool
+			var failed error
+			position, some, failed = f.drain(s, position, take)
+			stop()
+			_ = s.Close()
+			if failed != nil {
+				return position, failed
+			}
+			if some {
+				tries, since = 0, time.Now()
+			}
+		}
+		wait := rand.Float64() * min(mostWait, firstWait*float64(uint64(1)<<min(tries, 6)))
+		var no *fleet.Refusal
+		switch {
+		case errors.Is(err, channels.ErrMore), errors.Is(err, channels.ErrToken), errors.Is(err, channels.ErrChannel) && time.Since(since).Seconds() > unknown:
+			return position, err
+		case errors.As(err, &no) && no.Later > 0:
+			wait = no.Later
+		}
+		tries++
+		at++
+		sleep(ctx, wait)
+	}
+	return position, ctx.Err()
+}
+
+// drain hands on what a stream tells until it ends; failed is an error of the function's.
+func (f *Fleet) drain(s *fleet.Followed, position string, take func(Note) error) (_ string, some bool, failed error) {
+	for {
+		notes, err := s.Next()
+		if err != nil {
+			return position, some, nil
+		}
+		for _, n := range notes {
+			if n.Word == channels.Behind { // nothing has come of it: another dispatcher goes on
+				return position, some, nil
+			}
+			if err := take(n); err != nil {
+				return position, some, err
+			}
+			if some = true; n.Position != "" {
+				position = n.Position
+			}
+			if n.Word == channels.Reset || n.Word == channels.Cut {
+				return "", some, nil
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, seconds float64) {
+	select {
+	case <-time.After(time.Duration(seconds * float64(time.Second))):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/client/publish.go
@@ -0,0 +1,165 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+
+	"elderwall/fleet/channels"
+	"elderwall/internal/fleet"
+)
+
+const (
+	mostBatch  = 128       // entries of a question
+	batchBytes = 128 << 10 // of their bodies
+)
+
+// Message is what is to be written.
+type Message struct {
+	Key  string
+	Body []byte
+}
+
+// State is what a writer has to keep over its own restarts: before a message is sent, and once it is acknowledged.
+type State struct {
+	Writer  string            `json:"writer"`
+	Last    uint64            `json:"last"`  // number, of those that are acknowledged
+	Clock   uint64            `json:"clock"` // of the last
+	Pending []channels.Entry  `json:"pending,omitempty"`
+	After   map[string]uint64 `json:"after,omitempty"`
+}
+
+// Publisher writes into one channel, one call after the other. Only one may write under a name at a time.
+type Publisher struct {
+	fleet   *Fleet
+	channel string
+	mu      sync.Mutex
+	at      int
+	seen    sync.Mutex
+	state   State
+	save    func(State) error
+}
+
+// Publisher makes one; a state is what an earlier one left, or its name alone. Save, where it isn't nil, is called with the state that has to be
+// kept: before anything is sent that isn't in it, and after acknowledgements. Without one a writer that ends has to take another name.
+func (f *Fleet) Publisher(channel string, from State, save func(State) error) *Publisher {
+	if save == nil {
+		save = func(State) error { return nil }
+	}
+	if from.After = maps.Clone(from.After); from.After == nil {
+		from.After = map[string]uint64{}
+	}
+	return &Publisher{fleet: f, channel: channel, state: from, save: save, at: rand.IntN(len(f.addresses))}
+}
+
+// Saw has what is written from now on come after an entry, in causal order, and be newer than it.
+func (p *Publisher) Saw(n Note) {
+	if n.Entry == nil {
+		return
+	}
+	p.seen.Lock()
+	defer p.seen.Unlock()
+	p.state.Clock = max(p.state.Clock, n.Entry.Clock)
+	if n.Entry.Place == 0 {
+		p.state.After[n.Entry.Writer] = max(p.state.After[n.Entry.Writer], n.Entry.Number)
+	}
+}
+
+// Publish writes messages, and returns once all are acknowledged: at least as many dispatchers as channels.Copies have each, in total order the
+// voters' majority. What failed for another dispatcher's sake is sent to the next, under the same numbers, until the context ends; then it is pending
+// and goes out first with the next call. Errors: the context's, and channels.ErrEntry for what no dispatcher would take.
+func (p *Publisher) Publish(ctx context.Context, all ...Message) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen.Lock()
+	s := &p.state
+	number := s.Last + uint64(len(s.Pending))
+	for _, m := range all {
+		if len(m.Body) > channels.MostBody || len(m.Key) > channels.LongestKey {
+			p.seen.Unlock()
+			return fmt.Errorf("%w: at most %d bytes of key and %d of body", channels.ErrEntry, channels.LongestKey, channels.MostBody)
+		}
+	}
+	for _, m := range all {
+		number++
+		s.Clock++
+		s.Pending = append(s.Pending, channels.Entry{Channel: p.channel, Key: m.Key, Writer: s.Writer, Number: number, Clock: s.Clock,
+			After: maps.Clone(s.After), Body: m.Body})
+	}
+	p.seen.Unlock()
+	if err := p.save(p.State()); err != nil {
+		return err
+	}
+	for tries := 0; len(p.state.Pending) > 0; {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		n, err := p.send(ctx)
+		if n > 0 {
+			tries = 0
+			if err := p.save(p.State()); err != nil {
+				return err
+			}
+			continue
+		}
+		if errors.Is(err, channels.ErrEntry) {
+			return err
+		}
+		wait := rand.Float64() * min(mostWait, firstWait*float64(uint64(1)<<min(tries, 3)))
+		if no := (*fleet.Refusal)(nil); errors.As(err, &no) && no.Later > 0 {
+			wait = no.Later
+		}
+		tries++
+		p.at++
+		sleep(ctx, wait)
+	}
+	return nil
+}
+
+// send sends what is pending, and tells how much of it was acknowledged.
+func (p *Publisher) send(ctx context.Context) (n int, err error) {
+	size, batch := 0, p.state.Pending
+	for i := range batch {
+		if size += len(batch[i].Body); i >= mostBatch || i > 0 && size > batchBytes {
+			batch = batch[:i]
+			break
+		}
+	}
+	told, err := fleet.AskEntries(ctx, p.fleet.addresses[p.at%len(p.fleet.addresses)], p.fleet.keys, batch)
+	if err != nil {
+		return 0, err
+	}
+	for n < len(told) && told[n].Met {
+		n++
+	}
+	if n < len(told) {
+		err = told[n].Err()
+	}
+	p.seen.Lock()
+	p.state.Last += uint64(n)
+	p.state.Pending = append([]channels.Entry(nil), p.state.Pending[n:]...)
+	p.seen.Unlock()
+	return n, err
+}
+
+// State is what has to be kept for a later Publisher.
+func (p *Publisher) State() State {
+	p.seen.Lock()
+	defer p.seen.Unlock()
+	s := p.state
+	s.After, s.Pending = maps.Clone(s.After), append([]channels.Entry(nil), s.Pending...)
+	return s
+}
+
+// Declare has a declaration put into the fleet's log; its generation is one above the one that stands. The error names all that is wrong with it.
+func (f *Fleet) Declare(ctx context.Context, d channels.Declaration) (err error) {
+	for _, at := range f.addresses {
+		if err = fleet.AskDeclaration(ctx, at, f.keys, d); err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -22,6 +22,8 @@
 	Duties  dutiesCommand      `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
 	Budgets budgetsCommand     `cmd:"" help:"List the budgets: the wholes, and how they are divided."`
 	Spend   spendCommand       `cmd:"" help:"Take units of a budget at a dispatcher; fails where it has none left."`
+	Follow  followCommand      `cmd:"" help:"Follow a channel, at any dispatcher: a line of JSON a notice."`
+	Publish publishCommand     `cmd:"" help:"Write into a channel, at any dispatcher; or declare channels."`
 	Hold    holdCommand        `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
 	Hand    handCommand        `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
 	Drop    dropCommand        `cmd:"" help:"Forget a duty that nobody holds."`
--- /dev/null
+++ b/cmd/elderwall-operator/fleetchannels.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"elderwall/client"
+	"elderwall/fleet/channels"
+	"elderwall/internal/fleet"
+	"elderwall/internal/operator"
+)
+
+// several are dispatchers, any of which will do.
+type several struct {
+	At  []string `required:"" help:"Fleet addresses of dispatchers; any of them will do." placeholder:"ADDR"`
+	Key string   `help:"The fleet's key file; none where it has none." placeholder:"FILE"`
+}
+
+type followCommand struct {
+	several
+	Channel  string        `arg:"" help:"The channel."`
+	Order    string        `help:"Ask for less than the channel declares: latest, key, sender or causal." enum:",latest,key,sender,causal,total" default:""`
+	Position string        `help:"File that the position is kept in, and gone on from." type:"path" placeholder:"FILE"`
+	For      time.Duration `help:"Stop after so long; never without." placeholder:"TIME"`
+}
+
+type followLine struct {
+	Word       string `json:"word"`
+	Key        string `json:"key,omitempty"`
+	Writer     string `json:"writer,omitempty"`
+	Number     uint64 `json:"number,omitempty"`
+	Place      uint64 `json:"place,omitempty"`
+	From       uint64 `json:"from,omitempty"`
+	To         uint64 `json:"to,omitempty"`
+	Generation uint64 `json:"generation,omitempty"`
+	Late       bool   `json:"late,omitempty"`
+	Body       string `json:"body,omitempty"`
+}
+
+var words = map[channels.Word]string{channels.Shown: "shown", channels.Gap: "gap", channels.Reset: "reset", channels.Cut: "cut", channels.Turned: "turned"}
+
+var orderWords = map[string]channels.Order{"": 0, "latest": channels.Latest, "key": channels.ByKey, "sender": channels.BySender, "causal": channels.Causal, "total": channels.Total}
+
+// Run prints a line of JSON a note.
+func (c *followCommand) Run() error {
+	f, err := client.Open(c.At, c.Key)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if c.For > 0 {
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	position := ""
+	if c.Position != "" {
+		raw, err := os.ReadFile(c.Position)
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		position = string(raw)
+	}
+	_, err = f.Follow(ctx, c.Channel, orderWords[c.Order], position, func(n client.Note) error {
+		l := followLine{Word: words[n.Word], Writer: n.Writer, From: n.From, To: n.To, Generation: n.Generation, Late: n.Late}
+		if e := n.Entry; e != nil {
+			l.Key, l.Writer, l.Number, l.Place, l.Body = e.Key, e.Writer, e.Number, e.Place, string(e.Body)
+		}
+		raw, err := json.Marshal(l)
+		if err == nil {
+			_, err = fmt.Println(string(raw))
+		}
+		if err == nil && c.Position != "" && n.Position != "" {
+			err = keepFile(c.Position, []byte(n.Position))
+		}
+		return err
+	})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// keepFile writes a file beside the one that is there, and in its place: who reads it sees one or the other.
+func keepFile(path string, text []byte) error {
+	t, err := os.CreateTemp(filepath.Dir(path), ".position-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(t.Name()) }()
+	_, err = t.Write(text)
+	if err = errors.Join(err, t.Sync(), t.Close()); err == nil {
+		err = os.Rename(t.Name(), path)
+	}
+	return err
+}
+
+type publishCommand struct {
+	several
+	Channel string        `arg:"" help:"The channel."`
+	Body    []string      `arg:"" optional:"" help:"The messages; with none, a line of the standard input each."`
+	Of      string        `help:"The key that the messages are of." placeholder:"KEY"`
+	State   string        `help:"File in which the writer's name and numbers are kept; needed to write. One file, one writer." type:"path" placeholder:"FILE"`
+	Declare string        `help:"Declare channels from a file first, as under fleet.channels; without messages no more than that." type:"path" placeholder:"FILE"`
+	Within  time.Duration `help:"Give up after so long; what is pending goes out first the next time." default:"30s"`
+}
+
+// Run writes messages.
+func (c *publishCommand) Run() error {
+	f, err := client.Open(c.At, c.Key)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
+	defer cancel()
+	if c.Declare != "" {
+		all, err := operator.ReadDeclarations(c.Declare)
+		if err != nil {
+			return err
+		}
+		for _, d := range all {
+			if err := f.Declare(ctx, d); err != nil {
+				return err
+			}
+			fmt.Printf("%s: generation %d is declared\n", d.Name, d.Generation)
+		}
+		if len(c.Body) == 0 {
+			return nil
+		}
+	}
+	if c.State == "" {
+		return errors.New("--state: a writer that can't tell its numbers could write twice, or under a number that is taken")
+	}
+	var from client.State
+	if raw, err := os.ReadFile(c.State); err == nil {
+		if err := json.Unmarshal(raw, &from); err != nil {
+			return fmt.Errorf("%s: %w", c.State, err)
+		}
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if from.Writer == "" {
+		from.Writer = "w-" + fleet.NewKey()[:12]
+	}
+	p := f.Publisher(c.Channel, from, func(s client.State) error {
+		raw, err := json.Marshal(s)
+		if err == nil {
+			err = keepFile(c.State, raw)
+		}
+		return err
+	})
+	if len(c.Body) == 0 {
+		in := bufio.NewScanner(os.Stdin)
+		in.Buffer(nil, channels.MostBody+1)
+		for in.Scan() {
+			if err := p.Publish(ctx, client.Message{Key: c.Of, Body: []byte(in.Text())}); err != nil {
+				return err
+			}
+		}
+		return in.Err()
+	}
+	var all []client.Message
+	for _, b := range c.Body {
+		all = append(all, client.Message{Key: c.Of, Body: []byte(b)})
+	}
+	return p.Publish(ctx, all...)
+}
--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -252,3 +252,29 @@
 	c.proposed = now
 	m.ready.Commands = append(m.ready.Commands, cmd)
 }
+
+// Last is the highest number of a writer that is known here or on its way.
+func (m *Machine) Last(channel, writer string) uint64 {
+	c := m.channels[channel]
+	if c == nil {
+		return 0
+	}
+	n := max(c.highest(writer), c.floor[writer], c.dead[writer], c.taken[writer])
+	for k := range c.held[writer] {
+		n = max(n, k)
+	}
+	return n
+}
+
+// Newest is the newest entry of a key, nil for none, and the highest clock of the channel's writers. Who gets it does not change it.
+func (m *Machine) Newest(channel, key string) (*Entry, uint64) {
+	c := m.channels[channel]
+	if c == nil {
+		return nil, 0
+	}
+	clock := uint64(0)
+	for _, n := range c.clock {
+		clock = max(clock, n)
+	}
+	return c.newest[key], clock
+}
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -242,7 +243,7 @@
 	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
 		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
 		(was.Fleet == nil) != (to.Fleet == nil) ||
-		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) ||
+		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) || !reflect.DeepEqual(was.Fleet.Channels, to.Fleet.Channels) ||
 			was.Fleet.Memory != nil && *was.Fleet.Memory != *to.Fleet.Memory || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
 		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
 		return nil, errTurned
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -39,9 +39,14 @@
 	AskChannels = "channels" // what is declared, and the line of the channel that Duty names
 	AskWrite    = "write"    // records into the memory
 	AskRead     = "read"     // what the memory has for some keys, or how many records of a kind and a sum over them
+	AskFollow   = "follow"   // a channel's notes, for as long as the stream stands
+	AskPublish  = "publish"  // entries of a writer into a channel
+	AskDeclare  = "declare"  // a channel's declaration into the log
 
 	askEra   = "era"   // the latest era of a disk that it knows
 	askWhere = "where" // where the holder of a duty is
+
+	askDeclared = "declared" // what is declared, as one voter has it
 )
 
 const (
@@ -56,17 +61,20 @@
 	What  string `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint,omitempty"`
 
-	Number   uint64            `cbor:"3,keyasint,omitempty"`
-	Hops     uint8             `cbor:"4,keyasint,omitempty"`
-	Turn     *duties.Turn      `cbor:"5,keyasint,omitempty"`
-	Commands []duties.Command  `cbor:"6,keyasint,omitempty"`
-	Seat     duties.Change     `cbor:"7,keyasint,omitempty"`
-	Ledger   *budgets.Command  `cbor:"8,keyasint,omitempty"`
-	Whole    bool              `cbor:"9,keyasint,omitempty"` // the ledger is to be told after it
-	Duty     string            `cbor:"10,keyasint,omitempty"`
-	Records  []replica.Record  `cbor:"11,keyasint,omitempty"` // to be written; or whose keys are to be read
-	Channels *channels.Command `cbor:"13,keyasint,omitempty"`
-	Sure     replica.Sure      `cbor:"12,keyasint,omitempty"`
+	Number   uint64                `cbor:"3,keyasint,omitempty"`
+	Hops     uint8                 `cbor:"4,keyasint,omitempty"`
+	Turn     *duties.Turn          `cbor:"5,keyasint,omitempty"`
+	Commands []duties.Command      `cbor:"6,keyasint,omitempty"`
+	Seat     duties.Change         `cbor:"7,keyasint,omitempty"`
+	Ledger   *budgets.Command      `cbor:"8,keyasint,omitempty"`
+	Whole    bool                  `cbor:"9,keyasint,omitempty"` // the ledger is to be told after it
+	Duty     string                `cbor:"10,keyasint,omitempty"`
+	Records  []replica.Record      `cbor:"11,keyasint,omitempty"` // to be written; or whose keys are to be read
+	Channels *channels.Command     `cbor:"13,keyasint,omitempty"`
+	Sure     replica.Sure          `cbor:"12,keyasint,omitempty"`
+	Follow   *channels.Ask         `cbor:"14,keyasint,omitempty"`
+	Entries  []channels.Entry      `cbor:"15,keyasint,omitempty"`
+	Declare  *channels.Declaration `cbor:"16,keyasint,omitempty"`
 }
 
 // Told is what a member answers.
@@ -95,6 +103,9 @@
 	Channels *channels.Saved    `cbor:"22,keyasint,omitempty" json:",omitempty"`
 	Refused  string             `cbor:"23,keyasint,omitempty" json:",omitempty"` // why a command of channels did nothing
 	Leads    string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
+	Written  []Written          `cbor:"23,keyasint,omitempty" json:",omitempty"` // what became of the entries, in their order
+	Reason   string             `cbor:"24,keyasint,omitempty" json:"-"`          // of the error, as a word
+	Later    float64            `cbor:"25,keyasint,omitempty" json:"-"`          // s after which to ask again
 }
 
 // MarshalJSON writes it in the style of the command line, whoever prints it.
@@ -109,8 +120,9 @@
 	More int `json:",omitempty"`
 }
 
-// serveStream takes one stream: a message, or a question with a nonce of ours, so that no question counts twice.
-func (f *Fleet) serveStream(c net.Conn) {
+// serveStream takes one stream: a message, or a question with a nonce of ours, so that no question counts twice. It lets its place go early where
+// the answer takes long, and tells whether the stream is kept.
+func (f *Fleet) serveStream(c net.Conn, place func()) (kept bool) {
 	in := bufio.NewReader(c)
 	if begin, err := in.Peek(4); err != nil || begin[0]|begin[1]|begin[2]|begin[3] != askBegins {
 		if sealed, err := readFrame(in, longestStream); err == nil {
@@ -134,16 +146,38 @@
 		return
 	}
 	var q ask
-	if err := decoding.Unmarshal(text, &q); err != nil {
+	if err := told.Unmarshal(text, &q); err != nil { // an entry may come after many writers
 		f.Counts.Unusable.Add(1)
 		return
 	}
 	f.Counts.Asked.Add(1)
-	answer, err := encoding.Marshal(f.answer(q))
+	var t Told
+	var reader *follower
+	switch {
+	case f.following == nil || q.What != AskFollow && q.What != AskPublish:
+		t = f.answer(q)
+	case q.What == AskPublish:
+		place() // it has places of its own
+		t = f.following.answerPublish(f.ctx, q)
+	default:
+		reader, t = f.following.begin(q, c, nonce)
+	}
+	answer, err := encoding.Marshal(t)
+	if err == nil {
+		err = writeFrame(c, f.Keys.seal(sealedTold, f.boot, f.number.Add(1), answer, nonce))
+	}
+	if reader == nil {
+		return false
+	}
 	if err != nil {
-		return
+		f.following.mu.Lock()
+		f.following.machine.Close(reader.id)
+		f.following.mu.Unlock()
+		return false
 	}
-	_ = writeFrame(c, f.Keys.seal(sealedTold, f.boot, f.number.Add(1), answer, nonce))
+	_ = c.SetDeadline(time.Time{})
+	f.following.keep(reader)
+	return true
 }
 
 // answer answers a question.
@@ -157,6 +191,11 @@
 		f.await(q.After)
 	case AskLeave:
 		f.leave()
+	case AskFollow, AskPublish, AskDeclare:
+		if f.following == nil {
+			return Told{Error: "this dispatcher keeps no channels"}
+		}
+		return f.following.answerDeclare(f.ctx, q)
 	default:
 		return f.answerDuties(f.ctx, q)
 	}
@@ -245,46 +284,68 @@
 }
 
 func askAt(ctx context.Context, at string, k *Keys, q ask) (t Told, err error) {
+	c, _, t, err := converse(ctx, at, k, q)
+	if err != nil {
+		return t, err
+	}
+	_ = c.Close()
+	if t.Error != "" {
+		return t, errOf(&t)
+	}
+	return t, nil
+}
+
+func errOf(t *Told) error {
+	if t.Reason != "" {
+		return &Refusal{Reason: t.Reason, Text: t.Error, Later: t.Later}
+	}
+	return errors.New(t.Error)
+}
+
+// converse puts a question and takes the answer, after which the stream stands: the caller closes it.
+func converse(ctx context.Context, at string, k *Keys, q ask) (c net.Conn, nonce []byte, t Told, err error) {
 	ctx, cancel := context.WithTimeout(ctx, streamTime)
 	defer cancel()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", at)
+	c, err = (&net.Dialer{}).DialContext(ctx, "tcp", at)
 	if err != nil {
-		return t, fmt.Errorf("ask: %w", err)
+		return nil, nil, t, fmt.Errorf("ask: %w", err)
 	}
-	defer func() { _ = c.Close() }()
+	opened := c
+	defer func() {
+		if err != nil {
+			_ = opened.Close()
+		}
+	}()
+	defer context.AfterFunc(ctx, func() { _ = opened.SetDeadline(time.Now()) })()
 	_ = c.SetDeadline(time.Now().Add(streamTime))
-	if _, err := c.Write(make([]byte, 4)); err != nil {
-		return t, fmt.Errorf("ask: %w", err)
+	if _, err = c.Write(make([]byte, 4)); err != nil {
+		return nil, nil, t, fmt.Errorf("ask: %w", err)
 	}
-	nonce, err := readFrame(c, nonceLength)
-	if err != nil {
-		return t, fmt.Errorf("ask: %w", err)
+	if nonce, err = readFrame(c, nonceLength); err != nil {
+		return nil, nil, t, fmt.Errorf("ask: %w", err)
 	}
 	text, err := encoding.Marshal(q)
 	if err != nil {
-		return t, fmt.Errorf("ask: %w", err)
+		return nil, nil, t, fmt.Errorf("ask: %w", err)
 	}
-	if err := writeFrame(c, k.seal(sealedAsk, 1, 1, text, nonce)); err != nil {
-		return t, err
+	if err = writeFrame(c, k.seal(sealedAsk, 1, 1, text, nonce)); err != nil {
+		return nil, nil, t, err
 	}
 	sealed, err := readFrame(c, longestStream)
 	if errors.Is(err, io.EOF) {
-		return t, errors.New("ask: no answer; is it the fleet's key?")
+		return nil, nil, t, errors.New("ask: no answer; is it the fleet's key?")
 	}
 	if err != nil {
-		return t, err
+		return nil, nil, t, err
 	}
 	_, _, text, err = k.open(sealedTold, sealed, nonce)
 	if err == nil {
 		err = told.Unmarshal(text, &t)
 	}
 	if err != nil {
-		return t, fmt.Errorf("ask: %w", err)
+		return nil, nil, t, fmt.Errorf("ask: %w", err)
 	}
-	if t.Error != "" {
-		return t, errors.New(t.Error)
-	}
-	return t, nil
+	return c, nonce, t, nil
 }
 
 var told = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16}.DecMode())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,9 +58,10 @@
 	Key      string // path of the key file, "" for none
 	Remember string // file in which the last agreed fleet is kept over a restart, "" for none
 	Keys     *Keys
-	Duties   *Duties  // nil where it stands for none and does not vote
-	Budgets  *Budgets // nil where nothing is divided
-	Memory   *Memory  // nil where nothing is remembered together
+	Duties   *Duties   // nil where it stands for none and does not vote
+	Budgets  *Budgets  // nil where nothing is divided
+	Memory   *Memory   // nil where nothing is remembered together
+	Channels *Channels // nil where no channels are kept; they need duties and a memory
 }
 
 // Check tells what can't go together.
@@ -126,13 +127,14 @@
 		gets, shed int64
 	}
 
-	takes    map[byte]func(boot uint64, text []byte) // by kind of what is sealed
-	answers  map[string]func(q ask) Told             // by what is asked
-	voter    *voter                                  // nil where this one does not vote
-	holding  holding
-	spending spending
-	dividing dividing
-	memory   *memory // nil where nothing is remembered together
+	takes     map[byte]func(boot uint64, text []byte) // by kind of what is sealed
+	answers   map[string]func(q ask) Told             // by what is asked
+	voter     *voter                                  // nil where this one does not vote
+	holding   holding
+	spending  spending
+	dividing  dividing
+	memory    *memory    // nil where nothing is remembered together
+	following *following // nil where no channels are kept
 
 	mu         sync.Mutex
 	machine    *members.Machine
@@ -188,6 +190,9 @@
 	if s.Memory != nil {
 		f.memory = newMemory(f)
 	}
+	if s.Channels != nil && s.Memory != nil && s.Duties != nil {
+		f.following = newFollowing(f)
+	}
 	if s.Duties != nil {
 		f.holding.holder = duties.NewHolder(s.Name, f.boot, s.Zone, s.Duties.Priority)
 		if s.Budgets != nil {
@@ -230,6 +235,9 @@
 	if f.memory != nil {
 		f.group.Go(func() error { return f.memory.run(f.ctx) })
 	}
+	if f.following != nil {
+		f.group.Go(func() error { return f.following.run(f.ctx) })
+	}
 	f.group.Go(func() error {
 		<-f.ctx.Done()
 		f.leave()
@@ -536,12 +544,18 @@
 			continue
 		}
 		f.group.Go(func() error {
-			defer places.Release(1)
-			defer func() { _ = c.Close() }()
+			place := sync.OnceFunc(func() { places.Release(1) })
+			defer place()
+			kept := false
+			defer func() {
+				if !kept {
+					_ = c.Close()
+				}
+			}()
 			defer context.AfterFunc(f.ctx, func() { _ = c.Close() })()
 			_ = c.SetDeadline(time.Now().Add(streamTime))
 			f.Counts.StreamsIn.Add(1)
-			f.serveStream(c)
+			kept = f.serveStream(c, place)
 			return nil
 		})
 	}
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,424 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	mrand "math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"elderwall/fleet/channels"
+	"elderwall/fleet/members"
+	"elderwall/fleet/replica"
+)
+
+const (
+	channelTick   = 20 * time.Millisecond
+	channelTidy   = 100 * time.Millisecond // between ticks of the machine
+	declaredEach  = 2 * time.Second        // between looks at what is declared; each waits a part of it more, as chance has it
+	channelLease  = 2.0                    // s; of the duty to put a channel in order: none is put while it runs out after a kill
+	mostPublish   = 256                    // questions of writers that wait at a time
+	holderKnown   = time.Second            // for so long a channel's holder is not looked for again
+	longestDuty   = 100                    // bytes, channels.Duty and a channel's name
+	mostProposing = 64                     // commands on their way into the log at a time
+)
+
+// Channels is what a dispatcher is told of the fleet's channels; nil where none are kept.
+type Channels struct {
+	Declared []channels.Declaration // by the operator's file; a higher generation than the one in force is put into the log
+}
+
+// writing is what waits for an entry's acknowledgement.
+type writing struct {
+	channel, writer string
+	number          uint64
+}
+
+// following is the channels' machine at work.
+type following struct {
+	fleet   *Fleet
+	wake    chan struct{}
+	stale   chan struct{} // declarations have to be looked at
+	outs    chan replica.Outcome
+	publish chan struct{} // places for writers that wait
+
+	mu       sync.Mutex
+	machine  *channels.Machine
+	waits    map[writing][]chan channels.Ack
+	declared bool // what is declared was read
+	decides  bool
+	orders   map[string]channels.Declaration
+	holders  map[string]holderAt
+	tells    []telling
+
+	// Of the goroutine alone.
+	puts      map[replica.Dot]uint64
+	held      map[string]uint64 // epochs by channel, as told to the machine
+	proposing map[string]bool
+	ended     chan proposed
+	pumps     []*pump
+	mismatch  map[string]bool // declarations of the file that were told not to stand
+}
+
+type holderAt struct {
+	address string
+	at      time.Time
+}
+
+// proposed is how a command ended.
+type proposed struct {
+	channel string
+	epoch   uint64
+	began   bool // it only takes the log over
+	saved   *channels.Saved
+	err     error
+}
+
+func newFollowing(f *Fleet) *following {
+	w := &following{fleet: f, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), outs: make(chan replica.Outcome, mostOutcome),
+		publish: make(chan struct{}, mostPublish), machine: channels.New(f.Name, f.boot), waits: map[writing][]chan channels.Ack{},
+		orders: map[string]channels.Declaration{}, holders: map[string]holderAt{}, puts: map[replica.Dot]uint64{}, held: map[string]uint64{},
+		proposing: map[string]bool{}, ended: make(chan proposed, 2*mostProposing), mismatch: map[string]bool{}}
+	for range pumps {
+		w.pumps = append(w.pumps, newPump(w))
+	}
+	f.memory.subscribe(channels.EntryKind, w.learn)
+	f.memory.subscribe(channels.WriterKind, w.learn)
+	return w
+}
+
+// learn takes what came to stand in the memory.
+func (w *following) learn(all []replica.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.fleet.dutyNow()
+	for _, r := range all {
+		w.machine.Learn(now, r)
+	}
+	poke(w.wake)
+}
+
+// relearn takes all that stands: a memory was opened.
+func (w *following) relearn() {
+	for _, kind := range []uint8{channels.WriterKind, channels.EntryKind} {
+		var all []replica.Record
+		w.fleet.memory.each(kind, "", func(r replica.Record) bool {
+			all = append(all, r)
+			return true
+		})
+		w.learn(all)
+	}
+}
+
+// look tells the machine who is there.
+func (w *following) look(to replica.Fleet) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.decides = to.Decides; !to.Decides {
+		clear(w.holders)
+	}
+	w.machine.Fleet(to)
+	poke(w.wake)
+}
+
+// run is the channels' goroutine.
+func (w *following) run(ctx context.Context) error {
+	for _, p := range w.pumps {
+		w.fleet.group.Go(func() error { return p.run(ctx) })
+	}
+	w.fleet.group.Go(func() error { return w.declare(ctx) })
+	each := time.NewTicker(channelTick)
+	defer each.Stop()
+	var tidied time.Time
+	for {
+		select {
+		case <-w.wake:
+		case <-each.C:
+		case o := <-w.outs:
+			w.written(o)
+		case p := <-w.ended:
+			w.agreed(p)
+		case <-ctx.Done():
+			return nil
+		}
+		for more := true; more; {
+			select {
+			case o := <-w.outs:
+				w.written(o)
+			case p := <-w.ended:
+				w.agreed(p)
+			default:
+				more = false
+			}
+		}
+		w.hold(ctx)
+		w.mu.Lock()
+		if now := time.Now(); now.Sub(tidied) > channelTidy {
+			tidied = now
+			w.machine.Tick(w.fleet.dutyNow())
+			w.tellDue(now)
+		}
+		out := w.machine.Ready()
+		w.ack(out.Acks)
+		w.mu.Unlock()
+		w.put(out.Puts)
+		for _, c := range out.Commands {
+			w.propose(ctx, c, false)
+		}
+		if len(out.News) > 0 {
+			for _, p := range w.pumps {
+				p.news(out.News)
+			}
+		}
+	}
+}
+
+// ack tells the writers that wait. Called under the lock.
+func (w *following) ack(all []channels.Ack) {
+	for _, a := range all {
+		key := writing{a.Channel, a.Writer, a.Number}
+		for _, to := range w.waits[key] {
+			to <- a
+		}
+		delete(w.waits, key)
+	}
+}
+
+func (w *following) written(o replica.Outcome) {
+	id, ok := w.puts[o.Dot]
+	if !ok {
+		return
+	}
+	delete(w.puts, o.Dot)
+	w.mu.Lock()
+	w.machine.Written(w.fleet.dutyNow(), id, o, nil)
+	w.mu.Unlock()
+}
+
+// put writes records; how those with an ID end is told to the machine.
+func (w *following) put(all []channels.Put) {
+	for _, p := range all {
+		dot, err := w.fleet.memory.writeTo(w.outs, p.Record.Kind, p.Record.Key, p.Record.Value, p.Record.Dead, p.Sure)
+		switch {
+		case p.ID == 0:
+		case err != nil:
+			w.mu.Lock()
+			w.machine.Written(w.fleet.dutyNow(), p.ID, replica.Outcome{}, err)
+			w.mu.Unlock()
+			poke(w.wake)
+		default:
+			w.puts[dot] = p.ID
+		}
+	}
+}
+
+// hold tells the machine which channels it puts in order. Guards against commands of earlier epochs that are on their way: one of this epoch goes
+// into the log first, and what stands is read as of it.
+func (w *following) hold(ctx context.Context) {
+	w.mu.Lock()
+	orders := w.orders
+	w.mu.Unlock()
+	for name, d := range orders {
+		if d.Order != channels.Total {
+			continue
+		}
+		token, ok := w.fleet.Guard(channels.Duty + name)
+		if !ok {
+			token = 0
+		}
+		if token != w.held[name] {
+			w.held[name] = token
+			w.mu.Lock()
+			w.machine.Hold(w.fleet.dutyNow(), name, token)
+			w.mu.Unlock()
+			w.fleet.Log.Info().Str("channel", name).Uint64("epoch", token).Bool("holds", token != 0).Msg("channels: order")
+			if token != 0 {
+				w.propose(ctx, channels.Command{Channel: name, Epoch: token}, true)
+			}
+		}
+	}
+}
+
+// propose has a command put into the log. One that can't be now comes again from the machine.
+func (w *following) propose(ctx context.Context, c channels.Command, begins bool) {
+	if !begins && (w.proposing[c.Channel] || len(w.proposing) >= mostProposing) {
+		return
+	}
+	if token, ok := w.fleet.Guard(channels.Duty + c.Channel); !ok || token != c.Epoch {
+		return
+	}
+	if !begins {
+		w.proposing[c.Channel] = true
+	}
+	w.fleet.group.Go(func() error {
+		p := proposed{channel: c.Channel, epoch: c.Epoch, began: begins}
+		t, err := w.fleet.ask(ctx, ask{What: AskCommand, Channels: &c, Whole: true})
+		p.saved, p.err = t.Channels, err
+		select {
+		case w.ended <- p:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+// agreed takes what the log has after a command.
+func (w *following) agreed(p proposed) {
+	if !p.began {
+		delete(w.proposing, p.channel)
+	}
+	if p.err != nil || p.saved == nil {
+		w.fleet.Log.Warn().Err(p.err).Str("channel", p.channel).Msg("channels: not put in order")
+		if p.began && w.held[p.channel] == p.epoch {
+			delete(w.held, p.channel) // it is begun anew
+			w.mu.Lock()
+			w.machine.Hold(w.fleet.dutyNow(), p.channel, 0)
+			w.mu.Unlock()
+		}
+		return
+	}
+	w.take(p.saved)
+}
+
+// take takes the agreed part in.
+func (w *following) take(s *channels.Saved) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.fleet.dutyNow()
+	w.machine.Declare(now, s.Declared)
+	for i := range s.Lines {
+		w.machine.Agreed(now, &s.Lines[i])
+	}
+	orders := map[string]channels.Declaration{}
+	for _, d := range s.Declared {
+		if w.orders[d.Name].Generation > d.Generation {
+			d = w.orders[d.Name]
+		}
+		orders[d.Name] = d
+		if w.orders[d.Name].Generation < d.Generation {
+			w.fleet.Log.Info().Str("channel", d.Name).Uint64("generation", d.Generation).Stringer("order", d.Order).Msg("channels: declared")
+		}
+		if _, ok := w.orders[d.Name]; !ok && d.Order == channels.Total && w.fleet.voter != nil { // who votes has the log at hand
+			w.fleet.holding.mu.Lock()
+			w.fleet.holding.holder.Want(channels.Duty+d.Name, channelLease, now)
+			w.fleet.holding.mu.Unlock()
+		}
+	}
+	for name, d := range w.orders {
+		if _, ok := orders[name]; !ok {
+			orders[name] = d
+		}
+	}
+	w.orders, w.declared = orders, true
+	poke(w.wake)
+}
+
+// declare looks at what is declared now and then, and has what the file says put into the log.
+func (w *following) declare(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s, err := w.fleet.declaredNow(ctx)
+		wait := declaredEach + time.Duration(mrand.Int64N(int64(declaredEach/2)))
+		if err == nil {
+			w.take(&s)
+			w.propagate(ctx, s.Declared)
+		} else {
+			wait = declaredEach / 4
+		}
+		select {
+		case <-w.stale:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// propagate puts declarations of the file into the log, each against the generation before it.
+func (w *following) propagate(ctx context.Context, now []channels.Declaration) {
+	for _, d := range slices.Concat(builtIn, w.fleet.Channels.Declared) {
+		i := slices.IndexFunc(now, func(o channels.Declaration) bool { return o.Name == d.Name })
+		stands := channels.Declaration{}
+		if i >= 0 {
+			stands = now[i]
+		}
+		switch {
+		case d.Generation == stands.Generation+1 && w.fleet.voter != nil:
+			if err := w.fleet.agree(ctx, channels.Command{Declare: &d}); err == nil {
+				poke(w.stale)
+			}
+		case (d.Generation > stands.Generation+1 || d.Generation == stands.Generation && d != stands) && !w.mismatch[d.Name]:
+			w.mismatch[d.Name] = true
+			w.fleet.Log.Warn().Str("channel", d.Name).Uint64("stands", stands.Generation).Uint64("file", d.Generation).
+				Str("means", "the file's declaration is not in force: its generation has to be one above the one that stands").Msg("channels: declaration")
+		}
+	}
+}
+
+// declaredNow is what is declared, as a voter has it.
+func (f *Fleet) declaredNow(ctx context.Context) (s channels.Saved, err error) {
+	q := ask{What: askDeclared}
+	if f.voter != nil {
+		t := f.answerDuties(ctx, q)
+		if t.Error == "" && t.Channels != nil {
+			return *t.Channels, nil
+		}
+	}
+	all := f.aliveVoters()
+	mrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	err = errNoLeader
+	for _, a := range all[:min(2, len(all))] {
+		if a == f.Address {
+			continue
+		}
+		var t Told
+		if t, err = f.askOther(ctx, a, q); err == nil && t.Channels != nil {
+			return *t.Channels, nil
+		}
+	}
+	return s, errors.Join(errors.New("no voter tells what is declared"), err)
+}
+
+// holderOf is where the holder of a channel's duty is, as far as a voter knows.
+func (w *following) holderOf(ctx context.Context, channel string) string {
+	w.mu.Lock()
+	h := w.holders[channel]
+	w.mu.Unlock()
+	if h.address != "" && time.Since(h.at) < holderKnown {
+		return h.address
+	}
+	f := w.fleet
+	all := f.aliveVoters()
+	mrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, a := range all[:min(2, len(all))] {
+		q := ask{What: askWhere, Duty: channels.Duty + channel}
+		var t Told
+		var err error
+		if a == f.Address {
+			t = f.answerDuties(ctx, q)
+		} else {
+			c, cancel := context.WithTimeout(ctx, turnAsk)
+			t, err = f.askOther(c, a, q)
+			cancel()
+		}
+		if err == nil && t.Leads != "" {
+			w.mu.Lock()
+			w.holders[channel] = holderAt{t.Leads, time.Now()}
+			w.mu.Unlock()
+			return t.Leads
+		}
+	}
+	return ""
+}
+
+// lowly tells how many voters that are there come before this one by name: who tells a notice first of all.
+func (f *Fleet) rank() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machine.Members() {
+		if m.Vote.Council != 0 && m.State == members.Alive && m.Name < f.Name {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -286,7 +286,7 @@
 func (f *Fleet) answerDuties(ctx context.Context, q ask) (t Told) {
 	fail := func(err error) Told { return Told{Error: err.Error()} }
 	if f.voter == nil {
-		if q.What == askEra || q.What == askWhere {
+		if q.What == askEra || q.What == askWhere || q.What == askDeclared {
 			return fail(errors.New("this dispatcher does not vote"))
 		}
 		t, err := f.askLeader(ctx, q)
@@ -311,6 +311,8 @@
 			}
 		}
 		return t
+	case askDeclared:
+		return f.tellDeclared("")
 	case AskFound, AskRecover:
 		if err := f.voter.within(map[string]func() error{AskFound: f.voter.found, AskRecover: f.voter.recover}[q.What]); err != nil {
 			return fail(err)
@@ -360,6 +362,9 @@
 			return fail(err)
 		}
 		t.Changed = changed
+		if q.Channels != nil && q.Whole { // as of that command or later
+			t.Channels = f.tellDeclared(q.Channels.Channel).Channels
+		}
 		if q.Ledger != nil && len(q.Commands) == 0 && q.Whole { // as of that command or later
 			if err := f.voter.within(func() error {
 				saved := f.voter.machine.Ledger().Save()
@@ -370,14 +375,8 @@
 			}
 		}
 	case AskChannels:
-		if err := f.voter.within(func() error {
-			t.Channels = &channels.Saved{Declared: f.voter.machine.Channels().Declarations()}
-			if l := f.voter.machine.Channels().Line(q.Duty); l != nil {
-				t.Channels.Lines = []channels.Line{*l}
-			}
-			return nil
-		}); err != nil {
-			return fail(err)
+		if t = f.tellDeclared(q.Duty); t.Error == "" {
+			t.Leads = f.Address
 		}
 	case AskSeat:
 		if err := f.voter.within(func() error { return f.voter.machine.Change(q.Seat, f.dutyNow()) }); err != nil {
@@ -388,3 +387,17 @@
 	}
 	return t
 }
+
+// tellDeclared tells what is declared, and the line of a channel, as this voter has it.
+func (f *Fleet) tellDeclared(channel string) (t Told) {
+	if err := f.voter.within(func() error {
+		t.Channels = &channels.Saved{Declared: f.voter.machine.Channels().Declarations()}
+		if l := f.voter.machine.Channels().Line(channel); l != nil {
+			t.Channels.Lines = []channels.Line{*l}
+		}
+		return nil
+	}); err != nil {
+		return Told{Error: err.Error()}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/fleet/publish.go
@@ -0,0 +1,301 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"elderwall/fleet/channels"
+)
+
+const mostWrites = 256 // entries of a question
+
+var errMany = fmt.Errorf("%w: more than %d at once", channels.ErrEntry, mostWrites)
+
+// ErrUnsure tells that nothing is known yet of what became of an entry: it is to be sent again.
+var ErrUnsure = errors.New("not known to be kept: send it again")
+
+// reasons are errors by the words that they have on the wire.
+var reasons = map[string]error{"channel": channels.ErrChannel, "skips": channels.ErrSkips, "after": channels.ErrAfter, "full": channels.ErrFull, "cut": channels.ErrCut,
+	"more": channels.ErrMore, "writers": channels.ErrWriters, "token": channels.ErrToken, "entry": channels.ErrEntry, "unsure": ErrUnsure}
+
+func reasonOf(err error) string {
+	for word, is := range reasons {
+		if errors.Is(err, is) {
+			return word
+		}
+	}
+	return "unsure"
+}
+
+// Refusal is why a dispatcher refused; errors.Is knows the errors of channels.
+type Refusal struct {
+	Reason string
+	Text   string
+	Later  float64 // s after which to come again; 0 where it won't help here
+}
+
+func (r *Refusal) Error() string { return r.Text }
+
+// Unwrap gives the error of channels that it is.
+func (r *Refusal) Unwrap() error { return reasons[r.Reason] }
+
+func refuse(err error) Told {
+	t := Told{Reason: reasonOf(err), Error: err.Error()}
+	if later := (*channels.Later)(nil); errors.As(err, &later) {
+		t.Later, t.Reason = later.Seconds, "full"
+	}
+	return t
+}
+
+// Written is what became of an entry.
+type Written struct {
+	Met    bool   `cbor:"1,keyasint"`
+	Copies int    `cbor:"2,keyasint,omitempty"` // that have it, where it was counted
+	Reason string `cbor:"3,keyasint,omitempty"`
+	Text   string `cbor:"4,keyasint,omitempty"`
+}
+
+// Err is why it was refused; nil where it is acknowledged.
+func (w *Written) Err() error {
+	if w.Met {
+		return nil
+	}
+	return &Refusal{Reason: w.Reason, Text: w.Text}
+}
+
+func notMet(err error) Written { return Written{Reason: reasonOf(err), Text: err.Error()} }
+
+// answerPublish takes entries of a writer in, and waits until they are acknowledged or refused, for so long at most as a writer is promised.
+func (w *following) answerPublish(ctx context.Context, q ask) (t Told) {
+	if len(q.Entries) > mostWrites {
+		return refuse(errMany)
+	}
+	select {
+	case w.publish <- struct{}{}:
+		defer func() { <-w.publish }()
+	default:
+		return refuse(channels.ErrFull)
+	}
+	end := time.NewTimer(time.Duration((channels.Within + 0.5) * float64(time.Second)))
+	defer end.Stop()
+	t.Written = make([]Written, len(q.Entries))
+	waits, elsewhere := make([]chan channels.Ack, len(q.Entries)), -1
+	w.mu.Lock()
+	for i, e := range q.Entries {
+		state, err := w.machine.Write(w.fleet.dutyNow(), e)
+		switch {
+		case err != nil:
+			t.Written[i] = notMet(err)
+			if errors.Is(err, channels.ErrChannel) {
+				poke(w.stale)
+			}
+		case state == channels.Known:
+			t.Written[i].Met = true
+		case state == channels.Elsewhere:
+			elsewhere = i
+		default:
+			waits[i] = make(chan channels.Ack, 1)
+			key := writing{e.Channel, e.Writer, e.Number}
+			w.waits[key] = append(w.waits[key], waits[i])
+		}
+		if elsewhere >= 0 {
+			break
+		}
+	}
+	decides := w.decides
+	w.mu.Unlock()
+	poke(w.wake)
+	if elsewhere >= 0 {
+		w.hand(ctx, q, t.Written[elsewhere:], elsewhere, decides)
+	}
+	for i, wait := range waits {
+		if wait == nil {
+			continue
+		}
+		select {
+		case a := <-wait:
+			switch {
+			case a.Met:
+				t.Written[i] = Written{Met: true, Copies: a.Copies}
+			case a.Err != nil:
+				t.Written[i] = notMet(a.Err)
+			default:
+				t.Written[i] = notMet(fmt.Errorf("%w: %d have it", ErrUnsure, a.Copies))
+			}
+		case <-end.C:
+			end.Reset(0)
+			t.Written[i] = notMet(ErrUnsure)
+			w.forget(q.Entries[i], wait)
+		}
+	}
+	return t
+}
+
+// hand hands entries of total order to the holder of the channel's duty.
+func (w *following) hand(ctx context.Context, q ask, to []Written, from int, decides bool) {
+	fail := func(err error) {
+		for i := range to {
+			to[i] = notMet(err)
+		}
+	}
+	if !decides {
+		fail(channels.ErrCut)
+		return
+	}
+	at := w.holderOf(ctx, q.Entries[from].Channel)
+	if at == "" || at == w.fleet.Address || q.Hops > 0 {
+		fail(fmt.Errorf("%w: nobody puts the channel in order now", ErrUnsure))
+		return
+	}
+	t, err := w.fleet.askOther(ctx, at, ask{What: AskPublish, Entries: q.Entries[from:], Hops: q.Hops + 1})
+	if err != nil || len(t.Written) != len(to) {
+		w.mu.Lock()
+		delete(w.holders, q.Entries[from].Channel)
+		w.mu.Unlock()
+		fail(fmt.Errorf("%w: who puts the channel in order does not answer", ErrUnsure))
+		return
+	}
+	copy(to, t.Written)
+}
+
+func (w *following) forget(e channels.Entry, wait chan channels.Ack) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := writing{e.Channel, e.Writer, e.Number}
+	all := w.waits[key]
+	for i := range all {
+		if all[i] == wait {
+			all = append(all[:i:i], all[i+1:]...)
+			break
+		}
+	}
+	if w.waits[key] = all; len(all) == 0 {
+		delete(w.waits, key)
+	}
+}
+
+// answerDeclare has a declaration put into the log.
+func (w *following) answerDeclare(ctx context.Context, q ask) Told {
+	if q.Declare == nil {
+		return Told{Error: "no declaration"}
+	}
+	if q.Declare.Order == channels.Total && len(channels.Duty)+len(q.Declare.Name) > longestDuty {
+		return Told{Error: fmt.Sprintf("channel %.20q: with total order a name has at most %d bytes", q.Declare.Name, longestDuty-len(channels.Duty))}
+	}
+	if err := w.fleet.agree(ctx, channels.Command{Declare: q.Declare}); err != nil {
+		return Told{Error: err.Error()}
+	}
+	poke(w.stale)
+	return Told{Changed: true}
+}
+
+var nextPump atomic.Uint64
+
+// begin takes a reader's stream over; an answer where it can't.
+func (w *following) begin(q ask, c net.Conn, nonce []byte) (*follower, Told) {
+	if q.Follow == nil {
+		return nil, Told{Error: "which channel?"}
+	}
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, refuse(channels.ErrFull)
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, refuse(channels.ErrFull)
+	}
+	w.mu.Lock()
+	id, err := w.machine.Open(w.fleet.dutyNow(), *q.Follow)
+	if errors.Is(err, channels.ErrChannel) {
+		poke(w.stale)
+		if !w.declared {
+			err = &channels.Later{Seconds: 0.5}
+		}
+	}
+	w.mu.Unlock()
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return &follower{id: id, channel: q.Follow.Channel, conn: c, raw: raw, nonce: nonce, sent: time.Now()}, Told{}
+}
+
+// keep hands a reader over to whoever serves it.
+func (w *following) keep(r *follower) { w.pumps[nextPump.Add(1)%pumps].add(r) }
+
+// AskDeclaration has a declaration put into the log, by any dispatcher.
+func AskDeclaration(ctx context.Context, at string, k *Keys, d channels.Declaration) error {
+	_, err := askAt(ctx, at, k, ask{What: AskDeclare, Declare: &d})
+	return err
+}
+
+// AskDeclarations gives what is declared, as a dispatcher knows it.
+func AskDeclarations(ctx context.Context, at string, k *Keys) ([]channels.Declaration, error) {
+	t, err := askAt(ctx, at, k, ask{What: AskChannels})
+	if err != nil || t.Channels == nil {
+		return nil, err
+	}
+	return t.Channels.Declared, nil
+}
+
+// AskEntries has entries of a writer taken in. The error is that of the question; what became of each entry is told in their order.
+func AskEntries(ctx context.Context, at string, k *Keys, all []channels.Entry) ([]Written, error) {
+	t, err := askAt(ctx, at, k, ask{What: AskPublish, Entries: all})
+	if err == nil && len(t.Written) != len(all) {
+		err = errMessage
+	}
+	return t.Written, err
+}
+
+// Followed is a stream of notes.
+type Followed struct {
+	conn  net.Conn
+	keys  *Keys
+	nonce []byte
+	seq   uint64
+}
+
+// silent is how long a stream may be silent before its dispatcher is thought to be gone.
+const silent = 3*beatEach + time.Second
+
+// AskNotes follows a channel at a dispatcher. Errors: *Refusal, and those of the network.
+func AskNotes(ctx context.Context, at string, k *Keys, what channels.Ask) (*Followed, error) {
+	c, nonce, t, err := converse(ctx, at, k, ask{What: AskFollow, Follow: &what})
+	if err != nil {
+		return nil, err
+	}
+	if t.Error != "" {
+		_ = c.Close()
+		return nil, errOf(&t)
+	}
+	return &Followed{conn: c, keys: k, nonce: nonce}, nil
+}
+
+// Next gives the next notes; none where all is quiet.
+func (r *Followed) Next() (all []channels.Note, err error) {
+	_ = r.conn.SetReadDeadline(time.Now().Add(silent))
+	sealed, err := readFrame(r.conn, longestStream)
+	if err != nil {
+		return nil, err
+	}
+	r.seq++
+	_, _, text, err := r.keys.open(sealedNotes, sealed, boundTo(r.nonce, r.seq))
+	var in []wireNote
+	if err == nil {
+		err = told.Unmarshal(text, &in)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("follow: %w", err)
+	}
+	for _, n := range in {
+		all = append(all, channels.Note(n))
+	}
+	return all, nil
+}
+
+// Close ends it; a Next that waits fails.
+func (r *Followed) Close() error { return r.conn.Close() }
--- /dev/null
+++ b/internal/fleet/pump.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"elderwall/fleet/channels"
+)
+
+const (
+	pumps     = 4                // goroutines that hand notes to readers; a reader has none of its own
+	beatEach  = 2 * time.Second  // a reader hears something at least so often: so it knows of a dispatcher that is gone
+	stuckMost = 10 * time.Second // a reader that takes nothing for so long is let go
+	pumpTick  = 50 * time.Millisecond
+	pumpLook  = 250 * time.Millisecond // between looks at all readers: for those who wait for what doesn't come
+	takeNotes = 64                     // notes of a frame
+	takeTurns = 16                     // frames of a reader before the next one's turn
+)
+
+// follower is a reader's stream: the answer to its question goes on for as long as it listens.
+type follower struct {
+	id      uint64
+	channel string
+	conn    net.Conn
+	raw     syscall.RawConn
+	nonce   []byte
+	seq     uint64
+	out     []byte    // of a frame, not taken yet
+	stuck   time.Time // since when
+	sent    time.Time
+	last    bool // nothing follows
+}
+
+// pump hands notes to some of the readers.
+type pump struct {
+	of   *following
+	wake chan struct{}
+
+	mu      sync.Mutex
+	fresh   []*follower
+	changed map[string]bool
+	readers map[*follower]bool // of the goroutine alone, but for how many
+	count   int
+}
+
+func newPump(w *following) *pump {
+	return &pump{of: w, wake: make(chan struct{}, 1), changed: map[string]bool{}, readers: map[*follower]bool{}}
+}
+
+func (p *pump) add(r *follower) {
+	p.mu.Lock()
+	p.fresh = append(p.fresh, r)
+	p.mu.Unlock()
+	poke(p.wake)
+}
+
+func (p *pump) news(names []string) {
+	p.mu.Lock()
+	for _, n := range names {
+		p.changed[n] = true
+	}
+	p.mu.Unlock()
+	poke(p.wake)
+}
+
+func (p *pump) run(ctx context.Context) error {
+	each := time.NewTicker(pumpTick)
+	defer each.Stop()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, r := range p.fresh {
+			_ = r.conn.Close()
+		}
+		for r := range p.readers {
+			_ = r.conn.Close()
+		}
+	}()
+	var looked time.Time
+	for {
+		select {
+		case <-p.wake:
+		case <-each.C:
+		case <-ctx.Done():
+			return nil
+		}
+		now := time.Now()
+		all := now.Sub(looked) > pumpLook
+		if all {
+			looked = now
+		}
+		p.mu.Lock()
+		changed, fresh := p.changed, p.fresh
+		p.changed, p.fresh = map[string]bool{}, nil
+		p.mu.Unlock()
+		for _, r := range fresh {
+			p.readers[r] = true
+			changed[r.channel] = true
+		}
+		for r := range p.readers {
+			if (all || len(r.out) > 0 || changed[r.channel]) && !p.serve(r, now) {
+				_ = r.conn.Close()
+				delete(p.readers, r)
+				p.of.mu.Lock()
+				p.of.machine.Close(r.id)
+				p.of.mu.Unlock()
+			}
+		}
+	}
+}
+
+// serve hands a reader what it takes now, and waits for nothing; false where it is to be let go.
+func (p *pump) serve(r *follower, now time.Time) bool {
+	for range takeTurns {
+		if !r.flush(now) {
+			return false
+		}
+		if len(r.out) > 0 {
+			return now.Sub(r.stuck) < stuckMost
+		}
+		if r.last {
+			return false
+		}
+		p.of.mu.Lock()
+		notes := p.of.machine.Take(p.of.fleet.dutyNow(), r.id, takeNotes)
+		p.of.mu.Unlock()
+		if len(notes) == 0 && now.Sub(r.sent) < beatEach {
+			return true
+		}
+		r.frame(p.of.fleet, notes)
+		r.sent = now
+	}
+	poke(p.wake) // others first
+	p.mu.Lock()
+	p.changed[r.channel] = true
+	p.mu.Unlock()
+	return true
+}
+
+// wireNote is a note on the wire.
+type wireNote struct {
+	Word       channels.Word   `cbor:"1,keyasint"`
+	Entry      *channels.Entry `cbor:"2,keyasint,omitempty"`
+	Position   string          `cbor:"3,keyasint,omitempty"`
+	From       uint64          `cbor:"4,keyasint,omitempty"`
+	To         uint64          `cbor:"5,keyasint,omitempty"`
+	Writer     string          `cbor:"6,keyasint,omitempty"`
+	Where      []string        `cbor:"7,keyasint,omitempty"`
+	Generation uint64          `cbor:"8,keyasint,omitempty"`
+	Late       bool            `cbor:"9,keyasint,omitempty"`
+}
+
+const mostWhere = 8 // dispatchers that a reader is told to go to
+
+// frame seals notes as the next frame of a reader.
+func (r *follower) frame(f *Fleet, notes []channels.Note) {
+	wire := make([]wireNote, len(notes))
+	for i, n := range notes {
+		var where []string
+		for _, name := range n.Where[:min(len(n.Where), mostWhere)] {
+			if at := f.addressOf(name); at != "" {
+				where = append(where, at)
+			}
+		}
+		n.Where = where
+		wire[i] = wireNote(n)
+		switch n.Word {
+		case channels.Reset, channels.Behind, channels.Cut:
+			r.last = true
+		}
+	}
+	text, err := encoding.Marshal(wire)
+	if err != nil {
+		r.last = true
+		return
+	}
+	r.seq++
+	sealed := f.Keys.seal(sealedNotes, f.boot, f.number.Add(1), text, boundTo(r.nonce, r.seq))
+	r.out = append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(sealed)), uint32(len(sealed))), sealed...)
+	f.Counts.StreamsOut.Add(1)
+	f.Counts.BytesOut.Add(int64(len(r.out)))
+}
+
+// boundTo is what a frame is bound to: none can be left out, repeated or put into another's stream.
+func boundTo(nonce []byte, seq uint64) []byte {
+	return binary.BigEndian.AppendUint64(append([]byte{}, nonce...), seq)
+}
+
+// flush writes what the socket takes at once.
+func (r *follower) flush(now time.Time) bool {
+	if len(r.out) == 0 {
+		return true
+	}
+	n, gone := 0, error(nil)
+	err := r.raw.Write(func(fd uintptr) bool {
+		n, gone = unix.Write(int(fd), r.out)
+		return true
+	})
+	if err != nil || gone != nil && gone != unix.EAGAIN && gone != unix.EINTR {
+		return false
+	}
+	if n = max(n, 0); n == len(r.out) {
+		r.out, r.stuck = nil, time.Time{}
+		return true
+	}
+	if r.out = r.out[n:]; n > 0 || r.stuck.IsZero() {
+		r.stuck = now
+	}
+	return true
+}
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -95,22 +95,29 @@
 
 // write has a record written, as sure as wanted: the channel tells once how it ended. An error leaves nothing behind.
 func (m *memory) write(kind uint8, key string, value []byte, dead bool, sure replica.Sure) (<-chan replica.Outcome, error) {
+	done := make(chan replica.Outcome, 1)
+	if _, err := m.writeTo(done, kind, key, value, dead, sure); err != nil {
+		return nil, err
+	}
+	return done, nil
+}
+
+// writeTo does the same for who hears of many writes: its channel has to take as many outcomes as may be on their way.
+func (m *memory) writeTo(done chan replica.Outcome, kind uint8, key string, value []byte, dead bool, sure replica.Sure) (dot replica.Dot, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.machine == nil {
-		return nil, errNoDisk
+		return dot, errNoDisk
 	}
 	if len(m.waits) >= mostOutcome {
-		return nil, errBusy
+		return dot, errBusy
 	}
-	dot, err := m.machine.Write(m.fleet.dutyNow(), kind, key, value, dead, sure)
-	if err != nil {
-		return nil, err
+	if dot, err = m.machine.Write(m.fleet.dutyNow(), kind, key, value, dead, sure); err != nil {
+		return dot, err
 	}
-	done := make(chan replica.Outcome, 1)
 	m.waits[dot] = done
 	poke(m.wake)
-	return done, nil
+	return dot, nil
 }
 
 // subscribe has a function called with each change of a kind, one call after the other; it may not wait.
@@ -211,6 +218,9 @@
 	m.machine, m.problem = machine, ""
 	m.mu.Unlock()
 	m.purges.opened()
+	if m.fleet.following != nil {
+		m.fleet.following.relearn()
+	}
 	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
 }
 
@@ -299,6 +309,9 @@
 	m.machine.Fleet(to, f.dutyNow())
 	m.mu.Unlock()
 	m.purges.narrows(to.Narrows)
+	if m.fleet.following != nil {
+		m.fleet.following.look(to)
+	}
 }
 
 // flush does what the machine has ready: first the disk, then what stands on it.
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -37,6 +37,7 @@
 	sealedSpend   = byte(7)
 	sealedGive    = byte(8)
 	sealedMemory  = byte(9)
+	sealedNotes   = byte(10)
 )
 
 // Keys seal and open what goes between the processes of a fleet: XChaCha20-Poly1305 with a nonce drawn for each. The first
--- /dev/null
+++ b/internal/operator/channels.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"errors"
+	"os"
+
+	"elderwall/fleet/channels"
+	"elderwall/internal/fleet"
+	"elderwall/internal/strict"
+)
+
+// What a channel is kept by where its declaration does not say.
+const (
+	defaultEntries   = 10_000
+	defaultBytes     = int64(8 << 20)
+	defaultKept      = 3600.0 // s
+	defaultReadWait  = 2.0    // s
+	longestTotal     = 100 - len(channels.Duty)
+	mostGenerations  = 1<<31 - 1
+	wordLatest       = "latest"
+	wordToldOrClosed = "told"
+)
+
+var orders = map[string]channels.Order{wordLatest: channels.Latest, "key": channels.ByKey, "sender": channels.BySender, "causal": channels.Causal, "total": channels.Total}
+
+// channels reads the declarations of the operator's own channels.
+func (d *decoder) channels(o *strict.Object) *fleet.Channels {
+	to := &fleet.Channels{}
+	for _, name := range o.Keys() {
+		if in := o.Inner(name); in != nil {
+			to.Declared = append(to.Declared, declaration(d.Faults, o, in, name))
+		}
+	}
+	o.Done()
+	return to
+}
+
+func declaration(f *strict.Faults, o, in *strict.Object, name string) channels.Declaration {
+	order, gaps, repeats, slow := "", "never", "never", "cut"
+	generation, entries, bytes := 1, defaultEntries, defaultBytes
+	d := channels.Declaration{Name: name, Seconds: defaultKept, Wait: defaultReadWait}
+	in.Word("order", &order, wordLatest, "key", "sender", "causal", "total")
+	if order == wordLatest {
+		gaps = wordToldOrClosed
+	}
+	in.Word("gaps", &gaps, "never", wordToldOrClosed)
+	if gaps == wordToldOrClosed {
+		slow = wordToldOrClosed
+	}
+	in.Word("repeats", &repeats, "never", "allowed")
+	in.Word("slow", &slow, "cut", wordToldOrClosed)
+	in.Count("generation", &generation, 1, mostGenerations)
+	in.Count("entries", &entries, 0, channels.MostEntries)
+	in.Size("bytes", &bytes, 0, channels.MostBytes)
+	in.Duration("time", &d.Seconds, 0, channels.MostSeconds)
+	in.Duration("wait", &d.Wait, 0, channels.MostWait)
+	in.Done()
+	d.Order, d.Generation, d.Told, d.Repeats, d.Slow = orders[order], uint64(generation), gaps == wordToldOrClosed, repeats == "allowed", slow == "cut"
+	d.Entries, d.Bytes = entries, int(bytes)
+	if err := d.Check(); err != nil {
+		f.Each(o.At(name), err)
+	}
+	if d.Order == channels.Total && len(name) > longestTotal {
+		o.Fault(name, "with total order a name has at most %d bytes", longestTotal)
+	}
+	return d
+}
+
+// ReadDeclarations reads a file of declarations alone: an object of channels, as under fleet.channels.
+func ReadDeclarations(path string) ([]channels.Declaration, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	o, faults, err := strict.Open(path, string(text))
+	if err != nil {
+		return nil, err
+	}
+	d := &decoder{Faults: faults}
+	all := d.channels(o).Declared
+	return all, errors.Join(faults.All...)
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -72,6 +72,11 @@
 	if in := o.Inner("memory"); in != nil {
 		f.Memory = d.memory(in)
 	}
+	if in := o.Inner("channels"); in != nil {
+		if f.Channels = d.channels(in); f.Duties == nil || f.Memory == nil {
+			o.Fault("channels", "needs duties and memory: its log has what is declared, its records the entries")
+		}
+	}
 	o.Done()
 	if len(f.Zone) > longestName {
 		o.Fault("zone", "%d bytes, at most %d", len(f.Zone), longestName)
