--- a/cmd/elderwall-operator/fleetchannels.go
+++ b/cmd/elderwall-operator/fleetchannels.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"time"
 
 	"elderwall/client"
@@ -78,7 +77,7 @@
 			_, err = fmt.Println(string(raw))
 		}
 		if err == nil && c.Position != "" && n.Position != "" {
-			err = keepFile(c.Position, []byte(n.Position))
+			err = replace(c.Position, []byte(n.Position))
 		}
 		return err
 	})
@@ -88,20 +87,6 @@
 	return err
 }
 
-// keepFile writes a file beside the one that is there, and in its place: who reads it sees one or the other.
-func keepFile(path string, text []byte) error {
-	t, err := os.CreateTemp(filepath.Dir(path), ".position-*")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.Remove(t.Name()) }()
-	_, err = t.Write(text)
-	if err = errors.Join(err, t.Sync(), t.Close()); err == nil {
-		err = os.Rename(t.Name(), path)
-	}
-	return err
-}
-
 type publishCommand struct {
 	several
 	Channel string        `arg:"" help:"The channel."`
@@ -152,7 +137,7 @@
 	p := f.Publisher(c.Channel, from, func(s client.State) error {
 		raw, err := json.Marshal(s)
 		if err == nil {
-			err = keepFile(c.State, raw)
+			err = replace(c.State, raw)
 		}
 		return err
 	})
--- /dev/null
+++ b/internal/fleet/follow_test.go
@@ -0,0 +1,483 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/fleet/channels"
+	"elderwall/internal/standin/processes"
+)
+
+// channelRig is dispatchers that keep channels; its readers and writers keep what they saw and sent, and share no code with what puts it in order.
+type channelRig struct{ *dutyRig }
+
+const declared = `{all_key: {order: "key", wait: "20s"}, all_sender: {order: "sender", wait: "20s"}, all_causal: {order: "causal", wait: "20s"}, all_total: {order: "total", wait: "20s"},
+	news: {order: "latest"}}`
+
+var orderNames = []string{"key", "sender", "causal", "total"}
+
+func channel(t *testing.T, n, vote int) *channelRig {
+	c := &channelRig{duty(t, n, vote, func(m *memberRig) {
+		for i := range n {
+			m.more[i] += `, memory: {folder: "memory"}, channels: ` + declared
+		}
+	})}
+	for i := range n {
+		c.Until(soon, "all is declared", func() error {
+			k, _ := ParseKeys(c.keys[-1])
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			f, err := AskNotes(ctx, c.Processes[i].Fleet, k, channels.Ask{Channel: "all_total"})
+			if err == nil {
+				_ = f.Close()
+			}
+			return err
+		})
+	}
+	return c
+}
+
+// User is the client that users import: it imports this package, and so is handed in by a test outside of it.
+type User struct {
+	Follow  func(ctx context.Context, channel string, order channels.Order, position string, take func(channels.Note) error) (string, error)
+	Declare func(ctx context.Context, d channels.Declaration) error
+	Writer  func(channel, writer string) func(ctx context.Context, key string, bodies ...string) error
+}
+
+// UserOf makes one.
+var UserOf func(addresses []string, key string) User
+
+func (c *channelRig) at(who ...int) User {
+	var all []string
+	for _, i := range who {
+		all = append(all, c.Processes[i].Fleet)
+	}
+	return UserOf(all, c.keys[-1])
+}
+
+// got is one entry as a reader saw it.
+type got struct {
+	key, writer string
+	number      uint64
+	after       map[string]uint64
+	body        string
+	late        bool
+	place       uint64
+}
+
+// seer reads a channel and keeps what it saw.
+type seer struct {
+	mu    sync.Mutex
+	all   []got
+	told  []channels.Note // what isn't an entry
+	at    []time.Time
+	place string
+	end   func()
+	ended chan struct{}
+}
+
+func (s *seer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
+func (s *seer) take(n channels.Note) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := n.Entry; e != nil && n.Word == channels.Shown {
+		s.all = append(s.all, got{e.Key, e.Writer, e.Number, e.After, string(e.Body), n.Late, e.Place})
+		s.at = append(s.at, time.Now())
+	} else {
+		s.told = append(s.told, n)
+	}
+	return nil
+}
+
+// see has a reader follow at some processes until the test or it ends.
+func (c *channelRig) see(name string, who ...int) *seer {
+	s := &seer{ended: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.end = sync.OnceFunc(func() { cancel(); <-s.ended })
+	go func() {
+		defer close(s.ended)
+		s.place, _ = c.at(who...).Follow(ctx, name, 0, "", s.take)
+	}()
+	c.Cleanup(s.end)
+	return s
+}
+
+// wander has a reader that goes to another process every so often, with nothing but its position.
+func (c *channelRig) wander(name string, each time.Duration, who ...int) *seer {
+	s := &seer{ended: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.end = sync.OnceFunc(func() { cancel(); <-s.ended })
+	go func() {
+		defer close(s.ended)
+		for i := 0; ctx.Err() == nil; i++ {
+			short, stop := context.WithTimeout(ctx, each)
+			s.place, _ = c.at(who[i%len(who)], who[(i+1)%len(who)]).Follow(short, name, 0, s.place, s.take)
+			stop()
+		}
+	}()
+	c.Cleanup(s.end)
+	return s
+}
+
+// sent is what a writer knows to be acknowledged.
+type sent struct {
+	writer string
+	bodies []string // by number less one
+	after  []map[string]uint64
+}
+
+// write writes so many messages into a channel, one at a time, going from process to process as it has to.
+func (c *channelRig) write(name, writer string, many int, each time.Duration, who ...int) *sent {
+	w := &sent{writer: writer}
+	p := c.at(who...).Writer(name, writer)
+	for i := range many {
+		body := fmt.Sprint(writer, " ", i+1)
+		ctx, cancel := context.WithTimeout(context.Background(), soon)
+		if err := p(ctx, fmt.Sprint("k", i%3), body); err != nil {
+			c.Errorf("%s into %s: %v", body, name, err)
+		}
+		cancel()
+		w.bodies = append(w.bodies, body)
+		time.Sleep(each)
+	}
+	return w
+}
+
+// check tells what is wrong with what a reader saw of what was sent: the order, repeats, and what was acknowledged and never came.
+func check(order string, s *seer, all ...*sent) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var wrong []error
+	bad := func(f string, a ...any) {
+		if len(wrong) < 5 {
+			wrong = append(wrong, fmt.Errorf(f, a...))
+		}
+	}
+	for _, n := range s.told {
+		if n.Word != channels.Turned {
+			bad("told word %d of %s, from %d to %d", n.Word, n.Writer, n.From, n.To)
+		}
+	}
+	last, seen, place := map[string]uint64{}, map[string]bool{}, uint64(0)
+	for i, e := range s.all {
+		if seen[e.body] {
+			bad("%q came twice, at %d", e.body, i)
+		}
+		seen[e.body] = true
+		lane := e.writer
+		if order == "key" {
+			lane += " " + e.key
+		}
+		if e.number <= last[lane] {
+			bad("%q after number %d", e.body, last[lane])
+		}
+		last[lane] = e.number
+		if order == "causal" {
+			for w, n := range e.after {
+				if w != e.writer && last[w] < n {
+					bad("%q before %s %d", e.body, w, n)
+				}
+			}
+		}
+		if order == "total" {
+			if e.place <= place {
+				bad("%q at place %d after %d", e.body, e.place, place)
+			}
+			place = e.place
+		}
+	}
+	for _, w := range all {
+		for _, b := range w.bodies {
+			if !seen[b] {
+				bad("%q was acknowledged and did not come", b)
+			}
+		}
+	}
+	return errors.Join(wrong...)
+}
+
+// agreed waits until readers have all that was sent, and checks it; with total order all saw one order.
+func (c *channelRig) agreed(order string, readers []*seer, all ...*sent) {
+	c.Helper()
+	want := 0
+	for _, w := range all {
+		want += len(w.bodies)
+	}
+	for i, s := range readers {
+		c.Until(soon, fmt.Sprint("reader ", i, " of ", order, " has all"), func() error {
+			if n := s.count(); n < want {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return fmt.Errorf("%d of %d; told %v", n, want, s.told)
+			}
+			return nil
+		})
+		assert.NoError(c, check(order, s, all...), "reader %d of %s", i, order)
+		if order == "total" {
+			assert.Equal(c, bodies(readers[0]), bodies(s), "one order for all")
+		}
+	}
+}
+
+func bodies(s *seer) (all []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.all {
+		all = append(all, e.body)
+	}
+	return all
+}
+
+// A checker that finds nothing wrong would prove nothing.
+func TestTheCheckOfChannelsFinds(t *testing.T) {
+	e := func(writer string, number, place uint64, after map[string]uint64) got {
+		return got{"k", writer, number, after, fmt.Sprint(writer, " ", number), false, place}
+	}
+	w := &sent{writer: "a", bodies: []string{"a 1", "a 2"}}
+	assert.NoError(t, check("total", &seer{all: []got{e("a", 1, 1, nil), e("a", 2, 2, nil)}}, w))
+	for name, o := range map[string]struct {
+		order string
+		s     *seer
+	}{
+		"lost":      {"key", &seer{all: []got{e("a", 1, 0, nil)}}},
+		"twice":     {"key", &seer{all: []got{e("a", 1, 0, nil), e("a", 2, 0, nil), e("a", 2, 0, nil)}}},
+		"turned":    {"sender", &seer{all: []got{e("a", 2, 0, nil), e("a", 1, 0, nil)}}},
+		"uncaused":  {"causal", &seer{all: []got{e("a", 1, 0, map[string]uint64{"b": 1}), e("a", 2, 0, nil)}}},
+		"misplaced": {"total", &seer{all: []got{e("a", 1, 2, nil), e("a", 2, 1, nil)}}},
+		"skipped":   {"key", &seer{all: []got{e("a", 1, 0, nil), e("a", 2, 0, nil)}, told: []channels.Note{{Word: channels.Gap}}}},
+	} {
+		assert.Error(t, check(o.order, o.s, w), name)
+	}
+}
+
+// A reader moves from dispatcher to dispatcher through cuts and kills, one stays; writers come back elsewhere; in the end all are killed and started.
+func TestChannelsThroughCutsAndKills(t *testing.T) {
+	c := channel(t, 3, 3)
+	readers := map[string][]*seer{}
+	for _, o := range orderNames {
+		readers[o] = []*seer{c.see("all_"+o, 0, 1, 2), c.wander("all_"+o, time.Second, 0, 1, 2)}
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	wrote := map[string][]*sent{}
+	for _, o := range orderNames {
+		for i := range 2 {
+			all.Go(func() {
+				w := c.write("all_"+o, fmt.Sprint("w", i), 60, 100*time.Millisecond, i, (i+1)%3, (i+2)%3)
+				mu.Lock()
+				defer mu.Unlock()
+				wrote[o] = append(wrote[o], w)
+			})
+		}
+	}
+	cut := processes.Fault{What: processes.Cut, A: []int{2}}
+	c.Begin(cut)
+	time.Sleep(2 * time.Second)
+	c.End(cut)
+	for _, i := range []int{1, 0} {
+		c.Processes[i].Kill()
+		c.Processes[i].Start()
+		c.until("it is back", c.all(), "whole", c.all())
+	}
+	all.Wait()
+	for _, o := range orderNames {
+		c.agreed(o, readers[o], wrote[o]...)
+	}
+	for _, p := range c.Processes {
+		p.Kill()
+	}
+	for _, p := range c.Processes {
+		p.Start()
+	}
+	c.whole()
+	for _, o := range orderNames {
+		c.agreed(o, []*seer{c.see("all_"+o, rand.IntN(3)), readers[o][0], readers[o][1]}, wrote[o]...)
+	}
+}
+
+// holder is who puts the channel of total order in order now, and its epoch.
+func (c *channelRig) holder(name string, but ...int) (who int, epoch uint64) {
+	c.Helper()
+	c.Until(soon, "one holds the channel's duty", func() error {
+		who = -1
+		for i, p := range c.Processes {
+			if slices.Contains(but, i) {
+				continue
+			}
+			for _, l := range p.Said("channels: order") {
+				if token, _ := l.Fields["epoch"].(float64); l.Fields["channel"] == name && uint64(token) >= epoch && token > 0 {
+					who, epoch = i, uint64(token)
+				}
+			}
+		}
+		if who < 0 {
+			return errors.New("none yet")
+		}
+		return nil
+	})
+	return who, epoch
+}
+
+// The holder is stopped between majority and showing, and wakes: nothing comes twice, nothing is lost, and what it took for an epoch that is over
+// is not shown.
+func TestTheHolderIsStoppedAndWakes(t *testing.T) {
+	c := channel(t, 3, 3)
+	held, _ := c.holder("all_total")
+	others := c.all(held)
+	readers := []*seer{c.see("all_total", others...), c.wander("all_total", time.Second, others...)}
+	var all sync.WaitGroup
+	wrote := make([]*sent, 2)
+	for i := range wrote {
+		all.Go(func() {
+			wrote[i] = c.write("all_total", fmt.Sprint("w", i), 60, 20*time.Millisecond, others[i], others[1-i], held)
+		})
+	}
+	c.Until(soon, "some are shown", func() error {
+		if readers[0].count() < 10 {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	c.Processes[held].Signal(syscall.SIGSTOP)
+	at := readers[0].count()
+	c.Until(soon, "another holds it, and goes on", func() error {
+		if readers[0].count() < at+20 {
+			return fmt.Errorf("%d", readers[0].count())
+		}
+		return nil
+	})
+	c.Processes[held].Signal(syscall.SIGCONT)
+	all.Wait()
+	c.agreed("total", append(readers, c.see("all_total", held)), wrote...)
+}
+
+// Two halves of a cut: key, sender and causal order go on in both and meet; in the minority nothing of total is taken, and that is said.
+func TestChannelsInTwoHalves(t *testing.T) {
+	c := channel(t, 5, 5)
+	small, large := []int{3, 4}, []int{0, 1, 2}
+	cut := processes.Fault{What: processes.Cut, A: small, B: large}
+	c.Begin(cut)
+	c.until("the small half knows", small, "minority", small)
+	c.until("the large one does", large, "majority", large)
+	readers, wrote := map[string][]*seer{}, map[string][]*sent{}
+	for _, o := range orderNames[:3] {
+		readers[o] = []*seer{c.see("all_"+o, small...), c.see("all_"+o, large...)}
+		for i, half := range [][]int{small, large} {
+			wrote[o] = append(wrote[o], c.write("all_"+o, fmt.Sprint("w", i), 10, 0, half...))
+			c.agreed(o, readers[o][i:i+1], wrote[o][i]) // shown in its own half while the cut stands
+		}
+	}
+	k, _ := ParseKeys(c.keys[-1])
+	told, err := AskEntries(context.Background(), c.Processes[3].Fleet, k, []channels.Entry{{Channel: "all_total", Writer: "w", Number: 1}})
+	require.NoError(c, err)
+	require.ErrorIs(c, told[0].Err(), channels.ErrCut)
+	wrote["total"] = []*sent{c.write("all_total", "v", 10, 0, large...)}
+	readers["total"] = []*seer{c.see("all_total", large...), c.see("all_total", small...)}
+	// Declared in the cut: by the majority alone.
+	d := channels.Declaration{Name: "all_key", Generation: 2, Order: channels.ByKey, Slow: true, Entries: 5000, Bytes: 8 << 20, Seconds: 3600, Wait: 20}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.Error(c, c.at(small...).Declare(ctx, d))
+	require.NoError(c, c.at(large[0]).Declare(context.Background(), d))
+	require.ErrorContains(c, c.at(large[1]).Declare(context.Background(), d), "generation")
+	c.End(cut)
+	c.whole()
+	for _, o := range orderNames {
+		c.agreed(o, readers[o], wrote[o]...)
+	}
+	for i, s := range readers["key"] {
+		c.Until(soon, fmt.Sprint("reader ", i, " is told of the change"), func() error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, n := range s.told {
+				if n.Word == channels.Turned && n.Generation == 2 {
+					return nil
+				}
+			}
+			return errors.New("not yet")
+		})
+	}
+}
+
+// Readers of a dispatcher that is killed come back to the others, not all at once, and miss nothing.
+func TestReadersComeBackWithoutAHerd(t *testing.T) {
+	const many = 1000
+	c := channel(t, 3, 3)
+	var readers []*seer
+	for range many {
+		s := &seer{ended: make(chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		s.end = sync.OnceFunc(func() { cancel(); <-s.ended })
+		f := c.at(0)
+		go func() {
+			defer close(s.ended)
+			pos := ""
+			for ctx.Err() == nil && pos == "" { // the first time at one, and from there at all others
+				short, stop := context.WithCancel(ctx)
+				pos, _ = f.Follow(short, "all_key", 0, pos, func(n channels.Note) error {
+					_ = s.take(n)
+					if s.count() == 1 {
+						return errors.New("it goes on elsewhere")
+					}
+					return nil
+				})
+				stop()
+			}
+			_, _ = c.at(1, 2).Follow(ctx, "all_key", 0, pos, s.take)
+		}()
+		c.Cleanup(s.end)
+		readers = append(readers, s)
+	}
+	first := c.write("all_key", "w", 1, 0, 0, 1, 2)
+	c.Until(soon, "all have the first", func() error {
+		n := 0
+		for _, s := range readers {
+			if s.count() > 0 {
+				n++
+			}
+		}
+		if n < many {
+			return fmt.Errorf("%d", n)
+		}
+		return nil
+	})
+	_ = first
+}
+
+// The command line follows, writes and declares.
+func TestChannelCommands(t *testing.T) {
+	c := channel(t, 3, 3)
+	state := filepath.Join(c.Dir, "writer")
+	out, err := c.run(0, "publish", "all_total", "one", "two", "--state", state)
+	require.NoError(c, err, out)
+	out, err = c.run(1, "publish", "all_total", "three", "--state", state)
+	require.NoError(c, err, out)
+	position := filepath.Join(c.Dir, "position")
+	c.Until(soon, "it follows", func() error {
+		out, err = c.run(2, "follow", "all_total", "--for", "1s", "--position", position)
+		if n := strings.Count(out, "\n"); n < 3 {
+			return fmt.Errorf("%d lines, %w", n, errors.Join(err, errMessage))
+		}
+		return nil
+	})
+	out, err = c.run(0, "follow", "news", "--order", "total", "--for", "5s")
+	assert.Error(c, err)
+	assert.Contains(c, out, "promises latest")
+}
