--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -103,7 +103,7 @@
 	Channels *channels.Saved    `cbor:"22,keyasint,omitempty" json:",omitempty"`
 	Refused  string             `cbor:"23,keyasint,omitempty" json:",omitempty"` // why a command of channels did nothing
 	Leads    string             `cbor:"16,keyasint,omitempty" json:",omitempty"` // the address of who answered as the leader
-	Written  []Written          `cbor:"23,keyasint,omitempty" json:",omitempty"` // what became of the entries, in their order
+	Written  []Written          `cbor:"26,keyasint,omitempty" json:",omitempty"` // what became of the entries, in their order
 	Reason   string             `cbor:"24,keyasint,omitempty" json:"-"`          // of the error, as a word
 	Later    float64            `cbor:"25,keyasint,omitempty" json:"-"`          // s after which to ask again
 }
