--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -351,4 +351,4 @@
 	return c, nonce, t, nil
 }
 
-var told = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16}.DecMode())
+var told = must(cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -497,6 +497,12 @@
 // The command line follows, writes and declares.
 func TestChannelCommands(t *testing.T) {
 	c := channel(t, 3, 3)
+	var many []string
+	for i := range 300 { // numbers beyond what one byte has
+		many = append(many, fmt.Sprint("w ", i))
+	}
+	require.NoError(c, c.at(0).Writer("all_key", "w")(c.live, "k", many...))
+	c.agreed("key", []*seer{c.see("all_key", 2)}, &sent{writer: "w", bodies: many})
 	state := filepath.Join(c.Dir, "writer")
 	out, err := c.run(0, "publish", "all_total", "one", "two", "--state", state)
 	require.NoError(c, err, out)
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -384,7 +384,7 @@
 	}
 }
 
-var memoryDecoding = must(cbor.DecOptions{MaxArrayElements: 1 << 18, MaxMapPairs: 64, MaxNestedLevels: 12}.DecMode())
+var memoryDecoding = must(cbor.DecOptions{MaxArrayElements: 1 << 18, MaxMapPairs: 64, MaxNestedLevels: 12, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 
 func (m *memory) send(e *replica.Envelope) {
 	to := m.at[e.To]
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -60,7 +60,8 @@
 
 var (
 	encoding = must(cbor.EncOptions{}.EncMode())
-	decoding = must(cbor.DecOptions{MaxArrayElements: members.Most, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode())
+	decoding = must( // keys of records are bytes of any kind
+		cbor.DecOptions{MaxArrayElements: members.Most, MaxMapPairs: 64, MaxNestedLevels: 8, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 )
 
 func must[T any](v T, err error) T {
