--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/fleet/channels"
+	"elderwall/fleet/floors"
 	"elderwall/internal/standin/processes"
 )
 
@@ -503,6 +504,18 @@
 	}
 	require.NoError(c, c.at(0).Writer("all_key", "w")(c.live, "k", many...))
 	c.agreed("key", []*seer{c.see("all_key", 2)}, &sent{writer: "w", bodies: many})
+	purges := c.see("purges", 1)
+	c.Changes.Push(fmt.Sprintf(`{"seq":2,"invalidate":{"object":"7f3a9c21e0b4d655","bucket":3,"time":%d}}`, time.Now().UnixMilli()))
+	c.Until(soon, "a purge is told", func() error {
+		purges.mu.Lock()
+		defer purges.mu.Unlock()
+		for _, e := range purges.all {
+			if o, err := floors.Read(e.key, []byte(e.body)); err == nil && o.Time > 0 {
+				return nil
+			}
+		}
+		return fmt.Errorf("%v", purges.all)
+	})
 	state := filepath.Join(c.Dir, "writer")
 	out, err := c.run(0, "publish", "all_total", "one", "two", "--state", state)
 	require.NoError(c, err, out)
