--- a/client/publish.go
+++ b/client/publish.go
@@ -41,6 +41,7 @@
 	seen    sync.Mutex
 	state   State
 	save    func(State) error
+	clocked bool // its clock is above what stood when it began
 }
 
 // Publisher makes one; a state is what an earlier one left, or its name alone. Save, where it isn't nil, is called with the state that has to be
@@ -74,6 +75,19 @@
 func (p *Publisher) Publish(ctx context.Context, all ...Message) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for !p.clocked { // guards against a new writer whose messages would pass for older than all that stands
+		clock, err := fleet.AskClock(ctx, p.fleet.addresses[p.at], p.fleet.keys, p.channel)
+		if err == nil {
+			p.seen.Lock()
+			p.state.Clock, p.clocked = max(p.state.Clock, clock), true
+			p.seen.Unlock()
+			break
+		}
+		p.at = p.fleet.next(p.at)
+		if sleep(ctx, rand.Float64()*firstWait); ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
 	p.seen.Lock()
 	s := &p.state
 	number := s.Last + uint64(len(s.Pending))
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -86,6 +86,9 @@
 	t.Written = make([]Written, len(q.Entries))
 	waits, elsewhere := make([]chan channels.Ack, len(q.Entries)), -1
 	w.mu.Lock()
+	if q.Duty != "" {
+		_, t.Number = w.machine.Newest(q.Duty, "")
+	}
 	for i, e := range q.Entries {
 		state, err := w.machine.Write(w.fleet.dutyNow(), e)
 		switch {
@@ -269,6 +272,12 @@
 	return t.Written, err
 }
 
+// AskClock is the highest clock of a channel's entries, as a dispatcher knows it: who writes with a higher one is newer.
+func AskClock(ctx context.Context, at string, k *Keys, channel string) (uint64, error) {
+	t, err := askAt(ctx, at, k, ask{What: AskPublish, Duty: channel})
+	return t.Number, err
+}
+
 // Followed is a stream of notes.
 type Followed struct {
 	conn  net.Conn
