--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"elderwall/fleet/replica"
 )
@@ -253,6 +254,13 @@
 	m.ready.Commands = append(m.ready.Commands, cmd)
 }
 
+// Order has a holder propose what is queued at once, and not only with the next Tick: after entries were taken.
+func (m *Machine) Order(now float64) {
+	for _, name := range slices.Sorted(maps.Keys(m.channels)) {
+		m.order(now, name, m.channels[name])
+	}
+}
+
 // Last is the highest number of a writer that is known here or on its way.
 func (m *Machine) Last(channel, writer string) uint64 {
 	c := m.channels[channel]
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -161,6 +161,7 @@
 			w.machine.Tick(w.fleet.dutyNow())
 			w.tellDue(now)
 		}
+		w.machine.Order(w.fleet.dutyNow())
 		out := w.machine.Ready()
 		w.ack(out.Acks)
 		w.mu.Unlock()
