Generations of variants are purge times; the order of hearing is a number of its own

A purge was known by the change log's local number, which begins at 1 at each dispatcher: facts of two dispatchers spoke of different purges by one number, and purges that peers told had none. A generation is now the purge's time as the change log tells it. Each event that shards are handed bears a local order; an answer is evidence only if its sender had heard each purge that the stage was told of. Floors that objects share by hash bar their facts. Parts are in the module: no bound, one purge for all.

--- a/fleet/variants/checker_test.go
+++ b/fleet/variants/checker_test.go
@@ -19,8 +19,9 @@
 	"elderwall/fleet/variants"
 )
 
-// A stand-in origin that knows what each class of each object was, ever; hosts that keep copies by key; dispatchers with a module each, that
-// hear of purges late, tell each other facts over a network that loses, repeats, delays and is cut. It shares no code with the module and
+// A stand-in origin that knows what each class of each object was, ever; hosts that keep copies by key and drop them some time after a purge;
+// dispatchers with a module each and shards that hear of purges late, each at its own time; they tell each other facts over a network that
+// loses, repeats, delays and is cut, so that facts come before their purge and after. It shares no code with the module and
 // judges bytes alone.
 type state struct {
 	from, purge, version uint64 // from: ms
@@ -28,7 +29,7 @@
 }
 
 type copied struct {
-	content, version, until uint64
+	content, version, purge, until uint64
 }
 
 type mode struct {
@@ -53,9 +54,9 @@
 func (e *events) Pop() any          { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
 
 const (
-	objects, hosts, dispatchers = 8, 4, 3
-	lives                       = 15.0 // s that a host keeps a copy
-	transit                     = 4.0  // s that an answer is under way at most
+	objects, hosts, dispatchers, shards = 8, 4, 3, 2
+	lives                               = 15.0 // s that a host keeps a copy
+	transit                             = 4.0  // s that an answer is under way at most
 )
 
 type world struct {
@@ -66,8 +67,12 @@
 	origin  [objects][]state
 	hosts   [hosts]map[uint64]copied
 	modules [dispatchers]*variants.Module
-	known   [dispatchers][objects]uint64 // newest purge that a dispatcher knows
-	cut     int                          // dispatcher that is cut off, -1 for none
+	known   [dispatchers][objects]uint64         // newest purge that a dispatcher knows
+	heard   [dispatchers][shards][objects]uint64 // that a shard knows: no older copy will do for it
+	order   [dispatchers]uint64                  // of events
+	newest  [dispatchers][shards]uint64
+	line    [dispatchers][shards][]uint64
+	cut     int // dispatcher that is cut off, -1 for none
 	purges  uint64
 	content uint64
 
@@ -101,12 +106,16 @@
 		s.content[c] = s.content[(c+1)%3]
 	}
 	if purge {
-		w.purges++
+		w.purges = max(w.purges+1, s.from)
 		s.purge = w.purges
 		for h := range w.hosts {
-			for c := range 3 {
-				delete(w.hosts[h], variants.KeyOf(w.object(o).Object, c))
-			}
+			w.in(w.rng.Float64()*3, func() {
+				for c := range 3 {
+					if key := variants.KeyOf(w.object(o).Object, c); w.hosts[h][key].purge < s.purge {
+						delete(w.hosts[h], key)
+					}
+				}
+			})
 		}
 	}
 	w.origin[o] = append(w.origin[o], s)
@@ -123,18 +132,34 @@
 			w.in(1, func() { w.news(d, o, purge) })
 			return
 		}
-		w.known[d][o] = max(w.known[d][o], purge)
-		x := w.object(o)
-		w.modules[d].Purged(w.now, 0, x.Object, -1, purge)
+		w.order[d]++
+		order := w.order[d]
+		first := w.rng.IntN(shards) // the others stand still for a while
+		w.hear(d, first, o, purge, order)
+		for s := range shards {
+			if lag := w.rng.Float64() * w.rng.Float64() * 10; s != first {
+				w.in(lag, func() { w.hear(d, s, o, purge, order) })
+			}
+		}
 	})
 }
 
-func (w *world) answer(host, o, c int) copied {
+func (w *world) hear(d, s, o int, purge, order uint64) {
+	w.known[d][o], w.heard[d][s][o] = max(w.known[d][o], purge), max(w.heard[d][s][o], purge)
+	w.modules[d].Purged(0, w.object(o).Object, -1, purge, order)
+	w.line[d][s] = append(w.line[d][s], order)
+	slices.Sort(w.line[d][s])
+	for len(w.line[d][s]) > 0 && w.line[d][s][0] == w.newest[d][s]+1 { // a shard hears in order
+		w.newest[d][s], w.line[d][s] = w.newest[d][s]+1, w.line[d][s][1:]
+	}
+}
+
+func (w *world) answer(host, o, c int, bound uint64) copied {
 	key := variants.KeyOf(w.object(o).Object, c)
 	s := w.origin[o][len(w.origin[o])-1]
 	x, ok := w.hosts[host][key]
-	if !ok || float64(x.until) < w.now*1000 {
-		x = copied{s.content[c], s.version, uint64((w.now + lives*w.rng.Float64()) * 1000)}
+	if !ok || float64(x.until) < w.now*1000 || x.purge < bound {
+		x = copied{s.content[c], s.version, s.purge, uint64((w.now + lives*w.rng.Float64()) * 1000)}
 		w.hosts[host][key] = x
 	}
 	return x
@@ -142,10 +167,11 @@
 
 // forward asks a host for an object by a class, and gives what came, with the generation that it is labelled by.
 func (w *world) forward(d, o, c int, then func(a variants.Answer, x copied)) {
-	label := max(w.modules[d].Floor(w.object(o)), w.known[d][o])
+	s := w.rng.IntN(shards)
+	label, known, bound := w.modules[d].Told(w.object(o)), w.newest[d][s], w.heard[d][s][o]
 	host := int((variants.KeyOf(uint64(o), c)%hosts + uint64(w.rng.IntN(3))) % hosts)
 	w.in(w.rng.Float64()*transit/2, func() {
-		x := w.answer(host, o, c)
+		x := w.answer(host, o, c, bound)
 		proof := x.content
 		if w.liar && host == 0 && w.rng.IntN(3) > 0 {
 			s := w.origin[o][len(w.origin[o])-1]
@@ -154,17 +180,28 @@
 				proof = x.content
 			}
 		}
-		a := variants.Answer{Object: w.object(o), Class: c, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}}
+		a := variants.Answer{Object: w.object(o), Class: c, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}, Known: known}
 		if w.versions {
 			a.Generation.Version = x.version
 		}
 		w.in(w.rng.Float64()*transit/2, func() {
 			w.modules[d].Answered(w.now, a)
+			for other := range 3 { // it may be for who waits for it with another class
+				if other != c && w.modules[d].Fits(w.now, other, variants.Key{Class: c}, &a) && !w.right(d, o, other, x) {
+					w.judge("%.1f s: dispatcher %d, object %d, class %d by class %d: content %d of version %d", w.now, d, o, other, c, x.content, x.version)
+				}
+			}
 			then(a, x)
 		})
 	})
 }
 
+func (w *world) judge(f string, a ...any) {
+	if w.wrong++; w.first == "" {
+		w.first = fmt.Sprintf(f, a...)
+	}
+}
+
 func (w *world) get(d, o, c int) {
 	w.gets++
 	k := w.modules[d].Key(w.now, w.object(o), c)
@@ -182,10 +219,7 @@
 		}
 		w.rewritten++
 		if !w.right(d, o, c, x) {
-			w.wrong++
-			if w.first == "" {
-				w.first = fmt.Sprintf("%.1f s: dispatcher %d, object %d, class %d by key %+v: content %d of version %d", w.now, d, o, c, k, x.content, x.version)
-			}
+			w.judge("%.1f s: dispatcher %d, object %d, class %d by key %+v: content %d of version %d", w.now, d, o, c, k, x.content, x.version)
 		}
 	})
 }
@@ -313,13 +347,16 @@
 	{"any version fits", "module.go", "return m.entries[i].generation == a.Generation && ", "return "},
 	{"what is asked by its own class alone is looked at", "module.go", " && m.sure(v, by, t) && by.proof == a.Proof", " && by != nil"},
 	{"a contrary answer is passed over", "evidence.go", "if d.n > 0 && d.proof != a.Proof {", "if false {"},
-	{"a late answer counts for the new generation", "evidence.go", "i := m.place(a.Object, a.Generation, true)",
-		"a.Generation.Purge = max(a.Generation.Purge, m.Floor(a.Object))\n\ti := m.place(a.Object, a.Generation, true)"},
-	{"facts of before a purge count", "evidence.go", "i := m.place(f.Object, f.Generation, false)",
-		"f.Generation.Purge = max(f.Generation.Purge, m.Floor(f.Object))\n\t\ti := m.place(f.Object, f.Generation, false)"},
+	{"a late answer counts for the new generation", "evidence.go", "v.Fresh == 0 || !m.heard(&a) {", "v.Fresh == 0 {\n\t\treturn\n\t}\n\tif a.Generation.Purge = m.Told(a.Object); false {"},
+	{"facts of before a purge count", "evidence.go", "!exact || f.Generation.Purge < of.purge {\n\t\t\tcontinue\n\t\t}\n\t\ti := m.place(f",
+		"!exact || of.order == math.MaxUint64 {\n\t\t\tcontinue\n\t\t}\n\t\tf.Generation.Purge = max(f.Generation.Purge, m.Told(f.Object))\n\t\ti := m.place(f"},
 	{"a witness counts twice", "evidence.go", "if d.hosts[j] == host {", "if false {"},
 	{"what took a forgotten object's place has its evidence", "evidence.go", "m.of(i)[j] = class{stands: -1, last: -1, from: -1}", "_ = j"},
-	{"a forgotten object's purges are forgotten", "module.go", "		*f = max(*f, purge)\n", "		if m.find(Object{Service: service, Object: object}) >= 0 {\n\t\t\t*f = max(*f, purge)\n\t\t}\n"},
+	{"a forgotten object's purges are forgotten", "module.go", "		f, of = m.slot(owner), nil\n", "		if m.find(Object{Service: service, Object: object}) < 0 {\n\t\t\treturn\n\t\t}\n\t\tf, of = m.slot(owner), nil\n"},
+	{"answers are labelled by what facts told", "evidence.go", "i := m.place(a.Object, a.Generation, true)",
+		"if j := m.find(a.Object); j >= 0 {\n\t\ta.Generation.Purge = max(a.Generation.Purge, m.entries[j].generation.Purge)\n\t}\n\ti := m.place(a.Object, a.Generation, true)"},
+	{"what a shard had not heard of counts", "module.go", "return f.order <= a.Known && f.purge", "return f.purge"},
+	{"who shares a floor tells facts", "module.go", "(x.purge < f.purge || f.purge == 0 || x.owner == own || x.owner == g) && (y.purge < f.purge || f.purge == 0 || y.owner == g || y.owner == own)", "own != 1 || g != 1"},
 	{"evidence never lapses", "evidence.go", "if timed(v, e.generation) {\n\t\t\tfor w", "if false {\n\t\t\tfor w"},
 	{"an answer's proof is not looked at", "module.go", " && d.proof == a.Proof && m.sure(v, by", " && m.sure(v, by"},
 }
@@ -341,7 +378,7 @@
 			spoilt, overlay := filepath.Join(dir, "spoilt.go"), filepath.Join(dir, "overlay.json")
 			require.NoError(t, os.WriteFile(spoilt, []byte(strings.Replace(string(b), f.was, f.is, 1)), 0o600))
 			require.NoError(t, os.WriteFile(overlay, fmt.Appendf(nil, `{"Replace":{%q:%q}}`, here, spoilt), 0o600))
-			run := exec.Command("go", "test", "-vet=off", "-count=1", "-failfast", "-overlay", overlay, "-run", "TestNeverWrongBytes|TestSmallScope|TestForgotten", ".")
+			run := exec.Command("go", "test", "-vet=off", "-count=1", "-failfast", "-overlay", overlay, "-run", "TestNeverWrongBytes|TestSmallScope|TestForgotten|TestFloors", ".")
 			run.Env = append(os.Environ(), "ELDERWALL_FAULT=1", "ELDERWALL_SCHEDULES=12")
 			out, err := run.CombinedOutput()
 			assert.Error(t, err, "not found")
@@ -383,11 +420,11 @@
 			var facts []variants.Fact
 			var known [2]uint64
 			ask := func(d, c int) variants.Answer {
-				g := variants.Generation{Purge: m[d].Floor(o)}
+				g := variants.Generation{Purge: m[d].Told(o)}
 				if versions {
 					g.Version = version
 				}
-				return variants.Answer{Object: o, Class: c, Host: uint32(c), Proof: content[c], Generation: g}
+				return variants.Answer{Object: o, Class: c, Host: uint32(c), Proof: content[c], Generation: g, Known: known[d]}
 			}
 			early := ask(0, 1) // began before all, comes at its time
 			for n, e := range done {
@@ -402,7 +439,7 @@
 				case 5, 6:
 					if d := e - 5; purge > 0 {
 						known[d] = purge
-						m[d].Purged(now, 0, o.Object, -1, purge)
+						m[d].Purged(0, o.Object, -1, purge, purge)
 					}
 				case 7:
 					facts = append(append(facts, m[0].Facts(9)...), m[1].Facts(9)...)
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -13,10 +13,10 @@
 // timed tells whether evidence of a generation lapses: without a version it is as good as the copies that it came from.
 func timed(v *Service, g Generation) bool { return g.Version == 0 && !math.IsInf(v.Fresh, 1) }
 
-// Answered takes an answer to a forward as evidence. Its generation's purge is that which was known when the forward began (Floor).
+// Answered takes an answer to a forward as evidence, unless whoever sent it had not heard of a purge that was told here by now.
 func (m *Module) Answered(now float64, a Answer) {
 	v := m.service(a.Object, a.Class)
-	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 {
+	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 || !m.heard(&a) {
 		return
 	}
 	i := m.place(a.Object, a.Generation, true)
@@ -64,6 +64,9 @@
 		if v == nil || !ok || f.Proof == 0 || f.Generation.Version == 0 && v.Fresh == 0 {
 			continue
 		}
+		if of, exact := m.told(f.Object); !exact || f.Generation.Purge < of.purge {
+			continue
+		}
 		i := m.place(f.Object, f.Generation, false)
 		if i < 0 || !m.advance(i, f.Generation) {
 			continue
@@ -91,15 +94,8 @@
 	}
 }
 
-// place finds or takes an object's place in the table for evidence of a generation; -1 where it is too old, or there is no room.
+// place finds or takes an object's place in the table for evidence of a generation; -1 where there is no room.
 func (m *Module) place(o Object, g Generation, evict bool) int {
-	floor := m.Floor(o)
-	if g.Purge < floor {
-		return -1
-	}
-	if g.Purge > floor {
-		*m.floorOf(o) = g.Purge
-	}
 	if i := m.find(o); i >= 0 {
 		m.entries[i].ref = true
 		return i
@@ -140,7 +136,7 @@
 	case c < 0:
 		return false
 	case c > 0:
-		e.generation = g
+		e.generation, e.epoch = g, 0
 		k := m.of(i)
 		for j := range k {
 			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks = 0, false, -1, -1, 0
@@ -392,6 +388,21 @@
 	m.notices = append(m.notices, n)
 }
 
+// Keeps tells whether a fact that was told is still of use: its writer deletes it otherwise. Of another writer's it is asked with own false,
+// and only what a purge voided that was told here is of none.
+func (m *Module) Keeps(f *Fact, own bool) bool {
+	of, exact := m.told(f.Object)
+	if f.Generation.Purge < of.purge {
+		return !exact && !own
+	}
+	i := m.find(f.Object)
+	if !own || i < 0 || m.service(f.Object, f.Class) == nil {
+		return !own
+	}
+	d := &m.of(i)[f.Class]
+	return m.entries[i].generation == f.Generation && (f.Split || d.n > 0 && d.proof == f.Proof)
+}
+
 // Facts takes what peers are to be told, the oldest first. What a purge voided meanwhile is left out.
 func (m *Module) Facts(most int) []Fact {
 	var out []Fact
@@ -399,7 +410,7 @@
 		f := m.facts[0]
 		m.facts = m.facts[1:]
 		i := m.find(f.fact.Object)
-		if i < 0 || f.fact.Generation.Purge < m.Floor(f.fact.Object) {
+		if of, exact := m.told(f.fact.Object); i < 0 || !exact || f.fact.Generation.Purge < of.purge {
 			continue
 		}
 		if m.entries[i].generation == f.fact.Generation {
--- a/fleet/variants/facts.go
+++ b/fleet/variants/facts.go
@@ -9,22 +9,49 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"elderwall/fleet/replica"
 )
 
 var errFact = errors.New("not a fact: spoilt, or of another version")
 
-// factHead is the bytes of a fact before its witness: version, service, group, object, class, proof, purge, version, split, splits, stands.
-const factHead = 1 + 4 + 4 + 8 + 1 + 8 + 8 + 8 + 1 + 4 + 1
+// factHead is the bytes of a fact before its witness: version, service, group, object, class, proof, purge, version, split, splits, stands, part.
+const factHead = 1 + 4 + 4 + 8 + 1 + 8 + 8 + 8 + 1 + 4 + 1 + 4
+
+const factForm = 2 // of a fact's bytes
+
+// The kind of records that facts are.
+const (
+	ID      = 2         // of the kind
+	records = 200_000   // facts; of what a purge voided they are deleted
+	size    = 64 << 20  // bytes of keys and values
+	longKey = 4 * 16    // bytes of a key before its witness
+	latest  = 1<<46 - 1 // Unix ms of a purge at most: beyond the year 4000, so that a spoilt one bars no object for good
+)
+
+// Kind is what replica is told of facts. Acknowledged is not synced: evidence comes anew with the next answers.
+func Kind() replica.Kind {
+	return replica.Kind{ID: ID, Name: "variants", Records: records, Bytes: size, Longest: longKey + factHead + 2*maxWitness, Law: FactLaw, Check: CheckFact}
+}
+
+// CheckFact tells what is wrong with a record from outside.
+func CheckFact(key string, value []byte) error {
+	f, err := DecodeFact(value)
+	if err == nil && FactKey(&f) != key {
+		err = errFact
+	}
+	return err
+}
 
-// FactKey is the key of a fact's record: of one object, class and witness.
+// FactKey is the key of a fact's record: of one object, part, class and witness.
 func FactKey(f *Fact) string {
-	return fmt.Sprintf("%d/%016x/%d/%s", f.Object.Service, f.Object.Object, f.Class, f.Witness)
+	return fmt.Sprintf("%d/%016x/%d/%d/%s", f.Object.Service, f.Object.Object, f.Object.Part, f.Class, f.Witness)
 }
 
 // EncodeFact gives a fact's bytes: the same for the same fact.
 func EncodeFact(f *Fact) []byte {
 	b := make([]byte, 0, factHead+len(f.Witness))
-	b = append(b, 1)
+	b = append(b, factForm)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Service))
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Group))
 	b = binary.BigEndian.AppendUint64(b, f.Object.Object)
@@ -39,18 +66,19 @@
 	b = append(b, split)
 	b = binary.BigEndian.AppendUint32(b, f.Splits)
 	b = append(b, f.Stands)
+	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Part))
 	return append(b, f.Witness...)
 }
 
 // DecodeFact reads what EncodeFact wrote; whatever else is refused.
 func DecodeFact(b []byte) (Fact, error) {
-	if len(b) <= factHead || len(b) > factHead+maxWitness || b[0] != 1 || b[42] > 1 {
+	if len(b) <= factHead || len(b) > factHead+maxWitness || b[0] != factForm || b[42] > 1 {
 		return Fact{}, errFact
 	}
 	f := Fact{
 		Object: Object{
 			Service: int(int32(binary.BigEndian.Uint32(b[1:]))), Group: int(int32(binary.BigEndian.Uint32(b[5:]))),
-			Object: binary.BigEndian.Uint64(b[9:]),
+			Object: binary.BigEndian.Uint64(b[9:]), Part: int(int32(binary.BigEndian.Uint32(b[48:]))),
 		},
 		Class:      int(b[17]),
 		Proof:      binary.BigEndian.Uint64(b[18:]),
@@ -60,7 +88,8 @@
 		Stands:     b[47],
 		Witness:    string(b[factHead:]),
 	}
-	if _, ok := hostOf(f.Witness); !ok || f.Class >= MaxClasses || f.Stands > MaxClasses || f.Object.Service < 0 || f.Proof == 0 {
+	if _, ok := hostOf(f.Witness); !ok || f.Class >= MaxClasses || f.Stands > MaxClasses || f.Object.Service < 0 || f.Object.Part < 0 || f.Proof == 0 ||
+		f.Generation.Purge > latest {
 		return Fact{}, errFact
 	}
 	return f, nil
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -50,8 +50,16 @@
 	generation Generation
 	agreed     uint32 // pairs of classes that were counted for the group's pattern
 	against    uint32
-	ref        bool     // asked for since the hand came by
-	_          [15]byte // to one line of memory
+	epoch      uint32 // of the module's purges, when the generation's was last seen to be the newest; 0 for never
+	ref        bool   // asked for since the hand came by
+	_          [3]byte
+}
+
+// floor is the newest purge of an object or a group that was told here. By its hash several may share one: owner is whose purge it is.
+type floor struct {
+	purge uint64 // Unix ms
+	order uint64 // local number under which a purge was last heard
+	owner uint64
 }
 
 // pattern is what the objects of a group bore out, by pair of classes.
@@ -82,10 +90,12 @@
 	zero    float64
 	started bool
 	// Floors of purges: of all, of services, and by hash of groups and objects. One that two share is higher than need be for one of
-	// them: it voids too much, never too little. So nothing that is forgotten lets an older generation in.
-	all      uint64
-	services []uint64
-	floors   []uint64
+	// them: it voids too much, never too little. So nothing that is forgotten lets an older generation in. What facts of peers tell of
+	// later purges stands with the object's evidence alone: it is not known here what else they are of.
+	all      floor
+	services []floor
+	floors   []floor
+	epoch    uint32 // rises with each purge
 	patterns map[group]*pattern
 	facts    []told
 	notices  []Notice
@@ -97,12 +107,12 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	m := &Module{s: s, services: make([]uint64, len(s.Services)), patterns: map[group]*pattern{}}
+	m := &Module{s: s, services: make([]floor, len(s.Services)), patterns: map[group]*pattern{}, epoch: 1}
 	for _, v := range s.Services {
 		m.stride = max(m.stride, len(v.Classes))
 	}
 	if m.stride == 0 {
-		m.floors = make([]uint64, 1)
+		m.floors = make([]floor, 1)
 		return m, nil
 	}
 	m.ways = min(ways, s.Objects)
@@ -115,7 +125,7 @@
 	for n < s.Objects*floorsEach {
 		n *= 2
 	}
-	m.floors = make([]uint64, n)
+	m.floors = make([]floor, n)
 	return m, nil
 }
 
@@ -135,49 +145,91 @@
 	return mix(object ^ uint64(class)*0xd6e8feb86659fd93)
 }
 
-func id(o Object) uint64 { return o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15 }
+func id(o Object) uint64 { return mix(o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15) }
 
 // set is where an object's places begin, and its tag, which is 0 for none.
 func (m *Module) set(o Object) (int, uint64) {
-	tag := mix(id(o)) | 1
+	tag := mix(id(o)^uint64(o.Part)*0xd6e8feb86659fd93) | 1
 	high, _ := bits.Mul64(tag, uint64(len(m.hands)))
 	return int(high), tag
 }
 
-func (m *Module) floorOf(o Object) *uint64 { return &m.floors[mix(id(o))&uint64(len(m.floors)-1)] }
-func (m *Module) floorOfGroup(service, g int) *uint64 {
-	return &m.floors[mix(uint64(g)<<20^uint64(service)^0xa0761d6478bd642f)&uint64(len(m.floors)-1)]
-}
+func groupID(service, g int) uint64 { return mix(uint64(g)<<20 ^ uint64(service) ^ 0xa0761d6478bd642f) }
+
+func (m *Module) slot(owner uint64) *floor { return &m.floors[owner&uint64(len(m.floors)-1)] }
 
-// Floor is the newest purge that may count for an object, as known here. An answer bears the one that was known when its forward began.
-func (m *Module) Floor(o Object) uint64 {
-	f := m.all
+// told is the floor that counts for an object: the time of its newest purge, and the number under which one was last heard. It is exact
+// where that purge is not another's with which it shares a floor: only then do others mean the same by it.
+func (m *Module) told(o Object) (f floor, exact bool) {
+	f, exact = m.all, true
 	if o.Service >= 0 && o.Service < len(m.services) {
-		f = max(f, m.services[o.Service])
+		f = f.over(m.services[o.Service])
 	}
-	return max(f, *m.floorOf(o), *m.floorOfGroup(o.Service, o.Group))
+	own, g := id(o), groupID(o.Service, o.Group)
+	x, y := m.slot(own), m.slot(g)
+	f = f.over(*x).over(*y)
+	return f, (x.purge < f.purge || f.purge == 0 || x.owner == own || x.owner == g) && (y.purge < f.purge || f.purge == 0 || y.owner == g || y.owner == own)
+}
+
+func (f floor) over(o floor) floor {
+	return floor{purge: max(f.purge, o.purge), order: max(f.order, o.order)}
+}
+
+// hear takes a purge: later ones stand. That it was heard counts whatever its time: who has not heard it may have older copies.
+func (f *floor) hear(purge, order, owner uint64) {
+	if f.order = max(f.order, order); purge > f.purge {
+		f.purge, f.owner = purge, owner
+	}
+}
+
+// Told is the time of the newest purge that counts for an object, of those told here; 0 for none. An answer bears the one of when its
+// forward began.
+func (m *Module) Told(o Object) uint64 {
+	f, _ := m.told(o)
+	return f.purge
+}
+
+// heard tells whether an answer is of the generation at hand: whoever sent it had heard each purge that was told here for its object.
+func (m *Module) heard(a *Answer) bool {
+	f, _ := m.told(a.Object)
+	return f.order <= a.Known && f.purge == a.Generation.Purge
 }
 
-// Purged voids all evidence of generations before a purge: of all (service -1), of a group, of an object (group -1), of a service
-// (group -1, object 0).
-func (m *Module) Purged(now float64, service int, object uint64, g int, purge uint64) {
-	of := func(k group) bool { return false }
+// Purged takes a purge that was told here, by its time (Unix ms) and the number under which it was heard, which rises from event to event.
+// One of no time is later than those before, and means nothing to others. It voids all evidence of generations before: of all (service -1), of a group, of an object (group -1), of a service (group -1, object 0).
+func (m *Module) Purged(service int, object uint64, g int, purge, order uint64) {
+	of := func(k group) bool { return true }
+	f, owner := &m.all, uint64(0)
 	switch {
 	case service < 0:
-		of = func(group) bool { return purge > m.all }
-		defer func() { m.all = max(m.all, purge) }()
 	case service >= len(m.services):
 		return
 	case g >= 0:
-		f := m.floorOfGroup(service, g)
-		of = func(k group) bool { return k == group{service, g} && purge > *f }
-		defer func() { *f = max(*f, purge) }()
+		owner = groupID(service, g)
+		f = m.slot(owner)
+		of = func(k group) bool { return k == group{service, g} }
 	case object == 0:
-		of = func(k group) bool { return k.service == service && purge > m.services[service] }
-		defer func() { m.services[service] = max(m.services[service], purge) }()
+		f = &m.services[service]
+		of = func(k group) bool { return k.service == service }
 	default:
-		f := m.floorOf(Object{Service: service, Object: object})
-		*f = max(*f, purge)
+		owner = id(Object{Service: service, Object: object})
+		f, of = m.slot(owner), nil
+	}
+	if purge == 0 && order > f.order {
+		purge, owner = f.purge+1, 0
+	}
+	news := purge > f.purge || order > f.order
+	f.hear(purge, order, owner)
+	if !news {
+		return // another shard told of it
+	}
+	if m.epoch++; m.epoch == 0 {
+		m.epoch = 1
+		for i := range m.entries {
+			m.entries[i].epoch = 0
+		}
+	}
+	if of == nil {
 		return
 	}
 	for k := range m.patterns {
@@ -187,6 +239,19 @@
 	}
 }
 
+// current tells whether an entry's generation is of the newest purge that was told here: not of one before, nor of one that facts alone told.
+func (m *Module) current(e *entry) bool {
+	if e.epoch == m.epoch {
+		return true
+	}
+	f, _ := m.told(e.object)
+	if e.generation.Purge != f.purge {
+		return false
+	}
+	e.epoch = m.epoch
+	return true
+}
+
 func (m *Module) tick(now float64) uint32 {
 	if !m.started {
 		m.zero, m.started = now-1, true // tick 0 is before all
@@ -211,7 +276,7 @@
 	}
 	s, tag := m.set(o)
 	for i, other := range m.tags[s*m.ways : (s+1)*m.ways] {
-		if i += s * m.ways; other == tag && m.entries[i].object.Object == o.Object && m.entries[i].object.Service == o.Service {
+		if i += s * m.ways; other == tag && m.entries[i].object.Object == o.Object && m.entries[i].object.Service == o.Service && m.entries[i].object.Part == o.Part {
 			return i
 		}
 	}
@@ -230,6 +295,12 @@
 		return own
 	}
 	i := m.find(o)
+	current := i >= 0 && m.current(&m.entries[i])
+	if current {
+		own.Told = m.entries[i].generation.Purge
+	} else {
+		own.Told = m.Told(o)
+	}
 	if i < 0 && v.Presume == nil {
 		return own
 	}
@@ -240,7 +311,7 @@
 		e := &m.entries[i]
 		e.ref = true
 		k := m.of(i)
-		if d := &k[c]; d.stands >= 0 && t < d.expires && e.generation.Purge >= m.Floor(o) {
+		if d := &k[c]; d.stands >= 0 && t < d.expires && current {
 			stands := int(d.stands)
 			if d.from >= 0 && t-d.since < warm*ticks && low*warm*ticks >= float64(t-d.since) {
 				stands = int(d.from)
@@ -249,9 +320,9 @@
 				return own
 			}
 			if high < m.share(v, d, t) {
-				return Key{Class: c, Own: true, Checks: true}
+				return Key{Class: c, Own: true, Checks: true, Told: own.Told}
 			}
-			return Key{Class: stands}
+			return Key{Class: stands, Told: own.Told}
 		}
 	}
 	if v.Presume == nil {
@@ -266,9 +337,9 @@
 		return own
 	}
 	if high < max(v.Presume.Checks, checksFirst*float64(v.Presume.Objects)/float64(max(1, p.agreed[pair(d, c)]))) {
-		return Key{Class: c, Own: true, Checks: true, Presume: true}
+		return Key{Class: c, Own: true, Checks: true, Presume: true, Told: own.Told}
 	}
-	return Key{Class: d, Presume: true}
+	return Key{Class: d, Presume: true, Told: own.Told}
 }
 
 // share is that of a joined class's GETs that ask by their own class all the same.
@@ -286,7 +357,7 @@
 	if e.against&(1<<pair(d, c)) != 0 || k[c].until > t || k[d].until > t || k[c].disputed || k[d].disputed {
 		return false
 	}
-	return k[c].n == 0 || k[d].n == 0 || k[c].proof == k[d].proof || e.generation.Purge < m.Floor(e.object)
+	return k[c].n == 0 || k[d].n == 0 || k[c].proof == k[d].proof || e.generation.Purge < m.Told(e.object)
 }
 
 // Fits tells whether an answer to a GET of class c may be given to its client; else it is to be asked anew by its own class. It is asked
@@ -296,7 +367,7 @@
 		return true
 	}
 	v := m.service(a.Object, c)
-	if v == nil || m.service(a.Object, a.Class) == nil || a.Proof == 0 || a.Generation.Purge < m.Floor(a.Object) {
+	if v == nil || m.service(a.Object, a.Class) == nil || a.Proof == 0 || !m.heard(a) {
 		return false
 	}
 	t := m.tick(now)
@@ -306,7 +377,7 @@
 			return true
 		}
 		d := &m.of(i)[c]
-		if !m.presumable(i, a.Class, c, t) {
+		if m.entries[i].generation.Purge > a.Generation.Purge || !m.presumable(i, a.Class, c, t) {
 			return false
 		}
 		return d.n == 0 || m.entries[i].generation != a.Generation || d.proof == a.Proof
--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -26,7 +26,7 @@
 }
 
 func answer(object uint64, c int, host uint32, proof, purge, version uint64) Answer {
-	return Answer{Object: Object{Object: object}, Class: c, Host: host, Proof: proof, Generation: Generation{purge, version}}
+	return Answer{Object: Object{Object: object}, Class: c, Host: host, Proof: proof, Generation: Generation{purge, version}, Known: purge}
 }
 
 // keyed counts by which class GETs of a class went in a second.
@@ -59,7 +59,7 @@
 	m.Answered(81, answer(7, 1, 3, 6, 0, 1))
 	assert.Equal(t, 1000, keyed(m, 110, o, 1)[1], "split off at once")
 	assert.Greater(t, keyed(m, 110, o, 2)[0], 800, "the others stay one, by the first declared")
-	m.Purged(111, 0, 7, -1, 3)
+	m.Purged(0, 7, -1, 3, 3)
 	assert.Equal(t, 1000, keyed(m, 112, o, 2)[2], "evidence of before the purge is void")
 	m.Answered(113, answer(7, 2, 1, 5, 2, 1))
 	m.Answered(113, answer(7, 0, 1, 5, 2, 1))
@@ -104,6 +104,7 @@
 		}
 	}
 	fits := func(object, purge uint64) bool { return m.Fits(60, 1, Key{}, new(answer(object, 0, 1, 5, purge, 1))) }
+	m.Purged(0, 0, -1, 1, 1)
 	both(7, 1)
 	require.True(t, fits(7, 1))
 	require.Equal(t, 1, m.Objects())
@@ -111,13 +112,13 @@
 	assert.Equal(t, 1000, keyed(m, 60, Object{Object: 7}, 1)[1], "forgotten: own keys")
 	assert.Equal(t, 1000, keyed(m, 60, Object{Object: 8}, 1)[1], "wrong bytes by what is kept of the one before")
 	assert.False(t, fits(8, 1), "wrong bytes by what is kept of the one before")
-	m.Purged(61, 0, 9, -1, 4) // not in the table
+	m.Purged(0, 9, -1, 4, 4) // not in the table
 	both(9, 3)
 	assert.False(t, fits(9, 3), "wrong bytes by answers of before a purge of a forgotten object")
 	both(9, 4)
 	assert.True(t, fits(9, 4))
 	for purge, of := range map[uint64]func(purge uint64){
-		5: func(p uint64) { m.Purged(62, 0, 0, 0, p) }, 6: func(p uint64) { m.Purged(62, 0, 0, -1, p) }, 7: func(p uint64) { m.Purged(62, -1, 0, -1, p) },
+		5: func(p uint64) { m.Purged(0, 0, 0, p, p) }, 6: func(p uint64) { m.Purged(0, 0, -1, p, p) }, 7: func(p uint64) { m.Purged(-1, 0, -1, p, p) },
 	} {
 		of(purge)
 		assert.False(t, fits(9, 4), "purge %d: of a group, service, all", purge)
@@ -131,6 +132,41 @@
 	assert.False(t, two.Fits(2, 1, Key{}, &liar), "wrong bytes by one that lies about a tag")
 }
 
+// Objects that share a floor, as all do in a module of one object, mean different purges by one time: none of them is told of or learned.
+// Parts share the purges of their object, and nothing else.
+func TestFloorsAndParts(t *testing.T) {
+	s := settings(1, 0, nil)
+	s.Objects = 1
+	m := module(t, s)
+	fact := []Fact{{Object: Object{Object: 7}, Class: 1, Witness: "x/1", Proof: 5, Generation: Generation{9, 1}}}
+	for o := uint64(7); o < 40; o++ {
+		m.Purged(0, o, -1, o, o)
+	}
+	a := answer(7, 0, 1, 5, m.Told(Object{Object: 7}), 1)
+	m.Answered(1, a)
+	assert.Empty(t, m.Facts(9), "no peer can tell what this purge was of")
+	a.Generation.Purge, a.Known = 50, 40
+	m.Learn(2, fact)
+	m.Purged(0, 7, -1, 50, 50)
+	m.Answered(3, a)
+	assert.Empty(t, m.Facts(9), "sent by a shard that had not heard")
+	a.Known = 50
+	m.Answered(4, a)
+	require.Len(t, m.Facts(9), 1)
+	assert.True(t, m.Keeps(&Fact{Object: a.Object, Proof: 5, Generation: a.Generation}, true))
+	assert.False(t, m.Keeps(&fact[0], false), "of before a purge")
+	parts := module(t, settings(1, 0, nil))
+	for c := range 2 {
+		a := answer(7, c, 1, 5, 0, 1)
+		a.Object.Part = 40
+		parts.Answered(1, a)
+		assert.False(t, parts.Fits(2, 1-c, Key{}, new(answer(7, c, 1, 5, 0, 1))))
+		assert.Equal(t, c == 1, parts.Fits(2, 1-c, Key{}, &a))
+	}
+	parts.Purged(0, 7, -1, 9, 9)
+	assert.Zero(t, keyed(parts, 60, Object{Object: 7, Part: 40}, 1)[0], "one purge for all parts")
+}
+
 // A class that flaps is held apart for longer and longer; peers learn of it, and a split wins over what joins.
 func TestFlaps(t *testing.T) {
 	m := module(t, settings(1, 1000, nil))
@@ -171,7 +207,7 @@
 			if rng.IntN(16) == 0 {
 				return [][]byte{nil, {1}, []byte("spoilt")}[rng.IntN(3)]
 			}
-			f := Fact{Object: Object{Object: 7, Group: 3}, Class: rng.IntN(2), Witness: fmt.Sprintf("d/%x", rng.IntN(2)), Proof: 1 + rng.Uint64N(2),
+			f := Fact{Object: Object{Object: 7, Part: 2, Group: 3}, Class: rng.IntN(2), Witness: fmt.Sprintf("d/%x", rng.IntN(2)), Proof: 1 + rng.Uint64N(2),
 				Generation: Generation{rng.Uint64N(2), rng.Uint64N(2)}, Split: rng.IntN(2) == 0, Splits: rng.Uint32N(2), Stands: uint8(rng.IntN(3))}
 			g, err := DecodeFact(EncodeFact(&f))
 			require.NoError(t, err)
@@ -239,7 +275,7 @@
 				t += 0.001
 				m.Key(t, Object{Object: mix(uint64(i & (objects - 1)))}, i%3)
 			}
-			b.ReportMetric(float64(int(unsafe.Sizeof(entry{}))+m.stride*int(unsafe.Sizeof(class{}))+8+8*floorsEach), "B/object")
+			b.ReportMetric(float64(int(unsafe.Sizeof(entry{}))+m.stride*int(unsafe.Sizeof(class{}))+8+24*floorsEach), "B/object")
 		})
 	}
 }
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -42,26 +42,28 @@
 	Self     string // the dispatcher's name: facts are by witness
 }
 
-// Object names one.
+// Object names one, or a part of one: each part is evidence by itself, and purges are of the whole.
 type Object struct {
 	Service int
 	Object  uint64
+	Part    int
 	Group   int
 }
 
 // Generation tells answers of one state of an object from others: the newest purge that counts for it, and the version that an origin names.
 // A higher purge is a later state.
 type Generation struct {
-	Purge   uint64
+	Purge   uint64 // time of the purge as the change log has it (Unix ms), the same at all dispatchers; 0 for none
 	Version uint64 // of the object and not of the variant alone, rising with each change of any of them; 0 where the origin names none
 }
 
 // Key is what a GET is looked for by.
 type Key struct {
-	Class   int  // index of the class that stands; the GET's own where nothing is known
-	Own     bool // it is the GET's own class
-	Checks  bool // sent by its own class to check what is presumed
-	Presume bool // it rests on what is presumed
+	Class   int    // index of the class that stands; the GET's own where nothing is known
+	Own     bool   // it is the GET's own class
+	Checks  bool   // sent by its own class to check what is presumed
+	Presume bool   // it rests on what is presumed
+	Told    uint64 // Told as it is now, of declared classes
 }
 
 // Answer is what is known of an answer to a forward.
@@ -70,7 +72,8 @@
 	Class      int        // that was asked of the host
 	Host       uint32     // witness, by the same number at all dispatchers
 	Proof      uint64     // hash of the tag, digest or body; 0 for none
-	Generation Generation // purge: Floor as it was when the forward began
+	Generation Generation // purge: Told as it was when the forward began
+	Known      uint64     // order of the newest event that whoever sent it had heard by then
 }
 
 // Fact is what dispatchers tell each other: one class's content of an object in a generation, by one witness.
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -56,6 +56,7 @@
 	Seq   int64  `json:"seq"`
 	Fleet *Fleet `json:"fleet"`
 	Purge *Purge `json:"invalidate"`
+	Order uint64 `json:"-"` // local number, rising with each event that shards are handed, whoever told it
 }
 
 // Known are the events up to a start.
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -44,7 +44,7 @@
 	pots   shards.Pots
 	kept   sync.Mutex // of memory, likewise
 	memory shards.Memory
-	seq    int64 // of the newest event
+	order  uint64 // of the newest event
 
 	mu       sync.Mutex // of what follows
 	module   *shards.Module
@@ -117,10 +117,9 @@
 	}
 	for _, p := range purges {
 		purge := p.(changelog.Purge)
-		all = append(all, changelog.Event{Purge: &purge})
+		all = append(all, changelog.Event{Purge: &purge, Order: g.order})
 	}
-	all = append(all, changelog.Event{Seq: g.seq})
-	return all
+	return append(all, changelog.Event{Order: g.order})
 }
 
 // Run drives the shards until the context ends.
@@ -142,7 +141,7 @@
 func (g *Group) Take(e changelog.Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.remember(e)
+	e = g.remember(e)
 	for _, m := range g.alive() {
 		m.Notice(e)
 	}
@@ -151,9 +150,12 @@
 	}
 }
 
-func (g *Group) remember(e changelog.Event) {
+// remember keeps what an event tells, and gives it with its number.
+func (g *Group) remember(e changelog.Event) changelog.Event {
 	g.kept.Lock()
 	defer g.kept.Unlock()
+	g.order++
+	e.Order = g.order
 	if e.Fleet != nil {
 		if e.Fleet.Reset {
 			g.memory.Reset()
@@ -166,10 +168,10 @@
 			}
 		}
 	}
-	g.seq = max(g.seq, e.Seq)
 	if p := e.Purge; p != nil {
 		g.memory.Purge(g.config.Clock.Now(), p.Object, p.Group, *p)
 	}
+	return e
 }
 
 // Ready tells whether GETs may come: every shard knows the list.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	draining atomic.Bool
 	joint    *joint.Table[*get] // nil where none share a forward
 	leads    []*get             // that go on in the lead, to be told to the module once it returns
-	heard    int64              // the newest event of the change log that the module knows
+	heard    uint64             // the number of the newest event that the module knows
 	line     line               // of what is to be done, where there are several shards
 }
 
--- a/internal/node/variants.go
+++ b/internal/node/variants.go
@@ -22,9 +22,9 @@
 	Answered(now float64, in *control.GET, v Variant, e Evidence) (fits bool)
 	// Fits tells whether an answer that was told will do for another GET, by all that is known by now.
 	Fits(now float64, in *control.GET, v Variant, e Evidence) bool
-	// Purged takes a purge by its number in the change log, 0 for one that was told; an object of "" is a whole group. It gives the
-	// object's names by its variants besides its own.
-	Purged(now float64, number int64, object string, group int) (names []string)
+	// Purged takes a purge by its time (Unix ms) and the number under which it was heard; an object of "" is a whole group. It gives the
+	// object's names by its variants besides its own. Each shard tells of it.
+	Purged(time int64, order uint64, object string, group int) (names []string)
 }
 
 // Variant is which of an object's a GET is to get. The zero value is for what goes as it came.
@@ -32,15 +32,17 @@
 	Number     uint64 // of the object, as the stage knows it
 	Own, Asked int16  // classes
 	Declared   bool
-	Presumed   bool // that both are the same
-	Tagged     bool // a tag tells contents apart whatever the class
+	Presumed   bool   // that both are the same
+	Tagged     bool   // a tag tells contents apart whatever the class
+	Told       uint64 // newest purge that the stage had been told of when it gave the key
 }
 
 // Evidence is what an answer to a forward tells of a variant's content.
 type Evidence struct {
 	Asked   int16 // class
 	Host    uint32
-	Known   int64  // the newest event of the change log that was known when the forward was sent
+	Known   uint64 // number of the newest event that its sender had heard when the forward was sent
+	Told    uint64 // newest purge that the stage had been told of by then, or before
 	Proof   uint64 // 0 for none
 	Version uint64 // 0 for none
 }
@@ -77,7 +79,7 @@
 	if !v.Declared {
 		return ""
 	}
-	f.evidence = Evidence{Asked: v.Asked, Host: host, Known: n.heard}
+	f.evidence = Evidence{Asked: v.Asked, Host: host, Known: n.heard, Told: v.Told}
 	pair, _ = n.Variants.Field(f.get.asks.Service, v.Asked)
 	return pair
 }
@@ -123,14 +125,18 @@
 	g.asks.Object = n.Variants.Own(&in, g.variant)
 }
 
-// noticeVariants takes an event for all variants, after the module has: what it sent before is told apart by the number.
+// noticeVariants takes an event for all variants, after the module has: what it sent before is told apart by the event's number, which shards
+// have in common.
 func (n *Node) noticeVariants(now float64, e changelog.Event) {
+	if e.Order == 0 { // no other shards
+		e.Order = n.heard + 1
+	}
 	if p := e.Purge; p != nil {
-		for _, name := range n.Variants.Purged(now, e.Seq, p.Object, p.Group) {
+		for _, name := range n.Variants.Purged(p.Time, e.Order, p.Object, p.Group) {
 			n.purged(now, name, p.Group, p.Time)
 		}
 	}
-	n.heard = max(n.heard, e.Seq)
+	n.heard = max(n.heard, e.Order)
 }
 
 // routeVariant names the variant that a proxy is to ask for, and lets no copy through that will not do for its client.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -219,9 +219,6 @@
 	for _, e := range c.Known.Events {
 		s.core.Take(e)
 	}
-	if n.Variants != nil {
-		s.core.Take(changelog.Event{Seq: c.Known.Seq})
-	}
 	take := s.core.Take
 	if e != nil {
 		take = e.Changes(take, c.settings.OldCopies)
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -13,13 +13,9 @@
 	"elderwall/fleet/variants"
 	"elderwall/internal/lines"
 	"elderwall/internal/node"
-	"elderwall/order"
 )
 
-const (
-	mostParts = 16      // of an object whose keys are rewritten: each is evidence by itself, and a purge names all of them one by one
-	nameSlots = 1 << 13 // names of objects by class that are at hand; others are made anew, 16 bytes each
-)
+const nameSlots = 1 << 13 // names of objects by class that are at hand; others are made anew, 16 bytes each
 
 // Settings is what an operator declares.
 type Settings struct {
@@ -79,7 +75,7 @@
 
 // object is what the module knows of a GET's object by, with its own number.
 func object(in *control.GET, number uint64) variants.Object {
-	return variants.Object{Service: in.Service, Object: part(number, in.Part), Group: in.Group}
+	return variants.Object{Service: in.Service, Object: number, Part: in.Part, Group: in.Group}
 }
 
 // parse reads the number of an object's name, 16 hex digits in small letters as fronts check.
@@ -97,14 +93,6 @@
 	return number, len(object) == 16
 }
 
-// part is an object's part as an object of its own: that one part is the same for two classes tells nothing of the others.
-func part(number uint64, part int) uint64 {
-	if part == 0 {
-		return number
-	}
-	return order.Mix(number ^ order.Mix(uint64(part)))
-}
-
 // of is a delivery service's, nil where none are declared.
 func (s *Stage) of(service int) *service {
 	if service < 0 || service >= len(s.services) || s.services[service].proof == 0 {
@@ -127,10 +115,8 @@
 	v = node.Variant{Number: number, Own: class, Asked: class, Declared: true, Tagged: of.proof == variants.ByTag}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if in.Part < mostParts {
-		k := s.module.Key(now, object(in, number), int(class))
-		v.Asked, v.Presumed = int16(k.Class), k.Presume
-	}
+	k := s.module.Key(now, object(in, number), int(class))
+	v.Asked, v.Presumed, v.Told = int16(k.Class), k.Presume, k.Told
 	return v, s.name(in.Object, number, int(v.Asked)), true
 }
 
@@ -181,24 +167,19 @@
 	return max(1, xxhash.Sum64(body))
 }
 
-// answer is evidence as the module takes it. What was sent before a purge that counts by now was known is of no generation.
-func (s *Stage) answer(in *control.GET, v node.Variant, e node.Evidence) (a variants.Answer, ok bool) {
-	o := object(in, v.Number)
-	floor := s.module.Floor(o)
-	a = variants.Answer{Object: o, Class: int(e.Asked), Host: e.Host, Proof: e.Proof,
-		Generation: variants.Generation{Purge: floor, Version: e.Version}}
-	return a, in.Part < mostParts && e.Known >= 0 && floor <= uint64(e.Known)
+// answer is evidence as the module takes it.
+func answer(in *control.GET, v node.Variant, e node.Evidence) variants.Answer {
+	return variants.Answer{Object: object(in, v.Number), Class: int(e.Asked), Host: e.Host, Proof: e.Proof,
+		Generation: variants.Generation{Purge: e.Told, Version: e.Version}, Known: e.Known}
 }
 
 // Answered is node.Variants.
 func (s *Stage) Answered(now float64, in *control.GET, v node.Variant, e node.Evidence) (fits bool) {
+	a := answer(in, v, e)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a, ok := s.answer(in, v, e)
-	if ok {
-		s.module.Answered(now, a)
-	}
-	return v.Own == e.Asked || ok && s.fits(now, v, &a)
+	s.module.Answered(now, a)
+	return v.Own == e.Asked || s.fits(now, v, &a)
 }
 
 // Fits is node.Variants.
@@ -206,10 +187,10 @@
 	if v.Own == e.Asked {
 		return true
 	}
+	a := answer(in, v, e)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a, ok := s.answer(in, v, e)
-	return ok && s.fits(now, v, &a)
+	return s.fits(now, v, &a)
 }
 
 func (s *Stage) fits(now float64, v node.Variant, a *variants.Answer) bool {
@@ -217,22 +198,21 @@
 }
 
 // Purged is node.Variants.
-func (s *Stage) Purged(now float64, number int64, object string, group int) (names []string) {
+func (s *Stage) Purged(time int64, order uint64, object string, group int) (names []string) {
 	key, ok := parse(object)
 	if object != "" && !ok {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	at := uint64(max(0, time))
 	for i := range s.services {
 		switch {
-		case s.of(i) == nil || number <= 0:
+		case s.of(i) == nil:
 		case object == "":
-			s.module.Purged(now, i, 0, group, uint64(number))
+			s.module.Purged(i, 0, group, at, order)
 		default:
-			for p := range mostParts {
-				s.module.Purged(now, i, part(key, p), -1, uint64(number))
-			}
+			s.module.Purged(i, key, -1, at, order)
 		}
 	}
 	if object == "" {
@@ -264,3 +244,10 @@
 	defer s.mu.Unlock()
 	return s.module.Notices()
 }
+
+// Keep tells whether a fact that was told is still of use; own for one that this dispatcher told.
+func (s *Stage) Keep(f *variants.Fact, own bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Keeps(f, own)
+}
--- a/internal/variants/way_test.go
+++ b/internal/variants/way_test.go
@@ -372,17 +372,26 @@
 	}
 }
 
-// What was sent before a purge was known there is no evidence for what is after it, whenever it comes back.
+// What was sent by a shard that had not heard of a purge is no evidence for what is after it, whenever it comes back; nor is what was sent
+// before the stage was told.
 func TestEvidenceOfBeforeAPurge(t *testing.T) {
-	for known, same := range map[int64]bool{4: false, 5: true} {
+	for known, same := range map[uint64]bool{4: false, 5: true, 0: false} {
 		w := newWay(t, pure.ByTag, false)
-		in := control.GET{Object: objects[0]}
-		assert.Len(t, w.stage.Purged(1, 5, objects[0], 0), 2, "names by the other classes")
+		in := control.GET{Object: objects[0], Part: 40}
 		for class := range int16(2) {
 			v := node.Variant{Own: class, Asked: class, Declared: true}
-			key, _, _ := w.stage.Key(1, &in, classes[class])
-			v.Number = key.Number
-			w.stage.Answered(1, &in, v, node.Evidence{Asked: class, Host: 1, Known: known, Proof: 9})
+			early, _, _ := w.stage.Key(1, &in, classes[class])
+			assert.Len(t, w.stage.Purged(900, 5, objects[0], 0), 2, "names by the other classes")
+			late, _, _ := w.stage.Key(1, &in, classes[class])
+			v.Number = late.Number
+			e := node.Evidence{Asked: class, Host: 1, Known: known, Told: late.Told, Proof: 9}
+			if known == 0 {
+				e.Known, e.Told = 5, early.Told
+				if class > 0 {
+					w.stage.Purged(901, 5, objects[0], 0)
+				}
+			}
+			w.stage.Answered(1, &in, v, e)
 		}
 		joined := false
 		for i := range 100 {
