--- a/cmd/elderwall-operator/check.go
+++ b/cmd/elderwall-operator/check.go
@@ -16,14 +16,18 @@
 // Run prints every fault, a line each, and fails if there is one.
 func (c *checkCommand) Run() error {
 	var services []string
+	var repeats []bool
 	if os.Getenv("PROXY_CONFIG") != "" {
 		platform, err := service.ReadConfig(os.Getenv)
 		if err != nil {
 			return err
 		}
-		services = platform.Services()
+		services, repeats = platform.Services(), platform.Repeats()
 	}
 	told, err := operator.Load(c.File, services)
+	if err == nil && told.Variants != nil {
+		err = told.Variants.Repeatable(services, repeats)
+	}
 	if err != nil {
 		fmt.Println(err)
 		return fmt.Errorf("%s can't be used", c.File)
--- a/cmd/elderwall-operator/main.go
+++ b/cmd/elderwall-operator/main.go
@@ -40,7 +40,7 @@
 		return service.Serve(func(*service.Config) (service.Extension, error) { return extras.Alone(s.Cores), nil })
 	}
 	return service.Serve(func(c *service.Config) (service.Extension, error) {
-		return extras.Read(s.Operator, c.Name, c.Services(), s.Cores)
+		return extras.Read(s.Operator, c.Name, c.Services(), c.Repeats(), s.Cores)
 	})
 }
 
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -52,9 +52,13 @@
 	return &Extras{told: &operator.Config{Cores: service.Cores{Count: cores, Shards: cores}}}
 }
 
-// Read reads the file that a path names, for a dispatcher of a name; services are the delivery services by their place.
-func Read(path, name string, services []string, cores int) (*Extras, error) {
+// Read reads the file that a path names, for a dispatcher of a name; services are the delivery services by their place,
+// repeats which of them have GETs that may be repeated.
+func Read(path, name string, services []string, repeats []bool, cores int) (*Extras, error) {
 	told, err := operator.Load(path, services)
+	if err == nil && told.Variants != nil {
+		err = told.Variants.Repeatable(services, repeats)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -210,6 +214,9 @@
 		f.Counters = func() map[string]int64 { return to.Counts.Each() }
 		if e.purged != nil {
 			f.TakePurges(e.purged, e.gone)
+			if e.variants != nil {
+				f.TakeVariants(e.variants, to.Clock.Now)
+			}
 		}
 		e.fleet.Store(f)
 		all = append(all, f)
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -106,7 +106,7 @@
 	}
 	c, err := read()
 	require.NoError(t, err)
-	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), 0)
+	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), c.Repeats(), 0)
 	require.NoError(t, err)
 	go func() { r.ended <- service.Run(c, e, zerolog.New(&r.log), r.signals, read) }()
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/fleet/facts.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"time"
+
+	"elderwall/fleet/replica"
+	"elderwall/fleet/variants"
+)
+
+const (
+	shareEach  = 100 * time.Millisecond // between looks for facts to tell and to learn
+	mostShared = 200                    // facts that are told a look: 2,000 a second
+	mostUnread = 1 << 14                // facts that wait until they may be learned; beyond it all are gone through anew
+	sweepEach  = 30 * time.Second       // between looks for facts that are of no use
+	mostSwept  = 500                    // of them at a time
+)
+
+// Variants is what knows which device classes get the same bytes.
+type Variants interface {
+	// Facts takes what the others are to be told, the oldest first.
+	Facts(most int) []variants.Fact
+	// Learn takes what others told.
+	Learn(now float64, facts []variants.Fact)
+	// Keep tells whether a fact is still of use; own for one that was told here.
+	Keep(f *variants.Fact, own bool) bool
+	// Notices takes the joins and splits since it was last asked.
+	Notices() []variants.Notice
+}
+
+// shares has facts of variants remembered by all, and learns those of others. All but the queue is of the memory's goroutine alone.
+type shares struct {
+	memory  *memory
+	of      Variants // nil where none are declared
+	now     func() float64
+	notices func([]variants.Notice)
+
+	unread []variants.Fact
+	all    bool // all that is remembered is to be learned
+	looked time.Time
+	swept  time.Time
+}
+
+func (s *shares) begin(m *memory) {
+	s.memory, s.all, s.swept = m, true, time.Now()
+	m.follow[variants.ID] = append(m.follow[variants.ID], s.changed)
+}
+
+// TakeVariants has what is known of variants told to the others and learned from them, before the fleet is served; now is the variants' time.
+func (f *Fleet) TakeVariants(of Variants, now func() float64) {
+	f.memory.shares.of, f.memory.shares.now = of, now
+}
+
+// Notices has a function take the joins and splits that happen here, before the fleet is served. It may not wait.
+func (f *Fleet) Notices(take func([]variants.Notice)) { f.memory.shares.notices = take }
+
+// changed takes facts that came to stand; they are learned at the next look.
+func (s *shares) changed(all []replica.Record) {
+	if s.of == nil {
+		return
+	}
+	for _, r := range all {
+		if r.Dead || r.Dot.Writer == s.memory.fleet.Name {
+			continue
+		}
+		if f, err := variants.DecodeFact(r.Value); err == nil {
+			s.unread = append(s.unread, f)
+		}
+	}
+	if len(s.unread) > mostUnread {
+		s.unread, s.all = nil, true
+	}
+}
+
+// tick tells and learns. Guards against facts of before a purge that is remembered and not taken yet: floors go first, after a start as after a cut.
+func (s *shares) tick() {
+	m := s.memory
+	if s.of == nil || time.Since(s.looked) < shareEach {
+		return
+	}
+	s.looked = time.Now()
+	if s.notices != nil {
+		if all := s.of.Notices(); len(all) > 0 {
+			s.notices(all)
+		}
+	}
+	m.mu.Lock()
+	ready := m.machine != nil && m.purges.may && !m.purges.all
+	writes := false
+	if m.machine != nil {
+		status := m.machine.Status()
+		ready, writes = ready && !status.CatchingUp, status.Writes
+	}
+	m.mu.Unlock()
+	if !ready {
+		s.unread, s.all = nil, true
+	} else {
+		s.learn()
+	}
+	if !writes {
+		return
+	}
+	for _, f := range s.of.Facts(mostShared) {
+		// One that finds no room, or stands already, is not told: the others keep their own keys the longer.
+		_, _ = m.write(variants.ID, variants.FactKey(&f), variants.EncodeFact(&f), false, replica.Sure{})
+	}
+	if time.Since(s.swept) >= sweepEach {
+		s.swept = time.Now()
+		s.sweep()
+	}
+}
+
+func (s *shares) learn() {
+	if s.all {
+		s.all, s.unread = false, nil
+		s.memory.each(variants.ID, "", func(r replica.Record) bool {
+			if f, err := variants.DecodeFact(r.Value); err == nil && !r.Dead {
+				s.unread = append(s.unread, f)
+			}
+			return true
+		})
+	}
+	if len(s.unread) > 0 {
+		s.of.Learn(s.now(), s.unread)
+		s.unread = nil
+	}
+}
+
+// sweep deletes facts that are of no use.
+func (s *shares) sweep() {
+	var old []replica.Record
+	s.memory.each(variants.ID, "", func(r replica.Record) bool {
+		f, err := variants.DecodeFact(r.Value)
+		if err == nil && !r.Dead && !s.of.Keep(&f, r.Dot.Writer == s.memory.fleet.Name) {
+			old = append(old, r)
+		}
+		return len(old) < mostSwept
+	})
+	for _, r := range old {
+		_, _ = s.memory.write(variants.ID, r.Key, r.Value, true, replica.Sure{}) // it comes again at the next look
+	}
+}
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -16,6 +16,7 @@
 	"elderwall/fleet/floors"
 	"elderwall/fleet/members"
 	"elderwall/fleet/replica"
+	"elderwall/fleet/variants"
 )
 
 // Defaults of the fleet's memory.
@@ -60,6 +61,7 @@
 	names   map[uint64]string // members by boot
 	problem string
 	purges  purges
+	shares  shares
 
 	// Of the goroutine alone.
 	disk     keeper // nil where nothing is kept
@@ -73,13 +75,14 @@
 func newMemory(f *Fleet) *memory {
 	out := rate.Limit(bytesOut + f.Memory.Rate)
 	m := &memory{fleet: f, limit: rate.NewLimiter(out, bytesBurst), wake: make(chan struct{}, 1), stale: make(chan struct{}, 1),
-		kinds: append([]replica.Kind{floors.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
+		kinds: append([]replica.Kind{floors.Kind(), variants.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
 		follow: map[uint8][]func([]replica.Record){}, names: map[uint64]string{}}
 	for _, k := range channels.Kinds() {
 		k.Longest = min(k.Longest, replica.MostLongest)
 		m.kinds = append(m.kinds, k)
 	}
 	m.purges.begin(m)
+	m.shares.begin(m)
 	return m
 }
 
@@ -185,6 +188,7 @@
 		m.look()
 		m.flush()
 		m.purges.tick()
+		m.shares.tick()
 	}
 }
 
--- a/internal/operator/variants.go
+++ b/internal/operator/variants.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"regexp"
 	"slices"
@@ -32,6 +34,18 @@
 	headers map[string]string // by delivery service
 }
 
+// Repeatable tells of variants that are declared for a delivery service whose GETs may not be repeated; repeats is by the services' place.
+// Guards against a declaration that is passed over in silence: a GET that gets another class's copy may have to be sent anew.
+func (v *Variants) Repeatable(services []string, repeats []bool) error {
+	var faults []error
+	for i, of := range v.Module.Services {
+		if len(of.Classes) > 0 && i < len(repeats) && !repeats[i] {
+			faults = append(faults, fmt.Errorf("fleet.variants.services.%s: its GETs are tokened or non-idempotent, and are never sent for another class: take it out", services[i]))
+		}
+	}
+	return errors.Join(faults...)
+}
+
 // variants reads which device classes may share copies of an object.
 func (d *decoder) variants(o *strict.Object) {
 	to := &Variants{headers: map[string]string{}}
--- a/internal/operator/variants_test.go
+++ b/internal/operator/variants_test.go
@@ -23,6 +23,8 @@
 		Presume: &pure.Presumed{Objects: 200, Checks: 0.01}}, v.Module.Services[0])
 	assert.Empty(t, v.Module.Services[1].Classes)
 	assert.Equal(t, []string{"dev", ""}, v.Fields)
+	assert.NoError(t, v.Repeatable(services, []bool{true, false}))
+	assert.ErrorContains(t, v.Repeatable(services, []bool{false, true}), "fleet.variants.services.segment: its GETs are tokened or non-idempotent")
 	assert.Equal(t, []string{"device"}, v.Devices.Fields)
 	assert.Equal(t, front.Device{Classes: map[string]string{"tv": "tv", "phone": "phone", "car": "car"}}, v.Devices.By["segment"])
 
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"elderwall/control"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/settings"
@@ -60,6 +61,14 @@
 // Services is the delivery services by their place.
 func (c *Config) Services() []string { return c.settings.Services }
 
+// Repeats tells which delivery services' GETs may be repeated, by their place.
+func (c *Config) Repeats() (may []bool) {
+	for _, s := range c.settings.Settings.Services {
+		may = append(may, s.Effect == control.Idempotent)
+	}
+	return may
+}
+
 // check tells what nothing can start without.
 func (c *Config) check() error {
 	for _, address := range []string{c.Listen, c.Changelog} { // there is no DNS
