--- /dev/null
+++ b/internal/fleet/variants_test.go
@@ -0,0 +1,314 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/processes"
+)
+
+// fill is what a host keeps of a class: the bytes, and the state of the object that they are of.
+type fill struct {
+	bytes string
+	state int
+	at    time.Time
+}
+
+// variantRig is dispatchers before a host that fills from an origin which knows what each class of each object was in each state: tv and phone
+// begin the same, car is another. Its clients compare every byte with that.
+type variantRig struct {
+	*memoryRig
+	versions bool
+
+	held   sync.Mutex // of what follows
+	truth  map[string][]map[string]string
+	kept   map[string]fill
+	lies   bool
+	asked  map[string]int // by object and class
+	silent *standin.ChangeLog
+	rid    int
+}
+
+const declared = `variants: {services: {segment: {classes: ["tv", "phone", "car"], field: "device", host_field: "dev", proof: "tag", witnesses: %d, fresh: "until purged"}}}`
+
+func vary(t *testing.T, n, witnesses int, versions bool) *variantRig {
+	v := &variantRig{versions: versions, truth: map[string][]map[string]string{}, kept: map[string]fill{}, asked: map[string]int{}}
+	v.memoryRig = &memoryRig{start(t, n, func(m *memberRig) {
+		m.Binary = processes.Build(t, "../..", "faults")
+		m.Answer = func(a standin.Ask) string { return v.answer(0, a) }
+		for i := range n {
+			m.more[i] = `memory: {folder: "memory"}, ` + fmt.Sprintf(declared, witnesses)
+		}
+		var err error
+		v.silent, err = standin.ListenChangeLog("127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(v.silent.Close)
+		v.silent.Push(standin.List(1, true, "s-1 "+m.Host.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING"))
+		m.Processes[n-1].Told = v.silent.Address // which tells of no purge
+	})}
+	return v
+}
+
+func (v *variantRig) of(object string) []map[string]string {
+	if v.truth[object] == nil {
+		v.truth[object] = []map[string]string{{"tv": object + " wide", "phone": object + " wide", "car": object + " narrow"}}
+	}
+	return v.truth[object]
+}
+
+func (v *variantRig) answer(host int, a standin.Ask) string {
+	if a.Stop {
+		return ""
+	}
+	v.held.Lock()
+	defer v.held.Unlock()
+	object, class := a.Fields["path"], a.Fields["dev"]
+	v.asked[object+class]++
+	key := fmt.Sprint(host, object, class)
+	f, ok := v.kept[key]
+	if most, err := strconv.Atoi(a.Fields["cap"]); !ok || err == nil && time.Since(f.at) > time.Duration(most)*time.Millisecond {
+		states := v.of(object)
+		f = fill{states[len(states)-1][class], len(states), time.Now()}
+		v.kept[key] = f
+	}
+	tagged := f.bytes
+	if v.lies && host == 0 { // tells the tag of another class for all
+		tagged = v.of(object)[f.state-1]["tv"]
+	}
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(tagged))
+	more := ""
+	if v.versions {
+		more = fmt.Sprint(",version=", f.state)
+	}
+	return standin.Answer(a.ID, "HIT", fmt.Sprintf("rev=%016x,detail=mem%s", sum.Sum64(), more), f.bytes)
+}
+
+// change makes another state of an object, in which one class has other bytes; the host fills that class anew at its next GET.
+func (v *variantRig) change(object, class string) {
+	v.held.Lock()
+	defer v.held.Unlock()
+	states := v.of(object)
+	next := map[string]string{}
+	for c, was := range states[len(states)-1] {
+		next[c] = was
+	}
+	next[class] = fmt.Sprint(object, " ", class, " ", len(states))
+	v.truth[object] = append(states, next)
+	for host := range 2 {
+		delete(v.kept, fmt.Sprint(host, object, class))
+	}
+}
+
+// get gets an object for a class at a process so often: how many had the newest bytes of their class, and how many had older ones of it.
+// Whatever else came is other: another class's.
+func (v *variantRig) get(i, times int, object, class string) (newest, older, other int) {
+	c, err := standin.Dial(v.Processes[i].HTTP)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Conn.Close() }()
+	for range times {
+		v.rid++
+		_ = c.Conn.SetDeadline(time.Now().Add(5 * time.Second))
+		_, err := c.Process(standin.Fields("obj", object, "nth", "0", "device", class, "budget", "4000", "rid", fmt.Sprintf("%016x", v.rid)), "")
+		if err != nil {
+			return
+		}
+		r, err := c.Read()
+		if err != nil || r.Kind != "served" {
+			continue
+		}
+		v.held.Lock()
+		states := v.of(object)
+		switch has := func(s map[string]string) bool { return s[class] == r.Body }; {
+		case has(states[len(states)-1]):
+			newest++
+		case slices.ContainsFunc(states, has):
+			older++
+		default:
+			other++
+		}
+		v.held.Unlock()
+	}
+	return
+}
+
+// by counts requests to the host for an object by a class since it was last asked.
+func (v *variantRig) by(object, class string) int {
+	v.held.Lock()
+	defer v.held.Unlock()
+	n := v.asked[object+class]
+	delete(v.asked, object+class)
+	return n
+}
+
+// joined has tv and phone be one at a process: it has many GETs of phones go by tv.
+func (v *variantRig) joined(i int, object string, ask ...string) {
+	v.Helper()
+	v.Until(soon, fmt.Sprintf("n%d has phones go by tv", i), func() error {
+		for _, class := range ask {
+			v.get(i, 1, object, class)
+		}
+		v.by(object, "tv")
+		_, _, other := v.get(i, 20, object, "phone")
+		require.Zero(v, other)
+		if n := v.by(object, "tv"); n < 6 {
+			return fmt.Errorf("%d of 20", n)
+		}
+		return nil
+	})
+}
+
+const first, second = "00000000000000a1", "00000000000000b2"
+
+// A join that one has found is at work at others that never saw one of the classes, also at one that was killed and started.
+func TestVariantsAreLearnedFromOthers(t *testing.T) {
+	v := vary(t, 3, 1, true)
+	v.joined(0, first, "tv")
+	v.joined(1, first)
+	v.Processes[1].Kill()
+	v.Processes[1].Start()
+	v.joined(1, first)
+	alone, _, _ := v.get(1, 50, second, "phone")
+	assert.Equal(t, 50, alone)
+	assert.Equal(t, 50, v.by(second, "phone"), "nobody has told of it")
+	v.Until(soon, "half go by tv", func() error {
+		v.by(first, "phone")
+		newest, _, _ := v.get(1, 50, first, "phone")
+		require.Equal(t, 50, newest)
+		if own := v.by(first, "phone"); own > 25 {
+			return fmt.Errorf("%d of 50", own)
+		}
+		return nil
+	})
+}
+
+// The origin changes one variant alone: a version or a purge keeps every byte right, also where a change log is silent. With none of them the older
+// bytes of the class go on until a check finds out, and nowhere any longer than news travel.
+func TestOneVariantChanges(t *testing.T) {
+	for _, way := range []string{"version", "purge", "unannounced"} {
+		t.Run(way, func(t *testing.T) {
+			v := vary(t, 3, 1, way == "version")
+			v.joined(0, first, "tv")
+			v.joined(2, first)
+			v.change(first, "phone")
+			if way == "purge" {
+				before := v.purges(2)
+				v.Changes.Push(fmt.Sprintf(`{"seq":2,"invalidate":{"object":%q,"bucket":17,"time":%d}}`, first, time.Now().UnixMilli()))
+				v.Until(soon, "n2 is told", func() error {
+					if v.purges(2) == before || v.purges(0) == 0 {
+						return fmt.Errorf("%d", v.purges(2))
+					}
+					return nil
+				})
+				for _, i := range []int{0, 2} {
+					newest, older, other := v.get(i, 100, first, "phone")
+					assert.Equal(t, []int{100, 0, 0}, []int{newest, older, other}, "n%d", i)
+				}
+				return
+			}
+			stale := 0
+			v.Until(soon, "n0 finds out", func() error {
+				newest, older, other := v.get(0, 20, first, "phone")
+				require.Zero(t, other)
+				if stale += older; newest < 20 {
+					return fmt.Errorf("%d", newest)
+				}
+				return nil
+			})
+			v.Until(soon, "n2 is told", func() error {
+				newest, older, other := v.get(2, 20, first, "phone")
+				require.Zero(t, other)
+				if stale += older; newest < 20 {
+					return fmt.Errorf("%d", newest)
+				}
+				return nil
+			})
+			t.Logf("%d older bytes of their own class went out", stale)
+		})
+	}
+}
+
+// A split that one part of a cut has seen stands in the other once the cut is healed.
+func TestASplitWinsAfterACut(t *testing.T) {
+	v := vary(t, 3, 1, false)
+	v.joined(0, first, "tv")
+	v.joined(1, first)
+	cut := processes.Fault{What: processes.Cut, A: []int{0}, B: []int{1, 2}}
+	v.Begin(cut)
+	v.until("the cut is seen", []int{1, 2}, "majority", []int{1, 2})
+	v.change(first, "phone")
+	v.Until(soon, "n0 finds out", func() error {
+		if newest, _, _ := v.get(0, 20, first, "phone"); newest < 20 {
+			return fmt.Errorf("%d", newest)
+		}
+		return nil
+	})
+	v.End(cut)
+	v.whole()
+	v.Until(soon, "n1 has learned what n0 has", func() error {
+		zero, one := v.memory(0), v.memory(1)
+		if a, b := zero.kind("variants"), one.kind("variants"); a.Records == 0 || a != b {
+			return fmt.Errorf("%+v %+v", a, b)
+		}
+		return nil
+	})
+	v.by(first, "tv")
+	v.Until(soon, "n1 has it from n0", func() error {
+		newest, _, _ := v.get(1, 1, first, "phone") // one that goes by its own class tells it anyway: few are asked
+		if by := v.by(first, "tv"); newest == 0 || by > 0 {
+			return fmt.Errorf("%d by tv", by)
+		}
+		return nil
+	})
+	newest, older, other := v.get(1, 30, first, "phone")
+	assert.Equal(t, []int{30, 0, 0}, []int{newest, older, other})
+	assert.Zero(t, v.by(first, "tv"))
+}
+
+// A host that tells one class's tag for all: with one witness wrong bytes go out, with two none.
+func TestAHostThatLiesAboutATag(t *testing.T) {
+	for witnesses := 1; witnesses <= 2; witnesses++ {
+		t.Run(fmt.Sprint(witnesses), func(t *testing.T) {
+			v := vary(t, 2, witnesses, true)
+			v.held.Lock()
+			v.lies = true
+			v.held.Unlock()
+			honest, err := standin.Listen("127.0.0.1:0", func(a standin.Ask) string { return v.answer(1, a) })
+			require.NoError(t, err)
+			t.Cleanup(honest.Close)
+			hosts := []string{"s-1 " + v.Host.Address + " std SERVING", "s-3 " + honest.Address + " std SERVING"}
+			wrong, phones := 0, 0
+			for turn := 0; turn < 80 && (wrong == 0 || witnesses == 2) && (phones < 20 || witnesses == 1); turn++ {
+				if witnesses == 2 { // else the first host that is honest tells on the other
+					v.silent.Push(standin.List(turn+2, true, hosts[turn%2], "s-2 127.0.0.1:1 origin SERVING"))
+				}
+				for range 5 {
+					v.get(1, 2, first, "tv")
+					_, _, other := v.get(1, 20, first, "car")
+					wrong += other
+					v.by(first, "tv")
+					_, _, other = v.get(1, 10, first, "phone")
+					require.Zero(t, other)
+					phones += v.by(first, "tv")
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			assert.Equal(t, witnesses == 1, wrong > 0, "%d wrong", wrong)
+			if witnesses == 2 {
+				assert.Positive(t, phones, "phones, of whom both tell the truth, go by tv")
+			}
+			t.Logf("%d witnesses: %d wrong", witnesses, wrong)
+		})
+	}
+}
--- a/internal/standin/processes/processes.go
+++ b/internal/standin/processes/processes.go
@@ -65,6 +65,7 @@
 	HTTP  string            // where clients come
 	Fleet string            // where the others do
 	Reach map[string]string // at which of the relays it reaches another
+	Told  string            // its own change log, where it has one
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -217,7 +218,11 @@
 		}
 	}
 	check(os.MkdirAll(p.Dir, 0o700))
-	platform := standin.Platform(p.HTTP, r.Changes.Address, "", 1000, 1, 192, 1024)
+	told := r.Changes.Address
+	if p.Told != "" {
+		told = p.Told
+	}
+	platform := standin.Platform(p.HTTP, told, "", 1000, 1, 192, 1024)
 	check(os.WriteFile(filepath.Join(p.Dir, "config.json"), []byte(platform), 0o600))
 	check(os.WriteFile(filepath.Join(p.Dir, "operator.jsonnet"), []byte(r.Operator(p)), 0o600))
 }
--- a/internal/variants/bench_test.go
+++ b/internal/variants/bench_test.go
@@ -11,6 +11,7 @@
 	pure "elderwall/fleet/variants"
 	"elderwall/internal/lines"
 	"elderwall/internal/node"
+	"elderwall/internal/standin"
 	"elderwall/internal/variants"
 )
 
@@ -43,3 +44,30 @@
 		})
 	}
 }
+
+// BenchmarkGET is one GET after the other through a front, a node and a host over loopback: of a device that is not declared, and of one that goes by another class.
+func BenchmarkGET(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint("on ", on), func(b *testing.B) {
+			w := newWay(b, pure.ByTag, false)
+			w.joined()
+			device := "fridge" // goes as it came
+			if on {
+				device = "phone"
+			}
+			c := w.send(objects[0], device)
+			_, err := c.Read()
+			require.NoError(b, err)
+			fields := standin.Fields("obj", objects[0], "nth", "0", "device", device)
+			b.ReportAllocs()
+			for b.Loop() {
+				fields["rid"] = fmt.Sprintf("%016x", w.ids.Add(1))
+				_, err := c.Process(fields, "")
+				require.NoError(b, err)
+				if r, err := c.Read(); err != nil || r.Kind != "served" {
+					b.Fatal(r, err)
+				}
+			}
+		})
+	}
+}
