--- a/internal/fleet/variants_test.go
+++ b/internal/fleet/variants_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -9,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/fleet/variants"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/processes"
 )
@@ -171,6 +174,41 @@
 
 const first, second = "00000000000000a1", "00000000000000b2"
 
+// holder is variants that have one fact to tell, one notice, and keep nothing.
+type holder struct{ fact []variants.Fact }
+
+func (h *holder) Facts(int) (f []variants.Fact)      { f, h.fact = h.fact, nil; return f }
+func (*holder) Learn(float64, []variants.Fact)       {}
+func (*holder) Keep(_ *variants.Fact, own bool) bool { return !own }
+func (*holder) Notices() []variants.Notice           { return []variants.Notice{{Class: 1}} }
+
+// What is told is written; what its teller does not keep is deleted, so that the kind's bound holds.
+func TestFactsThatAreOfNoUseAreDeleted(t *testing.T) {
+	f, err := Open(Settings{Listen: "127.0.0.1:0", Name: "n0", Memory: &Memory{Horizon: DefaultHorizon, Rate: DefaultRate}}, 1, zerolog.Nop())
+	require.NoError(t, err)
+	fact := variants.Fact{Object: variants.Object{Object: 7, Part: 3}, Witness: "n0/1", Proof: 5}
+	noticed := make(chan variants.Notice, 1)
+	f.TakeVariants(&holder{[]variants.Fact{fact}}, func() float64 { return 1 })
+	f.Notices(func(all []variants.Notice) {
+		select {
+		case noticed <- all[0]:
+		default:
+		}
+	})
+	f.memory.shares.swept = time.Time{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- f.Serve(ctx) }()
+	require.Eventually(t, func() bool {
+		return f.memory.status().kind("variants").Dead == 1
+	}, 10*time.Second, time.Millisecond)
+	assert.Equal(t, 1, (<-noticed).Class)
+	cancel()
+	require.NoError(t, <-ended)
+	assert.NoError(t, variants.CheckFact(variants.FactKey(&fact), variants.EncodeFact(&fact)))
+	assert.Error(t, variants.CheckFact("another", variants.EncodeFact(&fact)))
+}
+
 // A join that one has found is at work at others that never saw one of the classes, also at one that was killed and started.
 func TestVariantsAreLearnedFromOthers(t *testing.T) {
 	v := vary(t, 3, 1, true)
