--- a/internal/fleet/facts.go
+++ b/internal/fleet/facts.go
@@ -23,6 +23,8 @@
 	Learn(now float64, facts []variants.Fact)
 	// Keep tells whether a fact is still of use; own for one that was told here.
 	Keep(f *variants.Fact, own bool) bool
+	// Peers tells how many dispatchers share their facts, this one too.
+	Peers(n int)
 	// Notices takes the joins and splits since it was last asked.
 	Notices() []variants.Notice
 }
@@ -34,6 +36,7 @@
 	now     func() float64
 	notices func([]variants.Notice)
 
+	peers  int // that are there, with this one
 	unread []variants.Fact
 	all    bool // all that is remembered is to be learned
 	looked time.Time
@@ -96,6 +99,7 @@
 	} else {
 		s.learn()
 	}
+	s.of.Peers(s.peers)
 	if !writes {
 		return
 	}
--- a/internal/fleet/variants_test.go
+++ b/internal/fleet/variants_test.go
@@ -180,6 +180,7 @@
 func (h *holder) Facts(int) (f []variants.Fact)      { f, h.fact = h.fact, nil; return f }
 func (*holder) Learn(float64, []variants.Fact)       {}
 func (*holder) Keep(_ *variants.Fact, own bool) bool { return !own }
+func (*holder) Peers(int)                            {}
 func (*holder) Notices() []variants.Notice           { return []variants.Notice{{Class: 1}} }
 
 // What is told is written; what its teller does not keep is deleted, so that the kind's bound holds.
@@ -244,8 +245,13 @@
 				before := v.purges(2)
 				v.Changes.Push(fmt.Sprintf(`{"seq":2,"invalidate":{"object":%q,"bucket":17,"time":%d}}`, first, time.Now().UnixMilli()))
 				v.Until(soon, "n2 is told", func() error {
-					if v.purges(2) == before || v.purges(0) == 0 {
-						return fmt.Errorf("%d", v.purges(2))
+					k, err := ParseKeys(v.keys[-1])
+					require.NoError(t, err)
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					defer cancel()
+					zero, err := Ask(ctx, v.Processes[0].Fleet, k, AskCounts, 0)
+					if v.purges(2) == before || err != nil || zero.Counts["Purges"] == 0 {
+						return fmt.Errorf("%d %w", v.purges(2), err)
 					}
 					return nil
 				})
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -245,6 +245,13 @@
 	return s.module.Notices()
 }
 
+// Peers tells how many dispatchers share their facts, this one too.
+func (s *Stage) Peers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.module.Peers(n)
+}
+
 // Keep tells whether a fact that was told is still of use; own for one that this dispatcher told.
 func (s *Stage) Keep(f *variants.Fact, own bool) bool {
 	s.mu.Lock()
