--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -464,6 +464,8 @@
 	*variants.Module
 	floor uint64
 	key1  variants.Key
+	order uint64 // of purges that were heard
+	known uint64 // of them when the key was given
 }
 
 func (w *variantsWorld) keys(i int) keys {
@@ -499,13 +501,13 @@
 }
 
 func (p *program) key(now float64, o *item, class int) (int, bool) {
-	p.floor = p.Floor(named1(o))
+	p.floor, p.known = p.Told(named1(o)), p.order
 	p.key1 = p.Key(now, named1(o), class)
 	return p.key1.Class, p.key1.Checks
 }
 
 func (p *program) answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool {
-	answer := variants.Answer{Object: named1(o), Class: asked, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}}
+	answer := variants.Answer{Object: named1(o), Class: asked, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known}
 	p.Answered(now, answer)
 	k := p.key1
 	if asked == class {
@@ -515,7 +517,8 @@
 }
 
 func (p *program) purged(now float64, o *item, purge uint64) {
-	p.Purged(now, o.service, o.id, -1, purge)
+	p.order++
+	p.Purged(o.service, o.id, -1, purge, p.order)
 }
 func (p *program) facts() []variantFact             { return p.Facts(1000) }
 func (p *program) learn(now float64, f variantFact) { p.Learn(now, []variants.Fact{f}) }
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -16,6 +16,7 @@
 	"elderwall/fleet/floors"
 	"elderwall/fleet/members"
 	"elderwall/fleet/replica"
+	"elderwall/fleet/variants"
 )
 
 // Defaults of the fleet's memory.
@@ -55,6 +56,7 @@
 	names   map[uint64]string // members by boot
 	problem string
 	purges  purges
+	shares  shares
 
 	// Of the goroutine alone.
 	disk     *store    // nil where nothing is kept
@@ -70,13 +72,14 @@
 func newMemory(f *Fleet) *memory {
 	out := rate.Limit(bytesOut + f.Memory.Rate)
 	m := &memory{fleet: f, limit: rate.NewLimiter(out, bytesBurst), wake: make(chan struct{}, 1), stale: make(chan struct{}, 1),
-		kinds: append([]replica.Kind{floors.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
+		kinds: append([]replica.Kind{floors.Kind(), variants.Kind()}, faultKinds...), waits: map[replica.Dot]chan replica.Outcome{},
 		follow: map[uint8][]func([]replica.Record){}, names: map[uint64]string{}}
 	for _, k := range channels.Kinds() {
 		k.Longest = min(k.Longest, replica.MostLongest)
 		m.kinds = append(m.kinds, k)
 	}
 	m.purges.begin(m)
+	m.shares.begin(m)
 	return m
 }
 
@@ -199,6 +202,7 @@
 		m.look()
 		m.flush()
 		m.purges.tick()
+		m.shares.tick()
 	}
 }
 
@@ -301,6 +305,7 @@
 	m.looked, m.fleetNow = time.Now(), now
 	to := replica.Fleet{Of: now.of, Decides: now.decides, Narrows: now.narrows}
 	m.at = map[string]string{}
+	m.shares.peers = 1
 	names := map[uint64]string{}
 	for _, o := range known {
 		if o.State == members.Left && !o.Reference {
@@ -308,6 +313,9 @@
 		}
 		to.Others = append(to.Others, replica.Member{Name: o.Name, Zone: o.Zone, Alive: o.State.In(), Counted: o.Reference})
 		m.at[o.Name], names[o.Boot] = o.Address, o.Name
+		if o.State.In() {
+			m.shares.peers++
+		}
 	}
 	m.mu.Lock()
 	m.names = names
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -223,9 +223,6 @@
 	for _, e := range c.Known.Events {
 		take(e)
 	}
-	if n.Variants != nil {
-		s.core.Take(changelog.Event{Seq: c.Known.Seq})
-	}
 	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
