Joins and splits of variants are told in their channel

Need: whoever keeps copies by class has to hear when classes part. Measured: with three processes a join found at one is read at another, and the split after it (TestJoinsAndSplitsAreTold, 19 s).

--- a/internal/fleet/facts.go
+++ b/internal/fleet/facts.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"elderwall/fleet/replica"
@@ -51,6 +53,32 @@
 // TakeVariants has what is known of variants told to the others and learned from them, before the fleet is served; now is the variants' time.
 func (f *Fleet) TakeVariants(of Variants, now func() float64) {
 	f.memory.shares.of, f.memory.shares.now = of, now
+	if f.following != nil {
+		f.memory.shares.notices = f.tellVariants
+	}
+}
+
+// joined is a join or split as the channel of variants tells it; service and classes are numbered as in the settings.
+type joined struct {
+	Service  int    `json:"service"`
+	Object   string `json:"object"`
+	Part     int    `json:"part"`
+	Class    int    `json:"class"`
+	Standing int    `json:"standing"` // the class itself where it was split off
+	Split    bool   `json:"split"`
+}
+
+// tellVariants has joins and splits told in their channel, by object, part and class.
+func (f *Fleet) tellVariants(all []variants.Notice) {
+	for _, n := range all {
+		o := n.Object
+		of := joined{o.Service, fmt.Sprintf("%016x", o.Object), o.Part, n.Class, n.Standing, n.Split}
+		body, err := json.Marshal(of)
+		if err != nil {
+			continue
+		}
+		f.Tell(VariantsChannel, fmt.Sprintf("%d/%s/%d/%d", of.Service, of.Object, of.Part, of.Class), body)
+	}
 }
 
 // Notices has a function take the joins and splits that happen here, before the fleet is served. It may not wait.
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -32,13 +32,16 @@
 
 var orderNames = []string{"key", "sender", "causal", "total"}
 
-func channel(t *testing.T, n, vote int) *channelRig {
+func channel(t *testing.T, n, vote int, change ...func(*memberRig)) *channelRig {
 	live, end := context.WithCancel(context.Background())
 	t.Cleanup(end)
 	c := &channelRig{live: live, dutyRig: duty(t, n, vote, func(m *memberRig) {
 		for i := range n {
 			m.more[i] += `, memory: {folder: "memory"}, channels: ` + declared
 		}
+		for _, also := range change {
+			also(m)
+		}
 	})}
 	t.Cleanup(end)
 	for i := range n {
--- a/internal/fleet/variants_test.go
+++ b/internal/fleet/variants_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/fleet/channels"
 	"elderwall/fleet/variants"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/processes"
@@ -356,3 +360,50 @@
 		})
 	}
 }
+
+// A join that one dispatcher finds out is told in the channel of variants at another; so is the split by what only a third saw.
+func TestJoinsAndSplitsAreTold(t *testing.T) {
+	v := &variantRig{truth: map[string][]map[string]string{}, kept: map[string]fill{}, asked: map[string]int{}}
+	c := channel(t, 3, 3, func(m *memberRig) {
+		m.Answer = func(a standin.Ask) string { return v.answer(0, a) }
+		for i := range m.Processes {
+			m.more[i] += ", " + fmt.Sprintf(declaredVariants, 1)
+		}
+	})
+	v.memoryRig = &memoryRig{c.memberRig}
+	var told atomic.Int32 // 1 for a join, 2 for a split after it
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = c.at(2).Follow(ctx, VariantsChannel, 0, "", func(n channels.Note) error {
+			var j joined
+			if n.Word == channels.Shown && json.Unmarshal(n.Entry.Body, &j) == nil && j.Object == first {
+				switch {
+				case !j.Split && j.Class != j.Standing:
+					told.CompareAndSwap(0, 1)
+				case j.Split:
+					told.CompareAndSwap(1, 2)
+				}
+			}
+			return nil
+		})
+	}()
+	t.Cleanup(func() { end(); <-ended })
+	v.joined(0, first, "tv", "phone")
+	c.Until(soon, "the join is told", func() error {
+		if told.Load() < 1 {
+			return errors.New("not told")
+		}
+		return nil
+	})
+	v.change(first, "phone")
+	c.Until(soon, "the split is told", func() error {
+		_, _, other := v.get(1, 20, first, "phone")
+		require.Zero(t, other)
+		if told.Load() < 2 {
+			return errors.New("not told")
+		}
+		return nil
+	})
+}
