--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -33,10 +33,7 @@
 	return m
 }
 
-func sum(n int) (s Sum) {
-	copy(s[:], fmt.Sprint(n))
-	return s
-}
+func sum(n int) (s Sum) { copy(s[:], fmt.Sprint(n)); return s }
 
 // claims are those of a caller of tenant a, for an hour.
 func claims(change ...func(*Claims)) Claims {
@@ -53,7 +50,7 @@
 }
 
 func TestTokensAndClocks(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name string
 		key  func(*Key)
 		s    func(*Settings)
@@ -88,9 +85,7 @@
 		{"signed before its key retired", func(k *Key) { k.State, k.RetiredAt = Retiring, noon-5 }, nil, nil, 0, Passed},
 		{"signed 31 s after its key retired", func(k *Key) { k.State, k.RetiredAt = Retiring, noon-41 }, nil, nil, 0, BadToken},
 		{"signed nowhen, by a key that retired", func(k *Key) { k.State, k.RetiredAt = Retiring, noon }, nil, func(c *Claims) { c.IssuedAt = 0 }, 0, BadToken},
-		{"a revoked key", func(k *Key) { k.State = Revoked }, nil, nil, 0, BadToken},
-	}
-	for _, tt := range tests {
+		{"a revoked key", func(k *Key) { k.State = Revoked }, nil, nil, 0, BadToken}} {
 		m := module(t, func(s *Settings) {
 			if tt.key != nil {
 				tt.key(&s.Keys[0])
@@ -123,14 +118,12 @@
 }
 
 func TestRevocationReachesWhatIsKnownAlready(t *testing.T) {
-	revoke := map[string]func(*Settings){
+	for name, change := range map[string]func(*Settings){
 		"its key":               func(s *Settings) { s.Keys[0].State = Revoked },
 		"its key is gone":       func(s *Settings) { s.Keys[0].ID = "k2" },
 		"its id":                func(s *Settings) { s.Revoked.Tokens = []string{"j1"} },
 		"its subject":           func(s *Settings) { s.Revoked.Subjects = []string{"till-4"} },
-		"another key of its id": func(s *Settings) { s.Keys[0].Print = "p2" },
-	}
-	for name, change := range revoke {
+		"another key of its id": func(s *Settings) { s.Keys[0].Print = "p2" }} {
 		m, conn := module(t), &Conn{Remote: here}
 		_, r := m.Verified(noon, conn, sum(1), "k1", "p1", claims())
 		require.Equal(t, Passed, r)
@@ -148,7 +141,7 @@
 func TestCertificates(t *testing.T) {
 	cert := Certificate{Serial: Serial{"i", "7f"}, Names: []string{"uri:spiffe://x/till/4", "cn:till"}, From: noon - 100,
 		Until: noon + 100, Authorities: []string{"root"}}
-	tests := []struct {
+	for _, tt := range []struct {
 		name   string
 		change func(*Settings)
 		wall   float64
@@ -164,9 +157,7 @@
 		{"revoked", func(s *Settings) { s.Revoked.Certificates = []Serial{{"i", "7f"}} }, 0, "", BadCertificate},
 		{"another of its issuer revoked", func(s *Settings) { s.Revoked.Certificates = []Serial{{"i", "80"}} }, 0, "a", Passed},
 		{"its authority not trusted", func(s *Settings) { s.Authorities = []string{"other"} }, 0, "", BadCertificate},
-		{"its name revoked", func(s *Settings) { s.Revoked.Subjects = []string{"uri:spiffe://x/till/4"} }, 0, "", Nobody},
-	}
-	for _, tt := range tests {
+		{"its name revoked", func(s *Settings) { s.Revoked.Subjects = []string{"uri:spiffe://x/till/4"} }, 0, "", Nobody}} {
 		named := func(s *Settings) {
 			s.Names, s.Authorities = []Name{{"cn:till", "b"}, {"uri:spiffe://x/till/4", "a"}}, []string{"root"}
 		}
@@ -238,7 +229,7 @@
 }
 
 func TestWhatSettingsAreRefused(t *testing.T) {
-	tests := map[string]func(*Settings){
+	for name, change := range map[string]func(*Settings){
 		"a key id used twice":       func(s *Settings) { s.Keys = append(s.Keys, s.Keys[0]) },
 		"no keys":                   func(s *Settings) { s.Keys = nil },
 		"a key that never counts":   func(s *Settings) { s.Keys[0].From, s.Keys[0].Until = 2, 1 },
@@ -246,9 +237,7 @@
 		"a role that there is not":  func(s *Settings) { s.Tenants[0].Roles = []string{"none"} },
 		"a name of no tenant":       func(s *Settings) { s.Names = []Name{{"cn:x", "none"}} },
 		"nobody's tenant there not": func(s *Settings) { s.Anonymous = "none" },
-		"a table of no size":        func(s *Settings) { s.Limits.Verdicts = 0 },
-	}
-	for name, change := range tests {
+		"a table of no size":        func(s *Settings) { s.Limits.Verdicts = 0 }} {
 		m := module(t)
 		assert.Error(t, m.Reload(0, noon, settings(change)), name)
 		_, r := verify(m, noon, claims())
@@ -266,7 +255,7 @@
 func TestShares(t *testing.T) {
 	rate := func(s Share) func(*Settings) { return func(set *Settings) { set.Tenants[0].Share = s } }
 	caller := func(s Share) func(*Settings) { return func(set *Settings) { set.Tenants[0].Caller = s } }
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		share func(*Settings)
 		asks  func(m *Module) int
@@ -285,9 +274,7 @@
 				n += passed(func() Refusal { _, r := ask(m, 0, "a", fmt.Sprint(i)); return r }, 5)
 			}
 			return n
-		}, 30},
-	}
-	for _, tt := range tests {
+		}, 30}} {
 		m := module(t, tt.share)
 		assert.Equal(t, tt.want, tt.asks(m), tt.name)
 		assert.Equal(t, 50, passed(func() Refusal { _, r := ask(m, 0, "b", "x"); return r }, 50), "%s: the other tenant", tt.name)
@@ -364,7 +351,7 @@
 }
 
 func TestOneThatFloodsTakesNothingFromTheOther(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name         string
 		weightOfA    float64
 		a, b         float64 // asked for, of 1000 that can be borne
@@ -374,9 +361,7 @@
 		{"the same, with three times the weight", 3, 375, 5000, 0.98, 0.05},
 		{"both ask for more than there is", 1, 3000, 9000, 0.15, 0.05}, // half of 1000, less what the level swings
 		{"one alone has it all", 1, 0, 5000, 0, 0.05},
-		{"nobody floods", 1, 300, 500, 1, 1},
-	}
-	for _, tt := range tests {
+		{"nobody floods", 1, 300, 500, 1, 1}} {
 		m := module(t, func(s *Settings) { s.Tenants[0].Share.Weight = tt.weightOfA })
 		served, asked := crowd(m, 1000, 20, map[string]float64{"a": tt.a, "b": tt.b}, nil)
 		if tt.a > 0 {
@@ -404,8 +389,7 @@
 }
 
 func TestWithinATenantOneCallerThatFloodsTakesNothingFromTheOthers(t *testing.T) {
-	m := module(t, func(s *Settings) { s.Tenants[0].Share = Share{Rate: 100, Burst: 20} })
-	quiet, flood := 0, 0
+	m, quiet, flood := module(t, func(s *Settings) { s.Tenants[0].Share = Share{Rate: 100, Burst: 20} }), 0, 0
 	for i := range 20000 { // a thousand a second
 		now := float64(i) / 1000
 		if ticket, r := ask(m, now, "a", "floods"); r == Passed {
--- a/callers/property_test.go
+++ b/callers/property_test.go
@@ -12,9 +12,8 @@
 
 // life is a key's as those see it who wrote it down, against which the module is held.
 type life struct {
-	state   KeyState
-	from    float64
-	retired float64
+	state         KeyState
+	from, retired float64
 }
 
 // TestNoLifeOfKeysLetsARevokedOnePassOrRefusesAnActiveOne has keys announced, activated, retired and revoked in any
@@ -66,8 +65,7 @@
 						t.Fatalf("key %s %+v, issued %v s ago: %v", id, told[id], wall-iat, r)
 					}
 				}
-			},
-		})
+			}})
 	})
 }
 
@@ -158,7 +156,6 @@
 				if m.callers.order.Len() != len(m.callers.by) || len(m.callers.by) > s.Limits.Callers || m.fair.most < leastLevel || math.IsNaN(m.fair.most) {
 					t.Fatalf("%d callers of %d, level %v", len(m.callers.by), s.Limits.Callers, m.fair.most)
 				}
-			},
-		})
+			}})
 	})
 }
--- a/callers/rights_test.go
+++ b/callers/rights_test.go
@@ -19,7 +19,7 @@
 	inside := func(r Rule) Rule { r.Networks = []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}; return r }
 	service := func(n int, r Rule) Rule { r.Services = []int{n}; return r }
 	group := func(n int, r Rule) Rule { r.Groups = []int{n}; return r }
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		rules []Rule
 		get   GET
@@ -42,9 +42,7 @@
 		{"outside it", []Rule{inside(all)}, GET{}, "11.9.9.9", false},
 		{"a network, and any", []Rule{inside(all), all}, GET{}, "11.9.9.9", true},
 		{"any, and a network", []Rule{all, inside(all)}, GET{}, "11.9.9.9", true},
-		{"a network denied of all", []Rule{all, inside(none)}, GET{}, "10.9.9.9", false},
-	}
-	for _, tt := range tests {
+		{"a network denied of all", []Rule{all, inside(none)}, GET{}, "10.9.9.9", false}} {
 		assert.Equal(t, tt.want, newRights(tt.rules).allow(tt.get, netip.MustParseAddr(tt.from)), tt.name)
 	}
 }
@@ -84,10 +82,8 @@
 		network := rapid.SampledFrom([]netip.Prefix{netip.MustParsePrefix("10.0.0.0/8"), netip.MustParsePrefix("10.1.0.0/16"),
 			netip.MustParsePrefix("fd00::/8")})
 		rule := rapid.Custom(func(t *rapid.T) Rule {
-			return Rule{Deny: rapid.Bool().Draw(t, "deny"),
-				Services: rapid.SliceOfN(rapid.IntRange(0, 2), 0, 2).Draw(t, "services"),
-				Groups:   rapid.SliceOfN(rapid.IntRange(63, 65), 0, 2).Draw(t, "groups"),
-				Networks: rapid.SliceOfN(network, 0, 2).Draw(t, "networks"),
+			return Rule{Deny: rapid.Bool().Draw(t, "deny"), Services: rapid.SliceOfN(rapid.IntRange(0, 2), 0, 2).Draw(t, "services"),
+				Groups: rapid.SliceOfN(rapid.IntRange(63, 65), 0, 2).Draw(t, "groups"), Networks: rapid.SliceOfN(network, 0, 2).Draw(t, "networks"),
 				Objects: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Prefix {
 					return Prefix{object.Draw(t, "bits"), 16}.cut(rapid.SampledFrom([]int{0, 1, 2, 15, 16}).Draw(t, "digits"))
 				}), 0, 3).Draw(t, "objects")}
@@ -154,10 +150,7 @@
 		for i := range gets {
 			gets[i] = GET{Service: chance.IntN(3), Object: rules[chance.IntN(n)].Objects[0].Bits | chance.Uint64()>>48}
 		}
-		before := heap()
-		index := newRights(rules)
-		between := heap()
-		lengths := newByLength(rules)
+		before, index, between, lengths := heap(), newRights(rules), heap(), newByLength(rules)
 		after := heap()
 		size := map[string]float64{"prefixes": (between - before) / float64(n), "lengths": (after - between) / float64(n)}
 		for _, way := range []struct {
--- a/calls/calls_test.go
+++ b/calls/calls_test.go
@@ -7,11 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-func named(t *Table) *Call {
-	c := t.Begin(1, 10)
-	t.Name(1, c, 0)
-	return c
-}
+func named(t *Table) *Call { c := t.Begin(1, 10); t.Name(1, c, 0); return c }
 
 func TestWhatAReplyProves(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -31,8 +27,7 @@
 		"a copy from before a purge":      {Reply{Status: 200, Age: 5}, 2, false, TooOld, Held},
 		"a copy from after a purge":       {Reply{Status: 200, Age: 1}, 2, false, Returned, Over},
 		"a copy that may be from before":  {Reply{Status: 200, Age: -1}, 2, false, TooOld, Held},
-		"an error of whatever age it was": {Reply{Status: 500, Age: 9}, 2, false, HostError, Held},
-	} {
+		"an error of whatever age it was": {Reply{Status: 500, Age: 9}, 2, false, HostError, Held}} {
 		table := New(Settings{}, [32]byte{7})
 		c := named(table)
 		assert.Equal(t, tt.want, table.Replied(1.1, c, tt.reply, tt.oldest, tt.heldOnly), name)
@@ -92,8 +87,7 @@
 // are over.
 func TestWhatHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := New(Settings{Open: 20, Share: 0.6, Hold: 1}, [32]byte{rapid.Byte().Draw(t, "seed")})
-		now := 1.0
+		table, now := New(Settings{Open: 20, Share: 0.6, Hold: 1}, [32]byte{rapid.Byte().Draw(t, "seed")}), 1.0
 		var open []*Call
 		seen, told := map[ID]bool{}, map[*Call]int{}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
--- a/cmd/benchlink/link_test.go
+++ b/cmd/benchlink/link_test.go
@@ -46,7 +46,7 @@
 func TestRoundTrips(t *testing.T) {
 	const issued = `["serveOrFill",3,7,11,0,21,1,0,0]`
 	answer := `["answer",3,7,0,11,"%s",18500,%v,0,null,null]`
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		lines []string
 		want  string
@@ -61,16 +61,13 @@
 		{"a client that goes is not answered", []string{batch(2000, start(3)), batch(4000, demand(3, 7)),
 			batch(5000, `["clientGone",3,7]`)}, `{"actions":[["abandon",3,7,0]]}`},
 		{"a purge sets the age, exact to the microsecond", []string{batch(2000, start(3)),
-			batch(4000, `["invalidated",3,"a:x7",3,1001]`), batch(6000, demand(3, 7))},
-			`{"actions":[["serveOrFill",3,7,11,0,21,1,3001,0]]}`},
+			batch(4000, `["invalidated",3,"a:x7",3,1001]`), batch(6000, demand(3, 7))}, `{"actions":[["serveOrFill",3,7,11,0,21,1,3001,0]]}`},
 		{"a purge of the whole group", []string{batch(2000, start(3)), batch(4000, `["invalidated",3,0,3,1000]`),
 			batch(6000, demand(3, 7))}, `{"actions":[["serveOrFill",3,7,11,0,21,1,3000,0]]}`},
 		{"a host absent from a full list is gone", []string{batch(2000, start(3)),
 			batch(4000, `["backendsChanged",3,1,2,[[21,0,1,0,1,1,null]]]`, demand(3, 7))}, `{"actions":[["notNow",3,7,125000]]}`},
 		{"a restart in one batch forgets", []string{batch(2000, start(3)), batch(4000, demand(3, 7)),
-			batch(6000, `["stop",3]`, start(3), `["clientGone",3,7]`)}, `{"actions":[["schedule",3,10000,"tick"]]}`},
-	}
-	for _, tt := range tests {
+			batch(6000, `["stop",3]`, start(3), `["clientGone",3,7]`)}, `{"actions":[["schedule",3,10000,"tick"]]}`}} {
 		t.Run(tt.name, func(t *testing.T) {
 			replies, report := play(t, append([]string{batch(1000)}, tt.lines...)...)
 			assert.Equal(t, tt.want, replies[len(replies)-1])
@@ -80,7 +77,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	tests := []struct{ name, message, want string }{
+	for _, tt := range []struct{ name, message, want string }{
 		{"not JSON", `["demand",`, "batch: "},
 		{"not an array", `5`, "message: "},
 		{"unknown message", `["howdy",3]`, `unknown message "howdy"`},
@@ -92,9 +89,7 @@
 		{"an instance that does not run", `["clientGone",8,7]`, "instance 8 does not run"},
 		{"unknown phase", `["backendsChanged",3,0,2,[[11,0,0,0,9]]]`, "unknown phase 9"},
 		{"short entry", `["backendsChanged",3,0,2,[[11,0]]]`, "backendsChanged entry: 2 values"},
-		{"unknown form", `["backendsChanged",3,8,2,[]]`, "unknown form 8"},
-	}
-	for _, tt := range tests {
+		{"unknown form", `["backendsChanged",3,8,2,[]]`, "unknown form 8"}} {
 		t.Run(tt.name, func(t *testing.T) {
 			replies, report := play(t, batch(2000, start(3)), batch(4000, tt.message), batch(6000, demand(3, 7)))
 			assert.Contains(t, report, tt.want)
--- a/cmd/elderwall-operator/commands_test.go
+++ b/cmd/elderwall-operator/commands_test.go
@@ -10,6 +10,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin/need"
 )
 
 // command runs one and gives what it prints.
@@ -36,7 +38,7 @@
 	dir := t.TempDir()
 	set, private := filepath.Join(dir, "keys.json"), filepath.Join(dir, "k1.jwk")
 	var token string
-	steps := []struct {
+	for _, s := range []struct {
 		name, words string
 		want, err   string // in what is printed
 	}{
@@ -59,9 +61,7 @@
 		{"revoked", "keys revoke k1 --set " + set, "", ""},
 		{"for good", "keys activate k1 --set " + set, "", "never goes back"},
 		{"one that there is not", "keys revoke k9 --set " + set, "", `no key "k9"`},
-		{"announced from elsewhere, private", "keys announce " + private + " --set " + set, "", "it is private"},
-	}
-	for _, s := range steps {
+		{"announced from elsewhere, private", "keys announce " + private + " --set " + set, "", "it is private"}} {
 		out, err := command(t, strings.Fields(strings.ReplaceAll(s.words, "TOKEN", token))...)
 		if s.err != "" {
 			assert.ErrorContains(t, err, s.err, s.name)
@@ -73,11 +73,9 @@
 			token = strings.TrimSpace(out)
 		}
 	}
-	left, err := filepath.Glob(filepath.Join(dir, ".new-*"))
-	require.NoError(t, err)
+	left := need.Of(filepath.Glob(filepath.Join(dir, ".new-*")))(t)
 	assert.Empty(t, left, "nothing half-written is left")
-	info, err := os.Stat(set)
-	require.NoError(t, err)
+	info := need.Of(os.Stat(set))(t)
 	assert.EqualValues(t, 0o600, info.Mode().Perm())
 }
 
--- a/cmd/elderwall/deploy_test.go
+++ b/cmd/elderwall/deploy_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin/need"
 )
 
 // The line run must stay in the one process that it starts, linked dynamically against the C library: with an operator's
@@ -33,11 +35,9 @@
 	build.Env = append(os.Environ(), "CGO_ENABLED=1")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	program, err := elf.Open(path)
-	require.NoError(t, err)
+	program := need.Of(elf.Open(path))(t)
 	defer program.Close()
-	libraries, err := program.ImportedLibraries()
-	require.NoError(t, err)
+	libraries := need.Of(program.ImportedLibraries())(t)
 	assert.Contains(t, libraries, "libc.so.6")
 
 	// Nothing stands beside it here that it could become; it ends by itself for want of a configuration.
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -10,8 +10,7 @@
 	for _, n := range []int{10, 100, 1000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := &recorder{}
-			d := New(settings(), 0, r)
-			hosts := []HostEntry{entry(1<<30, 1, Ready), entry(1<<30+1, 2, Ready)}
+			d, hosts := New(settings(), 0, r), []HostEntry{entry(1<<30, 1, Ready), entry(1<<30+1, 2, Ready)}
 			for i := range n {
 				hosts = append(hosts, entry(uint32(i+1)*7919, 0, Ready))
 			}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -37,8 +37,7 @@
 func settings() Settings {
 	return Settings{Dispatchers: 2, Seats: []int{1}, ParentKind: 1, OriginKind: 2, Detail: Full,
 		Services: []DeliveryService{{Objective: 0.5, Stretch: 1, ViewerTimeout: 5, Revenue: 1,
-			Effect: Idempotent, Scope: AllHosts, RepeatWindow: 2}},
-		MaxForwards: 6, MayCancel: true, SecondCopies: true, OldCopies: 6,
+			Effect: Idempotent, Scope: AllHosts, RepeatWindow: 2}}, MaxForwards: 6, MayCancel: true, SecondCopies: true, OldCopies: 6,
 		ColdFrom: 0.2, RampTime: 10, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.1, ParentRamp: 20, ParentTip: 2}
 }
 
@@ -105,7 +104,7 @@
 }
 
 func TestAfterAFailedForward(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		effect  Effect
 		scope   Scope
@@ -121,9 +120,7 @@
 		{"tokened past its window is errored in a zone", Tokened, SameZone, Dropped, 2.5, "error"},
 		{"tokened stays in its zone", Tokened, SameZone, Dropped, 0.1, "forward"},
 		{"tokened alone in its cell is errored", Tokened, SameCell, Dropped, 0.1, "error"},
-		{"tokened that was not taken is free of its cell", Tokened, SameCell, Unreached, 0.1, "forward"},
-	}
-	for _, tt := range tests {
+		{"tokened that was not taken is free of its cell", Tokened, SameCell, Unreached, 0.1, "forward"}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.Services[0].Effect, s.Services[0].Scope = tt.effect, tt.scope })
 			ask(d, 1, 7, "a")
@@ -141,15 +138,13 @@
 }
 
 func TestOneFinalAnswer(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name          string
 		effect        Effect
 		shed, errored int
 	}{
 		{"idempotent is shed at its viewer timeout", Idempotent, 1, 0},
-		{"non-idempotent still out is errored at it", NonIdempotent, 0, 1},
-	}
-	for _, tt := range tests {
+		{"non-idempotent still out is errored at it", NonIdempotent, 0, 1}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.Services[0].Effect = tt.effect })
 			ask(d, 1, 7, "a")
@@ -193,7 +188,7 @@
 }
 
 func TestDrainsAreKept(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		form    ListForm
 		entries []HostEntry
@@ -205,9 +200,7 @@
 			[]uint32{parentA, parentB}},
 		{"absent from a complete list", Complete, []HostEntry{entry(cacheB, 0, Ready), entry(parentB, 1, Ready)},
 			[]uint32{cacheA, cacheC, parentA, origin}},
-		{"a failed call changes nothing", FailedCall, nil, nil},
-	}
-	for _, tt := range tests {
+		{"a failed call changes nothing", FailedCall, nil, nil}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			d.Hosts(1, tt.form, tt.entries)
@@ -230,7 +223,7 @@
 }
 
 func TestColdHostsGetTheirShare(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name       string
 		kind       int
 		id         uint32
@@ -245,9 +238,7 @@
 		{"cold cache of unknown weight, many dispatchers", 0, cacheA, false, 20, 40, 40, 140},
 		{"cold parent", 1, parentA, true, 20, 1, 5, 20},
 		{"cold parent, many dispatchers", 1, parentA, true, 20, 40, 5, 20},
-		{"cache that is warm by now", 0, cacheA, true, 5, 1, 30, 200},
-	}
-	for _, tt := range tests {
+		{"cache that is warm by now", 0, cacheA, true, 5, 1, 30, 200}} {
 		t.Run(tt.name, func(t *testing.T) {
 			sent := 0
 			for index := range tt.alike {
@@ -276,20 +267,16 @@
 }
 
 func TestPurges(t *testing.T) {
-	tests := []struct {
-		name   string
-		object string
-		group  int
-		at     float64
-		want   float64
+	for _, tt := range []struct {
+		name, object string
+		group        int
+		at, want     float64
 	}{
 		{"of the object", "a", 0, 3, 1.5},
 		{"of its group", "", 4, 3, 1.5},
 		{"of another object", "b", 4, 3, 0},
 		{"of another group", "", 5, 3, 0},
-		{"long ago: no old copy is left", "a", 0, 9, 0},
-	}
-	for _, tt := range tests {
+		{"long ago: no old copy is left", "a", 0, 9, 0}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			d.Purged(2, tt.object, tt.group, 0.5)
@@ -318,7 +305,7 @@
 }
 
 func TestCopiesFollowDemand(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		hot   int // of ten GETs, how many are for the one object
 		after float64
@@ -327,9 +314,7 @@
 		{"a fifth of the bytes: one cache of three", 2, 0, 1},
 		{"half of them: two", 5, 0, 2},
 		{"nine tenths: three", 9, 0, 3},
-		{"and one again once the window has passed", 9, 12, 1},
-	}
-	for _, tt := range tests {
+		{"and one again once the window has passed", 9, 12, 1}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, _ := fleet(nil)
 			for i := range uint32(100) {
@@ -427,7 +412,7 @@
 
 func TestHostsAreLeftAndTrustedAgain(t *testing.T) {
 	left := func(id uint32) string { return fmt.Sprintf("host %d left: it fails or is silent", id) }
-	tests := []struct {
+	for _, tt := range []struct {
 		name string
 		fail func(uint32, Forward) (Outcome, Note)
 		host uint32
@@ -444,9 +429,7 @@
 		}, parentA},
 		{"a parent that answers nothing, while hits and the other's fills come back", func(i uint32, f Forward) (Outcome, Note) {
 			return map[bool]Outcome{true: noAnswer}[i%4 > 0 && f.Source == parentA], map[bool]Note{true: Hit, false: Filled}[i%4 == 0]
-		}, parentA},
-	}
-	for _, tt := range tests {
+		}, parentA}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			play(d, r, 1, 6, 0.05, 0, tt.fail)
@@ -464,7 +447,7 @@
 }
 
 func TestWhatIsNoSignOfIllHealth(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name string
 		one  func(d *Dispatcher, r *recorder, now float64, id uint32)
 	}{
@@ -483,9 +466,7 @@
 				assert.Equal(t, host, r.last().Host, "the GET goes there once more")
 			}
 			answer(d, now, id, len(d.gets[id].forwards)-1, Returned, Hit)
-		}},
-	}
-	for _, tt := range tests {
+		}}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			most := d.fills.most
@@ -553,7 +534,7 @@
 }
 
 func TestLimits(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		elapsed float64
 		outcome Outcome
@@ -563,9 +544,7 @@
 		{"fills in time keep their limit open", 0.1, Returned, Filled, false},
 		{"late fills close it", 2, Returned, Filled, true},
 		{"refused fills close it", 0.1, NotTaken, NoFillPlace, true},
-		{"late hits do not, but close that on all caches", 2, Returned, Hit, false},
-	}
-	for _, tt := range tests {
+		{"late hits do not, but close that on all caches", 2, Returned, Hit, false}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			for now := 0.0; now < 24; now += 3 {
@@ -596,7 +575,7 @@
 }
 
 func TestPassesOnOnlyToAMuchIdlerCache(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name       string
 		told       bool // bandwidth; else serving times are learned
 		own, other float64
@@ -605,9 +584,7 @@
 		{"own cache within the objective", true, 0.4, 0, false},
 		{"own cache over it, others hardly less", true, 2, 1.5, false},
 		{"own cache over it, others at a fraction", true, 2, 0.5, true},
-		{"own cache crowded by others alone", false, 3, 0.1, true},
-	}
-	for _, tt := range tests {
+		{"own cache crowded by others alone", false, 3, 0.1, true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.WeightsTold, s.FlowKB = tt.told, 100 })
 			ask(d, 1, 7, "a")
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -249,8 +249,7 @@
 		return id
 	}
 	id := first()
-	e := l.d.hosts[id].HostEntry
-	other := l.d.hosts[id]
+	e, other := l.d.hosts[id].HostEntry, l.d.hosts[id]
 	e.Phase = Gone
 	l.d.Hosts(1, Changes, []HostEntry{e})
 	assert.NotEqual(t, id, first())
--- a/emulate/budgets_test.go
+++ b/emulate/budgets_test.go
@@ -13,8 +13,7 @@
 // Chance troubles: what all may use by their own reckoning is never over the whole, and what is at the host neither.
 func TestBudgetsThroughTrouble(t *testing.T) {
 	for seed := range uint64(150) {
-		chance := rand.New(rand.NewPCG(seed, 5))
-		s := BudgetDefault()
+		chance, s := rand.New(rand.NewPCG(seed, 5)), BudgetDefault()
 		s.Seed, s.Dispatchers, s.Span, s.Warm, s.Loss, s.Restarts = seed, 3+chance.IntN(10), 60, 5, 0.2*chance.Float64(), chance.Float64()*20
 		s.Kind = budgets.Kind(1 + seed%2)
 		s.Whole, s.Burst = float64([]int{0, 1, 3, 20, 200}[chance.IntN(5)]), float64(chance.IntN(20))
@@ -51,8 +50,7 @@
 // within looks over every window that begins at an event: what came in it is no more than its length lets through, and the burst.
 func within(t *testing.T, seed uint64, events []float64, s BudgetScenario) {
 	t.Helper()
-	most := s.Whole
-	whole := s.Whole
+	most, whole := s.Whole, s.Whole
 	for _, o := range s.Troubles {
 		if o.Kind == Whole {
 			whole *= o.Share
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -76,8 +76,7 @@
 			return r.Total.Died > 3 && r.Total.Again >= r.Total.Died && r.Total.Connects > 300
 		}},
 		{"purges", func(s *Scenario) { s.Troubles = []Trouble{{Kind: Purge, At: 0, Rate: 20}} }, 0.97,
-			func(r *Result) bool { return r.Total.Fills > 100 }},
-	}
+			func(r *Result) bool { return r.Total.Fills > 100 }}}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := run(t, tt.change)
@@ -124,8 +123,7 @@
 		"no exponent":         func(s *Scenario) { s.Zipf = 0.5 },
 		"a share above one":   func(s *Scenario) { s.Troubles = []Trouble{{Kind: Hot, Share: 2}} },
 		"slow by no factor":   func(s *Scenario) { s.Troubles = []Trouble{{Kind: Slow}} },
-		"a scan with no rate": func(s *Scenario) { s.Troubles = []Trouble{{Kind: Scan}} },
-	} {
+		"a scan with no rate": func(s *Scenario) { s.Troubles = []Trouble{{Kind: Scan}} }} {
 		s := Default()
 		change(&s)
 		_, err := Run(s)
@@ -139,8 +137,7 @@
 	after := func(r retries.Settings) (share float64) {
 		got := run(t, func(s *Scenario) {
 			s.Dispatchers, s.Slots, s.Holds, s.Rate, s.Objects, s.Again, s.ViewerTimeout = 4, 4, 4000, 3600, 4000, 4, 1
-			s.Warm, s.Seconds, s.Retries = 6, 8, r
-			s.Troubles = []Trouble{{Kind: Err, At: 1, For: 3, Cells: 3}}
+			s.Warm, s.Seconds, s.Retries, s.Troubles = 6, 8, r, []Trouble{{Kind: Err, At: 1, For: 3, Cells: 3}}
 		})
 		for _, second := range got.Seconds[10:12] {
 			share += second.Share() / 2
@@ -166,8 +163,7 @@
 		{"wide", 0, []float64{8, 4}, -1, []float64{2, 1}},
 		{"narrow", 4, []float64{4, 4}, -1, []float64{2, 2}},
 		{"a short one first", 4, []float64{2, 6}, -1, []float64{1, 2}},
-		{"one is halted", 4, []float64{6, 6}, 0, []float64{0, 2}},
-	}
+		{"one is halted", 4, []float64{6, 6}, 0, []float64{0, 2}}}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := &world{Scenario: Default()}
@@ -197,8 +193,7 @@
 			s.Dispatchers, s.Zones, s.Caches, s.Cells, s.Parents, s.Holds = 150, 20, 100, 20, 6, 1000
 			s.Rate, s.Objects, s.Objective, s.ViewerTimeout, s.Again = 1500, 20_000, 0.6, 3, 3
 			s.KB, s.Spread, s.Pace, s.CacheKB, s.ParentKB, s.OriginKB, s.WayInKB, s.Tells = 2, 0.6, 8, 60, 200, 1000, 40, tells
-			s.Warm, s.Seconds = 15, 15
-			s.Troubles = []Trouble{{Kind: Burst, At: 3, For: 5, Factor: 1.5}}
+			s.Warm, s.Seconds, s.Troubles = 15, 15, []Trouble{{Kind: Burst, At: 3, For: 5, Factor: 1.5}}
 		})
 	}
 	with, without := play(true), play(false)
--- a/emulate/links_test.go
+++ b/emulate/links_test.go
@@ -14,9 +14,8 @@
 
 // The emulator's links carry what the real ones do: whole, each once, and never holding up who sends.
 func TestLinks(t *testing.T) {
-	contract.Transports{Name: "emulator's", Longest: 1 << 16, Over: 1, Pair: linked,
-		Unordered: "each message is late by chance, as a datagram",
-		Bare:      "messages are values: there is nothing to spoil, and nothing repeats them"}.Hold(t)
+	contract.Transports{Name: "emulator's", Longest: 1 << 16, Over: 1, Pair: linked, Unordered: "each message is late by chance, as a datagram",
+		Bare: "messages are values: there is nothing to spoil, and nothing repeats them"}.Hold(t)
 }
 
 // link is an end of an emulated member; both share a world, whose time passes while one waits.
@@ -72,9 +71,4 @@
 	return nil, ctx.Err()
 }
 
-func (l *link) Close() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.of.gone = true
-	return nil
-}
+func (l *link) Close() error { l.mu.Lock(); defer l.mu.Unlock(); l.of.gone = true; return nil }
--- a/emulate/members_test.go
+++ b/emulate/members_test.go
@@ -36,8 +36,7 @@
 		"restarted while cut":           {members: 9, troubles: []MemberTrouble{{Kind: Cut, At: 5, For: 60, Number: 4}, {Kind: Die, At: 20, For: 5, Number: 2}}, levels: map[string]int{"whole": 9}, heals: 60},
 		"all die and come back":         {members: 9, troubles: []MemberTrouble{{Kind: Die, At: 5, For: 5, Share: 1}}, levels: map[string]int{"whole": 9}, heals: 30},
 		"most die and come back, lossy": {members: 30, loss: 0.2, troubles: []MemberTrouble{{Kind: Die, At: 5, For: 10, Share: 0.7}}, wrong: true},
-		"a third of datagrams lost":     {members: 9, loss: 0.3, wrong: true},
-	}
+		"a third of datagrams lost":     {members: 9, loss: 0.3, wrong: true}}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -15,24 +15,23 @@
 
 // world is a log, a divider and two holders, with messages that come when the events say so. It checks with sums of its own.
 type world struct {
-	kind      Kind
-	whole     int64
-	now       float64
-	log       *Ledger
-	token     uint64
-	seq       uint64
-	divider   *Divider
-	holders   []*Holder
-	clocks    []float64
-	boots     []uint64
-	questions []Question
-	answers   []Answered
-	old       []Answered // delivered or dropped ones may come again
-	flying    *Command   // of the last divider, proposed and not in the log
-	mutant    string
-	used      []int64 // of an amount, of processes that have ended too
-	turn      uint64
-	ended     int64
+	kind       Kind
+	whole      int64
+	now        float64
+	log        *Ledger
+	token, seq uint64
+	divider    *Divider
+	holders    []*Holder
+	clocks     []float64
+	boots      []uint64
+	questions  []Question
+	answers    []Answered
+	old        []Answered // delivered or dropped ones may come again
+	flying     *Command   // of the last divider, proposed and not in the log
+	mutant     string
+	used       []int64 // of an amount, of processes that have ended too
+	turn       uint64
+	ended      int64
 }
 
 // The events. Every order of some of them is tried.
@@ -50,8 +49,7 @@
 	"another":       func(w *world) { w.another(false) },
 	"another, late": func(w *world) { w.another(true) },
 	"restart 0":     func(w *world) { w.restart(0) },
-	"use":           func(w *world) { w.use() },
-}
+	"use":           func(w *world) { w.use() }}
 
 func newWorld(kind Kind, mutant string) *world {
 	w := &world{kind: kind, whole: 4, log: NewLedger(), mutant: mutant, clocks: []float64{1 + Drift*0.9, 1 - Drift*0.9}, boots: []uint64{0, 0}, holders: make([]*Holder, 2)}
@@ -228,8 +226,7 @@
 		sum += max(h.Limit(w.at(i), "b"), s.inUse)
 	}
 	if a := w.log.Accounts["b"]; a != nil && a.Turn != w.turn { // a new window
-		w.turn, w.ended = a.Turn, w.ended-used
-		used = 0
+		w.turn, w.ended, used = a.Turn, w.ended-used, 0
 	}
 	if sum+used > w.whole {
 		return fmt.Errorf("%d may be used and %d were, of %d", sum, used, w.whole)
@@ -302,8 +299,7 @@
 func tries(kind Kind, mutant string, most int) (found int, err error) {
 	all := names()
 	for seed := range most {
-		chance := rand.New(rand.NewPCG(uint64(seed), 7))
-		so := make([]string, 40)
+		chance, so := rand.New(rand.NewPCG(uint64(seed), 7)), make([]string, 40)
 		for i := range so {
 			so[i] = all[chance.IntN(len(all))]
 		}
@@ -334,8 +330,7 @@
 		{"ends at once", UnderWay, nil},
 		{"a new divider counts nothing anew", UnderWay, nil},
 		{"an amount outlasts its lease", Amount, append(slices.Repeat([]string{"a lease"}, 10),
-			slices.Repeat([]string{"ask 1", "hear", "step", "step", "answer", "use"}, 6)...)},
-	} {
+			slices.Repeat([]string{"ask 1", "hear", "step", "step", "answer", "use"}, 6)...)}} {
 		if tt.so != nil {
 			require.NoError(t, newWorld(tt.kind, "").play(tt.so))
 			assert.Error(t, newWorld(tt.kind, tt.mutant).play(tt.so), tt.mutant)
@@ -369,8 +364,7 @@
 		"forgotten":               {Command{Token: 6, Seq: 1, Forget: []uint32{1}}, true, 4},
 		"a smaller whole":         {Command{Token: 5, Seq: 3, Generation: 2, Declare: []Budget{{Name: "b", Kind: UnderWay, Whole: 3}}}, true, 10},
 		"an older generation":     {Command{Token: 5, Seq: 3, Generation: 1, Declare: []Budget{{Name: "b", Kind: UnderWay, Whole: 3}}}, true, 10},
-		"bad settings":            {Command{Token: 5, Seq: 3, Generation: 2, Declare: []Budget{{Name: "", Kind: UnderWay}}}, false, 10},
-	} {
+		"bad settings":            {Command{Token: 5, Seq: 3, Generation: 2, Declare: []Budget{{Name: "", Kind: UnderWay}}}, false, 10}} {
 		t.Run(name, func(t *testing.T) {
 			l := begin()
 			assert.Equal(t, tt.ok, l.Apply(&tt.c))
@@ -386,16 +380,14 @@
 
 func TestFill(t *testing.T) {
 	for _, tt := range []struct {
-		whole          float64
-		wants, weights []float64
-		got            []float64
+		whole               float64
+		wants, weights, got []float64
 	}{
 		{10, []float64{1, 20, 20}, nil, []float64{1, 4.5, 4.5}},
 		{10, []float64{20, 20}, []float64{3, 1}, []float64{7.5, 2.5}},
 		{10, []float64{1, 2}, nil, []float64{1, 2}},
 		{0, []float64{1, 2}, nil, []float64{0, 0}},
-		{10, nil, nil, []float64{}},
-	} {
+		{10, nil, nil, []float64{}}} {
 		assert.InDeltaSlice(t, tt.got, fill(tt.whole, tt.wants, tt.weights), 1e-9)
 	}
 }
--- a/fleet/duties/duties_test.go
+++ b/fleet/duties/duties_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestWhoGetsADuty(t *testing.T) {
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		commands []Command
 		holder   string
 		token    uint64
@@ -47,9 +47,7 @@
 			{Act: Expire, Duty: "d0", Token: 1}, {Act: GiveBack, Duty: "d0", Token: 1}}, "b", 2},
 		"not one that is gone": {[]Command{{Act: Stand, Duties: []string{"d0"}, Name: "a", Boot: 1}, {Act: Stand, Duties: []string{"d0"}, Name: "b", Boot: 1},
 			{Act: Gone, Name: "b", Boot: 1}, {Act: GiveBack, Duty: "d0", Token: 1}}, "", 0},
-		"after a recovery, far above": {[]Command{{Act: Skip}, {Act: Stand, Duties: []string{"d0"}, Name: "a", Boot: 1}}, "a", Jump + 1},
-	}
-	for name, tt := range tests {
+		"after a recovery, far above": {[]Command{{Act: Skip}, {Act: Stand, Duties: []string{"d0"}, Name: "a", Boot: 1}}, "a", Jump + 1}} {
 		t.Run(name, func(t *testing.T) {
 			s := with(1)
 			for _, c := range tt.commands {
@@ -104,8 +102,7 @@
 // Whatever is applied in whatever order: tokens rise, none comes twice, also over snapshots, and tables are bounded.
 func TestTokensRise(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := NewState()
-		seen, last := map[uint64]string{}, uint64(0)
+		s, seen, last := NewState(), map[uint64]string{}, uint64(0)
 		for range rapid.IntRange(1, 120).Draw(t, "commands") {
 			c := Command{Act: Act(rapid.IntRange(0, 12).Draw(t, "act")), Duty: rapid.SampledFrom([]string{"a", "b", "c", ""}).Draw(t, "duty"),
 				Name: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name"), Boot: rapid.Uint64Range(1, 3).Draw(t, "boot"),
@@ -171,7 +168,7 @@
 		}
 		return all
 	}
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		voters, learners []uint64
 		willing          []Willing
 		behind           bool
@@ -184,9 +181,7 @@
 		"one is away":                      {[]uint64{1, 2, 3}, nil, willing(1, 2), false, Change{}},
 		"one came with another disk":       {[]uint64{1, 2, 3, 4, 5}, nil, willing(1, 2, 3, 4, 15), false, Change{AddLearner, 15, "n5"}},
 		"and votes: the lost disk goes":    {[]uint64{1, 2, 3, 4, 5, 15}, nil, willing(1, 2, 3, 4, 15), false, Change{Remove, 5, "n5"}},
-		"a learner came with another disk": {[]uint64{1, 2}, []uint64{3}, willing(1, 2, 13), false, Change{Remove, 3, "n3"}},
-	}
-	for name, tt := range tests {
+		"a learner came with another disk": {[]uint64{1, 2}, []uint64{3}, willing(1, 2, 13), false, Change{Remove, 3, "n3"}}} {
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			for id := range 6 {
@@ -202,8 +197,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		length := rapid.Float64Range(LeastTime, 30).Draw(t, "length")
 		fast, slow := 1+rapid.Float64Range(-Drift, Drift).Draw(t, "granter"), 1+rapid.Float64Range(-Drift, Drift).Draw(t, "holder")
-		way, back := rapid.Float64Range(0, 2).Draw(t, "way"), rapid.Float64Range(0, 2).Draw(t, "back")
-		s := with(0)
+		way, back, s := rapid.Float64Range(0, 2).Draw(t, "way"), rapid.Float64Range(0, 2).Draw(t, "back"), with(0)
 		s.Apply(Command{Act: Declare, Duty: "d", Length: length})
 		g := NewGranter(s)
 		g.Lead(0, true)
--- a/fleet/members/members_test.go
+++ b/fleet/members/members_test.go
@@ -9,10 +9,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"elderwall/internal/contract"
 	"pgregory.net/rapid"
+
+	"elderwall/internal/standin/need"
 )
 
 const tickEach = 0.25 // intervals, which are seconds here
@@ -31,9 +32,8 @@
 
 type one struct {
 	*Machine
-	name, address string
-	gone, left    bool
-	stalled       bool
+	name, address       string
+	gone, left, stalled bool
 }
 
 type sent struct {
@@ -198,11 +198,7 @@
 				o.left = true
 			}
 		}},
-		{name: "2 leaves and is lost", stall: -1, loses: apart(2), begin: func(w *net) {
-			w.all[2].Leave(w.now)
-			w.all[2].left = true
-		}},
-	}
+		{name: "2 leaves and is lost", stall: -1, loses: apart(2), begin: func(w *net) { w.all[2].Leave(w.now); w.all[2].left = true }}}
 }
 
 // Three members, every order of three troubles (ELDERWALL_DEPTH for more): once the network is whole no live member stays
@@ -210,8 +206,7 @@
 func TestEveryOrderOfTroubles(t *testing.T) {
 	depth := 3
 	if d := os.Getenv("ELDERWALL_DEPTH"); d != "" {
-		_, err := fmt.Sscan(d, &depth)
-		require.NoError(t, err)
+		need.Of(fmt.Sscan(d, &depth))(t)
 	}
 	all := phases()
 	var orders [][]int
@@ -305,11 +300,7 @@
 }
 
 // again starts one anew with what it remembers.
-func (w *net) again(o *one) {
-	w.memory = o.Agreed()
-	w.start(o)
-	w.memory = Agreed{}
-}
+func (w *net) again(o *one) { w.memory = o.Agreed(); w.start(o); w.memory = Agreed{} }
 
 // The checker finds what is put in on purpose.
 func TestTheCheckerFindsFaults(t *testing.T) {
@@ -333,8 +324,7 @@
 			for i := range m.News {
 				m.News[i].Incarnation = min(m.News[i].Incarnation, epoch)
 			}
-		},
-	} {
+		}} {
 		t.Run(name, func(t *testing.T) {
 			found := 0
 			for _, p := range all {
@@ -358,17 +348,13 @@
 		Draw: func(c *rand.Rand) Member {
 			return Member{Name: "a", Incarnation: c.Uint64N(3), Boot: c.Uint64N(3), State: State(c.IntN(int(Left) + 1))}
 		},
-		Same: func(a, b Member) bool { return a == b },
-		Compare: func(a, b Member) int {
-			return map[bool]int{true: 1}[a.beats(&b)] - map[bool]int{true: 1}[b.beats(&a)]
-		},
-	}.Hold(t)
+		Same:    func(a, b Member) bool { return a == b },
+		Compare: func(a, b Member) int { return map[bool]int{true: 1}[a.beats(&b)] - map[bool]int{true: 1}[b.beats(&a)] }}.Hold(t)
 }
 
 // docs/members.md has the table of what is done in each view; it says what the program does.
 func TestTheTableInTheDocsIsTrue(t *testing.T) {
-	raw, err := os.ReadFile("../../docs/members.md")
-	require.NoError(t, err)
+	raw := need.Of(os.ReadFile("../../docs/members.md"))(t)
 	for a, name := range Acts {
 		row := "| " + name + " |"
 		for _, l := range []Level{Whole, Majority, Minority, Alone} {
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -15,7 +15,7 @@
 	chain, key := a.Issue("server", "", time.Now().Add(time.Hour))
 	list, roots := a.Revoke(), append(a.PEM(), other.PEM()...)
 	half := func(raw []byte) []byte { return raw[:len(raw)*3/4] }
-	tests := []struct {
+	for _, tt := range []struct {
 		name                    string
 		chain, key, roots, list []byte
 		want                    string // "" for none
@@ -28,9 +28,7 @@
 		{"half a list", chain, key, roots, half(list), "revocations 0"},
 		{"a list of none of the authorities", chain, key, other.PEM(), list, "signed by none"},
 		{"a key of another certificate", chain, func() []byte { _, k := a.Issue("x", "", time.Now().Add(time.Hour)); return k }(), roots, list, "certificate and key"},
-		{"an empty file", nil, key, roots, list, "certificate"},
-	}
-	for _, tt := range tests {
+		{"an empty file", nil, key, roots, list, "certificate"}} {
 		var m Material
 		var lists [][]byte
 		if tt.list != nil {
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -17,6 +17,7 @@
 
 	"elderwall/internal/changelog"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -28,10 +29,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { assert.NoError(t, f.Follow(ctx, changelog.Known{Seq: 1})) })
-	t.Cleanup(func() {
-		cancel()
-		all.Wait()
-	})
+	t.Cleanup(func() { cancel(); all.Wait() })
 	return got
 }
 
@@ -40,8 +38,7 @@
 }
 
 func TestFollows(t *testing.T) {
-	log, err := standin.ListenChangeLog("127.0.0.1:0")
-	require.NoError(t, err)
+	log := need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	t.Cleanup(log.Close)
 	log.Push(purge(1))
 	got := follow(t, log.Address)
@@ -60,19 +57,15 @@
 }
 
 func TestConnectionsAreMadeAnew(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	t.Cleanup(func() { _ = l.Close() })
 	const ok = "HTTP/1.1 200 OK\r\n\r\n"
-	replies := []struct {
-		name, text, asked string
-	}{
+	replies := []struct{ name, text, asked string }{
 		{"refused", "HTTP/1.1 503 Busy\r\n\r\n", "1"},
 		{"cut within an event", ok + "id: 2\ndata: " + purge(2) + "\n\nid: 3\ndata: {", "1"},
 		{"nonsense", "nonsense\r\n", "2"},
 		{"over", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "2"},
-		{"sound again", ok + ": here\n\nid: 3\ndata: " + purge(3) + "\n\n", "2"},
-	}
+		{"sound again", ok + ": here\n\nid: 3\ndata: " + purge(3) + "\n\n", "2"}}
 	got := follow(t, l.Addr().String())
 	for i, r := range replies {
 		c, err := l.Accept()
@@ -103,11 +96,9 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	follow(t, l.Addr().String())
-	silent, err := l.Accept()
-	require.NoError(t, err)
+	silent := need.Of(l.Accept())(t)
 	t.Cleanup(func() { _ = silent.Close() })
-	_, err = io.WriteString(silent, "HTTP/1.1 200 OK\r\n\r\n: here\n\n")
-	require.NoError(t, err)
+	need.Of(io.WriteString(silent, "HTTP/1.1 200 OK\r\n\r\n: here\n\n"))(t)
 	_, err = l.Accept() // the next one
 	assert.NoError(t, err)
 }
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -26,6 +26,7 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	rigs "elderwall/internal/standin/rig"
 	"elderwall/shards"
 )
@@ -64,15 +65,13 @@
 	r.Group = New(node.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 400}, n, way,
 		func(shard int, by time.Time) int { return r.server.FailOverdue(shard, by) })
 	r.server = &front.Server{Handler: r.Group, Log: zerolog.Nop(), Counts: r.counts, Room: o.Room, Most: 100}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	r.address = l.Addr().String()
 	group.Go(func() error { return r.Group.Run(ctx) })
 	group.Go(func() error { return r.server.Serve(ctx, l) })
 	var entries []changelog.Host
 	for i := range hosts {
-		h, err := standin.Listen("127.0.0.1:0", r.answer)
-		require.NoError(t, err)
+		h := need.Of(standin.Listen("127.0.0.1:0", r.answer))(t)
 		r.hosts = append(r.hosts, h)
 		entries = append(entries, entry(fmt.Sprint("s-", i), h.Address, "SERVING"))
 	}
@@ -90,9 +89,7 @@
 	return r
 }
 
-func entry(id, address, state string) changelog.Host {
-	return rigs.Entry(id, address, state)
-}
+func entry(id, address, state string) changelog.Host { return rigs.Entry(id, address, state) }
 
 func (r *rig) answer(a standin.Ask) string {
 	if a.Stop {
@@ -115,10 +112,7 @@
 	return all
 }
 
-func (r *rig) byShard() map[int]*counters.Counters {
-	by, _ := r.Counts()
-	return by
-}
+func (r *rig) byShard() map[int]*counters.Counters { by, _ := r.Counts(); return by }
 
 func (r *rig) sum() *counters.Counters {
 	by, past := r.Counts()
@@ -132,23 +126,17 @@
 }
 
 func (r *rig) dial() *standin.Client {
-	c, err := standin.Dial(r.address)
-	require.NoError(r, err)
+	c := need.Of(standin.Dial(r.address))(r)
 	r.Cleanup(func() { _ = c.Conn.Close() })
 	return c
 }
 
 func (r *rig) send(c *standin.Client, changes ...string) int32 {
-	seq, err := c.Process(fields(changes...), "")
-	require.NoError(r, err)
+	seq := need.Of(c.Process(fields(changes...), ""))(r)
 	return seq
 }
 
-func (r *rig) read(c *standin.Client) standin.Reply {
-	got, err := c.Read()
-	require.NoError(r, err)
-	return got
-}
+func (r *rig) read(c *standin.Client) standin.Reply { got := need.Of(c.Read())(r); return got }
 
 // of is an object whose first part belongs to a shard.
 func (r *rig) of(shard int) string {
@@ -196,8 +184,7 @@
 // nothing against them once it goes on; what it owes is answered in its clients' time.
 func TestAPurgeAndADrainWhileAShardStandsStill(t *testing.T) {
 	r := newRig(t, 2, shards.ByItem, 2)
-	still, other := r.of(0), r.of(1)
-	a, b := r.dial(), r.dial()
+	still, other, a, b := r.of(0), r.of(1), r.dial(), r.dial()
 	for _, name := range []string{still, other} {
 		r.send(a, "obj", name, "nth", "0")
 		require.Equal(t, "served", r.read(a).Kind)
@@ -239,9 +226,7 @@
 // A notice that comes while a shard decides is heard before what was decided goes out.
 func TestAForwardThatANoticeOvertookIsKeptBack(t *testing.T) {
 	r := newRig(t, 2, shards.ByItem, 1)
-	name := r.of(0)
-	n := r.places.Load().nodes[0]
-	done := make(chan bool)
+	name, n, done := r.of(0), r.places.Load().nodes[0], make(chan bool)
 	n.Within(func() { // as if in the middle of a decision
 		r.Take(changelog.Event{Purge: &changelog.Purge{Object: name, Time: time.Now().UnixMilli()}})
 		n.Process(&lone{room: r.config.Options.Room, done: done}, call.GET{Service: "segment", ID: "9b1f03aa5c7e2d41", Object: name, PartText: "0", Budget: 1})
@@ -252,8 +237,7 @@
 
 // The same where the shard stands still by then, and the forward waits for its connection: that comes up, and nothing goes out.
 func TestAForwardThatWaitsWhileAShardStandsStill(t *testing.T) {
-	r := newRig(t, 2, shards.ByItem, 2)
-	up := make(chan bool)
+	r, up := newRig(t, 2, shards.ByItem, 2), make(chan bool)
 	r.late.Store(&up)
 	name, c := r.of(0), r.dial()
 	r.send(c, "obj", name, "nth", "0", "budget", "30000")
@@ -297,10 +281,7 @@
 		require.True(t, good)
 	}
 	require.Eventually(t, func() bool { return r.together.Held.Load() == 0 }, time.Second, time.Millisecond)
-	ended := func() int64 {
-		sum := r.sum()
-		return sum.Returned.Load() + sum.GivenUp.Load() + sum.Shed.Load()
-	}
+	ended := func() int64 { sum := r.sum(); return sum.Returned.Load() + sum.GivenUp.Load() + sum.Shed.Load() }
 	assert.Eventually(t, func() bool { return ended() == 300 }, time.Second, time.Millisecond, "%d", ended())
 }
 
@@ -316,20 +297,16 @@
 }
 
 func TestAnIDThatIsOpenInAnotherShard(t *testing.T) {
-	r := newRig(t, 2, shards.ByItem, 1)
-	wait := make(chan bool)
+	r, wait := newRig(t, 2, shards.ByItem, 1), make(chan bool)
 	r.slow.Store(&wait)
 	a, b := r.dial(), r.dial()
-	_, err := a.Process(standin.Fields("obj", r.of(0), "nth", "0"), "")
-	require.NoError(t, err)
+	need.Of(a.Process(standin.Fields("obj", r.of(0), "nth", "0"), ""))(t)
 	require.Eventually(t, func() bool { return r.together.Held.Load() == 1 }, time.Second, time.Millisecond)
-	_, err = b.Process(standin.Fields("obj", r.of(1), "nth", "0"), "")
-	require.NoError(t, err)
+	need.Of(b.Process(standin.Fields("obj", r.of(1), "nth", "0"), ""))(t)
 	assert.Equal(t, "failed", r.read(b).Kind)
 	close(wait)
 	assert.Equal(t, "served", r.read(a).Kind)
-	_, err = b.Process(standin.Fields("obj", r.of(1), "nth", "0"), "")
-	require.NoError(t, err)
+	need.Of(b.Process(standin.Fields("obj", r.of(1), "nth", "0"), ""))(t)
 	assert.Equal(t, "served", r.read(b).Kind, "once it is free")
 }
 
@@ -384,8 +361,7 @@
 }
 
 func TestShardsComeAndGoUnderLoad(t *testing.T) {
-	r := newRig(t, 2, shards.ByItem, 3)
-	wait := make(chan bool)
+	r, wait := newRig(t, 2, shards.ByItem, 3), make(chan bool)
 	c := r.dial()
 	r.slow.Store(&wait)
 	for i := range 8 { // under way through all of it
@@ -475,8 +451,7 @@
 
 // A shard's line that is too long sheds what comes, and loses no end of what the shard holds.
 func TestALineThatIsTooLongLosesNothing(t *testing.T) {
-	r := newRig(t, 2, shards.ByItem, 1)
-	wait := make(chan bool)
+	r, wait := newRig(t, 2, shards.ByItem, 1), make(chan bool)
 	r.slow.Store(&wait)
 	c, name := r.dial(), r.of(0)
 	held := r.send(c, "obj", name, "nth", "0")
--- a/internal/due/due_test.go
+++ b/internal/due/due_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestWheel(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name   string
 		at     []float64
 		remove []int
@@ -17,9 +17,7 @@
 		{"in order of time", []float64{3, 1, 2}, nil, 5, []int{1, 2, 0}},
 		{"in order of adding at one time", []float64{1, 1, 1}, nil, 1, []int{0, 1, 2}},
 		{"only what is due", []float64{3, 1, 2}, nil, 2, []int{1, 2}},
-		{"without what was removed, also twice", []float64{3, 1, 2}, []int{1, 1}, 5, []int{2, 0}},
-	}
-	for _, tt := range tests {
+		{"without what was removed, also twice", []float64{3, 1, 2}, []int{1, 1}, 5, []int{2, 0}}} {
 		t.Run(tt.name, func(t *testing.T) {
 			var q Wheel[int]
 			var entries []*Timer[int]
--- a/internal/due/heap_test.go
+++ b/internal/due/heap_test.go
@@ -60,16 +60,9 @@
 	return s[i].order < s[j].order
 }
 
-func (s entries[T]) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index, s[j].index = i, j
-}
+func (s entries[T]) Swap(i, j int) { s[i], s[j] = s[j], s[i]; s[i].index, s[j].index = i, j }
 
-func (s *entries[T]) Push(x any) {
-	e := x.(*Entry[T])
-	e.index = len(*s)
-	*s = append(*s, e)
-}
+func (s *entries[T]) Push(x any) { e := x.(*Entry[T]); e.index = len(*s); *s = append(*s, e) }
 
 func (s *entries[T]) Pop() any {
 	last := len(*s) - 1
--- a/internal/due/wheel_test.go
+++ b/internal/due/wheel_test.go
@@ -64,8 +64,7 @@
 // takes one out that is not due; each hundredth is waited for.
 func BenchmarkTimers(b *testing.B) {
 	for _, n := range []int{100, 10_000, 1_000_000} {
-		ahead := make([]float64, 1<<16)
-		r := rand.New(rand.NewPCG(1, 2))
+		ahead, r := make([]float64, 1<<16), rand.New(rand.NewPCG(1, 2))
 		for i := range ahead {
 			ahead[i] = 0.5 + 4.5*r.Float64()
 		}
--- a/internal/extproc/accounting_test.go
+++ b/internal/extproc/accounting_test.go
@@ -50,8 +50,7 @@
 			}
 		})
 	}
-	most := int64(0)
-	done := make(chan bool)
+	most, done := int64(0), make(chan bool)
 	go func() { all.Wait(); close(done) }()
 	for looking := true; looking; {
 		select {
--- a/internal/extproc/bench_test.go
+++ b/internal/extproc/bench_test.go
@@ -34,8 +34,7 @@
 			b.ResetTimer()
 			for range b.N {
 				var all sync.WaitGroup
-				start := time.Now()
-				n := 5000
+				start, n := time.Now(), 5000
 				for i := range n {
 					at := start
 					if rate > 0 {
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -27,6 +27,7 @@
 	"elderwall/internal/clock"
 	"elderwall/internal/node"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/proxy"
 	rigs "elderwall/internal/standin/rig"
 )
@@ -74,8 +75,7 @@
 		change(&options)
 	}
 	r.Server = &Server{Options: options, Handler: r.handler, Log: zerolog.Nop(), Counts: counts, Room: o.Room, Clock: n.Clock}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	r.address = l.Addr().String()
 	if len(hosts) == 0 {
 		hosts = []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"}
@@ -116,8 +116,7 @@
 }
 
 func (r *rig) proxy() *proxy.Proxy {
-	p, err := proxy.Dial(r.address, nil)
-	require.NoError(r, err)
+	p := need.Of(proxy.Dial(r.address, nil))(r.TB)
 	p.Cache = func(host string, h map[string]string) proxy.Answer {
 		r.mu.Lock()
 		r.sent[host]++
@@ -137,10 +136,7 @@
 
 // quiet waits until nothing is open, and the module has no GET left.
 func (r *rig) quiet() {
-	if !assert.Eventually(r, func() bool {
-		gets, streams := r.Count()
-		return gets == 0 && streams == 0
-	}, 5*time.Second, 5*time.Millisecond) {
+	if !assert.Eventually(r, func() bool { gets, streams := r.Count(); return gets == 0 && streams == 0 }, 5*time.Second, 5*time.Millisecond) {
 		r.Fatal(r.open())
 	}
 }
@@ -178,11 +174,9 @@
 	r := newRig(t, func(o *Options) { o.Metadata = true })
 	p := r.proxy()
 	defer p.Close()
-	s, err := p.Client().Process(t.Context())
-	require.NoError(t, err)
+	s := need.Of(p.Client().Process(t.Context()))(t)
 	require.NoError(t, s.Send(proxy.Ask(":path", path, ":method", "GET", "x-envoy-expected-rq-timeout-ms", "2000")))
-	m, err := s.Recv()
-	require.NoError(t, err)
+	m := need.Of(s.Recv())(t)
 	common := m.GetRequestHeaders().GetResponse()
 	set := proxy.Set(common.GetHeaderMutation())
 	assert.True(t, common.GetClearRouteCache())
@@ -209,8 +203,7 @@
 		{"request and response headers", proxy.None, codes.OK},
 		{"bodies and trailers, each answered by its kind", proxy.Bodies, codes.OK},
 		{"a response first", proxy.ResponseFirst, codes.InvalidArgument},
-		{"a response twice", proxy.Twice, codes.InvalidArgument},
-	} {
+		{"a response twice", proxy.Twice, codes.InvalidArgument}} {
 		o := r.one(tt.fault)
 		assert.Equal(t, tt.code, status.Code(o.Err), "%s: %v", tt.name, o.Err)
 	}
@@ -223,8 +216,7 @@
 	require.NoError(t, s.Send(ask))
 	before := r.Counts.GETs.Load()
 	require.NoError(t, s.Send(proxy.Ask(":path", path)))
-	_, err = s.Recv()
-	require.NoError(t, err)
+	need.Of(s.Recv())(t)
 	assert.Equal(t, before+1, r.Counts.GETs.Load(), "one that nobody hears is not decided on")
 	require.NoError(t, s.Send(proxy.Ask(":path", path)))
 	_, err = s.Recv()
@@ -233,8 +225,7 @@
 }
 
 func TestRequestsThatCannotBeRead(t *testing.T) {
-	r := newRig(t, nil)
-	many := make([]string, 0, 2000)
+	r, many := newRig(t, nil), make([]string, 0, 2000)
 	for i := range 1000 {
 		many = append(many, fmt.Sprint("h", i), "x")
 	}
@@ -250,8 +241,7 @@
 		"a path of no rule":          {[]string{":path", "/else"}, 0},
 		"a method of no rule":        {[]string{":path", path, ":method", "POST"}, 0},
 		"an id that is nobody's":     {[]string{":path", path, "x-elderwall-get", "00000000000000ff"}, 0},
-		"a budget that is no number": {[]string{":path", path, "x-envoy-expected-rq-timeout-ms", "soon"}, 0},
-	} {
+		"a budget that is no number": {[]string{":path", path, "x-envoy-expected-rq-timeout-ms", "soon"}, 0}} {
 		p := r.proxy()
 		s, err := p.Client().Process(t.Context())
 		require.NoError(t, err)
@@ -309,19 +299,16 @@
 	r := newRig(t, func(o *Options) { o.Calls.Hold = 5 })
 	p := r.proxy()
 	defer p.Close()
-	s, err := p.Client().Process(t.Context())
-	require.NoError(t, err)
+	s := need.Of(p.Client().Process(t.Context()))(t)
 	require.NoError(t, s.Send(proxy.Ask(":path", path)))
-	m, err := s.Recv()
-	require.NoError(t, err)
+	m := need.Of(s.Recv())(t)
 	id := proxy.Set(m.GetRequestHeaders().GetResponse().GetHeaderMutation())["x-elderwall-get"]
 	o := r.one(proxy.None, "x-elderwall-get", id)
 	assert.Equal(t, 200, o.Status)
 	assert.Zero(t, r.Counts.ProxyAgain.Load(), "its stream is open: what comes is a GET of its own")
 	assert.EqualValues(t, 2, r.Counts.GETs.Load())
 	require.NoError(t, s.Send(proxy.Response(200)))
-	_, err = s.Recv()
-	require.NoError(t, err)
+	need.Of(s.Recv())(t)
 }
 
 // Two proxies that give their requests the same ids have GETs of their own.
@@ -365,8 +352,7 @@
 // A host that is told to drain between the decision and the proxy's sending keeps its grace by the end time; later ones do
 // not name it.
 func TestADrainBetweenDecisionAndSending(t *testing.T) {
-	r := newRig(t, nil, "10.0.0.1:80", "10.0.0.2:80")
-	drained := false
+	r, drained := newRig(t, nil, "10.0.0.1:80", "10.0.0.2:80"), false
 	r.answer = func(host string, h map[string]string) proxy.Answer {
 		if !drained && host == "10.0.0.1:80" {
 			drained = true
@@ -440,13 +426,12 @@
 }
 
 func TestImmediate(t *testing.T) {
-	host, err := standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
+	host := need.Of(standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
 		if a.Stop {
 			return ""
 		}
 		return standin.Hit(a.ID, "bytes of "+a.Fields["path"])
-	})
-	require.NoError(t, err)
+	}))(t)
 	t.Cleanup(host.Close)
 	r := newRig(t, func(o *Options) { o.Rules.Routing, o.Decide = false, 5 }, host.Address)
 	o := r.one(proxy.None)
@@ -548,11 +533,9 @@
 	require.NoError(t, err)
 	_, err = s.Recv()
 	assert.Equal(t, codes.DeadlineExceeded, status.Code(err))
-	s, err = p.Client().Process(t.Context())
-	require.NoError(t, err)
+	s = need.Of(p.Client().Process(t.Context()))(t)
 	require.NoError(t, s.Send(proxy.Ask(":path", path)))
-	_, err = s.Recv()
-	require.NoError(t, err)
+	need.Of(s.Recv())(t)
 	_, err = s.Recv()
 	assert.Equal(t, codes.DeadlineExceeded, status.Code(err))
 	r.quiet()
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -24,6 +24,7 @@
 	"elderwall/callers"
 	"elderwall/internal/service"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/proxy"
 	"elderwall/internal/token"
 )
@@ -32,17 +33,15 @@
 
 // rig is a dispatcher with an operator's file, its keys and an authority, between stand-ins.
 type rig struct {
-	t         testing.TB
-	dir       string
-	address   string
-	secure    string
-	authority *standin.Authority
-	keys      map[string]*token.Key
-	host      *standin.Host
-	slow      atomic.Pointer[chan bool] // what the host waits for before it answers
-	signals   chan os.Signal
-	ended     chan error
-	log       lockedBuffer
+	t                    testing.TB
+	dir, address, secure string
+	authority            *standin.Authority
+	keys                 map[string]*token.Key
+	host                 *standin.Host
+	slow                 atomic.Pointer[chan bool] // what the host waits for before it answers
+	signals              chan os.Signal
+	ended                chan error
+	log                  lockedBuffer
 }
 
 // lockedBuffer is a log that is read while it is written.
@@ -70,8 +69,7 @@
     certificates: [{ name: 'uri:spiffe://x/counter/*', tenant: 'counter' }],
     roles: { all: [{ allow: {} }], none: [{ deny: {} }] },
     tenants: { counter: { roles: ['all'] }, reseller: { roles: ['none'] }, small: { roles: ['all'], share: { under_way: 1 } } },
-  },
-  %s
+  }, %s
 }`
 
 const tlsText = `tls: { listen: %q, certificate: 'server.pem', key: 'server.key', authorities: 'clients.pem', revocations: ['clients.crl'] },`
@@ -80,11 +78,8 @@
 
 func newRigWith(t testing.TB, secure bool, text string) *rig {
 	r := &rig{t: t, dir: t.TempDir(), address: standin.Free(), keys: map[string]*token.Key{}, signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
-	var err error
-	r.host, err = standin.Listen("127.0.0.1:0", r.answer)
-	require.NoError(t, err)
-	changes, err := standin.ListenChangeLog("127.0.0.1:0")
-	require.NoError(t, err)
+	r.host = need.Of(standin.Listen("127.0.0.1:0", r.answer))(t)
+	changes := need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	changes.Push(standin.List(1, true, "s-1 "+r.host.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING"))
 	r.key("k1", callers.Active)
 	r.put("revoked.json", []byte(`{}`))
@@ -104,17 +99,10 @@
 			return map[string]string{"PROXY_CONFIG": filepath.Join(r.dir, "config.json")}[name]
 		})
 	}
-	c, err := read()
-	require.NoError(t, err)
-	e, err := Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), 0)
-	require.NoError(t, err)
+	c := need.Of(read())(t)
+	e := need.Of(Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), 0))(t)
 	go func() { r.ended <- service.Run(c, e, zerolog.New(&r.log), r.signals, read) }()
-	t.Cleanup(func() {
-		r.signals <- syscall.SIGTERM
-		assert.NoError(t, <-r.ended)
-		r.host.Close()
-		changes.Close()
-	})
+	t.Cleanup(func() { r.signals <- syscall.SIGTERM; assert.NoError(t, <-r.ended); r.host.Close(); changes.Close() })
 	require.Eventually(t, r.ready, 5*time.Second, time.Millisecond)
 	return r
 }
@@ -148,8 +136,7 @@
 // key makes a key, or gives one another state, and writes the set.
 func (r *rig) key(id string, state callers.KeyState) {
 	if r.keys[id] == nil {
-		k, err := token.NewKey(id, "EdDSA")
-		require.NoError(r.t, err)
+		k := need.Of(token.NewKey(id, "EdDSA"))(r.t)
 		r.keys[id] = k
 	}
 	r.keys[id].State = state
@@ -157,8 +144,7 @@
 	for _, k := range r.keys {
 		open = append(open, k.Public())
 	}
-	raw, err := token.WriteSet(open)
-	require.NoError(r.t, err)
+	raw := need.Of(token.WriteSet(open))(r.t)
 	r.put("keys.json", raw)
 }
 
@@ -171,8 +157,7 @@
 
 func (r *rig) token(key, tenant, subject string) string {
 	now := float64(time.Now().Unix())
-	text, err := r.keys[key].Sign(callers.Claims{Subject: subject, Tenant: tenant, ID: subject, IssuedAt: now, Expiry: now + 60})
-	require.NoError(r.t, err)
+	text := need.Of(r.keys[key].Sign(callers.Claims{Subject: subject, Tenant: tenant, ID: subject, IssuedAt: now, Expiry: now + 60}))(r.t)
 	return text
 }
 
@@ -184,34 +169,28 @@
 }
 
 func ask(t testing.TB, c *standin.Client, token string) standin.Reply {
-	_, err := c.Process(fields(token), "")
-	require.NoError(t, err)
-	r, err := c.Read()
-	require.NoError(t, err)
+	need.Of(c.Process(fields(token), ""))(t)
+	r := need.Of(c.Read())(t)
 	return r
 }
 
 func (r *rig) dial() *standin.Client {
-	c, err := standin.Dial(r.address)
-	require.NoError(r.t, err)
+	c := need.Of(standin.Dial(r.address))(r.t)
 	r.t.Cleanup(func() { _ = c.Conn.Close() })
 	return c
 }
 
 func (r *rig) dialTLS(c *tls.Config) *standin.Client {
-	client, err := standin.DialTLS(r.secure, c)
-	require.NoError(r.t, err)
+	client := need.Of(standin.DialTLS(r.secure, c))(r.t)
 	r.t.Cleanup(func() { _ = client.Conn.Close() })
 	return client
 }
 
 func TestWhoIsCalling(t *testing.T) {
 	r := newRig(t, false)
-	c := r.dial()
-	good := r.token("k1", "counter", "till-4")
-	old, err := r.keys["k1"].Sign(callers.Claims{Subject: "x", Tenant: "counter", Expiry: float64(time.Now().Unix() - 31)})
-	require.NoError(t, err)
-	tests := []struct{ name, token, kind, reason string }{
+	c, good := r.dial(), r.token("k1", "counter", "till-4")
+	old := need.Of(r.keys["k1"].Sign(callers.Claims{Subject: "x", Tenant: "counter", Expiry: float64(time.Now().Unix() - 31)}))(t)
+	for _, tt := range []struct{ name, token, kind, reason string }{
 		{"a good token", good, "served", ""},
 		{"the same again", good, "served", ""},
 		{"a tampered one", good[:len(good)-6] + "AAAAAA", "failed", "token"},
@@ -220,17 +199,13 @@
 		{"one with no right", r.token("k1", "reseller", "x"), "failed", "denied"},
 		{"of a tenant that there is not", r.token("k1", "else", "x"), "failed", "unknown"},
 		{"no token at all", "x", "failed", "token"},
-		{"a long one", string(bytes.Repeat([]byte("A"), 100000)), "failed", "token"},
-	}
-	for _, tt := range tests {
+		{"a long one", string(bytes.Repeat([]byte("A"), 100000)), "failed", "token"}} {
 		got := ask(t, c, tt.token)
 		assert.Equal(t, []string{tt.kind, tt.reason}, []string{got.Kind, got.Fields["reason"]}, tt.name)
 	}
-	got, err := c.Identify("x")
-	require.NoError(t, err)
+	got := need.Of(c.Identify("x"))(t)
 	assert.Equal(t, []string{"identify", "failed", "token"}, []string{got.Method, got.Kind, got.Fields["reason"]})
-	got, err = c.Identify(good)
-	require.NoError(t, err)
+	got = need.Of(c.Identify(good))(t)
 	assert.Equal(t, []string{"identify", "served"}, []string{got.Method, got.Kind})
 	assert.Equal(t, "served", ask(t, c, "").Kind, "named by its connection")
 	assert.Equal(t, "failed", ask(t, c, "x").Kind, "a token of the GET's own goes first")
@@ -241,20 +216,16 @@
 }
 
 func TestAShareThatIsUsedUpIsShed(t *testing.T) {
-	r := newRig(t, false)
-	wait := make(chan bool)
+	r, wait := newRig(t, false), make(chan bool)
 	r.slow.Store(&wait)
 	c, small := r.dial(), r.token("k1", "small", "x")
 	for range 2 {
-		_, err := c.Process(fields(small), "")
-		require.NoError(t, err)
+		need.Of(c.Process(fields(small), ""))(t)
 	}
-	got, err := c.Read()
-	require.NoError(t, err)
+	got := need.Of(c.Read())(t)
 	assert.Equal(t, []any{int32(2), "refused"}, []any{got.Seq, got.Kind})
 	close(wait)
-	got, err = c.Read()
-	require.NoError(t, err)
+	got = need.Of(c.Read())(t)
 	assert.Equal(t, []any{int32(1), "served"}, []any{got.Seq, got.Kind})
 	assert.Equal(t, "served", ask(t, c, small).Kind)
 }
@@ -295,11 +266,7 @@
 	return l
 }
 
-func (l *load) end() map[string]int {
-	l.stop.Store(true)
-	l.all.Wait()
-	return l.seen
-}
+func (l *load) end() map[string]int { l.stop.Store(true); l.all.Wait(); return l.seen }
 
 // TestKeysRotateUnderSteadyLoad has three rotations, each with tokens of the old and the new key mixed, and asks by a
 // revoked key all the while: no valid caller is refused, no revoked one is returned after the window.
@@ -308,8 +275,7 @@
 	var signed atomic.Pointer[[]string] // tokens in use
 	r.key("bad", callers.Active)
 	r.reload("callers read again")
-	bad := r.token("bad", "counter", "thief")
-	old := r.token("k1", "counter", "till")
+	bad, old := r.token("bad", "counter", "thief"), r.token("k1", "counter", "till")
 	signed.Store(&[]string{old})
 	steady := r.load(8, func(i int) string { now := *signed.Load(); return now[i%len(now)] })
 	time.Sleep(50 * time.Millisecond)
@@ -345,11 +311,9 @@
 
 func TestFilesThatCannotBeUsedLeaveTheOldOnesInForce(t *testing.T) {
 	r := newRig(t, true)
-	c, good := r.dial(), r.token("k1", "counter", "till")
-	whole := map[string][]byte{}
+	c, good, whole := r.dial(), r.token("k1", "counter", "till"), map[string][]byte{}
 	for _, name := range []string{"operator.jsonnet", "keys.json", "revoked.json", "clients.crl", "server.pem", "clients.pem"} {
-		raw, err := os.ReadFile(filepath.Join(r.dir, name))
-		require.NoError(t, err)
+		raw := need.Of(os.ReadFile(filepath.Join(r.dir, name)))(t)
 		whole[name] = raw
 		bad := raw[:len(raw)/2]
 		if name == "revoked.json" {
@@ -360,10 +324,7 @@
 		assert.Equal(t, "served", ask(t, c, good).Kind, name)
 		r.put(name, raw)
 	}
-	for name, text := range map[string]string{
-		"no keys":             `{"keys":[]}`,
-		"no callers any more": "",
-	} {
+	for name, text := range map[string]string{"no keys": `{"keys":[]}`, "no callers any more": ""} {
 		if text == "" {
 			r.put("operator.jsonnet", []byte(`{}`))
 		} else {
@@ -391,8 +352,7 @@
 	wait := make(chan bool)
 	r.slow.Store(&wait)
 	for _, c := range []*standin.Client{busy, stuck} {
-		_, err := c.Process(fields(""), "")
-		require.NoError(t, err)
+		need.Of(c.Process(fields(""), ""))(t)
 	}
 	time.Sleep(50 * time.Millisecond) // they are under way
 	r.put("clients.crl", r.authority.Revoke())
@@ -400,16 +360,12 @@
 	r.reload("callers read again")
 	_, err := idle.Read()
 	assert.Error(t, err, "with nothing open it is closed at once")
-	_, err = busy.Process(fields(""), "")
-	require.NoError(t, err)
-	got, err := busy.Read()
-	require.NoError(t, err)
+	need.Of(busy.Process(fields(""), ""))(t)
+	got := need.Of(busy.Read())(t)
 	assert.Equal(t, []string{"failed", "certificate"}, []string{got.Kind, got.Fields["reason"]}, "new ones are refused")
-	_, err = busy.Conn.Write(nil)
-	require.NoError(t, err)
+	need.Of(busy.Conn.Write(nil))(t)
 	wait <- true // one of the two under way is answered, the other is not before the window is over
-	first, second := make(chan error, 1), make(chan error, 1)
-	kinds := make(chan string, 2)
+	first, second, kinds := make(chan error, 1), make(chan error, 1), make(chan string, 2)
 	read := func(c *standin.Client, end chan error) {
 		got, err := c.Read()
 		if err == nil {
@@ -448,14 +404,11 @@
 	_, err := busy.Process(fields(""), "")
 	require.NoError(t, err)
 	time.Sleep(time.Until(end.Add(50 * time.Millisecond)))
-	_, err = busy.Process(fields(""), "")
-	require.NoError(t, err)
-	got, err := busy.Read()
-	require.NoError(t, err)
+	need.Of(busy.Process(fields(""), ""))(t)
+	got := need.Of(busy.Read())(t)
 	assert.Equal(t, []string{"failed", "certificate"}, []string{got.Kind, got.Fields["reason"]}, "new ones are refused")
 	close(wait)
-	got, err = busy.Read()
-	require.NoError(t, err)
+	got = need.Of(busy.Read())(t)
 	assert.Equal(t, "served", got.Kind, "what was taken before stays taken")
 	_, err = busy.Read()
 	assert.Error(t, err, "closed")
@@ -489,8 +442,7 @@
 		_ = c.Conn.Close()
 	}
 	assert.Error(t, err, "of no authority that is trusted")
-	scan, err := net.Dial("tcp", r.secure)
-	require.NoError(t, err)
+	scan := need.Of(net.Dial("tcp", r.secure))(t)
 	_, _ = scan.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	_ = scan.Close()
 	assert.Equal(t, "served", ask(t, before, "").Kind)
@@ -502,24 +454,19 @@
 		t.Run(after.String(), func(t *testing.T) {
 			t.Parallel()
 			r := newRig(t, false)
-			c, good := r.dial(), r.token("k1", "counter", "till")
-			wait := make(chan bool)
+			c, good, wait := r.dial(), r.token("k1", "counter", "till"), make(chan bool)
 			r.slow.Store(&wait)
-			_, err := c.Process(fields(good), "")
-			require.NoError(t, err)
+			need.Of(c.Process(fields(good), ""))(t)
 			time.Sleep(20 * time.Millisecond)
 			r.signals <- syscall.SIGTERM
 			time.Sleep(after)
 			r.key("k1", callers.Revoked)
 			r.reload("callers read again")
-			_, err = c.Process(fields(good), "")
-			require.NoError(t, err)
-			got, err := c.Read()
-			require.NoError(t, err)
+			need.Of(c.Process(fields(good), ""))(t)
+			got := need.Of(c.Read())(t)
 			assert.Contains(t, []string{"failed", "refused"}, got.Kind, "revoked, or too late")
 			close(wait)
-			got, err = c.Read()
-			require.NoError(t, err)
+			got = need.Of(c.Read())(t)
 			assert.Equal(t, []any{int32(1), "served"}, []any{got.Seq, got.Kind}, "what was taken is answered")
 		})
 	}
@@ -529,14 +476,12 @@
 // each shard has GETs under way.
 func TestAReloadAndSIGTERMWithGETsInEveryShard(t *testing.T) {
 	r := newRigWith(t, false, "cores: { count: 4 },")
-	c, good := r.dial(), r.token("k1", "counter", "till")
-	wait := make(chan bool)
+	c, good, wait := r.dial(), r.token("k1", "counter", "till"), make(chan bool)
 	r.slow.Store(&wait)
 	for i := range 32 {
 		f := fields(good)
 		f["obj"] = fmt.Sprintf("%016x", i)
-		_, err := c.Process(f, "")
-		require.NoError(t, err)
+		need.Of(c.Process(f, ""))(t)
 	}
 	for _, n := range []int{6, 2} {
 		r.put("operator.jsonnet", fmt.Appendf(nil, fileText, fmt.Sprintf("cores: { count: 4, shards: %d },", n)))
@@ -550,8 +495,7 @@
 	time.Sleep(50 * time.Millisecond)
 	close(wait)
 	for range 32 {
-		got, err := c.Read()
-		require.NoError(t, err)
+		got := need.Of(c.Read())(t)
 		assert.Equal(t, "served", got.Kind)
 	}
 	require.NoError(t, <-r.ended)
@@ -568,8 +512,7 @@
 		paths: [{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment', budget: '5s' }] },`, address))
 	config := r.authority.Client("edge-1", "spiffe://x/edge/1", time.Now().Add(time.Hour))
 	config.ServerName = "127.0.0.1"
-	p, err := proxy.Dial(address, credentials.NewTLS(config))
-	require.NoError(t, err)
+	p := need.Of(proxy.Dial(address, credentials.NewTLS(config)))(t)
 	defer p.Close()
 	p.Cache = func(host string, _ map[string]string) proxy.Answer {
 		assert.Equal(t, r.host.Address, host)
@@ -600,8 +543,7 @@
 	}
 	stop.Store(true)
 	all.Wait()
-	plain, err := proxy.Dial(address, nil)
-	require.NoError(t, err)
+	plain := need.Of(proxy.Dial(address, nil))(t)
 	defer plain.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -26,13 +26,12 @@
 
 // origin counts fills that are under way, as the cache hosts that do them see it.
 type origin struct {
-	mu         sync.Mutex
-	now, most  int
-	fills      int
-	whole      int // that all may have; from a time on
-	over       int // fills that found more
-	worst      int
-	wholeSince time.Time
+	mu               sync.Mutex
+	now, most, fills int
+	whole            int // that all may have; from a time on
+	over             int // fills that found more
+	worst            int
+	wholeSince       time.Time
 }
 
 func (o *origin) answer(a standin.Ask) string {
@@ -68,12 +67,11 @@
 // budgetRig is dispatchers of which three vote, with budgets.
 type budgetRig struct {
 	*dutyRig
-	origin origin
-	wholes string // as the operator's file has them
-	number int    // of the generation
-	loads  []atomic.Int64
-	got    atomic.Int64
-	shed   atomic.Int64
+	origin    origin
+	wholes    string // as the operator's file has them
+	number    int    // of the generation
+	loads     []atomic.Int64
+	got, shed atomic.Int64
 }
 
 func budget(t *testing.T, n, whole int, wholes string, answer ...func(*budgetRig) func(standin.Ask) string) *budgetRig {
@@ -158,10 +156,8 @@
 	b.Helper()
 	b.change(wholes)
 	b.Until(soon, "the smaller whole holds", func() error {
-		if told := b.books(b.divider()); told.Whole != int64(whole) || told.Out > int64(whole) || told.Gone {
-			return fmt.Errorf("%+v", told)
-		}
-		return nil
+		told := b.books(b.divider())
+		return processes.When(told.Whole != int64(whole) || told.Out > int64(whole) || told.Gone, fmt.Errorf("%+v", told))
 	})
 	time.Sleep(time.Second)
 	b.origin.mu.Lock()
@@ -186,10 +182,7 @@
 	b.Until(soon, fmt.Sprint(least, " are under way"), func() error {
 		b.origin.mu.Lock()
 		defer b.origin.mu.Unlock()
-		if b.origin.most < least {
-			return fmt.Errorf("%d", b.origin.most)
-		}
-		return nil
+		return processes.When(b.origin.most < least, fmt.Errorf("%d", b.origin.most))
 	})
 }
 
@@ -238,17 +231,11 @@
 
 // Fills at the origin, through what may happen to the divider and to holders: never more under way than the whole, and all of it used again.
 func TestABudgetAtTheOrigin(t *testing.T) {
-	b := budget(t, 5, 8, `{fills: {of: "origin", most: 8}}`)
-	stop := make(chan struct{})
+	b, stop := budget(t, 5, 8, `{fills: {of: "origin", most: 8}}`), make(chan struct{})
 	wait := b.load(stop, 4)
 	b.used(7)
 	for name, trouble := range map[string]func(){
-		"the divider is killed": func() {
-			d := b.divider()
-			b.Processes[d].Kill()
-			time.Sleep(time.Second)
-			b.Processes[d].Start()
-		},
+		"the divider is killed": func() { d := b.divider(); b.Processes[d].Kill(); time.Sleep(time.Second); b.Processes[d].Start() },
 		"the divider is stopped and wakes": func() {
 			d := b.divider()
 			b.Processes[d].Signal(syscall.SIGSTOP)
@@ -285,8 +272,7 @@
 			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
 				b.End(processes.Fault{What: what, A: b.all(), B: b.all()})
 			}
-		},
-	} {
+		}} {
 		trouble()
 		b.used(7)
 		b.within(name)
@@ -308,8 +294,7 @@
 // Three that stay and six that come and go all the time, ended by TERM and by KILL, with floors that are more than the whole: never over it, and
 // all of it used once they stay.
 func TestBudgetsWhileDispatchersComeAndGo(t *testing.T) {
-	b := budget(t, 9, 6, `{fills: {of: "origin", most: 6, floor: 2}}`)
-	stop := make(chan struct{})
+	b, stop := budget(t, 9, 6, `{fills: {of: "origin", most: 6, floor: 2}}`), make(chan struct{})
 	wait := b.load(stop, 2)
 	b.used(5)
 	chance := rand.New(rand.NewPCG(1, 9))
@@ -325,12 +310,7 @@
 		}
 	}
 	for _, p := range b.Processes {
-		b.Until(soon, "it runs", func() error {
-			if p.Start(); !p.Runs() {
-				return errors.New("not yet")
-			}
-			return nil
-		})
+		b.Until(soon, "it runs", func() error { p.Start(); return processes.When(!p.Runs(), errors.New("not yet")) })
 	}
 	b.used(5)
 	b.smaller(1, `{fills: {of: "origin", most: 1, floor: 2}}`)
@@ -342,8 +322,7 @@
 
 // One is stopped for longer than its share with fills under way, and wakes: it acts by no share that it had.
 func TestAHolderWakesAfterItsShare(t *testing.T) {
-	b := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`)
-	stop := make(chan struct{})
+	b, stop := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`), make(chan struct{})
 	wait := b.load(stop, 4)
 	b.used(5)
 	for i := range 3 {
@@ -358,10 +337,7 @@
 	b.Until(soon, "the others have it", func() error {
 		b.origin.mu.Lock()
 		defer b.origin.mu.Unlock()
-		if b.origin.now < 5 {
-			return fmt.Errorf("%d", b.origin.now)
-		}
-		return nil
+		return processes.When(b.origin.now < 5, fmt.Errorf("%d", b.origin.now))
 	})
 	time.Sleep(time.Second)
 	b.Processes[3].Signal(syscall.SIGCONT)
@@ -446,12 +422,7 @@
 		})
 	}
 	until := func(n int64) {
-		b.Until(soon, fmt.Sprint(n, " are spent"), func() error {
-			if got := spent.Load(); got < n {
-				return fmt.Errorf("%d", got)
-			}
-			return nil
-		})
+		b.Until(soon, fmt.Sprint(n, " are spent"), func() error { got := spent.Load(); return processes.When(got < n, fmt.Errorf("%d", got)) })
 	}
 	until(whole / 4)
 	d := b.divider()
@@ -459,10 +430,8 @@
 	until(whole / 2)
 	b.Processes[d].Start()
 	b.Until(2*soon, "all is given out", func() error {
-		if told := b.books((d + 1) % 5); told.Whole-told.Spent-told.Out > units*5 || told.Out > units*10 {
-			return fmt.Errorf("%d spent, %d out", told.Spent, told.Out)
-		}
-		return nil
+		told := b.books((d + 1) % 5)
+		return processes.When(told.Whole-told.Spent-told.Out > units*5 || told.Out > units*10, fmt.Errorf("%d spent, %d out", told.Spent, told.Out))
 	})
 	close(stop)
 	all.Wait()
@@ -474,8 +443,7 @@
 // Schedules of faults that are drawn from seeds: never more under way than the whole, and all of it used once all is well.
 func TestBudgetsThroughDrawnFaults(t *testing.T) {
 	play := func(t *testing.T, s processes.Schedule) {
-		b := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`)
-		stop := make(chan struct{})
+		b, stop := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`), make(chan struct{})
 		wait := b.load(stop, 3)
 		b.used(5)
 		b.Play(s)
--- a/internal/fleet/contract_test.go
+++ b/internal/fleet/contract_test.go
@@ -37,8 +37,7 @@
 			r := &rememberedStore{path: filepath.Join(folder, "fleet.json")}
 			r.generation.Store(a.Generation)
 			return r, a.Generation, err
-		}},
-}
+		}}}
 
 func inFolder(file string) func(string) string {
 	return func(folder string) string { return filepath.Join(folder, file) }
@@ -53,10 +52,7 @@
 // logStore has an entry for each save, and a snapshot now and then.
 type logStore struct{ *disk }
 
-func (l *logStore) Load() (map[string][]byte, error) {
-	all, _, err := l.load()
-	return all, err
-}
+func (l *logStore) Load() (map[string][]byte, error) { all, _, err := l.load(); return all, err }
 
 func (l *logStore) load() (all map[string][]byte, index uint64, err error) {
 	all = map[string][]byte{}
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -152,8 +152,7 @@
 
 // spoil has a leader end leases that it must not end.
 func (v *voter) spoil() {
-	now := v.clock.at(v.sim.now)
-	leads := v.Leads()
+	now, leads := v.clock.at(v.sim.now), v.Leads()
 	early := v.sim.fault == "a new leader counts nothing anew" && leads && !v.led
 	v.led = leads
 	for _, d := range dutyNames {
@@ -468,8 +467,7 @@
 		is, told := state.(grant), output.(grant)
 		return told == is || told.token > is.token, told
 	},
-	Equal: func(a, b any) bool { return a == b },
-}
+	Equal: func(a, b any) bool { return a == b }}
 
 // ordered checks what was taken: never a lower token after a higher, never one token from two.
 func (s *sim) ordered() (wrong []string) {
@@ -553,8 +551,7 @@
 
 // run plays a schedule, and tells what was wrong.
 func run(seed uint64, fault string) *sim {
-	s := newSim(seed, fault)
-	leaderSoon := 3.0
+	s, leaderSoon := newSim(seed, fault), 3.0
 	s.play(leaderSoon)
 	for _, v := range s.voters {
 		if v.Leads() {
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -29,6 +29,7 @@
 
 	"elderwall/fleet/duties"
 	"elderwall/internal/chart"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/processes"
 )
 
@@ -72,8 +73,7 @@
 }
 
 func newTaker(t *testing.T) *taker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	k := &taker{listener: l, highest: map[string]uint64{}}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -150,10 +150,7 @@
 	require.NoError(t, os.WriteFile(filepath.Join(d.Dir, "fleet.key"), []byte(d.keys[-1]), 0o600))
 	d.Until(soon, "the log begins", func() error {
 		out, err := d.run(0, "voters", "found")
-		if err != nil && !strings.Contains(out, "already") {
-			return fmt.Errorf("%w: %s", err, out)
-		}
-		return nil
+		return processes.When(err != nil && !strings.Contains(out, "already"), fmt.Errorf("%w: %s", err, out))
 	})
 	d.vote(vote)
 	return d
@@ -194,10 +191,8 @@
 	}
 	Rest    map[string]float64
 	Council struct {
-		Leader   uint64
-		Term     uint64
-		Voters   []uint64
-		Learners []uint64
+		Leader, Term     uint64
+		Voters, Learners []uint64
 	}
 	Seats []struct {
 		ID   uint64
@@ -253,8 +248,7 @@
 func (d *dutyRig) hold(at int, env ...string) *hold { return d.holdOf(job, at, env...) }
 
 func (d *dutyRig) holdOf(job string, at int, env ...string) *hold {
-	key := filepath.Join(d.Dir, "fleet.key")
-	h := &hold{rig: d, ended: make(chan struct{})}
+	key, h := filepath.Join(d.Dir, "fleet.key"), &hold{rig: d, ended: make(chan struct{})}
 	h.cmd = exec.Command(d.Binary, "fleet", "hold", job, "--at", d.Processes[at].Fleet, "--key", key, "--lease", cmp.Or(d.lease, leaseTime).String(), "--", os.Args[0])
 	h.cmd.Env = append(append(os.Environ(), actorEnv+"="+d.taker.listener.Addr().String()), env...)
 	h.cmd.Stderr, h.cmd.Stdout = &h.out, io.Discard
@@ -266,11 +260,7 @@
 		}
 		close(h.ended)
 	}()
-	d.Cleanup(func() {
-		_ = h.cmd.Process.Signal(syscall.SIGCONT)
-		_ = h.cmd.Process.Kill()
-		<-h.ended
-	})
+	d.Cleanup(func() { _ = h.cmd.Process.Signal(syscall.SIGCONT); _ = h.cmd.Process.Kill(); <-h.ended })
 	return h
 }
 
@@ -279,10 +269,8 @@
 	d.Helper()
 	var a taken
 	d.Until(soon, fmt.Sprint("acts above ", above), func() error {
-		if a = d.taker.last(); a.token <= above || time.Since(a.at) > leaseTime/2 {
-			return fmt.Errorf("%+v", a)
-		}
-		return nil
+		a = d.taker.last()
+		return processes.When(a.token <= above || time.Since(a.at) > leaseTime/2, fmt.Errorf("%+v", a))
 	})
 	return a
 }
@@ -291,35 +279,27 @@
 func (d *dutyRig) still() {
 	d.Helper()
 	d.Until(soon, "no acts come", func() error {
-		if since := time.Since(d.taker.last().at); since < 2*leaseTime {
-			return fmt.Errorf("%v ago", since)
-		}
-		return nil
+		since := time.Since(d.taker.last().at)
+		return processes.When(since < 2*leaseTime, fmt.Errorf("%v ago", since))
 	})
 }
 
 func TestAHolderIsStoppedAndKilledAndEnds(t *testing.T) {
 	d := duty(t, 3, 3)
-	one := d.hold(0)
-	first := d.acts(0)
-	two := d.hold(1)
+	one, first, two := d.hold(0), d.acts(0), d.hold(1)
 	_ = one.cmd.Process.Signal(syscall.SIGSTOP) // its command goes on, and the token speaks against it
 	second := d.acts(first.token)
 	d.Until(soon, "acts of the stopped one's command are refused", func() error {
 		d.taker.mu.Lock()
 		defer d.taker.mu.Unlock()
-		if d.taker.refused == 0 {
-			return errors.New("none")
-		}
-		return nil
+		return processes.When(d.taker.refused == 0, errors.New("none"))
 	})
 	_ = one.cmd.Process.Signal(syscall.SIGCONT)
 	<-one.ended
 	assert.Equal(t, lostStatus, one.cmd.ProcessState.ExitCode(), "it finds its time gone, and ends its command")
 	three := d.holdOf(job, 2)
 	_ = two.cmd.Process.Kill()
-	third := d.acts(second.token)
-	four := d.hold(0)
+	third, four := d.acts(second.token), d.hold(0)
 	d.Until(soon, "another stands", func() error {
 		s, err := d.council()
 		for _, o := range s.Duties {
@@ -331,8 +311,7 @@
 	})
 	_ = three.cmd.Process.Signal(syscall.SIGTERM)
 	<-three.ended
-	s, err := d.council()
-	require.NoError(t, err)
+	s := need.Of(d.council())(t)
 	for _, o := range s.Duties {
 		if o.Name == job {
 			assert.Greater(t, o.Token, third.token, "given back before it ends, not waited for")
@@ -347,8 +326,7 @@
 
 func TestACommandThatIgnoresTERM(t *testing.T) {
 	d := duty(t, 3, 3)
-	one := d.hold(2, deafEnv+"=1")
-	first := d.acts(0)
+	one, first := d.hold(2, deafEnv+"=1"), d.acts(0)
 	for i := range 3 { // nobody can renew it any more
 		d.Processes[i].Signal(syscall.SIGSTOP)
 	}
@@ -379,14 +357,11 @@
 			f := processes.Fault{What: processes.CutOff, A: []int{l}, B: d.all(l)}
 			d.Begin(f)
 			return func() { d.End(f) }
-		},
-	} {
+		}} {
 		t.Run(name, func(t *testing.T) {
 			d := duty(t, 5, 5)
 			l := d.leader()
-			holds := []*hold{d.hold((l + 1) % 5), d.hold((l + 2) % 5)}
-			first := d.acts(0)
-			mend := fail(d, l)
+			holds, first, mend := []*hold{d.hold((l + 1) % 5), d.hold((l + 2) % 5)}, d.acts(0), fail(d, l)
 			time.Sleep(3 * leaseTime)
 			d.acts(first.token - 1) // by whoever has it now
 			d.serve(d.all(l)...)
@@ -416,11 +391,8 @@
 		{"what it sends is lost", processes.Fault{What: processes.CutOff, A: []int{5}, B: d.all(5)}, false},
 		{"what it is sent is lost", processes.Fault{What: processes.CutOff, A: d.all(5), B: []int{5}}, false},
 		{"from the leader alone", processes.Fault{What: processes.Cut, A: []int{l}, B: []int{5}}, true},
-		{"with the leader", processes.Fault{What: processes.Cut, A: []int{l, 5}}, false},
-	} {
-		one := d.hold(5)
-		first := d.acts(last)
-		two := d.hold(stands)
+		{"with the leader", processes.Fault{What: processes.Cut, A: []int{l, 5}}, false}} {
+		one, first, two := d.hold(5), d.acts(last), d.hold(stands)
 		d.Begin(tt.fault)
 		if tt.keeps {
 			time.Sleep(4 * leaseTime)
@@ -446,24 +418,15 @@
 	d := duty(t, 4, 3)
 	d.hold(3)
 	d.hold(3)
-	first := d.acts(0)
-	l := d.leader()
+	first, l := d.acts(0), d.leader()
 	d.Processes[l].Full(true)
-	d.Until(soon, "another leads", func() error {
-		if now := d.leader(); now == l {
-			return errors.New("the same")
-		}
-		return nil
-	})
+	d.Until(soon, "another leads", func() error { now := d.leader(); return processes.When(now == l, errors.New("the same")) })
 	d.acts(first.token - 1)
 	d.serve(l)
 	d.Processes[l].Full(false)
 	votes := len(d.Processes[l].Said("duties: votes"))
 	d.Until(soon, "it votes again", func() error {
-		if len(d.Processes[l].Said("duties: votes")) <= votes {
-			return errors.New("not yet")
-		}
-		return nil
+		return processes.When(len(d.Processes[l].Said("duties: votes")) <= votes, errors.New("not yet"))
 	})
 	d.Processes[(l+1)%3].Kill()
 	time.Sleep(2 * leaseTime)
@@ -489,8 +452,7 @@
 			}
 		}
 	}
-	one := d.hold(3)
-	first := d.acts(0)
+	one, first := d.hold(3), d.acts(0)
 	slow(d.leader())
 	two := d.hold(3)
 	_ = one.cmd.Process.Kill() // its end has to be in the log
@@ -516,8 +478,7 @@
 	}{{"twice the share", 1 - 2*duties.Drift, 1 + 2*duties.Drift, false}, {"far off", 0.4, 1, true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d := duty(t, 4, 3, faulty(fmt.Sprint("ELDERWALL_FAULT_CLOCK=", tt.voter)))
-			one := d.hold(3, deafEnv+"=1", fmt.Sprint("ELDERWALL_FAULT_CLOCK=", tt.holder))
-			first := d.acts(0)
+			one, first := d.hold(3, deafEnv+"=1", fmt.Sprint("ELDERWALL_FAULT_CLOCK=", tt.holder)), d.acts(0)
 			d.hold(0)
 			cut := processes.Fault{What: processes.Cut, A: []int{3}}
 			d.Begin(cut)
@@ -554,28 +515,13 @@
 		out, err := d.run(0, "hand", Report, "n3")
 		require.NoError(t, err, out)
 	}
-	d.Until(soon, "it has it", func() error {
-		if _, holder, _ := report(); holder != "n3" {
-			return errors.New(holder)
-		}
-		return nil
-	})
+	d.Until(soon, "it has it", func() error { _, holder, _ := report(); return processes.When(holder != "n3", errors.New(holder)) })
 	was := uint64(0)
 	for range 4 { // it lets its lease run out once; then another has it
 		d.Processes[3].Kill()
-		d.Until(soon, "another has it", func() error {
-			if _, holder, _ := report(); holder == "n3" {
-				return errors.New(holder)
-			}
-			return nil
-		})
+		d.Until(soon, "another has it", func() error { _, holder, _ := report(); return processes.When(holder == "n3", errors.New(holder)) })
 		d.Processes[3].Start()
-		d.Until(soon, "it stands", func() error {
-			if _, _, failures := report(); failures == 0 {
-				return errors.New("not yet")
-			}
-			return nil
-		})
+		d.Until(soon, "it stands", func() error { _, _, failures := report(); return processes.When(failures == 0, errors.New("not yet")) })
 		token, _, _ := report()
 		if was != 0 {
 			assert.Equal(t, was, token, "nothing moved")
@@ -588,20 +534,14 @@
 			p.End()
 		}
 	}
-	d.Until(soon, "another has it", func() error {
-		if _, now, _ := report(); now == holder {
-			return errors.New(now)
-		}
-		return nil
-	})
+	d.Until(soon, "another has it", func() error { _, now, _ := report(); return processes.When(now == holder, errors.New(now)) })
 	_, now, _ := report()
 	assert.NotEqual(t, "n3", now, "who let it run out stands behind those that did not")
 }
 
 // load has duties taken and given back as fast as it goes, by so many at once, until stop; it gives all tokens.
 func (d *dutyRig) load(at, many int, stop <-chan struct{}) (tokens []uint64) {
-	keys, err := ParseKeys(d.keys[-1])
-	require.NoError(d, err)
+	keys := need.Of(ParseKeys(d.keys[-1]))(d)
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for i := range many {
@@ -646,9 +586,7 @@
 // A voter comes with an empty disk while duties are given and given back all the time: it is taken in, and no token comes twice.
 func TestAVoterIsReplacedUnderLoad(t *testing.T) {
 	d := duty(t, 4, 3)
-	before, err := d.council()
-	require.NoError(t, err)
-	stop, loaded := make(chan struct{}), make(chan []uint64)
+	before, stop, loaded := need.Of(d.council())(t), make(chan struct{}), make(chan []uint64)
 	go func() { loaded <- d.load(3, 8, stop) }()
 	l := d.leader()
 	d.Begin(processes.Fault{What: processes.Wipe, A: []int{l}})
@@ -656,10 +594,7 @@
 	d.End(processes.Fault{What: processes.Wipe, A: []int{l}})
 	d.Until(soon, "another disk has its place", func() error {
 		s, err := d.council()
-		if err != nil || len(s.Council.Voters) != 3 || slices.Equal(s.Council.Voters, before.Council.Voters) {
-			return fmt.Errorf("%v, %w", s.Council.Voters, err)
-		}
-		return nil
+		return processes.When(err != nil || len(s.Council.Voters) != 3 || slices.Equal(s.Council.Voters, before.Council.Voters), fmt.Errorf("%v, %w", s.Council.Voters, err))
 	})
 	d.Processes[(l+1)%3].Kill() // the new one is needed now
 	d.hold(3)
@@ -679,8 +614,7 @@
 	for _, vote := range []int{3, 5} {
 		for _, many := range []int{1, 8, 64} {
 			t.Run(fmt.Sprint(vote, " voters, ", many), func(t *testing.T) {
-				d := duty(t, vote+1, vote)
-				stop := make(chan struct{})
+				d, stop := duty(t, vote+1, vote), make(chan struct{})
 				time.AfterFunc(5*time.Second, func() { close(stop) })
 				t.Logf("%d voters, %d at once: %.0f grants a second", vote, many, float64(len(d.load(vote, many, stop)))/5)
 			})
@@ -717,10 +651,7 @@
 					by[o.Name] = o.Holder.Name
 				}
 			}
-			if len(by) != many {
-				return fmt.Errorf("%d", len(by))
-			}
-			return nil
+			return processes.When(len(by) != many, fmt.Errorf("%d", len(by)))
 		})
 		return by
 	}
@@ -734,15 +665,11 @@
 				load[holder]++
 				most = max(most, load[holder])
 			}
-			if float64(most) > math.Ceil(1.5*even) {
-				return fmt.Errorf("%d at one", most)
-			}
-			return nil
+			return processes.When(float64(most) > math.Ceil(1.5*even), fmt.Errorf("%d at one", most))
 		})
 		return by, most
 	}
-	settle := time.Now()
-	was := holders()
+	settle, was := time.Now(), holders()
 	held := time.Since(settle).Seconds()
 	was, most := spread()
 	t.Logf("%d duties are held after %.1f s, and spread after %.1f s, %d at one at most", many, held, time.Since(settle).Seconds(), most)
@@ -809,8 +736,7 @@
 // Two of five voters are gone: all goes on. Three: nothing is granted or renewed, and who holds stops by itself. Back: it goes on.
 func TestVotersGoAndComeBack(t *testing.T) {
 	d := duty(t, 6, 5)
-	one, two := d.hold(5), d.hold(5)
-	first := d.acts(0)
+	one, two, first := d.hold(5), d.hold(5), d.acts(0)
 	d.Processes[0].Kill()
 	d.Processes[1].Kill()
 	time.Sleep(2 * leaseTime)
@@ -849,46 +775,34 @@
 	for name, spoil := range map[string]func(t *testing.T, log, copied string){
 		"empty": func(t *testing.T, log, _ string) { require.NoError(t, os.Remove(log)) },
 		"an old copy": func(t *testing.T, log, copied string) {
-			raw, err := os.ReadFile(copied)
-			require.NoError(t, err)
+			raw := need.Of(os.ReadFile(copied))(t)
 			require.NoError(t, os.WriteFile(log, raw, 0o600))
 		},
 		"torn": func(t *testing.T, log, _ string) {
-			raw, err := os.ReadFile(log)
-			require.NoError(t, err)
+			raw := need.Of(os.ReadFile(log))(t)
 			clear(raw[2*os.Getpagesize():]) // all but what tells where the rest stands
 			require.NoError(t, os.WriteFile(log, raw, 0o600))
-		},
-	} {
+		}} {
 		t.Run(name, func(t *testing.T) {
 			d := duty(t, 3, 3)
-			log := filepath.Join(d.Processes[2].Dir, "duties", logFile)
-			copied := filepath.Join(d.Dir, "copy.db")
+			log, copied := filepath.Join(d.Processes[2].Dir, "duties", logFile), filepath.Join(d.Dir, "copy.db")
 			d.Processes[2].Kill()
-			raw, err := os.ReadFile(log)
-			require.NoError(t, err)
+			raw := need.Of(os.ReadFile(log))(t)
 			require.NoError(t, os.WriteFile(copied, raw, 0o600))
 			for range 3 { // later eras of the disk, that the log has heard of
 				d.Processes[2].Start()
 				d.Until(soon, "it votes", func() error {
-					if len(d.Processes[2].Said("duties: votes")) == 0 {
-						return errors.New("not yet")
-					}
-					return nil
+					return processes.When(len(d.Processes[2].Said("duties: votes")) == 0, errors.New("not yet"))
 				})
 				time.Sleep(2 * time.Second)
 				d.Processes[2].Kill()
 			}
-			before, err := d.council()
-			require.NoError(t, err)
+			before := need.Of(d.council())(t)
 			spoil(t, log, copied)
 			d.Processes[2].Start()
 			if name == "torn" {
 				d.Until(soon, "it is told", func() error {
-					if len(d.Processes[2].Said("duties: the voter's disk can't be used")) == 0 {
-						return errors.New("not yet")
-					}
-					return nil
+					return processes.When(len(d.Processes[2].Said("duties: the voter's disk can't be used")) == 0, errors.New("not yet"))
 				})
 				d.serve(2)
 				d.Processes[2].Kill()
@@ -911,10 +825,7 @@
 						}
 					}
 				}
-				if same != 2 {
-					return fmt.Errorf("%d are as before", same)
-				}
-				return nil
+				return processes.When(same != 2, fmt.Errorf("%d are as before", same))
 			})
 			d.hold(2)
 			d.acts(0)
@@ -949,9 +860,8 @@
 func TestReports(t *testing.T) {
 	d := duty(t, 4, 3)
 	type line struct {
-		number uint64
-		token  uint64
-		by     int
+		number, token uint64
+		by            int
 	}
 	reports := func() (all []line) {
 		for i, p := range d.Processes {
@@ -965,12 +875,7 @@
 	}
 	wait := func(n int) []line {
 		d.Helper()
-		d.Until(soon, "reports", func() error {
-			if got := len(reports()); got < n {
-				return fmt.Errorf("%d", got)
-			}
-			return nil
-		})
+		d.Until(soon, "reports", func() error { got := len(reports()); return processes.When(got < n, fmt.Errorf("%d", got)) })
 		return reports()
 	}
 	all := wait(3)
@@ -1010,33 +915,18 @@
 		}
 		return ""
 	}
-	d.Until(soon, "somebody reports", func() error {
-		if holder() == "" {
-			return errors.New("nobody")
-		}
-		return nil
-	})
+	d.Until(soon, "somebody reports", func() error { return processes.When(holder() == "", errors.New("nobody")) })
 	was := holder()
 	to := map[bool]string{true: "n1", false: "n3"}[was == "n3"]
 	out, err := d.run(0, "hand", Report, to)
 	require.NoError(t, err, out)
-	d.Until(soon, "it is handed over", func() error {
-		if h := holder(); h != to {
-			return errors.New(h)
-		}
-		return nil
-	})
+	d.Until(soon, "it is handed over", func() error { h := holder(); return processes.When(h != to, errors.New(h)) })
 	for _, p := range d.Processes {
 		if p.Name == to {
 			p.End()
 		}
 	}
-	d.Until(soon, "another has it", func() error {
-		if h := holder(); h == to || h == "" {
-			return errors.New(h)
-		}
-		return nil
-	})
+	d.Until(soon, "another has it", func() error { h := holder(); return processes.When(h == to || h == "", errors.New(h)) })
 }
 
 // Schedules of faults that are drawn from seeds, with three that stand: no act out of the order of tokens, and once all is well the duty is held.
@@ -1074,8 +964,7 @@
 // drawn plays the schedule that is given, or some that are drawn from seeds; one that fails is told so that it can be played again.
 func drawn(t *testing.T, from int, play func(t *testing.T, s processes.Schedule)) {
 	if *schedule != "" {
-		s, err := processes.Parse(*schedule)
-		require.NoError(t, err)
+		s := need.Of(processes.Parse(*schedule))(t)
 		play(t, s)
 		return
 	}
@@ -1120,10 +1009,8 @@
 									n++
 								}
 							}
-							if rest = s.Rest; n < each {
-								return fmt.Errorf("%d, %w", n, err)
-							}
-							return nil
+							rest = s.Rest
+							return processes.When(n < each, fmt.Errorf("%d, %w", n, err))
 						})
 					}
 					tokens := map[string]uint64{}
@@ -1138,10 +1025,7 @@
 								}
 								first[a.duty] = a.at
 							}
-							if len(first) < each {
-								return fmt.Errorf("%d", len(first))
-							}
-							return nil
+							return processes.When(len(first) < each, fmt.Errorf("%d", len(first)))
 						})
 						d.taker.mu.Lock()
 						defer d.taker.mu.Unlock()
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/internal/contract"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/processes"
 )
 
@@ -92,9 +93,8 @@
 	}
 	Self    struct{ Name, Address string }
 	Members []struct {
-		Name, Address string
-		State, Link   string
-		Generation    uint32
+		Name, Address, State, Link string
+		Generation                 uint32
 	}
 	Counts map[string]int64
 }
@@ -150,10 +150,7 @@
 			}
 		}
 	}
-	if len(wrong) > 0 {
-		return errors.New(strings.Join(wrong, "; "))
-	}
-	return nil
+	return processes.When(len(wrong) > 0, errors.New(strings.Join(wrong, "; ")))
 }
 
 // until waits until some processes think so.
@@ -178,8 +175,7 @@
 func (m *memberRig) serve(who ...int) {
 	m.Helper()
 	for _, i := range who {
-		kind, err := m.Processes[i].GET(int(m.ids.Add(1)))
-		require.NoError(m, err)
+		kind := need.Of(m.Processes[i].GET(int(m.ids.Add(1))))(m)
 		assert.Equal(m, "served", kind)
 	}
 }
@@ -202,8 +198,7 @@
 	m.Helper()
 	for end := time.Now().Add(time.Duration(probes * pace * float64(time.Second))); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, i := range of {
-			s, err := m.see(i)
-			require.NoError(m, err)
+			s := need.Of(m.see(i))(m)
 			for _, j := range of {
 				if is := s.of(m.Processes[j].Name); i != j && is == "failed" {
 					m.Fatalf("n%d holds n%d to have failed", i, j)
@@ -267,8 +262,7 @@
 		},
 		"it hears nobody": func(m *memberRig) processes.Fault {
 			return processes.Fault{What: processes.CutOff, A: m.all(4), B: []int{4}}
-		},
-	} {
+		}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, 5)
 			f := cut(m)
@@ -289,7 +283,7 @@
 }
 
 func TestTheFleetIsCutAndHeals(t *testing.T) {
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		n      int
 		parts  [][]int
 		levels []string
@@ -298,9 +292,7 @@
 		"in two":              {7, [][]int{{0, 1, 2, 3}, {4, 5, 6}}, []string{"majority", "minority"}, 5},
 		"in halves":           {6, [][]int{{0, 1, 2}, {3, 4, 5}}, []string{"minority", "minority"}, -1},
 		"in three":            {7, [][]int{{0, 1, 2}, {3, 4}, {5, 6}}, []string{"minority", "minority", "minority"}, -1},
-		"one from all others": {5, [][]int{{0, 1, 2, 3}, {4}}, []string{"majority", "alone"}, -1},
-	}
-	for name, tt := range tests {
+		"one from all others": {5, [][]int{{0, 1, 2, 3}, {4}}, []string{"majority", "alone"}, -1}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, tt.n)
 			for _, part := range tt.parts {
@@ -344,8 +336,7 @@
 	for name, faults := range map[string][]processes.Fault{
 		"three in ten are lost":          {{What: processes.Lose, Amount: 0.3}},
 		"doubled, late and out of order": {{What: processes.Double, Amount: 0.5}, {What: processes.Reorder, Amount: 0.05}},
-		"one bad link condemns nobody":   {{What: processes.Lose, A: []int{0}, B: []int{1}, Amount: 1}},
-	} {
+		"one bad link condemns nobody":   {{What: processes.Lose, A: []int{0}, B: []int{1}, Amount: 1}}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, 5)
 			for _, f := range faults {
@@ -415,20 +406,17 @@
 // the holder is gone.
 func TestATwin(t *testing.T) {
 	m := start(t, 5, func(m *memberRig) {})
-	holder := m.Processes[3]
-	twin := m.Processes[4]
+	holder, twin := m.Processes[3], m.Processes[4]
 	twin.Kill()
 	m.until("room is made", m.all(4), "majority", m.all(4))
 	twin.Name = holder.Name
 	twin.Start()
 	m.told(4, "ousted", holder.Name)
-	s, err := m.see(4)
-	require.NoError(t, err)
+	s := need.Of(m.see(4))(t)
 	assert.Equal(t, []string{"ousted", "alone"}, []string{s.Standing, s.Level})
 	m.serve(m.all()...)
 	for _, i := range m.all(3, 4) {
-		s, err := m.see(i)
-		require.NoError(t, err)
+		s := need.Of(m.see(i))(t)
 		for _, o := range s.Members {
 			if o.Name == holder.Name {
 				assert.Equal(t, []any{"alive", holder.Fleet}, []any{o.State, o.Address})
@@ -475,10 +463,7 @@
 			read := len(p.Said("configuration read again"))
 			p.Signal(syscall.SIGHUP)
 			m.Until(soon, "the key is read", func() error {
-				if len(p.Said("configuration read again")) == read {
-					return errors.New("not yet")
-				}
-				return nil
+				return processes.When(len(p.Said("configuration read again")) == read, errors.New("not yet"))
 			})
 		}
 		m.calm(10, m.all()...)
@@ -492,8 +477,7 @@
 // Whoever has no key and sends all it can disturbs nobody, and what was sealed is taken once.
 func TestAStrangerFloods(t *testing.T) {
 	m := start(t, 5)
-	c, err := net.Dial("udp", m.Processes[0].Fleet)
-	require.NoError(t, err)
+	c := need.Of(net.Dial("udp", m.Processes[0].Fleet))(t)
 	defer func() { _ = c.Close() }()
 	noise := make([]byte, 600)
 	for end, n := time.Now().Add(3*time.Second), 0; time.Now().Before(end) && n < 200_000; n++ {
@@ -541,8 +525,7 @@
 		m.serve(m.all()...)
 	}
 	if *schedule != "" {
-		s, err := processes.Parse(*schedule)
-		require.NoError(t, err)
+		s := need.Of(processes.Parse(*schedule))(t)
 		play(t, s)
 		return
 	}
@@ -593,10 +576,7 @@
 				}
 				_ = i
 			}
-			if len(known) < n-5 {
-				return fmt.Errorf("%d know", len(known))
-			}
-			return nil
+			return processes.When(len(known) < n-5, fmt.Errorf("%d know", len(known)))
 		})
 		slices.Sort(known)
 		t.Logf("killed: first knows after %.1f intervals, half %.1f, 99%% %.1f, all %.1f", known[0], known[len(known)/2], known[len(known)*99/100], known[len(known)-1])
--- a/internal/fleet/transport_test.go
+++ b/internal/fleet/transport_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"elderwall/internal/contract"
+	"elderwall/internal/standin/need"
 )
 
 const (
@@ -29,8 +30,7 @@
 	{Name: "datagrams, and streams for what is longer", Pair: pairOf(anyKind, false), Longest: longestStream - sealLength, Unordered: eachAlone},
 	{Name: "streams", Pair: pairOf(anyKind, true), Longest: longestStream - sealLength, Unordered: eachAlone},
 	{Name: "council's", Pair: pairOf(sealedRaft, false), Longest: longestStream - sealLength - raftHead - 32, Over: 64, Unordered: eachAlone},
-	{Name: "questions", Pair: questions, Longest: longestAsk*3/4 - 256, Over: 1 << 10, Flood: 500},
-}
+	{Name: "questions", Pair: questions, Longest: longestAsk*3/4 - 256, Over: 1 << 10, Flood: 500}}
 
 const eachAlone = "each is a datagram or a stream of its own; the machines number what needs an order"
 
@@ -43,18 +43,16 @@
 // end is one member's end: what it sends goes to the other, what comes to it waits, so much at most.
 type end struct {
 	*Fleet
-	to     string
-	kind   byte
-	stream bool
-	asks   bool
-	came   chan []byte
-	stop   context.CancelFunc
-	ended  chan struct{}
+	to           string
+	kind         byte
+	stream, asks bool
+	came         chan []byte
+	stop         context.CancelFunc
+	ended        chan struct{}
 }
 
 func newEnd(t testing.TB, kind byte, stream bool) *end {
-	f, err := Open(Settings{Listen: "127.0.0.1:0", Name: "n", Pace: 1}, 1, zerolog.Nop())
-	require.NoError(t, err)
+	f := need.Of(Open(Settings{Listen: "127.0.0.1:0", Name: "n", Pace: 1}, 1, zerolog.Nop()))(t)
 	f.limit.SetLimit(64 * bytesOut) // its bound is tried by what is too long at once
 	e := &end{Fleet: f, kind: kind, stream: stream, came: make(chan []byte, voterQueue), ended: make(chan struct{})}
 	take := func(text []byte) bool {
@@ -129,11 +127,7 @@
 	}
 }
 
-func (e *end) Close() error {
-	e.stop()
-	<-e.ended
-	return nil
-}
+func (e *end) Close() error { e.stop(); <-e.ended; return nil }
 
 func pairOf(kind byte, stream bool) func(t testing.TB, w contract.Wire) (from, to contract.Transport) {
 	return func(t testing.TB, w contract.Wire) (contract.Transport, contract.Transport) {
@@ -153,10 +147,8 @@
 
 // wire carries datagrams and streams to an address, and does to each what it is told.
 func wire(t testing.TB, to string, w contract.Wire) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Addr().String())))
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
+	u := need.Of(net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Addr().String()))))(t)
 	t.Cleanup(func() { _, _ = l.Close(), u.Close() })
 	go func() {
 		buf := make([]byte, 64<<10)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -22,6 +22,7 @@
 	"elderwall/internal/front"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,8 +31,7 @@
 
 // handler hands calls to the test.
 type handler struct {
-	calls   chan call.Call
-	givenUp chan call.Call
+	calls, givenUp chan call.Call
 }
 
 func (h *handler) Process(c call.Call, g call.GET) {
@@ -47,8 +47,7 @@
 func serve(t *testing.T, most int) (h *handler, s *front.Server, address string) {
 	h = &handler{calls: make(chan call.Call, 100), givenUp: make(chan call.Call, 100)}
 	s = &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: most}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var server sync.WaitGroup
 	server.Go(func() { assert.NoError(t, s.Serve(ctx, l)) })
@@ -63,17 +62,13 @@
 }
 
 func dial(t *testing.T, address string) *standin.Client {
-	c, err := standin.Dial(address)
-	require.NoError(t, err)
+	c := need.Of(standin.Dial(address))(t)
 	t.Cleanup(func() { _ = c.Conn.Close() })
 	return c
 }
 
 // body is an answer's bytes that have taken their room.
-func body(s *front.Server, text string) []byte {
-	s.Room.Take(len(text))
-	return []byte(text)
-}
+func body(s *front.Server, text string) []byte { s.Room.Take(len(text)); return []byte(text) }
 
 func TestAnswersGoOutInAnyOrder(t *testing.T) {
 	h, s, address := serve(t, 4)
@@ -82,8 +77,7 @@
 	require.NoError(t, err)
 	assert.True(t, good)
 	for range 5 {
-		_, err := c.Process(standin.Fields(), "")
-		require.NoError(t, err)
+		need.Of(c.Process(standin.Fields(), ""))(t)
 	}
 	var open []call.Call
 	for range 5 {
@@ -99,15 +93,12 @@
 	require.NoError(t, c.GiveUp(6)) // the fifth GET
 	assert.Same(t, open[4], <-h.givenUp)
 	open[4].Fail("") // nothing is owed
-	want := []standin.Reply{
+	for _, w := range []standin.Reply{
 		{Seq: 5, Method: "process", Kind: "served", Body: "bytes", Fields: map[string]string{}, Good: true},
 		{Seq: 3, Method: "process", Kind: "refused", Fields: map[string]string{"backoff": "125"}},
 		{Seq: 2, Method: "process", Kind: "failed", Fields: map[string]string{}},
-		{Seq: 4, Method: "process", Kind: "served", Fields: map[string]string{"ok304": "1"}, Good: true},
-	}
-	for _, w := range want {
-		r, err := c.Read()
-		require.NoError(t, err)
+		{Seq: 4, Method: "process", Kind: "served", Fields: map[string]string{"ok304": "1"}, Good: true}} {
+		r := need.Of(c.Read())(t)
 		assert.Equal(t, w, r)
 	}
 	good, err = c.Probe() // and nothing came in between
@@ -117,7 +108,7 @@
 
 func TestBadInputEndsItsConnectionAlone(t *testing.T) {
 	twice := standin.Call("process", 1, 1, standin.ProcessArguments(standin.Fields(), ""))
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		bytes []byte
 		open  int // calls that are given up
 	}{
@@ -131,13 +122,10 @@
 				b = append(b, standin.Call("process", 1, i, standin.ProcessArguments(standin.Fields(), ""))...)
 			}
 			return b
-		}(), 32},
-	}
-	for name, tt := range tests {
+		}(), 32}} {
 		t.Run(name, func(t *testing.T) {
 			h, _, address := serve(t, 4)
-			other := dial(t, address)
-			c := dial(t, address)
+			other, c := dial(t, address), dial(t, address)
 			_, err := c.Conn.Write(tt.bytes)
 			require.NoError(t, err)
 			_, err = c.Read()
@@ -145,8 +133,7 @@
 			for range tt.open {
 				<-h.givenUp
 			}
-			good, err := other.Probe()
-			require.NoError(t, err)
+			good := need.Of(other.Probe())(t)
 			assert.True(t, good)
 		})
 	}
@@ -156,10 +143,8 @@
 	_, _, address := serve(t, 4)
 	c := dial(t, address)
 	for _, method := range []string{"else", "identify"} { // where nobody asks who is calling
-		_, err := c.Conn.Write(standin.Call(method, 1, 9, nil))
-		require.NoError(t, err)
-		r, err := c.Read()
-		require.NoError(t, err)
+		need.Of(c.Conn.Write(standin.Call(method, 1, 9, nil)))(t)
+		r := need.Of(c.Read())(t)
 		assert.Equal(t, standin.Reply{Seq: 9, Method: method, Kind: "exception", Fields: map[string]string{}}, r)
 	}
 }
@@ -168,16 +153,14 @@
 	h, s, address := serve(t, 4)
 	slow, other := dial(t, address), dial(t, address)
 	for range 32 {
-		_, err := slow.Process(standin.Fields(), "")
-		require.NoError(t, err)
+		need.Of(slow.Process(standin.Fields(), ""))(t)
 	}
 	long := strings.Repeat("x", 200000)
 	for range 32 {
 		s.Room.Take(len(long))
 		(<-h.calls).Serve([]byte(long), false) // more than the kernel keeps for one that does not read
 	}
-	good, err := other.Probe()
-	require.NoError(t, err)
+	good := need.Of(other.Probe())(t)
 	assert.True(t, good)
 	_ = slow.Conn.Close()
 	for !s.Quiet() { // the unwritten replies go with it
@@ -199,18 +182,15 @@
 
 func TestALongCallTakesRoom(t *testing.T) {
 	h, s, address := serve(t, 4)
-	long := strings.Repeat("x", 200000)
-	c := dial(t, address)
+	long, c := strings.Repeat("x", 200000), dial(t, address)
 	_, err := c.Process(standin.Fields(), long)
 	require.NoError(t, err)
 	(<-h.calls).Fail("")
-	_, err = c.Read()
-	require.NoError(t, err)
+	need.Of(c.Read())(t)
 	require.Eventually(t, func() bool { return s.Room.Take(bytesOfRoom - len(long)/2) }, 5*time.Second, time.Millisecond,
 		"the rest, once what read the first call has given its own back")
 	other := dial(t, address)
-	_, err = other.Process(standin.Fields(), long)
-	require.NoError(t, err)
+	need.Of(other.Process(standin.Fields(), long))(t)
 	_, err = other.Read()
 	assert.Error(t, err, "there is none for the second")
 	s.Room.Give(bytesOfRoom - len(long)/2)
@@ -221,15 +201,13 @@
 	c := dial(t, address)
 	var bodies []weak.Pointer[byte]
 	for range 8 {
-		_, err := c.Process(standin.Fields(), "")
-		require.NoError(t, err)
+		need.Of(c.Process(standin.Fields(), ""))(t)
 		b := body(s, strings.Repeat("x", 1000))
 		bodies = append(bodies, weak.Make(&b[0]))
 		(<-h.calls).Serve(b, false)
 	}
 	for range 8 {
-		_, err := c.Read()
-		require.NoError(t, err)
+		need.Of(c.Read())(t)
 	}
 	for !s.Quiet() {
 	}
@@ -270,11 +248,7 @@
 			require.NoError(t, err, why)
 			synctest.Wait()
 		}
-		asks := func(c *standin.Client) call.Call {
-			_, err := c.Process(standin.Fields(), "")
-			require.NoError(t, err)
-			return <-h.calls
-		}
+		asks := func(c *standin.Client) call.Call { need.Of(c.Process(standin.Fields(), ""))(t); return <-h.calls }
 		usual, stays := dial(), dial()
 		open := asks(usual)
 		works(stays, "")
@@ -295,13 +269,10 @@
 		for _, c := range busy {
 			c.Refuse(0)
 		}
-		_, err = usual.Read()
-		require.NoError(t, err)
+		need.Of(usual.Read())(t)
 		s.Close()
-		_, err = usual.Process(standin.Fields(), "")
-		require.NoError(t, err)
-		r, err := usual.Read()
-		require.NoError(t, err)
+		need.Of(usual.Process(standin.Fields(), ""))(t)
+		r := need.Of(usual.Read())(t)
 		assert.Equal(t, "refused", r.Kind, "what comes after the end of a drain")
 		cancel()
 		close(l.accepted)
@@ -311,7 +282,7 @@
 
 func TestMessagesMustEnd(t *testing.T) {
 	whole := standin.Call("probe", 1, 1, []byte{2, 0, 1, 0})
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		first []byte
 		each  time.Duration // then a byte more as often as that
 		want  time.Duration // until it is closed
@@ -319,14 +290,11 @@
 		"nothing":                  {nil, 0, 2 * time.Second},
 		"a message that trickles":  {whole[:4], 900 * time.Millisecond, 2 * time.Second},
 		"a message, and then none": {whole, 0, 5 * time.Second},
-		"a part of a second one":   {append(whole, whole[:7]...), 0, 2 * time.Second},
-	}
-	for name, tt := range tests {
+		"a part of a second one":   {append(whole, whole[:7]...), 0, 2 * time.Second}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &front.Server{Handler: &handler{}, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: 1}
-				l := pipes{accepted: make(chan net.Conn)}
-				ended := make(chan error)
+				l, ended := pipes{accepted: make(chan net.Conn)}, make(chan error)
 				go func() { ended <- s.Serve(t.Context(), l) }()
 				client, server := net.Pipe()
 				l.accepted <- server
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -14,6 +14,7 @@
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
 )
 
@@ -39,15 +40,13 @@
 }
 
 func key(t testing.TB, id, algorithm string) *token.Key {
-	k, err := token.NewKey(id, algorithm)
-	require.NoError(t, err)
+	k := need.Of(token.NewKey(id, algorithm))(t)
 	k.State = callers.Active
 	return k
 }
 
 func sign(t testing.TB, k *token.Key, subject string) string {
-	text, err := k.Sign(callers.Claims{Subject: subject, Tenant: "a", IssuedAt: noon, Expiry: noon + 60})
-	require.NoError(t, err)
+	text := need.Of(k.Sign(callers.Claims{Subject: subject, Tenant: "a", IssuedAt: noon, Expiry: noon + 60}))(t)
 	return text
 }
 
@@ -63,7 +62,7 @@
 	wall, k, rsa := noon, key(t, "k1", "EdDSA"), key(t, "k2", "RS256")
 	good := sign(t, k, "till")
 	forged := strings.Replace(good, good[len(good)-20:], "AAAAAAAAAAAAAAAAAAAA", 1)
-	tests := []struct {
+	for _, tt := range []struct {
 		name   string
 		text   func(i int) string
 		checks int64 // at most, in the second that the flood lasts at most
@@ -71,13 +70,10 @@
 		{"new key ids", func(i int) string { return sign(t, key(t, fmt.Sprint("x", i), "EdDSA"), "till") }, 0},
 		{"long ones", func(int) string { return strings.Repeat("A.", 1<<19) }, 0},
 		{"bad signatures", func(int) string { return forged }, 11},
-		{"valid ones that all differ", func(i int) string { return sign(t, k, fmt.Sprint(i)) }, 11},
-	}
-	for _, tt := range tests {
+		{"valid ones that all differ", func(i int) string { return sign(t, k, fmt.Sprint(i)) }, 11}} {
 		g, flooding, other := newGate(t, &wall, k, rsa), &callers.Conn{}, &callers.Conn{}
 		require.Equal(t, callers.Passed, ask(g, other, good), tt.name)
-		before := g.Counts.SignatureChecks.Load()
-		began := time.Now()
+		before, began := g.Counts.SignatureChecks.Load(), time.Now()
 		for i := range 300 {
 			ask(g, flooding, tt.text(i))
 		}
@@ -140,10 +136,7 @@
 	return []string{"a"}, true
 }
 
-func (s *shares) Spent(of []string) {
-	s.left += len(of)
-	s.out -= len(of)
-}
+func (s *shares) Spent(of []string) { s.left += len(of); s.out -= len(of) }
 
 // What the fleet lets a tenant have is asked last, and given back with the GET; what it turns away is charged nowhere.
 func TestTheFleetsBudgetOfATenant(t *testing.T) {
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -54,9 +54,8 @@
 }
 
 func TestAnswers(t *testing.T) {
-	long := strings.Repeat("x\r\n", 80000)
-	empty := []byte{}
-	tests := []struct {
+	long, empty := strings.Repeat("x\r\n", 80000), []byte{}
+	for _, tt := range []struct {
 		text string
 		want lines.Answer
 	}{
@@ -79,9 +78,7 @@
 		{standin.Answer("a", "FAULT", "detail=behind", ""), lines.Answer{Word: lines.Fault, Note: control.OriginFailed, Body: empty}},
 		{standin.Answer("a", "LATE", "detail=new", ""), lines.Answer{Word: lines.Late, Body: empty}},
 		{"a PONG\r\n", lines.Answer{Word: lines.Pong}},
-		{"a PONG - 0\r\n\r\n", lines.Answer{Word: lines.Pong, Body: empty}},
-	}
-	for _, tt := range tests {
+		{"a PONG - 0\r\n\r\n", lines.Answer{Word: lines.Pong, Body: empty}}} {
 		tt.want.ID = []byte("a")
 		for _, piece := range []int{1, 11, 1 << 20} {
 			got, err := answers(tt.text+tt.text, piece, roomy)
@@ -122,8 +119,7 @@
 	full.Join, full.HeldOnly, full.Renew = true, true, true
 	for want, q := range map[string]lines.Request{
 		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500 0\r\n":                                                   bare,
-		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500,up=s-0,store=2,cap=900,do=share+peek+swr,inm=4be0 2\r\n": full,
-	} {
+		"REQ 9b1f queue=segment,path=7f3a,blk=3,budget=1500,up=s-0,store=2,cap=900,do=share+peek+swr,inm=4be0 2\r\n": full} {
 		assert.Equal(t, want, string(q.AppendHead(nil)))
 	}
 	assert.Equal(t, "STOP 9b1f\r\nHELO t\r\n", string(lines.AppendHello(lines.AppendStop(nil, "9b1f"), "t")))
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/internal/standin/need"
 	"elderwall/internal/thrift"
 )
 
@@ -22,7 +23,7 @@
 		require.NoError(t, err, name)
 		assert.NotEmpty(t, p.Subjects, name)
 	}
-	tests := map[string][2]string{ // what is wrong, and what is said of it
+	for name, tt := range map[string][2]string{ // what is wrong, and what is said of it
 		"no case":                    {`{}`, "cases: there are none"},
 		"a rate with no unit":        {`{cases: [{name: "a", rate: 5}]}`, "rate"},
 		"a peak that comes later":    {`{cases: [{name: "a", of_peak: 0.5, peak: "b"}, {name: "b"}]}`, "closed loop that comes before"},
@@ -30,9 +31,7 @@
 		"a share without a peak":     {`{cases: [{name: "a", of_peak: 0.5}]}`, "goes with peak"},
 		"more than a client may ask": {`{cases: [{name: "a", under_way: 33}]}`, "under_way"},
 		"a size with no unit":        {`{farm: {bytes: 1000}, cases: [{name: "a"}]}`, "farm.bytes"},
-		"no name":                    {`{cases: [{}]}`, "name: is needed"},
-	}
-	for name, tt := range tests {
+		"no name":                    {`{cases: [{}]}`, "name: is needed"}} {
 		_, err := decode("p", tt[0])
 		assert.ErrorContains(t, err, tt[1], name)
 	}
@@ -40,8 +39,7 @@
 
 // peer answers calls as a test says; it stops at the end of the test.
 func peer(t *testing.T, answer func(c thrift.Call, reply func(thrift.Reply))) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	var all sync.WaitGroup
 	t.Cleanup(func() { _ = l.Close(); all.Wait() })
 	all.Go(func() {
@@ -98,8 +96,7 @@
 	})
 	one := small
 	one.Connections = 1
-	tally, err := Play(address, one, "", 500, 1, 0, 0.5)
-	require.NoError(t, err)
+	tally := need.Of(Play(address, one, "", 500, 1, 0, 0.5))(t)
 	assert.Greater(t, tally.Served, int64(150))
 	assert.Greater(t, tally.Delays.ValueAtQuantile(50), int64(100_000), "µs: half of them were to be sent while it was held up")
 	assert.Zero(t, tally.Unanswered+tally.Broken)
@@ -125,8 +122,7 @@
 	})
 	leaving := small
 	leaving.GiveUp, leaving.Patience, leaving.Again = 1, 0.01, 1
-	tally, err := Play(address, leaving, "", 400, 1, 0, 0.4)
-	require.NoError(t, err)
+	tally := need.Of(Play(address, leaving, "", 400, 1, 0, 0.4))(t)
 	mu.Lock()
 	defer mu.Unlock()
 	assert.Positive(t, min(tally.Served, tally.Refused, tally.Left))
@@ -139,25 +135,18 @@
 
 func TestAClosedLoopKeepsSoManyUnderWay(t *testing.T) {
 	var mu sync.Mutex
-	under, most := 0, 0
-	objects := map[string]int{}
+	under, most, objects := 0, 0, map[string]int{}
 	address := peer(t, func(c thrift.Call, reply func(thrift.Reply)) {
 		mu.Lock()
 		under++
 		most = max(most, under)
 		objects[string(c.Object)]++
 		mu.Unlock()
-		time.AfterFunc(time.Millisecond, func() {
-			mu.Lock()
-			under--
-			mu.Unlock()
-			served(c, reply)
-		})
+		time.AfterFunc(time.Millisecond, func() { mu.Lock(); under--; mu.Unlock(); served(c, reply) })
 	})
 	hot := small
 	hot.Hot = 0.6
-	tally, err := Play(address, hot, "", 0, 1, 0.1, 0.3)
-	require.NoError(t, err)
+	tally := need.Of(Play(address, hot, "", 0, 1, 0.1, 0.3))(t)
 	mu.Lock()
 	defer mu.Unlock()
 	assert.Equal(t, 8, most)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,6 +13,7 @@
 
 	"elderwall/callers"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
 )
 
@@ -21,14 +22,10 @@
 // folder has all that the example names.
 func folder(t testing.TB) string {
 	dir := t.TempDir()
-	put := func(name string, raw []byte) {
-		require.NoError(t, os.WriteFile(filepath.Join(dir, name), raw, 0o600))
-	}
-	k, err := token.NewKey("k1", "EdDSA")
-	require.NoError(t, err)
+	put := func(name string, raw []byte) { require.NoError(t, os.WriteFile(filepath.Join(dir, name), raw, 0o600)) }
+	k := need.Of(token.NewKey("k1", "EdDSA"))(t)
 	k.State = callers.Active
-	keys, err := token.WriteSet([]*token.Key{k.Public()})
-	require.NoError(t, err)
+	keys := need.Of(token.WriteSet([]*token.Key{k.Public()}))(t)
 	put("keys.json", keys)
 	put("revoked.json", []byte(`{"tokens":["j9"],"subjects":["till-9"]}`))
 	a := standin.NewAuthority("clients")
@@ -41,8 +38,7 @@
 }
 
 func example(t testing.TB) string {
-	raw, err := os.ReadFile("../../deploy/operator.example.jsonnet")
-	require.NoError(t, err)
+	raw := need.Of(os.ReadFile("../../deploy/operator.example.jsonnet"))(t)
 	return string(raw)
 }
 
@@ -60,7 +56,7 @@
 }
 
 func TestEveryFaultIsToldWithItsKeyAndLine(t *testing.T) {
-	tests := []struct{ name, old, new, want string }{
+	for _, tt := range []struct{ name, old, new, want string }{
 		{"an unknown key", `skew:`, `skw:`, "operator.jsonnet:14: callers.skw: unknown key"},
 		{"a time with no unit", `skew: '30s'`, `skew: 30`, `operator.jsonnet:14: callers.skew: must be a time with its unit, such as "250ms", not a number`},
 		{"a time in an unknown unit", `'30s'`, `'30 secs'`, "callers.skew: "},
@@ -87,9 +83,7 @@
 		{"an unknown word", `oldest: '1.2'`, `oldest: '1.1'`, `tls.oldest: "1.1" is none of 1.2, 1.3`},
 		{"a weight for callers", `caller: { rate`, `caller: { weight: 2, rate`, "caller: weight is for tenants alone"},
 		{"a list for an object", `roles: {`, `roles: [] + {`, "roles"},
-		{"no Jsonnet", `callers: {`, `callers: (`, "operator.jsonnet:"},
-	}
-	for _, tt := range tests {
+		{"no Jsonnet", `callers: {`, `callers: (`, "operator.jsonnet:"}} {
 		text := example(t)
 		require.Contains(t, text, tt.old, tt.name)
 		_, err := decode(filepath.Join(folder(t), "operator.jsonnet"), strings.Replace(text, tt.old, tt.new, 1), services)
@@ -136,8 +130,7 @@
 			assert.NotContains(t, err.Error(), "\n", "one line")
 			return
 		}
-		again, err := json.Marshal(map[string][]string{"tokens": r.Tokens, "subjects": r.Subjects})
-		require.NoError(t, err)
+		again := need.Of(json.Marshal(map[string][]string{"tokens": r.Tokens, "subjects": r.Subjects}))(t)
 		var same callers.Revocations
 		require.NoError(t, revocations(again, &same))
 		assert.Equal(t, [2]int{len(r.Tokens), len(r.Subjects)}, [2]int{len(same.Tokens), len(same.Subjects)})
--- a/internal/operator/proxies_test.go
+++ b/internal/operator/proxies_test.go
@@ -10,20 +10,19 @@
 
 	"elderwall/fleet/budgets"
 	"elderwall/internal/fleet"
+	"elderwall/internal/standin/need"
 )
 
 const onePath = `{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment' }`
 
 func TestProxies(t *testing.T) {
-	c, err := decode("f", fmt.Sprintf(`{proxies: {listen: '127.0.0.1:9002', paths: [%s], decide: '8ms', late: 'pass', hold: '300ms', share: 0.25, open: 100, metadata: true}}`, onePath), services)
-	require.NoError(t, err)
+	c := need.Of(decode("f", fmt.Sprintf(`{proxies: {listen: '127.0.0.1:9002', paths: [%s], decide: '8ms', late: 'pass', hold: '300ms', share: 0.25, open: 100, metadata: true}}`, onePath), services))(t)
 	p := c.Proxies
 	assert.Equal(t, []any{"127.0.0.1:9002", 0.008, true, 0.3, 0.25, 100, true, true}, []any{p.Listen, p.Decide, p.Open, p.Calls.Hold, p.Calls.Share, p.Calls.Open, p.Metadata, p.Rules.Routing})
 	assert.True(t, p.Rules.Paths[0].Pattern.MatchString("/clips/7f3a9c21e0b4d655/3"))
 	assert.False(t, p.Rules.Paths[0].Pattern.MatchString("/x/clips/7f3a9c21e0b4d655/3"), "the whole path")
 	for text, want := range map[string]string{
-		`{paths: [%s]}`:           "proxies.listen: is needed",
-		`{listen: '127.0.0.1:1'}`: "proxies.paths: must be 1",
+		`{paths: [%s]}`: "proxies.listen: is needed", `{listen: '127.0.0.1:1'}`: "proxies.paths: must be 1",
 		`{listen: '127.0.0.1:1', paths: [%s], decide: 5}`:                                  "proxies.decide",
 		`{listen: '127.0.0.1:1', paths: [%s], decide: '5'}`:                                "proxies.decide",
 		`{listen: '127.0.0.1:1', paths: [%s], late: 'never'}`:                              "proxies.late",
@@ -35,8 +34,7 @@
 		`{listen: '127.0.0.1:1', paths: [{match: '(', service: 'segment'}]}`:               "match",
 		`{listen: '127.0.0.1:1', paths: [{match: '/a', service: 'segment'}]}`:              "a group named object",
 		`{listen: '127.0.0.1:1', paths: [{match: '/(?P<object>.*)', service: 'nothing'}]}`: "no delivery service",
-		`{listen: 'nowhere', paths: [%s]}`:                                                 "proxies.listen",
-	} {
+		`{listen: 'nowhere', paths: [%s]}`:                                                 "proxies.listen"} {
 		text = strings.ReplaceAll(text, "%s", onePath)
 		_, err := decode("f", "{proxies: "+text+"}", services)
 		assert.ErrorContains(t, err, want, text)
@@ -44,12 +42,10 @@
 }
 
 func TestJoinsAndRetries(t *testing.T) {
-	c, err := decode("f", `{joins: ['page'], retries: {share: 0.2}}`, services)
-	require.NoError(t, err)
+	c := need.Of(decode("f", `{joins: ['page'], retries: {share: 0.2}}`, services))(t)
 	assert.Equal(t, []bool{false, true}, c.Joins)
 	assert.Equal(t, []float64{0.2, 5}, []float64{c.Retries.Share, c.Retries.Floor})
-	c, err = decode("f", `{}`, services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", `{}`, services))(t)
 	assert.Nil(t, c.Joins)
 	assert.Zero(t, c.Retries)
 	for text, want := range map[string]string{`{joins: ['nothing']}`: "joins", `{retries: {share: -1}}`: "retries.share",
@@ -82,9 +78,7 @@
 		`wholes: {x: {of: 'tenant:', most: 2}}`:            "is none of origin, host:NAME, retries and tenant:NAME",
 		`wholes: {x: {amount: 2}}`:                         "a window of 0 s",
 		`wholes: {x: {most: 2, floor: 3, ceiling: 2}}`:     "the ceiling is under the floor",
-		`wholes: {x: {amount: 2, window: '1h', floor: 1}}`: "an amount has no floor",
-		`tail: '40s', wholes: {}`:                          "tail",
-	} {
+		`wholes: {x: {amount: 2, window: '1h', floor: 1}}`: "an amount has no floor", `tail: '40s', wholes: {}`: "tail"} {
 		_, err := load(file(text))
 		require.Error(t, err, text)
 		assert.Contains(t, err.Error(), want, text)
@@ -96,14 +90,11 @@
 
 func TestMemory(t *testing.T) {
 	file := func(memory string) string { return `{fleet: {listen: '127.0.0.1:5100', ` + memory + `}}` }
-	c, err := decode("/etc/f", file(`memory: {folder: 'here', horizon: '2h', rate: '64KiB'}`), services)
-	require.NoError(t, err)
+	c := need.Of(decode("/etc/f", file(`memory: {folder: 'here', horizon: '2h', rate: '64KiB'}`), services))(t)
 	assert.Equal(t, &fleet.Memory{Folder: "/etc/here", Horizon: 7200, Rate: 64 << 10}, c.Fleet.Memory)
-	c, err = decode("f", file(`memory: {}`), services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", file(`memory: {}`), services))(t)
 	assert.Equal(t, &fleet.Memory{Horizon: 3600, Rate: 1 << 20}, c.Fleet.Memory)
-	c, err = decode("f", file(``), services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", file(``), services))(t)
 	assert.Nil(t, c.Fleet.Memory)
 	for text, want := range map[string]string{`horizon: 5`: "memory.horizon", `horizon: '1s'`: "memory.horizon", `rate: '1KiB'`: "memory.rate", `rate: 5000000`: "memory.rate",
 		`kinds: 3`: "memory.kinds"} {
--- a/internal/operator/variants_test.go
+++ b/internal/operator/variants_test.go
@@ -11,13 +11,13 @@
 
 	pure "elderwall/fleet/variants"
 	"elderwall/internal/front"
+	"elderwall/internal/standin/need"
 )
 
 func TestVariants(t *testing.T) {
 	text, err := os.ReadFile("../../examples/variants.jsonnet")
 	require.NoError(t, err)
-	c, err := decode("f", string(text), services)
-	require.NoError(t, err)
+	c := need.Of(decode("f", string(text), services))(t)
 	v := c.Variants
 	assert.Equal(t, pure.Service{Classes: []string{"tv", "phone", "car"}, Proof: pure.ByTag, Witnesses: 2, Repeats: true, Fresh: 600,
 		Presume: &pure.Presumed{Objects: 200, Checks: 0.01}}, v.Module.Services[0])
@@ -30,14 +30,11 @@
 	file := func(more string) string {
 		return `{fleet: {listen: '127.0.0.1:5100', variants: {services: {segment: {` + good + more + `}}}}}`
 	}
-	c, err = decode("f", file(`, fresh: 'until purged'`), services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", file(`, fresh: 'until purged'`), services))(t)
 	assert.True(t, math.IsInf(c.Variants.Module.Services[0].Fresh, 1))
-	c, err = decode("f", strings.Replace(strings.TrimSuffix(file(""), "}")+`, proxies: {listen: '127.0.0.1:1', paths: [`+onePath+`]}}`, "'body'", "'tag'", 1), services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", strings.Replace(strings.TrimSuffix(file(""), "}")+`, proxies: {listen: '127.0.0.1:1', paths: [`+onePath+`]}}`, "'body'", "'tag'", 1), services))(t)
 	assert.Equal(t, map[string]string{"segment": "dev"}, c.Proxies.Rules.Devices)
-	c, err = decode("f", `{fleet: {listen: '127.0.0.1:5100'}}`, services)
-	require.NoError(t, err)
+	c = need.Of(decode("f", `{fleet: {listen: '127.0.0.1:5100'}}`, services))(t)
 	assert.Nil(t, c.Variants)
 
 	bad := file(`, witnesses: 9, fresh: '-1s', presume: {checks: 2}, other: 1`)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 )
 
 // TestMain checks that neither goroutines nor sockets are left.
@@ -54,12 +55,10 @@
 
 // start runs a dispatcher that knows hosts; it is ended by SIGTERM with the test at the latest.
 func start(t *testing.T, held int, hosts ...string) *dispatcher {
-	log, err := standin.ListenChangeLog("127.0.0.1:0")
-	require.NoError(t, err)
+	log := need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	t.Cleanup(log.Close)
 	d := &dispatcher{t: t, log: log}
-	d.config, err = read(t, standin.Config(standin.Free(), log.Address, "", held))
-	require.NoError(t, err)
+	d.config = need.Of(read(t, standin.Config(standin.Free(), log.Address, "", held)))(t)
 	log.Push(standin.List(1, true, hosts...))
 	d.run()
 	t.Cleanup(d.end)
@@ -91,8 +90,7 @@
 }
 
 func (d *dispatcher) dial() *standin.Client {
-	c, err := standin.Dial(d.config.Listen)
-	require.NoError(d.t, err)
+	c := need.Of(standin.Dial(d.config.Listen))(d.t)
 	d.t.Cleanup(func() { _ = c.Conn.Close() })
 	return c
 }
@@ -111,22 +109,15 @@
 func (d *dispatcher) get(changes ...string) standin.Reply {
 	c := d.dial()
 	defer func() { _ = c.Conn.Close() }()
-	_, err := c.Process(standin.Fields(changes...), "body")
-	require.NoError(d.t, err)
-	r, err := c.Read()
-	require.NoError(d.t, err)
+	need.Of(c.Process(standin.Fields(changes...), "body"))(d.t)
+	r := need.Of(c.Read())(d.t)
 	return r
 }
 
 // host starts a stand-in host that keeps what it was asked, and answers.
 func host(t *testing.T, answer func(standin.Ask) string) (*standin.Host, chan standin.Ask) {
 	asked := make(chan standin.Ask, 1000)
-	h, err := standin.Listen("127.0.0.1:0", func(a standin.Ask) string {
-		text := answer(a)
-		asked <- a
-		return text
-	})
-	require.NoError(t, err)
+	h := need.Of(standin.Listen("127.0.0.1:0", func(a standin.Ask) string { text := answer(a); asked <- a; return text }))(t)
 	t.Cleanup(h.Close)
 	return h, asked
 }
@@ -151,7 +142,7 @@
 	same.Body, same.Fields = "", map[string]string{"ok304": "1"}
 	refused := standin.Reply{Seq: 1, Method: "process", Kind: "refused", Fields: map[string]string{}}
 	failed := standin.Reply{Seq: 1, Method: "process", Kind: "failed", Fields: map[string]string{}}
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		first   func(standin.Ask) string // one of two caches, the other one hits
 		both    bool                     // or both are like the first
@@ -183,9 +174,7 @@
 		{"a failure, for a group above the last", hit, true, []string{"batch", "256"}, failed},
 		{"a failure, for a number in another form", hit, true, []string{"nth", "+3"}, failed},
 		{"a failure, for a budget above the viewer timeout", hit, true, []string{"budget", "60001"}, failed},
-		{"a failure, for a malformed tag", hit, true, []string{"got", "a,b=c"}, failed},
-	}
-	for _, tt := range tests {
+		{"a failure, for a malformed tag", hit, true, []string{"got", "a,b=c"}, failed}} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			a, asked := host(t, tt.first)
@@ -221,8 +210,7 @@
 	for _, before := range []func(){
 		func() {}, func() {},
 		func() { d.log.Push(`{"seq":2,"invalidate":{"object":"` + object + `","time":1764576000123}}`) },
-		func() { d.end(); d.run() },
-	} {
+		func() { d.end(); d.run() }} {
 		before()
 		r := d.get("got", tag)
 		assert.Equal(t, map[string]string{"ok304": "1"}, r.Fields)
@@ -250,15 +238,12 @@
 	d := start(t, 1, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
 	c := d.dial()
 	for _, id := range []string{rid, rid, "9b1f03aa5c7e2d42"} {
-		_, err := c.Process(standin.Fields("rid", id), "")
-		require.NoError(t, err)
+		need.Of(c.Process(standin.Fields("rid", id), ""))(t)
 	}
 	<-asked
-	r, err := c.Read()
-	require.NoError(t, err)
+	r := need.Of(c.Read())(t)
 	assert.Equal(t, []any{int32(2), "failed"}, []any{r.Seq, r.Kind}, "an id that is open")
-	r, err = c.Read()
-	require.NoError(t, err)
+	r = need.Of(c.Read())(t)
 	assert.Equal(t, []any{int32(3), "refused"}, []any{r.Seq, r.Kind})
 	_ = c.Conn.Close()
 }
@@ -267,10 +252,7 @@
 	a, askedA := host(t, hit)
 	b, askedB := host(t, hit)
 	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
-	served := func(from chan standin.Ask) standin.Ask {
-		require.Equal(t, "served", d.get().Kind)
-		return <-from
-	}
+	served := func(from chan standin.Ask) standin.Ask { require.Equal(t, "served", d.get().Kind); return <-from }
 	until := func(done func() bool) { // the change has come
 		for !done() {
 			d.get()
@@ -310,8 +292,7 @@
 	require.NoError(t, err)
 	close(release)
 	for range 2 {
-		r, err := c.Read()
-		require.NoError(t, err)
+		r := need.Of(c.Read())(t)
 		assert.Equal(t, "served", r.Kind)
 	}
 	require.NoError(t, <-d.ended)
@@ -326,23 +307,19 @@
 	a, askedA := host(t, hit)
 	b, askedB := host(t, hit)
 	d := start(t, 1000, "s-1 "+a.Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING")
-	moved, err := standin.ListenChangeLog("127.0.0.1:0")
-	require.NoError(t, err)
+	moved := need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	t.Cleanup(moved.Close)
 	moved.Push(standin.List(1, true, "s-1 127.0.0.1:1 std SERVING")) // the numbers go on: this one is known
 	moved.Push(standin.List(2, false, "s-1 "+a.Address+" std DELETED", "s-3 "+b.Address+" std SERVING"))
 	c := d.dial()
 	usual := func(id string) {
-		_, err := c.Process(standin.Fields("rid", id), "")
-		require.NoError(t, err)
-		r, err := c.Read()
-		require.NoError(t, err)
+		need.Of(c.Process(standin.Fields("rid", id), ""))(t)
+		r := need.Of(c.Read())(t)
 		require.Equal(t, "served", r.Kind)
 	}
 	usual(rid)
 	<-askedA
-	texts := []string{"{", standin.Config("127.0.0.1:1", moved.Address, "", 999)}
-	reread := make(chan bool, 2)
+	texts, reread := []string{"{", standin.Config("127.0.0.1:1", moved.Address, "", 999)}, make(chan bool, 2)
 	d.reread = func() (*Config, error) {
 		text := texts[0]
 		texts = texts[1:]
@@ -380,14 +357,13 @@
 	assert.True(t, told && s.closed)
 	_, err = l.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
-	c, err := read(t, standin.Config("127.0.0.1:0", "127.0.0.1:1", "", 10))
-	require.NoError(t, err)
+	c := need.Of(read(t, standin.Config("127.0.0.1:0", "127.0.0.1:1", "", 10)))(t)
 	assert.Equal(t, 59999500*time.Microsecond, c.longest())
 }
 
 func TestWhatNothingCanStartWith(t *testing.T) {
 	whole := standin.Config("127.0.0.1:0", "127.0.0.1:1", "", 10)
-	tests := map[string]string{
+	for name, text := range map[string]string{
 		"no JSON":             "{",
 		"no seed":             strings.Replace(whole, "8c1f30d27a5be964", "", 1),
 		"no address":          strings.Replace(whole, `"127.0.0.1:0"`, `""`, 1),
@@ -397,16 +373,13 @@
 		"too few sockets":     strings.Replace(whole, `"sockets":1024`, `"sockets":9`, 1),
 		"no settings":         strings.Replace(whole, `"settings":{`, `"settings":7,"other":{`, 1),
 		"no delivery service": strings.Replace(whole, `"classes":[`, `"classes":[],"others":[`, 1),
-		"no streams":          strings.Replace(whole, `"maxStreams":10`, `"maxStreams":0`, 1),
-	}
-	for name, text := range tests {
+		"no streams":          strings.Replace(whole, `"maxStreams":10`, `"maxStreams":0`, 1)} {
 		_, err := read(t, text)
 		assert.Error(t, err, name)
 	}
 	_, err := ReadConfig(func(string) string { return "" })
 	assert.Error(t, err, "no file")
-	c, err := read(t, whole)
-	require.NoError(t, err)
+	c := need.Of(read(t, whole))(t)
 	c.Listen = "127.0.0.1:99999"
 	assert.Error(t, Run(c, nil, zerolog.Nop(), nil, nil), "an address that can't be listened at")
 }
--- a/internal/service/thousand_test.go
+++ b/internal/service/thousand_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 )
 
 // limitEnv makes this test program a dispatcher with a limit on descriptors, which the test's own process can't have.
@@ -45,13 +46,11 @@
 // TestAThousandHosts is a dispatcher with far fewer descriptors than hosts: no dial fails, no host is blamed, and every
 // GET has its one answer.
 func TestAThousandHosts(t *testing.T) {
-	farm, err := standin.StartFarm(standin.FarmOptions{Caches: 1000, Parents: 2, Bytes: 100, Holds: 1000})
-	require.NoError(t, err)
+	farm := need.Of(standin.StartFarm(standin.FarmOptions{Caches: 1000, Parents: 2, Bytes: 100, Holds: 1000}))(t)
 	t.Cleanup(farm.Close)
 	for _, descriptors := range []int{256, 1024} {
 		t.Run(fmt.Sprint(descriptors), func(t *testing.T) {
-			listen := standin.Free()
-			file := filepath.Join(t.TempDir(), "config.json")
+			listen, file := standin.Free(), filepath.Join(t.TempDir(), "config.json")
 			text := standin.Platform(listen, farm.Changes.Address, "", 20000, 1, 64, descriptors)
 			require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 			child := exec.Command(os.Args[0])
@@ -91,8 +90,7 @@
 	var all sync.WaitGroup
 	until := time.Now().Add(span)
 	for k := range connections {
-		c, err := standin.Dial(address)
-		require.NoError(t, err)
+		c := need.Of(standin.Dial(address))(t)
 		all.Go(func() {
 			defer func() { _ = c.Conn.Close() }()
 			send := func(i int) bool {
--- a/internal/standin/processes/links_test.go
+++ b/internal/standin/processes/links_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/internal/contract"
+	"elderwall/internal/standin/need"
 )
 
 const bare = "a relay repeats and loses what it is told to; seals are the ends' own"
@@ -21,8 +22,7 @@
 func TestRelays(t *testing.T) {
 	for _, k := range []contract.Transports{
 		{Name: "datagrams", Pair: relayed("udp"), Longest: longestDatagram, Bare: bare},
-		{Name: "streams", Pair: relayed("tcp"), Longest: 1 << 20, Bare: bare},
-	} {
+		{Name: "streams", Pair: relayed("tcp"), Longest: 1 << 20, Bare: bare}} {
 		t.Run(k.Name, func(t *testing.T) { k.Hold(t) })
 	}
 }
@@ -37,24 +37,19 @@
 	return func(t testing.TB, _ contract.Wire) (contract.Transport, contract.Transport) {
 		r := New(t, Options{N: 2, Seed: 1})
 		to := r.Processes[1].Fleet
-		at := r.Processes[0].Reach[to]
-		e := &wireEnd{longest: longestDatagram}
+		at, e := r.Processes[0].Reach[to], &wireEnd{longest: longestDatagram}
 		if network == "udp" {
-			address, err := net.ResolveUDPAddr("udp", to)
-			require.NoError(t, err)
-			u, err := net.ListenUDP("udp", address)
-			require.NoError(t, err)
+			address := need.Of(net.ResolveUDPAddr("udp", to))(t)
+			u := need.Of(net.ListenUDP("udp", address))(t)
 			e.in = u
-			c, err := net.Dial("udp", at)
-			require.NoError(t, err)
+			c := need.Of(net.Dial("udp", at))(t)
 			out := &wireEnd{out: c, longest: longestDatagram}
 			t.Cleanup(func() { _, _ = e.Close(), out.Close() })
 			return out, e
 		}
 		l, err := net.Listen("tcp", to)
 		require.NoError(t, err)
-		c, err := net.Dial("tcp", at)
-		require.NoError(t, err)
+		c := need.Of(net.Dial("tcp", at))(t)
 		require.NoError(t, l.(*net.TCPListener).SetDeadline(time.Now().Add(streamTime)))
 		e.in, err = l.Accept()
 		require.NoError(t, errors.Join(err, l.Close()))
--- a/internal/standin/processes/processes.go
+++ b/internal/standin/processes/processes.go
@@ -365,6 +365,14 @@
 	return answer.Kind, err
 }
 
+// When gives what is wrong where it is, for the conditions of Until.
+func When(wrong bool, err error) error {
+	if wrong {
+		return err
+	}
+	return nil
+}
+
 // Until waits for a condition, and fails the test where it does not come in time.
 func (r *Rig) Until(most time.Duration, what string, holds func() error) {
 	r.Helper()
--- a/internal/thrift/client_test.go
+++ b/internal/thrift/client_test.go
@@ -15,7 +15,7 @@
 }
 
 func TestAClientReadsWhatADispatcherWrites(t *testing.T) {
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		reply thrift.Reply
 		want  thrift.Got
 	}{
@@ -25,9 +25,7 @@
 		"failed":    {thrift.Failed(7, "denied"), thrift.Got{Seq: 7, Ending: thrift.EndFailed, Fields: map[string]string{"reason": "denied"}}},
 		"named":     {thrift.Identified(7, ""), thrift.Got{Seq: 7, Body: []byte{}, Good: true}},
 		"not named": {thrift.Identified(7, "token"), thrift.Got{Seq: 7, Ending: thrift.EndFailed, Fields: map[string]string{"reason": "token"}}},
-		"no method": {thrift.NoSuchMethod([]byte("x"), 7), thrift.Got{Seq: 7, Ending: thrift.EndException}},
-	}
-	for name, tt := range tests {
+		"no method": {thrift.NoSuchMethod([]byte("x"), 7), thrift.Got{Seq: 7, Ending: thrift.EndException}}} {
 		got, err := thrift.ParseReply(frame(tt.reply))
 		require.NoError(t, err, name)
 		assert.Equal(t, tt.want, got, name)
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -48,7 +48,7 @@
 	bare.Tag, bare.Body = nil, []byte{}
 	long := get
 	long.Body = []byte(strings.Repeat("x", 240000))
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		bytes []byte
 		want  []thrift.Call
@@ -57,18 +57,15 @@
 		{"a GET with no tag and no body", process(""), []thrift.Call{bare}},
 		{"a GET with the longest body", process(string(long.Body), "got", "4be0c1927d55a6f3"), []thrift.Call{long}},
 		{"a call given up, and a probe", append(standin.Call("giveUp", 4, 9, standin.GiveUpArguments(7)),
-			standin.Call("probe", 1, 10, []byte{2, 0, 1, 0})...),
-			[]thrift.Call{{Method: thrift.GiveUp, Name: []byte("giveUp"), Seq: 9, GivenUp: 7},
-				{Method: thrift.Probe, Name: []byte("probe"), Seq: 10}}},
+			standin.Call("probe", 1, 10, []byte{2, 0, 1, 0})...), []thrift.Call{{Method: thrift.GiveUp, Name: []byte("giveUp"), Seq: 9, GivenUp: 7},
+			{Method: thrift.Probe, Name: []byte("probe"), Seq: 10}}},
 		{"a GET with a token", process("b", "token", "t"), []thrift.Call{with(get, func(c *thrift.Call) { c.Tag, c.Token = nil, []byte("t") })}},
 		{"a token for the connection", standin.Call("identify", 1, 8, []byte{11, 0, 1, 0, 0, 0, 1, 't'}),
 			[]thrift.Call{{Method: thrift.Identify, Name: []byte("identify"), Seq: 8, Token: []byte("t")}}},
 		{"a method that is not known, with every type", standin.Call("else", 1, 3, []byte{2, 0, 1, 1, 3, 0, 2, 9, 6, 0, 3, 0, 1,
 			8, 0, 4, 0, 0, 0, 1, 10, 0, 5, 0, 0, 0, 0, 0, 0, 0, 1, 4, 0, 6, 0, 0, 0, 0, 0, 0, 0, 1, 12, 0, 7, 2, 0, 1, 0, 0,
 			15, 0, 8, 2, 0, 0, 0, 2, 1, 1, 14, 0, 9, 3, 0, 0, 0, 1, 1, 13, 0, 10, 11, 2, 0, 0, 0, 1, 0, 0, 0, 1, 'k', 1}),
-			[]thrift.Call{{Name: []byte("else"), Seq: 3}}},
-	}
-	for _, tt := range tests {
+			[]thrift.Call{{Name: []byte("else"), Seq: 3}}}} {
 		for _, piece := range []int{1, 7, 1 << 20} {
 			got, err := calls(tt.bytes, piece)
 			require.NoError(t, err, tt.name)
@@ -77,15 +74,12 @@
 	}
 }
 
-func with(c thrift.Call, change func(*thrift.Call)) thrift.Call {
-	change(&c)
-	return c
-}
+func with(c thrift.Call, change func(*thrift.Call)) thrift.Call { change(&c); return c }
 
 func TestHostileCalls(t *testing.T) {
 	nested := standin.Call("else", 1, 1, []byte(strings.Repeat("\x0c\x00\x01", 1000)))
 	endless := standin.Call("else", 1, 1, []byte{15, 0, 1, 12, 0x7f, 0xff, 0xff, 0xff})
-	tests := map[string][]byte{
+	for name, b := range map[string][]byte{
 		"an oversized frame":          {0x7f, 0xff, 0xff, 0xff},
 		"a negative frame":            {0xff, 0xff, 0xff, 0xff},
 		"an empty frame":              {0, 0, 0, 0},
@@ -101,9 +95,7 @@
 		"endless nesting":             nested,
 		"a list longer than its call": endless,
 		"no end of its arguments":     {0, 0, 0, 13, 0x80, 1, 0, 1, 0, 0, 0, 1, 'p', 0, 0, 0, 1},
-		"bytes behind it":             {0, 0, 0, 15, 0x80, 1, 0, 1, 0, 0, 0, 1, 'p', 0, 0, 0, 1, 0, 0},
-	}
-	for name, b := range tests {
+		"bytes behind it":             {0, 0, 0, 15, 0x80, 1, 0, 1, 0, 0, 0, 1, 'p', 0, 0, 0, 1, 0, 0}} {
 		got, err := calls(b, 1<<20)
 		assert.Error(t, err, name)
 		assert.Empty(t, got, name)
@@ -115,7 +107,7 @@
 		return "\x80\x01\x00" + kind + "\x00\x00\x00" + string(rune(len(method))) + method + "\x00\x00\x00" + seq
 	}
 	const none = "\x0d\x00\x02\x0b\x0b\x00\x00\x00\x00"
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		reply thrift.Reply
 		want  string
 	}{
@@ -137,9 +129,7 @@
 		"a token that names nobody": {thrift.Identified(7, "token"), head("\x02", "identify", "\x07") +
 			"\x0c\x00\x02\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01\x00\x00\x00\x06reason\x00\x00\x00\x05token\x00\x00"},
 		"unknown": {thrift.NoSuchMethod([]byte("else"), 7),
-			head("\x03", "else", "\x07") + "\x0b\x00\x01\x00\x00\x00\x0eunknown method\x08\x00\x02\x00\x00\x00\x01\x00"},
-	}
-	for name, tt := range tests {
+			head("\x03", "else", "\x07") + "\x0b\x00\x01\x00\x00\x00\x0eunknown method\x08\x00\x02\x00\x00\x00\x01\x00"}} {
 		got := string(tt.reply.Head) + string(tt.reply.Body) + string(tt.reply.Tail)
 		assert.Equal(t, "\x00\x00\x00"+string([]byte{byte(len(tt.want))})+tt.want, got, name)
 	}
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -11,32 +11,23 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/callers"
+	"elderwall/internal/standin/need"
 )
 
 var said = callers.Claims{Issuer: "us", Subject: "till-4", ID: "j1", Tenant: "counter", Audience: []string{"elderwall"},
 	IssuedAt: 1764590400, NotBefore: 1764590400, Expiry: 1764594000}
 
-func newKey(t testing.TB, algorithm string) *Key {
-	k, err := NewKey("k1", algorithm)
-	require.NoError(t, err)
-	return k
-}
+func newKey(t testing.TB, algorithm string) *Key { k := need.Of(NewKey("k1", algorithm))(t); return k }
 
 // public is the key after it went through a file.
 func public(t testing.TB, k *Key) *Key {
-	raw, err := WriteSet([]*Key{k.Public()})
-	require.NoError(t, err)
-	keys, err := ReadSet(raw, false)
-	require.NoError(t, err)
+	raw := need.Of(WriteSet([]*Key{k.Public()}))(t)
+	keys := need.Of(ReadSet(raw, false))(t)
 	require.Equal(t, k.Print, keys[0].Print)
 	return keys[0]
 }
 
-func sign(t testing.TB, k *Key) string {
-	text, err := k.Sign(said)
-	require.NoError(t, err)
-	return text
-}
+func sign(t testing.TB, k *Key) string { text := need.Of(k.Sign(said))(t); return text }
 
 // head gives a token another header and leaves the rest.
 func head(text, header string) string {
@@ -80,11 +71,9 @@
 	good := sign(t, ed)
 	der, err := x509.MarshalPKIXPublicKey(rs.Public().material)
 	require.NoError(t, err)
-	confused, err := (&Key{Key: callers.Key{ID: "k1", Algorithm: "HS256"}, material: der}).Sign(said)
-	require.NoError(t, err)
-	jwk, err := json.Marshal(map[string]any{"alg": "EdDSA", "kid": "k1", "jwk": map[string]string{"kty": "OKP"}})
-	require.NoError(t, err)
-	tests := []struct {
+	confused := need.Of((&Key{Key: callers.Key{ID: "k1", Algorithm: "HS256"}, material: der}).Sign(said))(t)
+	jwk := need.Of(json.Marshal(map[string]any{"alg": "EdDSA", "kid": "k1", "jwk": map[string]string{"kty": "OKP"}}))(t)
+	for _, tt := range []struct {
 		name, text string
 		key        *Key
 		want       error
@@ -104,16 +93,13 @@
 		{"two parts", good[:strings.LastIndex(good, ".")], ed, ErrForm},
 		{"four parts", good + ".x", ed, ErrForm},
 		{"a megabyte", good + strings.Repeat("A", 1<<20), ed, ErrForm},
-		{"nothing", "", ed, ErrForm},
-	}
-	for _, tt := range tests {
+		{"nothing", "", ed, ErrForm}} {
 		_, err := verify(tt.text, tt.key)
 		assert.ErrorIs(t, err, tt.want, tt.name)
 	}
 	long := said
 	long.Subject = strings.Repeat("x", 300)
-	text, err := ed.Sign(long)
-	require.NoError(t, err)
+	text := need.Of(ed.Sign(long))(t)
 	_, err = verify(text, ed.Public())
 	assert.ErrorIs(t, err, ErrForm, "a long subject")
 }
@@ -123,17 +109,15 @@
 	hs.ID, hs.State, hs.From, hs.Tenants = "k2", callers.Retiring, 1764590400.5, []string{"counter"}
 	whole, err := WriteSet([]*Key{ed.Public(), hs})
 	require.NoError(t, err)
-	keys, err := ReadSet(whole, false)
-	require.NoError(t, err)
+	keys := need.Of(ReadSet(whole, false))(t)
 	assert.Equal(t, hs.Key, keys[1].Key, "all that is told of a key comes back")
 	assert.Equal(t, []bool{false, true}, []bool{keys[0].Secret(), keys[1].Secret()})
-	private, err := WriteSet([]*Key{ed})
-	require.NoError(t, err)
+	private := need.Of(WriteSet([]*Key{ed}))(t)
 	with := func(old, new string) string {
 		require.Contains(t, string(whole), old)
 		return strings.Replace(string(whole), old, new, 1)
 	}
-	tests := map[string]string{
+	for name, text := range map[string]string{
 		"half of it":                       string(whole[:len(whole)/2]),
 		"no keys":                          `{}`,
 		"an id twice":                      with(`"kid": "k2"`, `"kid": "k1"`),
@@ -148,9 +132,7 @@
 		"a short secret":                   `{"keys":[{"kty":"oct","k":"c2hvcnQ","kid":"k3","alg":"HS256","state":"active"}]}`,
 		"a kind that is not known":         `{"keys":[{"kty":"EC","crv":"P-521","kid":"k3","alg":"ES256","state":"active"}]}`,
 		"too many":                         `{"keys":[` + strings.Repeat(`{},`, 1024) + `{}]}`,
-		"too long":                         strings.Repeat(" ", 5<<20),
-	}
-	for name, text := range tests {
+		"too long":                         strings.Repeat(" ", 5<<20)} {
 		_, err := ReadSet([]byte(text), false)
 		assert.Error(t, err, name)
 	}
@@ -159,8 +141,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	k, err := NewKey("k1", "EdDSA")
-	require.NoError(f, err)
+	k := need.Of(NewKey("k1", "EdDSA"))(f)
 	f.Add(sign(f, k))
 	f.Add(head(sign(f, k), `{"alg":"EdDSA","kid":"k1","crit":[]}`))
 	f.Fuzz(func(t *testing.T, text string) {
@@ -176,20 +157,16 @@
 }
 
 func FuzzReadSet(f *testing.F) {
-	k, err := NewKey("k1", "HS256")
-	require.NoError(f, err)
-	raw, err := WriteSet([]*Key{k})
-	require.NoError(f, err)
+	k := need.Of(NewKey("k1", "HS256"))(f)
+	raw := need.Of(WriteSet([]*Key{k}))(f)
 	f.Add(raw)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		keys, err := ReadSet(raw, true)
 		if err != nil {
 			return
 		}
-		again, err := WriteSet(keys)
-		require.NoError(t, err)
-		twice, err := ReadSet(again, true)
-		require.NoError(t, err)
+		again := need.Of(WriteSet(keys))(t)
+		twice := need.Of(ReadSet(again, true))(t)
 		for i, k := range keys {
 			assert.Equal(t, k.Key.Print, twice[i].Key.Print)
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -17,6 +17,7 @@
 	"elderwall/internal/lines"
 	"elderwall/internal/room"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/upstream"
 )
 
@@ -41,8 +42,7 @@
 
 // listen starts a stand-in host that ends before the options do.
 func listen(t *testing.T, handle func(standin.Ask) string) *standin.Host {
-	h, err := standin.Listen("127.0.0.1:0", handle)
-	require.NoError(t, err)
+	h := need.Of(standin.Listen("127.0.0.1:0", handle))(t)
 	t.Cleanup(h.Close)
 	return h
 }
@@ -55,13 +55,9 @@
 
 func TestHowFarAForwardCame(t *testing.T) {
 	closing := func(first string) func(standin.Ask) string {
-		return func(a standin.Ask) string {
-			_, _ = a.Conn.Write([]byte(first))
-			_ = a.Conn.Close()
-			return ""
-		}
+		return func(a standin.Ask) string { _, _ = a.Conn.Write([]byte(first)); _ = a.Conn.Close(); return "" }
 	}
-	tests := []struct {
+	for _, tt := range []struct {
 		name   string
 		handle func(standin.Ask) string
 		want   upstream.Stage
@@ -74,9 +70,7 @@
 		{"half a body before the end", closing("a HIT - 10\r\n12345"), upstream.AnswerBegun, nil},
 		{"a malformed answer", func(standin.Ask) string { return "a WHAT - 0\r\n\r\n" }, upstream.WrittenWhole, nil},
 		{"a body with no room", func(a standin.Ask) string { return standin.Hit(a.ID, strings.Repeat("x", 2000)) },
-			upstream.AnswerBegun, upstream.ErrRoom},
-	}
-	for _, tt := range tests {
+			upstream.AnswerBegun, upstream.ErrRoom}} {
 		t.Run(tt.name, func(t *testing.T) {
 			o := options(t)
 			h := upstream.New(listen(t, tt.handle).Address, o, 0)
@@ -100,16 +94,14 @@
 	deaf, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and reads nothing
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = deaf.Close() })
-	tests := []struct {
+	for _, tt := range []struct {
 		name, address, body string
 		timeout             time.Duration
 		want                upstream.Stage
 	}{
 		{"a refused connection", closed.Address, "", time.Minute, upstream.NotConnected},
 		{"a connection that is not up in time", deaf.Addr().String(), "", time.Nanosecond, upstream.NotConnected},
-		{"a request of which only a part was written", deaf.Addr().String(), strings.Repeat("x", 64<<20), time.Minute, upstream.PartlyWritten},
-	}
-	for _, tt := range tests {
+		{"a request of which only a part was written", deaf.Addr().String(), strings.Repeat("x", 64<<20), time.Minute, upstream.PartlyWritten}} {
 		t.Run(tt.name, func(t *testing.T) {
 			o := options(t)
 			o.Dialer.Timeout = tt.timeout
@@ -182,12 +174,10 @@
 func TestAConnectionThatBreaksEndsItsForwardsAlone(t *testing.T) {
 	for name, spoilt := range map[string]string{
 		"noise": "\xd3:\xec\r\n", "a line with no end": "a HIT -", "a body that stops": "a HIT - 10\r\n12345",
-		"a length that is too long": "a HIT - 10\r\n12345\r\n", "3 GB": "a HIT - 3000000000\r\n12345",
-	} {
+		"a length that is too long": "a HIT - 10\r\n12345\r\n", "3 GB": "a HIT - 3000000000\r\n12345"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			asked, release := make(chan bool, 2), make(chan bool)
-			o := options(t)
+			asked, release, o := make(chan bool, 2), make(chan bool), options(t)
 			h := upstream.New(listen(t, func(a standin.Ask) string {
 				asked <- true
 				if a.ID == "a" {
@@ -227,17 +217,14 @@
 }
 
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	tests := []struct {
-		name   string
-		after  time.Duration
-		leave  bool
-		closed bool
+	for _, tt := range []struct {
+		name          string
+		after         time.Duration
+		leave, closed bool
 	}{
 		{"while hosts keep them", 40 * time.Second, false, false},
 		{"before hosts close them", 46 * time.Second, false, true},
-		{"at once when their host is gone", 0, true, true},
-	}
-	for _, tt := range tests {
+		{"at once when their host is gone", 0, true, true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			host := listen(t, func(a standin.Ask) string { return standin.Hit(a.ID, "") })
 			h := upstream.New(host.Address, options(t), 0)
@@ -290,8 +277,7 @@
 
 // What waits behind another can be taken back, what has begun can't; of what is taken back nothing goes out and nothing is told.
 func TestWhatHasNotBegunIsTakenBack(t *testing.T) {
-	deaf, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	deaf := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
 	t.Cleanup(func() { _ = deaf.Close() })
 	o := options(t)
 	o.PerHost.Store(1)
@@ -300,10 +286,8 @@
 	waits, done := forward("waits", "")
 	require.NoError(t, h.Send(begun))
 	require.NoError(t, h.Send(waits))
-	c, err := deaf.Accept()
-	require.NoError(t, err)
-	_, err = c.Read(make([]byte, 1))
-	require.NoError(t, err)
+	c := need.Of(deaf.Accept())(t)
+	need.Of(c.Read(make([]byte, 1)))(t)
 	assert.Equal(t, []bool{false, true, false}, []bool{begun.TakeBack(), waits.TakeBack(), waits.TakeBack()})
 	again, _ := forward("waits", "")
 	require.NoError(t, h.Send(again), "its id and its stream are free")
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -33,10 +33,7 @@
 }
 
 func walk(x *Index[int], hash uint64, first **First, most int) (places []int) {
-	x.Walk(hash, first, 0, func(place int) bool {
-		places = append(places, place)
-		return len(places) < most
-	})
+	x.Walk(hash, first, 0, func(place int) bool { places = append(places, place); return len(places) < most })
 	return places
 }
 
@@ -45,8 +42,7 @@
 func TestTheIndexGivesWhatAPlainSortGives(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var x Index[int]
-		first := map[uint64]**First{}
-		hashes := rapid.SliceOfN(rapid.Uint64(), 1, 5).Draw(t, "hashes")
+		first, hashes := map[uint64]**First{}, rapid.SliceOfN(rapid.Uint64(), 1, 5).Draw(t, "hashes")
 		for range 5 {
 			ids := rapid.SliceOfNDistinct(rapid.Uint32Range(0, 200), 0, 60, rapid.ID[uint32]).Draw(t, "ids")
 			set(&x, ids)
@@ -54,8 +50,7 @@
 				if first[hash] == nil {
 					first[hash] = new(*First)
 				}
-				most := rapid.IntRange(1, 70).Draw(t, "most")
-				want := plain(ids, hash)
+				most, want := rapid.IntRange(1, 70).Draw(t, "most"), plain(ids, hash)
 				want = want[:min(len(want), most)]
 				for _, keep := range []**First{first[hash], first[hash], nil} {
 					if got := walk(&x, hash, keep, most); !slices.Equal(got, want) {
@@ -99,8 +94,7 @@
 					continue // it lags by several lists
 				}
 				hash, most := uint64(k+1)*0x9e3779b97f4a7c15, rapid.SampledFrom([]int{1, 2, 5, 6, 7, 9, 40, 130, 900}).Draw(t, "most")
-				want := plain(ids, hash)
-				from := rapid.SampledFrom([]int{0, 0, 3, 6, 200}).Draw(t, "from")
+				want, from := plain(ids, hash), rapid.SampledFrom([]int{0, 0, 3, 6, 200}).Draw(t, "from")
 				var got []int
 				x.Walk(hash, &first[k], from, func(place int) bool { got = append(got, place); return len(got) < most })
 				if want := want[min(len(want), from):]; !slices.Equal(got, want[:min(len(want), most)]) {
@@ -129,8 +123,7 @@
 				for i := range n / 100 {
 					changed[i*100] = uint32(n+i) * 7919
 				}
-				places := make([]int, n)
-				firsts, first := make([]*First, 4096), make([]First, 4096)
+				places, firsts, first := make([]int, n), make([]*First, 4096), make([]First, 4096)
 				for i := range firsts {
 					walk1(&x, uint64(i)*0x9e3779b97f4a7c15, &firsts[i])
 					first[i] = *firsts[i]
@@ -166,8 +159,7 @@
 	var all, less Index[int]
 	set(&all, ids)
 	set(&less, slices.Delete(slices.Clone(ids), 990, 1000)) // two lists that differ by 1%
-	chance, moved, owned := rand.New(rand.NewPCG(1, 2)), 0, 0
-	count := make([]int, len(ids))
+	chance, moved, owned, count := rand.New(rand.NewPCG(1, 2)), 0, 0, make([]int, len(ids))
 	const objects = 50000
 	for range objects {
 		hash := chance.Uint64()
@@ -200,8 +192,7 @@
 			{"known", func(i int) { walk1(&x, uint64(i&4095)*0x9e3779b97f4a7c15, &firsts[i&4095]) }},
 			{"new", func(i int) { var f *First; walk1(&x, uint64(i)*0x9e3779b97f4a7c15, &f) }},
 			{"100 of them", func(i int) { walk(&x, uint64(i&31)*0x9e3779b97f4a7c15, &firsts[i&4095], 100) }},
-			{"sort", func(i int) { plain(ids, uint64(i)*0x9e3779b97f4a7c15) }},
-		} {
+			{"sort", func(i int) { plain(ids, uint64(i)*0x9e3779b97f4a7c15) }}} {
 			b.Run(fmt.Sprintf("%d/%s", n, way.name), func(b *testing.B) {
 				b.ReportAllocs()
 				for i := range b.N {
--- a/paces/paces_test.go
+++ b/paces/paces_test.go
@@ -38,7 +38,7 @@
 
 func TestLateFillsAreLaidOnWhatIsSlow(t *testing.T) {
 	const u, s, w = paces.Unknown, paces.Source, paces.WayIn
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		slow  [4]float64 // of each source; 0 for fills that do not come, negative for refusals
 		blame [4]paces.Blame
@@ -49,8 +49,7 @@
 		{"a source that refuses", [4]float64{1, -1, 1, 1}, [4]paces.Blame{u, s, u, u}, 1},
 		{"the way in", [4]float64{8, 8, 8, 8}, [4]paces.Blame{w, w, w, w}, 8},
 		{"fills that do not come", [4]float64{}, [4]paces.Blame{w, w, w, w}, 8}, // only quick ones would tell else
-	}
-	for _, tt := range tests {
+	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p, cache := used()
 			assert.Equal(t, 1.0, p.Share(5))
@@ -85,16 +84,14 @@
 func TestRangesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var p paces.Paces
-		hosts := make([]paces.Pace, 3)
-		now := 0.0
+		hosts, now := make([]paces.Pace, 3), 0.0
 		for range rapid.IntRange(1, 60).Draw(t, "answers") {
 			now += rapid.Float64Range(-1, 30).Draw(t, "later")
 			kb, took := rapid.Float64Range(0, 240).Draw(t, "kb"), rapid.Float64Range(-1, 100).Draw(t, "took")
 			host, source := &hosts[rapid.IntRange(0, 2).Draw(t, "host")], &hosts[rapid.IntRange(0, 2).Draw(t, "source")]
 			[]func(){
 				func() { p.Hit(now, host, kb, took) }, func() { p.Fill(now, host, source, kb, took) },
-				func() { p.Unfinished(now, host, source, kb, took) }, func() { p.Refused(now, source) },
-			}[rapid.IntRange(0, 3).Draw(t, "kind")]()
+				func() { p.Unfinished(now, host, source, kb, took) }, func() { p.Refused(now, source) }}[rapid.IntRange(0, 3).Draw(t, "kind")]()
 			slow, in, share, excess := p.Slow(now, host), p.In(now), p.Share(now), p.Excess(now)
 			if !(slow >= 1 && slow <= 33 && in >= 1 && in <= 33 && share > 0 && share <= 1 && excess >= 0 && excess < 1) ||
 				math.IsInf(p.Expected(kb), 0) {
--- a/popular/popular_test.go
+++ b/popular/popular_test.go
@@ -165,14 +165,12 @@
 // counted tells by rank how far counts are off, for 20,000 GETs a second over three windows; only objects asked for at
 // least six times in the window count, as no other ever gets a second copy.
 func counted(count func(now float64, hash uint64) float64) (off [6]float64) {
-	s := newStream()
-	exact := map[uint64]*entry{}
+	s, exact := newStream(), map[uint64]*entry{}
 	var n [6]float64
 	for i := range 600_000 {
 		now := float64(i) / 20_000
 		rank, hash := s.ask()
-		got := count(now, hash)
-		epoch := int(now / span)
+		got, epoch := count(now, hash), int(now/span)
 		e := exact[hash]
 		if e == nil {
 			e = &entry{epoch: epoch}
@@ -208,8 +206,7 @@
 
 // The table alone forgets objects in a scan; with the sketch behind it they keep their counts.
 func TestAScanLeavesTheCountsOfOthers(t *testing.T) {
-	plain := counted(newTable(1<<15, nil).count)
-	behind := counted(newTable(1<<15, New(turns, span, 1<<21)).count)
+	plain, behind := counted(newTable(1<<15, nil).count), counted(newTable(1<<15, New(turns, span, 1<<21)).count)
 	ss := &spaceSaving{most: 1 << 15, count: map[uint64]float64{}}
 	other := counted(ss.add)
 	t.Logf("off by decade of rank: table %.3f, with sketch %.3f, space-saving %.3f", plain, behind, other)
@@ -218,19 +215,16 @@
 }
 
 func BenchmarkCount(b *testing.B) {
-	hashes := make([]uint64, 1<<20)
-	s := newStream()
+	hashes, s := make([]uint64, 1<<20), newStream()
 	for i := range hashes {
 		_, hashes[i] = s.ask()
 	}
-	ways := map[string]func() func(now float64, hash uint64) float64{
+	for name, way := range map[string]func() func(now float64, hash uint64) float64{
 		"table":      func() func(float64, uint64) float64 { return newTable(1<<15, nil).count },
 		"withSketch": func() func(float64, uint64) float64 { return newTable(1<<15, New(turns, span, 1<<21)).count },
 		"spaceSaving": func() func(float64, uint64) float64 {
 			return (&spaceSaving{most: 1 << 15, count: map[uint64]float64{}}).add
-		},
-	}
-	for name, way := range ways {
+		}} {
 		b.Run(name, func(b *testing.B) {
 			count := way()
 			b.ReportAllocs()
--- a/retries/retries_test.go
+++ b/retries/retries_test.go
@@ -31,8 +31,7 @@
 func TestNeverMore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := Settings{Share: rapid.Float64Range(0.01, 1).Draw(t, "share"), Floor: rapid.Float64Range(0, 10).Draw(t, "floor")}
-		b := New(s, 0)
-		now, earned := 0.0, 0.0
+		b, now, earned := New(s, 0), 0.0, 0.0
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
@@ -53,9 +52,8 @@
 // What the fleet shares out comes on top: a further forward goes where both have one, and is asked of the fleet only where the own budget has.
 func TestTheFleetsShare(t *testing.T) {
 	for _, tt := range []struct {
-		own         Settings
-		left        int
-		went, asked int
+		own               Settings
+		left, went, asked int
 	}{{Settings{}, 2, 2, 5}, {Settings{Floor: 1}, 9, 2, 2}, {Settings{Floor: 1}, 1, 1, 5}} {
 		went, asked, left := 0, 0, tt.left
 		tt.own.Fleet = func() bool { asked++; left--; return left >= 0 }
--- a/shards/shards_test.go
+++ b/shards/shards_test.go
@@ -20,8 +20,7 @@
 
 // reports is what n shards see of traffic in a turn by a table; those in still say nothing.
 func reports(t *Table, n int, of traffic, seconds float64, still ...int) []Report {
-	all, tallies := make([]Report, n), make([]Tally, n)
-	turn := uint64(0)
+	all, tallies, turn := make([]Report, n), make([]Tally, n), uint64(0)
 	for key, rate := range of {
 		for range int(rate * seconds) {
 			turn++
@@ -65,8 +64,7 @@
 }
 
 func TestABusyShardIsRelievedAndLoadDoesNotFlap(t *testing.T) {
-	m := New(4, ByItem)
-	of := evenly(3000, 4)
+	m, of := New(4, ByItem), evenly(3000, 4)
 	for key := range of { // those of shard 0 are asked for five times as often
 		if m.Table().Of(key, 0) == 0 {
 			of[key] = 20
@@ -89,9 +87,7 @@
 
 func TestAnItemThatIsHotIsSpreadAndComesBack(t *testing.T) {
 	for _, share := range []float64{0.1, 0.2, 0.6, 0.95} {
-		m := New(8, ByItem)
-		of := evenly(1000, 400*(1-share))
-		hot := Key("hot", 0)
+		m, of, hot := New(8, ByItem), evenly(1000, 400*(1-share)), Key("hot", 0)
 		of[hot] = 400000 * share
 		r, _ := settleFor(m, of, 0, 15)
 		all, most, mean := loads(r)
@@ -102,9 +98,7 @@
 		settleFor(m, of, 10, 4)
 		assert.Empty(t, m.Table().hot, "%v: it is one shard's again", share)
 	}
-	m := New(8, ByItem)
-	of := evenly(1000, 8)
-	key := Key("near", 0)
+	m, of, key := New(8, ByItem), evenly(1000, 8), Key("near", 0)
 	for i := range 40 { // about what makes it hot, back and forth
 		of[key] = []float64{700, 400}[i%2] // of 1000 that are one shard's
 		m.Turn(float64(i+1), reports(m.Table(), 8, of, 1))
@@ -113,8 +107,7 @@
 }
 
 func TestAShardThatIsNotHeardOfGetsNothingNew(t *testing.T) {
-	m := New(4, ByItem)
-	of := evenly(1000, 8)
+	m, of := New(4, ByItem), evenly(1000, 8)
 	before := m.Table()
 	settleFor(m, of, 0, 1, 2)
 	for key := range of {
@@ -137,8 +130,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := New(rapid.IntRange(1, 16).Draw(t, "first"), ByItem)
 		for range 4 {
-			before, was := m.Table(), m.Shards()
-			n := rapid.IntRange(1, 16).Draw(t, "shards")
+			before, was, n := m.Table(), m.Shards(), rapid.IntRange(1, 16).Draw(t, "shards")
 			m.Resize(n)
 			count, moved := make([]int, n), 0
 			for slot, s := range m.Table().slots {
@@ -253,8 +245,7 @@
 
 // BenchmarkTally holds the tally against a sketch that holds 64 items.
 func BenchmarkTally(b *testing.B) {
-	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 1<<20)
-	keys := make([]uint64, 1<<16)
+	zipf, keys := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 1<<20), make([]uint64, 1<<16)
 	for i := range keys {
 		keys[i] = order.Mix(zipf.Uint64())
 	}
--- a/shards/simulation_test.go
+++ b/shards/simulation_test.go
@@ -46,22 +46,21 @@
 
 // world is a process of shards on a clock of its own; whatever breaks a rule is a fault.
 type world struct {
-	now    float64
-	order  int
-	due    events
-	chance *rand.Rand
-	m      *Module
-	pots   Pots
-	all    []*shard // that there ever were
-	active []*shard
-	memory Memory
-	hosts  map[uint32]*simHost
-	purged map[string]float64
-	gets   []*simGET
-	faults []string
-	midway func() // to happen in the middle of a decision
-	stalls int
-	behind int
+	now            float64
+	order          int
+	due            events
+	chance         *rand.Rand
+	m              *Module
+	pots           Pots
+	all            []*shard // that there ever were
+	active         []*shard
+	memory         Memory
+	hosts          map[uint32]*simHost
+	purged         map[string]float64
+	gets           []*simGET
+	faults         []string
+	midway         func() // to happen in the middle of a decision
+	stalls, behind int
 }
 
 type simHost struct {
@@ -210,14 +209,12 @@
 	for s.forwards[[2]int{int(f.GET), number}] != nil {
 		number++
 	}
-	key := [2]int{int(f.GET), number}
-	over := false
+	key, over := [2]int{int(f.GET), number}, false
 	back := func(a control.Answer) {
 		if over {
 			return
 		}
-		over = true
-		a.GET, a.Forward = f.GET, number
+		over, a.GET, a.Forward = true, f.GET, number
 		s.ended = append(s.ended, a)
 	}
 	s.forwards[key] = func() { back(control.Answer{Outcome: control.Revoked}) }
