--- a/control/control_test.go
+++ b/control/control_test.go
@@ -69,11 +69,13 @@
 	d.Settle(now)
 }
 
+// turn has a timer come, and settles the moment.
+func turn(d *Dispatcher, now float64) { d.Timer(now); d.Settle(now) }
+
 // tickTo plays the periodic timer from one instant to another.
 func tickTo(d *Dispatcher, from, to float64) {
 	for now := from; now <= to; now += 0.01 {
-		d.Timer(now)
-		d.Settle(now)
+		turn(d, now)
 	}
 }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -63,8 +63,7 @@
 		l.id++
 		ask(l.d, l.now, l.id, fmt.Sprint("o", l.id%3000))
 		if l.id%10 == 0 {
-			l.d.Timer(l.now)
-			l.d.Settle(l.now)
+			turn(l.d, l.now)
 		}
 		for len(l.r.forwards) > 0 {
 			f := l.r.forwards[0]
@@ -195,8 +194,7 @@
 			l.open = append(l.open, end{free[f.Host], Answer{GET: f.GET, Forward: number, Outcome: Returned, Note: Hit, Elapsed: took, Last: true}})
 		}
 		if l.id%10 == 0 {
-			l.d.Timer(l.now)
-			l.d.Settle(l.now)
+			turn(l.d, l.now)
 		}
 		l.open = slices.DeleteFunc(l.open, func(e end) bool {
 			if e.at > l.now {
@@ -222,12 +220,10 @@
 		l.d.Timer(l.now)
 	}
 	open := len(l.d.gets)
-	l.d.Timer(l.now - 5)
-	l.d.Settle(l.now - 5)
+	turn(l.d, l.now-5)
 	assert.Len(t, l.d.gets, open)
 	l.now += 3600
-	l.d.Timer(l.now)
-	l.d.Settle(l.now)
+	turn(l.d, l.now)
 	assert.Equal(t, 50, len(l.r.shed)+len(l.r.errored), "those under way are over at once")
 	for id := l.id - 49; id <= l.id; id++ {
 		for number := range l.number[id] + 1 {
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -247,11 +247,13 @@
 		"a method of no rule":        {[]string{":path", path, ":method", "POST"}, 0},
 		"an id that is nobody's":     {[]string{":path", path, "x-elderwall-get", "00000000000000ff"}, 0},
 		"a budget that is no number": {[]string{":path", path, "x-envoy-expected-rq-timeout-ms", "soon"}, 0}} {
-		s := r.stream(r.proxy())
+		p := r.proxy()
+		s := r.stream(p)
 		require.NoError(t, s.Send(proxy.Ask(tt.words...)))
 		m, err := s.Recv()
 		require.NoError(t, err, name)
 		assert.Equal(t, tt.want, int(m.GetImmediateResponse().GetStatus().GetCode()), name)
+		p.Close()
 	}
 	r.quiet()
 }
