--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -119,9 +119,9 @@
 	}
 }
 
-// load has so many clients at each dispatcher ask for objects that no cache has, until stop.
-func (b *budgetRig) load(stop <-chan struct{}, each int) (wait func()) {
-	var all sync.WaitGroup
+// load has so many clients at each dispatcher ask for objects that no cache has, until its end.
+func (b *budgetRig) load(each int) (end func()) {
+	stop, all := make(chan struct{}), new(sync.WaitGroup)
 	for i, p := range b.Processes {
 		b.loads[i].Store(int64(each))
 		for k := range 3 * each {
@@ -148,7 +148,7 @@
 			})
 		}
 	}
-	return all.Wait
+	return func() { close(stop); all.Wait() }
 }
 
 // smaller has a smaller whole in force, and waits until it holds and what was under way has ended: it is the bound from then on.
@@ -231,8 +231,8 @@
 
 // Fills at the origin, through what may happen to the divider and to holders: never more under way than the whole, and all of it used again.
 func TestABudgetAtTheOrigin(t *testing.T) {
-	b, stop := budget(t, 5, 8, `{fills: {of: "origin", most: 8}}`), make(chan struct{})
-	wait := b.load(stop, 4)
+	b := budget(t, 5, 8, `{fills: {of: "origin", most: 8}}`)
+	end := b.load(4)
 	b.used(7)
 	for name, trouble := range map[string]func(){
 		"the divider is killed": func() { d := b.divider(); b.Processes[d].Kill(); time.Sleep(time.Second); b.Processes[d].Start() },
@@ -284,8 +284,7 @@
 	fills := b.origin.fills
 	b.origin.mu.Unlock()
 	time.Sleep(time.Second)
-	close(stop)
-	wait()
+	end()
 	assert.Equal(t, fills, b.origin.fills, "a whole of 0")
 	b.within("a whole of 0")
 	assert.Positive(t, b.shed.Load(), "what is over is turned away")
@@ -294,8 +293,8 @@
 // Three that stay and six that come and go all the time, ended by TERM and by KILL, with floors that are more than the whole: never over it, and
 // all of it used once they stay.
 func TestBudgetsWhileDispatchersComeAndGo(t *testing.T) {
-	b, stop := budget(t, 9, 6, `{fills: {of: "origin", most: 6, floor: 2}}`), make(chan struct{})
-	wait := b.load(stop, 2)
+	b := budget(t, 9, 6, `{fills: {of: "origin", most: 6, floor: 2}}`)
+	end := b.load(2)
 	b.used(5)
 	chance := rand.New(rand.NewPCG(1, 9))
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
@@ -315,15 +314,14 @@
 	b.used(5)
 	b.smaller(1, `{fills: {of: "origin", most: 1, floor: 2}}`)
 	b.used(1)
-	close(stop)
-	wait()
+	end()
 	b.within("at the end")
 }
 
 // One is stopped for longer than its share with fills under way, and wakes: it acts by no share that it had.
 func TestAHolderWakesAfterItsShare(t *testing.T) {
-	b, stop := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`), make(chan struct{})
-	wait := b.load(stop, 4)
+	b := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`)
+	end := b.load(4)
 	b.used(5)
 	for i := range 3 {
 		b.loads[i].Store(0)
@@ -342,8 +340,7 @@
 	time.Sleep(time.Second)
 	b.Processes[3].Signal(syscall.SIGCONT)
 	time.Sleep(3 * time.Second)
-	close(stop)
-	wait()
+	end()
 	b.within("at the end")
 }
 
@@ -379,16 +376,14 @@
 	b := budget(t, 4, 5, `{one: {of: "host:s-1", most: 5}}`, func(b *budgetRig) func(standin.Ask) string {
 		return b.origin.fill // whatever is asked
 	})
-	stop := make(chan struct{})
-	wait := b.load(stop, 4)
+	end := b.load(4)
 	b.used(5)
 	b.Processes[b.divider()].Kill()
 	time.Sleep(14 * time.Second)
 	b.used(4)
 	b.smaller(1, `{other: {of: "host:s-1", most: 1}}`) // another budget at the same host: the old one ends first
 	b.used(1)
-	close(stop)
-	wait()
+	end()
 	b.within("at the end")
 }
 
@@ -443,13 +438,12 @@
 // Schedules of faults that are drawn from seeds: never more under way than the whole, and all of it used once all is well.
 func TestBudgetsThroughDrawnFaults(t *testing.T) {
 	play := func(t *testing.T, s processes.Schedule) {
-		b, stop := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`), make(chan struct{})
-		wait := b.load(stop, 3)
+		b := budget(t, 5, 6, `{fills: {of: "origin", most: 6}}`)
+		end := b.load(3)
 		b.used(5)
 		b.Play(s)
 		b.used(5)
-		close(stop)
-		wait()
+		end()
 		b.within("at the end")
 		b.books(0)
 	}
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -243,19 +243,19 @@
 }
 
 // signal, kill and startAgain do so to several.
-func (d *dutyRig) signal(s syscall.Signal, who ...int) {
+func (m *memberRig) signal(s syscall.Signal, who ...int) {
 	for _, i := range who {
-		d.Processes[i].Signal(s)
+		m.Processes[i].Signal(s)
 	}
 }
-func (d *dutyRig) kill(who ...int) {
+func (m *memberRig) kill(who ...int) {
 	for _, i := range who {
-		d.Processes[i].Kill()
+		m.Processes[i].Kill()
 	}
 }
-func (d *dutyRig) startAgain(who ...int) {
+func (m *memberRig) startAgain(who ...int) {
 	for _, i := range who {
-		d.Processes[i].Start()
+		m.Processes[i].Start()
 	}
 }
 
@@ -953,6 +953,10 @@
 
 // drawn plays the schedule that is given, or some that are drawn from seeds; one that fails is told so that it can be played again.
 func drawn(t *testing.T, from int, play func(t *testing.T, s processes.Schedule)) {
+	drawnOf(t, from, 5, 15, play)
+}
+
+func drawnOf(t *testing.T, from, n int, seconds float64, play func(t *testing.T, s processes.Schedule)) {
 	if *schedule != "" {
 		s := need.Of(processes.Parse(*schedule))(t)
 		play(t, s)
@@ -960,7 +964,7 @@
 	}
 	for seed := range *seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := processes.Draw(uint64(from+seed), 5, 6, 15)
+			s := processes.Draw(uint64(from+seed), n, 6, seconds)
 			t.Cleanup(func() {
 				if t.Failed() {
 					t.Logf("play it again: go test ./internal/fleet -run '%s' -schedule '%s'", strings.Split(t.Name(), "/")[0], s)
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -378,9 +378,7 @@
 		}
 		return nil
 	})
-	for _, p := range m.Processes {
-		p.Kill()
-	}
+	m.kill(m.all()...)
 	for _, i := range m.all(0, 1) { // of the three that all are told
 		m.Processes[i].Start()
 	}
@@ -413,24 +411,15 @@
 		}
 	}
 	holder.Kill()
-	m.Until(soon, "the twin has the name", func() error {
-		for _, i := range m.all(3, 4) {
-			s, err := m.see(i)
-			if err != nil {
-				return err
-			}
-			for _, o := range s.Members {
-				if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
-					return fmt.Errorf("n%d: %s at %s", i, o.State, o.Address)
-				}
+	m.sees(soon, "the twin has the name", func(s sight) bool {
+		for _, o := range s.Members {
+			if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
+				return false
 			}
 		}
-		s, err := m.see(4)
-		if err == nil && s.Standing != "member" {
-			err = errors.New(s.Standing)
-		}
-		return err
-	})
+		return true
+	}, m.all(3, 4)...)
+	m.sees(soon, "and is a member", func(s sight) bool { return s.Standing == "member" }, 4)
 }
 
 func TestAnOlderWire(t *testing.T) {
@@ -485,13 +474,7 @@
 	}
 	m.serve(0)
 	m.Until(soon, "it sees all as before", func() error { return m.think(m.all(0), "whole", m.all()) })
-	m.Until(soon, "and can be asked", func() error {
-		s, err := m.see(0)
-		if err == nil && s.Counts["unsealed"] < 1000 {
-			err = fmt.Errorf("%d were dropped", s.Counts["unsealed"])
-		}
-		return err
-	})
+	m.sees(soon, "and can be asked", func(s sight) bool { return s.Counts["unsealed"] >= 1000 }, 0)
 	m.whole()
 }
 
@@ -504,23 +487,11 @@
 func TestDrawnFaults(t *testing.T) {
 	play := func(t *testing.T, s processes.Schedule) {
 		m := start(t, 6)
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("play it again: go test ./internal/fleet -run TestDrawnFaults -schedule '%s'", s)
-			}
-		})
 		m.Play(s)
 		m.whole()
 		m.serve(m.all()...)
 	}
-	if *schedule != "" {
-		s := need.Of(processes.Parse(*schedule))(t)
-		play(t, s)
-		return
-	}
-	for seed := range *seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(seed), 6, 6, 20)) })
-	}
+	drawnOf(t, 0, 6, 20, play)
 }
 
 // As many processes as ELDERWALL_MANY says, for figures: not in CI. One is killed at a time.
