--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -215,8 +215,7 @@
 		o := r.one(tt.fault)
 		assert.Equal(t, tt.code, status.Code(o.Err), "%s: %v", tt.name, o.Err)
 	}
-	s := r.stream(r.proxy())
-	ask := proxy.Ask(":path", path)
+	s, ask := r.stream(r.proxy()), proxy.Ask(":path", path)
 	ask.ObservabilityMode = true
 	require.NoError(t, s.Send(ask))
 	before := r.Counts.GETs.Load()
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -905,10 +905,7 @@
 // A duty is handed over to a named one, and SIGTERM gives back what a dispatcher has.
 func TestHandedOverAndGivenBack(t *testing.T) {
 	d := duty(t, 4, 3)
-	holder := func() string {
-		s, _ := d.council()
-		return s.of(Report).Holder.Name
-	}
+	holder := func() string { s, _ := d.council(); return s.of(Report).Holder.Name }
 	d.Until(soon, "somebody reports", func() error { return processes.When(holder() == "", errors.New("nobody")) })
 	was := holder()
 	to := map[bool]string{true: "n1", false: "n3"}[was == "n3"]
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -411,15 +412,21 @@
 		}
 	}
 	holder.Kill()
-	m.sees(soon, "the twin has the name", func(s sight) bool {
-		for _, o := range s.Members {
-			if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
-				return false
+	m.Until(soon, "the twin has the name", func() error {
+		for _, i := range m.all(3, 4) {
+			s, err := m.see(i)
+			if err != nil {
+				return err
+			}
+			for _, o := range s.Members {
+				if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
+					return fmt.Errorf("n%d: %s at %s", i, o.State, o.Address)
+				}
 			}
 		}
-		return true
-	}, m.all(3, 4)...)
-	m.sees(soon, "and is a member", func(s sight) bool { return s.Standing == "member" }, 4)
+		s, err := m.see(4)
+		return cmp.Or(err, processes.When(s.Standing != "member", errors.New(s.Standing)))
+	})
 }
 
 func TestAnOlderWire(t *testing.T) {
@@ -485,12 +492,7 @@
 
 // Schedules of faults that are drawn from seeds: once all is over, all know all.
 func TestDrawnFaults(t *testing.T) {
-	play := func(t *testing.T, s processes.Schedule) {
-		m := start(t, 6)
-		m.Play(s)
-		m.whole()
-		m.serve(m.all()...)
-	}
+	play := func(t *testing.T, s processes.Schedule) { m := start(t, 6); m.Play(s); m.whole(); m.serve(m.all()...) }
 	drawnOf(t, 0, 6, 20, play)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,9 +30,7 @@
 const bytesOfRoom = 1 << 25 // more than any test takes
 
 // handler hands calls to the test.
-type handler struct {
-	calls, givenUp chan call.Call
-}
+type handler struct{ calls, givenUp chan call.Call }
 
 func (h *handler) Process(c call.Call, g call.GET) {
 	if g.Object == "boom" {
--- a/internal/service/thousand_test.go
+++ b/internal/service/thousand_test.go
@@ -58,15 +58,7 @@
 			child.Stderr = &log
 			require.NoError(t, child.Start())
 			t.Cleanup(func() { _ = child.Process.Kill() })
-			require.Eventually(t, func() bool {
-				c, err := standin.Dial(listen)
-				if err != nil {
-					return false
-				}
-				defer func() { _ = c.Conn.Close() }()
-				good, err := c.Probe()
-				return good && err == nil
-			}, 10*time.Second, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return need.Ready(listen) }, 10*time.Second, 10*time.Millisecond)
 			words := ask(t, listen, 8, 8, 1500*time.Millisecond)
 			require.NoError(t, child.Process.Signal(syscall.SIGTERM))
 			require.NoError(t, child.Wait())
