--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -22,6 +22,8 @@
 	Duties  dutiesCommand      `cmd:"" help:"List the duties: who holds them, with which token, and who else stands."`
 	Budgets budgetsCommand     `cmd:"" help:"List the budgets: the wholes, and how they are divided."`
 	Spend   spendCommand       `cmd:"" help:"Take units of a budget at a dispatcher; fails where it has none left."`
+	Follow  followCommand      `cmd:"" help:"Follow a channel, at any dispatcher: a line of JSON a notice."`
+	Publish publishCommand     `cmd:"" help:"Write into a channel, at any dispatcher; or declare channels."`
 	Hold    holdCommand        `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
 	Hand    handCommand        `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
 	Drop    dropCommand        `cmd:"" help:"Forget a duty that nobody holds."`
@@ -30,6 +32,7 @@
 	Leave   leaveCommand       `cmd:"" help:"Have a dispatcher leave the fleet and serve on alone; SIGTERM does it as well."`
 	Key     fleetKeyCommand    `cmd:"" help:"Print a new key, a line of the key file that all have."`
 	Emulate fleetPlayCommand   `cmd:"" help:"Play a fleet of members with no sockets, beside plainer protocols; all figures are simulated."`
+	Memory  memoryPlayCommand  `cmd:"" name:"emulate-memory" help:"Play what a fleet remembers, with no sockets: records, variants, channels, beside other ways."`
 	Share   budgetsPlayCommand `cmd:"" name:"emulate-budgets" help:"Play a fleet that shares a budget, with no sockets: how the whole is used, beside other ways."`
 }
 
--- a/fleet/channels/writers.go
+++ b/fleet/channels/writers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 
 	"elderwall/fleet/replica"
 )
@@ -72,13 +73,18 @@
 	if m.flights >= MostFlight {
 		return 0, ErrFull
 	}
+	m.send(c, e)
+	return OnWay, nil
+}
+
+// send has replica spread an entry, over whatever it has of it.
+func (m *Machine) send(c *channel, e Entry) {
 	c.stamp++
 	e.Stamp = c.stamp
 	id := m.put(replica.Record{Kind: EntryKind, Key: e.key(), Value: packEntry(&e)}, replica.Sure{Level: replica.Copies, Copies: Copies, Within: Within},
-		wait{channel: e.Channel, writer: w, number: n})
-	c.flight[w] = append(c.flight[w], &flight{number: n, id: id})
+		wait{channel: e.Channel, writer: e.Writer, number: e.Number})
+	c.flight[e.Writer] = append(c.flight[e.Writer], &flight{number: e.Number, id: id})
 	m.flights++
-	return OnWay, nil
 }
 
 func (m *Machine) put(r replica.Record, s replica.Sure, w wait) uint64 {
@@ -130,6 +136,7 @@
 	if c.flight[w.writer] = all; len(all) == 0 {
 		delete(c.flight, w.writer)
 	}
+	m.advance(now, c)
 }
 
 // Hold tells that this dispatcher got the duty of a channel, its token the epoch; 0: that it lost it.
@@ -204,6 +211,7 @@
 		return 0, ErrFull
 	}
 	c.queue = append(c.queue, e)
+	m.order(now, e.Channel, c) // at once, if no command is on its way: what comes meanwhile goes with the next
 	return OnWay, nil
 }
 
@@ -252,3 +260,36 @@
 	c.proposed = now
 	m.ready.Commands = append(m.ready.Commands, cmd)
 }
+
+// Order has a holder propose what is queued at once, and not only with the next Tick: after entries were taken.
+func (m *Machine) Order(now float64) {
+	for _, name := range slices.Sorted(maps.Keys(m.channels)) {
+		m.order(now, name, m.channels[name])
+	}
+}
+
+// Last is the highest number of a writer that is known here or on its way.
+func (m *Machine) Last(channel, writer string) uint64 {
+	c := m.channels[channel]
+	if c == nil {
+		return 0
+	}
+	n := max(c.highest(writer), c.floor[writer], c.dead[writer], c.taken[writer])
+	for k := range c.held[writer] {
+		n = max(n, k)
+	}
+	return n
+}
+
+// Newest is the newest entry of a key, nil for none, and the highest clock of the channel's writers. Who gets it does not change it.
+func (m *Machine) Newest(channel, key string) (*Entry, uint64) {
+	c := m.channels[channel]
+	if c == nil {
+		return nil, 0
+	}
+	clock := uint64(0)
+	for _, n := range c.clock {
+		clock = max(clock, n)
+	}
+	return c.newest[key], clock
+}
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -34,6 +35,7 @@
 		"no law":                                func(m *Machine) { m.fault.noLaw = true },
 		"acknowledged before it is saved":       func(m *Machine) { m.fault.ackEarly = true },
 		"a catch-up drops what is here alone":   func(m *Machine) { m.fault.dropAll = true },
+		"acknowledged while the disk is full":   func(m *Machine) { m.fault.ackUnkept = true },
 		"what fell is taken again":              func(m *Machine) { m.fault.noRule = true },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -102,6 +104,7 @@
 		{"whole", 10, false, true, true, 6_000_000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, 3, 1)
 			w.all()
 			w.run(3)
@@ -120,7 +123,7 @@
 			for _, n := range w.bytes {
 				before += n
 			}
-			saved := x.disk.load()
+			saved := x.disk.load(w.now)
 			if c.empty {
 				x.disk, saved = newDisk(), nil
 			}
@@ -143,6 +146,7 @@
 
 // A snapshot whose source is killed goes on at another; what the taker alone knows is kept, what was deleted is not.
 func TestWholeGoesOn(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 2)
 	w.boot = func(m *Machine) { m.s.Rate = 100_000 }
 	w.all()
@@ -163,7 +167,7 @@
 	for _, n := range w.nodes[:3] {
 		n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
 	}
-	saved := x.disk.load()
+	saved := x.disk.load(w.now)
 	saved.Away = 2 * w.horizon
 	w.start(x, saved)
 	w.run(6)
@@ -247,7 +251,7 @@
 	old := x.disk.copy()
 	for range 3 {
 		w.kill(x)
-		w.start(x, x.disk.load())
+		w.start(x, x.disk.load(w.now))
 		w.run(3)
 		w.fill(x, 20, fmt.Sprint(x.boots))
 	}
@@ -255,7 +259,7 @@
 	for _, d := range []*disk{old, newDisk()} {
 		w.kill(x)
 		x.disk = d
-		saved := d.load()
+		saved := d.load(d.at)
 		if d.saved.Era == 0 {
 			saved = nil
 		}
@@ -332,7 +336,10 @@
 		assert.Error(t, m.Step("y", &Message{Deltas: []Delta{*d}}, 0), name)
 	}
 	assert.Error(t, m.Step("stranger", &Message{}, 0))
-	for _, msg := range []Message{{Ask: &Ask{Vector: Vector{{}}}}, {Pull: &Pull{Sums: []Range{{200, 1}}}}, {Give: &Give{Lists: []List{{Keys: []uint64{1}}}}}, {Give: &Give{Sums: []Sums{{}}}}} {
+	entry := Vector{{Writer: "y", Era: 1, Number: 1}}
+	for _, msg := range []Message{{Ask: &Ask{Vector: Vector{{}}}}, {Ask: &Ask{Vector: entry, Shown: []byte{bucketOf("y") + 1}}}, {Ask: &Ask{Vector: entry}}, {Ask: &Ask{Shown: []byte{2, 2}}},
+		{Ask: &Ask{Digest: make([]byte, buckets-1)}}, {Ask: &Ask{Digest: make([]byte, buckets), Shown: []byte{1}}},
+		{Pull: &Pull{Sums: []Range{{200, 1}}}}, {Give: &Give{Lists: []List{{Keys: []uint64{1}}}}}, {Give: &Give{Sums: []Sums{{}}}}} {
 		assert.Error(t, m.Step("y", &msg, 0))
 	}
 	require.NoError(t, m.Step("y", &Message{Deltas: []Delta{*good()}}, 0))
@@ -404,3 +411,28 @@
 		}
 	})
 }
+
+// A scan in parts sees each record once, and holds the machine for a part alone: each sorts all of a kind.
+func TestAScanInParts(t *testing.T) {
+	m, err := New(Settings{Name: "a", Kinds: kinds()}, nil, 0)
+	require.NoError(t, err)
+	n := 170_000
+	for i := range n {
+		_, err := m.Write(0, kindMax, fmt.Sprintf("o%024d", i), []byte("00000001"), false, Sure{})
+		require.NoError(t, err)
+		if i%1000 == 0 {
+			m.Ready()
+		}
+	}
+	seen, longest, start := map[string]bool{}, time.Duration(0), time.Now()
+	m.Each(kindMax, "", func(Record) bool { return true })
+	whole := time.Since(start)
+	for at, more := uint64(0), true; more; more = at != 0 {
+		start, part := time.Now(), 0
+		at = m.Scan(kindMax, at, 4096, func(r Record) { seen[r.Key] = true; part++ })
+		longest = max(longest, time.Since(start))
+		require.Less(t, part, 4200)
+	}
+	assert.Len(t, seen, n)
+	t.Logf("%d records: each holds the machine for %v, a part for %v", n, whole, longest)
+}
--- a/fleet/replica/types.go
+++ b/fleet/replica/types.go
@@ -69,7 +69,7 @@
 	Dot    Dot
 	Met    bool
 	Got    Level // the highest that it got
-	Copies int   // known to have it, with the writer
+	Copies int   // known to have it, with the writer; 0 where not even the writer is known to keep it: in doubt, it may come to stand
 	Zones  int
 }
 
@@ -95,6 +95,6 @@
 	ErrFull    = errors.New("its kind is full")
 	ErrLower   = errors.New("what stands is higher by the law")
 	ErrCatches = errors.New("catching up: what this dispatcher wrote before is not known yet")
-	ErrAside   = errors.New("set aside: two contents came under one dot")
 	ErrCut     = errors.New("no majority is seen")
+	ErrUnkept  = errors.New("this dispatcher's disk can't be written now")
 )
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -49,6 +49,8 @@
 	Object string `json:"object"`
 	Group  int    `json:"bucket"`
 	Time   int64  `json:"time"`
+
+	Learned bool `json:"-"` // told by another dispatcher, not by the change log
 }
 
 // Event is one numbered change.
@@ -56,6 +58,7 @@
 	Seq   int64  `json:"seq"`
 	Fleet *Fleet `json:"fleet"`
 	Purge *Purge `json:"invalidate"`
+	Order uint64 `json:"-"` // local number, rising with each event that shards are handed, whoever told it
 }
 
 // Known are the events up to a start.
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -100,7 +100,7 @@
 		})
 	}
 	c := need.Of(read())(t)
-	e := need.Of(Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), 0))(t)
+	e := need.Of(Read(filepath.Join(r.dir, "operator.jsonnet"), c.Name, c.Services(), c.Repeats(), 0))(t)
 	go func() { r.ended <- service.Run(c, e, zerolog.New(&r.log), r.signals, read) }()
 	t.Cleanup(func() { r.signals <- syscall.SIGTERM; assert.NoError(t, <-r.ended); r.host.Close(); changes.Close() })
 	require.Eventually(t, r.ready, 5*time.Second, time.Millisecond)
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -6,9 +6,14 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -181,9 +186,11 @@
 			m.write(0, 100, many/2, "while it was away, by one", here)
 			m.write(1, many/2, many, "while it was away, by another", two)
 			way.back(m)
+			start := time.Now()
 			m.Processes[2].Start()
 			m.same(many, 0, 1, 2)
 			s := m.memory(2)
+			t.Logf("caught up %v after its start, %d bytes in %d pulls", time.Since(start), s.Pulled, s.Pulls)
 			assert.True(t, way.check(s), "%+v", s)
 			m.write(2, 0, 1, "written by who came back", majority)
 			m.serve(0, 1, 2)
@@ -276,20 +283,31 @@
 		m := remember(t, 3, "")
 		m.write(2, 0, n, "by it", majority)
 		m.Processes[2].Full(true)
-		_, err := m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+		doubt := replica.Record{Kind: testKind, Key: key(0), Value: []byte("by it, in doubt")}
+		doubt.Value[5] = '~' // above what stands: it may come to stand once there is room
+		_, err := m.ask(2, AskWrite, here, doubt)
 		m.Until(soon, "it refuses", func() error {
 			if m.memory(2).Problem == "" {
 				return errors.New("not yet")
 			}
-			_, err = m.ask(2, AskWrite, here, replica.Record{Kind: testKind, Key: "full", Value: []byte("never")})
+			_, err = m.ask(2, AskWrite, here, doubt)
 			return nil
 		})
 		require.Error(t, err)
 		m.write(0, n, 2*n, "while it was full", two)
+		m.same(2*n, 0, 1, 2) // it learns, but its word counts for nothing
+		s, err := m.ask(0, AskWrite, replica.Sure{Level: replica.Copies, Copies: 3, Within: 1.5}, replica.Record{Kind: testKind, Key: key(0), Value: []byte("c")})
+		require.NoError(t, err)
+		require.Equal(t, 2, s.Ended[0].Copies)
+		require.False(t, s.Ended[0].Met)
 		m.serve(2)
 		m.Processes[2].Full(false)
-		m.same(2*n, 0, 1, 2)
-		m.write(2, 2*n, 2*n+1, "by it", majority)
+		m.write(0, 2*n, 2*n+1, "when it has room", three)
+		m.write(2, 2*n+1, 2*n+2, "by it", majority)
+		m.Processes[2].Kill()
+		m.Begin(processes.Fault{What: processes.Cut, A: []int{2}})
+		m.Processes[2].Start() // what it was told while it was full is on its disk
+		m.same(2*n+2, 0, 1, 2)
 	})
 }
 
@@ -359,57 +377,221 @@
 	}
 }
 
-func TestAllAreKilledAndNothingAcknowledgedIsLost(t *testing.T) {
-	m := remember(t, 3, "")
-	var acked [3]int
-	done := make(chan struct{})
-	stop := make(chan struct{})
-	go func() {
-		defer close(done)
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			default:
+// A second process has the name and a copy of the disk of one. While it is ousted it speaks to nobody and nothing is acknowledged by it beyond
+// itself; when it has the name, what came twice under one dot is told and set aside, and whatever is written after that is the same to all.
+func TestATwinRemembers(t *testing.T) {
+	m := remember(t, 5, "")
+	m.write(3, 0, 100, "by the holder", majority)
+	m.same(100, 0, 1, 2, 3, 4)
+	holder, twin := m.Processes[3], m.Processes[4]
+	twin.Kill()
+	holder.Kill()
+	m.until("both are gone", []int{0, 1, 2}, "majority", []int{0, 1, 2})
+	raw, err := os.ReadFile(m.disk(3))
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(m.disk(4), raw, 0o600))
+	holder.Start()
+	m.until("it is back", []int{0, 1, 2, 3}, "majority", []int{0, 1, 2, 3})
+	m.write(3, 100, 150, "by the holder again", majority)
+	twin.Name = holder.Name
+	twin.Start()
+	m.told(4, "ousted", holder.Name)
+	var all []replica.Record
+	for i := range 50 {
+		all = append(all, replica.Record{Kind: testKind, Key: key(100 + i), Value: []byte("by the twin")})
+	}
+	told, err := m.ask(4, AskWrite, replica.Sure{Level: replica.Majority, Within: 1}, all...)
+	assert.True(t, err != nil || !told.Ended[0].Met, "it has no majority")
+	told, err = m.ask(4, AskWrite, here, all...)
+	require.NoError(t, err)
+	require.True(t, told.Ended[0].Met)
+	holder.Kill()
+	m.Until(soon, "the twin has the name", func() error {
+		s, err := m.see(4)
+		if err == nil && s.Standing != "member" {
+			err = errors.New(s.Standing)
+		}
+		return err
+	})
+	m.Until(soon, "the two contents are told, and used by nobody", func() error {
+		for _, i := range []int{0, 1, 2, 4} {
+			if s := m.memory(i); s.kind("test").Aside != 50 {
+				return fmt.Errorf("n%d: %+v", i, s.kind("test"))
 			}
-			at := n % 3
-			r := replica.Record{Kind: testKind, Key: fmt.Sprintf("w%d-%06d", at, acked[at]), Value: []byte("x")}
-			if t, err := m.ask(at, AskWrite, [3]replica.Sure{here, two, majority}[at], r); err == nil && len(t.Ended) == 1 && t.Ended[0].Met {
-				acked[at]++
+		}
+		return nil
+	})
+	m.write(4, 100, 160, "later", majority)
+	m.same(160, 0, 1, 2, 4)
+}
+
+// Clocks run ten times as fast, and at a tenth: none is compared with another's, so all that changes is when each forgets.
+func TestClocksOfTheMemoryRunOff(t *testing.T) {
+	m := remember(t, 4, `horizon: "10s"`)
+	m.write(2, 0, 500, "a value", three)
+	for i, clock := range map[int]string{1: "0.1", 2: "10"} {
+		m.Processes[i].Kill()
+		m.Env = []string{"ELDERWALL_FAULT_CLOCK=" + clock}
+		m.Processes[i].Start()
+	}
+	m.Env = nil
+	m.whole()
+	m.same(500, 0, 1, 2, 3)
+	cut := processes.Fault{What: processes.Cut, A: []int{1}}
+	m.Begin(cut)
+	m.write(0, 0, 250, gone, three)
+	m.write(2, 500, 600, "by the fast one", three)
+	m.Until(soon, "the fast one forgets what was deleted", func() error {
+		s := m.memory(2)
+		if k := s.kind("test"); k.Dead > 0 {
+			return fmt.Errorf("%+v", k)
+		}
+		return nil
+	})
+	m.End(cut)
+	m.write(1, 600, 650, "by the slow one", majority)
+	m.same(400, 0, 1, 2, 3)
+}
+
+// chaos is what a drawn schedule does to five processes that write meanwhile. What it knows is what it was told itself.
+type chaos struct {
+	*memoryRig
+	mu    sync.Mutex
+	acked map[string]bool // keys that were acknowledged as sure as wanted; false: whose deletion was
+}
+
+// work has one process write and delete keys of its own until it is told to stop.
+func (c *chaos) work(at int, stop <-chan struct{}) {
+	var own []string
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		records, dead := []replica.Record{}, n%3 == 2 && len(own) > 10
+		for i := range 10 {
+			k := fmt.Sprintf("c%d-%d-%d", at, n, i)
+			if dead {
+				k, own = own[0], own[1:]
 			}
+			records = append(records, replica.Record{Kind: testKind, Key: k, Value: []byte(map[bool]string{true: gone, false: "v"}[dead]), Dead: dead})
 		}
-	}()
-	for range 2 {
-		m.Until(soon, "some are acknowledged", func() error {
-			if n, _, err := m.sum(0); err != nil || n < 30 {
-				return fmt.Errorf("%d: %w", n, errors.Join(err, errMessage))
+		c.mu.Lock()
+		for _, r := range records {
+			if dead {
+				delete(c.acked, r.Key) // either way is right until it is acknowledged
 			}
-			return nil
-		})
-		for _, p := range m.Processes {
-			p.Kill()
 		}
-		for _, p := range m.Processes {
-			p.Start()
+		c.mu.Unlock()
+		told, err := c.ask(at, AskWrite, [5]replica.Sure{here, two, majority, majority, majority}[at], records...)
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		for i, o := range told.Ended {
+			if o.Met {
+				if c.acked[records[i].Key] = !dead; !dead {
+					own = append(own, records[i].Key)
+				}
+			}
 		}
-		m.whole()
+		c.mu.Unlock()
 	}
-	close(stop)
-	<-done
-	total := 0
-	for at, n := range acked {
-		total += n
-		for i := range n {
-			m.Until(soon, "it is everywhere", func() error {
-				t, err := m.ask((at+1)%3, AskRead, replica.Sure{}, replica.Record{Kind: testKind, Key: fmt.Sprintf("w%d-%06d", at, i)})
-				if err != nil || len(t.Records) != 1 {
-					return fmt.Errorf("n%d's %d of %d is not at another: %w", at, i, n, errors.Join(err, errMessage))
+}
+
+// TestSchedulesOfTheMemory plays faults that are drawn by seed, and kills all at the end. One disk alone is emptied or put back older: a majority
+// keeps what was acknowledged there.
+func TestSchedulesOfTheMemory(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("ELDERWALL_SCHEDULES"))
+	for seed := range max(1, seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := &chaos{memoryRig: remember(t, 5, ""), acked: map[string]bool{}}
+			chance := rand.New(rand.NewPCG(uint64(seed), 47))
+			stop := make(chan struct{})
+			var group errgroup.Group
+			for i := range 5 {
+				group.Go(func() error { c.work(i, stop); return nil })
+			}
+			var old []byte
+			for range 6 {
+				time.Sleep(time.Duration(200+chance.IntN(400)) * time.Millisecond)
+				who, lasts := chance.IntN(5), time.Duration(300+chance.IntN(1500))*time.Millisecond
+				f := processes.Fault{What: []string{processes.Cut, processes.CutOff, processes.Kill, processes.Stop, "empty", "older"}[chance.IntN(6)], A: []int{who}}
+				if f.What == processes.Cut {
+					f.A = []int{who, (who + 1 + chance.IntN(4)) % 5}
+				}
+				t.Log(f.What, f.A, lasts)
+				if f.What != "empty" && f.What != "older" {
+					c.Begin(f)
+					time.Sleep(lasts)
+					c.End(f)
+					continue
+				}
+				c.Processes[4].Kill()
+				is, err := os.ReadFile(c.disk(4))
+				require.NoError(t, err)
+				if f.What == "empty" {
+					require.NoError(t, os.Remove(c.disk(4)))
+				} else if old != nil {
+					require.NoError(t, os.WriteFile(c.disk(4), old, 0o600))
+				}
+				old = is
+				c.Processes[4].Start()
+			}
+			for _, p := range c.Processes {
+				p.Kill()
+			}
+			for _, p := range c.Processes {
+				p.Start()
+			}
+			close(stop)
+			require.NoError(t, group.Wait())
+			c.whole()
+			count := 0
+			c.Until(soon, "all agree", func() error {
+				var sums [5]uint64
+				for i := range sums {
+					n, sum, err := c.sum(i)
+					if sums[i], count = sum, int(n); err != nil || sum != sums[0] {
+						return fmt.Errorf("n%d has %d, sum %x of %x, %w", i, n, sum, sums[0], errors.Join(err, errMessage))
+					}
 				}
 				return nil
 			})
+			lost, back := c.wrong()
+			assert.Empty(t, lost, "acknowledged and lost")
+			assert.Empty(t, back, "deleted and back")
+			t.Logf("%d stand, %d acknowledged", count, len(c.acked))
+			assert.Greater(t, len(c.acked), 100)
+		})
+	}
+}
+
+// wrong asks a process for all keys of which it is known how they stand.
+func (c *chaos) wrong() (lost, back []string) {
+	keys := slices.Sorted(maps.Keys(c.acked))
+	for part := range slices.Chunk(keys, 500) {
+		var all []replica.Record
+		for _, k := range part {
+			all = append(all, replica.Record{Kind: testKind, Key: k})
+		}
+		told, err := c.ask(0, AskRead, replica.Sure{}, all...)
+		require.NoError(c, err)
+		has := map[string]bool{}
+		for _, r := range told.Records {
+			has[r.Key] = true
+		}
+		for _, k := range part {
+			if c.acked[k] && !has[k] {
+				lost = append(lost, k)
+			}
+			if !c.acked[k] && has[k] {
+				back = append(back, k)
+			}
 		}
 	}
-	t.Log("acknowledged:", total)
+	return lost, back
 }
 
 // A purge that one hears is learned by the others, whose change log is silent.
@@ -440,7 +622,7 @@
 	})
 }
 
-// purges is how many a process has taken.
+// purges is how many a process has learned from others.
 func (m *memoryRig) purges(i int) int64 {
 	k, err := ParseKeys(m.keys[-1])
 	require.NoError(m, err)
@@ -448,7 +630,7 @@
 	defer cancel()
 	told, err := Ask(ctx, m.Processes[i].Fleet, k, AskCounts, 0)
 	require.NoError(m, err)
-	return told.Counts["Purges"]
+	return told.Counts["PurgesLearned"]
 }
 
 // Writers at one time share a save: with each its own, there were as many saves as writes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	draining atomic.Bool
 	joint    *joint.Table[*get] // nil where none share a forward
 	leads    []*get             // that go on in the lead, to be told to the module once it returns
-	heard    int64              // the newest event of the change log that the module knows
+	heard    uint64             // the number of the newest event that the module knows
 	line     line               // of what is to be done, where there are several shards
 }
 
@@ -277,7 +277,11 @@
 		n.fleet(now, *e.Fleet)
 	}
 	if p := e.Purge; p != nil {
-		n.Options.Counts.Purges.Add(1)
+		if p.Learned {
+			n.Options.Counts.PurgesLearned.Add(1)
+		} else {
+			n.Options.Counts.Purges.Add(1)
+		}
 		n.purged(now, p.Object, p.Group, p.Time)
 	}
 	if n.Variants != nil {
