--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -31,14 +32,12 @@
 func (r *recorder) Schedule(float64, string) {}
 func (r *recorder) Subscribe()               { r.calls = append(r.calls, "subscribe") }
 func (r *recorder) Log(text string)          { r.calls = append(r.calls, text) }
-
-func (r *recorder) last() Forward { return r.forwards[len(r.forwards)-1] }
+func (r *recorder) last() Forward            { return r.forwards[len(r.forwards)-1] }
 
 func settings() Settings {
 	return Settings{Dispatchers: 2, Seats: []int{1}, ParentKind: 1, OriginKind: 2, Detail: Full,
 		Services: []DeliveryService{{Objective: 0.5, Stretch: 1, ViewerTimeout: 5, Revenue: 1,
-			Effect: Idempotent, Scope: AllHosts, RepeatWindow: 2}},
-		MaxForwards: 6, MayCancel: true, SecondCopies: true, OldCopies: 6,
+			Effect: Idempotent, Scope: AllHosts, RepeatWindow: 2}}, MaxForwards: 6, MayCancel: true, SecondCopies: true, OldCopies: 6,
 		ColdFrom: 0.2, RampTime: 10, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.1, ParentRamp: 20, ParentTip: 2}
 }
 
@@ -70,11 +69,13 @@
 	d.Settle(now)
 }
 
+// turn has a timer come, and settles the moment.
+func turn(d *Dispatcher, now float64) { d.Timer(now); d.Settle(now) }
+
 // tickTo plays the periodic timer from one instant to another.
 func tickTo(d *Dispatcher, from, to float64) {
 	for now := from; now <= to; now += 0.01 {
-		d.Timer(now)
-		d.Settle(now)
+		turn(d, now)
 	}
 }
 
@@ -105,7 +106,7 @@
 }
 
 func TestAfterAFailedForward(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		effect  Effect
 		scope   Scope
@@ -121,9 +122,7 @@
 		{"tokened past its window is errored in a zone", Tokened, SameZone, Dropped, 2.5, "error"},
 		{"tokened stays in its zone", Tokened, SameZone, Dropped, 0.1, "forward"},
 		{"tokened alone in its cell is errored", Tokened, SameCell, Dropped, 0.1, "error"},
-		{"tokened that was not taken is free of its cell", Tokened, SameCell, Unreached, 0.1, "forward"},
-	}
-	for _, tt := range tests {
+		{"tokened that was not taken is free of its cell", Tokened, SameCell, Unreached, 0.1, "forward"}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.Services[0].Effect, s.Services[0].Scope = tt.effect, tt.scope })
 			ask(d, 1, 7, "a")
@@ -141,15 +140,13 @@
 }
 
 func TestOneFinalAnswer(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name          string
 		effect        Effect
 		shed, errored int
 	}{
 		{"idempotent is shed at its viewer timeout", Idempotent, 1, 0},
-		{"non-idempotent still out is errored at it", NonIdempotent, 0, 1},
-	}
-	for _, tt := range tests {
+		{"non-idempotent still out is errored at it", NonIdempotent, 0, 1}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.Services[0].Effect = tt.effect })
 			ask(d, 1, 7, "a")
@@ -193,7 +190,7 @@
 }
 
 func TestDrainsAreKept(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		form    ListForm
 		entries []HostEntry
@@ -205,9 +202,7 @@
 			[]uint32{parentA, parentB}},
 		{"absent from a complete list", Complete, []HostEntry{entry(cacheB, 0, Ready), entry(parentB, 1, Ready)},
 			[]uint32{cacheA, cacheC, parentA, origin}},
-		{"a failed call changes nothing", FailedCall, nil, nil},
-	}
-	for _, tt := range tests {
+		{"a failed call changes nothing", FailedCall, nil, nil}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			d.Hosts(1, tt.form, tt.entries)
@@ -230,7 +225,7 @@
 }
 
 func TestColdHostsGetTheirShare(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name       string
 		kind       int
 		id         uint32
@@ -245,9 +240,7 @@
 		{"cold cache of unknown weight, many dispatchers", 0, cacheA, false, 20, 40, 40, 140},
 		{"cold parent", 1, parentA, true, 20, 1, 5, 20},
 		{"cold parent, many dispatchers", 1, parentA, true, 20, 40, 5, 20},
-		{"cache that is warm by now", 0, cacheA, true, 5, 1, 30, 200},
-	}
-	for _, tt := range tests {
+		{"cache that is warm by now", 0, cacheA, true, 5, 1, 30, 200}} {
 		t.Run(tt.name, func(t *testing.T) {
 			sent := 0
 			for index := range tt.alike {
@@ -276,20 +269,16 @@
 }
 
 func TestPurges(t *testing.T) {
-	tests := []struct {
-		name   string
-		object string
-		group  int
-		at     float64
-		want   float64
+	for _, tt := range []struct {
+		name, object string
+		group        int
+		at, want     float64
 	}{
 		{"of the object", "a", 0, 3, 1.5},
 		{"of its group", "", 4, 3, 1.5},
 		{"of another object", "b", 4, 3, 0},
 		{"of another group", "", 5, 3, 0},
-		{"long ago: no old copy is left", "a", 0, 9, 0},
-	}
-	for _, tt := range tests {
+		{"long ago: no old copy is left", "a", 0, 9, 0}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			d.Purged(2, tt.object, tt.group, 0.5)
@@ -318,7 +307,7 @@
 }
 
 func TestCopiesFollowDemand(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name  string
 		hot   int // of ten GETs, how many are for the one object
 		after float64
@@ -327,9 +316,7 @@
 		{"a fifth of the bytes: one cache of three", 2, 0, 1},
 		{"half of them: two", 5, 0, 2},
 		{"nine tenths: three", 9, 0, 3},
-		{"and one again once the window has passed", 9, 12, 1},
-	}
-	for _, tt := range tests {
+		{"and one again once the window has passed", 9, 12, 1}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, _ := fleet(nil)
 			for i := range uint32(100) {
@@ -427,7 +414,7 @@
 
 func TestHostsAreLeftAndTrustedAgain(t *testing.T) {
 	left := func(id uint32) string { return fmt.Sprintf("host %d left: it fails or is silent", id) }
-	tests := []struct {
+	for _, tt := range []struct {
 		name string
 		fail func(uint32, Forward) (Outcome, Note)
 		host uint32
@@ -444,9 +431,7 @@
 		}, parentA},
 		{"a parent that answers nothing, while hits and the other's fills come back", func(i uint32, f Forward) (Outcome, Note) {
 			return map[bool]Outcome{true: noAnswer}[i%4 > 0 && f.Source == parentA], map[bool]Note{true: Hit, false: Filled}[i%4 == 0]
-		}, parentA},
-	}
-	for _, tt := range tests {
+		}, parentA}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			play(d, r, 1, 6, 0.05, 0, tt.fail)
@@ -464,7 +449,7 @@
 }
 
 func TestWhatIsNoSignOfIllHealth(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name string
 		one  func(d *Dispatcher, r *recorder, now float64, id uint32)
 	}{
@@ -483,9 +468,7 @@
 				assert.Equal(t, host, r.last().Host, "the GET goes there once more")
 			}
 			answer(d, now, id, len(d.gets[id].forwards)-1, Returned, Hit)
-		}},
-	}
-	for _, tt := range tests {
+		}}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			most := d.fills.most
@@ -553,7 +536,7 @@
 }
 
 func TestLimits(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name    string
 		elapsed float64
 		outcome Outcome
@@ -563,9 +546,7 @@
 		{"fills in time keep their limit open", 0.1, Returned, Filled, false},
 		{"late fills close it", 2, Returned, Filled, true},
 		{"refused fills close it", 0.1, NotTaken, NoFillPlace, true},
-		{"late hits do not, but close that on all caches", 2, Returned, Hit, false},
-	}
-	for _, tt := range tests {
+		{"late hits do not, but close that on all caches", 2, Returned, Hit, false}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(nil)
 			for now := 0.0; now < 24; now += 3 {
@@ -596,7 +577,7 @@
 }
 
 func TestPassesOnOnlyToAMuchIdlerCache(t *testing.T) {
-	tests := []struct {
+	for _, tt := range []struct {
 		name       string
 		told       bool // bandwidth; else serving times are learned
 		own, other float64
@@ -605,9 +586,7 @@
 		{"own cache within the objective", true, 0.4, 0, false},
 		{"own cache over it, others hardly less", true, 2, 1.5, false},
 		{"own cache over it, others at a fraction", true, 2, 0.5, true},
-		{"own cache crowded by others alone", false, 3, 0.1, true},
-	}
-	for _, tt := range tests {
+		{"own cache crowded by others alone", false, 3, 0.1, true}} {
 		t.Run(tt.name, func(t *testing.T) {
 			d, r := fleet(func(s *Settings) { s.WeightsTold, s.FlowKB = tt.told, 100 })
 			ask(d, 1, 7, "a")
@@ -622,3 +601,88 @@
 		})
 	}
 }
+
+// heldBy is the bytes that stay in use for what a function keeps alive.
+func heldBy(make func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// A long day asks for ever more objects, few of them at a time, while hosts are replaced: what is kept is level, and small,
+// long before as many were asked for as are remembered.
+func TestMemoryLevelsOffOnALongDay(t *testing.T) {
+	held := map[int]float64{}
+	for _, objects := range []int{8000, 16000, 32000, 64000} {
+		held[objects] = heldBy(func() any {
+			r := &recorder{}
+			d := New(settings(), 0, r)
+			d.Hosts(0, Complete, []HostEntry{entry(1<<30, 1, Ready), entry(1<<30+1, 2, Ready)})
+			for i := range 20 {
+				d.Hosts(0, Changes, []HostEntry{entry(uint32(i+1)*7919, 0, Ready)})
+			}
+			for i := range objects {
+				now := float64(i) * 0.05
+				if i%720 == 0 {
+					k := i / 720
+					d.Hosts(now, Changes, []HostEntry{entry(uint32(k+1)*7919, 0, Gone), entry(uint32(k+21)*7919, 0, Ready)})
+				}
+				d.Timer(now)
+				ask(d, now, uint32(i+1), fmt.Sprintf("%016x", i*7919))
+				answer(d, now, uint32(i+1), 0, Returned, Hit)
+				r.forwards, r.shed, r.calls = r.forwards[:0], nil, nil
+			}
+			assert.Equal(t, min(objects, tableSize), d.items.byUse.Len()+d.items.rest.Len(), "as many are remembered as before")
+			return d
+		})
+		t.Logf("%d objects asked for: %.2f MB", objects, held[objects]/1e6)
+	}
+	assert.Less(t, held[16000], 2e6)
+	assert.Less(t, held[64000], 3e6, "11.4 MB when each kept all that was known of it")
+	assert.Less(t, held[64000], 1.3*held[32000], "level once as many are remembered as may be")
+}
+
+// An object that was not asked for in a while is known again, with its size; one that is beyond the size of all is not.
+func TestAnItemThatRestedIsKnownAgain(t *testing.T) {
+	d, r := fleet(nil)
+	ask(d, 0, 1, "a")
+	d.Answer(0.1, Answer{GET: 1, Outcome: Returned, Note: Hit, Elapsed: 0.1, SizeKB: 12, Last: true})
+	ask(d, 40, 2, "b")
+	require.Equal(t, 1, d.items.byUse.Len(), "a rests")
+	require.Equal(t, 1, d.items.rest.Len())
+	ask(d, 41, 3, "a")
+	assert.Equal(t, 2, r.last().Rank, "asked for before")
+	assert.Equal(t, 12.0, d.gets[3].item.kb)
+	assert.Zero(t, d.items.rest.Len())
+	for i := range tableSize {
+		now := 100 + float64(i)*0.01
+		ask(d, now, uint32(10+i), fmt.Sprint("c", i))
+		answer(d, now, uint32(10+i), 0, Returned, Hit)
+	}
+	ask(d, 1000, 4, "a")
+	assert.Equal(t, 1, r.last().Rank, "forgotten")
+}
+
+// A bound of the fleet holds also where the own limit lets one go, and at 0; without one nothing changes.
+func TestTheFleetsBound(t *testing.T) {
+	for _, tt := range []struct {
+		bounded        bool
+		bound, held    int
+		room           bool
+		turned, origin int
+	}{{false, 0, 0, true, 0, 0}, {false, 0, 9, true, 0, 9}, {true, 0, 0, false, 1, 0}, {true, 2, 1, true, 0, 1}, {true, 2, 2, false, 1, 2}} {
+		d := &Dispatcher{origins: allowance{most: math.Inf(1), held: tt.held}}
+		if tt.bounded {
+			d.Bound(0, tt.bound)
+			d.Bound(7, tt.bound) // a host that is not known
+		}
+		assert.Equal(t, tt.room, d.origins.room(1), "%+v", tt)
+		held, turned := d.Bounded(0)
+		assert.Equal(t, []int{tt.origin, tt.turned}, []int{held, turned}, "%+v", tt)
+	}
+}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -63,8 +63,7 @@
 		l.id++
 		ask(l.d, l.now, l.id, fmt.Sprint("o", l.id%3000))
 		if l.id%10 == 0 {
-			l.d.Timer(l.now)
-			l.d.Settle(l.now)
+			turn(l.d, l.now)
 		}
 		for len(l.r.forwards) > 0 {
 			f := l.r.forwards[0]
@@ -88,8 +87,7 @@
 	return returned
 }
 
-// A rack that vanishes is seen as one: its hosts are asked for trials alone, as few as the ration allows, and believed
-// again once some answer.
+// A rack that vanishes is seen as one: its hosts are asked for trials alone, as few as the ration allows, and believed again once some answer.
 func TestARackThatVanishes(t *testing.T) {
 	l := newLarge(t, 10, 30)
 	l.ask(3000)
@@ -164,8 +162,7 @@
 	assert.Len(t, tb.byName, tableSize)
 }
 
-// Objects that somebody chose because one cache comes first for all of them: others take over what it can't serve in the
-// latency objective.
+// Objects that somebody chose because one cache comes first for all of them: others take over what it can't serve in the latency objective.
 func TestAFloodOfObjectsForOneHost(t *testing.T) {
 	l := newLarge(t, 10, 30)
 	var chosen []string
@@ -197,8 +194,7 @@
 			l.open = append(l.open, end{free[f.Host], Answer{GET: f.GET, Forward: number, Outcome: Returned, Note: Hit, Elapsed: took, Last: true}})
 		}
 		if l.id%10 == 0 {
-			l.d.Timer(l.now)
-			l.d.Settle(l.now)
+			turn(l.d, l.now)
 		}
 		l.open = slices.DeleteFunc(l.open, func(e end) bool {
 			if e.at > l.now {
@@ -224,12 +220,10 @@
 		l.d.Timer(l.now)
 	}
 	open := len(l.d.gets)
-	l.d.Timer(l.now - 5)
-	l.d.Settle(l.now - 5)
+	turn(l.d, l.now-5)
 	assert.Len(t, l.d.gets, open)
 	l.now += 3600
-	l.d.Timer(l.now)
-	l.d.Settle(l.now)
+	turn(l.d, l.now)
 	assert.Equal(t, 50, len(l.r.shed)+len(l.r.errored), "those under way are over at once")
 	for id := l.id - 49; id <= l.id; id++ {
 		for number := range l.number[id] + 1 {
@@ -249,8 +243,7 @@
 		return id
 	}
 	id := first()
-	e := l.d.hosts[id].HostEntry
-	other := l.d.hosts[id]
+	e, other := l.d.hosts[id].HostEntry, l.d.hosts[id]
 	e.Phase = Gone
 	l.d.Hosts(1, Changes, []HostEntry{e})
 	assert.NotEqual(t, id, first())
@@ -260,8 +253,7 @@
 	l.d.Hosts(2, Changes, []HostEntry{e, e})
 	assert.Equal(t, id, first())
 	assert.Len(t, l.d.caches, 300, "named twice, it is there once")
-	m := l.d.hosts[id].belief
-	assert.True(t, m.In(beliefs.Group{Cell: 77}))
+	assert.True(t, l.d.hosts[id].belief.In(beliefs.Group{Cell: 77}))
 	e.Cell = 78
 	l.d.Hosts(3, Changes, []HostEntry{e})
 	assert.True(t, l.d.hosts[id].belief.In(beliefs.Group{Cell: 78}))
--- a/internal/extproc/bench_test.go
+++ b/internal/extproc/bench_test.go
@@ -26,7 +26,6 @@
 			var proxies []*proxy.Proxy
 			for range 8 {
 				p := r.proxy()
-				defer p.Close()
 				p.Do(context.Background(), path, proxy.None)
 				proxies = append(proxies, p)
 			}
@@ -34,8 +33,7 @@
 			b.ResetTimer()
 			for range b.N {
 				var all sync.WaitGroup
-				start := time.Now()
-				n := 5000
+				start, n := time.Now(), 5000
 				for i := range n {
 					at := start
 					if rate > 0 {
@@ -65,7 +63,6 @@
 	for range b.N {
 		r := newRig(b, func(o *Options) { o.Decide = 2 })
 		p := r.proxy()
-		defer p.Close()
 		p.Do(context.Background(), path, proxy.None)
 		p.Linger = 3 * time.Second
 		before := used()
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -21,6 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/internal/contract"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/processes"
 )
 
@@ -92,9 +94,8 @@
 	}
 	Self    struct{ Name, Address string }
 	Members []struct {
-		Name, Address string
-		State, Link   string
-		Generation    uint32
+		Name, Address, State, Link string
+		Generation                 uint32
 	}
 	Counts map[string]int64
 }
@@ -122,6 +123,19 @@
 	return s, json.Unmarshal(raw, &s)
 }
 
+// sees waits until a condition holds of what each of some processes says.
+func (m *memberRig) sees(most time.Duration, what string, holds func(sight) bool, who ...int) {
+	m.Helper()
+	m.Until(most, what, func() error {
+		for _, i := range who {
+			if s, err := m.see(i); err != nil || !holds(s) {
+				return fmt.Errorf("n%d: %s, %d of %d: %w", i, s.Level, s.View.Seen, s.View.Of, err)
+			}
+		}
+		return nil
+	})
+}
+
 func (s *sight) of(name string) string {
 	for _, o := range s.Members {
 		if o.Name == name {
@@ -150,10 +164,7 @@
 			}
 		}
 	}
-	if len(wrong) > 0 {
-		return errors.New(strings.Join(wrong, "; "))
-	}
-	return nil
+	return processes.When(len(wrong) > 0, errors.New(strings.Join(wrong, "; ")))
 }
 
 // until waits until some processes think so.
@@ -178,8 +189,7 @@
 func (m *memberRig) serve(who ...int) {
 	m.Helper()
 	for _, i := range who {
-		kind, err := m.Processes[i].GET(int(m.ids.Add(1)))
-		require.NoError(m, err)
+		kind := need.Of(m.Processes[i].GET(int(m.ids.Add(1))))(m)
 		assert.Equal(m, "served", kind)
 	}
 }
@@ -202,8 +212,7 @@
 	m.Helper()
 	for end := time.Now().Add(time.Duration(probes * pace * float64(time.Second))); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, i := range of {
-			s, err := m.see(i)
-			require.NoError(m, err)
+			s := need.Of(m.see(i))(m)
 			for _, j := range of {
 				if is := s.of(m.Processes[j].Name); i != j && is == "failed" {
 					m.Fatalf("n%d holds n%d to have failed", i, j)
@@ -267,20 +276,13 @@
 		},
 		"it hears nobody": func(m *memberRig) processes.Fault {
 			return processes.Fault{What: processes.CutOff, A: m.all(4), B: []int{4}}
-		},
-	} {
+		}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, 5)
 			f := cut(m)
 			m.Begin(f)
 			m.until("it is held to have failed", m.all(4), "majority", m.all(4))
-			m.Until(soon, "it doubts itself first", func() error {
-				s, err := m.see(4)
-				if err == nil && !s.View.Doubt {
-					err = errors.New(s.Level)
-				}
-				return err
-			})
+			m.sees(soon, "it doubts itself first", func(s sight) bool { return s.View.Doubt }, 4)
 			m.serve(m.all()...)
 			m.End(f)
 			m.whole()
@@ -289,7 +291,7 @@
 }
 
 func TestTheFleetIsCutAndHeals(t *testing.T) {
-	tests := map[string]struct {
+	for name, tt := range map[string]struct {
 		n      int
 		parts  [][]int
 		levels []string
@@ -298,39 +300,20 @@
 		"in two":              {7, [][]int{{0, 1, 2, 3}, {4, 5, 6}}, []string{"majority", "minority"}, 5},
 		"in halves":           {6, [][]int{{0, 1, 2}, {3, 4, 5}}, []string{"minority", "minority"}, -1},
 		"in three":            {7, [][]int{{0, 1, 2}, {3, 4}, {5, 6}}, []string{"minority", "minority", "minority"}, -1},
-		"one from all others": {5, [][]int{{0, 1, 2, 3}, {4}}, []string{"majority", "alone"}, -1},
-	}
-	for name, tt := range tests {
+		"one from all others": {5, [][]int{{0, 1, 2, 3}, {4}}, []string{"majority", "alone"}, -1}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, tt.n)
 			for _, part := range tt.parts {
 				m.Begin(processes.Fault{What: processes.Cut, A: part})
 			}
 			for i, part := range tt.parts {
-				m.Until(2*soon, "each part knows itself", func() error {
-					for _, k := range part {
-						s, err := m.see(k)
-						if err != nil {
-							return err
-						}
-						if s.Level != tt.levels[i] {
-							return fmt.Errorf("n%d: %s, %d of %d", k, s.Level, s.View.Seen, s.View.Of)
-						}
-					}
-					return nil
-				})
+				m.sees(2*soon, "each part knows itself", func(s sight) bool { return s.Level == tt.levels[i] }, part...)
 			}
 			m.serve(m.all()...)
 			if tt.again >= 0 { // it remembers the fleet, and takes itself for no other
 				m.Processes[tt.again].Kill()
 				m.Processes[tt.again].Start()
-				m.Until(soon, "it is in the minority again", func() error {
-					s, err := m.see(tt.again)
-					if err == nil && (s.View.Of != tt.n || 2*s.View.Seen > tt.n) {
-						err = fmt.Errorf("%s, %d of %d", s.Level, s.View.Seen, s.View.Of)
-					}
-					return err
-				})
+				m.sees(soon, "it is in the minority again", func(s sight) bool { return s.View.Of == tt.n && 2*s.View.Seen <= tt.n }, tt.again)
 			}
 			for _, part := range tt.parts {
 				m.End(processes.Fault{What: processes.Cut, A: part})
@@ -344,8 +327,7 @@
 	for name, faults := range map[string][]processes.Fault{
 		"three in ten are lost":          {{What: processes.Lose, Amount: 0.3}},
 		"doubled, late and out of order": {{What: processes.Double, Amount: 0.5}, {What: processes.Reorder, Amount: 0.05}},
-		"one bad link condemns nobody":   {{What: processes.Lose, A: []int{0}, B: []int{1}, Amount: 1}},
-	} {
+		"one bad link condemns nobody":   {{What: processes.Lose, A: []int{0}, B: []int{1}, Amount: 1}}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, 5)
 			for _, f := range faults {
@@ -397,9 +379,7 @@
 		}
 		return nil
 	})
-	for _, p := range m.Processes {
-		p.Kill()
-	}
+	m.kill(m.all()...)
 	for _, i := range m.all(0, 1) { // of the three that all are told
 		m.Processes[i].Start()
 	}
@@ -411,24 +391,20 @@
 	m.whole()
 }
 
-// Two processes have one name. Just one of them is a member, the other says so and serves on; it takes the name over once
-// the holder is gone.
+// Two processes have one name. Just one of them is a member, the other says so and serves on; it takes the name over once the holder is gone.
 func TestATwin(t *testing.T) {
 	m := start(t, 5, func(m *memberRig) {})
-	holder := m.Processes[3]
-	twin := m.Processes[4]
+	holder, twin := m.Processes[3], m.Processes[4]
 	twin.Kill()
 	m.until("room is made", m.all(4), "majority", m.all(4))
 	twin.Name = holder.Name
 	twin.Start()
 	m.told(4, "ousted", holder.Name)
-	s, err := m.see(4)
-	require.NoError(t, err)
+	s := need.Of(m.see(4))(t)
 	assert.Equal(t, []string{"ousted", "alone"}, []string{s.Standing, s.Level})
 	m.serve(m.all()...)
 	for _, i := range m.all(3, 4) {
-		s, err := m.see(i)
-		require.NoError(t, err)
+		s := need.Of(m.see(i))(t)
 		for _, o := range s.Members {
 			if o.Name == holder.Name {
 				assert.Equal(t, []any{"alive", holder.Fleet}, []any{o.State, o.Address})
@@ -449,10 +425,7 @@
 			}
 		}
 		s, err := m.see(4)
-		if err == nil && s.Standing != "member" {
-			err = errors.New(s.Standing)
-		}
-		return err
+		return cmp.Or(err, processes.When(s.Standing != "member", errors.New(s.Standing)))
 	})
 }
 
@@ -475,10 +448,7 @@
 			read := len(p.Said("configuration read again"))
 			p.Signal(syscall.SIGHUP)
 			m.Until(soon, "the key is read", func() error {
-				if len(p.Said("configuration read again")) == read {
-					return errors.New("not yet")
-				}
-				return nil
+				return processes.When(len(p.Said("configuration read again")) == read, errors.New("not yet"))
 			})
 		}
 		m.calm(10, m.all()...)
@@ -492,8 +462,7 @@
 // Whoever has no key and sends all it can disturbs nobody, and what was sealed is taken once.
 func TestAStrangerFloods(t *testing.T) {
 	m := start(t, 5)
-	c, err := net.Dial("udp", m.Processes[0].Fleet)
-	require.NoError(t, err)
+	c := need.Of(net.Dial("udp", m.Processes[0].Fleet))(t)
 	defer func() { _ = c.Close() }()
 	noise := make([]byte, 600)
 	for end, n := time.Now().Add(3*time.Second), 0; time.Now().Before(end) && n < 200_000; n++ {
@@ -512,13 +481,7 @@
 	}
 	m.serve(0)
 	m.Until(soon, "it sees all as before", func() error { return m.think(m.all(0), "whole", m.all()) })
-	m.Until(soon, "and can be asked", func() error {
-		s, err := m.see(0)
-		if err == nil && s.Counts["unsealed"] < 1000 {
-			err = fmt.Errorf("%d were dropped", s.Counts["unsealed"])
-		}
-		return err
-	})
+	m.sees(soon, "and can be asked", func(s sight) bool { return s.Counts["unsealed"] >= 1000 }, 0)
 	m.whole()
 }
 
@@ -529,26 +492,8 @@
 
 // Schedules of faults that are drawn from seeds: once all is over, all know all.
 func TestDrawnFaults(t *testing.T) {
-	play := func(t *testing.T, s processes.Schedule) {
-		m := start(t, 6)
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("play it again: go test ./internal/fleet -run TestDrawnFaults -schedule '%s'", s)
-			}
-		})
-		m.Play(s)
-		m.whole()
-		m.serve(m.all()...)
-	}
-	if *schedule != "" {
-		s, err := processes.Parse(*schedule)
-		require.NoError(t, err)
-		play(t, s)
-		return
-	}
-	for seed := range *seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, processes.Draw(uint64(seed), 6, 6, 20)) })
-	}
+	play := func(t *testing.T, s processes.Schedule) { m := start(t, 6); m.Play(s); m.whole(); m.serve(m.all()...) }
+	drawnOf(t, 0, 6, 20, play)
 }
 
 // As many processes as ELDERWALL_MANY says, for figures: not in CI. One is killed at a time.
@@ -593,10 +538,7 @@
 				}
 				_ = i
 			}
-			if len(known) < n-5 {
-				return fmt.Errorf("%d know", len(known))
-			}
-			return nil
+			return processes.When(len(known) < n-5, fmt.Errorf("%d know", len(known)))
 		})
 		slices.Sort(known)
 		t.Logf("killed: first knows after %.1f intervals, half %.1f, 99%% %.1f, all %.1f", known[0], known[len(known)/2], known[len(known)*99/100], known[len(known)-1])
