replica: a catch-up uncovers nothing that fell here while it was under way

A deleted record came back in one of some thousand schedules: x held a high tombstone that s had forgotten; a lower value was written after it and a lower deletion of that. The deletion reached x by a delta, where it fell to the tombstone, while an answer of s from before it was under way: by that the tombstone fell to the value, under a vector that covered the deletion, and from there the value replaced the deletion at everyone. An entry now counts when it last stood over another's write; what falls to a catch-up falls only if nothing did since its begin, and, for a tombstone or a lower record, if the sources had all that was here then. The rest waits for a later walk.

--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -136,6 +136,7 @@
 	pull    *pull
 	away    bool
 	walkAt  float64
+	beats   uint64
 	behind  int
 	bucket  float64 // bytes that may be pulled
 	serves  float64 // bytes that may be served
@@ -145,7 +146,7 @@
 	scratch []byte
 	held    *Save // of the fault
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, uncover bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -35,7 +35,9 @@
 	tries  int
 	gone   []fall // here, under dots that the source has, and not there: deleted there
 	odd    map[Dot]Carried
-	sound  bool // nothing was refused on the way
+	mine   *vector // what was here at its begin
+	beats  uint64  // and how far those were counted
+	sound  bool    // nothing was refused on the way
 	before [256]int
 }
 
@@ -56,7 +58,8 @@
 	}
 	whole = whole || records == 0
 	m.away = false
-	p := &pull{id: m.chance.Uint64(), from: m.near(from, whole), whole: whole, lacks: map[uint8]bool{}, odd: map[Dot]Carried{}, sound: true}
+	p := &pull{id: m.chance.Uint64(), from: m.near(from, whole), whole: whole, lacks: map[uint8]bool{}, odd: map[Dot]Carried{}, sound: true,
+		mine: m.vec.clone(), beats: m.beats}
 	for _, id := range m.ids {
 		p.before[id] = m.kinds[id].refused
 	}
@@ -326,6 +329,7 @@
 
 // finish joins what the sources had, once all of it was looked at.
 func (m *Machine) finish(p *pull) {
+	all := p.joint.reaches(p.mine)
 	for _, f := range p.gone {
 		e := f.e
 		if e.gone {
@@ -339,6 +343,11 @@
 			}
 			continue
 		}
+		// Guards against a fall that uncovers what the source had not yet: a write that came and fell here to what is to fall now. It is known here
+		// and would not be taken again. What stays for that goes with a later walk.
+		if (e.beat > p.beats || !all && (f.by != nil || e.rec.Dead)) && !m.fault.noRule && !m.fault.uncover {
+			continue
+		}
 		if p.joint.covers(e.rec.Dot) || m.fault.dropAll {
 			if s := m.kinds[e.rec.Kind]; f.by == nil {
 				m.drop(e)
--- a/fleet/replica/table.go
+++ b/fleet/replica/table.go
@@ -14,6 +14,7 @@
 	aside     bool
 	gone      bool // out of the table: forgotten, or found deleted
 	dirty     bool
+	beat      uint64 // when it last stood over another's write that came: by the machine's count of those
 	hash, sum uint64 // of the key; of all
 }
 
@@ -190,6 +191,10 @@
 		return e
 	}
 	order, aside := m.content(s, &r, &e.rec), e.aside
+	if r.Dot != e.rec.Dot && !m.vec.covers(r.Dot) {
+		m.beats++
+		e.beat = m.beats
+	}
 	switch {
 	case r.Dot == e.rec.Dot:
 		aside = e.aside || c.Aside || order != 0
