--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -145,8 +145,9 @@
 	stat    struct{ pulled, pulls, wholes, walks, bad uint64 }
 	scratch []byte
 	held    *Save // of the fault
+	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, uncover bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
@@ -197,9 +198,14 @@
 	m.fleet = f
 	m.fleet.Others = slices.DeleteFunc(slices.Clone(f.Others), func(o Member) bool { return o.Name == m.s.Name })
 	slices.SortFunc(m.fleet.Others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	was, back := m.byName, false
 	m.byName = make(map[string]Member, len(f.Others))
 	for _, o := range m.fleet.Others {
 		m.byName[o.Name] = o
+		back = back || o.Alive && !was[o.Name].Alive
+	}
+	if back { // the turn begins anew: what a cut kept apart meets at once, not after a turn of the own part
+		m.round = nil
 	}
 	if !m.heard {
 		m.due = m.now
@@ -233,6 +239,8 @@
 		return Dot{}, ErrKind
 	case key == "" || len(key)+len(value) > s.Longest:
 		return Dot{}, ErrLong
+	case m.unkept:
+		return Dot{}, ErrUnkept
 	case !m.writes():
 		return Dot{}, ErrCatches
 	case sure.Level == Majority && !m.fleet.Decides:
@@ -425,5 +433,13 @@
 
 func (m *Machine) send(to string, msg Message, bytes int) {
 	msg.Lacks = m.lacking()
+	if m.unkept { // it acknowledges nothing
+		if msg.Acks = nil; msg.Ask != nil {
+			msg.Ask.Unkept = true
+		}
+		if msg.Give != nil {
+			msg.Give.Unkept = true
+		}
+	}
 	m.out = append(m.out, Envelope{To: to, Stream: bytes > fill, Message: msg})
 }
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -213,7 +213,7 @@
 	p.asked, p.tries = nil, 0
 	if asked.Vector {
 		p.base = load(g.Vector)
-		m.hear(from, p.base, lacks)
+		m.hear(from, p.base, lacks, !g.Unkept)
 		if p.joint == nil {
 			p.joint = load(g.Vector)
 		} else {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -277,7 +277,11 @@
 		n.fleet(now, *e.Fleet)
 	}
 	if p := e.Purge; p != nil {
-		n.Options.Counts.Purges.Add(1)
+		if p.Learned {
+			n.Options.Counts.PurgesLearned.Add(1)
+		} else {
+			n.Options.Counts.Purges.Add(1)
+		}
 		n.purged(now, p.Object, p.Group, p.Time)
 	}
 	if n.Variants != nil {
