replica: nothing is written before it is told who there is

A machine took itself for the whole fleet until Fleet was called first, and one whose members had not met anybody yet until they did: with an older disk it gave numbers twice. It now writes unheard only where it has no others and is told that it decides alone; the driver tells it at once.

--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -212,9 +212,13 @@
 	}
 }
 
+// unheard tells whether others may know what is not here. Guards also against the time before anybody is known: who has an older disk would
+// take itself for the whole fleet, and give numbers twice. Without others it goes by itself where it is told that it decides alone.
+func (m *Machine) unheard() bool { return !m.heard && (len(m.fleet.Others) > 0 || !m.fleet.Decides) }
+
 // writes tells whether all own former writes are known.
 func (m *Machine) writes() bool {
-	if !m.heard && len(m.fleet.Others) > 0 {
+	if m.unheard() {
 		return false
 	}
 	for era, n := range m.aims {
@@ -227,7 +231,7 @@
 
 // catching tells whether what is here may be far behind.
 func (m *Machine) catching() bool {
-	return m.pull != nil && m.pull.whole || !m.heard && len(m.fleet.Others) > 0 || m.away
+	return m.pull != nil && m.pull.whole || m.unheard() || m.away
 }
 
 // Write has a value, or none where dead, stand for a key from here on. The outcome comes by Ready, after what is saved with it. now is in seconds.
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -216,6 +216,7 @@
 	m.mu.Unlock()
 	m.kept(m.keep(machine.Ready().Save)) // its era is kept before it writes
 	m.purges.opened()
+	m.look() // before it is asked to write
 	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
 }
 
