--- a/fleet/replica/fall_test.go
+++ b/fleet/replica/fall_test.go
@@ -34,39 +34,61 @@
 			step(m, "z", by("z", "7", false))
 			m.Ready()
 		}
-		x.begin("s", false)
-		for range 9 { // parts of the walk; the deletion comes just before the answer that has the value
-			for _, e := range x.Ready().Send {
-				if e.To == "s" && e.Message.Pull != nil {
-					step(s, "x", &e.Message)
+		walk := func() {
+			x.begin("s", false)
+			for x.pull != nil {
+				for _, e := range x.Ready().Send {
+					if e.To == "s" && e.Message.Pull != nil {
+						step(s, "x", &e.Message)
+					}
 				}
-			}
-			for _, e := range s.Ready().Send {
-				if g := e.Message.Give; g != nil {
-					if len(g.Records) > 0 {
-						step(x, "w", by("w", "3", true))
+				for _, e := range s.Ready().Send {
+					if g := e.Message.Give; g != nil {
+						if len(g.Records) > 0 { // the deletion comes just before the answer that has the value
+							step(x, "w", by("w", "3", true))
+						}
+						step(x, "s", &e.Message)
 					}
-					step(x, "s", &e.Message)
 				}
 			}
 		}
-		require.Nil(t, x.pull)
+		walk()
 		_, back := x.Get(kindText, "k")
 		assert.Equal(t, uncover, back)
 		step(s, "w", by("w", "3", true))
-		x.begin("s", false) // nothing came meanwhile: the tombstone falls
-		for range 9 {
-			for _, e := range x.Ready().Send {
-				if e.To == "s" && e.Message.Pull != nil {
-					step(s, "x", &e.Message)
-				}
+		walk() // nothing came meanwhile: the tombstone falls
+		assert.Equal(t, uncover, x.tree.sums[0][0] != s.tree.sums[0][0])
+	}
+}
+
+// A tombstone that is forgotten here and comes in place of a lower deletion that is not known here, by a delta or a walk, is taken again.
+func TestTombstoneHidesADeletion(t *testing.T) {
+	record := func(writer, value string, dead bool) Carried {
+		return Carried{Record: Record{Kind: kindText, Key: "k", Value: []byte(value), Dead: dead, Dot: Dot{writer, 1, 1}}}
+	}
+	for _, uncover := range []bool{false, true} {
+		for _, walk := range []bool{false, true} {
+			m, err := New(Settings{Name: "x", Seed: 1, Kinds: kinds()}, nil, 0)
+			require.NoError(t, err)
+			m.fault.uncover = uncover
+			m.Fleet(Fleet{Of: 5, Others: []Member{{Name: "s"}}}, 0)
+			by := func(writer string, c Carried) {
+				require.NoError(t, m.Step("s", &Message{Deltas: []Delta{{Writer: writer, Era: 1, Index: []uint32{0}, Records: []Carried{c}}}}, 1))
 			}
-			for _, e := range s.Ready().Send {
-				if e.Message.Give != nil {
-					step(x, "s", &e.Message)
-				}
+			high := record("y", "5", true)
+			by("y", high)
+			m.drop(m.kinds[kindText].byKey["k"])
+			by("z", record("z", "7", false))
+			if walk { // a deletion by w is hidden under it
+				m.begin("s", false)
+				m.pull.asked = &Pull{Vector: true, Keys: []uint64{m.hashOf(kindText, "k")}}
+				require.NoError(t, m.Step("s", &Message{Give: &Give{ID: m.pull.id, Vector: Vector{{"w", 1, 1, false}, {"y", 1, 1, false}, {"z", 1, 1, false}},
+					Keys: m.pull.asked.Keys, Records: []Carried{high}}}, 1))
+			} else {
+				by("w", high)
 			}
+			_, back := m.Get(kindText, "k")
+			assert.Equal(t, uncover, back, "walk %v", walk)
 		}
-		assert.Equal(t, uncover, x.tree.sums[0][0] != s.tree.sums[0][0])
 	}
 }
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -36,6 +36,7 @@
 	gone   []fall // here, under dots that the source has, and not there: deleted there
 	odd    map[Dot]Carried
 	mine   *vector // what was here at its begin
+	more   bool    // the source has what is not here: a tombstone of it may hide some (see hides)
 	beats  uint64  // and how far those were counted
 	sound  bool    // nothing was refused on the way
 	before [256]int
@@ -213,6 +214,7 @@
 	p.asked, p.tries = nil, 0
 	if asked.Vector {
 		p.base = load(g.Vector)
+		p.more = p.more || !m.vec.reaches(p.base)
 		m.hear(from, p.base, lacks, !g.Unkept)
 		if p.joint == nil {
 			p.joint = load(g.Vector)
@@ -312,7 +314,7 @@
 
 // pulled takes a record of the source, unless it fell here. What stands here falls if the source had it and has a lower one now.
 func (m *Machine) pulled(p *pull, c Carried) {
-	if m.fallen(&c.Record) {
+	if m.fallen(&c.Record) && !(c.Record.Dead && p.more && !m.fault.uncover) {
 		if len(p.odd) < mostGiven {
 			p.odd[c.Record.Dot] = c
 		}
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -219,7 +219,7 @@
 	at := make([]*entry, len(d.Records))
 	if !m.fault.joinFirst || m.chance.Float64() < 0.8 {
 		for i, c := range d.Records {
-			if !m.fallen(&c.Record) {
+			if !m.fallen(&c.Record) || c.Record.Dead && !m.fault.uncover && d.hides(uint32(i), have) {
 				at[i] = m.merge(c)
 			}
 		}
@@ -237,6 +237,17 @@
 	return true, false
 }
 
+// hides tells whether a record stands for other writes over a number. A tombstone that is forgotten here is taken again then: under it a lower deletion
+// may be hidden that is not known here, and what that deleted.
+func (d *Delta) hides(at uint32, over uint64) bool {
+	for i, o := range d.Index {
+		if n := d.From + uint64(i) + 1; o == at && n > over && d.Records[at].Record.Dot != (Dot{d.Writer, d.Era, n}) {
+			return true
+		}
+	}
+	return false
+}
+
 // twins compares what is here under the dots of a delta that were taken before.
 func (m *Machine) twins(k trackKey, d *Delta, have uint64) {
 	t := m.logs[k]
