--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -47,6 +47,7 @@
 	mostName    = 255     // bytes of a writer's name
 	stallAfter  = 4.0     // between two ticks: who was away for longer heard nobody
 	checkEach   = 30.0    // of equal vectors with unequal sums: a walk at most so often
+	checkSooner = 5.0     // the same, where that was met twice with no equal sums between
 	bound, of   = 7, 8    // of a kind that local writes may fill; the rest is for those that others have acknowledged
 )
 
@@ -136,6 +137,8 @@
 	pull    *pull
 	away    bool
 	walkAt  float64
+	unlike  int // times in a row that equal vectors had unequal sums
+	beats   uint64
 	behind  int
 	bucket  float64 // bytes that may be pulled
 	serves  float64 // bytes that may be served
@@ -146,7 +149,7 @@
 	held    *Save // of the fault
 	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
@@ -211,9 +214,13 @@
 	}
 }
 
+// unheard tells whether others may know what is not here. Guards also against the time before anybody is known: who has an older disk would
+// take itself for the whole fleet, and give numbers twice. Without others it goes by itself where it is told that it decides alone.
+func (m *Machine) unheard() bool { return !m.heard && (len(m.fleet.Others) > 0 || !m.fleet.Decides) }
+
 // writes tells whether all own former writes are known.
 func (m *Machine) writes() bool {
-	if !m.heard && len(m.fleet.Others) > 0 {
+	if m.unheard() {
 		return false
 	}
 	for era, n := range m.aims {
@@ -226,7 +233,7 @@
 
 // catching tells whether what is here may be far behind.
 func (m *Machine) catching() bool {
-	return m.pull != nil && m.pull.whole || !m.heard && len(m.fleet.Others) > 0 || m.away
+	return m.pull != nil && m.pull.whole || m.unheard() || m.away
 }
 
 // Write has a value, or none where dead, stand for a key from here on. The outcome comes by Ready, after what is saved with it. now is in seconds.
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -230,6 +230,7 @@
 	if m.fleet.following != nil {
 		m.fleet.following.relearn()
 	}
+	m.look() // before it is asked to write
 	m.fleet.Log.Info().Uint64("era", status.Era).Int("writers", status.Writers).Bool("kept", disk != nil).Msg("memory: remembers")
 }
 
