--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -5,7 +5,7 @@
 	"io"
 	"runtime/debug"
 
-	"elderwall/benchwire"
+	"elderwall/internal/benchwire"
 	"elderwall/control"
 )
 
--- a/cmd/elderwall-operator/keys.go
+++ b/cmd/elderwall-operator/keys.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/token"
 )
 
--- a/cmd/elderwall-operator/token.go
+++ b/cmd/elderwall-operator/token.go
@@ -10,7 +10,7 @@
 
 	"crypto/rand"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/token"
 )
 
--- a/control/api.go
+++ b/control/api.go
@@ -1,6 +1,6 @@
 package control
 
-import "elderwall/retries"
+import "elderwall/control/retries"
 
 // Effect tells what a repeat of a GET may do.
 type Effect int
--- a/control/control.go
+++ b/control/control.go
@@ -9,7 +9,7 @@
 	"math"
 	"slices"
 
-	"elderwall/paces"
+	"elderwall/control/paces"
 )
 
 const (
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"elderwall/beliefs"
+	"elderwall/control/beliefs"
 )
 
 // end is how a forward ends at a moment.
--- a/paces/paces_test.go
+++ b/control/paces/paces_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
-	"elderwall/paces"
+	"elderwall/control/paces"
 )
 
 // used is what a dispatcher knows after hits of many sizes at the usual pace of 0.2 s a KB.
--- a/popular/popular_test.go
+++ b/control/popular/popular_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 const turns, span = 5, 2.0
--- a/control/state.go
+++ b/control/state.go
@@ -9,12 +9,12 @@
 	"math"
 	"slices"
 
-	"elderwall/beliefs"
+	"elderwall/control/beliefs"
 	"elderwall/internal/due"
-	"elderwall/order"
-	"elderwall/paces"
-	"elderwall/popular"
-	"elderwall/retries"
+	"elderwall/control/order"
+	"elderwall/control/paces"
+	"elderwall/control/popular"
+	"elderwall/control/retries"
 )
 
 // sketchSize is the bytes of counts of objects that the table has let go: some 65,000 by turn, which a tenth of
--- a/emulate/copies.go
+++ b/emulate/copies.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 // CopiesScenario is the other way to keep a fleet's memory: each record at the first k dispatchers of its order, read by a question from
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/fleet/budgets"
-	"elderwall/retries"
+	"elderwall/control/retries"
 )
 
 func run(t *testing.T, change func(*Scenario)) *Result {
--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -14,7 +14,7 @@
 
 	"elderwall/fleet/replica"
 	"elderwall/internal/due"
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 // More kinds of trouble, of a fleet's memory: what a member that ended finds on its disk.
--- a/emulate/peers.go
+++ b/emulate/peers.go
@@ -2,7 +2,7 @@
 
 import (
 	"elderwall/control"
-	"elderwall/shards"
+	"elderwall/stages/shards"
 )
 
 // group is the modules of one dispatcher, with what they have in common: the same pots as in a process, and news that
--- a/emulate/scenario.go
+++ b/emulate/scenario.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 
-	"elderwall/retries"
+	"elderwall/control/retries"
 )
 
 // Kinds of trouble that a scenario can have.
--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -10,7 +10,7 @@
 
 	"elderwall/fleet/variants"
 	"elderwall/internal/due"
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 // Ways by which GETs of device classes may be looked for, side by side.
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -7,7 +7,7 @@
 
 	"elderwall/control"
 	"elderwall/internal/due"
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 const (
--- a/dials/dials.go
+++ b/hosts/dials.go
@@ -1,11 +1,11 @@
-// Package dials decides when a connection to a host may be begun: so many a second to all hosts together, and the first
+// Package hosts decides what drivers ask of lists and connections. A list is taken in by steps (steps.go). A connection may be begun: so many a second to all hosts together, and the first
 // ones to hosts that were listed together spread by chance from the seed. It is pure.
-package dials
+package hosts
 
 import (
 	"math"
 
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 const (
--- a/dials/dials_test.go
+++ b/hosts/dials_test.go
@@ -1,4 +1,4 @@
-package dials
+package hosts
 
 import (
 	"testing"
--- a/membership/steps.go
+++ b/hosts/steps.go
@@ -1,8 +1,7 @@
-// Package membership decides how a list of hosts is taken in. It is pure.
-package membership
+package hosts
 
-// Most is how many hosts of a list are taken in at a time: GETs wait for less than a millisecond then.
-const Most = 64
+// MostTaken is how many hosts of a list are taken in at a time: GETs wait for less than a millisecond then.
+const MostTaken = 64
 
 // Steps divides a list into parts that are taken in one after the other, so that a long one holds up no GET. Hosts that
 // get no more work come first: the grace runs for them.
--- a/membership/steps_test.go
+++ b/hosts/steps_test.go
@@ -1,4 +1,4 @@
-package membership
+package hosts
 
 import (
 	"slices"
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 )
 
 // Call is one open call of a client. One answer goes out for it; whatever comes after that is dropped.
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 )
 
 const (
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -18,8 +18,8 @@
 	"elderwall/internal/counters"
 	"elderwall/internal/node"
 	"elderwall/internal/upstream"
-	"elderwall/order"
-	"elderwall/shards"
+	"elderwall/control/order"
+	"elderwall/stages/shards"
 )
 
 const (
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -28,7 +28,7 @@
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	rigs "elderwall/internal/standin/rig"
-	"elderwall/shards"
+	"elderwall/stages/shards"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/calls"
+	"elderwall/stages/calls"
 	"elderwall/internal/call"
 )
 
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -22,7 +22,7 @@
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
-	"elderwall/calls"
+	"elderwall/stages/calls"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
--- a/internal/extproc/messages.go
+++ b/internal/extproc/messages.go
@@ -12,7 +12,7 @@
 	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"elderwall/calls"
+	"elderwall/stages/calls"
 	"elderwall/internal/call"
 )
 
--- a/internal/extproc/rules.go
+++ b/internal/extproc/rules.go
@@ -14,7 +14,7 @@
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
-	"elderwall/calls"
+	"elderwall/stages/calls"
 	"elderwall/internal/call"
 	"elderwall/internal/lines"
 )
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -27,8 +27,8 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
-	"elderwall/callers"
-	"elderwall/calls"
+	"elderwall/stages/callers"
+	"elderwall/stages/calls"
 	"elderwall/control"
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -29,7 +29,7 @@
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
 	"elderwall/internal/variants"
-	"elderwall/retries"
+	"elderwall/control/retries"
 )
 
 // Extras is an operator's file in force.
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -21,7 +21,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc/credentials"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/service"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/call"
 	"elderwall/internal/counters"
 	"elderwall/internal/room"
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,7 +13,7 @@
 
 	"github.com/rs/zerolog"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/fleet/budgets"
 	"elderwall/internal/call"
 	"elderwall/internal/certs"
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -6,7 +6,7 @@
 	"math"
 	"slices"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/lines"
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"elderwall/control"
-	"elderwall/dials"
+	"elderwall/hosts"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/upstream"
@@ -107,7 +107,7 @@
 			h.phase = control.Gone // what was to go to this address does not
 			h.Leave()
 		}
-		wait := clock.Duration(dials.First(n.Settings.Settings.Seed, e.ID, together))
+		wait := clock.Duration(hosts.First(n.Settings.Settings.Seed, e.ID, together))
 		h = &host{Host: upstream.New(told.Address, n.Options, wait), name: told.ID, address: told.Address}
 		n.hosts[e.ID] = h
 	}
--- a/internal/node/joint.go
+++ b/internal/node/joint.go
@@ -3,7 +3,7 @@
 import (
 	"elderwall/control"
 	"elderwall/internal/call"
-	"elderwall/joint"
+	"elderwall/stages/joint"
 )
 
 // newJoint is an empty table, nil where no GETs share a forward.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
@@ -20,8 +20,8 @@
 	"elderwall/internal/due"
 	"elderwall/internal/lines"
 	"elderwall/internal/upstream"
-	"elderwall/joint"
-	"elderwall/membership"
+	"elderwall/stages/joint"
+	"elderwall/hosts"
 	"elderwall/settings"
 )
 
@@ -255,7 +255,7 @@
 
 // Take takes an event of the change log; a long list in steps, between which GETs go on.
 func (n *Node) Take(e changelog.Event) {
-	if e.Fleet == nil || len(e.Fleet.Hosts) <= membership.Most || n.Shard != nil || !n.listed.Load() {
+	if e.Fleet == nil || len(e.Fleet.Hosts) <= hosts.MostTaken || n.Shard != nil || !n.listed.Load() {
 		n.guarded(func(now float64) { n.notice(now, e) })
 		return
 	}
@@ -265,7 +265,7 @@
 		changes = n.changes(*e.Fleet)
 	})
 	e.Fleet = nil
-	for _, step := range membership.Steps(changes, func(h changelog.Host) bool { return h.State != "SERVING" }, membership.Most) {
+	for _, step := range hosts.Steps(changes, func(h changelog.Host) bool { return h.State != "SERVING" }, hosts.MostTaken) {
 		n.guarded(func(now float64) { n.fleet(now, changelog.Fleet{Hosts: step}) })
 	}
 	n.guarded(func(now float64) { n.notice(now, e) })
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/due"
-	"elderwall/shards"
+	"elderwall/stages/shards"
 )
 
 const (
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -5,7 +5,7 @@
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/upstream"
-	"elderwall/joint"
+	"elderwall/stages/joint"
 )
 
 // wire carries the module's answers out; it is called under the node's lock and only queues.
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
 )
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,15 +12,15 @@
 	"path/filepath"
 	"slices"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/certs"
 	"elderwall/internal/extproc"
 	"elderwall/internal/fleet"
 	"elderwall/internal/service"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
-	"elderwall/retries"
-	"elderwall/shards"
+	"elderwall/control/retries"
+	"elderwall/stages/shards"
 )
 
 const mostCores = 256 // of a machine; as many shards would each see hardly a GET of an item
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
--- a/internal/operator/proxies.go
+++ b/internal/operator/proxies.go
@@ -4,7 +4,7 @@
 	"regexp"
 	"slices"
 
-	"elderwall/calls"
+	"elderwall/stages/calls"
 	"elderwall/internal/certs"
 	"elderwall/internal/extproc"
 	"elderwall/internal/strict"
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -28,8 +28,8 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/upstream"
-	"elderwall/retries"
-	"elderwall/shards"
+	"elderwall/control/retries"
+	"elderwall/stages/shards"
 )
 
 const (
--- a/internal/token/keys.go
+++ b/internal/token/keys.go
@@ -18,7 +18,7 @@
 
 	"github.com/go-jose/go-jose/v4"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 )
 
 const (
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -14,7 +14,7 @@
 	"github.com/go-jose/go-jose/v4"
 	"github.com/go-jose/go-jose/v4/jwt"
 
-	"elderwall/callers"
+	"elderwall/stages/callers"
 )
 
 const (
--- a/internal/upstream/places.go
+++ b/internal/upstream/places.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"elderwall/dials"
+	"elderwall/hosts"
 )
 
 // own tells whether a connection failed for want of something of ours, which no host is to blame for.
@@ -19,7 +19,7 @@
 // Dials bounds the connections that are begun in a time.
 type Dials struct {
 	mu    sync.Mutex
-	pace  dials.Pace
+	pace  hosts.Pace
 	start time.Time
 }
 
--- a/shards/shards.go
+++ b/stages/shards/shards.go
@@ -17,7 +17,7 @@
 	"math"
 	"slices"
 
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 const (
--- a/shards/shards_test.go
+++ b/stages/shards/shards_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"elderwall/order"
+	"elderwall/control/order"
 )
 
 // traffic is GETs a second by key.
