--- a/cmd/elderwall-operator/load.go
+++ b/cmd/elderwall-operator/load.go
@@ -14,7 +14,7 @@
 
 // loadCommand runs an experiment.
 type loadCommand struct {
-	Plan string `arg:"" help:"The plan, a Jsonnet file; examples/load.jsonnet is one." type:"existingfile"`
+	Plan string `arg:"" help:"The plan, a Jsonnet file; examples/cores.jsonnet is one." type:"existingfile"`
 	JSON string `help:"Where the results go as JSON, with the plan that they are of." type:"path" placeholder:"FILE"`
 }
 
--- a/cmd/elderwall/deploy_test.go
+++ b/cmd/elderwall/deploy_test.go
@@ -48,4 +48,7 @@
 	assert.Error(t, err)
 	assert.Equal(t, 1, run.ProcessState.ExitCode())
 	assert.Contains(t, string(said), path+".json", "it read its configuration itself")
+	said, err = exec.CommandContext(ctx, path, "check", "f").CombinedOutput()
+	assert.Error(t, err)
+	assert.Contains(t, string(said), "go build -o "+path+"-operator ./cmd/elderwall-operator", "which program is missing, and how it is built")
 }
--- a/cmd/elderwall/main.go
+++ b/cmd/elderwall/main.go
@@ -4,7 +4,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -32,8 +34,9 @@
 		return fmt.Errorf("become %s: %w", name, err)
 	}
 	path := filepath.Join(filepath.Dir(own), name)
-	if err := syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ()); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+	err = syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ())
+	if errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("commands and operators' files need the program %s beside this one: go build -o %s ./cmd/%s", name, path, name)
 	}
-	return nil
+	return fmt.Errorf("%s: %w", path, err)
 }
--- a/examples/fetch/main.go
+++ b/examples/fetch/main.go
@@ -1,5 +1,5 @@
 // Command fetch asks a dispatcher for one part of an object and prints what it answers: by a token (-token, the text or
-// the name of a file that holds it), or over TLS by a certificate (-cert, -key and -ca).
+// the name of a file that holds it), or over TLS by a certificate (-cert, -key and -ca). It ends with status 1 where the GET was not returned.
 package main
 
 import (
@@ -49,9 +49,12 @@
 	}
 	if reason := r.Fields["reason"]; reason != "" {
 		fmt.Printf("%s: %s\n", r.Kind, reason)
-		return
+	} else {
+		fmt.Printf("%s, %d bytes\n%.200s\n", r.Kind, len(r.Body), r.Body)
+	}
+	if r.Kind != "served" {
+		os.Exit(1)
 	}
-	fmt.Printf("%s, %d bytes\n%.200s\n", r.Kind, len(r.Body), r.Body)
 }
 
 // dial connects, by TLS where an authority is named.
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -41,13 +41,12 @@
 	var err error
 	if _, err = blocks(chain, "CERTIFICATE"); err != nil {
 		all = append(all, fmt.Errorf("certificate: %w", err))
-	}
-	if m.Certificate, err = tls.X509KeyPair(chain, key); err != nil {
+	} else if m.Certificate, err = tls.X509KeyPair(chain, key); err != nil {
 		all = append(all, fmt.Errorf("certificate and key: %w", err))
 	}
 	roots, err := m.authorities(authorities)
 	if err != nil {
-		all = append(all, fmt.Errorf("authorities: %w", err))
+		return errors.Join(append(all, fmt.Errorf("authorities: %w", err))...) // by whom lists are signed can't be told
 	}
 	for i, raw := range crls {
 		if err := m.crl(raw, roots); err != nil {
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -78,6 +78,7 @@
 		keys, err := token.ReadSet(raw, false)
 		if err != nil {
 			d.Each(o.At("keys"), err)
+			s.NoKeys = true // told of already: that none are left is no second fault
 		}
 		for _, k := range keys {
 			s.Keys = append(s.Keys, k.Key)
@@ -86,8 +87,11 @@
 		if slices.ContainsFunc(keys, (*token.Key).Secret) {
 			d.secret(o, "keys", path)
 		}
-	} else if _, told := o.Get("keys"); !told && !s.NoKeys {
-		o.Fault("keys", "is needed, the name of a JWK Set file")
+	} else {
+		if _, told := o.Get("keys"); !told && !s.NoKeys {
+			o.Fault("keys", "is needed, the name of a JWK Set file")
+		}
+		s.NoKeys = true // meant, or told of already
 	}
 	if raw, path, ok := d.file(o, "revoked"); ok {
 		if err := revocations(raw, &s.Revoked); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -60,7 +60,7 @@
 func Load(path string, services []string) (*Config, error) {
 	text, err := readFile(path)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("operator's file: %w", err)
 	}
 	return decode(path, string(text), services)
 }
@@ -68,16 +68,12 @@
 func readFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("operator's file: %w", err)
+		return nil, err
 	}
 	if info.Size() > longestFile {
 		return nil, fmt.Errorf("%s: %d bytes, at most %d", path, info.Size(), longestFile)
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("operator's file: %w", err)
-	}
-	return raw, nil
+	return os.ReadFile(path)
 }
 
 // decoder holds what the parts of a file share.
@@ -187,33 +183,20 @@
 	if t.Listen == "" {
 		o.Fault("listen", "is needed")
 	}
-	chain, _, haveChain := d.file(o, "certificate")
-	key, keyPath, haveKey := d.file(o, "key")
-	authorities, _, haveAuthorities := d.file(o, "authorities")
 	var crls [][]byte
 	for _, name := range o.Texts("revocations") {
 		if raw, _, ok := d.named(o, "revocations", name); ok {
 			crls = append(crls, raw)
 		}
 	}
-	o.Flag("required", &t.Required)
 	oldest := "1.2"
 	o.Word("oldest", &oldest, "1.2", "1.3")
-	o.Done()
-	if haveAuthorities && d.config.Callers == nil {
+	if _, told := o.Get("authorities"); told && d.config.Callers == nil {
 		o.Fault("authorities", "nobody would look at their certificates: there are no callers in the file")
 	}
-	if t.Required && !haveAuthorities {
-		o.Fault("authorities", "is needed where certificates are required")
-	}
-	if !haveChain || !haveKey {
-		o.Fault("certificate", "and key are needed, each the name of a PEM file")
+	if !d.material(o, &t.Material, crls) {
 		return
 	}
-	d.secret(o, "key", keyPath)
-	if err := t.Read(chain, key, authorities, crls); err != nil {
-		d.Each(o.At("certificate"), err)
-	}
 	t.Only13 = oldest == "1.3"
 	d.config.TLS = t
 	if s := d.config.Callers; s != nil {
@@ -221,6 +204,33 @@
 	}
 }
 
+// material reads the certificates of a listener; the rest of its keys has been asked for before. One fault is told once: a file that can't be
+// read is not missed a second time by what needs it.
+func (d *decoder) material(o *strict.Object, m *certs.Material, crls [][]byte) bool {
+	chain, _, haveChain := d.file(o, "certificate")
+	key, keyPath, haveKey := d.file(o, "key")
+	authorities, _, haveAuthorities := d.file(o, "authorities")
+	o.Flag("required", &m.Required)
+	o.Done()
+	told := func(key string) bool { _, ok := o.Get(key); return ok }
+	if m.Required && !told("authorities") {
+		o.Fault("authorities", "is needed where certificates are required")
+	}
+	if !told("certificate") || !told("key") {
+		o.Fault("certificate", "and key are needed, each the name of a PEM file")
+	}
+	if haveKey {
+		d.secret(o, "key", keyPath)
+	}
+	if !haveChain || !haveKey || told("authorities") && !haveAuthorities {
+		return false
+	}
+	if err := m.Read(chain, key, authorities, crls); err != nil {
+		d.Each(o.At("certificate"), err)
+	}
+	return true
+}
+
 // secret refuses a file with a secret that others on the machine may read.
 func (d *decoder) secret(o *strict.Object, key, path string) {
 	if info, err := os.Stat(path); err == nil && info.Mode().Perm()&0o077 != 0 {
--- a/internal/operator/proxies.go
+++ b/internal/operator/proxies.go
@@ -47,7 +47,10 @@
 		d.path(o.Element("paths", i, v), p)
 	}
 	if t := o.Inner("tls"); t != nil {
-		p.Material = d.material(t)
+		m := &certs.Material{}
+		if d.material(t, m, nil) {
+			p.Material = m
+		}
 		if s := d.config.Callers; s != nil && p.Material != nil {
 			s.Authorities = append(s.Authorities, p.Material.Prints...)
 		}
@@ -72,25 +75,3 @@
 	}
 	p.Rules.Paths = append(p.Rules.Paths, rule)
 }
-
-// material reads the certificates of a listener.
-func (d *decoder) material(o *strict.Object) *certs.Material {
-	m := &certs.Material{}
-	chain, _, haveChain := d.file(o, "certificate")
-	key, keyPath, haveKey := d.file(o, "key")
-	authorities, _, _ := d.file(o, "authorities")
-	o.Flag("required", &m.Required)
-	o.Done()
-	if !haveChain || !haveKey {
-		o.Fault("certificate", "and key are needed, each the name of a PEM file")
-		return nil
-	}
-	d.secret(o, "key", keyPath)
-	if err := m.Read(chain, key, authorities, nil); err != nil {
-		d.Each(o.At("certificate"), err)
-	}
-	if m.Required && authorities == nil {
-		o.Fault("authorities", "is needed where certificates are required")
-	}
-	return m
-}
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -28,6 +28,7 @@
 
 var (
 	ErrForm      = errors.New("not a token")            // its form, or a header that must not be
+	ErrNoKeyID   = errors.New(`the token has no key id (the header "kid"), and needs one: it tells which key of the set to check it by`)
 	ErrSignature = errors.New("signature is not right") // by the key that it names
 )
 
@@ -66,8 +67,11 @@
 		return nil, fmt.Errorf("%w: %w", ErrForm, err)
 	}
 	h := signed.Signatures[0].Protected
-	if h.KeyID == "" || len(h.KeyID) > longestID {
-		return nil, fmt.Errorf("%w: key id of %d bytes", ErrForm, len(h.KeyID))
+	if h.KeyID == "" {
+		return nil, ErrNoKeyID
+	}
+	if len(h.KeyID) > longestID {
+		return nil, fmt.Errorf("%w: key id of %d bytes, at most %d", ErrForm, len(h.KeyID), longestID)
 	}
 	return &Token{KeyID: h.KeyID, Algorithm: h.Algorithm, signed: signed}, nil
 }
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -87,7 +87,7 @@
 		{"a certificate of its own", head(good, `{"alg":"EdDSA","kid":"k1","x5c":[]}`), ed, ErrForm},
 		{"an extension that is critical", head(good, `{"alg":"EdDSA","kid":"k1","crit":["exp"],"exp":1}`), ed, ErrForm},
 		{"a header told twice", head(good, `{"alg":"EdDSA","alg":"none","kid":"k1"}`), ed, ErrForm},
-		{"no key id", head(good, `{"alg":"EdDSA"}`), ed, ErrForm},
+		{"no key id", head(good, `{"alg":"EdDSA"}`), ed, ErrNoKeyID},
 		{"a long key id", head(good, `{"alg":"EdDSA","kid":"`+strings.Repeat("k", 129)+`"}`), ed, ErrForm},
 		{"no signature", good[:strings.LastIndex(good, ".")+1], ed, ErrSignature},
 		{"two parts", good[:strings.LastIndex(good, ".")], ed, ErrForm},
