--- a/deploy/operator.example.jsonnet
+++ b/deploy/operator.example.jsonnet
@@ -1,6 +1,7 @@
 // What an installation adds to the platform's configuration: an example of an operator's own file. Name it by
 // ELDERWALL_OPERATOR, check it with `elderwall check FILE`, and send SIGHUP to have it read again. Times and rates have
-// their units. docs/operators/callers.md tells of every key.
+// their units. docs/operators/callers.md tells of every key. What names files of yours is hidden by a second colon, so
+// that the example can be checked as it stands: once the files are there, beside this one, take these colons out.
 
 // Tenants of one kind have the same roles and the same share, each for itself.
 local reseller(weight) = {
@@ -14,8 +15,9 @@
     skew: '30s',
     window: '2s',
     tokens: {
-      keys: 'keys.json',
-      revoked: 'revoked.json',
+      no_keys: true, // until there are some, by `elderwall keys new`; then take this line out
+      keys:: 'keys.json',
+      revoked:: 'revoked.json', // {"tokens": [jti …], "subjects": [sub …]}
       audience: 'elderwall',
       longest: '12h',
       require: ['exp', 'iat', 'sub'],
@@ -41,7 +43,8 @@
       'reseller-south': reseller(2) + { rules: [{ deny: { groups: [17] } }] },
     },
   },
-  tls: {
+  // A listener beside the plain one, where clients show certificates.
+  tls:: {
     listen: '127.0.0.1:4143',
     certificate: 'server.pem',
     key: 'server.key',
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -37,11 +37,15 @@
 	return dir
 }
 
+// example is the one of deploy/ with all that it hides, as the files that it names are there.
 func example(t testing.TB) string {
-	return string(need.Of(os.ReadFile("../../deploy/operator.example.jsonnet"))(t))
+	text := string(need.Of(os.ReadFile("../../deploy/operator.example.jsonnet"))(t))
+	return strings.NewReplacer(":: ", ": ", "no_keys: true", "no_keys: false").Replace(text)
 }
 
 func TestTheExample(t *testing.T) {
+	_, err := Load("../../deploy/operator.example.jsonnet", services)
+	require.NoError(t, err, "as it stands it names no file that is not there")
 	c, err := decode(filepath.Join(folder(t), "operator.jsonnet"), example(t), services)
 	require.NoError(t, err)
 	s := c.Callers
@@ -56,8 +60,8 @@
 
 func TestEveryFaultIsToldWithItsKeyAndLine(t *testing.T) {
 	for _, tt := range []struct{ name, old, new, want string }{
-		{"an unknown key", `skew:`, `skw:`, "operator.jsonnet:14: callers.skw: unknown key"},
-		{"a time with no unit", `skew: '30s'`, `skew: 30`, `operator.jsonnet:14: callers.skew: must be a time with its unit, such as "250ms", not a number`},
+		{"an unknown key", `skew:`, `skw:`, "operator.jsonnet:15: callers.skw: unknown key"},
+		{"a time with no unit", `skew: '30s'`, `skew: 30`, `operator.jsonnet:15: callers.skew: must be a time with its unit, such as "250ms", not a number`},
 		{"a time in an unknown unit", `'30s'`, `'30 secs'`, "callers.skew: "},
 		{"a window too short", `window: '2s'`, `window: '1ms'`, "callers.window: 1ms is not from 0.5s"},
 		{"a rate with no unit", `rate: '200/s'`, `rate: 200`, `share.rate: must be a rate with its unit`},
@@ -71,7 +75,6 @@
 		{"neither allowed nor denied", `[{ allow: {} }]`, `[{}]`, `roles.all[0]: must have "allow" or "deny"`},
 		{"a role that there is not", `roles: ['inside']`, `roles: ['insight']`, `there is no role "insight"`},
 		{"a claim that can't be required", `'iat'`, `'ate'`, `tokens.require: "ate"`},
-		{"a key file that is not there", `'keys.json'`, `'keyz.json'`, "tokens.keys: operator's file: stat"},
 		{"a key file of another kind", `'keys.json'`, `'server.pem'`, "tokens.keys: key set"},
 		{"a revocation file of another kind", `'revoked.json'`, `'keys.json'`, "tokens.revoked: "},
 		{"a certificate's name of no kind", `'dns:*.tools`, `'*.tools`, `must begin with "uri:"`},
@@ -94,6 +97,28 @@
 	assert.Equal(t, 3, len(strings.Split(err.Error(), "\n")), "all at once, a line each: %v", err)
 }
 
+func TestOneFaultIsToldOnce(t *testing.T) {
+	dir := folder(t)
+	for _, tt := range []struct{ old, new, want string }{
+		{`'keys.json'`, `'none'`, "tokens.keys: stat"},
+		{`'keys.json'`, `'server.pem'`, "tokens.keys: key set"},
+		{`keys: 'keys.json',`, ``, "tokens.keys: is needed"},
+		{`'revoked.json'`, `'none'`, "tokens.revoked: stat"},
+		{`'server.pem'`, `'none'`, "tls.certificate: stat"},
+		{`'server.pem'`, `'server.key'`, "tls.certificate: certificate: a PEM block"},
+		{`certificate: 'server.pem',`, ``, "tls.certificate: and key are needed"},
+		{`'server.key'`, `'none'`, "tls.key: stat"},
+		{`'clients.pem'`, `'none'`, "tls.authorities: stat"},
+		{`'clients.pem'`, `'server.key'`, "authorities: a PEM block"},
+		{`'clients.crl'`, `'none'`, "tls.revocations: stat"}} {
+		text := example(t)
+		require.Contains(t, text, tt.old)
+		_, err := decode(filepath.Join(dir, "operator.jsonnet"), strings.Replace(text, tt.old, tt.new, 1), services)
+		require.ErrorContains(t, err, tt.want)
+		assert.Equal(t, 0, strings.Count(err.Error(), "\n"), "%s: %v", tt.old, err)
+	}
+}
+
 func TestASecretThatOthersMayReadIsRefused(t *testing.T) {
 	dir := folder(t)
 	require.NoError(t, os.Chmod(filepath.Join(dir, "server.key"), 0o644))
