--- a/cmd/elderwall-operator/check.go
+++ b/cmd/elderwall-operator/check.go
@@ -39,9 +39,13 @@
 	if told.TLS != nil {
 		fmt.Printf("tls: listens at %s, %d authorities\n", told.TLS.Listen, len(told.TLS.Prints))
 	}
+	if p := told.Proxies; p != nil {
+		fmt.Printf("proxies: listens at %s, %d paths\n", p.Listen, len(p.Rules.Paths))
+	}
 	if f := told.Fleet; f != nil {
 		fmt.Printf("fleet: listens at %s, %d peers to begin with, sealed: %v\n", f.Listen, len(f.Peers), f.Keys != nil)
 	}
+	fmt.Println(c.File, "can be used")
 	if len(services) == 0 {
 		fmt.Println("delivery services were not checked: PROXY_CONFIG names no configuration")
 	}
--- a/cmd/elderwall-operator/keys.go
+++ b/cmd/elderwall-operator/keys.go
@@ -21,7 +21,7 @@
 	Announce announceKey `cmd:"" help:"Announce a key that was made elsewhere, from a JWK Set of public keys."`
 	Activate moveKey     `cmd:"" help:"Let a key count from now, or from --at on."`
 	Retire   moveKey     `cmd:"" help:"Let a key sign no more: what it signed before counts until it ends, or until --until."`
-	Revoke   moveKey     `cmd:"" help:"Let a key and all that it signed count no more."`
+	Revoke   revokeKey   `cmd:"" help:"Let a key and all that it signed count no more, at once."`
 	List     listKeys    `cmd:"" help:"List the keys of a set."`
 }
 
@@ -137,10 +137,21 @@
 
 // AfterApply tells each of the moves where it goes.
 func (k *keysCommand) AfterApply() error {
-	k.Activate.to, k.Retire.to, k.Revoke.to = callers.Active, callers.Retiring, callers.Revoked
+	k.Activate.to, k.Retire.to = callers.Active, callers.Retiring
 	return nil
 }
 
+// revokeKey has no moment: what is revoked is so at once.
+type revokeKey struct {
+	keySet
+	ID string `arg:"" help:"The key's id."`
+}
+
+// Run revokes the key.
+func (r *revokeKey) Run() error {
+	return (&moveKey{keySet: r.keySet, ID: r.ID, to: callers.Revoked}).Run()
+}
+
 // Run moves the key.
 func (m *moveKey) Run() error {
 	return m.change(false, func(keys []*token.Key) ([]*token.Key, error) {
