--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -27,7 +27,7 @@
 var algorithms = []jose.SignatureAlgorithm{jose.EdDSA, jose.ES256, jose.RS256, jose.HS256}
 
 var (
-	ErrForm      = errors.New("not a token")            // its form, or a header that must not be
+	ErrForm      = errors.New("not a token") // its form, or a header that must not be
 	ErrNoKeyID   = errors.New(`the token has no key id (the header "kid"), and needs one: it tells which key of the set to check it by`)
 	ErrSignature = errors.New("signature is not right") // by the key that it names
 )
