--- a/cmd/elderwall-operator/pages_test.go
+++ b/cmd/elderwall-operator/pages_test.go
@@ -240,6 +240,7 @@
 	}
 }
 
+// Each example can be read from anywhere, also where it imports another that stands beside it.
 func TestPagesAndExamplesAreTrue(t *testing.T) {
 	c := newChecker(t)
 	require.NoError(t, os.WriteFile("fleet.key", []byte(need.Of(command(t, "fleet", "key"))(t)), 0o600))
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,24 +1,11 @@
 package scenario
 
 import (
-	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
-// Each example can be read from anywhere, also where it imports another that stands beside it.
-func TestExamples(t *testing.T) {
-	all, err := filepath.Glob("../../examples/fleets/*.jsonnet")
-	require.NoError(t, err)
-	assert.Greater(t, len(all), 8)
-	for _, path := range all {
-		_, err := Read(path)
-		assert.NoError(t, err)
-	}
-}
-
 func TestFaults(t *testing.T) {
 	for text, want := range map[string]string{
 		"{ zones: 5, caches: 4, cells: 1 }": "zones: 1 to the caches",
