--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -5,8 +5,8 @@
 	"io"
 	"runtime/debug"
 
-	"elderwall/internal/benchwire"
 	"elderwall/control"
+	"elderwall/internal/benchwire"
 )
 
 // instance is one dispatcher with what the wire needs to reach it.
--- a/cmd/elderwall-operator/keys.go
+++ b/cmd/elderwall-operator/keys.go
@@ -11,8 +11,8 @@
 	"text/tabwriter"
 	"time"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 // keysCommand keeps a key set: every change writes the file anew, whole, and a dispatcher takes it on SIGHUP.
--- a/cmd/elderwall-operator/token.go
+++ b/cmd/elderwall-operator/token.go
@@ -10,8 +10,8 @@
 
 	"crypto/rand"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 const idBytes = 12 // of a token's id; two alike in 2^48 tokens
--- a/control/state.go
+++ b/control/state.go
@@ -10,11 +10,11 @@
 	"slices"
 
 	"elderwall/control/beliefs"
-	"elderwall/internal/due"
 	"elderwall/control/order"
 	"elderwall/control/paces"
 	"elderwall/control/popular"
 	"elderwall/control/retries"
+	"elderwall/internal/due"
 )
 
 // sketchSize is the bytes of counts of objects that the table has let go: some 65,000 by turn, which a tenth of
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/fleet/budgets"
 	"elderwall/control/retries"
+	"elderwall/fleet/budgets"
 )
 
 func run(t *testing.T, change func(*Scenario)) *Result {
--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -12,9 +12,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"elderwall/control/order"
 	"elderwall/fleet/replica"
 	"elderwall/internal/due"
-	"elderwall/control/order"
 )
 
 // More kinds of trouble, of a fleet's memory: what a member that ended finds on its disk.
--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -8,9 +8,9 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"elderwall/control/order"
 	"elderwall/fleet/variants"
 	"elderwall/internal/due"
-	"elderwall/control/order"
 )
 
 // Ways by which GETs of device classes may be looked for, side by side.
--- a/emulate/world.go
+++ b/emulate/world.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 
 	"elderwall/control"
-	"elderwall/internal/due"
 	"elderwall/control/order"
+	"elderwall/internal/due"
 )
 
 const (
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -13,12 +13,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"elderwall/control"
+	"elderwall/control/order"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/counters"
 	"elderwall/internal/node"
 	"elderwall/internal/upstream"
-	"elderwall/control/order"
 	"elderwall/stages/shards"
 )
 
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/stages/calls"
 	"elderwall/internal/call"
+	"elderwall/stages/calls"
 )
 
 const lookAgain = time.Millisecond // at a route that news has overtaken: a shard that does not stand still hears it in less
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -22,7 +22,6 @@
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
-	"elderwall/stages/calls"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
@@ -32,6 +31,7 @@
 	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/proxy"
 	rigs "elderwall/internal/standin/rig"
+	"elderwall/stages/calls"
 )
 
 // paused is a handler that a test can hold up.
--- a/internal/extproc/messages.go
+++ b/internal/extproc/messages.go
@@ -12,8 +12,8 @@
 	typev3 "github.com/envoyproxy/go-control-plane/envoy/type/v3"
 	"google.golang.org/protobuf/types/known/structpb"
 
-	"elderwall/stages/calls"
 	"elderwall/internal/call"
+	"elderwall/stages/calls"
 )
 
 // namespace is that of dynamic metadata.
--- a/internal/extproc/rules.go
+++ b/internal/extproc/rules.go
@@ -14,9 +14,9 @@
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
-	"elderwall/stages/calls"
 	"elderwall/internal/call"
 	"elderwall/internal/lines"
+	"elderwall/stages/calls"
 )
 
 const (
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -27,14 +27,14 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
-	"elderwall/stages/callers"
-	"elderwall/stages/calls"
 	"elderwall/control"
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/front"
 	"elderwall/internal/room"
+	"elderwall/stages/callers"
+	"elderwall/stages/calls"
 )
 
 const (
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"elderwall/control/retries"
 	"elderwall/fleet/budgets"
 	"elderwall/fleet/floors"
 	"elderwall/internal/certs"
@@ -29,7 +30,6 @@
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
 	"elderwall/internal/variants"
-	"elderwall/control/retries"
 )
 
 // Extras is an operator's file in force.
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -21,12 +21,12 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc/credentials"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/service"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/proxy"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,11 +19,11 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/call"
 	"elderwall/internal/counters"
 	"elderwall/internal/room"
 	"elderwall/internal/thrift"
+	"elderwall/stages/callers"
 )
 
 const (
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,13 +13,13 @@
 
 	"github.com/rs/zerolog"
 
-	"elderwall/stages/callers"
 	"elderwall/fleet/budgets"
 	"elderwall/internal/call"
 	"elderwall/internal/certs"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 // Fleet is what all dispatchers together let a tenant have.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -10,12 +10,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
 	"elderwall/internal/counters"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 const noon = 1764590400.0 // Unix s
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -6,10 +6,10 @@
 	"math"
 	"slices"
 
-	"elderwall/stages/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/lines"
+	"elderwall/stages/callers"
 )
 
 // Process takes a GET of any front. It passes the gate, where there is one, and goes to the module.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,17 +12,17 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/stages/callers"
 	"elderwall/control"
+	"elderwall/hosts"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/due"
 	"elderwall/internal/lines"
 	"elderwall/internal/upstream"
-	"elderwall/stages/joint"
-	"elderwall/hosts"
 	"elderwall/settings"
+	"elderwall/stages/callers"
+	"elderwall/stages/joint"
 )
 
 const sweepEach = 1.0 // s; how often connections are looked over for idle ones, which hosts keep for many
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/stages/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/due"
+	"elderwall/stages/callers"
 	"elderwall/stages/shards"
 )
 
--- a/internal/operator/callers.go
+++ b/internal/operator/callers.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"strings"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 const (
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,14 +12,14 @@
 	"path/filepath"
 	"slices"
 
-	"elderwall/stages/callers"
+	"elderwall/control/retries"
 	"elderwall/internal/certs"
 	"elderwall/internal/extproc"
 	"elderwall/internal/fleet"
 	"elderwall/internal/service"
 	"elderwall/internal/strict"
 	"elderwall/internal/token"
-	"elderwall/control/retries"
+	"elderwall/stages/callers"
 	"elderwall/stages/shards"
 )
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -11,10 +11,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
+	"elderwall/stages/callers"
 )
 
 var services = []string{"segment", "page"}
--- a/internal/operator/proxies.go
+++ b/internal/operator/proxies.go
@@ -4,10 +4,10 @@
 	"regexp"
 	"slices"
 
-	"elderwall/stages/calls"
 	"elderwall/internal/certs"
 	"elderwall/internal/extproc"
 	"elderwall/internal/strict"
+	"elderwall/stages/calls"
 )
 
 const (
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"elderwall/control/retries"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/cores"
@@ -28,7 +29,6 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/upstream"
-	"elderwall/control/retries"
 	"elderwall/stages/shards"
 )
 
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"elderwall/stages/callers"
 	"elderwall/internal/standin/need"
+	"elderwall/stages/callers"
 )
 
 var said = callers.Claims{Issuer: "us", Subject: "till-4", ID: "j1", Tenant: "counter", Audience: []string{"elderwall"},
