--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -16,11 +16,14 @@
 // Answered takes an answer to a forward as evidence, unless whoever sent it had not heard of a purge that was told here by now.
 func (m *Module) Answered(now float64, a Answer) {
 	v := m.service(a.Object, a.Class)
-	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 || !m.heard(&a) {
+	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 {
 		return
 	}
-	i := m.place(a.Object, a.Generation, true)
-	if i < 0 {
+	i := m.find(a.Object)
+	if !m.heard(&a, i) {
+		return
+	}
+	if i = m.place(i, a.Object, a.Generation, true); i < 0 {
 		return
 	}
 	t := m.tick(now)
@@ -34,13 +37,13 @@
 	if d.n > 0 && d.proof != a.Proof {
 		m.contrary(v, i, a.Class, t)
 		if timed(v, a.Generation) {
-			*d = class{proof: a.Proof, hosts: [MaxWitnesses]uint32{a.Host}, at: [MaxWitnesses]uint32{t}, n: 1, until: d.until, splits: d.splits,
-				stands: d.stands, last: d.last, from: d.from, since: d.since}
+			d.proof, d.n, d.expires, d.checks, d.disputed = a.Proof, 1, 0, 0, false
+			m.borne(i, a.Class)[0] = bearer{a.Host, t}
 		}
 		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits)}, a.Host})
 	} else {
 		lapses := timed(v, a.Generation)
-		fresh := m.bear(v, d, a.Host, a.Proof, t)
+		fresh := m.bear(v, d, m.borne(i, a.Class), a.Host, a.Proof, t)
 		if fresh && (d.n == 1 || !lapses) {
 			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
 		}
@@ -67,7 +70,7 @@
 		if of, exact := m.told(f.Object); !exact || f.Generation.Purge < of.purge {
 			continue
 		}
-		i := m.place(f.Object, f.Generation, false)
+		i := m.place(m.find(f.Object), f.Object, f.Generation, false)
 		if i < 0 || !m.advance(i, f.Generation) {
 			continue
 		}
@@ -88,23 +91,24 @@
 				m.contrary(v, i, f.Class, t)
 			}
 		case !lapses:
-			m.bear(v, d, host, f.Proof, t)
+			m.bear(v, d, m.borne(i, f.Class), host, f.Proof, t)
 		}
 		m.settle(v, i, t, int(f.Stands)-1)
 	}
 }
 
-// place finds or takes an object's place in the table for evidence of a generation; -1 where there is no room.
-func (m *Module) place(o Object, g Generation, evict bool) int {
-	if i := m.find(o); i >= 0 {
-		m.entries[i].ref = true
+// place takes an object's place in the table for evidence of a generation, unless it was found to have place i; -1 where there is no room.
+func (m *Module) place(i int, o Object, g Generation, evict bool) int {
+	if i >= 0 {
+		if e := &m.entries[i]; !e.ref {
+			e.ref = true
+		}
 		return i
 	}
 	s, tag := m.set(o)
 	first := s * m.ways
-	i := -1
 	for w := range m.ways {
-		if m.tags[first+w] == 0 {
+		if m.tags[s][w/4]>>(w%4*16)&0xffff == 0 {
 			i = first + w
 			m.used++
 			break
@@ -121,7 +125,8 @@
 		e.ref = false
 		m.hands[s] = (m.hands[s] + 1) % uint8(m.ways)
 	}
-	m.tags[i] = tag
+	word, shift := &m.tags[s][(i-first)/4], (i-first)%4*16
+	*word = *word&^(0xffff<<shift) | tag<<shift
 	m.entries[i] = entry{object: o, generation: g, ref: true}
 	for j := range m.of(i) {
 		m.of(i)[j] = class{stands: -1, last: -1, from: -1}
@@ -151,26 +156,28 @@
 }
 
 // bear takes a witness; it tells whether it is a new one.
-func (m *Module) bear(v *Service, d *class, host uint32, proof uint64, t uint32) bool {
+func (m *Module) bear(v *Service, d *class, by []bearer, host uint32, proof uint64, t uint32) bool {
 	if d.n == 0 {
 		d.proof = proof
 	}
 	oldest := 0
 	for j := range int(d.n) {
-		if d.hosts[j] == host {
-			d.at[j] = max(d.at[j], t)
+		if by[j].host == host {
+			if by[j].at < t {
+				by[j].at = t
+			}
 			return false
 		}
-		if d.at[j] < d.at[oldest] {
+		if by[j].at < by[oldest].at {
 			oldest = j
 		}
 	}
 	if int(d.n) < v.Witnesses {
-		d.hosts[d.n], d.at[d.n] = host, t
+		by[d.n] = bearer{host, t}
 		d.n++
 		return true
 	}
-	d.hosts[oldest], d.at[oldest] = host, t
+	by[oldest] = bearer{host, t}
 	return false
 }
 
@@ -180,7 +187,7 @@
 	joined := k[c].stands >= 0
 	for j := range k {
 		if j != c {
-			m.count(v, e, j, c, false)
+			m.count(v, i, j, c, false)
 		}
 	}
 	if !timed(v, e.generation) {
@@ -224,7 +231,7 @@
 		d.expires = math.MaxUint32
 		if timed(v, e.generation) {
 			for w := range int(d.n) {
-				d.expires = min(d.expires, d.at[w]+uint32(min(v.Fresh*ticks, math.MaxUint32/2)))
+				d.expires = min(d.expires, m.borne(i, j)[w].at+uint32(min(v.Fresh*ticks, math.MaxUint32/2)))
 			}
 		}
 	}
@@ -243,9 +250,9 @@
 	for j := range k {
 		for l := range j {
 			if differ(j, l) {
-				m.count(v, e, l, j, false)
+				m.count(v, i, l, j, false)
 			} else if k[j].proof == k[l].proof && m.sure(v, &k[j], t) && m.sure(v, &k[l], t) {
-				m.count(v, e, l, j, true)
+				m.count(v, i, l, j, true)
 			}
 		}
 	}
@@ -315,15 +322,15 @@
 }
 
 // count takes an object for or against the pattern of its group, once for a pair.
-func (m *Module) count(v *Service, e *entry, a, b int, agrees bool) {
-	bit := uint32(1) << pair(a, b)
-	if agrees && e.agreed&bit != 0 || !agrees && e.against&bit != 0 {
+func (m *Module) count(v *Service, i, a, b int, agrees bool) {
+	d, bit, e := &m.of(i)[max(a, b)], uint8(1)<<min(a, b), &m.entries[i]
+	if agrees && d.agreed&bit != 0 || !agrees && d.against&bit != 0 {
 		return
 	}
 	if agrees {
-		e.agreed |= bit
+		d.agreed |= bit
 	} else {
-		e.against |= bit
+		d.against |= bit
 	}
 	if v.Presume == nil {
 		return
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -7,14 +7,14 @@
 
 // Bounds.
 const (
-	MaxClasses   = 8       // of a service: a class's state is 64 bytes an object
+	MaxClasses   = 8       // of a service: a class's state is 32 bytes an object, and 8 for each witness
 	MaxWitnesses = 4       // that can be asked for
 	MaxObjects   = 1 << 22 // in the table
 	maxGroups    = 1 << 14 // patterns that are counted; of further groups nothing is presumed
 	maxWitness   = 128     // bytes of a witness's name
 	maxFacts     = 1 << 13 // that wait to be told; the oldest goes, and peers keep own keys for it
 	maxNotices   = 1 << 12 // that wait
-	ways         = 8       // places that an object may have: a line of memory holds their tags
+	ways         = 8       // places that an object may have: two words hold their tags
 	floorsEach   = 4       // floors of purges an object, so that few objects share one
 
 	warm        = 20.0  // s over which a growing share of GETs goes by a new key: hosts fill it once, not all at one moment
@@ -27,16 +27,16 @@
 	ticks       = 10.0  // a second: times are kept so, rounded to the past
 )
 
-// class is what is known of one class of an object in the object's generation.
+// class is what is known of one class of an object in the object's generation. Two are a line of memory: what only answers need is apart.
 type class struct {
 	proof    uint64
-	hosts    [MaxWitnesses]uint32
-	at       [MaxWitnesses]uint32 // ticks
-	since    uint32               // tick of the last change of stands
-	until    uint32               // tick up to which it is held apart
-	expires  uint32               // tick at which its evidence lapses
-	checks   uint16               // own answers that agreed since the join
-	n        uint8                // witnesses
+	since    uint32 // tick of the last change of stands
+	until    uint32 // tick up to which it is held apart
+	expires  uint32 // tick at which its evidence lapses
+	checks   uint16 // own answers that agreed since the join
+	agreed   uint8  // classes declared before it with which it was counted for the group's pattern, a bit each
+	against  uint8
+	n        uint8 // witnesses
 	splits   uint8
 	stands   int8 // class that stands for it, itself where it stands for others; -1 for none
 	last     int8 // that stood before
@@ -44,12 +44,14 @@
 	disputed bool // two contents in one generation: not joined until another generation
 }
 
-// entry is an object in the table; its classes are m.classes[i*m.stride:].
+// bearer is a witness of a class's content.
+type bearer struct{ host, at uint32 } // at: tick
+
+// entry is an object in the table, a line of memory; its classes are m.classes[i*m.stride:].
 type entry struct {
 	object     Object
 	generation Generation
-	agreed     uint32 // pairs of classes that were counted for the group's pattern
-	against    uint32
+	order      uint64 // of its floor, as of epoch
 	epoch      uint32 // of the module's purges, when the generation's was last seen to be the newest; 0 for never
 	ref        bool   // asked for since the hand came by
 	_          [3]byte
@@ -80,13 +82,17 @@
 type Module struct {
 	s      Settings
 	stride int
-	// An object has its place among the ways of one set, by its hash: a look takes one line of memory, and what is evicted is of that set.
+	// An object has its place among the ways of one set, by its hash: a look takes two words of tags, which caches hold, and what is evicted is
+	// of that set. All else of a place is found by its number, so that memory is waited for once.
 	ways    int
-	tags    []uint64 // of each place; 0 where it is free
-	hands   []uint8  // of each set
+	each    int                // witnesses kept of a class: the most that a service asks for
+	tags    [][ways / 4]uint64 // of each set: 16 bits a place, 0 where it is free
+	hands   []uint8            // of each set
 	used    int
+	latest  int // place that was found last, -1 for none: a GET's answer is looked up more than once. Places once taken are never free again
 	entries []entry
 	classes []class
+	bearers []bearer
 	zero    float64
 	started bool
 	// Floors of purges: of all, of services, and by hash of groups and objects. One that two share is higher than need be for one of
@@ -111,17 +117,21 @@
 	m := &Module{s: s, services: make([]floor, len(s.Services)), patterns: map[group]*pattern{}, epoch: 1}
 	for _, v := range s.Services {
 		m.stride = max(m.stride, len(v.Classes))
+		if len(v.Classes) > 0 {
+			m.each = max(m.each, v.Witnesses)
+		}
 	}
 	if m.stride == 0 {
 		m.floors = make([]floor, 1)
 		return m, nil
 	}
-	m.ways = min(ways, s.Objects)
+	m.ways, m.latest = min(ways, s.Objects), -1
 	m.hands = make([]uint8, s.Objects/m.ways)
 	places := len(m.hands) * m.ways
-	m.tags = make([]uint64, places)
+	m.tags = make([][ways / 4]uint64, len(m.hands))
 	m.entries = make([]entry, places)
 	m.classes = make([]class, places*m.stride)
+	m.bearers = make([]bearer, places*m.stride*m.each)
 	n := 1
 	for n < s.Objects*floorsEach {
 		n *= 2
@@ -148,11 +158,20 @@
 
 func id(o Object) uint64 { return mix(o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15) }
 
-// set is where an object's places begin, and its tag, which is 0 for none.
+// set is an object's set, and its tag, which is never 0.
 func (m *Module) set(o Object) (int, uint64) {
 	tag := mix(id(o)^uint64(o.Part)*0xd6e8feb86659fd93) | 1
 	high, _ := bits.Mul64(tag, uint64(len(m.hands)))
-	return int(high), tag
+	return int(high), tag & 0xffff
+}
+
+// low is all bits of a word's four tags but their highest.
+const low = 0x7fff7fff7fff7fff
+
+// alike marks the highest bit of each of a word's four tags that is the one looked for.
+func alike(word, tag uint64) uint64 {
+	x := word ^ tag*0x0001000100010001
+	return ^(x&low + low | x | low)
 }
 
 func groupID(service, g int) uint64 { return mix(uint64(g)<<20 ^ uint64(service) ^ 0xa0761d6478bd642f) }
@@ -190,9 +209,15 @@
 	return f.purge
 }
 
-// heard tells whether an answer is of the generation at hand: whoever sent it had heard each purge that was told here for its object.
-func (m *Module) heard(a *Answer) bool {
-	f, _ := m.told(a.Object)
+// heard tells whether an answer is of the generation at hand: whoever sent it had heard each purge that was told here for its object, whose
+// place is i.
+func (m *Module) heard(a *Answer, i int) bool {
+	var f floor
+	if i >= 0 && m.entries[i].object.Group == a.Object.Group && m.current(&m.entries[i]) {
+		f.purge, f.order = m.entries[i].generation.Purge, m.entries[i].order
+	} else {
+		f, _ = m.told(a.Object)
+	}
 	return f.order <= a.Known && f.purge == a.Generation.Purge
 }
 
@@ -249,7 +274,7 @@
 	if e.generation.Purge != f.purge {
 		return false
 	}
-	e.epoch = m.epoch
+	e.epoch, e.order = m.epoch, f.order
 	return true
 }
 
@@ -275,19 +300,35 @@
 	if len(m.hands) == 0 {
 		return -1
 	}
+	if i := m.latest; i >= 0 && m.entries[i].is(&o) {
+		return i
+	}
 	s, tag := m.set(o)
-	for i, other := range m.tags[s*m.ways : (s+1)*m.ways] {
-		if i += s * m.ways; other == tag && m.entries[i].object.Object == o.Object && m.entries[i].object.Service == o.Service && m.entries[i].object.Part == o.Part {
-			return i
+	for w, word := range m.tags[s] {
+		for marks := alike(word, tag); marks != 0; marks &= marks - 1 {
+			if i := s*m.ways + w*4 + bits.TrailingZeros64(marks)/16; m.entries[i].is(&o) {
+				m.latest = i
+				return i
+			}
 		}
 	}
 	return -1
 }
 
+func (e *entry) is(o *Object) bool {
+	return e.object.Object == o.Object && e.object.Service == o.Service && e.object.Part == o.Part
+}
+
 func (m *Module) of(i int) []class {
 	return m.classes[i*m.stride : i*m.stride+len(m.s.Services[m.entries[i].object.Service].Classes)]
 }
 
+// borne is who bore out a class's content, in its first n.
+func (m *Module) borne(i, c int) []bearer {
+	j := (i*m.stride + c) * m.each
+	return m.bearers[j : j+m.each : j+m.each]
+}
+
 // Key says by which class a GET of a class is looked for.
 func (m *Module) Key(now float64, o Object, c int) Key {
 	own := Key{Class: c, Own: true}
@@ -309,8 +350,9 @@
 	draw := mix(math.Float64bits(now) ^ m.s.Seed ^ mix(o.Object) ^ uint64(c)<<56)
 	low, high := float64(draw&0xffffffff)/(1<<32), float64(draw>>32)/(1<<32)
 	if i >= 0 {
-		e := &m.entries[i]
-		e.ref = true
+		if e := &m.entries[i]; !e.ref {
+			e.ref = true // else the line is left clean
+		}
 		k := m.of(i)
 		if d := &k[c]; d.stands >= 0 && t < d.expires && current {
 			stands := int(d.stands)
@@ -359,7 +401,7 @@
 // presumable tells whether nothing that is known of an object speaks against its class c being d's.
 func (m *Module) presumable(i, d, c int, t uint32) bool {
 	e, k := &m.entries[i], m.of(i)
-	if e.against&(1<<pair(d, c)) != 0 || k[c].until > t || k[d].until > t || k[c].disputed || k[d].disputed {
+	if a, b := min(d, c), max(d, c); k[b].against&(1<<a) != 0 || k[c].until > t || k[d].until > t || k[c].disputed || k[d].disputed {
 		return false
 	}
 	return k[c].n == 0 || k[d].n == 0 || k[c].proof == k[d].proof || e.generation.Purge < m.Told(e.object)
@@ -372,11 +414,14 @@
 		return true
 	}
 	v := m.service(a.Object, c)
-	if v == nil || m.service(a.Object, a.Class) == nil || a.Proof == 0 || !m.heard(a) {
+	if v == nil || m.service(a.Object, a.Class) == nil || a.Proof == 0 {
 		return false
 	}
-	t := m.tick(now)
 	i := m.find(a.Object)
+	if !m.heard(a, i) {
+		return false
+	}
+	t := m.tick(now)
 	if k.Presume {
 		if i < 0 {
 			return true
--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -278,7 +278,7 @@
 				t += 0.001
 				m.Key(t, Object{Object: mix(uint64(i & (objects - 1)))}, i%3)
 			}
-			b.ReportMetric(float64(int(unsafe.Sizeof(entry{}))+m.stride*int(unsafe.Sizeof(class{}))+8+24*floorsEach), "B/object")
+			b.ReportMetric(float64(int(unsafe.Sizeof(entry{}))+m.stride*(int(unsafe.Sizeof(class{}))+m.each*int(unsafe.Sizeof(bearer{})))+2+24*floorsEach), "B/object")
 		})
 	}
 }
