variants: what waits to be told is a ring

Cause: where nobody takes facts the full queue was copied with each one. Change: a ring with the same bound; the oldest go, counted, as before.

--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -382,19 +382,44 @@
 }
 
 func (m *Module) tell(f told) {
-	if len(m.facts) >= maxFacts/max(1, m.s.Parts) {
-		m.facts = m.facts[1:]
+	if m.facts.push(f, maxFacts/max(1, m.s.Parts)) {
 		m.dropped++
 	}
-	m.facts = append(m.facts, f)
 }
 
 func (m *Module) notice(n Notice) {
-	if len(m.notices) >= maxNotices/max(1, m.s.Parts) {
-		m.notices = m.notices[1:]
+	if m.notices.push(n, maxNotices/max(1, m.s.Parts)) {
 		m.dropped++
 	}
-	m.notices = append(m.notices, n)
+}
+
+// line is what waits, the oldest first, in a ring: where nobody takes it a new one costs no more than its place.
+type line[T any] struct {
+	items    []T
+	first, n int
+}
+
+// push adds one; it tells whether the oldest had to go for it.
+func (l *line[T]) push(x T, most int) (full bool) {
+	if full = l.n >= most; full {
+		l.pop()
+	}
+	if l.n == len(l.items) {
+		items := make([]T, min(most, max(16, 2*l.n)))
+		copy(items[copy(items, l.items[l.first:]):], l.items[:l.first])
+		l.items, l.first = items, 0
+	}
+	l.items[(l.first+l.n)%len(l.items)] = x
+	l.n++
+	return full
+}
+
+// pop takes the oldest.
+func (l *line[T]) pop() (x T) {
+	x = l.items[l.first]
+	l.first = (l.first + 1) % len(l.items)
+	l.n--
+	return x
 }
 
 // Keeps tells whether a fact that was told is still of use: its writer deletes it otherwise. Of another writer's it is asked with own false,
@@ -415,9 +440,8 @@
 // Facts takes what peers are to be told, the oldest first. What a purge voided meanwhile is left out.
 func (m *Module) Facts(most int) []Fact {
 	var out []Fact
-	for len(m.facts) > 0 && len(out) < most {
-		f := m.facts[0]
-		m.facts = m.facts[1:]
+	for m.facts.n > 0 && len(out) < most {
+		f := m.facts.pop()
 		i := m.find(f.fact.Object)
 		if of, exact := m.told(f.fact.Object); i < 0 || !exact || f.fact.Generation.Purge < of.purge {
 			continue
@@ -433,9 +457,11 @@
 
 // Notices takes the joins and splits since it was last asked.
 func (m *Module) Notices() []Notice {
-	n := m.notices
-	m.notices = nil
-	return n
+	var out []Notice
+	for m.notices.n > 0 {
+		out = append(out, m.notices.pop())
+	}
+	return out
 }
 
 // Dropped counts facts and notices that nobody took in time.
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -104,8 +104,8 @@
 	floors   []floor
 	epoch    uint32 // rises with each purge
 	patterns map[group]*pattern
-	facts    []told
-	notices  []Notice
+	facts    line[told]
+	notices  line[Notice]
 	dropped  uint64
 	peers    int // dispatchers that share their facts, this one too
 }
