--- a/internal/variants/bench_test.go
+++ b/internal/variants/bench_test.go
@@ -20,11 +20,12 @@
 
 // known is a stage that knows two classes of objects as one, and a GET of one of them on its whole way through it: a key, a field, the
 // evidence of its answer, and whether that fits.
-func known(t testing.TB, n int) (names []string, get func(in *control.GET, i int) bool) {
+func known(t testing.TB, n int) (stage *variants.Stage, get func(in *control.GET, i int) bool) {
 	one := pure.Service{Classes: classes, Proof: pure.ByTag, Witnesses: 1, Repeats: true, Fresh: math.Inf(1)}
 	of := pure.Settings{Services: []pure.Service{one}, Objects: 2 * max(n, 1<<11), Seed: 7, Self: "d1"}
 	stage, err := variants.New(variants.Settings{Module: of, Fields: []string{"dev"}})
 	require.NoError(t, err)
+	var names []string
 	get = func(in *control.GET, i int) bool {
 		in.Object = names[int(uint64(i)*0x9e3779b97f4a7c15>>32)%n]
 		now := 100 + float64(i)*1e-6
@@ -40,16 +41,27 @@
 			stage.Answered(1, &in, v, node.Evidence{Asked: class, Host: 3, Proof: 9})
 		}
 	}
-	return names, get
+	return stage, get
 }
 
-func TestStageAllocatesNothing(t *testing.T) {
-	_, get := known(t, 100)
+// The stage is in parts here: a GET allocates nothing, and what one stage tells another learns.
+func TestStageInParts(t *testing.T) {
+	stage, get := known(t, 100)
 	in, i := new(control.GET), 0
 	assert.Zero(t, testing.AllocsPerRun(10_000, func() {
 		i++
 		assert.True(t, get(in, i), "same bytes")
 	}))
+	other, _ := known(t, 1)
+	all := append(stage.Facts(50), stage.Facts(1000)...)
+	require.Len(t, all, 200)
+	other.Learn(2, all)
+	assert.Len(t, other.Notices(), 1+99, "one object both knew")
+	stage.Purged(9, 1, "", 0)
+	for n := range all {
+		assert.True(t, other.Keep(&all[n], true))
+		assert.False(t, stage.Keep(&all[n], true), "a purge of the group is for all parts")
+	}
 }
 
 // BenchmarkStage is what the stage adds to a GET, of one object after the other by chance, from one shard and from eight at once.
