variants: the module says in how many parts it is kept, not its driver

The counts of parts stood in internal/variants, a driver; they decide how objects are divided, so they stand in the pure module.

--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -7,7 +7,7 @@
 
 // Bounds.
 const (
-	MaxClasses   = 8       // of a service: a class's state is 32 bytes an object, and 8 for each witness
+	MaxClasses   = 8       // of a service: a class's state is 40 bytes an object, and 8 for each further witness
 	MaxWitnesses = 4       // that can be asked for
 	MaxObjects   = 1 << 22 // in the table
 	maxGroups    = 1 << 14 // patterns that are counted; of further groups nothing is presumed
@@ -16,6 +16,8 @@
 	maxNotices   = 1 << 12 // that wait
 	ways         = 8       // places that an object may have: two words hold their tags
 	floorsEach   = 4       // floors of purges an object, so that few objects share one
+	partBits     = 4       // 16 parts of the objects: shards seldom meet
+	partLeast    = 1 << 8  // objects of a part at least: few would crowd its sets
 
 	warm        = 20.0  // s over which a growing share of GETs goes by a new key: hosts fill it once, not all at one moment
 	hold        = 30.0  // s that a class is held apart after its first split; doubled with each further one
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -16,11 +16,7 @@
 	"elderwall/internal/node"
 )
 
-const (
-	nameSlots = 1 << 13 // names of objects by class that are at hand; others are made anew, 16 bytes each
-	partBits  = 4       // 16 parts of the objects, with a lock each: shards seldom meet
-	partLeast = 1 << 8  // objects of a part at least: few would crowd its sets
-)
+const nameSlots = 1 << 13 // names of objects by class that are at hand; others are made anew, 16 bytes each
 
 // Settings is what an operator declares.
 type Settings struct {
@@ -61,7 +57,7 @@
 
 // New makes a stage, or names all that is wrong with the settings.
 func New(s Settings) (*Stage, error) {
-	st := &Stage{settings: s, parts: make([]part, parts(&s.Module)), names: make([]atomic.Pointer[name], nameSlots)}
+	st := &Stage{settings: s, parts: make([]part, variants.Parts(&s.Module)), names: make([]atomic.Pointer[name], nameSlots)}
 	of := s.Module
 	of.Parts, of.Objects = len(st.parts), of.Objects/len(st.parts)
 	for i := range st.parts {
@@ -89,21 +85,8 @@
 	return st, nil
 }
 
-// parts is in how many the objects are.
-func parts(s *variants.Settings) int {
-	if s.Objects < partLeast<<partBits || s.Objects > variants.MaxObjects || slices.ContainsFunc(s.Services, func(v variants.Service) bool { return v.Presume != nil }) {
-		return 1
-	}
-	return 1 << partBits
-}
-
 // part is the one of an object's number.
-func (s *Stage) part(number uint64) *part {
-	if len(s.parts) == 1 {
-		return &s.parts[0]
-	}
-	return &s.parts[number*0x9e3779b97f4a7c15>>(64-partBits)%uint64(len(s.parts))]
-}
+func (s *Stage) part(number uint64) *part { return &s.parts[variants.PartOf(number, len(s.parts))] }
 
 // all does something with each part.
 func (s *Stage) all(do func(m *variants.Module)) {
