--- a/internal/standin/need/need.go
+++ b/internal/standin/need/need.go
@@ -2,7 +2,9 @@
 package need
 
 import (
+	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,6 +20,28 @@
 	}
 }
 
+// Soon waits until something holds, for so long as no sound program takes.
+func Soon(t testing.TB, holds func() bool, why ...any) {
+	t.Helper()
+	require.Eventually(t, holds, 5*time.Second, time.Millisecond, why...)
+}
+
+// Listener is a listener on loopback, closed with the test.
+func Listener(t testing.TB) net.Listener {
+	t.Helper()
+	l := Of(net.Listen("tcp", "127.0.0.1:0"))(t)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// Host is a stand-in host, closed with the test.
+func Host(t testing.TB, answer func(standin.Ask) string) *standin.Host {
+	t.Helper()
+	h := Of(standin.Listen("127.0.0.1:0", answer))(t)
+	t.Cleanup(h.Close)
+	return h
+}
+
 // Client is a connection to a dispatcher, closed with the test.
 func Client(t testing.TB, address string) *standin.Client {
 	t.Helper()
@@ -26,6 +50,19 @@
 	return c
 }
 
+// Sent sends a GET of the usual fields with changes, and gives its number.
+func Sent(t testing.TB, c *standin.Client, changes ...string) int32 {
+	t.Helper()
+	return Of(c.Process(standin.Fields(changes...), ""))(t)
+}
+
+// Asked sends one and gives its answer.
+func Asked(t testing.TB, c *standin.Client, changes ...string) standin.Reply {
+	t.Helper()
+	Sent(t, c, changes...)
+	return Of(c.Read())(t)
+}
+
 // Ready says whether a dispatcher takes GETs by now.
 func Ready(address string) bool {
 	c, err := standin.Dial(address)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -130,6 +130,16 @@
 	return Answer(id, "HIT", "rev=4be0c1927d55a6f3,since=1764576000123,detail=mem", body)
 }
 
+// Hits is what a host does that has all copies, each of those bytes.
+func Hits(body string) func(Ask) string {
+	return func(a Ask) string {
+		if a.Stop {
+			return ""
+		}
+		return Hit(a.ID, body)
+	}
+}
+
 // ChangeLog is a change log; net/http makes it a peer of other making than the parser that it tries.
 type ChangeLog struct {
 	Address string
