--- a/callers/rights_test.go
+++ b/callers/rights_test.go
@@ -60,7 +60,7 @@
 			objects = []Prefix{{}}
 		}
 		for _, p := range objects {
-			if (Prefix{Bits: g.Object}).cutTo(p.Digits) != p.Bits {
+			if (Prefix{Bits: g.Object}).cut(p.Digits).Bits != p.Bits {
 				continue
 			}
 			if p.Digits > best || p.Digits == best && r.Deny {
@@ -71,8 +71,6 @@
 	return allowed
 }
 
-func (p Prefix) cutTo(digits int) uint64 { return p.cut(digits).Bits }
-
 func TestTheIndexSaysWhatAScanSays(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		object := rapid.Custom(func(t *rapid.T) uint64 { // few, so that prefixes meet
@@ -97,71 +95,25 @@
 	})
 }
 
-// byLength is the way that was weighed against a table of prefixes: a map for each length in use.
-type byLength struct {
-	lengths []int // longest first
-	places  [objectDigits + 1]map[uint64]*place
-}
-
-func newByLength(rules []Rule) *byLength {
-	x := &byLength{}
-	for _, r := range rules {
-		for _, p := range r.Objects {
-			if x.places[p.Digits] == nil {
-				x.places[p.Digits] = map[uint64]*place{}
-				x.lengths = append(x.lengths, p.Digits)
-			}
-			if x.places[p.Digits][p.Bits] == nil {
-				x.places[p.Digits][p.Bits] = &place{}
-			}
-			x.places[p.Digits][p.Bits].add(r)
-		}
-	}
-	slices.SortFunc(x.lengths, func(a, b int) int { return b - a })
-	return x
-}
-
-func (x *byLength) allow(g GET, from netip.Addr) bool {
-	for _, n := range x.lengths {
-		p := x.places[n][Prefix{Bits: g.Object}.cutTo(n)]
-		if p == nil {
-			continue
-		}
-		if fits(p.deny, g, from) {
-			return false
-		}
-		if fits(p.allow, g, from) {
-			return true
-		}
-	}
-	return false
-}
-
+// BenchmarkRights is what a GET costs by the index, and what a rule takes there, against a scan.
 func BenchmarkRights(b *testing.B) {
-	for _, of := range []struct{ n, most int }{{10, 6}, {1000, 6}, {100000, 6}, {100000, 16}} { // rules, lengths of their prefixes
-		n := of.n
-		chance := rand.New(rand.NewPCG(1, uint64(n)))
-		var rules []Rule
-		for range n {
-			p := Prefix{chance.Uint64(), 16}.cut(16 - chance.IntN(of.most))
-			rules = append(rules, Rule{Objects: []Prefix{p}, Deny: chance.IntN(4) == 0, Services: []int{chance.IntN(3)}})
+	for _, n := range []int{10, 1000, 100000} {
+		chance, rules, gets := rand.New(rand.NewPCG(1, uint64(n))), make([]Rule, n), make([]GET, 1024)
+		for i := range rules {
+			p := Prefix{chance.Uint64(), 16}.cut(16 - chance.IntN(16))
+			rules[i] = Rule{Objects: []Prefix{p}, Deny: chance.IntN(4) == 0, Services: []int{chance.IntN(3)}}
 		}
-		gets := make([]GET, 1024)
 		for i := range gets {
 			gets[i] = GET{Service: chance.IntN(3), Object: rules[chance.IntN(n)].Objects[0].Bits | chance.Uint64()>>48}
 		}
-		before, index, between, lengths := heap(), newRights(rules), heap(), newByLength(rules)
-		after := heap()
-		size := map[string]float64{"prefixes": (between - before) / float64(n), "lengths": (after - between) / float64(n)}
-		for _, way := range []struct {
-			name  string
-			allow func(GET, netip.Addr) bool
-		}{{"prefixes", index.allow}, {"lengths", lengths.allow},
-			{"scan", func(g GET, from netip.Addr) bool { return scan(rules, g, from) }}} {
-			b.Run(fmt.Sprintf("%d-rules-%d-lengths/%s", n, of.most, way.name), func(b *testing.B) {
-				b.ReportMetric(size[way.name], "B/rule")
+		before, index := heap(), newRights(rules)
+		size := (heap() - before) / float64(n)
+		scanned := func(g GET, from netip.Addr) bool { return scan(rules, g, from) }
+		for name, allow := range map[string]func(GET, netip.Addr) bool{"prefixes": index.allow, "scan": scanned} {
+			b.Run(fmt.Sprintf("%d-rules/%s", n, name), func(b *testing.B) {
+				b.ReportMetric(size, "B/rule")
 				for i := range b.N {
-					way.allow(gets[i&1023], here)
+					allow(gets[i&1023], here)
 				}
 			})
 		}
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -11,29 +11,47 @@
 	"pgregory.net/rapid"
 )
 
-// plain is the order as it is written: all hosts hashed and sorted.
-func plain(ids []uint32, hash uint64) []int {
-	places := make([]int, len(ids))
+// count is 0 to n-1.
+func count(n int) []int {
+	places := make([]int, n)
 	for i := range places {
 		places[i] = i
 	}
+	return places
+}
+
+// plain is the order as it is written: all hosts hashed and sorted.
+func plain(ids []uint32, hash uint64) []int {
+	places := count(len(ids))
 	sort.Slice(places, func(i, j int) bool {
 		return Mix(hash^Mix(uint64(ids[places[i]]))) > Mix(hash^Mix(uint64(ids[places[j]])))
 	})
 	return places
 }
 
+// many is so many hosts.
+func many(n int) []uint32 {
+	ids := make([]uint32, n)
+	for i := range ids {
+		ids[i] = uint32(i) * 7919
+	}
+	return ids
+}
+
+// hashOf is that of an object.
+func hashOf(i int) uint64 { return uint64(i) * 0x9e3779b97f4a7c15 }
+
 // set gives each host its place as a value.
 func set(x *Index[int], ids []uint32) {
-	places := make([]int, len(ids))
-	for i := range places {
-		places[i] = i
-	}
-	x.Set(ids, places)
+	x.Set(ids, count(len(ids)))
+}
+
+func walk(x *Index[int], hash uint64, first **First, most int) []int {
+	return walkFrom(x, hash, first, 0, most)
 }
 
-func walk(x *Index[int], hash uint64, first **First, most int) (places []int) {
-	x.Walk(hash, first, 0, func(place int) bool { places = append(places, place); return len(places) < most })
+func walkFrom(x *Index[int], hash uint64, first **First, from, most int) (places []int) {
+	x.Walk(hash, first, from, func(place int) bool { places = append(places, place); return len(places) < most })
 	return places
 }
 
@@ -94,67 +112,49 @@
 				}
 				hash, most := uint64(k+1)*0x9e3779b97f4a7c15, rapid.SampledFrom([]int{1, 2, 5, 6, 7, 9, 40, 130, 900}).Draw(t, "most")
 				want, from := plain(ids, hash), rapid.SampledFrom([]int{0, 0, 3, 6, 200}).Draw(t, "from")
-				var got []int
-				x.Walk(hash, &first[k], from, func(place int) bool { got = append(got, place); return len(got) < most })
-				if want := want[min(len(want), from):]; !slices.Equal(got, want[:min(len(want), most)]) {
-					t.Fatalf("%d hosts, from %d: %v, a sort gives %v", len(ids), from, got, want[:min(len(want), most)])
-				}
-				if got := walk(&x, hash, &first[k], most); !slices.Equal(got, want[:min(len(want), most)]) {
-					t.Fatalf("%d hosts: %v, a sort gives %v", len(ids), got, want[:min(len(want), most)])
+				for _, from := range []int{from, 0} {
+					want := want[min(len(want), from):]
+					want = want[:min(len(want), most)]
+					if got := walkFrom(&x, hash, &first[k], from, most); !slices.Equal(got, want) {
+						t.Fatalf("%d hosts, from %d: %v, a sort gives %v", len(ids), from, got, want)
+					}
 				}
 			}
 		}
 	})
 }
 
-// BenchmarkAfterAChange is a walk for an object that is known, after 1% of hosts have been replaced.
+// BenchmarkAfterAChange is a walk for an object that is known, after 1% of hosts have been replaced, and the taking in of such a list.
 func BenchmarkAfterAChange(b *testing.B) {
 	for _, n := range []int{1000, 10000} {
-		for _, way := range []string{"caught up", "found anew", "list"} {
-			b.Run(fmt.Sprint(n, "/", way), func(b *testing.B) {
-				ids := make([]uint32, n)
-				for i := range ids {
-					ids[i] = uint32(i) * 7919
-				}
-				var x Index[int]
-				set(&x, ids)
-				changed := slices.Clone(ids)
-				for i := range n / 100 {
-					changed[i*100] = uint32(n+i) * 7919
-				}
-				places, firsts, first := make([]int, n), make([]*First, 4096), make([]First, 4096)
-				for i := range firsts {
-					walk1(&x, uint64(i)*0x9e3779b97f4a7c15, &firsts[i])
-					first[i] = *firsts[i]
-					first[i].places = slices.Clone(first[i].places)
-				}
-				x.Set(changed, places)
-				b.ResetTimer()
-				for i := range b.N {
-					f := first[i&4095]
-					switch way {
-					case "caught up":
-						x.follow(uint64(i&4095)*0x9e3779b97f4a7c15, &f.list, Kept)
-					case "found anew":
-						x.find(uint64(i&4095)*0x9e3779b97f4a7c15, &f)
-					case "list":
-						if i%2 == 0 {
-							x.Set(ids, places)
-						} else {
-							x.Set(changed, places)
-						}
-					}
-				}
-			})
+		var x Index[int]
+		ids := many(n)
+		set(&x, ids)
+		changed, firsts, places := slices.Clone(ids), make([]*First, 4096), make([]int, n)
+		for i := range n / 100 {
+			changed[i*100] = uint32(n+i) * 7919
 		}
+		for i := range firsts {
+			walk(&x, hashOf(i), &firsts[i], 1)
+		}
+		x.Set(changed, places)
+		b.Run(fmt.Sprint(n, "/caught up"), func(b *testing.B) {
+			for i := range b.N {
+				f := *firsts[i&4095]
+				f.places = slices.Clone(f.places)
+				x.follow(hashOf(i&4095), &f.list, Kept)
+			}
+		})
+		b.Run(fmt.Sprint(n, "/list"), func(b *testing.B) {
+			for i := range b.N {
+				x.Set([][]uint32{ids, changed}[i%2], places)
+			}
+		})
 	}
 }
 
 func TestAHostLessMovesItsOwnObjectsAlone(t *testing.T) {
-	ids := make([]uint32, 1000)
-	for i := range ids {
-		ids[i] = uint32(i) * 7919
-	}
+	ids := many(1000)
 	var all, less Index[int]
 	set(&all, ids)
 	set(&less, slices.Delete(slices.Clone(ids), 990, 1000)) // two lists that differ by 1%
@@ -177,31 +177,20 @@
 
 func BenchmarkOrder(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		ids := make([]uint32, n)
-		for i := range ids {
-			ids[i] = uint32(i) * 7919
-		}
 		var x Index[int]
+		ids, firsts := many(n), make([]*First, 4096)
 		set(&x, ids)
-		firsts := make([]*First, 4096)
-		for _, way := range []struct {
-			name string
-			do   func(i int)
-		}{
-			{"known", func(i int) { walk1(&x, uint64(i&4095)*0x9e3779b97f4a7c15, &firsts[i&4095]) }},
-			{"new", func(i int) { var f *First; walk1(&x, uint64(i)*0x9e3779b97f4a7c15, &f) }},
-			{"100 of them", func(i int) { walk(&x, uint64(i&31)*0x9e3779b97f4a7c15, &firsts[i&4095], 100) }},
-			{"sort", func(i int) { plain(ids, uint64(i)*0x9e3779b97f4a7c15) }}} {
-			b.Run(fmt.Sprintf("%d/%s", n, way.name), func(b *testing.B) {
+		for name, do := range map[string]func(i int){
+			"known":       func(i int) { walk(&x, hashOf(i&4095), &firsts[i&4095], 1) },
+			"new":         func(i int) { var f *First; walk(&x, hashOf(i), &f, 1) },
+			"100 of them": func(i int) { walk(&x, hashOf(i&31), &firsts[i&4095], 100) },
+			"sort":        func(i int) { plain(ids, hashOf(i)) }} {
+			b.Run(fmt.Sprintf("%d/%s", n, name), func(b *testing.B) {
 				b.ReportAllocs()
 				for i := range b.N {
-					way.do(i)
+					do(i)
 				}
 			})
 		}
 	}
 }
-
-func walk1(x *Index[int], hash uint64, first **First) {
-	x.Walk(hash, first, 0, func(int) bool { return false })
-}
--- a/popular/popular_test.go
+++ b/popular/popular_test.go
@@ -90,54 +90,23 @@
 		}
 	}
 	t.byUse.MoveToFront(e)
-	one := e.Value.(*entry)
-	for ; one.epoch < epoch; one.epoch++ {
-		if epoch-one.epoch > turns {
-			one.epoch = epoch - turns
-		}
-		one.sums[(one.epoch+1)%turns] = 0
-	}
-	one.sums[epoch%turns]++
 	if t.memory != nil {
 		t.memory.Add(now, hash)
 	}
-	sum := 0.0
-	for _, x := range one.sums {
-		sum += x
-	}
-	return sum
-}
-
-// spaceSaving is the other way that was weighed: so many counters, where a new object takes over the least. It ages by halving all once a window.
-type spaceSaving struct {
-	most  int
-	count map[uint64]float64
-	turn  int
+	return e.Value.(*entry).add(epoch)
 }
 
-func (s *spaceSaving) add(now float64, hash uint64) float64 {
-	if turn := int(now / (turns * span)); turn != s.turn {
-		s.turn = turn
-		for h, n := range s.count {
-			s.count[h] = n / 2
-		}
+// add counts one in a turn, and gives the sum of the window.
+func (e *entry) add(epoch int) (sum float64) {
+	e.epoch = max(e.epoch, epoch-turns)
+	for ; e.epoch < epoch; e.epoch++ {
+		e.sums[(e.epoch+1)%turns] = 0
 	}
-	if _, ok := s.count[hash]; !ok && len(s.count) >= s.most {
-		// The least of a sample stands for the least of all: looking at all would cost milliseconds.
-		least, by, looked := 0.0, uint64(0), 0
-		for h, n := range s.count {
-			if looked == 0 || n < least {
-				least, by = n, h
-			}
-			if looked++; looked == 8 {
-				break
-			}
-		}
-		delete(s.count, by)
-		s.count[hash] = least
+	e.sums[epoch%turns]++
+	for _, x := range e.sums {
+		sum += x
 	}
-	s.count[hash]++
-	return s.count[hash]
+	return sum
 }
 
 // stream is GETs for ten million objects by Zipf, half of all of them in a scan: each once.
@@ -170,22 +139,10 @@
 		now := float64(i) / 20_000
 		rank, hash := s.ask()
 		got, epoch := count(now, hash), int(now/span)
-		e := exact[hash]
-		if e == nil {
-			e = &entry{epoch: epoch}
-			exact[hash] = e
-		}
-		for ; e.epoch < epoch; e.epoch++ {
-			if epoch-e.epoch > turns {
-				e.epoch = epoch - turns
-			}
-			e.sums[(e.epoch+1)%turns] = 0
-		}
-		e.sums[epoch%turns]++
-		want := 0.0
-		for _, x := range e.sums {
-			want += x
+		if exact[hash] == nil {
+			exact[hash] = &entry{epoch: epoch}
 		}
+		want := exact[hash].add(epoch)
 		if now < 10 || want < 6 {
 			continue
 		}
@@ -206,9 +163,7 @@
 // The table alone forgets objects in a scan; with the sketch behind it they keep their counts.
 func TestAScanLeavesTheCountsOfOthers(t *testing.T) {
 	plain, behind := counted(newTable(1<<15, nil).count), counted(newTable(1<<15, New(turns, span, 1<<21)).count)
-	ss := &spaceSaving{most: 1 << 15, count: map[uint64]float64{}}
-	other := counted(ss.add)
-	t.Logf("off by decade of rank: table %.3f, with sketch %.3f, space-saving %.3f", plain, behind, other)
+	t.Logf("off by decade of rank: table %.3f, with sketch %.3f", plain, behind)
 	assert.Less(t, slices.Max(behind[:]), 0.1)
 	assert.Greater(t, slices.Max(plain[:]), 2*slices.Max(behind[:]), "what it is for")
 }
@@ -218,17 +173,12 @@
 	for i := range hashes {
 		_, hashes[i] = s.ask()
 	}
-	for name, way := range map[string]func() func(now float64, hash uint64) float64{
-		"table":      func() func(float64, uint64) float64 { return newTable(1<<15, nil).count },
-		"withSketch": func() func(float64, uint64) float64 { return newTable(1<<15, New(turns, span, 1<<21)).count },
-		"spaceSaving": func() func(float64, uint64) float64 {
-			return (&spaceSaving{most: 1 << 15, count: map[uint64]float64{}}).add
-		}} {
+	for name, sketch := range map[string]*Sketch{"table": nil, "withSketch": New(turns, span, 1<<21)} {
 		b.Run(name, func(b *testing.B) {
-			count := way()
+			table := newTable(1<<15, sketch)
 			b.ReportAllocs()
 			for i := range b.N {
-				count(float64(i)/20_000, hashes[i&(1<<20-1)])
+				table.count(float64(i)/20_000, hashes[i&(1<<20-1)])
 			}
 		})
 	}
--- a/shards/shards_test.go
+++ b/shards/shards_test.go
@@ -1,7 +1,6 @@
 package shards
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -65,24 +64,23 @@
 
 func TestABusyShardIsRelievedAndLoadDoesNotFlap(t *testing.T) {
 	m, of := New(4, ByItem), evenly(3000, 4)
-	for key := range of { // those of shard 0 are asked for five times as often
-		if m.Table().Of(key, 0) == 0 {
-			of[key] = 20
+	times := func(factor float64, shard int) {
+		for key := range of {
+			if m.Table().Of(key, 0) == shard {
+				of[key] *= factor
+			}
 		}
 	}
+	times(5, 0)
 	r, moved := settleFor(m, of, 0, 40)
 	_, most, mean := loads(r)
 	assert.Less(t, most, 1.3*mean)
 	assert.Positive(t, moved)
 	_, moved = settleFor(m, of, 10, 200)
 	assert.Zero(t, moved, "it stays")
-	for key := range of { // a burst of one turn moves nothing
-		if m.Table().Of(key, 0) == 1 {
-			of[key] *= 2
-		}
-	}
+	times(2, 1)
 	_, moved = settleFor(m, of, 60, 1)
-	assert.Zero(t, moved)
+	assert.Zero(t, moved, "a burst of one turn moves nothing")
 }
 
 func TestAnItemThatIsHotIsSpreadAndComesBack(t *testing.T) {
@@ -116,13 +114,11 @@
 			assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "the others keep theirs")
 		}
 	}
-	settleFor(m, of, 1, 1)
-	for key := range of {
-		assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "it has its own again")
-	}
-	settleFor(m, of, 2, 1, 0, 1, 2, 3)
-	for key := range of {
-		assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "if none is heard of nothing changes")
+	for i, still := range [][]int{nil, {0, 1, 2, 3}} { // it has its own again, and if none is heard of nothing changes
+		settleFor(m, of, float64(i+1), 1, still...)
+		for key := range of {
+			assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "%v", still)
+		}
 	}
 }
 
@@ -243,85 +239,16 @@
 	}
 }
 
-// BenchmarkTally holds the tally against a sketch that holds 64 items.
 func BenchmarkTally(b *testing.B) {
 	zipf, keys := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 1<<20), make([]uint64, 1<<16)
 	for i := range keys {
 		keys[i] = order.Mix(zipf.Uint64())
 	}
-	b.Run("sketch", func(b *testing.B) {
-		var s sketch
-		b.ReportAllocs()
-		for i := range b.N {
-			if s.add(keys[i&(1<<16-1)]); i%5000 == 4999 { // a turn
-				s.take()
-			}
-		}
-	})
-	b.Run("tally", func(b *testing.B) {
-		var t Tally
-		b.ReportAllocs()
-		for i := range b.N {
-			if t.Add(keys[i&(1<<16-1)]); i%5000 == 4999 {
-				t.Take()
-			}
+	var t Tally
+	b.ReportAllocs()
+	for i := range b.N {
+		if t.Add(keys[i&(1<<16-1)]); i%5000 == 4999 { // a turn
+			t.Take()
 		}
-	})
-}
-
-// held is an item with how often it was asked for: at most Most times, and at least Most-Off.
-type held struct {
-	Key       uint64
-	Most, Off uint32
-	place     int
-}
-
-// sketch finds the items that are asked for most, in a place of its own size however many there are (Metwally, Agrawal
-// and El Abbadi's space saving). It is the way that was weighed against a tally.
-type sketch struct {
-	by   map[uint64]*held
-	heap least
-}
-
-type least []*held
-
-func (l least) Len() int           { return len(l) }
-func (l least) Less(i, j int) bool { return l[i].Most < l[j].Most }
-func (l least) Swap(i, j int)      { l[i], l[j] = l[j], l[i]; l[i].place, l[j].place = i, j }
-func (l *least) Push(x any)        { c := x.(*held); c.place = len(*l); *l = append(*l, c) }
-func (l *least) Pop() any          { c := (*l)[len(*l)-1]; *l = (*l)[:len(*l)-1]; return c }
-
-// Add books that an item was asked for.
-func (s *sketch) add(key uint64) {
-	if c := s.by[key]; c != nil {
-		c.Most++
-		heap.Fix(&s.heap, c.place)
-		return
 	}
-	if s.by == nil {
-		s.by = make(map[uint64]*held, shown)
-	}
-	if len(s.heap) < shown {
-		c := &held{Key: key, Most: 1}
-		s.by[key] = c
-		heap.Push(&s.heap, c)
-		return
-	}
-	c := s.heap[0] // the newcomer may have been asked for as often as the one it displaces
-	delete(s.by, c.Key)
-	c.Key, c.Off = key, c.Most
-	c.Most++
-	s.by[key] = c
-	heap.Fix(&s.heap, 0)
-}
-
-// Take gives the counts and begins anew.
-func (s *sketch) take() []held {
-	all := make([]held, 0, len(s.heap))
-	for _, c := range s.heap {
-		all = append(all, *c)
-	}
-	clear(s.by)
-	s.heap = s.heap[:0]
-	return all
 }
--- a/shards/simulation_test.go
+++ b/shards/simulation_test.go
@@ -1,8 +1,6 @@
 package shards
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"elderwall/control"
+	"elderwall/internal/due"
 )
 
 const (
@@ -27,28 +26,10 @@
 	ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.2, ParentRamp: 9, ParentTip: 2, Seats: []int{1}, Dispatchers: 1,
 	FlowKB: 100, Services: []control.DeliveryService{{Objective: 0.5, ViewerTimeout: 1, Revenue: 1, Effect: control.Idempotent}}}
 
-// event is what happens at a moment.
-type event struct {
-	at    float64
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
-
 // world is a process of shards on a clock of its own; whatever breaks a rule is a fault.
 type world struct {
 	now            float64
-	order          int
-	due            events
+	due            due.Wheel[func()]
 	chance         *rand.Rand
 	m              *Module
 	pots           Pots
@@ -100,10 +81,7 @@
 	forwards    map[[2]int]func() // cancels, by GET and number
 }
 
-func (w *world) after(delay float64, do func()) {
-	w.order++
-	heap.Push(&w.due, event{w.now + delay, w.order, do})
-}
+func (w *world) after(delay float64, do func()) { w.due.Add(w.now+delay, do) }
 
 func (w *world) fault(format string, v ...any) {
 	w.faults = append(w.faults, fmt.Sprintf(format, v...))
@@ -424,10 +402,9 @@
 	w.after(0.25, w.turn)
 	w.after(0.3, w.trouble)
 	w.after(w.chance.Float64()*2, w.resize)
-	for len(w.due) > 0 && w.due[0].at < lasts {
-		e := heap.Pop(&w.due).(event)
-		w.now = e.at
-		e.do()
+	for e, ok := w.due.PopAt(lasts); ok; e, ok = w.due.PopAt(lasts) {
+		w.now = e.At
+		e.Item()
 	}
 	for i, g := range w.gets {
 		if g.until < lasts && (g.answers == 0 || g.answered > g.until) {
