--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -41,11 +41,15 @@
 func (h *handler) GiveUp(c call.Call) { h.givenUp <- c }
 func (h *handler) Ready() bool        { return true }
 
+func server(h *handler, most int) *front.Server {
+	return &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: most}
+}
+
 // serve starts a server; what it returns ends it and checks that nothing is left of it.
 func serve(t *testing.T, most int) (h *handler, s *front.Server, address string) {
 	h = &handler{calls: make(chan call.Call, 100), givenUp: make(chan call.Call, 100)}
-	s = &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: most}
-	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
+	s = server(h, most)
+	l := need.Listener(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var server sync.WaitGroup
 	server.Go(func() { assert.NoError(t, s.Serve(ctx, l)) })
@@ -65,14 +69,10 @@
 func TestAnswersGoOutInAnyOrder(t *testing.T) {
 	h, s, address := serve(t, 4)
 	c := need.Client(t, address)
-	good, err := c.Probe()
-	require.NoError(t, err)
-	assert.True(t, good)
-	for range 5 {
-		need.Of(c.Process(standin.Fields(), ""))(t)
-	}
+	assert.True(t, need.Of(c.Probe())(t))
 	var open []call.Call
 	for range 5 {
+		need.Sent(t, c)
 		open = append(open, <-h.calls)
 	}
 	assert.False(t, s.Quiet())
@@ -90,12 +90,9 @@
 		{Seq: 3, Method: "process", Kind: "refused", Fields: map[string]string{"backoff": "125"}},
 		{Seq: 2, Method: "process", Kind: "failed", Fields: map[string]string{}},
 		{Seq: 4, Method: "process", Kind: "served", Fields: map[string]string{"ok304": "1"}, Good: true}} {
-		r := need.Of(c.Read())(t)
-		assert.Equal(t, w, r)
+		assert.Equal(t, w, need.Of(c.Read())(t))
 	}
-	good, err = c.Probe() // and nothing came in between
-	require.NoError(t, err)
-	assert.True(t, good)
+	assert.True(t, need.Of(c.Probe())(t), "and nothing came in between")
 }
 
 func TestBadInputEndsItsConnectionAlone(t *testing.T) {
@@ -118,9 +115,8 @@
 		t.Run(name, func(t *testing.T) {
 			h, _, address := serve(t, 4)
 			other, c := need.Client(t, address), need.Client(t, address)
-			_, err := c.Conn.Write(tt.bytes)
-			require.NoError(t, err)
-			_, err = c.Read()
+			need.Of(c.Conn.Write(tt.bytes))(t)
+			_, err := c.Read()
 			assert.Error(t, err, "the connection ends with no whole answer")
 			for range tt.open {
 				<-h.givenUp
@@ -135,21 +131,17 @@
 	c := need.Client(t, address)
 	for _, method := range []string{"else", "identify"} { // where nobody asks who is calling
 		need.Of(c.Conn.Write(standin.Call(method, 1, 9, nil)))(t)
-		r := need.Of(c.Read())(t)
-		assert.Equal(t, standin.Reply{Seq: 9, Method: method, Kind: "exception", Fields: map[string]string{}}, r)
+		assert.Equal(t, standin.Reply{Seq: 9, Method: method, Kind: "exception", Fields: map[string]string{}}, need.Of(c.Read())(t))
 	}
 }
 
 func TestASlowClientHoldsUpNoOther(t *testing.T) {
 	h, s, address := serve(t, 4)
 	slow, other := need.Client(t, address), need.Client(t, address)
-	for range 32 {
-		need.Of(slow.Process(standin.Fields(), ""))(t)
-	}
 	long := strings.Repeat("x", 200000)
 	for range 32 {
-		s.Room.Take(len(long))
-		(<-h.calls).Serve([]byte(long), false) // more than the kernel keeps for one that does not read
+		need.Sent(t, slow)
+		(<-h.calls).Serve(body(s, long), false) // more than the kernel keeps for one that does not read
 	}
 	assert.True(t, need.Of(other.Probe())(t))
 	_ = slow.Conn.Close()
@@ -160,28 +152,23 @@
 func TestAClientThatLeavesGivesUpItsCalls(t *testing.T) {
 	h, _, address := serve(t, 1)
 	c := need.Client(t, address)
-	_, err := c.Process(standin.Fields(), "")
-	require.NoError(t, err)
+	need.Sent(t, c)
 	call := <-h.calls
 	_ = c.Conn.Close()
 	assert.Same(t, call, <-h.givenUp)
-	next := need.Client(t, address) // in the one place that is free again
-	_, err = next.Probe()
-	assert.NoError(t, err)
+	need.Of(need.Client(t, address).Probe())(t) // in the one place that is free again
 }
 
 func TestALongCallTakesRoom(t *testing.T) {
 	h, s, address := serve(t, 4)
 	long, c := strings.Repeat("x", 200000), need.Client(t, address)
-	_, err := c.Process(standin.Fields(), long)
-	require.NoError(t, err)
+	need.Of(c.Process(standin.Fields(), long))(t)
 	(<-h.calls).Fail("")
 	need.Of(c.Read())(t)
-	require.Eventually(t, func() bool { return s.Room.Take(bytesOfRoom - len(long)/2) }, 5*time.Second, time.Millisecond,
-		"the rest, once what read the first call has given its own back")
+	need.Soon(t, func() bool { return s.Room.Take(bytesOfRoom - len(long)/2) }, "the rest, once what read the first call has given its own back")
 	other := need.Client(t, address)
 	need.Of(other.Process(standin.Fields(), long))(t)
-	_, err = other.Read()
+	_, err := other.Read()
 	assert.Error(t, err, "there is none for the second")
 	s.Room.Give(bytesOfRoom - len(long)/2)
 }
@@ -191,7 +178,7 @@
 	c := need.Client(t, address)
 	var bodies []weak.Pointer[byte]
 	for range 8 {
-		need.Of(c.Process(standin.Fields(), ""))(t)
+		need.Sent(t, c)
 		b := body(s, strings.Repeat("x", 1000))
 		bodies = append(bodies, weak.Make(&b[0]))
 		(<-h.calls).Serve(b, false)
@@ -223,8 +210,7 @@
 func TestConnectionsThatNothingIsOpenOnGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}
-		s := &front.Server{Handler: h, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: 4}
-		l, ended := pipes{accepted: make(chan net.Conn)}, make(chan error)
+		s, l, ended := server(h, 4), pipes{accepted: make(chan net.Conn)}, make(chan error)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { ended <- s.Serve(ctx, l) }()
 		dial := func() *standin.Client { // there are 3 places, and one for who gives way
@@ -233,25 +219,21 @@
 			synctest.Wait()
 			return &standin.Client{Conn: client}
 		}
-		works := func(c *standin.Client, why string) {
-			_, err := c.Probe()
-			require.NoError(t, err, why)
-			synctest.Wait()
-		}
-		asks := func(c *standin.Client) call.Call { need.Of(c.Process(standin.Fields(), ""))(t); return <-h.calls }
+		works := func(c *standin.Client) { need.Of(c.Probe())(t); synctest.Wait() }
+		asks := func(c *standin.Client) call.Call { need.Sent(t, c); return <-h.calls }
 		usual, stays := dial(), dial()
 		open := asks(usual)
-		works(stays, "")
-		works(stays, "it comes back on its connection")
+		works(stays)
+		works(stays) // it comes back on its connection
 		silent := dial()
 		time.Sleep(time.Second)
-		works(dial(), "in the place of the one that said nothing")
+		works(dial()) // in the place of the one that said nothing
 		_, err := silent.Read()
 		require.Error(t, err)
 		for range 3 {
-			works(dial(), "in the place of one that asked once and stays")
+			works(dial()) // in the place of one that asked once and stays
 		}
-		works(stays, "")
+		works(stays)
 		fresh := dial()
 		busy := []call.Call{open, asks(dial()), asks(fresh)} // the one that stays gave way: fresh ones have time to speak
 		_, err = dial().Probe()
@@ -261,8 +243,7 @@
 		}
 		need.Of(usual.Read())(t)
 		s.Close()
-		need.Of(usual.Process(standin.Fields(), ""))(t)
-		assert.Equal(t, "refused", need.Of(usual.Read())(t).Kind, "what comes after the end of a drain")
+		assert.Equal(t, "refused", need.Asked(t, usual).Kind, "what comes after the end of a drain")
 		cancel()
 		close(l.accepted)
 		assert.NoError(t, <-ended)
@@ -282,8 +263,7 @@
 		"a part of a second one":   {append(whole, whole[:7]...), 0, 2 * time.Second}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &front.Server{Handler: &handler{}, Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(bytesOfRoom), Most: 1}
-				l, ended := pipes{accepted: make(chan net.Conn)}, make(chan error)
+				s, l, ended := server(&handler{}, 1), pipes{accepted: make(chan net.Conn)}, make(chan error)
 				go func() { ended <- s.Serve(t.Context(), l) }()
 				client, server := net.Pipe()
 				l.accepted <- server
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -25,8 +25,7 @@
 	put := func(name string, raw []byte) { require.NoError(t, os.WriteFile(filepath.Join(dir, name), raw, 0o600)) }
 	k := need.Of(token.NewKey("k1", "EdDSA"))(t)
 	k.State = callers.Active
-	keys := need.Of(token.WriteSet([]*token.Key{k.Public()}))(t)
-	put("keys.json", keys)
+	put("keys.json", need.Of(token.WriteSet([]*token.Key{k.Public()}))(t))
 	put("revoked.json", []byte(`{"tokens":["j9"],"subjects":["till-9"]}`))
 	a := standin.NewAuthority("clients")
 	chain, key := a.Issue("server", "", time.Now().Add(time.Hour))
@@ -42,18 +41,27 @@
 }
 
 func TestTheExample(t *testing.T) {
-	c, err := decode(filepath.Join(folder(t), "operator.jsonnet"), example(t), services)
-	require.NoError(t, err)
+	c := need.Of(decode(filepath.Join(folder(t), "operator.jsonnet"), example(t), services))(t)
 	s := c.Callers
 	assert.Equal(t, []any{30.0, 2.0, 43200.0, "elderwall", 1, []string{"j9"}}, []any{s.Skew, s.Window, s.MostLife, s.Audience, len(s.Keys), s.Revoked.Tokens})
 	assert.Equal(t, callers.Tenant{Name: "reseller-south", Roles: []string{"clips", "pages"}, Rules: []callers.Rule{{Deny: true, Groups: []int{17}}},
 		Share: callers.Share{Rate: 200, Burst: 400, Most: 256, Weight: 2}, Caller: callers.Share{Rate: 20, Burst: 40}}, s.Tenants[2])
 	assert.Equal(t, callers.Rule{Deny: true, Services: []int{1}, Objects: []callers.Prefix{{Bits: 0xff << 48, Digits: 4}}}, s.Roles["pages"][1])
 	assert.Equal(t, []any{"127.0.0.1:4143", true, false, 1, 1}, []any{c.TLS.Listen, c.TLS.Required, c.TLS.Only13, len(s.Authorities), len(s.Revoked.Certificates)})
-	_, err = callers.New(0, 0, *s)
-	assert.NoError(t, err)
+	need.Of(callers.New(0, 0, *s))(t)
 }
 
+// faults checks that each text is refused with a fault that says what is wanted; wrap makes a whole file of it.
+func faults(t *testing.T, wrap func(text string) string, all map[string]string) {
+	for text, want := range all {
+		_, err := decode("f", wrap(text), services)
+		assert.ErrorContains(t, err, want, text)
+	}
+}
+
+// file is one with a fleet's section.
+func file(in string) string { return `{fleet: {listen: '127.0.0.1:5100', ` + in + `}}` }
+
 func TestEveryFaultIsToldWithItsKeyAndLine(t *testing.T) {
 	for _, tt := range []struct{ name, old, new, want string }{
 		{"an unknown key", `skew:`, `skw:`, "operator.jsonnet:14: callers.skw: unknown key"},
@@ -86,8 +94,7 @@
 		text := example(t)
 		require.Contains(t, text, tt.old, tt.name)
 		_, err := decode(filepath.Join(folder(t), "operator.jsonnet"), strings.Replace(text, tt.old, tt.new, 1), services)
-		require.Error(t, err, tt.name)
-		assert.Contains(t, err.Error(), tt.want, tt.name)
+		assert.ErrorContains(t, err, tt.want, tt.name)
 	}
 	text := strings.NewReplacer("skew:", "skw:", "'2s'", "2", "[17]", "[-1]").Replace(example(t))
 	_, err := decode(filepath.Join(folder(t), "operator.jsonnet"), text, services)
--- a/joint/joint_test.go
+++ b/joint/joint_test.go
@@ -10,102 +10,98 @@
 
 var key = Key{Object: "a"}
 
+// play is a table with what waits in it by name.
+type play struct {
+	*testing.T
+	*Table[string]
+}
+
+func newPlay(t *testing.T) play { return play{t, New[string]()} }
+
+// enters has one enter for an object until it is over, which must come to a role.
+func (p play) enters(now float64, object string, last float64, name string, want Role) *Waiter[string] {
+	w, role := p.Enter(now, Key{Object: object}, last, name)
+	assert.Equal(p, want, role, name)
+	return w
+}
+
+// leaves has one leave, which must stop the work of another, "" for none.
+func (p play) leaves(w *Waiter[string], want string) {
+	stop, stops := p.Leave(w)
+	assert.Equal(p, []any{want, want != ""}, []any{stop, stops}, w.W)
+}
+
 func TestOneLeadsAndOthersFollow(t *testing.T) {
-	table := New[string]()
-	lead, role := table.Enter(0, key, 1, "lead")
-	assert.Equal(t, Leads, role)
-	_, role = table.Enter(0, Key{Object: "b"}, 1, "other")
-	assert.Equal(t, Leads, role, "another object")
+	p := newPlay(t)
+	lead := p.enters(0, "a", 1, "lead", Leads)
+	p.enters(0, "b", 1, "another object's", Leads)
 	for i := range 3 {
-		_, role = table.Enter(0.1, key, 1, fmt.Sprint(i))
-		assert.Equal(t, Follows, role)
+		p.enters(0.1, "a", 1, fmt.Sprint(i), Follows)
 	}
 	assert.True(t, lead.Needed())
-	answered, next := table.Ended(0.2, lead, Served)
+	answered, next := p.Ended(0.2, lead, Served)
 	assert.Equal(t, []string{"0", "1", "2"}, answered)
 	assert.Nil(t, next)
-	_, role = table.Enter(0.3, key, 1, "new")
-	assert.Equal(t, Leads, role)
-	assert.Zero(t, table.Followers())
+	p.enters(0.3, "a", 1, "new", Leads)
+	assert.Zero(t, p.Followers())
 }
 
 func TestALeaderWhoLeavesIsNeededOn(t *testing.T) {
-	table := New[string]()
-	lead, _ := table.Enter(0, key, 1, "lead")
-	a, _ := table.Enter(0, key, 1, "a")
-	b, _ := table.Enter(0, key, 2, "b")
-	_, stops := table.Leave(lead)
-	assert.False(t, stops, "others need it")
-	_, stops = table.Leave(a)
-	assert.False(t, stops)
-	stop, stops := table.Leave(b)
-	assert.True(t, stops, "the last has left")
-	assert.Equal(t, "lead", stop)
-	_, stops = table.Leave(b)
-	assert.False(t, stops, "once")
+	p := newPlay(t)
+	lead, a, b := p.enters(0, "a", 1, "lead", Leads), p.enters(0, "a", 1, "a", Follows), p.enters(0, "a", 2, "b", Follows)
+	p.leaves(lead, "") // others need it
+	p.leaves(a, "")
+	p.leaves(b, "lead") // the last has left
+	p.leaves(b, "")     // once
 }
 
 func TestAFailureIsGoneOnWithByOne(t *testing.T) {
-	table := New[string]()
-	lead, _ := table.Enter(0, key, 1, "lead")
+	p := newPlay(t)
+	lead, leads := p.enters(0, "a", 1, "lead", Leads), 1
 	for i := range 1000 {
-		table.Enter(0, key, 1+float64(i)/1000, fmt.Sprint(i))
+		p.enters(0, "a", 1+float64(i)/1000, fmt.Sprint(i), Follows)
 	}
-	leads := 1
-	for {
-		answered, next := table.Ended(0.1, lead, Failed)
-		if next == nil {
-			assert.Len(t, answered, 1000-leads+1)
-			break
-		}
-		if leads == 1 {
-			assert.Equal(t, "999", next.W, "the one with the longest rest")
-		}
-		leads++
-		lead = next
+	answered, next := p.Ended(0.1, lead, Failed)
+	assert.Equal(t, "999", next.W, "the one with the longest rest")
+	for ; next != nil; leads++ {
+		answered, next = p.Ended(0.1, next, Failed)
 	}
-	assert.Equal(t, mostLeads, leads)
-	lead, _ = table.Enter(0, key, 1, "lead")
-	table.Enter(0, key, 2, "a")
-	answered, next := table.Ended(0.1, lead, Shed)
+	assert.Equal(t, []int{mostLeads, 1000 - mostLeads + 1}, []int{leads, len(answered)})
+	lead = p.enters(0, "a", 1, "lead", Leads)
+	p.enters(0, "a", 2, "a", Follows)
+	answered, next = p.Ended(0.1, lead, Shed)
 	assert.Equal(t, []string{"a"}, answered, "what is shed is shed for all at once")
 	assert.Nil(t, next)
 }
 
 func TestTimes(t *testing.T) {
-	table := New[string]()
-	lead, _ := table.Enter(0, key, 1, "lead")
-	table.Ended(2, lead, Served) // flights take 0.2 s by then
-	lead, _ = table.Enter(5, key, 6, "lead")
-	_, role := table.Enter(5.1, key, 5.12, "20 ms left")
-	assert.Equal(t, Alone, role)
-	table.Enter(5.1, key, 5.4, "short")
-	_, _, _, ok := table.Pass(5.34)
+	p := newPlay(t)
+	p.Ended(2, p.enters(0, "a", 1, "lead", Leads), Served) // flights take 0.2 s by then
+	lead := p.enters(5, "a", 6, "lead", Leads)
+	p.enters(5.1, "a", 5.12, "20 ms left", Alone)
+	p.enters(5.1, "a", 5.4, "short", Follows)
+	_, _, _, ok := p.Pass(5.34)
 	assert.False(t, ok)
-	over, _, stops, ok := table.Pass(5.36)
+	over, _, stops, ok := p.Pass(5.36)
 	assert.Equal(t, []any{"short", false, true}, []any{over, stops, ok}, "before its viewer timeout")
-	_, _ = table.Enter(5.4, key, 9, "long")
-	_, next := table.Ended(5.95, lead, TimeOver)
+	p.enters(5.4, "a", 9, "long", Follows)
+	_, next := p.Ended(5.95, lead, TimeOver)
 	assert.Equal(t, "long", next.W)
 }
 
 func TestAPurge(t *testing.T) {
-	table := New[string]()
-	before, _ := table.Enter(0, key, 1, "before")
-	table.Enter(0, key, 1, "with it")
-	table.Purged("a", 0)
-	_, role := table.Enter(0.1, key, 1, "after")
-	assert.Equal(t, Leads, role)
-	answered, _ := table.Ended(0.2, before, Served)
+	p := newPlay(t)
+	before := p.enters(0, "a", 1, "before", Leads)
+	p.enters(0, "a", 1, "with it", Follows)
+	p.Purged("a", 0)
+	p.enters(0.1, "a", 1, "after", Leads)
+	answered, _ := p.Ended(0.2, before, Served)
 	assert.Equal(t, []string{"with it"}, answered)
-	_, role = table.Enter(0.2, key, 1, "after too")
-	assert.Equal(t, Follows, role)
-	table.Purged("", 3)
-	_, role = table.Enter(0.2, key, 1, "another group's")
-	assert.Equal(t, Follows, role)
-	table.Purged("", 0)
-	_, role = table.Enter(0.2, key, 1, "its group's")
-	assert.Equal(t, Leads, role)
+	p.enters(0.2, "a", 1, "after too", Follows)
+	p.Purged("", 3)
+	p.enters(0.2, "a", 1, "another group's", Follows)
+	p.Purged("", 0)
+	p.enters(0.2, "a", 1, "its group's", Leads)
 }
 
 func TestBounds(t *testing.T) {
@@ -130,19 +126,15 @@
 type world struct {
 	table   *Table[int]
 	now     float64
-	waiters map[int]*Waiter[int]
+	waiters [3]*Waiter[int]
 	purges  int
-	entered map[int]int // purges before it entered
-	begun   map[int]int // of a GET that leads: purges before its forward
-	state   map[int]string
-	works   map[int]bool // leaders whose work is under way
+	entered [3]int // purges before it entered
+	begun   [3]int // of a GET that leads: purges before its forward
+	state   [3]string
+	works   [3]bool // leaders whose work is under way
 	n       int
 }
 
-func newWorld() *world {
-	return &world{table: New[int](), waiters: map[int]*Waiter[int]{}, entered: map[int]int{}, begun: map[int]int{}, state: map[int]string{}, works: map[int]bool{}}
-}
-
 // do does one step; what it does not fit is passed over.
 func (w *world) do(step, who int) error {
 	switch step {
@@ -163,12 +155,12 @@
 		}
 		w.state[who] = "left"
 		if w.waiters[who] == nil {
-			delete(w.works, who)
+			w.works[who] = false
 		} else if stop, ok := w.table.Leave(w.waiters[who]); ok {
 			if !w.works[stop] {
 				return fmt.Errorf("stopped what was not at work")
 			}
-			delete(w.works, stop)
+			w.works[stop] = false
 		}
 	case 2, 3, 4, 5: // its work ends
 		if w.works[who] {
@@ -184,7 +176,7 @@
 				return fmt.Errorf("%d is over twice", over)
 			}
 			if w.state[over] = "answered"; stops {
-				delete(w.works, stop)
+				w.works[stop] = false
 			}
 		}
 	}
@@ -192,7 +184,7 @@
 }
 
 func (w *world) ended(who int, how How) error {
-	delete(w.works, who)
+	w.works[who] = false
 	all := []int{}
 	if w.state[who] == "open" {
 		all = append(all, who)
@@ -245,7 +237,7 @@
 	orders := 0
 	var try func(done [][2]int)
 	try = func(done [][2]int) {
-		w := newWorld()
+		w := &world{table: New[int]()}
 		for _, s := range done {
 			if err := w.do(s[0], s[1]); err != nil {
 				t.Fatalf("%v: %v", done, err)
@@ -266,7 +258,7 @@
 // Longer orders, by chance.
 func TestWhatHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
+		w := &world{table: New[int]()}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			if err := w.do(rapid.IntRange(0, 7).Draw(t, "step"), rapid.IntRange(0, 2).Draw(t, "who")); err != nil {
 				t.Fatal(err)
