--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -139,6 +139,30 @@
 	return (*h.answer.Load())(a)
 }
 
+// Call is a call of no connection, which keeps its answers by their words.
+type Call struct {
+	Got chan string
+	N   atomic.Int32 // answers that it had
+
+	room *room.Room
+}
+
+// NewCall is one whose bytes have taken their room there.
+func NewCall(room *room.Room) *Call { return &Call{room: room, Got: make(chan string, 4)} }
+
+func (c *Call) answer(word string) { c.N.Add(1); c.Got <- word }
+
+func (c *Call) Serve(body []byte, _ bool) {
+	c.room.Give(len(body))
+	c.answer("served " + string(body))
+}
+
+func (c *Call) Refuse(int64)        { c.answer("refused") }
+func (c *Call) Fail(string)         { c.answer("failed") }
+func (c *Call) Mark(int, time.Time) {}
+func (c *Call) Marked() int         { return 0 }
+func (c *Call) Origin() uint64      { return 0 }
+
 // Log is a log that is read while it is written.
 type Log struct {
 	mu sync.Mutex
--- a/shards/shards_test.go
+++ b/shards/shards_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"elderwall/control"
+	"elderwall/internal/due"
 	"elderwall/order"
 )
 
@@ -252,3 +254,428 @@
 		}
 	}
 }
+
+const (
+	schedules   = 1500 // each with a seed of its own
+	lasts       = 4.0  // s
+	perSecond   = 150.0
+	weight      = 4.0 // transfers at once that a host carries, s/s
+	sending     = 0.04
+	watchEvery  = 0.01
+	stillAfter  = 0.025
+	answerAhead = 0.05
+)
+
+var rules = control.Settings{ParentKind: 1, OriginKind: 2, MayCancel: true, MaxForwards: 6, OldCopies: 3, WeightsTold: true, Joins: true,
+	ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.2, ParentRamp: 9, ParentTip: 2, Seats: []int{1}, Dispatchers: 1,
+	FlowKB: 100, Services: []control.DeliveryService{{Objective: 0.5, ViewerTimeout: 1, Revenue: 1, Effect: control.Idempotent}}}
+
+// world is a process of shards on a clock of its own; whatever breaks a rule is a fault.
+type world struct {
+	now            float64
+	due            due.Wheel[func()]
+	chance         *rand.Rand
+	m              *Module
+	pots           Pots
+	all            []*shard // that there ever were
+	active         []*shard
+	memory         Memory
+	hosts          map[uint32]*simHost
+	purged         map[string]float64
+	gets           []*simGET
+	faults         []string
+	midway         func() // to happen in the middle of a decision
+	stalls, behind int
+}
+
+type simHost struct {
+	control.HostEntry
+	told float64 // when it drained, or was gone; 0 for neither
+	sent []sent  // while it was cold
+	down bool
+}
+
+type sent struct{ at, work float64 }
+
+type simGET struct {
+	object          string
+	until, answered float64
+	answers         int
+	shard           *shard
+}
+
+// shard is one as internal/node runs it: a line that notices go to the head of.
+type shard struct {
+	*world
+	number      int
+	d           *control.Dispatcher
+	line        []func()
+	waits       []float64 // when each was put there
+	notices     []func()
+	found       []control.News
+	told, heard int
+	running     bool
+	still       float64 // until when it stands still
+	stood       float64 // since when
+	gets        map[uint32]*simGET
+	ended       []control.Answer
+	last        uint32
+	tally       Tally
+	slots       [Slots]uint32
+	forwards    map[[2]int]func() // cancels, by GET and number
+}
+
+func (w *world) after(delay float64, do func()) { w.due.Add(w.now+delay, do) }
+
+func (w *world) fault(format string, v ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, v...))
+}
+
+func (w *world) add() *shard {
+	s := &shard{world: w, number: len(w.all), gets: map[uint32]*simGET{}, forwards: map[[2]int]func(){}}
+	settings := rules
+	settings.Shards, settings.Peers, settings.Seed = 8, s, uint64(s.number)
+	s.d = control.New(settings, w.now, s)
+	for _, notice := range w.known() {
+		s.notices = append(s.notices, func() { notice(s) })
+		s.told++
+	}
+	w.all = append(w.all, s)
+	return s
+}
+
+// known is the list and the purges, for a shard that is new.
+func (w *world) known() (all []func(*shard)) {
+	hosts, purges := w.memory.All(w.now)
+	entries := []control.HostEntry{}
+	for _, h := range hosts {
+		entries = append(entries, h.(control.HostEntry))
+	}
+	all = append(all, func(s *shard) { s.d.Hosts(w.now, control.Complete, entries) })
+	for _, p := range purges {
+		name, at := p.(string), w.purged[p.(string)]
+		all = append(all, func(s *shard) { s.d.Purged(w.now, name, 0, w.now-at) })
+	}
+	return all
+}
+
+// tell puts a notice in line in every shard, and has those that can act on it.
+func (w *world) tell(notice func(*shard)) {
+	for _, s := range w.all {
+		s.notices = append(s.notices, func() { notice(s) })
+		s.told++
+	}
+	for _, s := range w.all {
+		s.serve()
+	}
+}
+
+func (s *shard) put(task func()) {
+	s.line, s.waits = append(s.line, task), append(s.waits, s.now)
+	s.serve()
+}
+
+func (s *shard) serve() {
+	if s.running || s.now < s.still {
+		return
+	}
+	s.running = true
+	for len(s.line)+len(s.notices) > 0 && s.now >= s.still {
+		s.hear()
+		if len(s.found) > 0 {
+			for _, n := range s.found {
+				s.d.Told(s.now, n)
+			}
+			s.found = nil
+		}
+		if len(s.line) == 0 {
+			break
+		}
+		task := s.line[0]
+		s.line, s.waits = s.line[1:], s.waits[1:]
+		task()
+		s.d.Settle(s.now)
+		for len(s.ended) > 0 {
+			ended := s.ended
+			s.ended = nil
+			s.hear()
+			for _, a := range ended {
+				s.d.Answer(s.now, a)
+			}
+			s.d.Settle(s.now)
+		}
+	}
+	s.running = false
+}
+
+func (s *shard) hear() {
+	for s.told != s.heard {
+		notices := s.notices
+		s.notices = nil
+		for _, notice := range notices {
+			notice()
+			s.d.Settle(s.now)
+			s.heard++
+		}
+	}
+}
+
+// Forward checks what goes out against the rules, and has the host answer.
+func (s *shard) Forward(f control.Forward) {
+	if s.midway != nil {
+		now := s.midway
+		s.midway = nil
+		now()
+	}
+	number := 0
+	for s.forwards[[2]int{int(f.GET), number}] != nil {
+		number++
+	}
+	key, over := [2]int{int(f.GET), number}, false
+	back := func(a control.Answer) {
+		if over {
+			return
+		}
+		over, a.GET, a.Forward = true, f.GET, number
+		s.ended = append(s.ended, a)
+	}
+	s.forwards[key] = func() { back(control.Answer{Outcome: control.Revoked}) }
+	if s.told != s.heard {
+		s.behind++
+		back(control.Answer{Outcome: control.NotTaken})
+		return
+	}
+	h, g := s.hosts[f.Host], s.gets[f.GET]
+	if h.told > 0 {
+		s.fault("%.3f: shard %d sends to host %d, which drains since %.3f", s.now, s.number, f.Host, h.told)
+	}
+	if at, purged := s.purged[g.object]; purged && s.now-at < rules.OldCopies && (f.MaxAge == 0 || f.MaxAge > s.now-at+2e-6) {
+		s.fault("%.3f: shard %d asks for a copy of any age, purged at %.3f", s.now, s.number, at)
+	}
+	if h.OnlineSinceIsTold && s.now-h.OnlineSince < rules.RampTime {
+		h.sent = append(h.sent, sent{s.now, sending})
+		s.tipped(h)
+	}
+	from, serve := s.now, 0.01+0.05*s.chance.Float64()
+	s.after(serve, func() {
+		s.put(func() {
+			a := control.Answer{Outcome: control.Returned, Note: control.Hit, Elapsed: s.now - from}
+			if h.down || s.chance.IntN(40) == 0 {
+				a.Outcome, a.Note = control.HostError, control.NoNote
+			}
+			if a.Outcome == control.Returned && !over {
+				s.answer(g)
+			}
+			back(a)
+		})
+	})
+}
+
+// tipped tells whether a cold host got more within the time of its fall than would push it over, and one GET.
+func (s *shard) tipped(h *simHost) {
+	sum := 0.0
+	for _, one := range h.sent {
+		if one.at > s.now-rules.Fall {
+			sum += one.work
+		}
+	}
+	age := s.now - h.OnlineSince
+	can := weight * (rules.ColdFrom + (1-rules.ColdFrom)*age/rules.RampTime) * rules.TipMultiple * rules.Fall
+	if sum > can+sending {
+		s.fault("%.3f: host %d, cold since %.3f, got %.3f s in %v s, it bears %.3f", s.now, h.ID, h.OnlineSince, sum, rules.Fall, can)
+	}
+}
+
+func (s *shard) Cancel(get uint32, number int) {
+	if cancel := s.forwards[[2]int{int(get), number}]; cancel != nil {
+		cancel()
+	}
+}
+func (s *shard) Shed(get uint32, _ float64) { s.answer(s.gets[get]) }
+func (s *shard) Error(get uint32)           { s.answer(s.gets[get]) }
+func (s *shard) Schedule(delay float64, _ string) {
+	s.after(delay, func() { s.put(func() { s.d.Timer(s.now) }) })
+}
+func (s *shard) Subscribe() {}
+func (s *shard) Log(string) {}
+
+func (s *shard) Credit(host uint32, since, first, add, most float64) float64 {
+	return s.pots.Add(host, since, first, add, most)
+}
+func (s *shard) Spend(host uint32, work float64) bool { return s.pots.Spend(host, work) }
+func (s *shard) Trial(now float64, host uint32) bool  { return s.pots.Trial(now, host, s.number) }
+func (s *shard) Tell(n control.News) {
+	if !n.Left && n.Limit == control.NoLimit {
+		s.pots.Done(n.Host)
+	}
+	for _, o := range s.all {
+		if o != s {
+			o.found = append(o.found, n)
+		}
+	}
+}
+
+// answer books the one answer of a GET; what comes after one in the shard's place is dropped at the front.
+func (w *world) answer(g *simGET) {
+	if g.answers++; g.answers == 1 {
+		g.answered = w.now
+	}
+}
+
+func (w *world) arrive() {
+	object := fmt.Sprint("o", w.chance.IntN(30))
+	if w.chance.IntN(3) == 0 {
+		object = "hot"
+	}
+	key, g := Key(object, 0), &simGET{object: object, until: w.now + 1}
+	s := w.active[w.m.Table().Of(key, w.chance.Uint64())]
+	g.shard = s
+	w.gets = append(w.gets, g)
+	s.put(func() {
+		s.slots[key%Slots]++
+		s.tally.Add(key)
+		if waited, left := s.now-g.until+1, g.until-s.now; waited > Waits && left < TooLittle {
+			s.answer(g)
+			return
+		}
+		s.last++
+		id := s.last
+		s.gets[id] = g
+		s.d.GET(s.now, control.GET{ID: id, Object: object, ViewerTimeout: g.until, SizeKB: sending * rules.FlowKB})
+	})
+	w.after(w.chance.ExpFloat64()/perSecond, w.arrive)
+}
+
+// watch answers in place of shards that stand still.
+func (w *world) watch() {
+	for _, g := range w.gets {
+		s := g.shard
+		since := s.stood
+		if len(s.waits) > 0 {
+			since = min(since, s.waits[0])
+		}
+		if g.answers == 0 && s.now < s.still && s.now-since > stillAfter && g.until <= w.now+answerAhead {
+			w.answer(g)
+		}
+	}
+	w.after(watchEvery, w.watch)
+}
+
+func (w *world) turn() {
+	var r []Report
+	for _, s := range w.active {
+		one := Report{}
+		if w.now >= s.still {
+			one = Report{Heard: true, Slots: s.slots, Items: s.tally.Take()}
+			s.slots = [Slots]uint32{}
+		}
+		r = append(r, one)
+	}
+	w.m.Turn(w.now, r)
+	w.after(0.25, w.turn)
+}
+
+// trouble is a notice, a stall or another number of shards, at chance moments and in the middle of decisions.
+func (w *world) trouble() {
+	w.after(w.chance.ExpFloat64()*0.15, w.trouble)
+	host := w.hosts[uint32(1+w.chance.IntN(len(w.hosts)))]
+	happen := func() {
+		switch w.chance.IntN(6) {
+		case 0:
+			name := fmt.Sprint("o", w.chance.IntN(30))
+			w.purged[name] = w.now
+			w.memory.Purge(w.now, name, 0, name)
+			at := w.now
+			w.tell(func(s *shard) { s.d.Purged(s.now, name, 0, s.now-at) })
+		case 1, 2: // it drains or comes back cold
+			if host.told == 0 {
+				host.told, host.Phase = w.now, control.Draining
+			} else {
+				host.told, host.Phase, host.sent = 0, control.Ready, nil
+				host.OnlineSince, host.OnlineSinceIsTold = w.now, true
+			}
+			e := host.HostEntry
+			w.memory.Host(fmt.Sprint(e.ID), e)
+			w.tell(func(s *shard) { s.d.Hosts(s.now, control.Changes, []control.HostEntry{e}) })
+		case 3:
+			host.down = !host.down
+		default:
+			s := w.active[w.chance.IntN(len(w.active))]
+			if w.now >= s.still { // else it stands still already, and goes on to
+				s.stood = w.now
+			}
+			s.still = max(s.still, w.now+w.chance.Float64()*1.2)
+			w.stalls++
+			w.after(s.still-w.now, s.serve)
+		}
+	}
+	if w.chance.IntN(2) == 0 {
+		w.midway = happen
+	} else {
+		happen()
+	}
+}
+
+func (w *world) resize() {
+	n := 1 + w.chance.IntN(8)
+	w.m.Resize(n)
+	for len(w.active) < n {
+		w.active = append(w.active, w.add())
+	}
+	w.active = w.active[:n:n]
+	w.after(0.5+w.chance.Float64(), w.resize)
+}
+
+func simulate(seed uint64) *world {
+	w := &world{chance: rand.New(rand.NewPCG(seed, 1)), hosts: map[uint32]*simHost{}, purged: map[string]float64{}, memory: Memory{Keep: rules.OldCopies}}
+	w.memory.Reset()
+	for id := range uint32(4) {
+		e := control.HostEntry{ID: id + 1, Phase: control.Ready, Weight: weight}
+		w.hosts[e.ID] = &simHost{HostEntry: e}
+		w.memory.Host(fmt.Sprint(e.ID), e)
+	}
+	w.m = New(1+w.chance.IntN(8), ByItem)
+	for range w.m.Shards() {
+		w.active = append(w.active, w.add())
+	}
+	for _, s := range w.active {
+		s.serve()
+	}
+	w.after(0, w.arrive)
+	w.after(0.01, w.watch)
+	w.after(0.25, w.turn)
+	w.after(0.3, w.trouble)
+	w.after(w.chance.Float64()*2, w.resize)
+	for e, ok := w.due.PopAt(lasts); ok; e, ok = w.due.PopAt(lasts) {
+		w.now = e.At
+		e.Item()
+	}
+	for i, g := range w.gets {
+		if g.until < lasts && (g.answers == 0 || g.answered > g.until) {
+			w.fault("GET %d of shard %d: %d answers, the first %.3f s after its client left", i, g.shard.number, g.answers, g.answered-g.until)
+		}
+	}
+	return w
+}
+
+// TestShardsKeepTheRules plays schedules of notices, stalls, moves and resizes, each by its seed: nothing goes to a host that drains, nothing is
+// answered from before a purge, no cold host gets more from all shards than it bears, and each GET has its answer in time.
+func TestShardsKeepTheRules(t *testing.T) {
+	t.Parallel()
+	gets, stalls, behind, answered := 0, 0, 0, 0
+	for seed := range uint64(schedules) {
+		w := simulate(seed)
+		gets, stalls, behind = gets+len(w.gets), stalls+w.stalls, behind+w.behind
+		for _, g := range w.gets {
+			answered += min(1, g.answers)
+		}
+		if !assert.Empty(t, w.faults[:min(3, len(w.faults))], "seed %d", seed) {
+			return
+		}
+	}
+	t.Logf("%d GETs, %d answered, %d stalls, %d forwards kept back", gets, answered, stalls, behind)
+	assert.Positive(t, min(stalls, behind), "the schedules have what they are for")
+	a, b := simulate(7), simulate(7)
+	assert.Equal(t, len(a.gets), len(b.gets), "the same seed plays the same")
+	assert.Equal(t, a.behind, b.behind)
+}
