--- a/emulate/world.go
+++ b/emulate/world.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 
 	"elderwall/control"
+	"elderwall/control/order"
 	"elderwall/internal/due"
-	"elderwall/order"
 )
 
 const (
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/callers"
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/due"
-	"elderwall/shards"
+	"elderwall/stages/callers"
+	"elderwall/stages/shards"
 )
 
 const (
