--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -122,6 +122,13 @@
 	return need.Of(p.Client().Process(r.Context()))(r.TB)
 }
 
+// told is one on which a request was sent, and what that came to.
+func (r *rig) told(p *proxy.Proxy, words ...string) (procv3.ExternalProcessor_ProcessClient, *procv3.ProcessingResponse) {
+	s := r.stream(p)
+	require.NoError(r, s.Send(proxy.Ask(words...)))
+	return s, need.Of(s.Recv())(r.TB)
+}
+
 func (r *rig) dial() *proxy.Proxy {
 	p := need.Of(proxy.Dial(r.address, nil))(r.TB)
 	p.Cache = func(host string, h map[string]string) proxy.Answer {
@@ -188,9 +195,7 @@
 
 func TestWhatARouteSays(t *testing.T) {
 	r := newRig(t, func(o *Options) { o.Metadata = true })
-	s := r.stream(r.proxy())
-	require.NoError(t, s.Send(proxy.Ask(":path", path, ":method", "GET", "x-envoy-expected-rq-timeout-ms", "2000")))
-	m := need.Of(s.Recv())(t)
+	s, m := r.told(r.proxy(), ":path", path, ":method", "GET", "x-envoy-expected-rq-timeout-ms", "2000")
 	common := m.GetRequestHeaders().GetResponse()
 	set := proxy.Set(common.GetHeaderMutation())
 	assert.True(t, common.GetClearRouteCache())
@@ -209,17 +214,10 @@
 // Each kind of message of the published protocol, in its place and out of it.
 func TestMessages(t *testing.T) {
 	r := newRig(t, nil)
-	for _, tt := range []struct {
-		name  string
-		fault proxy.Fault
-		code  codes.Code
-	}{
-		{"request and response headers", proxy.None, codes.OK},
-		{"bodies and trailers, each answered by its kind", proxy.Bodies, codes.OK},
-		{"a response first", proxy.ResponseFirst, codes.InvalidArgument},
-		{"a response twice", proxy.Twice, codes.InvalidArgument}} {
-		o := r.one(tt.fault)
-		assert.Equal(t, tt.code, status.Code(o.Err), "%s: %v", tt.name, o.Err)
+	for fault, want := range map[proxy.Fault]codes.Code{proxy.None: codes.OK, proxy.Bodies: codes.OK, // each answered by its kind
+		proxy.ResponseFirst: codes.InvalidArgument, proxy.Twice: codes.InvalidArgument} {
+		o := r.one(fault)
+		assert.Equal(t, want, status.Code(o.Err), "%v: %v", fault, o.Err)
 	}
 	s, ask := r.stream(r.proxy()), proxy.Ask(":path", path)
 	ask.ObservabilityMode = true
@@ -253,10 +251,7 @@
 		"an id that is nobody's":     {[]string{":path", path, "x-elderwall-get", "00000000000000ff"}, 0},
 		"a budget that is no number": {[]string{":path", path, "x-envoy-expected-rq-timeout-ms", "soon"}, 0}} {
 		p := r.proxy()
-		s := r.stream(p)
-		require.NoError(t, s.Send(proxy.Ask(tt.words...)))
-		m, err := s.Recv()
-		require.NoError(t, err, name)
+		_, m := r.told(p, tt.words...)
 		assert.Equal(t, tt.want, int(m.GetImmediateResponse().GetStatus().GetCode()), name)
 		p.Close()
 	}
@@ -302,9 +297,7 @@
 // An id goes on with a GET for its own proxy alone, and only while that waits.
 func TestAnotherProxysID(t *testing.T) {
 	r := newRig(t, func(o *Options) { o.Calls.Hold = 5 })
-	s := r.stream(r.proxy())
-	require.NoError(t, s.Send(proxy.Ask(":path", path)))
-	m := need.Of(s.Recv())(t)
+	s, m := r.told(r.proxy(), ":path", path)
 	id := proxy.Set(m.GetRequestHeaders().GetResponse().GetHeaderMutation())["x-elderwall-get"]
 	assert.Equal(t, 200, r.one(proxy.None, "x-elderwall-get", id).Status)
 	assert.Zero(t, r.Counts.ProxyAgain.Load(), "its stream is open: what comes is a GET of its own")
@@ -488,9 +481,7 @@
 	s := r.stream(p)
 	_, err := s.Recv()
 	assert.Equal(t, codes.DeadlineExceeded, status.Code(err))
-	s = r.stream(p)
-	require.NoError(t, s.Send(proxy.Ask(":path", path)))
-	need.Of(s.Recv())(t)
+	s, _ = r.told(p, ":path", path)
 	_, err = s.Recv()
 	assert.Equal(t, codes.DeadlineExceeded, status.Code(err))
 	r.quiet()
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -10,28 +10,17 @@
 	"elderwall/control"
 	"elderwall/internal/lines"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 )
 
 // answers feeds text in pieces of a size and gives back the answers, until the first error.
 func answers(text string, piece int, room func(int) bool) (got []lines.Answer, err error) {
 	r := lines.Reader{Room: room}
-	for len(text) > 0 {
-		n := copy(r.Space(), text[:min(piece, len(text))])
-		r.Fed(n)
-		text = text[n:]
-		for {
-			a, ok, err := r.Next()
-			if err != nil {
-				return got, err
-			}
-			if !ok {
-				break
-			}
-			a.ID = []byte(string(a.ID)) // Space ends it
-			got = append(got, a)
-		}
-	}
-	return got, nil
+	return need.Pieces([]byte(text), piece, r.Space, r.Fed, func() (lines.Answer, bool, error) {
+		a, ok, err := r.Next()
+		a.ID = []byte(string(a.ID)) // Space ends it
+		return a, ok, err
+	})
 }
 
 func roomy(int) bool { return true }
--- a/internal/standin/need/need.go
+++ b/internal/standin/need/need.go
@@ -20,6 +20,26 @@
 	}
 }
 
+// Pieces feeds bytes in pieces of a size to a reader with a space of its own, and gives what it reads until its first error.
+func Pieces[T any](b []byte, size int, space func() []byte, fed func(int), next func() (T, bool, error)) (got []T, err error) {
+	for len(b) > 0 {
+		n := copy(space(), b[:min(size, len(b))])
+		fed(n)
+		b = b[n:]
+		for {
+			one, ok, err := next()
+			if err != nil {
+				return got, err
+			}
+			if !ok {
+				break
+			}
+			got = append(got, one)
+		}
+	}
+	return got, nil
+}
+
 // Soon waits until something holds, for so long as no sound program takes.
 func Soon(t testing.TB, holds func() bool, why ...any) {
 	t.Helper()
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -15,26 +15,13 @@
 // calls feeds bytes in pieces of a size and gives back the calls, until the first error.
 func calls(b []byte, piece int) (got []thrift.Call, err error) {
 	var frames thrift.Frames
-	for len(b) > 0 {
-		n := copy(frames.Space(), b[:min(piece, len(b))])
-		frames.Fed(n)
-		b = b[n:]
-		for {
-			frame, ok, err := frames.Next()
-			if err != nil {
-				return got, err
-			}
-			if !ok {
-				break
-			}
-			c, err := thrift.Parse([]byte(string(frame))) // a copy, as Space ends the frame
-			if err != nil {
-				return got, err
-			}
-			got = append(got, c)
+	return need.Pieces(b, piece, frames.Space, frames.Fed, func() (c thrift.Call, ok bool, err error) {
+		frame, ok, err := frames.Next()
+		if ok && err == nil {
+			c, err = thrift.Parse([]byte(string(frame))) // a copy, as Space ends the frame
 		}
-	}
-	return got, nil
+		return c, ok, err
+	})
 }
 
 func process(body string, changes ...string) []byte {
--- a/internal/variants/way_test.go
+++ b/internal/variants/way_test.go
@@ -1,11 +1,10 @@
 package variants_test
 
 import (
-	"context"
 	"fmt"
 	"hash/fnv"
 	"math"
-	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sync/errgroup"
 
 	"elderwall/control"
 	pure "elderwall/fleet/variants"
@@ -24,6 +22,7 @@
 	"elderwall/internal/front"
 	"elderwall/internal/node"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/rig"
 	"elderwall/internal/variants"
 )
@@ -77,71 +76,42 @@
 	address string
 	ids     atomic.Int64
 	seq     int64
-
-	mu    sync.Mutex
-	asked []map[string]string // fields of requests to hosts
-	wait  chan bool           // closed where hosts answer at once
+	hosts   *rig.Hosts
 }
 
 func newWay(t testing.TB, proof pure.Proof, joins bool) *way {
-	w := &way{TB: t, truth: &truth{changed: map[string]int{}}, wait: make(chan bool)}
-	close(w.wait)
-	ctx, cancel := context.WithCancel(context.Background())
-	group, ctx := errgroup.WithContext(ctx)
-	o, s := rig.Options(ctx, group), rig.Settings(10_000)
+	w := &way{TB: t, truth: &truth{changed: map[string]int{}}, hosts: rig.NewHosts(t, 2)}
+	w.hosts.Answer(w.answer)
+	o, _ := rig.Life(t)
+	s := rig.Settings(10_000)
 	s.Services = append(s.Services, "order")
 	tokened := s.Settings.Services[0]
 	tokened.Effect = control.Tokened
 	s.Settings.Services = append(s.Settings.Services, tokened)
 	one := pure.Service{Classes: classes, Proof: proof, Witnesses: 1, Repeats: true, Fresh: math.Inf(1)}
-	stage, err := variants.New(variants.Settings{Module: pure.Settings{Services: []pure.Service{one, one}, Objects: 1000, Seed: 7, Self: "d1"}, Fields: []string{"dev", "dev"}})
-	require.NoError(t, err)
-	w.stage = &later{Stage: stage}
+	w.stage = &later{Stage: need.Of(variants.New(variants.Settings{Module: pure.Settings{Services: []pure.Service{one, one}, Objects: 1000, Seed: 7, Self: "d1"}, Fields: []string{"dev", "dev"}}))(t)}
 	o.Proofs = true
-	c := node.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 100, Variants: w.stage}
-	if joins {
-		c.Joins = []bool{true, true}
-	}
-	w.Node = node.New(c)
-	var entries []changelog.Host
-	for i := range 2 {
-		h, err := standin.Listen("127.0.0.1:0", w.answer)
-		require.NoError(t, err)
-		t.Cleanup(h.Close)
-		entries = append(entries, rig.Entry(fmt.Sprint("s-", i), h.Address, "SERVING"))
-	}
-	w.take(changelog.Event{Fleet: &changelog.Fleet{Reset: true, Hosts: entries}})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	w.Node = node.New(node.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 100, Variants: w.stage, Joins: []bool{joins, joins}})
+	w.take(rig.Whole(w.hosts.Entries...))
+	l := need.Listener(t)
 	w.address = l.Addr().String()
 	named := front.Device{Classes: map[string]string{"tv": "tv", "phone": "phone", "car": "car"}}
 	server := &front.Server{Handler: w.Node, Log: zerolog.Nop(), Counts: o.Counts, Room: o.Room, Most: 100,
 		Devices: front.Devices{Fields: []string{"device"}, By: map[string]front.Device{"segment": named, "order": named}}}
-	group.Go(func() error { return w.Node.Run(ctx) })
-	group.Go(func() error { return server.Serve(ctx, l) })
-	t.Cleanup(func() {
-		_ = l.Close()
-		cancel()
-		assert.NoError(t, group.Wait())
-		assert.EqualValues(t, 1<<24, o.Room.Left(), "all room is given back")
-	})
+	o.Group.Go(func() error { return w.Node.Run(o.Context) })
+	o.Group.Go(func() error { return server.Serve(o.Context, l) })
 	return w
 }
 
-func (w *way) answer(a standin.Ask) string {
-	if a.Stop {
-		return ""
-	}
-	w.mu.Lock()
-	w.asked = append(w.asked, a.Fields)
-	wait := w.wait
-	w.mu.Unlock()
-	<-wait
-	class := a.Fields["dev"]
-	bytes := w.bytes(a.Fields["path"], a.Fields["blk"], class)
+func tagOf(bytes string) string {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(bytes))
-	tag := fmt.Sprintf("%016x", sum.Sum64())
+	return fmt.Sprintf("%016x", sum.Sum64())
+}
+
+func (w *way) answer(a standin.Ask) string {
+	bytes := w.bytes(a.Fields["path"], a.Fields["blk"], a.Fields["dev"])
+	tag := tagOf(bytes)
 	if a.Fields["inm"] == tag {
 		return standin.Answer(a.ID, "VALID", "rev="+tag+",detail=mem", "")
 	}
@@ -150,10 +120,7 @@
 
 // hold has hosts wait until what it gives is called.
 func (w *way) hold() (release func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	wait := make(chan bool)
-	w.wait = wait
+	wait := w.hosts.Hold()
 	release = sync.OnceFunc(func() { close(wait) })
 	w.Cleanup(release)
 	return release
@@ -161,9 +128,9 @@
 
 // seen takes what hosts were asked since it was last called.
 func (w *way) seen() (all []map[string]string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	all, w.asked = w.asked, nil
+	for _, a := range w.hosts.Asked() {
+		all = append(all, a.Fields)
+	}
 	return all
 }
 
@@ -173,9 +140,7 @@
 	w.Take(e)
 }
 
-func (w *way) purge(object string) {
-	w.take(changelog.Event{Purge: &changelog.Purge{Object: object, Time: time.Now().UnixMilli()}})
-}
+func (w *way) purge(object string) { w.take(rig.Purge(object)) }
 
 // client is a connection of its own, on which a class's GET waits.
 type client struct {
@@ -184,19 +149,15 @@
 }
 
 func (w *way) send(object, class string, changes ...string) client {
-	c, err := standin.Dial(w.address)
-	require.NoError(w, err)
-	w.Cleanup(func() { _ = c.Conn.Close() })
-	_, err = c.Process(standin.Fields(append([]string{"obj", object, "nth", "0", "device", class, "rid", fmt.Sprintf("%016x", w.ids.Add(1))}, changes...)...), "")
-	require.NoError(w, err)
+	c := need.Client(w, w.address)
+	need.Sent(w, c, append([]string{"obj", object, "nth", "0", "device", class, "rid", fmt.Sprintf("%016x", w.ids.Add(1))}, changes...)...)
 	return client{c, object, class}
 }
 
 // holds reads an answer, whose bytes must be those of the truth for the client's own class.
 func (w *way) holds(c client) standin.Reply {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(10 * time.Second))
-	r, err := c.Read()
-	require.NoError(w, err)
+	r := need.Of(c.Read())(w)
 	require.Equal(w, "served", r.Kind)
 	if r.Fields["ok304"] == "" {
 		assert.Equal(w, w.bytes(c.object, "0", c.class), r.Body, "%s gets its own bytes", c.class)
@@ -254,7 +215,7 @@
 			for range 10 {
 				all = append(all, w.send(objects[0], "phone"), w.send(objects[0], "tv"))
 			}
-			require.Eventually(t, func() bool { return w.Options.Counts.GETs.Load()-before == 20 }, 5*time.Second, time.Millisecond)
+			need.Soon(t, func() bool { return w.Options.Counts.GETs.Load()-before == 20 })
 			w.change("tv")
 			release()
 			for _, c := range all {
@@ -278,11 +239,11 @@
 	release := w.hold()
 	joined := w.Options.Counts.Joined.Load()
 	all := []client{w.send(objects[0], "tv")}
-	require.Eventually(t, func() bool { return len(w.seen()) == 1 }, 5*time.Second, time.Millisecond)
+	need.Soon(t, func() bool { return len(w.seen()) == 1 })
 	for range 20 {
 		all = append(all, w.send(objects[0], "phone"), w.send(objects[0], "tv"), w.send(objects[0], ""))
 	}
-	require.Eventually(t, func() bool { return w.Options.Counts.Joined.Load()-joined >= 20+18+19 }, 5*time.Second, time.Millisecond)
+	need.Soon(t, func() bool { return w.Options.Counts.Joined.Load()-joined >= 20+18+19 })
 	for _, f := range w.seen() {
 		assert.NotEqual(t, "tv", f["dev"])
 	}
@@ -302,7 +263,7 @@
 		release = w.hold()
 		under = w.send(objects[0], "phone")
 		var all []map[string]string
-		require.Eventually(t, func() bool { all = append(all, w.seen()...); return len(all) == 1 }, 5*time.Second, time.Millisecond)
+		need.Soon(t, func() bool { all = append(all, w.seen()...); return len(all) == 1 })
 		if all[0]["dev"] == "tv" {
 			break
 		}
@@ -325,11 +286,7 @@
 	for range 50 {
 		w.get(objects[1], "phone")
 	}
-	by := map[string]int{}
-	for _, f := range w.seen() {
-		by[f["dev"]]++
-	}
-	assert.Positive(t, by["tv"], "another object is left alone")
+	assert.True(t, slices.ContainsFunc(w.seen(), func(f map[string]string) bool { return f["dev"] == "tv" }), "another object is left alone")
 }
 
 // What is never rewritten: tokened services, GETs with a body, devices that are not declared.
@@ -356,11 +313,8 @@
 		w.joined()
 		tag := ""
 		for class, told := range map[string]bool{"phone": told, "": true} {
-			sum := fnv.New64a()
-			_, _ = sum.Write([]byte(w.bytes(objects[0], "0", class)))
-			tag = fmt.Sprintf("%016x", sum.Sum64())
-			c := w.send(objects[0], class, "got", tag)
-			r := w.holds(c)
+			tag = tagOf(w.bytes(objects[0], "0", class))
+			r := w.holds(w.send(objects[0], class, "got", tag))
 			assert.Equal(t, told, w.seen()[0]["inm"] == tag, "%d %q", proof, class)
 			assert.Equal(t, told, r.Fields["ok304"] != "")
 		}
--- a/stages/callers/callers_test.go
+++ b/stages/callers/callers_test.go
@@ -171,11 +171,10 @@
 }
 
 func TestAConnectionHasLeftBeforeTheWindowIsOver(t *testing.T) {
-	m := module(t)
-	conn := &Conn{Certificate: &Certificate{Until: noon - 100}}
-	assert.Equal(t, Leaving, m.Standing(50, noon, conn))
-	assert.Equal(t, Leaving, m.Standing(51.4, noon, conn))
-	assert.Equal(t, Left, m.Standing(51.6, noon, conn))
+	m, conn := module(t), &Conn{Certificate: &Certificate{Until: noon - 100}}
+	for i, now := range []float64{50, 51.4, 51.6} {
+		assert.Equal(t, []Standing{Leaving, Leaving, Left}[i], m.Standing(now, noon, conn), now)
+	}
 }
 
 func TestSignatureChecksAreBounded(t *testing.T) {
@@ -278,14 +277,21 @@
 func asks(m *Module, from, span float64, n int, ran bool) (through int) {
 	for i := range n {
 		now := from + span*float64(i)/float64(n)
-		if ticket, r := ask(m, now, "a", "x"); r == Passed {
-			through++
-			m.End(now, ticket, ran, !ran)
-		}
+		through += once(m, now, "a", "x", ran)
 	}
 	return through
 }
 
+// once has a caller ask, and settles its GET at once; 1 if it was passed.
+func once(m *Module, now float64, tenant, name string, ran bool) int {
+	ticket, r := ask(m, now, tenant, name)
+	if r != Passed {
+		return 0
+	}
+	m.End(now, ticket, ran, !ran)
+	return 1
+}
+
 func passed(ask func() Refusal, n int) (through int) {
 	for range n {
 		if ask() == Passed {
@@ -374,8 +380,7 @@
 	crowd(m, 100, 5, map[string]float64{"a": 100, "b": 5000}, nil)
 	assert.False(t, math.IsInf(m.Level(), 1))
 	for now := 5.0; now < 60; now += 0.1 {
-		ticket, _ := ask(m, now, "a", "x")
-		m.End(now, ticket, true, false)
+		once(m, now, "a", "x", true)
 	}
 	assert.True(t, math.IsInf(m.Level(), 1), "the level is put off once it holds nobody")
 }
@@ -384,15 +389,9 @@
 	m, quiet, flood := module(t, func(s *Settings) { s.Tenants[0].Share = Share{Rate: 100, Burst: 20} }), 0, 0
 	for i := range 20000 { // a thousand a second
 		now := float64(i) / 1000
-		if ticket, r := ask(m, now, "a", "floods"); r == Passed {
-			m.End(now, ticket, true, false)
-			flood++
-		}
+		flood += once(m, now, "a", "floods", true)
 		if i%50 == 0 { // twenty a second, of the fifty that are its part
-			if ticket, r := ask(m, now, "a", "quiet"); r == Passed {
-				m.End(now, ticket, true, false)
-				quiet++
-			}
+			quiet += once(m, now, "a", "quiet", true)
 		}
 	}
 	assert.GreaterOrEqual(t, quiet, 380, "of 400")
@@ -407,9 +406,7 @@
 		}
 	})
 	for i := range 10000 {
-		ticket, r := ask(m, float64(i)/1000, fmt.Sprint("t", i), "x")
-		require.Equal(t, Passed, r)
-		m.End(float64(i)/1000, ticket, true, false)
+		require.Equal(t, 1, once(m, float64(i)/1000, fmt.Sprint("t", i), "x", true))
 	}
 	assert.Equal(t, 100, m.callers.order.Len())
 	assert.Len(t, m.callers.by, 100)
