--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"elderwall/fleet/budgets"
+	pure "elderwall/fleet/variants"
 	"elderwall/internal/fleet"
+	"elderwall/internal/front"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/token"
@@ -239,3 +242,36 @@
 	faults(t, func(text string) string { return file(`memory: {` + text + `}`) }, map[string]string{`horizon: 5`: "memory.horizon", `horizon: '1s'`: "memory.horizon",
 		`rate: '1KiB'`: "memory.rate", `rate: 5000000`: "memory.rate", `kinds: 3`: "memory.kinds"})
 }
+
+func TestVariants(t *testing.T) {
+	c := need.Of(decode("f", string(need.Of(os.ReadFile("../../examples/variants.jsonnet"))(t)), services))(t)
+	v := c.Variants
+	assert.Equal(t, pure.Service{Classes: []string{"tv", "phone", "car"}, Proof: pure.ByTag, Witnesses: 2, Repeats: true, Fresh: 600,
+		Presume: &pure.Presumed{Objects: 200, Checks: 0.01}}, v.Module.Services[0])
+	assert.Empty(t, v.Module.Services[1].Classes)
+	assert.Equal(t, []string{"dev", ""}, v.Fields)
+	assert.NoError(t, v.Repeatable(services, []bool{true, false}))
+	assert.ErrorContains(t, v.Repeatable(services, []bool{false, true}), "fleet.variants.services.segment: its GETs are tokened or non-idempotent")
+	assert.Equal(t, []string{"device"}, v.Devices.Fields)
+	assert.Equal(t, front.Device{Classes: map[string]string{"tv": "tv", "phone": "phone", "car": "car"}}, v.Devices.By["segment"])
+
+	const good = `classes: ['a', 'b'], field: 'Dev', host_field: 'dev', proof: 'body'`
+	one := func(more string) string { return file(`variants: {services: {segment: {` + good + more + `}}}`) }
+	c = need.Of(decode("f", one(`, fresh: 'until purged'`), services))(t)
+	assert.True(t, math.IsInf(c.Variants.Module.Services[0].Fresh, 1))
+	c = need.Of(decode("f", strings.Replace(strings.TrimSuffix(one(""), "}")+`, proxies: {listen: '127.0.0.1:1', paths: [`+onePath+`]}}`, "'body'", "'tag'", 1), services))(t)
+	assert.Equal(t, map[string]string{"segment": "dev"}, c.Proxies.Rules.Devices)
+	c = need.Of(decode("f", `{fleet: {listen: '127.0.0.1:5100'}}`, services))(t)
+	assert.Nil(t, c.Variants)
+
+	bad := one(`, witnesses: 9, fresh: '-1s', presume: {checks: 2}, other: 1`)
+	for from, to := range map[string]string{"['a', 'b']": "['a,b']", "'Dev'": "'got'", "'dev'": "'inm'", "'body'": "'hope'"} {
+		bad = strings.Replace(bad, from, to, 1)
+	}
+	_, err := decode("f", bad, services)
+	for _, want := range []string{"witnesses", "fresh", "presume.checks", "segment.other", "two at least", "must be letters", "segment.field", "segment.host_field",
+		"segment.proof"} {
+		assert.ErrorContains(t, err, want, "all at once")
+	}
+	faults(t, strings.Clone, map[string]string{strings.Replace(one(""), "segment", "nothing", 1): "no delivery service", file(`variants: {}`): "services: is needed"})
+}
--- a/internal/standin/need/need.go
+++ b/internal/standin/need/need.go
@@ -40,6 +40,16 @@
 	return got, nil
 }
 
+// Bench is a part of a benchmark that does one thing over and over.
+func Bench(b *testing.B, name string, do func(i int)) {
+	b.Run(name, func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			do(i)
+		}
+	})
+}
+
 // Soon waits until something holds, for so long as no sound program takes.
 func Soon(t testing.TB, holds func() bool, why ...any) {
 	t.Helper()
