--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
+	"net/http"
 	"sync"
 	"testing"
 
@@ -66,16 +66,8 @@
 	got := follow(t, l.Addr().String())
 	for i, r := range replies {
 		c := need.Of(l.Accept())(t)
-		asked := ""
-		for in := bufio.NewReader(c); ; {
-			line := need.Of(in.ReadString('\n'))(t)
-			if name, value, found := strings.Cut(strings.TrimSpace(line), ": "); found && name == "Last-Event-ID" {
-				asked = value
-			} else if !found && name == "" {
-				break
-			}
-		}
-		assert.Equal(t, r.asked, asked, r.name)
+		asked := need.Of(http.ReadRequest(bufio.NewReader(c)))(t)
+		assert.Equal(t, r.asked, asked.Header.Get("Last-Event-ID"), r.name)
 		need.Of(io.WriteString(c, r.text))(t)
 		if i == len(replies)-1 {
 			assert.EqualValues(t, 2, (<-got).Seq)
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -122,14 +122,13 @@
 				require.Equal(t, "served", r.read(c).Kind)
 			}
 		}
-		var gets, at []int64
+		at := 0
 		for _, counts := range r.byShard() {
-			gets = append(gets, counts.GETs.Load())
 			if counts.GETs.Load() > 0 {
-				at = append(at, 1)
+				at++
 			}
 		}
-		assert.Len(t, at, map[shards.Way]int{shards.ByItem: 4, shards.ByConnection: 1}[way], "%v", gets)
+		assert.Equal(t, map[shards.Way]int{shards.ByItem: 4, shards.ByConnection: 1}[way], at)
 		assert.EqualValues(t, 1000, r.sum().Returned.Load())
 	}
 }
@@ -277,13 +276,6 @@
 	}
 }
 
-func (r *rig) dials(n int) (all []*standin.Client) {
-	for range n {
-		all = append(all, r.dial())
-	}
-	return all
-}
-
 func TestShardsComeAndGoUnderLoad(t *testing.T) {
 	r := newRig(t, 2, shards.ByItem, 3)
 	c, wait := r.dial(), r.hosts.Hold()
@@ -292,7 +284,7 @@
 	}
 	need.Soon(t, func() bool { n, _ := r.hosts.Count(); return n == 8 })
 	r.hosts.Free()
-	end := r.load(r.dials(6), func(i int) string { return fmt.Sprintf("%016x", i%500) })
+	end := r.load(need.Clients(t, r.address, 6), func(i int) string { return fmt.Sprintf("%016x", i%500) })
 	for _, n := range []int{4, 8, 3, 1, 5, 2} {
 		r.Resize(n)
 		time.Sleep(60 * time.Millisecond)
@@ -309,7 +301,7 @@
 
 func TestAHotObjectIsSpread(t *testing.T) {
 	r := newRig(t, 4, shards.ByItem, 3)
-	end := r.load(r.dials(8), func(i int) string {
+	end := r.load(need.Clients(t, r.address, 8), func(i int) string {
 		if i%10 < 6 {
 			return rigs.Object
 		}
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"os"
 	"regexp"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -625,26 +624,19 @@
 		p := r.proxy()
 		p.Do(context.Background(), path, proxy.None)
 		p.Linger = 3 * time.Second
-		before := used()
+		before := need.Heap()
 		var all sync.WaitGroup
 		for i := range n {
 			all.Go(func() { do(p, i%100, proxy.Silent) })
 		}
 		time.Sleep(2 * time.Second)
 		gets, _ := r.Count()
-		b.ReportMetric(float64(used()-before)/float64(max(1, gets)), "B/call")
+		b.ReportMetric((need.Heap()-before)/float64(max(1, gets)), "B/call")
 		b.ReportMetric(float64(gets), "open")
 		all.Wait()
 	}
 }
 
-func used() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapInuse + m.StackInuse
-}
-
 // later is a stage past the time in which copies are warmed.
 func declared(t *testing.T, r *rig) {
 	one := pure.Service{Classes: []string{"tv", "phone"}, Proof: pure.ByDigest, Witnesses: 1, Repeats: true, Fresh: math.Inf(1),
--- a/internal/extras/extras_test.go
+++ b/internal/extras/extras_test.go
@@ -201,11 +201,7 @@
 
 // load has clients ask steadily with tokens of their own.
 func (r *rig) load(clients int, token func(i int) string) (end func() map[string]int) {
-	var all []*standin.Client
-	for range clients {
-		all = append(all, r.Dial())
-	}
-	return rigs.Load(all, func(client, n int) []string {
+	return rigs.Load(need.Clients(r, r.Address, clients), func(client, n int) []string {
 		time.Sleep(time.Millisecond)
 		return []string{"token", token(client + n), "budget", "5000"}
 	})
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -337,18 +338,11 @@
 const limitEnv = "ELDERWALL_TEST_DESCRIPTORS"
 
 func init() {
-	limit := os.Getenv(limitEnv)
-	if limit == "" {
+	n, err := strconv.ParseUint(os.Getenv(limitEnv), 10, 64)
+	if err != nil {
 		return
 	}
-	n, err := strconv.ParseUint(limit, 10, 64)
-	if err == nil {
-		err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
-	}
-	if err == nil {
-		err = Serve(nil)
-	}
-	if err != nil {
+	if err = errors.Join(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}), Serve(nil)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/standin/need/need.go
+++ b/internal/standin/need/need.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -50,6 +51,14 @@
 	})
 }
 
+// Heap is the bytes in use, by the heap and by stacks.
+func Heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 // Soon waits until something holds, for so long as no sound program takes.
 func Soon(t testing.TB, holds func() bool, why ...any) {
 	t.Helper()
@@ -80,6 +89,14 @@
 	return c
 }
 
+// Clients is so many.
+func Clients(t testing.TB, address string, n int) (all []*standin.Client) {
+	for range n {
+		all = append(all, Client(t, address))
+	}
+	return all
+}
+
 // Sent sends a GET of the usual fields with changes, and gives its number.
 func Sent(t testing.TB, c *standin.Client, changes ...string) int32 {
 	t.Helper()
--- a/stages/callers/callers_test.go
+++ b/stages/callers/callers_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"runtime"
 	"slices"
 	"testing"
 
@@ -185,14 +184,12 @@
 		i := 0
 		return passed(func() Refusal { i++; return m.MayCheck(0, noon, conns[i%len(conns)], "k1", "EdDSA") }, tries)
 	}
-	fresh := func() (all []*Conn) {
-		for range 100 {
-			all = append(all, &Conn{})
-		}
-		return all
+	fresh := make([]*Conn, 100)
+	for i := range fresh {
+		fresh[i] = &Conn{}
 	}
 	assert.Equal(t, 5, count([]*Conn{{}}, 100), "of one connection")
-	assert.Equal(t, 45, count(fresh(), 1000), "of any number that have proven nobody")
+	assert.Equal(t, 45, count(fresh, 1000), "of any number that have proven nobody")
 	known := &Conn{}
 	_, r := m.Verified(noon, known, sum(1), "k1", "p1", claims())
 	require.Equal(t, Passed, r)
@@ -674,33 +671,26 @@
 
 // BenchmarkRights is what a GET costs by the index, and what a rule takes there, against a scan.
 func BenchmarkRights(b *testing.B) {
-	for _, n := range []int{10, 1000, 100000} {
+	for _, of := range [][2]int{{10, 6}, {1000, 6}, {100000, 6}, {100000, 16}} { // rules, lengths of their prefixes
+		n, most := of[0], of[1]
 		chance, rules, gets := rand.New(rand.NewPCG(1, uint64(n))), make([]Rule, n), make([]GET, 1024)
 		for i := range rules {
-			p := Prefix{chance.Uint64(), 16}.cut(16 - chance.IntN(16))
+			p := Prefix{chance.Uint64(), 16}.cut(16 - chance.IntN(most))
 			rules[i] = Rule{Objects: []Prefix{p}, Deny: chance.IntN(4) == 0, Services: []int{chance.IntN(3)}}
 		}
 		for i := range gets {
 			gets[i] = GET{Service: chance.IntN(3), Object: rules[chance.IntN(n)].Objects[0].Bits | chance.Uint64()>>48}
 		}
-		before, index := heap(), newRights(rules)
-		size := (heap() - before) / float64(n)
+		before, index := need.Heap(), newRights(rules)
+		size := (need.Heap() - before) / float64(n)
 		scanned := func(g GET, from netip.Addr) bool { return scan(rules, g, from) }
-		b.Logf("%d rules: %.0f B each", n, size)
+		b.Logf("%d rules, %d lengths: %.0f B each", n, most, size)
 		for name, allow := range map[string]func(GET, netip.Addr) bool{"prefixes": index.allow, "scan": scanned} {
-			need.Bench(b, fmt.Sprintf("%d-rules/%s", n, name), func(i int) { allow(gets[i&1023], here) })
+			need.Bench(b, fmt.Sprintf("%d-rules-%d-lengths/%s", n, most, name), func(i int) { allow(gets[i&1023], here) })
 		}
 	}
 }
 
-// heap is the bytes in use.
-func heap() float64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
-}
-
 // BenchmarkAdmit is what a GET costs that is passed on and settled, its token known.
 func BenchmarkAdmit(b *testing.B) {
 	m := module(b, func(s *Settings) { s.Tenants[0].Share = Share{Rate: 1e9, Burst: 1e9, Most: 1e6} })
@@ -715,7 +705,7 @@
 // BenchmarkTenants is what a tenant takes, and what a GET costs among so many that each ask in turn.
 func BenchmarkTenants(b *testing.B) {
 	for _, n := range []int{10, 100000} {
-		names, before := make([]string, n), heap()
+		names, before := make([]string, n), need.Heap()
 		m := module(b, func(s *Settings) {
 			s.Tenants = nil
 			for i := range names {
@@ -723,7 +713,7 @@
 				s.Tenants = append(s.Tenants, Tenant{Name: names[i], Roles: []string{"all"}, Share: Share{Rate: 1e6, Burst: 1e6}})
 			}
 		})
-		taken := (heap() - before) / float64(n)
+		taken := (need.Heap() - before) / float64(n)
 		b.Logf("%d tenants: %.0f B each", n, taken)
 		need.Bench(b, fmt.Sprint(n), func(i int) { once(m, float64(i)*1e-5, names[i%n], "x", true) })
 	}
--- a/stages/joint/joint_test.go
+++ b/stages/joint/joint_test.go
@@ -106,18 +106,16 @@
 
 func TestBounds(t *testing.T) {
 	table := New[int]()
-	table.Enter(0, key, 1, -1)
-	roles := map[Role]int{}
-	for i := range 3000 {
-		_, role := table.Enter(0, key, 1, i)
-		roles[role]++
-	}
-	assert.Equal(t, map[Role]int{Leads: 2, Follows: 2998}, roles, "three flights for 3,001")
-	clear(roles)
-	for i := range 3 * mostInAll {
-		_, role := table.Enter(0, key, 1, i)
-		roles[role]++
+	enter := func(n int) map[Role]int {
+		roles := map[Role]int{}
+		for i := range n {
+			_, role := table.Enter(0, key, 1, i)
+			roles[role]++
+		}
+		return roles
 	}
+	assert.Equal(t, map[Role]int{Leads: 3, Follows: 2998}, enter(3001), "three flights for 3,001")
+	roles := enter(3 * mostInAll)
 	assert.LessOrEqual(t, roles[Follows]+2998, mostInAll)
 	assert.Greater(t, roles[Alone], mostInAll)
 }
--- a/stages/shards/shards_test.go
+++ b/stages/shards/shards_test.go
@@ -178,13 +178,7 @@
 	assert.InDelta(t, 0.5, p.Add(7, 10, 0.5, 0, 2), 1e-9)
 	assert.InDelta(t, 1.0, p.Add(7, 10, 0.5, 0.5, 2), 1e-9, "what it begins with is there once")
 	assert.InDelta(t, 2.0, p.Add(7, 10, 0.5, 5, 2), 1e-9)
-	spent := 0
-	for range 10 {
-		if p.Spend(7, 1) {
-			spent++
-		}
-	}
-	assert.Equal(t, 2, spent)
+	assert.Equal(t, []bool{true, true, false, false}, []bool{p.Spend(7, 1), p.Spend(7, 1), p.Spend(7, 1), p.Spend(7, 1)})
 	assert.InDelta(t, 0.25, p.Add(7, 20, 0.25, 0, 2), 1e-9, "another start, another pot")
 	assert.False(t, p.Spend(8, 1))
 	assert.Equal(t, []bool{true, false, true, true}, []bool{p.Trial(0, 7, 1), p.Trial(1, 7, 2), p.Trial(1, 7, 1), p.Trial(4, 7, 2)},
