--- a/control/beliefs/beliefs_test.go
+++ b/control/beliefs/beliefs_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"elderwall/internal/standin/need"
@@ -186,9 +187,7 @@
 			}
 			doubted := 0
 			for g, n := range groups {
-				if g.size != n {
-					t.Fatalf("a group of %d counts %d", n, g.size)
-				}
+				require.Equal(t, n, g.size, "a group of %d counts %d", n, g.size)
 				if g.silent {
 					doubted += n
 				}
@@ -198,16 +197,12 @@
 					}
 				}
 			}
-			if doubted != b.doubted {
-				t.Fatalf("%d are doubted by their groups, counted as %d", doubted, b.doubted)
-			}
-			if n := believed(m); 2*n < len(m) {
-				t.Fatalf("only %d of %d are believed", n, len(m))
-			}
+			require.Equal(t, b.doubted, doubted, "%d are doubted by their groups, counted as %d", doubted, b.doubted)
+			n := believed(m)
+			require.False(t, 2*n < len(m), "only %d of %d are believed", n, len(m))
 			back := 200.0 * trialFloor // time that goes back passes twice
-			if most := trialsKept + trialShare*gets + trialFloor*math.Max(0, now-start) + passed + back; tried > most {
-				t.Fatalf("%g trials, at most %g", tried, most)
-			}
+			most := trialsKept + trialShare*gets + trialFloor*math.Max(0, now-start) + passed + back
+			require.False(t, tried > most, "%g trials, at most %g", tried, most)
 		}
 	})
 }
--- a/control/order/order_test.go
+++ b/control/order/order_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"elderwall/internal/standin/need"
@@ -72,9 +73,8 @@
 				most, want := rapid.IntRange(1, 70).Draw(t, "most"), plain(ids, hash)
 				want = want[:min(len(want), most)]
 				for _, keep := range []**First{first[hash], first[hash], nil} {
-					if got := walk(&x, hash, keep, most); !slices.Equal(got, want) {
-						t.Fatalf("%d hosts, %d asked for: %v, a sort gives %v", len(ids), most, got, want)
-					}
+					got := walk(&x, hash, keep, most)
+					require.True(t, slices.Equal(got, want), "%d hosts, %d asked for: %v, a sort gives %v", len(ids), most, got, want)
 				}
 			}
 		}
@@ -117,9 +117,8 @@
 				for _, from := range []int{from, 0} {
 					want := want[min(len(want), from):]
 					want = want[:min(len(want), most)]
-					if got := walkFrom(&x, hash, &first[k], from, most); !slices.Equal(got, want) {
-						t.Fatalf("%d hosts, from %d: %v, a sort gives %v", len(ids), from, got, want)
-					}
+					got := walkFrom(&x, hash, &first[k], from, most)
+					require.True(t, slices.Equal(got, want), "%d hosts, from %d: %v, a sort gives %v", len(ids), from, got, want)
 				}
 			}
 		}
--- a/control/popular/popular_test.go
+++ b/control/popular/popular_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"elderwall/control/order"
@@ -36,13 +37,10 @@
 			sum, want := s.Turns(now, order.Mix(o), got[:]), 0.0
 			for e := int(now / span); e > int(now/span)-turns && e >= 0; e-- {
 				one := min(most, exact[asked{o, e}])
-				if want += one; got[e%turns] < one {
-					t.Fatalf("object %d, turn %d: %g, asked for %g times", o, e, got[e%turns], one)
-				}
-			}
-			if sum < want {
-				t.Fatalf("object %d: %g, asked for %g times", o, sum, want)
+				want += one
+				require.False(t, got[e%turns] < one, "object %d, turn %d: %g, asked for %g times", o, e, got[e%turns], one)
 			}
+			require.False(t, sum < want, "object %d: %g, asked for %g times", o, sum, want)
 		}
 	})
 }
--- a/control/retries/retries_test.go
+++ b/control/retries/retries_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -43,9 +44,8 @@
 				b.Spend(now)
 			}
 		}
-		if most := most(s) + earned + s.Floor*now + 1e-6; float64(b.Spent) > most {
-			t.Fatalf("%d spent, at most %g", b.Spent, most)
-		}
+		most := most(s) + earned + s.Floor*now + 1e-6
+		require.False(t, float64(b.Spent) > most, "%d spent, at most %g", b.Spent, most)
 	})
 }
 
--- a/hosts/hosts_test.go
+++ b/hosts/hosts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -23,9 +24,8 @@
 			start = min(start, now)
 		}
 		back := 50 * 0.2 * rate // time that went back and on again counts again
-		if most := burst + rate*(now-start) + back; float64(begun) > most {
-			t.Fatalf("%d begun, at most %g", begun, most)
-		}
+		most := burst + rate*(now-start) + back
+		require.False(t, float64(begun) > most, "%d begun, at most %g", begun, most)
 	})
 }
 
--- a/internal/due/due_test.go
+++ b/internal/due/due_test.go
@@ -8,7 +8,10 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"elderwall/internal/standin/need"
 )
 
 func TestWheel(t *testing.T) {
@@ -91,9 +94,7 @@
 					}
 				}
 			}
-			if w.Len() != len(p) {
-				t.Fatalf("%d items, want %d", w.Len(), len(p))
-			}
+			require.Equal(t, len(p), w.Len(), "%d items, want %d", w.Len(), len(p))
 		}
 	})
 }
@@ -117,21 +118,17 @@
 		for i := range ahead {
 			ahead[i], which[i] = 0.5+4.5*r.Float64(), r.IntN(n)
 		}
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var w Wheel[int]
-			open := make([]*Timer[int], n)
-			for i := range open {
-				open[i] = w.Add(ahead[i&0xffff], i)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				now, k := float64(i)*1e-6, which[i&0xffff]
-				w.Remove(open[k])
-				open[k] = w.Add(now+ahead[i&0xffff], k)
-				if i%100 == 0 {
-					for _, ok := w.Pop(now); ok; _, ok = w.Pop(now) {
-					}
+		var w Wheel[int]
+		open := make([]*Timer[int], n)
+		for i := range open {
+			open[i] = w.Add(ahead[i&0xffff], i)
+		}
+		need.Bench(b, fmt.Sprint(n), func(i int) {
+			now, k := float64(i)*1e-6, which[i&0xffff]
+			w.Remove(open[k])
+			open[k] = w.Add(now+ahead[i&0xffff], k)
+			if i%100 == 0 {
+				for _, ok := w.Pop(now); ok; _, ok = w.Pop(now) {
 				}
 			}
 		})
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -575,11 +575,7 @@
 // BenchmarkAddedDelay is what the processor adds to a request: its proxies ask at a rate, whether it keeps up or not, or all
 // at once; delays run from when a request was to be sent to its decision. The caches take no time.
 func BenchmarkAddedDelay(b *testing.B) {
-	for _, rate := range []float64{1000, 5000, 0} {
-		name := fmt.Sprintf("%g a second", rate)
-		if rate == 0 {
-			name = "5,000 at once"
-		}
+	for name, rate := range map[string]float64{"1000 a second": 1000, "5000 a second": 5000, "5,000 at once": 0} {
 		b.Run(name, func(b *testing.B) {
 			r := newRig(b, func(o *Options) { o.Decide = 2 })
 			var proxies []*proxy.Proxy
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -208,15 +209,10 @@
 
 // A forward waits for a connection that comes up late, and news comes before that: what forbids it has it decided anew.
 func TestNewsBeforeTheFirstByte(t *testing.T) {
-	state := func(h *host, state string) changelog.Event {
-		told := h.told
-		told.State = state
-		return rig.Changes(told)
-	}
-	moved := func(h *host) changelog.Event {
-		told := h.told
-		told.Address = "127.0.0.1:1"
-		return rig.Changes(told)
+	told := func(h *host, state, address string) changelog.Event {
+		e := h.told
+		e.State, e.Address = state, cmp.Or(address, e.Address)
+		return rig.Changes(e)
 	}
 	whole := func(all []changelog.Host, but *host) changelog.Event {
 		return rig.Whole(slices.DeleteFunc(slices.Clone(all), func(h changelog.Host) bool { return h.ID == but.name })...)
@@ -227,12 +223,12 @@
 		never  func(f *forward) string // where it must not go to, or be filled from; nil for anywhere
 		purged bool
 	}{
-		"its source drains":         {func(f *forward, _ []changelog.Host) changelog.Event { return state(f.from, "DRAINING") }, from, false},
-		"its source is gone":        {func(f *forward, _ []changelog.Host) changelog.Event { return state(f.from, "DELETED") }, from, false},
+		"its source drains":         {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.from, "DRAINING", "") }, from, false},
+		"its source is gone":        {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.from, "DELETED", "") }, from, false},
 		"a whole list lacks it":     {func(f *forward, all []changelog.Host) changelog.Event { return whole(all, f.from) }, from, false},
-		"its host drains":           {func(f *forward, _ []changelog.Host) changelog.Event { return state(f.to, "DRAINING") }, to, false},
-		"its host is gone":          {func(f *forward, _ []changelog.Host) changelog.Event { return state(f.to, "DELETED") }, to, false},
-		"its host moves":            {func(f *forward, _ []changelog.Host) changelog.Event { return moved(f.to) }, to, false},
+		"its host drains":           {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "DRAINING", "") }, to, false},
+		"its host is gone":          {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "DELETED", "") }, to, false},
+		"its host moves":            {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "SERVING", "127.0.0.1:1") }, to, false},
 		"its object is purged":      {func(*forward, []changelog.Host) changelog.Event { return rig.Purge(rig.Object) }, nil, true},
 		"its group is purged":       {func(*forward, []changelog.Host) changelog.Event { return rig.Purge("") }, nil, true},
 		"another object is purged":  {func(*forward, []changelog.Host) changelog.Event { return rig.Purge("other") }, nil, false},
--- a/internal/standin/processes/links_test.go
+++ b/internal/standin/processes/links_test.go
@@ -35,28 +35,23 @@
 // relayed gives an end that sends by way of a relay of a rig without processes, and the one where a process would listen.
 func relayed(network string) func(t testing.TB, _ contract.Wire) (contract.Transport, contract.Transport) {
 	return func(t testing.TB, _ contract.Wire) (contract.Transport, contract.Transport) {
-		r := New(t, Options{N: 2, Seed: 1})
-		to := r.Processes[1].Fleet
-		at, e := r.Processes[0].Reach[to], &wireEnd{longest: longestDatagram}
-		if network == "udp" {
-			address := need.Of(net.ResolveUDPAddr("udp", to))(t)
-			u := need.Of(net.ListenUDP("udp", address))(t)
-			e.in = u
-			c := need.Of(net.Dial("udp", at))(t)
-			out := &wireEnd{out: c, longest: longestDatagram}
-			t.Cleanup(func() { _, _ = e.Close(), out.Close() })
-			return out, e
+		r, framed := New(t, Options{N: 2, Seed: 1}), network == "tcp"
+		to, longest := r.Processes[1].Fleet, map[bool]int{true: 1 << 20, false: longestDatagram}[framed]
+		in, out := &wireEnd{framed: framed}, &wireEnd{framed: framed, longest: longest}
+		var l *net.TCPListener
+		if framed {
+			l = need.Of(net.Listen("tcp", to))(t).(*net.TCPListener)
+		} else {
+			in.in = need.Of(net.ListenUDP("udp", need.Of(net.ResolveUDPAddr("udp", to))(t)))(t)
 		}
-		l, err := net.Listen("tcp", to)
-		require.NoError(t, err)
-		c := need.Of(net.Dial("tcp", at))(t)
-		require.NoError(t, l.(*net.TCPListener).SetDeadline(time.Now().Add(streamTime)))
-		e.in, err = l.Accept()
-		require.NoError(t, errors.Join(err, l.Close()))
-		e.framed = true
-		out := &wireEnd{out: c, framed: true, longest: 1 << 20}
-		t.Cleanup(func() { _, _ = e.Close(), out.Close() })
-		return out, e
+		out.out = need.Of(net.Dial(network, r.Processes[0].Reach[to]))(t)
+		if framed {
+			require.NoError(t, l.SetDeadline(time.Now().Add(streamTime)))
+			in.in = need.Of(l.Accept())(t)
+			require.NoError(t, l.Close())
+		}
+		t.Cleanup(func() { _, _ = in.Close(), out.Close() })
+		return out, in
 	}
 }
 
--- a/stages/callers/callers_test.go
+++ b/stages/callers/callers_test.go
@@ -572,16 +572,11 @@
 			"": func(t *rapid.T) {
 				for _, told := range s.Tenants {
 					a := &m.tenants[told.Name].account
-					if a.out != len(open[told.Name]) || told.Share.Most > 0 && a.out > told.Share.Most {
-						t.Fatalf("tenant %s: %d under way, of which %d were let on and not ended; at most %d", told.Name, a.out, len(open[told.Name]), told.Share.Most)
-					}
-					if r := told.Share.Rate; r > 0 && charged[told.Name] > told.Share.Burst+r*now+1e-6 {
-						t.Fatalf("tenant %s: charged %v in %v s", told.Name, charged[told.Name], now)
-					}
-				}
-				if m.callers.order.Len() != len(m.callers.by) || len(m.callers.by) > s.Limits.Callers || m.fair.most < leastLevel || math.IsNaN(m.fair.most) {
-					t.Fatalf("%d callers of %d, level %v", len(m.callers.by), s.Limits.Callers, m.fair.most)
+					require.False(t, a.out != len(open[told.Name]) || told.Share.Most > 0 && a.out > told.Share.Most, "tenant %s: %d under way, of which %d were let on and not ended; at most %d", told.Name, a.out, len(open[told.Name]), told.Share.Most)
+					r := told.Share.Rate
+					require.False(t, r > 0 && charged[told.Name] > told.Share.Burst+r*now+1e-6, "tenant %s: charged %v in %v s", told.Name, charged[told.Name], now)
 				}
+				require.False(t, m.callers.order.Len() != len(m.callers.by) || len(m.callers.by) > s.Limits.Callers || m.fair.most < leastLevel || math.IsNaN(m.fair.most), "%d callers of %d, level %v", len(m.callers.by), s.Limits.Callers, m.fair.most)
 			}})
 	})
 }
@@ -663,9 +658,8 @@
 		rules := rapid.SliceOfN(rule, 0, 12).Draw(t, "rules")
 		g := GET{rapid.IntRange(0, 2).Draw(t, "service"), object.Draw(t, "object"), rapid.IntRange(63, 65).Draw(t, "group")}
 		from := netip.MustParseAddr(rapid.SampledFrom([]string{"10.1.2.3", "10.2.2.3", "fd00::1", "9.9.9.9"}).Draw(t, "from"))
-		if got, want := newRights(rules).allow(g, from), scan(rules, g, from); got != want {
-			t.Fatalf("the index says %v, a scan %v", got, want)
-		}
+		got, want := newRights(rules).allow(g, from), scan(rules, g, from)
+		require.Equal(t, want, got, "the index says %v, a scan %v", got, want)
 	})
 }
 
--- a/stages/calls/calls_test.go
+++ b/stages/calls/calls_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -94,9 +95,7 @@
 			now += rapid.SampledFrom([]float64{0, 0, 0.01, 0.5, 2}).Draw(t, "passes")
 			if len(open) == 0 || rapid.IntRange(0, 3).Draw(t, "new") == 0 {
 				if c := table.Begin(rapid.Uint64Range(1, 3).Draw(t, "proxy"), now+5); c != nil {
-					if seen[c.ID] {
-						t.Fatal("an id is given twice")
-					}
+					require.False(t, seen[c.ID], "an id is given twice")
 					seen[c.ID] = true
 					open = append(open, c)
 				}
@@ -105,9 +104,8 @@
 			c := open[rapid.IntRange(0, len(open)-1).Draw(t, "which")]
 			count := func(p Proof) {
 				if p != Nothing && p != Left {
-					if told[c]++; told[c] > c.Forwards {
-						t.Fatalf("%d ends of %d forwards", told[c], c.Forwards)
-					}
+					told[c]++
+					require.False(t, told[c] > c.Forwards, "%d ends of %d forwards", told[c], c.Forwards)
 				}
 			}
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
@@ -124,9 +122,7 @@
 				count(p)
 			case 4:
 				for gone, ok := table.Pass(now); ok; gone, ok = table.Pass(now) {
-					if gone.Phase != Over {
-						t.Fatal("passed, and not over")
-					}
+					require.Equal(t, Over, gone.Phase, "passed, and not over")
 				}
 			case 5:
 				table.End(c)
@@ -135,18 +131,14 @@
 			for _, n := range table.by {
 				by += n
 			}
-			if by != table.Len() || table.Len() > 20 {
-				t.Fatalf("%d by proxy, %d in all", by, table.Len())
-			}
+			require.False(t, by != table.Len() || table.Len() > 20, "%d by proxy, %d in all", by, table.Len())
 		}
 		for _, c := range open {
 			table.Ended(now, c)
 		}
 		for _, ok := table.Pass(now + 10); ok; _, ok = table.Pass(now + 10) {
 		}
-		if table.Len() != 0 || len(table.by) != 0 {
-			t.Fatalf("%d are left", table.Len())
-		}
+		require.False(t, table.Len() != 0 || len(table.by) != 0, "%d are left", table.Len())
 	})
 }
 
--- a/stages/joint/joint_test.go
+++ b/stages/joint/joint_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -258,9 +259,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{table: New[int]()}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			if err := w.do(rapid.IntRange(0, 7).Draw(t, "step"), rapid.IntRange(0, 2).Draw(t, "who")); err != nil {
-				t.Fatal(err)
-			}
+			require.NoError(t, w.do(rapid.IntRange(0, 7).Draw(t, "step"), rapid.IntRange(0, 2).Draw(t, "who")))
 		}
 	})
 }
--- a/stages/shards/shards_test.go
+++ b/stages/shards/shards_test.go
@@ -138,12 +138,10 @@
 					moved++
 				}
 			}
-			if most, least := slices.Max(count), slices.Min(count); most-least > Slots/n+1 || least == 0 {
-				t.Fatalf("%d shards have %v", n, count)
-			}
-			if most := Slots - Slots*min(n, was)/max(n, was) + 17; moved > most {
-				t.Fatalf("from %d to %d: %d slots moved, at most %d must", was, n, moved, most)
-			}
+			most, least := slices.Max(count), slices.Min(count)
+			require.False(t, most-least > Slots/n+1 || least == 0, "%d shards have %v", n, count)
+			must := Slots - Slots*min(n, was)/max(n, was) + 17
+			require.False(t, moved > must, "from %d to %d: %d slots moved, at most %d must", was, n, moved, must)
 		}
 	})
 }
