--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,10 +1,14 @@
 package node
 
 import (
-	"context"
+	"cmp"
 	"fmt"
-	"net"
+	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,12 +21,10 @@
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
-	"elderwall/internal/counters"
 	"elderwall/internal/front"
-	"elderwall/internal/room"
 	"elderwall/internal/standin"
-	"elderwall/internal/upstream"
-	"elderwall/settings"
+	"elderwall/internal/standin/need"
+	"elderwall/internal/standin/rig"
 )
 
 // forgetful is a node whose module never hears of a GET, as if it had broken on it.
@@ -42,42 +44,30 @@
 }
 
 func newNode(t *testing.T) *Node {
-	o := &upstream.Options{Log: zerolog.Nop(), Counts: &counters.Counters{}, Room: room.New(1 << 20), Context: t.Context(),
-		Group: &errgroup.Group{}}
-	s := settings.Settings{Zones: []string{"z"}, Kinds: []string{"std"}, MostHeld: 1,
-		Settings: control.Settings{ParentKind: -1, OriginKind: -1}}
-	return New(Config{Settings: s, Clock: clock.New(), Options: o, Connections: 9})
+	return New(Config{Settings: rig.Settings(1), Clock: clock.New(), Options: rig.Options(t.Context(), &errgroup.Group{}), Connections: 9})
 }
 
 func TestAGETThatABrokenModuleLeftIsErroredInItsTime(t *testing.T) {
 	n := newNode(t)
-	f := forgetful{n, make(chan bool)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	server := &front.Server{Handler: f, Log: zerolog.Nop(), Counts: n.Options.Counts, Room: n.Options.Room, Most: 1}
-	ended := make(chan error)
-	go func() { ended <- server.Serve(ctx, l) }()
-	c, err := standin.Dial(l.Addr().String())
-	require.NoError(t, err)
-	_, err = c.Process(standin.Fields(), "")
-	require.NoError(t, err)
+	f, o := forgetful{n, make(chan bool)}, n.Options
+	server, l := &front.Server{Handler: f, Log: zerolog.Nop(), Counts: o.Counts, Room: o.Room, Most: 1}, need.Listener(t)
+	life, _ := rig.Life(t)
+	life.Group.Go(func() error { return server.Serve(life.Context, l) })
+	c := need.Client(t, l.Addr().String())
+	need.Sent(t, c)
 	<-f.taken
 	n.guarded(n.tick)
-	r, err := c.Read()
-	require.NoError(t, err)
-	assert.Equal(t, "failed", r.Kind)
+	assert.Equal(t, "failed", need.Of(c.Read())(t).Kind)
 	assert.Empty(t, n.gets)
-	cancel()
 	_ = l.Close()
-	assert.NoError(t, <-ended)
 }
 
 func TestHosts(t *testing.T) {
 	entry := func(id, address, state string) changelog.Host {
-		return changelog.Host{ID: id, Address: "127.0.0.1:" + address, Zone: "z", Kind: "std", State: state}
+		return rig.Entry(id, "127.0.0.1:"+address, state)
 	}
-	tests := []struct {
+	n := newNode(t)
+	for _, tt := range []struct {
 		name  string
 		reset bool
 		list  []changelog.Host
@@ -90,10 +80,7 @@
 			map[string]string{"b": "2", "c": "1"}, 3},
 		{"one moves", false, []changelog.Host{entry("b", "3", "SERVING")}, map[string]string{"b": "3", "c": "1"}, 3},
 		{"one comes back", false, []changelog.Host{entry("a", "4", "SERVING")}, map[string]string{"a": "4", "b": "3", "c": "1"}, 3},
-		{"one is no longer in the whole list", true, []changelog.Host{entry("a", "4", "SERVING")}, map[string]string{"a": "4"}, 3},
-	}
-	n := newNode(t)
-	for _, tt := range tests {
+		{"one is no longer in the whole list", true, []changelog.Host{entry("a", "4", "SERVING")}, map[string]string{"a": "4"}, 3}} {
 		n.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: tt.reset, Hosts: tt.list}})
 		got := map[string]string{}
 		for _, h := range n.hosts {
@@ -112,8 +99,7 @@
 
 func TestAForwardWithNoPlaceIsNotItsHostsFault(t *testing.T) {
 	n := newNode(t)
-	n.Take(changelog.Event{Fleet: &changelog.Fleet{Reset: true, Hosts: []changelog.Host{{ID: "a", Address: "127.0.0.1:1", Zone: "z",
-		Kind: "std", State: "SERVING"}}}})
+	n.Take(rig.Whole(rig.Entry("a", "127.0.0.1:1", "SERVING")))
 	n.Options.PerHost.Store(0)
 	n.gets[7] = &get{id: 7}
 	wire{n}.Forward(control.Forward{GET: 7, Host: n.hostID("a"), Source: n.hostID("a")})
@@ -166,18 +152,13 @@
 func TestNoTaskIsLeftInLineByALookWhetherAShardCanGo(t *testing.T) {
 	n := newNode(t)
 	n.Shard = &Shard{Together: NewTogether()}
-	stop, stopped := make(chan bool), make(chan bool)
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-stop:
-				return
-			default:
-				n.Close()
-			}
+	var stop atomic.Bool
+	var all sync.WaitGroup
+	all.Go(func() {
+		for !stop.Load() {
+			n.Close()
 		}
-	}()
+	})
 	for range 20_000 {
 		done := make(chan bool)
 		n.Within(func() { close(done) })
@@ -187,8 +168,8 @@
 			t.Fatal("a task was left in line")
 		}
 	}
-	close(stop)
-	<-stopped
+	stop.Store(true)
+	all.Wait()
 	for !n.Close() {
 	}
 	assert.False(t, n.offer(func(float64) {}), "one that is closed takes nothing new")
@@ -200,7 +181,7 @@
 	n := newNode(t)
 	list := func(state string, from, to int) (hosts []changelog.Host) {
 		for i := from; i < to; i++ {
-			hosts = append(hosts, changelog.Host{ID: fmt.Sprint("h", i), Address: fmt.Sprint("127.0.0.1:", 10000+i%200), Zone: "z", Kind: "std", State: state})
+			hosts = append(hosts, rig.Entry(fmt.Sprint("h", i), fmt.Sprint("127.0.0.1:", 10000+i%200), state))
 		}
 		return hosts
 	}
@@ -225,3 +206,316 @@
 	assert.Equal(t, map[control.Phase]int{control.Ready: 200, control.Draining: 190, control.Gone: 10}, phases(), "draining goes first, and the list ends with that")
 	assert.EqualValues(t, 3, n.Options.Counts.Lists.Load())
 }
+
+// A forward waits for a connection that comes up late, and news comes before that: what forbids it has it decided anew.
+func TestNewsBeforeTheFirstByte(t *testing.T) {
+	told := func(h *host, state, address string) changelog.Event {
+		e := h.told
+		e.State, e.Address = state, cmp.Or(address, e.Address)
+		return rig.Changes(e)
+	}
+	whole := func(all []changelog.Host, but *host) changelog.Event {
+		return rig.Whole(slices.DeleteFunc(slices.Clone(all), func(h changelog.Host) bool { return h.ID == but.name })...)
+	}
+	to, from := func(f *forward) string { return f.to.address }, func(f *forward) string { return f.from.name }
+	for name, tt := range map[string]struct {
+		news   func(f *forward, all []changelog.Host) changelog.Event
+		never  func(f *forward) string // where it must not go to, or be filled from; nil for anywhere
+		purged bool
+	}{
+		"its source drains":         {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.from, "DRAINING", "") }, from, false},
+		"its source is gone":        {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.from, "DELETED", "") }, from, false},
+		"a whole list lacks it":     {func(f *forward, all []changelog.Host) changelog.Event { return whole(all, f.from) }, from, false},
+		"its host drains":           {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "DRAINING", "") }, to, false},
+		"its host is gone":          {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "DELETED", "") }, to, false},
+		"its host moves":            {func(f *forward, _ []changelog.Host) changelog.Event { return told(f.to, "SERVING", "127.0.0.1:1") }, to, false},
+		"its object is purged":      {func(*forward, []changelog.Host) changelog.Event { return rig.Purge(rig.Object) }, nil, true},
+		"its group is purged":       {func(*forward, []changelog.Host) changelog.Event { return rig.Purge("") }, nil, true},
+		"another object is purged":  {func(*forward, []changelog.Host) changelog.Event { return rig.Purge("other") }, nil, false},
+		"its host is told of again": {func(f *forward, _ []changelog.Host) changelog.Event { return rig.Changes(f.to.told) }, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts, up := rig.NewHosts(t, 4), make(chan bool)
+			o, end := rig.Life(t)
+			o.Dialer.Timeout = time.Minute
+			o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+			n, all := New(Config{Settings: rig.Settings(100), Clock: clock.New(), Options: o, Connections: 100}), hosts.Entries
+			all[2].Kind, all[3].Kind = "parent", "parent"
+			n.Take(rig.Whole(all...))
+			c := rig.NewCall(o.Room)
+			n.Process(c, call.GET{Service: "segment", ID: "9b1f03aa5c7e2d41", Object: rig.Object, PartText: "0", Budget: 20})
+			n.mu.Lock()
+			f := n.byID["9b1f03aa5c7e2d41"].forwards[0]
+			n.mu.Unlock()
+			n.Take(tt.news(f, all))
+			close(up)
+			assert.Equal(t, "served bytes", <-c.Got)
+			end()
+			asked := hosts.Asked()
+			require.Len(t, asked, 1, "what was taken back never went out")
+			if tt.never != nil {
+				assert.NotContains(t, []string{asked[0].Fields["up"], asked[0].Conn.LocalAddr().String()}, tt.never(f))
+			}
+			assert.Equal(t, tt.purged, asked[0].Fields["cap"] != "")
+			assert.EqualValues(t, map[bool]int{true: 1}[tt.never != nil || tt.purged], o.Counts.Recalled.Load())
+		})
+	}
+}
+
+// jointRig is a node whose GETs share forwards, before hosts that a test holds up.
+type jointRig struct {
+	testing.TB
+	*Node
+	hosts   *rig.Hosts
+	wait    chan bool
+	clients []*rig.Call
+}
+
+func newJointRig(t testing.TB, joins ...bool) *jointRig {
+	r := &jointRig{TB: t, hosts: rig.NewHosts(t, 2)}
+	r.wait = r.hosts.Hold()
+	o, end := rig.Life(t)
+	r.Node = New(Config{Settings: rig.Settings(100_000), Clock: clock.New(), Options: o, Connections: 100, Joins: joins})
+	r.Take(rig.Whole(r.hosts.Entries...))
+	o.Group.Go(func() error { return r.Node.Run(o.Context) })
+	t.Cleanup(func() {
+		select {
+		case <-r.wait:
+		default:
+			close(r.wait)
+		}
+		end()
+		r.Node.mu.Lock()
+		defer r.Node.mu.Unlock()
+		assert.Empty(t, r.Node.gets, "nothing is held")
+		for _, c := range r.clients {
+			assert.LessOrEqual(t, c.N.Load(), int32(1), "one answer")
+		}
+	})
+	return r
+}
+
+// get sends one GET that waits for so many seconds; gets sends so many.
+func (r *jointRig) get(budget float64) *rig.Call { return r.of(rig.Object, budget) }
+
+func (r *jointRig) gets(n int) (all []*rig.Call) {
+	for range n {
+		all = append(all, r.get(10))
+	}
+	return all
+}
+
+// of is get for an object.
+func (r *jointRig) of(object string, budget float64) *rig.Call {
+	c := rig.NewCall(r.Options.Room)
+	r.clients = append(r.clients, c)
+	r.Process(c, call.GET{Service: "segment", ID: rig.Fresh()[1], Object: object, PartText: "0", Budget: budget})
+	return c
+}
+
+func (r *jointRig) read(c *rig.Call) string {
+	select {
+	case word := <-c.Got:
+		return word
+	case <-time.After(5 * time.Second):
+		r.Fatal("no answer")
+		return ""
+	}
+}
+
+// asked is how many forwards hosts had, stopped how many STOPs.
+func (r *jointRig) asked() int64   { n, _ := r.hosts.Count(); return n }
+func (r *jointRig) stopped() int64 { _, n := r.hosts.Count(); return n }
+
+// under waits until hosts are at so many forwards.
+func (r *jointRig) under(n int64) { need.Soon(r, func() bool { return r.asked() == n }) }
+
+// served lets hosts go on, and wants clients to have their bytes.
+func (r *jointRig) served(all ...*rig.Call) {
+	close(r.wait)
+	for _, c := range all {
+		assert.Equal(r, "served bytes", r.read(c))
+	}
+}
+
+func TestManyGETsShareAForward(t *testing.T) {
+	r := newJointRig(t, true)
+	all := r.gets(500)
+	r.under(1)
+	r.served(all...)
+	c := r.Options.Counts
+	assert.Equal(t, []int64{1, 499, 500}, []int64{r.asked(), c.Joined.Load(), c.Returned.Load()})
+}
+
+// The first asker leaves, and others need the forward; it stops within a moment of the last.
+func TestAForwardThatOthersNeed(t *testing.T) {
+	r := newJointRig(t, true)
+	a, b, c := r.get(10), r.get(10), r.get(10)
+	r.under(1)
+	r.GiveUp(a)
+	r.GiveUp(b)
+	time.Sleep(20 * time.Millisecond)
+	assert.Zero(t, r.stopped())
+	r.GiveUp(c)
+	require.Eventually(t, func() bool { return r.stopped() == 1 }, 100*time.Millisecond, time.Millisecond, "within 100 ms of the last")
+	d, e := r.get(10), r.get(10)
+	r.under(2)
+	r.GiveUp(d)
+	r.served(e)
+	for _, gone := range []*rig.Call{a, b, c, d} {
+		assert.Zero(t, gone.N.Load(), "who has left has no answer")
+	}
+}
+
+// A forward that fails brings no herd: the module's further forwards are one GET's.
+func TestAFailureBringsNoHerd(t *testing.T) {
+	r := newJointRig(t, true)
+	r.hosts.Answer(func(a standin.Ask) string { return a.ID + " FAULT - 0\r\n\r\n" })
+	all := r.gets(300)
+	r.under(1)
+	close(r.wait)
+	for _, c := range all {
+		assert.Contains(t, []string{"failed", "refused"}, r.read(c))
+	}
+	assert.LessOrEqual(t, r.asked(), int64(3*6), "three in the lead, up to six forwards each")
+}
+
+// A host calls a copy current where nobody brought one: none of those that share the forward are told that.
+func TestACopyThatNobodyBroughtIsNotCurrent(t *testing.T) {
+	r := newJointRig(t, true)
+	var first atomic.Bool
+	r.hosts.Answer(func(a standin.Ask) string {
+		if first.CompareAndSwap(false, true) {
+			return standin.Answer(a.ID, "VALID", "rev=4be0c1927d55a6f3,detail=mem", "")
+		}
+		return standin.Hit(a.ID, "bytes")
+	})
+	all := r.gets(3)
+	r.under(1)
+	r.served(all...)
+	assert.EqualValues(t, 1, r.Options.Counts.Unnamed.Load())
+	assert.Zero(t, r.Options.Counts.Unchanged.Load())
+}
+
+func TestEachWaitsForAsLongAsItCan(t *testing.T) {
+	r := newJointRig(t, true)
+	long, short := r.get(10), r.get(0.2)
+	began := time.Now()
+	assert.Equal(t, "refused", r.read(short))
+	assert.Less(t, time.Since(began), 200*time.Millisecond)
+	r.served(long, r.get(10))
+	assert.EqualValues(t, 1, r.asked())
+}
+
+// A leader's own time is over, and others wait for longer: one of them goes on.
+func TestALeaderWhoseTimeIsOver(t *testing.T) {
+	r := newJointRig(t, true)
+	lead, other := r.get(0.3), r.get(10)
+	assert.Equal(t, "refused", r.read(lead))
+	r.under(2)
+	r.served(other)
+	assert.EqualValues(t, 1, r.Options.Counts.TookLead.Load())
+}
+
+func TestAPurgeBetweenJoinAndAnswer(t *testing.T) {
+	r := newJointRig(t, true)
+	before := r.get(10)
+	r.under(1)
+	r.Take(rig.Purge(rig.Object))
+	after := r.get(10)
+	r.under(2)
+	r.served(before, after)
+}
+
+// Clients that leave and ask again within a millisecond, a thousand times.
+func TestClientsThatLeaveAndComeAgain(t *testing.T) {
+	r := newJointRig(t, true)
+	stay := r.get(20)
+	for range 1000 {
+		r.GiveUp(r.get(10))
+	}
+	r.under(1)
+	assert.Zero(t, r.stopped())
+	r.served(stay)
+	assert.EqualValues(t, 1, r.asked())
+}
+
+// Clients that leave just as the answer comes, over and over: one or the other.
+func TestLeavingAsTheAnswerComes(t *testing.T) {
+	r := newJointRig(t, true)
+	close(r.wait)
+	for range 300 {
+		a, b := r.get(10), r.get(10)
+		var all sync.WaitGroup
+		all.Go(func() { r.GiveUp(a) })
+		assert.Equal(t, "served bytes", r.read(b))
+		all.Wait()
+	}
+}
+
+func TestOffNothingIsShared(t *testing.T) {
+	r := newJointRig(t)
+	all := r.gets(10)
+	r.under(10)
+	r.served(all...)
+}
+
+// Clients that leave at random: hosts are told to stop all that was under way for them, and no more, within a tenth of a second.
+func TestWorkForThoseWhoLeftStops(t *testing.T) {
+	for _, share := range []int{10, 50, 90} {
+		t.Run(fmt.Sprint(share, "%"), func(t *testing.T) {
+			r := newJointRig(t, true)
+			chance := rand.New(rand.NewPCG(uint64(share), 1))
+			var stay, leave []*rig.Call
+			needed := map[int]bool{} // objects that clients stay for
+			for i := range 600 {
+				object := i % 200
+				c := r.of(fmt.Sprintf("%016x", object), 10)
+				if chance.IntN(100) < share {
+					leave = append(leave, c)
+				} else {
+					stay, needed[object] = append(stay, c), true
+				}
+			}
+			r.under(200)
+			for _, c := range leave {
+				r.GiveUp(c)
+			}
+			left := int64(200 - len(needed))
+			require.Eventually(t, func() bool { return r.stopped() == left }, 100*time.Millisecond, time.Millisecond)
+			r.served(stay...)
+			assert.Equal(t, []int64{left, 200}, []int64{r.stopped(), r.asked()}, "nothing that is needed is stopped")
+		})
+	}
+}
+
+// BenchmarkHotPart is clients that ask for one part at once of hosts that take 2 ms for each, shared and not.
+func BenchmarkHotPart(b *testing.B) {
+	for _, n := range []int{1, 100, 10_000} {
+		for _, joins := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d clients/shared %t", n, joins), func(b *testing.B) {
+				r := newJointRig(b, joins)
+				close(r.wait)
+				busy := make(chan bool, 16) // what a host does at a time
+				r.hosts.Answer(func(a standin.Ask) string {
+					busy <- true
+					time.Sleep(2 * time.Millisecond)
+					<-busy
+					return standin.Hit(a.ID, "bytes")
+				})
+				served := 0
+				b.ResetTimer()
+				for range b.N {
+					for _, c := range r.gets(n) {
+						if r.read(c) == "served bytes" {
+							served++
+						}
+					}
+				}
+				b.ReportMetric(float64(served)/b.Elapsed().Seconds(), "served/s")
+				b.ReportMetric(float64(r.asked())/float64(b.N), "forwards/op")
+			})
+		}
+	}
+}
