The voters' log reads keys of any bytes: one that is not UTF-8 ended it at every voter

Seen: an entry of total order under the key "\xff" is taken, committed, and then each voter says "duties: broken: entry 20: cbor: invalid UTF-8 string", and again after each start: no duty, budget or channel of total order works any more. Cause: council.go encodes text of any bytes and its decoder refuses what is not UTF-8; questions pass such text since channels came. Change: the decoder takes any bytes, as the others of the fleet do. TestTheLogKeepsWhatChannelsAgreeOn has such a key and writer: without the change no voter leads within 40 s, with it it passes.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -139,7 +139,8 @@
 
 var (
 	encoding = must(cbor.EncOptions{}.EncMode())
-	decoding = must(cbor.DecOptions{MaxArrayElements: 1 << 16}.DecMode())
+	decoding = must( // keys and names are bytes of any kind: one that is written and can't be read would end the log at every voter, for good
+		cbor.DecOptions{MaxArrayElements: 1 << 16, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 )
 
 func must[T any](v T, err error) T {
