Channels: frames, questions and kept bytes are bounded with what entries come after

A client's question was cut by bodies alone: a causal writer that has seen 127 others sent 1.3 MB where 256 KiB are read, again and again. What an entry comes after counted nowhere in a channel's kept bytes. Now Take gives 512 KiB at most, batches go by Entry.Size, and kept bytes have After.

A channel of total order whose duty's guard says no for a moment right after it was found held was never begun: it is looked at anew (unhold). The tests with processes have more that can fail: the holder stops where the log has just taken its entries (a fault point of the tests' program), all are killed while writers write, latest goes through it too, and a declaration of total order in a cut stands at one entry for all readers.

--- a/client/publish.go
+++ b/client/publish.go
@@ -14,7 +14,7 @@
 
 const (
 	mostBatch  = 128       // entries of a question
-	batchBytes = 128 << 10 // of their bodies
+	batchBytes = 128 << 10 // of all of them: a question has twice that
 )
 
 // Message is what is to be written.
@@ -137,7 +137,7 @@
 func (p *Publisher) send(ctx context.Context) (n int, err error) {
 	size, batch := 0, p.state.Pending
 	for i := range batch {
-		if size += len(batch[i].Body); i >= mostBatch || i > 0 && size > batchBytes {
+		if size += batch[i].Size(); i >= mostBatch || i > 0 && size > batchBytes {
 			batch = batch[:i]
 			break
 		}
--- a/fleet/channels/codec.go
+++ b/fleet/channels/codec.go
@@ -69,7 +69,18 @@
 	return err
 }
 
-func (e *Entry) size() int { return len(e.Body) + len(e.Key) + len(e.Writer) + 32 }
+func (e *Entry) size() int { return len(e.Body) + len(e.Key) + len(e.Writer) + after(e.After) + 32 }
+
+// Size is how many bytes an entry takes on the wire, or some more.
+func (e *Entry) Size() int { return e.size() + len(e.Channel) + 40 }
+
+// after is how many bytes of what an entry comes after there are.
+func after(all map[string]uint64) (n int) {
+	for w := range all {
+		n += len(w) + 10
+	}
+	return n
+}
 
 // lane is whose numbers put the entry in order: its writer's, or the channel's places.
 func (e *Entry) lane() (string, uint64) {
@@ -98,14 +109,13 @@
 	case len(e.After) > MostWriters:
 		return fmt.Errorf("%w: after more than %d writers", ErrEntry, MostWriters)
 	}
-	after := 0
 	for w := range e.After {
-		if after += len(w) + 10; len(w) > LongestName {
+		if len(w) > LongestName {
 			return fmt.Errorf("%w: a writer has 1 to %d bytes", ErrEntry, LongestName)
 		}
 	}
-	if after > MostAfter {
-		return fmt.Errorf("%w: what it comes after has %d bytes, at most %d", ErrEntry, after, MostAfter)
+	if n := after(e.After); n > MostAfter {
+		return fmt.Errorf("%w: what it comes after has %d bytes, at most %d", ErrEntry, n, MostAfter)
 	}
 	return nil
 }
--- a/fleet/channels/readers.go
+++ b/fleet/channels/readers.go
@@ -117,7 +117,8 @@
 		}
 		out = append(out, n)
 	}
-	for most = min(max(most, 1), MostTake); len(out) < most && r.cursor < c.end(); {
+	size := 0
+	for most = min(max(most, 1), MostTake); len(out) < most && size < takeBytes && r.cursor < c.end(); {
 		i := &c.items[r.cursor-c.first]
 		r.cursor++
 		w, from, to := i.writer, i.from, i.to
@@ -158,6 +159,9 @@
 				out[k].Position = ""
 			}
 		}
+		if size += len(pos); i.e != nil {
+			size += i.e.Size()
+		}
 	}
 	if r.cursor == c.end() {
 		r.seen, r.had = nil, nil // from here on the log's own positions hold
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -249,6 +249,9 @@
 		return
 	}
 	if token, ok := w.fleet.Guard(channels.Duty + c.Channel); !ok || token != c.Epoch {
+		if begins {
+			w.unhold(c.Channel)
+		}
 		return
 	}
 	if !begins {
@@ -257,6 +260,9 @@
 	w.fleet.group.Go(func() error {
 		p := proposed{channel: c.Channel, epoch: c.Epoch, began: begins}
 		t, err := w.fleet.ask(ctx, ask{What: AskCommand, Channels: &c, Whole: true})
+		if len(c.Entries) > 0 {
+			stopHere()
+		}
 		if p.saved, p.err = t.Channels, err; err == nil && t.Refused != "" {
 			w.fleet.Log.Warn().Str("channel", c.Channel).Str("why", t.Refused).Msg("channels: the log refused a command")
 		}
@@ -276,16 +282,21 @@
 	if p.err != nil || p.saved == nil {
 		w.fleet.Log.Warn().Err(p.err).Str("channel", p.channel).Msg("channels: not put in order")
 		if p.began && w.held[p.channel] == p.epoch {
-			delete(w.held, p.channel) // it is begun anew
-			w.mu.Lock()
-			w.machine.Hold(w.fleet.dutyNow(), p.channel, 0)
-			w.mu.Unlock()
+			w.unhold(p.channel)
 		}
 		return
 	}
 	w.take(p.saved)
 }
 
+// unhold has a channel begun anew, if its duty is still held: guards against one that is held and was never begun.
+func (w *following) unhold(channel string) {
+	delete(w.held, channel)
+	w.mu.Lock()
+	w.machine.Hold(w.fleet.dutyNow(), channel, 0)
+	w.mu.Unlock()
+}
+
 // take takes the agreed part in.
 func (w *following) take(s *channels.Saved) {
 	w.mu.Lock()
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,11 +27,12 @@
 // channelRig is dispatchers that keep channels; its readers and writers keep what they saw and sent, and share no code with what puts it in order.
 type channelRig struct {
 	*dutyRig
-	live context.Context
+	live   context.Context
+	enough atomic.Bool // writers are to end
 }
 
 const declared = `{all_key: {order: "key", wait: "20s"}, all_sender: {order: "sender", wait: "20s"}, all_causal: {order: "causal", wait: "20s"}, all_total: {order: "total", wait: "20s"},
-	news: {order: "latest"}}`
+	all_latest: {order: "latest"}, news: {order: "latest"}}`
 
 var orderNames = []string{"key", "sender", "causal", "total"}
 
@@ -64,6 +68,7 @@
 	Follow  func(ctx context.Context, channel string, order channels.Order, position string, take func(channels.Note) error) (string, error)
 	Declare func(ctx context.Context, d channels.Declaration) error
 	Writer  func(channel, writer string) func(ctx context.Context, key string, bodies ...string) error
+	After   func(channel, writer string, after map[string]uint64) func(ctx context.Context, key string, bodies ...string) error // one that has seen others
 }
 
 // UserOf makes one.
@@ -93,6 +98,7 @@
 	all   []got
 	told  []channels.Note // what isn't an entry
 	at    []time.Time
+	turns []string // the entry before each change of the declaration
 	place string
 	end   func()
 	ended chan struct{}
@@ -112,6 +118,9 @@
 		s.at = append(s.at, time.Now())
 	} else {
 		s.told = append(s.told, n)
+		if last := len(s.all) - 1; n.Word == channels.Turned && last >= 0 {
+			s.turns = append(s.turns, s.all[last].body)
+		}
 	}
 	return nil
 }
@@ -157,10 +166,10 @@
 func (c *channelRig) write(name, writer string, many int, each time.Duration, who ...int) *sent {
 	w := &sent{writer: writer}
 	p := c.at(who...).Writer(name, writer)
-	for i := range many {
+	for i := 0; i < many && !c.enough.Load(); i++ {
 		body := fmt.Sprint(writer, " ", i+1)
 		ctx, cancel := context.WithTimeout(c.live, soon)
-		if err := p(ctx, fmt.Sprint("k", i%3), body); err != nil {
+		if err := p(ctx, keyOf(i), body); err != nil {
 			if c.live.Err() == nil {
 				c.Errorf("%s into %s: %v", body, name, err)
 			}
@@ -189,20 +198,20 @@
 			bad("told word %d of %s, from %d to %d", n.Word, n.Writer, n.From, n.To)
 		}
 	}
-	last, seen, place := map[string]uint64{}, map[string]bool{}, uint64(0)
+	last, seen, place, newest := map[string]uint64{}, map[string]bool{}, uint64(0), s.newest()
 	for i, e := range s.all {
 		if seen[e.body] {
 			bad("%q came twice, at %d", e.body, i)
 		}
 		seen[e.body] = true
 		lane := e.writer
-		if order == "key" {
+		if order == "key" || order == "latest" {
 			lane += " " + e.key
 		}
-		if e.number <= last[lane] {
+		if e.number <= last[lane] && (order != "latest" || !e.late) {
 			bad("%q after number %d", e.body, last[lane])
 		}
-		last[lane] = e.number
+		last[lane] = max(last[lane], e.number)
 		if order == "causal" {
 			for w, n := range e.after {
 				if w != e.writer && last[w] < n {
@@ -218,8 +227,10 @@
 		}
 	}
 	for _, w := range all {
-		for _, b := range w.bodies {
-			if !seen[b] {
+		for i, b := range w.bodies {
+			if e := newest[keyOf(i)]; order == "latest" && (e.body == "" || e.writer == w.writer && e.number < uint64(i+1)) {
+				bad("%q was acknowledged, and %q is the newest of its key", b, e.body)
+			} else if order != "latest" && !seen[b] {
 				bad("%q was acknowledged and did not come", b)
 			}
 		}
@@ -227,29 +238,43 @@
 	return errors.Join(wrong...)
 }
 
-// agreed waits until readers have all that was sent, and checks it; with total order all saw one order.
+// newest is the last of each key that was not told to be late.
+func (s *seer) newest() map[string]got {
+	by := map[string]got{}
+	for _, e := range s.all {
+		if !e.late {
+			by[e.key] = e
+		}
+	}
+	return by
+}
+
+func keyOf(i int) string { return fmt.Sprint("k", i%3) }
+
+// agreed waits until readers have what was sent, in its order; with total order all saw one order, with latest all end with the same of each key.
 func (c *channelRig) agreed(order string, readers []*seer, all ...*sent) {
 	c.Helper()
-	want := 0
-	for _, w := range all {
-		want += len(w.bodies)
-	}
 	for i, s := range readers {
-		c.Until(soon, fmt.Sprint("reader ", i, " of ", order, " has all"), func() error {
-			if n := s.count(); n < want {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				return fmt.Errorf("%d of %d; told %v", n, want, s.told)
+		c.Until(soon, fmt.Sprint("reader ", i, " of ", order, " has all, and in order"), func() error {
+			err := check(order, s, all...)
+			if order == "total" && !slices.Equal(bodies(readers[0]), bodies(s)) || order == "latest" && !maps.Equal(lasts(readers[0]), lasts(s)) {
+				err = errors.Join(err, errors.New("it is another order than the first reader's"))
 			}
-			return nil
+			return err
 		})
-		assert.NoError(c, check(order, s, all...), "reader %d of %s", i, order)
-		if order == "total" {
-			assert.Equal(c, bodies(readers[0]), bodies(s), "one order for all")
-		}
 	}
 }
 
+func lasts(s *seer) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	by := map[string]string{}
+	for k, e := range s.newest() {
+		by[k] = e.body
+	}
+	return by
+}
+
 func bodies(s *seer) (all []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,10 +287,11 @@
 // A checker that finds nothing wrong would prove nothing.
 func TestTheCheckOfChannelsFinds(t *testing.T) {
 	e := func(writer string, number, place uint64, after map[string]uint64) got {
-		return got{"k", writer, number, after, fmt.Sprint(writer, " ", number), false, place}
+		return got{keyOf(int(number) - 1), writer, number, after, fmt.Sprint(writer, " ", number), false, place}
 	}
 	w := &sent{writer: "a", bodies: []string{"a 1", "a 2"}}
 	assert.NoError(t, check("total", &seer{all: []got{e("a", 1, 1, nil), e("a", 2, 2, nil)}}, w))
+	assert.NoError(t, check("latest", &seer{all: []got{e("a", 4, 0, nil), e("a", 2, 0, nil)}}, w))
 	for name, o := range map[string]struct {
 		order string
 		s     *seer
@@ -275,29 +301,27 @@
 		"turned":    {"sender", &seer{all: []got{e("a", 2, 0, nil), e("a", 1, 0, nil)}}},
 		"uncaused":  {"causal", &seer{all: []got{e("a", 1, 0, map[string]uint64{"b": 1}), e("a", 2, 0, nil)}}},
 		"misplaced": {"total", &seer{all: []got{e("a", 1, 2, nil), e("a", 2, 1, nil)}}},
+		"outdated":  {"latest", &seer{all: []got{e("a", 4, 0, nil), e("a", 2, 0, nil), e("a", 1, 0, nil)}}},
+		"newest":    {"latest", &seer{all: []got{e("a", 1, 0, nil)}}},
 		"skipped":   {"key", &seer{all: []got{e("a", 1, 0, nil), e("a", 2, 0, nil)}, told: []channels.Note{{Word: channels.Gap}}}},
 	} {
 		assert.Error(t, check(o.order, o.s, w), name)
 	}
 }
 
-// A reader moves from dispatcher to dispatcher through cuts and kills, one stays; writers come back elsewhere; in the end all are killed and started.
+// A reader moves from dispatcher to dispatcher through cuts and kills, one stays; writers come back elsewhere. While they write all are killed and started.
 func TestChannelsThroughCutsAndKills(t *testing.T) {
 	c := channel(t, 3, 3)
+	orders := append([]string{"latest"}, orderNames...)
 	readers := map[string][]*seer{}
-	for _, o := range orderNames {
-		readers[o] = []*seer{c.see("all_"+o, 0, 1, 2), c.wander("all_"+o, time.Second, 0, 1, 2)}
-	}
 	var all sync.WaitGroup
-	var mu sync.Mutex
 	wrote := map[string][]*sent{}
-	for _, o := range orderNames {
+	for _, o := range orders {
+		readers[o] = []*seer{c.see("all_"+o, 0, 1, 2), c.wander("all_"+o, time.Second, 0, 1, 2)}
+		wrote[o] = make([]*sent, 2)
 		for i := range 2 {
 			all.Go(func() {
-				w := c.write("all_"+o, fmt.Sprint("w", i), 60, 100*time.Millisecond, i, (i+1)%3, (i+2)%3)
-				mu.Lock()
-				defer mu.Unlock()
-				wrote[o] = append(wrote[o], w)
+				wrote[o][i] = c.write("all_"+o, fmt.Sprint("w", i), 3000, 100*time.Millisecond, i, (i+1)%3, (i+2)%3)
 			})
 		}
 	}
@@ -310,10 +334,6 @@
 		c.Processes[i].Start()
 		c.until("it is back", c.all(), "whole", c.all())
 	}
-	all.Wait()
-	for _, o := range orderNames {
-		c.agreed(o, readers[o], wrote[o]...)
-	}
 	for _, p := range c.Processes {
 		p.Kill()
 	}
@@ -321,7 +341,14 @@
 		p.Start()
 	}
 	c.whole()
-	for _, o := range orderNames {
+	for _, o := range orders {
+		had := readers[o][1].count()
+		c.Until(soon, "it goes on", func() error { return processes.When(readers[o][1].count() == had, errors.New(o)) })
+	}
+	c.enough.Store(true)
+	all.Wait()
+	for _, o := range orders {
+		require.Greater(c, len(wrote[o][0].bodies), 20)
 		c.agreed(o, []*seer{c.see("all_"+o, rand.IntN(3)), readers[o][0], readers[o][1]}, wrote[o]...)
 	}
 }
@@ -352,32 +379,36 @@
 // The holder is stopped between majority and showing, and wakes: nothing comes twice, nothing is lost, and what it took for an epoch that is over
 // is not shown.
 func TestTheHolderIsStoppedAndWakes(t *testing.T) {
-	c := channel(t, 3, 3)
-	held, _ := c.holder("all_total")
-	others := c.all(held)
-	readers := []*seer{c.see("all_total", others...), c.wander("all_total", time.Second, others...)}
+	c := channel(t, 3, 3, faulty("ELDERWALL_FAULT_STOP={dir}/stop"))
+	readers := []*seer{c.see("all_total", 0, 1, 2), c.wander("all_total", time.Second, 0, 1, 2)}
 	var all sync.WaitGroup
 	wrote := make([]*sent, 2)
 	for i := range wrote {
 		all.Go(func() {
-			wrote[i] = c.write("all_total", fmt.Sprint("w", i), 60, 20*time.Millisecond, others[i], others[1-i], held)
+			wrote[i] = c.write("all_total", fmt.Sprint("w", i), 3000, 20*time.Millisecond, i, i+1, (i+2)%3)
 		})
 	}
-	c.Until(soon, "some are shown", func() error {
-		if readers[0].count() < 10 {
-			return errors.New("not yet")
-		}
-		return nil
-	})
-	c.Processes[held].Signal(syscall.SIGSTOP)
-	at := readers[0].count()
-	c.Until(soon, "another holds it, and goes on", func() error {
-		if readers[0].count() < at+20 {
-			return fmt.Errorf("%d", readers[0].count())
-		}
-		return nil
+	goes := func(what string, most int) {
+		at := readers[0].count()
+		c.Until(soon, what, func() error { return processes.When(readers[0].count() < at+most, errors.New("not yet")) })
+	}
+	goes("some are shown", 10)
+	stop := func(i int) string { return filepath.Join(c.Processes[i].Dir, "stop") }
+	for i := range c.Processes { // whoever holds it
+		require.NoError(c, os.WriteFile(stop(i), nil, 0o600))
+	}
+	held := -1
+	c.Until(soon, "it stops with what the log has just taken", func() error {
+		held = slices.IndexFunc(c.all(), func(i int) bool { _, err := os.Stat(stop(i)); return err != nil })
+		return processes.When(held < 0, errors.New("not yet"))
 	})
+	for _, i := range c.all(held) {
+		require.NoError(c, os.Remove(stop(i)))
+	}
+	goes("another holds it, and goes on", 20)
 	c.Processes[held].Signal(syscall.SIGCONT)
+	goes("it has woken", 20)
+	c.enough.Store(true)
 	all.Wait()
 	c.agreed("total", append(readers, c.see("all_total", held)), wrote...)
 }
@@ -402,8 +433,11 @@
 	told, err := AskEntries(context.Background(), c.Processes[3].Fleet, k, []channels.Entry{{Channel: "all_total", Writer: "w", Number: 1}})
 	require.NoError(c, err)
 	require.ErrorIs(c, told[0].Err(), channels.ErrCut)
-	wrote["total"] = []*sent{c.write("all_total", "v", 10, 0, large...)}
 	readers["total"] = []*seer{c.see("all_total", large...), c.see("all_total", small...)}
+	var all sync.WaitGroup
+	wrote["total"] = make([]*sent, 1)
+	all.Go(func() { wrote["total"][0] = c.write("all_total", "v", 3000, 10*time.Millisecond, large...) })
+	c.Until(soon, "some are shown", func() error { return processes.When(readers["total"][0].count() < 10, errors.New("not yet")) })
 	// Declared in the cut: by the majority alone.
 	d := channels.Declaration{Name: "all_key", Generation: 2, Order: channels.ByKey, Slow: true, Entries: 5000, Bytes: 8 << 20, Seconds: 3600, Wait: 20}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -411,22 +445,27 @@
 	require.Error(c, c.at(small...).Declare(ctx, d))
 	require.NoError(c, c.at(large[0]).Declare(context.Background(), d))
 	require.ErrorContains(c, c.at(large[1]).Declare(context.Background(), d), "generation")
+	d.Name, d.Order = "all_total", channels.Total
+	require.NoError(c, c.at(large[0]).Declare(context.Background(), d))
+	at := readers["total"][0].count()
+	c.Until(soon, "it goes on", func() error { return processes.When(readers["total"][0].count() < at+10, errors.New("not yet")) })
+	c.enough.Store(true)
+	all.Wait()
 	c.End(cut)
 	c.whole()
 	for _, o := range orderNames {
 		c.agreed(o, readers[o], wrote[o]...)
 	}
-	for i, s := range readers["key"] {
-		c.Until(soon, fmt.Sprint("reader ", i, " is told of the change"), func() error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			for _, n := range s.told {
-				if n.Word == channels.Turned && n.Generation == 2 {
-					return nil
-				}
-			}
-			return errors.New("not yet")
-		})
+	readers["total"] = append(readers["total"], c.see("all_total", small...)) // who comes after it is told, too
+	for _, o := range []string{"key", "total"} {
+		for i, s := range readers[o] {
+			c.Until(soon, fmt.Sprint("reader ", i, " of ", o, " is told of the change"), func() error {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				first := readers[o][0]
+				return processes.When(len(s.turns) != 1 || o == "total" && s.turns[0] != first.turns[0], fmt.Errorf("%v %v", s.turns, first.turns))
+			})
+		}
 	}
 }
 
--- a/internal/fleet/nofaults.go
+++ b/internal/fleet/nofaults.go
@@ -9,3 +9,5 @@
 func driven(t float64) float64 { return t }
 
 func awaitSync() {}
+
+func stopHere() {}
