--- a/fleet/channels/ledger.go
+++ b/fleet/channels/ledger.go
@@ -28,7 +28,7 @@
 	MostFlight   = 4096      // entries of a dispatcher on their way to be kept
 	MostToken    = 48 << 10  // bytes of a position's token
 	MostTake     = 1024      // notes at once
-	takeBytes    = 512 << 10 // bytes of those and their positions, but for one that is longer: a frame of the driver's has to bear them
+	takeBytes    = 64 << 10  // bytes of those and their positions, but for one that is longer: a reader that takes none keeps a frame of them
 
 	Duty        = "channel:" // and the channel's name: who holds it puts Total in order, its token is the epoch
 	Copies      = 2          // that have an entry before it is acknowledged
