--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -352,29 +352,6 @@
 	}
 }
 
-// holder is who puts the channel of total order in order now, and its epoch.
-func (c *channelRig) holder(name string, but ...int) (who int, epoch uint64) {
-	c.Helper()
-	c.Until(soon, "one holds the channel's duty", func() error {
-		who = -1
-		for i, p := range c.Processes {
-			if slices.Contains(but, i) {
-				continue
-			}
-			for _, l := range p.Said("channels: order") {
-				if token, _ := l.Fields["epoch"].(float64); l.Fields["channel"] == name && uint64(token) >= epoch && token > 0 {
-					who, epoch = i, uint64(token)
-				}
-			}
-		}
-		if who < 0 {
-			return errors.New("none yet")
-		}
-		return nil
-	})
-	return who, epoch
-}
-
 // The holder is stopped between majority and showing, and wakes: nothing comes twice, nothing is lost, and what it took for an epoch that is over
 // is not shown.
 func TestTheHolderIsStoppedAndWakes(t *testing.T) {
