--- a/fleet/channels/gone.go
+++ b/fleet/channels/gone.go
@@ -22,8 +22,23 @@
 			first := !c.heard
 			c.wake(now, g.Writer, g.Number)
 			c.silent, c.gone[g.Writer] = g.At, g
+			if _, ok := c.vec[g.Writer]; !ok && first { // it has come back, and that came before
+				for n := range c.held[g.Writer] {
+					if c.wake(now, g.Writer, n); n <= g.Number {
+						delete(c.held[g.Writer], n)
+					}
+				}
+				if len(c.held[g.Writer]) == 0 {
+					delete(c.held, g.Writer)
+				}
+			}
 			if _, ok := c.vec[g.Writer]; (ok || !first) && c.vec[g.Writer] < g.Number { // it was let go before it came here: a gap
 				c.floor[g.Writer] = max(c.floor[g.Writer], g.Number)
+				for n := range c.held[g.Writer] {
+					if n <= g.Number {
+						c.unhold(g.Writer, n)
+					}
+				}
 			}
 		}
 		if s.Rolled > c.rolled {
@@ -79,6 +94,15 @@
 	}
 }
 
+// unhold lets an entry go that others have let go before any of them was known to have it from here: it would wait for ever.
+func (c *channel) unhold(w string, n uint64) {
+	if h, ok := c.held[w][n]; ok && !h.sure {
+		if delete(c.held[w], n); len(c.held[w]) == 0 {
+			delete(c.held, w)
+		}
+	}
+}
+
 // forgot: all up to a number of a writer that is not known here now was let go.
 func (c *channel) forgot(w string, number uint64) bool {
 	if _, ok := c.vec[w]; ok {
@@ -157,7 +181,7 @@
 // clear lets all go that was kept under a life that is over, and begins another; or none, where the channel has ended.
 func (m *Machine) clear(c *channel, life uint64) {
 	void := func(e *Entry) {
-		if c.ended > 0 || e.Place > 0 && life > 0 && e.Generation <= life || e.Place == 0 && e.Life != life {
+		if e.Place > 0 && e.Generation <= max(life, c.ended) || e.Place == 0 && (c.ended > 0 || e.Life != life) {
 			c.loose[e.key()] = 0
 		}
 	}
--- a/fleet/channels/ledger.go
+++ b/fleet/channels/ledger.go
@@ -78,7 +78,6 @@
 	bad(d.Seconds > 0 && d.Wait > d.Seconds, "entries are held back for longer than they are kept")
 	bad(!(d.Forget >= 0 && d.Forget <= MostSilence), "a writer's name goes after up to %g s", MostSilence)
 	bad(d.Forget > 0 && d.Order >= Causal, "order %s, but names of writers go: in causal order an entry may come after any, total order forgets by itself", min(d.Order, Total))
-	bad(d.Forget > 0 && d.Forget < d.Seconds, "writers' names go sooner than what they wrote")
 	bad(d.Bytes > 0 && d.Bytes < MostBody, "less is kept than one entry may have (%d bytes)", MostBody)
 	return errors.Join(all...)
 }
@@ -284,8 +283,10 @@
 	}
 	if c.Declare != nil {
 		d, was := *c.Declare, l.declared[c.Declare.Name]
-		if d.Since = was.Since; was.End {
-			d.Since = was.Generation
+		if d.Since, d.Place = was.Since, was.Place; was.End {
+			if d.Since = was.Generation; d.Order == Total {
+				d.Place = l.lines[d.Name].Next
+			}
 		}
 		if d.End {
 			delete(l.silent, d.Name)
--- a/fleet/channels/machine.go
+++ b/fleet/channels/machine.go
@@ -241,6 +241,10 @@
 		}
 		if d.Since != c.life { // it ended, and was declared anew: what came before it was known here is looked through again
 			m.clear(c, d.Since)
+			if d.Place > 0 {
+				c.vec[""] = max(c.vec[""], d.Place-1)
+				c.base[""] = max(c.base[""], d.Place-1)
+			}
 			c.turned, c.ended, c.ending, m.ready.Relearn = d.Generation, 0, 0, true
 			c.basis = c.token()
 		}
@@ -253,8 +257,10 @@
 			c.basis = c.token()
 		}
 		m.advance(now, c)
-		if c.ending = now; d.End && d.Order != Total {
-			m.finish(now, c)
+		if c.ending = now; d.End && (d.Order != Total || !was) {
+			if m.finish(now, c); !was { // it may go at the others already: a part of it is not shown
+				m.clear(c, c.life)
+			}
 		}
 	}
 }
@@ -321,6 +327,7 @@
 			return
 		}
 		c.wake(now, writer, number)
+		c.unhold(writer, number)
 		c.dead[writer] = max(c.dead[writer], number)
 		c.raise(writer, number, ep)
 	case r.Kind == EntryKind:
@@ -383,8 +390,9 @@
 		}
 		c.wake(now, w, n)
 	} else if c.known && (c.life > 0 && e.Generation <= c.life || c.ended > 0) {
-		c.loose[e.key()] = 0
-		c.raise("", n, e.Epoch)
+		if e.Generation <= max(c.life, c.ended) { // else it is learned anew once its declaration is known
+			c.loose[e.key()] = 0
+		}
 		return
 	}
 	if w == "" {
--- a/fleet/channels/readers.go
+++ b/fleet/channels/readers.go
@@ -209,6 +209,11 @@
 	if ep := r.c.epochs; r.c.d.Order == Total && len(ep) > 0 && r.place.Epoch > max(ep[0].epoch, r.c.epochAt(r.place.Place)) {
 		return false // what stands at its place here is of an older epoch
 	}
+	for w, g := range r.c.gone { // not named: seen to its last
+		if n, ok := r.c.vec[w]; ok && n < g.Number && r.seen[w] == 0 && r.place.Gone >= g.At {
+			return false
+		}
+	}
 	for w, n := range r.seen {
 		if _, ok := r.c.vec[w]; n > r.c.vec[w] && !r.c.forgot(w, n) && (ok || r.place.Gone >= r.c.rolled) {
 			return false
--- a/fleet/channels/types.go
+++ b/fleet/channels/types.go
@@ -34,6 +34,7 @@
 	Forget     float64 `cbor:"11,keyasint,omitempty"` // s of silence after which a writer's name goes, once nothing of it is kept; 0 for never
 	End        bool    `cbor:"12,keyasint,omitempty"` // the channel is withdrawn: readers are told, writers refused, all that is kept goes
 	Since      uint64  `cbor:"13,keyasint,omitempty"` // generation of the last end, 0 for none; given by the ledger. What was taken under it is void
+	Place      uint64  `cbor:"14,keyasint,omitempty"` // of Total: the first place after that end; given by the ledger
 }
 
 // Gone is a writer whose name was let go, as agreed: nothing of it up to its number is kept, nor named in a position.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -17,6 +17,7 @@
 	channelTick   = 20 * time.Millisecond
 	channelTidy   = 100 * time.Millisecond // between ticks of the machine
 	declaredEach  = 2 * time.Second        // between looks at what is declared; each waits a part of it more, as chance has it
+	leaderFirst   = 6 * time.Second        // after a start what is declared is asked of who leads; then of any voter: it may be a minority
 	channelLease  = 2.0                    // s; of the duty to put a channel in order: none is put while it runs out after a kill
 	mostPublish   = 256                    // questions of writers that wait at a time
 	holderKnown   = time.Second            // for so long a channel's holder is not looked for again
@@ -57,6 +58,7 @@
 	// Of the goroutine alone.
 	puts      map[replica.Dot]uint64
 	held      map[string]uint64 // epochs by channel, as told to the machine
+	marked    map[string]uint64 // generations of total order whose place was asked for, by channel
 	proposing map[string]bool
 	ended     chan proposed
 	pumps     []*pump
@@ -81,7 +83,7 @@
 func newFollowing(f *Fleet) *following {
 	w := &following{fleet: f, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), outs: make(chan replica.Outcome, mostOutcome),
 		publish: make(chan struct{}, mostPublish), machine: channels.New(f.Name, f.boot), waits: map[writing][]chan channels.Ack{},
-		orders: map[string]channels.Declaration{}, holders: map[string]holderAt{}, puts: map[replica.Dot]uint64{}, held: map[string]uint64{},
+		orders: map[string]channels.Declaration{}, holders: map[string]holderAt{}, puts: map[replica.Dot]uint64{}, held: map[string]uint64{}, marked: map[string]uint64{},
 		proposing: map[string]bool{}, ended: make(chan proposed, 2*mostProposing), mismatch: map[string]bool{}}
 	for range pumps {
 		w.pumps = append(w.pumps, newPump(w))
@@ -238,7 +240,10 @@
 		if !ok {
 			token = 0
 		}
-		if token != w.held[name] {
+		if token != 0 && token == w.held[name] && d.Generation > w.marked[name] { // the declaration has a place of its own
+			w.propose(ctx, channels.Command{Channel: name, Epoch: token}, true)
+		}
+		if w.marked[name] = d.Generation; token != w.held[name] {
 			w.held[name] = token
 			w.mu.Lock()
 			w.machine.Hold(w.fleet.dutyNow(), name, token)
@@ -355,8 +360,17 @@
 
 // declare looks at what is declared now and then, and has what the file says put into the log.
 func (w *following) declare(ctx context.Context) error {
+	began := time.Now()
 	for ctx.Err() == nil {
-		s, err := w.fleet.declaredNow(ctx)
+		var s channels.Saved
+		var err error
+		if first := time.Since(began) < leaderFirst; first && !w.known() { // a voter that was away would tell what was withdrawn meanwhile
+			c, cancel := context.WithTimeout(ctx, declaredEach/2)
+			s, err = w.fleet.agreed(c, "")
+			cancel()
+		} else {
+			s, err = w.fleet.declaredNow(ctx)
+		}
 		wait := declaredEach + time.Duration(mrand.Int64N(int64(declaredEach/2)))
 		if err == nil {
 			w.take(&s)
@@ -373,6 +387,13 @@
 	return nil
 }
 
+// known: what is declared was read.
+func (w *following) known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.declared
+}
+
 // propagate puts declarations of the file into the log, each against the generation before it.
 func (w *following) propagate(ctx context.Context, now []channels.Declaration) {
 	for _, d := range slices.Concat(builtIn, w.fleet.Channels.Declared) {
@@ -381,7 +402,7 @@
 		if i >= 0 {
 			stands = now[i]
 		}
-		d.Since = stands.Since // the log's
+		d.Since, d.Place = stands.Since, stands.Place // the log's
 		switch {
 		case d.Generation == stands.Generation+1 && w.fleet.voter != nil:
 			if err := w.fleet.agree(ctx, channels.Command{Declare: &d}); err == nil {
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -209,12 +209,12 @@
 	return Told{Changed: true}
 }
 
-// count adds what there is to count: readers now, entries of writers since the start, and those that were acknowledged.
+// count adds what there is to count: readers now, entries of writers since the start, those that were acknowledged, and names let go.
 func (w *following) count(to map[string]int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	to["Readers"], to["SpoiltEntries"] = int64(w.machine.Readers()), int64(w.machine.Spoilt())
-	to["Entries"], to["Acknowledged"] = w.entries, w.acknowledged
+	to["Entries"], to["Acknowledged"], to["WritersGone"] = w.entries, w.acknowledged, int64(w.machine.Gone())
 }
 
 var nextPump atomic.Uint64
--- a/internal/operator/channels.go
+++ b/internal/operator/channels.go
@@ -15,7 +15,7 @@
 	defaultBytes     = int64(8 << 20)
 	defaultKept      = 3600.0  // s
 	defaultReadWait  = 2.0     // s
-	defaultForget    = 86400.0 // s; or as long as entries are kept, where that is longer
+	defaultForget    = 86400.0 // s
 	longestTotal     = 100 - len(channels.Duty)
 	mostGenerations  = 1<<31 - 1
 	wordLatest       = "latest"
@@ -57,7 +57,7 @@
 	in.Duration("wait", &d.Wait, 0, channels.MostWait)
 	in.Flag("end", &d.End)
 	if d.Order = orders[order]; d.Order < channels.Causal {
-		d.Forget = max(defaultForget, d.Seconds)
+		d.Forget = defaultForget
 	}
 	in.Duration("forget", &d.Forget, 0, channels.MostSilence)
 	in.Done()
