--- a/internal/fleet/follow_figures_test.go
+++ b/internal/fleet/follow_figures_test.go
@@ -20,17 +20,17 @@
 )
 
 // TestChannelFigures measures messages a second and lateness by order and readers, through a kill; it prints a table and draws a chart.
-// ELDERWALL_CHANNELS has the processes, the seconds of each run, and the numbers of readers: "3 6 10,100,1000".
+// ELDERWALL_CHANNELS has the processes, the seconds of each run, the numbers of readers, and the orders if not all: "30 2 10,1000 key,total".
 func TestChannelFigures(t *testing.T) {
 	var n, seconds int
-	var list string
-	if _, err := fmt.Sscan(os.Getenv("ELDERWALL_CHANNELS"), &n, &seconds, &list); err != nil {
-		t.Skip("ELDERWALL_CHANNELS says how much")
+	var list, some string
+	if _, err := fmt.Sscan(os.Getenv("ELDERWALL_CHANNELS"), &n, &seconds, &list, &some); list == "" {
+		t.Skip("ELDERWALL_CHANNELS says how much: ", err)
 	}
 	c := channel(t, n, min(n, 5))
 	orders := append([]string{"news"}, orderNames...)
-	if o := os.Getenv("ZZ_ORDERS"); o != "" {
-		orders = strings.Split(o, ",")
+	if some != "" {
+		orders = strings.Split(some, ",")
 	}
 	var series []chart.Series
 	fmt.Println("| order | readers | acknowledged/s | shown/s, all readers | late p50 ms | p99 ms | p99 ms, through a kill |\n| --- | ---: | ---: | ---: | ---: | ---: | ---: |")
@@ -130,9 +130,9 @@
 	dead.Store(time.Now().UnixNano())
 	c.Processes[last].Kill()
 	time.Sleep(time.Until(start.Add(span)))
-	c.Processes[last].Start()
-	c.whole()
 	end()
 	wait.Wait()
+	c.Processes[last].Start()
+	c.whole()
 	return acked, shown, calm, killed
 }
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -401,6 +401,7 @@
 		}
 	}
 	say(5)
+	c.agreed("key", stay, back)
 	var fill []string
 	for i := range 64 { // so many stay at least: nothing is kept of the first writer
 		fill = append(fill, fmt.Sprint("f ", i))
@@ -449,8 +450,13 @@
 	back.bodies = append(back.bodies, "v 11")
 	many := &sent{writer: "many"}
 	c.Until(2*soon, "more names than a channel has at a time", func() error {
+		for _, s := range stay { // what is kept is little
+			if n := s.count(); n < len(fill)+10+len(many.bodies) {
+				return fmt.Errorf("%d of %d", n, len(many.bodies))
+			}
+		}
 		all := []channels.Entry{again}
-		for i := len(many.bodies); i < 300 && len(all) < 100; i++ {
+		for i := len(many.bodies); i < 300 && len(all) < 40; i++ {
 			all = append(all, channels.Entry{Channel: "brief", Writer: fmt.Sprint("m", i), Number: 1, Clock: 1 << 40, Key: "k", Body: fmt.Append(nil, "m ", i)})
 		}
 		told, err := AskEntries(c.live, c.Processes[len(many.bodies)%3].Fleet, k, all)
