--- a/internal/fleet/pump.go
+++ b/internal/fleet/pump.go
@@ -22,8 +22,6 @@
 	pumpLook  = 250 * time.Millisecond // between looks at all readers: for those who wait for what doesn't come
 	takeNotes = 64                     // notes of a frame
 	takeTurns = 16                     // frames of a reader before the next one's turn
-	restEach  = 50 * time.Microsecond  // after a pass for each reader that got a frame, what one costs at both ends: what comes meanwhile goes into one frame
-	restMost  = 10 * time.Millisecond  // after a pass, however many they were
 )
 
 // follower is a reader's stream: the answer to its question goes on for as long as it listens.
@@ -50,7 +48,6 @@
 	changed map[string]bool
 	readers map[*follower]bool // of the goroutine alone
 	sheets  map[string]sheet   // by channel, of the pass: of the goroutine alone
-	framed  int                // frames of the pass
 }
 
 // sheet is notes as they were encoded for a reader: those in step with it get the same, each sealed for itself.
@@ -130,15 +127,7 @@
 				p.of.mu.Unlock()
 			}
 		}
-		rest := min(restMost, time.Duration(p.framed)*restEach)
 		clear(p.sheets)
-		if p.framed = 0; rest > 0 {
-			select {
-			case <-time.After(rest):
-			case <-ctx.Done():
-				return nil
-			}
-		}
 	}
 }
 
@@ -167,7 +156,6 @@
 		}
 		r.frame(p.of.fleet, &s)
 		r.sent = now
-		p.framed++
 	}
 	poke(p.wake) // others first
 	p.mu.Lock()
