--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -17,6 +17,7 @@
 	channelTick   = 20 * time.Millisecond
 	channelTidy   = 100 * time.Millisecond // between ticks of the machine
 	declaredEach  = 2 * time.Second        // between looks at what is declared; each waits a part of it more, as chance has it
+	leaderFirst   = 6 * time.Second        // after a start what is declared is asked of who leads; then of any voter: it may be a minority
 	channelLease  = 2.0                    // s; of the duty to put a channel in order: none is put while it runs out after a kill
 	mostPublish   = 256                    // questions of writers that wait at a time
 	holderKnown   = time.Second            // for so long a channel's holder is not looked for again
@@ -57,6 +58,7 @@
 	// Of the goroutine alone.
 	puts      map[replica.Dot]uint64
 	held      map[string]uint64 // epochs by channel, as told to the machine
+	marked    map[string]uint64 // generations of total order whose place was asked for, by channel
 	proposing map[string]bool
 	ended     chan proposed
 	pumps     []*pump
@@ -73,6 +75,7 @@
 	channel string
 	epoch   uint64
 	began   bool // it only takes the log over
+	forgot  bool // names go
 	saved   *channels.Saved
 	err     error
 }
@@ -80,7 +83,7 @@
 func newFollowing(f *Fleet) *following {
 	w := &following{fleet: f, wake: make(chan struct{}, 1), stale: make(chan struct{}, 1), outs: make(chan replica.Outcome, mostOutcome),
 		publish: make(chan struct{}, mostPublish), machine: channels.New(f.Name, f.boot), waits: map[writing][]chan channels.Ack{},
-		orders: map[string]channels.Declaration{}, holders: map[string]holderAt{}, puts: map[replica.Dot]uint64{}, held: map[string]uint64{},
+		orders: map[string]channels.Declaration{}, holders: map[string]holderAt{}, puts: map[replica.Dot]uint64{}, held: map[string]uint64{}, marked: map[string]uint64{},
 		proposing: map[string]bool{}, ended: make(chan proposed, 2*mostProposing), mismatch: map[string]bool{}}
 	for range pumps {
 		w.pumps = append(w.pumps, newPump(w))
@@ -165,8 +168,15 @@
 		out := w.machine.Ready()
 		w.ack(out.Acks)
 		w.mu.Unlock()
+		if out.Relearn {
+			w.relearn()
+		}
 		w.put(out.Puts)
 		for _, c := range out.Commands {
+			if len(c.Forget) > 0 {
+				w.letGo(ctx, c)
+				continue
+			}
 			w.propose(ctx, c, false)
 		}
 		if len(out.News) > 0 {
@@ -230,7 +240,10 @@
 		if !ok {
 			token = 0
 		}
-		if token != w.held[name] {
+		if token != 0 && token == w.held[name] && d.Generation > w.marked[name] { // the declaration has a place of its own
+			w.propose(ctx, channels.Command{Channel: name, Epoch: token}, true)
+		}
+		if w.marked[name] = d.Generation; token != w.held[name] {
 			w.held[name] = token
 			w.mu.Lock()
 			w.machine.Hold(w.fleet.dutyNow(), name, token)
@@ -259,7 +272,10 @@
 	}
 	w.fleet.group.Go(func() error {
 		p := proposed{channel: c.Channel, epoch: c.Epoch, began: begins}
-		t, err := w.fleet.ask(ctx, ask{What: AskCommand, Channels: &c, Whole: true})
+		w.mu.Lock()
+		gone := w.machine.Gone()
+		w.mu.Unlock()
+		t, err := w.fleet.ask(ctx, ask{What: AskCommand, Channels: &c, Whole: true, Number: gone})
 		if len(c.Entries) > 0 {
 			stopHere()
 		}
@@ -274,11 +290,33 @@
 	})
 }
 
+// letGo has names go, as agreed. One that can't now comes again from the machine.
+func (w *following) letGo(ctx context.Context, c channels.Command) {
+	if w.proposing[c.Channel] || len(w.proposing) >= mostProposing {
+		return
+	}
+	w.proposing[c.Channel] = true
+	w.fleet.group.Go(func() error {
+		if err := w.fleet.agree(ctx, c); err != nil {
+			w.fleet.Log.Warn().Err(err).Str("channel", c.Channel).Msg("channels: names do not go")
+		}
+		poke(w.stale)
+		select {
+		case w.ended <- proposed{channel: c.Channel, forgot: true}:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
 // agreed takes what the log has after a command.
 func (w *following) agreed(p proposed) {
 	if !p.began {
 		delete(w.proposing, p.channel)
 	}
+	if p.forgot {
+		return
+	}
 	if p.err != nil || p.saved == nil {
 		w.fleet.Log.Warn().Err(p.err).Str("channel", p.channel).Msg("channels: not put in order")
 		if p.began && w.held[p.channel] == p.epoch {
@@ -303,6 +341,7 @@
 	defer w.mu.Unlock()
 	now := w.fleet.dutyNow()
 	w.machine.Declare(now, s.Declared)
+	w.machine.Forgotten(now, s.Silent, s.Gone)
 	for i := range s.Lines {
 		w.machine.Agreed(now, &s.Lines[i])
 	}
@@ -313,7 +352,7 @@
 		}
 		orders[d.Name] = d
 		if w.orders[d.Name].Generation < d.Generation {
-			w.fleet.Log.Info().Str("channel", d.Name).Uint64("generation", d.Generation).Stringer("order", d.Order).Msg("channels: declared")
+			w.fleet.Log.Info().Str("channel", d.Name).Uint64("generation", d.Generation).Stringer("order", d.Order).Bool("ended", d.End).Msg("channels: declared")
 		}
 		if _, ok := w.orders[d.Name]; !ok && d.Order == channels.Total && w.fleet.voter != nil { // who votes has the log at hand
 			w.fleet.holding.mu.Lock()
@@ -332,8 +371,17 @@
 
 // declare looks at what is declared now and then, and has what the file says put into the log.
 func (w *following) declare(ctx context.Context) error {
+	began := time.Now()
 	for ctx.Err() == nil {
-		s, err := w.fleet.declaredNow(ctx)
+		var s channels.Saved
+		var err error
+		if first := time.Since(began) < leaderFirst; first && !w.known() { // a voter that was away would tell what was withdrawn meanwhile
+			c, cancel := context.WithTimeout(ctx, declaredEach/2)
+			s, err = w.fleet.agreed(c, "")
+			cancel()
+		} else {
+			s, err = w.fleet.declaredNow(ctx)
+		}
 		wait := declaredEach + time.Duration(mrand.Int64N(int64(declaredEach/2)))
 		if err == nil {
 			w.take(&s)
@@ -350,6 +398,13 @@
 	return nil
 }
 
+// known: what is declared was read.
+func (w *following) known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.declared
+}
+
 // propagate puts declarations of the file into the log, each against the generation before it.
 func (w *following) propagate(ctx context.Context, now []channels.Declaration) {
 	for _, d := range slices.Concat(builtIn, w.fleet.Channels.Declared) {
@@ -358,6 +413,7 @@
 		if i >= 0 {
 			stands = now[i]
 		}
+		d.Since, d.Place = stands.Since, stands.Place // the log's
 		switch {
 		case d.Generation == stands.Generation+1 && w.fleet.voter != nil:
 			if err := w.fleet.agree(ctx, channels.Command{Declare: &d}); err == nil {
@@ -373,7 +429,9 @@
 
 // declaredNow is what is declared, as a voter has it.
 func (f *Fleet) declaredNow(ctx context.Context) (s channels.Saved, err error) {
-	q := ask{What: askDeclared}
+	f.following.mu.Lock()
+	q := ask{What: askDeclared, Number: f.following.machine.Gone()}
+	f.following.mu.Unlock()
 	if f.voter != nil {
 		t := f.answerDuties(ctx, q)
 		if t.Error == "" && t.Channels != nil {
