--- a/emulate/memory.go
+++ b/emulate/memory.go
@@ -108,15 +108,16 @@
 	era     uint64
 	vector  map[[2]any]replica.Entry
 	records map[replica.Name]replica.Carried
-	last    float64
+	lacks   []uint8
+	last    float64 // when the fleet was heard
 }
 
 func (d *memoryDisk) clone() *memoryDisk {
-	return &memoryDisk{d.era, maps.Clone(d.vector), maps.Clone(d.records), d.last}
+	return &memoryDisk{d.era, maps.Clone(d.vector), maps.Clone(d.records), d.lacks, d.last}
 }
 
 func (d *memoryDisk) save(now float64, s *replica.Save) {
-	d.last, d.era = now, max(d.era, s.Era)
+	d.last, d.era, d.lacks = now-s.Away, max(d.era, s.Era), s.Lacks
 	for _, c := range s.Records {
 		d.records[replica.Name{Kind: c.Record.Kind, Key: c.Record.Key}] = c
 	}
@@ -132,7 +133,7 @@
 }
 
 func (d *memoryDisk) saved(now float64) *replica.Saved {
-	s := &replica.Saved{Era: d.era, Away: now - d.last}
+	s := &replica.Saved{Era: d.era, Lacks: d.lacks, Away: now - d.last}
 	for _, e := range d.vector {
 		s.Vector = append(s.Vector, e)
 	}
--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -42,6 +43,9 @@
 	keptEras    = 2       // of a writer that are never folded: a restart or two, at most of what is under way
 	mostPending = 4_096   // writes whose outcome is open
 	mostEvents  = 256     // that wait to be taken
+	mostFell    = 64      // writes of one writer that fell and of which it is told with each message: under 2 KB
+	touchEach   = 0.1     // of the horizon: the time when the fleet was heard is saved so often if nothing else is
+	stopAfter   = 10.0    // where nobody else brings what somebody dropped, all is taken from who did
 	mostNew     = 4_096   // intervals that wait to be passed on; the rest is asked for
 	mostGiven   = 100_000 // items in a message from outside
 	mostName    = 255     // bytes of a writer's name
@@ -84,6 +88,8 @@
 	sure  Sure
 	until float64
 	by    map[string]bool
+	key   string
+	lower bool // a deletion stands over it elsewhere
 }
 
 // Machine keeps the records of one dispatcher.
@@ -94,7 +100,6 @@
 	chance *rand.Rand
 	kinds  [256]*shelf
 	ids    []uint8
-	tree   *tree
 	vec    *vector
 	past   []*vector // that questions were of, the last ones: what answers are about
 	names  map[string]string
@@ -134,8 +139,24 @@
 	more    map[string]bool // writers of whom somebody has more of an older era than check: not to be folded
 	stable  *vector         // what all had
 
+	// Of kinds, known here or not: of which some were dropped, so that the vector says nothing of them; how often; those that this program
+	// doesn't know, and of these the ones that its disk has some of.
+	lacks, strange, holds [256]bool
+	lacked                []uint8 // those of lacks
+	lacksDirty            bool
+	drops                 [256]int
+	holes                 [256]*entry
+	stopped               map[trackKey]float64 // since when deltas of a writer's era end at a hole
+	told                  map[string]told      // by member
+	fell                  map[string][]Dot     // by writer, the last ones: writes that a deletion stands over
+	fellAt                float64
+	checkLacks            [256]bool // kinds of which check says nothing for somebody: their tombstones stay
+	stableLacks           [256]bool
+
 	pull    *pull
 	away    bool
+	life    uint64
+	touched float64 // when the fleet was heard last, before this start too; as was saved
 	walkAt  float64
 	unlike  int // times in a row that equal vectors had unequal sums
 	beats   uint64
@@ -149,7 +170,7 @@
 	held    *Save // of the fault
 	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover, claims, clears, forgets, countsFallen, savesTouch bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
@@ -158,15 +179,15 @@
 	if s.Name == "" || len(s.Name) > mostName {
 		return nil, fmt.Errorf("replica: a name of 1 to %d bytes is needed", mostName)
 	}
-	m := &Machine{s: s, now: now, ticked: now, heardAt: now, chance: rand.New(rand.NewPCG(s.Seed, 0x7265706c)), tree: newTree(), vec: newVector(),
+	m := &Machine{s: s, now: now, ticked: now, heardAt: now, chance: rand.New(rand.NewPCG(s.Seed, 0x7265706c)), vec: newVector(),
 		names: map[string]string{}, byName: map[string]Member{}, aims: map[uint64]uint64{}, logs: map[trackKey]*track{},
-		acks: map[string]map[uint64]bool{}, era: 1, eraDirty: true, due: now, filled: now, walkAt: now - 1e9}
-	m.bucket, m.serves, m.served = s.Rate, s.Rate, now
+		acks: map[string]map[uint64]bool{}, stopped: map[trackKey]float64{}, told: map[string]told{}, fell: map[string][]Dot{}, era: 1, eraDirty: true, due: now, filled: now, walkAt: now - 1e9}
+	m.bucket, m.serves, m.served, m.life = s.Rate, s.Rate, now, m.chance.Uint64()|1
 	for _, k := range s.Kinds {
 		if k.ID == 0 || m.kinds[k.ID] != nil || k.Records <= 0 || k.Bytes <= 0 || k.Longest <= 0 || k.Longest > MostLongest {
 			return nil, fmt.Errorf("replica: kind %d %q: its number has to be its own and over 0, its bounds over 0, the longest up to %d", k.ID, k.Name, MostLongest)
 		}
-		m.kinds[k.ID] = &shelf{Kind: k, byKey: map[string]*entry{}}
+		m.kinds[k.ID] = &shelf{Kind: k, byKey: map[string]*entry{}, tree: newTree()}
 		m.ids = append(m.ids, k.ID)
 	}
 	slices.Sort(m.ids)
@@ -176,8 +197,20 @@
 		return m, nil
 	}
 	m.era, m.vec, m.away = saved.Era+1, load(saved.Vector), saved.Away > s.Horizon
+	m.heardAt = now - saved.Away
+	for _, id := range saved.Lacks {
+		if m.lack(id, true); m.kinds[id] == nil {
+			m.strange[id] = true
+		}
+	}
+	m.lacksDirty = false
 	for _, c := range saved.Records {
-		if err := m.sound(&c); err != nil {
+		if id := c.Record.Kind; m.kinds[id] == nil { // of a later version, and kept for it on the disk
+			m.dropped(id)
+			m.holds[id] = true
+			continue
+		}
+		if err := m.sound(&c, false); err != nil {
 			return nil, fmt.Errorf("replica: saved record: %w", err)
 		}
 		m.merge(c)
@@ -198,6 +231,7 @@
 func (m *Machine) Fleet(f Fleet, now float64) {
 	m.now = max(m.now, now)
 	m.fleet = f
+	maps.DeleteFunc(m.told, func(n string, _ told) bool { _, ok := m.byName[n]; return !ok })
 	m.fleet.Others = slices.DeleteFunc(slices.Clone(f.Others), func(o Member) bool { return o.Name == m.s.Name })
 	slices.SortFunc(m.fleet.Others, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	was, back := m.byName, false
@@ -272,7 +306,7 @@
 	m.wrote = true
 	m.advance(trackKey{m.s.Name, m.era}, r.Dot.Number-1, []*entry{e})
 	m.renew(news{trackKey{m.s.Name, m.era}, r.Dot.Number - 1, sure.Level != Here, ""})
-	p := &pending{dot: r.Dot, kind: kind, sure: sure, until: m.now + max(sure.Within, 0), by: map[string]bool{}}
+	p := &pending{dot: r.Dot, kind: kind, key: key, sure: sure, until: m.now + max(sure.Within, 0), by: map[string]bool{}}
 	m.pending = append(m.pending, p)
 	m.settle(false)
 	return r.Dot, nil
@@ -284,6 +318,7 @@
 	if !m.vec.raise(k.writer, k.era, from+uint64(len(keys))) {
 		return
 	}
+	delete(m.stopped, k)
 	m.raised = append(m.raised, k)
 	t := m.logs[k]
 	if t == nil || t.base+uint64(len(t.keys)) != from {
@@ -364,7 +399,7 @@
 			took += n
 			i = uint32(len(d.Records))
 			at[e] = i
-			d.Records = append(d.Records, Carried{e.rec, e.aside})
+			d.Records = append(d.Records, Carried{e.rec, e.aside, e.hole})
 		} else if took+4 > room {
 			break
 		}
@@ -416,7 +451,12 @@
 	}
 	for _, id := range m.ids {
 		k := m.kinds[id]
-		s.Kinds = append(s.Kinds, KindStatus{k.Name, len(k.byKey), k.bytes, k.dead, k.aside, k.refused})
+		s.Kinds = append(s.Kinds, KindStatus{k.Name, len(k.byKey), k.bytes, k.dead, k.aside, k.refused, m.lacks[id]})
+	}
+	for id, is := range m.strange {
+		if is {
+			s.Strange = append(s.Strange, id)
+		}
 	}
 	return s
 }
@@ -427,18 +467,19 @@
 	}
 }
 
-// lacking lists kinds of which some were dropped.
-func (m *Machine) lacking() (all []uint8) {
-	for _, id := range m.ids {
-		if m.kinds[id].lacks {
-			all = append(all, id)
-		}
-	}
-	return all
-}
+// told is what a member says of its kinds with each message.
+type told struct{ lacks, strange, holds []uint8 }
 
 func (m *Machine) send(to string, msg Message, bytes int) {
-	msg.Lacks = m.lacking()
+	msg.Lacks, msg.Fell = m.lacked, m.fell[to]
+	for _, id := range m.lacked {
+		if m.strange[id] {
+			msg.Strange = append(msg.Strange, id)
+		}
+		if m.holds[id] {
+			msg.Holds = append(msg.Holds, id)
+		}
+	}
 	if m.unkept { // it acknowledges nothing
 		if msg.Acks = nil; msg.Ask != nil {
 			msg.Ask.Unkept = true
--- a/fleet/replica/message.go
+++ b/fleet/replica/message.go
@@ -4,17 +4,22 @@
 type Message struct {
 	Deltas []Delta   `cbor:"1,keyasint,omitempty"`
 	Acks   []Entry   `cbor:"2,keyasint,omitempty"` // of the receiver's own writes: what the sender has on its disk
-	Lacks  []uint8   `cbor:"3,keyasint,omitempty"` // kinds of which the sender dropped some, being full: its word says nothing of those
+	Lacks  []uint8   `cbor:"3,keyasint,omitempty"` // kinds of which the sender dropped some, being full or not knowing them: its word says nothing of those
 	Ask    *Ask      `cbor:"4,keyasint,omitempty"`
 	Pull   *Pull     `cbor:"5,keyasint,omitempty"`
 	Give   *Give     `cbor:"6,keyasint,omitempty"`
 	Aside  []Carried `cbor:"7,keyasint,omitempty"` // found to be two under one dot
+
+	Strange []uint8 `cbor:"8,keyasint,omitempty"`  // of Lacks, those that the sender's program doesn't know
+	Holds   []uint8 `cbor:"9,keyasint,omitempty"`  // of Strange, those of which its disk has some all the same: it knew them once
+	Fell    []Dot   `cbor:"10,keyasint,omitempty"` // writes of the receiver over which a deletion stands at the sender: its word doesn't count for them
 }
 
 // Carried is a record on its way or on the disk.
 type Carried struct {
 	Record Record `cbor:"1,keyasint"`
 	Aside  bool   `cbor:"2,keyasint,omitempty"` // another content came under its dot: used by nobody
+	Hole   bool   `cbor:"3,keyasint,omitempty"` // of a delta: the sender dropped what was of this kind, and only who drops it as well can go on over it
 }
 
 // Delta is an interval: the keys of a writer's numbers From+1, From+2 and so on, each with what stands for it now, which may be another's write.
@@ -58,6 +63,7 @@
 	Keys   []uint64 `cbor:"5,keyasint,omitempty"` // hashes of keys whose records are wanted
 	Whole  bool     `cbor:"6,keyasint,omitempty"` // a piece of all, from After on
 	After  uint64   `cbor:"7,keyasint,omitempty"`
+	Kinds  []uint8  `cbor:"8,keyasint,omitempty"` // that are asked about
 }
 
 // Give answers a Pull.
@@ -72,6 +78,8 @@
 	Next    uint64    `cbor:"8,keyasint,omitempty"`  // the piece holds all from After up to before it
 	Done    bool      `cbor:"9,keyasint,omitempty"`  // or to the end
 	Unkept  bool      `cbor:"10,keyasint,omitempty"` // as an Ask's
+	Kinds   []uint8   `cbor:"11,keyasint,omitempty"` // with Vector: those that the sender knows
+	Life    uint64    `cbor:"12,keyasint,omitempty"` // drawn at the sender's start: of two lives of one name, each is a source of its own
 }
 
 // Sums are those of the sixteen children of a range, with how many records each has.
@@ -119,6 +127,8 @@
 	Drops   []Name
 	Vector  []Entry // that changed: each replaces that of its writer and era
 	Folded  []Entry // to be taken off, by writer and era
+	Lacks   []uint8 // in place of those before: kinds of which Vector says nothing
+	Away    float64 // s since the fleet was heard last; in place of the one before
 	Sync    bool
 }
 
@@ -127,7 +137,8 @@
 	Era     uint64
 	Vector  Vector
 	Records []Carried
-	Away    float64 // s since the last save, as far as is known; over the horizon a whole snapshot is taken
+	Lacks   []uint8
+	Away    float64 // s since the fleet was heard last; over the horizon a whole snapshot is taken, as where it isn't known: +Inf then
 }
 
 // Event is worth telling.
@@ -157,6 +168,7 @@
 	Dead    int    `json:"tombstones"`
 	Aside   int    `json:"aside"`
 	Refused int    `json:"refused"` // from others, being full
+	Lacks   bool   `json:"lacks"`   // some were dropped, and not brought in since
 }
 
 // Status is a machine's state in figures.
@@ -175,4 +187,5 @@
 	Wholes     uint64       `json:"whole_snapshots"`
 	Walks      uint64       `json:"digest_walks"`
 	Bad        uint64       `json:"bad_messages"`
+	Strange    []int        `json:"strange_kinds"` // that others write and this program doesn't know
 }
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -23,8 +23,11 @@
 	from   string
 	whole  bool
 	base   *vector // of this source; nil until it came
+	life   uint64  // and in which life it told that
 	joint  *vector // of all of them
 	lacks  map[uint8]bool
+	kinds  []uint8 // that are looked at
+	others bool    // more sources than one
 	sums   []Range
 	lists  []Range
 	keys   []uint64
@@ -35,11 +38,10 @@
 	tries  int
 	gone   []fall // here, under dots that the source has, and not there: deleted there
 	odd    map[Dot]Carried
-	mine   *vector // what was here at its begin
-	more   bool    // the source has what is not here: a tombstone of it may hide some (see hides)
-	beats  uint64  // and how far those were counted
-	sound  bool    // nothing was refused on the way
-	before [256]int
+	mine   *vector  // what was here at its begin
+	more   bool     // the source has what is not here: a tombstone of it may hide some (see hides)
+	beats  uint64   // and how far those were counted
+	before [256]int // what was dropped
 }
 
 // fall is a record that is to go at the end, and what stands in its place.
@@ -59,11 +61,17 @@
 	}
 	whole = whole || records == 0
 	m.away = false
-	p := &pull{id: m.chance.Uint64(), from: m.near(from, whole), whole: whole, lacks: map[uint8]bool{}, odd: map[Dot]Carried{}, sound: true,
+	p := &pull{id: m.chance.Uint64(), from: m.near(from, whole), whole: whole, lacks: map[uint8]bool{}, odd: map[Dot]Carried{},
 		mine: m.vec.clone(), beats: m.beats}
 	for _, id := range m.ids {
-		p.before[id] = m.kinds[id].refused
+		if !slices.Contains(m.told[p.from].strange, id) {
+			p.kinds = append(p.kinds, id)
+		}
+		if s := m.kinds[id]; m.lacks[id] && (s.upto == nil || s.uptoAt != m.drops[id]) {
+			s.upto, s.uptoAt = p.mine, m.drops[id]
+		}
 	}
+	p.before = m.drops
 	if !whole {
 		p.sums = []Range{{}}
 		m.stat.walks++
@@ -76,21 +84,72 @@
 	m.pump()
 }
 
-// near gives one of the own zone for a whole snapshot, where there is one.
+// lacksKnown tells whether a member said that it lacks some of a kind that is known here.
+func (m *Machine) lacksKnown(name string) bool {
+	return slices.ContainsFunc(m.told[name].lacks, func(id uint8) bool { return m.kinds[id] != nil })
+}
+
+// near gives one of the own zone for a whole snapshot, and one that lacks nothing, where there is one.
 func (m *Machine) near(not string, whole bool) string {
-	if !whole || m.byName[not].Zone == m.s.Zone {
+	if !whole {
 		return not
 	}
-	var all []string
+	best, least := []string{not}, 4
 	for _, o := range m.fleet.Others {
-		if o.Alive && o.Zone == m.s.Zone {
-			all = append(all, o.Name)
+		far := 0
+		if o.Zone != m.s.Zone {
+			far++
+		}
+		if m.lacksKnown(o.Name) {
+			far += 2
+		}
+		switch {
+		case !o.Alive && o.Name != not || far > least:
+		case far < least || o.Name == not: // of several as good, whoever was heard
+			best, least = []string{o.Name}, far
+		case !slices.Contains(best, not):
+			best = append(best, o.Name)
 		}
 	}
-	if len(all) == 0 {
-		return not
+	return best[m.chance.IntN(len(best))]
+}
+
+// fetch looks for a source of kinds of which some were dropped here, and that have room now: one who dropped none; where there is none left, all
+// others one after the other, as far as they know the kind, and what they have together is all that there is.
+func (m *Machine) fetch() {
+	if m.pull != nil || len(m.lacked) == 0 || m.now-m.walkAt <= checkSooner*m.s.Interval || m.unheard() {
+		return
+	}
+	for _, id := range m.ids {
+		s := m.kinds[id]
+		if !m.lacks[id] || len(s.byKey)*of > s.Records*bound || s.bytes*of > s.Bytes*bound {
+			continue
+		}
+		var whole, rest []string
+		all := true
+		for _, o := range m.fleet.Others {
+			t, ok := m.told[o.Name]
+			switch {
+			case ok && o.Alive && !slices.Contains(t.lacks, id):
+				whole = append(whole, o.Name)
+			case s.seen[o.Name]:
+			case ok && o.Alive && !slices.Contains(t.holds, id):
+				rest = append(rest, o.Name)
+			default:
+				all = false
+			}
+		}
+		switch {
+		case len(whole) > 0:
+			m.begin(whole[m.chance.IntN(len(whole))], false)
+			return
+		case len(rest) > 0:
+			m.begin(rest[m.chance.IntN(len(rest))], false)
+			return
+		case all:
+			m.lack(id, false)
+		}
 	}
-	return all[m.chance.IntN(len(all))]
 }
 
 // pump asks for the next part, if the rate allows, and for one that did not come of another source.
@@ -112,13 +171,14 @@
 			return
 		}
 		if all := m.some(len(m.fleet.Others), func(n string) bool { return n == p.from }); len(all) > 0 {
+			p.others = p.others || p.from != all[0]
 			p.from = all[0]
 		}
 	}
 	if m.bucket < 0 {
 		return
 	}
-	ask := &Pull{ID: p.id, Vector: p.base == nil}
+	ask := &Pull{ID: p.id, Vector: p.base == nil, Kinds: p.kinds}
 	switch {
 	case p.whole && !p.done:
 		ask.Whole, ask.After = true, p.after
@@ -146,21 +206,21 @@
 	if m.serves < -fillStream {
 		return
 	}
-	g := &Give{ID: p.ID}
+	g := &Give{ID: p.ID, Life: m.life}
 	used := 0
 	if p.Vector {
-		g.Vector = m.vec.list(nil)
+		g.Vector, g.Kinds = m.vec.list(nil), m.ids
 		used += vectorBytes(g.Vector)
 	}
 	for _, r := range p.Sums {
 		if r.Depth < maxDepth {
-			g.Sums = append(g.Sums, m.tree.children(r))
+			g.Sums = append(g.Sums, m.children(p.Kinds, r))
 			used += 16 * 14
 		}
 	}
 	for _, r := range p.Lists {
 		l := List{Range: r}
-		m.tree.each(r, func(e *entry) { l.Keys, l.Sums = append(l.Keys, e.hash), append(l.Sums, e.sum) })
+		m.each(p.Kinds, r, func(e *entry) { l.Keys, l.Sums = append(l.Keys, e.hash), append(l.Sums, e.sum) })
 		if used += 18 * len(l.Keys); len(l.Keys) > mostGiven/2 || used > fillStream {
 			break // the rest is asked for again
 		}
@@ -171,33 +231,35 @@
 			break
 		}
 		g.Keys = append(g.Keys, h)
-		for _, e := range m.tree.leaf[h>>(64-4*leafDepth)] {
+		for _, e := range m.leaf(p.Kinds, h>>(64-4*leafDepth)) {
 			if e.hash == h {
-				g.Records = append(g.Records, Carried{e.rec, e.aside})
+				g.Records = append(g.Records, Carried{Record: e.rec, Aside: e.aside})
 				used += weigh(&e.rec)
 			}
 		}
 	}
 	if p.Whole {
-		m.piece(p.After, g, &used)
+		m.piece(p, g, &used)
 	}
 	m.serves -= float64(used)
 	m.send(to, Message{Give: g}, used)
 }
 
 // piece adds records from a hash on, those of one hash together.
-func (m *Machine) piece(after uint64, g *Give, used *int) {
+func (m *Machine) piece(p *Pull, g *Give, used *int) {
 	g.Whole = true
+	after := p.After
 	for i := after >> (64 - 4*leafDepth); i < leaves; i++ {
-		for at, e := range m.tree.leaf[i] {
+		leaf := m.leaf(p.Kinds, i)
+		for at, e := range leaf {
 			if e.hash < after {
 				continue
 			}
-			if *used > pieceBytes && (at == 0 || m.tree.leaf[i][at-1].hash != e.hash) {
+			if *used > pieceBytes && (at == 0 || leaf[at-1].hash != e.hash) {
 				g.Next = e.hash
 				return
 			}
-			g.Records = append(g.Records, Carried{e.rec, e.aside})
+			g.Records = append(g.Records, Carried{Record: e.rec, Aside: e.aside})
 			*used += weigh(&e.rec)
 		}
 	}
@@ -212,8 +274,14 @@
 	}
 	asked := p.asked
 	p.asked, p.tries = nil, 0
+	if !asked.Vector && g.Life != p.life { // it was killed, and may lack what it had told before
+		p.sums, p.lists, p.keys = append(p.sums, asked.Sums...), append(p.lists, asked.Lists...), append(p.keys, asked.Keys...)
+		p.base, p.others = nil, true
+		m.pump()
+		return
+	}
 	if asked.Vector {
-		p.base = load(g.Vector)
+		p.base, p.life = load(g.Vector), g.Life
 		p.more = p.more || !m.vec.reaches(p.base)
 		m.hear(from, p.base, lacks, !g.Unkept)
 		if p.joint == nil {
@@ -225,6 +293,9 @@
 	for _, k := range lacks {
 		p.lacks[k] = true
 	}
+	for _, k := range g.Kinds {
+		p.lacks[k] = p.lacks[k] || m.kinds[k] == nil // not asked for
+	}
 	used := vectorBytes(g.Vector)
 	for _, s := range g.Sums {
 		if !slices.Contains(asked.Sums, s.Range) {
@@ -232,7 +303,7 @@
 		}
 		asked.Sums = slices.DeleteFunc(asked.Sums, func(r Range) bool { return r == s.Range })
 		used += 16 * 14
-		mine := m.tree.children(s.Range)
+		mine := m.children(p.kinds, s.Range)
 		for i := range 16 {
 			switch c := s.Range.child(i); {
 			case mine.Sums[i] == s.Sums[i] && mine.Count[i] == s.Count[i]:
@@ -250,7 +321,7 @@
 		asked.Lists = slices.DeleteFunc(asked.Lists, func(r Range) bool { return r == l.Range })
 		used += 18 * len(l.Keys)
 		mine, theirs := map[uint64]uint64{}, map[uint64]bool{}
-		m.tree.each(l.Range, func(e *entry) { mine[e.hash] += e.sum })
+		m.each(p.kinds, l.Range, func(e *entry) { mine[e.hash] += e.sum })
 		sums := map[uint64]uint64{}
 		for i, h := range l.Keys {
 			theirs[h] = true
@@ -262,7 +333,7 @@
 			}
 			theirs[h] = false // asked once
 		}
-		m.tree.each(l.Range, func(e *entry) {
+		m.each(p.kinds, l.Range, func(e *entry) {
 			if _, ok := theirs[e.hash]; !ok {
 				m.absent(p, e)
 			}
@@ -283,7 +354,7 @@
 			there[m.hashOf(c.Record.Kind, c.Record.Key)] = true
 		}
 		for i := asked.After >> (64 - 4*leafDepth); i < leaves; i++ {
-			for _, e := range m.tree.leaf[i] {
+			for _, e := range m.leaf(p.kinds, i) {
 				if e.hash >= asked.After && (e.hash < end || g.Done) && !there[e.hash] {
 					m.absent(p, e)
 				}
@@ -309,11 +380,15 @@
 func (m *Machine) fallen(r *Record) bool {
 	s := m.kinds[r.Kind]
 	e := s.byKey[r.Key]
-	return m.vec.covers(r.Dot) && !s.lacks && !m.fault.noRule && (e == nil || e.rec.Dot != r.Dot && m.order(s, r, &e.rec) > 0)
+	return m.vec.covers(r.Dot) && !m.lacks[r.Kind] && !m.fault.noRule && (e == nil || e.rec.Dot != r.Dot && m.order(s, r, &e.rec) > 0)
 }
 
 // pulled takes a record of the source, unless it fell here. What stands here falls if the source had it and has a lower one now.
 func (m *Machine) pulled(p *pull, c Carried) {
+	if m.kinds[c.Record.Kind] == nil {
+		m.dropped(c.Record.Kind)
+		return
+	}
 	if m.fallen(&c.Record) && !(c.Record.Dead && p.more && !m.fault.uncover) {
 		if len(p.odd) < mostGiven {
 			p.odd[c.Record.Dot] = c
@@ -340,7 +415,7 @@
 		// One dot under which each side has another key: neither was deleted.
 		if c, ok := p.odd[e.rec.Dot]; ok && (c.Record.Key != e.rec.Key || c.Record.Kind != e.rec.Kind) {
 			m.setAside(e)
-			if o := m.merge(Carried{c.Record, true}); o != nil && !o.aside && o.rec.Dot == c.Record.Dot {
+			if o := m.merge(Carried{Record: c.Record, Aside: true}); o != nil && !o.aside && o.rec.Dot == c.Record.Dot {
 				m.setAside(o)
 			}
 			continue
@@ -350,7 +425,7 @@
 		if (e.beat > p.beats || !all && (f.by != nil || e.rec.Dead)) && !m.fault.noRule && !m.fault.uncover {
 			continue
 		}
-		if p.joint.covers(e.rec.Dot) || m.fault.dropAll {
+		if (p.joint.covers(e.rec.Dot) && !p.lacks[e.rec.Kind]) || m.fault.dropAll {
 			if s := m.kinds[e.rec.Kind]; f.by == nil {
 				m.drop(e)
 			} else if m.order(s, &f.by.Record, &e.rec) < 0 {
@@ -358,6 +433,7 @@
 			}
 		}
 	}
+	raised := false
 	for name, w := range p.joint.of {
 		if m.vec.of[name] == nil && len(m.vec.of) >= mostWriters {
 			continue
@@ -366,6 +442,8 @@
 			if m.vec.raise(name, k.era, k.number) {
 				m.raised = append(m.raised, trackKey{m.intern(name), k.era})
 				delete(m.logs, trackKey{name, k.era}) // it goes on from here
+				delete(m.stopped, trackKey{name, k.era})
+				raised = true
 			}
 		}
 		if o := m.vec.of[name]; o != nil && w.floor > o.floor && len(o.marks) > 0 && o.marks[0].era >= w.floor {
@@ -373,9 +451,27 @@
 			m.raised = append(m.raised, trackKey{name, o.floor})
 		}
 	}
-	for _, id := range m.ids {
+	for _, id := range m.ids { // nor was what it had of a kind looked at that it was thought not to know
+		p.lacks[id] = p.lacks[id] || !slices.Contains(p.kinds, id)
+	}
+	for id, is := range p.lacks {
+		if raised && is { // its vector covers what it had not
+			m.dropped(id)
+		}
+	}
+	for _, id := range p.kinds {
 		s := m.kinds[id]
-		s.lacks = p.lacks[id] || s.lacks && s.refused != p.before[id]
+		switch {
+		case !m.lacks[id] || m.drops[id] != p.before[id] && !(raised && p.lacks[id] && m.drops[id] == p.before[id]+1):
+		case !p.lacks[id] && (p.joint.reaches(s.upto) || m.fault.clears):
+			s.full = false
+			m.lack(id, false)
+		case p.lacks[id] && !p.others:
+			if s.seen == nil {
+				s.seen = map[string]bool{}
+			}
+			s.seen[p.from] = true
+		}
 	}
 	m.pull = nil
 	if p.whole {
--- a/fleet/replica/table.go
+++ b/fleet/replica/table.go
@@ -13,6 +13,7 @@
 	rec       Record
 	aside     bool
 	gone      bool // out of the table: forgotten, or found deleted
+	hole      bool // of the log alone: a record of its kind that was dropped
 	dirty     bool
 	beat      uint64 // when it last stood over another's write that came: by the machine's count of those
 	hash, sum uint64 // of the key; of all
@@ -22,15 +23,20 @@
 type shelf struct {
 	Kind
 	byKey   map[string]*entry
+	tree    *tree
 	bytes   int
 	dead    int
 	aside   int
 	refused int
-	lacks   bool // some were dropped, and were not brought in since
 	full    bool // and that was told
+	// While some of it were dropped: members whose records were all looked at since the last was.
+	seen   map[string]bool
+	upto   *vector // what was covered when the last was, or more
+	uptoAt int     // drops then
 }
 
-// The tree: sums of all records by the upper bits of the hash of the key. Under the leaves it is worked out when asked for.
+// The tree of a kind: sums of its records by the upper bits of the hash of the key; those of several kinds are added up. Under the leaves it is
+// worked out when asked for.
 const (
 	leafDepth = 3 // of 4 bits each: 4,096 leaves, 128 KB
 	leaves    = 1 << (4 * leafDepth)
@@ -107,41 +113,85 @@
 	}
 }
 
-// Scan goes through what stands of a kind by the hash of the key, from a place on: so many records of any kind at least, and more only to the
+// Scan goes through what stands of a kind by the hash of the key, from a place on: so many of its records at least, and more only to the
 // end of a leaf. It gives the next place; 0 at the end.
 func (m *Machine) Scan(kind uint8, from uint64, most int, f func(Record)) (next uint64) {
 	const shift = 64 - 4*leafDepth
-	for i := from >> shift; i < leaves; i++ {
+	s := m.kinds[kind]
+	for i := from >> shift; s != nil && i < leaves; i++ {
 		if most <= 0 {
 			return i << shift
 		}
-		for _, e := range m.tree.leaf[i] {
-			if e.rec.Kind == kind && !e.rec.Dead && !e.aside {
+		for _, e := range s.tree.leaf[i] {
+			if !e.rec.Dead && !e.aside {
 				f(e.rec)
 			}
 		}
-		most -= 1 + len(m.tree.leaf[i])
+		most -= 1 + len(s.tree.leaf[i])
 	}
 	return 0
 }
 
 // children gives sums and counts of a range's sixteen parts.
-func (t *tree) children(r Range) (s Sums) {
+func (m *Machine) children(kinds []uint8, r Range) (s Sums) {
 	s = Sums{Range: r, Sums: make([]uint64, 16), Count: make([]uint32, 16)}
-	if r.Depth < leafDepth {
-		at := r.Prefix << 4
-		copy(s.Sums, t.sums[r.Depth+1][at:at+16])
-		copy(s.Count, t.count[r.Depth+1][at:at+16])
-		return s
+	for _, t := range m.trees(kinds) {
+		if r.Depth < leafDepth {
+			at := r.Prefix << 4
+			for i := range s.Sums {
+				s.Sums[i] += t.sums[r.Depth+1][at+uint64(i)]
+				s.Count[i] += t.count[r.Depth+1][at+uint64(i)]
+			}
+			continue
+		}
+		t.each(r, func(e *entry) {
+			i := e.hash >> (60 - 4*uint(r.Depth)) & 15
+			s.Sums[i] += e.sum
+			s.Count[i]++
+		})
 	}
-	t.each(r, func(e *entry) {
-		i := e.hash >> (60 - 4*uint(r.Depth)) & 15
-		s.Sums[i] += e.sum
-		s.Count[i]++
-	})
 	return s
 }
 
+// trees gives those of some kinds, as far as they are known here.
+func (m *Machine) trees(kinds []uint8) (all []*tree) {
+	for _, id := range m.ids {
+		if slices.Contains(kinds, id) {
+			all = append(all, m.kinds[id].tree)
+		}
+	}
+	return all
+}
+
+// each goes through a range of some kinds.
+func (m *Machine) each(kinds []uint8, r Range, f func(*entry)) {
+	for _, t := range m.trees(kinds) {
+		t.each(r, f)
+	}
+}
+
+// leaf gives the records of some kinds in a leaf, by hash.
+func (m *Machine) leaf(kinds []uint8, i uint64) (all []*entry) {
+	trees := m.trees(kinds)
+	for _, t := range trees {
+		all = append(all, t.leaf[i]...)
+	}
+	if len(trees) > 1 {
+		slices.SortStableFunc(all, func(a, b *entry) int { return cmp.Compare(a.hash, b.hash) })
+	}
+	return all
+}
+
+// live is the sum of what stands, but for kinds that are lacked.
+func (m *Machine) live() (sum uint64) {
+	for _, id := range m.ids {
+		if !m.lacks[id] {
+			sum += m.kinds[id].tree.live
+		}
+	}
+	return sum
+}
+
 // hashOf is the place of a key in the space.
 func (m *Machine) hashOf(kind uint8, key string) uint64 {
 	m.scratch = append(append(m.scratch[:0], kind), key...)
@@ -189,22 +239,21 @@
 
 func size(r *Record) int { return len(r.Key) + len(r.Value) }
 
-// merge has the higher of what comes and what stands stand. It gives the key's entry, nil where the kind is full.
+// merge has the higher of what comes and what stands stand. It gives the key's entry, a hole where the kind is full.
 func (m *Machine) merge(c Carried) *entry {
 	r, s := c.Record, m.kinds[c.Record.Kind]
 	e := s.byKey[r.Key]
 	if e == nil {
 		if len(s.byKey) >= s.Records || s.bytes+size(&r) > s.Bytes {
-			m.refuse(s, &r)
-			return nil
+			return m.refuse(s, &r)
 		}
 		r.Dot.Writer = m.intern(r.Dot.Writer)
 		e = &entry{rec: r, aside: c.Aside, hash: m.hashOf(r.Kind, r.Key)}
 		s.byKey[r.Key] = e
 		s.count(e, 1)
 		e.sum = m.sumOf(e)
-		m.tree.place(e)
-		m.tree.add(e, 1)
+		s.tree.place(e)
+		s.tree.add(e, 1)
 		m.touch(e)
 		return e
 	}
@@ -228,8 +277,7 @@
 		return e
 	}
 	if order > 0 && s.bytes+len(r.Value)-len(e.rec.Value) > s.Bytes {
-		m.refuse(s, &r)
-		return nil
+		return m.refuse(s, &r)
 	}
 	m.change(s, e, func() {
 		if order > 0 {
@@ -245,11 +293,11 @@
 func (m *Machine) change(s *shelf, e *entry, f func()) {
 	was := e.aside
 	s.count(e, -1)
-	m.tree.add(e, -1)
+	s.tree.add(e, -1)
 	f()
 	s.count(e, 1)
 	e.sum = m.sumOf(e)
-	m.tree.add(e, 1)
+	s.tree.add(e, 1)
 	m.touch(e)
 	if e.aside && !was {
 		m.tellAside = append(m.tellAside, e)
@@ -282,20 +330,50 @@
 	}
 	s := m.kinds[e.rec.Kind]
 	s.count(e, -1)
-	m.tree.add(e, -1)
-	m.tree.take(e)
+	s.tree.add(e, -1)
+	s.tree.take(e)
 	delete(s.byKey, e.rec.Key)
 	e.gone = true
 	m.touch(e)
 }
 
-func (m *Machine) refuse(s *shelf, r *Record) {
+func (m *Machine) refuse(s *shelf, r *Record) *entry {
 	s.refused++
-	s.lacks = true
 	if !s.full {
 		s.full = true
 		m.event(Event{What: "full", Kind: s.ID, Key: r.Key, Dot: r.Dot})
 	}
+	return m.dropped(s.ID)
+}
+
+// dropped books that a record of a kind is not kept, whose number the vector is about to cover: it is lacked until all of the kind was brought in
+// anew. In the log its place is a hole.
+func (m *Machine) dropped(kind uint8) *entry {
+	m.lack(kind, true)
+	m.drops[kind]++
+	if s := m.kinds[kind]; s != nil {
+		s.seen = nil
+	} else if !m.strange[kind] {
+		m.strange[kind] = true
+		m.event(Event{What: "strange", Kind: kind})
+	}
+	if m.holes[kind] == nil {
+		m.holes[kind] = &entry{rec: Record{Kind: kind}, hole: true}
+	}
+	return m.holes[kind]
+}
+
+// lack books whether some of a kind are lacked. It is saved with the vector: the next start is to know of what that says nothing.
+func (m *Machine) lack(kind uint8, is bool) {
+	if m.fault.claims || m.lacks[kind] == is {
+		return
+	}
+	m.lacks[kind], m.lacksDirty, m.lacked = is, true, nil
+	for id, is := range m.lacks {
+		if is {
+			m.lacked = append(m.lacked, uint8(id))
+		}
+	}
 }
 
 func (m *Machine) touch(e *entry) {
--- a/fleet/replica/types.go
+++ b/fleet/replica/types.go
@@ -71,6 +71,7 @@
 	Got    Level // the highest that it got
 	Copies int   // known to have it, with the writer; 0 where not even the writer is known to keep it: in doubt, it may come to stand
 	Zones  int
+	Lower  bool // another holds a deletion that stands over it: it may go with that. Never met
 }
 
 // Member is another dispatcher, as members knows it.
--- a/internal/fleet/memory.go
+++ b/internal/fleet/memory.go
@@ -22,10 +22,19 @@
 	skipped int               // records that can't be read although they are whole: of a later version
 }
 
-// stamp is the era, and when the last save was. The time is this machine's own, and compared with no other's.
+// stamp is the era, and when the fleet was heard last. The time is this machine's own, and compared with no other's.
 type stamp struct {
-	Era  uint64 `cbor:"1,keyasint"`
-	Unix int64  `cbor:"2,keyasint"` // s
+	Era   uint64 `cbor:"1,keyasint"`
+	Unix  int64  `cbor:"2,keyasint"`           // s; of a disk of before, when the last save was
+	Lacks []byte `cbor:"3,keyasint,omitempty"` // kinds of which the vector says nothing
+}
+
+// away is how long it is since a time of this machine's clock; without end where that was set back, so that nothing tells.
+func away(since, now time.Time) float64 {
+	if s := now.Sub(since).Seconds(); s >= 0 {
+		return s
+	}
+	return math.Inf(1)
 }
 
 // Beginnings of keys.
@@ -66,8 +75,8 @@
 			if err := decoding.Unmarshal(value, &at); err != nil {
 				return nil, fmt.Errorf("%s: %w", s.path, err)
 			}
-			saved.Era, s.era = at.Era, at.Era
-			saved.Away = math.Max(0, now.Sub(time.Unix(at.Unix, 0)).Seconds())
+			saved.Era, s.era, saved.Lacks = at.Era, at.Era, append(saved.Lacks, at.Lacks...)
+			saved.Away = away(time.Unix(at.Unix, 0), now)
 		case vectorAt:
 			var e replica.Entry
 			if err := decoding.Unmarshal(value, &e); err != nil {
@@ -78,6 +87,7 @@
 			var c replica.Carried
 			if decoding.Unmarshal(value, &c) != nil {
 				s.skipped++
+				saved.Lacks = append(saved.Lacks, key[1])
 				continue
 			}
 			saved.Records = append(saved.Records, c)
@@ -99,6 +109,9 @@
 	return vectorAt + string(binary.BigEndian.AppendUint64(nil, e.Era)) + e.Writer
 }
 
+// longestAway is as long as ever, in s: beyond any horizon.
+const longestAway = 1e9
+
 // mostOwedChanges is how many changes wait for the disk: what all kinds may have, about.
 const mostOwedChanges = 1 << 20
 
@@ -144,7 +157,8 @@
 		return err
 	}
 	era := max(s.era, in.Era)
-	err := put(stampAt, stamp{era, time.Now().Unix()})
+	heard := time.Now().Unix() - int64(min(in.Away, longestAway))
+	err := put(stampAt, stamp{era, max(heard, 0), in.Lacks})
 	for i := range in.Records {
 		err = errors.Join(err, put(recordKey(in.Records[i].Record.Kind, in.Records[i].Record.Key), in.Records[i]))
 	}
--- a/internal/fleet/recall.go
+++ b/internal/fleet/recall.go
@@ -373,14 +373,20 @@
 	for _, e := range out.Events {
 		line := m.fleet.Log.Info()
 		switch e.What {
-		case "aside", "twin", "full", "refused":
+		case "aside", "twin", "full", "refused", "strange":
 			line = m.fleet.Log.Warn()
 		}
 		if e.Who != "" {
 			line = line.Str("who", e.Who)
 		}
+		if e.Kind > 0 {
+			line = line.Uint8("kind", e.Kind)
+		}
 		if e.Key != "" {
-			line = line.Uint8("kind", e.Kind).Str("key", e.Key)
+			line = line.Str("key", e.Key)
+		}
+		if e.What == "strange" {
+			line = line.Str("means", "others write a kind of records that this version doesn't know: none of them is kept here, and all of them are learned once it knows them")
 		}
 		line.Msg("memory: " + e.What)
 	}
