--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -117,6 +117,12 @@
 			fmt.Fprintf(to, "  %s: %s records, %s, %d deleted, %d set aside, %d refused\n", k.Kind, humanize.Comma(int64(k.Records)), humanize.IBytes(uint64(k.Bytes)),
 				k.Dead, k.Aside, k.Refused)
 		}
+		if k.Lacks {
+			fmt.Fprintf(to, "  %s: some were dropped here, and are not brought in yet; nothing of it is acknowledged\n", k.Kind)
+		}
+	}
+	if len(m.Strange) > 0 {
+		fmt.Fprintf(to, "  kinds %v: written by others, of a version later than this one's; not kept here\n", m.Strange)
 	}
 }
 
--- a/fleet/replica/fall_test.go
+++ b/fleet/replica/fall_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -92,3 +93,85 @@
 		}
 	}
 }
+
+// A write under a deletion that its writer has forgotten and another still holds is not acknowledged: its writer hears it, whoever passes it on.
+func TestAWriteUnderAForgottenDeletionIsTold(t *testing.T) {
+	for _, fault := range []bool{false, true} {
+		w := newWorld(t, 3, 9)
+		w.boot = func(m *Machine) { m.fault.countsFallen = fault }
+		w.all()
+		w.run(3)
+		x, sure := w.nodes[0], Sure{Level: Majority, Within: 5}
+		_, err := w.write(x, kindText, "k", "5", true, sure)
+		require.NoError(t, err)
+		w.run(1)
+		x.m.drop(x.m.kinds[kindText].byKey["k"])
+		var out []Outcome
+		dot, err := w.write(x, kindText, "k", "4", false, sure)
+		require.NoError(t, err)
+		w.told = func(o Outcome) { out = append(out, o) }
+		w.run(3)
+		require.Len(t, out, 1)
+		assert.Equal(t, dot, out[0].Dot)
+		assert.Equal(t, []bool{fault, !fault}, []bool{out[0].Met, out[0].Lower})
+	}
+}
+
+// One that is cut off, and starts again and again, was away since it heard the fleet last: beyond the horizon it takes all.
+func TestAwaySinceItHeardTheFleet(t *testing.T) {
+	for _, fault := range []bool{false, true} {
+		w := newWorld(t, 3, 10)
+		w.boot, w.horizon = func(m *Machine) { m.fault.savesTouch = fault }, 60
+		w.all()
+		w.run(100)
+		x := w.nodes[2]
+		w.kill(x)
+		saved := x.disk.load(w.now)
+		require.Less(t, saved.Away, 30.0, "it is kept although nothing is written")
+		w.fill(w.nodes[0], 10, "a")
+		w.cutOff[x.name] = 1
+		for range 5 {
+			w.start(x, x.disk.load(w.now))
+			w.run(15)
+			w.kill(x)
+		}
+		w.start(x, x.disk.load(w.now))
+		w.heal()
+		require.Less(t, w.settle(40), 40.0)
+		assert.Equal(t, fault, x.m.Status().Wholes == 0)
+		assert.Empty(t, w.verdict())
+	}
+}
+
+// A kind that was full at all of them, so that none has all of it, is brought in once there is room, also after a start; then it is acknowledged again.
+func TestWhatWasDroppedIsBroughtIn(t *testing.T) {
+	w := newWorld(t, 3, 11)
+	w.few, w.horizon = 20, 30
+	w.all()
+	w.run(3)
+	for i, x := range w.nodes {
+		w.cutOff[x.name] = i
+	}
+	w.fleet()
+	for i, x := range w.nodes {
+		w.fill(x, 15, fmt.Sprint(i))
+	}
+	w.heal()
+	w.run(20)
+	for _, x := range w.nodes {
+		require.NotEmpty(t, x.m.lacked, x.name)
+		w.kill(x)
+	}
+	w.few = 200
+	for _, x := range w.nodes {
+		w.start(x, x.disk.load(w.now))
+		assert.NotEmpty(t, x.m.lacked, "it is kept")
+	}
+	require.Less(t, w.settle(60), 60.0)
+	assert.Len(t, w.state(w.nodes[0]), 45)
+	dot, err := w.write(w.nodes[0], kindText, "k", "5", false, Sure{Level: Copies, Copies: 3, Within: 5})
+	require.NoError(t, err)
+	w.run(3)
+	assert.Equal(t, Majority, w.writes[dot].met)
+	assert.Empty(t, w.verdict())
+}
--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -150,7 +150,7 @@
 	told                  map[string]told      // by member
 	fell                  map[string][]Dot     // by writer, the last ones: writes that a deletion stands over
 	fellAt                float64
-	checkLacks            [256]bool // kinds of which check says nothing for somebody: their tombstones stay
+	checkLacks            [256]bool // kinds that somebody doesn't know, and may have on its disk: their tombstones stay
 	stableLacks           [256]bool
 
 	pull    *pull
@@ -170,7 +170,7 @@
 	held    *Save // of the fault
 	unkept  bool
 
-	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover, claims, clears, forgets, countsFallen, savesTouch bool } // put in by tests
+	fault struct{ joinFirst, forgetEarly, noLaw, ackEarly, dropAll, noRule, ackUnkept, uncover, claims, clears, oneLife, forgets, countsFallen, savesTouch bool } // put in by tests
 }
 
 // New makes a machine of what its disk held. It fails where settings contradict, or the disk holds what they don't allow.
@@ -191,7 +191,7 @@
 		m.ids = append(m.ids, k.ID)
 	}
 	slices.Sort(m.ids)
-	if saved == nil {
+	if saved == nil || saved.Era == 0 { // none, or an empty one
 		// Guards against a lost disk whose last writes only some know: those eras are not given twice.
 		m.era = 1 + uint64(m.chance.Uint32()>>1)
 		return m, nil
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -274,7 +274,7 @@
 	}
 	asked := p.asked
 	p.asked, p.tries = nil, 0
-	if !asked.Vector && g.Life != p.life { // it was killed, and may lack what it had told before
+	if !asked.Vector && g.Life != p.life && !m.fault.oneLife { // it was killed, and may lack what it had told before
 		p.sums, p.lists, p.keys = append(p.sums, asked.Sums...), append(p.lists, asked.Lists...), append(p.keys, asked.Keys...)
 		p.base, p.others = nil, true
 		m.pump()
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -40,10 +40,11 @@
 		"a kind not known is dropped in silence":   func(m *Machine) { m.fault.claims = true },
 		"what was dropped is not kept on the disk": func(m *Machine) { m.fault.forgets = true },
 		"a source that is behind ends a lack":      func(m *Machine) { m.fault.clears = true },
+		"a source's two lives are one":             func(m *Machine) { m.fault.oneLife = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			from := map[string]uint64{"what fell is taken again": 60}[name] // few find it
+			from := map[string]uint64{"what fell is taken again": 60, "a source's two lives are one": 330}[name] // few find it
 			for seed := from; seed < from+300; seed++ {
 				if bad := schedule(t, seed, boot); len(bad) > 0 {
 					t.Logf("found by schedule %d: %s", seed, strings.SplitN(bad[0], "\n", 2)[0])
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -528,7 +528,7 @@
 	}
 	if kept && v.reaches(m.check) {
 		m.checked[from] = true
-		for _, id := range lacks {
+		for _, id := range m.told[from].strange {
 			m.checkLacks[id] = true
 		}
 	}
@@ -723,7 +723,7 @@
 			}
 		}
 		m.check, m.checked, m.more = m.vec.clone(), map[string]bool{}, map[string]bool{}
-		m.checkLacks = m.lacks
+		m.checkLacks = [256]bool{}
 	}
 	kept := m.graves[:0]
 	for _, g := range m.graves {
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -122,9 +122,11 @@
 	of      map[Name][]*written
 	events  []Event
 	boot    func(m *Machine)
+	told    func(Outcome)
 	problem []string
 	horizon float64
 	mixed   bool // versions
+	few     int  // records of a kind, at most
 }
 
 func newWorld(t require.TestingT, n int, seed uint64) *world {
@@ -142,6 +144,9 @@
 	x.boots++
 	x.owed = nil
 	all := kinds()
+	if w.few > 0 {
+		all[1].Records = w.few
+	}
 	if x.newer {
 		all = append(all, Kind{ID: kindNew, Name: "new", Records: 200_000, Bytes: 1 << 26, Longest: 1000})
 	}
@@ -201,6 +206,9 @@
 		x.m.Unkept(x.full)
 	}
 	for _, o := range r.Outcomes {
+		if w.told != nil {
+			w.told(o)
+		}
 		if wr := w.writes[o.Dot]; wr != nil && o.Copies > 0 {
 			wr.acked, wr.met = true, o.Got
 		}
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -21,6 +21,12 @@
 // faultKinds has a kind for tests whose acknowledged records are synced: the higher bytes stand.
 var faultKinds = []replica.Kind{{ID: 250, Name: "test", Records: 50_000, Bytes: 32 << 20, Longest: 4096, Sync: true, Law: bytes.Compare}}
 
+func init() {
+	if os.Getenv("ELDERWALL_FAULT_OLDER") != "" { // a version that doesn't know it
+		faultKinds = nil
+	}
+}
+
 func driven(t float64) float64 {
 	if faultClock > 0 {
 		return t * faultClock
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -425,6 +425,106 @@
 	m.same(160, 0, 1, 2, 4)
 }
 
+// A version with a new kind is rolled out to one after the other, and back at one: purges go on both ways, what was acknowledged is kept, and
+// whoever comes to know the kind gets all of it, from whoever is left.
+func TestKindsAreRolledOut(t *testing.T) {
+	m := remember(t, 4, "")
+	version := func(env []string, who ...int) {
+		for _, i := range who {
+			m.Processes[i].Kill()
+		}
+		m.Env = env
+		for _, i := range who {
+			m.Processes[i].Start()
+		}
+		m.Env = nil
+		m.whole()
+	}
+	older, number := []string{"ELDERWALL_FAULT_OLDER=yes"}, 0
+	purge := func(at int) {
+		number++
+		k, value, _ := floors.Record(floors.Floor{Object: fmt.Sprint(number), Time: time.Now().UnixMilli()})
+		told, err := m.ask(at, AskWrite, majority, replica.Record{Kind: floors.ID, Key: k, Value: value})
+		require.NoError(t, err)
+		require.True(t, told.Ended[0].Met, "%+v", told.Ended)
+		for i := range 4 {
+			m.Until(soon, "it is known", func() error {
+				if told, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: floors.ID, Key: k}); err != nil || len(told.Records) != 1 {
+					return errors.Join(err, errMessage)
+				}
+				return nil
+			})
+		}
+	}
+	version(older, 2, 3)
+	m.write(0, 0, 500, "by one that knows it", two)
+	purge(0)
+	purge(2)
+	told, err := m.ask(1, AskWrite, replica.Sure{Level: replica.Copies, Copies: 3, Within: 1}, replica.Record{Kind: testKind, Key: key(500), Value: []byte("a")})
+	require.NoError(t, err)
+	assert.Equal(t, []any{false, 2}, []any{told.Ended[0].Met, told.Ended[0].Copies}, "two know it")
+	version(nil, 2)
+	m.same(501, 0, 1, 2)
+	m.write(2, 501, 600, "by who came to know it", three)
+	version(older, 2) // and back
+	m.write(0, 0, 100, gone, two)
+	m.write(1, 600, 700, "while it was older", two)
+	purge(2)
+	for _, i := range []int{2, 3} {
+		assert.Equal(t, []int{testKind}, m.memory(i).Strange)
+	}
+	version(nil, 2, 3)
+	m.same(600, 0, 1, 2, 3)
+	for i := range 4 {
+		m.write(i, 700+i, 701+i, "by all", replica.Sure{Level: replica.Copies, Copies: 4, Within: 3})
+		s := m.memory(i)
+		assert.False(t, s.kind("test").Lacks || len(s.Strange) > 0)
+	}
+	purge(3)
+}
+
+// Channels are turned on at one after the other: what is written there is kept by all, and purges go on both ways.
+func TestChannelsAreTurnedOnAtSome(t *testing.T) {
+	c := &channelRig{dutyRig: duty(t, 4, 3, func(m *memberRig) {
+		for i := range 4 {
+			if m.more[i] += `, memory: {folder: "memory"}`; i < 2 {
+				m.more[i] += `, channels: ` + declared
+			}
+		}
+	})}
+	m := &memoryRig{c.memberRig}
+	write := c.at(0, 1).Writer("all_key", "w")
+	for i := range 20 {
+		c.Until(soon, "it is acknowledged", func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			return write(ctx, fmt.Sprint(i), "body")
+		})
+	}
+	for _, at := range []int{0, 3} {
+		k, value, _ := floors.Record(floors.Floor{Group: at + 1, Time: time.Now().UnixMilli()})
+		told, err := m.ask(at, AskWrite, replica.Sure{Level: replica.Copies, Copies: 4, Within: 3}, replica.Record{Kind: floors.ID, Key: k, Value: value})
+		require.NoError(t, err)
+		assert.True(t, told.Ended[0].Met)
+	}
+	m.Until(soon, "all have the entries", func() error {
+		var first []byte
+		for i := range 4 {
+			told, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: channels.EntryKind})
+			if err != nil || told.Number < 20 {
+				return fmt.Errorf("n%d: %d, %w", i, told.Number, errors.Join(err, errMessage))
+			}
+			if first == nil {
+				first = told.Records[0].Value
+			}
+			if !bytes.Equal(first, told.Records[0].Value) {
+				return fmt.Errorf("n%d differs", i)
+			}
+		}
+		return nil
+	})
+}
+
 // Clocks run ten times as fast, and at a tenth: none is compared with another's, so all that changes is when each forgets.
 func TestClocksOfTheMemoryRunOff(t *testing.T) {
 	m := remember(t, 4, `horizon: "10s"`)
