--- a/fleet/replica/machine.go
+++ b/fleet/replica/machine.go
@@ -150,7 +150,7 @@
 	told                  map[string]told      // by member
 	fell                  map[string][]Dot     // by writer, the last ones: writes that a deletion stands over
 	fellAt                float64
-	checkLacks            [256]bool // kinds that somebody doesn't know, and may have on its disk: their tombstones stay
+	checkLacks            [256]bool // kinds that somebody lacks some of
 	stableLacks           [256]bool
 
 	pull    *pull
@@ -158,7 +158,8 @@
 	life    uint64
 	touched float64 // when the fleet was heard last, before this start too; as was saved
 	walkAt  float64
-	unlike  int // times in a row that equal vectors had unequal sums
+	barren  bool // the last pull brought no vector further
+	unlike  int  // times in a row that equal vectors had unequal sums
 	beats   uint64
 	behind  int
 	bucket  float64 // bytes that may be pulled
--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -89,9 +89,10 @@
 	return slices.ContainsFunc(m.told[name].lacks, func(id uint8) bool { return m.kinds[id] != nil })
 }
 
-// near gives one of the own zone for a whole snapshot, and one that lacks nothing, where there is one.
+// near gives one of the own zone for a whole snapshot, and one that lacks nothing, where there is one. Guards against two of a zone that begin with
+// nothing and take it from each other: after a pull that brought nothing it is whoever was heard to have more.
 func (m *Machine) near(not string, whole bool) string {
-	if !whole {
+	if !whole || m.barren {
 		return not
 	}
 	best, least := []string{not}, 4
@@ -451,6 +452,7 @@
 			m.raised = append(m.raised, trackKey{name, o.floor})
 		}
 	}
+	m.barren = !raised
 	for _, id := range m.ids { // nor was what it had of a kind looked at that it was thought not to know
 		p.lacks[id] = p.lacks[id] || !slices.Contains(p.kinds, id)
 	}
--- a/fleet/replica/step.go
+++ b/fleet/replica/step.go
@@ -528,7 +528,7 @@
 	}
 	if kept && v.reaches(m.check) {
 		m.checked[from] = true
-		for _, id := range m.told[from].strange {
+		for _, id := range lacks {
 			m.checkLacks[id] = true
 		}
 	}
@@ -723,13 +723,13 @@
 			}
 		}
 		m.check, m.checked, m.more = m.vec.clone(), map[string]bool{}, map[string]bool{}
-		m.checkLacks = [256]bool{}
+		m.checkLacks = m.lacks
 	}
 	kept := m.graves[:0]
 	for _, g := range m.graves {
 		switch {
 		case g.e.gone || !g.e.rec.Dead || g.e.rec.Dot != g.dot:
-		case m.stable != nil && m.stable.covers(g.dot) && !m.stableLacks[g.e.rec.Kind] || m.now-g.seen > m.s.Horizon || m.fault.forgetEarly:
+		case m.stable != nil && m.stable.covers(g.dot) && !m.holdsDead(g.e.rec.Kind) || m.now-g.seen > m.s.Horizon || m.fault.forgetEarly:
 			m.drop(g.e)
 		default:
 			kept = append(kept, g)
@@ -739,6 +739,13 @@
 	m.graves = kept
 }
 
+// holdsDead tells whether tombstones of a kind are kept to the horizon: somebody's vector says nothing of it, who may have what was deleted. Where room
+// is short they go all the same, and a later walk settles it.
+func (m *Machine) holdsDead(kind uint8) bool {
+	s := m.kinds[kind]
+	return m.stableLacks[kind] && 2*len(s.byKey) < s.Records && 2*s.bytes < s.Bytes
+}
+
 // Unkept tells whether the disk lags behind: a Save failed, and is still owed. Until all is kept, others' news is taken and passed on, nothing
 // is acknowledged, and no write is taken. What a Ready whose Save failed had to send is not to be sent. Writes that are open end as not met.
 func (m *Machine) Unkept(unkept bool) {
