--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -44,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			from := map[string]uint64{"what fell is taken again": 60, "a source's two lives are one": 330}[name] // few find it
+			from := map[string]uint64{"what fell is taken again": 60, "a source's two lives are one": 225}[name] // few find it
 			for seed := from; seed < from+300; seed++ {
 				if bad := schedule(t, seed, boot); len(bad) > 0 {
 					t.Logf("found by schedule %d: %s", seed, strings.SplitN(bad[0], "\n", 2)[0])
