--- a/fleet/replica/pull.go
+++ b/fleet/replica/pull.go
@@ -207,6 +207,11 @@
 	if m.serves < -fillStream {
 		return
 	}
+	if len(p.Kinds) == 0 { // of a version before those were told. Guards against an answer of nothing: what it has would fall there
+		all := *p
+		all.Kinds = m.ids
+		p = &all
+	}
 	g := &Give{ID: p.ID, Life: m.life}
 	used := 0
 	if p.Vector {
