Fills that never began, or are late for their size alone, shut no limit where nothing tells

Of 1,243 fills that it judged 107 were late: 39 never came to their host (connections not up in 0.4 s), 5 broke, and 41% of those that were returned late were in time by their own size: paces learned from notes alone, and that site's answers carry none. Sites with notes never judged these. Ruled out: the release of the hosts (all cuts come before it).

Change: what did not reach its host, or broke with its connection, is no judgement on fills (forward.told); where no note tells, a forward to a cache that is thought to hold the object tells the usual pace, so that bytes set the latency objective (paced). Nothing on cold hosts or rules was touched.

--- a/control/control.go
+++ b/control/control.go
@@ -584,7 +584,7 @@
 	g.lacked, g.looked = f.heldOnly && a.Outcome == Empty, g.looked || sourceFault(n)
 	// Its client took it back early, or one of many hosts was silent: no sign of slow fills.
 	early := a.Outcome == Revoked && (g.over && a.Elapsed <= f.objective || f.host.left && f.host.belief != nil)
-	if !early && o != Recalled && (n == Filled || n == FilledByOrigin || o == Revoked && f.miss ||
+	if !early && f.told() && (n == Filled || n == FilledByOrigin || o == Revoked && f.miss ||
 		n >= SourceRefused && n != SourceLacks || d.Detail != Full && (f.miss && n != Hit || o == NotTaken)) {
 		limits := f.judgedBy()
 		if n == FilledByOrigin || n == OriginFailed {
--- a/control/paces_test.go
+++ b/control/paces_test.go
@@ -170,3 +170,50 @@
 		assert.Equal(t, tt.left, left, name)
 	}
 }
+
+// Where no note tells of fills, what never came to its host, or came late for its size alone, says nothing of the way in. Guards against a
+// limit on fills that such ends close in calm, so that a burst, or hosts that start cold, find it shut.
+func TestTheLimitOnFillsStandsWhereNothingTellsOfFills(t *testing.T) {
+	for name, tt := range map[string]struct {
+		end  func(f Forward, a *Answer)
+		cuts bool
+	}{
+		"connections that do not come up": {end: func(f Forward, a *Answer) {
+			if f.GET%4 == 0 && a.Forward == 0 {
+				*a = Answer{GET: f.GET, Outcome: Unreached, Elapsed: 0.4}
+			}
+		}},
+		"connections that break": {end: func(f Forward, a *Answer) {
+			if f.GET%4 == 0 && a.Forward == 0 {
+				*a = Answer{GET: f.GET, Outcome: Dropped, Elapsed: 0.1}
+			}
+		}},
+		"large objects": {end: func(f Forward, a *Answer) {
+			if (f.GET-1)%12 > 8 { // of the last object; quick at first, when no size is known
+				a.SizeKB, a.Elapsed = 8*clip, 8*clip*pace*map[bool]float64{true: 0.3, false: 1}[f.GET <= 24]
+			}
+		}},
+		"fills that are slow": {cuts: true, end: func(f Forward, a *Answer) {
+			if f.Source != f.Host {
+				a.Elapsed *= 8
+			}
+		}}} {
+		t.Run(name, func(t *testing.T) {
+			d, r := fleet(func(s *Settings) { s.Detail, s.Services[0].Stretch = Silent, 2 })
+			c := &crowd{Dispatcher: d, r: r}
+			c.end = func(f Forward, a *Answer) {
+				a.Note = NoNote
+				tt.end(f, a)
+			}
+			for range 6 { // of three GETs each the first may be a fill, as far as the dispatcher knows
+				for i := range 4 {
+					for range 3 {
+						c.get(fmt.Sprint("o", i), true)
+					}
+				}
+				c.now += 30
+			}
+			assert.Equal(t, tt.cuts, d.fills.known > 0, "that it was cut")
+		})
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -678,6 +678,9 @@
 	}
 	g.item.kb = a.SizeKB
 	g.ds.kb.add(a.SizeKB, learn)
+	if d.Detail == Silent && !f.miss { // as far as is known: else no size would tell what time a GET takes
+		a.Note = Hit
+	}
 	switch a.Note {
 	case Hit:
 		d.paces.Hit(d.now, &f.host.pace, a.SizeKB, a.Elapsed)
@@ -733,7 +736,18 @@
 	return d.paces.Expected(cmp.Or(g.item.kb, g.ds.kb.mean))
 }
 
-// unfinished takes in what a fill that has not come tells of its source and the way in.
+// told tells whether a forward came to its host and ended there, whatever the answer. Guards against connections that do not come up,
+// or break, passing for a crowded way in where no note tells of fills.
+func (f *forward) told() bool {
+	o := f.answer.Outcome
+	return o != Recalled && o != Unreached && o != Dropped && o != Unused
+}
+
+// unfinished takes in what a fill that has not come tells of its source and the way in; not where no note tells of those that came: the way
+// in would look as crowded as its latest fills.
 func (d *Dispatcher) unfinished(g *get, f *forward) {
+	if d.Detail == Silent {
+		return
+	}
 	d.paces.Unfinished(d.now, &f.host.pace, &f.source.pace, cmp.Or(g.item.kb, g.ds.kb.mean), d.now-f.at)
 }
