--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -90,9 +90,9 @@
 
 // keys is a dispatcher's way to find keys.
 type keys interface {
-	key(now float64, o *item, class int) (stands int, checks bool)
+	key(now float64, o *item, class int) (stands, beside int, checks bool)
 	// answered takes what came for a GET; false where the bytes may not go to it, and it has to be sent by its own class.
-	answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool
+	answered(now float64, o *item, class, asked, beside int, host uint32, a copyOf) bool
 	purged(now float64, o *item, purge uint64)
 	facts() []variantFact
 	learn(now float64, f variantFact)
@@ -122,6 +122,11 @@
 	class int
 }
 
+type placeKey struct {
+	hostKey
+	beside int
+}
+
 type variantsWorld struct {
 	VariantsScenario
 	chance *rand.Rand
@@ -131,7 +136,7 @@
 	upTo   []float64 // popularity, summed up
 	hosts  []*simplelru.LRU[hostKey, copyOf]
 	index  order.Index[uint32]
-	first  map[hostKey]*order.First
+	first  map[placeKey]*order.First
 	all    []keys
 	heard  [][]uint64 // by dispatcher and item: the highest purge
 	next   uint64
@@ -151,7 +156,7 @@
 	if s.Dispatchers < 1 || s.Hosts < 1 || s.Objects < 1 || s.Rate <= 0 || len(s.Same) < 1 || s.Holds < 1 || s.Span <= 0 {
 		return nil, fmt.Errorf("variants: %d dispatchers, %d hosts, %d objects of %d classes: out of range", s.Dispatchers, s.Hosts, s.Objects, len(s.Same))
 	}
-	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[hostKey]*order.First{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
+	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[placeKey]*order.First{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
 	sum := 0.0
 	for i := range s.Objects {
 		w.items = append(w.items, w.item(i))
@@ -288,7 +293,7 @@
 		w.out.GETs++
 		w.worth += worth
 	}
-	asked, checks := class, false
+	asked, beside, checks := class, 0, false
 	switch {
 	case o.service == tokened || w.Way == ByClass:
 	case w.Way == OneKey:
@@ -297,7 +302,7 @@
 		truth := o.states[len(o.states)-1]
 		asked = slices.Index(truth, truth[class])
 	default:
-		asked, checks = w.all[d].key(w.now, o, class)
+		asked, beside, checks = w.all[d].key(w.now, o, class)
 	}
 	if truth := o.states[len(o.states)-1]; counts && o.service != tokened && slices.Index(truth, truth[class]) != asked {
 		if checks {
@@ -306,21 +311,21 @@
 			w.out.Apart++
 		}
 	}
-	a, hit, host, ok := w.fetch(o, asked)
+	a, hit, host, ok := w.fetch(o, asked, beside)
 	if ok && o.service != tokened {
 		switch w.Way {
 		case ByClass, OneKey:
 		case Knowing:
 			if a.content != o.states[a.state][class] {
-				a, hit, _, ok = w.fetch(o, class)
+				a, hit, _, ok = w.fetch(o, class, 0)
 			}
 		default:
-			if !w.all[d].answered(w.now, o, class, asked, host, a) {
+			if !w.all[d].answered(w.now, o, class, asked, beside, host, a) {
 				if counts {
 					w.out.Again++
 				}
-				if a, hit, host, ok = w.fetch(o, class); ok {
-					w.all[d].answered(w.now, o, class, class, host, a)
+				if a, hit, host, ok = w.fetch(o, class, 0); ok {
+					w.all[d].answered(w.now, o, class, class, 0, host, a)
 				}
 			}
 			w.spread(d)
@@ -341,16 +346,17 @@
 	}
 }
 
-// fetch gets an answer of a class from the host that its key names.
-func (w *variantsWorld) fetch(o *item, class int) (a copyOf, hit bool, host uint32, ok bool) {
+// fetch gets an answer of a class from the host that its key, or a place beside, names.
+func (w *variantsWorld) fetch(o *item, class, beside int) (a copyOf, hit bool, host uint32, ok bool) {
 	k := hostKey{o.id, class}
-	spread, first := 1, w.first[k]
+	at := placeKey{k, beside}
+	spread, first := 1, w.first[at]
 	if o.index < len(w.items)/100 {
 		spread = 3
 	}
 	skip := w.chance.IntN(spread)
-	w.index.Walk(order.Mix(o.id+uint64(class)), &first, skip, func(h uint32) bool { host = h; return false })
-	w.first[k] = first
+	w.index.Walk(order.Mix(o.id+uint64(class+variants.MaxClasses*beside)), &first, skip, func(h uint32) bool { host = h; return false })
+	w.first[at] = first
 	held := w.hosts[host-1]
 	if a, hit = held.Get(k); hit && w.now < a.at+w.Lasts {
 		return a, true, host, true
@@ -500,14 +506,14 @@
 	return variants.Object{Service: o.service, Object: o.id, Group: o.service}
 }
 
-func (p *program) key(now float64, o *item, class int) (int, bool) {
+func (p *program) key(now float64, o *item, class int) (stands, beside int, checks bool) {
 	p.floor, p.known = p.Told(named1(o)), p.order
 	p.key1 = p.Key(now, named1(o), class)
-	return p.key1.Class, p.key1.Checks
+	return p.key1.Class, p.key1.Beside, p.key1.Checks
 }
 
-func (p *program) answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool {
-	answer := variants.Answer{Object: named1(o), Class: asked, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known}
+func (p *program) answered(now float64, o *item, class, asked, beside int, host uint32, a copyOf) bool {
+	answer := variants.Answer{Object: named1(o), Class: asked, Beside: beside, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known}
 	p.Answered(now, answer)
 	k := p.key1
 	if asked == class {
--- a/fleet/variants/checker_test.go
+++ b/fleet/variants/checker_test.go
@@ -39,6 +39,7 @@
 	witnesses int
 	liar      bool // host 0 tells the tag of class 0 for all, often
 	room      int
+	spread    int // hosts that a key may go to, from the first of its order on; 0 for three
 }
 
 type event struct {
@@ -76,8 +77,8 @@
 	purges  uint64
 	content uint64
 
-	gets, rewritten, again, held, wrong int
-	first                               string
+	gets, rewritten, again, held, beside, wrong int
+	first                                       string
 }
 
 func (w *world) in(s float64, do func()) { heap.Push(&w.queue, event{w.now + s, do}) }
@@ -166,10 +167,10 @@
 }
 
 // forward asks a host for an object by a class, and gives what came, with the generation that it is labelled by.
-func (w *world) forward(d, o, c int, then func(a variants.Answer, x copied)) {
+func (w *world) forward(d, o, c, beside int, then func(a variants.Answer, x copied)) {
 	s := w.rng.IntN(shards)
 	label, known, bound := w.modules[d].Told(w.object(o)), w.newest[d][s], w.heard[d][s][o]
-	host := int((variants.KeyOf(uint64(o), c)%hosts + uint64(w.rng.IntN(3))) % hosts)
+	host := int((variants.PlaceOf(uint64(o), c, beside)%hosts + uint64(w.rng.IntN(w.spread))) % hosts)
 	w.in(w.rng.Float64()*transit/2, func() {
 		x := w.answer(host, o, c, bound)
 		proof := x.content
@@ -180,7 +181,7 @@
 				proof = x.content
 			}
 		}
-		a := variants.Answer{Object: w.object(o), Class: c, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}, Known: known}
+		a := variants.Answer{Object: w.object(o), Class: c, Beside: beside, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}, Known: known}
 		if w.versions {
 			a.Generation.Version = x.version
 		}
@@ -205,7 +206,10 @@
 func (w *world) get(d, o, c int) {
 	w.gets++
 	k := w.modules[d].Key(w.now, w.object(o), c)
-	w.forward(d, o, k.Class, func(a variants.Answer, x copied) {
+	if k.Beside > 0 {
+		w.beside++
+	}
+	w.forward(d, o, k.Class, k.Beside, func(a variants.Answer, x copied) {
 		if k.Class == c {
 			return
 		}
@@ -214,7 +218,7 @@
 			if !w.right(d, o, c, x) {
 				w.held++
 			}
-			w.forward(d, o, c, func(variants.Answer, copied) {})
+			w.forward(d, o, c, 0, func(variants.Answer, copied) {})
 			return
 		}
 		w.rewritten++
@@ -264,6 +268,9 @@
 
 func play(t *testing.T, m mode, seed uint64) *world {
 	w := &world{mode: m, rng: rand.New(rand.NewPCG(seed, 1)), cut: -1}
+	if w.spread == 0 {
+		w.spread = 3
+	}
 	for o := range w.origin {
 		x := w.fresh64()
 		w.origin[o] = []state{{version: 1, content: [3]uint64{x, x, x + 1000000*uint64(o%2)}}}
@@ -309,6 +316,9 @@
 	{name: "purges only", fresh: math.Inf(1), witnesses: 1, room: 64},
 	{name: "purges only, few remembered", fresh: math.Inf(1), witnesses: 1, room: 6},
 	{name: "purges only, two witnesses", fresh: math.Inf(1), witnesses: 2, room: 64},
+	{name: "versions, two witnesses, a key at one host, one lies", versions: true, witnesses: 2, liar: true, room: 64, spread: 1},
+	{name: "purges only, three witnesses, a key at one host", fresh: math.Inf(1), witnesses: 3, room: 64, spread: 1},
+	{name: "unannounced, two witnesses, a key at one host", fresh: 20, witnesses: 2, room: 64, spread: 1},
 	{name: "changes unannounced", fresh: 20, witnesses: 1, room: 64},
 }
 
@@ -343,7 +353,7 @@
 }
 
 var faults = []struct{ name, file, was, is string }{
-	{"evidence of an older generation is kept", "evidence.go", "k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks = 0, false, -1, -1, 0", "k[j].checks = 0"},
+	{"evidence of an older generation is kept", "evidence.go", "k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks, k[j].vain = 0, false, -1, -1, 0, 0", "k[j].checks = 0"},
 	{"any version fits", "module.go", "return m.entries[i].generation == a.Generation && ", "return "},
 	{"what is asked by its own class alone is looked at", "module.go", " && m.sure(v, by, t) && by.proof == a.Proof", " && by != nil"},
 	{"a contrary answer is passed over", "evidence.go", "if d.n > 0 && d.proof != a.Proof {", "if false {"},
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -41,6 +41,9 @@
 	} else {
 		lapses := timed(v, a.Generation)
 		fresh := m.bear(v, d, a.Host, a.Proof, t)
+		if !fresh && int(d.n) < v.Witnesses && a.Beside > 0 && a.Beside <= maxBeside {
+			d.vain = max(d.vain, uint8(a.Beside))
+		}
 		if fresh && (d.n == 1 || !lapses) {
 			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
 		}
@@ -139,7 +142,7 @@
 		e.generation, e.epoch = g, 0
 		k := m.of(i)
 		for j := range k {
-			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks = 0, false, -1, -1, 0
+			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks, k[j].vain = 0, false, -1, -1, 0, 0
 		}
 	}
 	return true
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -24,6 +24,8 @@
 	checksFirst = 0.1   // share of GETs by their own class right after a join, falling with each that agreed
 	checksLeast = 0.002 // share that always remains: an origin may change one variant and tell nobody
 	checksRenew = 0.2   // share where evidence is past half of Fresh and would lapse
+	besides     = 0.25  // share of a class's GETs that are sent beside while it lacks a witness: what is asked for once or twice pays nothing
+	maxBeside   = 4     // places beside a class's own: where hosts are few, some begin at a host that is a witness already
 	ticks       = 10.0  // a second: times are kept so, rounded to the past
 )
 
@@ -38,10 +40,11 @@
 	checks   uint16               // own answers that agreed since the join
 	n        uint8                // witnesses
 	splits   uint8
-	stands   int8 // class that stands for it, itself where it stands for others; -1 for none
-	last     int8 // that stood before
-	from     int8 // class by which the rest of the GETs go while the key is warmed
-	disputed bool // two contents in one generation: not joined until another generation
+	stands   int8  // class that stands for it, itself where it stands for others; -1 for none
+	last     int8  // that stood before
+	from     int8  // class by which the rest of the GETs go while the key is warmed
+	disputed bool  // two contents in one generation: not joined until another generation
+	vain     uint8 // places beside that brought no new witness
 }
 
 // entry is an object in the table; its classes are m.classes[i*m.stride:].
@@ -146,6 +149,17 @@
 	return mix(object ^ uint64(class)*0xd6e8feb86659fd93)
 }
 
+// PlaceOf is KeyOf by a place beside the class's own. Only the order of hosts, and what is counted by name, goes by it: a host is asked for the class.
+func PlaceOf(object uint64, class, beside int) uint64 { return KeyOf(object, class+MaxClasses*beside) }
+
+// Places is up to which place names of a service's objects are in use.
+func (v *Service) Places() int {
+	if v.Witnesses < 2 {
+		return 0
+	}
+	return maxBeside
+}
+
 func id(o Object) uint64 { return mix(o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15) }
 
 // set is where an object's places begin, and its tag, which is 0 for none.
@@ -321,10 +335,13 @@
 				return own
 			}
 			if high < m.share(v, d, t) {
-				return Key{Class: c, Own: true, Checks: true, Told: own.Told}
+				return Key{Class: c, Own: true, Checks: true, Told: own.Told, Beside: m.renews(v, d, draw)}
 			}
 			return Key{Class: stands, Told: own.Told}
 		}
+		if v.Witnesses > 1 && current && high < besides {
+			own.Beside = m.beside(v, k, c, t)
+		}
 	}
 	if v.Presume == nil {
 		return own
@@ -347,6 +364,30 @@
 // them tells all. Guards against 300 that each make sure anew, at the cost of the copies that were to be saved.
 func (m *Module) Peers(n int) { m.peers = n }
 
+// beside is the place by which a class that lacks a witness is asked for; 0 where none would help it to another class's key: only those whose
+// known contents are equal are worth a further fill.
+func (m *Module) beside(v *Service, k []class, c int, t uint32) int {
+	open := func(d *class) bool { return d.n > 0 && !d.disputed && d.until <= t && t < d.expires }
+	d := &k[c]
+	if !open(d) || int(d.n) >= v.Witnesses || d.vain >= maxBeside {
+		return 0
+	}
+	for l := range k {
+		if l != c && open(&k[l]) && k[l].proof == d.proof {
+			return min(maxBeside, int(max(d.n, d.vain+1)))
+		}
+	}
+	return 0
+}
+
+// renews is the place by which a joined class's evidence that would lapse is asked for anew: each of its witnesses must be heard again.
+func (m *Module) renews(v *Service, d *class, draw uint64) int {
+	if v.Witnesses < 2 || d.expires == math.MaxUint32 {
+		return 0
+	}
+	return int(draw>>16) % min(maxBeside+1, v.Witnesses+int(d.vain))
+}
+
 // share is that of a joined class's GETs that ask by their own class all the same.
 func (m *Module) share(v *Service, d *class, t uint32) float64 {
 	s := max(checksLeast, checksFirst/float64(1+d.checks)/float64(max(1, m.peers)))
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -63,6 +63,7 @@
 	Own     bool   // it is the GET's own class
 	Checks  bool   // sent by its own class to check what is presumed
 	Presume bool   // it rests on what is presumed
+	Beside  int    // place in the order of hosts by which it is sent, 0 for the class's own: another host then bears the class out
 	Told    uint64 // Told as it is now, of declared classes
 }
 
@@ -70,6 +71,7 @@
 type Answer struct {
 	Object     Object
 	Class      int        // that was asked of the host
+	Beside     int        // place in the order of hosts by which it was sent
 	Host       uint32     // witness, by the same number at all dispatchers
 	Proof      uint64     // hash of the tag, digest or body; 0 for none
 	Generation Generation // purge: Told as it was when the forward began
