--- a/cmd/elderwall-operator/memoryplay.go
+++ b/cmd/elderwall-operator/memoryplay.go
@@ -25,9 +25,9 @@
 	Differ      []int    `default:"10,100,1000,10000" help:"Records that differ, of catchup."`
 	Writes      float64  `default:"10" help:"Writes a second of the whole fleet, of writes and heal."`
 	Loss        float64  `help:"Share of datagrams that are lost, of writes and heal."`
-	Ways        []string `default:"keys by class,one key,each alone,fleet,presume,ideal" help:"Of variants."`
+	Ways        []string `default:"keys by class,one key,each alone,fleet,presume,evidence at once,ideal" help:"Of variants."`
 	Dispatchers int      `default:"300" help:"Of variants."`
-	Cases       []string `default:"calm,changes,silent,new objects,two witnesses,cut" help:"Of variants."`
+	Cases       []string `default:"calm,changes,silent,silent long,new objects,two witnesses,cut" help:"Of variants."`
 	Processes   []int    `default:"3,30" help:"Sizes of the fleet, of channels."`
 	Readers     []int    `default:"10,100,1000" help:"Of channels."`
 	Seed        uint64   `default:"1" help:"Of chance."`
@@ -303,6 +303,7 @@
 	"calm":          func(s *emulate.VariantsScenario) { s.Changes = 0.1 },
 	"changes":       func(s *emulate.VariantsScenario) { s.Changes, s.One = 10, 1 },
 	"silent":        func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Silent = 5, 1, 1 },
+	"silent long":   func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Silent, s.Lapses = 5, 1, 1, 600 },
 	"new objects":   func(s *emulate.VariantsScenario) { s.Fresh = 20 },
 	"two witnesses": func(s *emulate.VariantsScenario) { s.Witnesses = 2 },
 	"cut":           func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Cut, s.CutFor = 10, 1, 30, 60 },
--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -15,12 +15,13 @@
 
 // Ways by which GETs of device classes may be looked for, side by side.
 const (
-	ByClass  = "keys by class" // as without variants
-	OneKey   = "one key"       // for all classes: wrong
-	Alone    = "each alone"    // the program's, no facts from other dispatchers
-	Fleet    = "fleet"         // the program's
-	Presumed = "presume"       // the program's, sameness of new objects presumed
-	Knowing  = "ideal"         // knows the truth at once
+	ByClass  = "keys by class"    // as without variants
+	OneKey   = "one key"          // for all classes: wrong
+	Alone    = "each alone"       // the program's, no facts from other dispatchers
+	Fleet    = "fleet"            // the program's
+	Presumed = "presume"          // the program's, sameness of new objects presumed
+	Knowing  = "ideal"            // knows the truth at once
+	AtOnce   = "evidence at once" // knows at once what any dispatcher's answer bore and no more: what is left of the ideal's saving is inherent
 )
 
 // VariantsScenario is dispatchers, cache hosts and an origin that answers by device class. Times are in seconds.
@@ -37,6 +38,7 @@
 	Odd          float64 // share of the objects whose classes all differ
 	Rate         float64 // GETs a second, all together
 	Lasts        float64 // an answer at a host
+	Lapses       float64 // evidence of no version, where changes are silent
 	Changes      float64 // of an object's bytes a second, of all objects together
 	One          float64 // share of those that change one class only
 	Silent       float64 // share of those with no version that are not purged either
@@ -55,7 +57,7 @@
 
 // VariantsDefault is 300 dispatchers and 100 hosts.
 func VariantsDefault() VariantsScenario {
-	return VariantsScenario{Seed: 1, Way: Fleet, Dispatchers: 300, Hosts: 100, Holds: 100, Objects: 4000, Skew: 0.9, Same: []int{0, 0, 0, 1, 1}, Odd: 0.05, Rate: 10_000, Lasts: 60,
+	return VariantsScenario{Seed: 1, Way: Fleet, Dispatchers: 300, Hosts: 100, Holds: 100, Objects: 4000, Skew: 0.9, Same: []int{0, 0, 0, 1, 1}, Odd: 0.05, Rate: 10_000, Lasts: 60, Lapses: 60,
 		Changes: 1, One: 0.5, Silent: 0, PurgeDelay: 0.1, FactDelay: 0.5, OriginRate: 700, Witnesses: 1, Checks: 0.01, Warm: 200, Span: 200, TablesHold: 8000}
 }
 
@@ -140,6 +142,7 @@
 	all    []keys
 	heard  [][]uint64 // by dispatcher and item: the highest purge
 	next   uint64
+	known  map[*item]*borne // AtOnce's
 	purges uint64
 	room   float64 // of the origin, as a bucket
 	roomAt float64
@@ -156,7 +159,7 @@
 	if s.Dispatchers < 1 || s.Hosts < 1 || s.Objects < 1 || s.Rate <= 0 || len(s.Same) < 1 || s.Holds < 1 || s.Span <= 0 {
 		return nil, fmt.Errorf("variants: %d dispatchers, %d hosts, %d objects of %d classes: out of range", s.Dispatchers, s.Hosts, s.Objects, len(s.Same))
 	}
-	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[placeKey]*order.First{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
+	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[placeKey]*order.First{}, known: map[*item]*borne{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
 	sum := 0.0
 	for i := range s.Objects {
 		w.items = append(w.items, w.item(i))
@@ -273,6 +276,7 @@
 // fresh puts a new object in an old one's place.
 func (w *variantsWorld) fresh() {
 	at := w.pick()
+	delete(w.known, w.items[at])
 	w.items[at] = w.item(at)
 	for i := range w.heard {
 		w.heard[i][at] = 0
@@ -298,6 +302,8 @@
 	case o.service == tokened || w.Way == ByClass:
 	case w.Way == OneKey:
 		asked = 0
+	case w.Way == AtOnce:
+		asked = w.known[o].stands(w, o, class)
 	case w.Way == Knowing:
 		truth := o.states[len(o.states)-1]
 		asked = slices.Index(truth, truth[class])
@@ -315,6 +321,12 @@
 	if ok && o.service != tokened {
 		switch w.Way {
 		case ByClass, OneKey:
+		case AtOnce:
+			if !w.bear(o, asked, a) || !w.known[o].same(w, class, asked) {
+				if a, hit, _, ok = w.fetch(o, class, 0); ok {
+					w.bear(o, class, a)
+				}
+			}
 		case Knowing:
 			if a.content != o.states[a.state][class] {
 				a, hit, _, ok = w.fetch(o, class, 0)
@@ -346,6 +358,47 @@
 	}
 }
 
+// borne is what any answer bore, by class, in the newest generation that one bore.
+type borne struct {
+	purge, version uint64
+	content        []uint64
+	at             []float64
+	first          []int // classes in the order in which they were known: the first's copy is at a host already
+}
+
+// bear takes an answer as evidence; false for one of an older generation.
+func (w *variantsWorld) bear(o *item, class int, a copyOf) bool {
+	b := w.known[o]
+	if b == nil || a.purge > b.purge || a.purge == b.purge && a.version > b.version {
+		b = &borne{purge: a.purge, version: a.version, content: make([]uint64, len(w.Same)), at: make([]float64, len(w.Same))}
+		w.known[o] = b
+	} else if a.purge < b.purge || a.version < b.version {
+		return false
+	}
+	if b.content[class] == 0 {
+		b.first = append(b.first, class)
+	}
+	b.content[class], b.at[class] = a.content, w.now
+	return true
+}
+
+func (b *borne) same(w *variantsWorld, class, as int) bool {
+	lapsed := func(c int) bool { return b.version == 0 && w.Silent > 0 && w.now > b.at[c]+w.Lapses }
+	return class == as || b.content[class] != 0 && b.content[class] == b.content[as] && !lapsed(class) && !lapsed(as)
+}
+
+func (b *borne) stands(w *variantsWorld, o *item, class int) int {
+	if b == nil || b.purge < o.purge {
+		return class
+	}
+	for _, c := range b.first {
+		if b.same(w, class, c) {
+			return c
+		}
+	}
+	return class
+}
+
 // fetch gets an answer of a class from the host that its key, or a place beside, names.
 func (w *variantsWorld) fetch(o *item, class, beside int) (a copyOf, hit bool, host uint32, ok bool) {
 	k := hostKey{o.id, class}
@@ -475,7 +528,7 @@
 }
 
 func (w *variantsWorld) keys(i int) keys {
-	if w.Way == ByClass || w.Way == OneKey || w.Way == Knowing {
+	if w.Way == ByClass || w.Way == OneKey || w.Way == Knowing || w.Way == AtOnce {
 		return nil
 	}
 	var classes []string
@@ -486,7 +539,7 @@
 	for s := range all {
 		all[s] = variants.Service{Classes: classes, Proof: variants.ByTag, Witnesses: w.Witnesses, Repeats: s != tokened, Fresh: math.Inf(1)}
 		if w.Silent > 0 {
-			all[s].Fresh = w.Lasts
+			all[s].Fresh = w.Lapses
 		}
 		if w.Way == Presumed {
 			all[s].Presume = &variants.Presumed{Objects: 20, Checks: w.Checks}
