--- a/cmd/elderwall-operator/memoryplay.go
+++ b/cmd/elderwall-operator/memoryplay.go
@@ -25,7 +25,7 @@
 	Differ      []int    `default:"10,100,1000,10000" help:"Records that differ, of catchup."`
 	Writes      float64  `default:"10" help:"Writes a second of the whole fleet, of writes and heal."`
 	Loss        float64  `help:"Share of datagrams that are lost, of writes and heal."`
-	Ways        []string `default:"keys by class,one key,each alone,fleet,presume,evidence at once,ideal" help:"Of variants."`
+	Ways        []string `default:"keys by class,one key,each alone,fleet,beats,presume,evidence at once,ideal" help:"Of variants."`
 	Dispatchers int      `default:"300" help:"Of variants."`
 	Cases       []string `default:"calm,changes,silent,silent long,new objects,two witnesses,cut" help:"Of variants."`
 	Processes   []int    `default:"3,30" help:"Sizes of the fleet, of channels."`
--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -19,6 +19,7 @@
 	OneKey   = "one key"          // for all classes: wrong
 	Alone    = "each alone"       // the program's, no facts from other dispatchers
 	Fleet    = "fleet"            // the program's
+	Beats    = "beats"            // the program's, with beats that bound how old facts are
 	Presumed = "presume"          // the program's, sameness of new objects presumed
 	Knowing  = "ideal"            // knows the truth at once
 	AtOnce   = "evidence at once" // knows at once what any dispatcher's answer bore and no more: what is left of the ideal's saving is inherent
@@ -177,6 +178,12 @@
 		w.all = append(w.all, w.keys(i))
 		w.heard = append(w.heard, make([]uint64, s.Objects))
 	}
+	if s.Way == Beats {
+		giver := variants.NewGiver(s.Seed)
+		for i := range w.all {
+			w.acts.Add(w.chance.Float64()*variants.BeatEach, func() { w.ask(giver, i) })
+		}
+	}
 	w.every(s.Changes, w.change)
 	w.every(s.Fresh, w.fresh)
 	end := s.Warm + s.Span
@@ -250,6 +257,16 @@
 	}
 }
 
+// ask has a dispatcher ask for a beat, over a way and back as long as facts take.
+func (w *variantsWorld) ask(g *variants.Giver, i int) {
+	sent := w.now
+	w.acts.Add(w.now+w.FactDelay*w.chance.ExpFloat64(), func() {
+		b := g.Next()
+		w.acts.Add(w.now+w.FactDelay*w.chance.ExpFloat64(), func() { w.all[i].(*program).Beat(sent, w.now, b) })
+	})
+	w.acts.Add(w.now+variants.BeatEach, func() { w.ask(g, i) })
+}
+
 // purge empties the hosts of an object at once; dispatchers hear of it one by one.
 func (w *variantsWorld) purge(o *item) {
 	w.purges++ // numbers are of one log, for all objects
@@ -566,7 +583,7 @@
 }
 
 func (p *program) answered(now float64, o *item, class, asked, beside int, host uint32, a copyOf) bool {
-	answer := variants.Answer{Object: named1(o), Class: asked, Beside: beside, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known}
+	answer := variants.Answer{Object: named1(o), Class: asked, Beside: beside, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known, Sent: now}
 	p.Answered(now, answer)
 	k := p.key1
 	if asked == class {
--- a/fleet/variants/checker_test.go
+++ b/fleet/variants/checker_test.go
@@ -39,6 +39,7 @@
 	witnesses int
 	liar      bool // host 0 tells the tag of class 0 for all, often
 	room      int
+	beats     bool
 	spread    int // hosts that a key may go to, from the first of its order on; 0 for three
 }
 
@@ -71,6 +72,8 @@
 	known   [dispatchers][objects]uint64         // newest purge that a dispatcher knows
 	heard   [dispatchers][shards][objects]uint64 // that a shard knows: no older copy will do for it
 	order   [dispatchers]uint64                  // of events
+	givers  [2]*variants.Giver                   // of beats: dispatchers may hold different ones for it, and each may end and come anew
+	lives   uint64
 	newest  [dispatchers][shards]uint64
 	line    [dispatchers][shards][]uint64
 	cut     int // dispatcher that is cut off, -1 for none
@@ -168,7 +171,7 @@
 
 // forward asks a host for an object by a class, and gives what came, with the generation that it is labelled by.
 func (w *world) forward(d, o, c, beside int, then func(a variants.Answer, x copied)) {
-	s := w.rng.IntN(shards)
+	s, began := w.rng.IntN(shards), w.now
 	label, known, bound := w.modules[d].Told(w.object(o)), w.newest[d][s], w.heard[d][s][o]
 	host := int((variants.PlaceOf(uint64(o), c, beside)%hosts + uint64(w.rng.IntN(w.spread))) % hosts)
 	w.in(w.rng.Float64()*transit/2, func() {
@@ -181,11 +184,15 @@
 				proof = x.content
 			}
 		}
-		a := variants.Answer{Object: w.object(o), Class: c, Beside: beside, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}, Known: known}
+		a := variants.Answer{Object: w.object(o), Class: c, Beside: beside, Host: uint32(host), Proof: proof, Generation: variants.Generation{Purge: label}, Known: known, Sent: began}
 		if w.versions {
 			a.Generation.Version = x.version
 		}
-		w.in(w.rng.Float64()*transit/2, func() {
+		back := w.rng.Float64() * transit / 2
+		if w.beats && w.rng.IntN(6) == 0 { // its reader stands still
+			back += 100
+		}
+		w.in(back, func() {
 			w.modules[d].Answered(w.now, a)
 			for other := range 3 { // it may be for who waits for it with another class
 				if other != c && w.modules[d].Fits(w.now, other, variants.Key{Class: c}, &a) && !w.right(d, o, other, x) {
@@ -246,13 +253,33 @@
 	return false
 }
 
+// ask has a dispatcher ask for a beat: any giver, over any time.
+func (w *world) ask(d int) {
+	sent, g, slow := w.now, min(w.rng.IntN(3), 1), 1+79*float64(w.rng.IntN(3)/2)
+	w.in(w.rng.Float64()*slow, func() {
+		if w.givers[g] == nil || w.rng.IntN(40) == 0 {
+			w.lives++
+			w.givers[g] = variants.NewGiver(w.lives)
+		}
+		for range 1 + w.rng.IntN(1+g*20) { // one of them has told much more
+			w.givers[g].Next()
+		}
+		b := w.givers[g].Next()
+		w.in(w.rng.Float64()*slow, func() { w.modules[d].Beat(sent, w.now, b) })
+	})
+}
+
 // tell spreads what a dispatcher has to tell.
 func (w *world) tell(d int) {
 	for _, f := range w.modules[d].Facts(16) {
 		b := variants.EncodeFact(&f)
 		for p := range w.modules {
 			for copies := w.rng.IntN(3); p != d && copies > 0; copies-- {
-				w.in(w.rng.Float64()*w.rng.Float64()*30, func() {
+				late := 30.0
+				if w.beats {
+					late = 90
+				}
+				w.in(w.rng.Float64()*w.rng.Float64()*late, func() {
 					if w.cut == d || w.cut == p {
 						return
 					}
@@ -298,7 +325,11 @@
 	}
 	facts = func() { w.tell(w.rng.IntN(dispatchers)); w.in(w.rng.ExpFloat64()*0.3, facts) }
 	cuts = func() { w.cut = w.rng.IntN(dispatchers+2) - 2; w.in(5+w.rng.Float64()*30, cuts) }
-	for _, f := range []func(){gets, changes, facts, cuts} {
+	beats := func() {}
+	if m.beats {
+		beats = func() { w.ask(w.rng.IntN(dispatchers)); w.in(w.rng.ExpFloat64(), beats) }
+	}
+	for _, f := range []func(){gets, changes, facts, cuts, beats} {
 		f()
 	}
 	for w.now < 200 {
@@ -319,6 +350,8 @@
 	{name: "versions, two witnesses, a key at one host, one lies", versions: true, witnesses: 2, liar: true, room: 64, spread: 1},
 	{name: "purges only, three witnesses, a key at one host", fresh: math.Inf(1), witnesses: 3, room: 64, spread: 1},
 	{name: "unannounced, two witnesses, a key at one host", fresh: 20, witnesses: 2, room: 64, spread: 1},
+	{name: "unannounced, beats", fresh: 8, witnesses: 1, room: 64, beats: true},
+	{name: "unannounced, beats, two witnesses, a key at one host", fresh: 20, witnesses: 2, room: 64, spread: 1, beats: true},
 	{name: "changes unannounced", fresh: 20, witnesses: 1, room: 64},
 }
 
@@ -368,6 +401,11 @@
 	{"what a shard had not heard of counts", "module.go", "return f.order <= a.Known && f.purge", "return f.purge"},
 	{"who shares a floor tells facts", "module.go", "(x.purge < f.purge || f.purge == 0 || x.owner == own || x.owner == g) && (y.purge < f.purge || f.purge == 0 || y.owner == g || y.owner == own)", "own != 1 || g != 1"},
 	{"evidence never lapses", "evidence.go", "if timed(v, e.generation) {\n\t\t\tfor w", "if false {\n\t\t\tfor w"},
+	{"facts of no known age join", "evidence.go", "if at, known = m.since(f.Beat); !m.timely", "if !m.timely"},
+	{"beats of two givers are compared", "beats.go", "x.beat.Giver == b.Giver && ", ""},
+	{"a fact is as old as the question's answer", "beats.go", "at, known = x.sent, true", "at, known = x.heard, true"},
+	{"any beat of the giver bounds a fact's age", "beats.go", " && x.beat.Number < b.Number", ""},
+	{"an answer bears the beat of when it came", "evidence.go", "m.rounds.label(a.Sent)", "m.rounds.label(now)"},
 	{"an answer's proof is not looked at", "module.go", " && d.proof == a.Proof && m.sure(v, by", " && m.sure(v, by"},
 }
 
@@ -388,7 +426,7 @@
 			spoilt, overlay := filepath.Join(dir, "spoilt.go"), filepath.Join(dir, "overlay.json")
 			require.NoError(t, os.WriteFile(spoilt, []byte(strings.Replace(string(b), f.was, f.is, 1)), 0o600))
 			require.NoError(t, os.WriteFile(overlay, fmt.Appendf(nil, `{"Replace":{%q:%q}}`, here, spoilt), 0o600))
-			run := exec.Command("go", "test", "-vet=off", "-count=1", "-failfast", "-overlay", overlay, "-run", "TestNeverWrongBytes|TestSmallScope|TestForgotten|TestFloors", ".")
+			run := exec.Command("go", "test", "-vet=off", "-count=1", "-failfast", "-overlay", overlay, "-run", "TestNeverWrongBytes|TestSmallScope|TestForgotten|TestFloors|TestBeats", ".")
 			run.Env = append(os.Environ(), "ELDERWALL_FAULT=1", "ELDERWALL_SCHEDULES=12")
 			out, err := run.CombinedOutput()
 			assert.Error(t, err, "not found")
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -27,25 +27,30 @@
 	if !m.advance(i, a.Generation) {
 		return
 	}
+	lapses := timed(v, a.Generation)
+	at, beat := t, Beat{}
+	if lapses && a.Sent > 0 {
+		at, beat = min(t, m.tick(a.Sent)), m.rounds.label(a.Sent)
+	}
 	d := &m.of(i)[a.Class]
 	if !m.timely(v, i, d, t) {
 		d.n = 0
 	}
 	if d.n > 0 && d.proof != a.Proof {
 		m.contrary(v, i, a.Class, t)
-		if timed(v, a.Generation) {
-			*d = class{proof: a.Proof, hosts: [MaxWitnesses]uint32{a.Host}, at: [MaxWitnesses]uint32{t}, n: 1, until: d.until, splits: d.splits,
+		if lapses {
+			*d = class{proof: a.Proof, hosts: [MaxWitnesses]uint32{a.Host}, at: [MaxWitnesses]uint32{at}, n: 1, until: d.until, splits: d.splits,
 				stands: d.stands, last: d.last, from: d.from, since: d.since}
 		}
-		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits)}, a.Host})
+		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits), Beat: beat}, a.Host})
 	} else {
-		lapses := timed(v, a.Generation)
-		fresh := m.bear(v, d, a.Host, a.Proof, t)
+		tells := beat.Giver != 0 && m.due(v, d, a.Host, at)
+		fresh := (beat.Giver == 0 || tells) && m.bear(v, d, a.Host, a.Proof, at)
 		if !fresh && int(d.n) < v.Witnesses && a.Beside > 0 && a.Beside <= maxBeside {
 			d.vain = max(d.vain, uint8(a.Beside))
 		}
-		if fresh && (d.n == 1 || !lapses) {
-			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
+		if tells || fresh && (d.n == 1 || !lapses) {
+			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits), Beat: beat}, a.Host})
 		}
 		if d.stands >= 0 && d.checks < math.MaxUint16 {
 			d.checks++
@@ -78,20 +83,24 @@
 		if f.Split && f.Splits > 0 { // the split below is the teller's last
 			d.splits = max(d.splits, uint8(min(f.Splits-1, math.MaxUint8)))
 		}
-		switch lapses := timed(v, f.Generation); {
-		case f.Split:
-			m.contrary(v, i, f.Class, t)
-			if lapses {
+		lapses, at, known := timed(v, f.Generation), t, true
+		if lapses {
+			if at, known = m.since(f.Beat); !m.timely(v, i, d, t) {
 				d.n = 0
 			}
-		case d.n > 0 && d.proof != f.Proof:
-			if lapses { // nobody knows how old it is: evidence is asked for anew, and nothing is held against the class
-				d.n = 0
-			} else {
-				m.contrary(v, i, f.Class, t)
+		}
+		differs := d.n > 0 && d.proof != f.Proof
+		if f.Split || differs && !lapses {
+			m.contrary(v, i, f.Class, t)
+		}
+		if lapses && (f.Split || differs) { // evidence is asked for anew; where nobody knows which is newer nothing is held against the class
+			for j := range int(d.n) {
+				known = known && at >= d.at[j]
 			}
-		case !lapses:
-			m.bear(v, d, host, f.Proof, t)
+			d.n = 0
+		}
+		if known && (lapses || !f.Split && !differs) {
+			m.bear(v, d, host, f.Proof, at)
 		}
 		m.settle(v, i, t, int(f.Stands)-1)
 	}
@@ -173,7 +182,9 @@
 		d.n++
 		return true
 	}
-	d.hosts[oldest], d.at[oldest] = host, t
+	if t >= d.at[oldest] {
+		d.hosts[oldest], d.at[oldest] = host, t
+	}
 	return false
 }
 
--- a/fleet/variants/facts.go
+++ b/fleet/variants/facts.go
@@ -18,7 +18,14 @@
 // factHead is the bytes of a fact before its witness: version, service, group, object, class, proof, purge, version, split, splits, stands, part.
 const factHead = 1 + 4 + 4 + 8 + 1 + 8 + 8 + 8 + 1 + 4 + 1 + 4
 
-const factForm = 2 // of a fact's bytes
+// factBeat is the bytes of a beat, before the witness.
+const factBeat = 8 + 8
+
+// Forms of a fact's bytes.
+const (
+	factForm = 2
+	beatForm = 3 // with a beat
+)
 
 // The kind of records that facts are.
 const (
@@ -31,7 +38,7 @@
 
 // Kind is what replica is told of facts. Acknowledged is not synced: evidence comes anew with the next answers.
 func Kind() replica.Kind {
-	return replica.Kind{ID: ID, Name: "variants", Records: records, Bytes: size, Longest: longKey + factHead + 2*maxWitness, Law: FactLaw, Check: CheckFact}
+	return replica.Kind{ID: ID, Name: "variants", Records: records, Bytes: size, Longest: longKey + factHead + factBeat + 2*maxWitness, Law: FactLaw, Check: CheckFact}
 }
 
 // CheckFact tells what is wrong with a record from outside.
@@ -50,8 +57,12 @@
 
 // EncodeFact gives a fact's bytes: the same for the same fact.
 func EncodeFact(f *Fact) []byte {
-	b := make([]byte, 0, factHead+len(f.Witness))
-	b = append(b, factForm)
+	b := make([]byte, 0, factHead+factBeat+len(f.Witness))
+	form := byte(factForm)
+	if f.Beat.Giver != 0 {
+		form = beatForm
+	}
+	b = append(b, form)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Service))
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Group))
 	b = binary.BigEndian.AppendUint64(b, f.Object.Object)
@@ -67,12 +78,20 @@
 	b = binary.BigEndian.AppendUint32(b, f.Splits)
 	b = append(b, f.Stands)
 	b = binary.BigEndian.AppendUint32(b, uint32(f.Object.Part))
+	if form == beatForm {
+		b = binary.BigEndian.AppendUint64(b, f.Beat.Giver)
+		b = binary.BigEndian.AppendUint64(b, f.Beat.Number)
+	}
 	return append(b, f.Witness...)
 }
 
 // DecodeFact reads what EncodeFact wrote; whatever else is refused.
 func DecodeFact(b []byte) (Fact, error) {
-	if len(b) <= factHead || len(b) > factHead+maxWitness || b[0] != factForm || b[42] > 1 {
+	head := factHead
+	if len(b) > 0 && b[0] == beatForm {
+		head += factBeat
+	}
+	if len(b) <= head || len(b) > head+maxWitness || b[0] != factForm && b[0] != beatForm || b[42] > 1 {
 		return Fact{}, errFact
 	}
 	f := Fact{
@@ -86,7 +105,13 @@
 		Split:      b[42] == 1,
 		Splits:     binary.BigEndian.Uint32(b[43:]),
 		Stands:     b[47],
-		Witness:    string(b[factHead:]),
+		Witness:    string(b[head:]),
+	}
+	if head > factHead {
+		f.Beat = Beat{binary.BigEndian.Uint64(b[factHead:]), binary.BigEndian.Uint64(b[factHead+8:])}
+		if f.Beat.Giver == 0 {
+			return Fact{}, errFact
+		}
 	}
 	if _, ok := hostOf(f.Witness); !ok || f.Class >= MaxClasses || f.Stands > MaxClasses || f.Object.Service < 0 || f.Object.Part < 0 || f.Proof == 0 ||
 		f.Generation.Purge > latest {
@@ -95,7 +120,8 @@
 	return f, nil
 }
 
-// FactLaw orders two values of one key, totally: what can't be read is lowest; then the higher generation, a contrary one over an agreeing
+// FactLaw orders two values of one key, totally: what can't be read is lowest; then the higher generation, the later beat (only of
+// what lapses: its writer's newest word), a contrary one over an agreeing
 // one, more splits, the class that stands and was declared first, and the bytes.
 func FactLaw(a, b []byte) int {
 	f, e := DecodeFact(a)
@@ -104,7 +130,7 @@
 		return cmp.Or(boolean(e == nil)-boolean(h == nil), bytes.Compare(a, b))
 	}
 	stands := func(x uint8) int { return (MaxClasses + 1 - int(x)) % (MaxClasses + 1) } // 0 for none, else the lower the class the higher
-	return cmp.Or(f.Generation.compare(g.Generation), boolean(f.Split)-boolean(g.Split), cmp.Compare(f.Splits, g.Splits),
+	return cmp.Or(f.Generation.compare(g.Generation), cmp.Compare(f.Beat.Giver, g.Beat.Giver), cmp.Compare(f.Beat.Number, g.Beat.Number), boolean(f.Split)-boolean(g.Split), cmp.Compare(f.Splits, g.Splits),
 		cmp.Compare(stands(f.Stands), stands(g.Stands)), bytes.Compare(a, b))
 }
 
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -104,6 +104,7 @@
 	notices  []Notice
 	dropped  uint64
 	peers    int // dispatchers that share their facts, this one too
+	rounds   rounds
 }
 
 // New makes a module, or names all that is wrong with the settings.
--- a/fleet/variants/module_test.go
+++ b/fleet/variants/module_test.go
@@ -37,6 +37,73 @@
 	return n
 }
 
+// A peer's fact of an answer that names no version joins for as long as the answer's age can be bounded without another's clock.
+func TestBeats(t *testing.T) {
+	for name, x := range map[string]struct {
+		beat Beat
+		upTo float64 // 0: it never joins
+	}{
+		"told after my question":         {Beat{1, 6}, 30}, // Fresh after the question went out, not after it was answered
+		"the one that I was told":        {Beat{1, 5}, 0},
+		"another giver's, though higher": {Beat{2, 9}, 0},
+		"none":                           {Beat{}, 0},
+	} {
+		m := module(t, settings(1, 20, nil))
+		m.Beat(10, 14, Beat{1, 5})
+		m.Answered(14, answer(7, 0, 1, 5, 0, 0))
+		f := Fact{Object: Object{Object: 7}, Class: 1, Witness: "two/2", Proof: 5, Beat: x.beat}
+		f, err := DecodeFact(EncodeFact(&f))
+		require.NoError(t, err)
+		m.Learn(15, []Fact{f})
+		for _, now := range []float64{15, 29.8, 30.2} {
+			assert.Equal(t, now < x.upTo, m.Fits(now, 1, Key{}, new(answer(7, 0, 1, 5, 0, 0))), "%s at %v", name, now)
+		}
+	}
+	for began, beat := range map[float64]Beat{0: {}, 1.5: {}, 5: {1, 1}, 11: {1, 1}, 12: {1, 9}} { // heard only then
+		m := module(t, settings(1, 20, nil))
+		m.Beat(1, 2, Beat{1, 1})
+		m.Beat(10, 12, Beat{1, 9})
+		a := answer(7, 0, 1, 5, 0, 0)
+		a.Sent = began
+		m.Answered(13, a)
+		all := m.Facts(9)
+		require.Len(t, all, 1)
+		assert.Equal(t, beat, all[0].Beat, "began at %v", began)
+	}
+}
+
+// Where a key lives at one host, another place in the order of hosts bears its class out, unless nothing could join it.
+func TestBeside(t *testing.T) {
+	m := module(t, settings(2, 0, nil))
+	o := Object{Object: 7}
+	count := func(c int) (n int) {
+		for i := range 1000 {
+			if k := m.Key(2+float64(i)/1000, o, c); k.Beside > 0 {
+				assert.Equal(t, c, k.Class)
+				n++
+			}
+		}
+		return n
+	}
+	m.Answered(1, answer(7, 0, 1, 5, 0, 1))
+	m.Answered(1, answer(7, 1, 2, 6, 0, 1))
+	assert.Zero(t, count(0)+count(1)+count(2), "nothing that could join")
+	m.Answered(1, answer(7, 2, 3, 5, 0, 1))
+	assert.InDelta(t, 1000*besides, count(0), 60)
+	assert.Zero(t, count(1))
+	for beside := 1; beside <= maxBeside; beside++ { // hosts that are one
+		assert.Equal(t, beside, m.beside(&m.s.Services[0], m.of(m.find(o)), 0, m.tick(2)))
+		a := answer(7, 0, 1, 5, 0, 1)
+		a.Beside = beside
+		m.Answered(2, a)
+	}
+	assert.Zero(t, count(0), "no other host is to be had")
+	m.Answered(3, answer(7, 2, 9, 5, 0, 1))
+	assert.Zero(t, count(2), "it has all that are asked for")
+	assert.NotEqual(t, PlaceOf(7, 0, 1), KeyOf(7, 1))
+	assert.Equal(t, KeyOf(7, 2), PlaceOf(7, 2, 0))
+}
+
 func TestJoinsStandsAndSplits(t *testing.T) {
 	m := module(t, settings(2, 0, nil))
 	o := Object{Object: 7}
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -23,8 +23,8 @@
 	Witnesses int       // independent hosts that must have borne out sameness, 1 at least
 	Repeats   bool      // GETs may be repeated (idempotent): others are never rewritten
 	Presume   *Presumed // nil where nothing is presumed
-	// Fresh is for how long an answer that names no version is evidence (s), own answers only: no clock is compared, so that the age of a
-	// peer's fact is not known, and it may split but not join. 0: such answers are none. +Inf: contents change with purges only.
+	// Fresh is for how long an answer that names no version is evidence (s). No clock is compared: a peer's fact joins only where beats bound
+	// its age, and else may split alone. 0: such answers are none. +Inf: contents change with purges only.
 	Fresh float64
 }
 
@@ -76,6 +76,7 @@
 	Proof      uint64     // hash of the tag, digest or body; 0 for none
 	Generation Generation // purge: Told as it was when the forward began
 	Known      uint64     // order of the newest event that whoever sent it had heard by then
+	Sent       float64    // when the forward began; 0 where that is not known: then it bears no beat
 }
 
 // Fact is what dispatchers tell each other: one class's content of an object in a generation, by one witness.
@@ -88,6 +89,7 @@
 	Generation Generation
 	Split      bool   // contrary: this class had another content than the one that stood for it
 	Splits     uint32 // how often: a flapping object is held apart for longer
+	Beat       Beat   // that was known when the forward began, of answers that name no version: readers tell by it how old it is at most
 	Stands     uint8  // 1 and the class that stands for it at the teller, 0 for none: dispatchers settle on the first declared
 }
 
