Variants: places beside on a GET's way, facts in full tables, shorter warming

Change: a fact takes a place as an answer does; 5 s of warming where a class leaves its own key and few asked for it here; the stage and node carry the place by which a witness is asked.

--- a/cmd/elderwall-operator/memoryplay.go
+++ b/cmd/elderwall-operator/memoryplay.go
@@ -27,7 +27,7 @@
 	Loss        float64  `help:"Share of datagrams that are lost, of writes and heal."`
 	Ways        []string `default:"keys by class,one key,each alone,fleet,beats,presume,evidence at once,ideal" help:"Of variants."`
 	Dispatchers int      `default:"300" help:"Of variants."`
-	Cases       []string `default:"calm,changes,silent,silent long,new objects,two witnesses,cut" help:"Of variants."`
+	Cases       []string `default:"calm,changes,silent,silent long,new objects,new all kept,two witnesses,cut" help:"Of variants."`
 	Processes   []int    `default:"3,30" help:"Sizes of the fleet, of channels."`
 	Readers     []int    `default:"10,100,1000" help:"Of channels."`
 	Seed        uint64   `default:"1" help:"Of chance."`
@@ -305,6 +305,7 @@
 	"silent":        func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Silent = 5, 1, 1 },
 	"silent long":   func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Silent, s.Lapses = 5, 1, 1, 600 },
 	"new objects":   func(s *emulate.VariantsScenario) { s.Fresh = 20 },
+	"new all kept":  func(s *emulate.VariantsScenario) { s.Fresh, s.TablesHold = 20, 30_000 },
 	"two witnesses": func(s *emulate.VariantsScenario) { s.Witnesses = 2 },
 	"cut":           func(s *emulate.VariantsScenario) { s.Changes, s.One, s.Cut, s.CutFor = 10, 1, 30, 60 },
 }
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -19,10 +19,7 @@
 	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 || !m.heard(&a) {
 		return
 	}
-	i := m.place(a.Object, a.Generation, true)
-	if i < 0 {
-		return
-	}
+	i := m.place(a.Object, a.Generation)
 	t := m.tick(now)
 	if !m.advance(i, a.Generation) {
 		return
@@ -75,8 +72,8 @@
 		if of, exact := m.told(f.Object); !exact || f.Generation.Purge < of.purge {
 			continue
 		}
-		i := m.place(f.Object, f.Generation, false)
-		if i < 0 || !m.advance(i, f.Generation) {
+		i := m.place(f.Object, f.Generation)
+		if !m.advance(i, f.Generation) {
 			continue
 		}
 		d := &m.of(i)[f.Class]
@@ -106,8 +103,9 @@
 	}
 }
 
-// place finds or takes an object's place in the table for evidence of a generation; -1 where there is no room.
-func (m *Module) place(o Object, g Generation, evict bool) int {
+// place finds or takes an object's place in the table for evidence of a generation, also of a peer's: what has not been asked for since the
+// hand came by goes. Places for facts only where one is free leave the newest objects, of which all is yet to be learned, out of a full table.
+func (m *Module) place(o Object, g Generation) int {
 	if i := m.find(o); i >= 0 {
 		m.entries[i].ref = true
 		return i
@@ -122,9 +120,6 @@
 			break
 		}
 	}
-	if i < 0 && !evict {
-		return -1
-	}
 	for i < 0 {
 		e := &m.entries[first+int(m.hands[s])]
 		if !e.ref {
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -18,6 +18,8 @@
 	floorsEach   = 4       // floors of purges an object, so that few objects share one
 
 	warm        = 20.0  // s over which a growing share of GETs goes by a new key: hosts fill it once, not all at one moment
+	warmLittle  = 5.0   // s of a class that few ask for here: the class that stands has just been borne out, so that a host has its copy
+	little      = 10    // own answers since the join up to which it is such a class: 2 a second of one dispatcher
 	hold        = 30.0  // s that a class is held apart after its first split; doubled with each further one
 	holdMost    = 7200  // s at most
 	forgiven    = 4.0   // times the last hold that a join must have stood for its splits to be forgotten
@@ -329,7 +331,7 @@
 		k := m.of(i)
 		if d := &k[c]; d.stands >= 0 && t < d.expires && current {
 			stands := int(d.stands)
-			if d.from >= 0 && t-d.since < warm*ticks && low*warm*ticks >= float64(t-d.since) {
+			if d.from >= 0 && t-d.since < warm*ticks && low*d.warms(c)*ticks >= float64(t-d.since) {
 				stands = int(d.from)
 			}
 			if stands == c {
@@ -365,6 +367,14 @@
 // them tells all. Guards against 300 that each make sure anew, at the cost of the copies that were to be saved.
 func (m *Module) Peers(n int) { m.peers = n }
 
+// warms is over how long (s) class c's new key is warmed: one that went by its own until now is joined to one that has just been borne out.
+func (d *class) warms(c int) float64 {
+	if int(d.from) == c && d.checks < little {
+		return warmLittle
+	}
+	return warm
+}
+
 // beside is the place by which a class that lacks a witness is asked for; 0 where none would help it to another class's key: only those whose
 // known contents are equal are worth a further fill.
 func (m *Module) beside(v *Service, k []class, c int, t uint32) int {
--- a/internal/node/variants.go
+++ b/internal/node/variants.go
@@ -31,6 +31,7 @@
 type Variant struct {
 	Number     uint64 // of the object, as the stage knows it
 	Own, Asked int16  // classes
+	Beside     int16  // place in the order of hosts that it is sent by, 0 for the class's own
 	Declared   bool
 	Presumed   bool   // that both are the same
 	Tagged     bool   // a tag tells contents apart whatever the class
@@ -40,6 +41,7 @@
 // Evidence is what an answer to a forward tells of a variant's content.
 type Evidence struct {
 	Asked   int16 // class
+	Beside  int16 // place in the order of hosts
 	Host    uint32
 	Known   uint64 // number of the newest event that its sender had heard when the forward was sent
 	Told    uint64 // newest purge that the stage had been told of by then, or before
@@ -79,7 +81,7 @@
 	if !v.Declared {
 		return ""
 	}
-	f.evidence = Evidence{Asked: v.Asked, Host: host, Known: n.heard, Told: v.Told}
+	f.evidence = Evidence{Asked: v.Asked, Beside: v.Beside, Host: host, Known: n.heard, Told: v.Told}
 	pair, _ = n.Variants.Field(f.get.asks.Service, v.Asked)
 	return pair
 }
@@ -120,7 +122,7 @@
 // turnVariant has a GET be sent for its own variant from now on.
 func (n *Node) turnVariant(g *get) {
 	n.Options.Counts.Turned.Add(1)
-	g.variant.Asked, g.variant.Presumed = g.variant.Own, false
+	g.variant.Asked, g.variant.Beside, g.variant.Presumed = g.variant.Own, 0, false
 	in := g.asked()
 	g.asks.Object = n.Variants.Own(&in, g.variant)
 }
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -28,6 +28,7 @@
 	settings Settings
 	services []service
 	most     int // classes of a service
+	places   int // beside a class's own
 
 	mu     sync.Mutex // of what follows
 	module *variants.Module
@@ -59,7 +60,7 @@
 		v := service{names: of.Classes}
 		if len(of.Classes) > 0 && of.Repeats {
 			v.proof = of.Proof
-			st.most = max(st.most, len(of.Classes))
+			st.most, st.places = max(st.most, len(of.Classes)), max(st.places, of.Places())
 		}
 		for _, class := range of.Classes {
 			pair := ""
@@ -116,20 +117,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.module.Key(now, object(in, number), int(class))
-	v.Asked, v.Presumed, v.Told = int16(k.Class), k.Presume, k.Told
-	return v, s.name(in.Object, number, int(v.Asked)), true
+	v.Asked, v.Beside, v.Presumed, v.Told = int16(k.Class), int16(k.Beside), k.Presume, k.Told
+	return v, s.name(in.Object, number, int(v.Asked), k.Beside), true
 }
 
 // Own is node.Variants.
 func (s *Stage) Own(in *control.GET, v node.Variant) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.name(in.Object, v.Number, int(v.Own))
+	return s.name(in.Object, v.Number, int(v.Own), 0)
 }
 
-// name is an object's by a class.
-func (s *Stage) name(as string, number uint64, class int) string {
-	key := variants.KeyOf(number, class)
+// name is an object's by a class and place.
+func (s *Stage) name(as string, number uint64, class, beside int) string {
+	key := variants.PlaceOf(number, class, beside)
 	if key == number {
 		return as
 	}
@@ -169,7 +170,7 @@
 
 // answer is evidence as the module takes it.
 func answer(in *control.GET, v node.Variant, e node.Evidence) variants.Answer {
-	return variants.Answer{Object: object(in, v.Number), Class: int(e.Asked), Host: e.Host, Proof: e.Proof,
+	return variants.Answer{Object: object(in, v.Number), Class: int(e.Asked), Beside: int(e.Beside), Host: e.Host, Proof: e.Proof,
 		Generation: variants.Generation{Purge: e.Told, Version: e.Version}, Known: e.Known}
 }
 
@@ -218,8 +219,12 @@
 	if object == "" {
 		return nil
 	}
-	for c := 1; c < s.most; c++ {
-		names = append(names, text(variants.KeyOf(key, c)))
+	for beside := range s.places + 1 {
+		for c := range s.most {
+			if c+beside > 0 {
+				names = append(names, text(variants.PlaceOf(key, c, beside)))
+			}
+		}
 	}
 	return names
 }
