--- a/fleet/variants/checker_test.go
+++ b/fleet/variants/checker_test.go
@@ -401,6 +401,7 @@
 	{"what a shard had not heard of counts", "module.go", "return f.order <= a.Known && f.purge", "return f.purge"},
 	{"who shares a floor tells facts", "module.go", "(x.purge < f.purge || f.purge == 0 || x.owner == own || x.owner == g) && (y.purge < f.purge || f.purge == 0 || y.owner == g || y.owner == own)", "own != 1 || g != 1"},
 	{"evidence never lapses", "evidence.go", "if timed(v, e.generation) {\n\t\t\tfor w", "if false {\n\t\t\tfor w"},
+	{"a place beside counts as a witness by itself", "evidence.go", "m.bear(v, d, a.Host, a.Proof, at)", "m.bear(v, d, a.Host+uint32(a.Beside)<<8, a.Proof, at)"},
 	{"facts of no known age join", "evidence.go", "if at, known = m.since(f.Beat); !m.timely", "if !m.timely"},
 	{"beats of two givers are compared", "beats.go", "x.beat.Giver == b.Giver && ", ""},
 	{"a fact is as old as the question's answer", "beats.go", "at, known = x.sent, true", "at, known = x.heard, true"},
