--- a/beliefs/beliefs_test.go
+++ b/control/beliefs/beliefs_test.go
@@ -6,7 +6,10 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"elderwall/internal/standin/need"
 )
 
 // racks is so many hosts in each of some racks.
@@ -28,6 +31,15 @@
 	return n
 }
 
+// each has each of some members lost, or answer.
+func each(do func(*Member, float64), now float64, members ...*Member) {
+	for _, m := range members {
+		do(m, now)
+	}
+}
+
+var lose, hear = (*Member).Lost, (*Member).Heard
+
 func TestFewHostsSpeakForThemselves(t *testing.T) {
 	b := &Beliefs{}
 	var m *Member
@@ -43,19 +55,15 @@
 
 func TestARackThatFallsSilentIsSeenAsOne(t *testing.T) {
 	_, m := racks(10, 20)
-	for i := range m {
-		m[i].Heard(1)
-	}
-	m[0].Lost(5)
-	m[1].Lost(5)
+	each(hear, 1, m...)
+	each(lose, 5, m[:2]...)
 	assert.Equal(t, 200, believed(m), "two may be chance")
 	m[2].Lost(5.1)
 	assert.Equal(t, 180, believed(m), "all of the rack, also those not asked")
 	m[19].Heard(5.2)
 	assert.False(t, m[19].Doubted(), "its own word goes before that of its rack")
 	assert.True(t, m[18].Doubted())
-	m[3].Heard(9)
-	m[4].Heard(9)
+	each(hear, 9, m[3:5]...)
 	assert.True(t, m[18].Doubted(), "two that answer may be the part that stays")
 	m[5].Heard(9)
 	assert.Equal(t, 200, believed(m), "believed again by trials")
@@ -66,26 +74,18 @@
 
 func TestARackOfWhichSomeAreLostStays(t *testing.T) {
 	_, m := racks(10, 20)
-	for i := range 8 {
-		m[i].Heard(1)
-	}
-	for i := range 7 {
-		m[8+i].Lost(1.5)
-	}
+	each(hear, 1, m[:8]...)
+	each(lose, 1.5, m[8:15]...)
 	assert.Equal(t, 200, believed(m), "no more lost than heard")
 }
 
 func TestADispatcherToWhichMostAreSilentHasLostItsOwnWay(t *testing.T) {
 	_, m := racks(10, 20)
 	for rack := range 5 {
-		for i := range silent {
-			m[rack*20+i].Lost(1)
-		}
+		each(lose, 1, m[rack*20:rack*20+silent]...)
 	}
 	assert.Equal(t, 100, believed(m))
-	for i := range silent {
-		m[5*20+i].Lost(1)
-	}
+	each(lose, 1, m[5*20:5*20+silent]...)
 	assert.Equal(t, 200, believed(m), "more than half: none is doubted for its rack")
 	assert.Equal(t, 0.4, m[7].Loss(1, 0.4, 0.5), "and one loss says less of its host")
 	assert.False(t, m[8].Silent(1))
@@ -95,12 +95,8 @@
 	_, m := racks(10, 20)
 	assert.Equal(t, 0.5, m[7].Loss(1, 0.4, 0.5))
 	assert.True(t, m[8].Silent(1))
-	for i := range 150 {
-		m[i].Lost(1)
-	}
-	for i := 150; i < 200; i++ {
-		m[i].Heard(1)
-	}
+	each(lose, 1, m[:150]...)
+	each(hear, 1, m[150:]...)
 	assert.False(t, m[160].Silent(1), "where all are slow, one that is says little")
 }
 
@@ -124,9 +120,7 @@
 	assert.Equal(t, int(trialsKept), tried(), "nor by a jump of time")
 	b.GET(5)
 	assert.Zero(t, tried(), "time that goes back gives none")
-	for i := range silent {
-		m[i].Lost(6)
-	}
+	each(lose, 6, m[:silent]...)
 	assert.True(t, m[10].Doubted())
 	m[10].Heard(7)
 	assert.Equal(t, int(passedOn), tried(), "one that is answered allows more")
@@ -193,9 +187,7 @@
 			}
 			doubted := 0
 			for g, n := range groups {
-				if g.size != n {
-					t.Fatalf("a group of %d counts %d", n, g.size)
-				}
+				require.Equal(t, n, g.size, "a group of %d counts %d", n, g.size)
 				if g.silent {
 					doubted += n
 				}
@@ -205,16 +197,12 @@
 					}
 				}
 			}
-			if doubted != b.doubted {
-				t.Fatalf("%d are doubted by their groups, counted as %d", doubted, b.doubted)
-			}
-			if n := believed(m); 2*n < len(m) {
-				t.Fatalf("only %d of %d are believed", n, len(m))
-			}
+			require.Equal(t, b.doubted, doubted, "%d are doubted by their groups, counted as %d", doubted, b.doubted)
+			n := believed(m)
+			require.False(t, 2*n < len(m), "only %d of %d are believed", n, len(m))
 			back := 200.0 * trialFloor // time that goes back passes twice
-			if most := trialsKept + trialShare*gets + trialFloor*math.Max(0, now-start) + passed + back; tried > most {
-				t.Fatalf("%g trials, at most %g", tried, most)
-			}
+			most := trialsKept + trialShare*gets + trialFloor*math.Max(0, now-start) + passed + back
+			require.False(t, tried > most, "%g trials, at most %g", tried, most)
 		}
 	})
 }
@@ -222,15 +210,12 @@
 // BenchmarkHeard is what an answer costs a dispatcher of many hosts, and a loss.
 func BenchmarkHeard(b *testing.B) {
 	for _, n := range []int{1000, 10_000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			all, m := racks(n/20, 20)
-			b.ReportAllocs()
-			for i := range b.N {
-				now := float64(i) * 1e-4
-				all.GET(now)
-				if m[i%n].Heard(now); i%100 == 0 {
-					m[i%n].Lost(now)
-				}
+		all, m := racks(n/20, 20)
+		need.Bench(b, fmt.Sprint(n), func(i int) {
+			now := float64(i) * 1e-4
+			all.GET(now)
+			if m[i%n].Heard(now); i%100 == 0 {
+				m[i%n].Lost(now)
 			}
 		})
 	}
--- a/emulate/emulate_test.go
+++ b/emulate/emulate_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/control/retries"
 	"elderwall/fleet/budgets"
-	"elderwall/retries"
 )
 
 func run(t *testing.T, change func(*Scenario)) *Result {
--- a/fleet/variants/beats.go
+++ b/fleet/variants/beats.go
@@ -75,24 +75,18 @@
 }
 
 // due tells whether an answer that names no version makes a class's evidence so much younger that peers are told.
-func (m *Module) due(v *Service, d *class, host uint32, t uint32) bool {
-	if int(d.n) < v.Witnesses {
-		for j := range int(d.n) {
-			if d.hosts[j] == host {
-				return t >= d.at[j] && float64(t-d.at[j]) >= retold*v.Fresh*ticks
-			}
+func (m *Module) due(v *Service, i, c int, host uint32, t uint32) bool {
+	younger := func(by *bearer) bool { return t >= by.at && float64(t-by.at) >= retold*v.Fresh*ticks }
+	d := &m.classes[i*m.stride+c]
+	oldest := &d.first
+	for n := range int(d.n) {
+		by := m.borne(i, c, n)
+		if by.host == host {
+			return younger(by)
 		}
-		return true
-	}
-	oldest := 0
-	for j := range int(d.n) {
-		if d.hosts[j] == host {
-			oldest = j
-			break
-		}
-		if d.at[j] < d.at[oldest] {
-			oldest = j
+		if by.at < oldest.at {
+			oldest = by
 		}
 	}
-	return t >= d.at[oldest] && float64(t-d.at[oldest]) >= retold*v.Fresh*ticks
+	return int(d.n) < v.Witnesses || younger(oldest)
 }
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -16,10 +16,14 @@
 // Answered takes an answer to a forward as evidence, unless whoever sent it had not heard of a purge that was told here by now.
 func (m *Module) Answered(now float64, a Answer) {
 	v := m.service(a.Object, a.Class)
-	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 || !m.heard(&a) {
+	if v == nil || a.Proof == 0 || a.Generation.Version == 0 && v.Fresh == 0 {
 		return
 	}
-	i := m.place(a.Object, a.Generation)
+	i := m.find(a.Object)
+	if !m.heard(&a, i) {
+		return
+	}
+	i = m.place(i, a.Object, a.Generation)
 	t := m.tick(now)
 	if !m.advance(i, a.Generation) {
 		return
@@ -36,13 +40,13 @@
 	if d.n > 0 && d.proof != a.Proof {
 		m.contrary(v, i, a.Class, t)
 		if lapses {
-			*d = class{proof: a.Proof, hosts: [MaxWitnesses]uint32{a.Host}, at: [MaxWitnesses]uint32{at}, n: 1, until: d.until, splits: d.splits,
-				stands: d.stands, last: d.last, from: d.from, since: d.since}
+			d.proof, d.n, d.expires, d.checks, d.disputed, d.vain = a.Proof, 1, 0, 0, false, 0
+			d.first = bearer{a.Host, at}
 		}
 		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits), Beat: beat}, a.Host})
 	} else {
-		tells := beat.Giver != 0 && m.due(v, d, a.Host, at)
-		fresh := (beat.Giver == 0 || tells) && m.bear(v, d, a.Host, a.Proof, at)
+		tells := beat.Giver != 0 && m.due(v, i, a.Class, a.Host, at)
+		fresh := (beat.Giver == 0 || tells) && m.bear(v, i, a.Class, a.Host, a.Proof, at)
 		if !fresh && int(d.n) < v.Witnesses && a.Beside > 0 && a.Beside <= maxBeside {
 			d.vain = max(d.vain, uint8(a.Beside))
 		}
@@ -72,7 +76,7 @@
 		if of, exact := m.told(f.Object); !exact || f.Generation.Purge < of.purge {
 			continue
 		}
-		i := m.place(f.Object, f.Generation)
+		i := m.place(m.find(f.Object), f.Object, f.Generation)
 		if !m.advance(i, f.Generation) {
 			continue
 		}
@@ -92,29 +96,31 @@
 		}
 		if lapses && (f.Split || differs) { // evidence is asked for anew; where nobody knows which is newer nothing is held against the class
 			for j := range int(d.n) {
-				known = known && at >= d.at[j]
+				known = known && at >= m.borne(i, f.Class, j).at
 			}
 			d.n = 0
 		}
 		if known && (lapses || !f.Split && !differs) {
-			m.bear(v, d, host, f.Proof, at)
+			m.bear(v, i, f.Class, host, f.Proof, at)
 		}
 		m.settle(v, i, t, int(f.Stands)-1)
 	}
 }
 
-// place finds or takes an object's place in the table for evidence of a generation, also of a peer's: what has not been asked for since the
-// hand came by goes. Places for facts only where one is free leave the newest objects, of which all is yet to be learned, out of a full table.
-func (m *Module) place(o Object, g Generation) int {
-	if i := m.find(o); i >= 0 {
-		m.entries[i].ref = true
+// place takes an object's place in the table for evidence of a generation, also of a peer's, unless it was found to have place i: what has not
+// been asked for since the hand came by goes. Places for facts only where one is free leave the newest objects, of which all is yet to be
+// learned, out of a full table.
+func (m *Module) place(i int, o Object, g Generation) int {
+	if i >= 0 {
+		if e := &m.entries[i]; !e.ref {
+			e.ref = true
+		}
 		return i
 	}
 	s, tag := m.set(o)
 	first := s * m.ways
-	i := -1
 	for w := range m.ways {
-		if m.tags[first+w] == 0 {
+		if m.tags[s][w/4]>>(w%4*16)&0xffff == 0 {
 			i = first + w
 			m.used++
 			break
@@ -128,7 +134,8 @@
 		e.ref = false
 		m.hands[s] = (m.hands[s] + 1) % uint8(m.ways)
 	}
-	m.tags[i] = tag
+	word, shift := &m.tags[s][(i-first)/4], (i-first)%4*16
+	*word = *word&^(0xffff<<shift) | tag<<shift
 	m.entries[i] = entry{object: o, generation: g, ref: true}
 	for j := range m.of(i) {
 		m.of(i)[j] = class{stands: -1, last: -1, from: -1}
@@ -158,27 +165,31 @@
 }
 
 // bear takes a witness; it tells whether it is a new one.
-func (m *Module) bear(v *Service, d *class, host uint32, proof uint64, t uint32) bool {
+func (m *Module) bear(v *Service, i, c int, host uint32, proof uint64, t uint32) bool {
+	d := &m.classes[i*m.stride+c]
 	if d.n == 0 {
 		d.proof = proof
 	}
-	oldest := 0
-	for j := range int(d.n) {
-		if d.hosts[j] == host {
-			d.at[j] = max(d.at[j], t)
+	oldest := &d.first
+	for n := range int(d.n) {
+		by := m.borne(i, c, n)
+		if by.host == host {
+			if by.at < t {
+				by.at = t
+			}
 			return false
 		}
-		if d.at[j] < d.at[oldest] {
-			oldest = j
+		if by.at < oldest.at {
+			oldest = by
 		}
 	}
 	if int(d.n) < v.Witnesses {
-		d.hosts[d.n], d.at[d.n] = host, t
+		*m.borne(i, c, int(d.n)) = bearer{host, t}
 		d.n++
 		return true
 	}
-	if t >= d.at[oldest] {
-		d.hosts[oldest], d.at[oldest] = host, t
+	if t >= oldest.at {
+		*oldest = bearer{host, t}
 	}
 	return false
 }
@@ -189,7 +200,7 @@
 	joined := k[c].stands >= 0
 	for j := range k {
 		if j != c {
-			m.count(v, e, j, c, false)
+			m.count(v, i, j, c, false)
 		}
 	}
 	if !timed(v, e.generation) {
@@ -233,7 +244,7 @@
 		d.expires = math.MaxUint32
 		if timed(v, e.generation) {
 			for w := range int(d.n) {
-				d.expires = min(d.expires, d.at[w]+uint32(min(v.Fresh*ticks, math.MaxUint32/2)))
+				d.expires = min(d.expires, m.borne(i, j, w).at+uint32(min(v.Fresh*ticks, math.MaxUint32/2)))
 			}
 		}
 	}
@@ -252,9 +263,9 @@
 	for j := range k {
 		for l := range j {
 			if differ(j, l) {
-				m.count(v, e, l, j, false)
+				m.count(v, i, l, j, false)
 			} else if k[j].proof == k[l].proof && m.sure(v, &k[j], t) && m.sure(v, &k[l], t) {
-				m.count(v, e, l, j, true)
+				m.count(v, i, l, j, true)
 			}
 		}
 	}
@@ -324,15 +335,15 @@
 }
 
 // count takes an object for or against the pattern of its group, once for a pair.
-func (m *Module) count(v *Service, e *entry, a, b int, agrees bool) {
-	bit := uint32(1) << pair(a, b)
-	if agrees && e.agreed&bit != 0 || !agrees && e.against&bit != 0 {
+func (m *Module) count(v *Service, i, a, b int, agrees bool) {
+	d, bit, e := &m.of(i)[max(a, b)], uint8(1)<<min(a, b), &m.entries[i]
+	if agrees && d.agreed&bit != 0 || !agrees && d.against&bit != 0 {
 		return
 	}
 	if agrees {
-		e.agreed |= bit
+		d.agreed |= bit
 	} else {
-		e.against |= bit
+		d.against |= bit
 	}
 	if v.Presume == nil {
 		return
@@ -382,19 +393,44 @@
 }
 
 func (m *Module) tell(f told) {
-	if len(m.facts) >= maxFacts {
-		m.facts = m.facts[1:]
+	if m.facts.push(f, maxFacts/max(1, m.s.Parts)) {
 		m.dropped++
 	}
-	m.facts = append(m.facts, f)
 }
 
 func (m *Module) notice(n Notice) {
-	if len(m.notices) >= maxNotices {
-		m.notices = m.notices[1:]
+	if m.notices.push(n, maxNotices/max(1, m.s.Parts)) {
 		m.dropped++
 	}
-	m.notices = append(m.notices, n)
+}
+
+// line is what waits, the oldest first, in a ring: where nobody takes it a new one costs no more than its place.
+type line[T any] struct {
+	items    []T
+	first, n int
+}
+
+// push adds one; it tells whether the oldest had to go for it.
+func (l *line[T]) push(x T, most int) (full bool) {
+	if full = l.n >= most; full {
+		l.pop()
+	}
+	if l.n == len(l.items) {
+		items := make([]T, min(most, max(16, 2*l.n)))
+		copy(items[copy(items, l.items[l.first:]):], l.items[:l.first])
+		l.items, l.first = items, 0
+	}
+	l.items[(l.first+l.n)%len(l.items)] = x
+	l.n++
+	return full
+}
+
+// pop takes the oldest.
+func (l *line[T]) pop() (x T) {
+	x = l.items[l.first]
+	l.first = (l.first + 1) % len(l.items)
+	l.n--
+	return x
 }
 
 // Keeps tells whether a fact that was told is still of use: its writer deletes it otherwise. Of another writer's it is asked with own false,
@@ -415,9 +451,8 @@
 // Facts takes what peers are to be told, the oldest first. What a purge voided meanwhile is left out.
 func (m *Module) Facts(most int) []Fact {
 	var out []Fact
-	for len(m.facts) > 0 && len(out) < most {
-		f := m.facts[0]
-		m.facts = m.facts[1:]
+	for m.facts.n > 0 && len(out) < most {
+		f := m.facts.pop()
 		i := m.find(f.fact.Object)
 		if of, exact := m.told(f.fact.Object); i < 0 || !exact || f.fact.Generation.Purge < of.purge {
 			continue
@@ -433,9 +468,11 @@
 
 // Notices takes the joins and splits since it was last asked.
 func (m *Module) Notices() []Notice {
-	n := m.notices
-	m.notices = nil
-	return n
+	var out []Notice
+	for m.notices.n > 0 {
+		out = append(out, m.notices.pop())
+	}
+	return out
 }
 
 // Dropped counts facts and notices that nobody took in time.
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -13,13 +13,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"elderwall/control"
+	"elderwall/control/order"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/counters"
 	"elderwall/internal/node"
 	"elderwall/internal/upstream"
-	"elderwall/order"
-	"elderwall/shards"
+	"elderwall/stages/shards"
 )
 
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,17 +12,17 @@
 	"sync/atomic"
 	"time"
 
-	"elderwall/callers"
 	"elderwall/control"
+	"elderwall/hosts"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/due"
 	"elderwall/internal/lines"
 	"elderwall/internal/upstream"
-	"elderwall/joint"
-	"elderwall/membership"
 	"elderwall/settings"
+	"elderwall/stages/callers"
+	"elderwall/stages/joint"
 )
 
 const sweepEach = 1.0 // s; how often connections are looked over for idle ones, which hosts keep for many
@@ -255,7 +255,7 @@
 
 // Take takes an event of the change log; a long list in steps, between which GETs go on.
 func (n *Node) Take(e changelog.Event) {
-	if e.Fleet == nil || len(e.Fleet.Hosts) <= membership.Most || n.Shard != nil || !n.listed.Load() {
+	if e.Fleet == nil || len(e.Fleet.Hosts) <= hosts.MostTaken || n.Shard != nil || !n.listed.Load() {
 		n.guarded(func(now float64) { n.notice(now, e) })
 		return
 	}
@@ -265,7 +265,7 @@
 		changes = n.changes(*e.Fleet)
 	})
 	e.Fleet = nil
-	for _, step := range membership.Steps(changes, func(h changelog.Host) bool { return h.State != "SERVING" }, membership.Most) {
+	for _, step := range hosts.Steps(changes, func(h changelog.Host) bool { return h.State != "SERVING" }, hosts.MostTaken) {
 		n.guarded(func(now float64) { n.fleet(now, changelog.Fleet{Hosts: step}) })
 	}
 	n.guarded(func(now float64) { n.notice(now, e) })
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"elderwall/control/retries"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/cores"
@@ -28,8 +29,7 @@
 	"elderwall/internal/node"
 	"elderwall/internal/room"
 	"elderwall/internal/upstream"
-	"elderwall/retries"
-	"elderwall/shards"
+	"elderwall/stages/shards"
 )
 
 const (
--- a/shards/simulation_test.go
+++ b/stages/shards/shards_test.go
@@ -1,17 +1,242 @@
 package shards
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"elderwall/control"
+	"elderwall/control/order"
+	"elderwall/internal/due"
+	"elderwall/internal/standin/need"
 )
 
+// traffic is GETs a second by key.
+type traffic map[uint64]float64
+
+// reports is what n shards see of traffic in a turn by a table; those in still say nothing.
+func reports(t *Table, n int, of traffic, seconds float64, still ...int) []Report {
+	all, tallies, turn := make([]Report, n), make([]Tally, n), uint64(0)
+	for key, rate := range of {
+		for range int(rate * seconds) {
+			turn++
+			s := t.Of(key, turn)
+			all[s].Slots[key%Slots]++
+			tallies[s].Add(key)
+		}
+	}
+	for i := range all {
+		all[i].Heard, all[i].Items = true, tallies[i].Take()
+		if slices.Contains(still, i) {
+			all[i] = Report{}
+		}
+	}
+	return all
+}
+
+func loads(r []Report) (all []float64, most, mean float64) {
+	for i := range r {
+		all = append(all, r[i].Total())
+		mean += r[i].Total() / float64(len(r))
+	}
+	return all, slices.Max(all), mean
+}
+
+func evenly(n int, rate float64) traffic {
+	of := traffic{}
+	for i := range n {
+		of[Key(fmt.Sprint(i), 0)] = rate
+	}
+	return of
+}
+
+// settleFor plays turns until nothing changes, and gives the last reports.
+func settleFor(m *Module, of traffic, from float64, turns int, still ...int) (r []Report, moved int) {
+	for i := range turns {
+		r = reports(m.Table(), m.Shards(), of, 0.25, still...)
+		moved += m.Turn(from+0.25*float64(i+1), r).Moved
+	}
+	return reports(m.Table(), m.Shards(), of, 0.25), moved
+}
+
+func TestABusyShardIsRelievedAndLoadDoesNotFlap(t *testing.T) {
+	m, of := New(4, ByItem), evenly(3000, 4)
+	times := func(factor float64, shard int) {
+		for key := range of {
+			if m.Table().Of(key, 0) == shard {
+				of[key] *= factor
+			}
+		}
+	}
+	times(5, 0)
+	r, moved := settleFor(m, of, 0, 40)
+	_, most, mean := loads(r)
+	assert.Less(t, most, 1.3*mean)
+	assert.Positive(t, moved)
+	_, moved = settleFor(m, of, 10, 200)
+	assert.Zero(t, moved, "it stays")
+	times(2, 1)
+	_, moved = settleFor(m, of, 60, 1)
+	assert.Zero(t, moved, "a burst of one turn moves nothing")
+}
+
+func TestAnItemThatIsHotIsSpreadAndComesBack(t *testing.T) {
+	for _, share := range []float64{0.1, 0.2, 0.6, 0.95} {
+		m, of, hot := New(8, ByItem), evenly(1000, 400*(1-share)), Key("hot", 0)
+		of[hot] = 400000 * share
+		r, _ := settleFor(m, of, 0, 15)
+		all, most, mean := loads(r)
+		over := m.Table().hot[hot]
+		assert.Less(t, most, 1.6*mean, "%v: %v", share, all)
+		assert.Equal(t, math.Min(8, math.Ceil(share*8/hotPart)), float64(len(over)), "%v", share)
+		of[hot] = 400
+		settleFor(m, of, 10, 4)
+		assert.Empty(t, m.Table().hot, "%v: it is one shard's again", share)
+	}
+	m, of, key := New(8, ByItem), evenly(1000, 8), Key("near", 0)
+	for i := range 40 { // about what makes it hot, back and forth
+		of[key] = []float64{700, 400}[i%2] // of 1000 that are one shard's
+		m.Turn(float64(i+1), reports(m.Table(), 8, of, 1))
+		assert.Contains(t, m.Table().hot, key, "it does not flap")
+	}
+}
+
+func TestAShardThatIsNotHeardOfGetsNothingNew(t *testing.T) {
+	m, of := New(4, ByItem), evenly(1000, 8)
+	before := m.Table()
+	settleFor(m, of, 0, 1, 2)
+	for key := range of {
+		assert.NotEqual(t, 2, m.Table().Of(key, 1))
+		if before.Of(key, 1) != 2 {
+			assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "the others keep theirs")
+		}
+	}
+	for i, still := range [][]int{nil, {0, 1, 2, 3}} { // it has its own again, and if none is heard of nothing changes
+		settleFor(m, of, float64(i+1), 1, still...)
+		for key := range of {
+			assert.Equal(t, before.Of(key, 1), m.Table().Of(key, 1), "%v", still)
+		}
+	}
+}
+
+func TestResizingMovesNoMoreThanItMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(rapid.IntRange(1, 16).Draw(t, "first"), ByItem)
+		for range 4 {
+			before, was, n := m.Table(), m.Shards(), rapid.IntRange(1, 16).Draw(t, "shards")
+			m.Resize(n)
+			count, moved := make([]int, n), 0
+			for slot, s := range m.Table().slots {
+				count[s]++
+				if before.slots[slot] != s {
+					moved++
+				}
+			}
+			most, least := slices.Max(count), slices.Min(count)
+			require.False(t, most-least > Slots/n+1 || least == 0, "%d shards have %v", n, count)
+			must := Slots - Slots*min(n, was)/max(n, was) + 17
+			require.False(t, moved > must, "from %d to %d: %d slots moved, at most %d must", was, n, moved, must)
+		}
+	})
+}
+
+func TestTheTallyFindsWhatIsAskedForMost(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	zipf := rand.NewZipf(chance, 1.1, 1, 1<<20)
+	var tally Tally
+	exact := map[uint64]uint32{}
+	const n = 200000
+	for range n {
+		key := zipf.Uint64()
+		exact[key]++
+		tally.Add(key)
+	}
+	found := map[uint64]uint32{}
+	assert.LessOrEqual(t, len(tally.by), watched)
+	for _, c := range tally.Take() {
+		found[c.Key] = c.N
+	}
+	for key, asked := range exact {
+		if asked > n/shown {
+			assert.Equal(t, asked, found[key], "%d", key)
+		}
+	}
+	assert.LessOrEqual(t, len(found), shown)
+	assert.Empty(t, tally.Take())
+}
+
+func TestPotsAreOnePotForAll(t *testing.T) {
+	var p Pots
+	assert.InDelta(t, 0.5, p.Add(7, 10, 0.5, 0, 2), 1e-9)
+	assert.InDelta(t, 1.0, p.Add(7, 10, 0.5, 0.5, 2), 1e-9, "what it begins with is there once")
+	assert.InDelta(t, 2.0, p.Add(7, 10, 0.5, 5, 2), 1e-9)
+	assert.Equal(t, []bool{true, true, false, false}, []bool{p.Spend(7, 1), p.Spend(7, 1), p.Spend(7, 1), p.Spend(7, 1)})
+	assert.InDelta(t, 0.25, p.Add(7, 20, 0.25, 0, 2), 1e-9, "another start, another pot")
+	assert.False(t, p.Spend(8, 1))
+	assert.Equal(t, []bool{true, false, true, true}, []bool{p.Trial(0, 7, 1), p.Trial(1, 7, 2), p.Trial(1, 7, 1), p.Trial(4, 7, 2)},
+		"one at a time, and who asks no more loses it")
+	p.Done(7)
+	assert.True(t, p.Trial(4, 7, 1))
+	for host := range uint32(3 * mostPots) {
+		p.Add(host, 0, 0, 0, 1)
+		p.Trial(0, host, 0)
+	}
+	assert.LessOrEqual(t, len(p.cold), mostPots)
+	assert.LessOrEqual(t, len(p.trials), mostPots)
+}
+
+func TestMemoryIsWhatCounts(t *testing.T) {
+	m := Memory{Keep: 6}
+	assert.False(t, m.Listed())
+	m.Reset()
+	m.Host("b", 2)
+	m.Host("a", 1)
+	m.Host("c", 3)
+	m.Gone("c")
+	m.Purge(0, "x", 0, "old")
+	m.Purge(5, "", 17, "group")
+	m.Purge(6, "y", 0, "first")
+	m.Purge(7, "y", 0, "last")
+	hosts, purges := m.All(7)
+	assert.Equal(t, []any{1, 2}, hosts)
+	assert.Equal(t, []any{"group", "last"}, purges)
+	for i := range 2 * mostPurges {
+		m.Purge(100+float64(i)/1000, fmt.Sprint(i), 0, i)
+	}
+	assert.LessOrEqual(t, len(m.purges), mostPurges)
+	m.Reset()
+	hosts, _ = m.All(7)
+	require.Empty(t, hosts)
+}
+
+func BenchmarkOf(b *testing.B) {
+	m := New(8, ByItem)
+	t := m.next()
+	t.hot = map[uint64][]uint16{1: {1, 2}}
+	for name, t := range map[string]*Table{"none-hot": m.Table(), "some-hot": t} {
+		need.Bench(b, name, func(i int) { t.Of(Key("7f3a9c21e0b4d655", i&7), uint64(i)) })
+	}
+}
+
+func BenchmarkTally(b *testing.B) {
+	zipf, keys := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 1, 1<<20), make([]uint64, 1<<16)
+	for i := range keys {
+		keys[i] = order.Mix(zipf.Uint64())
+	}
+	var t Tally
+	need.Bench(b, "zipf", func(i int) {
+		if t.Add(keys[i&(1<<16-1)]); i%5000 == 4999 { // a turn
+			t.Take()
+		}
+	})
+}
+
 const (
 	schedules   = 1500 // each with a seed of its own
 	lasts       = 4.0  // s
@@ -27,28 +252,10 @@
 	ColdFrom: 0.2, RampTime: 9, TipMultiple: 2, Fall: 1, ParentColdFrom: 0.2, ParentRamp: 9, ParentTip: 2, Seats: []int{1}, Dispatchers: 1,
 	FlowKB: 100, Services: []control.DeliveryService{{Objective: 0.5, ViewerTimeout: 1, Revenue: 1, Effect: control.Idempotent}}}
 
-// event is what happens at a moment.
-type event struct {
-	at    float64
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
-
 // world is a process of shards on a clock of its own; whatever breaks a rule is a fault.
 type world struct {
 	now            float64
-	order          int
-	due            events
+	due            due.Wheel[func()]
 	chance         *rand.Rand
 	m              *Module
 	pots           Pots
@@ -100,10 +307,7 @@
 	forwards    map[[2]int]func() // cancels, by GET and number
 }
 
-func (w *world) after(delay float64, do func()) {
-	w.order++
-	heap.Push(&w.due, event{w.now + delay, w.order, do})
-}
+func (w *world) after(delay float64, do func()) { w.due.Add(w.now+delay, do) }
 
 func (w *world) fault(format string, v ...any) {
 	w.faults = append(w.faults, fmt.Sprintf(format, v...))
@@ -424,10 +628,9 @@
 	w.after(0.25, w.turn)
 	w.after(0.3, w.trouble)
 	w.after(w.chance.Float64()*2, w.resize)
-	for len(w.due) > 0 && w.due[0].at < lasts {
-		e := heap.Pop(&w.due).(event)
-		w.now = e.at
-		e.do()
+	for e, ok := w.due.PopAt(lasts); ok; e, ok = w.due.PopAt(lasts) {
+		w.now = e.At
+		e.Item()
 	}
 	for i, g := range w.gets {
 		if g.until < lasts && (g.answers == 0 || g.answered > g.until) {
