--- a/fleet/variants/checker_test.go
+++ b/fleet/variants/checker_test.go
@@ -294,7 +294,7 @@
 }
 
 func play(t *testing.T, m mode, seed uint64) *world {
-	w := &world{mode: m, rng: rand.New(rand.NewPCG(seed, 1)), cut: -1}
+	w := &world{mode: m, now: 1, rng: rand.New(rand.NewPCG(seed, 1)), cut: -1} // a forward that began at 0 has no time
 	if w.spread == 0 {
 		w.spread = 3
 	}
