--- a/emulate/variants.go
+++ b/emulate/variants.go
@@ -15,12 +15,14 @@
 
 // Ways by which GETs of device classes may be looked for, side by side.
 const (
-	ByClass  = "keys by class" // as without variants
-	OneKey   = "one key"       // for all classes: wrong
-	Alone    = "each alone"    // the program's, no facts from other dispatchers
-	Fleet    = "fleet"         // the program's
-	Presumed = "presume"       // the program's, sameness of new objects presumed
-	Knowing  = "ideal"         // knows the truth at once
+	ByClass  = "keys by class"    // as without variants
+	OneKey   = "one key"          // for all classes: wrong
+	Alone    = "each alone"       // the program's, no facts from other dispatchers
+	Fleet    = "fleet"            // the program's
+	Beats    = "beats"            // the program's, with beats that bound how old facts are
+	Presumed = "presume"          // the program's, sameness of new objects presumed
+	Knowing  = "ideal"            // knows the truth at once
+	AtOnce   = "evidence at once" // knows at once what any dispatcher's answer bore and no more: what is left of the ideal's saving is inherent
 )
 
 // VariantsScenario is dispatchers, cache hosts and an origin that answers by device class. Times are in seconds.
@@ -37,6 +39,7 @@
 	Odd          float64 // share of the objects whose classes all differ
 	Rate         float64 // GETs a second, all together
 	Lasts        float64 // an answer at a host
+	Lapses       float64 // evidence of no version, where changes are silent
 	Changes      float64 // of an object's bytes a second, of all objects together
 	One          float64 // share of those that change one class only
 	Silent       float64 // share of those with no version that are not purged either
@@ -55,7 +58,7 @@
 
 // VariantsDefault is 300 dispatchers and 100 hosts.
 func VariantsDefault() VariantsScenario {
-	return VariantsScenario{Seed: 1, Way: Fleet, Dispatchers: 300, Hosts: 100, Holds: 100, Objects: 4000, Skew: 0.9, Same: []int{0, 0, 0, 1, 1}, Odd: 0.05, Rate: 10_000, Lasts: 60,
+	return VariantsScenario{Seed: 1, Way: Fleet, Dispatchers: 300, Hosts: 100, Holds: 100, Objects: 4000, Skew: 0.9, Same: []int{0, 0, 0, 1, 1}, Odd: 0.05, Rate: 10_000, Lasts: 60, Lapses: 60,
 		Changes: 1, One: 0.5, Silent: 0, PurgeDelay: 0.1, FactDelay: 0.5, OriginRate: 700, Witnesses: 1, Checks: 0.01, Warm: 200, Span: 200, TablesHold: 8000}
 }
 
@@ -90,9 +93,9 @@
 
 // keys is a dispatcher's way to find keys.
 type keys interface {
-	key(now float64, o *item, class int) (stands int, checks bool)
+	key(now float64, o *item, class int) (stands, beside int, checks bool)
 	// answered takes what came for a GET; false where the bytes may not go to it, and it has to be sent by its own class.
-	answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool
+	answered(now float64, o *item, class, asked, beside int, host uint32, a copyOf) bool
 	purged(now float64, o *item, purge uint64)
 	facts() []variantFact
 	learn(now float64, f variantFact)
@@ -122,6 +125,11 @@
 	class int
 }
 
+type placeKey struct {
+	hostKey
+	beside int
+}
+
 type variantsWorld struct {
 	VariantsScenario
 	chance *rand.Rand
@@ -131,10 +139,11 @@
 	upTo   []float64 // popularity, summed up
 	hosts  []*simplelru.LRU[hostKey, copyOf]
 	index  order.Index[uint32]
-	first  map[hostKey]*order.First
+	first  map[placeKey]*order.First
 	all    []keys
 	heard  [][]uint64 // by dispatcher and item: the highest purge
 	next   uint64
+	known  map[*item]*borne // AtOnce's
 	purges uint64
 	room   float64 // of the origin, as a bucket
 	roomAt float64
@@ -151,7 +160,7 @@
 	if s.Dispatchers < 1 || s.Hosts < 1 || s.Objects < 1 || s.Rate <= 0 || len(s.Same) < 1 || s.Holds < 1 || s.Span <= 0 {
 		return nil, fmt.Errorf("variants: %d dispatchers, %d hosts, %d objects of %d classes: out of range", s.Dispatchers, s.Hosts, s.Objects, len(s.Same))
 	}
-	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[hostKey]*order.First{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
+	w := &variantsWorld{VariantsScenario: s, chance: rand.New(rand.NewPCG(s.Seed, 47)), first: map[placeKey]*order.First{}, known: map[*item]*borne{}, out: &VariantsResult{}, bins: make([]int, int(s.Warm+s.Span)+1)}
 	sum := 0.0
 	for i := range s.Objects {
 		w.items = append(w.items, w.item(i))
@@ -169,6 +178,12 @@
 		w.all = append(w.all, w.keys(i))
 		w.heard = append(w.heard, make([]uint64, s.Objects))
 	}
+	if s.Way == Beats {
+		giver := variants.NewGiver(s.Seed)
+		for i := range w.all {
+			w.acts.Add(w.chance.Float64()*variants.BeatEach, func() { w.ask(giver, i) })
+		}
+	}
 	w.every(s.Changes, w.change)
 	w.every(s.Fresh, w.fresh)
 	end := s.Warm + s.Span
@@ -242,6 +257,16 @@
 	}
 }
 
+// ask has a dispatcher ask for a beat, over a way and back as long as facts take.
+func (w *variantsWorld) ask(g *variants.Giver, i int) {
+	sent := w.now
+	w.acts.Add(w.now+w.FactDelay*w.chance.ExpFloat64(), func() {
+		b := g.Next()
+		w.acts.Add(w.now+w.FactDelay*w.chance.ExpFloat64(), func() { w.all[i].(*program).Beat(sent, w.now, b) })
+	})
+	w.acts.Add(w.now+variants.BeatEach, func() { w.ask(g, i) })
+}
+
 // purge empties the hosts of an object at once; dispatchers hear of it one by one.
 func (w *variantsWorld) purge(o *item) {
 	w.purges++ // numbers are of one log, for all objects
@@ -268,6 +293,7 @@
 // fresh puts a new object in an old one's place.
 func (w *variantsWorld) fresh() {
 	at := w.pick()
+	delete(w.known, w.items[at])
 	w.items[at] = w.item(at)
 	for i := range w.heard {
 		w.heard[i][at] = 0
@@ -288,16 +314,18 @@
 		w.out.GETs++
 		w.worth += worth
 	}
-	asked, checks := class, false
+	asked, beside, checks := class, 0, false
 	switch {
 	case o.service == tokened || w.Way == ByClass:
 	case w.Way == OneKey:
 		asked = 0
+	case w.Way == AtOnce:
+		asked = w.known[o].stands(w, o, class)
 	case w.Way == Knowing:
 		truth := o.states[len(o.states)-1]
 		asked = slices.Index(truth, truth[class])
 	default:
-		asked, checks = w.all[d].key(w.now, o, class)
+		asked, beside, checks = w.all[d].key(w.now, o, class)
 	}
 	if truth := o.states[len(o.states)-1]; counts && o.service != tokened && slices.Index(truth, truth[class]) != asked {
 		if checks {
@@ -306,21 +334,27 @@
 			w.out.Apart++
 		}
 	}
-	a, hit, host, ok := w.fetch(o, asked)
+	a, hit, host, ok := w.fetch(o, asked, beside)
 	if ok && o.service != tokened {
 		switch w.Way {
 		case ByClass, OneKey:
+		case AtOnce:
+			if !w.bear(o, asked, a) || !w.known[o].same(w, class, asked) {
+				if a, hit, _, ok = w.fetch(o, class, 0); ok {
+					w.bear(o, class, a)
+				}
+			}
 		case Knowing:
 			if a.content != o.states[a.state][class] {
-				a, hit, _, ok = w.fetch(o, class)
+				a, hit, _, ok = w.fetch(o, class, 0)
 			}
 		default:
-			if !w.all[d].answered(w.now, o, class, asked, host, a) {
+			if !w.all[d].answered(w.now, o, class, asked, beside, host, a) {
 				if counts {
 					w.out.Again++
 				}
-				if a, hit, host, ok = w.fetch(o, class); ok {
-					w.all[d].answered(w.now, o, class, class, host, a)
+				if a, hit, host, ok = w.fetch(o, class, 0); ok {
+					w.all[d].answered(w.now, o, class, class, 0, host, a)
 				}
 			}
 			w.spread(d)
@@ -341,16 +375,58 @@
 	}
 }
 
-// fetch gets an answer of a class from the host that its key names.
-func (w *variantsWorld) fetch(o *item, class int) (a copyOf, hit bool, host uint32, ok bool) {
+// borne is what any answer bore, by class, in the newest generation that one bore.
+type borne struct {
+	purge, version uint64
+	content        []uint64
+	at             []float64
+	first          []int // classes in the order in which they were known: the first's copy is at a host already
+}
+
+// bear takes an answer as evidence; false for one of an older generation.
+func (w *variantsWorld) bear(o *item, class int, a copyOf) bool {
+	b := w.known[o]
+	if b == nil || a.purge > b.purge || a.purge == b.purge && a.version > b.version {
+		b = &borne{purge: a.purge, version: a.version, content: make([]uint64, len(w.Same)), at: make([]float64, len(w.Same))}
+		w.known[o] = b
+	} else if a.purge < b.purge || a.version < b.version {
+		return false
+	}
+	if b.content[class] == 0 {
+		b.first = append(b.first, class)
+	}
+	b.content[class], b.at[class] = a.content, w.now
+	return true
+}
+
+func (b *borne) same(w *variantsWorld, class, as int) bool {
+	lapsed := func(c int) bool { return b.version == 0 && w.Silent > 0 && w.now > b.at[c]+w.Lapses }
+	return class == as || b.content[class] != 0 && b.content[class] == b.content[as] && !lapsed(class) && !lapsed(as)
+}
+
+func (b *borne) stands(w *variantsWorld, o *item, class int) int {
+	if b == nil || b.purge < o.purge {
+		return class
+	}
+	for _, c := range b.first {
+		if b.same(w, class, c) {
+			return c
+		}
+	}
+	return class
+}
+
+// fetch gets an answer of a class from the host that its key, or a place beside, names.
+func (w *variantsWorld) fetch(o *item, class, beside int) (a copyOf, hit bool, host uint32, ok bool) {
 	k := hostKey{o.id, class}
-	spread, first := 1, w.first[k]
+	at := placeKey{k, beside}
+	spread, first := 1, w.first[at]
 	if o.index < len(w.items)/100 {
 		spread = 3
 	}
 	skip := w.chance.IntN(spread)
-	w.index.Walk(order.Mix(o.id+uint64(class)), &first, skip, func(h uint32) bool { host = h; return false })
-	w.first[k] = first
+	w.index.Walk(order.Mix(o.id+uint64(class+variants.MaxClasses*beside)), &first, skip, func(h uint32) bool { host = h; return false })
+	w.first[at] = first
 	held := w.hosts[host-1]
 	if a, hit = held.Get(k); hit && w.now < a.at+w.Lasts {
 		return a, true, host, true
@@ -469,7 +545,7 @@
 }
 
 func (w *variantsWorld) keys(i int) keys {
-	if w.Way == ByClass || w.Way == OneKey || w.Way == Knowing {
+	if w.Way == ByClass || w.Way == OneKey || w.Way == Knowing || w.Way == AtOnce {
 		return nil
 	}
 	var classes []string
@@ -480,7 +556,7 @@
 	for s := range all {
 		all[s] = variants.Service{Classes: classes, Proof: variants.ByTag, Witnesses: w.Witnesses, Repeats: s != tokened, Fresh: math.Inf(1)}
 		if w.Silent > 0 {
-			all[s].Fresh = w.Lasts
+			all[s].Fresh = w.Lapses
 		}
 		if w.Way == Presumed {
 			all[s].Presume = &variants.Presumed{Objects: 20, Checks: w.Checks}
@@ -500,14 +576,14 @@
 	return variants.Object{Service: o.service, Object: o.id, Group: o.service}
 }
 
-func (p *program) key(now float64, o *item, class int) (int, bool) {
+func (p *program) key(now float64, o *item, class int) (stands, beside int, checks bool) {
 	p.floor, p.known = p.Told(named1(o)), p.order
 	p.key1 = p.Key(now, named1(o), class)
-	return p.key1.Class, p.key1.Checks
+	return p.key1.Class, p.key1.Beside, p.key1.Checks
 }
 
-func (p *program) answered(now float64, o *item, class, asked int, host uint32, a copyOf) bool {
-	answer := variants.Answer{Object: named1(o), Class: asked, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known}
+func (p *program) answered(now float64, o *item, class, asked, beside int, host uint32, a copyOf) bool {
+	answer := variants.Answer{Object: named1(o), Class: asked, Beside: beside, Host: host, Proof: a.proof, Generation: variants.Generation{Purge: p.floor, Version: a.version}, Known: p.known, Sent: now}
 	p.Answered(now, answer)
 	k := p.key1
 	if asked == class {
--- a/fleet/variants/evidence.go
+++ b/fleet/variants/evidence.go
@@ -23,29 +23,35 @@
 	if !m.heard(&a, i) {
 		return
 	}
-	if i = m.place(i, a.Object, a.Generation, true); i < 0 {
-		return
-	}
+	i = m.place(i, a.Object, a.Generation)
 	t := m.tick(now)
 	if !m.advance(i, a.Generation) {
 		return
 	}
+	lapses := timed(v, a.Generation)
+	at, beat := t, Beat{}
+	if lapses && a.Sent > 0 {
+		at, beat = min(t, m.tick(a.Sent)), m.rounds.label(a.Sent)
+	}
 	d := &m.of(i)[a.Class]
 	if !m.timely(v, i, d, t) {
 		d.n = 0
 	}
 	if d.n > 0 && d.proof != a.Proof {
 		m.contrary(v, i, a.Class, t)
-		if timed(v, a.Generation) {
-			d.proof, d.n, d.expires, d.checks, d.disputed = a.Proof, 1, 0, 0, false
-			d.first = bearer{a.Host, t}
+		if lapses {
+			d.proof, d.n, d.expires, d.checks, d.disputed, d.vain = a.Proof, 1, 0, 0, false, 0
+			d.first = bearer{a.Host, at}
 		}
-		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits)}, a.Host})
+		m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Split: true, Splits: uint32(d.splits), Beat: beat}, a.Host})
 	} else {
-		lapses := timed(v, a.Generation)
-		fresh := m.bear(v, i, a.Class, a.Host, a.Proof, t)
-		if fresh && (d.n == 1 || !lapses) {
-			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits)}, a.Host})
+		tells := beat.Giver != 0 && m.due(v, i, a.Class, a.Host, at)
+		fresh := (beat.Giver == 0 || tells) && m.bear(v, i, a.Class, a.Host, a.Proof, at)
+		if !fresh && int(d.n) < v.Witnesses && a.Beside > 0 && a.Beside <= maxBeside {
+			d.vain = max(d.vain, uint8(a.Beside))
+		}
+		if tells || fresh && (d.n == 1 || !lapses) {
+			m.tell(told{Fact{Object: a.Object, Class: a.Class, Proof: a.Proof, Generation: a.Generation, Splits: uint32(d.splits), Beat: beat}, a.Host})
 		}
 		if d.stands >= 0 && d.checks < math.MaxUint16 {
 			d.checks++
@@ -70,35 +76,41 @@
 		if of, exact := m.told(f.Object); !exact || f.Generation.Purge < of.purge {
 			continue
 		}
-		i := m.place(m.find(f.Object), f.Object, f.Generation, false)
-		if i < 0 || !m.advance(i, f.Generation) {
+		i := m.place(m.find(f.Object), f.Object, f.Generation)
+		if !m.advance(i, f.Generation) {
 			continue
 		}
 		d := &m.of(i)[f.Class]
 		if f.Split && f.Splits > 0 { // the split below is the teller's last
 			d.splits = max(d.splits, uint8(min(f.Splits-1, math.MaxUint8)))
 		}
-		switch lapses := timed(v, f.Generation); {
-		case f.Split:
-			m.contrary(v, i, f.Class, t)
-			if lapses {
+		lapses, at, known := timed(v, f.Generation), t, true
+		if lapses {
+			if at, known = m.since(f.Beat); !m.timely(v, i, d, t) {
 				d.n = 0
 			}
-		case d.n > 0 && d.proof != f.Proof:
-			if lapses { // nobody knows how old it is: evidence is asked for anew, and nothing is held against the class
-				d.n = 0
-			} else {
-				m.contrary(v, i, f.Class, t)
+		}
+		differs := d.n > 0 && d.proof != f.Proof
+		if f.Split || differs && !lapses {
+			m.contrary(v, i, f.Class, t)
+		}
+		if lapses && (f.Split || differs) { // evidence is asked for anew; where nobody knows which is newer nothing is held against the class
+			for j := range int(d.n) {
+				known = known && at >= m.borne(i, f.Class, j).at
 			}
-		case !lapses:
-			m.bear(v, i, f.Class, host, f.Proof, t)
+			d.n = 0
+		}
+		if known && (lapses || !f.Split && !differs) {
+			m.bear(v, i, f.Class, host, f.Proof, at)
 		}
 		m.settle(v, i, t, int(f.Stands)-1)
 	}
 }
 
-// place takes an object's place in the table for evidence of a generation, unless it was found to have place i; -1 where there is no room.
-func (m *Module) place(i int, o Object, g Generation, evict bool) int {
+// place takes an object's place in the table for evidence of a generation, also of a peer's, unless it was found to have place i: what has not
+// been asked for since the hand came by goes. Places for facts only where one is free leave the newest objects, of which all is yet to be
+// learned, out of a full table.
+func (m *Module) place(i int, o Object, g Generation) int {
 	if i >= 0 {
 		if e := &m.entries[i]; !e.ref {
 			e.ref = true
@@ -114,9 +126,6 @@
 			break
 		}
 	}
-	if i < 0 && !evict {
-		return -1
-	}
 	for i < 0 {
 		e := &m.entries[first+int(m.hands[s])]
 		if !e.ref {
@@ -144,7 +153,7 @@
 		e.generation, e.epoch = g, 0
 		k := m.of(i)
 		for j := range k {
-			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks = 0, false, -1, -1, 0
+			k[j].n, k[j].disputed, k[j].stands, k[j].from, k[j].checks, k[j].vain = 0, false, -1, -1, 0, 0
 		}
 	}
 	return true
@@ -179,7 +188,9 @@
 		d.n++
 		return true
 	}
-	*oldest = bearer{host, t}
+	if t >= oldest.at {
+		*oldest = bearer{host, t}
+	}
 	return false
 }
 
--- a/fleet/variants/module.go
+++ b/fleet/variants/module.go
@@ -20,12 +20,16 @@
 	partLeast    = 1 << 8  // objects of a part at least: few would crowd its sets
 
 	warm        = 20.0  // s over which a growing share of GETs goes by a new key: hosts fill it once, not all at one moment
+	warmLittle  = 5.0   // s of a class that few ask for here: the class that stands has just been borne out, so that a host has its copy
+	little      = 10    // own answers since the join up to which it is such a class: 2 a second of one dispatcher
 	hold        = 30.0  // s that a class is held apart after its first split; doubled with each further one
 	holdMost    = 7200  // s at most
 	forgiven    = 4.0   // times the last hold that a join must have stood for its splits to be forgotten
 	checksFirst = 0.1   // share of GETs by their own class right after a join, falling with each that agreed
 	checksLeast = 0.002 // share that always remains: an origin may change one variant and tell nobody
 	checksRenew = 0.2   // share where evidence is past half of Fresh and would lapse
+	besides     = 0.25  // share of a class's GETs that are sent beside while it lacks a witness: what is asked for once or twice pays nothing
+	maxBeside   = 4     // places beside a class's own: where hosts are few, some begin at a host that is a witness already
 	ticks       = 10.0  // a second: times are kept so, rounded to the past
 )
 
@@ -40,10 +44,11 @@
 	against  uint8
 	n        uint8 // witnesses
 	splits   uint8
-	stands   int8 // class that stands for it, itself where it stands for others; -1 for none
-	last     int8 // that stood before
-	from     int8 // class by which the rest of the GETs go while the key is warmed
-	disputed bool // two contents in one generation: not joined until another generation
+	stands   int8  // class that stands for it, itself where it stands for others; -1 for none
+	last     int8  // that stood before
+	from     int8  // class by which the rest of the GETs go while the key is warmed
+	disputed bool  // two contents in one generation: not joined until another generation
+	vain     uint8 // places beside that brought no new witness
 	first    bearer
 }
 
@@ -110,6 +115,7 @@
 	notices  line[Notice]
 	dropped  uint64
 	peers    int // dispatchers that share their facts, this one too
+	rounds   rounds
 }
 
 // New makes a module, or names all that is wrong with the settings.
@@ -159,6 +165,17 @@
 	return mix(object ^ uint64(class)*0xd6e8feb86659fd93)
 }
 
+// PlaceOf is KeyOf by a place beside the class's own. Only the order of hosts, and what is counted by name, goes by it: a host is asked for the class.
+func PlaceOf(object uint64, class, beside int) uint64 { return KeyOf(object, class+MaxClasses*beside) }
+
+// Places is up to which place names of a service's objects are in use.
+func (v *Service) Places() int {
+	if v.Witnesses < 2 {
+		return 0
+	}
+	return maxBeside
+}
+
 func id(o Object) uint64 { return mix(o.Object ^ uint64(o.Service)*0x9e3779b97f4a7c15) }
 
 // set is an object's set, and its tag, which is never 0.
@@ -361,17 +378,20 @@
 		k := m.of(i)
 		if d := &k[c]; d.stands >= 0 && t < d.expires && current {
 			stands := int(d.stands)
-			if d.from >= 0 && t-d.since < warm*ticks && low*warm*ticks >= float64(t-d.since) {
+			if d.from >= 0 && t-d.since < warm*ticks && low*d.warms(c)*ticks >= float64(t-d.since) {
 				stands = int(d.from)
 			}
 			if stands == c {
 				return own
 			}
 			if high < m.share(v, d, t) {
-				return Key{Class: c, Own: true, Checks: true, Told: own.Told}
+				return Key{Class: c, Own: true, Checks: true, Told: own.Told, Beside: m.renews(v, d, draw)}
 			}
 			return Key{Class: stands, Told: own.Told}
 		}
+		if v.Witnesses > 1 && current && high < besides {
+			own.Beside = m.beside(v, k, c, t)
+		}
 	}
 	if v.Presume == nil {
 		return own
@@ -394,6 +414,38 @@
 // them tells all. Guards against 300 that each make sure anew, at the cost of the copies that were to be saved.
 func (m *Module) Peers(n int) { m.peers = n }
 
+// warms is over how long (s) class c's new key is warmed: one that went by its own until now is joined to one that has just been borne out.
+func (d *class) warms(c int) float64 {
+	if int(d.from) == c && d.checks < little {
+		return warmLittle
+	}
+	return warm
+}
+
+// beside is the place by which a class that lacks a witness is asked for; 0 where none would help it to another class's key: only those whose
+// known contents are equal are worth a further fill.
+func (m *Module) beside(v *Service, k []class, c int, t uint32) int {
+	open := func(d *class) bool { return d.n > 0 && !d.disputed && d.until <= t && t < d.expires }
+	d := &k[c]
+	if !open(d) || int(d.n) >= v.Witnesses || d.vain >= maxBeside {
+		return 0
+	}
+	for l := range k {
+		if l != c && open(&k[l]) && k[l].proof == d.proof {
+			return min(maxBeside, int(max(d.n, d.vain+1)))
+		}
+	}
+	return 0
+}
+
+// renews is the place by which a joined class's evidence that would lapse is asked for anew: each of its witnesses must be heard again.
+func (m *Module) renews(v *Service, d *class, draw uint64) int {
+	if v.Witnesses < 2 || d.expires == math.MaxUint32 {
+		return 0
+	}
+	return int(draw>>16) % min(maxBeside+1, v.Witnesses+int(d.vain))
+}
+
 // share is that of a joined class's GETs that ask by their own class all the same.
 func (m *Module) share(v *Service, d *class, t uint32) float64 {
 	s := max(checksLeast, checksFirst/float64(1+d.checks)/float64(max(1, m.peers)))
--- a/fleet/variants/types.go
+++ b/fleet/variants/types.go
@@ -23,8 +23,8 @@
 	Witnesses int       // independent hosts that must have borne out sameness, 1 at least
 	Repeats   bool      // GETs may be repeated (idempotent): others are never rewritten
 	Presume   *Presumed // nil where nothing is presumed
-	// Fresh is for how long an answer that names no version is evidence (s), own answers only: no clock is compared, so that the age of a
-	// peer's fact is not known, and it may split but not join. 0: such answers are none. +Inf: contents change with purges only.
+	// Fresh is for how long an answer that names no version is evidence (s). No clock is compared: a peer's fact joins only where beats bound
+	// its age, and else may split alone. 0: such answers are none. +Inf: contents change with purges only.
 	Fresh float64
 }
 
@@ -64,6 +64,7 @@
 	Own     bool   // it is the GET's own class
 	Checks  bool   // sent by its own class to check what is presumed
 	Presume bool   // it rests on what is presumed
+	Beside  int    // place in the order of hosts by which it is sent, 0 for the class's own: another host then bears the class out
 	Told    uint64 // Told as it is now, of declared classes
 }
 
@@ -71,10 +72,12 @@
 type Answer struct {
 	Object     Object
 	Class      int        // that was asked of the host
+	Beside     int        // place in the order of hosts by which it was sent
 	Host       uint32     // witness, by the same number at all dispatchers
 	Proof      uint64     // hash of the tag, digest or body; 0 for none
 	Generation Generation // purge: Told as it was when the forward began
 	Known      uint64     // order of the newest event that whoever sent it had heard by then
+	Sent       float64    // when the forward began; 0 where that is not known: then it bears no beat
 }
 
 // Fact is what dispatchers tell each other: one class's content of an object in a generation, by one witness.
@@ -87,6 +90,7 @@
 	Generation Generation
 	Split      bool   // contrary: this class had another content than the one that stood for it
 	Splits     uint32 // how often: a flapping object is held apart for longer
+	Beat       Beat   // that was known when the forward began, of answers that name no version: readers tell by it how old it is at most
 	Stands     uint8  // 1 and the class that stands for it at the teller, 0 for none: dispatchers settle on the first declared
 }
 
--- a/internal/variants/bench_test.go
+++ b/internal/variants/bench_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -15,6 +16,7 @@
 	"elderwall/internal/lines"
 	"elderwall/internal/node"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/variants"
 )
 
@@ -57,6 +59,15 @@
 	require.Len(t, all, 200)
 	other.Learn(2, all)
 	assert.Len(t, other.Notices(), 1+99, "one object both knew")
+	one := pure.Service{Classes: classes, Proof: pure.ByTag, Witnesses: 1, Repeats: true, Fresh: 20}
+	timed := need.Of(variants.New(variants.Settings{Module: pure.Settings{Services: []pure.Service{one}, Objects: 1 << 12, Self: "d2"}, Fields: []string{"dev"}}))(t)
+	timed.Beat(2, 3, pure.Beat{Giver: 1, Number: 5})
+	aged := slices.Clone(all)
+	for n := range aged {
+		aged[n].Beat = pure.Beat{Giver: 1, Number: 6}
+	}
+	timed.Learn(4, aged)
+	assert.Len(t, timed.Notices(), 100, "a beat is for all parts")
 	stage.Purged(9, 1, "", 0)
 	for n := range all {
 		assert.True(t, other.Keep(&all[n], true))
--- a/internal/variants/variants.go
+++ b/internal/variants/variants.go
@@ -29,6 +29,7 @@
 	settings Settings
 	services []service
 	most     int // classes of a service
+	places   int // beside a class's own
 	parts    []part
 	names    []atomic.Pointer[name]
 	turn     atomic.Uint32 // which part's facts are taken first
@@ -71,7 +72,7 @@
 		v := service{names: of.Classes}
 		if len(of.Classes) > 0 && of.Repeats {
 			v.proof = of.Proof
-			st.most = max(st.most, len(of.Classes))
+			st.most, st.places = max(st.most, len(of.Classes)), max(st.places, of.Places())
 		}
 		for _, class := range of.Classes {
 			pair := ""
@@ -155,18 +156,18 @@
 	p.Lock()
 	k := p.module.Key(now, object(in, number), int(class))
 	p.Unlock()
-	v.Asked, v.Presumed, v.Told = int16(k.Class), k.Presume, k.Told
-	return v, s.name(in.Object, number, int(v.Asked)), true
+	v.Asked, v.Beside, v.Presumed, v.Told = int16(k.Class), int16(k.Beside), k.Presume, k.Told
+	return v, s.name(in.Object, number, int(v.Asked), k.Beside), true
 }
 
 // Own is node.Variants.
 func (s *Stage) Own(in *control.GET, v node.Variant) string {
-	return s.name(in.Object, v.Number, int(v.Own))
+	return s.name(in.Object, v.Number, int(v.Own), 0)
 }
 
-// name is an object's by a class.
-func (s *Stage) name(as string, number uint64, class int) string {
-	key := variants.KeyOf(number, class)
+// name is an object's by a class and place.
+func (s *Stage) name(as string, number uint64, class, beside int) string {
+	key := variants.PlaceOf(number, class, beside)
 	if key == number {
 		return as
 	}
@@ -214,7 +215,7 @@
 
 // answer is evidence as the module takes it.
 func answer(in *control.GET, v node.Variant, e node.Evidence) variants.Answer {
-	return variants.Answer{Object: object(in, v.Number), Class: int(e.Asked), Host: e.Host, Proof: e.Proof,
+	return variants.Answer{Object: object(in, v.Number), Class: int(e.Asked), Beside: int(e.Beside), Host: e.Host, Proof: e.Proof,
 		Generation: variants.Generation{Purge: e.Told, Version: e.Version}, Known: e.Known}
 }
 
@@ -264,8 +265,12 @@
 	if object == "" {
 		return nil
 	}
-	for c := 1; c < s.most; c++ {
-		names = append(names, text(variants.KeyOf(key, c)))
+	for beside := range s.places + 1 {
+		for c := range s.most {
+			if c+beside > 0 {
+				names = append(names, text(variants.PlaceOf(key, c, beside)))
+			}
+		}
 	}
 	return names
 }
@@ -303,6 +308,11 @@
 	s.all(func(m *variants.Module) { m.Peers(n) })
 }
 
+// Beat takes the answer to a question for a beat, of one process as for all parts. Those that it has not reached yet know the beats before it.
+func (s *Stage) Beat(sent, heard float64, b variants.Beat) {
+	s.all(func(m *variants.Module) { m.Beat(sent, heard, b) })
+}
+
 // Keep tells whether a fact that was told is still of use; own for one that this dispatcher told.
 func (s *Stage) Keep(f *variants.Fact, own bool) (keeps bool) {
 	s.part(f.Object.Object).do(func(m *variants.Module) { keeps = m.Keeps(f, own) })
