--- a/control/state.go
+++ b/control/state.go
@@ -751,3 +751,27 @@
 	}
 	d.paces.Unfinished(d.now, &f.host.pace, &f.source.pace, cmp.Or(g.item.kb, g.ds.kb.mean), d.now-f.at)
 }
+
+// cancel ends the wait for all forwards that are still out.
+func (d *Dispatcher) cancel(g *get) {
+	for _, f := range g.forwards {
+		if !f.back && !f.moot && d.MayCancel {
+			d.wire.Cancel(g.ID, f.number)
+		}
+		f.moot = true
+	}
+}
+
+// count bumps the object's count in the bounded, aged table.
+func (d *Dispatcher) count(g *get) {
+	g.item = d.items.touch(d.now, g.Object, g.Part, g.size())
+	if told := d.sending(g); told > 0 {
+		g.ds.sending.add(told, learnSize)
+	}
+	g.item.demand.add(d.now, g.size())
+	d.total.add(d.now, g.size())
+}
+
+func (d *Dispatcher) turn(l *allowance) {
+	l.turn, l.start, l.seen, l.late, l.peak, l.full = d.now, l.out, 0, 0, l.out, false
+}
--- /dev/null
+++ b/control/trust.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+)
+
+// judgeHost learns from an answer how fast and how sound its host is.
+func (d *Dispatcher) judgeHost(g *get, f *forward) verdict {
+	h, a := f.host, f.answer
+	switch a.Outcome {
+	case Returned:
+		d.retries.Earn()
+		h.taken.add(d.now, f.work)
+		h.serving.add(a.Elapsed/math.Max(1, float64(f.crowd+h.out+1)/2), learnServing)
+		g.ds.usual.add(a.Elapsed, learn)
+		if d.sending(g) == 0 && (a.Note == Hit || d.Detail == Silent) && f.crowd <= uncrowded {
+			// Crowding must not pass for size: the objective would grow with it, and nothing look late.
+			g.ds.sending.add(math.Min(a.Elapsed, g.ds.Objective), learnSize)
+		}
+		g.item.holder, g.item.heldTo = h, d.now+buckets*bucketSpan
+		if a.Note == Hit || d.Detail == Silent && !f.miss {
+			d.judge(f, a.Elapsed > f.objective, f.under[:2])
+		}
+		d.sound(h)
+		for _, o := range g.accused {
+			d.fault(o, learnFault)
+		}
+	case HostError, Dropped, Unreached, Expired:
+		switch {
+		case sourceFault(a.Note) || a.Outcome == Expired && h.heard > f.at:
+		case a.Outcome == HostError && g.ds.Effect == Idempotent: // no host can use some GETs: others tell
+			g.accused = append(g.accused, h)
+		case a.Outcome == HostError || a.Outcome == Dropped: // connections break at sound hosts too
+			d.fault(h, learnFault)
+		default:
+			d.fault(h, h.belief.Loss(d.now, learnLost, faulty))
+		}
+		if a.Outcome != Dropped || g.ds.Effect != Idempotent || g.asked(h) > 1 { // it may hold the object
+			g.bad = append(g.bad, h)
+		}
+	case NotTaken, Empty:
+		if !sourceFault(a.Note) && !(a.Outcome == Empty && f.source != h) {
+			g.bad = append(g.bad, h)
+		}
+		if g.turned++; g.turned > turnedMost && !g.over && g.out == 0 {
+			return d.giveUp(g)
+		}
+	}
+	return pass
+}
+
+func (d *Dispatcher) sound(h *host) {
+	h.fault *= 1 - learnFault
+	h.belief.Heard(d.now)
+	if h.streak++; h.left && (h.streak >= trialsPassed || h.belief.Vouched(h.leftAt)) {
+		h.left, h.wait, h.fault = false, 0, 0
+		d.wire.Log(fmt.Sprintf("host %d trusted again", h.ID))
+		d.tell(News{Host: h.ID})
+	}
+}
+
+// fault counts a failure against a host; one that mostly fails is left.
+func (d *Dispatcher) fault(h *host, weight float64) {
+	h.fault += (1 - h.fault) * weight
+	if h.left || h.fault >= faulty {
+		d.leave(h)
+	}
+}
+
+// leave stays away from a host, and tries it again with single GETs after a while that grows.
+func (d *Dispatcher) leave(h *host) {
+	if h.left && d.now < h.until {
+		return
+	}
+	if !h.left {
+		h.leftAt = d.now
+		d.wire.Log(fmt.Sprintf("host %d left: it fails or is silent", h.ID))
+	}
+	h.left, h.streak = true, 0
+	h.wait = math.Min(leaveMost, math.Max(leaveFor, 2*h.wait))
+	h.until = d.now + h.wait*(1+leaveSpread*(d.chance(h)-0.5))
+	d.tell(News{Host: h.ID, Left: true, Until: h.until, Wait: h.wait})
+}
+
+// Told takes what another shard of the process has found out: a host that it left is left here too, a limit
+// that fell falls. Guards against each shard finding out by forwards of its own.
+func (d *Dispatcher) Told(now float64, n News) {
+	d.now = now
+	h := d.hosts[n.Host]
+	l := map[Limit]*allowance{AllLimit: &d.all, FillLimit: &d.fills, OriginLimit: &d.origins}[n.Limit]
+	if h != nil && n.Limit == HostLimit {
+		l = &h.under
+	}
+	switch {
+	case l != nil && l.peak > 0: // one that nothing was under says nothing of how far to fall
+		d.cut(l, n.Late)
+	case n.Limit != NoLimit || h == nil:
+	case n.Left:
+		h.left, h.leftAt, h.streak = true, d.now, 0
+		h.until, h.wait = math.Max(h.until, n.Until), math.Max(h.wait, n.Wait)
+	default:
+		h.left, h.wait, h.fault, h.streak = false, 0, 0, 0
+	}
+}
+
+// open tells whether a host may be sent work now, as a cache or as a source.
+func (d *Dispatcher) open(h *host, work float64) bool {
+	doubted := h.left || h.belief.Doubted() // for what is known of its group, or by its own fault
+	if h.Phase != Ready || doubted && (h.left && d.now < h.until || h.out+h.fills > 0 || !d.mayTry(h)) {
+		return false
+	}
+	pace := d.pace(h, work)
+	if !h.cold {
+		return true
+	}
+	first := 0.0
+	if h.credited == 0 {
+		first = d.chance(h) * work
+		h.credited, h.credit = d.now, first
+	}
+	add, most := pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved*math.Max(1, float64(d.Shards)))
+	if h.credited = d.now; d.Peers != nil { // one pot for all shards: each with its own could send a GET at once
+		h.credit = d.Peers.Credit(h.ID, h.OnlineSince, first, add, most)
+	} else {
+		h.credit = math.Min(h.credit+add, most)
+	}
+	return h.credit >= work
+}
+
+// mayTry tells whether a trial is left for a host, and none of the other shards tries it.
+func (d *Dispatcher) mayTry(h *host) bool {
+	return h.belief.MayTry() && (d.Peers == nil || d.Peers.Trial(d.now, h.ID))
+}
+
+// spend takes a GET out of what all shards may send to a cold host; false tells that another was faster.
+func (d *Dispatcher) spend(h *host, work float64) bool {
+	return d.Peers == nil || !h.cold || d.Peers.Spend(h.ID, work)
+}
+
+// pace is the sending time a second that a cold host may be sent; too little for a GET is saved up, from a
+// chance part of one on. Guards against many dispatchers that send one GET each right after a start.
+func (d *Dispatcher) pace(h *host, work float64) float64 {
+	from, ramp, tip, rate, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.warmCaches, d.sharers(h.Zone)
+	if h.Kind == d.ParentKind {
+		from, ramp, tip, rate = d.ParentColdFrom, d.ParentRamp, d.ParentTip, d.warmParents
+		sharers = d.sharers(len(d.Seats)) // all
+	}
+	age := math.Max(0, d.now-h.OnlineSince)
+	h.cold = h.cold && age < ramp && h.Kind != d.OriginKind
+	if !h.cold {
+		return 0
+	}
+	if d.WeightsTold {
+		rate = h.Weight / sharers
+	} else if rate == 0 {
+		rate = math.Max(d.warm, work/d.Fall/sharers) // it can do one GET in a window at least
+	}
+	return (from + (1-from)*age/ramp) * rate * tip * coldPart
+}
+
+// warmRate is the mean sending time a second that warm hosts among these return to this dispatcher.
+func (d *Dispatcher) warmRate(hosts []*host) float64 {
+	var all learned
+	for _, h := range hosts {
+		if h.Phase == Ready && !h.cold && !h.left {
+			all.add(h.taken.add(d.now, 0), 0)
+		}
+	}
+	return all.mean / math.Max(bucketSpan, math.Min(d.now, buckets*bucketSpan))
+}
+
+// overdue is the time after which a forward without an answer raises suspicion.
+func (d *Dispatcher) overdue(g *get) float64 {
+	return math.Max(overdueLeast, overdueTimes*cmp.Or(g.ds.usual.mean, d.objective(g)/overdueTimes))
+}
+
+// late looks at a forward that is overdue: a host that has been silent since is left, and its GETs move on.
+func (d *Dispatcher) late(g *get, f *forward) {
+	if f.back || f.moot || g.over {
+		return
+	}
+	h := f.host
+	if h.heard > f.at && f.miss && f.source.Kind == d.ParentKind {
+		h = f.source // the cache speaks, so it may wait for a silent parent
+	}
+	others := h.out + h.fills - 1 // one forward alone may be of a large object
+	if d.Detail == Full {
+		others = min(others, 1) // they may wait for a parent or the origin; a note will tell
+	}
+	if h.heard <= f.at {
+		if h.silent += others; h.left || h.silent >= silentCount || h.belief.Silent(d.now) {
+			d.leave(h)
+		}
+	}
+	if !h.left || g.ds.Effect == NonIdempotent || !d.MayCancel {
+		d.due.Put(&f.limit, d.now+d.overdue(g), event{(*Dispatcher).late, g, f})
+		return
+	}
+	d.wire.Cancel(g.ID, f.number)
+	f.moot = true
+	g.bad = append(g.bad, h)
+	if d.SecondCopies {
+		d.again(g)
+	}
+}
