--- a/fleet/budgets/budgets_test.go
+++ b/fleet/budgets/budgets_test.go
@@ -59,9 +59,7 @@
 	w.restart(0)
 	w.restart(1)
 	w.another(false)
-	for range 8 { // both have shares
-		w.calm()
-	}
+	w.calms(8) // both have shares
 	return w
 }
 
@@ -72,8 +70,7 @@
 func (w *world) at(i int) float64 { return w.now * w.clocks[i] }
 
 func (w *world) restart(i int) {
-	was := w.holders[i]
-	if was != nil {
+	if was := w.holders[i]; was != nil {
 		w.ended += was.shares["b"].used
 	}
 	w.boots[i]++
@@ -132,11 +129,8 @@
 	if h.boot != a.Boot {
 		return
 	}
-	switch w.mutant {
-	case "any answer counts":
-		if len(a.Gives) > 0 {
-			h.id, h.answers = a.ID, a.ID-1
-		}
+	if w.mutant == "any answer counts" && len(a.Gives) > 0 {
+		h.id, h.answers = a.ID, a.ID-1
 	}
 	took := h.Answer(w.at(i), a.Answer)
 	if took && w.mutant == "counted from the answer" {
@@ -197,8 +191,7 @@
 // calm is a round in which all comes.
 func (w *world) calm() {
 	w.pass(0.5)
-	for i := range w.holders {
-		h := w.holders[i]
+	for i, h := range w.holders {
 		h.Take(w.at(i), "b", 100) // more than there is: it needs
 		w.ask(i)
 	}
@@ -213,6 +206,12 @@
 	}
 }
 
+func (w *world) calms(n int) {
+	for range n {
+		w.calm()
+	}
+}
+
 // check tells what is wrong: by sums of what each may use by its own clock, not by the ledger's.
 func (w *world) check() error {
 	sum, used := int64(0), w.ended
@@ -303,8 +302,7 @@
 		for i := range so {
 			so[i] = all[chance.IntN(len(all))]
 		}
-		w := newWorld(kind, mutant)
-		if err := w.play(so); err != nil {
+		if err := newWorld(kind, mutant).play(so); err != nil {
 			return seed + 1, err
 		}
 	}
@@ -435,9 +433,7 @@
 	w.ask(0)
 	w.holders[0].Only(func(string) bool { return false }, w.at(0)) // after the question, before its answer
 	w.holders[0].Use("other", UnderWay, w.at(0))
-	for range 4 {
-		w.calm()
-	}
+	w.calms(4)
 	assert.Zero(t, w.log.Accounts["b"].Parts[w.log.Seat("0", w.boots[0])].Out)
 }
 
@@ -451,15 +447,11 @@
 		return sum
 	}
 	w.divider.Settings(2, []Budget{{Name: "b", Kind: UnderWay, Whole: 4, Floor: 2}})
-	for range 8 {
-		w.calm()
-	}
+	w.calms(8)
 	assert.EqualValues(t, 4, floors())
 	w.whole = 1
 	w.divider.Settings(3, []Budget{{Name: "b", Kind: UnderWay, Whole: 1, Floor: 2}})
-	for range 8 {
-		w.calm()
-	}
+	w.calms(8)
 	assert.Zero(t, floors())
 	assert.NoError(t, w.check())
 	assert.LessOrEqual(t, w.log.Accounts["b"].Sum(), int64(1))
@@ -479,9 +471,7 @@
 		w.calm()
 		assert.LessOrEqual(t, w.log.Accounts["b"].Sum(), before)
 	}
-	for range 20 {
-		w.calm()
-	}
+	w.calms(20)
 	assert.Greater(t, w.log.Accounts["b"].Sum(), int64(30))
 	assert.False(t, w.log.Hold)
 }
--- a/fleet/replica/cost_test.go
+++ b/fleet/replica/cost_test.go
@@ -35,11 +35,7 @@
 				f(i)
 				w.run(1)
 			}
-			total := 0
-			for _, b := range w.bytes {
-				total += b
-			}
-			return float64(total) / float64(n*span)
+			return float64(w.total()) / float64(n*span)
 		}
 		quiet[n] = per(10, func(int) {})
 		var dots []Dot
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -121,24 +122,16 @@
 			w.fill(w.nodes[1], c.away, "b")
 			w.run(3)
 			if !c.log {
-				for _, o := range w.nodes[:2] {
-					o.m.logs, o.m.fifo = map[trackKey]*track{}, nil
-				}
-			}
-			before := 0
-			for _, n := range w.bytes {
-				before += n
+				unlogged(w.nodes[:2]...)
 			}
+			before := w.total()
 			saved := x.disk.load(w.now)
 			if c.empty {
 				x.disk, saved = newDisk(), nil
 			}
 			w.start(x, saved)
 			took := w.settle(100)
-			after := -before
-			for _, n := range w.bytes {
-				after += n
-			}
+			after := w.total() - before
 			s := x.m.Status()
 			t.Logf("%d of %d records differ: %d bytes, %.1f intervals, %d walks, %d wholes", c.away, 10_000+c.away, after, took, s.Walks, s.Wholes)
 			assert.Less(t, after, c.most)
@@ -168,9 +161,7 @@
 	w.kill(x)
 	need.Of(w.write(w.nodes[0], kindText, "a000007", "", true, Sure{Level: Majority, Within: 9}))(t)
 	w.run(5)
-	for _, n := range w.nodes[:3] {
-		n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
-	}
+	unlogged(w.nodes[:3]...)
 	saved := x.disk.load(w.now)
 	saved.Away = 2 * w.horizon
 	w.start(x, saved)
@@ -213,16 +204,12 @@
 				require.NoError(t, n.m.Step("gone", &Message{Deltas: []Delta{{Writer: "gone", Era: 9, Index: []uint32{0}, Records: []Carried{{Record: rec}}}}}, w.now))
 				n.m.fresh = nil
 				if !c.log {
-					n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
+					unlogged(n)
 				}
 			}
 			w.fleet()
 			w.run(80)
-			found := false
-			for _, e := range w.events {
-				found = found || e.What == "aside"
-			}
-			assert.True(t, found)
+			assert.True(t, slices.ContainsFunc(w.events, func(e Event) bool { return e.What == "aside" }))
 			for _, n := range w.nodes {
 				for _, key := range []string{"k", c.other} {
 					_, ok := n.m.Get(kindText, key)
@@ -372,11 +359,7 @@
 			w.run(1)
 			need.Of(w.write(w.nodes[i%5], kindText, fmt.Sprint("k", i), "", true, Sure{}))(t)
 		}
-		total := 0
-		for _, b := range w.bytes {
-			total += b
-		}
-		per[n] = float64(total) / float64(n)
+		per[n] = float64(w.total()) / float64(n)
 		w.run(6 * float64(n))
 		for _, x := range w.nodes {
 			assert.Zero(t, x.m.Status().Kinds[1].Records, x.name)
--- a/fleet/replica/world_test.go
+++ b/fleet/replica/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -69,12 +70,8 @@
 func (d *disk) copy() *disk {
 	c := newDisk()
 	c.saved, c.at = d.saved, d.at
-	for k, v := range d.recs {
-		c.recs[k] = v
-	}
-	for k, v := range d.vec {
-		c.vec[k] = v
-	}
+	maps.Copy(c.recs, d.recs)
+	maps.Copy(c.vec, d.vec)
 	return c
 }
 
@@ -297,6 +294,21 @@
 	w.fleet()
 }
 
+// total is the bytes that all have sent.
+func (w *world) total() (n int) {
+	for _, b := range w.bytes {
+		n += b
+	}
+	return n
+}
+
+// unlogged has some remember no deltas.
+func unlogged(some ...*node) {
+	for _, n := range some {
+		n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
+	}
+}
+
 func (w *world) heal() {
 	clear(w.cutOff)
 	w.loss = 0
@@ -366,11 +378,7 @@
 		}
 	}
 	for n, v := range first {
-		found := false
-		for _, o := range w.of[n] {
-			found = found || o.value == v && !o.dead
-		}
-		if !found {
+		if !slices.ContainsFunc(w.of[n], func(o *written) bool { return o.value == v && !o.dead }) {
 			bad = append(bad, fmt.Sprintf("%v %q was never written", n, v))
 		}
 	}
@@ -380,12 +388,7 @@
 
 // deleted tells whether a deletion above it was written, acknowledged or not.
 func (w *world) deleted(o *written) bool {
-	for _, x := range w.of[o.name] {
-		if x.dead && higher(o.name.Kind, x.value, true, o.value, false) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.of[o.name], func(x *written) bool { return x.dead && higher(o.name.Kind, x.value, true, o.value, false) })
 }
 
 // settle runs until all agree, or a bound.
@@ -401,12 +404,10 @@
 }
 
 func (w *world) same() bool {
-	for _, x := range w.nodes {
-		if x.m == nil || x.m.live() != w.nodes[0].m.live() || x.m.pull != nil || len(x.m.lacked) > 0 || !x.m.vec.reaches(w.nodes[0].m.vec) || !w.nodes[0].m.vec.reaches(x.m.vec) {
-			return false
-		}
-	}
-	return true
+	first := w.nodes[0].m
+	return !slices.ContainsFunc(w.nodes, func(x *node) bool {
+		return x.m == nil || x.m.live() != first.live() || x.m.pull != nil || len(x.m.lacked) > 0 || !x.m.vec.reaches(first.vec) || !first.vec.reaches(x.m.vec)
+	})
 }
 
 // schedule plays faults by seed, heals, and gives the verdict.
@@ -433,13 +434,8 @@
 		case 2:
 			w.loss = []float64{0, 0, 0.1, 0.3}[c.IntN(4)]
 		case 3, 4:
-			down := 0
-			for _, x := range w.nodes {
-				if x.m == nil {
-					down++
-				}
-			}
-			if x := w.nodes[c.IntN(5)]; x.m != nil && down == 0 {
+			down := slices.ContainsFunc(w.nodes, func(x *node) bool { return x.m == nil })
+			if x := w.nodes[c.IntN(5)]; x.m != nil && !down {
 				w.kill(x)
 			}
 		case 5, 6:
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -146,6 +146,13 @@
 	return func() { close(stop); all.Wait() }
 }
 
+// loaded has other so many at some.
+func (b *budgetRig) loaded(each int64, who ...int) {
+	for _, i := range who {
+		b.loads[i].Store(each)
+	}
+}
+
 // smaller has a smaller whole in force, and waits until it holds and what was under way has ended: it is the bound from then on.
 func (b *budgetRig) smaller(whole int, wholes string) {
 	b.Helper()
@@ -240,14 +247,10 @@
 			b.End(cut)
 		},
 		"all clients move to one": func() {
-			for i := range b.loads {
-				b.loads[i].Store(0)
-			}
-			b.loads[4].Store(12)
+			b.loaded(0, b.all()...)
+			b.loaded(12, 4)
 			b.used(6)
-			for i := range b.loads {
-				b.loads[i].Store(4)
-			}
+			b.loaded(4, b.all()...)
 		},
 		"a cut in parts": func() {
 			cut := processes.Fault{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}}
@@ -314,15 +317,11 @@
 	b := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`)
 	end := b.load(4)
 	b.used(5)
-	for i := range 3 {
-		b.loads[i].Store(0)
-	}
-	b.loads[3].Store(12)
+	b.loaded(0, 0, 1, 2)
+	b.loaded(12, 3)
 	b.used(5) // it has nearly all
 	b.Processes[3].Signal(syscall.SIGSTOP)
-	for i := range 3 {
-		b.loads[i].Store(8)
-	}
+	b.loaded(8, 0, 1, 2)
 	b.Until(soon, "the others have it", func() error {
 		b.origin.mu.Lock()
 		defer b.origin.mu.Unlock()
--- a/internal/fleet/council/sim_test.go
+++ b/internal/fleet/council/sim_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -21,6 +20,7 @@
 	"elderwall/fleet/budgets"
 	"elderwall/fleet/channels"
 	"elderwall/fleet/duties"
+	"elderwall/internal/standin/need"
 )
 
 // sim is a council, dispatchers that stand for duties, and what takes their acts, on one clock: a schedule of faults is drawn
@@ -599,8 +599,7 @@
 func schedules(t *testing.T, fewest int) int {
 	n := fewest
 	if more := os.Getenv("ELDERWALL_SCHEDULES"); more != "" {
-		_, err := fmt.Sscan(more, &n)
-		require.NoError(t, err)
+		need.Of(fmt.Sscan(more, &n))(t)
 	}
 	return n
 }
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -174,6 +174,13 @@
 	return string(out), err
 }
 
+// does runs one that has to do.
+func (d *dutyRig) does(at int, words ...string) {
+	d.Helper()
+	out, err := d.run(at, words...)
+	require.NoError(d, err, out)
+}
+
 type heardDuty struct {
 	Name              string
 	Token, Mark, Told uint64
@@ -343,7 +350,8 @@
 	assert.Equal(t, lostStatus, one.cmd.ProcessState.ExitCode(), "it finds its time gone, and ends its command")
 	three := d.holdOf(job, 2)
 	_ = two.cmd.Process.Kill()
-	third, four := d.acts(second.token), d.hold(0)
+	third := d.acts(second.token)
+	d.hold(0)
 	d.hears("another stands", func(s heard) error { return processes.When(len(s.of(job).Waiting) == 0, errors.New("nobody")) })
 	_ = three.cmd.Process.Signal(syscall.SIGTERM)
 	<-three.ended
@@ -352,7 +360,6 @@
 		assert.Greater(t, o.Token, third.token, "given back before it ends, not waited for")
 	}
 	d.acts(third.token)
-	_ = four
 	d.taker.check(t)
 }
 
@@ -391,7 +398,9 @@
 		t.Run(name, func(t *testing.T) {
 			d := duty(t, 5, 5)
 			l := d.leader()
-			holds, first, mend := []*hold{d.hold((l + 1) % 5), d.hold((l + 2) % 5)}, d.acts(0), fail(d, l)
+			d.hold((l + 1) % 5)
+			d.hold((l + 2) % 5)
+			first, mend := d.acts(0), fail(d, l)
 			time.Sleep(3 * leaseTime)
 			d.acts(first.token - 1) // by whoever has it now
 			d.serve(d.all(l)...)
@@ -399,7 +408,6 @@
 			d.vote(5)
 			d.acts(first.token - 1)
 			d.taker.check(t)
-			_ = holds
 		})
 	}
 }
@@ -490,13 +498,12 @@
 	second := d.acts(first.token)
 	slow(0, 1, 2)
 	_ = two.cmd.Process.Kill()
-	three := d.hold(3)
+	d.hold(3)
 	time.Sleep(6 * time.Second)
 	d.serve(d.all()...)
 	slow()
 	d.acts(second.token)
 	d.taker.check(t)
-	_ = three
 }
 
 // Clocks run off by twice what is stated, and by far more. The first breaks nothing here, as commands are ended well before their lease
@@ -539,8 +546,7 @@
 		return
 	}
 	if _, holder, _ := report(); holder != "n3" {
-		out, err := d.run(0, "hand", Report, "n3")
-		require.NoError(t, err, out)
+		d.does(0, "hand", Report, "n3")
 	}
 	d.Until(soon, "it has it", func() error { _, holder, _ := report(); return processes.When(holder != "n3", errors.New(holder)) })
 	was := uint64(0)
@@ -758,7 +764,9 @@
 // Two of five voters are gone: all goes on. Three: nothing is granted or renewed, and who holds stops by itself. Back: it goes on.
 func TestVotersGoAndComeBack(t *testing.T) {
 	d := duty(t, 6, 5)
-	one, two, first := d.hold(5), d.hold(5), d.acts(0)
+	d.hold(5)
+	d.hold(5)
+	first := d.acts(0)
 	d.kill(0, 1)
 	time.Sleep(2 * leaseTime)
 	d.acts(first.token - 1)
@@ -771,7 +779,6 @@
 	d.hold(5)
 	d.acts(stood.token)
 	d.taker.check(t)
-	_, _ = one, two
 }
 
 func TestAllAreKilledAndStartWithTheirDisks(t *testing.T) {
@@ -787,14 +794,16 @@
 	d.taker.check(t)
 }
 
+func copyFile(t testing.TB, from, to string) {
+	t.Helper()
+	require.NoError(t, os.WriteFile(to, need.Of(os.ReadFile(from))(t), 0o600))
+}
+
 // A voter comes back with an empty disk, with an old copy of it, or with a torn one: it never votes as if it remembered.
 func TestAVotersDisk(t *testing.T) {
 	for name, spoil := range map[string]func(t *testing.T, log, copied string){
-		"empty": func(t *testing.T, log, _ string) { require.NoError(t, os.Remove(log)) },
-		"an old copy": func(t *testing.T, log, copied string) {
-			raw := need.Of(os.ReadFile(copied))(t)
-			require.NoError(t, os.WriteFile(log, raw, 0o600))
-		},
+		"empty":       func(t *testing.T, log, _ string) { require.NoError(t, os.Remove(log)) },
+		"an old copy": func(t *testing.T, log, copied string) { copyFile(t, copied, log) },
 		"torn": func(t *testing.T, log, _ string) {
 			raw := need.Of(os.ReadFile(log))(t)
 			clear(raw[2*os.Getpagesize():]) // all but what tells where the rest stands
@@ -804,8 +813,7 @@
 			d := duty(t, 3, 3)
 			log, copied := filepath.Join(d.Processes[2].Dir, "duties", logFile), filepath.Join(d.Dir, "copy.db")
 			d.Processes[2].Kill()
-			raw := need.Of(os.ReadFile(log))(t)
-			require.NoError(t, os.WriteFile(copied, raw, 0o600))
+			copyFile(t, log, copied)
 			for range 3 { // later eras of the disk, that the log has heard of
 				d.Processes[2].Start()
 				d.says("it votes", 2, "duties: votes", 0)
@@ -823,16 +831,9 @@
 				d.Processes[2].Start()
 			}
 			d.hears("another disk has its place", func(s heard) error {
-				if len(s.Council.Voters) != 3 || len(s.Council.Learners) > 0 {
-					return fmt.Errorf("%v %v", s.Council.Voters, s.Council.Learners)
-				}
-				same := 0
-				for _, id := range s.Council.Voters {
-					if slices.Contains(before.Council.Voters, id) {
-						same++
-					}
-				}
-				return processes.When(same != 2, fmt.Errorf("%d are as before", same))
+				v := s.Council
+				fresh := slices.DeleteFunc(slices.Clone(v.Voters), func(id uint64) bool { return slices.Contains(before.Council.Voters, id) })
+				return processes.When(len(v.Voters) != 3 || len(v.Learners) > 0 || len(fresh) != 1, fmt.Errorf("%v %v, of which %v are new", v.Voters, v.Learners, fresh))
 			})
 			d.hold(2)
 			d.acts(0)
@@ -850,8 +851,7 @@
 	d.still()
 	out, err := d.run(2, "recover")
 	assert.Error(t, err, "it wants to be sure: %s", out)
-	out, err = d.run(2, "recover", "--sure")
-	require.NoError(t, err, out)
+	d.does(2, "recover", "--sure")
 	d.hold(3)
 	second := d.acts(first.token)
 	assert.Greater(t, second.token, uint64(1)<<32)
@@ -865,15 +865,15 @@
 func TestReports(t *testing.T) {
 	d := duty(t, 4, 3)
 	type line struct {
-		number, token uint64
-		by            int
+		number  uint64
+		by      int
+		missing string
 	}
 	reports := func() (all []line) {
 		for i, p := range d.Processes {
 			for _, l := range p.Said("fleet report") {
 				n, _ := l.Fields["number"].(float64)
-				token, _ := l.Fields["token"].(float64)
-				all = append(all, line{uint64(n), uint64(token), i})
+				all = append(all, line{uint64(n), i, fmt.Sprint(l.Fields["missingNames"])})
 			}
 		}
 		return all
@@ -887,21 +887,16 @@
 	holder := all[len(all)-1].by
 	d.Processes[holder].Kill()
 	all = wait(len(all) + 3)
-	seen, by := map[uint64]int{}, map[int]bool{}
+	seen, by, named := map[uint64]int{}, map[int]bool{}, false
 	for _, l := range all {
 		seen[l.number]++
 		by[l.by] = true
+		named = named || strings.Contains(l.missing, d.Processes[holder].Name)
 	}
 	for number, times := range seen {
 		assert.Equal(t, 1, times, "report %d", number)
 	}
 	assert.GreaterOrEqual(t, len(by), 2, "another went on")
-	named := false
-	for _, p := range d.Processes {
-		for _, l := range p.Said("fleet report") {
-			named = named || strings.Contains(fmt.Sprint(l.Fields["missingNames"]), d.Processes[holder].Name)
-		}
-	}
 	assert.True(t, named, "who is missing is told as missing")
 }
 
@@ -912,8 +907,7 @@
 	d.Until(soon, "somebody reports", func() error { return processes.When(holder() == "", errors.New("nobody")) })
 	was := holder()
 	to := map[bool]string{true: "n1", false: "n3"}[was == "n3"]
-	out, err := d.run(0, "hand", Report, to)
-	require.NoError(t, err, out)
+	d.does(0, "hand", Report, to)
 	d.Until(soon, "it is handed over", func() error { h := holder(); return processes.When(h != to, errors.New(h)) })
 	d.endOf(to)
 	d.Until(soon, "another has it", func() error { h := holder(); return processes.When(h == to || h == "", errors.New(h)) })
@@ -1014,10 +1008,9 @@
 							d.taker.mu.Lock()
 							defer d.taker.mu.Unlock()
 							for _, a := range slices.Backward(d.taker.acts) {
-								if a.token <= tokens[a.duty] {
-									continue
+								if a.token > tokens[a.duty] {
+									first[a.duty] = a.at
 								}
-								first[a.duty] = a.at
 							}
 							return processes.When(len(first) < each, fmt.Errorf("%d", len(first)))
 						})
@@ -1038,19 +1031,12 @@
 						}
 						stand(1)
 						at := time.Now()
-						switch way {
-						case "cut off":
+						if way == "cut off" {
 							d.Begin(cut)
-						default:
-							for _, h := range holds {
-								switch way {
-								case "killed":
-									_ = h.cmd.Process.Kill() // its command ends with it
-								case "stopped":
-									_ = h.cmd.Process.Signal(syscall.SIGSTOP)
-								default:
-									_ = h.cmd.Process.Signal(syscall.SIGTERM)
-								}
+						} else {
+							s := map[string]syscall.Signal{"killed": syscall.SIGKILL, "stopped": syscall.SIGSTOP, "SIGTERM": syscall.SIGTERM}[way]
+							for _, h := range holds { // a command ends with what was killed
+								_ = h.cmd.Process.Signal(s)
 							}
 						}
 						first := next()
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -513,8 +513,7 @@
 	c.Processes[2].Kill()
 	for _, name := range names {
 		wrote[name] = &sent{writer: "w", bodies: append(wrote[name].bodies, c.write(name, "x", 5, 0, 0, 1).bodies...)}
-		out, err := c.run(0, "publish", name, "--end")
-		require.NoError(c, err, out)
+		c.does(0, "publish", name, "--end")
 		for i, s := range readers[name] {
 			c.Until(soon, fmt.Sprint("reader ", i, " of ", name, " is told"), func() error {
 				select {
@@ -654,17 +653,15 @@
 		return fmt.Errorf("%v", purges.all)
 	})
 	state := filepath.Join(c.Dir, "writer")
-	out, err := c.run(0, "publish", "all_total", "one", "two", "--state", state)
-	require.NoError(c, err, out)
-	out, err = c.run(1, "publish", "all_total", "three", "--state", state)
-	require.NoError(c, err, out)
+	c.does(0, "publish", "all_total", "one", "two", "--state", state)
+	c.does(1, "publish", "all_total", "three", "--state", state)
 	position := filepath.Join(c.Dir, "position")
 	c.Until(soon, "it follows", func() error {
-		out, err = c.run(2, "follow", "all_total", "--for", "1s", "--position", position)
+		out, err := c.run(2, "follow", "all_total", "--for", "1s", "--position", position)
 		n := strings.Count(out, "\n")
 		return processes.When(n < 3, fmt.Errorf("%d lines, %w", n, errors.Join(err, errMessage)))
 	})
-	out, err = c.run(0, "follow", "news", "--order", "total", "--for", "5s")
+	out, err := c.run(0, "follow", "news", "--order", "total", "--for", "5s")
 	assert.Error(c, err)
 	assert.Contains(c, out, "promises latest")
 }
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -69,13 +69,7 @@
 				all = append(all, replica.Record{Kind: testKind, Key: key(i), Value: fmt.Append(nil, value, trial), Dead: value == gone})
 			}
 			trial++
-			t, err := m.ask(at, AskWrite, sure, all...)
-			for _, o := range t.Ended {
-				if !o.Met {
-					err = errors.Join(err, fmt.Errorf("%+v", o))
-					break
-				}
-			}
+			err := met(m.ask(at, AskWrite, sure, all...))
 			if err != nil {
 				m.Logf("n%d, trial %d: %v", at, trial, err)
 			}
@@ -85,6 +79,15 @@
 	}
 }
 
+// met is what is wrong with what is told of writes.
+func met(told Told, err error) error {
+	at := slices.IndexFunc(told.Ended, func(o replica.Outcome) bool { return !o.Met })
+	if err == nil && at >= 0 {
+		err = fmt.Errorf("%+v", told.Ended[at])
+	}
+	return err
+}
+
 // sum is how many records of the test's kind stand at a process, and a sum over them.
 func (m *memoryRig) sum(i int) (n, sum uint64, err error) {
 	t, err := m.ask(i, AskRead, replica.Sure{}, replica.Record{Kind: testKind})
@@ -436,11 +439,7 @@
 		number++
 		k, value, _ := floors.Record(floors.Floor{Object: fmt.Sprint(number), Time: time.Now().UnixMilli()})
 		m.Until(soon, "it is written", func() error {
-			told, err := m.ask(at, AskWrite, majority, replica.Record{Kind: floors.ID, Key: k, Value: value})
-			if err == nil && !told.Ended[0].Met {
-				err = fmt.Errorf("%+v", told.Ended)
-			}
-			return err
+			return met(m.ask(at, AskWrite, majority, replica.Record{Kind: floors.ID, Key: k, Value: value}))
 		})
 		for i := range 4 {
 			m.Until(soon, "it is known", func() error {
