--- a/fleet/channels/contract_test.go
+++ b/fleet/channels/contract_test.go
@@ -94,7 +94,5 @@
 func (p *played) Pass(*rand.Rand) { p.w.step() }
 
 func (p *played) Settle() {
-	for range 200 {
-		p.w.step()
-	}
+	p.w.steps(200)
 }
--- a/fleet/channels/joint_test.go
+++ b/fleet/channels/joint_test.go
@@ -158,18 +158,14 @@
 func TestNothingComesBack(t *testing.T) {
 	w := newWorld(1, declared(BySender, false), 2, 0, 0, "real")
 	e := entry("a", 1, 1)
-	for range 20 {
-		w.step()
-	}
+	w.steps(20)
 	e.Stamp = 1
 	_, err := w.nodes[0].real.m.Write(w.clock(0), EntryKind, e.key(), nil, true, replica.Sure{})
 	require.NoError(t, err)
 	e.Stamp = 1 << 40
 	_, err = w.nodes[1].real.m.Write(w.clock(1), EntryKind, e.key(), packEntry(&e), false, replica.Sure{})
 	require.NoError(t, err)
-	for range 100 {
-		w.step()
-	}
+	w.steps(100)
 	for _, n := range w.nodes {
 		_, ok := n.real.m.Get(EntryKind, e.key())
 		require.False(t, ok)
--- a/fleet/channels/world_test.go
+++ b/fleet/channels/world_test.go
@@ -302,6 +302,12 @@
 	}
 }
 
+func (w *world) steps(n int) {
+	for range n {
+		w.step()
+	}
+}
+
 func (w *world) heard(name string, n uint64) {
 	for _, s := range w.writers {
 		if s.name == name && s.next == n {
@@ -503,9 +509,7 @@
 			w.start(i)
 		}
 	}
-	for range 600 {
-		w.step()
-	}
+	w.steps(600)
 	for _, s := range w.writers {
 		if _, ok := w.sent[ref(s.name, s.next)]; ok && w.d.Forget > 0 {
 			w.wrong("%s is never taken", ref(s.name, s.next))
--- a/fleet/members/members_test.go
+++ b/fleet/members/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -209,25 +210,19 @@
 		need.Of(fmt.Sscan(d, &depth))(t)
 	}
 	all := phases()
-	var orders [][]int
-	for n, total := 0, pow(len(all), depth); n < total; n++ {
-		var order []int
-		for k, rest := 0, n; k < depth; k, rest = k+1, rest/len(all) {
-			order = append(order, rest%len(all))
-		}
-		orders = append(orders, order)
-	}
 	const parts = 8
+	orders := int(math.Pow(float64(len(all)), float64(depth)))
 	for part := range parts {
 		t.Run(fmt.Sprint(part), func(t *testing.T) {
 			t.Parallel()
-			for n := part; n < len(orders); n += parts {
+			for n := part; n < orders; n += parts {
 				w := newNet(3)
 				w.play(all[0], 12)
 				names := []string{}
-				for _, i := range orders[n] {
-					names = append(names, all[i].name)
-					w.play(all[i], 7)
+				for k, rest := 0, n; k < depth; k, rest = k+1, rest/len(all) {
+					p := all[rest%len(all)]
+					names = append(names, p.name)
+					w.play(p, 7)
 				}
 				w.play(all[0], 80)
 				if err := w.check(); err != nil {
@@ -238,14 +233,6 @@
 	}
 }
 
-func pow(base, n int) int {
-	all := 1
-	for range n {
-		all *= base
-	}
-	return all
-}
-
 // More members, and troubles of any length.
 func TestTroublesByChance(t *testing.T) {
 	all := phases()
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -235,16 +235,10 @@
 	for name, trouble := range map[string]func(){
 		"the divider is killed": func() { d := b.divider(); b.Processes[d].Kill(); time.Sleep(time.Second); b.Processes[d].Start() },
 		"the divider is stopped and wakes": func() {
-			d := b.divider()
-			b.Processes[d].Signal(syscall.SIGSTOP)
-			time.Sleep(14 * time.Second)
-			b.Processes[d].Signal(syscall.SIGCONT)
+			b.Play(processes.Schedule{{What: processes.Stop, A: []int{b.divider()}, For: 14}})
 		},
 		"the divider is cut off": func() {
-			cut := processes.Fault{What: processes.Cut, A: []int{b.divider()}}
-			b.Begin(cut)
-			time.Sleep(5 * time.Second)
-			b.End(cut)
+			b.Play(processes.Schedule{{What: processes.Cut, A: []int{b.divider()}, For: 5}})
 		},
 		"all clients move to one": func() {
 			b.loaded(0, b.all()...)
@@ -253,19 +247,14 @@
 			b.loaded(4, b.all()...)
 		},
 		"a cut in parts": func() {
-			cut := processes.Fault{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}}
-			b.Begin(cut)
-			time.Sleep(12 * time.Second)
-			b.End(cut)
+			b.Play(processes.Schedule{{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}, For: 12}})
 		},
 		"messages are lost, doubled and late": func() {
+			var bad processes.Schedule
 			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
-				b.Begin(processes.Fault{What: what, A: b.all(), B: b.all(), Amount: 0.4})
-			}
-			time.Sleep(8 * time.Second)
-			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
-				b.End(processes.Fault{What: what, A: b.all(), B: b.all()})
+				bad = append(bad, processes.Fault{What: what, A: b.all(), B: b.all(), Amount: 0.4, For: 8})
 			}
+			b.Play(bad)
 		}} {
 		trouble()
 		b.used(7)
--- a/internal/fleet/duties_test.go
+++ b/internal/fleet/duties_test.go
@@ -379,32 +379,18 @@
 }
 
 func TestTheLeaderFails(t *testing.T) {
-	for name, fail := range map[string]func(d *dutyRig, leader int) (mend func()){
-		"killed": func(d *dutyRig, l int) func() { d.Processes[l].Kill(); return d.Processes[l].Start },
-		"stopped": func(d *dutyRig, l int) func() {
-			d.Processes[l].Signal(syscall.SIGSTOP)
-			return func() { d.Processes[l].Signal(syscall.SIGCONT) }
-		},
-		"cut off": func(d *dutyRig, l int) func() {
-			f := processes.Fault{What: processes.Cut, A: []int{l}}
-			d.Begin(f)
-			return func() { d.End(f) }
-		},
-		"not heard by the others": func(d *dutyRig, l int) func() {
-			f := processes.Fault{What: processes.CutOff, A: []int{l}, B: d.all(l)}
-			d.Begin(f)
-			return func() { d.End(f) }
-		}} {
+	for name, what := range map[string]string{"killed": processes.Kill, "stopped": processes.Stop, "cut off": processes.Cut, "not heard by the others": processes.CutOff} {
 		t.Run(name, func(t *testing.T) {
 			d := duty(t, 5, 5)
 			l := d.leader()
 			d.hold((l + 1) % 5)
 			d.hold((l + 2) % 5)
-			first, mend := d.acts(0), fail(d, l)
+			first, fault := d.acts(0), processes.Fault{What: what, A: []int{l}}
+			d.Begin(fault)
 			time.Sleep(3 * leaseTime)
 			d.acts(first.token - 1) // by whoever has it now
 			d.serve(d.all(l)...)
-			mend()
+			d.End(fault)
 			d.vote(5)
 			d.acts(first.token - 1)
 			d.taker.check(t)
@@ -618,9 +604,7 @@
 	before, stop, loaded := need.Of(d.council())(t), make(chan struct{}), make(chan []uint64)
 	go func() { loaded <- d.load(3, 8, stop) }()
 	l := d.leader()
-	d.Begin(processes.Fault{What: processes.Wipe, A: []int{l}})
-	time.Sleep(time.Second)
-	d.End(processes.Fault{What: processes.Wipe, A: []int{l}})
+	d.Play(processes.Schedule{{What: processes.Wipe, A: []int{l}, For: 1}})
 	d.hears("another disk has its place", func(s heard) error {
 		return processes.When(len(s.Council.Voters) != 3 || slices.Equal(s.Council.Voters, before.Council.Voters), fmt.Errorf("%v", s.Council.Voters))
 	})
--- a/internal/fleet/follow_test.go
+++ b/internal/fleet/follow_test.go
@@ -323,10 +323,7 @@
 			})
 		}
 	}
-	cut := processes.Fault{What: processes.Cut, A: []int{2}}
-	c.Begin(cut)
-	time.Sleep(2 * time.Second)
-	c.End(cut)
+	c.Play(processes.Schedule{{What: processes.Cut, A: []int{2}, For: 2}})
 	for _, i := range []int{1, 0} {
 		c.again(i)
 		c.until("it is back", c.all(), "whole", c.all())
@@ -515,14 +512,11 @@
 		wrote[name] = &sent{writer: "w", bodies: append(wrote[name].bodies, c.write(name, "x", 5, 0, 0, 1).bodies...)}
 		c.does(0, "publish", name, "--end")
 		for i, s := range readers[name] {
-			c.Until(soon, fmt.Sprint("reader ", i, " of ", name, " is told"), func() error {
-				select {
-				case <-s.ended:
-					return nil
-				default:
-					return errors.New("not yet")
-				}
-			})
+			select {
+			case <-s.ended:
+			case <-time.After(soon):
+				c.Fatalf("reader %d of %s is not told", i, name)
+			}
 			assert.Equal(c, channels.Ended, s.told[len(s.told)-1].Word)
 			assert.Equal(c, []int{25, 1}, []int{len(s.all), len(s.told)}, "all that was acknowledged came, and nothing else was told")
 		}
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -95,13 +95,12 @@
 		Doubt             bool
 	}
 	Self    struct{ Name, Address string }
-	Members []struct {
-		Name, Address, State, Link string
-		Generation                 uint32
-	}
-	Counts map[string]int64
+	Members []seenMember
+	Counts  map[string]int64
 }
 
+type seenMember struct{ Name, Address, State string }
+
 // asked asks a process by the key that it has; what is asked goes past the relays.
 func (m *memberRig) asked(i int, what string) (Told, error) {
 	keys := m.keys[-1]
@@ -142,15 +141,16 @@
 	})
 }
 
-func (s *sight) of(name string) string {
-	for _, o := range s.Members {
-		if o.Name == name {
-			return o.State
-		}
+// member is what is said of one; of one that is not known it is unknown.
+func (s *sight) member(name string) seenMember {
+	if at := slices.IndexFunc(s.Members, func(o seenMember) bool { return o.Name == name }); at >= 0 {
+		return s.Members[at]
 	}
-	return "unknown"
+	return seenMember{State: "unknown"}
 }
 
+func (s *sight) of(name string) string { return s.member(name).State }
+
 // think tells what is wrong with what some processes say: each must be at a level, and hold just others to be in.
 func (m *memberRig) think(who []int, level string, in []int) error {
 	var wrong []string
@@ -276,16 +276,11 @@
 }
 
 func TestOneHearsAndIsNotHeardOrTheOtherWay(t *testing.T) {
-	for name, cut := range map[string]func(m *memberRig) processes.Fault{
-		"it is not heard": func(m *memberRig) processes.Fault {
-			return processes.Fault{What: processes.CutOff, A: []int{4}, B: m.all(4)}
-		},
-		"it hears nobody": func(m *memberRig) processes.Fault {
-			return processes.Fault{What: processes.CutOff, A: m.all(4), B: []int{4}}
-		}} {
+	for name, f := range map[string]processes.Fault{
+		"it is not heard": {What: processes.CutOff, A: []int{4}},
+		"it hears nobody": {What: processes.CutOff, A: []int{0, 1, 2, 3}, B: []int{4}}} {
 		t.Run(name, func(t *testing.T) {
 			m := start(t, 5)
-			f := cut(m)
 			m.Begin(f)
 			m.until("it is held to have failed", m.all(4), "majority", m.all(4))
 			m.sees(soon, "it doubts itself first", func(s sight) bool { return s.View.Doubt }, 4)
@@ -350,11 +345,8 @@
 
 func TestALinkFlaps(t *testing.T) {
 	m := start(t, 5)
-	f := processes.Fault{What: processes.Cut, A: []int{1}}
 	for range 8 {
-		m.Begin(f)
-		time.Sleep(time.Duration(3 * pace * float64(time.Second)))
-		m.End(f)
+		m.Play(processes.Schedule{{What: processes.Cut, A: []int{1}, For: 3 * pace}})
 		time.Sleep(time.Duration(3 * pace * float64(time.Second)))
 	}
 	m.whole()
@@ -399,7 +391,7 @@
 
 // Two processes have one name. Just one of them is a member, the other says so and serves on; it takes the name over once the holder is gone.
 func TestATwin(t *testing.T) {
-	m := start(t, 5, func(m *memberRig) {})
+	m := start(t, 5)
 	holder, twin := m.Processes[3], m.Processes[4]
 	twin.Kill()
 	m.until("room is made", m.all(4), "majority", m.all(4))
@@ -411,11 +403,7 @@
 	m.serve(m.all()...)
 	for _, i := range m.all(3, 4) {
 		s := need.Of(m.see(i))(t)
-		for _, o := range s.Members {
-			if o.Name == holder.Name {
-				assert.Equal(t, []any{"alive", holder.Fleet}, []any{o.State, o.Address})
-			}
-		}
+		assert.Equal(t, seenMember{holder.Name, holder.Fleet, "alive"}, s.member(holder.Name))
 	}
 	holder.Kill()
 	m.Until(soon, "the twin has the name", func() error {
@@ -424,10 +412,8 @@
 			if err != nil {
 				return err
 			}
-			for _, o := range s.Members {
-				if o.Name == holder.Name && (o.State != "alive" || o.Address != twin.Fleet) {
-					return fmt.Errorf("n%d: %s at %s", i, o.State, o.Address)
-				}
+			if o := s.member(holder.Name); o.State != "alive" || o.Address != twin.Fleet {
+				return fmt.Errorf("n%d: %s at %s", i, o.State, o.Address)
 			}
 		}
 		s, err := m.see(4)
@@ -535,14 +521,13 @@
 		var known []float64
 		m.Until(time.Minute, "its end is known", func() error {
 			known = nil
-			for i, p := range m.Processes[:n-5] {
+			for _, p := range m.Processes[:n-5] {
 				for _, l := range p.Said("fleet: failed") {
 					if l.Fields["member"] == m.Processes[victim].Name {
 						known = append(known, l.At.Sub(killed).Seconds()/pace)
 						break
 					}
 				}
-				_ = i
 			}
 			return processes.When(len(known) < n-5, fmt.Errorf("%d know", len(known)))
 		})
--- a/internal/fleet/recall_test.go
+++ b/internal/fleet/recall_test.go
@@ -82,8 +82,8 @@
 // met is what is wrong with what is told of writes.
 func met(told Told, err error) error {
 	at := slices.IndexFunc(told.Ended, func(o replica.Outcome) bool { return !o.Met })
-	if err == nil && at >= 0 {
-		err = fmt.Errorf("%+v", told.Ended[at])
+	if err == nil && (at >= 0 || len(told.Ended) == 0) {
+		err = fmt.Errorf("%+v", told.Ended)
 	}
 	return err
 }
@@ -385,8 +385,7 @@
 	twin.Kill()
 	holder.Kill()
 	m.until("both are gone", []int{0, 1, 2}, "majority", []int{0, 1, 2})
-	raw := need.Of(os.ReadFile(m.disk(3)))(t)
-	require.NoError(t, os.WriteFile(m.disk(4), raw, 0o600))
+	copyFile(t, m.disk(3), m.disk(4))
 	holder.Start()
 	m.until("it is back", []int{0, 1, 2, 3}, "majority", []int{0, 1, 2, 3})
 	m.write(3, 100, 150, "by the holder again", majority)
@@ -604,16 +603,14 @@
 			var old []byte
 			for range 6 {
 				time.Sleep(time.Duration(200+chance.IntN(400)) * time.Millisecond)
-				who, lasts := chance.IntN(5), time.Duration(300+chance.IntN(1500))*time.Millisecond
-				f := processes.Fault{What: []string{processes.Cut, processes.CutOff, processes.Kill, processes.Stop, "empty", "older"}[chance.IntN(6)], A: []int{who}}
+				who, lasts := chance.IntN(5), float64(300+chance.IntN(1500))/1000
+				f := processes.Fault{For: lasts, What: []string{processes.Cut, processes.CutOff, processes.Kill, processes.Stop, "empty", "older"}[chance.IntN(6)], A: []int{who}}
 				if f.What == processes.Cut {
 					f.A = []int{who, (who + 1 + chance.IntN(4)) % 5}
 				}
 				t.Log(f.What, f.A, lasts)
 				if f.What != "empty" && f.What != "older" {
-					c.Begin(f)
-					time.Sleep(lasts)
-					c.End(f)
+					c.Play(processes.Schedule{f})
 					continue
 				}
 				c.Processes[4].Kill()
