--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -11,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin/need"
 )
 
 func schedules(least int) uint64 {
@@ -64,8 +67,7 @@
 	for i := range 125 {
 		pick, first := [3]int{i / 25, i / 5 % 5, i % 5}, ""
 		for o, order := range orders { // what a replica ends with depends on its own order alone: all triples of orders agree if all orders do
-			m, err := New(Settings{Name: "r", Kinds: kinds()}, nil, 0)
-			require.NoError(t, err)
+			m := need.Of(New(Settings{Name: "r", Kinds: kinds()}, nil, 0))(t)
 			m.Fleet(Fleet{Others: []Member{{Name: "w0"}, {Name: "w1"}, {Name: "w2"}}}, 0)
 			for _, at := range order {
 				w, name := writes[pick[at]], fmt.Sprintf("w%d", at)
@@ -120,24 +122,16 @@
 			w.fill(w.nodes[1], c.away, "b")
 			w.run(3)
 			if !c.log {
-				for _, o := range w.nodes[:2] {
-					o.m.logs, o.m.fifo = map[trackKey]*track{}, nil
-				}
-			}
-			before := 0
-			for _, n := range w.bytes {
-				before += n
+				unlogged(w.nodes[:2]...)
 			}
+			before := w.total()
 			saved := x.disk.load(w.now)
 			if c.empty {
 				x.disk, saved = newDisk(), nil
 			}
 			w.start(x, saved)
 			took := w.settle(100)
-			after := -before
-			for _, n := range w.bytes {
-				after += n
-			}
+			after := w.total() - before
 			s := x.m.Status()
 			t.Logf("%d of %d records differ: %d bytes, %.1f intervals, %d walks, %d wholes", c.away, 10_000+c.away, after, took, s.Walks, s.Wholes)
 			assert.Less(t, after, c.most)
@@ -162,16 +156,12 @@
 	for _, n := range w.nodes {
 		n.m.Fleet(Fleet{}, w.now) // nobody hears anybody
 	}
-	_, err := w.write(x, kindText, "alone", "known to one", false, Sure{})
-	require.NoError(t, err)
+	need.Of(w.write(x, kindText, "alone", "known to one", false, Sure{}))(t)
 	w.drain(x)
 	w.kill(x)
-	_, err = w.write(w.nodes[0], kindText, "a000007", "", true, Sure{Level: Majority, Within: 9})
-	require.NoError(t, err)
+	need.Of(w.write(w.nodes[0], kindText, "a000007", "", true, Sure{Level: Majority, Within: 9}))(t)
 	w.run(5)
-	for _, n := range w.nodes[:3] {
-		n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
-	}
+	unlogged(w.nodes[:3]...)
 	saved := x.disk.load(w.now)
 	saved.Away = 2 * w.horizon
 	w.start(x, saved)
@@ -214,16 +204,12 @@
 				require.NoError(t, n.m.Step("gone", &Message{Deltas: []Delta{{Writer: "gone", Era: 9, Index: []uint32{0}, Records: []Carried{{Record: rec}}}}}, w.now))
 				n.m.fresh = nil
 				if !c.log {
-					n.m.logs, n.m.fifo = map[trackKey]*track{}, nil
+					unlogged(n)
 				}
 			}
 			w.fleet()
 			w.run(80)
-			found := false
-			for _, e := range w.events {
-				found = found || e.What == "aside"
-			}
-			assert.True(t, found)
+			assert.True(t, slices.ContainsFunc(w.events, func(e Event) bool { return e.What == "aside" }))
 			for _, n := range w.nodes {
 				for _, key := range []string{"k", c.other} {
 					_, ok := n.m.Get(kindText, key)
@@ -284,8 +270,7 @@
 	x := w.nodes[0]
 	sures := []Sure{{Level: Here}, {Level: Copies, Copies: 3, Within: 5}, {Level: Majority, Within: 5}}
 	for i, s := range sures {
-		d, err := w.write(x, kindMax, fmt.Sprint("k", i), "00000001", false, s)
-		require.NoError(t, err)
+		d := need.Of(w.write(x, kindMax, fmt.Sprint("k", i), "00000001", false, s))(t)
 		w.run(3)
 		assert.True(t, w.writes[d].acked && w.writes[d].met >= s.Level, "%v", s)
 	}
@@ -295,8 +280,7 @@
 	w.fleet()
 	_, err := w.write(x, kindMax, "cut", "00000001", false, sures[2])
 	assert.ErrorIs(t, err, ErrCut)
-	d, err := w.write(x, kindMax, "cut", "00000001", false, sures[1])
-	require.NoError(t, err)
+	d := need.Of(w.write(x, kindMax, "cut", "00000001", false, sures[1]))(t)
 	w.run(4)
 	assert.False(t, w.writes[d].acked)
 	x.m.Tick(w.now + 300) // a stall: time settles it
@@ -313,8 +297,7 @@
 	}}}
 	_, err := New(Settings{Name: "x", Kinds: append(k, k...)}, nil, 0)
 	assert.Error(t, err)
-	m, err := New(Settings{Name: "x", Kinds: k}, nil, 0)
-	require.NoError(t, err)
+	m := need.Of(New(Settings{Name: "x", Kinds: k}, nil, 0))(t)
 	for _, f := range []*Fleet{nil, {}, {Others: []Member{{Name: "y"}}, Decides: true}} { // an older disk's numbers would be given twice
 		if f != nil {
 			m.Fleet(*f, 0)
@@ -324,8 +307,7 @@
 	}
 	m.Fleet(Fleet{Of: 1, Decides: true}, 0)
 	for i := range 7 {
-		_, err := m.Write(0, 1, fmt.Sprint(i), []byte("v"), false, Sure{})
-		require.NoError(t, err)
+		need.Of(m.Write(0, 1, fmt.Sprint(i), []byte("v"), false, Sure{}))(t)
 	}
 	for _, c := range []struct {
 		kind       uint8
@@ -373,17 +355,11 @@
 		w.all()
 		w.run(10)
 		for i := range 20 {
-			_, err := w.write(w.nodes[i%3], kindText, fmt.Sprint("k", i), "v", false, Sure{})
-			require.NoError(t, err)
+			need.Of(w.write(w.nodes[i%3], kindText, fmt.Sprint("k", i), "v", false, Sure{}))(t)
 			w.run(1)
-			_, err = w.write(w.nodes[i%5], kindText, fmt.Sprint("k", i), "", true, Sure{})
-			require.NoError(t, err)
-		}
-		total := 0
-		for _, b := range w.bytes {
-			total += b
+			need.Of(w.write(w.nodes[i%5], kindText, fmt.Sprint("k", i), "", true, Sure{}))(t)
 		}
-		per[n] = float64(total) / float64(n)
+		per[n] = float64(w.total()) / float64(n)
 		w.run(6 * float64(n))
 		for _, x := range w.nodes {
 			assert.Zero(t, x.m.Status().Kinds[1].Records, x.name)
@@ -428,13 +404,11 @@
 
 // A scan in parts sees each record once, and holds the machine for a part alone: each sorts all of a kind.
 func TestAScanInParts(t *testing.T) {
-	m, err := New(Settings{Name: "a", Kinds: kinds()}, nil, 0)
-	require.NoError(t, err)
+	m := need.Of(New(Settings{Name: "a", Kinds: kinds()}, nil, 0))(t)
 	m.Fleet(Fleet{Of: 1, Decides: true}, 0)
 	n := 60_000
 	for i := range n {
-		_, err := m.Write(0, kindMax, fmt.Sprintf("o%024d", i), []byte("00000001"), false, Sure{})
-		require.NoError(t, err)
+		need.Of(m.Write(0, kindMax, fmt.Sprintf("o%024d", i), []byte("00000001"), false, Sure{}))(t)
 		if i%1000 == 0 {
 			m.Ready()
 		}
--- a/internal/fleet/budgets_test.go
+++ b/internal/fleet/budgets_test.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"elderwall/fleet/budgets"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/processes"
 )
 
@@ -82,11 +82,6 @@
 			m.Answer = a(b)
 		}
 		m.ListenOrigin(b.origin.fill)
-		duties := m.more
-		m.more = map[int]string{}
-		for i := range n {
-			m.more[i] = duties[i]
-		}
 		m.last = func() string {
 			return fmt.Sprintf(`, budgets: {generation: %d, tail: %q, wholes: %s}`, b.number, tail, b.wholes)
 		}
@@ -151,6 +146,13 @@
 	return func() { close(stop); all.Wait() }
 }
 
+// loaded has other so many at some.
+func (b *budgetRig) loaded(each int64, who ...int) {
+	for _, i := range who {
+		b.loads[i].Store(each)
+	}
+}
+
 // smaller has a smaller whole in force, and waits until it holds and what was under way has ended: it is the bound from then on.
 func (b *budgetRig) smaller(whole int, wholes string) {
 	b.Helper()
@@ -208,11 +210,7 @@
 	b.Helper()
 	var told ToldBudget
 	b.Until(soon, "the books are told", func() error {
-		keys, err := ParseKeys(b.keys[-1])
-		require.NoError(b, err)
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		defer cancel()
-		t, err := Ask(ctx, b.Processes[at].Fleet, keys, AskBudgets, 0)
+		t, err := b.asked(at, AskBudgets)
 		if err == nil && len(t.Budgets) == 0 {
 			err = errors.New("none")
 		}
@@ -237,41 +235,26 @@
 	for name, trouble := range map[string]func(){
 		"the divider is killed": func() { d := b.divider(); b.Processes[d].Kill(); time.Sleep(time.Second); b.Processes[d].Start() },
 		"the divider is stopped and wakes": func() {
-			d := b.divider()
-			b.Processes[d].Signal(syscall.SIGSTOP)
-			time.Sleep(14 * time.Second)
-			b.Processes[d].Signal(syscall.SIGCONT)
+			b.Play(processes.Schedule{{What: processes.Stop, A: []int{b.divider()}, For: 14}})
 		},
 		"the divider is cut off": func() {
-			cut := processes.Fault{What: processes.Cut, A: []int{b.divider()}}
-			b.Begin(cut)
-			time.Sleep(5 * time.Second)
-			b.End(cut)
+			b.Play(processes.Schedule{{What: processes.Cut, A: []int{b.divider()}, For: 5}})
 		},
 		"all clients move to one": func() {
-			for i := range b.loads {
-				b.loads[i].Store(0)
-			}
-			b.loads[4].Store(12)
+			b.loaded(0, b.all()...)
+			b.loaded(12, 4)
 			b.used(6)
-			for i := range b.loads {
-				b.loads[i].Store(4)
-			}
+			b.loaded(4, b.all()...)
 		},
 		"a cut in parts": func() {
-			cut := processes.Fault{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}}
-			b.Begin(cut)
-			time.Sleep(12 * time.Second)
-			b.End(cut)
+			b.Play(processes.Schedule{{What: processes.Cut, A: []int{0, 3}, B: []int{1, 2, 4}, For: 12}})
 		},
 		"messages are lost, doubled and late": func() {
+			var bad processes.Schedule
 			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
-				b.Begin(processes.Fault{What: what, A: b.all(), B: b.all(), Amount: 0.4})
-			}
-			time.Sleep(8 * time.Second)
-			for _, what := range []string{processes.Lose, processes.Double, processes.Reorder} {
-				b.End(processes.Fault{What: what, A: b.all(), B: b.all()})
+				bad = append(bad, processes.Fault{What: what, A: b.all(), B: b.all(), Amount: 0.4, For: 8})
 			}
+			b.Play(bad)
 		}} {
 		trouble()
 		b.used(7)
@@ -323,15 +306,11 @@
 	b := budget(t, 4, 6, `{fills: {of: "origin", most: 6}}`)
 	end := b.load(4)
 	b.used(5)
-	for i := range 3 {
-		b.loads[i].Store(0)
-	}
-	b.loads[3].Store(12)
+	b.loaded(0, 0, 1, 2)
+	b.loaded(12, 3)
 	b.used(5) // it has nearly all
 	b.Processes[3].Signal(syscall.SIGSTOP)
-	for i := range 3 {
-		b.loads[i].Store(8)
-	}
+	b.loaded(8, 0, 1, 2)
 	b.Until(soon, "the others have it", func() error {
 		b.origin.mu.Lock()
 		defer b.origin.mu.Unlock()
@@ -391,8 +370,7 @@
 func TestAnAmountIsSpentOnce(t *testing.T) {
 	const whole, units = 3000, 7
 	b := budget(t, 5, 0, fmt.Sprintf(`{bytes: {amount: %d, window: "1h"}}`, whole))
-	keys, err := ParseKeys(b.keys[-1])
-	require.NoError(t, err)
+	keys := need.Of(ParseKeys(b.keys[-1]))(t)
 	var spent, refused atomic.Int64
 	stop := make(chan struct{})
 	var all sync.WaitGroup
