What is still open is answered before the platform ends the process

The logs of the dispatchers that were told to end have "draining" and never "drained": SIGKILL found all of them waiting.

Changed: 0.2 s before the earliest SIGKILL the module gives up all that it holds, as it gives up a request that has no time left: refused where a repeat is harmless, failed elsewhere. The drain then finds nothing open and ends.

Ruled out: replies that were queued and unwritten (Quiet counts them), and requests that came after the drain refuses (they are refused at once).

--- a/control/state.go
+++ b/control/state.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 
@@ -378,6 +379,17 @@
 	return d
 }
 
+// GiveUpAll answers everything that is held, in the order in which it came, as giveUp answers one of them: for a process that is about to end,
+// after which no answer could be passed on.
+func (d *Dispatcher) GiveUpAll(now float64) {
+	d.now = now
+	for _, id := range slices.Sorted(maps.Keys(d.gets)) {
+		if g := d.gets[id]; g != nil {
+			d.giveUp(g)
+		}
+	}
+}
+
 // learnAll takes what all hosts have in common, now and then: no GET looks over all of them.
 func (d *Dispatcher) learnAll() {
 	var all learned
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// GiveUpAll has every shard answer what it holds, before the process ends.
+func (g *Group) GiveUpAll() {
+	for _, m := range g.alive() {
+		m.GiveUpAll()
+	}
+}
+
 // Process hands a GET to its shard.
 func (g *Group) Process(c call.Call, in call.GET) {
 	p := g.places.Load()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -253,6 +253,11 @@
 // Drain makes the node not ready; it goes on with what comes.
 func (n *Node) Drain() { n.draining.Store(true) }
 
+// GiveUpAll has the module answer everything that is held, before the process ends.
+func (n *Node) GiveUpAll() {
+	n.guarded(func(now float64) { n.module.GiveUpAll(now) })
+}
+
 // Take takes an event of the change log; a long list in steps, between which GETs go on.
 func (n *Node) Take(e changelog.Event) {
 	if e.Fleet == nil || len(e.Fleet.Hosts) <= hosts.MostTaken || n.Shard != nil || !n.listed.Load() {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -42,6 +42,8 @@
 	unread       = time.Second            // for so long after the last viewer timeout clients may read
 	warnings     = 10                     // a second that are logged; bad input could bring any number
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
+	longestWait  = 3 * time.Second        // of a viewer timeout, in the time until SIGKILL: the platform waits for no longer one
+	flushIn      = 200 * time.Millisecond // before SIGKILL, in which what was answered last is written and the process ends
 	reviewEach   = 250 * time.Millisecond // how often connections are looked over for callers that may not stay
 )
 
@@ -103,6 +105,7 @@
 	Run(ctx context.Context) error
 	Take(e changelog.Event)
 	Drain()
+	GiveUpAll()
 }
 
 // Gate asks who is calling, for the node and for the fronts.
@@ -354,6 +357,7 @@
 				s.reload(read)
 			case drained == nil:
 				drained = make(chan bool)
+				defer time.AfterFunc(s.config.endsIn(), s.core.GiveUpAll).Stop()
 				go func() {
 					defer close(drained)
 					drain(s.log, s.core.Drain, s, s.closeListeners, s.config.longest()+unread)
