A client's idempotency key is passed on to the hosts

The client's field `token` was read as one that names the caller (front/read.go), for which nobody asks on the platform, and dropped; nothing of it went to hosts (lines.Request had no such field).

Changed: where nobody asks who is calling, `token` is the key by which hosts tell a repeat; it goes on as `uniq` with each attempt. Where somebody asks, it stays what it was, a caller's secret, and goes to no host. A key of over 64 bytes, or one that a field can't carry, fails the request at once: with a comma or a line end in it a client could have written fields and requests of its own.

Without the change the host gets none.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -34,6 +34,8 @@
 	Device              string // class of the client's device, where the operator names what tells it; "" for none
 	Err                 error  // what is wrong with it; the rest can't be used then
 
-	Token string        // that came with it, "" for none
+	IdempotencyKey string // by which hosts tell a repeat, "" for none
+
+	Token string        // that came with it and names its caller, "" for none
 	Conn  *callers.Conn // what is known of its connection; nil where nobody asks who is calling
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -448,8 +448,7 @@
 			call.Refuse(0)
 			return nil
 		}
-		get := read(m)
-		get.Conn = c.caller
+		get := read(m, c.caller)
 		get.Device = c.server.Devices.of(m)
 		c.server.Handler.Process(call, get)
 	case thrift.GiveUp:
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -7,9 +7,11 @@
 	"math"
 	"slices"
 	"strconv"
+	"unicode/utf8"
 
 	"elderwall/internal/call"
 	"elderwall/internal/thrift"
+	"elderwall/stages/callers"
 )
 
 const (
@@ -17,14 +19,16 @@
 	hexDigits   = "0123456789abcdef"
 	lastGroup   = 255     // groups are numbered from 0
 	longestBody = 240_000 // bytes; of an object
+	longestKey  = 64      // bytes; of an idempotency key
 )
 
 var errField = errors.New("unusable field")
 
-// read makes a GET of a message, with strings of its own.
-func read(m thrift.Call) call.GET {
+// read makes a GET of a message, with strings of its own. Its token names the caller where somebody asks for that; elsewhere it is the
+// key by which hosts tell a repeat of a request that must not take effect twice, and is passed on to them.
+func read(m thrift.Call, caller *callers.Conn) call.GET {
 	g := call.GET{ID: string(m.ID), Service: string(m.Service), Object: string(m.Object), PartText: string(m.Part),
-		Tag: string(m.Tag), Body: slices.Clone(m.Body), Token: string(m.Token)}
+		Tag: string(m.Tag), Body: slices.Clone(m.Body), Conn: caller}
 	check := func(ok bool, name string, text []byte) {
 		if !ok && g.Err == nil {
 			g.Err = fmt.Errorf("%w: %s %.32q", errField, name, text)
@@ -41,7 +45,19 @@
 	check(isID(m.Object), "obj", m.Object)
 	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
 	check(len(m.Body) <= longestBody, "body", nil)
+	if caller != nil {
+		g.Token = string(m.Token)
+		return g
+	}
+	g.IdempotencyKey = string(m.Token)
+	check(m.Token == nil || isKey(m.Token), "token", m.Token)
 	return g
 }
 
+// isKey tells whether a text may be an idempotency key: one that a field of a request to a host can carry.
+func isKey(text []byte) bool {
+	unusable := func(r rune) bool { return r <= ' ' || r >= utf8.RuneSelf || r == 0x7f || r == ',' || r == '=' }
+	return len(text) > 0 && len(text) <= longestKey && bytes.IndexFunc(text, unusable) < 0
+}
+
 func isID(text []byte) bool { return len(text) == idLength && len(bytes.Trim(text, hexDigits)) == 0 }
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -280,13 +280,14 @@
 	Join, HeldOnly, Renew     bool
 	Tag                       string // of the client's copy, "" for none
 	Body                      []byte
+	IdempotencyKey            string // by which hosts tell a repeat, "" for none
 	Variant                   string // field and value that name the variant that is wanted, "" for none
 }
 
 // Known tells whether a field of a request has a meaning of its own.
 func Known(field string) bool { return slices.Contains(fields, field) }
 
-var fields = []string{"queue", "path", "blk", "budget", "up", "store", "cap", "do", "inm"}
+var fields = []string{"queue", "path", "blk", "budget", "up", "store", "cap", "do", "inm", "uniq"}
 
 // AppendHead writes the line of the request behind b; its body and a line end follow.
 func (q Request) AppendHead(b []byte) []byte {
@@ -311,6 +312,9 @@
 	if q.Tag != "" {
 		b = append(append(b, ",inm="...), q.Tag...)
 	}
+	if q.IdempotencyKey != "" {
+		b = append(append(b, ",uniq="...), q.IdempotencyKey...)
+	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(q.Body)), 10)
 	return append(b, LineEnd...)
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -73,7 +73,8 @@
 	for n.lastID++; n.gets[n.lastID] != nil; n.lastID++ {
 	}
 	g.ID, g.ViewerTimeout = n.lastID, now+g.ViewerTimeout
-	request := lines.Request{ID: in.ID, Service: in.Service, Object: in.Object, Part: in.PartText, Tag: in.Tag, Body: in.Body}
+	request := lines.Request{ID: in.ID, Service: in.Service, Object: in.Object, Part: in.PartText, Tag: in.Tag, Body: in.Body,
+		IdempotencyKey: in.IdempotencyKey}
 	held := &get{id: g.ID, call: c, ticket: ticket, request: request, from: now, until: g.ViewerTimeout, asks: g}
 	n.gets[held.id], n.byCall[c], n.byID[in.ID] = held, held, held
 	if n.Variants != nil {
