Front: a call that is read after its connection's close is never sent on

Read in front.go: conn.enter did not look at closed, so a reader whose Read had returned when another goroutine closed the connection (it gave way, Review, a failed write) still handed the call to the handler. The client sees the close and sends the call once more, so that it went upstream twice. The look for quiet and the close were two steps as well (leastNeeded and Review): a call entered between them was closed under. And Review's fail could give a call up between its entry and the handler's Process: the handler passes over word of a call that it has not got and went on with it, although it was answered.

Now enter refuses on a closed connection, a connection is closed only if it is quiet under the same lock, with another chosen where it no longer is, and a call that is abandoned while it is handed over is given up right behind. Ruled out: a panic within Process leaves the call open, and drop gives it up; giveUp messages come from the goroutine that hands calls over, so never before it has.

Cost: one compare-and-swap and one load a call, no allocation, no system call.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,10 +89,18 @@
 	conn *conn
 	seq  int32
 
+	stage atomic.Int32 // handing, handed or abandoned
 	mark  atomic.Int32 // its handler's
 	until atomic.Int64 // Unix ns, 0 where its handler told of none
 }
 
+// What a call's stage tells.
+const (
+	handing   = iota // its handler has not got it yet
+	handed           // its handler has it
+	abandoned        // nobody waits for it any more, and its handler has not got it yet
+)
+
 // Mark keeps a number of its handler's with the call, with the moment by which it must be answered.
 func (c *Call) Mark(number int, until time.Time) {
 	c.mark.Store(int32(number))
@@ -181,10 +189,7 @@
 	defer s.mu.Unlock()
 	if len(s.conns) >= max(1, s.Most-min(spare, s.Most/4)) {
 		s.Counts.GaveWay.Add(1)
-		if first := s.leastNeeded(); first != nil {
-			first.close()
-			s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == first })
-		} else {
+		if !s.giveWay() {
 			c.close()
 		}
 	}
@@ -192,6 +197,22 @@
 	return c
 }
 
+// giveWay closes the connection that is needed least, if there is one; called under the server's lock. A call may come on it between the choice and
+// the close: then it is needed, and another one is chosen.
+func (s *Server) giveWay() bool {
+	for range len(s.conns) {
+		first := s.leastNeeded()
+		if first == nil {
+			return false
+		}
+		if first.closeQuiet() {
+			s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == first })
+			return true
+		}
+	}
+	return false
+}
+
 // leastNeeded is a connection with nothing open: one that has sent nothing of use, else one that was used once,
 // else any, and of these the one that was unused for longest. Guards against clients that connect in numbers and
 // say nothing, or ask once and stay for good: those that ask again and again keep theirs.
@@ -265,14 +286,10 @@
 		}
 		switch s.Callers.Standing(caller) {
 		case callers.Leaving:
-			if c.quiet() {
-				c.close()
-			}
+			c.closeQuiet()
 		case callers.Left:
 			c.guard(c.fail)
-			if c.quiet() {
-				c.close()
-			}
+			c.closeQuiet()
 		}
 	}
 }
@@ -302,12 +319,31 @@
 	open := slices.Collect(maps.Values(c.open))
 	c.mu.Unlock()
 	for _, call := range open {
-		c.server.Handler.GiveUp(call)
+		c.giveUp(call)
 		call.Fail(callers.BadCertificate.String())
 	}
 	return nil
 }
 
+// hand gives a call to the handler, unless it was abandoned before. One that is abandoned meanwhile is given up behind: a handler passes over word
+// of a call that it has not got, and would go on with it although it is answered.
+func (c *conn) hand(open *Call, get call.GET) {
+	if open.stage.Load() == abandoned {
+		return
+	}
+	c.server.Handler.Process(open, get)
+	if !open.stage.CompareAndSwap(handing, handed) {
+		c.server.Handler.GiveUp(open)
+	}
+}
+
+// giveUp tells the handler that nobody waits for a call any more, or leaves that to hand where the handler has not got the call.
+func (c *conn) giveUp(open *Call) {
+	if !open.stage.CompareAndSwap(handing, abandoned) {
+		c.server.Handler.GiveUp(open)
+	}
+}
+
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -333,9 +369,12 @@
 func (c *conn) standing() (quiet bool, uses int, used time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes, c.uses, c.used
+	return c.isQuiet(), c.uses, c.used
 }
 
+// isQuiet is called under the connection's lock.
+func (c *conn) isQuiet() bool { return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes }
+
 // guard ends the connection, and it alone, when what runs on it panics or fails.
 func (c *conn) guard(run func() error) {
 	defer func() {
@@ -353,6 +392,22 @@
 func (c *conn) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.end()
+}
+
+// closeQuiet closes the connection unless something is open on it, in one step: no call is entered between the look and the close.
+func (c *conn) closeQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isQuiet() {
+		return false
+	}
+	c.end()
+	return true
+}
+
+// end is called under the connection's lock.
+func (c *conn) end() {
 	if !c.closed {
 		c.closed = true
 		_ = c.raw.Close()
@@ -381,7 +436,10 @@
 	return open
 }
 
-var errRoom = errors.New("no memory for a call")
+var (
+	errRoom   = errors.New("no memory for a call")
+	errClosed = errors.New("the connection is closed")
+)
 
 // read takes calls off the connection until it ends; only what the client did wrong is an error.
 func (c *conn) read() error {
@@ -411,6 +469,9 @@
 		c.server.Counts.ClientBytesIn.Add(int64(n))
 		frames.Fed(n)
 		whole, err := c.calls(&frames)
+		if errors.Is(err, errClosed) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -451,7 +512,7 @@
 		get := read(m)
 		get.Conn = c.caller
 		get.Device = c.server.Devices.of(m)
-		c.server.Handler.Process(call, get)
+		c.hand(call, get)
 	case thrift.GiveUp:
 		if call := c.leave(m.GivenUp); call != nil {
 			c.server.Handler.GiveUp(call)
@@ -481,9 +542,14 @@
 	return nil
 }
 
+// enter books a call as open. None is taken on a connection that was closed since its bytes were read: its client sees the close and
+// sends it again, so that it must not be sent on here.
 func (c *conn) enter(call *Call) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return errClosed
+	}
 	if c.open[call.seq] != nil {
 		return fmt.Errorf("call %d is open already", call.seq)
 	}
