Front: connections are closed in order, with what is queued written and what comes discarded

Read in front.go: each close (idle, gave way, Review, the drain's end, a bad message) was a Close at once. With bytes unread in the kernel that resets the connection, and the reset takes answers with it that are written but not yet read by the client; queued ones were dropped.

Now a close takes no further call, writes what is queued, shuts writes (over TLS with the alert first, then the socket beneath), reads and discards until the client closes, and closes then. closeIn (250 ms) and mostDiscarded (1 MiB) bound it; both stand with their reasons in close.go. It is done by the two goroutines that a connection has anyway, so that a flood starts no others. A closed connection leaves the list of those that may have calls; it holds its place only until that place is wanted, when the one that has waited for longest is cut short. Where the client has closed first and nothing is queued, the socket is closed at once as before: no timer, no shutdown. Answers that were queued when a client shut its writes still reach it; its open calls are given up before that. Nothing is added to a call but one atomic load a read.

Tests, on sockets with a reader that is held between two reads so that bytes are unread at the close: an answer that is written survives Review, giving way, the end of the service and bad input, and the end is EOF. A TLS client gets the alert. 200 clients that never close keep nobody out and pass no bound on sockets. A client that writes on after the close, fast or slowly, is ended in time. Seen to fail: with an abrupt close all four cases (connection reset); without the timer the bounds' test did not end.

--- /dev/null
+++ b/internal/front/close_test.go
@@ -0,0 +1,203 @@
+package front_test
+
+import (
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/call"
+	"elderwall/internal/front"
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
+	"elderwall/stages/callers"
+)
+
+// oneCall is a listener whose first connection waits, once its second bytes were read, until the test lets it go on: what comes then is unread.
+type oneCall struct {
+	net.Listener
+	read, goOn chan bool
+	accepted   atomic.Int32
+}
+
+func (l *oneCall) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || l.accepted.Add(1) > 1 {
+		return c, err
+	}
+	return &oneCallConn{TCPConn: c.(*net.TCPConn), by: l}, nil
+}
+
+type oneCallConn struct {
+	*net.TCPConn
+	by    *oneCall
+	reads int
+}
+
+func (c *oneCallConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if c.reads++; c.reads == 2 {
+		c.by.read <- true
+		<-c.by.goOn
+	}
+	return n, err
+}
+
+// whole is a call as it goes on the wire, of a number that no other call of the test has.
+func whole(seq int32) []byte {
+	return standin.Call("process", 1, seq, standin.ProcessArguments(standin.Fields(), ""))
+}
+
+func TestACloseTakesNoWrittenAnswerWithIt(t *testing.T) {
+	const most = 16
+	for name, tt := range map[string]struct {
+		second []byte
+		closes func(t *testing.T, s *front.Server, by *standing, address string, end func())
+	}{
+		"its caller may not stay": {whole(7), func(_ *testing.T, s *front.Server, by *standing, _ string, _ func()) {
+			by.now.Store(callers.Leaving)
+			s.Review()
+		}},
+		"it gives way": {whole(7), func(t *testing.T, s *front.Server, _ *standing, address string, _ func()) {
+			for range most {
+				need.Of(need.Client(t, address).Probe())(t)
+			}
+			require.Positive(t, s.Counts.GaveWay.Load())
+		}},
+		"the service ends": {whole(7), func(t *testing.T, s *front.Server, _ *standing, address string, end func()) {
+			other := need.Client(t, address)
+			need.Of(other.Probe())(t)
+			go end()
+			_, err := other.Read()
+			require.Error(t, err, "the end has come")
+		}},
+		"it sent what is none": {[]byte{0x7f, 0, 0, 0}, func(*testing.T, *front.Server, *standing, string, func()) {}}} {
+		t.Run(name, func(t *testing.T) {
+			h := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}
+			by, l := &standing{}, &oneCall{Listener: need.Listener(t), read: make(chan bool), goOn: make(chan bool)}
+			s := &front.Server{Handler: h, Callers: by, Most: most}
+			end := serveOn(t, s, l)
+			c := need.Client(t, l.Addr().String())
+			need.Sent(t, c)
+			(<-h.calls).Serve(body(s, "bytes"), false)
+			need.Soon(t, s.Quiet, "the answer is written")
+			need.Of(c.Conn.Write(tt.second))(t)
+			<-l.read
+			need.Of(c.Conn.Write(make([]byte, 1000)))(t) // unread until the close
+			tt.closes(t, s, by, l.Addr().String(), end)
+			close(l.goOn)
+			assert.Equal(t, "served", need.Of(c.Read())(t).Kind)
+			_, err := c.Read()
+			assert.ErrorIs(t, err, io.EOF, "and the end is one in order")
+			_ = c.Conn.Close()
+			end()
+		})
+	}
+}
+
+// recorded keeps what was read.
+type recorded struct {
+	net.Conn
+	bytes []byte
+}
+
+func (r *recorded) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	r.bytes = append(r.bytes, b[:n]...)
+	return n, err
+}
+
+func TestATLSClientIsToldOfTheEnd(t *testing.T) {
+	const alert, head = 21, 5 // a record's type, and the bytes before its own
+	a := standin.NewAuthority("a")
+	h, by, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, &standing{}, need.Listener(t)
+	client := a.Client("server", "", time.Now().Add(time.Hour))
+	client.ServerName, client.MaxVersion = "127.0.0.1", tls.VersionTLS12 // which shows the types of its records
+	s := &front.Server{Handler: h, Callers: by, Most: 4}
+	serveOn(t, s, tls.NewListener(l, &tls.Config{Certificates: client.Certificates}))
+	wire := &recorded{Conn: need.Client(t, l.Addr().String()).Conn}
+	c := &standin.Client{Conn: tls.Client(wire, client)}
+	need.Of(c.Probe())(t)
+	need.Soon(t, s.Quiet)
+	by.now.Store(callers.Leaving)
+	s.Review()
+	_, err := c.Read()
+	assert.ErrorIs(t, err, io.EOF)
+	var last byte
+	for rest := wire.bytes; len(rest) > head; rest = rest[head+int(binary.BigEndian.Uint16(rest[3:])):] {
+		last = rest[0]
+	}
+	assert.EqualValues(t, alert, last, "not a cut, which whoever is between could make")
+}
+
+// counting counts the sockets that are open, and the most there were.
+type counting struct {
+	net.Listener
+	open, most atomic.Int32
+}
+
+func (l *counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for n, was := l.open.Add(1), l.most.Load(); n > was && !l.most.CompareAndSwap(was, n); was = l.most.Load() {
+	}
+	return &countedConn{TCPConn: c.(*net.TCPConn), by: l}, nil
+}
+
+type countedConn struct {
+	*net.TCPConn
+	by *counting
+}
+
+func (c *countedConn) Close() error {
+	defer c.by.open.Add(-1) // called once, as the server sees to
+	return c.TCPConn.Close()
+}
+
+func TestClientsThatDoNotCloseKeepNobodyOut(t *testing.T) {
+	const most, clients = 16, 200
+	h, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, &counting{Listener: need.Listener(t)}
+	s := &front.Server{Handler: h, Most: most}
+	end := serveOn(t, s, l)
+	began := time.Now()
+	for range clients { // each stays, and closes nothing when it is closed
+		need.Of(need.Client(t, l.Addr().String()).Probe())(t)
+	}
+	assert.Less(t, time.Since(began), clients/spareOf(most)*front.CloseIn/4, "a quarter of what it would take if each had its whole time to close")
+	assert.LessOrEqual(t, l.most.Load(), int32(most))
+	began = time.Now()
+	end()
+	assert.Less(t, time.Since(began), 2*front.CloseIn)
+	assert.Zero(t, l.open.Load())
+}
+
+func spareOf(most int) time.Duration { return time.Duration(most / 4) }
+
+func TestWhatComesAfterACloseIsBounded(t *testing.T) {
+	h, by, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, &standing{}, need.Listener(t)
+	s := &front.Server{Handler: h, Callers: by, Most: 4}
+	serveOn(t, s, l)
+	for name, each := range map[string]time.Duration{"as much as goes": 0, "a byte now and then": 10 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			c := need.Client(t, l.Addr().String())
+			need.Of(c.Probe())(t)
+			need.Soon(t, s.Quiet)
+			by.now.Store(callers.Leaving)
+			s.Review()
+			by.now.Store(callers.Stays)
+			began, chunk := time.Now(), make([]byte, map[bool]int{true: 64 << 10, false: 1}[each == 0])
+			for err := error(nil); err == nil; time.Sleep(each) {
+				_, err = c.Conn.Write(chunk)
+				require.Less(t, time.Since(began), 4*front.CloseIn, "the connection is closed")
+			}
+		})
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,6 +33,7 @@
 	idle      = 5 * time.Second        // clients close idle connections after 4 s; one that does not is closed then
 	wholeIn   = 2 * time.Second        // a message that is not whole by then never will be; from its start, the first from connecting
 	often     = 2                      // uses; a connection with so many is one that its client comes back on
+	closing   = -1                     // uses; a connection that is closed already goes before all others
 	speaksIn  = 250 * time.Millisecond // within so long of connecting, saying nothing yet is no sign
 	spare     = 8                      // connections; one that gives way may hold its place until its goroutines have ended
 
@@ -123,10 +124,11 @@
 	Most    int        // connections at a time
 	Devices Devices    // where the class of a client's device stands; nothing of it is looked for by the zero value
 
-	closing atomic.Bool // what comes now is refused
+	refusing atomic.Bool // what comes now is refused
 
-	mu    sync.Mutex
-	conns []*conn
+	mu      sync.Mutex
+	conns   []*conn
+	leaving []*conn // closed, longest first, and waiting for their clients to close
 }
 
 type conn struct {
@@ -137,13 +139,17 @@
 	wake   chan struct{} // tells the writer of a change
 	number uint64        // by which it is told from all others
 
-	mu     sync.Mutex
-	open   map[int32]*Call
-	queue  []thrift.Reply
-	writes bool // the writer is at work on a reply
-	closed bool
-	uses   int       // what it sent that could be used, counted up to often
-	used   time.Time // when it was accepted, or last sent or was answered something
+	closed  atomic.Bool // no call is taken any more; set under the lock
+	gone    bool        // the client has closed, or can't be read from; its reader's own
+	mu      sync.Mutex
+	open    map[int32]*Call
+	queue   []thrift.Reply
+	writes  bool        // the writer is at work on a reply
+	written bool        // the writer has ended, and what is queued now is dropped
+	aborted bool        // the socket is closed
+	bound   *time.Timer // of an orderly close; nil before
+	uses    int         // what it sent that could be used, counted up to often
+	used    time.Time   // when it was accepted, or last sent or was answered something
 }
 
 // Serve accepts connections until the listener is closed, and returns when all of them have ended. Places never
@@ -152,7 +158,12 @@
 	group, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, s.Most)
 	for ctx.Err() == nil {
-		places <- struct{}{}
+		select {
+		case places <- struct{}{}:
+		default:
+			s.cutShort()
+			places <- struct{}{}
+		}
 		socket, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			break
@@ -190,7 +201,9 @@
 	if len(s.conns) >= max(1, s.Most-min(spare, s.Most/4)) {
 		s.Counts.GaveWay.Add(1)
 		if !s.giveWay() {
-			c.close()
+			c.shut()
+			s.leaves(c)
+			return c
 		}
 	}
 	s.conns = append(s.conns, c)
@@ -205,8 +218,8 @@
 		if first == nil {
 			return false
 		}
-		if first.closeQuiet() {
-			s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == first })
+		if first.shutQuiet() {
+			s.leaves(first)
 			return true
 		}
 	}
@@ -221,7 +234,9 @@
 	var used time.Time
 	for _, c := range s.conns {
 		quiet, n, u := c.standing()
-		if n == 0 && time.Since(u) < speaksIn {
+		if c.closed.Load() {
+			n = closing
+		} else if n == 0 && time.Since(u) < speaksIn {
 			n = often // its first message may be on the way
 		}
 		if quiet && (least == nil || n < uses || n == uses && u.Before(used)) {
@@ -233,20 +248,28 @@
 
 // serve runs one connection to its end.
 func (s *Server) serve(ctx context.Context, c *conn) {
-	defer context.AfterFunc(ctx, c.close)()
-	if c.guard(c.greet); !c.isClosed() {
-		var both sync.WaitGroup
-		both.Go(func() { defer c.close(); c.guard(c.write) })
-		c.guard(c.read)
-		c.close()
-		both.Wait()
-	}
-	s.mu.Lock()
-	s.conns = slices.DeleteFunc(s.conns, func(o *conn) bool { return o == c })
-	s.mu.Unlock()
-	for _, call := range c.drop() {
+	defer s.left(c)
+	defer c.abort()
+	defer context.AfterFunc(ctx, c.shut)()
+	if !c.closed.Load() {
+		c.guard(c.greet)
+	}
+	var writer sync.WaitGroup
+	writer.Go(func() { c.guard(c.write); c.shutWrites() })
+	c.guard(c.read)
+	if !c.finish() {
+		s.mu.Lock()
+		s.leaves(c)
+		s.mu.Unlock()
+	}
+	for _, call := range c.giveUpAll() { // before what is queued is written: a client that left is told of at once
 		c.guard(func() error { s.Handler.GiveUp(call); return nil })
 	}
+	if !c.gone {
+		c.discard()
+	}
+	writer.Wait()
+	c.drop()
 }
 
 // greet does the handshake, where there is one, and finds out what tells of the caller.
@@ -254,7 +277,7 @@
 	if over, ok := c.net.(secured); ok {
 		_ = over.SetDeadline(time.Now().Add(wholeIn))
 		if err := over.Handshake(); err != nil {
-			c.close()
+			c.abort()
 			c.server.Counts.Handshakes.Add(1)
 			return nil // a port scan or a client with no good certificate; the counter tells how many
 		}
@@ -286,10 +309,10 @@
 		}
 		switch s.Callers.Standing(caller) {
 		case callers.Leaving:
-			c.closeQuiet()
+			c.shutQuiet()
 		case callers.Left:
 			c.guard(c.fail)
-			c.closeQuiet()
+			c.shutQuiet()
 		}
 	}
 }
@@ -344,14 +367,8 @@
 	}
 }
 
-func (c *conn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
-
 // Close has all calls that come from now on refused at once.
-func (s *Server) Close() { s.closing.Store(true) }
+func (s *Server) Close() { s.refusing.Store(true) }
 
 // Quiet tells whether no connection has a call open or a reply unwritten.
 func (s *Server) Quiet() bool {
@@ -373,48 +390,22 @@
 }
 
 // isQuiet is called under the connection's lock.
-func (c *conn) isQuiet() bool { return c.closed || len(c.open)+len(c.queue) == 0 && !c.writes }
+func (c *conn) isQuiet() bool { return c.written || len(c.open)+len(c.queue) == 0 && !c.writes }
 
 // guard ends the connection, and it alone, when what runs on it panics or fails.
 func (c *conn) guard(run func() error) {
 	defer func() {
 		if broken := recover(); broken != nil {
-			c.close()
+			c.abort()
 			c.server.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("client connection broke")
 		}
 	}()
 	if err := run(); err != nil {
-		c.close()
+		c.shut()
 		c.server.Log.Warn().Err(err).Stringer("client", c.net.RemoteAddr()).Msg("client connection closed")
 	}
 }
 
-func (c *conn) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.end()
-}
-
-// closeQuiet closes the connection unless something is open on it, in one step: no call is entered between the look and the close.
-func (c *conn) closeQuiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.isQuiet() {
-		return false
-	}
-	c.end()
-	return true
-}
-
-// end is called under the connection's lock.
-func (c *conn) end() {
-	if !c.closed {
-		c.closed = true
-		_ = c.raw.Close()
-		c.signal()
-	}
-}
-
 func (c *conn) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -422,18 +413,24 @@
 	}
 }
 
-// drop takes all open calls and unwritten replies off a closed connection.
-func (c *conn) drop() (open []*Call) {
+// giveUpAll takes all open calls off a closed connection.
+func (c *conn) giveUpAll() (open []*Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open = slices.Collect(maps.Values(c.open))
+	clear(c.open)
+	c.signal() // the writer need not wait for them
+	return open
+}
+
+// drop takes what could not be written off a connection that has ended.
+func (c *conn) drop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, call := range c.open {
-		open = append(open, call)
-	}
 	for _, r := range c.queue {
 		c.server.Room.Give(len(r.Body))
 	}
-	c.open, c.queue = map[int32]*Call{}, nil
-	return open
+	c.queue = nil
 }
 
 var (
@@ -459,11 +456,15 @@
 		}
 		_ = c.net.SetReadDeadline(since.Add(limit))
 		n, err := c.net.Read(space)
-		if errors.Is(err, os.ErrDeadlineExceeded) && !partial && !c.quiet() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !partial && !c.closed.Load() && !c.quiet() {
 			since = time.Now()
 			continue
 		}
 		if err != nil {
+			c.gone = !errors.Is(err, os.ErrDeadlineExceeded)
+			return nil
+		}
+		if c.closed.Load() { // its client sees the close
 			return nil
 		}
 		c.server.Counts.ClientBytesIn.Add(int64(n))
@@ -505,7 +506,7 @@
 		if err := c.enter(call); err != nil {
 			return err
 		}
-		if c.server.closing.Load() {
+		if c.server.refusing.Load() {
 			call.Refuse(0)
 			return nil
 		}
@@ -547,7 +548,7 @@
 func (c *conn) enter(call *Call) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed.Load() {
 		return errClosed
 	}
 	if c.open[call.seq] != nil {
@@ -602,7 +603,7 @@
 	c.mu.Lock()
 	owed := of == nil || c.open[of.seq] == of
 	full := len(c.queue) >= mostQueue
-	if owed && !full && !c.closed {
+	if owed && !full && !c.written && !(of == nil && c.closed.Load()) {
 		c.queue = append(c.queue, r)
 	} else {
 		c.server.Room.Give(len(r.Body))
@@ -613,28 +614,31 @@
 	}
 	c.mu.Unlock()
 	if full {
-		c.close()
+		c.abort()
 	}
 	c.signal()
 }
 
-// next is the next message to be written; false means that there is none now.
-func (c *conn) next() (r thrift.Reply, ok, closed bool) {
+// next is the next message to be written; false means that there is none now, and ended that there will be none: the connection is closed, and all
+// that was open on it is answered or given up.
+func (c *conn) next() (r thrift.Reply, ok, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writes = len(c.queue) > 0 && !c.closed; c.writes {
+	if c.writes = len(c.queue) > 0 && !c.aborted; c.writes {
 		r = c.queue[0]
 		c.queue[0] = thrift.Reply{} // the array behind the queue must not keep the body
 		c.queue = c.queue[1:]
+		return r, true, false
 	}
-	return r, c.writes, c.closed
+	c.written = c.aborted || c.closed.Load() && len(c.open) == 0
+	return r, false, c.written
 }
 
 // write writes the queued messages, each whole; a client sees one that is not whole by the connection's end.
 func (c *conn) write() error {
 	for {
-		r, ok, closed := c.next()
-		if closed {
+		r, ok, ended := c.next()
+		if ended {
 			return nil
 		}
 		if !ok {
@@ -647,6 +651,7 @@
 		c.server.Room.Give(len(r.Body))
 		c.server.Counts.ClientBytesOut.Add(n)
 		if err != nil {
+			c.abort()
 			return nil
 		}
 	}
