Service: a burst of signals never loses the one that ends

Read in service.go: all signals shared one channel of 16, and signal.Notify drops what a full channel has no place for. A burst of SIGHUP while a configuration is read could so lose SIGTERM: the dispatcher would not drain, and SIGKILL would find its calls unanswered. Those that end have a channel of their own now and wait there until they are taken.

Read and found right: SIGHUP during the drain is taken (the drain has a goroutine of its own), a second SIGTERM begins no second drain, a broken file leaves the old configuration in force, and a change log that moved twice does not block (moves is emptied first).

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -40,6 +40,7 @@
 	bodyShare    = 0.25                   // of it for long calls and the bodies of answers under way
 	stillComing  = 700 * time.Millisecond // for so long after SIGTERM clients may still come
 	unread       = time.Second            // for so long after the last viewer timeout clients may read
+	waiting      = 16                     // signals that may wait until they are taken
 	warnings     = 10                     // a second that are logged; bad input could bring any number
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 	reviewEach   = 250 * time.Millisecond // how often connections are looked over for callers that may not stay
@@ -114,8 +115,8 @@
 // Serve runs a dispatcher until a signal ends it, as the environment and an extension, nil for none, say. The
 // extension is made once the platform's configuration is read.
 func Serve(extend func(*Config) (Extension, error)) error {
-	got := make(chan os.Signal, 16)
-	signal.Notify(got, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	got, stop := notify()
+	defer stop()
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger().
 		Sample(zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: warnings, Period: time.Second}})
 	read := func() (*Config, error) { return ReadConfig(os.Getenv) }
@@ -132,6 +133,29 @@
 	return Run(c, e, log.With().Str("name", c.Name).Logger(), got, read)
 }
 
+// notify gives the signals that a dispatcher takes, until it is stopped. A signal that a full channel has no place for is lost: those to end have one
+// of their own, so that no burst of the others keeps them out, and wait there until they are taken.
+func notify() (got chan os.Signal, stop func()) {
+	got = make(chan os.Signal, waiting)
+	ends, stopped := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(got, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for {
+			select {
+			case which := <-ends:
+				select {
+				case got <- which:
+				case <-stopped:
+				}
+			case <-stopped:
+				return
+			}
+		}
+	}()
+	return got, func() { signal.Stop(got); signal.Stop(ends); close(stopped) }
+}
+
 // fronts is all ways in.
 type fronts []*front.Server
 
