Front: a message under way keeps its connection, and a late one no longer ends open calls

Read in front.go: standing did not count a message of which a part was read, so that a slow writer's connection gave way before one that only rests, and a drain took it for quiet: the rest of the message came after the end. And a message that was not whole after 2 s ended the connection with all calls that were open on it, although these had come whole (slow writers that pipeline).

Now a connection with a message under way gives way last, the drain waits for it (2 s at most, by the bound on messages), and a late message ends its connection only once nothing is open there. That stays bounded: each open call has its time, and none can come behind a message that is not whole. Cost: one atomic load a read.

Each test was seen to fail without its line: the drain's, the late message's, and the one on giving way (by its order of choice).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -140,6 +140,7 @@
 	number uint64        // by which it is told from all others
 
 	closed  atomic.Bool // no call is taken any more; set under the lock
+	partial atomic.Bool // a message has begun and is not whole
 	gone    bool        // the client has closed, or can't be read from; its reader's own
 	mu      sync.Mutex
 	open    map[int32]*Call
@@ -227,11 +228,12 @@
 }
 
 // leastNeeded is a connection with nothing open: one that has sent nothing of use, else one that was used once,
-// else any, and of these the one that was unused for longest. Guards against clients that connect in numbers and
+// else any, and of these the one that was unused for longest; those with a message under way come last. Guards against clients that connect in numbers and
 // say nothing, or ask once and stay for good: those that ask again and again keep theirs.
 func (s *Server) leastNeeded() (least *conn) {
 	var uses int
 	var used time.Time
+	var begun bool
 	for _, c := range s.conns {
 		quiet, n, u := c.standing()
 		if c.closed.Load() {
@@ -239,8 +241,9 @@
 		} else if n == 0 && time.Since(u) < speaksIn {
 			n = often // its first message may be on the way
 		}
-		if quiet && (least == nil || n < uses || n == uses && u.Before(used)) {
-			least, uses, used = c, n, u
+		partial := c.partial.Load()
+		if better := n < uses || n == uses && u.Before(used); quiet && (least == nil || begun && !partial || begun == partial && better) {
+			least, uses, used, begun = c, n, u, partial
 		}
 	}
 	return least
@@ -370,11 +373,11 @@
 // Close has all calls that come from now on refused at once.
 func (s *Server) Close() { s.refusing.Store(true) }
 
-// Quiet tells whether no connection has a call open or a reply unwritten.
+// Quiet tells whether no connection has a call open, half a message read, or a reply unwritten.
 func (s *Server) Quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !slices.ContainsFunc(s.conns, func(c *conn) bool { return !c.quiet() })
+	return !slices.ContainsFunc(s.conns, func(c *conn) bool { return !c.quiet() || c.partial.Load() && !c.closed.Load() })
 }
 
 func (c *conn) quiet() bool {
@@ -456,7 +459,9 @@
 		}
 		_ = c.net.SetReadDeadline(since.Add(limit))
 		n, err := c.net.Read(space)
-		if errors.Is(err, os.ErrDeadlineExceeded) && !partial && !c.closed.Load() && !c.quiet() {
+		// A message that is late ends the connection only once nothing is open on it: calls that are whole are not lost with one that is not. That is
+		// bounded, as each of them has its time and no other comes behind the message.
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.closed.Load() && !c.quiet() {
 			since = time.Now()
 			continue
 		}
@@ -476,6 +481,9 @@
 		if err != nil {
 			return err
 		}
+		if begun := frames.Partial(); begun != c.partial.Load() {
+			c.partial.Store(begun)
+		}
 		if fresh = fresh && whole == 0; whole > 0 || !fresh && !partial {
 			since = time.Now()
 		}
--- /dev/null
+++ b/internal/front/partial_test.go
@@ -0,0 +1,81 @@
+package front_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"elderwall/internal/call"
+	"elderwall/internal/front"
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
+)
+
+// half writes half a probe, and waits until the server has read it; rest is what it lacks.
+func half(t *testing.T, s *front.Server, c *standin.Client) (rest []byte) {
+	probe := standin.Call("probe", 1, 9, []byte{2, 0, 1, 0})
+	before := s.Counts.ClientBytesIn.Load()
+	need.Of(c.Conn.Write(probe[:7]))(t)
+	need.Soon(t, func() bool { return s.Counts.ClientBytesIn.Load() == before+7 })
+	return probe[7:]
+}
+
+func TestAMessageUnderWayIsNoReasonToGiveWay(t *testing.T) {
+	h, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, need.Listener(t)
+	s := &front.Server{Handler: h, Most: 4}
+	serveOn(t, s, l)
+	address := l.Addr().String()
+	c, idle := need.Client(t, address), need.Client(t, address)
+	rest := half(t, s, c)
+	need.Of(idle.Probe())(t) // the other has sent nothing of use
+	time.Sleep(front.SpeaksIn)
+	for range 2 {
+		need.Of(need.Client(t, address).Probe())(t)
+	}
+	_, err := idle.Read()
+	assert.Error(t, err, "the one with nothing under way gave way")
+	need.Of(c.Conn.Write(rest))(t)
+	assert.True(t, need.Of(c.Read())(t).Good)
+}
+
+func TestADrainWaitsForAMessageUnderWay(t *testing.T) {
+	_, s, address := serve(t, 4)
+	c := need.Client(t, address)
+	need.Of(c.Probe())(t)
+	need.Soon(t, s.Quiet)
+	rest := half(t, s, c)
+	need.Soon(t, func() bool { return !s.Quiet() })
+	need.Of(c.Conn.Write(rest))(t)
+	assert.True(t, need.Of(c.Read())(t).Good)
+	need.Soon(t, s.Quiet)
+}
+
+func TestALateMessageTakesNoOpenCallWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, ended := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, make(chan error)
+		s, l := server(h, 4), pipes{accepted: make(chan net.Conn)}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { ended <- s.Serve(ctx, l) }()
+		client, server := net.Pipe()
+		l.accepted <- server
+		c := &standin.Client{Conn: client}
+		need.Sent(t, c)
+		open, second := <-h.calls, whole(2)
+		need.Of(client.Write(second[:9]))(t)
+		time.Sleep(10 * time.Second) // a slow writer, whose first call still waits
+		need.Of(client.Write(second[9:20]))(t)
+		open.Refuse(0)
+		assert.Equal(t, "refused", need.Of(c.Read())(t).Kind)
+		began := time.Now()
+		_, err := c.Read()
+		assert.Error(t, err, "with nothing open a message that is late ends its connection")
+		assert.LessOrEqual(t, time.Since(began), 4*time.Second)
+		cancel()
+		close(l.accepted)
+		assert.NoError(t, <-ended)
+	})
+}
