Front: an accept that fails for want of descriptors has an idle client give way

Where the descriptors are used up by clients that rest, each new client waited until one of them left. Now each failure for want of descriptors, buffers or memory ends one connection: one that waits for its client to close, else the one that is needed least and has nothing open. The wait stays, so that nothing spins; other failures end none.

--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -4,4 +4,6 @@
 const (
 	SpeaksIn = speaksIn
 	CloseIn  = closeIn
+
+	AcceptAgain = acceptAgain
 )
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -172,6 +172,7 @@
 		if err != nil {
 			<-places
 			s.Log.Warn().Err(err).Msg("accept failed")
+			s.makeRoom(err)
 			time.Sleep(acceptAgain)
 			continue
 		}
