An idle connection is closed before its host may, with no forward queued meanwhile

Read: connections to hosts were looked over once a second (sweepEach in internal/node). Host.pick took any connection with nothing out, so with an idleClose of a second one that had rested past three quarters of it went on being used, up to the host's own close.

It asks nothing of connections that something is out on, and Send reads the clock once as before. With no idleClose told (0) a connection is not closed for resting: it would else never be used again. Ruled out: one that gives way to another host is claimed by its idle time, which a Send can't pass over.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -260,9 +260,14 @@
 }
 
 // close takes the connection off its host, and all forwards off the connection but one that is being written.
-func (c *conn) close() (open []*Forward) {
+func (c *conn) close() []*Forward {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked is close under the host's lock.
+func (c *conn) closeLocked() (open []*Forward) {
 	if c.closed {
 		return nil
 	}
--- /dev/null
+++ b/internal/upstream/idle.go
@@ -0,0 +1,44 @@
+package upstream
+
+import "time"
+
+// idlePart is the part of the time after which hosts close idle connections for which one is used: none is written to that a host closes.
+const idlePart = 0.75
+
+// Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
+// whose host is gone.
+func (h *Host) Sweep(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closeIdle(now)
+}
+
+// closeIdle is Sweep under the host's lock, which is not let go between the look and the close. Guards against a forward
+// that is queued on a connection between the two, and against one on a connection that was idle for too long since the last sweep.
+func (h *Host) closeIdle(now time.Time) {
+	for i := len(h.conns) - 1; i >= 0; i-- { // closing takes it off the list
+		if c := h.conns[i]; len(c.open) == 0 && c.pastUse(now) {
+			c.closeLocked()
+		}
+	}
+}
+
+// pastUse tells whether a connection that nothing is out on is to be closed.
+func (c *conn) pastUse(now time.Time) bool {
+	unused := now.Sub(c.used)
+	doubted := c.doubted && unused > c.host.Dialer.Timeout
+	rested := c.host.IdleClose > 0 && unused > time.Duration(idlePart*float64(c.host.IdleClose))
+	return c.host.gone || doubted || rested
+}
+
+// Leave takes word that the host is gone: nothing new goes to it, and its connections close when nothing is out.
+// It returns true once none is left.
+func (h *Host) Leave() bool {
+	h.mu.Lock()
+	h.gone = true
+	h.mu.Unlock()
+	h.Sweep(time.Now())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns) == 0
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	idlePart = 0.75                   // of the time after which hosts close idle connections: none is written to that a host closes
-	wholeIn  = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
-	stalled  = 5 * time.Second        // a host that has not taken a whole request by then has gone
+	wholeIn = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
+	stalled = 5 * time.Second        // a host that has not taken a whole request by then has gone
 )
 
 // Stage is how far a forward came.
@@ -77,7 +76,7 @@
 	Counts    *counters.Counters
 	Room      *room.Room
 	Dialer    net.Dialer    // with the time after which a connection that is not up is none
-	IdleClose time.Duration // hosts close connections that were idle for so long
+	IdleClose time.Duration // hosts close connections that were idle for so long; 0 where that is not told
 	Streams   int           // forwards out on one connection
 	Proofs    bool          // answers are to bring what tells whether two are the same
 	PerHost   atomic.Int64  // connections to one host
@@ -111,6 +110,8 @@
 	if h.gone {
 		return ErrGone
 	}
+	now := time.Now()
+	h.closeIdle(now)
 	c := h.pick(f.Request.ID)
 	if c == nil {
 		return ErrFull
@@ -121,7 +122,7 @@
 	}
 	c.open[f.Request.ID] = f
 	c.queue = append(c.queue, item{forward: f})
-	c.used = time.Now()
+	c.used = now
 	c.signal()
 	return nil
 }
@@ -241,36 +242,3 @@
 	defer f.conn.host.mu.Unlock()
 	return f.stage >= WrittenWhole
 }
-
-// Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
-// whose host is gone.
-func (h *Host) Sweep(now time.Time) {
-	for _, c := range h.idle(now) {
-		c.end(ErrGone)
-	}
-}
-
-func (h *Host) idle(now time.Time) (ends []*conn) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, c := range h.conns {
-		unused := now.Sub(c.used)
-		doubted := c.doubted && unused > h.Dialer.Timeout
-		if len(c.open) == 0 && (h.gone || doubted || unused > time.Duration(idlePart*float64(h.IdleClose))) {
-			ends = append(ends, c)
-		}
-	}
-	return ends
-}
-
-// Leave takes word that the host is gone: nothing new goes to it, and its connections close when nothing is out.
-// It returns true once none is left.
-func (h *Host) Leave() bool {
-	h.mu.Lock()
-	h.gone = true
-	h.mu.Unlock()
-	h.Sweep(time.Now())
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.conns) == 0
-}
