A dial ends with its connection, and holds its place until it has

Read: conn.close took a connection off its host and gave its place back, also where the dial was still under way; conn.run went on in DialContext until Dialer.Timeout (conn.go). Where connections never come up and hosts are replaced, or connections give way while they are dialled, each left a descriptor behind that no place counted: with places for 4, ten dials and more were open at a time, bounded only by the connect timeout.

Changed: closing ends the dial, by a context of its own for each connection (one more allocation for each dial, none for each forward). The place goes back once the dial has returned, thus its descriptor is closed, or with the socket. A connection that gives way hands its place on at once as before: its descriptor may outlive that by a moment.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,7 @@
 	host *Host
 	wake chan struct{} // tells the writer of a change
 	idle atomic.Int64  // Unix ns since when nothing is out on it, or busy, or endedIdle
+	stop func()        // ends a dial that is under way
 
 	// under the host's lock
 	socket    net.Conn            // nil until it is up
@@ -41,7 +42,7 @@
 	overtaken bool // by news: it is taken back instead
 }
 
-// guard ends the connection, and it alone, when what runs on it ends or panics.
+// guard ends the connection, and it alone, when what runs on it ends or panics; no descriptor of it is open then.
 func (c *conn) guard(run func() error) {
 	err := errors.New("panic")
 	defer func() {
@@ -49,14 +50,17 @@
 			c.host.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("host connection broke")
 		}
 		c.end(err)
+		c.givePlace()
 	}()
 	err = run()
 }
 
 // run connects, then writes until the connection ends; reading has a goroutine of its own.
-func (c *conn) run() error {
-	socket, err := c.host.Dialer.DialContext(c.host.Context, "tcp", c.host.address)
+func (c *conn) run(dialling context.Context) error {
+	socket, err := c.host.Dialer.DialContext(dialling, "tcp", c.host.address)
+	c.stop()
 	if err != nil {
+		c.givePlace()
 		if own(err) {
 			return fmt.Errorf("connect: %w: %w", ErrOwn, err)
 		}
@@ -272,9 +276,6 @@
 		return nil
 	}
 	c.closed = true
-	if c.host.Places != nil {
-		c.host.Places.give(c)
-	}
 	for id, f := range c.open {
 		if f != c.writing {
 			open = append(open, f)
@@ -284,7 +285,9 @@
 	c.queue = nil
 	if c.socket != nil {
 		_ = c.socket.Close()
+		c.givePlace()
 	}
+	c.stop() // guards against a dial that keeps a descriptor for what needs it no more; its place is given back once that is closed
 	c.signal()
 	c.host.conns = slices.DeleteFunc(c.host.conns, func(o *conn) bool { return o == c })
 	return open
--- a/internal/upstream/places.go
+++ b/internal/upstream/places.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// givePlace gives back what place the connection has.
+func (c *conn) givePlace() {
+	if c.host.Places != nil {
+		c.host.Places.give(c)
+	}
+}
+
 // give gives a place back.
 func (p *Places) give(c *conn) {
 	p.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -162,10 +162,12 @@
 		h.Counts.DialsHeld.Add(1)
 		return nil
 	}
-	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}}
+	dialling, stop := context.WithCancel(h.Context)
+	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}, stop: stop}
 	if h.Places != nil {
 		givesWay, ok := h.Places.take(c)
 		if !ok {
+			stop()
 			return nil
 		}
 		if givesWay != nil { // by its own host's lock
@@ -175,7 +177,7 @@
 	}
 	h.conns = append(h.conns, c)
 	h.Counts.HostConnections.Add(1)
-	h.Group.Go(func() error { c.guard(c.run); return nil })
+	h.Group.Go(func() error { c.guard(func() error { return c.run(dialling) }); return nil })
 	return c
 }
 
