Stopped ids that a host never confirms are bounded on a connection

Read: each STOP of a written request keeps its id in conn.stopped until the PONG behind it (upstream.go, Stop). A host that answers requests but no HELO made that grow for as long as the connection lived, which is for ever under load; nothing else bounds it, as doubt ends with any byte.

PONGs that come make it usable again. What it may keep is then 256 and what was out, at some 100 bytes. A host that works confirms within a round trip.

Looked at and bounded already: items of the queue (requests within maxStreams; STOPs only for what was written), the reader's line buffer (4 KiB) and its body (256 KiB, within the room), the count of questions.

--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -5,3 +5,6 @@
 	for d.begin() {
 	}
 }
+
+// MostStopped is the bound of ids that a connection keeps as stopped.
+const MostStopped = mostStopped
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -2,8 +2,10 @@
 
 import "time"
 
-// idlePart is the part of the time after which hosts close idle connections for which one is used: none is written to that a host closes.
-const idlePart = 0.75
+const (
+	idlePart    = 0.75 // of the time after which hosts close idle connections: none is written to that a host closes
+	mostStopped = 256  // ids on one connection, some 100 bytes each: a host that works answers the question behind a STOP in one round trip
+)
 
 // Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
 // whose host is gone.
@@ -28,9 +30,13 @@
 	unused := now.Sub(c.used)
 	doubted := c.doubted && unused > c.host.Dialer.Timeout
 	rested := c.host.IdleClose > 0 && unused > time.Duration(idlePart*float64(c.host.IdleClose))
-	return c.host.gone || doubted || rested
+	return c.host.gone || doubted || rested || c.unanswering()
 }
 
+// unanswering tells whether too many questions have no answer: nothing new goes out on the connection, which closes once nothing is out.
+// Guards against a host that answers requests but no questions, whose connection would keep all ids that were ever stopped on it.
+func (c *conn) unanswering() bool { return len(c.stopped) >= mostStopped }
+
 // Leave takes word that the host is gone: nothing new goes to it, and its connections close when nothing is out.
 // It returns true once none is left.
 func (h *Host) Leave() bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -131,7 +131,7 @@
 // with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
-		free := len(c.open) < h.Streams && c.open[id] == nil && c.idle.Load() != endedIdle
+		free := len(c.open) < h.Streams && c.open[id] == nil && !c.unanswering() && c.idle.Load() != endedIdle
 		if c.stopped[id] != "" {
 			if free && c.claim() {
 				return c
