Answers that the system holds are read past their limit; stages never go back

Read: an answer must be whole 250 ms after its first byte, by a read deadline. Go fails a read past its deadline before it asks the system, so a process that got no processor for as long broke the connection, and all that was out on it, with the rest of the answer at hand (conn.go, read). And a write that ended in the middle set the stage to PartlyWritten whatever was known (conn.go, wrote): a host that had begun to answer the part that it had was said not to have run it, and a GET that must not run twice was sent on.

Changed: past its limit a read has 10 ms, once an answer, for what is there already; a stage is raised only.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -157,8 +158,8 @@
 	switch {
 	case n >= enough:
 		f.stage = max(f.stage, WrittenWhole)
-	case n > 0:
-		f.stage = PartlyWritten
+	case n > 0: // guards against a host that has begun to answer what it has in part: it may have run that
+		f.stage = max(f.stage, PartlyWritten)
 	}
 	late := c.closed && c.open[f.Request.ID] == f
 	if late {
@@ -175,13 +176,18 @@
 func (c *conn) read(socket net.Conn) error {
 	r := lines.Reader{Room: c.host.Room.Take, Keep: c.host.Proofs}
 	defer func() { c.host.Room.Give(r.Held()) }()
-	under := 0
+	under, looked := 0, false
 	for {
 		if now := r.Under(); now != under { // the limit runs from the start of each answer
-			under = now
+			under, looked = now, false
 			_ = socket.SetReadDeadline(map[bool]time.Time{true: time.Now().Add(wholeIn)}[under > 0])
 		}
 		n, err := socket.Read(r.Space())
+		if errors.Is(err, os.ErrDeadlineExceeded) && !looked {
+			looked = true
+			_ = socket.SetReadDeadline(time.Now().Add(lastLook))
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("read: %w", err)
 		}
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -8,3 +8,19 @@
 
 // MostStopped is the bound of ids that a connection keeps as stopped.
 const MostStopped = mostStopped
+
+// WholeIn is the time within which an answer must be whole.
+const WholeIn = wholeIn
+
+// Hold keeps all that goes on at a host from going on until it is released.
+func (h *Host) Hold() (release func()) {
+	h.mu.Lock()
+	return h.mu.Unlock
+}
+
+// Stage is how far a forward has come by now.
+func (f *Forward) Stage() Stage {
+	f.conn.host.mu.Lock()
+	defer f.conn.host.mu.Unlock()
+	return f.stage
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,7 +22,9 @@
 
 const (
 	wholeIn = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
-	stalled = 5 * time.Second        // a host that has not taken a whole request by then has gone
+	// A read past its limit fails before it looks: guards against a process that got no processor for so long, whose system has the rest.
+	lastLook = 10 * time.Millisecond
+	stalled  = 5 * time.Second // a host that has not taken a whole request by then has gone
 )
 
 // Stage is how far a forward came.
