--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	host *Host
 	wake chan struct{} // tells the writer of a change
 	idle atomic.Int64  // Unix ns since when nothing is out on it, or busy, or endedIdle
+	stop func()        // ends a dial that is under way
 
 	// under the host's lock
 	socket    net.Conn            // nil until it is up
@@ -41,7 +43,7 @@
 	overtaken bool // by news: it is taken back instead
 }
 
-// guard ends the connection, and it alone, when what runs on it ends or panics.
+// guard ends the connection, and it alone, when what runs on it ends or panics; no descriptor of it is open then.
 func (c *conn) guard(run func() error) {
 	err := errors.New("panic")
 	defer func() {
@@ -49,14 +51,17 @@
 			c.host.Log.Error().Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("host connection broke")
 		}
 		c.end(err)
+		c.givePlace()
 	}()
 	err = run()
 }
 
 // run connects, then writes until the connection ends; reading has a goroutine of its own.
-func (c *conn) run() error {
-	socket, err := c.host.Dialer.DialContext(c.host.Context, "tcp", c.host.address)
+func (c *conn) run(dialling context.Context) error {
+	socket, err := c.host.Dialer.DialContext(dialling, "tcp", c.host.address)
+	c.stop()
 	if err != nil {
+		c.givePlace()
 		if own(err) {
 			return fmt.Errorf("connect: %w: %w", ErrOwn, err)
 		}
@@ -153,8 +158,8 @@
 	switch {
 	case n >= enough:
 		f.stage = max(f.stage, WrittenWhole)
-	case n > 0:
-		f.stage = PartlyWritten
+	case n > 0: // guards against a host that has begun to answer what it has in part: it may have run that
+		f.stage = max(f.stage, PartlyWritten)
 	}
 	late := c.closed && c.open[f.Request.ID] == f
 	if late {
@@ -171,13 +176,18 @@
 func (c *conn) read(socket net.Conn) error {
 	r := lines.Reader{Room: c.host.Room.Take, Keep: c.host.Proofs}
 	defer func() { c.host.Room.Give(r.Held()) }()
-	under := 0
+	under, looked := 0, false
 	for {
 		if now := r.Under(); now != under { // the limit runs from the start of each answer
-			under = now
+			under, looked = now, false
 			_ = socket.SetReadDeadline(map[bool]time.Time{true: time.Now().Add(wholeIn)}[under > 0])
 		}
 		n, err := socket.Read(r.Space())
+		if errors.Is(err, os.ErrDeadlineExceeded) && !looked {
+			looked = true
+			_ = socket.SetReadDeadline(time.Now().Add(lastLook))
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("read: %w", err)
 		}
@@ -260,16 +270,18 @@
 }
 
 // close takes the connection off its host, and all forwards off the connection but one that is being written.
-func (c *conn) close() (open []*Forward) {
+func (c *conn) close() []*Forward {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked is close under the host's lock.
+func (c *conn) closeLocked() (open []*Forward) {
 	if c.closed {
 		return nil
 	}
 	c.closed = true
-	if c.host.Places != nil {
-		c.host.Places.give(c)
-	}
 	for id, f := range c.open {
 		if f != c.writing {
 			open = append(open, f)
@@ -279,7 +291,9 @@
 	c.queue = nil
 	if c.socket != nil {
 		_ = c.socket.Close()
+		c.givePlace()
 	}
+	c.stop() // guards against a dial that keeps a descriptor for what needs it no more; its place is given back once that is closed
 	c.signal()
 	c.host.conns = slices.DeleteFunc(c.host.conns, func(o *conn) bool { return o == c })
 	return open
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	idlePart = 0.75                   // of the time after which hosts close idle connections: none is written to that a host closes
-	wholeIn  = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
-	stalled  = 5 * time.Second        // a host that has not taken a whole request by then has gone
+	wholeIn = 250 * time.Millisecond // hosts write an answer at once when it is whole: what is not in by then stays cut off
+	// A read past its limit fails before it looks: guards against a process that got no processor for so long, whose system has the rest.
+	lastLook = 10 * time.Millisecond
+	stalled  = 5 * time.Second // a host that has not taken a whole request by then has gone
 )
 
 // Stage is how far a forward came.
@@ -77,7 +78,7 @@
 	Counts    *counters.Counters
 	Room      *room.Room
 	Dialer    net.Dialer    // with the time after which a connection that is not up is none
-	IdleClose time.Duration // hosts close connections that were idle for so long
+	IdleClose time.Duration // hosts close connections that were idle for so long; 0 where that is not told
 	Streams   int           // forwards out on one connection
 	Proofs    bool          // answers are to bring what tells whether two are the same
 	PerHost   atomic.Int64  // connections to one host
@@ -111,6 +112,8 @@
 	if h.gone {
 		return ErrGone
 	}
+	now := time.Now()
+	h.closeIdle(now)
 	c := h.pick(f.Request.ID)
 	if c == nil {
 		return ErrFull
@@ -121,7 +124,7 @@
 	}
 	c.open[f.Request.ID] = f
 	c.queue = append(c.queue, item{forward: f})
-	c.used = time.Now()
+	c.used = now
 	c.signal()
 	return nil
 }
@@ -130,7 +133,7 @@
 // with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
 func (h *Host) pick(id string) (best *conn) {
 	for _, c := range h.conns {
-		free := len(c.open) < h.Streams && c.open[id] == nil && c.idle.Load() != endedIdle
+		free := len(c.open) < h.Streams && c.open[id] == nil && !c.unanswering() && c.idle.Load() != endedIdle
 		if c.stopped[id] != "" {
 			if free && c.claim() {
 				return c
@@ -161,10 +164,12 @@
 		h.Counts.DialsHeld.Add(1)
 		return nil
 	}
-	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}}
+	dialling, stop := context.WithCancel(h.Context)
+	c := &conn{host: h, wake: make(chan struct{}, 1), open: map[string]*Forward{}, stopped: map[string]string{}, stop: stop}
 	if h.Places != nil {
 		givesWay, ok := h.Places.take(c)
 		if !ok {
+			stop()
 			return nil
 		}
 		if givesWay != nil { // by its own host's lock
@@ -174,7 +179,7 @@
 	}
 	h.conns = append(h.conns, c)
 	h.Counts.HostConnections.Add(1)
-	h.Group.Go(func() error { c.guard(c.run); return nil })
+	h.Group.Go(func() error { c.guard(func() error { return c.run(dialling) }); return nil })
 	return c
 }
 
@@ -241,36 +246,3 @@
 	defer f.conn.host.mu.Unlock()
 	return f.stage >= WrittenWhole
 }
-
-// Sweep closes connections that nothing is out on and that a host would soon close, that are in doubt, or
-// whose host is gone.
-func (h *Host) Sweep(now time.Time) {
-	for _, c := range h.idle(now) {
-		c.end(ErrGone)
-	}
-}
-
-func (h *Host) idle(now time.Time) (ends []*conn) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, c := range h.conns {
-		unused := now.Sub(c.used)
-		doubted := c.doubted && unused > h.Dialer.Timeout
-		if len(c.open) == 0 && (h.gone || doubted || unused > time.Duration(idlePart*float64(h.IdleClose))) {
-			ends = append(ends, c)
-		}
-	}
-	return ends
-}
-
-// Leave takes word that the host is gone: nothing new goes to it, and its connections close when nothing is out.
-// It returns true once none is left.
-func (h *Host) Leave() bool {
-	h.mu.Lock()
-	h.gone = true
-	h.mu.Unlock()
-	h.Sweep(time.Now())
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.conns) == 0
-}
