Event streams may end lines in CR and begin with a byte order mark

Seen: sse.Reader.Next looked for LF alone and Feed passed a byte order mark on. A stream whose lines end in CR gave no event ever; behind a byte order mark the first field's name was not known, so its event lost its number or its data: the whole list, which comes first. Both are forms that server-sent events allow. A line that ends in CR ends at once: the LF that may follow is dropped when it comes. An id with NUL is no id.

UnderWay tells whether something has begun and is not whole, for the bound of the follower.

Checked and found right: an event cut at each byte, byte by byte, plain and in chunks, comments between the lines of an event, several data lines.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -48,16 +48,22 @@
 	left    int    // bytes that the chunk still has
 	text    []byte // of the stream of events
 	read    int    // how much of text Next has taken
+	scanned int    // how much of text is known to hold no further line end
+	begun   bool   // the stream, behind its byte order mark if it has one
+	afterCR bool   // the last line ended in CR: a LF that follows belongs to its end
 	id      string // the last one told
 	data    []byte
 	hasData bool
+	inEvent bool // a field has come, and not yet the empty line behind it
 }
 
 // Feed takes bytes in. An error means that the reply can't be read on.
 func (r *Reader) Feed(b []byte) error {
 	r.raw = append(r.raw, b...)
-	r.text = append(r.text[:0], r.text[r.read:]...)
-	r.read = 0
+	if r.read > 0 {
+		r.text = append(r.text[:0], r.text[r.read:]...)
+		r.read, r.scanned = 0, max(0, r.scanned-r.read)
+	}
 	for {
 		more, err := r.step()
 		if err != nil {
@@ -171,20 +177,24 @@
 	return nil
 }
 
+// UnderWay tells whether something has begun that is not whole: the reply's head or end, a chunk's head, a line, or an event.
+// It is asked once Next has given all that it has.
+func (r *Reader) UnderWay() bool {
+	return r.state <= inHead || r.state == inTrailer || len(r.raw) > 0 || r.read < len(r.text) || r.inEvent
+}
+
 // Next is the next whole event, if there is one.
 func (r *Reader) Next() (Event, bool) {
 	for {
-		rest := r.text[r.read:]
-		n := bytes.IndexByte(rest, '\n')
-		if n < 0 {
+		line, ok := r.eventLine()
+		if !ok {
 			return Event{}, false
 		}
-		r.read += n + 1
-		line := bytes.TrimSuffix(rest[:n], []byte("\r"))
 		if len(line) > 0 {
 			r.field(line)
 			continue
 		}
+		r.inEvent = false
 		if r.hasData {
 			e := Event{ID: r.id, Data: r.data}
 			r.data, r.hasData = nil, false
@@ -193,13 +203,60 @@
 	}
 }
 
-// field reads one line of an event; comments and unknown fields are passed over.
+// eventLine takes the next line off the stream of events. It ends in LF, CR LF or CR, and one that ends in CR does not wait
+// for what follows: the last event would be late until the next one comes.
+func (r *Reader) eventLine() (line []byte, ok bool) {
+	if !r.begun && !r.begin() {
+		return nil, false
+	}
+	if r.afterCR && r.read < len(r.text) {
+		if r.text[r.read] == '\n' {
+			r.read++
+		}
+		r.afterCR = false
+	}
+	from := max(r.read, r.scanned)
+	rest := r.text[from:]
+	n := bytes.IndexByte(rest, '\n')
+	if n >= 0 {
+		rest = rest[:n]
+	}
+	if cr := bytes.IndexByte(rest, '\r'); cr >= 0 {
+		n, r.afterCR = cr, true
+	}
+	if n < 0 {
+		r.scanned = len(r.text)
+		return nil, false
+	}
+	line = r.text[r.read : from+n]
+	r.read = from + n + 1
+	return line, true
+}
+
+const byteOrderMark = "\ufeff"
+
+// begin passes over the byte order mark that a stream may begin with; false until the bytes for it are here.
+func (r *Reader) begin() bool {
+	if len(r.text) < len(byteOrderMark) && strings.HasPrefix(byteOrderMark, string(r.text)) {
+		return false
+	}
+	if bytes.HasPrefix(r.text, []byte(byteOrderMark)) {
+		r.read = len(byteOrderMark)
+	}
+	r.begun = true
+	return true
+}
+
+// field reads one line of an event; comments and unknown fields are passed over, and so is an id that can't be one.
 func (r *Reader) field(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
+	r.inEvent = r.inEvent || len(name) > 0
 	switch string(name) {
 	case "id":
-		r.id = string(value)
+		if bytes.IndexByte(value, 0) < 0 {
+			r.id = string(value)
+		}
 	case "data":
 		if r.hasData {
 			r.data = append(r.data, '\n')
