The change log's follower bounds what is under way, and comes back within a second

Read in changelog.go: each read had 2.5 s, so a stream that trickles a head, a comment, an event or a trailer without end was followed for good, and what stood behind was never heard. Now a head or an event may be under way for 5 s (sse.Reader.UnderWay): then the stream is left. Comments between the lines of an event do not count as its progress; comments alone are a sound watch.

A log that needs over 2.5 s for its first byte was never heard, each connection being left before. After one that took too long the next is given half as much again (3.75 s and 7.5 s), in turn.

A stream that moved on was still read to the end of the piece that had come (Take was called for events behind the move): now none is taken once it is left.

The event behind number 0 counted as asked for again already (gap and last were both 0): where the first event, the whole list, was missing in a stream it was done without at once. Numbers start at 1, 0 is none now; a move begins anew.

A taker that panics ended the process; its event is asked for once more now and passed over if it panics again.

Pauses were 0.5 to 1.5 s where retryMax says 1 s; none is longer now. A log that answers and ends at once reset the pause with its first byte, so that each dispatcher asked it 20 times a second; the pause is reset by an event, a move, or a second of work.

Found right: silence from the first byte on, behind the head, behind or within an event; moves in quick succession, also by way of logs that do not answer.

--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -20,7 +22,9 @@
 	path      = "/changes"
 	connectIn = time.Second             // what is told counts as told some seconds later, so tries are short
 	silence   = 2500 * time.Millisecond // a comment comes each second: two missed, and some delay
-	retryMin  = 50 * time.Millisecond   // wait before the first new connection
+	wholeIn   = 5 * time.Second         // that a reply's head, or an event, may be under way: then there is time for another connection before it counts as told
+	patience  = 1.5                     // times as long is waited after a connection that took too long: a log that is slow under load is heard in the end
+	retryMin  = 50 * time.Millisecond   // wait before the first new connection, give or take a half
 	retryMax  = time.Second             // and the longest, well within the time in which changes count as told
 	readSize  = 16 << 10                // bytes; a list of some dozens of hosts
 )
@@ -74,9 +78,10 @@
 	Log     zerolog.Logger
 	Take    func(Event)
 
-	last   int64
-	gap    int64 // the event after which one was missing, and was asked for again
-	silent bool  // no connection works
+	last    int64
+	again   int64 // the event that was asked for once more; 0 for none
+	silent  bool  // no connection works
+	patient bool  // the last connection took too long
 }
 
 // Follow takes new events behind what is known until the context ends. Connections that end are made anew, at
@@ -85,12 +90,12 @@
 	f.last = known.Seq
 	wait := retryMin
 	for {
-		before := f.last
+		before, from := f.last, time.Now()
 		err := f.untilMoved(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if !f.silent || f.last != before || errors.Is(err, errMoved) {
+		if f.last != before || errors.Is(err, errMoved) || !f.silent && time.Since(from) > retryMax {
 			wait = retryMin
 		}
 		if !f.silent {
@@ -98,15 +103,24 @@
 		}
 		f.silent = true
 		select {
-		case <-time.After(wait/2 + rand.N(wait)): // spread, so that dispatchers do not come back at once
+		case <-time.After(spread(wait, rand.Float64())):
 			wait = min(2*wait, retryMax)
-		case f.Address = <-f.Moves:
+		case address := <-f.Moves:
+			f.move(address)
 			wait = retryMin
 		case <-ctx.Done():
 		}
 	}
 }
 
+// spread is a wait with a share of it left to chance, so that dispatchers do not come back at once; none is longer than retryMax.
+func spread(wait time.Duration, chance float64) time.Duration {
+	return min(wait*3/2, retryMax) - time.Duration(chance*float64(min(wait, retryMax/2)))
+}
+
+// move goes on with another change log, which knows nothing of what the last one failed at.
+func (f *Follower) move(address string) { f.Address, f.again, f.patient = address, 0, false }
+
 // untilMoved follows one connection to its end, or until the change log has moved.
 func (f *Follower) untilMoved(ctx context.Context) error {
 	within, stop := context.WithCancel(ctx)
@@ -119,7 +133,7 @@
 	case address := <-f.Moves:
 		stop()
 		<-ended
-		f.Address = address
+		f.move(address)
 		return errMoved
 	}
 }
@@ -136,19 +150,45 @@
 	if _, err := socket.Write(sse.AppendRequest(nil, f.Address, path, f.last)); err != nil {
 		return fmt.Errorf("ask: %w", err)
 	}
+	return f.read(ctx, socket)
+}
+
+// read takes the events of a reply. A change log that says nothing is left, and so is one that begins something and does not
+// end it. Guards against a stream that trickles: what stands behind an event that never ends would never be heard.
+func (f *Follower) read(ctx context.Context, socket net.Conn) error {
+	times := 1.0
+	if f.patient {
+		times = patience
+	}
 	var r sse.Reader
 	buf := make([]byte, readSize)
+	begun := time.Now() // when what is under way began
 	for !r.Over() {
-		_ = socket.SetReadDeadline(time.Now().Add(silence))
+		rests, quiet, whole := !r.UnderWay(), silence, longer(wholeIn, times)
+		if !r.InStream() {
+			quiet = longer(silence, times)
+		}
+		_ = socket.SetReadDeadline(earlier(time.Now().Add(quiet), begun.Add(whole)))
 		n, err := socket.Read(buf)
 		if err != nil {
+			late := errors.Is(err, os.ErrDeadlineExceeded) && (!r.InStream() || time.Since(begun) >= whole)
+			f.patient = late && !f.patient
 			return fmt.Errorf("read: %w", err)
 		}
 		if err := r.Feed(buf[:n]); err != nil {
 			return err
 		}
-		f.works()
+		if rests {
+			begun = time.Now()
+		}
+		if r.InStream() {
+			f.works()
+		}
 		for e, ok := r.Next(); ok; e, ok = r.Next() {
+			begun, times = time.Now(), 1
+			if ctx.Err() != nil { // what is read of a change log that was left is not taken any more
+				return errMoved
+			}
 			if err := f.take(e); err != nil {
 				return err
 			}
@@ -157,6 +197,16 @@
 	return errEnd
 }
 
+func longer(d time.Duration, times float64) time.Duration { return time.Duration(times * float64(d)) }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// works books that a connection works, once the reply's head is whole.
 func (f *Follower) works() {
 	if f.silent {
 		f.Log.Info().Int64("seq", f.last).Msg("change log followed again")
@@ -168,6 +218,7 @@
 	errEnd   = errors.New("the reply has ended")
 	errMoved = errors.New("the change log has moved")
 	errGap   = errors.New("an event is missing")
+	errBroke = errors.New("an event could not be taken")
 )
 
 // take passes an event on, once. One that can't be read is passed over; where one is missing it is asked for
@@ -185,14 +236,37 @@
 	if e.Seq <= f.last {
 		return nil
 	}
-	if e.Seq > f.last+1 && f.gap != f.last {
-		f.gap = f.last
-		return fmt.Errorf("%w: %d after %d", errGap, e.Seq, f.last)
-	}
 	if e.Seq > f.last+1 {
+		if f.askAgain(f.last + 1) {
+			return fmt.Errorf("%w: %d after %d", errGap, e.Seq, f.last)
+		}
 		f.Log.Error().Int64("after", f.last).Int64("seq", e.Seq).Msg("change log has a gap")
 	}
+	if err := f.hand(e); err != nil && f.askAgain(e.Seq) {
+		return err
+	}
 	f.last = e.Seq
+	return nil
+}
+
+// askAgain tells whether an event is to be asked for once more: unless it has been. Numbers start at 1, so that the first event,
+// the whole list, is asked for again as well.
+func (f *Follower) askAgain(seq int64) bool {
+	if f.again == seq {
+		return false
+	}
+	f.again = seq
+	return true
+}
+
+// hand has an event taken. Guards against a taker that panics: the process would end by an event.
+func (f *Follower) hand(e Event) (err error) {
+	defer func() {
+		if broken := recover(); broken != nil {
+			f.Log.Error().Int64("seq", e.Seq).Str("panic", fmt.Sprint(broken)).Bytes("stack", debug.Stack()).Msg("event not taken")
+			err = fmt.Errorf("%w: %d", errBroke, e.Seq)
+		}
+	}()
 	f.Take(e)
 	return nil
 }
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -177,6 +177,9 @@
 	return nil
 }
 
+// InStream tells whether the reply's head is whole and no error, and what follows are events.
+func (r *Reader) InStream() bool { return r.state > inHead }
+
 // UnderWay tells whether something has begun that is not whole: the reply's head or end, a chunk's head, a line, or an event.
 // It is asked once Next has given all that it has.
 func (r *Reader) UnderWay() bool {
