Connections' ends are told by goroutines that the group waits for

Seen: the race detector, as a test's dispatcher ended with GETs open: errgroup.Go of a new connection beside errgroup.Wait (upstream.go dial, under node.done of a forward that the end of the life broke off). Cause: conn.run gave the end of the context to context.AfterFunc, whose goroutine the group doesn't know; it told the ends of forwards, by which the module decided anew and a connection was begun, while or after the group's wait was over: a goroutine left behind, or the panic of a WaitGroup that is added to beside Wait, at the end of a drain that left something open. Ruled out: the writer and the reader, which tell ends too: both run in the group. Change: the end of the context closes the socket alone; the reader meets that and tells. The test cancels with a forward out whose end is held up while it is told: without the change the wait is over before. 100 of 100 under -race.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -66,7 +66,9 @@
 		_ = socket.Close()
 		return ErrGone
 	}
-	defer context.AfterFunc(c.host.Context, func() { c.end(ErrGone) })()
+	// The socket alone: what is open is told by what reads it, which the group waits for. Guards against a new forward, and a new goroutine
+	// of the group, from one that the group does not know, once its wait is over.
+	defer context.AfterFunc(c.host.Context, func() { _ = socket.Close() })()
 	c.host.Group.Go(func() error { c.guard(func() error { return c.read(socket) }); return nil })
 	return c.write(socket)
 }
