A GET that leads a forward is counted out of what shards hold once

Read: node.forget is called by whoever ends a GET (leave, ends, passJoint) and by its last forward (back), often both in one step: module.Left cancels the last forward, which forgets, and leave forgets again. leftShard then ran twice: Together.Held fell by two for each leader that was given up or shed with nobody behind it, so that a process of several cores with joined GETs held more than the settings' most, and the id of the request was freed a second time, which may be another shard's by then. Ruled out: a GET alone (forget once), the end by an answer, a shard's rebuild (waiters are cleared first). Change: what is not among the node's GETs any more is not forgotten again.

--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -38,7 +38,7 @@
 	hosts   *rigs.Hosts
 }
 
-func newRig(t *testing.T, n int, way shards.Way, hosts int) *rig {
+func newRig(t *testing.T, n int, way shards.Way, hosts int, changes ...func(*node.Config)) *rig {
 	r := &rig{T: t, hosts: rigs.NewHosts(t, hosts)}
 	o, _ := rigs.Life(t)
 	o.Streams, r.counts = 100, o.Counts
@@ -48,8 +48,11 @@
 		}
 		return nil
 	}
-	r.Group = New(node.Config{Settings: rigs.Settings(1000), Clock: clock.New(), Options: o, Connections: 400}, n, way,
-		func(shard int, by time.Time) int { return r.server.FailOverdue(shard, by) })
+	c := node.Config{Settings: rigs.Settings(1000), Clock: clock.New(), Options: o, Connections: 400}
+	for _, change := range changes {
+		change(&c)
+	}
+	r.Group = New(c, n, way, func(shard int, by time.Time) int { return r.server.FailOverdue(shard, by) })
 	r.server = &front.Server{Handler: r.Group, Log: zerolog.Nop(), Counts: r.counts, Room: o.Room, Most: 100}
 	l := need.Listener(t)
 	r.address = l.Addr().String()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -352,9 +352,10 @@
 	n.forget(g)
 }
 
-// forget lets a GET go once it is over and its last forward is back.
+// forget lets a GET go once it is over and its last forward is back. Guards against one that is let go twice, by its last forward and again
+// by whoever ended it: shards would count one GET too few as held, and free an id that may be another's by then.
 func (n *Node) forget(g *get) {
-	if g.over && g.out == 0 && !g.waiter.Needed() {
+	if g.over && g.out == 0 && !g.waiter.Needed() && n.gets[g.id] == g {
 		delete(n.gets, g.id)
 		delete(n.byID, g.request.ID)
 		n.leftShard(g)
