Drain: what is open is answered 0.4 s before SIGKILL, so that connections are closed in order

Seen: with connections that wait up to 0.25 s for their clients to close, a drain that answered everything 0.2 s before the earliest SIGKILL ended 3.76 s after SIGTERM with a resting client (TestWhatIsOpenIsAnsweredBeforeTheKill, under 3.7 wanted). The time is now the orderly close's and 0.15 s to write answers. The test holds three times under -race.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,7 +44,7 @@
 	warnings     = 10                     // a second that are logged; bad input could bring any number
 	lookForQuiet = 10 * time.Millisecond  // how often a drain looks whether all is answered
 	longestWait  = 3 * time.Second        // of a viewer timeout, in the time until SIGKILL: the platform waits for no longer one
-	flushIn      = 200 * time.Millisecond // before SIGKILL, in which what was answered last is written and the process ends
+	flushIn      = 400 * time.Millisecond // before SIGKILL, in which what was answered last is written and connections are closed in order
 	reviewEach   = 250 * time.Millisecond // how often connections are looked over for callers that may not stay
 )
 
