Drain: connections that the kernel holds are accepted before the listener is closed

Read in service.go and front.go: the drain closed the listener at once. The kernel resets what is in its backlog then, so that a dispatcher whose accept loop is behind loses these connections with the calls on them; and a connection accepted just before the end counted as quiet before its first call was read.

StopAccepting wakes the accept loop by a deadline. From then on the loop asks the socket whether connections wait (poll, which is exact where a time would only be likely), accepts them for 0.5 s at most, and closes the listener in the moment in which none waits. TLS listeners of the operator's file are a type that still is a TCP listener, as tls.NewListener hides the deadline. A new connection that has said nothing for 250 ms is quiet, none before. Calls that are read after the drain refuses are refused, also on these connections. Nothing changes before SIGTERM but one atomic load an accept.

The test holds the accept loop while five clients connect and ask: with no look at the backlog they are reset; now each has its refusal, none reaches the handler, and a later connection is refused by the kernel.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"math/big"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -160,6 +161,23 @@
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return l.now.Load(), nil }}
 }
 
+// Over makes a listener one for TLS. It is still one of TCP, whose accepts can be stopped as a drain wants it.
+func (l *Listener) Over(tcp *net.TCPListener) net.Listener { return secured{tcp, l.Config()} }
+
+type secured struct {
+	*net.TCPListener
+	config *tls.Config
+}
+
+// Accept gives a connection whose handshake is still to be done.
+func (l secured) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return tls.Server(c, l.config), nil
+}
+
 // config is the material for handshakes. A certificate that counts no more is no fault of a handshake: its
 // connection is refused by each GET, with an answer that says so, as one resumed from an earlier session is.
 func (m *Material) config() *tls.Config {
--- a/internal/extras/extras.go
+++ b/internal/extras/extras.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -78,7 +77,7 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("listen for TLS: %w", err)
 		}
-		all = append(all, tls.NewListener(l, e.secure.Config()))
+		all = append(all, e.secure.Over(l.(*net.TCPListener)))
 		log.Info().Str("listen", t.Listen).Msg("listens for TLS")
 		stale(log, t)
 	}
--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -75,3 +75,58 @@
 		})
 	}
 }
+
+// behind is a listener whose accept loop comes to nothing until the test lets it.
+type behind struct {
+	*net.TCPListener
+	goOn chan bool
+}
+
+func (l behind) Accept() (net.Conn, error) { <-l.goOn; return l.TCPListener.Accept() }
+
+func TestADrainAcceptsWhatTheKernelHolds(t *testing.T) {
+	h := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}
+	l := behind{need.Listener(t).(*net.TCPListener), make(chan bool)}
+	s := &front.Server{Handler: h, Most: 16}
+	serveOn(t, s, l)
+	address := l.Addr().String()
+	clients := need.Clients(t, address, 5)
+	stopped := make(chan bool)
+	go func() { s.StopAccepting(); close(stopped) }()
+	need.Soon(t, s.Stopping)
+	s.Close()
+	for _, c := range clients {
+		need.Sent(t, c)
+	}
+	close(l.goOn)
+	<-stopped
+	for _, c := range clients {
+		assert.Equal(t, "refused", need.Of(c.Read())(t).Kind)
+	}
+	assert.Empty(t, h.calls)
+	_, err := net.Dial("tcp", address)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
+func TestADrainWakesAnAcceptThatWaits(t *testing.T) {
+	h, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, need.Listener(t)
+	s := &front.Server{Handler: h, Most: 16}
+	serveOn(t, s, l)
+	c := need.Client(t, l.Addr().String())
+	need.Of(c.Probe())(t)
+	s.StopAccepting()
+	_, err := net.Dial("tcp", l.Addr().String())
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	assert.True(t, need.Of(c.Probe())(t), "what is open goes on")
+}
+
+func TestANewConnectionIsNotQuietBeforeItCouldSpeak(t *testing.T) {
+	_, s, address := serve(t, 4)
+	c := need.Client(t, address)
+	need.Soon(t, func() bool { return !s.Quiet() })
+	need.Of(c.Probe())(t)
+	need.Soon(t, s.Quiet)
+	need.Client(t, address)
+	need.Soon(t, func() bool { return !s.Quiet() })
+	need.Soon(t, s.Quiet, "it says nothing")
+}
--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -7,3 +7,6 @@
 
 	AcceptAgain = acceptAgain
 )
+
+// Stopping tells whether only what the kernel holds is accepted.
+func (s *Server) Stopping() bool { return s.stopping.Load() != 0 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -124,11 +124,14 @@
 	Most    int        // connections at a time
 	Devices Devices    // where the class of a client's device stands; nothing of it is looked for by the zero value
 
-	refusing atomic.Bool // what comes now is refused
+	refusing atomic.Bool  // what comes now is refused
+	stopping atomic.Int64 // Unix ns since when only what the kernel holds is accepted; 0 before
 
-	mu      sync.Mutex
-	conns   []*conn
-	leaving []*conn // closed, longest first, and waiting for their clients to close
+	mu       sync.Mutex
+	listener net.Listener  // nil before it serves
+	accepted chan struct{} // closed once nothing more is accepted
+	conns    []*conn
+	leaving  []*conn // closed, longest first, and waiting for their clients to close
 }
 
 type conn struct {
@@ -158,7 +161,8 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	places := make(chan struct{}, s.Most)
-	for ctx.Err() == nil {
+	accepted := s.listens(l)
+	for ctx.Err() == nil && s.accepts(l) {
 		select {
 		case places <- struct{}{}:
 		default:
@@ -169,6 +173,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // StopAccepting has woken it
+			<-places
+			continue
+		}
 		if err != nil {
 			<-places
 			s.Log.Warn().Err(err).Msg("accept failed")
@@ -185,6 +193,7 @@
 		})
 		runtime.Gosched() // in a burst those accepted before must be read before they are judged
 	}
+	close(accepted)
 	return group.Wait()
 }
 
@@ -374,11 +383,14 @@
 // Close has all calls that come from now on refused at once.
 func (s *Server) Close() { s.refusing.Store(true) }
 
-// Quiet tells whether no connection has a call open, half a message read, or a reply unwritten.
+// Quiet tells whether no connection has a call open, half a message read, or a reply unwritten, and none is so new that its first call may be unread.
 func (s *Server) Quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !slices.ContainsFunc(s.conns, func(c *conn) bool { return !c.quiet() || c.partial.Load() && !c.closed.Load() })
+	return !slices.ContainsFunc(s.conns, func(c *conn) bool {
+		quiet, uses, used := c.standing()
+		return !quiet || !c.closed.Load() && (c.partial.Load() || uses == 0 && time.Since(used) < speaksIn)
+	})
 }
 
 func (c *conn) quiet() bool {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -166,6 +167,15 @@
 	}
 }
 
+// stopAccepting has all of them accept what the kernel holds, and nothing more.
+func (f fronts) stopAccepting() {
+	var all sync.WaitGroup
+	for _, s := range f {
+		all.Go(s.StopAccepting)
+	}
+	all.Wait()
+}
+
 // Quiet tells whether nothing is open on any of them.
 func (f fronts) Quiet() bool {
 	return !slices.ContainsFunc(f, func(s *front.Server) bool { return !s.Quiet() })
@@ -380,7 +390,7 @@
 				drained = make(chan bool)
 				go func() {
 					defer close(drained)
-					drain(s.log, s.core.Drain, s, s.closeListeners, s.config.longest()+unread)
+					drain(s.log, s.core.Drain, s, func() { s.fronts.stopAccepting(); s.closeListeners() }, s.config.longest()+unread)
 				}()
 			}
 		case <-drained:
