No first byte of a request goes out past its time, nor with a budget that is gone

Read: a forward waits in the queue of a connection that is dialled. Its viewer timeout takes it off there by the node's timer, and the connection writes as soon as it is up (conn.go, next): where both come at once, as after a pause of the process, the writer may come first, and the request went out past its time. And the budget that it told was that of when it was decided: up to the connect timeout more than was left (wire.go).

Changed: a forward knows until when it may begin. The writer takes back one that is late, as one that news forbid, and tells the budget that is left. It has the time at hand already; node reads the clock once more a forward.

--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
@@ -42,7 +44,7 @@
 		n.route(f, out)
 		return
 	}
-	f.Overtaken = n.behind
+	f.Overtaken, f.Until = n.behind, time.Now().Add(clock.Duration(g.until-now))
 	if err := f.to.Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,7 +40,7 @@
 type item struct {
 	forward   *Forward
 	text      []byte
-	overtaken bool // by news: it is taken back instead
+	overtaken bool // by news, or by its time: it is taken back instead
 }
 
 // guard ends the connection, and it alone, when what runs on it ends or panics; no descriptor of it is open then.
@@ -113,7 +113,7 @@
 			f.Done(Result{Stage: NotWritten, Err: ErrOvertaken})
 			continue
 		} else if f != nil {
-			buf = f.Request.AppendHead(buf[:0])
+			buf = f.head(buf[:0])
 			parts = net.Buffers{buf, f.Request.Body, []byte(lines.LineEnd)}
 		}
 		_ = socket.SetWriteDeadline(time.Now().Add(stalled))
@@ -138,18 +138,34 @@
 	c.queue[0] = item{} // the array behind the queue must not keep the request
 	c.queue = c.queue[1:]
 	f := it.forward
-	if it.overtaken = f != nil && f.Overtaken != nil && f.Overtaken(); it.overtaken {
+	if c.writing = f; f == nil {
+		return it, true, false
+	}
+	now := time.Now()
+	if it.overtaken = f.late(now) || f.Overtaken != nil && f.Overtaken(); it.overtaken {
+		c.writing = nil
 		delete(c.open, f.Request.ID)
-		c.used = time.Now()
+		c.used = now
 		c.rest()
 		return it, true, false
 	}
-	if c.writing = f; f != nil {
-		f.written = time.Now()
-	}
+	f.written = now
 	return it, true, false
 }
 
+// late tells whether its time is over. Guards against a request that goes out past it, where its connection and its
+// deadline come up at once.
+func (f *Forward) late(now time.Time) bool { return !f.Until.IsZero() && !now.Before(f.Until) }
+
+// head writes the line of its request behind b, with the budget that is left: it may have waited for its connection.
+func (f *Forward) head(b []byte) []byte {
+	q := f.Request
+	if !f.Until.IsZero() {
+		q.Budget = max(1, min(q.Budget, f.Until.Sub(f.written).Milliseconds()))
+	}
+	return q.AppendHead(b)
+}
+
 // wrote books how much of a request is written. If the connection was closed meanwhile, its end is told here,
 // as only the write knows how far it came. A host could run a request that lacks but the last line end.
 func (c *conn) wrote(f *Forward, n, enough int, err error) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,6 +62,7 @@
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
+	Until   time.Time // after which no byte of it goes out that is the first; zero for no such time
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
 	Proofs    lines.Proofs // of its answer, once Done is called
@@ -122,8 +123,8 @@
 	if c.socket != nil {
 		f.stage = NotWritten
 	}
-	c.open[f.Request.ID] = f
 	c.queue = append(c.queue, item{forward: f})
+	c.open[f.Request.ID] = f
 	c.used = now
 	c.signal()
 	return nil
