A repeat's first byte goes out within the time that hosts know repeats for

Read: control's admit decides on a further forward of a keyed class while now < first + repeat window - a tick, and nothing looked again. The forward then waits for its connection for up to the connect timeout, or behind another's request that is being written, and went out as soon as that was up: past the window a host may run it a second time. The same held for the client's own time where the module's timer does not come (a shard that stands still). On sockets, with a window of 0.1 s and a connection that came up after 0.15 s, the repeat went out. Ruled out: the first forward (the window runs from its decision, before its first byte), classes that may run again, and those that must not (no forward after one that may have run). Change: the module gives each forward of such a class the moment by which its first byte must be out (Forward.Before); upstream takes back what it would write later as overtaken, which tells the module that nothing ran and has it decide anew. Without one the client's time holds. A forward that a proxy sends has the same bound in its send-by.

--- a/control/api.go
+++ b/control/api.go
@@ -205,7 +205,8 @@
 	Rank         int     // 0: the copy is not kept
 	MaxAge       float64 // 0: what the delivery service allows
 	Join, Renew  bool
-	HeldOnly     bool // the source gives only what it holds
+	HeldOnly     bool    // the source gives only what it holds
+	Before       float64 // when its first byte must be out, on the dispatcher's clock; 0: while the GET has time
 }
 
 // Wire carries a dispatcher's answers out.
--- a/control/choose.go
+++ b/control/choose.go
@@ -17,9 +17,8 @@
 
 // admit ends a GET that has no time or forward left, or that may have run and must not run again.
 func (d *Dispatcher) admit(g *get) verdict {
-	ran := g.firstRan()
-	repeatable := ran == nil || g.ds.Effect == Idempotent ||
-		g.ds.Effect == Tokened && d.now < ran.at+g.ds.RepeatWindow-tick
+	repeatable := g.firstRan() == nil || g.ds.Effect == Idempotent ||
+		g.ds.Effect == Tokened && d.now < d.before(g)
 	spent := g.sent() >= d.MaxForwards || d.now >= g.last
 	if !repeatable || spent || g.failed() && !d.retries.Spend(d.now) {
 		return d.giveUp(g)
@@ -27,6 +26,15 @@
 	return pass
 }
 
+// before is when the first byte of a GET's next forward must be out, as hosts know a repeat for no longer; 0 where
+// there is no such time. Guards against one that is decided on in time and waits for its connection.
+func (d *Dispatcher) before(g *get) float64 {
+	if ran := g.firstRan(); ran != nil && g.ds.Effect == Tokened {
+		return ran.at + g.ds.RepeatWindow - tick
+	}
+	return 0
+}
+
 // finish ends a GET that was answered, and sends on one that was not.
 func (d *Dispatcher) finish(g *get, f *forward) verdict {
 	if f.answer.Last || f.answer.Outcome == Returned {
--- a/control/control.go
+++ b/control/control.go
@@ -204,6 +204,7 @@
 	}
 	h.tried()
 	s.tried()
+	before := d.before(g)
 	f := g.newForward()
 	f.host, f.source, f.at, f.work, f.crowd, f.objective = h, s, d.now, d.weigh(g), h.out, d.objective(g)
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
@@ -239,7 +240,8 @@
 	h.credit -= f.work
 	d.due.Put(&f.limit, d.now+d.overdue(g), event{(*Dispatcher).late, g, f})
 	d.wire.Forward(Forward{GET: g.ID, Host: h.ID, Source: s.ID, MaxAge: d.maxAge(g), Join: d.Joins,
-		Rank: map[bool]int{false: 1, true: 2}[g.item.again], Renew: g.ds.FreshFor > 0, HeldOnly: f.heldOnly})
+		Rank: map[bool]int{false: 1, true: 2}[g.item.again], Renew: g.ds.FreshFor > 0, HeldOnly: f.heldOnly,
+		Before: before})
 	return kept
 }
 
--- a/internal/call/router.go
+++ b/internal/call/router.go
@@ -24,7 +24,8 @@
 	Budget                float64 // s; that the forward has
 	MaxAge                float64 // s; 0 for any
 	Join, Renew, HeldOnly bool
-	// Overtaken tells whether there is news that might forbid it, and that is to be heard first; nil for never.
+	Before                float64 // on the node's clock; its first byte must be out by then
+	// Overtaken tells whether there is news that might forbid it, and that is to be heard first, or its time is over; nil for never.
 	Overtaken func() bool
 	Variant   string // device class whose variant is asked for, "" where none is named
 	Untagged  bool   // the client's tag may be of another variant: a host is not to be told of it
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -439,7 +439,7 @@
 		return st.Rules.immediate(f)
 	}
 	st.mu.Lock()
-	st.table.Name(st.Clock.Now(), a.row, route.Number)
+	st.table.Name(st.Clock.Now(), a.row, route.Number, route.Before)
 	sendIn := a.row.SendBy - st.Clock.Now()
 	st.mu.Unlock()
 	var others []string
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -15,7 +15,8 @@
 	if out.Source != out.Host {
 		r.Source, r.SourceAddress = f.from.name, f.from.address
 	}
-	r.Overtaken = n.behind
+	r.Before = latest(f.get, out)
+	r.Overtaken = func() bool { return n.behind() || n.Clock.Now() >= r.Before }
 	r.End = func(proof func(oldest float64) (control.Outcome, control.Note, bool)) {
 		n.call(func(now float64) { n.routed(now, f, proof) })
 	}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -43,12 +43,21 @@
 		return
 	}
 	f.Overtaken = n.behind
+	f.Before = n.Clock.Time(latest(g, out))
 	if err := f.to.Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
 	}
 }
 
+// latest is when the first byte of a forward must be out: its client waits for no longer, and its hosts may know a repeat for less.
+func latest(g *get, out control.Forward) float64 {
+	if out.Before > 0 {
+		return min(g.until, out.Before)
+	}
+	return g.until
+}
+
 // Cancel ends the wait for a forward.
 func (w wire) Cancel(id uint32, number int) {
 	g := w.gets[id]
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -134,15 +134,15 @@
 	it = c.queue[0]
 	c.queue[0] = item{} // the array behind the queue must not keep the request
 	c.queue = c.queue[1:]
-	f := it.forward
-	if it.overtaken = f != nil && f.Overtaken != nil && f.Overtaken(); it.overtaken {
+	f, now := it.forward, time.Now()
+	if it.overtaken = f != nil && f.overtaken(now); it.overtaken {
 		delete(c.open, f.Request.ID)
-		c.used = time.Now()
+		c.used = now
 		c.rest()
 		return it, true, false
 	}
 	if c.writing = f; f != nil {
-		f.written = time.Now()
+		f.written = now
 	}
 	return it, true, false
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -63,6 +63,7 @@
 	Done    func(Result)
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
+	Before    time.Time    // its first byte goes out by then or not at all; the zero time for any
 	Proofs    lines.Proofs // of its answer, once Done is called
 
 	// under the host's lock
--- a/stages/calls/calls.go
+++ b/stages/calls/calls.go
@@ -109,11 +109,11 @@
 	return c
 }
 
-// Name books that a forward is with the proxy, and by when it must be sent.
-func (t *Table) Name(now float64, c *Call, number int) {
+// Name books that a forward is with the proxy, and by when it must be sent: a time at the latest.
+func (t *Table) Name(now float64, c *Call, number int, before float64) {
 	c.Phase, c.Forward, c.out = Named, number, true
 	c.Forwards++
-	c.SendBy = math.Min(now+SendWithin, c.Until)
+	c.SendBy = math.Min(now+SendWithin, math.Min(c.Until, before))
 	t.due.Remove(&c.held)
 }
 
--- a/stages/calls/calls_test.go
+++ b/stages/calls/calls_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-func named(t *Table) *Call { c := t.Begin(1, 10); t.Name(1, c, 0); return c }
+func named(t *Table) *Call { c := t.Begin(1, 10); t.Name(1, c, 0, c.Until); return c }
 
 func TestWhatAReplyProves(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -51,16 +51,16 @@
 	again, proof := table.Again(1.4, 1, c.ID, false)
 	assert.Same(t, c, again)
 	assert.Equal(t, Dropped, proof, "it may have run")
-	table.Name(1.4, c, 1)
+	table.Name(1.4, c, 1, c.Until)
 	table.Ended(1.5, c)
 	_, proof = table.Again(1.6, 1, c.ID, true)
 	assert.Equal(t, Unreached, proof)
-	table.Name(1.7, c, 2)
+	table.Name(1.7, c, 2, c.Until)
 	assert.InDelta(t, 1.95, c.SendBy, 1e-9)
 	table.Replied(2, c, Reply{Status: 500}, 0, false)
 	_, proof = table.Again(2.1, 1, c.ID, false)
 	assert.Equal(t, Nothing, proof, "its end was told before")
-	table.Name(2.1, c, 3)
+	table.Name(2.1, c, 3, c.Until)
 	table.Ended(2.2, c)
 	_, ok := table.Pass(3.1)
 	assert.False(t, ok)
@@ -111,7 +111,7 @@
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
 				if c.Phase == Deciding {
-					table.Name(now, c, c.Forwards)
+					table.Name(now, c, c.Forwards, c.Until)
 				}
 			case 1:
 				count(table.Replied(now, c, Reply{Status: rapid.SampledFrom([]int{200, 404, 500}).Draw(t, "status"), Age: -1}, 0, false))
@@ -166,7 +166,7 @@
 	for i := range b.N {
 		now := float64(i) * 1e-4
 		c := table.Begin(uint64(i&1), now+2)
-		table.Name(now, c, 0)
+		table.Name(now, c, 0, c.Until)
 		table.Replied(now+0.01, c, Reply{Status: 200, Age: -1}, 0, false)
 	}
 }
