--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"time"
-
 	"elderwall/control"
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
@@ -44,13 +42,24 @@
 		n.route(f, out)
 		return
 	}
-	f.Overtaken, f.Until = n.behind, time.Now().Add(clock.Duration(g.until-now))
+	f.Overtaken, f.Until = n.behind, n.Clock.Time(g.until)
+	if out.Before > 0 {
+		f.Before = n.Clock.Time(out.Before)
+	}
 	if err := f.to.Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
 	}
 }
 
+// latest is when the first byte of a forward must be out: its client waits for no longer, and its hosts may know a repeat for less.
+func latest(g *get, out control.Forward) float64 {
+	if out.Before > 0 {
+		return min(g.until, out.Before)
+	}
+	return g.until
+}
+
 // Cancel ends the wait for a forward.
 func (w wire) Cancel(id uint32, number int) {
 	g := w.gets[id]
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -140,25 +140,20 @@
 	c.queue[0] = item{} // the array behind the queue must not keep the request
 	c.queue = c.queue[1:]
 	f := it.forward
-	if c.writing = f; f == nil {
+	if f == nil {
 		return it, true, false
 	}
 	now := time.Now()
-	if it.overtaken = f.late(now) || f.Overtaken != nil && f.Overtaken(); it.overtaken {
-		c.writing = nil
+	if it.overtaken = f.overtaken(now); it.overtaken {
 		delete(c.open, f.Request.ID)
 		c.used = now
 		c.rest()
 		return it, true, false
 	}
-	f.written = now
+	c.writing, f.written = f, now
 	return it, true, false
 }
 
-// late tells whether its time is over. Guards against a request that goes out past it, where its connection and its
-// deadline come up at once.
-func (f *Forward) late(now time.Time) bool { return !f.Until.IsZero() && !now.Before(f.Until) }
-
 // head writes the line of its request behind b, with the budget that is left: it may have waited for its connection.
 func (f *Forward) head(b []byte) []byte {
 	q := f.Request
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,9 +62,10 @@
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
-	Until   time.Time // after which no byte of it goes out that is the first; zero for no such time
+	Until   time.Time // its client's time: its first byte goes out before that or not at all; the zero time for none
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
+	Before    time.Time    // the same for as long as hosts know a repeat; the zero time for none
 	Proofs    lines.Proofs // of its answer, once Done is called
 
 	// under the host's lock
