Cold hosts: a share under a few GETs is drawn by chance, no longer saved by each dispatcher

Cause: control/trust.go, open kept max(one GET, a quarter of a window's worth) of credit, so each of n dispatchers whose part is small saved up a whole GET for as long as it liked, whatever the host bears (N).

Change: who could not save a GET in a quarter of a window saves none; one look in each part of 1.25 windows draws one by chance, so in any time of Fall 0.94 N is let through at most as a mean.

--- a/control/control.go
+++ b/control/control.go
@@ -95,7 +95,7 @@
 		h.OnlineSince = since
 		return
 	}
-	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credited = true, false, 0, 0, 0, 0, 0
+	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credit, h.credited = true, false, 0, 0, 0, 0, 0, 0
 }
 
 // regroup tells which of the listed hosts may be used: the own zone's caches, all parents, a ready origin.
--- a/control/state.go
+++ b/control/state.go
@@ -195,8 +195,8 @@
 	pace        paces.Pace
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
-	credit      float64 // s; what may be sent to it while it is cold, as of credited
-	credited    float64 // 0 before the first look
+	credit      float64 // s; what may be sent to it while it is cold
+	credited    float64 // until when that was given; 0 before the first look
 }
 
 // allowance limits the sending time of what is under way, judged turn by turn.
@@ -505,6 +505,27 @@
 	}
 }
 
+// credit books what may be sent to a cold host, up to most, and gives what there is: in one pot for all shards, as each with
+// its own could send a GET at once.
+func (d *Dispatcher) credit(h *host, first, add, most float64) float64 {
+	if d.Peers != nil {
+		h.credit = d.Peers.Credit(h.ID, h.OnlineSince, first, add, most)
+	} else {
+		h.credit = math.Min(h.credit+add, most)
+	}
+	return h.credit
+}
+
+// mayTry tells whether a trial is left for a host, and none of the other shards tries it.
+func (d *Dispatcher) mayTry(h *host) bool {
+	return h.belief.MayTry() && (d.Peers == nil || d.Peers.Trial(d.now, h.ID))
+}
+
+// spend takes a GET out of what all shards may send to a cold host; false tells that another was faster.
+func (d *Dispatcher) spend(h *host, work float64) bool {
+	return d.Peers == nil || !h.cold || d.Peers.Spend(h.ID, work)
+}
+
 // newForward is the next one of a GET; the first needs no memory of its own.
 func (g *get) newForward() *forward {
 	f := &g.first
--- a/control/trust.go
+++ b/control/trust.go
@@ -111,36 +111,32 @@
 	if h.Phase != Ready || doubted && (h.left && d.now < h.until || h.out+h.fills > 0 || !d.mayTry(h)) {
 		return false
 	}
-	pace := d.pace(h, work)
+	pace, longer, first := d.pace(h, work), d.Fall*(1+saved), 0.0
 	if !h.cold {
 		return true
 	}
-	first := 0.0
-	if h.credited == 0 {
+	add, most := pace*math.Max(0, d.now-h.credited), pace*d.Fall*saved*math.Max(1, float64(d.Shards))
+	switch part := longer / math.Max(1, math.Ceil(pace*longer/work)); {
+	case most >= work && h.credited == 0:
 		first = d.chance(h) * work
-		h.credited, h.credit = d.now, first
-	}
-	add, most := pace*(d.now-h.credited), math.Max(work, pace*d.Fall*saved*math.Max(1, float64(d.Shards)))
-	if h.credited = d.now; d.Peers != nil { // one pot for all shards: each with its own could send a GET at once
-		h.credit = d.Peers.Credit(h.ID, h.OnlineSince, first, add, most)
-	} else {
-		h.credit = math.Min(h.credit+add, most)
+		h.credited, h.credit, add = d.now, first, 0
+	case most >= work:
+		h.credited = math.Max(d.now, h.credited)
+	case d.now < h.credited:
+		return false
+	default: // this look draws: so many dispatchers would save up one GET each in quiet, and send all at once
+		h.credited = d.now + part
+		if d.chance(h)*work >= pace*part {
+			return false
+		}
+		add, most = work, work
 	}
-	return h.credit >= work
-}
-
-// mayTry tells whether a trial is left for a host, and none of the other shards tries it.
-func (d *Dispatcher) mayTry(h *host) bool {
-	return h.belief.MayTry() && (d.Peers == nil || d.Peers.Trial(d.now, h.ID))
-}
-
-// spend takes a GET out of what all shards may send to a cold host; false tells that another was faster.
-func (d *Dispatcher) spend(h *host, work float64) bool {
-	return d.Peers == nil || !h.cold || d.Peers.Spend(h.ID, work)
+	return d.credit(h, first, add, most) >= work
 }
 
-// pace is the sending time a second that a cold host may be sent; too little for a GET is saved up, from a
-// chance part of one on. Guards against many dispatchers that send one GET each right after a start.
+// pace is the sending time a second that a cold host may be sent. What is saved up starts at a chance part of
+// a GET; what is drawn is not saved: in the time of Fall, n dispatchers send n times their share and as much
+// again as saved names at most, as a mean: 0.94 of what the host bears, with the root of that as its spread.
 func (d *Dispatcher) pace(h *host, work float64) float64 {
 	from, ramp, tip, rate, sharers := d.ColdFrom, d.RampTime, d.TipMultiple, d.warmCaches, d.sharers(h.Zone)
 	if h.Kind == d.ParentKind {
