--- a/control/choose.go
+++ b/control/choose.go
@@ -17,24 +17,13 @@
 
 // admit ends a GET that has no time or forward left, or that may have run and must not run again.
 func (d *Dispatcher) admit(g *get) verdict {
-	repeatable := g.firstRan() == nil || g.ds.Effect == Idempotent ||
-		g.ds.Effect == Tokened && d.now < d.before(g)
 	spent := g.sent() >= d.MaxForwards || d.now >= g.last
-	if !repeatable || spent || g.failed() && !d.retries.Spend(d.now) {
+	if d.now >= g.repeatableUntil()-tick || spent || g.failed() && !d.retries.Spend(d.now) {
 		return d.giveUp(g)
 	}
 	return pass
 }
 
-// before is when the first byte of a GET's next forward must be out, as hosts know a repeat for no longer; 0 where
-// there is no such time. Guards against one that is decided on in time and waits for its connection.
-func (d *Dispatcher) before(g *get) float64 {
-	if ran := g.firstRan(); ran != nil && g.ds.Effect == Tokened {
-		return ran.at + g.ds.RepeatWindow - tick
-	}
-	return 0
-}
-
 // finish ends a GET that was answered, and sends on one that was not.
 func (d *Dispatcher) finish(g *get, f *forward) verdict {
 	if f.answer.Last || f.answer.Outcome == Returned {
--- a/control/control.go
+++ b/control/control.go
@@ -95,7 +95,7 @@
 		h.OnlineSince = since
 		return
 	}
-	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credited = true, false, 0, 0, 0, 0, 0
+	h.cold, h.left, h.fault, h.streak, h.wait, h.makespan, h.credit, h.credited = true, false, 0, 0, 0, 0, 0, 0
 }
 
 // regroup tells which of the listed hosts may be used: the own zone's caches, all parents, a ready origin.
@@ -204,7 +204,7 @@
 	}
 	h.tried()
 	s.tried()
-	before := d.before(g)
+	before := momentOrNone(g.repeatableUntil() - tick)
 	f := g.newForward()
 	f.host, f.source, f.at, f.work, f.crowd, f.objective = h, s, d.now, d.weigh(g), h.out, d.objective(g)
 	held := g.item.holder == h && d.now < g.item.heldTo && !g.looked
--- a/control/state.go
+++ b/control/state.go
@@ -196,8 +196,8 @@
 	pace        paces.Pace
 	taken       counter // s; sending time returned by it or filled from it
 	under       allowance
-	credit      float64 // s; what may be sent to it while it is cold, as of credited
-	credited    float64 // 0 before the first look
+	credit      float64 // s; what may be sent to it while it is cold
+	credited    float64 // until when that was given; 0 before the first look
 }
 
 // allowance limits the sending time of what is under way, judged turn by turn.
@@ -413,6 +413,27 @@
 	return nil
 }
 
+// repeatableUntil is when the first byte of a further forward must be out, as hosts know a repeat for no longer: +Inf where nothing can have run
+// yet or a repeat does no harm, -Inf where no host knows repeats. Guards against a forward that is decided on in time and waits for its connection.
+func (g *get) repeatableUntil() float64 {
+	ran := g.firstRan()
+	switch {
+	case ran == nil || g.ds.Effect == Idempotent:
+		return math.Inf(1)
+	case g.ds.Effect == Tokened:
+		return ran.at + g.ds.RepeatWindow
+	}
+	return math.Inf(-1)
+}
+
+// momentOrNone is a moment, 0 for one that never comes.
+func momentOrNone(at float64) float64 {
+	if math.IsInf(at, 0) {
+		return 0
+	}
+	return at
+}
+
 // failed tells whether the last forward failed at a host: one that was turned away, or only looked, cost it nothing.
 func (g *get) failed() bool {
 	if len(g.forwards) == 0 {
@@ -517,6 +538,27 @@
 	}
 }
 
+// credit books what may be sent to a cold host, up to most, and gives what there is: in one pot for all shards, as each with
+// its own could send a GET at once.
+func (d *Dispatcher) credit(h *host, first, add, most float64) float64 {
+	if d.Peers != nil {
+		h.credit = d.Peers.Credit(h.ID, h.OnlineSince, first, add, most)
+	} else {
+		h.credit = math.Min(h.credit+add, most)
+	}
+	return h.credit
+}
+
+// mayTry tells whether a trial is left for a host, and none of the other shards tries it.
+func (d *Dispatcher) mayTry(h *host) bool {
+	return h.belief.MayTry() && (d.Peers == nil || d.Peers.Trial(d.now, h.ID))
+}
+
+// spend takes a GET out of what all shards may send to a cold host; false tells that another was faster.
+func (d *Dispatcher) spend(h *host, work float64) bool {
+	return d.Peers == nil || !h.cold || d.Peers.Spend(h.ID, work)
+}
+
 // newForward is the next one of a GET; the first needs no memory of its own.
 func (g *get) newForward() *forward {
 	f := &g.first
