A second answer to a request is not taken for that of its next forward

Read: an answer is matched by the request's id on its connection alone (conn.go, leave). A host that answers twice, the second time some milliseconds late, may be asked for the same request again meanwhile: as its source refused, say. pick chose the connection with nothing out, thus mostly the very one, and the second answer ended the second forward. Where that says that the request never ran while the second one does, a GET that must not run twice was sent on and did.

Changed: a forward knows the one before it. A connection on which the request went out before comes last: behind others with nothing out, a new one, and those with something out. For what must not run twice it is not used at all, and the forward has no place (the module goes elsewhere). Forwards of which nothing went out don't count. A first forward, nearly all, pays one nil check a connection; a second one to the same host may cost a connection more. Weighed: a HELO before the second request, as behind a STOP, says nothing of a late answer.

Left as it is: an id that was stopped goes out behind its STOP on the same connection, as hosts know ids on all connections; a host that answers it twice, once after the PONG, is not told apart. What must not run twice is not sent again behind a STOP.

Tests: a peer that sheds twice, with one connection or two, for both kinds of GETs; three of the four fail without the choice. One that was taken back goes out on its connection; it fails where nothing written counts.

--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -45,6 +45,11 @@
 		return
 	}
 	f.Overtaken, f.Until = n.behind, time.Now().Add(clock.Duration(g.until-now))
+	// What can't be told apart from a first run must not be sent again: its connections are looked at, and chosen, with more care.
+	f.Once = n.Settings.Settings.Services[g.asks.Service].Effect != control.Idempotent
+	if f.number > 0 {
+		f.Previous = &g.forwards[f.number-1].Forward
+	}
 	if err := f.to.Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
 		n.back(f, control.Answer{Outcome: control.NotTaken})
--- a/internal/upstream/again_test.go
+++ b/internal/upstream/again_test.go
@@ -8,10 +8,70 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
 	"elderwall/internal/upstream"
 )
 
+// A host answers a request twice, and the second answer comes when the request is out once more.
+func TestASecondAnswerComesForTheForwardBefore(t *testing.T) {
+	const never = ""
+	for _, tt := range []struct {
+		name  string
+		once  bool
+		conns int64  // that the host may have
+		want  string // whose answer the second forward gets
+	}{
+		{"another connection", false, 2, "HIT"},
+		{"another connection for what must not run twice", true, 2, "HIT"},
+		{"no other connection", false, 1, "SHED"}, // which costs a forward, and no rule
+		{"no other connection for what must not run twice", true, 1, never}} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, o := need.Listener(t), options(t)
+			o.PerHost.Store(tt.conns)
+			h := upstream.New(l.Addr().String(), o, 0)
+			first, done := sent(t, h, "a")
+			p := accepted(t, l)
+			p.request("a")
+			p.write(standin.Answer("a", "SHED", "-", ""))
+			end(h, done)
+			again, done := forward("a", "")
+			again.Once, again.Previous = tt.once, first
+			err := h.Send(again)
+			if tt.want == never {
+				assert.ErrorIs(t, err, upstream.ErrFull)
+				return
+			}
+			require.NoError(t, err)
+			second := p
+			if tt.conns > 1 {
+				second = accepted(t, l)
+			}
+			second.request("a")
+			before := o.Counts.HostBytesIn.Load()
+			p.write(standin.Answer("a", "SHED", "-", ""))
+			need.Soon(t, func() bool { return o.Counts.HostBytesIn.Load() > before })
+			second.write(standin.Answer("a", "HIT", "-", "x"))
+			assert.Equal(t, map[bool]int{true: 1}[tt.want == "HIT"], len(end(h, done).Answer.Body))
+		})
+	}
+}
+
+// A forward of which nothing went out leaves its connection to the next one.
+func TestAForwardThatWasTakenBackGoesOutOnItsConnection(t *testing.T) {
+	l, o, up := need.Listener(t), options(t), make(chan bool)
+	o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+	h := upstream.New(l.Addr().String(), o, 0)
+	first, _ := sent(t, h, "a")
+	assert.True(t, first.TakeBack())
+	again, _ := forward("a", "")
+	again.Once, again.Previous = true, first
+	require.NoError(t, h.Send(again))
+	close(up)
+	accepted(t, l).request("a")
+	assert.EqualValues(t, 1, o.Counts.HostConnections.Load())
+}
+
 // A connection comes up when the time of what waits for it is over: nothing of that goes out, and what goes out asks for no more
 // time than is left.
 func TestAConnectionThatComesUpTooLate(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,7 +62,10 @@
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
-	Until   time.Time // after which no byte of it goes out that is the first; zero for no such time
+	Once    bool // it must not run twice: that nothing of it went out is to be proved where it can be
+	// Previous is the forward of the same request before this one, nil for none.
+	Previous *Forward
+	Until    time.Time // after which no byte of it goes out that is the first; zero for no such time
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
 	Proofs    lines.Proofs // of its answer, once Done is called
@@ -115,7 +118,7 @@
 	}
 	now := time.Now()
 	h.closeIdle(now)
-	c := h.pick(f.Request.ID)
+	c := h.pick(f)
 	if c == nil {
 		return ErrFull
 	}
@@ -131,8 +134,12 @@
 }
 
 // pick is the connection on which the id was stopped, and no other, as the host must hear of that first; else one
-// with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
-func (h *Host) pick(id string) (best *conn) {
+// with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it. One that
+// brought an answer to the request before may bring a second one, which would be taken for this one's: it comes last, and not at
+// all for what must not run twice.
+func (h *Host) pick(f *Forward) (best *conn) {
+	var answered *conn
+	id := f.Request.ID
 	for _, c := range h.conns {
 		free := len(c.open) < h.Streams && c.open[id] == nil && !c.unanswering() && c.idle.Load() != endedIdle
 		if c.stopped[id] != "" {
@@ -141,7 +148,9 @@
 			}
 			return nil
 		}
-		if free && !c.doubted && (best == nil || len(c.open) < len(best.open)) {
+		if free && !c.doubted && f.wasOn(c) {
+			answered = c
+		} else if free && !c.doubted && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -153,12 +162,25 @@
 			return c
 		}
 	}
+	if best == nil && !f.Once {
+		best = answered
+	}
 	if best != nil && !best.claim() { // it has given way meanwhile
 		return nil
 	}
 	return best
 }
 
+// wasOn tells whether the request went out on a connection before.
+func (f *Forward) wasOn(c *conn) bool {
+	for p := f.Previous; p != nil; p = p.Previous {
+		if p.conn == c && p.stage > NotWritten {
+			return true
+		}
+	}
+	return false
+}
+
 // dial starts a new connection, on which forwards may be queued at once; nil if there is no place for one.
 func (h *Host) dial() *conn {
 	if h.Dials != nil && (time.Now().Before(h.first) || !h.Dials.begin()) {
