What must not run twice is not written to a connection that its host has ended

Read: a host ends a connection that rests, and its FIN or RST is with the system before the reader has run. The next forward was written to it: to a half-closed one whole, so it ended as WrittenWhole, may have run, and a GET that must not run twice was not sent on (conn.go, write). After a RST the write fails with nothing written, which was told right.

Changed: before the first byte of such a forward on a connection that had nothing out, one poll(2) with no wait asks for a half-close, a reset or an error; if so nothing is written, and the stage is NotWritten. Weighed: MSG_PEEK sees no end behind unread bytes, and needs a buffer; a read by the writer would take the reader's bytes, and RawConn.Read waits for the reader. Where the poll fails the connection counts as up. Forwards that may run twice, that share a connection or that are the first on a new one are not looked at: there it would only save the time until the end is read.

Tests: a host ends a connection while its reader stands still in the answer before: by a half-close, one behind bytes, a reset. Without the look the first two are written. A reset long after a request stays WrittenWhole.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 	wake chan struct{} // tells the writer of a change
 	idle atomic.Int64  // Unix ns since when nothing is out on it, or busy, or endedIdle
 	stop func()        // ends a dial that is under way
+	look endLook       // the writer's
 
 	// under the host's lock
 	socket    net.Conn            // nil until it is up
@@ -41,6 +42,7 @@
 	forward   *Forward
 	text      []byte
 	overtaken bool // by news, or by its time: it is taken back instead
+	look      bool // whether the host has ended the connection, before it is written
 }
 
 // guard ends the connection, and it alone, when what runs on it ends or panics; no descriptor of it is open then.
@@ -113,6 +115,10 @@
 			f.Done(Result{Stage: NotWritten, Err: ErrOvertaken})
 			continue
 		} else if f != nil {
+			if it.look && c.look.ended(socket) {
+				c.wrote(f, 0, 1, ErrGone)
+				return fmt.Errorf("%w by its host", ErrGone)
+			}
 			buf = f.head(buf[:0])
 			parts = net.Buffers{buf, f.Request.Body, []byte(lines.LineEnd)}
 		}
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "net"
+
 // Exhaust takes all that may be begun by now.
 func (d *Dials) Exhaust() {
 	for d.begin() {
@@ -24,3 +26,9 @@
 	defer f.conn.host.mu.Unlock()
 	return f.stage
 }
+
+// Ended is one look whether the peer of a connection has ended it, made once for many looks.
+func Ended(c net.Conn) func() bool {
+	var l endLook
+	return func() bool { return l.ended(c) }
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,7 +126,7 @@
 	if c.socket != nil {
 		f.stage = NotWritten
 	}
-	c.queue = append(c.queue, item{forward: f})
+	c.queue = append(c.queue, item{forward: f, look: f.Once && c.socket != nil && len(c.open) == 0})
 	c.open[f.Request.ID] = f
 	c.used = now
 	c.signal()
