--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -62,7 +62,10 @@
 type Forward struct {
 	Request lines.Request
 	Done    func(Result)
-	Until   time.Time // its client's time: its first byte goes out before that or not at all; the zero time for none
+	Once    bool // it must not run twice: that nothing of it went out is to be proved where it can be
+	// Previous is the forward of the same request before this one, nil for none.
+	Previous *Forward
+	Until    time.Time // its client's time: its first byte goes out before that or not at all; the zero time for none
 	// Overtaken is asked before its first byte goes out, for whether there is news that might forbid it; nil for never. It must not block.
 	Overtaken func() bool
 	Before    time.Time    // the same for as long as hosts know a repeat; the zero time for none
@@ -116,7 +119,7 @@
 	}
 	now := time.Now()
 	h.closeIdle(now)
-	c := h.pick(f.Request.ID)
+	c := h.pick(f)
 	if c == nil {
 		return ErrFull
 	}
@@ -124,7 +127,7 @@
 	if c.socket != nil {
 		f.stage = NotWritten
 	}
-	c.queue = append(c.queue, item{forward: f})
+	c.queue = append(c.queue, item{forward: f, look: f.Once && c.socket != nil && len(c.open) == 0})
 	c.open[f.Request.ID] = f
 	c.used = now
 	c.signal()
@@ -132,8 +135,12 @@
 }
 
 // pick is the connection on which the id was stopped, and no other, as the host must hear of that first; else one
-// with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it.
-func (h *Host) pick(id string) (best *conn) {
+// with nothing out, a new one, or the one with least out: what breaks a connection breaks off all that is out on it. One that
+// brought an answer to the request before may bring a second one, which would be taken for this one's: it comes last, and not at
+// all for what must not run twice.
+func (h *Host) pick(f *Forward) (best *conn) {
+	var answered *conn
+	id := f.Request.ID
 	for _, c := range h.conns {
 		free := len(c.open) < h.Streams && c.open[id] == nil && !c.unanswering() && c.idle.Load() != endedIdle
 		if c.stopped[id] != "" {
@@ -142,7 +149,9 @@
 			}
 			return nil
 		}
-		if free && !c.doubted && (best == nil || len(c.open) < len(best.open)) {
+		if free && !c.doubted && f.wasOn(c) {
+			answered = c
+		} else if free && !c.doubted && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -154,12 +163,25 @@
 			return c
 		}
 	}
+	if best == nil && !f.Once {
+		best = answered
+	}
 	if best != nil && !best.claim() { // it has given way meanwhile
 		return nil
 	}
 	return best
 }
 
+// wasOn tells whether the request went out on a connection before.
+func (f *Forward) wasOn(c *conn) bool {
+	for p := f.Previous; p != nil; p = p.Previous {
+		if p.conn == c && p.stage > NotWritten {
+			return true
+		}
+	}
+	return false
+}
+
 // dial starts a new connection, on which forwards may be queued at once; nil if there is no place for one.
 func (h *Host) dial() *conn {
 	if h.Dials != nil && (time.Now().Before(h.first) || !h.Dials.begin()) {
