Tests: a request given up before its first byte; answers fuzzed with little room

Read and found right: a forward that waits behind another and is given up, by its client or as the answer to a forward before it comes first, is taken off the queue (upstream.go, Stop), and no STOP is sent. The test holds that on a connection whose writer is held up by a peer that does not read; with the queue left alone the peer gets the request.

FuzzAnswers reads each text also with room for even lengths alone, so that bodies are drained.

--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -116,10 +116,13 @@
 
 func FuzzAnswers(f *testing.F) {
 	f.Add(standin.Hit("a", "bytes") + "b PONG\r\n" + standin.Answer("c", "NONE", "-", ""))
+	f.Add(standin.Hit("a", "odd") + standin.Hit("b", "even"))
 	f.Fuzz(func(t *testing.T, text string) {
-		whole, wholeErr := answers(text, 1<<20, roomy)
-		bytewise, err := answers(text, 1, roomy)
-		assert.Equal(t, whole, bytewise)
-		assert.Equal(t, wholeErr == nil, err == nil)
+		for _, room := range []func(int) bool{roomy, func(n int) bool { return n%2 == 0 }} {
+			whole, wholeErr := answers(text, 1<<20, room)
+			bytewise, err := answers(text, 1, room)
+			assert.Equal(t, whole, bytewise)
+			assert.Equal(t, wholeErr == nil, err == nil)
+		}
 	})
 }
--- a/internal/upstream/again_test.go
+++ b/internal/upstream/again_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +94,21 @@
 	assert.ErrorIs(t, r.Err, upstream.ErrOvertaken)
 	assert.Regexp(t, `^REQ intime queue=s,path=o,blk=0,budget=\d{4} 0$`, accepted(t, l).line())
 }
+
+// What waits behind another is given up, by its client or as the answer to a forward before it comes first: the host never hears of it.
+func TestAForwardThatIsGivenUpBeforeItsFirstByte(t *testing.T) {
+	l, o := need.Listener(t), options(t)
+	o.PerHost.Store(1)
+	h := upstream.New(l.Addr().String(), o, 0)
+	begun, _ := forward("begun", strings.Repeat("x", large))
+	require.NoError(t, h.Send(begun))
+	p := accepted(t, l)
+	need.Of(p.in.ReadByte())(t) // it has begun
+	waits, done := sent(t, h, "waits")
+	sent(t, h, "next")
+	waits.Stop()
+	require.NoError(t, p.in.UnreadByte())
+	p.request("begun")
+	p.request("next")
+	assert.Empty(t, done)
+}
