Front: a client that writes slowly is heard for as long as it waits for an answer

Some clients write slowly there; a message had 2 s to be whole (front.go, wholeIn), whatever the settings say of how long clients wait.

Changed: a message may take as long as the longest viewer timeout, 2 s at least. Guards stay: where places are wanted a message that began over 2 s ago is no reason to keep its connection, and a drain waits for none; the bytes are bounded as before, and a connection that says nothing is closed after 2 s.

Tests: a message of 5 s where clients wait 6 s (fails without), one of 7 s, and one that was left, which gives way.

--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -4,6 +4,7 @@
 const (
 	SpeaksIn = speaksIn
 	CloseIn  = closeIn
+	WholeIn  = wholeIn
 
 	AcceptAgain = acceptAgain
 )
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,7 +31,7 @@
 	mostQueue = 4 * mostOpen           // replies; probes too are answered, and a client may leave that many unread
 	stalled   = 5 * time.Second        // a client that has not taken a whole reply by then has gone
 	idle      = 5 * time.Second        // clients close idle connections after 4 s; one that does not is closed then
-	wholeIn   = 2 * time.Second        // a message that is not whole by then never will be; from its start, the first from connecting
+	wholeIn   = 2 * time.Second        // a message that is not whole by then is no sign any more that its connection is needed; from its start, the first from connecting
 	often     = 2                      // uses; a connection with so many is one that its client comes back on
 	closing   = -1                     // uses; a connection that is closed already goes before all others
 	speaksIn  = 250 * time.Millisecond // within so long of connecting, saying nothing yet is no sign
@@ -120,9 +120,10 @@
 	Callers Callers // nil where nobody asks who is calling
 	Log     zerolog.Logger
 	Counts  *counters.Counters
-	Room    *room.Room // what long calls and the bodies of answers hold
-	Most    int        // connections at a time
-	Devices Devices    // where the class of a client's device stands; nothing of it is looked for by the zero value
+	Room    *room.Room    // what long calls and the bodies of answers hold
+	Most    int           // connections at a time
+	Longest time.Duration // that a client waits for an answer: a message may take as long to be whole, and wholeIn at least
+	Devices Devices       // where the class of a client's device stands; nothing of it is looked for by the zero value
 
 	refusing atomic.Bool  // what comes now is refused
 	stopping atomic.Int64 // Unix ns since when only what the kernel holds is accepted; 0 before
@@ -142,9 +143,9 @@
 	wake   chan struct{} // tells the writer of a change
 	number uint64        // by which it is told from all others
 
-	closed  atomic.Bool // no call is taken any more; set under the lock
-	partial atomic.Bool // a message has begun and is not whole
-	gone    bool        // the client has closed, or can't be read from; its reader's own
+	closed  atomic.Bool  // no call is taken any more; set under the lock
+	begun   atomic.Int64 // Unix ns at which a message began that is not whole, 0 for none
+	gone    bool         // the client has closed, or can't be read from; its reader's own
 	mu      sync.Mutex
 	open    map[int32]*Call
 	queue   []thrift.Reply
@@ -251,7 +252,7 @@
 		} else if n == 0 && time.Since(u) < speaksIn {
 			n = often // its first message may be on the way
 		}
-		partial := c.partial.Load()
+		partial := c.isWriting()
 		if better := n < uses || n == uses && u.Before(used); quiet && (least == nil || begun && !partial || begun == partial && better) {
 			least, uses, used, begun = c, n, u, partial
 		}
@@ -389,7 +390,7 @@
 	defer s.mu.Unlock()
 	return !slices.ContainsFunc(s.conns, func(c *conn) bool {
 		quiet, uses, used := c.standing()
-		return !quiet || !c.closed.Load() && (c.partial.Load() || uses == 0 && time.Since(used) < speaksIn)
+		return !quiet || !c.closed.Load() && (c.isWriting() || uses == 0 && time.Since(used) < speaksIn)
 	})
 }
 
@@ -467,7 +468,10 @@
 			return errRoom
 		}
 		partial, limit := frames.Partial(), idle
-		if partial || fresh {
+		switch {
+		case partial:
+			limit = max(wholeIn, c.server.Longest)
+		case fresh:
 			limit = wholeIn
 		}
 		_ = c.net.SetReadDeadline(since.Add(limit))
@@ -494,15 +498,30 @@
 		if err != nil {
 			return err
 		}
-		if begun := frames.Partial(); begun != c.partial.Load() {
-			c.partial.Store(begun)
-		}
 		if fresh = fresh && whole == 0; whole > 0 || !fresh && !partial {
 			since = time.Now()
 		}
+		c.noteBegun(frames.Partial(), since)
+	}
+}
+
+// noteBegun keeps when the message under way began, if one is.
+func (c *conn) noteBegun(partial bool, since time.Time) {
+	switch begun := c.begun.Load(); {
+	case !partial && begun != 0:
+		c.begun.Store(0)
+	case partial && begun != since.UnixNano():
+		c.begun.Store(since.UnixNano())
 	}
 }
 
+// isWriting tells whether a message is under way that may soon be whole. Guards against clients that begin a message in numbers and leave it:
+// their connections are needed no more than others.
+func (c *conn) isWriting() bool {
+	begun := c.begun.Load()
+	return begun != 0 && time.Since(time.Unix(0, begun)) < wholeIn
+}
+
 // calls takes all calls that are whole, and counts them.
 func (c *conn) calls(frames *thrift.Frames) (whole int, err error) {
 	for ; ; whole++ {
--- a/internal/front/partial_test.go
+++ b/internal/front/partial_test.go
@@ -79,3 +79,58 @@
 		assert.NoError(t, <-ended)
 	})
 }
+
+// A client that writes slowly is heard for as long as it would wait for an answer; the settings tell for how long that is.
+func TestAMessageMayTakeAsLongAsItsClientWaits(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		longest, takes time.Duration
+		heard          bool
+	}{
+		{"clients wait for longer", 6 * time.Second, 5 * time.Second, true},
+		{"it takes longer than clients wait", 6 * time.Second, 7 * time.Second, false},
+		{"clients wait for less than a message may take anyway", 100 * time.Millisecond, time.Second, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, ended := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, make(chan error)
+				s, l := server(h, 4), pipes{accepted: make(chan net.Conn)}
+				s.Longest = tt.longest
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { ended <- s.Serve(ctx, l) }()
+				client, server := net.Pipe()
+				l.accepted <- server
+				probe := standin.Call("probe", 1, 9, []byte{2, 0, 1, 0})
+				need.Of(client.Write(probe[:7]))(t)
+				time.Sleep(tt.takes)
+				_, err := client.Write(probe[7:])
+				assert.Equal(t, tt.heard, err == nil)
+				if tt.heard {
+					assert.True(t, need.Of((&standin.Client{Conn: client}).Read())(t).Good)
+				}
+				_ = client.Close()
+				cancel()
+				close(l.accepted)
+				assert.NoError(t, <-ended)
+			})
+		})
+	}
+}
+
+// A message that was begun and left keeps its connection no longer than two seconds where others want a place.
+func TestAMessageThatWasLeftGivesWay(t *testing.T) {
+	h, l := &handler{calls: make(chan call.Call, 9), givenUp: make(chan call.Call, 9)}, need.Listener(t)
+	s := &front.Server{Handler: h, Most: 4, Longest: time.Minute}
+	serveOn(t, s, l)
+	address := l.Addr().String()
+	left := need.Client(t, address)
+	half(t, s, left)
+	time.Sleep(front.WholeIn)
+	used := need.Client(t, address)
+	need.Of(used.Probe())(t)
+	for range 2 {
+		need.Of(need.Client(t, address).Probe())(t)
+	}
+	_, err := left.Read()
+	assert.Error(t, err, "it sent nothing of use, and gave way")
+	assert.True(t, need.Of(used.Probe())(t), "one that was used stays")
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -264,7 +264,8 @@
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
-		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners)), Devices: devices}
+		server := &front.Server{Handler: s.core, Log: log, Counts: counts, Room: o.Room, Most: max(1, clients/len(s.listeners)),
+			Longest: c.longest(), Devices: devices}
 		if gate != nil {
 			server.Callers = gate
 		}
