A configuration that SIGHUP finds half written is read again until it is whole

Read in service.reload: a read that fails kept the old configuration for good, as no further signal comes: discovery that moved with it was followed at its old address. Now it is read again five times, 0.2 s apart; only then the old one stays, with the same line as before. The operator's file is not read again: it is put in place whole by a rename. A new SIGHUP begins the five anew, SIGTERM does not wait for them.

TestReadsItsConfigurationAgain gave each read the next of two texts, which the second read of the first SIGHUP would now take: it gives a text until the test changes it, still asks that the old one stays and says so once, and that one that stayed unusable is read on the next signal alone.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -166,6 +166,7 @@
 	beside    []Beside
 	moves     chan string // to the change log's new address
 	listeners []net.Listener
+	rereading rereading // of a configuration that could not be read
 }
 
 // Run serves until a signal ends it; SIGHUP has it read the configuration again.
@@ -351,6 +352,7 @@
 			case which == syscall.SIGUSR1:
 				s.logCounts()
 			case which == syscall.SIGHUP:
+				s.rereading = rereading{}
 				s.reload(read)
 			case drained == nil:
 				drained = make(chan bool)
@@ -359,6 +361,8 @@
 					drain(s.log, s.core.Drain, s, s.closeListeners, s.config.longest()+unread)
 				}()
 			}
+		case <-s.rereading.due:
+			s.reload(read)
 		case <-drained:
 			return
 		case <-ctx.Done():
@@ -374,6 +378,11 @@
 // ones serve on.
 func (s *service) reload(read func() (*Config, error)) {
 	to, err := read()
+	if err != nil && s.rereading.wait() {
+		s.log.Info().Err(err).Msg("new configuration can't be read, it is read again soon")
+		return
+	}
+	s.rereading = rereading{}
 	if err == nil {
 		err = s.extend()
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -271,17 +272,17 @@
 	usual := func(id string) { require.Equal(t, "served", need.Asked(t, c, "rid", id).Kind) }
 	usual(rid)
 	<-askedA
-	texts, reread := []string{"{", standin.Config("127.0.0.1:1", moved.Address, "", 999)}, make(chan bool, 2)
-	d.reread = func() (*Config, error) {
-		text := texts[0]
-		texts = texts[1:]
-		defer func() { reread <- true }()
-		return read(t, text)
-	}
+	var text atomic.Pointer[string]
+	d.reread = func() (*Config, error) { return read(t, *text.Load()) }
+	unusable, usable := "{", standin.Config("127.0.0.1:1", moved.Address, "", 999)
+	text.Store(&unusable)
 	d.Signals <- syscall.SIGHUP
-	<-reread
+	need.Soon(t, func() bool { return strings.Contains(d.Out.String(), "the old one stays") })
 	usual(rid)
 	assert.Len(t, askedA, 1, "with an unusable one the old one serves on")
+	text.Store(&usable)
+	time.Sleep(2 * rereadEach)
+	assert.Empty(t, moved.Asked(), "one that stayed unusable is read again on the next signal alone")
 	d.Signals <- syscall.SIGHUP
 	for i := 0; len(askedB) == 0; i++ {
 		usual(fmt.Sprintf("%016x", i))
