Nothing begins at a host for a client that has left, wherever its request waited

Read: word of a client's end is a task in its shard's line. While the shard stands still, a forward that waits for its connection goes out once that is up (upstream asks for news of the change log alone), and a request that is in line itself is begun when the shard goes on, however long its client has been gone. Where hosts can't be told to stop (mayCancel false) the module cancels nothing, and what waited for a connection went out as well. Ruled out: a shard that breaks, one that goes, followers, a leader whose followers go on, a further forward behind its client's end: right already. Change: a call tells whether an answer is owed still (Open, any goroutine). A forward is kept back before its first byte where none is, and the request ends by that; a request whose turn comes late is not begun; what hasn't gone out is taken back where nothing can be cancelled. What others wait for is kept back once, decided anew and goes out. Cost: one lock and one look into a connection's open calls for a request and for a forward. Tests: gives up, closes and resets, by ten places in which a request waits, on sockets; two at the node.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -15,6 +15,8 @@
 	Refuse(wait int64)
 	// Fail answers that it failed, for a reason that the client may know; "" names none.
 	Fail(reason string)
+	// Open tells whether an answer is owed still: none has gone out, and the client has not left. Any goroutine may ask, and is not held up.
+	Open() bool
 	// Mark keeps a number of its handler's with the call, with the moment by which it must be answered; Marked gives
 	// the number back.
 	Mark(number int, until time.Time)
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -36,8 +36,17 @@
 	counts  *counters.Counters
 	late    atomic.Pointer[chan bool] // that connections to hosts wait for
 	hosts   *rigs.Hosts
+	gaveUp  atomic.Int64 // calls of which the front has told that their clients no longer wait
 }
 
+// telling is a group of whose clients the test knows when they have left.
+type telling struct {
+	*Group
+	gaveUp *atomic.Int64
+}
+
+func (t telling) GiveUp(c call.Call) { t.Group.GiveUp(c); t.gaveUp.Add(1) }
+
 func newRig(t *testing.T, n int, way shards.Way, hosts int, changes ...func(*node.Config)) *rig {
 	r := &rig{T: t, hosts: rigs.NewHosts(t, hosts)}
 	o, _ := rigs.Life(t)
@@ -53,7 +62,7 @@
 		change(&c)
 	}
 	r.Group = New(c, n, way, func(shard int, by time.Time) int { return r.server.FailOverdue(shard, by) })
-	r.server = &front.Server{Handler: r.Group, Log: zerolog.Nop(), Counts: r.counts, Room: o.Room, Most: 100}
+	r.server = &front.Server{Handler: telling{r.Group, &r.gaveUp}, Log: zerolog.Nop(), Counts: r.counts, Room: o.Room, Most: 100}
 	l := need.Listener(t)
 	r.address = l.Addr().String()
 	o.Group.Go(func() error { return r.Group.Run(o.Context) })
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -85,6 +85,13 @@
 	a.end(final{status: map[bool]int{false: statusForbidden, true: statusFailed}[reason == ""], reason: reason})
 }
 
+// Open tells whether an answer is owed still.
+func (a *ask) Open() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.final == nil && !a.abandoned.Load()
+}
+
 // Mark keeps the handler's number.
 func (a *ask) Mark(number int, _ time.Time) { a.mark.Store(int32(number)) }
 
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -57,6 +57,11 @@
 
 // enter hands a GET to the module, unless it can't be held.
 func (n *Node) enter(now float64, c call.Call, in call.GET, g control.GET, ticket callers.Ticket) {
+	if !c.Open() { // it waited in line, and word of its client's end came before it or is behind it
+		n.Options.Counts.GivenUp.Add(1)
+		n.settleGate(ticket, false)
+		return
+	}
 	if n.byID[in.ID] != nil || !n.openID(in.ID) { // a STOP of one, or an answer, would pass for that of the other
 		n.Options.Counts.Unusable.Add(1)
 		n.settleGate(ticket, false)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	forwards []*forward
 	out      int
 	over     bool                // answered, or given up by the client
+	closed   atomic.Bool         // the same, for those who don't hold the node's lock
 	asks     control.GET         // what the module is told, for one that may go on in the lead
 	waiter   *joint.Waiter[*get] // nil for one that is alone
 	variant  Variant             // that it is sent for, where variants are declared
@@ -345,6 +346,7 @@
 // close ends a GET at the client's side, and settles it with the gate.
 func (n *Node) close(g *get, shed bool) {
 	g.over = true
+	g.closed.Store(true)
 	delete(n.byCall, g.call)
 	if n.Gate != nil {
 		n.Gate.End(g.ticket, slices.ContainsFunc(g.forwards, written), shed)
@@ -355,13 +357,18 @@
 // forget lets a GET go once it is over and its last forward is back. Guards against one that is let go twice, by its last forward and again
 // by whoever ended it: shards would count one GET too few as held, and free an id that may be another's by then.
 func (n *Node) forget(g *get) {
-	if g.over && g.out == 0 && !g.waiter.Needed() && n.gets[g.id] == g {
-		delete(n.gets, g.id)
-		delete(n.byID, g.request.ID)
-		n.leftShard(g)
-		n.expiries.Remove(g.expiry)
-		n.Options.Room.Give(len(g.request.Body))
+	if !g.over || g.waiter.Needed() || n.gets[g.id] != g {
+		return
+	}
+	if g.out > 0 {
+		n.withdraw(g)
+		return
 	}
+	delete(n.gets, g.id)
+	delete(n.byID, g.request.ID)
+	n.leftShard(g)
+	n.expiries.Remove(g.expiry)
+	n.Options.Room.Give(len(g.request.Body))
 }
 
 // back books the end of a forward, of which the module is told as soon as it is not at work.
@@ -376,7 +383,7 @@
 
 // done takes the end of a forward from its connection.
 func (n *Node) done(f *forward, r upstream.Result) {
-	n.call(func(float64) {
+	n.call(func(now float64) {
 		body := r.Answer.Body
 		defer func() { n.Options.Room.Give(len(body)) }()
 		if f.back {
@@ -385,6 +392,9 @@
 		size := float64(len(body)) / 1e3
 		outcome, counter := n.outcome(r, f.get.request.Tag)
 		counter.Add(1)
+		if outcome == control.Recalled && n.gone(now, f) {
+			return
+		}
 		if outcome == control.Returned && n.Variants != nil {
 			outcome = n.landedVariant(f, f.Proofs, body)
 		} else if outcome == control.Returned {
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -42,7 +42,7 @@
 		n.route(f, out)
 		return
 	}
-	f.Overtaken = n.behind
+	f.Overtaken = func() bool { return n.behind() || g.left() }
 	f.Before = n.Clock.Time(latest(g, out))
 	if err := f.to.Send(&f.Forward); err != nil { // our own places are taken: the host had no part in it
 		n.Options.Counts.NoPlace.Add(1)
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -141,8 +141,9 @@
 
 // Call is a call of no connection, which keeps its answers by their words.
 type Call struct {
-	Got chan string
-	N   atomic.Int32 // answers that it had
+	Got  chan string
+	N    atomic.Int32 // answers that it had
+	Left atomic.Bool  // its client no longer waits, whether that was told or not
 
 	room *room.Room
 }
@@ -159,6 +160,7 @@
 
 func (c *Call) Refuse(int64)        { c.answer("refused") }
 func (c *Call) Fail(string)         { c.answer("failed") }
+func (c *Call) Open() bool          { return c.N.Load() == 0 && !c.Left.Load() }
 func (c *Call) Mark(int, time.Time) {}
 func (c *Call) Marked() int         { return 0 }
 func (c *Call) Origin() uint64      { return 0 }
