Bytes that a proxy no longer takes give back their room

Read: an answer that the dispatcher fetched for a proxy holds room until it is sent. stream.take gave it back only where the send succeeded, and an answer that came behind the end of its request, or as it had its operator's choice, kept it for good. Each hang-up in that moment made the room smaller, until no answer had any. Change: room is given back whether the send succeeds or not; an answer that no stream will take is dropped with its room.

--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"elderwall/internal/call"
+	"elderwall/internal/room"
 	"elderwall/stages/calls"
 )
 
@@ -20,6 +21,7 @@
 
 	entered   atomic.Int32 // how far it has come to the handler
 	abandoned atomic.Bool  // the operator's choice went out before its decision
+	room      *room.Room   // that the bytes of its answer hold
 	mark      atomic.Int32
 
 	mu     sync.Mutex
@@ -60,11 +62,24 @@
 	a.mu.Lock()
 	if a.final == nil {
 		a.final, a.routes = &f, nil
+	} else {
+		a.room.Give(len(f.body))
 	}
 	a.mu.Unlock()
 	a.signal()
 }
 
+// drop takes an answer that no stream will take, now or later. Guards against bytes that hold their room for good, until there is none left
+// for any answer.
+func (a *ask) drop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.final != nil {
+		a.room.Give(len(a.final.body))
+	}
+	a.final = &final{status: statusShed}
+}
+
 func (a *ask) signal() {
 	select {
 	case a.wake <- struct{}{}:
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -176,6 +176,7 @@
 // abandon gives up a GET that has had the operator's choice.
 func (s *Server) abandon(a *ask) {
 	a.abandoned.Store(true)
+	a.drop()
 	if !a.entered.CompareAndSwap(inLine, passedBy) && a.entered.Load() == taken {
 		s.Handler.GiveUp(a.as)
 	}
@@ -338,13 +339,9 @@
 	if err != nil || out == nil {
 		return err
 	}
-	if err := st.grpc.Send(out); err != nil {
-		return err
-	}
-	if body := out.GetImmediateResponse().GetBody(); len(body) > 0 {
-		st.Room.Give(len(body))
-	}
-	return nil
+	err = st.grpc.Send(out)
+	st.Room.Give(len(out.GetImmediateResponse().GetBody())) // whether the proxy gets it or has gone
+	return err
 }
 
 // request decides on a request.
@@ -385,7 +382,7 @@
 		st.mu.Unlock()
 		return false
 	}
-	a := &ask{row: row, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
+	a := &ask{row: row, room: st.Room, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
 	a.get.ID, a.get.Conn = fmt.Sprintf("%016x", uint64(row.ID)), st.conn
 	if a.as = a; st.Rules.Routing {
 		a.as = routed{a}
