--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -84,7 +84,7 @@
 	case c.settings.MaxStreams <= 0 || c.settings.MostHeld <= 0:
 		return errors.New("settings: no stream limit, or none on what is held")
 	}
-	return nil
+	return usable(c.settings)
 }
 
 // longest is the longest viewer timeout.
