--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -42,7 +42,8 @@
 		n.route(f, out)
 		return
 	}
-	f.Overtaken, f.Until = n.behind, n.Clock.Time(g.until)
+	f.Overtaken = func() bool { return n.behind() || g.left() }
+	f.Until = n.Clock.Time(g.until)
 	if out.Before > 0 {
 		f.Before = n.Clock.Time(out.Before)
 	}
