--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -205,7 +205,10 @@
 // pace sends at a rate, by chance as many clients do; what finds no place is late from when it was to be sent.
 func (c *client) pace(rate float64) {
 	for due := time.Now(); ; {
-		due = due.Add(duration(c.chance.ExpFloat64() / rate))
+		c.mu.Lock() // which the reader draws under as well
+		pause := c.chance.ExpFloat64() / rate
+		c.mu.Unlock()
+		due = due.Add(duration(pause))
 		if due.After(c.ends) {
 			return
 		}
