--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"elderwall/internal/call"
 	"elderwall/internal/thrift"
 )
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,7 +15,6 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"elderwall/internal/call"
 	"elderwall/internal/counters"
 	"elderwall/internal/room"
 	"elderwall/stages/callers"
