--- a/control/trust.go
+++ b/control/trust.go
@@ -139,7 +139,7 @@
 }
 
 // pace is the sending time a second that a cold host may be sent, and among how many it is shared. In the
-// time of Fall they draw 1+saved times their shares at most, as a mean: 0.94 of what it bears, root as spread.
+// time of Fall they draw 1+saved times their shares at most, as a mean: 0.94 of what it bears.
 func (d *Dispatcher) pace(h *host, work float64) (pace, sharers float64) {
 	from, ramp, tip, rate := d.ColdFrom, d.RampTime, d.TipMultiple, d.warmCaches
 	sharers = d.sharers(h.Zone)
