--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -352,3 +352,21 @@
 		assert.Less(t, math.Sqrt(spread), 1.0, "%d processes", processes)
 	}
 }
+
+// Where the settings name no time in which a cold host falls, it is sent something all the same, by however many.
+func TestAColdHostWithNoTimeToFallInIsNotShutOut(t *testing.T) {
+	d, r := fleet(func(s *Settings) { s.Fall, s.Seats, s.WeightsTold = 0, []int{300}, true })
+	d.now = 1
+	h := d.caches[0]
+	h.cold, h.OnlineSince, h.Weight = true, 1, 3000
+	sent := 0
+	for now := 1.0; now < 1+d.RampTime-1; now += 0.05 {
+		d.now = now
+		if d.open(h, 0.1) {
+			h.credit -= 0.1
+			sent++
+		}
+	}
+	assert.Positive(t, sent)
+	assert.Empty(t, r.forwards)
+}
--- a/control/trust.go
+++ b/control/trust.go
@@ -117,7 +117,7 @@
 	}
 	longer, first, bears := d.Fall*(1+saved), 0.0, pace*d.Fall*sharers/coldPart/work
 	add, most := pace*math.Max(0, d.now-h.credited), pace*d.Fall*saved*math.Max(1, float64(d.Shards))
-	if sharers <= bears*(1-coldPart)+2*math.Sqrt(bears)+2 { // one GET that each saves up is within chance
+	if d.Fall <= 0 || sharers <= bears*(1-coldPart)+2*math.Sqrt(bears)+2 { // what all save up is within chance
 		most = math.Max(most, work)
 	}
 	switch part := longer / math.Max(1, math.Ceil(pace*longer/work)); {
--- a/internal/service/drain_test.go
+++ b/internal/service/drain_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"elderwall/control"
 	"elderwall/internal/standin/need"
 )
 
@@ -34,3 +35,13 @@
 	assert.Less(t, time.Since(told), killed)
 	_ = resting.Conn.Close()
 }
+
+// What is open is given up after clients have stopped coming, however short their time is, and before the platform ends the process.
+func TestWhenADrainGivesUp(t *testing.T) {
+	for longest, want := range map[float64]time.Duration{
+		0.06: stillComing, 0.4: stillComing, 1: stillComing + time.Second - flushIn, 3: stillComing + longestWait - flushIn, 60: stillComing + longestWait - flushIn} {
+		c := &Config{}
+		c.settings.Settings.Services = []control.DeliveryService{{ViewerTimeout: longest}}
+		assert.Equal(t, want, c.endsIn(), longest)
+	}
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,14 +1,12 @@
 package service
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -356,21 +354,12 @@
 	t.Cleanup(farm.Close)
 	for _, descriptors := range []int{256, 1024} {
 		t.Run(fmt.Sprint(descriptors), func(t *testing.T) {
-			listen, file := standin.Free(), filepath.Join(t.TempDir(), "config.json")
-			text := standin.Platform(listen, farm.Changes.Address, "", 20000, 1, 64, descriptors)
-			require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-			child := exec.Command(os.Args[0])
-			child.Env = append(os.Environ(), "PROXY_CONFIG="+file, fmt.Sprint(limitEnv, "=", descriptors))
-			var log bytes.Buffer
-			child.Stderr = &log
-			require.NoError(t, child.Start())
-			t.Cleanup(func() { _ = child.Process.Kill() })
-			require.Eventually(t, func() bool { return need.Ready(listen) }, 10*time.Second, 10*time.Millisecond)
-			got := need.Of(load.Play(listen, load.Case{Connections: 8, UnderWay: 8, Objects: 1 << 24, Service: "segment", Budget: 60}, "", 0, 1, 0, 1.5))(t)
-			require.NoError(t, child.Process.Signal(syscall.SIGTERM))
-			require.NoError(t, child.Wait())
+			l := startLimited(t, farm.Changes.Address, descriptors)
+			l.ready()
+			got := need.Of(load.Play(l.listen, load.Case{Connections: 8, UnderWay: 8, Objects: 1 << 24, Service: "segment", Budget: 60}, "", 0, 1, 0, 1.5))(t)
+			l.end()
 			var counts struct{ GETs, Returned, Shed, Errored, Unreached, PartlyWritten, Unanswered int64 }
-			lines := strings.Split(log.String(), "\n")
+			lines := strings.Split(l.log.String(), "\n")
 			i := slices.IndexFunc(lines, func(l string) bool { return strings.Contains(l, `"message":"counters"`) })
 			require.NoError(t, json.Unmarshal([]byte(lines[max(0, i)]), &counts))
 			t.Log(got, counts)
@@ -378,8 +367,8 @@
 			assert.Zero(t, counts.Unreached+counts.PartlyWritten+counts.Unanswered+got.Broken+got.Unanswered)
 			assert.Equal(t, counts.GETs, counts.Returned+counts.Shed+counts.Errored)
 			assert.Less(t, got.Refused+got.Failed, got.Served/10, "connections begun are bounded")
-			assert.NotContains(t, log.String(), "left: it fails")
-			assert.Less(t, strings.Count(log.String(), "\n"), 40, "a list of many hosts is one line")
+			assert.NotContains(t, l.log.String(), "left: it fails")
+			assert.Less(t, strings.Count(l.log.String(), "\n"), 40, "a list of many hosts is one line")
 		})
 	}
 }
--- a/internal/service/usable.go
+++ b/internal/service/usable.go
@@ -21,10 +21,13 @@
 			return fmt.Errorf("settings: deadline of class %q: not above 0", name)
 		}
 	}
-	for name, below := range map[string]bool{"maxAttempts": s.MaxForwards < 0, "connectTimeout": s.ConnectTimeout < 0, "idleClose": s.IdleClose < 0} {
-		if below {
-			return fmt.Errorf("settings: %s: below 0", name)
-		}
+	switch {
+	case s.MaxForwards < 0:
+		return errors.New("settings: maxAttempts: below 0")
+	case s.ConnectTimeout < 0:
+		return errors.New("settings: connectTimeout: below 0")
+	case s.IdleClose < 0:
+		return errors.New("settings: idleClose: below 0")
 	}
 	return nil
 }
