--- a/internal/node/late_test.go
+++ b/internal/node/late_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,10 +26,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			hosts, up := rig.NewHosts(t, 1), make(chan bool)
+			hosts := rig.NewHosts(t, 1)
 			o, _ := rig.Life(t)
 			o.Dialer.Timeout = time.Minute
-			o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+			up := rig.HoldDials(o)
 			n := New(Config{Settings: rig.Settings(100), Clock: clock.New(), Options: o, Connections: 1})
 			o.Group.Go(func() error { return n.Run(o.Context) })
 			n.Take(rig.Whole(hosts.Entries...))
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -30,9 +29,9 @@
 // A client leaves while its forward waits for a connection, and that is up before word of it comes: the forward is kept back, and by that the
 // GET is over. No other is decided on.
 func TestAForwardFindsOutThatItsClientHasLeft(t *testing.T) {
-	hosts, up := rig.NewHosts(t, 2), make(chan bool)
+	hosts := rig.NewHosts(t, 2)
 	o, end := rig.Life(t)
-	o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+	up := rig.HoldDials(o)
 	n := New(Config{Settings: rig.Settings(100), Clock: clock.New(), Options: o, Connections: 100})
 	n.Take(rig.Whole(hosts.Entries...))
 	c := rig.NewCall(o.Room)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -236,10 +235,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			hosts, up := rig.NewHosts(t, 4), make(chan bool)
+			hosts := rig.NewHosts(t, 4)
 			o, end := rig.Life(t)
 			o.Dialer.Timeout = time.Minute
-			o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+			up := rig.HoldDials(o)
 			n, all := New(Config{Settings: rig.Settings(100), Clock: clock.New(), Options: o, Connections: 100}), hosts.Entries
 			all[2].Kind, all[3].Kind = "parent", "parent"
 			n.Take(rig.Whole(all...))
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -62,6 +62,13 @@
 	return o, end
 }
 
+// HoldDials has connections to hosts come up only once the channel is closed.
+func HoldDials(o *upstream.Options) (up chan bool) {
+	up = make(chan bool)
+	o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+	return up
+}
+
 // Entry is a cache of a list.
 func Entry(id, address, state string) changelog.Host {
 	return changelog.Host{ID: id, Address: address, Zone: "z", Kind: "std", State: state, Weight: 1}
--- a/internal/upstream/again_test.go
+++ b/internal/upstream/again_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
+	"elderwall/internal/standin/rig"
 	"elderwall/internal/upstream"
 )
 
@@ -60,8 +60,8 @@
 
 // A forward of which nothing went out leaves its connection to the next one.
 func TestAForwardThatWasTakenBackGoesOutOnItsConnection(t *testing.T) {
-	l, o, up := need.Listener(t), options(t), make(chan bool)
-	o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
+	l, o := need.Listener(t), options(t)
+	up := rig.HoldDials(o)
 	h := upstream.New(l.Addr().String(), o, 0)
 	first, _ := sent(t, h, "a")
 	assert.True(t, first.TakeBack())
@@ -73,26 +73,40 @@
 	assert.EqualValues(t, 1, o.Counts.HostConnections.Load())
 }
 
-// A connection comes up when the time of what waits for it is over: nothing of that goes out, and what goes out asks for no more
-// time than is left.
+// A connection comes up when the time of what waits for it is over, its client's or that for which hosts know a repeat: nothing of that goes out, its
+// place is free, and what goes out asks for no more time than its client has left.
 func TestAConnectionThatComesUpTooLate(t *testing.T) {
-	l, o, up := need.Listener(t), options(t), make(chan bool)
-	o.PerHost.Store(1)
-	o.Dialer.Control = func(string, string, syscall.RawConn) error { <-up; return nil }
-	h := upstream.New(l.Addr().String(), o, 0)
-	late, done := forward("late", "")
-	late.Until = time.Now().Add(20 * time.Millisecond)
-	inTime, _ := forward("intime", "")
-	inTime.Until, inTime.Request.Budget = time.Now().Add(10*time.Second), 60_000
-	require.NoError(t, h.Send(late))
-	require.NoError(t, h.Send(inTime))
-	time.Sleep(time.Until(late.Until)) // the time that is to pass
-	close(up)
-	need.Soon(t, func() bool { return len(done) == 1 })
-	r := <-done
-	assert.Equal(t, upstream.NotWritten, r.Stage)
-	assert.ErrorIs(t, r.Err, upstream.ErrOvertaken)
-	assert.Regexp(t, `^REQ intime queue=s,path=o,blk=0,budget=\d{4} 0$`, accepted(t, l).line())
+	for name, tt := range map[string]struct {
+		bound  func(f *upstream.Forward, until time.Time)
+		budget string // of what goes out, with 10 s left and 60 asked for
+	}{
+		"its client's time": {func(f *upstream.Forward, until time.Time) { f.Until = until }, `\d{4}`},
+		"a repeat's time":   {func(f *upstream.Forward, until time.Time) { f.Before = until }, "60000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, o := need.Listener(t), options(t)
+			o.PerHost.Store(1)
+			up := rig.HoldDials(o)
+			h := upstream.New(l.Addr().String(), o, 0)
+			late, done := forward("late", "")
+			over := time.Now().Add(20 * time.Millisecond)
+			tt.bound(late, over)
+			inTime, _ := forward("intime", "")
+			inTime.Request.Budget = 60_000
+			tt.bound(inTime, time.Now().Add(10*time.Second))
+			require.NoError(t, h.Send(late))
+			require.NoError(t, h.Send(inTime))
+			time.Sleep(time.Until(over)) // the time that is to pass
+			close(up)
+			need.Soon(t, func() bool { return len(done) == 1 })
+			r := <-done
+			assert.Equal(t, upstream.NotWritten, r.Stage)
+			assert.ErrorIs(t, r.Err, upstream.ErrOvertaken)
+			p := accepted(t, l)
+			assert.Regexp(t, `^REQ intime queue=s,path=o,blk=0,budget=`+tt.budget+` 0$`, p.line())
+			assert.Zero(t, p.in.Buffered(), "nothing else comes")
+		})
+	}
 }
 
 // What waits behind another is given up, by its client or as the answer to a forward before it comes first: the host never hears of it.
