--- a/review/1/main.go
+++ b/review/1/main.go
@@ -59,7 +59,7 @@
 			return ""
 		}
 		time.Sleep(work)
-		return standin.Answer(a.ID, "HIT", fmt.Sprintf("rev=%s,since=%d,detail=mem", object, time.Now().Add(-time.Minute).UnixMilli()), "bytes of "+object)
+		return standin.Answer(a.ID, "HIT", fmt.Sprintf("rev=%s,since=%d,detail=mem", object, stand.Stamp(time.Now().Add(-time.Minute))), "bytes of "+object)
 	}
 }
 
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -88,7 +88,7 @@
 			w.copies[number][name] = since
 		}
 		w.book(number, a, name, since, now)
-		return standin.Answer(a.ID, "HIT", fmt.Sprintf("rev=%016x,since=%d,detail=%s", since.UnixMilli(), since.UnixMilli(), detail), "copy of "+since.Format(time.RFC3339Nano))
+		return standin.Answer(a.ID, "HIT", fmt.Sprintf("rev=%016x,since=%d,detail=%s", stand.Stamp(since), stand.Stamp(since), detail), "copy of "+since.Format(time.RFC3339Nano))
 	}
 }
 
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -318,5 +318,11 @@
 
 // Purge is an event of the change log that purges an object.
 func Purge(seq int, object string) string {
-	return fmt.Sprintf(`{"seq":%d,"invalidate":{"object":%q,"time":%d}}`, seq, object, time.Now().UnixMilli())
+	return fmt.Sprintf(`{"seq":%d,"invalidate":{"object":%q,"time":%d}}`, seq, object, Stamp(time.Now()))
 }
+
+// epoch is where the stamps of the protocol begin.
+var epoch = time.Date(1970, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// Stamp is a time as the protocol writes it: the Unix millisecond.
+func Stamp(t time.Time) int64 { return t.Sub(epoch).Milliseconds() }
