--- a/review/1/main.go
+++ b/review/1/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,14 +113,13 @@
 // client asks for an object, and once more after each answer that promises that this is harmless.
 func (w *world) client(p *proxy.Proxy, object string, t *tally) {
 	for try := 1; try <= tries; try++ {
+		before := w.ranSoFar(object)
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 		o := p.Do(ctx, "/ficha/"+object, proxy.None)
 		cancel()
-		w.mu.Lock()
-		ran := append([]string(nil), w.runs[object]...)
-		w.mu.Unlock()
+		ran := w.ranSoFar(object)
 		w.Say("client: object %s, try %d: status %d, retry-after %q, error %v; ran so far: %v", object, try, o.Status, o.Headers["retry-after"], o.Err, ran)
-		t.count(o.Status, len(ran))
+		t.count(o.Status, len(ran)-len(before))
 		if o.Status != shed {
 			return
 		}
@@ -127,6 +127,14 @@
 	}
 }
 
+// ranSoFar is the runs for an object.
+func (w *world) ranSoFar(object string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.runs[object])
+}
+
+// count books a GET: its answer, and how often caches have run it by then. What a client's further try gets is judged by itself.
 func (t *tally) count(status, ran int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -170,7 +178,7 @@
 	if t.returned < gets/2 {
 		return false, errors.New("fewer than half of the GETs were returned")
 	}
-	return t.shedAfterRun > 0 || t.ranTwice > 0, nil
+	return t.shedAfterRun > 0, nil // that an object ran twice is what comes of it
 }
 
 func main() { stand.Run(play) }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -92,12 +92,12 @@
 }
 
 // get is one GET of a client, by way of the proxy, which comes again where the dispatcher says that it may.
-func (w *world) get(p *proxy.Proxy, object string) (status int) {
+func (w *world) get(p *proxy.Proxy, object string) (status int, sent bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	o := p.Do(ctx, "/pages/"+object, proxy.None)
 	w.Say("client: object %s: status %d after %d calls of the dispatcher, sent to %v, error %v", object, o.Status, o.Calls, o.Hosts, o.Err)
-	return o.Status
+	return o.Status, len(o.Hosts) > 0
 }
 
 func play(c *stand.Case) (broken bool, err error) {
@@ -117,13 +117,13 @@
 	for i := range gets {
 		object := fmt.Sprintf("%016x", 0x7f3a9c21e0b40000+i)
 		all.Go(func() {
-			status := w.get(p, object)
+			status, sent := w.get(p, object)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			switch status {
-			case shed:
+			switch {
+			case status == shed && sent: // each cache that is sent to runs the GET and answers 200
 				shedAfterRun++
-			case 200:
+			case status == 200:
 				returned++
 			}
 		})
