Front for proxies: no shed and no pass once a GET that must not run twice may have run

Cause: `choice` in internal/extproc gave whatever was not there after `decide` the operator's `late`, whether or not a forward was out. In mode 'immediate' the whole fetch is waited for there. It was a decision in an adapter; the router was told that the client had gone.

Change: the front answers by itself only until a forward of a GET that must not run twice begins. The dispatcher asks it just before the first byte (call.Committer), under the lock that the front's own answer takes, so one of the two comes first. From then on the router answers as at the deadline (Router.GiveUp): 503 if none ran, 504 if one may have, and 504 after 25 ms where its shard stands still. Idempotent GETs have the operator's choice as before. Why this works: what may have run is decided by the router alone, and no forward begins behind an answer.

The same cause on related paths, mended here: a response that is not judged in its time (mode 'routing', shards), a further call that is decided late, also with late 'pass', and a further call in a drain, which goes on with its GET or gets 504 where that is over. In shards the proof of a response was handed out before the router had dealt with it; the front now waits for the router, within `decide`.

--- a/core/proxycall/calls.go
+++ b/core/proxycall/calls.go
@@ -45,6 +45,9 @@
 	// DefaultDecisionTimeout is the time in seconds that a decision may take. Decisions take microseconds, so
 	// a longer delay means that the machine is overloaded.
 	DefaultDecisionTimeout = 0.005
+	// AnswerTimeout is the time in seconds for which the router's answer to a GET is waited for whose decision
+	// is late. It takes microseconds, so a longer delay means that the shard is stalled.
+	AnswerTimeout = 0.025
 	// DefaultViewerTimeout is the maximum time in seconds that a client waits if none is configured.
 	DefaultViewerTimeout = 1.5
 )
--- a/core/routing/retry_test.go
+++ b/core/routing/retry_test.go
@@ -88,3 +88,34 @@
 		assert.Len(t, rec.attempts, 2, "once the first attempt is back the request is retried in any case")
 	}
 }
+
+// A front that can't wait any longer must not be told that a repeat is harmless while an attempt may be executed.
+func TestGiveUpTellsWhatMayHaveRun(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		idempotency Idempotency
+		scope       DedupScope
+		first       Outcome
+		shed        bool
+	}{
+		{"idempotent, outstanding: shed", Idempotent, AllHosts, noResponse, true},
+		{"non-idempotent, outstanding: failed", NonIdempotent, AllHosts, noResponse, false},
+		{"non-idempotent, never ran, its retry outstanding: failed", NonIdempotent, AllHosts, Unreachable, false},
+		{"keyed, all hosts deduplicate: shed", IdempotencyKeyed, AllHosts, noResponse, true},
+		{"keyed, its zone deduplicates: failed", IdempotencyKeyed, SameZone, noResponse, false},
+	} {
+		r, rec := newCluster(func(s *Settings) {
+			s.Services[0].Idempotency, s.Services[0].DedupScope = tt.idempotency, tt.scope
+		})
+		submit(r, 1, 7, "a")
+		if tt.first != noResponse {
+			respond(r, 1.1, 7, 0, tt.first, NoNote)
+		}
+		assert.True(t, r.GiveUp(1.2, 7), tt.name)
+		answers := map[bool][]uint32{true: rec.shed, false: rec.failed}
+		assert.Equal(t, []uint32{7}, answers[tt.shed], tt.name)
+		assert.Empty(t, answers[!tt.shed], tt.name)
+		assert.False(t, r.GiveUp(1.3, 7), "%s: it has its answer", tt.name)
+		assert.False(t, r.GiveUp(1.3, 8), "%s: an unknown request", tt.name)
+	}
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -166,6 +166,18 @@
 	}
 }
 
+// GiveUp answers a request whose front can't wait for it any longer, as its deadline would: as rejected if it is
+// safe to repeat, otherwise as failed. It returns false if the request is unknown or finished.
+func (r *Router) GiveUp(now float64, id uint32) bool {
+	r.now = now
+	q := r.requests.byID[id]
+	if q == nil || q.finished {
+		return false
+	}
+	r.requests.giveUp(q)
+	return true
+}
+
 // FinishAll answers all open requests in the order of their IDs, which is the order of arrival. It is called
 // by a process that is about to exit and could not deliver later answers.
 func (r *Router) FinishAll(now float64) {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -25,6 +25,15 @@
 	Origin() uint64
 }
 
+// Committer is a Call whose front may answer by itself for as long as nothing of it has been sent. Calls that a proxy sends (Router) are committed by
+// the front, when it hands a route to the proxy.
+type Committer interface {
+	Call
+	// Commit asks whether an attempt may go out, just before its first byte. Once it has been true the front answers as the router decides, unless
+	// repeatable tells that a repeat does no harm. It is false once the front has answered. Any goroutine may ask, and is not held up.
+	Commit(repeatable bool) bool
+}
+
 // GET is what a front has read, in strings of its own.
 type GET struct {
 	Service, ID, Object string
--- a/internal/call/router.go
+++ b/internal/call/router.go
@@ -24,6 +24,7 @@
 	Budget                float64 // s; that the forward has
 	MaxAge                float64 // s; 0 for any
 	Join, Renew, HeldOnly bool
+	Repeatable            bool    // running it again does no harm
 	Before                float64 // on the node's clock; its first byte must be out by then
 	// Overtaken tells whether there is news that might forbid it, and that is to be heard first, or its time is over; nil for never.
 	Overtaken func() bool
--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -42,14 +42,14 @@
 		d.sendByProxy(a, out)
 		return
 	}
-	a.Overtaken = func() bool { return d.eventsPending() || g.clientGone() }
+	a.Overtaken = func() bool { return d.eventsPending() || g.clientGone() || !g.commit(!a.Once) }
 	a.Until = d.Clock.Time(g.deadline)
 	if out.SendBy > 0 {
 		a.Before = d.Clock.Time(out.SendBy)
 	}
 	// What can't be told apart from a first run must not be sent again: its connections are looked at, and
 	// chosen, with more care.
-	a.Once = d.Settings.Settings.Services[g.routed.Service].Idempotency != routing.Idempotent
+	a.Once = !d.repeatable(g)
 	a.Alone = !d.Settings.Hedging
 	if a.number > 0 {
 		a.Previous = &g.attempts[a.number-1].Forward
--- a/internal/dispatcher/client_gone.go
+++ b/internal/dispatcher/client_gone.go
@@ -1,11 +1,21 @@
 package dispatcher
 
-import "elderwall/core/routing"
+import (
+	"elderwall/core/routing"
+	"elderwall/internal/call"
+)
 
 // clientGone reports whether a request's client no longer waits, which may not have been
 // handled yet: it may be queued behind a stalled task. Any goroutine may ask.
 func (q *request) clientGone() bool { return !q.finishedFlag.Load() && !q.call.Open() }
 
+// commit asks the front of a request that is not over whether an attempt may go out: with a front that may
+// answer by itself, either its answer comes first or the attempt. Any goroutine may ask.
+func (q *request) commit(repeatable bool) bool {
+	front, answersByItself := q.call.(call.Committer)
+	return !answersByItself || q.finishedFlag.Load() || front.Commit(repeatable)
+}
+
 // withdrawnByClient handles that a client no longer waits from an attempt that was kept back for it; true if
 // that attempt has its end by this. Guards against further attempts for a client that has left, each of which
 // would be kept back too.
--- a/internal/dispatcher/coalescing.go
+++ b/internal/dispatcher/coalescing.go
@@ -2,7 +2,6 @@
 
 import (
 	"elderwall/core/coalescing"
-	"elderwall/core/routing"
 	"elderwall/internal/call"
 )
 
@@ -18,7 +17,7 @@
 // are sent by a proxy, or must not be executed twice are alone.
 func (d *Dispatcher) joinLeader(now float64, q *request) bool {
 	s := q.routed.Service
-	if d.coalescer == nil || s >= len(d.Coalesce) || !d.Coalesce[s] || d.Settings.Settings.Services[s].Idempotency != routing.Idempotent ||
+	if d.coalescer == nil || s >= len(d.Coalesce) || !d.Coalesce[s] || !d.repeatable(q) ||
 		q.hostRequest.Tag != "" || len(q.hostRequest.Body) > 0 {
 		return false
 	}
--- a/internal/dispatcher/proxy.go
+++ b/internal/dispatcher/proxy.go
@@ -13,6 +13,7 @@
 	r := call.Route{
 		Number: a.number, Host: h.name, Address: h.address, Rank: out.CachePriority, MaxAge: out.MaxAge, Join: out.Coalesce,
 		Renew: out.Revalidate, HeldOnly: out.CachedOnly, Budget: a.request.deadline - a.sentAt,
+		Repeatable: d.repeatable(a.request),
 	}
 	if out.Source != out.Host {
 		r.Source, r.SourceAddress = a.source.name, a.source.address
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -113,6 +113,21 @@
 	})
 }
 
+// AnswerNow answers a call whose front can't wait any longer, as the router decides.
+func (d *Dispatcher) AnswerNow(c call.Call) {
+	d.callRouter(func(now float64) {
+		q := d.byCall[c]
+		if q != nil && !d.router.GiveUp(now, q.id) {
+			actions{d}.Shed(q.id, 0) // it waits for another's attempt, as only an idempotent request does
+		}
+	})
+}
+
+// repeatable reports whether running a request again does no harm.
+func (d *Dispatcher) repeatable(q *request) bool {
+	return d.Settings.Settings.Services[q.routed.Service].Idempotency == routing.Idempotent
+}
+
 // expire ends all of a request at its viewer timeout. The router has answered it before, unless it broke.
 func (d *Dispatcher) expire(q *request) {
 	for _, a := range q.attempts {
--- a/internal/dispatcher/variants.go
+++ b/internal/dispatcher/variants.go
@@ -56,7 +56,7 @@
 // executed twice, go as they came. Whoever holds a copy may have it from another class: it is told of to a
 // host only where tags tell contents apart whatever the class.
 func (d *Dispatcher) chooseVariant(now float64, q *request, device string) {
-	if len(q.hostRequest.Body) > 0 || d.Settings.Settings.Services[q.routed.Service].Idempotency != routing.Idempotent {
+	if len(q.hostRequest.Body) > 0 || !d.repeatable(q) {
 		return
 	}
 	v, object, ok := d.Variants.Key(now, &q.routed, device)
--- a/internal/downstream/front.go
+++ b/internal/downstream/front.go
@@ -38,6 +38,14 @@
 	Ready() bool
 }
 
+// EarlyHandler is a Handler for fronts that may have to answer ahead of a call's deadline.
+type EarlyHandler interface {
+	Handler
+	// AnswerNow has a call answered that its front can't wait for any longer: as shed only if trying again is harmless, else as failed. The answer may
+	// come after AnswerNow has returned, and later still where a shard is stalled.
+	AnswerNow(c call.Call)
+}
+
 // Callers tells who is calling; without one nobody asks, and the service lacks the method identify.
 type Callers interface {
 	// Connected takes a connection, whose handshake is done, and says what is known of it.
--- a/internal/extensions/extras.go
+++ b/internal/extensions/extras.go
@@ -265,7 +265,7 @@
 	}
 	to.Log.Info().Str("listen", t.Listen).Bool("routing", o.Rules.Routing).Msg("listens for proxies")
 	return append(all, beside{&extproc.Server{
-		Options: o, Handler: to.Handler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
+		Options: o, Handler: to.EarlyHandler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
 		Room: to.Room, Clock: to.Clock,
 	}, l}), nil
 }
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -13,6 +13,9 @@
 const lookAgain = time.Millisecond // at a route that news has overtaken: a shard that does not stand still hears it in less
 
 // ask is one GET of a proxy, over as many streams as it takes.
+//
+// Its front may answer it by itself until a forward begins that must not run twice (Commit, or a route that a stream takes); from then on only the
+// router knows what the client may be told.
 type ask struct {
 	row    *proxycall.Call
 	get    call.GET
@@ -24,11 +27,13 @@
 	room      *memquota.Room // that the bytes of its answer hold
 	mark      atomic.Int32
 
-	mu     sync.Mutex
-	wake   chan struct{}
+	wake chan struct{}
+
+	mu     sync.Mutex   // guards what follows
 	routes []call.Route // that no stream has taken yet
 	final  *final
 	route  *call.Route // the one that is with the proxy
+	once   bool        // a forward of a GET that must not run twice has begun
 }
 
 // How far an ask has come to the handler.
@@ -69,6 +74,29 @@
 	a.signal()
 }
 
+// Commit is call.Committer: the dispatcher is about to send a forward.
+func (a *ask) Commit(repeatable bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.abandoned.Load() {
+		return false
+	}
+	a.once = a.once || !repeatable
+	return true
+}
+
+// withdraw ends a GET whose front answers by itself: no forward of it has begun or will begin, or running it again does no harm. It is false for any
+// other, and for one that has its answer. Guards against a promise of no effect for a GET that runs, or is about to.
+func (a *ask) withdraw() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.once || a.final != nil {
+		return false
+	}
+	a.abandoned.Store(true)
+	return true
+}
+
 // drop takes an answer that no stream will take, now or later. Guards against bytes that hold their room for good, until there is none left
 // for any answer.
 func (a *ask) drop() {
@@ -77,7 +105,7 @@
 	if a.final != nil {
 		a.room.Give(len(a.final.body))
 	}
-	a.final = &final{status: statusShed}
+	a.final = &final{status: statusFailed}
 }
 
 func (a *ask) signal() {
@@ -119,7 +147,10 @@
 // routed is an ask whose forwards the proxy sends.
 type routed struct{ *ask }
 
-var _ call.Router = routed{}
+var (
+	_ call.Committer = (*ask)(nil)
+	_ call.Router    = routed{}
+)
 
 // Route keeps a route until a stream of the GET takes it.
 func (r routed) Route(route call.Route) {
@@ -157,6 +188,7 @@
 		r := a.routes[0]
 		a.routes = a.routes[1:]
 		a.route = &r
+		a.once = a.once || !r.Repeatable
 		return &r, nil
 	}
 	return nil, nil
@@ -185,6 +217,33 @@
 	}
 }
 
+// answer waits for the final answer, by a time at the latest; nil if there is none by then.
+func (a *ask) answer(by time.Time) *final {
+	_, f := a.await(by, func(_ bool, f *final) bool { return f != nil })
+	return f
+}
+
+// settled waits until the router has dealt with the end of a forward, by a time at the latest: there is a route for a further call, or the final answer.
+func (a *ask) settled(by time.Time) (waits bool, f *final) {
+	return a.await(by, func(waits bool, f *final) bool { return waits || f != nil })
+}
+
+// await is more, once that is enough, or by a time at the latest.
+func (a *ask) await(by time.Time, enough func(waits bool, f *final) bool) (waits bool, f *final) {
+	timer := time.NewTimer(time.Until(by))
+	defer timer.Stop()
+	for {
+		if waits, f = a.more(); enough(waits, f) {
+			return waits, f
+		}
+		select {
+		case <-a.wake:
+		case <-timer.C:
+			return a.more()
+		}
+	}
+}
+
 // more tells whether a route waits for a further call of the proxy.
 func (a *ask) more() (waits bool, f *final) {
 	a.mu.Lock()
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -66,12 +66,19 @@
 const path = "/clips/7f3a9c21e0b4d655/3"
 
 func newRig(t testing.TB, change func(*Options), hosts ...string) *rig {
+	return newRigWith(t, change, func(*dispatcher.Config) {}, hosts...)
+}
+
+// newRigWith is newRig with changes to the dispatcher's configuration.
+func newRigWith(t testing.TB, change func(*Options), configure func(*dispatcher.Config), hosts ...string) *rig {
 	r := &rig{TB: t, sent: map[string]int{}}
 	o, end := rigs.Life(t)
 	s := rigs.Settings(100_000)
 	r.end, s.NoteDetail, s.MaxRetryAfter = end, routing.FillNotes, 1
 	s.Settings.Services[0].Objective, s.Settings.Services[0].ViewerTimeout = 1, 10
-	n := dispatcher.New(dispatcher.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 400})
+	config := dispatcher.Config{Settings: s, Clock: clock.New(), Options: o, Connections: 400}
+	configure(&config)
+	n := dispatcher.New(config)
 	r.handler = &paused{Dispatcher: n}
 	options := Options{Decide: 0.5, Calls: proxycall.Settings{HoldTime: 0.1, MaxProxyShare: 1, MaxOpen: 20_000}, Rules: rules()}
 	if change != nil {
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -62,7 +62,7 @@
 // Server serves proxies.
 type Server struct {
 	Options
-	Handler downstream.Handler
+	Handler downstream.EarlyHandler
 	Callers downstream.Callers // nil where nobody asks who is calling
 	Log     zerolog.Logger
 	Counts  *counters.Counters
@@ -175,7 +175,7 @@
 	}
 }
 
-// abandon gives up a GET that has had the operator's choice.
+// abandon gives up a GET that no answer of the router is waited for any more.
 func (s *Server) abandon(a *ask) {
 	a.abandoned.Store(true)
 	a.drop()
@@ -359,21 +359,30 @@
 	case err != nil:
 		st.Counts.Unusable.Add(1)
 		return st.Rules.immediate(&final{status: statusBad})
-	case st.closing.Load():
-		st.Counts.Shed.Add(1)
-		return st.Rules.immediate(&final{status: statusShed, wait: 1})
 	}
-	by := time.Now().Add(time.Duration(st.Decide * float64(time.Second)))
-	if asked.Again != 0 && st.again(asked) {
+	by := time.Now().Add(clock.Duration(st.Decide))
+	switch {
+	case asked.Again != 0 && st.again(asked): // it is open, also while the dispatcher drains
 		return st.decided(by)
-	}
-	if !st.first(asked) {
-		st.Counts.Shed.Add(1)
-		return st.Rules.immediate(&final{status: statusShed})
+	case st.closing.Load():
+		return st.refuse(asked, 1)
+	case !st.first(asked):
+		return st.refuse(asked, 0)
 	}
 	return st.decided(by)
 }
 
+// refuse answers a request that is not taken, whose client may come again after so many milliseconds if over 0. One that goes on with a GET which is not
+// known any more has failed: a forward of that may have run.
+func (st *stream) refuse(asked Asked, wait int64) *procv3.ProcessingResponse {
+	if asked.Again != 0 {
+		st.Counts.Errored.Add(1)
+		return st.Rules.immediate(&final{status: statusFailed})
+	}
+	st.Counts.Shed.Add(1)
+	return st.Rules.immediate(&final{status: statusShed, wait: wait})
+}
+
 // first puts a new GET in line; false if there is no place for it.
 func (st *stream) first(asked Asked) bool {
 	st.mu.Lock()
@@ -447,9 +456,12 @@
 	return st.Rules.sends(st.Rules.routeHeaders(route, a.row.ID, sendIn, time.Now()), st.Metadata, others...)
 }
 
-// choice is what the operator has chosen for what can't be decided in its time; the GET is given up.
+// choice answers a GET that was not decided in its time: what the operator has chosen where that does no harm, else what the router says.
 func (st *stream) choice(a *ask) *procv3.ProcessingResponse {
 	st.Counts.ProxyLate.Add(1)
+	if !a.withdraw() {
+		return st.answered(a, st.answerNow(a))
+	}
 	st.abandon(a)
 	st.ask = nil
 	if st.Open {
@@ -458,6 +470,21 @@
 	return st.Rules.immediate(&final{status: statusShed, wait: 1})
 }
 
+// answerNow has the router answer a GET; nil if it does not in its time.
+func (st *stream) answerNow(a *ask) *final {
+	st.Handler.AnswerNow(a.as)
+	return a.answer(time.Now().Add(clock.Duration(proxycall.AnswerTimeout)))
+}
+
+// answered says the router's answer to a GET; without one, nil, the GET has failed, as a forward of it may have run.
+func (st *stream) answered(a *ask, f *final) *procv3.ProcessingResponse {
+	if f == nil {
+		st.abandon(a)
+		f = &final{status: statusFailed}
+	}
+	return st.last(a, f)
+}
+
 // outcomes is what the module is told of a proof.
 var outcomes = map[proxycall.Outcome]routing.Outcome{
 	proxycall.Returned: routing.Succeeded, proxycall.HostError: routing.HostFailed,
@@ -495,29 +522,48 @@
 		proofs <- proof
 		return outcomes[proof], notes[got.note], proof != proxycall.Unknown
 	})
-	by := time.NewTimer(time.Duration(st.Decide * float64(time.Second)))
-	defer by.Stop()
+	by := time.Now().Add(clock.Duration(st.Decide))
+	timer := time.NewTimer(time.Until(by))
+	defer timer.Stop()
 	select {
 	case proof := <-proofs:
-		return st.proven(a, proof), nil
-	case <-by.C: // the GET is over, or the processor is slow: a copy that nobody has looked at may be too old
-		if _, f := a.more(); f != nil {
-			return st.last(a, f), nil
-		}
-		st.choice(a)
-		return st.Rules.immediate(&final{status: statusShed, wait: 1}), nil
+		return st.proven(a, proof, by), nil
+	case <-timer.C:
+		return st.unjudged(a, proofs), nil
+	}
+}
+
+// unjudged says what the client gets of a response that was not judged in its time, as the GET is over or the processor is slow: the copy may be too
+// old, and its host has run the GET.
+func (st *stream) unjudged(a *ask, proofs <-chan proxycall.Outcome) *procv3.ProcessingResponse {
+	if _, f := a.more(); f != nil {
+		return st.last(a, f)
+	}
+	st.Counts.ProxyLate.Add(1)
+	if a.withdraw() {
+		st.abandon(a)
+		st.ask = nil
+		return st.Rules.immediate(&final{status: statusShed, wait: 1})
+	}
+	f := st.answerNow(a)
+	select {
+	case proof := <-proofs: // it was judged meanwhile
+		return st.proven(a, proof, time.Now())
+	default:
+		return st.answered(a, f)
 	}
 }
 
-// proven says what the client gets of a response: the copy, the answer that the proxy may come again on, or the final one.
-func (st *stream) proven(a *ask, proof proxycall.Outcome) *procv3.ProcessingResponse {
+// proven says what the client gets of a response: the copy, the answer that the proxy may come again on, or the final one. A shard hands out the proof
+// before its router has dealt with it, which is waited for by a time at the latest.
+func (st *stream) proven(a *ask, proof proxycall.Outcome, by time.Time) *procv3.ProcessingResponse {
 	if proof == proxycall.Returned {
 		st.over(a)
 		st.ask = nil
 		return continueResponse(mutation(nil, st.Rules.Prefix+"again"))
 	}
 	st.ask = nil // a further call's stream has it from now on, or the hold
-	waits, f := a.more()
+	waits, f := a.settled(by)
 	switch {
 	case f != nil:
 		return st.last(a, f)
--- a/internal/multicore/cores.go
+++ b/internal/multicore/cores.go
@@ -222,6 +222,13 @@
 	}
 }
 
+// AnswerNow has the shard that has a GET answer it.
+func (g *Group) AnswerNow(c call.Call) {
+	if m := (*g.members.Load())[c.Marked()]; m != nil {
+		m.AnswerNow(c)
+	}
+}
+
 // Resize goes on with another number of shards. Those that are new know the list and the purges before any GET comes to
 // them; those that are too many get none any more, end what they have, and go.
 func (g *Group) Resize(n int) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -71,7 +71,7 @@
 
 // Handling is what a front needs of the service.
 type Handling struct {
-	downstream.Handler
+	downstream.EarlyHandler
 	Callers downstream.Callers // nil where nobody asks who is calling
 	Log     zerolog.Logger
 	Counts  *counters.Counters
@@ -98,7 +98,7 @@
 
 // core is what GETs are handed to: one node, or several as shards.
 type core interface {
-	downstream.Handler
+	downstream.EarlyHandler
 	Run(ctx context.Context) error
 	Take(e changelog.Event)
 	Drain()
@@ -301,7 +301,7 @@
 	if s.extension == nil {
 		return nil
 	}
-	to := Handling{Handler: s.core, Log: s.log, Counts: s.counts, Room: r, Clock: c}
+	to := Handling{EarlyHandler: s.core, Log: s.log, Counts: s.counts, Room: r, Clock: c}
 	if gate != nil {
 		to.Callers = gate
 	}
