SIGHUP: a fault in the operator's file holds back nothing of the platform's configuration

Callers saw: the operator's file had been edited, with a unit left off a number; then the platform moved the change log and sent SIGHUP.

Cause: `reload` (internal/service) read the operator's file and the platform's configuration and put them in force in one go. An error of the first returned before the second was taken; so did a sound file that asks for what only a restart changes. The other way round an unusable platform's file kept the operator's from being read, such as the revocation of a key.

Change: the platform's configuration is taken first and for itself, then the operator's file, once a signal, whole or not at all. Each has its own warning. Why this works: nothing that the operator's file does comes before the follower is told of the new address.

--- a/internal/extensions/extras.go
+++ b/internal/extensions/extras.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -282,7 +283,46 @@
 	}
 }
 
-var errTurned = errors.New("operator's file: callers, the listeners for TLS and for proxies, the fleet, its memory and variants are turned on, off or moved by a restart alone")
+// ErrRestart is wrapped with the keys that only a restart changes, where a file that is read again changes one.
+var ErrRestart = errors.New("turned on, off or moved by a restart alone")
+
+// restartKeys names the keys of an operator's file that differ and that only a restart changes.
+func restartKeys(was, to *operator.Config) (keys []string) {
+	type change struct {
+		key     string
+		differs bool
+	}
+	changes := []change{
+		{"callers", (was.Callers == nil) != (to.Callers == nil)},
+		{"tls", (was.TLS == nil) != (to.TLS == nil)},
+		{"proxies", (was.Proxies == nil) != (to.Proxies == nil)},
+		{"fleet", (was.Fleet == nil) != (to.Fleet == nil)},
+		{"fleet.variants", !reflect.DeepEqual(was.Variants, to.Variants)},
+	}
+	if a, b := was.TLS, to.TLS; a != nil && b != nil {
+		changes = append(changes, change{"tls.listen", a.Listen != b.Listen})
+	}
+	if a, b := was.Proxies, to.Proxies; a != nil && b != nil {
+		changes = append(changes,
+			change{"proxies.listen", a.Listen != b.Listen},
+			change{"proxies.tls", (a.Material == nil) != (b.Material == nil)})
+	}
+	if a, b := was.Fleet, to.Fleet; a != nil && b != nil {
+		changes = append(changes,
+			change{"fleet.listen", a.Listen != b.Listen},
+			change{"fleet.zone", a.Zone != b.Zone},
+			change{"fleet.key", (a.Keys == nil) != (b.Keys == nil)},
+			change{"fleet.budgets", (a.Budgets == nil) != (b.Budgets == nil)},
+			change{"fleet.memory", !reflect.DeepEqual(a.Memory, b.Memory)},
+			change{"fleet.channels", !reflect.DeepEqual(a.Channels, b.Channels)})
+	}
+	for _, c := range changes {
+		if c.differs {
+			keys = append(keys, c.key)
+		}
+	}
+	return keys
+}
 
 // Read reads the file again, and gives what puts it in force.
 func (e *Extras) Read() (take func(zerolog.Logger) error, err error) {
@@ -296,14 +336,8 @@
 	if e.cores > 0 {
 		to.Cores.Count, to.Cores.Shards = e.cores, e.cores
 	}
-	was := e.told
-	if (was.Callers == nil) != (to.Callers == nil) || (was.TLS == nil) != (to.TLS == nil) ||
-		was.TLS != nil && was.TLS.Listen != to.TLS.Listen || (was.Proxies == nil) != (to.Proxies == nil) ||
-		(was.Fleet == nil) != (to.Fleet == nil) || !reflect.DeepEqual(was.Variants, to.Variants) ||
-		was.Fleet != nil && ((was.Fleet.Budgets == nil) != (to.Fleet.Budgets == nil) || (was.Fleet.Memory == nil) != (to.Fleet.Memory == nil) || !reflect.DeepEqual(was.Fleet.Channels, to.Fleet.Channels) ||
-			was.Fleet.Memory != nil && *was.Fleet.Memory != *to.Fleet.Memory || was.Fleet.Listen != to.Fleet.Listen || was.Fleet.Zone != to.Fleet.Zone || (was.Fleet.Keys == nil) != (to.Fleet.Keys == nil)) ||
-		was.Proxies != nil && (was.Proxies.Listen != to.Proxies.Listen || (was.Proxies.Material == nil) != (to.Proxies.Material == nil)) {
-		return nil, errTurned
+	if keys := restartKeys(e.told, to); len(keys) > 0 {
+		return nil, fmt.Errorf("%s: %s: %w", e.path, strings.Join(keys, ", "), ErrRestart)
 	}
 	return func(log zerolog.Logger) error { return e.take(log, to) }, nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -391,7 +391,7 @@
 				s.logCounts()
 			case which == syscall.SIGHUP:
 				s.rereading = rereading{}
-				s.reload(read)
+				s.reload(read, s.extend)
 			case drained == nil:
 				drained = make(chan bool)
 				plan := planShutdown(s.config.longest())
@@ -402,7 +402,7 @@
 				}()
 			}
 		case <-s.rereading.due:
-			s.reload(read)
+			s.reload(read, func() {})
 		case <-drained:
 			return
 		case <-ctx.Done():
@@ -414,27 +414,36 @@
 	}
 }
 
-// reload reads the configuration and the operator's file again and hands on what changed; with unusable ones the old
-// ones serve on.
-func (s *service) reload(read func() (*Config, error)) {
+// reload reads the platform's configuration again and puts what can change in force; with an unusable one the old one serves on. Only then extend reads
+// the operator's file. Guards against a fault there, or a slow evaluation, that keeps a change log that has moved from being followed.
+func (s *service) reload(read func() (*Config, error), extend func()) {
 	to, err := read()
-	if err != nil && s.rereading.wait() {
-		s.log.Info().Err(err).Msg("new configuration can't be read, it is read again soon")
-		return
-	}
-	s.rereading = rereading{}
-	if err == nil {
-		err = s.extend()
-	}
 	if err != nil {
-		s.log.Warn().Err(err).Msg("new configuration can't be used, the old one stays")
+		s.keepConfig(err)
+		extend()
 		return
 	}
+	s.rereading = rereading{}
 	moved, kept := s.config.reload(to)
+	if moved {
+		s.followMoved()
+	}
+	extend()
 	s.log.Info().Bool("changelogMoved", moved).Strs("needsRestart", kept).Msg("configuration read again")
-	if !moved {
+}
+
+// keepConfig has a configuration that can't be read read again soon, or goes on with the old one.
+func (s *service) keepConfig(err error) {
+	if s.rereading.wait() {
+		s.log.Info().Err(err).Msg("new configuration can't be read, it is read again soon")
 		return
 	}
+	s.rereading = rereading{}
+	s.log.Warn().Err(err).Msg("new configuration can't be used, the old one stays")
+}
+
+// followMoved has the change log followed at its new address.
+func (s *service) followMoved() {
 	select {
 	case <-s.moves: // not taken up yet, and overtaken
 	default:
@@ -443,19 +452,20 @@
 }
 
 // extend reads the operator's file again and puts it in force, or nothing of it.
-func (s *service) extend() error {
+func (s *service) extend() {
 	if s.extension == nil {
-		return nil
+		return
 	}
 	take, err := s.extension.Read()
 	if err == nil {
 		err = take(s.log)
 	}
-	if err == nil {
-		s.fronts.review()
-		s.resize(s.extension.Cores())
+	if err != nil {
+		s.log.Warn().Err(err).Msg("operator's file can't be used, the old one stays")
+		return
 	}
-	return err
+	s.fronts.review()
+	s.resize(s.extension.Cores())
 }
 
 // resize goes on with another number of shards; between one module and several only a restart changes.
