Front for proxies: a copy that a purge made too old is no proof that the GET never ran

Callers saw: with a front in mode 'routing' a cache answered 200 to a GET of a non-idempotent class, from a copy that a purge had made too old meanwhile.

Cause: the table `outcomes` of internal/extproc told the router of a copy that can't be used as Rejected, which proves that the attempt was never executed. core/routing had no outcome for an answer that has run, is of no use, and is no fault of its host.

Change: routing.UnusableCopy. It may have run; it is no failure of the host and is not charged to the retry budget. The older copy does not go out, as before. A further call that is offered, but need not come, goes with 503 only where a repeat does no harm, else with 504. New counter OldCopy, which tells such answers from rejections. Why this works: the router is told no more than what the response proves.

internal/counters' list of names has the new one; nothing else there changes.

Measured: before the fix TestACopyThatAPurgeMadeOldHasRun fails for non-idempotent and keyed classes, with one module and with a shard; it passes after it.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -11,6 +11,7 @@
 	TimedOut               // the host did not answer in time
 	ConnectionLost         // the connection broke after the request had been sent completely
 	Canceled               // by the router
+	UnusableCopy           // the host answered, but the client must not get its copy; that is no failure of the host
 	Rejected               // by the host, or because this process lacks resources
 	Unreachable            // no connection could be made, or it broke before the request had been sent completely
 	ArrivedLate            // the host dropped the request without executing it because too little time was left
--- a/core/routing/host_result.go
+++ b/core/routing/host_result.go
@@ -10,7 +10,7 @@
 		r.observeSuccess(q, a)
 	case HostFailed, ConnectionLost, Unreachable, TimedOut:
 		r.observeFailure(q, a)
-	case Rejected, NotCached:
+	case Rejected, NotCached, UnusableCopy:
 		sourceMissed := a.result.Outcome == NotCached && a.hasFillSource()
 		if !a.result.Note.blamesSource() && !sourceMissed {
 			q.avoid(a.host)
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -69,7 +69,8 @@
 }
 
 // lastAttemptFailed reports whether the last attempt failed at a host. An attempt that was rejected, or that
-// only looked up the object in a cache, does not count, as it used no resources of the host.
+// only looked up the object in a cache, does not count, as it used no resources of the host, nor does one whose
+// copy could not be used, as that is no failure of the host.
 func (q *request) lastAttemptFailed() bool {
 	if len(q.attempts) == 0 {
 		return false
@@ -78,7 +79,7 @@
 	if a.abandoned {
 		return true
 	}
-	return a.returned && !a.result.Outcome.costsNothing()
+	return a.returned && !a.result.Outcome.costsNothing() && a.result.Outcome != UnusableCopy
 }
 
 // attemptsSent returns the number of attempts, without those that were withdrawn.
--- a/core/routing/retry_test.go
+++ b/core/routing/retry_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"elderwall/core/routing/retrybudget"
 )
 
 // Guards against a retry that arrives after hosts have stopped recognizing repeats. If hosts recognize
@@ -55,6 +57,10 @@
 		{"keyed, its zone deduplicates: retried there", IdempotencyKeyed, SameZone, ConnectionLost, 0.1, "retried"},
 		{"keyed, alone in the cell that deduplicates: failed", IdempotencyKeyed, SameCell, ConnectionLost, 0.1, "failed"},
 		{"keyed, not executed: retried in any cell", IdempotencyKeyed, SameCell, Unreachable, 0.1, "retried"},
+		{"idempotent, answered by an unusable copy: retried", Idempotent, AllHosts, UnusableCopy, 0.1, "retried"},
+		{"non-idempotent, answered by an unusable copy: failed", NonIdempotent, AllHosts, UnusableCopy, 0.1, "failed"},
+		{"keyed, answered by an unusable copy, its zone deduplicates: retried there", IdempotencyKeyed, SameZone, UnusableCopy, 0.1, "retried"},
+		{"keyed, answered by an unusable copy, alone in the cell that deduplicates: failed", IdempotencyKeyed, SameCell, UnusableCopy, 0.1, "failed"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, rec := newCluster(func(s *Settings) {
@@ -89,6 +95,23 @@
 	}
 }
 
+// A host whose copies a purge has made too old must not be ejected for them, and a retry after one must not be
+// charged to the retry budget: the host did not fail.
+func TestUnusableCopyIsNoFailureOfItsHost(t *testing.T) {
+	r, rec := newCluster(func(s *Settings) { s.Retries = retrybudget.Settings{Share: 0.001, Floor: 0.001} })
+	for id := range uint32(20) {
+		now := 1 + float64(id)
+		submit(r, now, id, "a")
+		first := rec.last()
+		respond(r, now+0.1, id, 0, UnusableCopy, CacheHit)
+		require.NotEqual(t, first.Host, rec.last().Host, "request %d is retried at another host", id)
+		respond(r, now+0.2, id, 1, Succeeded, CacheHit)
+	}
+	assert.Empty(t, rec.events, "no host is ejected")
+	assert.Empty(t, rec.shed)
+	assert.Empty(t, rec.failed)
+}
+
 // A front that can't wait any longer must not be told that a repeat is harmless while an attempt may be executed.
 func TestGiveUpTellsWhatMayHaveRun(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -35,6 +35,7 @@
 	None              atomic.Int64 `name:"None"`              // ended by an answer
 	Full              atomic.Int64 `name:"Full"`              // ended by an answer
 	Fault             atomic.Int64 `name:"Fault"`             // ended by an answer
+	OldCopy           atomic.Int64 `name:"OldCopy"`           // ended by an answer that a proxy told of and whose copy the client must not get
 	Late              atomic.Int64 `name:"Late"`              // ended by an answer
 	Unnamed           atomic.Int64 `name:"Unnamed"`           // ended by VALID for a copy that the GET did not bring
 	Unreached         atomic.Int64 `name:"Unreached"`         // broken off: not written
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -18,7 +18,7 @@
 var names = []string{
 	"GETs", "Unusable", "GivenUp", "Returned", "Unchanged", "Shed", "Errored", "OverFleet", "NotNamed", "Denied", "OverShare",
 	"OverLevel", "Unchecked", "SignatureChecks", "GateShed", "GateErrored", "Unsent", "Forwards", "Stopped", "Hit", "Valid", "None",
-	"Full", "Fault", "Late", "Unnamed", "Unreached", "PartlyWritten", "Unanswered", "AnswerCut", "Expired", "NoPlace", "MovedSlots",
+	"Full", "Fault", "OldCopy", "Late", "Unnamed", "Unreached", "PartlyWritten", "Unanswered", "AnswerCut", "Expired", "NoPlace", "MovedSlots",
 	"HotItems", "Recalled", "Behind", "Overdue", "Rebuilt", "Lists", "Purges", "PurgesLearned", "ClientConnections",
 	"HostConnections", "Handshakes", "HostGaveWay", "DialsHeld", "Joined", "TookLead", "Rewritten", "Turned", "ProxyCalls",
 	"ProxyPassed", "ProxyAgain", "ProxyLate", "ProxyHeld", "GaveWay", "ClientBytesIn", "ClientBytesOut", "HostBytesIn",
--- a/internal/dispatcher/proxy.go
+++ b/internal/dispatcher/proxy.go
@@ -63,6 +63,8 @@
 		return &c.Hit
 	case routing.HostFailed:
 		return &c.Fault
+	case routing.UnusableCopy:
+		return &c.OldCopy
 	case routing.Rejected:
 		return &c.Full
 	case routing.NotCached:
--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -97,6 +97,13 @@
 	return true
 }
 
+// ranOnce tells whether a forward of a GET that must not run twice has begun.
+func (a *ask) ranOnce() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.once
+}
+
 // drop takes an answer that no stream will take, now or later. Guards against bytes that hold their room for good, until there is none left
 // for any answer.
 func (a *ask) drop() {
--- a/internal/extproc/late_test.go
+++ b/internal/extproc/late_test.go
@@ -231,3 +231,32 @@
 		}
 	}
 }
+
+// A purge makes a copy too old while a cache is at work: guards against taking the cache's answer for proof that the GET never ran.
+func TestACopyThatAPurgeMadeOldHasRun(t *testing.T) {
+	for effect, want := range map[routing.Idempotency]struct{ status, calls, unaided int }{
+		routing.NonIdempotent:    {statusFailed, 1, statusFailed},
+		routing.IdempotencyKeyed: {statusOK, 2, statusFailed}, // hosts know the repeat; without it nothing is promised
+		routing.Idempotent:       {statusOK, 2, statusShed},
+	} {
+		for name, module := range map[string]func(*dispatcher.Config){"one module": whole, "a shard": sharded} {
+			t.Run(fmt.Sprint("effect ", effect, ", ", name), func(t *testing.T) {
+				r := newRigWith(t, nil, serves(effect, module))
+				r.answer = func(_ string, h map[string]string) proxy.Answer {
+					if h["x-elderwall-forward"] == "0" {
+						r.handler.Take(rigs.Purge(rigs.Object))
+						return proxy.Answer{Status: 200, Headers: map[string]string{"age": "100"}}
+					}
+					return proxy.Answer{Status: 200, Headers: map[string]string{"age": "0"}}
+				}
+				o := r.one(proxy.None)
+				assert.Equal(t, []any{nil, want.status, 1, want.calls, want.calls}, []any{o.Err, o.Status, o.Answers, o.Calls, len(o.Hosts)})
+				assert.Equal(t, []int64{1, 0}, []int64{r.Counts.OldCopy.Load(), r.Counts.Full.Load()})
+				p := r.proxy()
+				p.Tries = 1 // one that does not come again
+				assert.Equal(t, want.unaided, p.Do(t.Context(), path, proxy.None).Status)
+				r.quiet()
+			})
+		}
+	}
+}
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -487,8 +487,8 @@
 
 // outcomes is what the module is told of a proof.
 var outcomes = map[proxycall.Outcome]routing.Outcome{
-	proxycall.Returned: routing.Succeeded, proxycall.HostError: routing.HostFailed,
-	proxycall.HostFull: routing.Rejected, proxycall.StaleCopy: routing.Rejected, proxycall.NotCached: routing.NotCached, proxycall.NotSent: routing.Unreachable,
+	proxycall.Returned: routing.Succeeded, proxycall.HostError: routing.HostFailed, proxycall.StaleCopy: routing.UnusableCopy,
+	proxycall.HostFull: routing.Rejected, proxycall.NotCached: routing.NotCached, proxycall.NotSent: routing.Unreachable,
 	proxycall.Abandoned: routing.ConnectionLost,
 }
 
@@ -570,7 +570,7 @@
 	case waits && proof != proxycall.StaleCopy:
 		return continueResponse(mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}}))
 	case waits: // the copy itself must not go out
-		out := st.Rules.immediate(&final{status: statusShed})
+		out := st.Rules.immediate(&final{status: map[bool]int{false: statusShed, true: statusFailed}[a.ranOnce()]})
 		out.GetImmediateResponse().Headers = mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}})
 		return out
 	}
