Test: AnswerNow reaches the shard that has the GET, also one that waits for another's attempt

Need: the front for proxies asks for an answer ahead of a GET's deadline; with several shards the request for it must find the right one, and a GET that waits for another's attempt is not known to the router.

Change: TestAnswerNowReachesTheShardOfItsGET, with two shards: failed where an attempt may be executed that must not be twice, rejected where a repeat does no harm, one answer each, and nothing held afterwards.

--- a/internal/multicore/cores_test.go
+++ b/internal/multicore/cores_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"elderwall/core/routing"
 	"elderwall/core/sharding"
 	"elderwall/internal/call"
 	"elderwall/internal/clock"
@@ -372,3 +373,52 @@
 	got := r.read(c)
 	assert.Equal(t, []any{held, "served"}, []any{got.Seq, got.Kind})
 }
+
+// markedCall is a call of no connection that keeps the number of its shard.
+type markedCall struct {
+	*rigs.Call
+	shard atomic.Int32
+}
+
+func (c *markedCall) Mark(shard int, _ time.Time) { c.shard.Store(int32(shard)) }
+
+func (c *markedCall) Marked() int { return int(c.shard.Load()) }
+
+// A front that can't wait any longer is answered by the shard that has its GET: as failed where an attempt may be executed that must not be twice, as
+// rejected where a repeat does no harm, also for one that waits for another's attempt.
+func TestAnswerNowReachesTheShardOfItsGET(t *testing.T) {
+	for name, tt := range map[string]struct {
+		idempotency routing.Idempotency
+		want        string
+	}{
+		"may be executed, and must not be twice": {routing.NonIdempotent, "failed"},
+		"a repeat does no harm":                  {routing.Idempotent, "refused"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, sharding.ByItem, 1, func(c *dispatcher.Config) {
+				c.Settings.Settings.Services[0].Idempotency, c.Coalesce = tt.idempotency, []bool{true}
+			})
+			wait := r.hosts.Hold()
+			defer close(wait)
+			ask := func(shard int, id string) *markedCall {
+				c := &markedCall{Call: rigs.NewCall(r.server.Room)}
+				r.Process(c, call.GET{Service: "segment", ID: id, Object: r.of(shard), PartText: "0", Budget: 5})
+				return c
+			}
+			for shard := range 2 {
+				before, _ := r.hosts.Count()
+				leader, other := ask(shard, fmt.Sprint("lead-", shard)), ask(shard, fmt.Sprint("other-", shard))
+				need.Soon(t, func() bool { now, _ := r.hosts.Count(); return now > before })
+				for _, c := range []*markedCall{other, leader} {
+					r.AnswerNow(c)
+					assert.Equal(t, tt.want, <-c.Got)
+				}
+				r.AnswerNow(leader)
+				assert.EqualValues(t, 1, leader.N.Load(), "one that has its answer gets no other")
+			}
+			r.settled(0)
+			r.settled(1)
+			assert.Zero(t, r.together.Open.Load())
+		})
+	}
+}
