--- a/internal/extproc/call.go
+++ b/internal/extproc/call.go
@@ -23,7 +23,7 @@
 	origin uint64
 
 	entered   atomic.Int32   // how far it has come to the handler
-	abandoned atomic.Bool    // the operator's choice went out before its decision
+	abandoned atomic.Bool    // no answer of the router is waited for any more
 	room      *memquota.Room // that the bytes of its answer hold
 	mark      atomic.Int32
 
@@ -38,10 +38,10 @@
 
 // How far an ask has come to the handler.
 const (
-	inLine int32 = iota
-	entering
-	passedBy // its time was over before its turn came
-	taken
+	queued  int32 = iota
+	handing       // Process is called
+	skipped       // its time was over before its turn came
+	handed        // Process has returned
 )
 
 // final is the one answer that is not a route.
