--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -370,16 +370,31 @@
 	switch {
 	case f != nil:
 		return st.finish(a, f)
-	case waits && proof != proxycall.StaleCopy:
-		return continueResponse(mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}}))
-	case waits: // the copy itself must not go out
-		out := st.Rules.immediate(&final{status: map[bool]int{false: statusShed, true: statusFailed}[a.ranOnce()]})
-		out.GetImmediateResponse().Headers = mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}})
-		return out
+	case waits && proof == proxycall.StaleCopy:
+		return st.withoutCopy(a)
+	case waits:
+		return continueResponse(st.again(a))
 	}
 	return st.Rules.immediate(&final{status: statusFailed})
 }
 
+// withoutCopy answers in place of a copy that must not go out, for a proxy that may come again; a client whose proxy does not is promised no more than
+// holds.
+func (st *stream) withoutCopy(a *ask) *procv3.ProcessingResponse {
+	f := &final{status: statusShed}
+	if a.ranOnce() {
+		f.status = statusFailed
+	}
+	out := st.Rules.immediate(f)
+	out.GetImmediateResponse().Headers = st.again(a)
+	return out
+}
+
+// again is the header by which a proxy may come again.
+func (st *stream) again(a *ask) *procv3.HeaderMutation {
+	return mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}})
+}
+
 // finish ends a GET with its final answer.
 func (st *stream) finish(a *ask, f *final) *procv3.ProcessingResponse {
 	st.forget(a)
