SIGHUP: the operator's file is read beside the signals, so that a slow reading holds up nothing

Callers saw: where the reading of the operator's file did not end (Jsonnet that computes for long, a disk that stands still), the platform's next SIGHUP was not taken, so that a change log that moved was not followed, and SIGTERM began no drain: what was open had no answer when the process was killed.

Found by looking through what stands between a signal and the follower.

Change: one reading at a time in a goroutine of its own (internal/service/operator_file.go); what comes of it is put in force between two signals. A SIGHUP meanwhile has the file read once more. `configuration read again` still comes once all is in force, but after one second at the latest, with a warning that the file is still being read.

--- a/internal/extensions/reload_test.go
+++ b/internal/extensions/reload_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"elderwall/core/admission"
 	"elderwall/internal/standin"
@@ -64,3 +68,48 @@
 	need.Soon(t, func() bool { return r.count(old) == 1 }, "the platform's file is read again for a second, and then left")
 	assert.Equal(t, 1, r.count(again), "the operator's was read once")
 }
+
+// standStill has reading the operator's file stand still, as on a disk that does not answer, until its end is written.
+func (r *rig) standStill() (path string) {
+	path = filepath.Join(r.dir, "operator.jsonnet")
+	require.NoError(r, syscall.Mkfifo(path+".new", 0o600))
+	require.NoError(r, os.Rename(path+".new", path))
+	return path
+}
+
+// An operator's file whose reading does not end, found by the SIGHUP that moves the change log: guards against a dispatcher that follows no move and
+// takes no signal meanwhile.
+func TestAReadingOfTheOperatorsFileThatStandsStillHoldsBackNothing(t *testing.T) {
+	r := newRig(t, false)
+	c, token := r.Dial(), r.token("k1", "counter", "till")
+	path := r.standStill()
+	moved := r.moves()
+	r.Signals <- syscall.SIGHUP
+	need.Soon(t, func() bool { return len(moved.Asked()) > 0 })
+	need.Soon(t, func() bool { return r.count("still being read") == 1 && r.count("configuration read again") == 1 })
+	moved = r.moves()
+	r.reload("configuration read again")
+	need.Soon(t, func() bool { return len(moved.Asked()) > 0 }, "the next signal is taken, too")
+	assert.Equal(t, "served", ask(t, c, token), "the old file is in force")
+	pipe := need.Of(os.OpenFile(path, os.O_WRONLY, 0))(t)
+	r.put("operator.jsonnet", fmt.Appendf(nil, fileText, ""))
+	assert.Zero(t, r.count(again))
+	_, err := fmt.Fprintf(pipe, fileText, "")
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	need.Soon(t, func() bool { return r.count(again) == 2 }, "what was read, and what the second signal asked for")
+	assert.Zero(t, r.count("can't be used"))
+	assert.Equal(t, 1, r.count("still being read"), "told once")
+}
+
+// SIGTERM while the operator's file is read without end: guards against a drain that does not begin.
+func TestADrainWhileTheOperatorsFileIsRead(t *testing.T) {
+	r := newRig(t, false)
+	path := r.standStill()
+	r.Signals <- syscall.SIGHUP
+	need.Soon(t, func() bool { return r.count("still being read") == 1 })
+	r.End()
+	assert.Equal(t, 1, r.count(`"message":"drained"`))
+	pipe := need.Of(os.OpenFile(path, os.O_WRONLY, 0))(t)
+	require.NoError(t, pipe.Close())
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -199,6 +199,8 @@
 	moves     chan string // to the change log's new address
 	listeners []net.Listener
 	rereading rereading // of a configuration that could not be read
+
+	reading fileReading // of the operator's file
 }
 
 // Run serves until a signal ends it; SIGHUP has it read the configuration again.
@@ -391,7 +393,7 @@
 				s.logCounts()
 			case which == syscall.SIGHUP:
 				s.rereading = rereading{}
-				s.reload(read, s.extend)
+				s.extend(s.reload(read))
 			case drained == nil:
 				drained = make(chan bool)
 				plan := planShutdown(s.config.longest())
@@ -402,7 +404,11 @@
 				}()
 			}
 		case <-s.rereading.due:
-			s.reload(read, func() {})
+			s.reload(read)()
+		case file := <-s.reading.done:
+			s.extended(file)
+		case <-s.reading.slow:
+			s.extendsSlowly()
 		case <-drained:
 			return
 		case <-ctx.Done():
@@ -414,22 +420,22 @@
 	}
 }
 
-// reload reads the platform's configuration again and puts what can change in force; with an unusable one the old one serves on. Only then extend reads
-// the operator's file. Guards against a fault there, or a slow evaluation, that keeps a change log that has moved from being followed.
-func (s *service) reload(read func() (*Config, error), extend func()) {
+// reload reads the platform's configuration again and puts what can change in force; with an unusable one the old one serves on. It gives what reports
+// that. Guards against anything that SIGHUP brings besides and that keeps a change log that has moved from being followed.
+func (s *service) reload(read func() (*Config, error)) (report func()) {
 	to, err := read()
 	if err != nil {
 		s.keepConfig(err)
-		extend()
-		return
+		return func() {}
 	}
 	s.rereading = rereading{}
 	moved, kept := s.config.reload(to)
 	if moved {
 		s.followMoved()
 	}
-	extend()
-	s.log.Info().Bool("changelogMoved", moved).Strs("needsRestart", kept).Msg("configuration read again")
+	return func() {
+		s.log.Info().Bool("changelogMoved", moved).Strs("needsRestart", kept).Msg("configuration read again")
+	}
 }
 
 // keepConfig has a configuration that can't be read read again soon, or goes on with the old one.
@@ -451,23 +457,6 @@
 	s.moves <- s.config.Changelog
 }
 
-// extend reads the operator's file again and puts it in force, or nothing of it.
-func (s *service) extend() {
-	if s.extension == nil {
-		return
-	}
-	take, err := s.extension.Read()
-	if err == nil {
-		err = take(s.log)
-	}
-	if err != nil {
-		s.log.Warn().Err(err).Msg("operator's file can't be used, the old one stays")
-		return
-	}
-	s.fronts.review()
-	s.resize(s.extension.Cores())
-}
-
 // resize goes on with another number of shards; between one module and several only a restart changes.
 func (s *service) resize(to Cores) {
 	switch {
