core/routing: UnusableCopy stands behind the outcomes that there were, whose numbers stay

Change: UnusableCopy is the last outcome; those that prove that an attempt was never executed are Rejected to Withdrawn.

Result: TestGoldenMessages passes, as do the tests of core/routing, internal/extproc and the emulator.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -3,20 +3,19 @@
 // Outcome tells how an attempt ended.
 type Outcome int
 
-// These are the outcomes of an attempt. Rejected and all later values prove that the attempt was never
-// executed.
+// These are the outcomes of an attempt. Rejected to Withdrawn prove that the attempt was never executed.
 const (
 	Succeeded      Outcome = iota
 	HostFailed             // the host answered with an error
 	TimedOut               // the host did not answer in time
 	ConnectionLost         // the connection broke after the request had been sent completely
 	Canceled               // by the router
-	UnusableCopy           // the host answered, but the client must not get its copy; that is no failure of the host
 	Rejected               // by the host, or because this process lacks resources
 	Unreachable            // no connection could be made, or it broke before the request had been sent completely
 	ArrivedLate            // the host dropped the request without executing it because too little time was left
 	NotCached              // the host or the source has no copy and did not fill
 	Withdrawn              // an endpoint update ruled it out before any byte was sent; it says nothing about a host
+	UnusableCopy           // the host answered, but the client must not get its copy; that is no failure of the host
 )
 
 // Note tells what a result reveals about a cache hit or a fill.
--- a/core/routing/attempt.go
+++ b/core/routing/attempt.go
@@ -69,7 +69,7 @@
 }
 
 // mayHaveRun reports whether the attempt may have been executed.
-func (o Outcome) mayHaveRun() bool { return o < Rejected }
+func (o Outcome) mayHaveRun() bool { return o < Rejected || o > Withdrawn }
 
 // blamesSource reports whether the note attributes a failure to the source of a fill rather than to the host
 // that reported it.
