Slow start: log lines and counters for its begin, its end, and an ejection within it

What operators saw: caches that had just come back went down under requests, and the logs told neither whether the dispatcher knew of their starts, nor what it took their budgets for, nor what it had sent. A host that restarts while its state in the list stays the same left no line at all.

Change: Actions.ReportSlowStart, with the cause, the host's age, attempts, the most of them in one window, refusals by the budget and the budget itself by the latest estimate. The dispatcher logs it and counts SlowStarts and SlowStartEjections. No decision changes.

TestSlowStartIsReported and TestWindowCount are new.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -128,4 +128,6 @@
 	// HostEjected and HostRecovered report changes of a host's health, for the log.
 	HostEjected(host uint32)
 	HostRecovered(host uint32)
+	// ReportSlowStart reports how the slow start of a host goes, for the log.
+	ReportSlowStart(r SlowStartReport)
 }
--- a/core/routing/endpoint_table.go
+++ b/core/routing/endpoint_table.go
@@ -33,6 +33,7 @@
 type endpointTable struct {
 	*environment
 	groups      *grouphealth.Tracker
+	slowStart   *slowStart
 	byID        map[uint32]*host
 	sorted      []*host // the hosts of byID in order of ID, except those in added
 	added       []*host // hosts that are not in sorted yet
@@ -75,6 +76,7 @@
 		return
 	}
 	h.resetAfterRestart()
+	t.slowStart.begin(h, ToldStart)
 }
 
 func (t *endpointTable) add(id uint32) *host {
@@ -90,7 +92,6 @@
 
 // resetAfterRestart discards what was learned about a host before it restarted. Its cache is cold now.
 func (h *host) resetAfterRestart() {
-	h.warmUp = warmUp{active: true}
 	h.health.reset()
 	h.serving.makespan = 0
 }
--- a/core/routing/golden_shard_test.go
+++ b/core/routing/golden_shard_test.go
@@ -143,6 +143,9 @@
 // HostRecovered does nothing, because reports are not part of the golden hash.
 func (s *scriptedShard) HostRecovered(uint32) {}
 
+// ReportSlowStart does nothing, because reports are not part of the golden hash.
+func (s *scriptedShard) ReportSlowStart(routing.SlowStartReport) {}
+
 // hash adds an action of the shard to the golden hash, with all bits of its arguments.
 func (s *scriptedShard) hash(action byte, arguments ...any) {
 	var buffer [8]byte
--- a/core/routing/harness_test.go
+++ b/core/routing/harness_test.go
@@ -11,6 +11,7 @@
 	shed, failed      []uint32 // request IDs
 	retryAfter        float64  // seconds; of the request that was shed last
 	cancelled, events []string
+	slowStarts        []SlowStartReport
 }
 
 func (rec *recorder) Forward(a Attempt) { rec.attempts = append(rec.attempts, a) }
@@ -35,6 +36,8 @@
 	rec.events = append(rec.events, recoveredEvent(host))
 }
 
+func (rec *recorder) ReportSlowStart(r SlowStartReport) { rec.slowStarts = append(rec.slowStarts, r) }
+
 // last returns the attempt that was sent last.
 func (rec *recorder) last() Attempt { return rec.attempts[len(rec.attempts)-1] }
 
--- a/core/routing/outlier_detection.go
+++ b/core/routing/outlier_detection.go
@@ -63,7 +63,10 @@
 // outlierDetector ejects hosts that fail or are silent, and probes them with single requests until they have
 // recovered. Guards against a host that quickly answers with errors, looks idle for that reason, and attracts
 // ever more requests.
-type outlierDetector struct{ *environment }
+type outlierDetector struct {
+	*environment
+	slowStart *slowStart
+}
 
 // permits reports whether the health of a host allows a request to be sent to it. A suspected host only
 // receives single probes.
@@ -135,6 +138,7 @@
 	if !s.ejected {
 		s.ejectedAt = d.now
 		d.actions.HostEjected(h.ID)
+		d.reportSlowStart(h)
 	}
 	s.ejected, s.successStreak = true, 0
 	s.backoff = math.Min(maxEjection, math.Max(minEjection, 2*s.backoff))
@@ -142,6 +146,13 @@
 	d.publish(PeerUpdate{Host: h.ID, Ejected: true, Until: s.ejectedUntil, Backoff: s.backoff})
 }
 
+// reportSlowStart reports the ejection of a host in slow start, which may have been overloaded.
+func (d *outlierDetector) reportSlowStart(h *host) {
+	if h.warmUp.active {
+		d.slowStart.report(h, SlowStartEjected)
+	}
+}
+
 // apply applies what another shard has published about the health of a host.
 func (d *outlierDetector) apply(h *host, u PeerUpdate) {
 	s := &h.health
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -53,7 +53,7 @@
 	env := &environment{Settings: s, actions: actions, now: now}
 	r := &Router{environment: env}
 	r.requests = requestTable{environment: env, timers: &r.timers, byID: map[uint32]*request{}}
-	r.endpoints = endpointTable{environment: env, groups: &r.groups, byID: map[uint32]*host{}}
+	r.endpoints = endpointTable{environment: env, groups: &r.groups, slowStart: &r.slowStart, byID: map[uint32]*host{}}
 	r.demand = demandTracker{objects: newObjectTable(s.Services)}
 	r.costs = costModel{environment: env, congestion: &r.congestion}
 	for _, d := range s.Services {
@@ -61,7 +61,7 @@
 	}
 	r.serving = servingTimes{environment: env, endpoints: &r.endpoints, costs: &r.costs}
 	r.limits = newLimiter(env, &r.costs, &r.congestion)
-	r.outliers = outlierDetector{env}
+	r.outliers = outlierDetector{env, &r.slowStart}
 	r.slowStart = slowStart{environment: env}
 	r.budget = retrybudget.New(s.Retries, now)
 	r.purges = purgeLog{environment: env, timers: &r.timers, purgedAt: map[string]float64{}}
@@ -302,6 +302,7 @@
 		l.acquired = append(l.acquired, &a.source.limit)
 		a.source.fillsInFlight++
 		a.source.warmUp.credit -= a.work
+		r.slowStart.countAttempt(a.source)
 	}
 	if a.isFill {
 		l.acquired = append(l.acquired, &r.limits.fills)
@@ -326,6 +327,7 @@
 	r.serving.addToMakespan(q, h)
 	h.inFlight++
 	h.warmUp.credit -= a.work
+	r.slowStart.countAttempt(h)
 }
 
 // release removes a returned attempt from the counts of its host, of its source and of the limits.
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -15,6 +15,8 @@
 // warmUp is the slow start of one host.
 type warmUp struct {
 	active        bool
+	cause         SlowStartCause
+	statistics    slowStartStatistics
 	credit        float64 // seconds; work that may be sent to the host now
 	creditedUntil float64 // seconds; time up to which credit was given; 0 before the first check
 }
@@ -29,6 +31,25 @@
 	lastCacheRate  float64 // last value of warmCacheRate other than 0, used while no cache is warm
 }
 
+// begin begins the slow start of a host that has restarted.
+func (s *slowStart) begin(h *host, cause SlowStartCause) {
+	h.warmUp = warmUp{active: true, cause: cause}
+	if ramp, limited := s.ramp(h); limited && s.age(h) < ramp {
+		s.report(h, SlowStartBegan)
+	}
+}
+
+// ramp returns the duration of a host's slow start in seconds, and whether there is one for its kind.
+func (s *slowStart) ramp(h *host) (seconds float64, limited bool) {
+	if h.Kind == s.ParentKind {
+		return s.ParentSlowStartRamp, true
+	}
+	return s.SlowStartRamp, h.Kind != s.OriginKind
+}
+
+// age returns the time in seconds since a host has started.
+func (s *slowStart) age(h *host) float64 { return math.Max(0, s.now-h.OnlineSince) }
+
 // updateWarmRates measures what warm hosts return to this router.
 func (s *slowStart) updateWarmRates(caches, parents []*host) {
 	s.warmCacheRate, s.warmParentRate = s.warmRate(caches), s.warmRate(parents)
@@ -65,8 +86,8 @@
 		initial, ramp, multiple = s.ParentSlowStartInitial, s.ParentSlowStartRamp, s.ParentOverloadMultiple
 		rate, senders = s.warmParentRate, s.senders(len(s.DispatchersByZone)) // parents serve all zones
 	}
-	age := math.Max(0, s.now-h.OnlineSince)
-	h.warmUp.active = h.warmUp.active && age < ramp && h.Kind != s.OriginKind
+	age := s.age(h)
+	s.endAfterRamp(h)
 	if s.WeightsKnown {
 		rate = h.Weight / senders
 	} else if rate == 0 {
@@ -76,12 +97,35 @@
 	return hostBudget{(initial + (1-initial)*age/ramp) * rate * multiple * slowStartBudgetShare, senders}
 }
 
+// endAfterRamp ends the slow start of a host once its ramp is over.
+func (s *slowStart) endAfterRamp(h *host) {
+	ramp, limited := s.ramp(h)
+	if !h.warmUp.active || limited && s.age(h) < ramp {
+		return
+	}
+	h.warmUp.active = false
+	if limited && h.warmUp.statistics.attempts > 0 {
+		s.report(h, SlowStartEnded)
+	}
+}
+
 // permits reports whether the slow start of a host allows work to be sent to it now.
 func (s *slowStart) permits(h *host, work float64) bool {
 	budget := s.budget(h, work)
 	if !h.warmUp.active {
 		return true
 	}
+	s.recordBudget(h, budget, work)
+	if s.hasCredit(h, budget, work) {
+		return true
+	}
+	h.warmUp.countRefusal()
+	return false
+}
+
+// hasCredit reports whether the credit of a host in slow start, with what was earned since the last check,
+// covers work.
+func (s *slowStart) hasCredit(h *host, budget hostBudget, work float64) bool {
 	maxCredit := budget.rate * s.OverloadWindow * savedCreditShare * math.Max(1, float64(s.Shards))
 	if s.savedRequestsFitMargin(budget, work) {
 		maxCredit = math.Max(maxCredit, work)
--- a/core/routing/slow_start_cluster_test.go
+++ b/core/routing/slow_start_cluster_test.go
@@ -255,7 +255,7 @@
 	for ; len(rec.attempts) > 0; rec.attempts = rec.attempts[1:] {
 		run.serve(i, rec.attempts[0], now)
 	}
-	rec.cancelled, rec.shed, rec.failed, rec.events = nil, nil, nil, nil
+	rec.cancelled, rec.shed, rec.failed, rec.events, rec.slowStarts = nil, nil, nil, nil, nil
 }
 
 // serve records an attempt and schedules its result.
--- a/core/routing/slow_start_test.go
+++ b/core/routing/slow_start_test.go
@@ -258,3 +258,34 @@
 	}
 	return sent
 }
+
+// An operator who is told that a host went down in its slow start needs the cause, the age and what was sent.
+func TestSlowStartIsReported(t *testing.T) {
+	r, rec := newCluster(func(s *Settings) { s.WeightsKnown = true })
+	started := endpoint(cacheA, 0, Ready)
+	started.OnlineSince, started.OnlineSinceKnown, started.Weight = 20, true, 1
+	r.UpdateEndpoints(21, ListChanges, []Endpoint{started})
+	sent := sentToStartedHost(r, rec, cacheA)
+	r.now = 23
+	r.outliers.eject(r.endpoints.byID[cacheA])
+	r.now = 31
+	r.slowStart.permits(r.endpoints.byID[cacheA], 0.1)
+	ejected, ended := rec.slowStarts[1], rec.slowStarts[2]
+	assert.Equal(t, SlowStartReport{Host: cacheA, State: SlowStartBegan, Cause: ToldStart, Age: 1}, rec.slowStarts[0])
+	assert.Equal(t, []SlowStartState{SlowStartEjected, SlowStartEnded}, []SlowStartState{ejected.State, ended.State})
+	assert.Equal(t, 3.0, ejected.Age)
+	assert.Equal(t, sent, ejected.Attempts)
+	assert.Positive(t, ejected.Refusals)
+	assert.Positive(t, ejected.WindowBudget)
+	assert.Len(t, rec.slowStarts, 3)
+}
+
+// The count covers the whole window, also right after a slot ends, and forgets what is older.
+func TestWindowCount(t *testing.T) {
+	var c windowCount
+	assert.Equal(t, 1, c.add(10.01, 1))
+	assert.Equal(t, 2, c.add(10.99, 1))
+	assert.Equal(t, 3, c.add(11.0, 1))
+	assert.Equal(t, 3, c.add(11.2, 1), "the first has left the window")
+	assert.Equal(t, 1, c.add(50, 1))
+}
--- a/core/sharding/shards_test.go
+++ b/core/sharding/shards_test.go
@@ -499,6 +499,8 @@
 func (s *shard) HostEjected(uint32)   {}
 func (s *shard) HostRecovered(uint32) {}
 
+func (s *shard) ReportSlowStart(routing.SlowStartReport) {}
+
 func (s *shard) AccrueCredit(host uint32, onlineSince, initial, add, limit float64) float64 {
 	return s.credits.Accrue(host, onlineSince, initial, add, limit)
 }
--- a/emulator/dispatcher.go
+++ b/emulator/dispatcher.go
@@ -351,3 +351,6 @@
 
 // HostRecovered is passed over.
 func (d *dispatcher) HostRecovered(uint32) {}
+
+// ReportSlowStart is passed over.
+func (d *dispatcher) ReportSlowStart(routing.SlowStartReport) {}
--- a/internal/benchwire/reply.go
+++ b/internal/benchwire/reply.go
@@ -82,6 +82,9 @@
 // HostRecovered writes a line for the report.
 func (w Wire) HostRecovered(host uint32) { w.record(fmt.Sprintf("host %d recovered", host)) }
 
+// ReportSlowStart is passed over: the simulator has a record of its own of what hosts are sent.
+func (w Wire) ReportSlowStart(routing.SlowStartReport) {}
+
 func (w Wire) record(text string) { w.add("record", w.Who, quoted(text)) }
 
 func id(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -28,49 +28,51 @@
 	GateErrored     atomic.Int64 `name:"GateErrored"`     // answered by the gate, too
 	Unsent          atomic.Int64 `name:"Unsent"`          // of Shed and Errored, after half their time with nothing written whole
 
-	Forwards          atomic.Int64 `name:"Forwards"`          // sent
-	Stopped           atomic.Int64 `name:"Stopped"`           // given up
-	Hit               atomic.Int64 `name:"Hit"`               // ended by an answer
-	Valid             atomic.Int64 `name:"Valid"`             // ended by an answer
-	None              atomic.Int64 `name:"None"`              // ended by an answer
-	Full              atomic.Int64 `name:"Full"`              // ended by an answer
-	Fault             atomic.Int64 `name:"Fault"`             // ended by an answer
-	OldCopy           atomic.Int64 `name:"OldCopy"`           // ended by an answer that a proxy told of and whose copy the client must not get
-	Late              atomic.Int64 `name:"Late"`              // ended by an answer
-	Unnamed           atomic.Int64 `name:"Unnamed"`           // ended by VALID for a copy that the GET did not bring
-	Unreached         atomic.Int64 `name:"Unreached"`         // broken off: not written
-	PartlyWritten     atomic.Int64 `name:"PartlyWritten"`     // broken off: written in part
-	Unanswered        atomic.Int64 `name:"Unanswered"`        // broken off: written whole
-	AnswerCut         atomic.Int64 `name:"AnswerCut"`         // broken off within the answer
-	Expired           atomic.Int64 `name:"Expired"`           // overdue
-	NoPlace           atomic.Int64 `name:"NoPlace"`           // no connection left
-	MovedSlots        atomic.Int64 `name:"MovedSlots"`        // of all shards: slots moved
-	HotItems          atomic.Int64 `name:"HotItems"`          // of all shards: items spread now
-	Recalled          atomic.Int64 `name:"Recalled"`          // forwards taken back for news before anything of them went out
-	Behind            atomic.Int64 `name:"Behind"`            // of shards: forwards kept back for news
-	Overdue           atomic.Int64 `name:"Overdue"`           // of shards: GETs answered in place of a shard
-	Rebuilt           atomic.Int64 `name:"Rebuilt"`           // of shards: modules made anew
-	Lists             atomic.Int64 `name:"Lists"`             // events of the change log
-	Purges            atomic.Int64 `name:"Purges"`            // events of the change log
-	PurgesLearned     atomic.Int64 `name:"PurgesLearned"`     // told by other dispatchers
-	ClientConnections atomic.Int64 `name:"ClientConnections"` // opened
-	HostConnections   atomic.Int64 `name:"HostConnections"`   // opened
-	Handshakes        atomic.Int64 `name:"Handshakes"`        // of clients, that failed
-	HostGaveWay       atomic.Int64 `name:"HostGaveWay"`       // idle connections to hosts that were closed for other hosts
-	DialsHeld         atomic.Int64 `name:"DialsHeld"`         // connections to hosts that were not begun as too many had been
-	Joined            atomic.Int64 `name:"Joined"`            // GETs that waited for another's forward
-	TookLead          atomic.Int64 `name:"TookLead"`          // of Joined: went on in the lead
-	Rewritten         atomic.Int64 `name:"Rewritten"`         // GETs sent for another variant than their own
-	Turned            atomic.Int64 `name:"Turned"`            // of Rewritten: whose answer would not do, and that went on for their own
-	ProxyCalls        atomic.Int64 `name:"ProxyCalls"`        // proxies' requests
-	ProxyPassed       atomic.Int64 `name:"ProxyPassed"`       // of ProxyCalls: none of ours
-	ProxyAgain        atomic.Int64 `name:"ProxyAgain"`        // of ProxyCalls: further calls
-	ProxyLate         atomic.Int64 `name:"ProxyLate"`         // not decided in their time
-	ProxyHeld         atomic.Int64 `name:"ProxyHeld"`         // whose hold was over
-	GaveWay           atomic.Int64 `name:"GaveWay"`           // client connections that were closed for others
-	ClientBytesIn     atomic.Int64 `name:"ClientBytesIn"`
-	ClientBytesOut    atomic.Int64 `name:"ClientBytesOut"`
-	HostBytesIn       atomic.Int64 `name:"HostBytesIn"`
+	Forwards           atomic.Int64 `name:"Forwards"`           // sent
+	Stopped            atomic.Int64 `name:"Stopped"`            // given up
+	Hit                atomic.Int64 `name:"Hit"`                // ended by an answer
+	Valid              atomic.Int64 `name:"Valid"`              // ended by an answer
+	None               atomic.Int64 `name:"None"`               // ended by an answer
+	Full               atomic.Int64 `name:"Full"`               // ended by an answer
+	Fault              atomic.Int64 `name:"Fault"`              // ended by an answer
+	OldCopy            atomic.Int64 `name:"OldCopy"`            // ended by an answer that a proxy told of and whose copy the client must not get
+	Late               atomic.Int64 `name:"Late"`               // ended by an answer
+	Unnamed            atomic.Int64 `name:"Unnamed"`            // ended by VALID for a copy that the GET did not bring
+	Unreached          atomic.Int64 `name:"Unreached"`          // broken off: not written
+	PartlyWritten      atomic.Int64 `name:"PartlyWritten"`      // broken off: written in part
+	Unanswered         atomic.Int64 `name:"Unanswered"`         // broken off: written whole
+	AnswerCut          atomic.Int64 `name:"AnswerCut"`          // broken off within the answer
+	Expired            atomic.Int64 `name:"Expired"`            // overdue
+	NoPlace            atomic.Int64 `name:"NoPlace"`            // no connection left
+	MovedSlots         atomic.Int64 `name:"MovedSlots"`         // of all shards: slots moved
+	HotItems           atomic.Int64 `name:"HotItems"`           // of all shards: items spread now
+	Recalled           atomic.Int64 `name:"Recalled"`           // forwards taken back for news before anything of them went out
+	Behind             atomic.Int64 `name:"Behind"`             // of shards: forwards kept back for news
+	Overdue            atomic.Int64 `name:"Overdue"`            // of shards: GETs answered in place of a shard
+	Rebuilt            atomic.Int64 `name:"Rebuilt"`            // of shards: modules made anew
+	Lists              atomic.Int64 `name:"Lists"`              // events of the change log
+	Purges             atomic.Int64 `name:"Purges"`             // events of the change log
+	PurgesLearned      atomic.Int64 `name:"PurgesLearned"`      // told by other dispatchers
+	SlowStarts         atomic.Int64 `name:"SlowStarts"`         // slow starts of hosts that began
+	SlowStartEjections atomic.Int64 `name:"SlowStartEjections"` // of SlowStarts: hosts that were ejected before their ramp was over
+	ClientConnections  atomic.Int64 `name:"ClientConnections"`  // opened
+	HostConnections    atomic.Int64 `name:"HostConnections"`    // opened
+	Handshakes         atomic.Int64 `name:"Handshakes"`         // of clients, that failed
+	HostGaveWay        atomic.Int64 `name:"HostGaveWay"`        // idle connections to hosts that were closed for other hosts
+	DialsHeld          atomic.Int64 `name:"DialsHeld"`          // connections to hosts that were not begun as too many had been
+	Joined             atomic.Int64 `name:"Joined"`             // GETs that waited for another's forward
+	TookLead           atomic.Int64 `name:"TookLead"`           // of Joined: went on in the lead
+	Rewritten          atomic.Int64 `name:"Rewritten"`          // GETs sent for another variant than their own
+	Turned             atomic.Int64 `name:"Turned"`             // of Rewritten: whose answer would not do, and that went on for their own
+	ProxyCalls         atomic.Int64 `name:"ProxyCalls"`         // proxies' requests
+	ProxyPassed        atomic.Int64 `name:"ProxyPassed"`        // of ProxyCalls: none of ours
+	ProxyAgain         atomic.Int64 `name:"ProxyAgain"`         // of ProxyCalls: further calls
+	ProxyLate          atomic.Int64 `name:"ProxyLate"`          // not decided in their time
+	ProxyHeld          atomic.Int64 `name:"ProxyHeld"`          // whose hold was over
+	GaveWay            atomic.Int64 `name:"GaveWay"`            // client connections that were closed for others
+	ClientBytesIn      atomic.Int64 `name:"ClientBytesIn"`
+	ClientBytesOut     atomic.Int64 `name:"ClientBytesOut"`
+	HostBytesIn        atomic.Int64 `name:"HostBytesIn"`
 }
 
 // Sum is several counters in one.
--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"math"
+
 	"elderwall/core/coalescing"
 	"elderwall/core/routing"
 	"elderwall/internal/call"
@@ -132,6 +134,28 @@
 	w.logHost(host, "host recovered")
 }
 
+// ReportSlowStart logs how the slow start of a host goes, and counts it.
+func (w actions) ReportSlowStart(r routing.SlowStartReport) {
+	c := w.Options.Counts
+	line := w.Options.Log.Info()
+	switch r.State {
+	case routing.SlowStartBegan:
+		c.SlowStarts.Add(1)
+	case routing.SlowStartEjected:
+		c.SlowStartEjections.Add(1)
+		line = w.Options.Log.Warn()
+	}
+	line = line.Uint32("id", r.Host).Stringer("cause", r.Cause).Int64("age_ms", int64(r.Age*1e3))
+	if r.State != routing.SlowStartBegan {
+		line = line.Int("attempts", r.Attempts).Int("refusals", r.Refusals).Int("worst_window", r.WorstCount)
+		line = line.Float64("window_budget", math.Round(r.WindowBudget*10)/10)
+	}
+	if h := w.hosts[r.Host]; h != nil {
+		line = line.Str("host", h.name)
+	}
+	line.Msg("slow start " + r.State.String())
+}
+
 // logHost logs a change of a host, with its name and its number.
 func (w actions) logHost(id uint32, change string) {
 	line := w.Options.Log.Info().Uint32("id", id)
