--- /dev/null
+++ b/internal/service/slow_start_test.go
@@ -0,0 +1,138 @@
+package service
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"elderwall/internal/standin/slowstart"
+)
+
+// cacheRule and parentRule are what the settings of these tests say of hosts in slow start.
+var (
+	cacheRule  = slowstart.Rule{Initial: 0.16, Ramp: 15 * time.Second, Multiple: 3, Window: time.Second}
+	parentRule = slowstart.Rule{Initial: 0.06, Ramp: 19 * time.Second, Multiple: 2, Window: time.Second}
+)
+
+const requestWork = 50 * time.Millisecond
+
+// caches are so many hosts of a kind, each of which serves so many requests side by side.
+func caches(kind string, n, slots int) (all []slowstart.HostOptions) {
+	for i := range n {
+		all = append(all, slowstart.HostOptions{ID: fmt.Sprint(kind, "-", i), Kind: kind, Slots: slots, Work: requestWork})
+	}
+	return all
+}
+
+// withParents adds parents that fill what caches miss.
+func withParents(hosts []slowstart.HostOptions) []slowstart.HostOptions {
+	return append(hosts, caches("parent", 2, 200)...)
+}
+
+// loaded starts a fleet of one zone under load.
+func loaded(t *testing.T, o slowstart.Options, clients int) *slowstart.Fleet {
+	o.Binary = slowstart.Build(t, t.TempDir())
+	o.Rule, o.ParentRule = cacheRule, parentRule
+	if o.Connects == 0 {
+		o.Connects = 0.4
+	}
+	if o.Weights == "" {
+		o.Weights = "silent"
+	}
+	o.Objects = 400
+	f := slowstart.New(t, o)
+	f.Load(clients, 0)
+	return f
+}
+
+// assertNoneFell checks the rule on hosts in slow start, and shows how near to it the worst window came.
+func assertNoneFell(t *testing.T, f *slowstart.Fleet) {
+	fallen, worst := f.Fallen()
+	served, refused, failed := f.Answers()
+	t.Logf("worst window %+v; %d served, %d refused, %d failed", worst, served, refused, failed)
+	assert.Empty(t, fallen, "hosts that were sent more than their budget")
+	if t.Failed() {
+		for _, d := range f.Dispatchers {
+			for _, line := range append(d.Lines("slow start"), d.Lines("host ")...) {
+				t.Log(line)
+			}
+		}
+	}
+}
+
+// Guards against a small host in slow start being taken for as large as the hosts that are warm, where the list tells
+// no weights and these are saturated.
+func TestSmallHostIsNotSentWhatLargeOnesBear(t *testing.T) {
+	t.Parallel()
+	f := loaded(t, slowstart.Options{
+		Dispatchers: 1, Seed: 1, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...)),
+	}, 160)
+	time.Sleep(5 * time.Second)
+	for i := range 3 {
+		f.Hosts[fmt.Sprint("small-", i)].Kill()
+	}
+	time.Sleep(2 * time.Second)
+	for i := range 3 {
+		f.Restart(fmt.Sprint("small-", i), 0, 0)
+	}
+	time.Sleep(10 * time.Second)
+	assertNoneFell(t, f)
+}
+
+// Guards against a host whose start stands in a silent change log being sent to as a warm one, once it answers again.
+func TestHostThatAnswersAgainBeforeItsStartIsHeard(t *testing.T) {
+	t.Parallel()
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 2, Hosts: withParents(caches("small", 5, 10))}, 40)
+	time.Sleep(4 * time.Second)
+	f.Dispatchers[0].Changes.Hold(true)
+	for i := range 2 {
+		f.Hosts[fmt.Sprint("small-", i)].Kill()
+	}
+	time.Sleep(2 * time.Second)
+	for i := range 2 {
+		f.Restart(fmt.Sprint("small-", i), 0, 300*time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	for i := 2; i < 5; i++ {
+		f.Hosts[fmt.Sprint("small-", i)].Kill()
+	}
+	f.Load(300, 0)
+	time.Sleep(3 * time.Second)
+	assertNoneFell(t, f)
+}
+
+// Guards against requests that were decided on over some time, and wait for connections that come up late, reaching a
+// host in slow start together.
+func TestRequestsThatWaitForLateConnectionsOfAColdHost(t *testing.T) {
+	t.Parallel()
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 3, Connects: 2, Hosts: withParents(caches("small", 3, 15))}, 100)
+	time.Sleep(4 * time.Second)
+	f.Hosts["small-0"].Kill()
+	f.Hosts["small-1"].Kill()
+	time.Sleep(2 * time.Second)
+	f.Load(300, 0)
+	f.Restart("small-0", 1500*time.Millisecond, 0)
+	f.Restart("small-1", 1500*time.Millisecond, 0)
+	time.Sleep(7 * time.Second)
+	assertNoneFell(t, f)
+}
+
+// Guards against the account of a host in slow start being lost where its change log moves, its list is read again, and
+// most other hosts drain at once.
+func TestChangeLogMovesAmidTheRampAndOthersDrain(t *testing.T) {
+	t.Parallel()
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 4, Hosts: withParents(append(caches("large", 4, 8), caches("small", 3, 8)...))}, 200)
+	time.Sleep(4 * time.Second)
+	f.Hosts["small-0"].Kill()
+	f.Told("DELETED", "small-0")
+	time.Sleep(time.Second)
+	f.Restart("small-0", 0, 0)
+	time.Sleep(2 * time.Second)
+	f.Dispatchers[0].MoveChangeLog()
+	f.ToldAgain()
+	f.Told("DRAINING", "large-0", "large-1", "large-2", "large-3")
+	time.Sleep(4 * time.Second)
+	assertNoneFell(t, f)
+}
--- /dev/null
+++ b/internal/standin/slowstart/fleet.go
@@ -0,0 +1,381 @@
+package slowstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
+)
+
+const (
+	readyIn = 10 * time.Second
+	endsIn  = 8 * time.Second
+	origin  = "origin-1"
+)
+
+// Options is what a fleet is made of.
+type Options struct {
+	Binary      string // of elderwall
+	Dispatchers int
+	Hosts       []HostOptions
+	Rule        Rule // of caches; it is also put into the settings
+	ParentRule  Rule
+	Weights     string  // what the list tells of capacities: "nominal" or "silent"
+	Connects    float64 // seconds in which a connection to a host comes up, or counts as refused
+	Objects     int     // that clients ask for
+	Seed        uint64
+}
+
+// Fleet is dispatchers as real processes between clients, hosts and change logs.
+type Fleet struct {
+	testing.TB
+	Options
+	Hosts       map[string]*Host
+	Dispatchers []*Dispatcher
+
+	dir     string
+	events  *standin.ChangeLog // where all events stand
+	clients *clients
+
+	mu       sync.Mutex // guards what follows
+	sequence int
+	stamps   map[string]int64 // Unix ms of the latest start that was told, by host
+}
+
+// Dispatcher is one real process. It has a relay of its own to the change log.
+type Dispatcher struct {
+	fleet   *Fleet
+	Name    string
+	Listen  string
+	Changes *Relay
+	Log     *os.File
+
+	config string
+	mu     sync.Mutex // guards what follows
+	cmd    *exec.Cmd
+	ended  chan struct{}
+}
+
+// Build builds the dispatcher's program.
+func Build(t testing.TB, dir string) string {
+	binary := filepath.Join(dir, "elderwall")
+	out, err := exec.Command("go", "build", "-o", binary, "elderwall/cmd/elderwall").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
+}
+
+// New starts hosts, change log and dispatchers; all of it ends with the test.
+func New(t testing.TB, o Options) *Fleet {
+	f := &Fleet{TB: t, Options: o, dir: t.TempDir(), Hosts: map[string]*Host{}, stamps: map[string]int64{}}
+	f.events = need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
+	t.Cleanup(f.events.Close)
+	var entries []string
+	for _, ho := range o.Hosts {
+		h := &Host{HostOptions: ho, Address: standin.Free()}
+		h.Rule = o.Rule
+		if ho.Kind == "parent" {
+			h.Rule = o.ParentRule
+		}
+		h.filled = f.filled
+		require.NoError(t, h.start(nil, 0))
+		t.Cleanup(h.Kill)
+		f.Hosts[ho.ID] = h
+		entries = append(entries, f.entry(h, "SERVING", 0))
+	}
+	entries = append(entries, fmt.Sprintf(entryText, origin, standin.Free(), "origin", "SERVING", 1, 0))
+	f.push(true, entries...)
+	for i := range o.Dispatchers {
+		f.Dispatchers = append(f.Dispatchers, f.dispatcher(i))
+	}
+	f.clients = newClients(f)
+	t.Cleanup(f.clients.end)
+	return f
+}
+
+const entryText = `{"instanceId":%q,"hostPort":%q,"zone":"z","machineType":%q,"lifecycle":%q,"weight":%d,"startedAtMs":%d}`
+
+func (f *Fleet) entry(h *Host, state string, startedAtMs int64) string {
+	weight := 1
+	if f.Weights == "nominal" {
+		weight = h.Slots
+	}
+	return fmt.Sprintf(entryText, h.ID, h.Address, h.Kind, state, weight, startedAtMs)
+}
+
+func (f *Fleet) push(reset bool, entries ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	f.events.Push(fmt.Sprintf(`{"seq":%d,"fleet":{"generation":%d,"reset":%v,"instances":[%s]}}`,
+		f.sequence, f.sequence, reset, strings.Join(entries, ",")))
+}
+
+// Told has the change log say that hosts are in a state, with the stamps of their latest starts.
+func (f *Fleet) Told(state string, ids ...string) {
+	var entries []string
+	for _, id := range ids {
+		f.mu.Lock()
+		stamp := f.stamps[id]
+		f.mu.Unlock()
+		entries = append(entries, f.entry(f.Hosts[id], state, stamp))
+	}
+	f.push(false, entries...)
+}
+
+// ToldAgain has the change log give the whole list anew, with all hosts as they are.
+func (f *Fleet) ToldAgain() {
+	entries := []string{fmt.Sprintf(entryText, origin, standin.Free(), "origin", "SERVING", 1, 0)}
+	for _, ho := range f.Options.Hosts {
+		f.mu.Lock()
+		stamp := f.stamps[ho.ID]
+		f.mu.Unlock()
+		entries = append(entries, f.entry(f.Hosts[ho.ID], "SERVING", stamp))
+	}
+	f.push(true, entries...)
+}
+
+// Restart starts a host that was killed, with connections that come up after late, and has the change log tell of it
+// after notice.
+func (f *Fleet) Restart(id string, late, notice time.Duration) *Ledger {
+	h := f.Hosts[id]
+	ledger, err := h.Restart(late)
+	require.NoError(f, err)
+	f.mu.Lock()
+	f.stamps[id] = ledger.started.UnixMilli()
+	f.mu.Unlock()
+	tell := func() {
+		ledger.Tell()
+		f.Told("SERVING", id)
+	}
+	if notice == 0 {
+		tell()
+	} else {
+		time.AfterFunc(notice, tell)
+	}
+	return ledger
+}
+
+// filled books a fill at the parent that it came from.
+func (f *Fleet) filled(source string) {
+	if h := f.Hosts[source]; h != nil {
+		h.asked.Add(1)
+		h.mu.Lock()
+		ledger := h.ledger
+		h.mu.Unlock()
+		if ledger != nil {
+			ledger.arrive(time.Now())
+		}
+	}
+}
+
+// Fallen returns the windows at which hosts would have fallen, and the highest share of a limit in any window.
+func (f *Fleet) Fallen() (fallen []Window, worst Window) {
+	for _, h := range f.Hosts {
+		for _, l := range h.Ledgers() {
+			if w := l.Fell(); w != nil {
+				fallen = append(fallen, *w)
+			}
+			if w := l.Worst(); w.OfTheLimit > worst.OfTheLimit {
+				worst = w
+			}
+		}
+	}
+	return fallen, worst
+}
+
+// Load sets how many clients ask at each moment, and the pause of each between two requests.
+func (f *Fleet) Load(clients int, pause time.Duration) {
+	f.clients.active.Store(int64(clients))
+	f.clients.pause.Store(int64(pause))
+}
+
+// Answers returns how many requests were served, and how many refused or failed.
+func (f *Fleet) Answers() (served, refused, failed int64) {
+	return f.clients.served.Load(), f.clients.refused.Load(), f.clients.failed.Load()
+}
+
+const settingsText = `{"balancers":%[1]d,"zones":["z"],"machineTypes":["small","parent","origin","large"],"zone":0,"weights":%[2]q,
+"classes":[{"name":"segment","aim":600000,"deadline":2500000,"effect":"safe","dedupScope":"all","worth":1}],
+"extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[%[1]d],"goneEverywhere":60000000,"sharesFills":true,
+"parentColdFrom":%[8]g,"parentCold":%[9]d,"parentBreaksAt":%[10]g},
+"limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":%[3]d,"idleClose":15000000,"maxStreams":100,"mostHeld":4000},
+"rules":{"coldFrom":%[4]g,"rampTime":%[5]d,"tipMultiple":%[6]g,"fall":%[7]d}}`
+
+const configText = `{"name":%q,"listen":%q,"seed":"8c1f30d27a5b%04x","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"changelog":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{"seq":0,"results":[]},"settings":%s}`
+
+func (f *Fleet) dispatcher(i int) *Dispatcher {
+	d := &Dispatcher{fleet: f, Name: fmt.Sprint("n", i), Listen: standin.Free()}
+	d.Changes = need.Of(NewRelay(f.events.Address))(f.TB)
+	f.Cleanup(d.Changes.Close)
+	d.config = filepath.Join(f.dir, d.Name+".json")
+	d.writeConfig()
+	d.Log = need.Of(os.Create(filepath.Join(f.dir, d.Name+".log")))(f.TB)
+	f.Cleanup(func() { _ = d.Log.Close() })
+	d.Start()
+	f.Cleanup(d.Kill)
+	return d
+}
+
+func (d *Dispatcher) writeConfig() {
+	o := d.fleet.Options
+	settings := fmt.Sprintf(settingsText, o.Dispatchers, o.Weights, int64(o.Connects*1e6),
+		o.Rule.Initial, o.Rule.Ramp.Microseconds(), o.Rule.Multiple, o.Rule.Window.Microseconds(),
+		o.ParentRule.Initial, o.ParentRule.Ramp.Microseconds(), o.ParentRule.Multiple)
+	text := fmt.Sprintf(configText, d.Name, d.Listen, uint16(o.Seed), d.Changes.Address, settings)
+	require.NoError(d.fleet, os.WriteFile(d.config, []byte(text), 0o600))
+}
+
+// Start starts the process, and waits until it is ready.
+func (d *Dispatcher) Start() {
+	cmd := exec.Command(d.fleet.Binary)
+	cmd.Env, cmd.Stderr = append(os.Environ(), "PROXY_CONFIG="+d.config), d.Log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	require.NoError(d.fleet, cmd.Start())
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); close(ended) }()
+	d.mu.Lock()
+	d.cmd, d.ended = cmd, ended
+	d.mu.Unlock()
+	require.Eventually(d.fleet, func() bool { return need.Ready(d.Listen) }, readyIn, 10*time.Millisecond, "%s is ready", d.Name)
+}
+
+// Signal sends it a signal.
+func (d *Dispatcher) Signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Signal(s)
+}
+
+// Kill kills it and waits for its end.
+func (d *Dispatcher) Kill() {
+	d.Signal(syscall.SIGKILL)
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(endsIn):
+	}
+}
+
+// MoveChangeLog has it follow the change log at another address, which SIGHUP tells.
+func (d *Dispatcher) MoveChangeLog() {
+	old := d.Changes
+	d.Changes = need.Of(NewRelay(d.fleet.events.Address))(d.fleet.TB)
+	d.fleet.Cleanup(d.Changes.Close)
+	d.writeConfig()
+	d.Signal(syscall.SIGHUP)
+	old.Close()
+}
+
+// Lines returns what it has logged so far that contains a text.
+func (d *Dispatcher) Lines(text string) (all []string) {
+	raw, _ := os.ReadFile(d.Log.Name())
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, text) {
+			all = append(all, strings.TrimSpace(line))
+		}
+	}
+	return all
+}
+
+const (
+	mostClients   = 400
+	refusedPause  = 20 * time.Millisecond
+	inactivePause = 10 * time.Millisecond
+	clientBudget  = 2500 * time.Millisecond
+	answeredIn    = clientBudget + time.Second
+)
+
+// clients ask one request at a time each, at a dispatcher of their own.
+type clients struct {
+	fleet                   *Fleet
+	active, pause           atomic.Int64
+	served, refused, failed atomic.Int64
+	ids                     atomic.Uint64
+	stop                    chan struct{}
+	all                     sync.WaitGroup
+}
+
+func newClients(f *Fleet) *clients {
+	c := &clients{fleet: f, stop: make(chan struct{})}
+	for i := range mostClients {
+		c.all.Go(func() { c.run(int64(i)) })
+	}
+	return c
+}
+
+func (c *clients) end() {
+	close(c.stop)
+	c.all.Wait()
+}
+
+func (c *clients) run(number int64) {
+	chance := rand.New(rand.NewPCG(c.fleet.Seed, uint64(number)))
+	var conn *standin.Client
+	for {
+		wait := time.Duration(c.pause.Load())
+		if number < c.active.Load() {
+			kind := c.ask(&conn, c.fleet.Dispatchers[int(number)%len(c.fleet.Dispatchers)], chance)
+			if kind != "served" {
+				wait += refusedPause
+			}
+		} else {
+			wait = inactivePause
+		}
+		select {
+		case <-c.stop:
+			if conn != nil {
+				_ = conn.Conn.Close()
+			}
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// ask asks one request, and connects where there is no connection.
+func (c *clients) ask(conn **standin.Client, d *Dispatcher, chance *rand.Rand) string {
+	if *conn == nil {
+		fresh, err := standin.Dial(d.Listen)
+		if err != nil {
+			return "unreached"
+		}
+		*conn = fresh
+	}
+	_ = (*conn).Conn.SetDeadline(time.Now().Add(answeredIn))
+	_, err := (*conn).Process(standin.Fields("rid", fmt.Sprintf("%016x", c.ids.Add(1)), "budget", fmt.Sprint(clientBudget.Milliseconds()),
+		"obj", fmt.Sprintf("%016x", 1+chance.IntN(c.fleet.Objects))), "")
+	var got standin.Reply
+	if err == nil {
+		got, err = (*conn).Read()
+	}
+	if err != nil {
+		_ = (*conn).Conn.Close()
+		*conn = nil
+		c.failed.Add(1)
+		return "broken"
+	}
+	switch got.Kind {
+	case "served":
+		c.served.Add(1)
+	case "refused":
+		c.refused.Add(1)
+	default:
+		c.failed.Add(1)
+	}
+	return got.Kind
+}
--- /dev/null
+++ b/internal/standin/slowstart/host.go
@@ -0,0 +1,237 @@
+package slowstart
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"elderwall/internal/standin"
+)
+
+const (
+	answerBytes     = "bytes"
+	queuePerSlot    = 4 // requests that wait for each slot; more are rejected
+	lateBacklog     = 128
+	mostFillers     = 4
+	fillerConnectIn = 50 * time.Millisecond
+)
+
+// HostOptions is what a host is.
+type HostOptions struct {
+	ID, Kind string
+	Slots    int           // requests that it serves side by side
+	Work     time.Duration // that each takes while it is warm
+	Rule     Rule
+	Fills    float64 // share of its answers that it says were filled from the source that the request names
+}
+
+// Host is a cache of a given capacity. It may be killed and started again under its address.
+type Host struct {
+	HostOptions
+	Address string
+
+	mu      sync.Mutex // guards what follows
+	running *standin.Host
+	ledger  *Ledger // of its latest start; nil for one that was warm from the beginning
+	starts  []*Ledger
+	stopped chan struct{} // closed when it is killed
+	queue   map[string]chan struct{}
+	waiting atomic.Int64
+	asked   atomic.Int64
+	filled  func(source string)
+}
+
+// start has it listen; a ledger is nil for a host that is warm.
+func (h *Host) start(ledger *Ledger, late time.Duration) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l, err := listen(h.Address, late)
+	if err != nil {
+		return fmt.Errorf("host %s: %w", h.ID, err)
+	}
+	h.Address = l.Addr().String()
+	slots, stopped := make(chan struct{}, h.Slots), make(chan struct{})
+	h.ledger, h.stopped, h.queue = ledger, stopped, map[string]chan struct{}{}
+	if ledger != nil {
+		h.starts = append(h.starts, ledger)
+	}
+	h.running = standin.Serve(l, func(a standin.Ask) string { return h.handle(a, ledger, slots, stopped) })
+	return nil
+}
+
+// Restart starts it with a cold cache, and returns what reaches it from now on. Its connections come up after late.
+func (h *Host) Restart(late time.Duration) (*Ledger, error) {
+	l := &Ledger{rule: h.Rule, host: h.ID, capacity: h.capacity(), started: time.Now()}
+	return l, h.start(l, late)
+}
+
+// Kill ends it, as a process that dies: its connections are reset.
+func (h *Host) Kill() {
+	h.mu.Lock()
+	running := h.running
+	h.running = nil
+	if running != nil {
+		close(h.stopped)
+	}
+	h.mu.Unlock()
+	if running != nil {
+		running.Close()
+	}
+}
+
+// Ledgers returns what reached each of its starts.
+func (h *Host) Ledgers() []*Ledger {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]*Ledger(nil), h.starts...)
+}
+
+// Asked returns how many requests have reached it.
+func (h *Host) Asked() int64 { return h.asked.Load() }
+
+// capacity is in requests a second.
+func (h *Host) capacity() float64 { return float64(h.Slots) / h.Work.Seconds() }
+
+// handle serves one request as fast as its capacity of the moment allows.
+func (h *Host) handle(a standin.Ask, ledger *Ledger, slots chan struct{}, stopped chan struct{}) string {
+	if a.Stop {
+		h.giveUp(a.ID)
+		return ""
+	}
+	now := time.Now()
+	h.asked.Add(1)
+	work := h.Work
+	if ledger != nil {
+		ledger.arrive(now)
+		work = time.Duration(float64(work) / h.Rule.share(now.Sub(ledger.started)))
+	}
+	if h.waiting.Add(1) > int64(h.Slots*(1+queuePerSlot)) {
+		h.waiting.Add(-1)
+		return standin.Answer(a.ID, "SHED", "-", "")
+	}
+	defer h.waiting.Add(-1)
+	given := h.open(a.ID)
+	defer h.giveUp(a.ID)
+	if !h.serve(work, slots, stopped, given) {
+		return ""
+	}
+	if source := a.Fields["up"]; source != "" && h.filled != nil && fills(a.ID, h.Fills) {
+		h.filled(source)
+		return strings.Replace(standin.Hit(a.ID, answerBytes), "detail=mem", "detail=parent", 1)
+	}
+	return standin.Hit(a.ID, answerBytes)
+}
+
+// serve takes a slot for so long; false where the request was given up or the host died.
+func (h *Host) serve(work time.Duration, slots, stopped, given chan struct{}) bool {
+	select {
+	case slots <- struct{}{}:
+	case <-stopped:
+		return false
+	case <-given:
+		return false
+	}
+	defer func() { <-slots }()
+	select {
+	case <-time.After(work):
+		return true
+	case <-stopped:
+	case <-given:
+	}
+	return false
+}
+
+// open books a request, and returns what is closed when it is given up.
+func (h *Host) open(id string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	given := make(chan struct{})
+	h.queue[id] = given
+	return given
+}
+
+func (h *Host) giveUp(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if given := h.queue[id]; given != nil {
+		close(given)
+		delete(h.queue, id)
+	}
+}
+
+// fills draws whether a request is a miss, by its id.
+func fills(id string, share float64) bool {
+	sum := uint32(2166136261)
+	for _, b := range []byte(id) {
+		sum = (sum ^ uint32(b)) * 16777619
+	}
+	return float64(sum%1000) < 1000*share
+}
+
+// listen listens at an address. With late, connections do not come up before that: the line of the listener is full
+// until then, so that the kernel drops what asks to connect, and the peer's kernel asks again a second later.
+func listen(address string, late time.Duration) (net.Listener, error) {
+	if late <= 0 {
+		return net.Listen("tcp", address) //nolint:wrapcheck // the caller names the host
+	}
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the host
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the host
+	}
+	file := os.NewFile(uintptr(fd), address)
+	defer func() { _ = file.Close() }()
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}); err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the host
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the host
+	}
+	fillers := fillLine(a.String())
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller names the host
+	}
+	time.AfterFunc(late, func() {
+		if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), lateBacklog) })
+		}
+		for _, c := range fillers {
+			_ = c.Close()
+		}
+	})
+	return &lateListener{Listener: l, from: time.Now().Add(late)}, nil
+}
+
+// fillLine connects until the listener at an address takes no more.
+func fillLine(address string) (all []net.Conn) {
+	for range mostFillers {
+		c, err := net.DialTimeout("tcp", address, fillerConnectIn)
+		if err != nil {
+			return all
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// lateListener accepts nothing before a moment.
+type lateListener struct {
+	net.Listener
+	from time.Time
+}
+
+// Accept waits for the moment, then for a connection.
+func (l *lateListener) Accept() (net.Conn, error) {
+	time.Sleep(time.Until(l.from))
+	return l.Listener.Accept() //nolint:wrapcheck // net.Listener's own error
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -43,9 +43,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
+	return Serve(l, handle), nil
+}
+
+// Serve is Listen with a listener of the caller's, which ends with the host.
+func Serve(l net.Listener, handle func(Ask) string) *Host {
 	h := &Host{Address: l.Addr().String(), listener: l, handle: handle, conns: map[net.Conn]bool{}}
 	h.all.Go(h.accept)
-	return h, nil
+	return h
 }
 
 // Close ends the host with all its connections and waits for them.
