Slow start: a host's capacity is estimated from hosts of its kind and its own past

Cause: without weights (slow_start.go, warmRate) the capacity of a cold host was the mean of what all warm caches returned. With spare capacity that is about half of what they bear, which hid the fault; once the others are saturated, because several were lost or drained, the mean is their capacity, and a small cache beside large ones was sent up to twice its budget. A dispatcher that had just started measured over its own short life, while those that had stood in for it measured the same traffic over ten seconds: the sum of all could exceed what hosts had returned.

Rates are over a full window, by kind; a host counts for no more than it returned itself while warm (kept while it is off the list), or else than the least productive warm host of its kind. A host may always be sent one request in a window by all routers together.

--- a/core/routing/cost_model.go
+++ b/core/routing/cost_model.go
@@ -63,6 +63,15 @@
 	return cmp.Or(q.service.sendingTime.mean, q.service.Objective*assumedSendingTimeShare)
 }
 
+// meanWork returns the mean work of a request over all services, in seconds.
+func (c *costModel) meanWork() float64 {
+	var all decayingMean
+	for _, s := range c.services {
+		all.add(cmp.Or(s.sendingTime.mean, s.Objective*assumedSendingTimeShare), 0)
+	}
+	return all.mean
+}
+
 // objective returns the latency objective of a request in seconds. It grows with the expected sending time
 // and is at most the viewer timeout.
 func (c *costModel) objective(q *request) float64 {
--- a/core/routing/endpoint_table.go
+++ b/core/routing/endpoint_table.go
@@ -21,6 +21,8 @@
 	warmUp        warmUp
 	link          congestion.Link // congestion of its link
 	returned      windowedSum     // seconds of sending time that it answered or that was filled from it
+	listedSince   float64         // seconds; when it was first listed
+	peakRate      float64         // seconds of work per second; the most it has returned to this router while warm
 	limit         concurrencyLimit
 	generation    int // last version of the cache list that contained it
 }
@@ -84,7 +86,8 @@
 		Endpoint: Endpoint{ID: id, OnlineSince: math.Inf(-1)},
 		limit:    concurrencyLimit{kind: HostLimit, host: id, max: math.Inf(1)},
 	}
-	h.health.lastContact = t.now
+	h.health.lastContact, h.listedSince = t.now, t.now
+	t.slowStart.warmRates.recall(h)
 	t.byID[id] = h
 	t.added = append(t.added, h)
 	return h
@@ -134,6 +137,7 @@
 		if h.busy() {
 			return false
 		}
+		t.slowStart.warmRates.remember(h)
 		delete(t.byID, h.ID)
 		return true
 	})
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -152,7 +152,7 @@
 	}
 	r.averagedAt = r.now
 	r.serving.updateAverage()
-	r.slowStart.updateWarmRates(r.endpoints.caches, r.endpoints.parents)
+	r.slowStart.warmRates.update(r.now, r.costs.meanWork(), r.endpoints.caches, r.endpoints.parents)
 }
 
 // RunRetries sends the requests that wait for a retry. It must be called after all other calls of one moment.
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -9,7 +9,6 @@
 	// savedCreditShare is the share of a host's overload window for which credit may be saved up. A full
 	// window plus the saved credit, times slowStartBudgetShare, stays below the budget.
 	savedCreditShare = 0.25
-	minMeasuredSpan  = bucketSpan // seconds
 )
 
 // warmUp is the slow start of one host.
@@ -26,9 +25,7 @@
 // ramp. If the shares are small because there are many routers, each router draws at random whether it sends.
 type slowStart struct {
 	*environment
-	warmCacheRate  float64 // seconds of work per second that a warm cache returned to this router
-	warmParentRate float64 // the same for a warm parent
-	lastCacheRate  float64 // last value of warmCacheRate other than 0, used while no cache is warm
+	warmRates warmRates
 }
 
 // begin begins the slow start of a host that has restarted.
@@ -50,26 +47,6 @@
 // age returns the time in seconds since a host has started.
 func (s *slowStart) age(h *host) float64 { return math.Max(0, s.now-h.OnlineSince) }
 
-// updateWarmRates measures what warm hosts return to this router.
-func (s *slowStart) updateWarmRates(caches, parents []*host) {
-	s.warmCacheRate, s.warmParentRate = s.warmRate(caches), s.warmRate(parents)
-	if s.warmCacheRate != 0 {
-		s.lastCacheRate = s.warmCacheRate
-	}
-}
-
-// warmRate returns the mean rate, in seconds of work per second, at which the warm hosts among those given
-// return work to this router.
-func (s *slowStart) warmRate(hosts []*host) float64 {
-	var all decayingMean
-	for _, h := range hosts {
-		if h.Phase == Ready && !h.warmUp.active && !h.health.ejected {
-			all.add(h.returned.sum(s.now), 0)
-		}
-	}
-	return all.mean / math.Max(minMeasuredSpan, math.Min(s.now, windowSpan))
-}
-
 // hostBudget is what may be sent to a host in slow start.
 type hostBudget struct {
 	rate    float64 // seconds of work per second that this router may send to it
@@ -81,18 +58,19 @@
 // of what the host can take.
 func (s *slowStart) budget(h *host, work float64) hostBudget {
 	initial, ramp, multiple := s.SlowStartInitial, s.SlowStartRamp, s.OverloadMultiple
-	rate, senders := s.warmCacheRate, s.senders(h.Zone)
+	senders := s.senders(h.Zone)
 	if h.Kind == s.ParentKind {
 		initial, ramp, multiple = s.ParentSlowStartInitial, s.ParentSlowStartRamp, s.ParentOverloadMultiple
-		rate, senders = s.warmParentRate, s.senders(len(s.DispatchersByZone)) // parents serve all zones
+		senders = s.senders(len(s.DispatchersByZone)) // parents serve all zones
 	}
 	age := s.age(h)
 	s.endAfterRamp(h)
-	if s.WeightsKnown {
-		rate = h.Weight / senders
-	} else if rate == 0 {
-		// The host can take at least one request in a window.
-		rate = math.Max(s.lastCacheRate, work/s.OverloadWindow/senders)
+	rate := h.Weight / senders
+	if !s.WeightsKnown {
+		rate = s.warmRates.estimate(h, h.Kind != s.ParentKind)
+		if s.OverloadWindow > 0 { // the host can take one request in a window from all routers
+			rate = math.Max(rate, work/s.OverloadWindow/senders)
+		}
 	}
 	return hostBudget{(initial + (1-initial)*age/ramp) * rate * multiple * slowStartBudgetShare, senders}
 }
--- a/core/routing/slow_start_cluster_test.go
+++ b/core/routing/slow_start_cluster_test.go
@@ -19,19 +19,22 @@
 // slowStartScenario is a cluster of processes that do not communicate with one another, with hosts in slow
 // start.
 type slowStartScenario struct {
-	name               string
-	processes          int
-	initialRequests    float64               // requests of mean work that a host sustains in a window at first
-	weightsKnown       bool                  // the processes know the weights of hosts
-	slowStartCaches    int                   // number of caches in slow start
-	slowStartParents   int                   // number of parents in slow start
-	load               func(float64) float64 // multiple of the normal load at a time; nil means 1
-	restarts           bool                  // every half second from slowStartBegin on, a tenth of the processes restarts
-	silentCache        bool                  // from 3 s after slowStartBegin on, a warm cache never responds
-	drainAfter         float64               // seconds after slowStartBegin when all other caches drain; 0 for never
-	noHistory          bool                  // the processes have had no response from warm hosts before slowStartBegin
-	sendAtLeastOne     bool                  // injected fault: each process sends at least one request in each window
-	processCountFactor float64               // configured number of processes as a multiple of the real one; 0 means 1
+	name             string
+	processes        int
+	initialRequests  float64               // requests of mean work that a host sustains in a window at first
+	weightsKnown     bool                  // the processes know the weights of hosts
+	slowStartCaches  int                   // number of caches in slow start
+	slowStartParents int                   // number of parents in slow start
+	load             func(float64) float64 // multiple of the normal load at a time; nil means 1
+	restarts         bool                  // every half second from slowStartBegin on, a tenth of the processes restarts
+	silentCache      bool                  // from 3 s after slowStartBegin on, a warm cache never responds
+	drainAfter       float64               // seconds after slowStartBegin when all other caches drain; 0 for never
+	noHistory        bool                  // the processes have had no response from warm hosts before slowStartBegin
+	sendAtLeastOne   bool                  // injected fault: each process sends at least one request in each window
+	// size returns the kind of a cache and its capacity as a multiple of the usual one. If it is set, caches serve
+	// no more than their capacity.
+	size               func(cache int) (kind int, multiple float64)
+	processCountFactor float64 // configured number of processes as a multiple of the real one; 0 means 1
 }
 
 // configuredProcesses returns the number of processes that each process is configured with.
@@ -69,6 +72,7 @@
 	resultsDue map[int][]slowStartResult // by number of the step
 	hosts      []Endpoint
 	sends      map[uint32][]float64 // seconds; by host ID
+	backlogs   map[uint32]*backlog  // by host ID
 	seed       uint64
 	lastID     uint32
 }
@@ -80,6 +84,7 @@
 		processes:         make([]simulatedProcess, scenario.processes),
 		resultsDue:        map[int][]slowStartResult{},
 		sends:             map[uint32][]float64{},
+		backlogs:          map[uint32]*backlog{},
 		seed:              seed,
 	}
 	for i := range slowStartCacheCount {
@@ -88,6 +93,11 @@
 	run.hosts = append(run.hosts, endpoint(parentA, 1, Ready), endpoint(parentB, 1, Ready), endpoint(origin, 2, Ready))
 	for i := range run.hosts {
 		run.hosts[i].Weight = run.weight()
+		if scenario.size != nil && i < slowStartCacheCount {
+			kind, multiple := scenario.size(i)
+			run.hosts[i].Kind, run.hosts[i].Weight = kind, multiple*run.weight()
+			run.backlogs[run.hosts[i].ID] = &backlog{secondsPerRequest: meanRequestWork / run.hosts[i].Weight}
+		}
 	}
 	for i := range run.processes { // shares range from nearly none to several times the mean
 		run.processes[i].share = math.Exp(1.2 * run.random.NormFloat64())
@@ -130,7 +140,7 @@
 		load = run.load(now)
 	}
 	// No warm host returns more than its capacity, and without weights this is all that is known about hosts.
-	if !run.weightsKnown {
+	if !run.weightsKnown && run.size == nil {
 		load = math.Min(load, 1/normalLoadShare)
 	}
 	if run.noHistory && now < slowStartBegin {
@@ -201,13 +211,10 @@
 
 // startsSlowStart reports whether a host begins its slow start at slowStartBegin.
 func (run *slowStartRun) startsSlowStart(i int) bool {
-	switch run.hosts[i].Kind {
-	case 0:
+	if i < slowStartCacheCount {
 		return i < run.slowStartCaches
-	case 1:
-		return i-slowStartCacheCount < run.slowStartParents
 	}
-	return false
+	return run.hosts[i].Kind == 1 && i-slowStartCacheCount < run.slowStartParents
 }
 
 // runTimer triggers the timer of a process in every tenth step.
@@ -275,6 +282,9 @@
 	if run.silentCache && a.Host == run.hosts[slowStartCacheCount-1].ID && now > slowStartBegin+3 {
 		return
 	}
+	if b := run.backlogs[a.Host]; b != nil {
+		elapsed = math.Max(elapsed, b.serve(now))
+	}
 	step := int((now + elapsed) / slowStartStepSpan)
 	run.resultsDue[step] = append(run.resultsDue[step], slowStartResult{
 		process:     i,
@@ -285,6 +295,18 @@
 	})
 }
 
+// backlog is the work that waits at a cache of limited capacity.
+type backlog struct {
+	secondsPerRequest float64
+	until             float64 // seconds; when all that was sent is served
+}
+
+// serve adds a request and returns the time in seconds after which it is served.
+func (b *backlog) serve(now float64) float64 {
+	b.until = math.Max(b.until, now) + b.secondsPerRequest
+	return b.until - now
+}
+
 // injectFault makes a process treat a host in slow start as warm if it has sent nothing to the host for a
 // window. It returns the hosts that were marked as warm.
 func (run *slowStartRun) injectFault(i int, now float64) (markedWarm []*host) {
@@ -311,12 +333,12 @@
 
 // sustainable returns the number of requests of mean work that a host in slow start sustains in a window,
 // according to the settings.
-func (run *slowStartRun) sustainable(at float64, kind int) float64 {
+func (run *slowStartRun) sustainable(at float64, h Endpoint) float64 {
 	initial, ramp := 0.2, 10.0
-	if kind == 1 {
+	if h.Kind == 1 {
 		initial, ramp = 0.1, 20.0
 	}
-	return (initial + (1-initial)*math.Min(1, (at-slowStartBegin)/ramp)) * 2 * run.weight() / meanRequestWork
+	return (initial + (1-initial)*math.Min(1, (at-slowStartBegin)/ramp)) * 2 * h.Weight / meanRequestWork
 }
 
 // overloads returns how many hosts in slow start were sent more in a sliding window than the overload rule
@@ -343,7 +365,7 @@
 		for sends[first] <= at-1 {
 			first++
 		}
-		n := run.sustainable(at, h.Kind)
+		n := run.sustainable(at, h)
 		worst = math.Max(worst, float64(last-first+1)/(n+2*math.Sqrt(n)+2))
 	}
 	return worst
--- a/core/routing/slow_start_test.go
+++ b/core/routing/slow_start_test.go
@@ -156,7 +156,7 @@
 			}, seed+1)
 			for from := slowStartBegin + 6.0; from < slowStartRunEnd; from++ {
 				sent = append(sent, run.sentWithin(run.hosts[0].ID, from, from+1))
-				sustainable = append(sustainable, run.sustainable(from+0.5, 0))
+				sustainable = append(sustainable, run.sustainable(from+0.5, run.hosts[0]))
 			}
 		}
 		mean, variance := 0.0, 0.0
