Slow start: a host that may have restarted unheard counts as started until proven otherwise

Cause: slow start went by the list's startedAtMs alone. A start counts as told once it is in the change log; with a change log that is silent, late or moving, the dispatcher found the host by its probes, called it recovered (outlier_detection.go, observeSuccess), and sent to it as a warm one.

A host that lost a connection, could not be reached or fell silent is doubted, and counts as started at the last failure or, once it answers, when the connection of that answer came up. An answer over a connection older than the doubt proves the same process and ends it. While the change log says nothing for 1.5 s, a host that answers over a new connection is doubted as well, and a parent, for which there is no such proof, on loss or recovery. The driver hands over when each answer's connection came up and when the change log was last heard; without that (the simulator) nothing changes.

TestHostMayHaveRestarted and TestRestartWithinSlowStartBringsNoCredit use what is new here.

--- a/core/routing/endpoint_table.go
+++ b/core/routing/endpoint_table.go
@@ -19,6 +19,7 @@
 	health        health
 	sourceHealth  sourceHealth
 	warmUp        warmUp
+	process       processContinuity
 	link          congestion.Link // congestion of its link
 	returned      windowedSum     // seconds of sending time that it answered or that was filled from it
 	listedSince   float64         // seconds; when it was first listed
@@ -31,7 +32,7 @@
 func (h *host) busy() bool { return h.inFlight+h.fillsInFlight > 0 }
 
 // endpointTable holds the listed hosts and determines which of them may be used: the caches of the router's
-// own zone, all parents, and a ready origin. A removed host is forgotten once nothing is in flight there.
+// own zone, all parents, and a ready origin. A removed host is forgotten once nothing is in flight there and its slow start, if any, is over.
 type endpointTable struct {
 	*environment
 	groups      *grouphealth.Tracker
@@ -134,7 +135,7 @@
 			hosts = append(hosts, h)
 			return false
 		}
-		if h.busy() {
+		if h.busy() || t.slowStart.inProgress(h) {
 			return false
 		}
 		t.slowStart.warmRates.remember(h)
--- a/core/routing/host_result.go
+++ b/core/routing/host_result.go
@@ -5,6 +5,11 @@
 
 // observeHost learns from a result how fast and how healthy its host is.
 func (r *Router) observeHost(q *request, a *attempt) verdict {
+	if a.result.Outcome == ConnectionLost {
+		r.restarts.observeLoss(a.host)
+	} else {
+		r.restarts.observeAnswer(a.host, a.result.ConnectedAt)
+	}
 	switch a.result.Outcome {
 	case Succeeded:
 		r.observeSuccess(q, a)
--- a/core/routing/outlier_detection.go
+++ b/core/routing/outlier_detection.go
@@ -66,6 +66,7 @@
 type outlierDetector struct {
 	*environment
 	slowStart *slowStart
+	restarts  *restartDetector
 }
 
 // permits reports whether the health of a host allows a request to be sent to it. A suspected host only
@@ -102,6 +103,7 @@
 		return
 	}
 	s.markRecovered()
+	d.restarts.observeRecovery(h)
 	d.actions.HostRecovered(h.ID)
 	d.publish(PeerUpdate{Host: h.ID})
 }
@@ -116,6 +118,7 @@
 
 // observeUnreachable counts a request that a host never received or never answered.
 func (d *outlierDetector) observeUnreachable(h *host) {
+	d.restarts.observeLoss(h)
 	d.observeFault(h, h.health.group.LossWeight(d.now, unreachableWeight, ejectionThreshold))
 }
 
@@ -125,6 +128,7 @@
 	s := &h.health
 	s.overdueScore += others
 	if s.ejected || s.overdueScore >= maxOverdueScore || s.group.ObserveSilence(d.now) {
+		d.restarts.observeLoss(h)
 		d.eject(h)
 	}
 }
@@ -161,6 +165,7 @@
 		s.markRecovered()
 		return
 	}
+	d.restarts.observeLoss(h)
 	s.ejected, s.ejectedAt = true, d.now
 	s.ejectedUntil, s.backoff = math.Max(s.ejectedUntil, u.Until), math.Max(s.backoff, u.Backoff)
 }
--- /dev/null
+++ b/core/routing/restart_detection_test.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// processStep is one thing that a router sees of a host at a time in seconds.
+type processStep struct {
+	at  float64
+	see func(r *Router, h *host)
+}
+
+func answerOver(connectedAt float64) func(*Router, *host) {
+	return func(r *Router, h *host) { r.restarts.observeAnswer(h, connectedAt) }
+}
+
+func loss(r *Router, h *host) { r.restarts.observeLoss(h) }
+
+func heardAt(at float64) func(*Router, *host) {
+	return func(r *Router, _ *host) { r.HandleListHeard(r.now, at) }
+}
+
+func toldStart(at float64) func(*Router, *host) {
+	return func(r *Router, h *host) {
+		e := h.Endpoint
+		e.OnlineSince, e.OnlineSinceKnown = at, true
+		r.UpdateEndpoints(r.now, ListChanges, []Endpoint{e})
+	}
+}
+
+func goneAndBack(r *Router, h *host) {
+	e := h.Endpoint
+	e.Phase = Removed
+	r.UpdateEndpoints(r.now, ListChanges, []Endpoint{e})
+	e.Phase = Ready
+	r.UpdateEndpoints(r.now, ListChanges, []Endpoint{e})
+}
+
+// Guards against a host that may have restarted getting requests like a warm one, because no list has told of that yet,
+// and against a host being taken for cold although a connection proves that its process is the same.
+func TestHostMayHaveRestarted(t *testing.T) {
+	const never = -1.0
+	for _, tt := range []struct {
+		name      string
+		id        uint32
+		startedAt float64 // from which its slow start is counted; never for none
+		steps     []processStep
+	}{
+		{"nothing lost", cacheA, never, []processStep{{10, answerOver(1)}, {11, answerOver(10.5)}}},
+		{"lost", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}}},
+		{"lost again and again", cacheA, 13, []processStep{{10, answerOver(1)}, {11, loss}, {12, loss}, {13, loss}}},
+		{"answers over a new connection", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, answerOver(12.8)}}},
+		{"answers over an older connection", cacheA, never, []processStep{{10, answerOver(1)}, {11, loss}, {12, answerOver(2)}}},
+		{"over a new one, then over an older one", cacheA, never, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, answerOver(1)}}},
+		{"over one that is older than the loss, but not proven", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, answerOver(10.5)}}},
+		{"lost twice, the second time for nothing", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {13, answerOver(12)}, {14, loss}, {15, answerOver(12)}}},
+		{"never heard of, and lost", cacheB, 11, []processStep{{10, answerOver(1)}, {11, loss}}},
+		{"told of an earlier start", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, toldStart(11.8)}}},
+		{"told of a later start", cacheA, 12.5, []processStep{{10, answerOver(1)}, {11, loss}, {13, toldStart(12.5)}}},
+		{"a told start stays when the doubt ends", cacheA, 9, []processStep{{9.5, toldStart(9)}, {10, answerOver(9.2)}, {11, loss}, {12, answerOver(9.3)}}},
+		{"the list falls silent, a new connection", cacheA, 14, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(14)}}},
+		{"the list falls silent, the same connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(1)}}},
+		{"the list is heard, a new connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(14.5)}, {15, answerOver(14)}}},
+		{"off the list and on it again", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, goneAndBack}}},
+		{"connections are not known", cacheA, never, []processStep{{10, answerOver(0)}, {11, loss}}},
+		{"a parent while the list is heard", parentA, never, []processStep{{10, heardAt(10)}, {11, loss}}},
+		{"a parent while the list is silent", parentA, 11, []processStep{{10, heardAt(2)}, {11, loss}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r, _ := newCluster(func(s *Settings) { s.WeightsKnown = true })
+			if tt.id != cacheA {
+				r.restarts.connectionsKnown = true
+			}
+			for _, step := range tt.steps {
+				r.now = step.at
+				step.see(r, r.endpoints.byID[tt.id])
+			}
+			h := r.endpoints.byID[tt.id]
+			assert.Equal(t, tt.startedAt != never, h.warmUp.active, "in slow start")
+			if h.warmUp.active {
+				assert.InDelta(t, tt.startedAt, h.startedAt(), 1e-9)
+			}
+		})
+	}
+}
+
+// Guards against a restart within a slow start that earns credit for the time before it, and against a restart that is
+// told late and brings new credit with it.
+func TestRestartWithinSlowStartBringsNoCredit(t *testing.T) {
+	r, _ := newCluster(func(s *Settings) { s.WeightsKnown = true })
+	h := r.endpoints.byID[cacheA]
+	r.now = 10
+	r.restarts.observeAnswer(h, 1)
+	r.restarts.observeLoss(h)
+	for r.now = 10; r.slowStart.permits(h, 0.01); {
+		h.warmUp.credit -= 0.01
+	}
+	r.now = 18
+	toldStart(17.9)(r, h)
+	assert.False(t, r.slowStart.permits(h, 0.01), "a told start")
+	r.now = 18.5
+	r.restarts.observeLoss(h)
+	sent := 0
+	for ; r.slowStart.permits(h, 0.01); sent++ {
+		h.warmUp.credit -= 0.01
+	}
+	assert.LessOrEqual(t, float64(sent)*0.01, 0.6*0.2*2*slowStartBudgetShare, "what 0.6 s allow at the start")
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -39,6 +39,7 @@
 	limits     limiter
 	outliers   outlierDetector
 	slowStart  slowStart
+	restarts   restartDetector
 	retries    retryQueue
 	budget     retrybudget.Budget
 	purges     purgeLog
@@ -61,8 +62,9 @@
 	}
 	r.serving = servingTimes{environment: env, endpoints: &r.endpoints, costs: &r.costs}
 	r.limits = newLimiter(env, &r.costs, &r.congestion)
-	r.outliers = outlierDetector{env, &r.slowStart}
+	r.outliers = outlierDetector{env, &r.slowStart, &r.restarts}
 	r.slowStart = slowStart{environment: env}
+	r.restarts = restartDetector{environment: env, slowStart: &r.slowStart}
 	r.budget = retrybudget.New(s.Retries, now)
 	r.purges = purgeLog{environment: env, timers: &r.timers, purgedAt: map[string]float64{}}
 	if s.PollEndpoints {
@@ -126,6 +128,13 @@
 	}
 }
 
+// HandleListHeard records when the source of the endpoint list last said something, in seconds. A router that is
+// never told takes the source for one that is always heard.
+func (r *Router) HandleListHeard(now, heardAt float64) {
+	r.now = now
+	r.restarts.hearList(heardAt)
+}
+
 // HandlePurge records a purge of an object, or of a whole group if object is empty. The purge was issued age
 // seconds ago.
 func (r *Router) HandlePurge(now float64, object string, group int, age float64) {
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -28,12 +28,30 @@
 	warmRates warmRates
 }
 
-// begin begins the slow start of a host that has restarted.
+// begin begins the slow start of a host that has restarted, as it was told or presumed. A host that is in slow start
+// already keeps its account: what it was sent before counts on.
 func (s *slowStart) begin(h *host, cause SlowStartCause) {
-	h.warmUp = warmUp{active: true, cause: cause}
-	if ramp, limited := s.ramp(h); limited && s.age(h) < ramp {
-		s.report(h, SlowStartBegan)
+	ramp, limited := s.ramp(h)
+	if !limited || s.age(h) >= ramp {
+		return
+	}
+	w := &h.warmUp
+	if w.active && cause == PresumedRestart {
+		return
 	}
+	if !w.active {
+		*w = warmUp{active: true}
+	} else if w.creditedUntil != 0 {
+		w.creditedUntil = math.Max(w.creditedUntil, s.now) // the time before earns nothing for the process that has started
+	}
+	w.cause, w.statistics = cause, slowStartStatistics{}
+	s.report(h, SlowStartBegan)
+}
+
+// inProgress reports whether a host is in slow start now.
+func (s *slowStart) inProgress(h *host) bool {
+	ramp, limited := s.ramp(h)
+	return h.warmUp.active && limited && s.age(h) < ramp
 }
 
 // ramp returns the duration of a host's slow start in seconds, and whether there is one for its kind.
@@ -45,7 +63,7 @@
 }
 
 // age returns the time in seconds since a host has started.
-func (s *slowStart) age(h *host) float64 { return math.Max(0, s.now-h.OnlineSince) }
+func (s *slowStart) age(h *host) float64 { return math.Max(0, s.now-h.startedAt()) }
 
 // hostBudget is what may be sent to a host in slow start.
 type hostBudget struct {
@@ -162,7 +180,7 @@
 func (s *slowStart) addCredit(h *host, initial, earned, maxCredit float64) float64 {
 	w := &h.warmUp
 	if s.Peers != nil {
-		w.credit = s.Peers.AccrueCredit(h.ID, h.OnlineSince, initial, earned, maxCredit)
+		w.credit = s.Peers.AccrueCredit(h.ID, h.startedAt(), initial, earned, maxCredit)
 	} else {
 		w.credit = math.Min(w.credit+earned, maxCredit)
 	}
--- a/core/routing/slow_start_report.go
+++ b/core/routing/slow_start_report.go
@@ -22,18 +22,19 @@
 
 // These are the causes.
 const (
-	ToldStart SlowStartCause = iota // an endpoint list told when the host has started
+	ToldStart       SlowStartCause = iota // an endpoint list told when the host has started
+	PresumedRestart                       // the host may have restarted, and no list has told that or ruled it out
 )
 
 // String returns the cause as it is logged.
-func (c SlowStartCause) String() string { return [...]string{"told"}[c] }
+func (c SlowStartCause) String() string { return [...]string{"told", "presumed"}[c] }
 
 // SlowStartReport tells how the slow start of a host goes, for the log.
 type SlowStartReport struct {
 	Host  uint32
 	State SlowStartState
 	Cause SlowStartCause
-	Age   float64 // seconds since the host has started
+	Age   float64 // seconds since the host has started, as told or presumed
 
 	Attempts   int // attempts of this router that were sent to the host, or named it as their source, since the slow start began
 	Refusals   int // how often the budget has ruled out the host since then
@@ -100,7 +101,7 @@
 func (s *slowStart) report(h *host, state SlowStartState) {
 	statistics := &h.warmUp.statistics
 	s.actions.ReportSlowStart(SlowStartReport{
-		Host: h.ID, State: state, Cause: h.warmUp.cause, Age: math.Max(0, s.now-h.OnlineSince),
+		Host: h.ID, State: state, Cause: h.warmUp.cause, Age: s.age(h),
 		Attempts: statistics.attempts, Refusals: statistics.refusals, WorstCount: statistics.worstCount,
 		WindowBudget: statistics.windowBudget,
 	})
--- a/core/sharding/shared_credits.go
+++ b/core/sharding/shared_credits.go
@@ -17,7 +17,7 @@
 type bucket struct {
 	credit      float64 // seconds of sending time
 	limit       float64
-	onlineSince float64 // start of the host; another start begins a new bucket
+	onlineSince float64 // start of the host; a later start begins a new bucket
 }
 
 type probe struct {
@@ -33,13 +33,16 @@
 		p.buckets = map[uint32]*bucket{}
 	}
 	b := p.buckets[host]
-	if b == nil || b.onlineSince != onlineSince {
+	if b == nil || b.onlineSince < onlineSince {
 		if len(p.buckets) >= maxHosts {
 			clear(p.buckets) // these hosts have long finished their slow start
 		}
 		b = &bucket{credit: initial, onlineSince: onlineSince}
 		p.buckets[host] = b
 	}
+	if onlineSince < b.onlineSince { // that shard does not know of the later start yet, whose rate is lower
+		return b.credit
+	}
 	b.limit = limit
 	b.credit = math.Min(b.credit+add, math.Max(limit, b.credit))
 	return b.credit
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -83,7 +84,8 @@
 	Moves   <-chan string // new addresses of the change log; nil for none
 	Log     zerolog.Logger
 	Take    func(Event)
-	Witness *Witness // puts the stamps of events on the process's clock before they are taken; nil leaves them as they are
+	Heard   *atomic.Int64 // is given the clock.Instant at which a stream last said something; nil for nobody
+	Witness *Witness      // puts the stamps of events on the process's clock before they are taken; nil leaves them as they are
 
 	last    int64
 	again   int64 // the event that was asked for once more; 0 for none
@@ -97,7 +99,8 @@
 // Follow takes new events behind what is known until the context ends. Connections that end are made anew, at
 // once where the change log has moved.
 func (f *Follower) Follow(ctx context.Context, known Known) error {
-	f.last, f.heard = known.Seq, clock.InstantNow()
+	f.last = known.Seq
+	f.hear()
 	wait := retryMin
 	for {
 		before, from := f.last, time.Now()
@@ -131,6 +134,14 @@
 // move goes on with another change log, which knows nothing of what the last one failed at.
 func (f *Follower) move(address string) { f.Address, f.again, f.patient = address, 0, false }
 
+// hear books that a stream has said something.
+func (f *Follower) hear() {
+	f.heard = clock.InstantNow()
+	if f.Heard != nil {
+		f.Heard.Store(int64(f.heard))
+	}
+}
+
 // untilMoved follows one connection to its end, or until the change log has moved.
 func (f *Follower) untilMoved(ctx context.Context) error {
 	within, stop := context.WithCancel(ctx)
@@ -193,7 +204,8 @@
 		}
 		if r.InStream() {
 			f.works()
-			f.upToDate, f.heard = f.heard, clock.InstantNow()
+			f.upToDate = f.heard
+			f.hear()
 		}
 		for e, ok := r.Next(); ok; e, ok = r.Next() {
 			begun, times = time.Now(), 1
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -36,6 +36,9 @@
 
 	Coalesce []bool // by delivery service, whether requests for the same part share an attempt; nil for none
 
+	// ListHeard is a clock.Instant at which the change log last said something; nil where that is not known.
+	ListHeard *atomic.Int64
+
 	Admission Admission // the stage that asks who is calling; nil where nobody does
 	Shard     *Shard    // of several in one process; nil for one alone
 
@@ -132,6 +135,9 @@
 	for q, ok := d.expiries.Pop(now); ok; q, ok = d.expiries.Pop(now) {
 		d.expire(q)
 	}
+	if d.ListHeard != nil {
+		d.router.HandleListHeard(now, d.Clock.At(clock.Instant(d.ListHeard.Load())))
+	}
 	d.router.HandleTimer(now)
 	d.expireFollowers(now)
 	if now-d.sweptAt >= sweepInterval {
--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"elderwall/core/routing"
+	"elderwall/internal/clock"
 	"elderwall/internal/hostproto"
 	"elderwall/internal/upstream"
 )
@@ -48,7 +49,11 @@
 			body = nil // with the room that it holds
 			d.finish(q, false)
 		}
-		d.handleReturned(a, routing.AttemptResult{Outcome: outcome, Note: r.Answer.Note, FillWait: r.Answer.Waited, SizeKB: size})
+		result := routing.AttemptResult{Outcome: outcome, Note: r.Answer.Note, FillWait: r.Answer.Waited, SizeKB: size}
+		if r.Stage == upstream.Answered {
+			result.ConnectedAt = d.Clock.At(clock.InstantOf(a.ConnectedAt()))
+		}
+		d.handleReturned(a, result)
 	})
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -230,7 +231,9 @@
 		Dials:     upstream.NewDials(),
 		IdleClose: clock.Duration(c.settings.IdleTimeout), Streams: c.settings.MaxStreams, Context: ctx, Group: group,
 	}
-	n := dispatcher.Config{Settings: c.settings, Clock: clock.New(), Options: o, Connections: c.Limits.Sockets - clients - ownSockets}
+	heard := &atomic.Int64{}
+	heard.Store(int64(clock.InstantNow()))
+	n := dispatcher.Config{Settings: c.settings, Clock: clock.New(), ListHeard: heard, Options: o, Connections: c.Limits.Sockets - clients - ownSockets}
 	if gate != nil {
 		n.Admission = gate
 	}
@@ -261,7 +264,7 @@
 	for _, e := range c.Known.Events {
 		take(witness.Take(e, 0))
 	}
-	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take, Witness: witness}
+	follower := &changelog.Follower{Address: c.Changelog, Moves: s.moves, Log: log, Take: take, Heard: heard, Witness: witness}
 	group.Go(func() error { return s.core.Run(ctx) })
 	group.Go(func() error { return follower.Follow(ctx, c.Known) })
 	for _, l := range s.listeners {
--- a/internal/standin/slowstart/fleet.go
+++ b/internal/standin/slowstart/fleet.go
@@ -46,6 +46,7 @@
 	Dispatchers []*Dispatcher
 
 	dir     string
+	origin  string             // its address, where nobody listens
 	events  *standin.ChangeLog // where all events stand
 	clients *clients
 
@@ -62,10 +63,11 @@
 	Changes *Relay
 	Log     *os.File
 
-	config string
-	mu     sync.Mutex // guards what follows
-	cmd    *exec.Cmd
-	ended  chan struct{}
+	config    string
+	replacing atomic.Bool
+	mu        sync.Mutex // guards what follows, and Changes
+	cmd       *exec.Cmd
+	ended     chan struct{}
 }
 
 // Build builds the dispatcher's program.
@@ -78,7 +80,7 @@
 
 // New starts hosts, change log and dispatchers; all of it ends with the test.
 func New(t testing.TB, o Options) *Fleet {
-	f := &Fleet{TB: t, Options: o, dir: t.TempDir(), Hosts: map[string]*Host{}, stamps: map[string]int64{}}
+	f := &Fleet{TB: t, Options: o, dir: t.TempDir(), origin: standin.Free(), Hosts: map[string]*Host{}, stamps: map[string]int64{}}
 	f.events = need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	t.Cleanup(f.events.Close)
 	var entries []string
@@ -94,7 +96,7 @@
 		f.Hosts[ho.ID] = h
 		entries = append(entries, f.entry(h, "SERVING", 0))
 	}
-	entries = append(entries, fmt.Sprintf(entryText, origin, standin.Free(), "origin", "SERVING", 1, 0))
+	entries = append(entries, f.originEntry())
 	f.push(true, entries...)
 	for i := range o.Dispatchers {
 		f.Dispatchers = append(f.Dispatchers, f.dispatcher(i))
@@ -114,6 +116,10 @@
 	return fmt.Sprintf(entryText, h.ID, h.Address, h.Kind, state, weight, startedAtMs)
 }
 
+func (f *Fleet) originEntry() string {
+	return fmt.Sprintf(entryText, origin, f.origin, "origin", "SERVING", 1, 0)
+}
+
 func (f *Fleet) push(reset bool, entries ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -136,7 +142,7 @@
 
 // ToldAgain has the change log give the whole list anew, with all hosts as they are.
 func (f *Fleet) ToldAgain() {
-	entries := []string{fmt.Sprintf(entryText, origin, standin.Free(), "origin", "SERVING", 1, 0)}
+	entries := []string{f.originEntry()}
 	for _, ho := range f.Options.Hosts {
 		f.mu.Lock()
 		stamp := f.stamps[ho.ID]
@@ -234,7 +240,7 @@
 	settings := fmt.Sprintf(settingsText, o.Dispatchers, o.Weights, int64(o.Connects*1e6),
 		o.Rule.Initial, o.Rule.Ramp.Microseconds(), o.Rule.Multiple, o.Rule.Window.Microseconds(),
 		o.ParentRule.Initial, o.ParentRule.Ramp.Microseconds(), o.ParentRule.Multiple)
-	text := fmt.Sprintf(configText, d.Name, d.Listen, uint16(o.Seed), d.Changes.Address, settings)
+	text := fmt.Sprintf(configText, d.Name, d.Listen, uint16(o.Seed), d.relay().Address, settings)
 	require.NoError(d.fleet, os.WriteFile(d.config, []byte(text), 0o600))
 }
 
@@ -271,11 +277,41 @@
 	}
 }
 
+// Replace sends a signal that ends it, kills it after a while if it has not ended, and starts it again. One that is being
+// replaced already is left alone.
+func (d *Dispatcher) Replace(s syscall.Signal, kill, down time.Duration) {
+	if !d.replacing.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.replacing.Store(false)
+	d.Signal(s)
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(kill):
+		d.Kill()
+	}
+	time.Sleep(down)
+	d.Start()
+}
+
+// relay is the one that it follows the change log through now.
+func (d *Dispatcher) relay() *Relay {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Changes
+}
+
 // MoveChangeLog has it follow the change log at another address, which SIGHUP tells.
 func (d *Dispatcher) MoveChangeLog() {
+	fresh := need.Of(NewRelay(d.fleet.events.Address))(d.fleet.TB)
+	d.fleet.Cleanup(fresh.Close)
+	d.mu.Lock()
 	old := d.Changes
-	d.Changes = need.Of(NewRelay(d.fleet.events.Address))(d.fleet.TB)
-	d.fleet.Cleanup(d.Changes.Close)
+	d.Changes = fresh
+	d.mu.Unlock()
 	d.writeConfig()
 	d.Signal(syscall.SIGHUP)
 	old.Close()
--- a/internal/standin/slowstart/host.go
+++ b/internal/standin/slowstart/host.go
@@ -1,6 +1,7 @@
 package slowstart
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,6 +20,8 @@
 	lateBacklog     = 128
 	mostFillers     = 4
 	fillerConnectIn = 50 * time.Millisecond
+	mostBinds       = 100
+	bindAgainIn     = 10 * time.Millisecond
 )
 
 // HostOptions is what a host is.
@@ -51,6 +54,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l, err := listen(h.Address, late)
+	// A process that is being forked holds a copy of a closed listener until it executes its program.
+	for tries := 0; errors.Is(err, syscall.EADDRINUSE) && tries < mostBinds; tries++ {
+		time.Sleep(bindAgainIn)
+		l, err = listen(h.Address, late)
+	}
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.ID, err)
 	}
@@ -84,6 +92,16 @@
 	}
 }
 
+// Reset ends its connections.
+func (h *Host) Reset() {
+	h.mu.Lock()
+	running := h.running
+	h.mu.Unlock()
+	if running != nil {
+		running.Reset()
+	}
+}
+
 // Ledgers returns what reached each of its starts.
 func (h *Host) Ledgers() []*Ledger {
 	h.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,6 +36,7 @@
 	doubted   bool      // nothing came between a forward and its stop; no new one goes out until something does
 	heard     time.Time // when bytes last came
 	used      time.Time // when a forward last went out or ended
+	up        time.Time // when it was established; the zero time before that
 }
 
 // item is what is to be written: a forward's request, or text.
@@ -88,7 +89,8 @@
 	if c.closed {
 		return false
 	}
-	c.socket, c.used = socket, time.Now()
+	now := time.Now()
+	c.socket, c.used, c.up = socket, now, now
 	for _, f := range c.open {
 		f.stage = NotWritten
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -268,6 +268,16 @@
 	return true
 }
 
+// ConnectedAt is when the connection that it went out on was established; the zero time for none.
+func (f *Forward) ConnectedAt() time.Time {
+	if f.conn == nil {
+		return time.Time{}
+	}
+	f.conn.host.mu.Lock()
+	defer f.conn.host.mu.Unlock()
+	return f.conn.up
+}
+
 // Written tells whether the request was written whole.
 func (f *Forward) Written() bool {
 	if f.conn == nil {
