Slow start: an attempt that waits for its connection is taken back, not sent late

Cause: the budget of a host in slow start was spent when an attempt was decided on (router.go, send), and the rule counts when it arrives. Attempts that waited for connections that came up late, or in a process that stood still, reached the host together with those decided on after them.

Change: Attempt.SendBy of an attempt to a host in slow start, or with such a source, is a tenth of the overload window away. The driver has taken back what is later than that ever since repeats have a window, and the router decides anew.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -87,7 +87,8 @@
 	Revalidate    bool
 	CachedOnly    bool // the source may only return what it has cached
 	// SendBy is the time, in seconds on the router's clock, by which the first byte of the attempt must be
-	// sent. After it, hosts may no longer recognize a repeat, or the request has been given up.
+	// sent. After it, hosts may no longer recognize a repeat, the request has been given up, or a host in slow start
+	// may get others in its place.
 	SendBy float64
 }
 
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -265,6 +265,7 @@
 	r.outliers.countProbe(h)
 	r.outliers.countProbe(source)
 	sendBy := min(q.repeatableUntil()-tickInterval, q.giveUpAt) // a host would drop a request that has less time left
+	sendBy = min(sendBy, r.slowStart.sendBy(h), r.slowStart.sendBy(source))
 	a := r.newAttempt(q, work)
 	r.acquireLimits(a)
 	r.scheduleObjectiveCheck(q, a)
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -9,6 +9,9 @@
 	// savedCreditShare is the share of a host's overload window for which credit may be saved up. A full
 	// window plus the saved credit, times slowStartBudgetShare, stays below the budget.
 	savedCreditShare = 0.25
+	// sendDelayShare is the share of a host's overload window within which an attempt must be on its way once its
+	// credit is spent.
+	sendDelayShare = 0.1
 )
 
 // warmUp is the slow start of one host.
@@ -187,6 +190,16 @@
 	return w.credit
 }
 
+// sendBy returns the time in seconds by which an attempt that was decided on now must be sent to a host: +Inf if it is
+// not in slow start. Guards against attempts that wait, for a connection that comes up late or while the process
+// stands still, and then reach the host together with those that were decided on later.
+func (s *slowStart) sendBy(h *host) float64 {
+	if !h.warmUp.active || s.OverloadWindow <= 0 {
+		return math.Inf(1)
+	}
+	return s.now + s.OverloadWindow*sendDelayShare
+}
+
 // claim takes work from what all shards together may send to a host in slow start. It returns false if other
 // shards have left too little.
 func (s *slowStart) claim(h *host, work float64) bool {
--- /dev/null
+++ b/internal/dispatcher/slow_start_test.go
@@ -0,0 +1,71 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"elderwall/internal/call"
+	"elderwall/internal/changelog"
+	"elderwall/internal/clock"
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/rig"
+)
+
+// Guards against requests that wait for the connections of a host in slow start, each of which its budget allowed when it
+// was decided on, reaching the host together once the connections come up.
+func TestRequestsForAColdHostDoNotPileUpAtItsConnections(t *testing.T) {
+	const (
+		window    = 0.25 // seconds
+		sustained = 80   // requests in a window at first
+		work      = 300 * time.Millisecond
+		apart     = 1500 * time.Microsecond
+		upAfter   = 500 * time.Millisecond
+		lasts     = 1200 * time.Millisecond
+	)
+	var mu sync.Mutex
+	var arrivals []time.Time
+	hosts := rig.NewHosts(t, 1)
+	hosts.Answer(func(a standin.Ask) string {
+		mu.Lock()
+		arrivals = append(arrivals, time.Now())
+		mu.Unlock()
+		time.Sleep(work)
+		return standin.Hit(a.ID, "bytes")
+	})
+	s := rig.Settings(10000)
+	s.Settings.Services[0].Objective = 2 * work.Seconds() // half of it counts as the work of a request before any is measured
+	s.OverloadWindow, s.WeightsKnown = window, true
+	o, end := rig.Life(t)
+	up := rig.HoldDials(o)
+	d := New(Config{Settings: s, Clock: clock.New(), Options: o, Connections: 100})
+	o.Group.Go(func() error { return d.Run(o.Context) })
+	w := changelog.Witness{Clock: d.Clock}
+	entry := hosts.Entries[0]
+	entry.Weight = sustained * work.Seconds() / (s.SlowStartInitial * s.OverloadMultiple * window)
+	entry.StartedAtMs = time.Now().UnixMilli()
+	d.Take(w.Take(rig.Whole(entry), 0))
+	began := time.Now()
+	time.AfterFunc(upAfter, func() { close(up) })
+	for n := 0; time.Since(began) < lasts; n++ {
+		c := rig.NewCall(o.Room)
+		d.Process(c, call.GET{Service: "segment", ID: rig.Fresh()[1], Object: fmt.Sprintf("%016x", n), PartText: "0", Budget: 5})
+		time.Sleep(time.Until(began.Add(time.Duration(n) * apart)))
+	}
+	end()
+	worst := 0
+	for first, last := 0, 0; last < len(arrivals); last++ {
+		for arrivals[last].Sub(arrivals[first]).Seconds() >= window {
+			first++
+		}
+		worst = max(worst, last-first+1)
+	}
+	age := time.Since(began).Seconds()
+	most := sustained * (1 + (1/s.SlowStartInitial-1)*age/s.SlowStartRamp) // at the end, when it sustains the most
+	assert.LessOrEqual(t, float64(worst), most+2*math.Sqrt(most)+2, "requests in a window")
+	assert.Greater(t, len(arrivals), sustained, "requests that reached the host")
+}
