Slow start: a seeded soak with real processes under drawn faults

Hosts of two sizes and parents restart (told at once, late, with connections that come up late), drain, leave the list and return, lose connections; change logs fall silent, come late, move in series, give the whole list again; dispatchers are killed, stopped, and ended with the kill at the earliest moment, while clients go on; each run has a crowd.

--- /dev/null
+++ b/internal/service/slow_start_soak_test.go
@@ -0,0 +1,44 @@
+package service
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"elderwall/internal/standin/slowstart"
+)
+
+const (
+	soakSeeds = 3 // that are played without ELDERWALL_SOAK_SEEDS
+	soakFirst = 1
+)
+
+// number reads a number from the environment.
+func number(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// Guards against hosts in slow start that get more than their budget from all dispatchers together, under faults of hosts,
+// change logs and dispatchers that are drawn from a seed. ELDERWALL_SOAK_SEEDS and ELDERWALL_SOAK_FIRST play others.
+func TestNoHostInSlowStartFallsUnderDrawnFaults(t *testing.T) {
+	binary := slowstart.Build(t, t.TempDir())
+	first := number("ELDERWALL_SOAK_FIRST", soakFirst)
+	for seed := first; seed < first+number("ELDERWALL_SOAK_SEEDS", soakSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			plan := slowstart.Draw(uint64(seed), binary)
+			t.Log(plan)
+			f := slowstart.New(t, plan.Options)
+			plan.Play(f)
+			assertNoneFell(t, f)
+			served, _, _ := f.Answers()
+			assert.Positive(t, served, "requests that were served")
+		})
+	}
+}
