Slow start: what hosts return is counted in requests, priced at the latest sending time

Cause: what a host returned was kept in seconds of work as estimated when it was sent, half the latency objective at first. Once the sending time was measured, which takes a hit at a host with nothing else out, the budget was divided by the new work, while the rate was in terms of the old one for ten seconds: six times the budget where a request takes 50 ms of an objective of 600. Where weights are told and sending times are not, a request may take twice what is assumed.

Change: requestCounts by service, priced when they are read; peaks and last rates in terms of an assumption are dropped with the first measurement; with told weights and a service that is not measured the budget is halved.

The new test TestBudgetDoesNotGrowWithTheFirstMeasurement uses what is new here and was not run on the code before.

--- a/core/routing/cache_fill.go
+++ b/core/routing/cache_fill.go
@@ -163,7 +163,7 @@
 	succeeded := a.result.Outcome == Succeeded
 	switch {
 	case succeeded && note != CacheHit && note != FillCoalesced && note != StaleHit:
-		source.returned.add(r.now, a.work)
+		source.returned.add(r.now, q.Service)
 		source.health.recordContact(r.now)
 		if r.NoteDetail == FillNotes || a.isFill {
 			r.outliers.observeSuccess(source)
--- a/core/routing/cost_model.go
+++ b/core/routing/cost_model.go
@@ -39,6 +39,7 @@
 	*environment
 	services   []*service
 	congestion *congestion.Tracker
+	allWorks   []float64 // backs the result of works
 }
 
 // sendingTime returns the request's sending time in seconds, calculated from its size, or 0 if that is
@@ -59,17 +60,28 @@
 func (c *costModel) expectedTime(q *request) float64 { return c.congestion.ExpectedTime(c.sizeKB(q)) }
 
 // work returns what a request counts for in a limit: the mean sending time of its service, in seconds.
-func (c *costModel) work(q *request) float64 {
-	return cmp.Or(q.service.sendingTime.mean, q.service.Objective*assumedSendingTimeShare)
+func (c *costModel) work(q *request) float64 { return q.service.work() }
+
+// work returns the mean sending time of the service in seconds, or an assumption until one has been measured.
+func (s *service) work() float64 {
+	return cmp.Or(s.sendingTime.mean, s.Objective*assumedSendingTimeShare)
+}
+
+// works returns the work of one request of each service in seconds, valid until the next call.
+func (c *costModel) works() []float64 {
+	c.allWorks = c.allWorks[:0]
+	for _, s := range c.services {
+		c.allWorks = append(c.allWorks, s.work())
+	}
+	return c.allWorks
 }
 
-// meanWork returns the mean work of a request over all services, in seconds.
-func (c *costModel) meanWork() float64 {
-	var all decayingMean
+// measured returns the number of services whose sending time has been measured.
+func (c *costModel) measured() (n int) {
 	for _, s := range c.services {
-		all.add(cmp.Or(s.sendingTime.mean, s.Objective*assumedSendingTimeShare), 0)
+		n += min(1, s.sendingTime.samples)
 	}
-	return all.mean
+	return n
 }
 
 // objective returns the latency objective of a request in seconds. It grows with the expected sending time
--- a/core/routing/endpoint_table.go
+++ b/core/routing/endpoint_table.go
@@ -21,7 +21,7 @@
 	warmUp        warmUp
 	process       processContinuity
 	link          congestion.Link // congestion of its link
-	returned      windowedSum     // seconds of sending time that it answered or that was filled from it
+	returned      requestCounts   // requests that it answered or that were filled from it
 	listedSince   float64         // seconds; when it was first listed
 	peakRate      float64         // seconds of work per second; the most it has returned to this router while warm
 	limit         concurrencyLimit
--- a/core/routing/host_result.go
+++ b/core/routing/host_result.go
@@ -31,7 +31,7 @@
 func (r *Router) observeSuccess(q *request, a *attempt) {
 	h := a.host
 	r.budget.Earn()
-	h.returned.add(r.now, a.work)
+	h.returned.add(r.now, q.Service)
 	r.serving.learn(a)
 	r.costs.learnResponse(q, a)
 	q.object.cachedAt, q.object.cachedUntil = h, r.now+windowSpan
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -63,7 +63,7 @@
 	r.serving = servingTimes{environment: env, endpoints: &r.endpoints, costs: &r.costs}
 	r.limits = newLimiter(env, &r.costs, &r.congestion)
 	r.outliers = outlierDetector{env, &r.slowStart, &r.restarts}
-	r.slowStart = slowStart{environment: env}
+	r.slowStart = slowStart{environment: env, costs: &r.costs}
 	r.restarts = restartDetector{environment: env, slowStart: &r.slowStart}
 	r.budget = retrybudget.New(s.Retries, now)
 	r.purges = purgeLog{environment: env, timers: &r.timers, purgedAt: map[string]float64{}}
@@ -161,7 +161,7 @@
 	}
 	r.averagedAt = r.now
 	r.serving.updateAverage()
-	r.slowStart.warmRates.update(r.now, r.costs.meanWork(), r.endpoints.caches, r.endpoints.parents)
+	r.slowStart.warmRates.update(r.now, r.costs.works(), r.costs.measured(), r.endpoints.caches, r.endpoints.parents)
 }
 
 // RunRetries sends the requests that wait for a retry. It must be called after all other calls of one moment.
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -28,6 +28,7 @@
 // ramp. If the shares are small because there are many routers, each router draws at random whether it sends.
 type slowStart struct {
 	*environment
+	costs     *costModel
 	warmRates warmRates
 }
 
@@ -87,7 +88,9 @@
 	age := s.age(h)
 	s.endAfterRamp(h)
 	rate := h.Weight / senders
-	if !s.WeightsKnown {
+	if s.WeightsKnown && s.costs.measured() < len(s.costs.services) {
+		rate *= assumedSendingTimeShare // a request may take its whole objective, of which that share is assumed
+	} else if !s.WeightsKnown {
 		rate = s.warmRates.estimate(h, h.Kind != s.ParentKind)
 		if s.OverloadWindow > 0 { // the host can take one request in a window from all routers
 			rate = math.Max(rate, work/s.OverloadWindow/senders)
--- a/core/routing/statistics.go
+++ b/core/routing/statistics.go
@@ -40,6 +40,26 @@
 	}
 }
 
+// requestCounts counts requests by service over the last windowSpan seconds. Counts rather than work are kept because
+// the estimated work of a request changes. The zero value is empty.
+type requestCounts []windowedSum
+
+// add counts one request of a service.
+func (c *requestCounts) add(now float64, service int) {
+	for len(*c) <= service {
+		*c = append(*c, windowedSum{})
+	}
+	(*c)[service].add(now, 1)
+}
+
+// work returns the work of the counted requests in seconds. works is the work of one request of each service.
+func (c requestCounts) work(now float64, works []float64) (total float64) {
+	for service := range c {
+		total += c[service].sum(now) * works[service]
+	}
+	return total
+}
+
 // decayingMean is a mean that gradually forgets old samples: each new sample has at least a given weight. The
 // zero value has no samples.
 type decayingMean struct {
--- a/core/routing/warm_rate.go
+++ b/core/routing/warm_rate.go
@@ -21,6 +21,9 @@
 type warmRates struct {
 	byKind     []kindRate         // by the kind of host
 	remembered map[uint32]float64 // peak rates of hosts that were listed before, by ID
+	works      []float64          // seconds; work of one request of each service
+	costliest  float64            // seconds; the most of works
+	measured   int                // number of services whose work has been measured
 }
 
 // kindRate is what the warm hosts of one kind return.
@@ -31,15 +34,25 @@
 	lowest float64 // lowest peak rate of those whose peak shows their capacity; +Inf if there are none
 }
 
-// update measures what the warm hosts of each kind return. work is the mean work of a request in seconds.
-func (w *warmRates) update(now, work float64, hosts ...[]*host) {
+// update measures what the warm hosts of each kind return. works is the work of one request of each service in seconds,
+// of which a number has been measured and the rest is assumed. What was kept in terms of an assumption is discarded
+// once there is a measurement, which may be a fraction of it.
+func (w *warmRates) update(now float64, works []float64, measured int, hosts ...[]*host) {
+	w.works, w.costliest = works, 0
+	for _, work := range works {
+		w.costliest = math.Max(w.costliest, work)
+	}
+	if measured != w.measured {
+		w.measured, w.remembered = measured, nil
+		w.discardPeaks(hosts...)
+	}
 	for i := range w.byKind {
 		w.byKind[i].mean, w.byKind[i].hosts, w.byKind[i].lowest = 0, 0, math.Inf(1)
 	}
 	for _, listed := range hosts {
 		for _, h := range listed {
 			if h.Phase == Ready && !h.warmUp.active && !h.health.ejected {
-				w.add(h, now, work)
+				w.add(h, now)
 			}
 		}
 	}
@@ -51,8 +64,8 @@
 }
 
 // add adds what a warm host returns to the rate of its kind.
-func (w *warmRates) add(h *host, now, work float64) {
-	returned, kind := h.returned.sum(now), w.kind(h.Kind)
+func (w *warmRates) add(h *host, now float64) {
+	returned, kind := h.returned.work(now, w.works), w.kind(h.Kind)
 	kind.hosts++
 	kind.mean += (returned/windowSpan - kind.mean) / float64(kind.hosts)
 	listedFor := now - h.listedSince
@@ -60,11 +73,23 @@
 		return
 	}
 	h.peakRate = math.Max(h.peakRate, returned/math.Min(listedFor, windowSpan))
-	if h.peakRate*windowSpan >= minPeakRequests*work {
+	if h.peakRate*windowSpan >= minPeakRequests*w.costliest {
 		kind.lowest = math.Min(kind.lowest, h.peakRate)
 	}
 }
 
+// discardPeaks discards the peak rates of hosts, and the last rates of all kinds.
+func (w *warmRates) discardPeaks(hosts ...[]*host) {
+	for i := range w.byKind {
+		w.byKind[i].last = 0
+	}
+	for _, listed := range hosts {
+		for _, h := range listed {
+			h.peakRate = 0
+		}
+	}
+}
+
 // kind returns the rate of a kind of hosts, and makes one if there is none yet.
 func (w *warmRates) kind(number int) *kindRate {
 	for len(w.byKind) <= number {
--- a/core/routing/warm_rate_test.go
+++ b/core/routing/warm_rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -40,3 +41,38 @@
 		}
 	}
 }
+
+// Guards against requests that were returned while their work was only assumed counting as several requests once it is
+// measured, and against an assumption that is too low being taken for the truth where weights are known.
+func TestBudgetDoesNotGrowWithTheFirstMeasurement(t *testing.T) {
+	for _, weightsKnown := range []bool{false, true} {
+		r, _ := newCluster(func(s *Settings) { s.WeightsKnown, s.Services[0].Objective = weightsKnown, 0.6 })
+		r.now = 12
+		for _, h := range r.endpoints.caches {
+			h.Weight = 4
+			for range 100 {
+				h.returned.add(11, 0)
+			}
+		}
+		started := r.endpoints.byID[cacheA]
+		started.OnlineSince, started.warmUp.active = 12, true
+		// requests returns what the host may be sent in a window by the settings, once it is known what requests cost.
+		requests := func(work float64) float64 {
+			r.slowStart.warmRates.update(r.now, r.costs.works(), r.costs.measured(), r.endpoints.caches)
+			budget := r.slowStart.budget(started, r.costs.services[0].work())
+			return budget.rate * budget.senders * r.OverloadWindow / work
+		}
+		sustained := func(work float64) float64 {
+			capacity := 10.0 * work // what the others return
+			if weightsKnown {
+				capacity = 4
+			}
+			return r.SlowStartInitial * r.OverloadMultiple * r.OverloadWindow * capacity / work
+		}
+		assumed := r.costs.services[0].work()
+		assert.LessOrEqual(t, requests(assumed)*assumed/0.6, sustained(0.6), "assumed, and the truth is twice as much")
+		r.costs.services[0].sendingTime.add(0.05, sendingTimeWeight)
+		assert.LessOrEqual(t, requests(0.05), sustained(0.05), "measured, and a sixth of what was assumed")
+		assert.GreaterOrEqual(t, requests(0.05), math.Floor(sustained(0.05)*slowStartBudgetShare))
+	}
+}
