--- a/internal/service/slow_start_test.go
+++ b/internal/service/slow_start_test.go
@@ -119,20 +119,47 @@
 	assertNoneFell(t, f)
 }
 
-// Guards against the account of a host in slow start being lost where its change log moves, its list is read again, and
-// most other hosts drain at once.
+// Guards against a host in slow start being sent more than its budget where its change log moves, its list is read again,
+// and most other hosts drain at once.
 func TestChangeLogMovesAmidTheRampAndOthersDrain(t *testing.T) {
 	t.Parallel()
-	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 4, Hosts: withParents(append(caches("large", 4, 8), caches("small", 3, 8)...))}, 200)
-	time.Sleep(4 * time.Second)
-	f.Hosts["small-0"].Kill()
-	f.Told("DELETED", "small-0")
-	time.Sleep(time.Second)
-	f.Restart("small-0", 0, 0)
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 4, Hosts: withParents(append(caches("large", 4, 10), caches("small", 4, 3)...))}, 200)
+	time.Sleep(11 * time.Second)
+	cold := []string{"small-0", "small-1", "small-2"}
+	for _, id := range cold {
+		f.Hosts[id].Kill()
+	}
+	f.Told("DELETED", cold...)
+	f.Told("DRAINING", "small-3", "large-0")
+	time.Sleep(3 * time.Second)
+	for _, id := range cold {
+		f.Restart(id, 0, 0)
+	}
+	f.Told("SERVING", "small-3", "large-0")
 	time.Sleep(2 * time.Second)
+	f.Load(300, 0)
 	f.Dispatchers[0].MoveChangeLog()
 	f.ToldAgain()
-	f.Told("DRAINING", "large-0", "large-1", "large-2", "large-3")
-	time.Sleep(4 * time.Second)
+	f.Told("DRAINING", "small-3", "large-0", "large-1")
+	time.Sleep(3 * time.Second)
+	assertNoneFell(t, f)
+}
+
+// Guards against hosts that left the list, and are back on it with cold caches, being sent what the ones that stayed bear.
+func TestHostsThatLeftTheListComeBackCold(t *testing.T) {
+	t.Parallel()
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 5, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...))}, 200)
+	time.Sleep(11 * time.Second)
+	gone := []string{"small-0", "small-1", "small-2"}
+	for _, id := range gone {
+		f.Hosts[id].Kill()
+	}
+	time.Sleep(2 * time.Second)
+	f.Told("DELETED", gone...)
+	time.Sleep(time.Second)
+	for _, id := range gone {
+		f.Restart(id, 0, 200*time.Millisecond)
+	}
+	time.Sleep(7 * time.Second)
 	assertNoneFell(t, f)
 }
