Slow start: an answer over no known connection tells nothing of its age

Cause: the driver turned the zero time of an attempt without a connection into a moment long ago, which would have proved that its host had not restarted. Each answer that reaches this path has a connection today; found by reading.

Change: the age is handed over only where it is known.

--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -50,8 +50,8 @@
 			d.finish(q, false)
 		}
 		result := routing.AttemptResult{Outcome: outcome, Note: r.Answer.Note, FillWait: r.Answer.Waited, SizeKB: size}
-		if r.Stage == upstream.Answered {
-			result.ConnectedAt = d.Clock.At(clock.InstantOf(a.ConnectedAt()))
+		if at := a.ConnectedAt(); r.Stage == upstream.Answered && !at.IsZero() {
+			result.ConnectedAt = d.Clock.At(clock.InstantOf(at))
 		}
 		d.handleReturned(a, result)
 	})
