Slow start: a host that is lost before any host has answered is doubted too

Cause: restart_detection.go took connections for known only once an answer had come with the age of its own, so that the first losses raised no doubt.

Change: the driver says at the start that answers tell the age of their connections (Router.ExpectConnectionTimes). The soak has two classes, hosts of one kind that differ, and six dispatchers at most.

TestHostMayHaveRestarted has the case.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -102,14 +102,14 @@
 	// source or for the source to fail. It is 0 if it is unknown.
 	FillWait float64
 	SizeKB   float64 // size of the received body; 0 if it is unknown
-	// ConnectedAt is when the connection that the host's answer came over was established, in seconds on the
-	// router's clock. It is 0 if that is unknown, or if the host did not answer.
-	ConnectedAt float64
-	Final       bool // the client has received its answer
-	Note        Note
+	Final    bool    // the client has received its answer
+	Note     Note
 	// IngressLoad is the number of transfers into the host's zone divided by the number that fits at full
 	// rate, as the host reported it. It is 0 if nothing was reported.
 	IngressLoad float64
+	// ConnectedAt is when the connection that the host's answer came over was established, in seconds on the
+	// router's clock. It is 0 if that is unknown, or if the host did not answer.
+	ConnectedAt float64
 }
 
 // Actions carries out the decisions of a router. The router calls its methods from within its own methods, so
--- a/core/routing/restart_detection.go
+++ b/core/routing/restart_detection.go
@@ -29,9 +29,8 @@
 	slowStart   *slowStart
 	listHeardAt float64 // seconds; when the source of the endpoint list last said something
 	listKnown   bool    // whether listHeardAt is known
-	// connectionsKnown tells whether answers come with the age of their connections. Without it no doubt could be
-	// ended, so that none is raised.
-	connectionsKnown bool
+
+	connectionsKnown bool // answers come with the time at which their connections were established
 }
 
 // hearList records when the source of the endpoint list last said something, in seconds.
@@ -62,7 +61,6 @@
 	if connectedAt == 0 {
 		return
 	}
-	d.connectionsKnown = true
 	c := &h.process
 	switch {
 	case c.doubted && connectedAt <= c.provenAt:
@@ -85,7 +83,8 @@
 }
 
 // mayHaveRestarted reports whether a loss makes a host's process doubted. A parent is reached through caches, so that
-// no connection proves its process: it is doubted only while its restart might be told without being heard.
+// no connection proves its process: it is doubted only while its restart might be told without being heard. Where the
+// age of connections is not known no doubt could be ended, so that none is raised.
 func (d *restartDetector) mayHaveRestarted(h *host) bool {
 	return d.connectionsKnown && (h.Kind != d.ParentKind || d.listSilent())
 }
--- a/core/routing/restart_detection_test.go
+++ b/core/routing/restart_detection_test.go
@@ -56,7 +56,8 @@
 		{"over a new one, then over an older one", cacheA, never, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, answerOver(1)}}},
 		{"over one that is older than the loss, but not proven", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, answerOver(10.5)}}},
 		{"lost twice, the second time for nothing", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {13, answerOver(12)}, {14, loss}, {15, answerOver(12)}}},
-		{"never heard of, and lost", cacheB, 11, []processStep{{10, answerOver(1)}, {11, loss}}},
+		{"never heard of, and lost", cacheB, 11, []processStep{{11, loss}}},
+		{"lost before anything answered, then answers", cacheB, 2, []processStep{{1, loss}, {2.5, answerOver(2)}}},
 		{"told of an earlier start", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, toldStart(11.8)}}},
 		{"told of a later start", cacheA, 12.5, []processStep{{10, answerOver(1)}, {11, loss}, {13, toldStart(12.5)}}},
 		{"a told start stays when the doubt ends", cacheA, 9, []processStep{{9.5, toldStart(9)}, {10, answerOver(9.2)}, {11, loss}, {12, answerOver(9.3)}}},
@@ -70,8 +71,8 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r, _ := newCluster(func(s *Settings) { s.WeightsKnown = true })
-			if tt.id != cacheA {
-				r.restarts.connectionsKnown = true
+			if tt.name != "connections are not known" {
+				r.ExpectConnectionTimes()
 			}
 			for _, step := range tt.steps {
 				r.now = step.at
@@ -90,6 +91,7 @@
 // told late and brings new credit with it.
 func TestRestartWithinSlowStartBringsNoCredit(t *testing.T) {
 	r, _ := newCluster(func(s *Settings) { s.WeightsKnown = true })
+	r.ExpectConnectionTimes()
 	h := r.endpoints.byID[cacheA]
 	r.now = 10
 	r.restarts.observeAnswer(h, 1)
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -128,6 +128,10 @@
 	}
 }
 
+// ExpectConnectionTimes tells the router, before its first request, that results tell when the connections of answers
+// were established (AttemptResult.ConnectedAt).
+func (r *Router) ExpectConnectionTimes() { r.restarts.connectionsKnown = true }
+
 // HandleListHeard records when the source of the endpoint list last said something, in seconds. A router that is
 // never told takes the source for one that is always heard.
 func (r *Router) HandleListHeard(now, heardAt float64) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -103,11 +103,18 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.router = routing.New(d.settings(), d.Clock.Now(), actions{d})
+	d.router = d.newRouter(d.Clock.Now())
 	d.coalescer = d.newCoalescer()
 	return d
 }
 
+// newRouter makes a router.
+func (d *Dispatcher) newRouter(now float64) *routing.Router {
+	r := routing.New(d.settings(), now, actions{d})
+	r.ExpectConnectionTimes()
+	return r
+}
+
 // settings is the configuration of the router, which shares with those of other shards, if there are any.
 func (d *Dispatcher) settings() routing.Settings {
 	s := d.Settings.Settings
--- a/internal/dispatcher/shard.go
+++ b/internal/dispatcher/shard.go
@@ -87,7 +87,7 @@
 		}
 	}
 	d.pendingResults, d.expiries, d.coalescer = nil, timerwheel.Wheel[*request]{}, d.newCoalescer()
-	d.router = routing.New(d.settings(), now, actions{d})
+	d.router = d.newRouter(now)
 	for _, e := range d.Shard.Known() {
 		d.handleEvent(now, e)
 	}
--- a/internal/standin/slowstart/fleet.go
+++ b/internal/standin/slowstart/fleet.go
@@ -174,14 +174,14 @@
 }
 
 // filled books a fill at the parent that it came from.
-func (f *Fleet) filled(source string) {
+func (f *Fleet) filled(source string, requests float64) {
 	if h := f.Hosts[source]; h != nil {
 		h.asked.Add(1)
 		h.mu.Lock()
 		ledger := h.ledger
 		h.mu.Unlock()
 		if ledger != nil {
-			ledger.arrive(time.Now())
+			ledger.arrive(time.Now(), requests)
 		}
 	}
 }
@@ -213,7 +213,7 @@
 }
 
 const settingsText = `{"balancers":%[1]d,"zones":["z"],"machineTypes":["small","parent","origin","large"],"zone":0,"weights":%[2]q,
-"classes":[{"name":"segment","aim":600000,"deadline":2500000,"effect":"safe","dedupScope":"all","worth":1}],
+"classes":[%[11]s],
 "extra":{"shieldKind":1,"sourceKind":2,"noteLevel":"all","seatsByZone":[%[1]d],"goneEverywhere":60000000,"sharesFills":true,
 "parentColdFrom":%[8]g,"parentCold":%[9]d,"parentBreaksAt":%[10]g},
 "limits":{"maxAttempts":6,"mayCancel":true,"secondCopies":true,"connectTimeout":%[3]d,"idleClose":15000000,"maxStreams":100,"mostHeld":4000},
@@ -235,11 +235,20 @@
 	return d
 }
 
+func classesText() string {
+	var all []string
+	for _, c := range classes {
+		all = append(all, fmt.Sprintf(`{"name":%q,"aim":%d,"deadline":%d,"effect":"safe","dedupScope":"all","worth":1}`,
+			c.name, c.aim.Microseconds(), clientBudget.Microseconds()))
+	}
+	return strings.Join(all, ",")
+}
+
 func (d *Dispatcher) writeConfig() {
 	o := d.fleet.Options
 	settings := fmt.Sprintf(settingsText, o.Dispatchers, o.Weights, int64(o.Connects*1e6),
 		o.Rule.Initial, o.Rule.Ramp.Microseconds(), o.Rule.Multiple, o.Rule.Window.Microseconds(),
-		o.ParentRule.Initial, o.ParentRule.Ramp.Microseconds(), o.ParentRule.Multiple)
+		o.ParentRule.Initial, o.ParentRule.Ramp.Microseconds(), o.ParentRule.Multiple, classesText())
 	text := fmt.Sprintf(configText, d.Name, d.Listen, uint16(o.Seed), d.relay().Address, settings)
 	require.NoError(d.fleet, os.WriteFile(d.config, []byte(text), 0o600))
 }
@@ -394,7 +403,8 @@
 	}
 	_ = (*conn).Conn.SetDeadline(time.Now().Add(answeredIn))
 	_, err := (*conn).Process(standin.Fields("rid", fmt.Sprintf("%016x", c.ids.Add(1)), "budget", fmt.Sprint(clientBudget.Milliseconds()),
-		"obj", fmt.Sprintf("%016x", 1+chance.IntN(c.fleet.Objects))), "")
+		"obj", fmt.Sprintf("%016x", 1+chance.IntN(c.fleet.Objects)),
+		"method", classes[chance.IntN(len(classes))].name), "")
 	var got standin.Reply
 	if err == nil {
 		got, err = (*conn).Read()
--- a/internal/standin/slowstart/host.go
+++ b/internal/standin/slowstart/host.go
@@ -28,7 +28,7 @@
 type HostOptions struct {
 	ID, Kind string
 	Slots    int           // requests that it serves side by side
-	Work     time.Duration // that each takes while it is warm
+	Work     time.Duration // that one of the first class takes while it is warm
 	Rule     Rule
 	Fills    float64 // share of its answers that it says were filled from the source that the request names
 }
@@ -46,7 +46,7 @@
 	queue   map[string]chan struct{}
 	waiting atomic.Int64
 	asked   atomic.Int64
-	filled  func(source string)
+	filled  func(source string, requests float64)
 }
 
 // start has it listen; a ledger is nil for a host that is warm.
@@ -113,7 +113,34 @@
 func (h *Host) Asked() int64 { return h.asked.Load() }
 
 // capacity is in requests a second.
-func (h *Host) capacity() float64 { return float64(h.Slots) / h.Work.Seconds() }
+func (h *Host) capacity() float64 { return float64(h.Slots) / (h.Work.Seconds() * meanWork()) }
+
+// classes are the classes that clients ask for, with the work of each as a share of the first one's.
+var classes = []class{{"segment", 1, 600 * time.Millisecond}, {"detail", 0.3, 250 * time.Millisecond}}
+
+type class struct {
+	name string
+	work float64
+	aim  time.Duration
+}
+
+// meanWork is that of all classes, which are asked for alike.
+func meanWork() (mean float64) {
+	for _, c := range classes {
+		mean += c.work / float64(len(classes))
+	}
+	return mean
+}
+
+// workOf returns the work of a class by its name.
+func workOf(name string) float64 {
+	for _, c := range classes {
+		if c.name == name {
+			return c.work
+		}
+	}
+	return 1
+}
 
 // handle serves one request as fast as its capacity of the moment allows.
 func (h *Host) handle(a standin.Ask, ledger *Ledger, slots chan struct{}, stopped chan struct{}) string {
@@ -123,9 +150,10 @@
 	}
 	now := time.Now()
 	h.asked.Add(1)
-	work := h.Work
+	share := workOf(a.Fields["queue"])
+	work := time.Duration(float64(h.Work) * share)
 	if ledger != nil {
-		ledger.arrive(now)
+		ledger.arrive(now, share/meanWork())
 		work = time.Duration(float64(work) / h.Rule.share(now.Sub(ledger.started)))
 	}
 	if h.waiting.Add(1) > int64(h.Slots*(1+queuePerSlot)) {
@@ -139,7 +167,7 @@
 		return ""
 	}
 	if source := a.Fields["up"]; source != "" && h.filled != nil && fills(a.ID, h.Fills) {
-		h.filled(source)
+		h.filled(source, share/meanWork())
 		return strings.Replace(standin.Hit(a.ID, answerBytes), "detail=mem", "detail=parent", 1)
 	}
 	return standin.Hit(a.ID, answerBytes)
--- a/internal/standin/slowstart/rule.go
+++ b/internal/standin/slowstart/rule.go
@@ -24,11 +24,10 @@
 }
 
 const (
-	fewRequests    = 30  // below so many requests in a window the margin for chance is larger
-	blamedShare    = 2.0 // of three: the share of requests that came from dispatchers that had been told
-	blamedShareOf  = 3.0
-	smallMargin    = 3.0 // times the root of the requests, below fewRequests
-	usualMargin    = 2.0 // the same from fewRequests on
+	fewRequests    = 30      // below so many requests in a window the margin for chance is larger
+	blamedShare    = 2.0 / 3 // of the requests that come from dispatchers that had been told
+	smallMargin    = 3.0     // times the root of the requests, below fewRequests
+	usualMargin    = 2.0     // the same from fewRequests on
 	smallAllowance = 3.0
 	usualAllowance = 2.0
 )
@@ -45,22 +44,25 @@
 type Window struct {
 	Host       string
 	Age        time.Duration // of the host at its end
-	Requests   int
-	Told       int     // of Requests, those that came once the start was in the change log
-	Sustained  float64 // requests that the host sustains in a window by the settings
-	OfTheLimit float64 // share of the most that may reach it
+	Requests   float64       // each counts by the work of its class, in requests of mean work
+	Told       float64       // of Requests, those that came once the start was in the change log
+	Sustained  float64       // requests that the host sustains in a window by the settings
+	OfTheLimit float64       // share of the most that may reach it
 }
 
 // broken reports whether the rule is broken by it.
 func (w Window) broken() bool {
-	return w.OfTheLimit > 1 && float64(w.Told)*blamedShareOf > float64(w.Requests)*blamedShare
+	return w.OfTheLimit > 1 && w.blamed()
 }
 
+// blamed reports whether dispatchers that had been told are to blame for it.
+func (w Window) blamed() bool { return w.Told > w.Requests*blamedShare }
+
 // Ledger counts what reaches one start of a host. All methods are safe for concurrent use.
 type Ledger struct {
 	rule     Rule
 	host     string
-	capacity float64 // requests a second, once the ramp is over
+	capacity float64 // requests of mean work a second, once the ramp is over
 	started  time.Time
 
 	mu     sync.Mutex // guards what follows
@@ -72,8 +74,9 @@
 }
 
 type arrival struct {
-	at   time.Time
-	told bool
+	at       time.Time
+	requests float64 // of mean work
+	told     bool
 }
 
 // Tell books that the start is in the change log.
@@ -85,8 +88,8 @@
 	}
 }
 
-// arrive books that a request has reached the host.
-func (l *Ledger) arrive(now time.Time) {
+// arrive books that a request has reached the host, which counts as so many of mean work.
+func (l *Ledger) arrive(now time.Time, requests float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.total++
@@ -94,23 +97,23 @@
 	if age >= l.rule.Ramp {
 		return
 	}
-	l.recent = append(l.recent, arrival{now, !l.told.IsZero()})
+	l.recent = append(l.recent, arrival{now, requests, !l.told.IsZero()})
 	for now.Sub(l.recent[0].at) >= l.rule.Window {
 		l.recent = l.recent[1:]
 	}
-	w := Window{Host: l.host, Age: age, Requests: len(l.recent)}
+	w := Window{Host: l.host, Age: age}
 	for _, a := range l.recent {
+		w.Requests += a.requests
 		if a.told {
-			w.Told++
+			w.Told += a.requests
 		}
 	}
 	w.Sustained = l.rule.share(age) * l.rule.Multiple * l.capacity * l.rule.Window.Seconds()
-	w.OfTheLimit = float64(w.Requests) / limit(w.Sustained)
+	w.OfTheLimit = w.Requests / limit(w.Sustained)
 	if l.fell == nil && w.broken() {
 		l.fell = &w
 	}
-	blamed := float64(w.Told)*blamedShareOf > float64(w.Requests)*blamedShare
-	if blamed && w.OfTheLimit > l.worst.OfTheLimit {
+	if w.blamed() && w.OfTheLimit > l.worst.OfTheLimit {
 		l.worst = w
 	}
 }
--- a/internal/standin/slowstart/schedule.go
+++ b/internal/standin/slowstart/schedule.go
@@ -11,21 +11,22 @@
 
 // The times of a drawn run.
 const (
-	firstFault    = 5 * time.Second
-	faultsLast    = 13 * time.Second // from the first one on
-	afterFaults   = 5 * time.Second
-	killAfter     = clientBudget + 700*time.Millisecond // the earliest at which the platform kills what got SIGTERM
-	leastRestarts = 2
-	leastFaults   = 4
-	mostFaults    = 9
-	mostStopped   = time.Second
-	mostSilent    = 8 * time.Second
-	mostDown      = 3 * time.Second
-	mostNotice    = 2 * time.Second
-	mostLate      = 1200 * time.Millisecond
-	mostReloads   = 3
-	signalsApart  = 150 * time.Millisecond
-	parents       = 2
+	firstFault      = 5 * time.Second
+	faultsLast      = 13 * time.Second // from the first one on
+	afterFaults     = 5 * time.Second
+	killAfter       = clientBudget + 700*time.Millisecond // the earliest at which the platform kills what got SIGTERM
+	leastRestarts   = 2
+	leastFaults     = 4
+	mostFaults      = 9
+	mostStopped     = time.Second
+	mostSilent      = 8 * time.Second
+	mostDown        = 3 * time.Second
+	mostNotice      = 2 * time.Second
+	mostLate        = 1200 * time.Millisecond
+	mostReloads     = 3
+	signalsApart    = 150 * time.Millisecond
+	parents         = 2
+	mostDispatchers = 6
 )
 
 // Fault is something that happens in a run.
