Test of late connections: arrivals are read under their lock

Seen: the whole check on, race part: a data race in TestRequestsForAColdHostDoNotPileUpAtItsConnections; the parts before it passed.

Cause: the test read the arrivals once the connections had ended, while the stand-in host still handled what it had read.

Change: they are read under the lock that they are written under. Product code is unchanged.

--- a/internal/dispatcher/slow_start_test.go
+++ b/internal/dispatcher/slow_start_test.go
@@ -57,6 +57,8 @@
 		time.Sleep(time.Until(began.Add(time.Duration(n) * apart)))
 	}
 	end()
+	mu.Lock() // requests that the host has read may be handled still
+	defer mu.Unlock()
 	worst := 0
 	for first, last := 0, 0; last < len(arrivals); last++ {
 		for arrivals[last].Sub(arrivals[first]).Seconds() >= window {
