Tests of slow start with real processes: a package of their own, three fleets at a time

Seen: the whole check on, race part: TestWhatIsOpenIsAnsweredBeforeTheKill ended after 3.742 s, 3.7 wanted; it passed in the part before.

Cause: by its place. Eight fleets with up to 400 clients each ran in that process, under the race detector, beside tests that measure moments.

Change: they stand beside their rig, internal/standin/slowstart, which the race part does not name, as it is real processes that are under test, and three run at a time. No check or bound changes.

--- a/internal/service/slow_start_test.go
+++ b/internal/standin/slowstart/budget_test.go
@@ -1,4 +1,4 @@
-package service
+package slowstart_test
 
 import (
 	"fmt"
@@ -31,6 +31,18 @@
 	return append(hosts, caches("parent", 2, 200)...)
 }
 
+// fleetsAtATime bounds how many fleets run side by side, so that tests of other packages keep their processors.
+const fleetsAtATime = 3
+
+var running = make(chan struct{}, fleetsAtATime)
+
+// besideFew runs a test beside a few others.
+func besideFew(t *testing.T) {
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+}
+
 // loaded starts a fleet of one zone under load.
 func loaded(t *testing.T, o slowstart.Options, clients int) *slowstart.Fleet {
 	o.Binary = slowstart.Build(t, t.TempDir())
@@ -65,7 +77,7 @@
 // Guards against a small host in slow start being taken for as large as the hosts that are warm, where the list tells
 // no weights and these are saturated.
 func TestSmallHostIsNotSentWhatLargeOnesBear(t *testing.T) {
-	t.Parallel()
+	besideFew(t)
 	f := loaded(t, slowstart.Options{
 		Dispatchers: 1, Seed: 1, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...)),
 	}, 160)
@@ -83,7 +95,7 @@
 
 // Guards against a host whose start stands in a silent change log being sent to as a warm one, once it answers again.
 func TestHostThatAnswersAgainBeforeItsStartIsHeard(t *testing.T) {
-	t.Parallel()
+	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 2, Hosts: withParents(caches("small", 5, 10))}, 40)
 	time.Sleep(4 * time.Second)
 	f.Dispatchers[0].Changes.Hold(true)
@@ -106,7 +118,7 @@
 // Guards against requests that were decided on over some time, and wait for connections that come up late, reaching a
 // host in slow start together.
 func TestRequestsThatWaitForLateConnectionsOfAColdHost(t *testing.T) {
-	t.Parallel()
+	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 3, Connects: 2, Hosts: withParents(caches("small", 3, 15))}, 100)
 	time.Sleep(4 * time.Second)
 	f.Hosts["small-0"].Kill()
@@ -122,7 +134,7 @@
 // Guards against a host in slow start being sent more than its budget where its change log moves, its list is read again,
 // and most other hosts drain at once.
 func TestChangeLogMovesAmidTheRampAndOthersDrain(t *testing.T) {
-	t.Parallel()
+	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 4, Hosts: withParents(append(caches("large", 4, 10), caches("small", 4, 3)...))}, 200)
 	time.Sleep(11 * time.Second)
 	cold := []string{"small-0", "small-1", "small-2"}
@@ -147,7 +159,7 @@
 
 // Guards against hosts that left the list, and are back on it with cold caches, being sent what the ones that stayed bear.
 func TestHostsThatLeftTheListComeBackCold(t *testing.T) {
-	t.Parallel()
+	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 5, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...))}, 200)
 	time.Sleep(11 * time.Second)
 	gone := []string{"small-0", "small-1", "small-2"}
--- a/internal/service/slow_start_soak_test.go
+++ b/internal/standin/slowstart/soak_test.go
@@ -1,4 +1,4 @@
-package service
+package slowstart_test
 
 import (
 	"fmt"
@@ -31,7 +31,7 @@
 	first := number("ELDERWALL_SOAK_FIRST", soakFirst)
 	for seed := first; seed < first+number("ELDERWALL_SOAK_SEEDS", soakSeeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
+			besideFew(t)
 			plan := slowstart.Draw(uint64(seed), binary)
 			t.Log(plan)
 			f := slowstart.New(t, plan.Options)
