A call that is about to be refused is not failed by the end of its connection

What callers saw: at the end of a process a GET that no handler had got, and that was to be refused (trying again is harmless), was now and then answered that it had failed, which tells the client that it may have run.

Cause: a call is booked as open under the connection's lock, and refused in a second step. terminate answers all that is open in between.

Change: whether a call is refused is settled in the step that books it, and kept with it; what ends a connection leaves such calls to their reader, which refuses them at once. The connection is not quiet until then, as before.

TestAnEndThatCrossesARefusalLeavesItARefusal forces the crossing and failed before ("failed" for "refused").

--- a/internal/downstream/call.go
+++ b/internal/downstream/call.go
@@ -14,6 +14,8 @@
 	seq      int32
 	deadline time.Time // by which its client wants the whole answer; the zero time where it did not say
 
+	refused bool // its reader answers it at once and no handler gets it; guarded by its connection's lock
+
 	stage atomic.Int32 // handing, handed or abandoned
 	mark  atomic.Int32 // its handler's
 	until atomic.Int64 // a clock.Instant, 0 where its handler told of none
--- a/internal/downstream/close_test.go
+++ b/internal/downstream/close_test.go
@@ -19,6 +19,7 @@
 	"elderwall/internal/downstream"
 	"elderwall/internal/standin"
 	"elderwall/internal/standin/need"
+	"elderwall/internal/thrift"
 )
 
 // oneCall is a listener whose first connection waits, once its second bytes were read, until the test lets it go on: what comes then is unread.
@@ -228,6 +229,13 @@
 	assert.Equal(t, before, s.Counts.ClientBytesIn.Load())
 }
 
+// Guards against a call that no handler gets being told that it failed, and may have run, where the end comes before its refusal is queued.
+func TestAnEndThatCrossesARefusalLeavesItARefusal(t *testing.T) {
+	server, client := net.Pipe()
+	t.Cleanup(func() { _ = server.Close(); _ = client.Close() })
+	assert.Equal(t, []thrift.Reply{thrift.Refused(7, 0)}, downstream.RepliesWhereTheEndCrossesARefusal(server, 7))
+}
+
 // Clients that never pause do not keep a server from ending, and every call that it reads by then is answered.
 func TestClientsThatNeverPauseGetAnAnswerToWhatIsRead(t *testing.T) {
 	const clients = 20
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -67,9 +67,11 @@
 }
 
 // failAll answers all that is open that it failed, for a reason unless that is ""; work for it stops. It promises nothing: a forward may have run.
+// A call that its reader is about to refuse is left to it: that one has not run, and its client may send it again.
 func (c *conn) failAll(reason string) {
 	c.mu.Lock()
 	open := slices.Collect(maps.Values(c.open))
+	open = slices.DeleteFunc(open, func(call *Call) bool { return call.refused })
 	c.mu.Unlock()
 	for _, call := range open {
 		c.giveUp(call)
--- a/internal/downstream/export_test.go
+++ b/internal/downstream/export_test.go
@@ -1,6 +1,13 @@
 package downstream
 
-import "slices"
+import (
+	"net"
+	"slices"
+
+	"elderwall/internal/counters"
+	"elderwall/internal/memquota"
+	"elderwall/internal/thrift"
+)
 
 // Times that tests need.
 const (
@@ -33,3 +40,18 @@
 		c.terminate()
 	}
 }
+
+// RepliesWhereTheEndCrossesARefusal are the replies to one call on a connection that ends after the call was entered and before it is refused.
+func RepliesWhereTheEndCrossesARefusal(raw net.Conn, seq int32) (replies []thrift.Reply) {
+	s := &Server{Counts: &counters.Counters{}, Room: memquota.New(0)}
+	s.Close()
+	c := &conn{server: s, net: raw, raw: raw, wake: make(chan struct{}, 1), drained: make(chan struct{}, 1), open: map[int32]*Call{}}
+	call := &Call{conn: c, seq: seq}
+	_, _ = c.enter(call)
+	c.rejectAll()
+	call.Refuse(0)
+	for _, queued := range c.queue {
+		replies = append(replies, queued.Reply)
+	}
+	return replies
+}
--- a/internal/downstream/receive.go
+++ b/internal/downstream/receive.go
@@ -146,7 +146,7 @@
 		return err
 	case verdict == callOverLimit:
 		c.send(thrift.Refused(m.Seq, 0), nil)
-	case verdict == callTooLate || c.server.refusing.Load():
+	case verdict == callTooLate:
 		call.Refuse(0)
 	default:
 		c.hand(call, get)
@@ -173,7 +173,7 @@
 
 const (
 	callAdmitted  callAdmission = iota
-	callTooLate                 // the connection is closing: it is answered, and not sent on, as its client may send it again
+	callTooLate                 // the connection or the server is closing: it is answered, and not sent on, as its client may send it again
 	callOverLimit               // as many calls as may be open are
 )
 
@@ -188,7 +188,7 @@
 		return callOverLimit, nil
 	}
 	c.open[call.seq] = call
-	if c.closed.Load() {
+	if call.refused = c.closed.Load() || c.server.refusing.Load(); call.refused {
 		return callTooLate, nil
 	}
 	return callAdmitted, nil
