--- a/internal/standin/slowstart/host.go
+++ b/internal/standin/slowstart/host.go
@@ -62,7 +62,6 @@
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.ID, err)
 	}
-	h.Address = l.Addr().String()
 	slots, stopped := make(chan struct{}, h.Slots), make(chan struct{})
 	h.ledger, h.stopped, h.queue = ledger, stopped, map[string]chan struct{}{}
 	if ledger != nil {
