--- a/internal/standin/slowstart/budget_test.go
+++ b/internal/standin/slowstart/budget_test.go
@@ -82,13 +82,10 @@
 		Dispatchers: 1, Seed: 1, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...)),
 	}, 160)
 	time.Sleep(5 * time.Second)
-	for i := range 3 {
-		f.Hosts[fmt.Sprint("small-", i)].Kill()
-	}
+	cold := []string{"small-0", "small-1", "small-2"}
+	f.Kill(cold...)
 	time.Sleep(2 * time.Second)
-	for i := range 3 {
-		f.Restart(fmt.Sprint("small-", i), 0, 0)
-	}
+	f.RestartAll(0, 0, cold...)
 	time.Sleep(10 * time.Second)
 	assertNoneFell(t, f)
 }
@@ -99,17 +96,11 @@
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 2, Hosts: withParents(caches("small", 5, 10))}, 40)
 	time.Sleep(4 * time.Second)
 	f.Dispatchers[0].Changes.Hold(true)
-	for i := range 2 {
-		f.Hosts[fmt.Sprint("small-", i)].Kill()
-	}
+	f.Kill("small-0", "small-1")
 	time.Sleep(2 * time.Second)
-	for i := range 2 {
-		f.Restart(fmt.Sprint("small-", i), 0, 300*time.Millisecond)
-	}
+	f.RestartAll(0, 300*time.Millisecond, "small-0", "small-1")
 	time.Sleep(3 * time.Second)
-	for i := 2; i < 5; i++ {
-		f.Hosts[fmt.Sprint("small-", i)].Kill()
-	}
+	f.Kill("small-2", "small-3", "small-4")
 	f.Load(300, 0)
 	time.Sleep(3 * time.Second)
 	assertNoneFell(t, f)
@@ -121,12 +112,10 @@
 	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 3, Connects: 2, Hosts: withParents(caches("small", 3, 15))}, 100)
 	time.Sleep(4 * time.Second)
-	f.Hosts["small-0"].Kill()
-	f.Hosts["small-1"].Kill()
+	f.Kill("small-0", "small-1")
 	time.Sleep(2 * time.Second)
 	f.Load(300, 0)
-	f.Restart("small-0", 1500*time.Millisecond, 0)
-	f.Restart("small-1", 1500*time.Millisecond, 0)
+	f.RestartAll(1500*time.Millisecond, 0, "small-0", "small-1")
 	time.Sleep(7 * time.Second)
 	assertNoneFell(t, f)
 }
@@ -138,15 +127,11 @@
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 4, Hosts: withParents(append(caches("large", 4, 10), caches("small", 4, 3)...))}, 200)
 	time.Sleep(11 * time.Second)
 	cold := []string{"small-0", "small-1", "small-2"}
-	for _, id := range cold {
-		f.Hosts[id].Kill()
-	}
+	f.Kill(cold...)
 	f.Told("DELETED", cold...)
 	f.Told("DRAINING", "small-3", "large-0")
 	time.Sleep(3 * time.Second)
-	for _, id := range cold {
-		f.Restart(id, 0, 0)
-	}
+	f.RestartAll(0, 0, cold...)
 	f.Told("SERVING", "small-3", "large-0")
 	time.Sleep(2 * time.Second)
 	f.Load(300, 0)
@@ -163,15 +148,31 @@
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 5, Hosts: withParents(append(caches("large", 3, 10), caches("small", 3, 3)...))}, 200)
 	time.Sleep(11 * time.Second)
 	gone := []string{"small-0", "small-1", "small-2"}
-	for _, id := range gone {
-		f.Hosts[id].Kill()
-	}
+	f.Kill(gone...)
 	time.Sleep(2 * time.Second)
 	f.Told("DELETED", gone...)
 	time.Sleep(time.Second)
-	for _, id := range gone {
-		f.Restart(id, 0, 200*time.Millisecond)
-	}
+	f.RestartAll(0, 200*time.Millisecond, gone...)
 	time.Sleep(7 * time.Second)
 	assertNoneFell(t, f)
 }
+
+// Guards against hosts that restart while nothing is out at them, and whose starts stand in a change log that comes late but
+// is not silent, being sent to as warm ones until the starts are heard.
+func TestHostsThatRestartWhileIdleBehindALateChangeLog(t *testing.T) {
+	besideFew(t)
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 6, Hosts: withParents(caches("small", 5, 10))}, 40)
+	time.Sleep(time.Second)
+	f.Dispatchers[0].Changes.Delay(2 * time.Second)
+	time.Sleep(8 * time.Second)
+	f.Load(0, 0)
+	time.Sleep(time.Second)
+	cold := []string{"small-0", "small-1"}
+	f.Kill(cold...)
+	time.Sleep(300 * time.Millisecond)
+	f.RestartAll(0, 0, cold...)
+	f.Kill("small-2", "small-3", "small-4")
+	f.Load(300, 0)
+	time.Sleep(4 * time.Second)
+	assertNoneFell(t, f)
+}
--- a/internal/standin/slowstart/fleet.go
+++ b/internal/standin/slowstart/fleet.go
@@ -35,6 +35,7 @@
 	Weights     string  // what the list tells of capacities: "nominal" or "silent"
 	Connects    float64 // seconds in which a connection to a host comes up, or counts as refused
 	Objects     int     // that clients ask for
+	Favored     float64 // share of the clients that all ask the first dispatcher; the others ask all of them alike
 	Seed        uint64
 }
 
@@ -85,7 +86,7 @@
 	t.Cleanup(f.events.Close)
 	var entries []string
 	for _, ho := range o.Hosts {
-		h := &Host{HostOptions: ho, Address: standin.Free()}
+		h := &Host{HostOptions: ho, address: standin.Free()}
 		h.Rule = o.Rule
 		if ho.Kind == "parent" {
 			h.Rule = o.ParentRule
@@ -113,7 +114,8 @@
 	if f.Weights == "nominal" {
 		weight = h.Slots
 	}
-	return fmt.Sprintf(entryText, h.ID, h.Address, h.Kind, state, weight, startedAtMs)
+	id, address := h.listed()
+	return fmt.Sprintf(entryText, id, address, h.Kind, state, weight, startedAtMs)
 }
 
 func (f *Fleet) originEntry() string {
@@ -132,22 +134,28 @@
 func (f *Fleet) Told(state string, ids ...string) {
 	var entries []string
 	for _, id := range ids {
-		f.mu.Lock()
-		stamp := f.stamps[id]
-		f.mu.Unlock()
-		entries = append(entries, f.entry(f.Hosts[id], state, stamp))
+		entries = append(entries, f.latest(id, state))
 	}
 	f.push(false, entries...)
 }
 
+// latest is the entry of a host in a state, with the stamp of its latest start, which counts as told from now on.
+func (f *Fleet) latest(id, state string) string {
+	f.mu.Lock()
+	stamp := f.stamps[id]
+	f.mu.Unlock()
+	h := f.Hosts[id]
+	if ledger := h.latest(); ledger != nil && ledger.started.UnixMilli() == stamp {
+		ledger.Tell()
+	}
+	return f.entry(h, state, stamp)
+}
+
 // ToldAgain has the change log give the whole list anew, with all hosts as they are.
 func (f *Fleet) ToldAgain() {
 	entries := []string{f.originEntry()}
 	for _, ho := range f.Options.Hosts {
-		f.mu.Lock()
-		stamp := f.stamps[ho.ID]
-		f.mu.Unlock()
-		entries = append(entries, f.entry(f.Hosts[ho.ID], "SERVING", stamp))
+		entries = append(entries, f.latest(ho.ID, "SERVING"))
 	}
 	f.push(true, entries...)
 }
@@ -161,26 +169,39 @@
 	f.mu.Lock()
 	f.stamps[id] = ledger.started.UnixMilli()
 	f.mu.Unlock()
-	tell := func() {
-		ledger.Tell()
-		f.Told("SERVING", id)
-	}
 	if notice == 0 {
-		tell()
+		f.Told("SERVING", id)
 	} else {
-		time.AfterFunc(notice, tell)
+		time.AfterFunc(notice, func() { f.Told("SERVING", id) })
 	}
 	return ledger
 }
 
+// Kill kills hosts.
+func (f *Fleet) Kill(ids ...string) {
+	for _, id := range ids {
+		f.Hosts[id].Kill()
+	}
+}
+
+// RestartAll is Restart for some hosts. One that something else has started meanwhile is killed before.
+func (f *Fleet) RestartAll(late, notice time.Duration, ids ...string) {
+	for _, id := range ids {
+		f.Hosts[id].Kill()
+		f.Restart(id, late, notice)
+	}
+}
+
+// Forget has the change log say that an id that a host had is gone.
+func (f *Fleet) Forget(id string) {
+	f.push(false, fmt.Sprintf(entryText, id, f.origin, "small", "DELETED", 1, 0))
+}
+
 // filled books a fill at the parent that it came from.
 func (f *Fleet) filled(source string, requests float64) {
 	if h := f.Hosts[source]; h != nil {
 		h.asked.Add(1)
-		h.mu.Lock()
-		ledger := h.ledger
-		h.mu.Unlock()
-		if ledger != nil {
+		if ledger := h.latest(); ledger != nil {
 			ledger.arrive(time.Now(), requests)
 		}
 	}
@@ -370,11 +391,15 @@
 
 func (c *clients) run(number int64) {
 	chance := rand.New(rand.NewPCG(c.fleet.Seed, uint64(number)))
+	dispatcher := c.fleet.Dispatchers[int(number)%len(c.fleet.Dispatchers)]
+	if chance.Float64() < c.fleet.Favored {
+		dispatcher = c.fleet.Dispatchers[0]
+	}
 	var conn *standin.Client
 	for {
 		wait := time.Duration(c.pause.Load())
 		if number < c.active.Load() {
-			kind := c.ask(&conn, c.fleet.Dispatchers[int(number)%len(c.fleet.Dispatchers)], chance)
+			kind := c.ask(&conn, dispatcher, chance)
 			if kind != "served" {
 				wait += refusedPause
 			}
--- a/internal/standin/slowstart/host.go
+++ b/internal/standin/slowstart/host.go
@@ -36,9 +36,11 @@
 // Host is a cache of a given capacity. It may be killed and started again under its address.
 type Host struct {
 	HostOptions
-	Address string
 
 	mu      sync.Mutex // guards what follows
+	address string
+	names   int       // that the list has had for it before
+	holds   time.Time // until when nothing that was sent to it reaches it
 	running *standin.Host
 	ledger  *Ledger // of its latest start; nil for one that was warm from the beginning
 	starts  []*Ledger
@@ -53,11 +55,11 @@
 func (h *Host) start(ledger *Ledger, late time.Duration) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l, err := listen(h.Address, late)
+	l, err := listen(h.address, late)
 	// A process that is being forked holds a copy of a closed listener until it executes its program.
 	for tries := 0; errors.Is(err, syscall.EADDRINUSE) && tries < mostBinds; tries++ {
 		time.Sleep(bindAgainIn)
-		l, err = listen(h.Address, late)
+		l, err = listen(h.address, late)
 	}
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.ID, err)
@@ -67,7 +69,7 @@
 	if ledger != nil {
 		h.starts = append(h.starts, ledger)
 	}
-	h.running = standin.Serve(l, func(a standin.Ask) string { return h.handle(a, ledger, slots, stopped) })
+	h.running = standin.Serve(&heldListener{l, h, stopped}, func(a standin.Ask) string { return h.handle(a, ledger, slots, stopped) })
 	return nil
 }
 
@@ -91,6 +93,58 @@
 	}
 }
 
+// Move has it start again at another address.
+func (h *Host) Move(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.address = address
+}
+
+// Rename has it start again under another id, and returns the one that it had.
+func (h *Host) Rename() (old string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old = h.name()
+	h.names++
+	return old
+}
+
+// listed returns what the list says of it: its id and its address.
+func (h *Host) listed() (id, address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.name(), h.address
+}
+
+// name is the id that the list has for it now; called under the lock.
+func (h *Host) name() string {
+	if h.names == 0 {
+		return h.ID
+	}
+	return fmt.Sprint(h.ID, "-", h.names)
+}
+
+// Hold keeps what is sent to it on its way for a while; all of that reaches it together then.
+func (h *Host) Hold(lasts time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holds = time.Now().Add(lasts)
+}
+
+// awaitArrival waits until what was sent reaches it, or it is killed.
+func (h *Host) awaitArrival(stopped chan struct{}) {
+	h.mu.Lock()
+	wait := time.Until(h.holds)
+	h.mu.Unlock()
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-stopped:
+	}
+}
+
 // Reset ends its connections.
 func (h *Host) Reset() {
 	h.mu.Lock()
@@ -108,6 +162,13 @@
 	return append([]*Ledger(nil), h.starts...)
 }
 
+// latest returns what reaches its latest start; nil for one that was warm from the beginning.
+func (h *Host) latest() *Ledger {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger
+}
+
 // Asked returns how many requests have reached it.
 func (h *Host) Asked() int64 { return h.asked.Load() }
 
@@ -269,6 +330,34 @@
 	return all
 }
 
+// heldListener is a listener whose connections bring nothing while its host holds them.
+type heldListener struct {
+	net.Listener
+	host    *Host
+	stopped chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net.Listener's own error
+	}
+	return &heldConn{c, l}, nil
+}
+
+type heldConn struct {
+	net.Conn
+	by *heldListener
+}
+
+// Read hands out what came once it is not held any more.
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.by.host.awaitArrival(c.by.stopped)
+	return n, err //nolint:wrapcheck // net.Conn's own error
+}
+
 // lateListener accepts nothing before a moment.
 type lateListener struct {
 	net.Listener
--- a/internal/standin/slowstart/relay.go
+++ b/internal/standin/slowstart/relay.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	relayBuffer = 32 << 10 // bytes
-	holdLook    = 5 * time.Millisecond
+	relayBuffer  = 32 << 10 // bytes
+	mostUnderWay = 1 << 10  // reads
+	holdLook     = 5 * time.Millisecond
 )
 
 // Relay stands between a dispatcher and its change log.
@@ -96,29 +97,46 @@
 	}
 }
 
+// chunk is bytes on their way.
+type chunk struct {
+	bytes []byte
+	from  time.Time // when they came
+}
+
 // carry carries what one end says to the other one.
 func (r *Relay) carry(from, to net.Conn, events bool) {
+	underWay := make(chan chunk, mostUnderWay)
+	r.all.Go(func() { r.deliver(to, underWay, events) })
 	defer func() {
-		_, _ = from.Close(), to.Close()
+		close(underWay)
+		_ = from.Close()
 		r.mu.Lock()
 		delete(r.conns, from)
 		r.mu.Unlock()
 	}()
-	buf := make([]byte, relayBuffer)
 	for {
+		buf := make([]byte, relayBuffer)
 		n, err := from.Read(buf)
-		if err != nil || !r.pass(events) {
+		if err != nil {
 			return
 		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
+		underWay <- chunk{buf[:n], time.Now()}
+	}
+}
+
+// deliver writes what is on its way once it may pass, and then ends the connection.
+func (r *Relay) deliver(to net.Conn, underWay <-chan chunk, events bool) {
+	defer func() { _ = to.Close() }()
+	for c := range underWay {
+		if !r.pass(c.from, events) {
+			_ = to.Close()
 		}
+		_, _ = to.Write(c.bytes) // what can't be written is dropped: the other way ends with it
 	}
 }
 
-// pass waits until bytes may pass; false once the relay has ended.
-func (r *Relay) pass(events bool) bool {
-	from := time.Now()
+// pass waits until bytes that came at a moment may pass; false once the relay has ended.
+func (r *Relay) pass(from time.Time, events bool) bool {
 	for {
 		r.mu.Lock()
 		held, delay, closed := r.held, r.delay, r.closed
--- a/internal/standin/slowstart/schedule.go
+++ b/internal/standin/slowstart/schedule.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"syscall"
 	"time"
+
+	"elderwall/internal/standin"
 )
 
 // The times of a drawn run.
@@ -27,6 +30,13 @@
 	signalsApart    = 150 * time.Millisecond
 	parents         = 2
 	mostDispatchers = 6
+	mostHeld        = 2 * time.Second
+	mostKills       = 3
+	unlike          = 0.25 // by how much hosts of one kind differ from its usual size
+	leastSlots      = 2
+	mostFavored     = 0.7
+	quickWork       = 50 * time.Millisecond
+	slowWork        = 200 * time.Millisecond // few requests fit a window then
 )
 
 // Fault is something that happens in a run.
@@ -49,7 +59,8 @@
 	for _, f := range p.Faults {
 		all = append(all, fmt.Sprintf("%.1f %s", f.At.Seconds(), f.Name))
 	}
-	return fmt.Sprintf("%d dispatchers, weights %s, %d clients, rule %+v: %s", p.Dispatchers, p.Weights, p.Clients, p.Rule, strings.Join(all, "; "))
+	return fmt.Sprintf("%d dispatchers, the first has %.2f of the clients besides, weights %s, %d clients, rule %+v: %s",
+		p.Dispatchers, p.Favored, p.Weights, p.Clients, p.Rule, strings.Join(all, "; "))
 }
 
 // Draw draws a plan.
@@ -57,25 +68,31 @@
 	r := rand.New(rand.NewPCG(seed, 77))
 	between := func(low, high float64) float64 { return low + (high-low)*r.Float64() }
 	o := Options{
-		Binary: binary, Seed: seed, Dispatchers: 1 + r.IntN(4), Objects: 400,
+		Binary: binary, Seed: seed, Dispatchers: 1 + r.IntN(mostDispatchers), Objects: 400,
 		Weights: []string{"silent", "silent", "nominal"}[r.IntN(3)], Connects: between(0.3, 2),
 		Rule: Rule{
 			Initial: between(0.1, 0.3), Ramp: time.Duration(between(8, 15) * float64(time.Second)),
-			Multiple: between(2, 4), Window: time.Duration(between(0.7, 2) * float64(time.Second)),
+			Multiple: between(2, 4), Window: time.Duration(between(0.4, 2) * float64(time.Second)),
 		},
 		ParentRule: Rule{Initial: 0.08, Ramp: 15 * time.Second, Multiple: 2},
 	}
 	o.ParentRule.Window = o.Rule.Window
-	sizes := map[string]int{"small": 2 + r.IntN(4), "large": 6 + r.IntN(8)}
-	for kind, n := range map[string]int{"small": 3 + r.IntN(3), "large": 2 + r.IntN(3)} {
-		for i := range n {
-			o.Hosts = append(o.Hosts, HostOptions{ID: fmt.Sprint(kind, "-", i), Kind: kind, Slots: sizes[kind], Work: 50 * time.Millisecond, Fills: 0.2})
+	if r.IntN(2) == 0 {
+		o.Favored = mostFavored * r.Float64()
+	}
+	work := []time.Duration{quickWork, quickWork, slowWork}[r.IntN(3)]
+	for _, kind := range []struct {
+		name     string
+		n, slots int
+	}{{"large", 2 + r.IntN(3), 6 + r.IntN(8)}, {"small", 3 + r.IntN(3), 2 + r.IntN(4)}} {
+		for i := range kind.n {
+			slots := max(leastSlots, int(math.Round(float64(kind.slots)*between(1-unlike, 1+unlike))))
+			o.Hosts = append(o.Hosts, HostOptions{ID: fmt.Sprint(kind.name, "-", i), Kind: kind.name, Slots: slots, Work: work, Fills: 0.2})
 		}
 	}
-	slices.SortFunc(o.Hosts, func(a, b HostOptions) int { return strings.Compare(a.ID, b.ID) })
 	caches := len(o.Hosts)
 	for i := range parents {
-		o.Hosts = append(o.Hosts, HostOptions{ID: fmt.Sprint("parent-", i), Kind: "parent", Slots: 30, Work: 50 * time.Millisecond})
+		o.Hosts = append(o.Hosts, HostOptions{ID: fmt.Sprint("parent-", i), Kind: "parent", Slots: 30, Work: quickWork})
 	}
 	p := Plan{Options: o, Clients: 60 + r.IntN(180)}
 	d := drawer{Rand: r, plan: p, caches: caches}
@@ -115,6 +132,7 @@
 	ids, dispatcher := d.some(), d.IntN(d.plan.Dispatchers)
 	kinds := []func(at time.Duration, ids []string, dispatcher int) Fault{
 		d.restart, d.restart, d.restart, d.silence, d.silence, d.reload, d.listed, d.drain, d.remove, d.killDispatcher, d.stopDispatcher, d.endDispatcher, d.burst, d.reset,
+		d.hold, d.hold, d.killInSeries, d.returnElsewhere, d.returnRenamed,
 	}
 	return kinds[d.IntN(len(kinds))](at, ids, dispatcher)
 }
@@ -130,13 +148,44 @@
 	}
 	name := fmt.Sprintf("restart %v after %.2f s, late %.2f s, told after %.2f s", ids, down.Seconds(), late.Seconds(), notice.Seconds())
 	return Fault{at, name, func(f *Fleet) {
+		f.Kill(ids...)
+		time.Sleep(down)
+		f.RestartAll(late, notice, ids...)
+	}}
+}
+
+// returnElsewhere has caches start again under their ids at other addresses.
+func (d drawer) returnElsewhere(at time.Duration, ids []string, _ int) Fault {
+	down := 50*time.Millisecond + d.time(mostDown)
+	return Fault{at, fmt.Sprintf("restart %v after %.2f s at other addresses", ids, down.Seconds()), func(f *Fleet) {
+		f.Kill(ids...)
+		time.Sleep(down)
 		for _, id := range ids {
-			f.Hosts[id].Kill()
+			f.Hosts[id].Move(standin.Free())
 		}
+		f.RestartAll(0, 0, ids...)
+	}}
+}
+
+// returnRenamed has a cache start again at its address under another id, which the list tells late.
+func (d drawer) returnRenamed(at time.Duration, _ []string, _ int) Fault {
+	id, down, notice := d.plan.Hosts[d.IntN(d.caches)].ID, 50*time.Millisecond+d.time(mostDown), d.time(mostNotice)
+	return Fault{at, fmt.Sprintf("restart %s after %.2f s under another id, told after %.2f s", id, down.Seconds(), notice.Seconds()), func(f *Fleet) {
+		f.Kill(id)
 		time.Sleep(down)
+		old := f.Hosts[id].Rename()
+		f.RestartAll(0, notice, id)
+		time.Sleep(notice)
+		f.Forget(old)
+	}}
+}
+
+// hold keeps what is sent to hosts on its way for a while.
+func (d drawer) hold(at time.Duration, ids []string, _ int) Fault {
+	lasts := 100*time.Millisecond + d.time(mostHeld)
+	return Fault{at, fmt.Sprintf("hold what is sent to %v for %.2f s", ids, lasts.Seconds()), func(f *Fleet) {
 		for _, id := range ids {
-			f.Hosts[id].Kill() // another fault may have started it meanwhile
-			f.Restart(id, late, notice)
+			f.Hosts[id].Hold(lasts)
 		}
 	}}
 }
@@ -202,6 +251,17 @@
 	}}
 }
 
+// killInSeries kills a dispatcher again as soon as it is ready.
+func (d drawer) killInSeries(at time.Duration, _ []string, dispatcher int) Fault {
+	times := 2 + d.IntN(mostKills-1)
+	return Fault{at, fmt.Sprint("kill n", dispatcher, " ", times, " times"), func(f *Fleet) {
+		for range times {
+			f.Dispatchers[dispatcher].Replace(syscall.SIGKILL, 0, 0)
+			time.Sleep(signalsApart)
+		}
+	}}
+}
+
 func (d drawer) endDispatcher(at time.Duration, _ []string, dispatcher int) Fault {
 	return Fault{at, fmt.Sprint("end n", dispatcher), func(f *Fleet) {
 		f.Dispatchers[dispatcher].Replace(syscall.SIGTERM, killAfter, 0)
