Slow start: a change log that comes late is known to be, also while it is heard

Cause: restart_detection.go took the list for known as soon as the change log said something, and asked only at hosts that had answered before. A delay shows as one pause, when it begins.

Change: list_freshness.go keeps up to what time the list is known. A pause of over 1.5 s puts that back: by itself while it lasts, by twice itself for a minute after, as what is told may wait for its end and be delayed as long. A host that answers over a newer connection counts as started with it until the list is known that far, also a host that is met for the first time. That doubt ends by the list; before, one that was raised while the change log was silent lasted for the ramp. Where the change log is heard each second nothing changes.

Rows of TestHostMayHaveRestarted have the cases. The tests of core, emulator, cmd, dispatcher, multicore and benchwire pass once; no golden file changes.

--- a/core/routing/restart_detection.go
+++ b/core/routing/restart_detection.go
@@ -1,10 +1,9 @@
 package routing
 
-import "math"
-
-// maxListSilence is the time in seconds without a word of the endpoint list's source after which a restart may have
-// been told without being heard. The source says something each second.
-const maxListSilence = 1.5
+import (
+	"math"
+	"slices"
+)
 
 // processContinuity is what is known about whether a host still runs the process that answered before.
 //
@@ -13,8 +12,12 @@
 // doubted, the host counts as started at the latest moment at which it may have restarted: the last failure, or the
 // establishment of the connection that brought the first answer after it. An answer over a connection that is older
 // than the doubt proves that the process has not restarted. The zero value is proven.
+//
+// A host that answers over a connection established later than all changes of the endpoint list are known is doubted as
+// well, until the list is known up to that time: its start may have been told and not been heard yet.
 type processContinuity struct {
 	doubted    bool
+	unheard    bool    // it is doubted only until the list is known up to startedAt
 	answered   bool    // since the process was doubted
 	answeredAt float64 // seconds; last answer over a known connection, 0 for none
 	provenAt   float64 // seconds; last answer before the process was doubted, 0 for none
@@ -26,21 +29,42 @@
 // cache that gets requests like a warm one because the endpoint list is late, or was not heard.
 type restartDetector struct {
 	*environment
-	slowStart   *slowStart
-	listHeardAt float64 // seconds; when the source of the endpoint list last said something
-	listKnown   bool    // whether listHeardAt is known
+	slowStart *slowStart
+	list      listFreshness
+	unheard   []*host // hosts that are doubted until the list is known up to a time
 
 	connectionsKnown bool // answers come with the time at which their connections were established
 }
 
-// hearList records when the source of the endpoint list last said something, in seconds.
-func (d *restartDetector) hearList(at float64) { d.listHeardAt, d.listKnown = at, true }
+// hearList records when the source of the endpoint list last said something, in seconds. It ends doubts about hosts
+// whose restart the list would have told by now.
+func (d *restartDetector) hearList(at float64) {
+	d.list.hear(at)
+	if len(d.unheard) == 0 {
+		return
+	}
+	knownUntil := d.list.knownUntil(d.now)
+	d.unheard = slices.DeleteFunc(d.unheard, func(h *host) bool {
+		if h.process.unheard && h.process.startedAt > knownUntil {
+			return false
+		}
+		d.endUnheard(h)
+		return true
+	})
+}
 
-// listSilent reports whether a restart may have been told without being heard.
-func (d *restartDetector) listSilent() bool {
-	return d.listKnown && d.now-d.listHeardAt > maxListSilence
+// endUnheard ends the doubt about a host whose restart the list would have told, unless it is doubted for more.
+func (d *restartDetector) endUnheard(h *host) {
+	if !h.process.unheard {
+		return
+	}
+	h.process = processContinuity{answeredAt: h.process.answeredAt}
+	d.slowStart.endAfterRamp(h)
 }
 
+// listLate reports whether a restart may have been told without being heard.
+func (d *restartDetector) listLate() bool { return d.list.knownUntil(d.now) < d.now }
+
 // observeLoss records that a host was unreachable, lost a connection, or fell silent.
 func (d *restartDetector) observeLoss(h *host) {
 	if !d.mayHaveRestarted(h) {
@@ -52,6 +76,7 @@
 	} else if c.answered { // the process that is doubted now is the one that answered since the doubt before
 		c.answered, c.provenAt, c.fallback = false, c.answeredAt, c.startedAt
 	}
+	c.unheard = false
 	d.presume(h, d.now)
 }
 
@@ -68,13 +93,25 @@
 	case c.doubted && !c.answered:
 		c.answered = true
 		d.presume(h, connectedAt)
-	case !c.doubted && c.answeredAt > 0 && connectedAt > c.answeredAt && d.listSilent():
-		*c = processContinuity{doubted: true, answered: true, provenAt: c.answeredAt, fallback: math.Inf(-1)}
-		d.presume(h, connectedAt)
+	case (!c.doubted || c.unheard) && connectedAt > c.answeredAt && connectedAt > d.list.knownUntil(d.now):
+		d.awaitList(h, connectedAt)
 	}
 	c.answeredAt = d.now
 }
 
+// awaitList doubts a host that answered over a connection established at a time in seconds, until the list is known up
+// to that time.
+func (d *restartDetector) awaitList(h *host, connectedAt float64) {
+	c := &h.process
+	if !c.unheard {
+		*c = processContinuity{doubted: true, unheard: true, answered: true, provenAt: c.answeredAt, fallback: math.Inf(-1)}
+		if !slices.Contains(d.unheard, h) {
+			d.unheard = append(d.unheard, h)
+		}
+	}
+	d.presume(h, connectedAt)
+}
+
 // observeRecovery records that an ejected host has recovered.
 func (d *restartDetector) observeRecovery(h *host) {
 	if h.Kind == d.ParentKind {
@@ -86,7 +123,7 @@
 // no connection proves its process: it is doubted only while its restart might be told without being heard. Where the
 // age of connections is not known no doubt could be ended, so that none is raised.
 func (d *restartDetector) mayHaveRestarted(h *host) bool {
-	return d.connectionsKnown && (h.Kind != d.ParentKind || d.listSilent())
+	return d.connectionsKnown && (h.Kind != d.ParentKind || d.listLate())
 }
 
 // presume has a host count as started at a time, unless it counts as started later than that.
@@ -100,7 +137,7 @@
 	c := &h.process
 	c.doubted = !math.IsInf(c.fallback, -1)
 	c.startedAt, c.fallback = c.fallback, math.Inf(-1)
-	c.answered, c.provenAt = true, 0
+	c.answered, c.unheard, c.provenAt = true, false, 0
 	d.slowStart.endAfterRamp(h)
 }
 
--- a/core/routing/restart_detection_test.go
+++ b/core/routing/restart_detection_test.go
@@ -22,6 +22,15 @@
 	return func(r *Router, _ *host) { r.HandleListHeard(r.now, at) }
 }
 
+// heardEachSecond hears the list's source each second, from one time to another one.
+func heardEachSecond(first, last float64) func(*Router, *host) {
+	return func(r *Router, _ *host) {
+		for at := first; at <= last; at++ {
+			r.HandleListHeard(r.now, at)
+		}
+	}
+}
+
 func toldStart(at float64) func(*Router, *host) {
 	return func(r *Router, h *host) {
 		e := h.Endpoint
@@ -64,6 +73,14 @@
 		{"the list falls silent, a new connection", cacheA, 14, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(14)}}},
 		{"the list falls silent, the same connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(1)}}},
 		{"the list is heard, a new connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(14.5)}, {15, answerOver(14)}}},
+		{"the list falls silent, a first connection", cacheB, 14, []processStep{{15, heardAt(11)}, {15, answerOver(14)}}},
+		{"the list is heard, a first connection", cacheB, never, []processStep{{15, heardAt(14.5)}, {15, answerOver(14)}}},
+		{"the list was silent, and may be late since", cacheA, 15.9, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {15.5, heardEachSecond(12, 15)}, {16, answerOver(15.9)}}},
+		{"the list was silent long ago", cacheA, never, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {73, heardEachSecond(12, 73)}, {73, answerOver(72.9)}}},
+		{"the list would have told", cacheA, never, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12, answerOver(1)}, {12.2, answerOver(12.1)}, {17, heardEachSecond(13, 17)}}},
+		{"the list may not have told", cacheA, 12.1, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12, answerOver(1)}, {12.2, answerOver(12.1)}, {16, heardEachSecond(13, 16)}}},
+		{"the list is late, and the host is lost", cacheA, 13, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12, answerOver(1)}, {12.2, answerOver(12.1)}, {13, loss}, {20, heardEachSecond(13, 20)}}},
+		{"the list is late, an older connection", cacheA, never, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12, answerOver(1)}, {12.2, answerOver(12.1)}, {13, answerOver(1)}}},
 		{"off the list and on it again", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, goneAndBack}}},
 		{"connections are not known", cacheA, never, []processStep{{10, answerOver(0)}, {11, loss}}},
 		{"a parent while the list is heard", parentA, never, []processStep{{10, heardAt(10)}, {11, loss}}},
