Slow start: the end of a host's last idle connection tells of a restart

Cause: a lost connection was known by the results of what was out on it. The end of an idle one reached nobody above internal/upstream.

Change: the driver tells that a host has ended the last connection that was up with nothing out on it (Host.Lost, Router.HandleConnectionLost); what is closed here, or makes place, is not told. The host counts as started anew until the list would have told that, 1.5 s after the connection over which it answers. A presumed slow start begins with a whole request where one from each router fits the margin kept for chance, so that an idle host takes a request at once: without that TestIdleClientsLeaveRoomForAllElse found its GET refused.

TestTheEndOfTheLastIdleConnectionIsTold and rows of TestHostMayHaveRestarted have the cases; two rows of that test wait 1 s longer, as the doubt now lasts 1.5 s longer.

The tests of core, emulator, dispatcher, multicore, service, extproc, extensions and cluster pass once. The golden files of core/routing and emulator are of amd64 and are skipped on arm64, also where says that none changes: that was expected from the code, and not run then.

--- a/core/routing/restart_detection.go
+++ b/core/routing/restart_detection.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// toldWithin is the time in seconds within which the endpoint list tells that a host has started.
+const toldWithin = 1.5
+
 // processContinuity is what is known about whether a host still runs the process that answered before.
 //
 // The process is proven, or doubted. A connection that broke, could not be made, or fell silent makes it doubted: the
@@ -13,11 +16,12 @@
 // establishment of the connection that brought the first answer after it. An answer over a connection that is older
 // than the doubt proves that the process has not restarted. The zero value is proven.
 //
-// A host that answers over a connection established later than all changes of the endpoint list are known is doubted as
-// well, until the list is known up to that time: its start may have been told and not been heard yet.
+// A host is doubted as well if it answers over a connection established later than all changes of the endpoint list are
+// known, and if it ends the last connection while nothing is in flight there. Its start may have been told and not been
+// heard yet: that doubt ends once the list is known up to toldWithin after the connection that the host answers over.
 type processContinuity struct {
 	doubted    bool
-	unheard    bool    // it is doubted only until the list is known up to startedAt
+	unheard    bool    // it is doubted only until the list would have told
 	answered   bool    // since the process was doubted
 	answeredAt float64 // seconds; last answer over a known connection, 0 for none
 	provenAt   float64 // seconds; last answer before the process was doubted, 0 for none
@@ -31,7 +35,7 @@
 	*environment
 	slowStart *slowStart
 	list      listFreshness
-	unheard   []*host // hosts that are doubted until the list is known up to a time
+	unheard   []*host // hosts that are doubted until the list would have told
 
 	connectionsKnown bool // answers come with the time at which their connections were established
 }
@@ -45,23 +49,18 @@
 	}
 	knownUntil := d.list.knownUntil(d.now)
 	d.unheard = slices.DeleteFunc(d.unheard, func(h *host) bool {
-		if h.process.unheard && h.process.startedAt > knownUntil {
-			return false
+		c := &h.process
+		if h.Phase == Removed { // it may be forgotten: a doubt that remains ends with its ramp
+			c.unheard = false
+		}
+		if c.unheard && c.answered && c.startedAt+toldWithin <= knownUntil {
+			*c = processContinuity{answeredAt: c.answeredAt}
+			d.slowStart.endAfterRamp(h)
 		}
-		d.endUnheard(h)
-		return true
+		return !c.unheard
 	})
 }
 
-// endUnheard ends the doubt about a host whose restart the list would have told, unless it is doubted for more.
-func (d *restartDetector) endUnheard(h *host) {
-	if !h.process.unheard {
-		return
-	}
-	h.process = processContinuity{answeredAt: h.process.answeredAt}
-	d.slowStart.endAfterRamp(h)
-}
-
 // listLate reports whether a restart may have been told without being heard.
 func (d *restartDetector) listLate() bool { return d.list.knownUntil(d.now) < d.now }
 
@@ -80,6 +79,20 @@
 	d.presume(h, d.now)
 }
 
+// observeIdleLoss records that a host has ended its last connection while nothing was in flight there. Hosts do so when
+// they restart, and with connections that are idle for longer than this router leaves them.
+func (d *restartDetector) observeIdleLoss(h *host) {
+	c := &h.process
+	switch {
+	case !d.mayHaveRestarted(h):
+	case c.doubted && !c.unheard:
+		d.observeLoss(h)
+	default:
+		d.awaitList(h, d.now)
+		c.answered = false
+	}
+}
+
 // observeAnswer records an answer of a host over a connection that was established at a time in seconds, 0 if that is
 // unknown.
 func (d *restartDetector) observeAnswer(h *host, connectedAt float64) {
@@ -99,17 +112,14 @@
 	c.answeredAt = d.now
 }
 
-// awaitList doubts a host that answered over a connection established at a time in seconds, until the list is known up
-// to that time.
-func (d *restartDetector) awaitList(h *host, connectedAt float64) {
+// awaitList doubts a host that may have started at a time in seconds, until the list would have told.
+func (d *restartDetector) awaitList(h *host, startedAt float64) {
 	c := &h.process
 	if !c.unheard {
-		*c = processContinuity{doubted: true, unheard: true, answered: true, provenAt: c.answeredAt, fallback: math.Inf(-1)}
-		if !slices.Contains(d.unheard, h) {
-			d.unheard = append(d.unheard, h)
-		}
+		*c = processContinuity{doubted: true, unheard: true, answered: true, answeredAt: c.answeredAt, provenAt: c.answeredAt, fallback: math.Inf(-1)}
+		d.unheard = append(d.unheard, h)
 	}
-	d.presume(h, connectedAt)
+	d.presume(h, startedAt)
 }
 
 // observeRecovery records that an ejected host has recovered.
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -132,6 +132,15 @@
 // were established (AttemptResult.ConnectedAt).
 func (r *Router) ExpectConnectionTimes() { r.restarts.connectionsKnown = true }
 
+// HandleConnectionLost is called when a host has ended the last connection to it while nothing was in flight there. The
+// losses of attempts are told by their results.
+func (r *Router) HandleConnectionLost(now float64, host uint32) {
+	r.now = now
+	if h := r.endpoints.byID[host]; h != nil {
+		r.restarts.observeIdleLoss(h)
+	}
+}
+
 // HandleListHeard records when the source of the endpoint list last said something, in seconds. A router that is
 // never told takes the source for one that is always heard.
 func (r *Router) HandleListHeard(now, heardAt float64) {
--- a/core/routing/slow_start.go
+++ b/core/routing/slow_start.go
@@ -129,11 +129,12 @@
 // covers work.
 func (s *slowStart) hasCredit(h *host, budget hostBudget, work float64) bool {
 	maxCredit := budget.rate * s.OverloadWindow * savedCreditShare * math.Max(1, float64(s.Shards))
-	if s.savedRequestsFitMargin(budget, work) {
+	savesOne := s.savedRequestsFitMargin(budget, work)
+	if savesOne {
 		maxCredit = math.Max(maxCredit, work)
 	}
 	if maxCredit >= work {
-		return s.accrue(h, budget, work, maxCredit) >= work
+		return s.accrue(h, budget, work, maxCredit, savesOne) >= work
 	}
 	return s.drawCredit(h, budget, work)
 }
@@ -150,17 +151,27 @@
 }
 
 // accrue adds the credit earned since the last check, up to maxCredit, and returns the credit. The first
-// check draws the initial credit at random.
-func (s *slowStart) accrue(h *host, budget hostBudget, work, maxCredit float64) float64 {
+// check gives the initial credit. savesOne tells whether each router may have saved up a request.
+func (s *slowStart) accrue(h *host, budget hostBudget, work, maxCredit float64, savesOne bool) float64 {
 	w := &h.warmUp
-	earned, initial := budget.rate*math.Max(0, s.now-w.creditedUntil), 0.0
 	if w.creditedUntil == 0 {
-		initial = s.uniform(h) * work
-		w.creditedUntil, w.credit, earned = s.now, initial, 0
-	} else {
-		w.creditedUntil = math.Max(s.now, w.creditedUntil)
+		initial := s.initialCredit(h, work, savesOne)
+		w.creditedUntil, w.credit = s.now, initial
+		return s.addCredit(h, initial, 0, maxCredit)
+	}
+	earned := budget.rate * math.Max(0, s.now-w.creditedUntil)
+	w.creditedUntil = math.Max(s.now, w.creditedUntil)
+	return s.addCredit(h, 0, earned, maxCredit)
+}
+
+// initialCredit returns the credit that a slow start begins with. It is drawn at random, so that routers that are told of
+// a start together do not send together. Few of the hosts that are presumed to have restarted have done so, and an idle
+// one should take a request at once.
+func (s *slowStart) initialCredit(h *host, work float64, savesOne bool) float64 {
+	if savesOne && h.warmUp.cause == PresumedRestart {
+		return work
 	}
-	return s.addCredit(h, initial, earned, maxCredit)
+	return s.uniform(h) * work
 }
 
 // drawCredit decides at random, once in each interval, whether this router may send one request. Guards
--- a/internal/dispatcher/endpoints.go
+++ b/internal/dispatcher/endpoints.go
@@ -112,6 +112,7 @@
 		}
 		wait := clock.Duration(endpoints.FirstConnectionDelay(d.Settings.Seed, e.ID, together))
 		h = &host{Host: upstream.New(told.Address, d.Options, wait), name: told.ID, address: told.Address}
+		h.Lost = func() { d.callRecovering(func(now float64) { d.router.HandleConnectionLost(now, e.ID) }) }
 		d.hosts[e.ID] = h
 	}
 	h.listed = told
--- a/internal/standin/slowstart/fleet.go
+++ b/internal/standin/slowstart/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,8 +28,9 @@
 
 // Options is what a fleet is made of.
 type Options struct {
-	Binary      string // of elderwall
+	Binary      string // of elderwall; that of elderwall-operator stands beside it
 	Dispatchers int
+	Shards      int // of each dispatcher; below 2 it is one module
 	Hosts       []HostOptions
 	Rule        Rule // of caches; it is also put into the settings
 	ParentRule  Rule
@@ -71,12 +73,19 @@
 	ended     chan struct{}
 }
 
-// Build builds the dispatcher's program.
+// Build builds the dispatcher's programs, and returns where elderwall stands.
 func Build(t testing.TB, dir string) string {
-	binary := filepath.Join(dir, "elderwall")
-	out, err := exec.Command("go", "build", "-o", binary, "elderwall/cmd/elderwall").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "elderwall/cmd/elderwall", "elderwall/cmd/elderwall-operator").CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	return binary
+	return filepath.Join(dir, "elderwall")
+}
+
+// command is what starts a dispatcher.
+func (o Options) command() *exec.Cmd {
+	if o.Shards < 2 {
+		return exec.Command(o.Binary)
+	}
+	return exec.Command(o.Binary+"-operator", "serve", "--cores", strconv.Itoa(o.Shards))
 }
 
 // New starts hosts, change log and dispatchers; all of it ends with the test.
@@ -276,7 +285,7 @@
 
 // Start starts the process, and waits until it is ready.
 func (d *Dispatcher) Start() {
-	cmd := exec.Command(d.fleet.Binary)
+	cmd := d.fleet.command()
 	cmd.Env, cmd.Stderr = append(os.Environ(), "PROXY_CONFIG="+d.config), d.Log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(d.fleet, cmd.Start())
--- a/internal/standin/slowstart/schedule.go
+++ b/internal/standin/slowstart/schedule.go
@@ -30,6 +30,7 @@
 	signalsApart    = 150 * time.Millisecond
 	parents         = 2
 	mostDispatchers = 6
+	mostShards      = 4
 	mostHeld        = 2 * time.Second
 	mostKills       = 3
 	unlike          = 0.25 // by how much hosts of one kind differ from its usual size
@@ -59,8 +60,8 @@
 	for _, f := range p.Faults {
 		all = append(all, fmt.Sprintf("%.1f %s", f.At.Seconds(), f.Name))
 	}
-	return fmt.Sprintf("%d dispatchers, the first has %.2f of the clients besides, weights %s, %d clients, rule %+v: %s",
-		p.Dispatchers, p.Favored, p.Weights, p.Clients, p.Rule, strings.Join(all, "; "))
+	return fmt.Sprintf("%d dispatchers of %d shards, the first has %.2f of the clients besides, weights %s, %d clients, rule %+v: %s",
+		p.Dispatchers, max(1, p.Shards), p.Favored, p.Weights, p.Clients, p.Rule, strings.Join(all, "; "))
 }
 
 // Draw draws a plan.
@@ -103,6 +104,9 @@
 	for range leastFaults + r.IntN(mostFaults-leastFaults+1) {
 		p.Faults = append(p.Faults, d.fault())
 	}
+	if r.IntN(4) == 0 {
+		p.Shards = 2 + r.IntN(mostShards-1)
+	}
 	slices.SortFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -272,6 +272,7 @@
 			continue
 		}
 		if err != nil {
+			c.tellLost()
 			return fmt.Errorf("read: %w", err)
 		}
 		c.host.Counts.HostBytesIn.Add(int64(n))
@@ -285,6 +286,21 @@
 	}
 }
 
+// tellLost tells of the end of the last connection that was up, unless something is out on it, which tells by its result, or the end is our own doing.
+func (c *conn) tellLost() {
+	if c.host.Lost != nil && c.isLastAndIdle() {
+		c.host.Lost()
+	}
+}
+
+func (c *conn) isLastAndIdle() bool {
+	h := c.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isUp := func(o *conn) bool { return o != c && o.socket != nil }
+	return !c.closed && len(c.open) == 0 && !h.gone && h.Context.Err() == nil && !slices.ContainsFunc(h.conns, isUp)
+}
+
 // answers passes on all that is whole; an answer to a stopped or unknown id is dropped.
 func (c *conn) answers(r *hostproto.Reader) error {
 	for {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -102,6 +102,9 @@
 // Host is one cache host.
 type Host struct {
 	*Options
+	// Lost is called when the host has ended the last connection that was up while nothing was out on it; nil for nobody.
+	// It is set before the first forward, and called under no lock.
+	Lost    func()
 	address string
 
 	first time.Time // before which no connection is begun
