--- a/internal/standin/slowstart/soak_test.go
+++ b/internal/standin/slowstart/soak_test.go
@@ -30,15 +30,24 @@
 	binary := slowstart.Build(t, t.TempDir())
 	first := number("ELDERWALL_SOAK_FIRST", soakFirst)
 	for seed := first; seed < first+number("ELDERWALL_SOAK_SEEDS", soakSeeds); seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			besideFew(t)
-			plan := slowstart.Draw(uint64(seed), binary)
-			t.Log(plan)
-			f := slowstart.New(t, plan.Options)
-			plan.Play(f)
-			assertNoneFell(t, f)
-			served, _, _ := f.Answers()
-			assert.Positive(t, served, "requests that were served")
-		})
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { play(t, uint64(seed), binary) })
 	}
 }
+
+// Guards against a dispatcher that starts amid a crowd, in the moment in which the restart of a small host is told, sending
+// to it as to a warm one until it has heard: the soak's seed 405.
+func TestDispatcherThatStartsWhileARestartIsTold(t *testing.T) {
+	play(t, 405, slowstart.Build(t, t.TempDir()))
+}
+
+// play plays the run that is drawn from a seed.
+func play(t *testing.T, seed uint64, binary string) {
+	besideFew(t)
+	plan := slowstart.Draw(seed, binary)
+	t.Log(plan)
+	f := slowstart.New(t, plan.Options)
+	plan.Play(f)
+	assertNoneFell(t, f)
+	served, _, _ := f.Answers()
+	assert.Positive(t, served, "requests that were served")
+}
