Log lines of slow starts leave out an age that is not known

What operators saw: "age_ms": in "slow start ended", where a host of whose start nobody has told had only been presumed to have restarted.

Cause: its age is infinite, and was turned into an integer. Change: such a line has no age_ms. TestAgeOfAHostIsLoggedWhereItIsKnown failed before.

--- a/core/routing/slow_start_report.go
+++ b/core/routing/slow_start_report.go
@@ -34,7 +34,7 @@
 	Host  uint32
 	State SlowStartState
 	Cause SlowStartCause
-	Age   float64 // seconds since the host has started, as told or presumed
+	Age   float64 // seconds since the host has started, as told or presumed; +Inf if neither
 
 	Attempts   int // attempts of this router that were sent to the host, or named it as their source, since the slow start began
 	Refusals   int // how often the budget has ruled out the host since then
--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -145,7 +145,10 @@
 		c.SlowStartEjections.Add(1)
 		line = w.Options.Log.Warn()
 	}
-	line = line.Uint32("id", r.Host).Stringer("cause", r.Cause).Int64("age_ms", int64(r.Age*1e3))
+	line = line.Uint32("id", r.Host).Stringer("cause", r.Cause)
+	if !math.IsInf(r.Age, 1) {
+		line = line.Int64("age_ms", int64(r.Age*1e3))
+	}
 	if r.State != routing.SlowStartBegan {
 		line = line.Int("attempts", r.Attempts).Int("refusals", r.Refusals).Int("worst_window", r.WorstCount)
 		line = line.Float64("window_budget", math.Round(r.WindowBudget*10)/10)
--- a/internal/dispatcher/slow_start_test.go
+++ b/internal/dispatcher/slow_start_test.go
@@ -1,14 +1,17 @@
 package dispatcher
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"elderwall/core/routing"
 	"elderwall/internal/call"
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
@@ -71,3 +74,21 @@
 	assert.LessOrEqual(t, float64(worst), most+2*math.Sqrt(most)+2, "requests in a window")
 	assert.Greater(t, len(arrivals), sustained, "requests that reached the host")
 }
+
+// Guards against an age of a host that nobody has told of being logged as a number of no meaning.
+func TestAgeOfAHostIsLoggedWhereItIsKnown(t *testing.T) {
+	for _, tt := range []struct {
+		age  float64 // seconds
+		want string
+	}{
+		{1.5, `{"level":"info","id":7,"cause":"presumed","age_ms":1500,"attempts":0,"refusals":0,"worst_window":0,"window_budget":0,"message":"slow start ended"}`},
+		{math.Inf(1), `{"level":"info","id":7,"cause":"presumed","attempts":0,"refusals":0,"worst_window":0,"window_budget":0,"message":"slow start ended"}`},
+	} {
+		var log bytes.Buffer
+		o, _ := rig.Life(t)
+		o.Log = zerolog.New(&log)
+		d := New(Config{Settings: rig.Settings(1), Clock: clock.New(), Options: o, Connections: 1})
+		actions{d}.ReportSlowStart(routing.SlowStartReport{Host: 7, State: routing.SlowStartEnded, Cause: routing.PresumedRestart, Age: tt.age})
+		assert.Equal(t, tt.want+"\n", log.String())
+	}
+}
