Slow start: a host whose losses are observed is not doubted for a late change log

The stop was a pause of the change log, so that the list counted as late for a minute, and the second connection to a busy host, newer than its last answer, as that of a host that might have started. Traced by the log line: slow start began, presumed, 12 s after the dispatcher woke.

Change: where a host has answered before, its lost connections are observed, idle ones too, so that a list that is only late tells nothing new. A newer connection counts there only while the change log is silent, as it did before. A first answer counts as before this change.

--- a/core/routing/list_freshness.go
+++ b/core/routing/list_freshness.go
@@ -40,10 +40,13 @@
 	return f.pause
 }
 
+// silent reports whether the source pauses now.
+func (f *listFreshness) silent(now float64) bool { return f.known && now-f.heardAt > maxListSilence }
+
 // knownUntil returns the time in seconds up to which all changes are known.
 func (f *listFreshness) knownUntil(now float64) float64 {
 	pause := f.recentPause(now)
-	if !f.known || pause == 0 && now-f.heardAt <= maxListSilence {
+	if !f.known || pause == 0 && !f.silent(now) {
 		return now
 	}
 	return f.heardAt - delayPerPause*pause
--- a/core/routing/restart_detection.go
+++ b/core/routing/restart_detection.go
@@ -16,8 +16,8 @@
 // establishment of the connection that brought the first answer after it. An answer over a connection that is older
 // than the doubt proves that the process has not restarted. The zero value is proven.
 //
-// A host is doubted as well if it answers over a connection established later than all changes of the endpoint list are
-// known, and if it ends the last connection while nothing is in flight there. Its start may have been told and not been
+// A host is doubted as well if its first answer comes over a connection established later than all changes of the endpoint
+// list are known, and if it ends the last connection while nothing is in flight there. Its start may have been told and not been
 // heard yet: that doubt ends once the list is known up to toldWithin after the connection that the host answers over.
 type processContinuity struct {
 	doubted    bool
@@ -106,12 +106,22 @@
 	case c.doubted && !c.answered:
 		c.answered = true
 		d.presume(h, connectedAt)
-	case (!c.doubted || c.unheard) && connectedAt > c.answeredAt && connectedAt > d.list.knownUntil(d.now):
+	case (!c.doubted || c.unheard) && connectedAt > c.answeredAt && d.mayBeUnheard(h, connectedAt):
 		d.awaitList(h, connectedAt)
 	}
 	c.answeredAt = d.now
 }
 
+// mayBeUnheard reports whether a host that answers over a connection established at a time in seconds may have been told
+// to have started, without that being heard. The losses of a host that answered before are observed, so that a list which
+// is only late tells nothing new of it.
+func (d *restartDetector) mayBeUnheard(h *host, connectedAt float64) bool {
+	if h.process.answeredAt > 0 && !d.list.silent(d.now) {
+		return false
+	}
+	return connectedAt > d.list.knownUntil(d.now)
+}
+
 // awaitList doubts a host that may have started at a time in seconds, until the list would have told.
 func (d *restartDetector) awaitList(h *host, startedAt float64) {
 	c := &h.process
