Slow start: a test that fails, a restart told to a dispatcher that has just started

The cause: no connection stood whose end would have told, and until the list is heard the hosts are taken for warm.

--- a/internal/standin/slowstart/budget_test.go
+++ b/internal/standin/slowstart/budget_test.go
@@ -187,3 +187,19 @@
 	time.Sleep(4 * time.Second)
 	assertNoneFell(t, f)
 }
+
+// Guards against a dispatcher that has just started sending to a host as to a warm one between the moment in which its
+// restart is told and the one in which that is heard.
+func TestDispatcherStartsJustBeforeARestartIsHeard(t *testing.T) {
+	besideFew(t)
+	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 7, Hosts: withParents(caches("small", 3, 3))}, 0)
+	f.Dispatchers[0].Kill()
+	f.Dispatchers[0].Changes.Delay(60 * time.Millisecond)
+	cold := []string{"small-0", "small-1", "small-2"}
+	f.RestartAll(0, time.Hour, cold...)
+	f.Dispatchers[0].Start()
+	f.Told("SERVING", cold...)
+	f.Load(400, 0)
+	time.Sleep(3 * time.Second)
+	assertNoneFell(t, f)
+}
