Slow start: one request at a time until a host's first connection has been up for 0.1 s

Cause: restarts are noticed by connections that end, or by the list. With no connection up only the list tells, and it is heard some time after it is told. Nothing bounded what was sent in that time; attempts that wait for the first connection made it a burst.

Now the router is told when a first connection is up and when none is left. Without one, and for 0.1 s after it is up, a host gets one request at a time. The other requests of its objects wait, are neither rejected nor sent elsewhere to miss there, and charge the retry budget once. Where the list may be late for longer, the host counts as started with that connection. GETs of proxies do not wait: their connections are not known here. A host in slow start is bounded by its budget already. New counter ConnectionWaits.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -75,6 +75,8 @@
 	Group, Part int
 	Deadline    float64 // seconds on the router's clock; when the client stops waiting
 	SizeKB      float64 // 0 if it is unknown
+	// ConnectionsUnknown is set if nothing will be known about the connections that its attempts go out over.
+	ConnectionsUnknown bool
 }
 
 // Attempt tells a host what to do with a request.
--- a/core/routing/endpoint_table.go
+++ b/core/routing/endpoint_table.go
@@ -20,6 +20,7 @@
 	sourceHealth  sourceHealth
 	warmUp        warmUp
 	process       processContinuity
+	connection    firstConnection
 	link          congestion.Link // congestion of its link
 	returned      requestCounts   // requests that it answered or that were filled from it
 	listedSince   float64         // seconds; when it was first listed
--- /dev/null
+++ b/core/routing/first_connection_test.go
@@ -0,0 +1,116 @@
+package routing
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"elderwall/core/routing/retrybudget"
+)
+
+// newConnectingCluster starts a router that knows one cache, and is told of the connections to it.
+func newConnectingCluster(change func(*Settings)) (*Router, *recorder) {
+	settings := testSettings()
+	if change != nil {
+		change(&settings)
+	}
+	rec := &recorder{}
+	r := New(settings, 0, rec)
+	r.ExpectConnectionTimes()
+	r.UpdateEndpoints(0, ListComplete, []Endpoint{endpoint(cacheA, 0, Ready), endpoint(origin, 2, Ready)})
+	return r, rec
+}
+
+// Guards against a host that nothing is known of by its connections getting a crowd of requests before its restart, if any,
+// would be heard, and against requests that wait for that being rejected, sent twice or left without an answer.
+func TestRequestsWaitForTheFirstConnectionToSettle(t *testing.T) {
+	const crowd, before = 20, 10.0
+	up := func(at float64) func(*Router) { return func(r *Router) { r.HandleConnectionUp(at, cacheA) } }
+	closed := func(r *Router) { r.HandleConnectionsClosed(r.now, cacheA) }
+	for _, tt := range []struct {
+		name    string
+		history []func(*Router) // before the crowd comes
+		upAt    float64         // 0 for no connection that comes up later
+		sent    map[float64]int // attempts so far, by the time
+	}{
+		{"no connection", nil, 0, map[float64]int{10: 1, 10.5: 1}},
+		{"it comes up later", nil, 10.3, map[float64]int{10: 1, 10.3: 1, 10.39: 1, 10.42: crowd}},
+		{"one has just come up", []func(*Router){up(9.95)}, 0, map[float64]int{10: 1, 10.04: 1, 10.07: crowd}},
+		{"one is up", []func(*Router){up(5)}, 0, map[float64]int{10: crowd}},
+		{"it was closed here", []func(*Router){up(5), closed}, 10.1, map[float64]int{10: 1, 10.19: 1, 10.22: crowd}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r, rec := newConnectingCluster(func(s *Settings) { s.SlowStartRamp, s.WeightsKnown = 0.5, true })
+			for _, see := range tt.history {
+				r.now = max(r.now, before-1)
+				see(r)
+			}
+			for id := range uint32(crowd) {
+				submit(r, before, id+1, fmt.Sprint("o", id))
+			}
+			assert.Equal(t, tt.sent[before], len(rec.attempts), "at once")
+			for _, now := range slices.Sorted(maps.Keys(tt.sent))[1:] {
+				runTimersWithConnection(r, now, tt.upAt)
+				assert.Equal(t, tt.sent[now], len(rec.attempts), "at %g s", now)
+			}
+			assert.Empty(t, rec.shed, "rejected while they wait")
+			runTimers(r, r.now, before+5)
+			assert.Len(t, rec.shed, crowd, "each has one answer at the end")
+			assert.Empty(t, rec.failed)
+			assert.Equal(t, len(rec.attempts), len(requestsOf(rec.attempts)), "none is sent twice")
+		})
+	}
+}
+
+// runTimersWithConnection runs the timers up to a time in seconds, with a first connection that comes up at upAt; 0 for none.
+func runTimersWithConnection(r *Router, until, upAt float64) {
+	for r.now < until-0.005 {
+		now := r.now + 0.01
+		if upAt != 0 && now >= upAt && !r.endpoints.byID[cacheA].connection.up {
+			r.HandleConnectionUp(now, cacheA)
+		}
+		runTimer(r, now)
+	}
+}
+
+// requestsOf returns the IDs of the requests that attempts are for.
+func requestsOf(attempts []Attempt) map[uint32]bool {
+	all := map[uint32]bool{}
+	for _, a := range attempts {
+		all[a.RequestID] = true
+	}
+	return all
+}
+
+// Guards against requests that go out over connections of others waiting for a connection that this router is never told of.
+func TestRequestsOverUnknownConnectionsDoNotWait(t *testing.T) {
+	r, rec := newConnectingCluster(nil)
+	for id := range uint32(5) {
+		r.HandleRequest(1, Request{ID: id + 1, Object: fmt.Sprint("o", id), Deadline: 6, ConnectionsUnknown: true})
+	}
+	assert.Len(t, rec.attempts, 5)
+}
+
+// Guards against a retry that spends the retry budget at each look for a cache.
+func TestARetryThatWaitsSpendsTheBudgetOnce(t *testing.T) {
+	r, rec := newConnectingCluster(func(s *Settings) { s.Retries = retrybudget.Settings{Share: 0.1, Floor: 1} })
+	r.UpdateEndpoints(0, ListChanges, []Endpoint{endpoint(cacheB, 0, Ready)})
+	r.HandleConnectionUp(0, cacheA)
+	hosts := map[uint32]uint32{} // the request that each host has
+	for id := uint32(1); len(hosts) < 2; id++ {
+		submit(r, 1, id, fmt.Sprint("o", id))
+		hosts[rec.last().Host] = rec.last().RequestID
+	}
+	sent := len(rec.attempts)
+	respond(r, 1.1, hosts[cacheA], 0, HostFailed, NoNote)
+	runTimers(r, 1.11, 1.2)
+	assert.Len(t, rec.attempts, sent, "it waits")
+	r.HandleConnectionUp(1.2, cacheB)
+	runTimers(r, 1.2, 1.35)
+	assert.Len(t, rec.attempts, sent+1)
+	assert.Equal(t, cacheB, int(rec.last().Host))
+	assert.Equal(t, 1, r.budget.Spent)
+}
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -31,6 +31,8 @@
 	queued      bool    // it is in the retry queue
 	giveUpAt    float64 // seconds; when it is given up at the latest
 	timeout     timer
+	wait        timer // fires when a cache that it waits for is looked at again
+	admitted    bool  // its next attempt has been admitted, and waits for a cache
 
 	firstAttempt attempt     // stored here because most requests need only one attempt
 	attemptStore [2]*attempt // backs attempts, so that most requests allocate nothing
@@ -193,6 +195,7 @@
 func (t *requestTable) finish(q *request) verdict {
 	q.finished = true
 	t.timers.Remove(&q.timeout)
+	t.timers.Remove(&q.wait)
 	t.forget(q)
 	return ended
 }
--- a/core/routing/restart_detection.go
+++ b/core/routing/restart_detection.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// observeFirstConnection records that a host which had no connection has one now, which proves nothing about the time
+// before: the process may have been started since the list was last known.
+func (d *restartDetector) observeFirstConnection(h *host) {
+	if !h.process.doubted && d.mayBeUnheard(h, d.now) {
+		d.awaitList(h, d.now)
+	}
+}
+
+// forgetConnections records that no connection to a host is left that could prove its process.
+func (d *restartDetector) forgetConnections(h *host) {
+	if !h.process.doubted {
+		h.process.answeredAt = 0
+	}
+}
+
 // observeAnswer records an answer of a host over a connection that was established at a time in seconds, 0 if that is
 // unknown.
 func (d *restartDetector) observeAnswer(h *host, connectedAt float64) {
--- a/core/routing/retry.go
+++ b/core/routing/retry.go
@@ -28,7 +28,7 @@
 	case r.now >= q.repeatableUntil()-tickInterval,
 		q.attemptsSent() >= r.MaxAttempts,
 		r.now >= q.giveUpAt,
-		q.lastAttemptFailed() && !r.budget.Spend(r.now):
+		!q.admitted && q.lastAttemptFailed() && !r.budget.Spend(r.now):
 		return r.requests.giveUp(q)
 	}
 	return proceed
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -30,22 +30,23 @@
 // keeps its own state. It is not safe for concurrent use.
 type Router struct {
 	*environment
-	timers     timers
-	requests   requestTable
-	endpoints  endpointTable
-	demand     demandTracker
-	costs      costModel
-	serving    servingTimes
-	limits     limiter
-	outliers   outlierDetector
-	slowStart  slowStart
-	restarts   restartDetector
-	retries    retryQueue
-	budget     retrybudget.Budget
-	purges     purgeLog
-	congestion congestion.Tracker
-	groups     grouphealth.Tracker
-	averagedAt float64 // seconds; when the averages over all hosts were last updated
+	timers      timers
+	requests    requestTable
+	endpoints   endpointTable
+	demand      demandTracker
+	costs       costModel
+	serving     servingTimes
+	limits      limiter
+	outliers    outlierDetector
+	slowStart   slowStart
+	restarts    restartDetector
+	connections connectionTracker
+	retries     retryQueue
+	budget      retrybudget.Budget
+	purges      purgeLog
+	congestion  congestion.Tracker
+	groups      grouphealth.Tracker
+	averagedAt  float64 // seconds; when the averages over all hosts were last updated
 }
 
 // New returns a router that knows only its settings. now is in seconds, on the clock that all later calls
@@ -65,6 +66,7 @@
 	r.outliers = outlierDetector{env, &r.slowStart, &r.restarts}
 	r.slowStart = slowStart{environment: env, costs: &r.costs}
 	r.restarts = restartDetector{environment: env, slowStart: &r.slowStart}
+	r.connections = connectionTracker{environment: env, timers: &r.timers, restarts: &r.restarts}
 	r.budget = retrybudget.New(s.Retries, now)
 	r.purges = purgeLog{environment: env, timers: &r.timers, purgedAt: map[string]float64{}}
 	if s.PollEndpoints {
@@ -129,18 +131,42 @@
 }
 
 // ExpectConnectionTimes tells the router, before its first request, that results tell when the connections of answers
-// were established (AttemptResult.ConnectedAt).
+// were established (AttemptResult.ConnectedAt), and that HandleConnectionUp and HandleConnectionsClosed are called.
 func (r *Router) ExpectConnectionTimes() { r.restarts.connectionsKnown = true }
 
+// HandleConnectionUp is called when a connection to a host has been established and no other one is up, before anything
+// is sent over it.
+func (r *Router) HandleConnectionUp(now float64, host uint32) {
+	r.now = now
+	if h := r.endpoints.byID[host]; h != nil {
+		r.connections.observeUp(h)
+	}
+}
+
+// HandleConnectionsClosed is called when the last connection to a host has been closed on this side.
+func (r *Router) HandleConnectionsClosed(now float64, host uint32) {
+	r.now = now
+	if h := r.endpoints.byID[host]; h != nil {
+		r.connections.observeDown(h)
+	}
+}
+
 // HandleConnectionLost is called when a host has ended the last connection to it while nothing was in flight there. The
 // losses of attempts are told by their results.
 func (r *Router) HandleConnectionLost(now float64, host uint32) {
 	r.now = now
 	if h := r.endpoints.byID[host]; h != nil {
+		r.connections.observeDown(h)
 		r.restarts.observeIdleLoss(h)
 	}
 }
 
+// TakeConnectionWaits returns how many requests have begun to wait for the first connection to a host since the last call.
+func (r *Router) TakeConnectionWaits() (requests int) {
+	requests, r.connections.waits = r.connections.waits, 0
+	return requests
+}
+
 // HandleListHeard records when the source of the endpoint list last said something, in seconds. A router that is
 // never told takes the source for one that is always heard.
 func (r *Router) HandleListHeard(now, heardAt float64) {
@@ -279,6 +305,8 @@
 	r.outliers.countProbe(source)
 	sendBy := min(q.repeatableUntil()-tickInterval, q.giveUpAt) // a host would drop a request that has less time left
 	sendBy = min(sendBy, r.slowStart.sendBy(h), r.slowStart.sendBy(source))
+	q.admitted = false
+	r.timers.Remove(&q.wait)
 	a := r.newAttempt(q, work)
 	r.acquireLimits(a)
 	r.scheduleObjectiveCheck(q, a)
--- a/core/routing/selection.go
+++ b/core/routing/selection.go
@@ -1,6 +1,9 @@
 package routing
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	maxConsidered  = 64  // maximum number of an object's caches that are considered for one request
@@ -19,6 +22,9 @@
 		first, c.copies = r.uniformInt(c.copies-maxConsidered+1), maxConsidered
 	}
 	r.endpoints.cacheOrder.Walk(q.object.hash, &q.object.cacheOrder, first, c.consider)
+	if c.best == nil && c.settlesAt > 0 {
+		return r.connections.await(q, c.settlesAt)
+	}
 	if c.best == nil {
 		return r.bypassCaches(q, c.someUsable)
 	}
@@ -38,6 +44,7 @@
 	someUsable         bool    // at least one cache could be used apart from limits
 	considered         int
 	best               *host
+	settlesAt          float64 // seconds; when the first of the caches that only lack a settled connection has one; 0 for none
 }
 
 // newCandidates returns a walk that has not considered any cache yet. It returns a value rather than a
@@ -67,6 +74,9 @@
 	if c.best != nil && c.considered >= c.copies && c.makespan(c.best) <= c.objective {
 		return false
 	}
+	if settlesAt := c.router.connections.settlesAt(h); settlesAt > 0 && !c.request.ConnectionsUnknown {
+		return c.passOver(settlesAt)
+	}
 	if c.improves(h) {
 		c.best = h
 	}
@@ -74,6 +84,17 @@
 	return true
 }
 
+// passOver passes over a cache whose connection is not settled before a time in seconds, and reports whether the walk
+// continues: a short wait for one of the object's own caches is better than a miss at another one.
+func (c *candidates) passOver(settlesAt float64) bool {
+	if c.settlesAt == 0 {
+		c.settlesAt = settlesAt
+	}
+	c.settlesAt = math.Min(c.settlesAt, settlesAt)
+	c.considered++
+	return c.best != nil || c.considered < c.copies
+}
+
 func (c *candidates) usable(h *host) bool {
 	return h.Phase == Ready &&
 		!slices.Contains(c.request.avoided, h) &&
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -55,6 +55,7 @@
 	PurgesLearned      atomic.Int64 `name:"PurgesLearned"`      // told by other dispatchers
 	SlowStarts         atomic.Int64 `name:"SlowStarts"`         // slow starts of hosts that began
 	SlowStartEjections atomic.Int64 `name:"SlowStartEjections"` // of SlowStarts: hosts that were ejected before their ramp was over
+	ConnectionWaits    atomic.Int64 `name:"ConnectionWaits"`    // GETs that waited for the first connection to a host
 	ClientConnections  atomic.Int64 `name:"ClientConnections"`  // opened
 	HostConnections    atomic.Int64 `name:"HostConnections"`    // opened
 	Handshakes         atomic.Int64 `name:"Handshakes"`         // of clients, that failed
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -146,10 +146,11 @@
 		d.router.HandleListHeard(now, d.Clock.At(clock.Instant(d.ListHeard.Load())))
 	}
 	d.router.HandleTimer(now)
+	d.Options.Counts.ConnectionWaits.Add(int64(d.router.TakeConnectionWaits()))
 	d.expireFollowers(now)
 	if now-d.sweptAt >= sweepInterval {
 		d.sweptAt = now
-		d.sweep()
+		d.sweep(now)
 	}
 }
 
--- a/internal/dispatcher/endpoints.go
+++ b/internal/dispatcher/endpoints.go
@@ -109,10 +109,12 @@
 		if h != nil {
 			h.phase = routing.Removed // what was to go to this address does not
 			h.Leave()
+			d.router.HandleConnectionsClosed(d.Clock.Now(), e.ID)
 		}
 		wait := clock.Duration(endpoints.FirstConnectionDelay(d.Settings.Seed, e.ID, together))
 		h = &host{Host: upstream.New(told.Address, d.Options, wait), name: told.ID, address: told.Address}
 		h.Lost = func() { d.callRecovering(func(now float64) { d.router.HandleConnectionLost(now, e.ID) }) }
+		h.Up = func() { d.callRecovering(func(now float64) { d.router.HandleConnectionUp(now, e.ID) }) }
 		d.hosts[e.ID] = h
 	}
 	h.listed = told
@@ -163,10 +165,13 @@
 }
 
 // sweep closes idle connections, and forgets hosts that are gone and have none left.
-func (d *Dispatcher) sweep() {
+func (d *Dispatcher) sweep(now float64) {
 	for id, h := range d.hosts {
 		if h.phase != routing.Removed {
 			h.Sweep(time.Now())
+			if !h.Connected() {
+				d.router.HandleConnectionsClosed(now, id)
+			}
 		} else if h.Leave() {
 			delete(d.hosts, id)
 			d.divideConnections()
--- a/internal/dispatcher/intake.go
+++ b/internal/dispatcher/intake.go
@@ -25,6 +25,7 @@
 		c.Fail("")
 		return
 	}
+	_, g.ConnectionsUnknown = c.(call.Router)
 	ticket, passed := d.admit(c, in, g.Service)
 	if !passed {
 		return
--- a/internal/dispatcher/slow_start_test.go
+++ b/internal/dispatcher/slow_start_test.go
@@ -16,6 +16,7 @@
 	"elderwall/internal/changelog"
 	"elderwall/internal/clock"
 	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
 	"elderwall/internal/standin/rig"
 )
 
@@ -75,6 +76,35 @@
 	assert.Greater(t, len(arrivals), sustained, "requests that reached the host")
 }
 
+// Guards against a crowd that reaches a host over its first connection before a restart would be heard, and against GETs that
+// wait for that and are not served, or not counted.
+func TestACrowdWaitsForTheFirstConnectionOfAHost(t *testing.T) {
+	const crowd = 10
+	hosts := rig.NewHosts(t, 1)
+	release := hosts.Hold()
+	o, _ := rig.Life(t)
+	d := New(Config{Settings: rig.Settings(10000), Clock: clock.New(), Options: o, Connections: 100})
+	o.Group.Go(func() error { return d.Run(o.Context) })
+	w := changelog.Witness{Clock: d.Clock}
+	d.Take(w.Take(rig.Whole(hosts.Entries...), 0))
+	var calls []*rig.Call
+	began := time.Now()
+	for n := range crowd {
+		c := rig.NewCall(o.Room)
+		d.Process(c, call.GET{Service: "segment", ID: rig.Fresh()[1], Object: fmt.Sprintf("%016x", n), PartText: "0", Budget: 5})
+		calls = append(calls, c)
+	}
+	arrived := func() int64 { n, _ := hosts.Count(); return n }
+	need.Soon(t, func() bool { return arrived() > 1 })
+	assert.GreaterOrEqual(t, time.Since(began), 100*time.Millisecond, "before the second GET is there")
+	close(release)
+	for _, c := range calls {
+		assert.Equal(t, "served bytes", <-c.Got)
+	}
+	assert.EqualValues(t, crowd, arrived())
+	assert.EqualValues(t, crowd-1, o.Counts.ConnectionWaits.Load())
+}
+
 // Guards against an age of a host that nobody has told of being logged as a number of no meaning.
 func TestAgeOfAHostIsLoggedWhereItIsKnown(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -72,10 +72,14 @@
 		}
 		return fmt.Errorf("connect: %w", err)
 	}
-	if !c.connected(socket) {
+	used, only := c.connected(socket)
+	if !used {
 		_ = socket.Close()
 		return ErrGone
 	}
+	if only && c.host.Up != nil {
+		c.host.Up()
+	}
 	// The socket alone: what is open is told by what reads it, which the group waits for. Guards against a new forward, and a new goroutine
 	// of the group, from one that the group does not know, once its wait is over.
 	defer context.AfterFunc(c.host.Context, func() { _ = socket.Close() })()
@@ -83,18 +87,21 @@
 	return c.write(socket)
 }
 
-func (c *conn) connected(socket net.Conn) bool {
+// connected takes a socket into use that is up; only tells whether none of the host's others is. It is not used where the
+// connection was closed meanwhile.
+func (c *conn) connected(socket net.Conn) (used, only bool) {
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
 	if c.closed {
-		return false
+		return false, false
 	}
+	only = !c.host.isUp()
 	now := time.Now()
 	c.socket, c.used, c.up = socket, now, now
 	for _, f := range c.open {
 		f.stage = NotWritten
 	}
-	return true
+	return true, only
 }
 
 func (c *conn) signal() {
@@ -297,8 +304,8 @@
 	h := c.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	isUp := func(o *conn) bool { return o != c && o.socket != nil }
-	return !c.closed && len(c.open) == 0 && !h.gone && h.Context.Err() == nil && !slices.ContainsFunc(h.conns, isUp)
+	isOther := func(o *conn) bool { return o != c && o.socket != nil }
+	return !c.closed && len(c.open) == 0 && !h.gone && h.Context.Err() == nil && !slices.ContainsFunc(h.conns, isOther)
 }
 
 // answers passes on all that is whole; an answer to a stopped or unknown id is dropped.
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	idlePart    = 0.75 // of the time after which hosts close idle connections: none is written to that a host closes
@@ -15,6 +18,18 @@
 	h.closeIdle(now)
 }
 
+// Connected tells whether a connection to the host is up.
+func (h *Host) Connected() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isUp()
+}
+
+// isUp is Connected under the host's lock.
+func (h *Host) isUp() bool {
+	return slices.ContainsFunc(h.conns, func(c *conn) bool { return c.socket != nil })
+}
+
 // closeIdle is Sweep under the host's lock, which is not let go between the look and the close. Guards against a forward
 // that is queued on a connection between the two, and against one on a connection that was idle for too long since the last sweep.
 func (h *Host) closeIdle(now time.Time) {
--- a/internal/upstream/lost_test.go
+++ b/internal/upstream/lost_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -69,3 +70,36 @@
 		})
 	}
 }
+
+// Guards against a first connection that nobody is told of before something is sent over it, and against word of one beside
+// which another one is up.
+func TestAFirstConnectionIsToldBeforeAnythingIsSent(t *testing.T) {
+	o, l := options(t), need.Listener(t)
+	o.Streams = 1
+	h := upstream.New(l.Addr().String(), o, 0)
+	var told atomic.Int32
+	wait := make(chan struct{})
+	h.Up = func() { told.Add(1); <-wait }
+	_, one := sent(t, h, "a")
+	first := accepted(t, l)
+	need.Soon(t, func() bool { return told.Load() == 1 })
+	assert.True(t, h.Connected())
+	_ = first.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := first.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing is sent yet")
+	_ = first.SetReadDeadline(time.Time{})
+	close(wait)
+	first.request("a")
+	_, two := sent(t, h, "b")
+	second := accepted(t, l)
+	second.request("b")
+	assert.EqualValues(t, 1, told.Load(), "beside another one")
+	first.reset()
+	assert.NotEqual(t, upstream.Answered, end(h, one).Stage)
+	second.reset()
+	assert.NotEqual(t, upstream.Answered, end(h, two).Stage)
+	need.Soon(t, func() bool { return !h.Connected() })
+	sent(t, h, "c")
+	accepted(t, l).request("c")
+	assert.EqualValues(t, 2, told.Load(), "none was up")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,7 +104,10 @@
 	*Options
 	// Lost is called when the host has ended the last connection that was up while nothing was out on it; nil for nobody.
 	// It is set before the first forward, and called under no lock.
-	Lost    func()
+	Lost func()
+	// Up is called when a connection was established and no other one is up, before anything is written to it; nil for
+	// nobody. It is set before the first forward, and called under no lock.
+	Up      func()
 	address string
 
 	first time.Time // before which no connection is begun
