Front for proxies: a further call that comes early begins nothing that must not run twice

Cause: the end of a stream and the begin of the next are handled in either order. A call with a mark that no waiting GET has was taken for a new GET, whatever its class.

New counter ProxyUnknown.

--- a/core/proxycall/calls.go
+++ b/core/proxycall/calls.go
@@ -8,6 +8,7 @@
 //   - An assigned forward counts as outstanding until its proxy has reported its end or called again, or until
 //     the hold has expired. The mere end of a stream never shows that a host did not get the forward.
 //   - A further call belongs to a GET only if the same proxy passes the ID that it was given for this GET.
+//   - A further call that continues no GET begins a new one only if a repeat is harmless.
 package proxycall
 
 import (
@@ -203,6 +204,33 @@
 	t.holds.Put(&c.holdTimer, math.Min(now+t.HoldTime, c.Deadline), c)
 }
 
+// Continuation tells what becomes of a further call of a proxy.
+type Continuation int
+
+// These are the continuations.
+const (
+	Continued    Continuation = iota // it continues the GET that it names
+	StreamOpen                       // the stream before it has not ended yet: it may continue the GET after that
+	BegunAnew                        // it names no GET that waits for it, and is a GET of its own
+	NotContinued                     // it must not be executed, as the GET that it names may have been
+)
+
+// Continue decides what becomes of a further call of a proxy whose GET is repeatable if a repeat of it is harmless. The
+// end of one stream and the begin of the next may arrive in either order, so that a GET whose stream is still open may be
+// about to wait for this call. unsent and the other results are those of Resume.
+func (t *Table) Continue(now float64, proxy uint64, id ID, unsent, repeatable bool) (*Call, Outcome, Continuation) {
+	if c, outcome := t.Resume(now, proxy, id, unsent); c != nil {
+		return c, outcome, Continued
+	}
+	if repeatable {
+		return nil, Unknown, BegunAnew
+	}
+	if c := t.calls[id]; c != nil && c.Proxy == proxy && c.Phase == ForwardAssigned && now < c.Deadline {
+		return nil, Unknown, StreamOpen
+	}
+	return nil, Unknown, NotContinued
+}
+
 // Resume handles a further call of a proxy; unsent tells that the proxy could not send the forward. It returns
 // the GET that the call continues, and the outcome of the forward that was outstanding. The GET is nil if the
 // ID is not that of a GET that is held for this proxy.
--- a/core/proxycall/calls_test.go
+++ b/core/proxycall/calls_test.go
@@ -82,6 +82,41 @@
 	assert.Nil(t, resumed)
 }
 
+// Guards against a further call that begins what must not be executed twice, and one that is refused although its GET may be
+// repeated.
+func TestContinue(t *testing.T) {
+	const proxy, other, deadline = 1, 2, 10.0
+	assigned := func(*Table, *Call) {}
+	held := func(t *Table, c *Call) { t.StreamEnded(1.1, c) }
+	deciding := func(t *Table, c *Call) { held(t, c); t.Resume(1.1, proxy, c.ID, false) }
+	ended := func(t *Table, c *Call) { t.End(c) }
+	for name, tt := range map[string]struct {
+		to         func(*Table, *Call)
+		by         uint64
+		at         float64
+		repeatable Continuation
+		once       Continuation // of one that must not be executed twice
+	}{
+		"held":                    {held, proxy, 1.2, Continued, Continued},
+		"its stream is open":      {assigned, proxy, 1.2, BegunAnew, StreamOpen},
+		"another call has it":     {deciding, proxy, 1.2, BegunAnew, NotContinued},
+		"it has ended":            {ended, proxy, 1.2, BegunAnew, NotContinued},
+		"held for another proxy":  {held, other, 1.2, BegunAnew, NotContinued},
+		"open for another proxy":  {assigned, other, 1.2, BegunAnew, NotContinued},
+		"held until its deadline": {held, proxy, deadline, BegunAnew, NotContinued},
+		"open until its deadline": {assigned, proxy, deadline, BegunAnew, NotContinued},
+	} {
+		for repeatable, want := range map[bool]Continuation{true: tt.repeatable, false: tt.once} {
+			table := New(Settings{HoldTime: 20}, [32]byte{7})
+			c := beginAssigned(table)
+			tt.to(table, c)
+			got, _, how := table.Continue(tt.at, tt.by, c.ID, false, repeatable)
+			assert.Equal(t, want, how, "%s, repeatable: %v", name, repeatable)
+			assert.Equal(t, want == Continued, got == c, name)
+		}
+	}
+}
+
 // One proxy must not use more than its share of the open GETs, and all proxies together no more than the
 // limit.
 func TestOpenCallLimits(t *testing.T) {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"elderwall/core/routing"
 )
@@ -21,6 +22,12 @@
 	MaxHeldRequests int     // maximum number of GETs that a dispatcher may hold
 }
 
+// Repeatable reports whether a repeat of a request of a service is harmless wherever it is executed.
+func (s Settings) Repeatable(service string) bool {
+	i := slices.Index(s.Services, service)
+	return i >= 0 && s.Settings.Services[i].Idempotency == routing.Idempotent
+}
+
 // wireSettings is the settings object as its sender writes it. Times are in microseconds. It is an alias
 // because errors of encoding/json would otherwise contain the name of the type.
 type wireSettings = struct {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -68,6 +68,7 @@
 	ProxyCalls         atomic.Int64 `name:"ProxyCalls"`         // proxies' requests
 	ProxyPassed        atomic.Int64 `name:"ProxyPassed"`        // of ProxyCalls: none of ours
 	ProxyAgain         atomic.Int64 `name:"ProxyAgain"`         // of ProxyCalls: further calls
+	ProxyUnknown       atomic.Int64 `name:"ProxyUnknown"`       // of ProxyCalls: further calls that were refused, as they continue no GET
 	ProxyLate          atomic.Int64 `name:"ProxyLate"`          // not decided in their time
 	ProxyHeld          atomic.Int64 `name:"ProxyHeld"`          // whose hold was over
 	GaveWay            atomic.Int64 `name:"GaveWay"`            // client connections that were closed for others
--- a/internal/extensions/extras.go
+++ b/internal/extensions/extras.go
@@ -267,7 +267,7 @@
 	to.Log.Info().Str("listen", t.Listen).Bool("routing", o.Rules.Routing).Msg("listens for proxies")
 	return append(all, beside{&extproc.Server{
 		Options: o, Handler: to.EarlyHandler, Callers: to.Callers, Log: to.Log, Counts: to.Counts,
-		Room: to.Room, Clock: to.Clock,
+		Room: to.Room, Clock: to.Clock, Repeatable: to.Repeatable,
 	}, l}), nil
 }
 
--- a/internal/extproc/extproc_test.go
+++ b/internal/extproc/extproc_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	procv3 "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc/codes"
@@ -84,7 +83,7 @@
 	if change != nil {
 		change(&options)
 	}
-	r.Server = &Server{Options: options, Handler: r.handler, Log: zerolog.Nop(), Counts: o.Counts, Room: o.Room, Clock: n.Clock}
+	r.Server = &Server{Options: options, Handler: r.handler, Log: o.Log, Counts: o.Counts, Room: o.Room, Clock: n.Clock, Repeatable: config.Settings.Repeatable}
 	l := need.Listener(t)
 	r.address = l.Addr().String()
 	if len(hosts) == 0 {
--- a/internal/extproc/server.go
+++ b/internal/extproc/server.go
@@ -57,6 +57,8 @@
 	Counts  *counters.Counters
 	Room    *memquota.Room
 	Clock   clock.Clock
+	// Repeatable tells whether running a GET of a service again does no harm.
+	Repeatable func(service string) bool
 
 	closing atomic.Bool
 	streams atomic.Int64
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"io"
 	"math"
@@ -165,10 +164,17 @@
 		st.Counts.Unusable.Add(1)
 		return st.Rules.immediate(&final{status: statusBad})
 	}
-	by := time.Now().Add(clock.Duration(st.Decide))
+	if asked.Again != 0 {
+		switch st.resume(asked) {
+		case proxycall.Continued: // it is open, also while the dispatcher drains
+			return st.awaitDecision(st.decidedBy())
+		case proxycall.BegunAnew:
+		default:
+			return st.refuseUnknown(asked)
+		}
+	}
+	by := st.decidedBy()
 	switch {
-	case asked.Again != 0 && st.resume(asked): // it is open, also while the dispatcher drains
-		return st.awaitDecision(by)
 	case st.closing.Load():
 		return st.refuse(asked, 1)
 	case !st.begin(asked):
@@ -177,6 +183,16 @@
 	return st.awaitDecision(by)
 }
 
+// decidedBy is when a decision that begins now is late.
+func (st *stream) decidedBy() time.Time { return time.Now().Add(clock.Duration(st.Decide)) }
+
+// refuseUnknown answers a further call that continues no GET and must not begin one.
+func (st *stream) refuseUnknown(asked Asked) *procv3.ProcessingResponse {
+	st.Counts.ProxyUnknown.Add(1)
+	st.Log.Warn().Str("get", markText(asked.Again)).Str("service", asked.Service).Msg("further call continues no GET")
+	return st.refuse(asked, 0)
+}
+
 // refuse answers a request that is not taken, whose client may come again after so many milliseconds if over 0. One that goes on with a GET which is not
 // known any more has failed: a forward of that may have run.
 func (st *stream) refuse(asked Asked, wait int64) *procv3.ProcessingResponse {
@@ -198,7 +214,7 @@
 		return false
 	}
 	a := &ask{row: row, room: st.Room, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
-	a.get.ID, a.get.Conn = fmt.Sprintf("%016x", uint64(row.ID)), st.conn
+	a.get.ID, a.get.Conn = markText(row.ID), st.conn
 	if a.as = a; st.Rules.Routing {
 		a.as = routed{a}
 	}
@@ -221,21 +237,34 @@
 	return true
 }
 
-// resume goes on with a GET of this proxy that waits for it; false if there is none.
-func (st *stream) resume(asked Asked) bool {
+// resume goes on with a GET of this proxy that waits for it. One whose stream before has not ended yet is waited for, for as long
+// as a decision may take: the ends of streams and their successors cross.
+func (st *stream) resume(asked Asked) proxycall.Continuation {
+	for by := st.decidedBy(); ; {
+		how := st.continueGET(asked)
+		if how != proxycall.StreamOpen || time.Now().After(by) {
+			return how
+		}
+		time.Sleep(lookAgain)
+	}
+}
+
+// continueGET is resume without the wait.
+func (st *stream) continueGET(asked Asked) proxycall.Continuation {
+	repeatable := st.Repeatable(asked.Service)
 	st.mu.Lock()
-	row, proof := st.table.Resume(st.Clock.Now(), st.proxy, asked.Again, asked.Unsent)
+	row, proof, how := st.table.Continue(st.Clock.Now(), st.proxy, asked.Again, asked.Unsent, repeatable)
 	a := st.asks[asked.Again]
 	st.mu.Unlock()
-	if row == nil || a == nil {
-		return false
+	if how != proxycall.Continued {
+		return how
 	}
 	st.Counts.ProxyAgain.Add(1)
 	st.ask, st.closes = a, time.Now().Add(clock.Duration(row.Deadline-st.Clock.Now())+linger)
 	if route := a.current(); route != nil && proof != proxycall.Unknown {
 		route.End(func(float64) (routing.Outcome, routing.Note, bool) { return outcomes[proof], routing.NoNote, true })
 	}
-	return true
+	return how
 }
 
 // awaitDecision waits for the route or the final answer of a GET, by a time at the latest.
@@ -325,7 +354,7 @@
 		proofs <- proof
 		return outcomes[proof], notes[got.note], proof != proxycall.Unknown
 	})
-	by := time.Now().Add(clock.Duration(st.Decide))
+	by := st.decidedBy()
 	timer := time.NewTimer(time.Until(by))
 	defer timer.Stop()
 	select {
@@ -392,7 +421,7 @@
 
 // again is the header by which a proxy may come again.
 func (st *stream) again(a *ask) *procv3.HeaderMutation {
-	return mutation([]pair{{st.Rules.Prefix + "again", fmt.Sprintf("%016x", uint64(a.row.ID))}})
+	return mutation([]pair{{st.Rules.Prefix + "again", markText(a.row.ID)}})
 }
 
 // finish ends a GET with its final answer.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,6 +78,8 @@
 	Counts  *counters.Counters
 	Room    *memquota.Room
 	Clock   clock.Clock
+	// Repeatable tells whether running a GET of a service again does no harm.
+	Repeatable func(service string) bool
 }
 
 // Beside is a front with its listener.
@@ -281,7 +283,8 @@
 	if gate != nil {
 		group.Go(func() error { return s.review(ctx) })
 	}
-	if err := s.openBeside(n.Clock, o.Room, gate); err != nil {
+	to := Handling{EarlyHandler: s.core, Log: log, Counts: counts, Room: o.Room, Clock: n.Clock, Repeatable: c.settings.Repeatable}
+	if err := s.openBeside(to, gate); err != nil {
 		s.closeListeners()
 		cancel()
 		return errors.Join(err, group.Wait())
@@ -302,11 +305,10 @@
 }
 
 // openBeside opens the fronts of other protocols.
-func (s *service) openBeside(c clock.Clock, r *memquota.Room, gate Gate) (err error) {
+func (s *service) openBeside(to Handling, gate Gate) (err error) {
 	if s.extension == nil {
 		return nil
 	}
-	to := Handling{EarlyHandler: s.core, Log: s.log, Counts: s.counts, Room: r, Clock: c}
 	if gate != nil {
 		to.Callers = gate
 	}
