--- a/core/routing/first_connection_test.go
+++ b/core/routing/first_connection_test.go
@@ -29,7 +29,8 @@
 func TestRequestsWaitForTheFirstConnectionToSettle(t *testing.T) {
 	const crowd, before = 20, 10.0
 	up := func(at float64) func(*Router) { return func(r *Router) { r.HandleConnectionUp(at, cacheA) } }
-	closed := func(r *Router) { r.HandleConnectionsClosed(r.now, cacheA) }
+	connected := func(r *Router) { r.HandleConnected(r.now, cacheA, true) }
+	closed := func(r *Router) { r.HandleConnected(r.now, cacheA, false) }
 	for _, tt := range []struct {
 		name    string
 		history []func(*Router) // before the crowd comes
@@ -40,6 +41,7 @@
 		{"it comes up later", nil, 10.3, map[float64]int{10: 1, 10.3: 1, 10.39: 1, 10.42: crowd}},
 		{"one has just come up", []func(*Router){up(9.95)}, 0, map[float64]int{10: 1, 10.04: 1, 10.07: crowd}},
 		{"one is up", []func(*Router){up(5)}, 0, map[float64]int{10: crowd}},
+		{"one was up before the router was made", []func(*Router){connected}, 0, map[float64]int{10: crowd}},
 		{"it was closed here", []func(*Router){up(5), closed}, 10.1, map[float64]int{10: 1, 10.19: 1, 10.22: crowd}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/routing/list_freshness.go
+++ b/core/routing/list_freshness.go
@@ -3,9 +3,13 @@
 import "math"
 
 const (
-	// maxListSilence is the time in seconds without a word of the endpoint list's source after which changes may have
-	// been told without being heard. The source says something each second.
-	maxListSilence = 1.5
+	// maxListDelay is the delay in seconds of the endpoint list's source above which changes may have been told without
+	// being heard.
+	maxListDelay = 0.5
+	// heartbeatInterval is the time in seconds after which the source says something at the latest.
+	heartbeatInterval = 1.0
+	// maxListSilence is the time in seconds without a word of the source that shows a longer delay than maxListDelay.
+	maxListSilence = heartbeatInterval + maxListDelay
 	// delayPerPause is how late changes may be after a pause, as a multiple of it: a change may wait for the end of the
 	// pause and then be delayed for as long.
 	delayPerPause = 2.0
@@ -18,18 +22,34 @@
 // changes are all known at once.
 type listFreshness struct {
 	known        bool    // whether heardAt is known
-	heardAt      float64 // seconds; when the source last said something
+	unanswered   bool    // the source was asked, and has not said anything yet
+	heardAt      float64 // seconds; when the source last said something, or was asked
 	pause        float64 // seconds; the longest pause of the source within lateListSpan, 0 for none
 	pauseEndedAt float64 // seconds; when the latest pause ended
 }
 
+// ask records when the source was first asked, in seconds.
+func (f *listFreshness) ask(at float64) { f.known, f.unanswered, f.heardAt = true, true, at }
+
 // hear records when the source last said something, in seconds.
 func (f *listFreshness) hear(at float64) {
-	if pause := at - f.heardAt; f.known && pause > maxListSilence {
+	if f.known && at > f.heardAt {
+		f.endPause(at)
+	}
+	f.known, f.heardAt = true, at
+}
+
+// endPause records that the source has said something at a time in seconds. It answers at once when it is asked.
+func (f *listFreshness) endPause(at float64) {
+	limit := maxListSilence
+	if f.unanswered {
+		limit = maxListDelay
+	}
+	f.unanswered = false
+	if pause := at - f.heardAt; pause > limit {
 		f.pause = math.Max(pause, f.recentPause(at))
 		f.pauseEndedAt = at
 	}
-	f.known, f.heardAt = true, at
 }
 
 // recentPause returns the longest pause that still counts, in seconds.
--- a/core/routing/restart_detection_test.go
+++ b/core/routing/restart_detection_test.go
@@ -22,12 +22,21 @@
 
 func connectionUp(r *Router, h *host) { r.HandleConnectionUp(r.now, h.ID) }
 
-func connectionsClosed(r *Router, h *host) { r.HandleConnectionsClosed(r.now, h.ID) }
+func connectionsClosed(r *Router, h *host) { r.HandleConnected(r.now, h.ID, false) }
 
 func heardAt(at float64) func(*Router, *host) {
 	return func(r *Router, _ *host) { r.HandleListHeard(r.now, at) }
 }
 
+// askedAt has the list's source be first asked at a time, and answer at another one.
+func askedAt(at, answeredAt float64) func(*Router, *host) {
+	return func(r *Router, _ *host) {
+		r.HandleListAsked(r.now, at)
+		r.HandleListHeard(r.now, at) // nothing was said since
+		r.HandleListHeard(r.now, answeredAt)
+	}
+}
+
 // heardEachSecond hears the list's source each second, from one time to another one.
 func heardEachSecond(first, last float64) func(*Router, *host) {
 	return func(r *Router, _ *host) {
@@ -85,7 +94,9 @@
 		{"the list may be late, a first connection", cacheB, 15.9, []processStep{{10, heardAt(10)}, {15.5, heardEachSecond(12, 15)}, {16, answerOver(15.9)}}},
 		{"the list may be late, a first connection is up", cacheB, 15.9, []processStep{{10, heardAt(10)}, {15.5, heardEachSecond(12, 15)}, {15.9, connectionUp}}},
 		{"the list is heard, a first connection is up", cacheB, never, []processStep{{15, heardAt(14.5)}, {15, connectionUp}}},
-		{"the list may be late, a connection after none", cacheA, 15.9, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {15.5, heardEachSecond(12, 15)}, {15.6, connectionsClosed}, {15.9, connectionUp}}},
+		{"the list may be late, a connection after none", cacheA, 15.9, []processStep{{1, connectionUp}, {10, heardAt(10)}, {10, answerOver(1)}, {15.5, heardEachSecond(12, 15)}, {15.6, connectionsClosed}, {15.9, connectionUp}}},
+		{"the list's first answer is late, a first connection", cacheB, 10.2, []processStep{{10, askedAt(9, 10)}, {10.2, connectionUp}}},
+		{"the list's first answer is in time, a first connection", cacheB, never, []processStep{{10, askedAt(9.6, 10)}, {10.2, connectionUp}}},
 		{"the list was silent long ago", cacheB, never, []processStep{{10, heardAt(10)}, {73, heardEachSecond(12, 73)}, {73, answerOver(72.9)}}},
 		{"the list would have told", cacheB, never, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12.2, answerOver(12.1)}, {18, heardEachSecond(13, 18)}}},
 		{"the list may not have told", cacheB, 12.1, []processStep{{10, heardAt(10)}, {12, heardAt(12)}, {12.2, answerOver(12.1)}, {17, heardEachSecond(13, 17)}}},
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -131,7 +131,7 @@
 }
 
 // ExpectConnectionTimes tells the router, before its first request, that results tell when the connections of answers
-// were established (AttemptResult.ConnectedAt), and that HandleConnectionUp and HandleConnectionsClosed are called.
+// were established (AttemptResult.ConnectedAt), and that HandleConnectionUp and HandleConnected are called.
 func (r *Router) ExpectConnectionTimes() { r.restarts.connectionsKnown = true }
 
 // HandleConnectionUp is called when a connection to a host has been established and no other one is up, before anything
@@ -143,10 +143,15 @@
 	}
 }
 
-// HandleConnectionsClosed is called when the last connection to a host has been closed on this side.
-func (r *Router) HandleConnectionsClosed(now float64, host uint32) {
+// HandleConnected is called from time to time with whether a connection to a host is up.
+func (r *Router) HandleConnected(now float64, host uint32, connected bool) {
 	r.now = now
-	if h := r.endpoints.byID[host]; h != nil {
+	h := r.endpoints.byID[host]
+	switch {
+	case h == nil || h.connection.up == connected:
+	case connected:
+		r.connections.observeUp(h)
+	default:
 		r.connections.observeDown(h)
 	}
 }
@@ -167,6 +172,12 @@
 	return requests
 }
 
+// HandleListAsked records when the source of the endpoint list was first asked, in seconds, before it has said anything.
+func (r *Router) HandleListAsked(now, askedAt float64) {
+	r.now = now
+	r.restarts.list.ask(askedAt)
+}
+
 // HandleListHeard records when the source of the endpoint list last said something, in seconds. A router that is
 // never told takes the source for one that is always heard.
 func (r *Router) HandleListHeard(now, heardAt float64) {
--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -84,7 +84,7 @@
 	Moves   <-chan string // new addresses of the change log; nil for none
 	Log     zerolog.Logger
 	Take    func(Event)
-	Heard   *atomic.Int64 // is given the clock.Instant at which a stream last said something; nil for nobody
+	Heard   *atomic.Int64 // is given the clock.Instant at which a stream last said something, nothing before that; nil for nobody
 	Witness *Witness      // puts the stamps of events on the process's clock before they are taken; nil leaves them as they are
 
 	last    int64
@@ -99,8 +99,7 @@
 // Follow takes new events behind what is known until the context ends. Connections that end are made anew, at
 // once where the change log has moved.
 func (f *Follower) Follow(ctx context.Context, known Known) error {
-	f.last = known.Seq
-	f.hear()
+	f.last, f.heard = known.Seq, clock.InstantNow()
 	wait := retryMin
 	for {
 		before, from := f.last, time.Now()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -36,7 +36,8 @@
 
 	Coalesce []bool // by delivery service, whether requests for the same part share an attempt; nil for none
 
-	// ListHeard is a clock.Instant at which the change log last said something; nil where that is not known.
+	// ListHeard is a clock.Instant at which the change log last said something, or the start before that; nil where that is
+	// not known.
 	ListHeard *atomic.Int64
 
 	Admission Admission // the stage that asks who is calling; nil where nobody does
@@ -104,6 +105,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.router = d.newRouter(d.Clock.Now())
+	if d.ListHeard != nil {
+		d.router.HandleListAsked(d.Clock.Now(), d.Clock.At(clock.Instant(d.ListHeard.Load())))
+	}
 	d.coalescer = d.newCoalescer()
 	return d
 }
@@ -142,9 +146,7 @@
 	for q, ok := d.expiries.Pop(now); ok; q, ok = d.expiries.Pop(now) {
 		d.expire(q)
 	}
-	if d.ListHeard != nil {
-		d.router.HandleListHeard(now, d.Clock.At(clock.Instant(d.ListHeard.Load())))
-	}
+	d.hearList(now)
 	d.router.HandleTimer(now)
 	d.Options.Counts.ConnectionWaits.Add(int64(d.router.TakeConnectionWaits()))
 	d.expireFollowers(now)
@@ -154,6 +156,13 @@
 	}
 }
 
+// hearList tells the router when the change log last said something.
+func (d *Dispatcher) hearList(now float64) {
+	if d.ListHeard != nil {
+		d.router.HandleListHeard(now, d.Clock.At(clock.Instant(d.ListHeard.Load())))
+	}
+}
+
 // callRecovering calls the router on behalf of no connection that could contain a panic, and contains it
 // here.
 func (d *Dispatcher) callRecovering(what func(now float64)) {
--- a/internal/dispatcher/endpoints.go
+++ b/internal/dispatcher/endpoints.go
@@ -46,6 +46,7 @@
 		entries = append(entries, e)
 		named[e.ID] = true
 	}
+	d.hearList(now) // what tells of the list has been said before
 	d.router.UpdateEndpoints(now, form, entries)
 	if d.bulkUpdate {
 		d.Options.Log.Info().Int("hosts", len(entries)).Bool("whole", list.Reset).Msg("list of hosts taken in")
@@ -109,7 +110,7 @@
 		if h != nil {
 			h.phase = routing.Removed // what was to go to this address does not
 			h.Leave()
-			d.router.HandleConnectionsClosed(d.Clock.Now(), e.ID)
+			d.router.HandleConnected(d.Clock.Now(), e.ID, false)
 		}
 		wait := clock.Duration(endpoints.FirstConnectionDelay(d.Settings.Seed, e.ID, together))
 		h = &host{Host: upstream.New(told.Address, d.Options, wait), name: told.ID, address: told.Address}
@@ -169,9 +170,7 @@
 	for id, h := range d.hosts {
 		if h.phase != routing.Removed {
 			h.Sweep(time.Now())
-			if !h.Connected() {
-				d.router.HandleConnectionsClosed(now, id)
-			}
+			d.router.HandleConnected(now, id, h.Connected())
 		} else if h.Leave() {
 			delete(d.hosts, id)
 			d.divideConnections()
--- a/internal/dispatcher/shard.go
+++ b/internal/dispatcher/shard.go
@@ -91,6 +91,9 @@
 	for _, e := range d.Shard.Known() {
 		d.handleEvent(now, e)
 	}
+	for id, h := range d.hosts {
+		d.router.HandleConnected(now, id, h.Connected())
+	}
 }
 
 // AnswerLead is how long ahead of a request's end it is answered in place of a shard that is stalled.
--- a/internal/standin/slowstart/budget_test.go
+++ b/internal/standin/slowstart/budget_test.go
@@ -191,15 +191,26 @@
 // Guards against a dispatcher that has just started sending to a host as to a warm one between the moment in which its
 // restart is told and the one in which that is heard.
 func TestDispatcherStartsJustBeforeARestartIsHeard(t *testing.T) {
+	dispatcherStartsAmidRestarts(t, 60*time.Millisecond)
+}
+
+// Guards against the same where the change log has been late since before the dispatcher started, by less than the time
+// after which its silence would tell: the soak's seed 610.
+func TestDispatcherStartsBehindALateChangeLog(t *testing.T) {
+	dispatcherStartsAmidRestarts(t, 1200*time.Millisecond)
+}
+
+// dispatcherStartsAmidRestarts has the restart of hosts be told to a dispatcher that has just started, by a change log that is late.
+func dispatcherStartsAmidRestarts(t *testing.T, late time.Duration) {
 	besideFew(t)
 	f := loaded(t, slowstart.Options{Dispatchers: 1, Seed: 7, Hosts: withParents(caches("small", 3, 3))}, 0)
 	f.Dispatchers[0].Kill()
-	f.Dispatchers[0].Changes.Delay(60 * time.Millisecond)
+	f.Dispatchers[0].Changes.Delay(late)
 	cold := []string{"small-0", "small-1", "small-2"}
 	f.RestartAll(0, time.Hour, cold...)
 	f.Dispatchers[0].Start()
 	f.Told("SERVING", cold...)
 	f.Load(300, 0)
-	time.Sleep(3 * time.Second)
+	time.Sleep(4 * time.Second)
 	assertNoneFell(t, f)
 }
