--- a/core/routing/restart_detection_test.go
+++ b/core/routing/restart_detection_test.go
@@ -62,16 +62,21 @@
 	r.UpdateEndpoints(r.now, ListChanges, []Endpoint{e})
 }
 
+// never is the time at which a host that counts as warm started.
+const never = -1.0
+
+// restartCase is what a router sees of a host, and what it makes of that.
+type restartCase struct {
+	name      string
+	id        uint32
+	startedAt float64 // from which its slow start is counted; never for none
+	steps     []processStep
+}
+
 // Guards against a host that may have restarted getting requests like a warm one, because no list has told of that yet,
 // and against a host being taken for cold although a connection proves that its process is the same.
 func TestHostMayHaveRestarted(t *testing.T) {
-	const never = -1.0
-	for _, tt := range []struct {
-		name      string
-		id        uint32
-		startedAt float64 // from which its slow start is counted; never for none
-		steps     []processStep
-	}{
+	checkRestarts(t, []restartCase{
 		{"nothing lost", cacheA, never, []processStep{{10, answerOver(1)}, {11, answerOver(10.5)}}},
 		{"lost", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}}},
 		{"lost again and again", cacheA, 13, []processStep{{10, answerOver(1)}, {11, loss}, {12, loss}, {13, loss}}},
@@ -85,6 +90,16 @@
 		{"told of an earlier start", cacheA, 12, []processStep{{10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {13, toldStart(11.8)}}},
 		{"told of a later start", cacheA, 12.5, []processStep{{10, answerOver(1)}, {11, loss}, {13, toldStart(12.5)}}},
 		{"a told start stays when the doubt ends", cacheA, 9, []processStep{{9.5, toldStart(9)}, {10, answerOver(9.2)}, {11, loss}, {12, answerOver(9.3)}}},
+		{"off the list and on it again", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, goneAndBack}}},
+		{"connections are not known", cacheA, never, []processStep{{10, answerOver(0)}, {11, loss}}},
+		{"a parent while the list is heard", parentA, never, []processStep{{10, heardAt(10)}, {11, loss}}},
+		{"a parent while the list is silent", parentA, 11, []processStep{{10, heardAt(2)}, {11, loss}}},
+	})
+}
+
+// Guards against the same where the list may have told of a restart that has not been heard.
+func TestHostMayHaveRestartedUnheard(t *testing.T) {
+	checkRestarts(t, []restartCase{
 		{"the list falls silent, a new connection", cacheA, 14, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(14)}}},
 		{"the list falls silent, the same connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(11)}, {15, answerOver(1)}}},
 		{"the list is heard, a new connection", cacheA, never, []processStep{{10, answerOver(1)}, {15, heardAt(14.5)}, {15, answerOver(14)}}},
@@ -107,11 +122,12 @@
 		{"ends it, and the list may not have told", cacheA, 12, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {11, idleLoss}, {12.2, answerOver(12)}, {13.4, heardEachSecond(10.4, 13.4)}}},
 		{"ends it while it is doubted", cacheA, 14, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {11, loss}, {12.5, answerOver(12)}, {14, idleLoss}, {20, heardEachSecond(11, 20)}}},
 		{"ends it, is told to have started before, and answers", cacheA, 12, []processStep{{10, heardAt(10)}, {10, answerOver(1)}, {11, idleLoss}, {11.5, toldStart(11.2)}, {12.2, answerOver(12)}}},
-		{"off the list and on it again", cacheA, 11, []processStep{{10, answerOver(1)}, {11, loss}, {12, goneAndBack}}},
-		{"connections are not known", cacheA, never, []processStep{{10, answerOver(0)}, {11, loss}}},
-		{"a parent while the list is heard", parentA, never, []processStep{{10, heardAt(10)}, {11, loss}}},
-		{"a parent while the list is silent", parentA, 11, []processStep{{10, heardAt(2)}, {11, loss}}},
-	} {
+	})
+}
+
+func checkRestarts(t *testing.T, cases []restartCase) {
+	t.Helper()
+	for _, tt := range cases {
 		t.Run(tt.name, func(t *testing.T) {
 			r, _ := newCluster(func(s *Settings) { s.WeightsKnown = true })
 			if tt.name != "connections are not known" {
