Test of clients that leave: counts each GET's end, not the answers that cross a leave

The bound asked that a GET be given up for each client that left, also one that was answered. In its place each GET without an answer must be given up, exactly those, and each GET have one end.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -81,25 +81,32 @@
 	assert.Zero(t, tally.Unanswered+tally.Broken)
 }
 
+// Guards against a GET that goes on at the dispatcher though its client has left, and against one that is counted twice.
 func TestClientsThatLeaveAndComeAgain(t *testing.T) {
 	var mu sync.Mutex
+	var silent int64
 	asked, leaving := map[string]int{}, small
 	leaving.GiveUp, leaving.Patience, leaving.Again = 1, 0.01, 1
 	tally, p := play(t, leaving, 400, 0, 0.4, func(p *peer, c call.Call, g call.GET) {
 		mu.Lock()
 		defer mu.Unlock()
 		asked[g.ID]++
-		switch len(asked) % 3 { // else it is silent
+		switch len(asked) % 3 {
 		case 0:
 			c.Refuse(1)
 		case 1:
 			p.served(c)
+		default:
+			silent++
 		}
 	})
+	need.Soon(t, func() bool { return p.givenUp.Load() >= silent })
 	mu.Lock()
 	defer mu.Unlock()
 	assert.Positive(t, min(tally.Served, tally.Refused, tally.Left))
-	assert.GreaterOrEqual(t, p.givenUp.Load(), tally.Left)
+	assert.Equal(t, silent, p.givenUp.Load(), "each GET that has no answer is given up, and no other one")
+	assert.GreaterOrEqual(t, tally.Left, silent, "clients also leave whose answer is on its way")
+	assert.EqualValues(t, len(asked), tally.Served+tally.Refused+tally.Left+tally.Unanswered, "each GET has one end")
 	assert.Greater(t, len(asked), 180, "each comes again")
 	for id, n := range asked {
 		assert.Equal(t, 1, n, "%s: a retry has an id of its own", id)
