--- a/internal/dispatcher/slow_start_test.go
+++ b/internal/dispatcher/slow_start_test.go
@@ -105,6 +105,31 @@
 	assert.EqualValues(t, crowd-1, o.Counts.ConnectionWaits.Load())
 }
 
+// Guards against a router that is made anew having GETs wait for first connections that are up already. Nothing drives the
+// timer, which would tell of them later.
+func TestARouterThatIsMadeAnewKnowsTheConnections(t *testing.T) {
+	hosts := rig.NewHosts(t, 1)
+	release := hosts.Hold()
+	defer close(release)
+	o, _ := rig.Life(t)
+	clk := clock.New()
+	list := (&changelog.Witness{Clock: clk}).Take(rig.Whole(hosts.Entries...), 0)
+	shard := &Shard{Shards: 1, Shared: NewShared(), Known: func() []changelog.Event { return []changelog.Event{list} }}
+	d := New(Config{Settings: rig.Settings(10000), Clock: clk, Options: o, Connections: 100, Shard: shard})
+	ask := func(object string) {
+		d.Process(rig.NewCall(o.Room), call.GET{Service: "segment", ID: rig.Fresh()[1], Object: object, PartText: "0", Budget: 5})
+	}
+	d.Take(list)
+	ask("0000000000000001")
+	need.Soon(t, func() bool { n, _ := hosts.Count(); return n == 1 })
+	d.QueueTask(func() { panic("broken") })
+	need.Soon(t, func() bool { return o.Counts.Rebuilt.Load() == 1 })
+	time.Sleep(150 * time.Millisecond) // a first connection counts as settled after 0.1 s
+	ask("0000000000000002")
+	ask("0000000000000003")
+	need.Soon(t, func() bool { return o.Counts.Forwards.Load() == 3 })
+}
+
 // Guards against an age of a host that nobody has told of being logged as a number of no meaning.
 func TestAgeOfAHostIsLoggedWhereItIsKnown(t *testing.T) {
 	for _, tt := range []struct {
