Dispatcher: tell of GETs without the key of their class, and of keyless repeats

Callers saw tokened GETs run twice, and nothing in log or counters told that such a GET came without a mark, nor that it was sent again without one. KeyMissing and KeylessRepeats count both; a line tells of the first such GET of each delivery service, and of each repeat. What is decided does not change.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -14,6 +14,8 @@
 	Unusable        atomic.Int64 `name:"Unusable"`        // errored at the door
 	Repeated        atomic.Int64 `name:"Repeated"`        // of Unusable: its id is that of a GET that may have run and must not run again
 	GivenUp         atomic.Int64 `name:"GivenUp"`         // given up by clients
+	KeyMissing      atomic.Int64 `name:"KeyMissing"`      // of GETs: no idempotency key, though hosts know repeats of their class by one
+	KeylessRepeats  atomic.Int64 `name:"KeylessRepeats"`  // attempts of KeyMissing after one that may have run; none are allowed
 	Returned        atomic.Int64 `name:"Returned"`        // answered
 	Unchanged       atomic.Int64 `name:"Unchanged"`       // answered; of Returned, had no body
 	Shed            atomic.Int64 `name:"Shed"`            // answered
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -16,7 +16,7 @@
 
 // names is what the counters are called outside, in their order; metrics and logs are read by them.
 var names = []string{
-	"GETs", "Unusable", "Repeated", "GivenUp", "Returned", "Unchanged", "Shed", "Errored", "OverFleet", "NotNamed", "Denied", "OverShare",
+	"GETs", "Unusable", "Repeated", "GivenUp", "KeyMissing", "KeylessRepeats", "Returned", "Unchanged", "Shed", "Errored", "OverFleet", "NotNamed", "Denied", "OverShare",
 	"OverLevel", "Unchecked", "SignatureChecks", "GateShed", "GateErrored", "Unsent", "Forwards", "Stopped", "Hit", "Valid", "None",
 	"Full", "Fault", "OldCopy", "Late", "Unnamed", "Unreached", "PartlyWritten", "Unanswered", "AnswerCut", "Expired", "NoPlace", "MovedSlots",
 	"HotItems", "Recalled", "Behind", "Overdue", "Rebuilt", "Lists", "Purges", "PurgesLearned", "SlowStarts", "SlowStartEjections", "SlowStartLosses", "ChangeLogPauses", "ConnectionWaits", "ClientConnections",
--- a/internal/dispatcher/actions.go
+++ b/internal/dispatcher/actions.go
@@ -35,6 +35,7 @@
 	}
 	a.Request, a.Done = q, func(r upstream.Result) { d.handleResult(a, r) }
 	d.Options.Counts.Forwards.Add(1)
+	d.observeRepeat(a)
 	if d.eventsPending() { // what has been told since might forbid it
 		d.Options.Counts.Behind.Add(1)
 		d.handleReturned(a, routing.AttemptResult{Outcome: routing.Withdrawn})
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -92,6 +92,7 @@
 	lastEvent      uint64                      // the number of the newest event that the router knows
 	ownIDs         *requestIDs                 // of a dispatcher that is no shard
 	queue          taskQueue                   // of calls, where there are several shards
+	keyless        []bool                      // by delivery service, whether a request without the key that it needs was logged
 }
 
 // New makes a dispatcher and its module.
@@ -99,6 +100,7 @@
 	d := &Dispatcher{
 		Config: c, timer: time.NewTimer(time.Hour), requests: map[uint32]*request{},
 		byCall: map[call.Call]*request{}, ownIDs: newRequestIDs(1), hosts: map[uint32]*host{},
+		keyless: make([]bool, len(c.Settings.Settings.Services)),
 	}
 	if d.Quotas != nil {
 		d.quotas = d.Quotas()
--- a/internal/dispatcher/intake.go
+++ b/internal/dispatcher/intake.go
@@ -87,6 +87,7 @@
 	}
 	held := &request{id: g.ID, call: c, ticket: ticket, hostRequest: hostRequest, receivedAt: now, deadline: g.Deadline, routed: g}
 	d.requests[held.id], d.byCall[c] = held, held
+	d.observeKey(held)
 	if d.Variants != nil {
 		d.chooseVariant(now, held, in.Device)
 		g = held.routed
