--- a/internal/extensions/extras_test.go
+++ b/internal/extensions/extras_test.go
@@ -54,10 +54,19 @@
 const tlsText = `tls: { listen: %q, certificate: 'server.pem', key: 'server.key', authorities: 'clients.pem', revocations: ['clients.crl'] },`
 
 func newRig(t testing.TB, secure bool, text ...string) *rig {
-	r := &rig{Dispatcher: &rigs.Dispatcher{TB: t}, dir: t.TempDir(), keys: map[string]*token.Key{}, hosts: rigs.NewHosts(t, 1)}
+	return newRigWith(t, rigs.NewHosts(t, 1), secure, func(platform string) string { return platform }, text...)
+}
+
+// newRigWith is newRig before other hosts, with changes to the platform's configuration.
+func newRigWith(t testing.TB, hosts *rigs.Hosts, secure bool, configure func(platform string) string, text ...string) *rig {
+	r := &rig{Dispatcher: &rigs.Dispatcher{TB: t}, dir: t.TempDir(), keys: map[string]*token.Key{}, hosts: hosts}
 	changes := need.Of(standin.ListenChangeLog("127.0.0.1:0"))(t)
 	t.Cleanup(changes.Close)
-	changes.Push(standin.List(1, true, "s-1 "+r.hosts.All[0].Address+" std SERVING", "s-2 127.0.0.1:1 origin SERVING"))
+	list := []string{"s-1 " + r.hosts.All[0].Address + " std SERVING", "s-2 127.0.0.1:1 origin SERVING"}
+	for i, h := range r.hosts.All[1:] {
+		list = append(list, fmt.Sprintf("s-%d %s std SERVING", 3+i, h.Address))
+	}
+	changes.Push(standin.List(1, true, list...))
 	r.key("k1", admission.Active)
 	r.put("revoked.json", []byte(`{}`))
 	if secure {
@@ -69,7 +78,7 @@
 	}
 	r.put("operator.jsonnet", fmt.Appendf(nil, fileText, strings.Join(text, "")))
 	address := standin.Free()
-	r.put("config.json", []byte(standin.Config(address, changes.Address, "", 1000)))
+	r.put("config.json", []byte(configure(standin.Config(address, changes.Address, "", 1000))))
 	read := func() (*service.Config, error) {
 		return service.ReadConfig(func(name string) string {
 			return map[string]string{"PROXY_CONFIG": filepath.Join(r.dir, "config.json")}[name]
--- /dev/null
+++ b/internal/extensions/keyless_test.go
@@ -0,0 +1,101 @@
+package extensions
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"elderwall/internal/standin"
+	"elderwall/internal/standin/need"
+	"elderwall/internal/standin/proxy"
+	rigs "elderwall/internal/standin/rig"
+)
+
+// keyed has the delivery service of a platform's configuration be one whose repeats all hosts recognize by a key.
+func keyed(platform string) string {
+	return strings.Replace(platform, `"effect":"safe"`, `"effect":"keyed","repeatWindow":30000000`, 1)
+}
+
+// losesFirst has the answer to the first request be lost: its host has run it, and resets the connection.
+func losesFirst(hosts *rigs.Hosts) {
+	hosts.Answer(func(a standin.Ask) string {
+		if n, _ := hosts.Count(); n == 1 {
+			_ = a.Conn.Close()
+			return ""
+		}
+		return standin.Hit(a.ID, "bytes")
+	})
+}
+
+// keylessFront is a front over which a GET comes that can't bear a key, or brings none.
+type keylessFront struct {
+	secure bool
+	proxy  string // mode of the front for proxies, "" for clients of their own
+	ask    func(t *testing.T, r *rig, address string) string
+}
+
+func overField(t *testing.T, r *rig, _ string) string {
+	return ask(t, r.Dial(), r.token("k1", "counter", "till-4"))
+}
+
+func overIdentify(t *testing.T, r *rig, _ string) string {
+	c := r.Dial()
+	require.Equal(t, "served", need.Of(c.Identify(r.token("k1", "counter", "till-4")))(t).Kind)
+	return ask(t, c, "")
+}
+
+func overCertificate(t *testing.T, r *rig, _ string) string {
+	return ask(t, r.dialTLS(r.till(1)), "")
+}
+
+func overFieldAndTLS(t *testing.T, r *rig, _ string) string {
+	config := r.till(1)
+	config.Certificates = nil
+	return ask(t, r.dialTLS(config), r.token("k1", "counter", "till-4"))
+}
+
+func overProxy(t *testing.T, r *rig, address string) string {
+	p := need.Of(proxy.Dial(address, nil))(t)
+	defer p.Close()
+	p.Cache = func(string, map[string]string) proxy.Answer { return proxy.Answer{Status: 500} }
+	o := p.Do(t.Context(), "/clips/7f3a9c21e0b4d655/3", proxy.None, "authorization", "Bearer "+r.token("k1", "counter", "till-4"))
+	require.NoError(t, o.Err)
+	assert.LessOrEqual(t, len(o.Hosts), 1, "forwards of the proxy")
+	return map[int]string{504: "failed"}[o.Status]
+}
+
+var keylessFronts = map[string]keylessFront{
+	"a caller by field":               {false, "", overField},
+	"a caller by identify":            {false, "", overIdentify},
+	"a caller by certificate":         {true, "", overCertificate},
+	"a proxy, mode immediate":         {false, "immediate", overProxy},
+	"a proxy that sends by itself":    {false, "routing", overProxy},
+	"a caller by field, and over TLS": {true, "", overFieldAndTLS},
+}
+
+// Guards against a GET of a keyed class running twice where the dispatcher asks who is calling: its field is the caller's token,
+// proxies have none for a key, and no host can recognize the repeat.
+func TestNoFrontHasAGETWithoutAKeyRunTwice(t *testing.T) {
+	for name, front := range keylessFronts {
+		for _, shards := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d shards", name, shards), func(t *testing.T) {
+				hosts, address := rigs.NewHosts(t, 2), standin.Free()
+				losesFirst(hosts)
+				text := fmt.Sprintf("cores: { count: 2, shards: %d },", shards)
+				if front.proxy != "" {
+					text += fmt.Sprintf(` proxies: { listen: %q, mode: %q, decide: '2s',
+						paths: [{ match: '/clips/(?P<object>[0-9a-f]{16})/(?P<part>[0-9]+)', service: 'segment', budget: '5s' }] },`, address, front.proxy)
+				}
+				r := newRigWith(t, hosts, front.secure, keyed, text)
+				assert.Equal(t, "failed", front.ask(t, r, address))
+				asked, _ := hosts.Count()
+				assert.LessOrEqual(t, asked, int64(1), "requests that hosts got")
+				assert.Equal(t, 1, r.count("request has no idempotency key"))
+				assert.Zero(t, r.count("request without an idempotency key is sent again"))
+			})
+		}
+	}
+}
