Routing: a keyed request that bears no key is never sent again

Cause: the router went by what the class promises (effect, scope, window), whether or not the request bore its key. With callers the field token is the caller's token, and proxies have no field for a key, so none did.

Change: Request.WithoutKey is the fact that the dispatcher takes from GET.IdempotencyKey, so that a front that hands in none has requests without a key; DeliveryService.IdempotencyOf decides what the effect of such a request is: it must never run twice. Retries, cancelled attempts, final answers and remembered ids go by that. Requests of which nothing is said, as those of the simulator, go by their class as before; no golden file changes.

Three tests of the front for proxies expected that hosts know the repeat of a GET that bears no key; they expect now that it is failed and not sent again, which promises less and is as strict. TestARepeatGoesOutInItsWindow gives its GET the key that its class promises.

--- a/core/routing/api.go
+++ b/core/routing/api.go
@@ -77,6 +77,15 @@
 	SizeKB      float64 // 0 if it is unknown
 	// ConnectionsUnknown is set if nothing will be known about the connections that its attempts go out over.
 	ConnectionsUnknown bool
+
+	keyMissing bool // set by WithoutKey
+}
+
+// WithoutKey returns the request with the fact that it bears no key by which hosts could recognize its repeat. Requests of which
+// that is not said bear one if their delivery service promises it, as those of the simulated platform do.
+func (in Request) WithoutKey() Request {
+	in.keyMissing = true
+	return in
 }
 
 // Attempt tells a host what to do with a request.
--- a/core/routing/deadline.go
+++ b/core/routing/deadline.go
@@ -37,7 +37,7 @@
 	if h.health.silentSince(a.sentAt) {
 		r.outliers.observeOverdue(h, r.othersInFlight(h))
 	}
-	if !h.health.ejected || q.service.Idempotency == NonIdempotent || !r.CanCancel {
+	if !h.health.ejected || q.idempotency == NonIdempotent || !r.CanCancel {
 		r.scheduleOverdueCheck(q, a)
 		return
 	}
--- a/core/routing/host_result.go
+++ b/core/routing/host_result.go
@@ -47,7 +47,7 @@
 
 func (r *Router) observeFailure(q *request, a *attempt) {
 	h, outcome := a.host, a.result.Outcome
-	idempotent := q.service.Idempotency == Idempotent
+	idempotent := q.idempotency == Idempotent
 	switch {
 	case a.result.Note.blamesSource() || outcome == TimedOut && !h.health.silentSince(a.sentAt):
 	// Some requests fail at every host, so only an answer from another host proves the fault.
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -23,6 +23,7 @@
 type request struct {
 	Request
 	service     *service
+	idempotency Idempotency // its own, which may be less than its service promises
 	object      *object
 	attempts    []*attempt
 	outstanding int     // attempts that have not returned
@@ -139,7 +140,7 @@
 
 // open adds a request, and sets the timer that gives it up shortly before its deadline.
 func (t *requestTable) open(in Request, s *service) *request {
-	q := &request{Request: in, service: s}
+	q := &request{Request: in, service: s, idempotency: s.IdempotencyOf(in)}
 	t.byID[in.ID] = q
 	q.giveUpAt = q.Deadline - math.Min(answerMargin, answerMarginShare*(q.Deadline-t.now))
 	t.timers.Put(&q.timeout, q.giveUpAt, timerEvent{handle: giveUpAtDeadline, request: q})
--- a/core/routing/retry.go
+++ b/core/routing/retry.go
@@ -41,9 +41,9 @@
 func (q *request) repeatableUntil() float64 {
 	executed := q.firstPossiblyExecuted()
 	switch {
-	case executed == nil || q.service.Idempotency == Idempotent:
+	case executed == nil || q.idempotency == Idempotent:
 		return math.Inf(1)
-	case q.service.Idempotency == IdempotencyKeyed:
+	case q.idempotency == IdempotencyKeyed:
 		return executed.sentAt + q.service.DedupWindow
 	}
 	return math.Inf(-1)
@@ -51,8 +51,7 @@
 
 // safeToRepeatAnywhere reports whether the request may be repeated at any host.
 func (q *request) safeToRepeatAnywhere() bool {
-	s := q.service
-	return s.Idempotency == Idempotent || s.Idempotency == IdempotencyKeyed && s.DedupScope == AllHosts
+	return q.idempotency == Idempotent || q.idempotency == IdempotencyKeyed && q.service.DedupScope == AllHosts
 }
 
 // safeToRepeatAt reports whether the request may be repeated at a host: nothing can have been executed yet, a
@@ -60,10 +59,10 @@
 // has come up at its address, in another cell or zone.
 func (q *request) safeToRepeatAt(h *host) bool {
 	executed := q.firstPossiblyExecuted()
-	if executed == nil || q.service.Idempotency == Idempotent || q.service.DedupScope == AllHosts {
+	if executed == nil || q.safeToRepeatAnywhere() {
 		return true
 	}
-	if h.Zone != executed.host.Zone || h.process.doubted {
+	if q.idempotency == NonIdempotent || h.Zone != executed.host.Zone || h.process.doubted {
 		return false
 	}
 	return q.service.DedupScope == SameZone || h.Cell == executed.host.Cell
--- a/core/routing/retry_test.go
+++ b/core/routing/retry_test.go
@@ -142,3 +142,69 @@
 		assert.False(t, r.GiveUp(1.3, 8), "%s: an unknown request", tt.name)
 	}
 }
+
+// submitWithoutKey is submit for a request that bears no key.
+func submitWithoutKey(r *Router, now float64, id uint32, object string) {
+	r.HandleRequest(now, Request{ID: id, Object: object, Deadline: now + 5}.WithoutKey())
+	r.RunRetries(now)
+}
+
+// Guards against a request that lacks its key being sent again by what its delivery service promises: no host recognizes the
+// repeat, so it is retried only if it has not been executed, and is otherwise failed, never shed.
+func TestKeyedRequestWithoutItsKeyIsNeverRepeated(t *testing.T) {
+	for _, scope := range []DedupScope{AllHosts, SameZone, SameCell} {
+		for outcome := Succeeded + 1; outcome <= UnusableCopy; outcome++ {
+			r, rec := newCluster(func(s *Settings) {
+				s.Services[0].Idempotency, s.Services[0].DedupScope = IdempotencyKeyed, scope
+			})
+			submitWithoutKey(r, 1, 7, "a")
+			respond(r, 1.1, 7, 0, outcome, NoNote)
+			got := []int{len(rec.attempts), len(rec.failed), len(rec.shed)}
+			if outcome.MayHaveRun() {
+				assert.Equal(t, []int{1, 1, 0}, got, "scope %d, outcome %d", scope, outcome)
+			} else {
+				assert.Equal(t, []int{2, 0, 0}, got, "scope %d, outcome %d", scope, outcome)
+			}
+		}
+	}
+}
+
+// Guards against a rejection, which tells the client that a repeat is harmless, while an attempt without a key may be executed.
+func TestGivenUpRequestWithoutItsKeyIsFailed(t *testing.T) {
+	for name, giveUp := range map[string]func(r *Router){
+		"its front can't wait":  func(r *Router) { r.GiveUp(1.2, 7) },
+		"its time is over":      func(r *Router) { runTimers(r, 1, 7) },
+		"its process will exit": func(r *Router) { r.FinishAll(1.2) },
+	} {
+		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
+		submitWithoutKey(r, 1, 7, "a")
+		giveUp(r)
+		assert.Equal(t, []uint32{7}, rec.failed, name)
+		assert.Empty(t, rec.shed, name)
+	}
+}
+
+// Guards against an attempt without a key being canceled at an ejected host, after which another one would be sent.
+func TestAttemptWithoutItsKeyIsNotCanceledAtAnEjectedHost(t *testing.T) {
+	for _, keyMissing := range []bool{true, false} {
+		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
+		if keyMissing {
+			submitWithoutKey(r, 1, 7, "a")
+		} else {
+			submit(r, 1, 7, "a")
+		}
+		r.outliers.eject(r.endpoints.byID[rec.last().Host])
+		runTimers(r, 1, 3)
+		assert.Equal(t, keyMissing, len(rec.cancelled) == 0)
+		assert.Equal(t, keyMissing, len(rec.attempts) == 1)
+	}
+}
+
+// Guards against a key that is missing changing what becomes of requests whose delivery service promises none.
+func TestMissingKeyMattersToKeyedServicesAlone(t *testing.T) {
+	for promised, want := range map[Idempotency]Idempotency{NonIdempotent: NonIdempotent, IdempotencyKeyed: NonIdempotent, Idempotent: Idempotent} {
+		s := DeliveryService{Idempotency: promised}
+		assert.Equal(t, want, s.IdempotencyOf(Request{}.WithoutKey()))
+		assert.Equal(t, promised, s.IdempotencyOf(Request{}))
+	}
+}
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -44,6 +44,15 @@
 	TTL            float64 // how long a copy stays fresh; 0 for no limit
 }
 
+// IdempotencyOf returns what happens if a request of the service is executed more than once. One that lacks the key that the
+// service promises must never be executed twice, as nobody can recognize its repeat.
+func (s *DeliveryService) IdempotencyOf(in Request) Idempotency {
+	if s.Idempotency == IdempotencyKeyed && in.keyMissing {
+		return NonIdempotent
+	}
+	return s.Idempotency
+}
+
 // Settings is the configuration of a router. Times are in seconds. It has more than twenty fields because it
 // has one for each setting of the platform that affects routing.
 type Settings struct {
--- a/internal/dispatcher/dedup_window_test.go
+++ b/internal/dispatcher/dedup_window_test.go
@@ -48,7 +48,7 @@
 			d.Take(rig.Whole(hosts.Entries...))
 			c := rig.NewCall(o.Room)
 			began := time.Now()
-			d.Process(c, call.GET{Service: "segment", ID: rig.Fresh()[1], Object: rig.Object, PartText: "0", Budget: 20})
+			d.Process(c, call.GET{Service: "segment", ID: rig.Fresh()[1], Object: rig.Object, PartText: "0", Budget: 20, IdempotencyKey: "k"})
 			for dials.Load() < 2 && time.Since(began) < 5*time.Second {
 				time.Sleep(time.Millisecond)
 			}
--- a/internal/dispatcher/intake.go
+++ b/internal/dispatcher/intake.go
@@ -107,6 +107,9 @@
 		Service: slices.Index(d.Settings.Services, in.Service), Object: in.Object, Group: in.Group,
 		Part: in.Part, Deadline: in.Budget,
 	}
+	if in.IdempotencyKey == "" {
+		g = g.WithoutKey()
+	}
 	switch {
 	case in.Err != nil:
 		return g, in.Err
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -128,11 +128,14 @@
 	})
 }
 
-// repeatable reports whether running a request again does no harm.
-func (d *Dispatcher) repeatable(q *request) bool {
-	return d.Settings.Settings.Services[q.routed.Service].Idempotency == routing.Idempotent
+// idempotency is what happens if a request runs more than once.
+func (d *Dispatcher) idempotency(q *request) routing.Idempotency {
+	return d.Settings.Settings.Services[q.routed.Service].IdempotencyOf(q.routed)
 }
 
+// repeatable reports whether running a request again does no harm.
+func (d *Dispatcher) repeatable(q *request) bool { return d.idempotency(q) == routing.Idempotent }
+
 // expire ends all of a request at its viewer timeout. The router has answered it before, unless it broke.
 func (d *Dispatcher) expire(q *request) {
 	for _, a := range q.attempts {
--- a/internal/dispatcher/request_ids.go
+++ b/internal/dispatcher/request_ids.go
@@ -71,5 +71,5 @@
 		d.ids(id).release(id)
 		return
 	}
-	d.ids(id).releaseRun(id, d.Settings.Settings.Services[q.routed.Service].Idempotency)
+	d.ids(id).releaseRun(id, d.idempotency(q))
 }
--- a/internal/extproc/late_test.go
+++ b/internal/extproc/late_test.go
@@ -58,12 +58,12 @@
 }
 
 var lateAnswers = map[string]lateAnswer{
-	"must not run twice, late is shed":   {routing.NonIdempotent, false, statusFailed, false},
-	"must not run twice, late may pass":  {routing.NonIdempotent, true, statusFailed, false},
-	"may run again, late is shed":        {routing.Idempotent, false, statusShed, false},
-	"may run again, late may pass":       {routing.Idempotent, true, statusOK, true},
-	"known by a mark, late may pass":     {routing.IdempotencyKeyed, true, statusShed, false},
-	"known by a mark, late is shed, too": {routing.IdempotencyKeyed, false, statusShed, false},
+	"must not run twice, late is shed":  {routing.NonIdempotent, false, statusFailed, false},
+	"must not run twice, late may pass": {routing.NonIdempotent, true, statusFailed, false},
+	"may run again, late is shed":       {routing.Idempotent, false, statusShed, false},
+	"may run again, late may pass":      {routing.Idempotent, true, statusOK, true},
+	"bears no key, late may pass":       {routing.IdempotencyKeyed, true, statusFailed, false},
+	"bears no key, late is shed":        {routing.IdempotencyKeyed, false, statusFailed, false},
 }
 
 // A host that takes a GET and does not answer: guards against a promise of no effect, or a second run unrouted, after a forward that may have run.
@@ -198,9 +198,6 @@
 // of an earlier call.
 func TestAFurtherCallThatIsDecidedTooLate(t *testing.T) {
 	for name, want := range lateAnswers {
-		if want.effect == routing.IdempotencyKeyed {
-			want.status = statusFailed // only the router, which is stalled, knows who drops repeats
-		}
 		t.Run(name, func(t *testing.T) {
 			r := newRigWith(t, func(o *Options) { o.Calls.HoldTime, o.Decide, o.Open = 5, 0.05, want.open }, serves(want.effect, sharded))
 			mark := r.heldAfterAForward()
@@ -216,7 +213,7 @@
 
 // A further call while the dispatcher drains goes on with its GET, which was taken before: guards against a promise of no effect whatever ran.
 func TestAFurtherCallWhileTheDispatcherDrains(t *testing.T) {
-	for effect, want := range map[routing.Idempotency]int{routing.NonIdempotent: statusFailed, routing.IdempotencyKeyed: statusOK, routing.Idempotent: statusOK} {
+	for effect, want := range map[routing.Idempotency]int{routing.NonIdempotent: statusFailed, routing.IdempotencyKeyed: statusFailed, routing.Idempotent: statusOK} {
 		for name, module := range map[string]func(*dispatcher.Config){"one module": whole, "a shard": sharded} {
 			t.Run(fmt.Sprint("effect ", effect, ", ", name), func(t *testing.T) {
 				r := newRigWith(t, func(o *Options) { o.Calls.HoldTime = 5 }, serves(effect, module))
@@ -236,7 +233,7 @@
 func TestACopyThatAPurgeMadeOldHasRun(t *testing.T) {
 	for effect, want := range map[routing.Idempotency]struct{ status, calls, unaided int }{
 		routing.NonIdempotent:    {statusFailed, 1, statusFailed},
-		routing.IdempotencyKeyed: {statusOK, 2, statusFailed}, // hosts know the repeat; without it nothing is promised
+		routing.IdempotencyKeyed: {statusFailed, 1, statusFailed}, // it bears no key, so no host recognizes the repeat
 		routing.Idempotent:       {statusOK, 2, statusShed},
 	} {
 		for name, module := range map[string]func(*dispatcher.Config){"one module": whole, "a shard": sharded} {
