Callers: a connection that names its caller may bring idempotency keys

What callers saw: with callers no GET of a keyed class could bear its key, so that none may be sent again; a client that had named itself for its connection and gave its key in token was errored.

Change: where the connection itself names the caller (identify, certificate) and hosts know repeats of the GET's class by keys, a token of at most 64 bytes that a field can carry is the key (admission.Conn.TokenIsKey), and goes on as uniq. Elsewhere it is a token as before: on connections that name nobody, also with an anonymous tenant, in other classes, and in the bearer header of proxies. Any signed token is longer than a key, so none is told to a host; a token of the GET's own still goes before its connection's. No field and no setting is new.

--- a/core/admission/callers.go
+++ b/core/admission/callers.go
@@ -83,6 +83,13 @@
 	closeAt float64 // monotonic time by which it must close; 0 if it stays open
 }
 
+// TokenIsKey decides whether what a GET brings in its token field, and what has the form of an idempotency key, is that key. It
+// is where hosts recognize repeats of the GET's service by keys and the connection itself names the caller, by its token or its
+// certificate; elsewhere it is a token, and not a valid one, as any signed token is longer than a key.
+func (c *Conn) TokenIsKey(keyed bool) bool {
+	return keyed && (c.connToken != nil || c.Certificate != nil)
+}
+
 // GET is what the rights of a caller are checked against.
 type GET struct {
 	Service int    // index in the settings, below 64
--- a/core/routing/settings.go
+++ b/core/routing/settings.go
@@ -44,10 +44,13 @@
 	TTL            float64 // how long a copy stays fresh; 0 for no limit
 }
 
+// NeedsKey reports whether the service promises that each of its requests bears a key by which hosts recognize its repeat.
+func (s *DeliveryService) NeedsKey() bool { return s.Idempotency == IdempotencyKeyed }
+
 // IdempotencyOf returns what happens if a request of the service is executed more than once. One that lacks the key that the
 // service promises must never be executed twice, as nobody can recognize its repeat.
 func (s *DeliveryService) IdempotencyOf(in Request) Idempotency {
-	if s.Idempotency == IdempotencyKeyed && in.keyMissing {
+	if s.NeedsKey() && in.keyMissing {
 		return NonIdempotent
 	}
 	return s.Idempotency
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -47,6 +47,7 @@
 
 	IdempotencyKey string // by which hosts tell a repeat, "" for none
 
-	Token string          // that came with it and names its caller, "" for none
-	Conn  *admission.Conn // what is known of its connection; nil where nobody asks who is calling
+	Token        string          // that came with it and names its caller, "" for none
+	TokenFitsKey bool            // Token has the form of an idempotency key, and came in a field that may hold one
+	Conn         *admission.Conn // what is known of its connection; nil where nobody asks who is calling
 }
--- a/internal/dispatcher/idempotency_key.go
+++ b/internal/dispatcher/idempotency_key.go
@@ -3,13 +3,21 @@
 import (
 	"slices"
 
-	"elderwall/core/routing"
+	"elderwall/internal/call"
 )
 
+// keyOf returns a request of a service with its idempotency key where that stands in the field for its caller's token, as
+// core/admission decides.
+func (d *Dispatcher) keyOf(in call.GET, service int) call.GET {
+	if in.TokenFitsKey && in.Conn.TokenIsKey(d.Settings.Settings.Services[service].NeedsKey()) {
+		in.IdempotencyKey, in.Token = in.Token, ""
+	}
+	return in
+}
+
 // keyMissing reports whether a request lacks the idempotency key by which hosts recognize repeats of its delivery service.
 func (d *Dispatcher) keyMissing(q *request) bool {
-	service := d.Settings.Settings.Services[q.routed.Service]
-	return service.Idempotency == routing.IdempotencyKeyed && q.hostRequest.IdempotencyKey == ""
+	return d.Settings.Settings.Services[q.routed.Service].NeedsKey() && q.hostRequest.IdempotencyKey == ""
 }
 
 // observeKey counts a request that lacks the key that it needs, and logs the first one of each delivery service: others of a
--- a/internal/dispatcher/intake.go
+++ b/internal/dispatcher/intake.go
@@ -27,6 +27,10 @@
 		return true
 	}
 	_, g.ConnectionsUnknown = c.(call.Router)
+	in = d.keyOf(in, g.Service)
+	if in.IdempotencyKey == "" {
+		g = g.WithoutKey()
+	}
 	ticket, passed := d.admit(c, in, g.Service)
 	if !passed {
 		return true
@@ -107,9 +111,6 @@
 		Service: slices.Index(d.Settings.Services, in.Service), Object: in.Object, Group: in.Group,
 		Part: in.Part, Deadline: in.Budget,
 	}
-	if in.IdempotencyKey == "" {
-		g = g.WithoutKey()
-	}
 	switch {
 	case in.Err != nil:
 		return g, in.Err
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -24,8 +24,8 @@
 
 var errField = errors.New("unusable field")
 
-// read makes a GET of a message, with strings of its own. Its token names the caller where somebody asks for that; elsewhere it is the
-// key by which hosts tell a repeat of a request that must not take effect twice, and is passed on to them.
+// read makes a GET of a message, with strings of its own. Its token names the caller where somebody asks for that, unless it proves to
+// be a key; elsewhere it is the key by which hosts tell a repeat of a request that must not take effect twice, and is passed on to them.
 func read(m thrift.Call, caller *admission.Conn) call.GET {
 	g := call.GET{
 		ID: string(m.ID), Service: string(m.Service), Object: string(m.Object), PartText: string(m.Part),
@@ -48,7 +48,7 @@
 	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
 	check(len(m.Body) <= longestBody, "body", nil)
 	if caller != nil {
-		g.Token = string(m.Token)
+		g.Token, g.TokenFitsKey = string(m.Token), isKey(m.Token)
 		return g
 	}
 	g.IdempotencyKey = string(m.Token)
--- a/internal/extensions/keyless_test.go
+++ b/internal/extensions/keyless_test.go
@@ -99,3 +99,57 @@
 		}
 	}
 }
+
+// namedConnections are connections that themselves name their caller.
+var namedConnections = map[string]func(t *testing.T, r *rig) *standin.Client{
+	"by identify": func(t *testing.T, r *rig) *standin.Client {
+		c := r.Dial()
+		require.Equal(t, "served", need.Of(c.Identify(r.token("k1", "counter", "till-4")))(t).Kind)
+		return c
+	},
+	"by certificate": func(_ *testing.T, r *rig) *standin.Client { return r.dialTLS(r.till(1)) },
+}
+
+// uniq is the keys of the requests that hosts got since it was last asked.
+func uniq(hosts *rigs.Hosts) (keys []string) {
+	for _, a := range hosts.Asked() {
+		keys = append(keys, a.Fields["uniq"])
+	}
+	return keys
+}
+
+// Guards against a key that a client gives over a connection that names its caller being taken for a token, and against a token
+// that reaches a host as a key.
+func TestAConnectionThatNamesItsCallerBringsKeys(t *testing.T) {
+	for name, connect := range namedConnections {
+		for _, shards := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d shards", name, shards), func(t *testing.T) {
+				hosts := rigs.NewHosts(t, 2)
+				losesFirst(hosts)
+				r := newRigWith(t, hosts, true, keyed, fmt.Sprintf("cores: { count: 2, shards: %d },", shards))
+				c, own := connect(t, r), r.token("k1", "counter", "till-7")
+				assert.Equal(t, "served", ask(t, c, "order-7"), "sent again, as its answer was lost")
+				assert.Equal(t, []string{"order-7", "order-7"}, uniq(hosts))
+				assert.Equal(t, "served", ask(t, c, own), "a token of its own")
+				assert.Equal(t, "failed denied", ask(t, c, r.token("k1", "reseller", "x")), "of a caller with no right")
+				assert.Equal(t, []string{""}, uniq(hosts), "tokens are no keys")
+				for name, text := range map[string]string{"a comma": "a,up=s-9", "too long": strings.Repeat("k", 65), "tampered": own[:len(own)-6] + "AAAAAA"} {
+					assert.Equal(t, "failed token", ask(t, c, text), name)
+				}
+				assert.Equal(t, "failed token", ask(t, r.Dial(), "order-8"), "its connection names nobody")
+				assert.Empty(t, uniq(hosts))
+				assert.Zero(t, r.count("sent again"))
+			})
+		}
+	}
+}
+
+// Guards against a GET with a key being served for a caller whose connection does not count any more.
+func TestAKeyOnAConnectionWhoseCallerWasRevoked(t *testing.T) {
+	r := newRigWith(t, rigs.NewHosts(t, 1), false, keyed)
+	c := namedConnections["by identify"](t, r)
+	require.Equal(t, "served", ask(t, c, "order-1"))
+	r.put("revoked.json", []byte(`{"subjects":["till-4"]}`))
+	r.reload(again)
+	assert.Equal(t, "failed token", ask(t, c, "order-2"))
+}
