Start and check tell of delivery services whose GETs come without their keys

What operators saw: nothing told that with callers, or behind proxies, GETs of a class whose repeats hosts know by a key bear none, where variants are refused for such classes.

Change: at the start a line, and with check a sentence, names the delivery services: with callers a GET bears a key only over a connection that names its caller; a GET of a proxy never does. No setting is refused that was taken before.

--- a/cmd/elderwall-operator/check.go
+++ b/cmd/elderwall-operator/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"elderwall/internal/operator"
 	"elderwall/internal/service"
@@ -17,12 +18,13 @@
 func (c *checkCommand) Run() error {
 	var services []string
 	var repeats []bool
+	var keyed []string
 	if os.Getenv("PROXY_CONFIG") != "" {
 		platform, err := service.ReadConfig(os.Getenv)
 		if err != nil {
 			return err
 		}
-		services, repeats = platform.Services(), platform.Repeats()
+		services, repeats, keyed = platform.Services(), platform.Repeats(), platform.Keyed()
 	}
 	told, err := operator.Load(c.File, services)
 	if err == nil && told.Variants != nil {
@@ -45,6 +47,9 @@
 	if f := told.Fleet; f != nil {
 		fmt.Printf("fleet: listens at %s, %d peers to begin with, sealed: %v\n", f.Listen, len(f.Peers), f.Keys != nil)
 	}
+	for _, notice := range told.KeyNotices(keyed) {
+		fmt.Printf("%s: %s (delivery services: %s)\n", notice.Section, notice.Text, strings.Join(notice.Services, ", "))
+	}
 	fmt.Println(c.File, "can be used")
 	if len(services) == 0 {
 		fmt.Println("delivery services were not checked: PROXY_CONFIG names no configuration")
--- a/cmd/elderwall-operator/commands_test.go
+++ b/cmd/elderwall-operator/commands_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -93,3 +94,37 @@
 	assert.Error(t, err)
 	assert.Equal(t, 3, strings.Count(out, "\n"), out)
 }
+
+// Guards against an operator who is not told that GETs of a class whose repeats hosts know by a key come without one.
+func TestCheckTellsOfGETsWithoutTheirKeys(t *testing.T) {
+	dir := t.TempDir()
+	file, config := filepath.Join(dir, "o.jsonnet"), filepath.Join(dir, "config.json")
+	platform := string(need.Of(os.ReadFile("../../examples/config.json"))(t))
+	keyed := strings.Replace(platform, `"name": "page", "aim": 250000, "aimStretch": 2, "deadline": 2500000, "effect": "safe"`,
+		`"name": "page", "aim": 250000, "aimStretch": 2, "deadline": 2500000, "effect": "keyed"`, 1)
+	require.NotEqual(t, platform, keyed)
+	const callers = "callers: {tokens: {no_keys: true}, tenants: {a: {rules: [{allow: {}}]}}},"
+	proxies := func(service string) string {
+		return `proxies: {listen: "127.0.0.1:9002", paths: [{match: "/(?P<object>.*)", service: "` + service + `", budget: "1s"}]},`
+	}
+	const ofCallers, ofProxies = "callers: a GET bears an idempotency key only", "proxies: a GET of a proxy bears no idempotency key"
+	for _, tt := range []struct {
+		name, platform, file string
+		want                 []string
+	}{
+		{"callers and proxies", keyed, callers + proxies("page"), []string{ofCallers, ofProxies}},
+		{"proxies for another class", keyed, proxies("segment"), nil},
+		{"neither", keyed, "", nil},
+		{"no class that needs keys", platform, callers + proxies("page"), nil},
+	} {
+		t.Setenv("PROXY_CONFIG", config)
+		require.NoError(t, os.WriteFile(config, []byte(tt.platform), 0o600))
+		require.NoError(t, os.WriteFile(file, []byte("{"+tt.file+"}"), 0o600))
+		out, err := command(t, "check", file)
+		require.NoError(t, err, out)
+		for _, sentence := range []string{ofCallers, ofProxies} {
+			assert.Equal(t, slices.Contains(tt.want, sentence), strings.Contains(out, sentence), tt.name)
+		}
+		assert.Equal(t, len(tt.want), strings.Count(out, "(delivery services: page)"), tt.name)
+	}
+}
--- a/internal/extensions/extras.go
+++ b/internal/extensions/extras.go
@@ -279,6 +279,13 @@
 	}, l}), nil
 }
 
+// LogKeyNotices logs what becomes of GETs without an idempotency key, where delivery services of these names need one.
+func (e *Extras) LogKeyNotices(log zerolog.Logger, keyed []string) {
+	for _, notice := range e.told.KeyNotices(keyed) {
+		log.Warn().Str("section", notice.Section).Strs("services", notice.Services).Msg(notice.Text)
+	}
+}
+
 // Cores tells how many cores are used and how GETs are divided.
 func (e *Extras) Cores() service.Cores { return e.told.Cores }
 
--- a/internal/extensions/keyless_test.go
+++ b/internal/extensions/keyless_test.go
@@ -94,6 +94,8 @@
 				asked, _ := hosts.Count()
 				assert.LessOrEqual(t, asked, int64(1), "requests that hosts got")
 				assert.Equal(t, 1, r.count("request has no idempotency key"))
+				assert.Equal(t, 1, r.count("a GET bears an idempotency key only over a connection that names its caller"), "told at the start")
+				assert.Equal(t, front.proxy != "", r.count("a GET of a proxy bears no idempotency key") == 1, "told at the start")
 				assert.Zero(t, r.count("request without an idempotency key is sent again"))
 			})
 		}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -71,6 +71,16 @@
 	return may
 }
 
+// Keyed is the names of the delivery services whose repeats hosts recognize by a key of each GET.
+func (c *Config) Keyed() (names []string) {
+	for i, s := range c.settings.Settings.Services {
+		if s.NeedsKey() {
+			names = append(names, c.settings.Services[i])
+		}
+	}
+	return names
+}
+
 // check tells what nothing can start without.
 func (c *Config) check() error {
 	for _, address := range []string{c.Listen, c.Changelog} { // there is no DNS
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -68,6 +68,8 @@
 	Beside(to Handling) ([]Beside, error)
 	// FrontsBeside is how many of them have connections of their own.
 	FrontsBeside() int
+	// LogKeyNotices logs what becomes of GETs without an idempotency key, where delivery services of these names need one.
+	LogKeyNotices(log zerolog.Logger, keyed []string)
 	// Cores tells how many cores are used and how GETs are divided among shards; the zero value is one of each.
 	Cores() Cores
 }
@@ -247,6 +249,7 @@
 	if e != nil {
 		n.Coalesce, n.Settings.Retries = e.Joins(), e.Retries()
 		n.Quotas = e.Origins()
+		e.LogKeyNotices(log, c.Keyed())
 	}
 	var devices downstream.Devices
 	if e != nil {
