--- a/core/routing/retry_test.go
+++ b/core/routing/retry_test.go
@@ -162,13 +162,26 @@
 			got := []int{len(rec.attempts), len(rec.failed), len(rec.shed)}
 			if outcome.MayHaveRun() {
 				assert.Equal(t, []int{1, 1, 0}, got, "scope %d, outcome %d", scope, outcome)
-			} else {
-				assert.Equal(t, []int{2, 0, 0}, got, "scope %d, outcome %d", scope, outcome)
+				continue
 			}
+			assert.Equal(t, []int{2, 0, 0}, got, "scope %d, outcome %d", scope, outcome)
+			respond(r, 1.2, 7, 1, ConnectionLost, NoNote)
+			got = []int{len(rec.attempts), len(rec.failed), len(rec.shed)}
+			assert.Equal(t, []int{2, 1, 0}, got, "scope %d, its retry may have been executed", scope)
 		}
 	}
 }
 
+// Guards against a failed fill being taken for proof that a request without its key was not executed.
+func TestFailedFillWithoutItsKeyIsNotRepeated(t *testing.T) {
+	for note := NoNote; note <= OriginFailed; note++ {
+		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
+		submitWithoutKey(r, 1, 7, "a")
+		respond(r, 1.1, 7, 0, HostFailed, note)
+		assert.Equal(t, []int{1, 1, 0}, []int{len(rec.attempts), len(rec.failed), len(rec.shed)}, "note %d", note)
+	}
+}
+
 // Guards against a rejection, which tells the client that a repeat is harmless, while an attempt without a key may be executed.
 func TestGivenUpRequestWithoutItsKeyIsFailed(t *testing.T) {
 	for name, giveUp := range map[string]func(r *Router){
--- a/internal/dispatcher/idempotency_key_test.go
+++ b/internal/dispatcher/idempotency_key_test.go
@@ -24,7 +24,7 @@
 	o     *upstream.Options
 }
 
-func newKeyedRig(t *testing.T, shards int) *keyedRig {
+func newKeyedRig(t *testing.T, shards int, changes ...func(*Config)) *keyedRig {
 	r := &keyedRig{t: t, hosts: rig.NewHosts(t, 2)}
 	r.o, _ = rig.Life(t)
 	settings := rig.Settings(100)
@@ -34,6 +34,9 @@
 	if shards > 1 {
 		c.Shard = &Shard{Shards: shards, Shared: NewShared()}
 	}
+	for _, change := range changes {
+		change(&c)
+	}
 	r.Dispatcher = New(c)
 	r.o.Group.Go(func() error { return r.Run(r.o.Context) })
 	r.Take(rig.Whole(r.hosts.Entries...))
@@ -132,23 +135,31 @@
 // Guards against a second run where the first connection to a host is waited for: it comes up, and the answer over it is lost.
 func TestAGETWithoutItsKeyWaitsForAFirstConnection(t *testing.T) {
 	for key, want := range map[string]string{"": "failed", "k": "served bytes"} {
-		hosts := rig.NewHosts(t, 2)
-		o, _ := rig.Life(t)
-		up := rig.HoldDials(o)
-		settings := rig.Settings(100)
-		service := &settings.Settings.Services[0]
-		service.Idempotency, service.DedupWindow = routing.IdempotencyKeyed, 30
-		settings.Settings.Dispatchers, settings.DispatchersByZone = 8, []int{8} // too many for each to send a first request
-		r := &keyedRig{t: t, hosts: hosts, o: o, Dispatcher: New(Config{Settings: settings, Clock: clock.New(), Options: o, Connections: 100})}
-		o.Group.Go(func() error { return r.Run(o.Context) })
-		r.Take(rig.Whole(hosts.Entries...))
+		var up chan bool
+		r := newKeyedRig(t, 1, func(c *Config) {
+			up = rig.HoldDials(c.Options)
+			c.Settings.Dispatchers, c.Settings.DispatchersByZone = 8, []int{8} // too many for each to send a first request
+		})
 		r.firstAnswers(func(a standin.Ask) string { _ = a.Conn.Close(); return "" })
 		c := r.get(key, 10)
 		time.Sleep(50 * time.Millisecond)
-		assert.Empty(t, hosts.Asked(), "it waits")
+		assert.Empty(t, r.hosts.Asked(), "it waits")
 		close(up)
 		assert.Equal(t, want, <-c.Got)
-		assert.Len(t, hosts.Asked(), map[string]int{"": 1, "k": 2}[key])
-		assert.NotZero(t, o.Counts.ConnectionWaits.Load())
+		assert.Len(t, r.hosts.Asked(), map[string]int{"": 1, "k": 2}[key])
+		assert.NotZero(t, r.o.Counts.ConnectionWaits.Load())
+	}
+}
+
+// Guards against GETs of a keyed class sharing an attempt, with or without keys: the one that leads speaks for its own key alone.
+func TestKeyedGETsShareNoAttempt(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		r := newKeyedRig(t, 1, func(c *Config) { c.Coalesce = []bool{true} })
+		held := r.hosts.Hold()
+		first, second := r.get(key, 10), r.get(key, 10)
+		need.Soon(t, func() bool { n, _ := r.hosts.Count(); return n == 2 })
+		close(held)
+		assert.Equal(t, []string{"served bytes", "served bytes"}, []string{<-first.Got, <-second.Got})
+		assert.Zero(t, r.o.Counts.Joined.Load())
 	}
 }
