--- a/core/routing/effect_history.go
+++ b/core/routing/effect_history.go
@@ -20,8 +20,8 @@
 }
 
 // Record remembers the ID of a request that may have been executed, unless executing it again is harmless.
-func (e *EffectHistory) Record(id string, effect Idempotency) {
-	if effect == Idempotent || e.known[id] {
+func (e *EffectHistory) Record(id string, idempotency Idempotency) {
+	if idempotency == Idempotent || e.known[id] {
 		return
 	}
 	e.known[id] = true
--- a/internal/dispatcher/request_ids.go
+++ b/internal/dispatcher/request_ids.go
@@ -39,10 +39,10 @@
 }
 
 // releaseRun lets an id go whose request may have run.
-func (i *requestIDs) releaseRun(id string, effect routing.Idempotency) {
+func (i *requestIDs) releaseRun(id string, idempotency routing.Idempotency) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.past.Record(id, effect)
+	i.past.Record(id, idempotency)
 	delete(i.open, id)
 }
 
--- a/internal/extproc/late_test.go
+++ b/internal/extproc/late_test.go
@@ -187,8 +187,8 @@
 	assert.EqualValues(t, 1, r.Counts.Returned.Load()+r.Counts.Errored.Load()+r.Counts.GivenUp.Load())
 }
 
-// heldAfterAForward gives the mark of a GET whose proxy hung up once it was told where to send, so that the forward may have run.
-func (r *rig) heldAfterAForward() (mark string) {
+// heldAfterAForward gives the id of a GET whose proxy hung up once it was told where to send, so that the forward may have run.
+func (r *rig) heldAfterAForward() (id string) {
 	o := r.one(proxy.GoneAfterTold)
 	need.Soon(r.TB, func() bool { _, streams := r.Count(); return streams == 0 })
 	return o.Headers["x-elderwall-get"]
@@ -200,9 +200,9 @@
 	for name, want := range lateAnswers {
 		t.Run(name, func(t *testing.T) {
 			r := newRigWith(t, func(o *Options) { o.Calls.HoldTime, o.Decide, o.Open = 5, 0.05, want.open }, serves(want.effect, sharded))
-			mark := r.heldAfterAForward()
+			id := r.heldAfterAForward()
 			goOn := r.stall()
-			o := r.one(proxy.None, "x-elderwall-get", mark)
+			o := r.one(proxy.None, "x-elderwall-get", id)
 			assert.Equal(t, []any{nil, want.status, want.unrouted}, []any{o.Err, o.Status, o.Unrouted})
 			assert.EqualValues(t, 1, r.Counts.ProxyAgain.Load())
 			goOn()
@@ -217,11 +217,11 @@
 		for name, module := range map[string]func(*dispatcher.Config){"one module": whole, "a shard": sharded} {
 			t.Run(fmt.Sprint("effect ", effect, ", ", name), func(t *testing.T) {
 				r := newRigWith(t, func(o *Options) { o.Calls.HoldTime = 5 }, serves(effect, module))
-				mark := r.heldAfterAForward()
+				id := r.heldAfterAForward()
 				r.Close()
 				assert.False(t, r.Quiet(), "the drain waits for it")
-				assert.Equal(t, want, r.one(proxy.None, "x-elderwall-get", mark).Status)
-				assert.Equal(t, statusFailed, r.one(proxy.None, "x-elderwall-get", mark).Status, "its GET is over, and may have run")
+				assert.Equal(t, want, r.one(proxy.None, "x-elderwall-get", id).Status)
+				assert.Equal(t, statusFailed, r.one(proxy.None, "x-elderwall-get", id).Status, "its GET is over, and may have run")
 				assert.Equal(t, statusShed, r.one(proxy.None).Status, "a new one")
 				r.quiet()
 			})
--- a/internal/extproc/messages.go
+++ b/internal/extproc/messages.go
@@ -38,7 +38,7 @@
 	all := []pair{
 		{r.Prefix + "host", route.Address},
 		{r.Prefix + "host-name", route.Host},
-		{r.Prefix + "get", markText(id)},
+		{r.Prefix + "get", idText(id)},
 		{r.Prefix + "forward", strconv.Itoa(route.Number)},
 		{r.Prefix + "rank", strconv.Itoa(route.Rank)},
 		{r.Prefix + "budget-ms", strconv.FormatInt(int64(route.Budget*1e3), 10)},
@@ -133,5 +133,5 @@
 	return nil
 }
 
-// markText is a GET's id as proxies are told it.
-func markText(id proxycall.ID) string { return fmt.Sprintf("%016x", uint64(id)) }
+// idText is a GET's id as proxies are told it.
+func idText(id proxycall.ID) string { return fmt.Sprintf("%016x", uint64(id)) }
--- a/internal/extproc/stream.go
+++ b/internal/extproc/stream.go
@@ -202,7 +202,7 @@
 // refuseUnknown answers a further call that continues no GET and must not begin one.
 func (st *stream) refuseUnknown(asked Asked) *procv3.ProcessingResponse {
 	st.Counts.ProxyUnknown.Add(1)
-	st.Log.Warn().Str("get", markText(asked.Again)).Str("service", asked.Service).Msg("further call continues no GET")
+	st.Log.Warn().Str("get", idText(asked.Again)).Str("service", asked.Service).Msg("further call continues no GET")
 	return st.refuse(asked, 0)
 }
 
@@ -227,7 +227,7 @@
 		return false
 	}
 	a := &ask{row: row, room: st.Room, get: asked.GET, origin: st.proxy, wake: make(chan struct{}, 1)}
-	a.get.ID, a.get.Conn = markText(row.ID), st.conn
+	a.get.ID, a.get.Conn = idText(row.ID), st.conn
 	if a.as = a; st.Rules.Routing {
 		a.as = routed{a}
 	}
@@ -434,7 +434,7 @@
 
 // again is the header by which a proxy may come again.
 func (st *stream) again(a *ask) *procv3.HeaderMutation {
-	return mutation([]pair{{st.Rules.Prefix + "again", markText(a.row.ID)}})
+	return mutation([]pair{{st.Rules.Prefix + "again", idText(a.row.ID)}})
 }
 
 // finish ends a GET with its final answer.
