--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -47,7 +47,15 @@
 
 	IdempotencyKey string // by which hosts tell a repeat, "" for none
 
-	Token        string          // that came with it and names its caller, "" for none
-	TokenFitsKey bool            // Token has the form of an idempotency key, and came in a field that may hold one
-	Conn         *admission.Conn // what is known of its connection; nil where nobody asks who is calling
+	Token string          // that came with it and names its caller, "" for none
+	Conn  *admission.Conn // what is known of its connection; nil where nobody asks who is calling
+
+	tokenFitsKey bool // set by SetTokenOrKey
 }
+
+// SetTokenOrKey sets the token to what came in a field that may hold an idempotency key in its place. fitsKey tells that it has the
+// form of one.
+func (g *GET) SetTokenOrKey(text string, fitsKey bool) { g.Token, g.tokenFitsKey = text, fitsKey }
+
+// TokenFitsKey reports whether the token may be an idempotency key, by its form and by the field that it came in.
+func (g *GET) TokenFitsKey() bool { return g.tokenFitsKey }
--- a/internal/dispatcher/idempotency_key.go
+++ b/internal/dispatcher/idempotency_key.go
@@ -9,7 +9,7 @@
 // keyOf returns a request of a service with its idempotency key where that stands in the field for its caller's token, as
 // core/admission decides.
 func (d *Dispatcher) keyOf(in call.GET, service int) call.GET {
-	if in.TokenFitsKey && in.Conn.TokenIsKey(d.Settings.Settings.Services[service].NeedsKey()) {
+	if in.TokenFitsKey() && in.Conn.TokenIsKey(d.Settings.Settings.Services[service].NeedsKey()) {
 		in.IdempotencyKey, in.Token = in.Token, ""
 	}
 	return in
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -48,7 +48,7 @@
 	check(m.Tag == nil || isID(m.Tag), "got", m.Tag)
 	check(len(m.Body) <= longestBody, "body", nil)
 	if caller != nil {
-		g.Token, g.TokenFitsKey = string(m.Token), isKey(m.Token)
+		g.SetTokenOrKey(string(m.Token), isKey(m.Token))
 		return g
 	}
 	g.IdempotencyKey = string(m.Token)
--- a/internal/downstream/read_test.go
+++ b/internal/downstream/read_test.go
@@ -17,7 +17,7 @@
 	asked, unasked := read(m, &admission.Conn{}), read(m, nil)
 	assert.Equal(t, []string{"secret", ""}, []string{asked.Token, asked.IdempotencyKey})
 	assert.Equal(t, []string{"", "secret"}, []string{unasked.Token, unasked.IdempotencyKey})
-	assert.Equal(t, []bool{true, false}, []bool{asked.TokenFitsKey, unasked.TokenFitsKey})
+	assert.Equal(t, []bool{true, false}, []bool{asked.TokenFitsKey(), unasked.TokenFitsKey()})
 }
 
 // Guards against a signed token that is short enough to be taken for a key, and would be told to hosts.
@@ -26,6 +26,6 @@
 		shortest := need.Of(need.Of(token.NewKey("k", algorithm))(t).Sign(admission.Claims{}))(t)
 		assert.Greater(t, len(shortest), longestKey, algorithm)
 		asked := read(thrift.Call{Token: []byte(shortest)}, &admission.Conn{})
-		assert.Equal(t, []any{shortest, false}, []any{asked.Token, asked.TokenFitsKey}, algorithm)
+		assert.Equal(t, []any{shortest, false}, []any{asked.Token, asked.TokenFitsKey()}, algorithm)
 	}
 }
