--- a/core/routing/retry_test.go
+++ b/core/routing/retry_test.go
@@ -143,10 +143,10 @@
 	}
 }
 
-// submitWithoutKey is submit for a request that bears no key.
-func submitWithoutKey(r *Router, now float64, id uint32, object string) {
-	r.HandleRequest(now, Request{ID: id, Object: object, Deadline: now + 5}.WithoutKey())
-	r.RunRetries(now)
+// submitWithoutKey submits request 7 at second 1, as submit does, but without its key.
+func submitWithoutKey(r *Router) {
+	r.HandleRequest(1, Request{ID: 7, Object: "a", Deadline: 6}.WithoutKey())
+	r.RunRetries(1)
 }
 
 // Guards against a request that lacks its key being sent again by what its delivery service promises: no host recognizes the
@@ -157,7 +157,7 @@
 			r, rec := newCluster(func(s *Settings) {
 				s.Services[0].Idempotency, s.Services[0].DedupScope = IdempotencyKeyed, scope
 			})
-			submitWithoutKey(r, 1, 7, "a")
+			submitWithoutKey(r)
 			respond(r, 1.1, 7, 0, outcome, NoNote)
 			got := []int{len(rec.attempts), len(rec.failed), len(rec.shed)}
 			if outcome.MayHaveRun() {
@@ -176,7 +176,7 @@
 func TestFailedFillWithoutItsKeyIsNotRepeated(t *testing.T) {
 	for note := NoNote; note <= OriginFailed; note++ {
 		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
-		submitWithoutKey(r, 1, 7, "a")
+		submitWithoutKey(r)
 		respond(r, 1.1, 7, 0, HostFailed, note)
 		assert.Equal(t, []int{1, 1, 0}, []int{len(rec.attempts), len(rec.failed), len(rec.shed)}, "note %d", note)
 	}
@@ -190,7 +190,7 @@
 		"its process will exit": func(r *Router) { r.FinishAll(1.2) },
 	} {
 		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
-		submitWithoutKey(r, 1, 7, "a")
+		submitWithoutKey(r)
 		giveUp(r)
 		assert.Equal(t, []uint32{7}, rec.failed, name)
 		assert.Empty(t, rec.shed, name)
@@ -202,7 +202,7 @@
 	for _, keyMissing := range []bool{true, false} {
 		r, rec := newCluster(func(s *Settings) { s.Services[0].Idempotency = IdempotencyKeyed })
 		if keyMissing {
-			submitWithoutKey(r, 1, 7, "a")
+			submitWithoutKey(r)
 		} else {
 			submit(r, 1, 7, "a")
 		}
