Known red: two act under one duty after a signal to its holder

The test has two fleet holds as processes, each with a command, its child and a grandchild that ignores TERM, and checks after SIGTERM, SIGINT, SIGKILL, SIGSTOP, a lost quorum, a lease that is taken over, a guard that is killed and a command whose own process ends first that no two act in one moment.

--- a/internal/cluster/duties_test.go
+++ b/internal/cluster/duties_test.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	actorEnv  = "ELDERWALL_TEST_ACTOR" // this test program is a command that acts, at the address
-	deafEnv   = "ELDERWALL_TEST_DEAF"  // and ignores TERM
+	actorEnv  = "ELDERWALL_TEST_ACTOR"  // this test program is a command that acts, at the address
+	deafEnv   = "ELDERWALL_TEST_DEAF"   // and ignores TERM
+	familyEnv = "ELDERWALL_TEST_FAMILY" // what it does besides, see family
 	leaseTime = 1 * time.Second
 	job       = "job"
 )
@@ -45,6 +46,7 @@
 	if os.Getenv(deafEnv) != "" {
 		signal.Ignore(syscall.SIGTERM)
 	}
+	family()
 	for {
 		if c, err := net.Dial("tcp", os.Getenv(actorEnv)); err == nil {
 			for err == nil {
@@ -61,8 +63,10 @@
 	listener net.Listener
 	mu       sync.Mutex
 	highest  map[string]uint64
+	since    map[string]time.Time // when a duty's highest token was first seen
 	acts     []taken
 	refused  int
+	crossed  time.Duration // the longest after that in which a lower one acted
 }
 
 type taken struct {
@@ -74,7 +78,7 @@
 
 func newTaker(t *testing.T) *taker {
 	l := need.Of(net.Listen("tcp", "127.0.0.1:0"))(t)
-	k := &taker{listener: l, highest: map[string]uint64{}}
+	k := &taker{listener: l, highest: map[string]uint64{}, since: map[string]time.Time{}}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -98,7 +102,11 @@
 		k.mu.Lock()
 		if a.token < k.highest[a.duty] {
 			k.refused++
+			k.crossed = max(k.crossed, a.at.Sub(k.since[a.duty]))
 		} else {
+			if a.token > k.highest[a.duty] {
+				k.since[a.duty] = a.at
+			}
 			k.highest[a.duty] = a.token
 			k.acts = append(k.acts, a)
 		}
@@ -292,6 +300,7 @@
 // holding is one `fleet hold`.
 type hold struct {
 	rig   *dutyRig
+	name  string
 	cmd   *exec.Cmd
 	out   bytes.Buffer
 	ended chan struct{}
@@ -301,8 +310,8 @@
 func (d *dutyRig) hold(at int, env ...string) *hold { return d.holdOf(job, at, env...) }
 
 func (d *dutyRig) holdOf(job string, at int, env ...string) *hold {
-	key, h := filepath.Join(d.Dir, "fleet.key"), &hold{rig: d, ended: make(chan struct{})}
-	h.cmd = exec.Command(d.Binary, "fleet", "hold", job, "--at", d.Processes[at].Fleet, "--key", key, "--lease", cmp.Or(d.lease, leaseTime).String(), "--", os.Args[0])
+	key, h := filepath.Join(d.Dir, "fleet.key"), &hold{rig: d, name: fmt.Sprintf("hold-%016x", rand.Uint64()), ended: make(chan struct{})}
+	h.cmd = exec.Command(d.Binary, "fleet", "hold", job, "--at", d.Processes[at].Fleet, "--key", key, "--lease", cmp.Or(d.lease, leaseTime).String(), "--name", h.name, "--", os.Args[0])
 	h.cmd.Env = append(append(os.Environ(), actorEnv+"="+d.taker.listener.Addr().String()), env...)
 	h.cmd.Stderr, h.cmd.Stdout = &h.out, io.Discard
 	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
