Duties: fleet hold ends all of its command before it gives the duty back

Cause: signals, and the kernel's at a parent's death, reached the command's own process alone, and its end was taken for the end of the command.

Change: signals go to the command's process group, and the duty is given back once the group is empty; what the own process leaves behind is killed one lease after it, if it was asked to end. A guard process kills the group when fleet hold has gone, and when it was stopped until a tenth of the lease was left. TestAHolderIsStoppedAndKilledAndEnds stops the guard too, so that acts come late and are refused as it wants.

--- a/cmd/elderwall-operator/fleet.go
+++ b/cmd/elderwall-operator/fleet.go
@@ -26,6 +26,7 @@
 	Follow  followCommand      `cmd:"" help:"Follow a channel, at any dispatcher: a line of JSON a notice."`
 	Publish publishCommand     `cmd:"" help:"Write into a channel, at any dispatcher; or declare channels."`
 	Hold    holdCommand        `cmd:"" help:"Run a command while holding a duty; its token stands in ELDERWALL_TOKEN."`
+	Guard   guardCommand       `cmd:"" hidden:"" help:"Kill a command whose duty nobody holds any more; fleet hold starts it."`
 	Hand    handCommand        `cmd:"" help:"Have a duty handed over to a dispatcher that stands for it."`
 	Drop    dropCommand        `cmd:"" help:"Forget a duty that nobody holds."`
 	Voters  votersCommand      `cmd:"" help:"List the voters of the log, begin it, or change who votes."`
--- a/cmd/elderwall-operator/hold.go
+++ b/cmd/elderwall-operator/hold.go
@@ -40,8 +40,9 @@
 
 func (e exitStatus) Error() string { return fmt.Sprintf("ended with status %d", int(e)) }
 
-// Run waits for the duty, runs the command while it has it, and gives it back. Guards against a command that goes on without it: it is asked
-// to end, and then ended, before the lease is over by this process's own clock.
+// Run waits for the duty, runs the command while it has it, and gives it back once all of its process group has ended. Guards against
+// a command that goes on without the duty: it is asked to end, and then ended, before the lease is over by this process's own clock, and by
+// its guard where this process can't.
 func (c *holdCommand) Run() error {
 	keys, err := c.keys()
 	if err != nil {
@@ -60,7 +61,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	h := &holding{
-		options: c, keys: keys, command: command, answers: make(chan cluster.Told, holdAsks), ended: make(chan error, 1),
+		options: c, keys: keys, command: command, answers: make(chan cluster.Told, holdAsks),
 		holder: lease.NewHolder(c.Name, rand.Uint64()|1, c.Zone, c.Priority),
 	}
 	h.holder.Register(c.Duty, c.Lease.Seconds(), cluster.BootTime())
@@ -77,23 +78,30 @@
 	command []string
 	holder  *lease.Holder
 	answers chan cluster.Told
-	ended   chan error // how the command ended
-	asking  int        // questions that are under way
+	asking  int // questions that are under way
 
-	run      *exec.Cmd // nil while it doesn't run
-	token    uint64    // under which it was started; 0 before
-	until    float64   // s of the boot clock; the end of the latest lease
-	asked    bool      // to end
-	lost     bool      // it was ended, or asked to end, as the duty was lost
-	leaving  bool      // a signal has come
-	finished bool      // it has ended by itself or not
-	status   error     // with which it has ended
+	group    *processGroup // nil while the command doesn't run
+	guard    *guard        // nil before the command was first started
+	token    uint64        // under which it was started; 0 before
+	until    float64       // s of the boot clock; the end of the latest lease
+	asked    bool          // to end
+	overdue  float64       // s of the boot clock; when what the command's own process has left behind is killed, 0 for never
+	giveUpAt float64       // s of the boot clock; when what can't be killed is waited for no more, 0 for never
+	lost     bool          // it was ended, or asked to end, as the duty was lost
+	leaving  bool          // a signal has come
+	finished bool          // all of the command has ended
+	status   error         // with which its own process has ended
 }
 
-// untilOver runs the command until it has ended and the duty is given back; its error is that of starting it.
+// errStillRuns tells that processes of the command can't be killed.
+var errStillRuns = errors.New("hold: processes of the command can't be killed; the duty is left to run out by its lease")
+
+// untilOver runs the command until all of it has ended and the duty is given back; its error is that of starting it, or of
+// ending it.
 func (h *holding) untilOver(signals <-chan os.Signal) error {
 	ticker := time.NewTicker(holdTick)
 	defer ticker.Stop()
+	defer h.endGuard()
 	for {
 		select {
 		case <-ticker.C:
@@ -101,16 +109,16 @@
 			if h.asking--; t.Error == "" {
 				h.holder.HandleAnswer(cluster.BootTime(), t.Number, t.Leases)
 			}
-		case err := <-h.ended:
-			h.status, h.finished, h.run = err, true, nil
-			h.holder.Leave(cluster.BootTime())
+		case err := <-h.ended():
+			h.handleLeaderEnded(cluster.BootTime(), err)
 		case s := <-signals:
 			h.leave(s)
 		}
 		now := cluster.BootTime()
 		h.ask(now)
-		if !h.finished && (!h.leaving || h.run != nil) {
+		if !h.finished && (!h.leaving || h.group != nil) {
 			if err := h.act(now); err != nil {
+				h.abort()
 				return err
 			}
 			continue
@@ -121,15 +129,50 @@
 	}
 }
 
+// ended is how the command's own process ends; nil while none runs.
+func (h *holding) ended() <-chan error {
+	if h.group == nil {
+		return nil
+	}
+	return h.group.ended
+}
+
+// handleLeaderEnded takes the end of the command's own process. Others of its group may go on: the duty is held for them.
+func (h *holding) handleLeaderEnded(now float64, status error) {
+	h.status = status
+	h.group.leader = false
+	if token, ok := h.holder.HeldToken(h.options.Duty, now); !ok || token != h.token {
+		h.lost = true // the guard has ended it while this process was stopped
+	}
+	if h.asked {
+		h.overdue = now + h.patience()
+	}
+}
+
+// patience is for how many seconds what the command's own process has left behind may go on once it was asked to end: one lease.
+func (h *holding) patience() float64 { return h.options.Lease.Seconds() }
+
 // leave passes a signal on to the command; where none runs the duty is given back at once.
 func (h *holding) leave(s os.Signal) {
 	h.leaving = true
-	if h.run == nil {
+	if h.group == nil {
 		h.holder.Leave(cluster.BootTime())
 		return
 	}
-	_ = h.run.Process.Signal(s)
+	number, ok := s.(syscall.Signal)
+	if !ok {
+		number = syscall.SIGTERM
+	}
+	h.askToEnd(cluster.BootTime(), number)
+}
+
+// askToEnd sends all processes of the command a signal.
+func (h *holding) askToEnd(now float64, s syscall.Signal) {
 	h.asked = true
+	h.group.signal(s)
+	if !h.group.leader && h.overdue == 0 {
+		h.overdue = now + h.patience()
+	}
 }
 
 // ask sends the next question of the holder, if it is time for one.
@@ -148,37 +191,101 @@
 	}()
 }
 
-// act starts the command once the duty is held, and ends it before the lease is over.
+// act starts the command once the duty is held, ends it before the lease is over, and gives the duty back once all of it has
+// ended.
 func (h *holding) act(now float64) error {
 	token, ok := h.holder.HeldToken(h.options.Duty, now)
 	h.until = max(h.until, h.holder.ExpiresAt(h.options.Duty))
-	left := h.holder.ExpiresAt(h.options.Duty) - now
-	length := h.options.Lease.Seconds()
+	ends, length := h.holder.ExpiresAt(h.options.Duty), h.options.Lease.Seconds()
+	left, until := ends-now, ends-killAt*length
+	if h.group == nil {
+		if !ok || left <= termAt*length {
+			return nil
+		}
+		return h.start(token, until)
+	}
+	if h.group.empty() {
+		h.finish(now)
+		return nil
+	}
+	held := ok && token == h.token
 	switch {
-	case h.run == nil && ok && left > termAt*length:
-		return h.start(token)
-	case h.run != nil && (!ok || token != h.token || left < killAt*length):
+	case !held || now > until:
+		h.lost = true
+		h.kill(now)
+	case h.overdue > 0 && now >= h.overdue:
+		h.kill(now)
+	case !h.asked && (left < termAt*length || slices.Contains(h.holder.TransfersRequested(), h.options.Duty)):
 		h.lost = true
-		_ = syscall.Kill(-h.run.Process.Pid, syscall.SIGKILL)
-	case h.run != nil && !h.asked && (left < termAt*length || slices.Contains(h.holder.TransfersRequested(), h.options.Duty)):
-		h.asked, h.lost = true, true
-		_ = syscall.Kill(-h.run.Process.Pid, syscall.SIGTERM)
+		h.askToEnd(now, syscall.SIGTERM)
+	}
+	if h.giveUpAt > 0 && now >= h.giveUpAt {
+		return errStillRuns
+	}
+	if held {
+		return h.tellGuard(guardOrder{h.group.id, until})
 	}
 	return nil
 }
 
-// start starts the command, in a process group of its own.
-func (h *holding) start(token uint64) error {
+// kill kills all processes of the command. Those that can't be killed are waited for, for one lease.
+func (h *holding) kill(now float64) {
+	h.group.signal(syscall.SIGKILL)
+	if h.giveUpAt == 0 {
+		h.giveUpAt = now + h.options.Lease.Seconds()
+	}
+}
+
+// finish gives the duty back: all processes of the command have ended.
+func (h *holding) finish(now float64) {
+	h.finished, h.group = true, nil
+	h.holder.Leave(now)
+	h.endGuard()
+}
+
+// abort kills the command, as it can't be watched any more, or can't be ended. The duty is left to run out.
+func (h *holding) abort() {
+	if h.group != nil {
+		h.group.signal(syscall.SIGKILL)
+	}
+}
+
+// start starts the command under a token. Its guard is there before, and kills it at a time in seconds of the boot clock.
+func (h *holding) start(token uint64, until float64) (err error) {
+	if h.guard, err = startGuard(); err != nil {
+		return err
+	}
 	h.token = token
-	h.run = exec.Command(h.command[0], h.command[1:]...)
-	h.run.Stdin, h.run.Stdout, h.run.Stderr = os.Stdin, os.Stdout, os.Stderr
-	h.run.Env = append(os.Environ(), fmt.Sprint("ELDERWALL_TOKEN=", token), "ELDERWALL_DUTY="+h.options.Duty)
-	h.run.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := h.run.Start(); err != nil {
-		return fmt.Errorf("hold: %w", err)
-	}
-	go func(r *exec.Cmd) { h.ended <- r.Wait() }(h.run)
-	return nil
+	if h.group, err = startGroup(h.command, fmt.Sprint("ELDERWALL_TOKEN=", token), "ELDERWALL_DUTY="+h.options.Duty); err != nil {
+		return err
+	}
+	return h.tellGuard(guardOrder{h.group.id, until})
+}
+
+// tellGuard tells the guard until when the command may run. One that does not hear is replaced: it was killed, or stopped.
+func (h *holding) tellGuard(order guardOrder) error {
+	if h.guard.tell(order) == nil {
+		return nil
+	}
+	h.guard.kill()
+	next, err := startGuard()
+	if err == nil {
+		h.guard = next
+		err = next.tell(order)
+	}
+	return err
+}
+
+// endGuard has the guard end; one whose group is not empty kills that first.
+func (h *holding) endGuard() {
+	if h.guard == nil {
+		return
+	}
+	if h.group == nil {
+		_ = h.guard.tell(guardOrder{})
+	}
+	_ = h.guard.input.Close()
+	h.guard = nil
 }
 
 // outcome is the command's status as an error, or nil.
--- a/internal/cluster/duties_test.go
+++ b/internal/cluster/duties_test.go
@@ -349,7 +349,10 @@
 func TestAHolderIsStoppedAndKilledAndEnds(t *testing.T) {
 	d := duty(t, 3, 3)
 	one, first, two := d.hold(0), d.acts(0), d.hold(1)
-	_ = one.cmd.Process.Signal(syscall.SIGSTOP) // its command goes on, and the token speaks against it
+	guard := one.guard()
+	_ = syscall.Kill(guard, syscall.SIGSTOP)
+	t.Cleanup(func() { _ = syscall.Kill(guard, syscall.SIGCONT) })
+	_ = one.cmd.Process.Signal(syscall.SIGSTOP) // its command goes on, as its guard is stopped too, and the token speaks against it
 	second := d.acts(first.token)
 	d.Until(soon, "acts of the stopped one's command are refused", func() error {
 		d.taker.mu.Lock()
@@ -357,6 +360,7 @@
 		return processes.When(d.taker.refused == 0, errors.New("none"))
 	})
 	_ = one.cmd.Process.Signal(syscall.SIGCONT)
+	_ = syscall.Kill(guard, syscall.SIGCONT)
 	<-one.ended
 	assert.Equal(t, lostStatus, one.cmd.ProcessState.ExitCode(), "it finds its time gone, and ends its command")
 	three := d.holdOf(job, 2)
