Tests: shards that come and go are judged by GETs returned at each step

Traced: it counted what a machine returns in six spans of 60 ms. It waits after each span now until 20 more GETs have been returned with that number of shards, 120 in all, and looks at the same sums as before; nothing that it asked for is left out.

--- a/internal/multicore/cores_test.go
+++ b/internal/multicore/cores_test.go
@@ -289,7 +289,9 @@
 	}
 }
 
+// Guards against GETs that are lost, or counts that are, as shards come and go: at each number of shards GETs go on to be returned.
 func TestShardsComeAndGoUnderLoad(t *testing.T) {
+	const perStep = 20 // GETs that are returned before the number changes again
 	r := newRig(t, 2, sharding.ByItem, 3)
 	c, wait := r.dial(), r.hosts.Hold()
 	for i := range 8 { // under way through all of it
@@ -300,7 +302,9 @@
 	end := r.load(need.Clients(t, r.address, 6), func(i int) string { return fmt.Sprintf("%016x", i%500) })
 	for _, n := range []int{4, 8, 3, 1, 5, 2} {
 		r.Resize(n)
+		before := r.sum().Returned.Load()
 		time.Sleep(60 * time.Millisecond)
+		need.Soon(t, func() bool { return r.sum().Returned.Load() >= before+perStep })
 		assert.Equal(t, n, r.Shards())
 	}
 	close(wait)
