--- a/cmd/elderwall-operator/hold.go
+++ b/cmd/elderwall-operator/hold.go
@@ -262,7 +262,8 @@
 	return h.tellGuard(guardOrder{h.group.id, until})
 }
 
-// tellGuard tells the guard until when the command may run. One that does not hear is replaced: it was killed, or stopped.
+// tellGuard tells the guard until when the command may run. One that does not hear is replaced: it was killed, or stopped for so long
+// that the pipe to it is full.
 func (h *holding) tellGuard(order guardOrder) error {
 	if h.guard.tell(order) == nil {
 		return nil
